--- a/src/sassafrasstair/bundles/_schema.py
+++ b/src/sassafrasstair/bundles/_schema.py
@@ -11,7 +11,9 @@
 
 import msgspec
 
-Name = typing.Annotated[str, msgspec.Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$")]
+Name = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z")
+]
 PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 Milliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 Share = typing.Annotated[float, msgspec.Meta(gt=0, le=1)]
--- /dev/null
+++ b/src/sassafrasstair/logs.py
@@ -0,0 +1,115 @@
+"""Logging: one line of key=value pairs, or one JSON object, per event."""
+
+from __future__ import annotations
+
+import datetime
+import enum
+import json
+import logging
+import re
+import sys
+import typing
+
+from pythonjsonlogger import json as json_logger
+
+Field = str | int | float | bool | enum.Enum
+
+_FIELDS = "sassafrasstair_fields"
+_PLAIN = re.compile(r"[A-Za-z0-9_./:+@%,~<>\[\]()*-]+")
+_VALUE_MAX = 1_000
+_FLOAT_DIGITS = 6
+
+
+def event(
+    logger: logging.Logger, level: int, name: str, **fields: Field
+) -> None:
+    """Log the event ``name`` with its fields; formatted only if emitted."""
+    if logger.isEnabledFor(level):
+        logger.log(level, name, extra={_FIELDS: fields})
+
+
+def configure(
+    format: typing.Literal["keyvalue", "json"],
+    level: str,
+    stream: typing.TextIO | None = None,
+) -> None:
+    """Send all logging to ``stream``, by default the standard error."""
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        JsonFormatter() if format == "json" else KeyValueFormatter()
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+
+
+class KeyValueFormatter(logging.Formatter):
+    """Formats an event as ``time=... level=... event=... key=value``."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of one record."""
+        pairs = _pairs(record).items()
+        return " ".join(f"{key}={_quoted(value)}" for key, value in pairs)
+
+
+class JsonFormatter(json_logger.JsonFormatter):
+    """Formats an event as one JSON object with the same keys."""
+
+    def process_log_record(
+        self, log_data: dict[str, typing.Any]
+    ) -> dict[str, typing.Any]:
+        """Return what ``add_fields`` has put there, unchanged."""
+        return log_data
+
+    def add_fields(
+        self,
+        log_data: dict[str, typing.Any],
+        record: logging.LogRecord,
+        message_dict: dict[str, typing.Any],
+    ) -> None:
+        """Put the keys of one record into ``log_data``."""
+        log_data.clear()
+        log_data.update(_pairs(record))
+
+
+def _pairs(record: logging.LogRecord) -> dict[str, str | int | float]:
+    when = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+    pairs: dict[str, str | int | float] = {
+        "time": when.isoformat(timespec="milliseconds"),
+        "level": record.levelname.lower(),
+        "logger": record.name,
+    }
+    fields: dict[str, Field] | None = getattr(record, _FIELDS, None)
+    if fields is None:
+        # A library's own record: its text becomes a field of one event.
+        pairs |= {"event": "library_message", "message": record.getMessage()}
+    else:
+        pairs["event"] = record.msg
+        pairs |= {key: _plain(value) for key, value in fields.items()}
+    if record.exc_info and record.exc_info[0]:
+        trace = logging.Formatter().formatException(record.exc_info)
+        pairs["exception"] = trace
+    return pairs
+
+
+def _plain(value: Field) -> str | int | float:
+    if isinstance(value, enum.Enum):
+        value = typing.cast("str", value.value)
+    if isinstance(value, float):
+        return round(value, _FLOAT_DIGITS)
+    if isinstance(value, str) and len(value) > _VALUE_MAX:
+        return value[:_VALUE_MAX] + "..."
+    return value
+
+
+def _quoted(value: str | int | float) -> str:
+    """Return the value, quoted as JSON where it needs that.
+
+    Callers choose some of the values. A newline that passed here would
+    let a caller write whole events of its own into the log; JSON's
+    escapes keep each event on one line.
+    """
+    if isinstance(value, bool):
+        return str(value).lower()
+    text = str(value)
+    return text if _PLAIN.fullmatch(text) else json.dumps(text)
