Add verification and approval of bundles

Daemons take a bundle only if an operator's key signed its exact text, so an envelope carries the text as a string beside its approvals and no canonical form of JSON is needed. Nothing unsigned is decoded. A name that the daemon does not know is passed over, so that an old and a new key can sign side by side; a bad signature under a known name refuses the whole.

Semantic checks come after decoding and report every fault with its key.

--- a/src/sassafrasstair/bundles/__init__.py
+++ b/src/sassafrasstair/bundles/__init__.py
@@ -2,6 +2,16 @@
 
 from __future__ import annotations
 
+from sassafrasstair.bundles._envelopes import Approval
+from sassafrasstair.bundles._envelopes import approve
+from sassafrasstair.bundles._envelopes import Approved
+from sassafrasstair.bundles._envelopes import decode
+from sassafrasstair.bundles._envelopes import digest
+from sassafrasstair.bundles._envelopes import Envelope
+from sassafrasstair.bundles._envelopes import open_envelope
+from sassafrasstair.bundles._envelopes import verify
+from sassafrasstair.bundles._errors import BundleError
+from sassafrasstair.bundles._errors import Defect
 from sassafrasstair.bundles._schema import Bundle
 from sassafrasstair.bundles._schema import BUNDLE_FORMAT
 from sassafrasstair.bundles._schema import IMPORTANCE_MAX
@@ -16,10 +26,20 @@
     "BUNDLE_FORMAT",
     "IMPORTANCE_MAX",
     "MAX_BUNDLE_BYTES",
+    "Approval",
+    "Approved",
     "Bundle",
+    "BundleError",
+    "Defect",
+    "Envelope",
     "Refusal",
     "RequestClass",
     "RetryBudget",
     "Service",
     "Tenant",
+    "approve",
+    "decode",
+    "digest",
+    "open_envelope",
+    "verify",
 ]
--- /dev/null
+++ b/src/sassafrasstair/bundles/_envelopes.py
@@ -0,0 +1,182 @@
+"""The published file: a bundle's exact text and its approvals.
+
+A signature covers the text as it stands, so no canonical form of JSON is
+needed and what an operator read is what was signed.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import typing
+
+import msgspec
+
+from sassafrasstair.bundles import _checks
+from sassafrasstair.bundles import _errors
+from sassafrasstair.bundles import _schema
+from sassafrasstair import decoding
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+MAX_APPROVALS = 16
+
+_DEFECTS: dict[type[decoding.DecodingError], _errors.Defect] = {
+    decoding.SyntaxFault: _errors.Defect.NOT_JSON,
+    decoding.UnknownKeyFault: _errors.Defect.UNKNOWN_KEY,
+    decoding.DecodingError: _errors.Defect.BAD_VALUE,
+}
+
+
+class Approval(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One operator's signature, in base64, and the name of the key."""
+
+    key: _schema.Name
+    signature: typing.Annotated[str, msgspec.Meta(max_length=100)]
+
+
+class Envelope(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A bundle's text and who approved it."""
+
+    payload: str
+    approvals: typing.Annotated[
+        tuple[Approval, ...], msgspec.Meta(max_length=MAX_APPROVALS)
+    ] = ()
+
+
+class Approved(msgspec.Struct, frozen=True):
+    """A bundle that passed every check.
+
+    ``digest`` is the SHA-256 of ``payload`` in hex. ``approved_by`` names
+    the known keys that signed it.
+    """
+
+    bundle: _schema.Bundle
+    payload: bytes
+    digest: str
+    approved_by: tuple[str, ...]
+
+
+def verify(envelope: bytes, keys: abc.Mapping[str, bytes]) -> Approved:
+    """Return the bundle in ``envelope`` if one of ``keys`` approved it.
+
+    ``keys`` maps names to 32 raw public bytes. Signatures by names that
+    are not there are passed over, so that old and new keys can both sign
+    while keys change; a bad signature by a known name refuses the whole.
+    Nothing of the text is decoded before a signature holds. Raises
+    ``BundleError``.
+    """
+    opened = open_envelope(envelope)
+    payload = opened.payload.encode()
+    approved_by = _signers(payload, opened.approvals, keys)
+    return Approved(
+        bundle=decode(payload),
+        payload=payload,
+        digest=digest(payload),
+        approved_by=approved_by,
+    )
+
+
+def approve(
+    payload: bytes,
+    private: bytes,
+    name: str,
+    approvals: tuple[Approval, ...] = (),
+) -> bytes:
+    """Return the envelope of ``payload``, signed under the key's name.
+
+    ``approvals`` are kept beside the new one, unless of the same name.
+    Raises ``BundleError`` for a payload that daemons would refuse and
+    ``KeyFault`` for a private key that is none.
+    """
+    # Imported late: see _signatures.
+    from sassafrasstair.bundles import _signatures
+
+    decode(payload)
+    signature = base64.b64encode(_signatures.sign(payload, private)).decode()
+    kept = [approval for approval in approvals if approval.key != name]
+    envelope = msgspec.json.encode(
+        Envelope(
+            payload=payload.decode(),
+            approvals=(*kept, Approval(key=name, signature=signature)),
+        )
+    )
+    open_envelope(envelope)
+    return envelope
+
+
+def open_envelope(envelope: bytes) -> Envelope:
+    """Return what ``envelope`` holds, with no signature checked."""
+    _check_size(envelope)
+    return _decode(envelope, Envelope)
+
+
+def decode(payload: bytes) -> _schema.Bundle:
+    """Return the bundle in the text, checked for itself; no signature."""
+    _check_size(payload)
+    bundle = _decode(payload, _schema.Bundle)
+    faults = _checks.faults(bundle)
+    if faults:
+        raise _errors.BundleError(_errors.Defect.INCONSISTENT, *faults)
+    return bundle
+
+
+def digest(payload: bytes) -> str:
+    """Return the digest that breaks ties between equal versions."""
+    return hashlib.sha256(payload).hexdigest()
+
+
+def _signers(
+    payload: bytes,
+    approvals: tuple[Approval, ...],
+    keys: abc.Mapping[str, bytes],
+) -> tuple[str, ...]:
+    from sassafrasstair.bundles import _signatures
+
+    if not approvals:
+        raise _errors.BundleError(
+            _errors.Defect.UNSIGNED, "approvals: wants one signature at least"
+        )
+    known = [approval for approval in approvals if approval.key in keys]
+    if not known:
+        names = ", ".join(approval.key for approval in approvals)
+        raise _errors.BundleError(
+            _errors.Defect.UNKNOWN_SIGNER,
+            f"approvals: wants a key of the settings, not {names}",
+        )
+    for approval in known:
+        signature = _signature(approval)
+        if not _signatures.is_valid(payload, signature, keys[approval.key]):
+            raise _errors.BundleError(
+                _errors.Defect.BAD_SIGNATURE,
+                f"approvals: signature of {approval.key} does not fit",
+            )
+    return tuple(dict.fromkeys(approval.key for approval in known))
+
+
+def _signature(approval: Approval) -> bytes:
+    try:
+        return base64.b64decode(approval.signature, validate=True)
+    except (binascii.Error, ValueError):
+        return b""
+
+
+def _check_size(text: bytes) -> None:
+    if len(text) > _schema.MAX_BUNDLE_BYTES:
+        raise _errors.BundleError(
+            _errors.Defect.TOO_LARGE,
+            f"document: wants at most {_schema.MAX_BUNDLE_BYTES} bytes, "
+            f"not {len(text)}",
+        )
+
+
+T = typing.TypeVar("T")
+
+
+def _decode(text: bytes, kind: type[T]) -> T:
+    try:
+        return decoding.decode(text, kind)
+    except decoding.DecodingError as error:
+        raise _errors.BundleError(_DEFECTS[type(error)], str(error)) from error
--- /dev/null
+++ b/tests/bundles/test_envelopes.py
@@ -0,0 +1,180 @@
+from __future__ import annotations
+
+import copy
+import functools
+import json
+import typing
+
+from cryptography.hazmat.primitives.asymmetric import ed25519
+import msgspec
+import pytest
+
+from sassafrasstair import bundles
+from sassafrasstair.bundles import _signatures
+
+PRIVATE, PUBLIC = _signatures.new_pair()
+OTHER_PRIVATE, OTHER_PUBLIC = _signatures.new_pair()
+KEYS = {"ops-1": PUBLIC}
+
+DOCUMENT: dict[str, typing.Any] = {
+    "format": 1,
+    "mesh": "m",
+    "version": 2,
+    "supersedes": 1,
+    "failure_domains": {"a": "r"},
+    "services": {
+        "s": {"slots": 1, "connections": 1, "calls": ["t"]},
+        "t": {"slots": 1, "connections": 1},
+    },
+    "classes": {"c": {"service": "s", "importance": 9, "deadline_ms": 900}},
+    "tenants": {"x": {}},
+}
+
+
+def text(path: str = "", value: object = None) -> bytes:
+    document = copy.deepcopy(DOCUMENT)
+    if path:
+        *sections, last = path.split("/")
+        parent = functools.reduce(lambda at, key: at[key], sections, document)
+        parent[last] = value
+    return json.dumps(document).encode()
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "reason", "detail"),
+    [
+        ("x", 1, "unknown_key", "x: unknown key, not one of format, mesh"),
+        (
+            "classes/c/deadline_s",
+            1,
+            "unknown_key",
+            "classes.c.deadline_s: unknown key, did you mean deadline_ms?",
+        ),
+        (
+            "classes/c/deadline_ms",
+            "900ms",
+            "bad_value",
+            "classes.c.deadline_ms: wants int, not str",
+        ),
+        (
+            "classes/c/importance",
+            10,
+            "bad_value",
+            "classes.c.importance: wants int <= 9",
+        ),
+        ("tenants/X y", {}, "bad_value", "tenants: wants a name of a-z"),
+        ("tenants/x", 3, "bad_value", "tenants.x: wants object, not int"),
+        ("format", 2, "bad_value", "format: wants one of 1"),
+        ("version", 1, "inconsistent", "version: wants more than supersedes"),
+        ("tenants", {}, "inconsistent", "tenants: wants one entry at least"),
+        ("rollout", ["b"], "inconsistent", "rollout: wants names from failur"),
+        ("rollout", ["a", "a"], "inconsistent", "rollout: wants each failure"),
+        (
+            "services/t/calls",
+            ["q"],
+            "inconsistent",
+            "services.t.calls: wants names from services, not q",
+        ),
+        (
+            "services/t/calls",
+            ["s"],
+            "inconsistent",
+            "services: wants no cycle of calls: ",
+        ),
+        (
+            "classes/c/service",
+            "q",
+            "inconsistent",
+            "classes.c.service: wants a name from services, not q",
+        ),
+        (
+            "classes/c/refusal",
+            {"queue_ms": 900},
+            "inconsistent",
+            "classes.c.refusal.queue_ms: wants less than 900",
+        ),
+        (
+            "classes/c/refusal",
+            {"retry_after_min_ms": 9_000},
+            "inconsistent",
+            "classes.c.refusal.retry_after_min_ms: wants at most 4000",
+        ),
+        (
+            "classes/c",
+            DOCUMENT["classes"]["c"] | {"once": True, "deadline_ms": 600_001},
+            "inconsistent",
+            "classes.c.deadline_ms: wants at most 600000",
+        ),
+    ],
+)
+def test_decode_refuses(
+    path: str, value: object, reason: str, detail: str
+) -> None:
+    with pytest.raises(bundles.BundleError) as caught:
+        bundles.decode(text(path, value))
+    assert caught.value.reason is bundles.Defect(reason)
+    assert caught.value.detail.startswith(detail)
+
+
+def test_verify_returns_the_exact_text() -> None:
+    payload = json.dumps(DOCUMENT, indent=3).encode()
+    approved = bundles.verify(bundles.approve(payload, PRIVATE, "ops-1"), KEYS)
+    assert approved.payload == payload
+    assert approved.digest == bundles.digest(payload)
+    assert approved.bundle == bundles.decode(payload)
+    assert approved.approved_by == ("ops-1",)
+
+
+def test_verify_while_keys_change() -> None:
+    """Operators replace ops-1 by ops-2 and both sign in between.
+
+    Daemons that were restarted know the new key only, others the old one
+    only; each has to take the bundle, or a rotation would split the fleet.
+    """
+    payload = text()
+    first = bundles.open_envelope(bundles.approve(payload, PRIVATE, "ops-1"))
+    envelope = bundles.approve(
+        payload, OTHER_PRIVATE, "ops-2", first.approvals
+    )
+    new = {"ops-2": OTHER_PUBLIC}
+    assert bundles.verify(envelope, KEYS).approved_by == ("ops-1",)
+    assert bundles.verify(envelope, new).approved_by == ("ops-2",)
+    both = bundles.verify(envelope, KEYS | new).approved_by
+    assert both == ("ops-1", "ops-2")
+
+
+def forged(**changes: object) -> bytes:
+    envelope = bundles.open_envelope(bundles.approve(text(), PRIVATE, "ops-1"))
+    return msgspec.json.encode(msgspec.to_builtins(envelope) | changes)
+
+
+@pytest.mark.parametrize(
+    ("envelope", "reason"),
+    [
+        (b" " * 1_000_001, "too_large"),
+        (b"", "not_json"),
+        (forged(extra=1), "unknown_key"),
+        (forged(payload=1), "bad_value"),
+        (b'{"payload": "\\ud800"}', "not_json"),
+        (forged(approvals=[]), "unsigned"),
+        (bundles.approve(text(), PRIVATE, "ops-9"), "unknown_signer"),
+        (bundles.approve(text(), OTHER_PRIVATE, "ops-1"), "bad_signature"),
+        (forged(payload=text("version", 3).decode()), "bad_signature"),
+        (
+            forged(approvals=[{"key": "ops-1", "signature": "?"}]),
+            "bad_signature",
+        ),
+        # The text is broken too, but unsigned text is never decoded.
+        (forged(payload="{"), "bad_signature"),
+    ],
+)
+def test_verify_refuses(envelope: bytes, reason: str) -> None:
+    with pytest.raises(bundles.BundleError) as caught:
+        bundles.verify(envelope, KEYS)
+    assert caught.value.reason is bundles.Defect(reason)
+    assert caught.value.detail
+
+
+def test_a_signature_of_the_bare_text_approves_nothing() -> None:
+    key = ed25519.Ed25519PrivateKey.from_private_bytes(PRIVATE)
+    assert not _signatures.is_valid(text(), key.sign(text()), PUBLIC)
