Share membership and bundles by gossip

Cause: the daemons need one interface for membership and bundles before the daemon and the fuzz tests can be written; there was none. Ruled out: a rumour of suspicion from any member of the fleet. A cut between failure domains would then leave each side with a table full of false rumours to take back; only a VM's own domain judges it.

--- a/src/sassafrasstair/decisions/fleet/__init__.py
+++ b/src/sassafrasstair/decisions/fleet/__init__.py
@@ -1,3 +1,94 @@
-"""TODO."""
+"""How the daemons share membership and bundles, without I/O.
+
+The daemon calls ``tick`` each 250 ms, gives requests of peers to
+``handle`` and the ends of its own exchanges to ``replied`` or
+``unreachable``, and carries out the effects that these return.
+"""
 
 from __future__ import annotations
+
+from sassafrasstair.decisions.fleet._effects import Effect
+from sassafrasstair.decisions.fleet._effects import Exchange
+from sassafrasstair.decisions.fleet._effects import EXCHANGE_TIMEOUT
+from sassafrasstair.decisions.fleet._effects import InForce
+from sassafrasstair.decisions.fleet._effects import ReadPlatform
+from sassafrasstair.decisions.fleet._effects import Report
+from sassafrasstair.decisions.fleet._effects import Watch
+from sassafrasstair.decisions.fleet._messages import BadMessage
+from sassafrasstair.decisions.fleet._messages import BundleFetch
+from sassafrasstair.decisions.fleet._messages import BundleId
+from sassafrasstair.decisions.fleet._messages import BundleReply
+from sassafrasstair.decisions.fleet._messages import decode
+from sassafrasstair.decisions.fleet._messages import encode
+from sassafrasstair.decisions.fleet._messages import Gossip
+from sassafrasstair.decisions.fleet._messages import GossipReply
+from sassafrasstair.decisions.fleet._messages import MembersFetch
+from sassafrasstair.decisions.fleet._messages import MembersReply
+from sassafrasstair.decisions.fleet._messages import Message
+from sassafrasstair.decisions.fleet._messages import ProbeRequest
+from sassafrasstair.decisions.fleet._messages import ProbeResult
+from sassafrasstair.decisions.fleet._messages import Received
+from sassafrasstair.decisions.fleet._messages import Record
+from sassafrasstair.decisions.fleet._messages import Rumour
+from sassafrasstair.decisions.fleet._nodes import handle
+from sassafrasstair.decisions.fleet._nodes import new_node
+from sassafrasstair.decisions.fleet._nodes import observed
+from sassafrasstair.decisions.fleet._nodes import platform_bundles
+from sassafrasstair.decisions.fleet._nodes import platform_failed
+from sassafrasstair.decisions.fleet._nodes import platform_vms
+from sassafrasstair.decisions.fleet._nodes import replied
+from sassafrasstair.decisions.fleet._nodes import set_leaving
+from sassafrasstair.decisions.fleet._nodes import tick
+from sassafrasstair.decisions.fleet._nodes import unreachable
+from sassafrasstair.decisions.fleet._queries import address_of
+from sassafrasstair.decisions.fleet._queries import in_force
+from sassafrasstair.decisions.fleet._queries import incarnation_of
+from sassafrasstair.decisions.fleet._queries import ready
+from sassafrasstair.decisions.fleet._queries import status
+from sassafrasstair.decisions.fleet._states import Node
+from sassafrasstair.decisions.fleet._subsets import targets
+from sassafrasstair.decisions.fleet._versions import bundle_id
+
+__all__ = [
+    "EXCHANGE_TIMEOUT",
+    "BadMessage",
+    "BundleFetch",
+    "BundleId",
+    "BundleReply",
+    "Effect",
+    "Exchange",
+    "Gossip",
+    "GossipReply",
+    "InForce",
+    "MembersFetch",
+    "MembersReply",
+    "Message",
+    "Node",
+    "ProbeRequest",
+    "ProbeResult",
+    "ReadPlatform",
+    "Received",
+    "Record",
+    "Report",
+    "Rumour",
+    "Watch",
+    "address_of",
+    "bundle_id",
+    "decode",
+    "encode",
+    "handle",
+    "in_force",
+    "incarnation_of",
+    "new_node",
+    "observed",
+    "platform_bundles",
+    "platform_failed",
+    "platform_vms",
+    "ready",
+    "replied",
+    "set_leaving",
+    "status",
+    "targets",
+    "tick",
+    "unreachable",
+]
--- /dev/null
+++ b/src/sassafrasstair/decisions/fleet/_members.py
@@ -0,0 +1,278 @@
+"""The member table: a join of rumours, the same whatever their order.
+
+Beliefs on one incarnation of a VM are ordered by the revision that the VM's
+own daemon raises, then by severity. That it leaves is never taken back
+within an incarnation. A greater incarnation replaces all.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import typing
+
+from sassafrasstair.decisions.fleet import _messages
+from sassafrasstair.decisions.fleet import _states
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+MAX_RUMOURS = 12
+MOST_HOT = 64
+RETRANSMISSIONS = 3
+HOLD_FIRST = 1.0
+HOLD_LONGEST = 16.0
+FLAPS_FORGOTTEN = 60.0
+
+
+def usable(node: _states.Node, member: _states.Member, now: float) -> bool:
+    """Return whether ``member`` may be given new work."""
+    if member.life != _messages.SERVING or member.leaving:
+        return False
+    if member.record.state == "leaving" or member.barred:
+        return False
+    reach = node.reach.get(member.record.failure_domain)
+    return now >= member.hold_until and not (reach and reach.cut)
+
+
+def is_member(member: _states.Member) -> bool:
+    """Return whether ``member`` takes part in gossip, as far as known."""
+    return member.life == _messages.SERVING
+
+
+def rumour_of(member: _states.Member, whole: bool) -> _messages.Rumour:
+    """Return what is believed of ``member``, with its record if whole."""
+    return _messages.Rumour(
+        member.record.vm,
+        member.incarnation,
+        member.revision,
+        member.life,
+        member.leaving,
+        member.blind,
+        member.record if whole else None,
+    )
+
+
+def changed(node: _states.Node) -> None:
+    """Void what was worked out from the membership before."""
+    node.edition += 1
+
+
+def merge(node: _states.Node, rumour: _messages.Rumour, now: float) -> bool:
+    """Join ``rumour`` into the table; return whether it was news."""
+    member = node.members.get(rumour.vm)
+    if member is None:
+        return _add(node, rumour, now)
+    before = _place(member)
+    _toggle(node, member)
+    _join(member, rumour)
+    _toggle(node, member)
+    if _place(member) == before:
+        return False
+    _follow(node, member, before, now)
+    return True
+
+
+def contacted(
+    node: _states.Node, vm: str, incarnation: str, now: float
+) -> None:
+    """Take in from ``vm`` itself that ``incarnation`` runs there."""
+    rumour = _messages.Rumour(vm, incarnation, 0, _messages.SERVING)
+    if merge(node, rumour, now):
+        mark_hot(node, vm)
+
+
+def mark_hot(node: _states.Node, vm: str) -> None:
+    """Have the belief on ``vm`` passed on a bounded number of times."""
+    member = node.members[vm]
+    spread = math.ceil(math.log(len(node.members) + 2))
+    if member.life != _messages.SERVING or member.leaving:
+        node.hot[vm] = RETRANSMISSIONS * spread
+        node.urgent = True
+    elif vm == node.me.vm or len(node.hot) < MOST_HOT:
+        # When a whole fleet starts, everyone announces itself: beyond this
+        # the announcements are left to the comparison of tables.
+        node.hot[vm] = RETRANSMISSIONS * spread
+
+
+def piggyback(
+    node: _states.Node, receiver: str
+) -> tuple[_messages.Rumour, ...]:
+    """Return the rumours for one message, those least told first."""
+    chosen = sorted(node.hot, key=lambda vm: _priority(node, vm))
+    rumours = [_told(node, vm) for vm in chosen[:MAX_RUMOURS]]
+    member = node.members.get(receiver)
+    if member is not None and member.life != _messages.SERVING:
+        # A paused process wakes and is rumoured dead: unless it hears so
+        # it cannot refute, and gets no work though it serves.
+        rumours.append(rumour_of(member, whole=False))
+    return tuple(rumours)
+
+
+def bucket_of(vm: str) -> int:
+    """Return the checksum bucket of ``vm``."""
+    return _digest(vm) % _states.BUCKETS
+
+
+def checksum(node: _states.Node) -> int:
+    """Return the checksum of the whole member table."""
+    total = 0
+    for place, value in enumerate(node.checksums):
+        total ^= _digest(f"{place} {value}")
+    return total
+
+
+def differing(
+    node: _states.Node, checksums: abc.Sequence[int]
+) -> tuple[_messages.Rumour, ...]:
+    """Return all rumours of the buckets that differ from ``checksums``."""
+    wanted = {
+        bucket
+        for bucket, value in enumerate(node.checksums)
+        if bucket >= len(checksums) or checksums[bucket] != value
+    }
+    return tuple(
+        rumour_of(member, whole=True)
+        for vm, member in node.members.items()
+        if bucket_of(vm) in wanted
+    )
+
+
+def hold(node: _states.Node, member: _states.Member, now: float) -> None:
+    """Bar a member that is back for a while, longer the more it flaps."""
+    # Hysteresis: a VM at the edge of failure would take work and lose it
+    # again each second; each return within a minute doubles the wait.
+    if now - member.hold_until > FLAPS_FORGOTTEN:
+        member.flaps = 0
+    wait = min(HOLD_FIRST * 2**member.flaps, HOLD_LONGEST)
+    member.flaps += 1
+    member.hold_until = now + wait
+    node.holding.add(member.record.vm)
+    changed(node)
+
+
+def release(node: _states.Node, now: float) -> None:
+    """End the holds whose time is over."""
+    over = {vm for vm in node.holding if node.members[vm].hold_until <= now}
+    if over:
+        node.holding -= over
+        changed(node)
+
+
+def forget(node: _states.Node, vm: str) -> None:
+    """Drop ``vm`` from the table."""
+    member = node.members.pop(vm)
+    _toggle(node, member)
+    if node.by_address.get(member.record.address) == vm:
+        del node.by_address[member.record.address]
+    node.hot.pop(vm, None)
+    node.barred.discard(vm)
+    node.holding.discard(vm)
+    changed(node)
+
+
+def _add(node: _states.Node, rumour: _messages.Rumour, now: float) -> bool:
+    if rumour.record is None or rumour.record.vm != rumour.vm:
+        return False
+    member = _states.Member(rumour.record, changed=now)
+    _join(member, rumour)
+    node.members[rumour.vm] = member
+    node.by_address[rumour.record.address] = rumour.vm
+    _toggle(node, member)
+    changed(node)
+    return True
+
+
+def _join(member: _states.Member, rumour: _messages.Rumour) -> None:
+    if rumour.incarnation > member.incarnation:
+        _replace(member, rumour)
+        return
+    if rumour.incarnation and rumour.incarnation < member.incarnation:
+        return
+    member.leaving = member.leaving or rumour.leaving
+    later = (rumour.revision, rumour.life) > (member.revision, member.life)
+    # The VM list names no incarnation: what it says holds for the one
+    # that runs, which refutes it if it is wrong.
+    listed = not rumour.incarnation and bool(member.incarnation)
+    if listed:
+        member.life = max(member.life, rumour.life)
+    elif later:
+        member.blind = rumour.blind
+        member.revision = rumour.revision
+        member.life = rumour.life
+    _take_record(member, rumour.record)
+
+
+def _replace(member: _states.Member, rumour: _messages.Rumour) -> None:
+    known = bool(member.incarnation)
+    member.leaving = rumour.leaving or (member.leaving and not known)
+    member.incarnation = rumour.incarnation
+    member.revision = rumour.revision
+    member.life = rumour.life
+    member.blind = rumour.blind
+    if rumour.record is not None:
+        member.record = rumour.record
+
+
+def _take_record(
+    member: _states.Member, record: _messages.Record | None
+) -> None:
+    if record is None or record.vm != member.record.vm:
+        return
+    if record.state == "leaving":
+        member.leaving = True
+
+
+def _follow(
+    node: _states.Node,
+    member: _states.Member,
+    before: tuple[str, int, int, bool, bool],
+    now: float,
+) -> None:
+    node.by_address[member.record.address] = member.record.vm
+    member.changed = now
+    back = before[2] != _messages.SERVING
+    if back and member.life == _messages.SERVING:
+        member.barred = False
+        member.failures = 0
+        node.barred.discard(member.record.vm)
+        hold(node, member, now)
+    changed(node)
+
+
+def _place(member: _states.Member) -> tuple[str, int, int, bool, bool]:
+    return (
+        member.incarnation,
+        member.revision,
+        member.life,
+        member.leaving,
+        member.blind,
+    )
+
+
+def _priority(node: _states.Node, vm: str) -> tuple[bool, int]:
+    member = node.members[vm]
+    healthy = member.life == _messages.SERVING and not member.leaving
+    return healthy, -node.hot[vm]
+
+
+def _told(node: _states.Node, vm: str) -> _messages.Rumour:
+    node.hot[vm] -= 1
+    if node.hot[vm] <= 0:
+        del node.hot[vm]
+    member = node.members[vm]
+    return rumour_of(member, whole=member.life == _messages.SERVING)
+
+
+def _toggle(node: _states.Node, member: _states.Member) -> None:
+    # Members that are gone count for nothing: nodes forget them at
+    # different times, which must not look like a difference.
+    if member.life == _messages.GONE:
+        return
+    value = _digest(f"{member.record.vm} {_place(member)}")
+    node.checksums[bucket_of(member.record.vm)] ^= value
+
+
+def _digest(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
+    return int.from_bytes(digest)
--- /dev/null
+++ b/src/sassafrasstair/decisions/fleet/_platform.py
@@ -0,0 +1,149 @@
+"""When this daemon reads or watches the platform.
+
+Two daemons of each failure domain hold a watch; all others hear from
+peers. A read of the whole is made once after a lost watch, and by a new
+daemon only if no peer could tell it, each after a random delay.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from sassafrasstair.decisions.fleet import _effects
+from sassafrasstair.decisions.fleet import _members
+from sassafrasstair.decisions.fleet import _messages
+from sassafrasstair.decisions.fleet import _states
+from sassafrasstair.decisions.fleet import _subsets
+from sassafrasstair.decisions.fleet import _versions
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+    import random
+
+ASK_PEERS_FIRST = 1.0
+FIRST_READ_SPREAD = 6.0
+LOST_WATCH_SPREAD = 2.0
+LONGEST_BACKOFF = 30.0
+KNOWN_AFTER = 15.0
+FAILURES_TO_BLIND = 3
+
+
+def took_bundles(
+    node: _states.Node, envelopes: abc.Sequence[bytes]
+) -> list[_effects.Effect]:
+    """Take in the bundles of a read or of an answered watch."""
+    _sees(node)
+    effects: list[_effects.Effect] = []
+    for envelope in envelopes:
+        effects += _versions.offered(node, envelope, "platform")
+    return effects
+
+
+def took_vms(
+    node: _states.Node,
+    records: abc.Sequence[_messages.Record],
+    index: int,
+    now: float,
+) -> None:
+    """Take in the VM list; what it changes becomes rumours."""
+    _sees(node)
+    for record in records:
+        if _listed(node, record, now):
+            _members.mark_hot(node, record.vm)
+    if index < node.index:
+        # A platform that came back stale lists VMs as it once knew them:
+        # dropping those that it does not know yet would empty services.
+        return
+    names = {record.vm: record.state for record in records}
+    for vm in node.listed:
+        if vm not in names and _unlisted(node, vm, now):
+            _members.mark_hot(node, vm)
+    node.listed = dict(names)
+    node.index = index
+
+
+def lost(node: _states.Node, rng: random.Random) -> list[_effects.Effect]:
+    """Take in a lost or overflown watch, or a failed read."""
+    node.platform_failures += 1
+    if node.held and not node.watching:
+        node.reading = False
+        return []
+    longest = LOST_WATCH_SPREAD * 2 ** min(node.platform_failures - 1, 6)
+    node.reading = True
+    delay = rng.uniform(0.0, min(longest, LONGEST_BACKOFF))
+    if node.platform_failures == FAILURES_TO_BLIND:
+        _set_blind(node, blind=True)
+    return [_effects.ReadPlatform(delay)]
+
+
+def review(
+    node: _states.Node, now: float, rng: random.Random
+) -> list[_effects.Effect]:
+    """Return the change of watch, or the first read, that is due."""
+    effects: list[_effects.Effect] = []
+    if node.settled and node.watchers_edition != node.edition:
+        node.watchers_edition = node.edition
+        chosen = _knows_peers(node, now) and node.me.vm in _subsets.watchers(
+            node
+        )
+        if chosen != node.watching:
+            node.watching = chosen
+            effects.append(_effects.Watch(chosen))
+    uninformed = not node.held and not node.watching
+    if uninformed and not node.reading and now >= node.read_at:
+        node.reading = True
+        node.read_at = now + LONGEST_BACKOFF
+        effects.append(_effects.ReadPlatform(0.0))
+    return effects
+
+
+def first_read_at(now: float, rng: random.Random) -> float:
+    """Return when a daemon reads for itself that no peer could tell."""
+    return now + ASK_PEERS_FIRST + rng.uniform(0.0, FIRST_READ_SPREAD)
+
+
+def _knows_peers(node: _states.Node, now: float) -> bool:
+    # All start at once: a daemon that knows only its seeds is among the
+    # first two of those few, and so would each of the whole fleet be.
+    return node.index > 0 or now - node.started > KNOWN_AFTER
+
+
+def _sees(node: _states.Node) -> None:
+    node.reading = False
+    if node.platform_failures >= FAILURES_TO_BLIND:
+        _set_blind(node, blind=False)
+    node.platform_failures = 0
+
+
+def _set_blind(node: _states.Node, blind: bool) -> None:
+    me = node.members[node.me.vm]
+    node.revision += 1
+    rumour = _messages.Rumour(
+        node.me.vm,
+        node.incarnation,
+        node.revision,
+        _messages.SERVING,
+        me.leaving,
+        blind,
+    )
+    _members.merge(node, rumour, node.ticked)
+    _members.mark_hot(node, node.me.vm)
+
+
+def _listed(node: _states.Node, record: _messages.Record, now: float) -> bool:
+    member = node.members.get(record.vm)
+    leaving = record.state == "leaving"
+    if member is not None and member.leaving >= leaving:
+        return False
+    rumour = _messages.Rumour(
+        record.vm, "", 0, _messages.SERVING, leaving, False, record
+    )
+    return _members.merge(node, rumour, now)
+
+
+def _unlisted(node: _states.Node, vm: str, now: float) -> bool:
+    member = node.members.get(vm)
+    if member is None or vm == node.me.vm:
+        return False
+    rumour = _messages.Rumour(vm, "", 0, _messages.GONE)
+    return _members.merge(node, rumour, now)
--- /dev/null
+++ b/src/sassafrasstair/decisions/fleet/_queries.py
@@ -0,0 +1,69 @@
+"""What the daemon asks of its view of the fleet."""
+
+from __future__ import annotations
+
+import typing
+
+from sassafrasstair.decisions.fleet import _messages
+from sassafrasstair.decisions.fleet import _states
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair import bundles
+
+
+def in_force(node: _states.Node) -> bundles.Bundle | None:
+    """Return the bundle in force here, or None before there is one."""
+    return None if node.in_force is None else node.in_force.bundle
+
+
+def ready(node: _states.Node, now: float) -> bool:
+    """Return whether this daemon may serve: settled, with a bundle."""
+    return node.settled and node.in_force is not None
+
+
+def address_of(node: _states.Node, vm: str) -> str | None:
+    """Return the "IP:port" of the daemon on ``vm``, None if unknown."""
+    member = node.members.get(vm)
+    return None if member is None else member.record.address
+
+
+def incarnation_of(node: _states.Node, vm: str) -> str:
+    """Return the newest incarnation known of ``vm``, empty if unknown."""
+    member = node.members.get(vm)
+    return "" if member is None else member.incarnation
+
+
+def status(node: _states.Node) -> dict[str, typing.Any]:
+    """Return what ``sassafras status`` shows of the fleet, as JSON has."""
+    lives = [member.life for member in node.members.values()]
+    return {
+        "vm": node.me.vm,
+        "incarnation": node.incarnation,
+        "settled": node.settled,
+        "in_force": _shown(node.in_force),
+        "held": [_shown(node.held[one]) for one in sorted(node.held)],
+        "refused": dict(node.refused),
+        "conflicts": {str(v): d for v, d in node.conflicts.items()},
+        "vm_list_index": node.index,
+        "watching": node.watching,
+        "platform_failures": node.platform_failures,
+        "members": {
+            "known": len(lives),
+            "serving": lives.count(_messages.SERVING),
+            "suspected": lives.count(_messages.SUSPECTED),
+            "gone": lives.count(_messages.GONE),
+            "leaving": sum(m.leaving for m in node.members.values()),
+            "barred": sorted(node.barred),
+        },
+        "cut": sorted(name for name, r in node.reach.items() if r.cut),
+    }
+
+
+def _shown(held: _states.Held | None) -> dict[str, typing.Any] | None:
+    if held is None:
+        return None
+    return {
+        "version": held.bundle_id.version,
+        "digest": held.bundle_id.digest.hex(),
+        "rollout": list(held.bundle.rollout),
+    }
--- /dev/null
+++ b/src/sassafrasstair/decisions/fleet/_spreads.py
@@ -0,0 +1,210 @@
+"""Whom this daemon gossips with, and when it knows enough to serve."""
+
+from __future__ import annotations
+
+import typing
+
+from sassafrasstair.decisions.fleet import _effects
+from sassafrasstair.decisions.fleet import _members
+from sassafrasstair.decisions.fleet import _messages
+from sassafrasstair.decisions.fleet import _reaches
+from sassafrasstair.decisions.fleet import _states
+from sassafrasstair.decisions.fleet import _subsets
+from sassafrasstair.decisions.fleet import _summaries
+from sassafrasstair.decisions.fleet import _versions
+
+if typing.TYPE_CHECKING:
+    import random
+
+GOSSIP_EVERY = 1.0
+OTHER_DOMAIN_EACH = 4
+STRANGER_EACH = 16
+FANOUT_OWN = 2
+FANOUT_OTHER = 1
+OFFERS_OWN = 3
+OFFERS_OTHER = 2
+FLUSH_EVERY = 0.25
+TOKENS_PER_SECOND = 1.0
+MOST_TOKENS = 12.0
+SETTLE_WAIT = 3.0
+SETTLE_LONGEST = 6.0
+SETTLE_ANSWERS = 2
+
+
+def round_due(
+    node: _states.Node, now: float, rng: random.Random
+) -> list[_effects.Effect]:
+    """Return the periodic exchange if it is due."""
+    if not node.settled:
+        return _ask(node, rng)
+    if now < node.next_gossip:
+        return []
+    node.next_gossip = now + GOSSIP_EVERY * rng.uniform(0.9, 1.1)
+    node.round += 1
+    if node.round % STRANGER_EACH == 0:
+        return _to_stranger(node, rng)
+    own, other = _subsets.partners(node)
+    chosen = own
+    if not own or (other and node.round % OTHER_DOMAIN_EACH == 0):
+        chosen = other
+    if not chosen:
+        return _to_stranger(node, rng)
+    vm = chosen[node.round // 2 % len(chosen)]
+    if vm in node.barred or _cut_off(node, vm):
+        return _to_stranger(node, rng)
+    return [_gossip(node, node.members[vm].record.address, vm)]
+
+
+def flush(
+    node: _states.Node, now: float, rng: random.Random
+) -> list[_effects.Effect]:
+    """Pass on at once what cannot wait for the next round."""
+    effects: list[_effects.Effect] = []
+    if node.offer and node.settled:
+        # Bundles pay no token: only operators can make them.
+        node.offer = False
+        others = OFFERS_OTHER if node.watching else 0
+        effects += _push(node, OFFERS_OWN, others, rng)
+    if not node.urgent or now < node.next_flush:
+        return effects
+    elapsed = max(0.0, now - node.flushed)
+    node.tokens = min(MOST_TOKENS, node.tokens + elapsed * TOKENS_PER_SECOND)
+    node.flushed = now
+    if node.tokens < FANOUT_OWN + FANOUT_OTHER:
+        return effects
+    node.urgent = False
+    node.next_flush = now + FLUSH_EVERY
+    node.tokens -= FANOUT_OWN + FANOUT_OTHER
+    return effects + _push(node, FANOUT_OWN, FANOUT_OTHER, rng)
+
+
+def settle(
+    node: _states.Node, now: float, rng: random.Random
+) -> list[_effects.Effect]:
+    """See whether this daemon knows enough to serve."""
+    if node.settled:
+        return []
+    if not _knows_enough(node, now):
+        return []
+    node.settled = True
+    node.offer = bool(node.held)
+    node.next_gossip = now + GOSSIP_EVERY * rng.random()
+    return _versions.settle(node)
+
+
+def _knows_enough(node: _states.Node, now: float) -> bool:
+    waited = now - node.started
+    if node.fetches:
+        return waited >= SETTLE_LONGEST
+    if waited >= SETTLE_WAIT:
+        return True
+    # A restarted daemon beside a stale platform would bring an old bundle
+    # back into force: peers that were settled before it know better. An
+    # answer of a peer that has just started itself shows nothing.
+    knowing = [name for name, ok in node.answered.items() if ok]
+    own = [name for name in knowing if _is_own(node, name)]
+    if len(own) >= SETTLE_ANSWERS:
+        return True
+    known = {
+        member.record.address
+        for vm, member in node.members.items()
+        if vm != node.me.vm and _members.is_member(member)
+    }
+    return bool(knowing) and known.union(node.seeds) <= set(knowing)
+
+
+def _is_own(node: _states.Node, address: str) -> bool:
+    member = node.members.get(node.by_address.get(address, ""))
+    if member is None:
+        return False
+    return member.record.failure_domain == node.me.failure_domain
+
+
+def _ask(node: _states.Node, rng: random.Random) -> list[_effects.Effect]:
+    """Ask a few peers that have not answered yet."""
+    addresses: set[str] = set()
+
+    def fresh(member: _states.Member) -> bool:
+        address = member.record.address
+        return not node.answered.get(address) and address not in addresses
+
+    def own(member: _states.Member) -> bool:
+        same = member.record.failure_domain == node.me.failure_domain
+        return same and fresh(member)
+
+    for accept in (own, own, fresh):
+        vm = _subsets.random_member(node, rng, accept)
+        if vm is not None:
+            addresses.add(node.members[vm].record.address)
+    seeds = [one for one in node.seeds if one != node.me.address]
+    if seeds:
+        addresses.add(rng.choice(seeds))
+    return [
+        _gossip(node, address, node.by_address.get(address, ""))
+        for address in sorted(addresses)
+    ]
+
+
+def _to_stranger(
+    node: _states.Node, rng: random.Random
+) -> list[_effects.Effect]:
+    """Gossip with anyone: heals views that have grown apart."""
+    seeds = [
+        one
+        for one in node.seeds
+        if one != node.me.address and one not in node.by_address
+    ]
+    if seeds and rng.random() < 0.25:
+        return [_gossip(node, rng.choice(seeds), "")]
+    vm = _subsets.random_member(
+        node, rng, lambda member: not _cut_off(node, member.record.vm)
+    )
+    if vm is None:
+        return []
+    return [_gossip(node, node.members[vm].record.address, vm)]
+
+
+def _push(
+    node: _states.Node, own: int, other: int, rng: random.Random
+) -> list[_effects.Effect]:
+    chosen: set[str] = set()
+
+    def home(member: _states.Member) -> bool:
+        return _pushable(node, member, chosen) and (
+            member.record.failure_domain == node.me.failure_domain
+        )
+
+    def away(member: _states.Member) -> bool:
+        return _pushable(node, member, chosen) and (
+            member.record.failure_domain != node.me.failure_domain
+        )
+
+    for accept in (home,) * own + (away,) * other:
+        vm = _subsets.random_member(node, rng, accept)
+        if vm is not None:
+            chosen.add(vm)
+    return [
+        _gossip(node, node.members[vm].record.address, vm)
+        for vm in sorted(chosen)
+    ]
+
+
+def _pushable(
+    node: _states.Node, member: _states.Member, chosen: set[str]
+) -> bool:
+    return (
+        member.record.vm not in chosen
+        and _members.is_member(member)
+        and not member.barred
+        and not _reaches.is_cut(node, member.record.failure_domain)
+    )
+
+
+def _cut_off(node: _states.Node, vm: str) -> bool:
+    domain = node.members[vm].record.failure_domain
+    return _reaches.is_cut(node, domain)
+
+
+def _gossip(node: _states.Node, address: str, vm: str) -> _effects.Effect:
+    message = _summaries.summary(node, _messages.Gossip, vm)
+    return _effects.Exchange(address, message)
--- /dev/null
+++ b/src/sassafrasstair/decisions/fleet/_summaries.py
@@ -0,0 +1,34 @@
+"""The summary that daemons exchange, and the probe that carries it."""
+
+from __future__ import annotations
+
+from sassafrasstair.decisions.fleet import _effects
+from sassafrasstair.decisions.fleet import _members
+from sassafrasstair.decisions.fleet import _messages
+from sassafrasstair.decisions.fleet import _states
+
+
+def probe(node: _states.Node, vm: str) -> _effects.Effect:
+    """Return a short exchange that shows whether ``vm`` is alive."""
+    message = summary(node, _messages.Gossip, vm)
+    address = node.members[vm].record.address
+    return _effects.Exchange(address, message, _effects.PROBE_TIMEOUT)
+
+
+def summary(
+    node: _states.Node,
+    kind: type[_messages.Gossip] | type[_messages.GossipReply],
+    receiver: str,
+) -> _messages.Gossip | _messages.GossipReply:
+    """Return what this daemon tells ``receiver``, as that ``kind``."""
+    return kind(
+        node.me.vm,
+        node.me.address,
+        node.incarnation,
+        node.settled,
+        node.index,
+        _members.checksum(node),
+        tuple(node.held),
+        tuple(name for name, reach in node.reach.items() if reach.cut),
+        _members.piggyback(node, receiver),
+    )
--- /dev/null
+++ b/src/sassafrasstair/decisions/fleet/_versions.py
@@ -0,0 +1,182 @@
+"""Which bundles a daemon keeps, and which one is in force.
+
+Bundles are totally ordered by version and then by the digest of their
+payload; replicas keep the greatest, so they agree in whatever order
+bundles come and never go back.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import typing
+import zlib
+
+import msgspec
+
+from sassafrasstair import bundles
+from sassafrasstair.decisions.fleet import _effects
+from sassafrasstair.decisions.fleet import _messages
+from sassafrasstair.decisions.fleet import _states
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+MOST_REFUSED = 8
+DIGEST_BYTES = 16
+
+
+def bundle_id(bundle: bundles.Bundle) -> _messages.BundleId:
+    """Return the place of ``bundle`` in the total order.
+
+    The digest is of the payload and not of the envelope: two signatures
+    under the same payload do not make two bundles.
+    """
+    payload = msgspec.json.encode(bundle, order="sorted")
+    digest = hashlib.sha256(payload).digest()[:DIGEST_BYTES]
+    return _messages.BundleId(bundle.version, digest)
+
+
+def offered(
+    node: _states.Node, envelope: bytes, source: str
+) -> list[_effects.Effect]:
+    """Take in one envelope from ``source`` if it is good and new."""
+    seal = hashlib.sha256(envelope).digest()
+    if len(envelope) > bundles.MAX_BUNDLE_BYTES:
+        return _refuse(node, seal, "too large", source)
+    if any(seal == held.seal for held in node.held.values()):
+        return []
+    try:
+        bundle = node.verify(envelope)
+    except bundles.BundleError as error:
+        return _refuse(node, seal, str(error), source)
+    held = _states.Held(bundle_id(bundle), bundle, pack(envelope), seal)
+    return _keep(node, held, source)
+
+
+def settle(node: _states.Node) -> list[_effects.Effect]:
+    """Put the greatest bundle that applies here in force, if settled."""
+    if not node.settled:
+        return []
+    applying = [
+        held
+        for held in node.held.values()
+        if _applies(held.bundle, node.me.failure_domain)
+    ]
+    if not applying:
+        return []
+    newest = max(applying, key=lambda held: held.bundle_id)
+    current = node.in_force
+    if current is not None and newest.bundle_id <= current.bundle_id:
+        return []
+    node.in_force = newest
+    return [_effects.InForce(newest.bundle)]
+
+
+def pack(envelope: bytes) -> bytes:
+    """Return ``envelope`` compressed for the wire."""
+    return zlib.compress(envelope, 6)
+
+
+def unpack(body: bytes) -> bytes | None:
+    """Return the envelope in ``body``, or None if bad or too large."""
+    # A small body can unpack to gigabytes and use up the VM's memory: the
+    # limit stops the unpacking one byte past what a bundle may have.
+    limit = bundles.MAX_BUNDLE_BYTES + 1
+    try:
+        return zlib.decompressobj().decompress(body, limit)
+    except zlib.error:
+        return None
+
+
+def wanted(
+    node: _states.Node, ids: abc.Iterable[_messages.BundleId]
+) -> list[_messages.BundleId]:
+    """Return those of ``ids`` that may be news here, greatest first."""
+    floor = min(node.held, default=None)
+    missing = [
+        one
+        for one in ids
+        if one not in node.held and (floor is None or one > floor)
+    ]
+    return sorted(missing, reverse=True)
+
+
+def _keep(
+    node: _states.Node, held: _states.Held, source: str
+) -> list[_effects.Effect]:
+    if held.bundle_id in node.held:
+        return []
+    current = node.in_force
+    applies = _applies(held.bundle, node.me.failure_domain)
+    if applies and current and held.bundle_id < current.bundle_id:
+        return _downgraded(node, held, current, source)
+    effects = _conflict(node, held)
+    node.held[held.bundle_id] = held
+    node.held = _frontier(node.held)
+    if held.bundle_id in node.held:
+        node.offer = True
+    return effects + settle(node)
+
+
+def _downgraded(
+    node: _states.Node,
+    held: _states.Held,
+    current: _states.Held,
+    source: str,
+) -> list[_effects.Effect]:
+    if held.bundle_id.version == current.bundle_id.version:
+        effects = _conflict(node, held)
+        _refuse(node, held.seal, "same version, lesser digest", source)
+        return effects
+    reason = (
+        f"downgraded: version {held.bundle_id.version} is older than"
+        f" {current.bundle_id.version} in force"
+    )
+    return _refuse(node, held.seal, reason, source)
+
+
+def _conflict(node: _states.Node, held: _states.Held) -> list[_effects.Effect]:
+    for other in node.held:
+        if other.version == held.bundle_id.version:
+            fields = {
+                "version": str(other.version),
+                "kept": max(other, held.bundle_id).digest.hex(),
+                "dropped": min(other, held.bundle_id).digest.hex(),
+            }
+            node.conflicts[other.version] = fields["dropped"]
+            return [_effects.Report("bundle_conflict", fields)]
+    return []
+
+
+def _frontier(
+    held: dict[_messages.BundleId, _states.Held],
+) -> dict[_messages.BundleId, _states.Held]:
+    """Return the bundles that are the greatest of some failure domain."""
+    kept = {}
+    covered: set[str] = set()
+    for one in sorted(held, reverse=True):
+        rollout = held[one].bundle.rollout
+        if not rollout:
+            kept[one] = held[one]
+            break
+        if not covered.issuperset(rollout):
+            kept[one] = held[one]
+            covered.update(rollout)
+    return kept
+
+
+def _applies(bundle: bundles.Bundle, domain: str) -> bool:
+    return not bundle.rollout or domain in bundle.rollout
+
+
+def _refuse(
+    node: _states.Node, seal: bytes, reason: str, source: str
+) -> list[_effects.Effect]:
+    key = seal[:DIGEST_BYTES].hex()
+    if key in node.refused:
+        return []
+    while len(node.refused) >= MOST_REFUSED:
+        del node.refused[next(iter(node.refused))]
+    node.refused[key] = reason
+    fields = {"digest": key, "reason": reason, "source": source}
+    return [_effects.Report("bundle_refused", fields)]
