Prove the fleet decisions under failure

The tests found a fault: an older bundle for all domains that came after a staged one was refused, so what a daemon held depended on the order; it also merged rumours slowly. Ruled out: keeping only the bundle in force and the newest; a domain that both versions pass by could then not be told the older one by its peers.

--- a/src/sassafrasstair/bench/_capacity_fleets.py
+++ b/src/sassafrasstair/bench/_capacity_fleets.py
@@ -24,6 +24,7 @@
     from sassafrasstair import bundles
 
 TICK = 0.25
+RESOLUTION = 0.02
 SAME_DOMAIN_DELAY = 0.000_3
 OTHER_DOMAIN_DELAY = 0.001_5
 OTHER_REGION_DELAY = 0.015
@@ -48,7 +49,9 @@
 
     ``down`` holds vanished VMs, ``paused`` the end of each pause, ``cuts``
     the failure domains that cannot reach each other or, paired with "",
-    the platform. ``loss`` is the share of exchanges that get lost.
+    the platform, ``broken`` the pairs of addresses between which the first
+    cannot call the second. ``loss`` is the share of exchanges that get
+    lost.
     """
 
     verify: abc.Callable[[bytes], bundles.Bundle]
@@ -60,6 +63,7 @@
     down: set[str] = dataclasses.field(default_factory=set)
     paused: dict[str, float] = dataclasses.field(default_factory=dict)
     cuts: set[frozenset[str]] = dataclasses.field(default_factory=set)
+    broken: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     watching: dict[str, int] = dataclasses.field(default_factory=dict)
     in_force: dict[str, list[tuple[float, int]]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
@@ -104,11 +108,14 @@
     ) -> bool:
         """Let time pass, or until the condition holds; say if it did."""
         end = self.now + seconds
+        look = self.now
         while self._events and self._events[0][0] <= end:
             self.now, _, action = heapq.heappop(self._events)
             action()
-            if until is not None and until():
-                return True
+            if until is not None and self.now >= look:
+                look = self.now + RESOLUTION
+                if until():
+                    return True
         self.now = end
         return False
 
@@ -282,6 +289,8 @@
         one, other = self.nodes.get(sender), self.nodes.get(receiver)
         if one is None or other is None or receiver in self.down:
             return None
+        if (sender, receiver) in self.broken:
+            return None
         ends = (one.me.failure_domain, other.me.failure_domain)
         if ends[0] == ends[1]:
             return SAME_DOMAIN_DELAY
@@ -332,6 +341,7 @@
 
     def _watch(self, address: str, on: bool) -> None:
         if on:
+            self.kinds["Watch"] += 1
             self._read_later(address, 0.0)
         else:
             self.watching.pop(address, None)
--- a/src/sassafrasstair/decisions/fleet/_members.py
+++ b/src/sassafrasstair/decisions/fleet/_members.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import math
+import struct
 import typing
+import zlib
 
 from sassafrasstair.decisions.fleet import _messages
 from sassafrasstair.decisions.fleet import _states
@@ -19,11 +22,16 @@
 
 MAX_RUMOURS = 12
 MOST_HOT = 64
+FIRST = 1_000
+"""Added to the count of transmissions left of what must go first."""
+
 RETRANSMISSIONS = 3
 HOLD_FIRST = 1.0
 HOLD_LONGEST = 16.0
 FLAPS_FORGOTTEN = 60.0
 
+_BUCKET_VALUES = struct.Struct(f"<{_states.BUCKETS}I")
+
 
 def usable(node: _states.Node, member: _states.Member, now: float) -> bool:
     """Return whether ``member`` may be given new work."""
@@ -63,6 +71,8 @@
     member = node.members.get(rumour.vm)
     if member is None:
         return _add(node, rumour, now)
+    if _is_known(member, rumour):
+        return False
     before = _place(member)
     _toggle(node, member)
     _join(member, rumour)
@@ -87,7 +97,7 @@
     member = node.members[vm]
     spread = math.ceil(math.log(len(node.members) + 2))
     if member.life != _messages.SERVING or member.leaving:
-        node.hot[vm] = RETRANSMISSIONS * spread
+        node.hot[vm] = FIRST + RETRANSMISSIONS * spread
         node.urgent = True
     elif vm == node.me.vm or len(node.hot) < MOST_HOT:
         # When a whole fleet starts, everyone announces itself: beyond this
@@ -99,7 +109,7 @@
     node: _states.Node, receiver: str
 ) -> tuple[_messages.Rumour, ...]:
     """Return the rumours for one message, those least told first."""
-    chosen = sorted(node.hot, key=lambda vm: _priority(node, vm))
+    chosen = sorted(node.hot, key=node.hot.__getitem__, reverse=True)
     rumours = [_told(node, vm) for vm in chosen[:MAX_RUMOURS]]
     member = node.members.get(receiver)
     if member is not None and member.life != _messages.SERVING:
@@ -109,6 +119,7 @@
     return tuple(rumours)
 
 
+@functools.lru_cache(maxsize=16384)
 def bucket_of(vm: str) -> int:
     """Return the checksum bucket of ``vm``."""
     return _digest(vm) % _states.BUCKETS
@@ -116,10 +127,7 @@
 
 def checksum(node: _states.Node) -> int:
     """Return the checksum of the whole member table."""
-    total = 0
-    for place, value in enumerate(node.checksums):
-        total ^= _digest(f"{place} {value}")
-    return total
+    return zlib.crc32(_BUCKET_VALUES.pack(*node.checksums))
 
 
 def differing(
@@ -159,6 +167,11 @@
         changed(node)
 
 
+def common(node: _states.Node, vm: str) -> None:
+    """Note that peers have the record of ``vm`` already."""
+    node.unlisted.discard(vm)
+
+
 def forget(node: _states.Node, vm: str) -> None:
     """Drop ``vm`` from the table."""
     member = node.members.pop(vm)
@@ -168,9 +181,23 @@
     node.hot.pop(vm, None)
     node.barred.discard(vm)
     node.holding.discard(vm)
+    node.unwell.discard(vm)
+    node.unlisted.discard(vm)
     changed(node)
 
 
+def _is_known(member: _states.Member, rumour: _messages.Rumour) -> bool:
+    """Return quickly whether ``rumour`` is just what is believed."""
+    return (
+        rumour.incarnation == member.incarnation
+        and rumour.revision == member.revision
+        and rumour.life == member.life
+        and rumour.leaving == member.leaving
+        and rumour.blind == member.blind
+        and (rumour.record is None or rumour.record.state == "live")
+    )
+
+
 def _add(node: _states.Node, rumour: _messages.Rumour, now: float) -> bool:
     if rumour.record is None or rumour.record.vm != rumour.vm:
         return False
@@ -179,6 +206,8 @@
     node.members[rumour.vm] = member
     node.by_address[rumour.record.address] = rumour.vm
     _toggle(node, member)
+    _note_life(node, member)
+    node.unlisted.add(rumour.vm)
     changed(node)
     return True
 
@@ -231,13 +260,22 @@
 ) -> None:
     node.by_address[member.record.address] = member.record.vm
     member.changed = now
+    _note_life(node, member)
     back = before[2] != _messages.SERVING
     if back and member.life == _messages.SERVING:
         member.barred = False
         member.failures = 0
         node.barred.discard(member.record.vm)
         hold(node, member, now)
-    changed(node)
+    if before[2:] != _place(member)[2:]:
+        changed(node)
+
+
+def _note_life(node: _states.Node, member: _states.Member) -> None:
+    if member.life == _messages.SERVING:
+        node.unwell.discard(member.record.vm)
+    else:
+        node.unwell.add(member.record.vm)
 
 
 def _place(member: _states.Member) -> tuple[str, int, int, bool, bool]:
@@ -250,18 +288,12 @@
     )
 
 
-def _priority(node: _states.Node, vm: str) -> tuple[bool, int]:
-    member = node.members[vm]
-    healthy = member.life == _messages.SERVING and not member.leaving
-    return healthy, -node.hot[vm]
-
-
 def _told(node: _states.Node, vm: str) -> _messages.Rumour:
     node.hot[vm] -= 1
-    if node.hot[vm] <= 0:
+    if node.hot[vm] in (0, FIRST):
         del node.hot[vm]
     member = node.members[vm]
-    return rumour_of(member, whole=member.life == _messages.SERVING)
+    return rumour_of(member, whole=vm in node.unlisted)
 
 
 def _toggle(node: _states.Node, member: _states.Member) -> None:
@@ -273,6 +305,7 @@
     node.checksums[bucket_of(member.record.vm)] ^= value
 
 
+@functools.lru_cache(maxsize=8192)
 def _digest(text: str) -> int:
     digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
     return int.from_bytes(digest)
--- a/src/sassafrasstair/decisions/fleet/_nodes.py
+++ b/src/sassafrasstair/decisions/fleet/_nodes.py
@@ -161,8 +161,8 @@
     rng: random.Random,
 ) -> list[_effects.Effect]:
     """Take in the platform's VM list at ``index``."""
-    _platform.took_vms(node, records, index, now)
-    return _spreads.flush(node, now, rng)
+    effects = _platform.took_vms(node, records, index, now)
+    return effects + _spreads.flush(node, now, rng)
 
 
 def platform_failed(
@@ -297,8 +297,10 @@
         return []
     _members.mark_hot(node, node.me.vm)
     node.urgent = True
-    event = "refuted" if slandered else "listed_as_leaving"
-    return [_effects.Report(event, {"revision": str(node.revision)})]
+    if not slandered:
+        return [_effects.Report("listed_as_leaving", {})]
+    fields = {"revision": str(node.revision)}
+    return [_effects.Report("refuted", fields)]
 
 
 def _took_members(
@@ -315,4 +317,5 @@
             effects += _about_me(node, rumour, now)
         else:
             _members.merge(node, rumour, now)
+        _members.common(node, rumour.vm)
     return effects
--- a/src/sassafrasstair/decisions/fleet/_platform.py
+++ b/src/sassafrasstair/decisions/fleet/_platform.py
@@ -44,22 +44,28 @@
     records: abc.Sequence[_messages.Record],
     index: int,
     now: float,
-) -> None:
+) -> list[_effects.Effect]:
     """Take in the VM list; what it changes becomes rumours."""
     _sees(node)
+    effects: list[_effects.Effect] = []
     for record in records:
         if _listed(node, record, now):
             _members.mark_hot(node, record.vm)
+            if record.vm == node.me.vm:
+                effects.append(_effects.Report("listed_as_leaving", {}))
+        elif index > node.index > 0:
+            _members.common(node, record.vm)
     if index < node.index:
         # A platform that came back stale lists VMs as it once knew them:
         # dropping those that it does not know yet would empty services.
-        return
+        return effects
     names = {record.vm: record.state for record in records}
     for vm in node.listed:
         if vm not in names and _unlisted(node, vm, now):
             _members.mark_hot(node, vm)
     node.listed = dict(names)
     node.index = index
+    return effects
 
 
 def lost(node: _states.Node, rng: random.Random) -> list[_effects.Effect]:
--- a/src/sassafrasstair/decisions/fleet/_queries.py
+++ b/src/sassafrasstair/decisions/fleet/_queries.py
@@ -21,6 +21,11 @@
     return node.settled and node.in_force is not None
 
 
+def leaving(node: _states.Node) -> bool:
+    """Return whether this VM leaves, by its own word or the VM list's."""
+    return node.members[node.me.vm].leaving
+
+
 def address_of(node: _states.Node, vm: str) -> str | None:
     """Return the "IP:port" of the daemon on ``vm``, None if unknown."""
     member = node.members.get(vm)
--- a/src/sassafrasstair/decisions/fleet/_spreads.py
+++ b/src/sassafrasstair/decisions/fleet/_spreads.py
@@ -105,6 +105,8 @@
     own = [name for name in knowing if _is_own(node, name)]
     if len(own) >= SETTLE_ANSWERS:
         return True
+    if len(knowing) + 1 < len(node.members):
+        return False
     known = {
         member.record.address
         for vm, member in node.members.items()
--- a/src/sassafrasstair/decisions/fleet/_states.py
+++ b/src/sassafrasstair/decisions/fleet/_states.py
@@ -112,6 +112,8 @@
     listed: dict[str, str] = dataclasses.field(default_factory=dict)
     checks: dict[str, Check] = dataclasses.field(default_factory=dict)
     barred: set[str] = dataclasses.field(default_factory=set)
+    unwell: set[str] = dataclasses.field(default_factory=set)
+    unlisted: set[str] = dataclasses.field(default_factory=set)
     holding: set[str] = dataclasses.field(default_factory=set)
     missed_calls: set[str] = dataclasses.field(default_factory=set)
     reach: dict[str, Reach] = dataclasses.field(default_factory=dict)
--- a/src/sassafrasstair/decisions/fleet/_subsets.py
+++ b/src/sassafrasstair/decisions/fleet/_subsets.py
@@ -81,32 +81,14 @@
         node.targets_edition = node.edition
     key = (service, size)
     if key not in node.targets:
-        node.targets[key] = _choose(node, service, size, now)
+        node.targets[key] = choose(node, service, size, now)
     return node.targets[key]
 
 
-def random_member(
-    node: _states.Node,
-    rng: random.Random,
-    accept: abc.Callable[[_states.Member], bool],
-) -> str | None:
-    """Return a VM other than this one that ``accept`` takes, if any."""
-    names = list(node.members)
-    for _ in range(8):
-        vm = rng.choice(names)
-        if vm != node.me.vm and accept(node.members[vm]):
-            return vm
-    left = [
-        vm
-        for vm, member in node.members.items()
-        if vm != node.me.vm and accept(member)
-    ]
-    return rng.choice(left) if left else None
-
-
-def _choose(
+def choose(
     node: _states.Node, service: str, size: int, now: float
 ) -> tuple[calls.Target, ...]:
+    """Return up to ``size`` usable instances, see ``targets``."""
     live = [
         member.record
         for member in node.members.values()
@@ -129,6 +111,25 @@
     )
 
 
+def random_member(
+    node: _states.Node,
+    rng: random.Random,
+    accept: abc.Callable[[_states.Member], bool],
+) -> str | None:
+    """Return a VM other than this one that ``accept`` takes, if any."""
+    names = list(node.members)
+    for _ in range(8):
+        vm = rng.choice(names)
+        if vm != node.me.vm and accept(node.members[vm]):
+            return vm
+    left = [
+        vm
+        for vm, member in node.members.items()
+        if vm != node.me.vm and accept(member)
+    ]
+    return rng.choice(left) if left else None
+
+
 def _own_partners(node: _states.Node) -> tuple[str, ...]:
     names = list(_domain(node, node.me.failure_domain))
     return _next_in_rings(node.me.vm, names, "own", OWN_RINGS)
--- a/src/sassafrasstair/decisions/fleet/_suspicions.py
+++ b/src/sassafrasstair/decisions/fleet/_suspicions.py
@@ -118,9 +118,8 @@
 def review_members(node: _states.Node, now: float) -> list[_effects.Effect]:
     """Turn long suspicion into gone, and forget what is long gone."""
     effects: list[_effects.Effect] = []
-    for vm, member in list(node.members.items()):
-        if vm == node.me.vm or member.life == _messages.SERVING:
-            continue
+    for vm in sorted(node.unwell):
+        member = node.members[vm]
         age = now - member.changed
         own = member.record.failure_domain == node.me.failure_domain
         if member.life == _messages.SUSPECTED and own:
--- a/src/sassafrasstair/decisions/fleet/_versions.py
+++ b/src/sassafrasstair/decisions/fleet/_versions.py
@@ -92,7 +92,12 @@
     node: _states.Node, ids: abc.Iterable[_messages.BundleId]
 ) -> list[_messages.BundleId]:
     """Return those of ``ids`` that may be news here, greatest first."""
-    floor = min(node.held, default=None)
+    # A staged bundle may come before the older one for all domains, which
+    # others still need from here: only one for all makes older ones old.
+    floor = min(
+        (one for one, held in node.held.items() if not held.bundle.rollout),
+        default=None,
+    )
     missing = [
         one
         for one in ids
@@ -106,32 +111,25 @@
 ) -> list[_effects.Effect]:
     if held.bundle_id in node.held:
         return []
-    current = node.in_force
-    applies = _applies(held.bundle, node.me.failure_domain)
-    if applies and current and held.bundle_id < current.bundle_id:
-        return _downgraded(node, held, current, source)
     effects = _conflict(node, held)
-    node.held[held.bundle_id] = held
-    node.held = _frontier(node.held)
-    if held.bundle_id in node.held:
-        node.offer = True
+    kept = _frontier(node.held | {held.bundle_id: held})
+    if held.bundle_id not in kept:
+        return effects + _outdated(node, held, max(kept), source)
+    node.held = kept
+    node.offer = True
     return effects + settle(node)
 
 
-def _downgraded(
+def _outdated(
     node: _states.Node,
     held: _states.Held,
-    current: _states.Held,
+    newest: _messages.BundleId,
     source: str,
 ) -> list[_effects.Effect]:
-    if held.bundle_id.version == current.bundle_id.version:
-        effects = _conflict(node, held)
-        _refuse(node, held.seal, "same version, lesser digest", source)
-        return effects
-    reason = (
-        f"downgraded: version {held.bundle_id.version} is older than"
-        f" {current.bundle_id.version} in force"
-    )
+    version = held.bundle_id.version
+    reason = f"downgraded: version {version}, newest is {newest.version}"
+    if version == newest.version:
+        reason = "same version as another, of lesser digest"
     return _refuse(node, held.seal, reason, source)
 
 
--- /dev/null
+++ b/tests/decisions/fleet/test_members.py
@@ -0,0 +1,216 @@
+from __future__ import annotations
+
+import itertools
+import random
+import typing
+
+import msgspec
+import pytest
+
+from sassafrasstair.bench import _capacity_fleets
+from sassafrasstair.decisions import fleet
+from sassafrasstair.decisions.fleet import _members
+from sassafrasstair.decisions.fleet import _messages
+from sassafrasstair.decisions.fleet import _subsets
+from sassafrasstair.decisions.fleet import _summaries
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from sassafrasstair import bundles
+
+RECORD = _capacity_fleets.records(24, 1)[6]
+
+
+def _rumour(
+    incarnation: str, revision: int, life: int, leaving: bool = False
+) -> fleet.Rumour:
+    return fleet.Rumour(
+        RECORD.vm, incarnation, revision, life, leaving, record=RECORD
+    )
+
+
+@pytest.mark.parametrize(
+    ("rumours", "expected"),
+    [
+        ([("1", 0, 0), ("1", 0, 1)], ("1", 0, 1, False)),
+        ([("1", 0, 2), ("1", 1, 0)], ("1", 1, 0, False)),
+        ([("1", 1, 0), ("1", 0, 2), ("1", 1, 1)], ("1", 1, 1, False)),
+        ([("1", 3, 2), ("2", 0, 0)], ("2", 0, 0, False)),
+        ([("1", 0, 0, True), ("1", 1, 0)], ("1", 1, 0, True)),
+        ([("1", 0, 0, True), ("2", 0, 0)], ("2", 0, 0, False)),
+    ],
+)
+def test_rumours_join_in_any_order(
+    node: fleet.Node,
+    rumours: list[tuple[str, int, int, bool]],
+    expected: tuple[str, int, int, bool],
+) -> None:
+    for order in itertools.permutations(rumours):
+        if RECORD.vm in node.members:
+            _members.forget(node, RECORD.vm)
+        for rumour in order:
+            _members.merge(node, _rumour(*rumour), 0.0)
+        member = node.members[RECORD.vm]
+        assert expected == (
+            member.incarnation,
+            member.revision,
+            member.life,
+            member.leaving,
+        )
+
+
+@pytest.mark.parametrize(
+    ("own", "others", "size", "expected"),
+    [
+        (20, 20, 8, (6, 2)),
+        (20, 0, 8, (8, 0)),
+        (0, 20, 8, (0, 8)),
+        (3, 20, 8, (3, 5)),
+        (1, 1, 8, (1, 1)),
+    ],
+)
+def test_targets_are_near_with_some_to_spill_over(
+    node: fleet.Node,
+    own: int,
+    others: int,
+    size: int,
+    expected: tuple[int, int],
+) -> None:
+    for number in range(own + others):
+        domain = "domain-0" if number < own else f"domain-{1 + number % 5}"
+        vm = f"other-{number}"
+        record = fleet.Record(vm, "s", domain, "region-0", f"1.1.1.1:{number}")
+        _members.merge(node, fleet.Rumour(vm, "1", 0, 0, record=record), 0.0)
+    targets = _chosen(node, size)
+    near = [t for t in targets if t.failure_domain == "domain-0"]
+    assert (len(near), len(targets) - len(near)) == expected
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x92\x63\x01", b"\x91\x01"])
+def test_bad_bytes_are_no_message(data: bytes) -> None:
+    with pytest.raises(fleet.BadMessage):
+        fleet.decode(data)
+
+
+def test_rumours_die_out(node: fleet.Node) -> None:
+    _members.merge(node, _rumour("1", 0, _messages.GONE), 0.0)
+    _members.mark_hot(node, RECORD.vm)
+    told = [
+        rumour.vm
+        for _ in range(100)
+        for rumour in _members.piggyback(node, "")
+    ]
+    assert 0 < told.count(RECORD.vm) <= 3 * 3
+
+
+def _chosen(node: fleet.Node, size: int) -> tuple[fleet.Record, ...]:
+    return tuple(
+        node.members[target.vm].record
+        for target in _subsets.choose(node, "s", size, 0.0)
+    )
+
+
+def test_rng_is_the_only_source_of_chance(
+    verify: abc.Callable[[bytes], bundles.Bundle],
+) -> None:
+    seen = []
+    for _ in range(2):
+        rng = random.Random(7)
+        node = fleet.new_node(RECORD, "1", ("1.1.1.1:1",), verify, 0.0, rng)
+        seen.append(fleet.tick(node, 0.25, rng))
+    assert seen[0] == seen[1]
+
+
+def test_what_rumours_missed_is_fetched(
+    node: fleet.Node, verify: abc.Callable[[bytes], bundles.Bundle]
+) -> None:
+    """A rumour died out before it came here; tables differ for good.
+
+    The checksums on a later exchange differ, and the members that differ
+    are fetched.
+    """
+    rng = random.Random(1)
+    peer = fleet.new_node(
+        _capacity_fleets.records(24, 1)[1], "1", (), verify, 0.0, rng
+    )
+    _members.merge(peer, _rumour("1", 0, _messages.SERVING), 0.0)
+    node.hot.clear()
+    peer.hot.clear()
+    gossip = _summaries.summary(peer, fleet.Gossip, node.me.vm)
+    _, effects = fleet.handle(node, gossip, 1.0, rng)
+    (fetch,) = [e for e in effects if isinstance(e, fleet.Exchange)]
+    reply, _ = fleet.handle(peer, fetch.message, 1.0, rng)
+    assert reply is not None
+    fleet.replied(node, fetch.address, reply, 1.0, rng)
+    assert fleet.incarnation_of(node, RECORD.vm) == "1"
+
+
+@pytest.mark.parametrize(("gap", "barred"), [(0.5, True), (20.0, False)])
+def test_timeouts_right_after_a_pause_count_for_nothing(
+    node: fleet.Node, gap: float, barred: bool
+) -> None:
+    """A process stood still; its open exchanges are all overdue then.
+
+    They failed because it did not read the replies, not because its
+    peers are gone.
+    """
+    rng = random.Random(1)
+    _members.merge(node, _rumour("1", 0, _messages.SERVING), 0.0)
+    fleet.tick(node, 1.0, rng)
+    for _ in range(2):
+        fleet.unreachable(node, RECORD.address, 1.0 + gap, rng)
+    assert node.members[RECORD.vm].barred is barred
+
+
+def test_other_domains_do_not_accuse(
+    node: fleet.Node,
+) -> None:
+    """A daemon and a helper cannot reach a VM of another failure domain.
+
+    That may be the network between the domains; only the VM's own domain
+    may tell all that it is gone.
+    """
+    rng = random.Random(1)
+    for number in range(6, 12):
+        other = msgspec.structs.replace(
+            _capacity_fleets.records(24, 1)[number], failure_domain="domain-1"
+        )
+        rumour = fleet.Rumour(other.vm, "1", 0, 0, record=other)
+        _members.merge(node, rumour, 0.0)
+    fleet.unreachable(node, RECORD.address, 0.1, rng)
+    result = fleet.ProbeResult(RECORD.vm, "helper", reached=False)
+    fleet.handle(node, result, 0.1, rng)
+    fleet.unreachable(node, RECORD.address, 0.1, rng)
+    assert node.members[RECORD.vm].life == _messages.SERVING
+
+
+def test_a_vm_held_for_gone_hears_so_when_it_calls(node: fleet.Node) -> None:
+    """A paused process wakes after its rumour has died out.
+
+    Unless it hears that it is held for gone it cannot refute that.
+    """
+    _members.merge(node, _rumour("1", 0, _messages.GONE), 0.0)
+    gossip = fleet.Gossip(RECORD.vm, RECORD.address, "1", True, 0, 0)
+    reply, _ = fleet.handle(node, gossip, 1.0, random.Random(1))
+    assert isinstance(reply, fleet.GossipReply)
+    assert _rumour("1", 0, _messages.GONE).vm in {
+        rumour.vm for rumour in reply.rumours if rumour.life
+    }
+
+
+@pytest.mark.parametrize(
+    ("now", "index", "watches"),
+    [(4.0, 0, False), (4.0, 9, True), (16, 0, True)],
+)
+def test_who_knows_only_its_seeds_does_not_watch_yet(
+    node: fleet.Node, now: float, index: int, watches: bool
+) -> None:
+    """All start at once: each is among the first two of the few it knows.
+
+    So the whole fleet would watch the platform.
+    """
+    node.index = index
+    node.settled = True
+    effects = fleet.tick(node, now, random.Random(1))
+    assert (fleet.Watch(on=True) in effects) is watches
