Add the callers' interface, the daemons' link and the upstream client

Cause: the three peers on the request's path need their packages before the daemon can be assembled. Change: raw ASGI mount under litestar for calls, typed msgpack messages over request/reply sockets, httpx's transport towards the upstream; shedding now hashes with the bundle's version, the one epoch that all daemons agree on.

--- /dev/null
+++ b/src/sassafrasstair/callers/_request.py
@@ -0,0 +1,148 @@
+"""A caller's request and the answer to it, as the entrance sees them."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from sassafrasstair import outcomes
+
+MAX_NAME = 63
+MAX_TOKEN = 256
+MAX_TIMEOUT_MS = 3_600_000
+MAX_REPEAT = 1_000
+PREFIX = "sassafras-"
+CONTEXT = "sassafras-context"
+CLASS = "sassafras-class"
+TENANT = "sassafras-tenant"
+CALLER = "sassafras-caller"
+TIMEOUT = "sassafras-timeout-ms"
+REPEAT = "sassafras-repeat"
+TICKET = "sassafras-ticket"
+CHILD_KEY = "sassafras-child-key"
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class CallerGone(Exception):
+    """The caller closed its connection before its answer."""
+
+
+class Malformed(Exception):
+    """A header is missing or has no possible value; says which."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fields:
+    """What the request's ``Sassafras-*`` headers say.
+
+    ``timeout`` is in seconds, 0 where the caller leaves it to the class.
+    ``context`` names the attempt that an upstream was running when it made
+    this call; empty for a caller from outside.
+    """
+
+    request_class: str
+    tenant: str
+    caller: str
+    timeout: float
+    repeat: int
+    ticket: str
+    context: str
+    child_key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request. ``body`` is its first part, ``parts`` the rest.
+
+    ``length`` is that of the whole body in bytes, -1 if not declared.
+    ``parts`` raises ``CallerGone``.
+    """
+
+    method: str
+    service: str
+    path: str
+    headers: Headers
+    fields: Fields
+    body: bytes
+    length: int
+    more: bool
+    parts: abc.AsyncIterator[bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer. ``parts`` goes on after ``body`` when ``more``.
+
+    When ``parts`` raises, the connection is cut, so that the caller sees
+    that its answer is not whole.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+    parts: abc.AsyncIterator[bytes] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A refusal: whether it was run, why, and when to come back."""
+
+    outcome: outcomes.Outcome
+    reason: outcomes.Reason
+    retry_after: float = 0.0
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketReply:
+    """A ticket and its remaining lifetime in seconds."""
+
+    ticket: str
+    expires_in: float
+
+
+def read_fields(headers: Headers) -> Fields:
+    """Return what the headers say; raise ``Malformed`` naming the first."""
+    values = {name: text for name, text in headers if name.startswith(PREFIX)}
+    context = _token(values, CONTEXT)
+    tenant = _token(values, TENANT)
+    caller = _token(values, CALLER)
+    request_class = _token(values, CLASS)
+    if not context and not request_class:
+        raise Malformed(f"{CLASS} is missing: name the request's class")
+    return Fields(
+        request_class=request_class,
+        tenant=tenant,
+        caller=caller or tenant,
+        timeout=_number(values, TIMEOUT, MAX_TIMEOUT_MS) / 1000,
+        repeat=_number(values, REPEAT, MAX_REPEAT),
+        ticket=_token(values, TICKET),
+        context=context,
+        child_key=_token(values, CHILD_KEY),
+    )
+
+
+def own_headers(headers: Headers) -> Headers:
+    """Return the caller's own headers, without the ``Sassafras-*`` ones."""
+    return tuple(
+        (name, value) for name, value in headers if not name.startswith(PREFIX)
+    )
+
+
+def _token(values: dict[str, str], name: str) -> str:
+    text = values.get(name, "")
+    if len(text) > MAX_TOKEN or not text.isprintable():
+        raise Malformed(f"{name} is not a text of up to {MAX_TOKEN} signs")
+    return text
+
+
+def _number(values: dict[str, str], name: str, most: int) -> int:
+    text = values.get(name, "0")
+    if not (text.isascii() and text.isdigit()) or int(text[:12]) > most:
+        raise Malformed(f"{name} is not a whole number from 0 to {most}")
+    return int(text)
--- a/src/sassafrasstair/daemons/__init__.py
+++ b/src/sassafrasstair/daemons/__init__.py
@@ -1,3 +1,63 @@
-"""TODO."""
+"""The link between daemons: typed messages over pynng."""
 
 from __future__ import annotations
+
+from sassafrasstair.daemons._errors import PeerError
+from sassafrasstair.daemons._errors import PeerLost
+from sassafrasstair.daemons._errors import PeerTimeout
+from sassafrasstair.daemons._errors import PeerUnreachable
+from sassafrasstair.daemons._links import close
+from sassafrasstair.daemons._links import close_idle
+from sassafrasstair.daemons._links import exchange
+from sassafrasstair.daemons._links import Links
+from sassafrasstair.daemons._messages import AnswerNext
+from sassafrasstair.daemons._messages import AnswerPart
+from sassafrasstair.daemons._messages import BodyPart
+from sassafrasstair.daemons._messages import Cancel
+from sassafrasstair.daemons._messages import CHUNK_BYTES
+from sassafrasstair.daemons._messages import Control
+from sassafrasstair.daemons._messages import decode
+from sassafrasstair.daemons._messages import encode
+from sassafrasstair.daemons._messages import Message
+from sassafrasstair.daemons._messages import Nothing
+from sassafrasstair.daemons._messages import PartTaken
+from sassafrasstair.daemons._messages import Ping
+from sassafrasstair.daemons._messages import Pong
+from sassafrasstair.daemons._messages import Run
+from sassafrasstair.daemons._messages import RunAnswer
+from sassafrasstair.daemons._messages import TicketAsk
+from sassafrasstair.daemons._messages import TicketGiven
+from sassafrasstair.daemons._server import close as close_server
+from sassafrasstair.daemons._server import listen
+from sassafrasstair.daemons._server import Server
+
+__all__ = [
+    "CHUNK_BYTES",
+    "AnswerNext",
+    "AnswerPart",
+    "BodyPart",
+    "Cancel",
+    "Control",
+    "Links",
+    "Message",
+    "Nothing",
+    "PartTaken",
+    "PeerError",
+    "PeerLost",
+    "PeerTimeout",
+    "PeerUnreachable",
+    "Ping",
+    "Pong",
+    "Run",
+    "RunAnswer",
+    "Server",
+    "TicketAsk",
+    "TicketGiven",
+    "close",
+    "close_idle",
+    "close_server",
+    "decode",
+    "encode",
+    "exchange",
+    "listen",
+]
--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -16,16 +16,22 @@
 from sassafrasstair.decisions.calls._messages import Refuse
 from sassafrasstair.decisions.calls._messages import Send
 from sassafrasstair.decisions.calls._messages import Target
+from sassafrasstair.decisions.calls._pauses import BEAT_SECONDS
+from sassafrasstair.decisions.calls._pauses import lateness
+from sassafrasstair.decisions.calls._pauses import note as note_beat
+from sassafrasstair.decisions.calls._pauses import Pauses
 from sassafrasstair.decisions.calls._routing import probe_due
 from sassafrasstair.decisions.calls._routing import probed
 
 __all__ = [
+    "BEAT_SECONDS",
     "Answer",
     "Call",
     "Deliver",
     "Effect",
     "Entrance",
     "Load",
+    "Pauses",
     "Refuse",
     "Send",
     "Target",
@@ -33,7 +39,9 @@
     "answered",
     "begin",
     "floor",
+    "lateness",
     "new_entrance",
+    "note_beat",
     "probe_due",
     "probed",
 ]
--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -23,8 +23,6 @@
 
     from sassafrasstair import bundles
 
-EPOCH_SECONDS = 600.0
-
 
 @dataclasses.dataclass(slots=True)
 class Floor:
@@ -85,8 +83,7 @@
         return "", _refuse(rules, call, outcomes.Reason.DEADLINE_PASSED, rng)
     if call.repeat > rules.caller_repeats:
         return "", _refuse(rules, call, outcomes.Reason.TOO_MANY_REPEATS, rng)
-    rank = load.rank(rules.importance, call.caller, int(now / EPOCH_SECONDS))
-    if rank < floor(entrance, call.service, call.request_class, now):
+    if not call.ticket and _is_shed(entrance, bundle, call, now):
         return "", _refuse(rules, call, outcomes.Reason.SHED_AT_ENTRANCE, rng)
     entrance.serial += 1
     key = f"{entrance.incarnation}.{entrance.serial}"
@@ -158,6 +155,18 @@
     return heard.value if heard is not None else 0.0
 
 
+def _is_shed(
+    entrance: Entrance,
+    bundle: bundles.Bundle,
+    call: _messages.Call,
+    now: float,
+) -> bool:
+    rules = bundle.classes[call.request_class]
+    # The bundle's version is the one epoch that all daemons agree on.
+    rank = load.rank(rules.importance, call.caller, bundle.version)
+    return rank < floor(entrance, call.service, call.request_class, now)
+
+
 def _send(
     entrance: Entrance,
     key: str,
--- a/src/sassafrasstair/upstreams/__init__.py
+++ b/src/sassafrasstair/upstreams/__init__.py
@@ -1,3 +1,21 @@
-"""TODO."""
+"""The VM's own upstream, met over HTTP."""
 
 from __future__ import annotations
+
+from sassafrasstair.upstreams._client import close
+from sassafrasstair.upstreams._client import connect
+from sassafrasstair.upstreams._client import Request
+from sassafrasstair.upstreams._client import Response
+from sassafrasstair.upstreams._client import send
+from sassafrasstair.upstreams._client import Upstream
+from sassafrasstair.upstreams._client import UpstreamError
+
+__all__ = [
+    "Request",
+    "Response",
+    "Upstream",
+    "UpstreamError",
+    "close",
+    "connect",
+    "send",
+]
