Add the operators' HTTP interface

Operators need to see what each daemon has in force and why it refuses, so /status gives a frozen Status as JSON, /health 200 only while serving, and /metrics the Prometheus text in parts, with other tasks run in between: a rendering in one go of 50 ms would hold up every call under way.

litestar appends a charset to text types; the doubled one was seen in the test before it was mended.

--- a/src/sassafrasstair/metrics.py
+++ b/src/sassafrasstair/metrics.py
@@ -51,7 +51,7 @@
 a class go to ``other``, so that a bundle with thousands of tenants costs
 neither memory nor a long rendering."""
 
-CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+CONTENT_TYPE = "text/plain; version=0.0.4"
 _PREFIX = "sassafrasstair_"
 _HEADER_LINES = 2
 _SERIES_A_PART = 2
--- /dev/null
+++ b/src/sassafrasstair/operators/_application.py
@@ -0,0 +1,63 @@
+"""The HTTP interface for operators: read only, three paths."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import litestar
+from litestar import response
+
+from sassafrasstair import metrics
+from sassafrasstair.operators import _status
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+
+def create_app(
+    status: abc.Callable[[], _status.Status], counts: metrics.Metrics
+) -> litestar.Litestar:
+    """Return the ASGI application.
+
+    ``status`` is called for each request. ``/health`` answers 200 while
+    the daemon serves and 503 before its first bundle and while it leaves.
+    """
+
+    @litestar.get("/status")
+    async def get_status() -> _status.Status:
+        return status()
+
+    @litestar.get("/health")
+    async def get_health() -> litestar.Response[_status.Health]:
+        state = status().state
+        serving = state is _status.State.SERVING
+        return litestar.Response(
+            _status.Health(state),
+            status_code=HTTP_OK if serving else HTTP_UNAVAILABLE,
+        )
+
+    @litestar.get("/metrics")
+    async def get_metrics() -> response.Stream:
+        return response.Stream(_parts(counts), media_type=metrics.CONTENT_TYPE)
+
+    return litestar.Litestar(
+        [get_status, get_health, get_metrics],
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+async def _parts(counts: metrics.Metrics) -> abc.AsyncIterator[bytes]:
+    """Yield the metrics, letting other tasks run after each part.
+
+    A daemon with many series takes tens of milliseconds to render them.
+    Done in one go, every call under way would wait that long, which
+    shows as a spike at each reading of the metrics.
+    """
+    for part in counts.render_parts():
+        yield part
+        await asyncio.sleep(0)
