Add the platform client and its stand-in

A protocol of our own was ruled out; Consul's KV reads with blocking queries have these properties and are published.

The stand-in counts calls, can be down, stale or lag the VM list, by a control port that the system never uses.

--- /dev/null
+++ b/src/sassafrasstair/console/commands/standin/__init__.py
@@ -0,0 +1,3 @@
+"""Commands of ``sassafras-standin``."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafrasstair/console/standin.py
@@ -0,0 +1,17 @@
+"""``sassafras-standin``: stand-ins for platform, upstreams and callers."""
+
+from __future__ import annotations
+
+import click
+
+from sassafrasstair.console.commands.standin import control
+from sassafrasstair.console.commands.standin import platform
+
+
+@click.group()
+def main() -> None:
+    """Stand-ins for what the system talks to, for demos and tests."""
+
+
+main.add_command(control.control)
+main.add_command(platform.platform)
--- a/src/sassafrasstair/platform/__init__.py
+++ b/src/sassafrasstair/platform/__init__.py
@@ -1,3 +1,38 @@
-"""TODO."""
+"""Client of the platform: configuration service and VM list, read only.
+
+Protocol: the Consul KV HTTP API with blocking queries
+(https://developer.hashicorp.com/consul/api-docs/features/blocking).
+"""
 
 from __future__ import annotations
+
+from sassafrasstair.platform._client import Client
+from sassafrasstair.platform._client import MAX_VALUE_BYTES
+from sassafrasstair.platform._client import open_client
+from sassafrasstair.platform._client import Snapshot
+from sassafrasstair.platform._errors import PlatformError
+from sassafrasstair.platform._errors import Reason
+from sassafrasstair.platform._vms import decode_vms
+from sassafrasstair.platform._vms import VmEntry
+from sassafrasstair.platform._vms import VmState
+
+BUNDLES_PREFIX = "sassafrasstair/bundles/"
+BUNDLE_IN_FORCE_KEY = "sassafrasstair/bundles/all"
+BUNDLE_STAGED_KEY = "sassafrasstair/bundles/staged"
+VMS_KEY = "sassafrasstair/vms"
+
+__all__ = [
+    "BUNDLES_PREFIX",
+    "BUNDLE_IN_FORCE_KEY",
+    "BUNDLE_STAGED_KEY",
+    "MAX_VALUE_BYTES",
+    "VMS_KEY",
+    "Client",
+    "PlatformError",
+    "Reason",
+    "Snapshot",
+    "VmEntry",
+    "VmState",
+    "decode_vms",
+    "open_client",
+]
--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,95 @@
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+
+import httpx
+import pytest
+
+from sassafrasstair import platform
+
+PREFIX = platform.BUNDLES_PREFIX
+URLS = ("http://127.0.0.1:1", "http://127.0.0.1:2")
+
+
+def _pairs(value: bytes) -> bytes:
+    text = base64.b64encode(value).decode()
+    return json.dumps(
+        [{"Key": PREFIX + "all", "Value": text, "ModifyIndex": 7, "Flags": 0}]
+    ).encode()
+
+
+def _reply(
+    status: int = 200, body: bytes = b"[]", index: str = "7"
+) -> httpx.Response:
+    return httpx.Response(
+        status, content=body, headers={"X-Consul-Index": index}
+    )
+
+
+def _watch(
+    replies: dict[int, httpx.Response | Exception], index: int = 5
+) -> platform.Snapshot:
+    def handle(request: httpx.Request) -> httpx.Response:
+        reply = replies[request.url.port or 0]
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+    http = httpx.AsyncClient(transport=httpx.MockTransport(handle))
+    client = platform.Client(http, URLS)
+    return asyncio.run(client.watch(PREFIX, index, 0.1))
+
+
+def test_values_are_decoded() -> None:
+    snapshot = _watch({1: _reply(body=_pairs(b"one"))})
+    assert snapshot == platform.Snapshot(7, {PREFIX + "all": b"one"})
+
+
+def test_no_key_is_an_empty_snapshot() -> None:
+    snapshot = _watch({1: _reply(404, b"", "6")})
+    assert snapshot == platform.Snapshot(6, {})
+
+
+def test_second_address_answers_for_a_dead_first() -> None:
+    replies: dict[int, httpx.Response | Exception] = {
+        1: httpx.ConnectError("refused"),
+        2: _reply(),
+    }
+    assert _watch(replies).index == 7
+
+
+def test_index_that_goes_back_resets_to_zero() -> None:
+    """A watch misses every change until a restored service catches up.
+
+    The service is restored from an older state, so its index falls below
+    the one that the daemon waits for. Consul tells clients to begin at 0.
+    """
+    assert _watch({1: _reply(index="4")}, index=5).index == 0
+
+
+@pytest.mark.parametrize(
+    ("reply", "reason"),
+    [
+        (_reply(500), platform.Reason.BAD_STATUS),
+        (_reply(index="x"), platform.Reason.MALFORMED),
+        (_reply(index=""), platform.Reason.MALFORMED),
+        (_reply(body=b'[{"Key"'), platform.Reason.MALFORMED),
+        (
+            _reply(body=b'[{"Key": "a", "Value": "%"}]'),
+            platform.Reason.MALFORMED,
+        ),
+        (_reply(body=_pairs(bytes(1_000_001))), platform.Reason.TOO_LARGE),
+        (_reply(body=bytes(6_000_001)), platform.Reason.TOO_LARGE),
+        (httpx.ReadTimeout("late"), platform.Reason.TIMEOUT),
+        (httpx.ConnectError("refused"), platform.Reason.UNREACHABLE),
+        (httpx.RemoteProtocolError("cut"), platform.Reason.CUT_SHORT),
+    ],
+)
+def test_refusal_is_whole_and_has_a_reason(
+    reply: httpx.Response | Exception, reason: platform.Reason
+) -> None:
+    with pytest.raises(platform.PlatformError) as caught:
+        _watch({1: reply, 2: reply})
+    assert caught.value.reason is reason
