Add the stand-in upstream with its oracle of what ran

Proving that nothing runs twice and that a refused request did not run needs a witness at the upstream itself; reading daemons' counts was ruled out, for they are what is to be proved. The stand-in counts each nonce and ticket as its own work begins, tells digests of what it read, and calls children first, so that a chain whose only child was refused had no effect and may say so. It also drains, sheds, starts cold, gives up at a deadline and stops when its caller goes away, and may tell lagging health.

Conclusion: usable without a daemon (--direct).

--- /dev/null
+++ b/src/sassafrasstair/console/commands/standin/upstream.py
@@ -0,0 +1,63 @@
+"""``sassafras-standin upstream``."""
+
+from __future__ import annotations
+
+import click
+import uvloop
+
+from sassafrasstair import standins
+
+
+@click.command()
+@click.option("--listen", required=True, metavar="IP:PORT")
+@click.option("--service", required=True, metavar="NAME")
+@click.option("--slots", required=True, type=click.IntRange(min=1))
+@click.option("--service-ms", required=True, type=float, help="Mean.")
+@click.option(
+    "--daemon", default="", metavar="URL", help="Daemon of the same VM."
+)
+@click.option(
+    "--calls",
+    multiple=True,
+    metavar="SERVICE",
+    help="Service called before the own work; may be repeated.",
+)
+@click.option(
+    "--direct",
+    multiple=True,
+    metavar="SERVICE=URL",
+    help="Without a daemon: an upstream of a called service.",
+)
+@click.option("--cold-ms", default=0, help="Slower for this long at first.")
+@click.option("--health-lag-ms", default=0, help="Age of the told load.")
+@click.option("--health-says", default="", help="State told in any case.")
+def upstream(
+    listen: str,
+    service: str,
+    slots: int,
+    service_ms: float,
+    daemon: str,
+    calls: tuple[str, ...],
+    direct: tuple[str, ...],
+    cold_ms: int,
+    health_lag_ms: int,
+    health_says: str,
+) -> None:
+    """Serve a stand-in upstream.
+
+    SIGTERM drains it; as it ends, it prints what it ran as JSON.
+    """
+    pairs = [tuple(item.split("=", 1)) for item in direct]
+    if not daemon and not set(calls) <= {pair[0] for pair in pairs}:
+        raise click.UsageError("--calls needs --daemon or --direct")
+    rules = standins.Rules(
+        slots,
+        service_ms / 1000,
+        cold_ms / 1000,
+        health_lag_ms / 1000,
+        health_says,
+    )
+    state = standins.new_upstream(
+        service, rules, calls, daemon, [(name, url) for name, url in pairs]
+    )
+    uvloop.run(standins.run_upstream(state, listen))
--- a/src/sassafrasstair/console/standin.py
+++ b/src/sassafrasstair/console/standin.py
@@ -6,6 +6,7 @@
 
 from sassafrasstair.console.commands.standin import control
 from sassafrasstair.console.commands.standin import platform
+from sassafrasstair.console.commands.standin import upstream
 
 
 @click.group()
@@ -15,3 +16,4 @@
 
 main.add_command(control.control)
 main.add_command(platform.platform)
+main.add_command(upstream.upstream)
