--- a/src/sassafrasstair/outcomes.py
+++ b/src/sassafrasstair/outcomes.py
@@ -51,6 +51,7 @@
     TICKET_EXPIRED = "ticket_expired"
     TICKET_VOID = "ticket_void"
     OWNER_GONE = "owner_gone"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     # Bad input: the caller must change the request.
     MALFORMED = "malformed"
     UNKNOWN_SERVICE = "unknown_service"
--- /dev/null
+++ b/tests/decisions/once/test_owners.py
@@ -0,0 +1,271 @@
+from __future__ import annotations
+
+import pytest
+
+from sassafrasstair.decisions import once
+from sassafrasstair import outcomes
+
+DONE = once.Done(200, ((b"a", b"b"),), b"posted")
+LOST = once.Unknown(outcomes.Reason.UPSTREAM_LOST)
+SHED = once.NotRun(outcomes.Reason.QUEUE_FULL)
+NOT_RUN = outcomes.Outcome.NOT_RUN
+UNKNOWN = outcomes.Outcome.UNKNOWN
+Reason = outcomes.Reason
+
+
+def make_owner(
+    incarnation: str = "i1", records: int = 10, stored: int = 100_000
+) -> once.Owner:
+    return once.new_owner("vm-1", incarnation, b"s" * 16, records, stored)
+
+
+def take(owner: once.Owner, now: float = 0.0, lifetime: float = 60.0) -> str:
+    issued = once.issue(owner, "poster", "write-down", lifetime, now)
+    assert isinstance(issued, once.Issued)
+    return issued.ticket
+
+
+def use(owner: once.Owner, ticket: str, now: float = 1.0) -> once.Arrival:
+    return once.arrive(owner, ticket, "write-down", now)
+
+
+@pytest.mark.parametrize(
+    ("end", "again"),
+    [
+        (None, once.Join()),
+        (DONE, once.Replay(DONE)),
+        (LOST, once.Refused(UNKNOWN, Reason.UPSTREAM_LOST)),
+        (SHED, once.Refused(NOT_RUN, Reason.TICKET_VOID)),
+    ],
+)
+def test_only_the_first_arrival_runs(
+    end: once.Result | None, again: once.Arrival
+) -> None:
+    """A shopkeeper's client repeats a write-down that was slow to answer.
+
+    The repeat arrives while the first is executed or after its end. It
+    must get the same end and never a second execution; after "not run" a
+    delayed copy must not run either.
+    """
+    owner = make_owner()
+    ticket = take(owner)
+    assert use(owner, ticket) == once.Run()
+    if end is not None:
+        assert once.finish(owner, ticket, end, 2.0) == end
+    assert use(owner, ticket, 3.0) == again
+    assert use(owner, ticket, 4.0) == again
+
+
+def test_a_restarted_owner_runs_nothing_of_its_predecessor() -> None:
+    """A broker repeats a binding after the bindery's VM was replaced.
+
+    The first attempt ran, the daemon lost its memory, the repeat reaches
+    the new incarnation. It cannot know, so it must say unknown.
+    """
+    ticket = take(make_owner("i1"))
+    answer = use(make_owner("i2"), ticket)
+    assert answer == once.Refused(UNKNOWN, Reason.OWNER_GONE)
+
+
+@pytest.mark.parametrize(
+    "forged",
+    [
+        "",
+        "no ticket",
+        "vm-1~i1~1~60000~poster~write-down~" + "0" * 32,
+        "vm-1~i1~\u00b2~60000~poster~write-down~" + "0" * 32,
+        "vm-1~i1~1~" + "9" * 30 + "~poster~write-down~0",
+        "~" * 600,
+    ],
+)
+def test_a_ticket_that_was_not_issued_is_not_run(forged: str) -> None:
+    owner = make_owner()
+    answer = use(owner, forged)
+    assert answer == once.Refused(NOT_RUN, Reason.TICKET_INVALID)
+
+
+def test_a_ticket_cannot_be_stretched() -> None:
+    owner = make_owner()
+    ticket = take(owner)
+    stretched = ticket.replace("~60000~", "~90000~")
+    assert stretched != ticket
+    answer = use(owner, stretched)
+    assert answer == once.Refused(NOT_RUN, Reason.TICKET_INVALID)
+
+
+def test_parse_names_the_owner() -> None:
+    name = once.parse(take(make_owner()))
+    assert name == once.TicketName("vm-1", "i1", "poster", "write-down")
+    assert once.parse("vm-1~i1") is None
+
+
+def test_a_handler_that_wakes_late_does_not_run_an_expired_ticket() -> None:
+    """A repeat's handler read the clock, and its process then paused.
+
+    Meanwhile the ticket expired and its record was dropped. With the old
+    instant the ticket still looks valid and unused, and would run twice.
+    """
+    owner = make_owner()
+    ticket = take(owner)
+    assert use(owner, ticket, 1.0) == once.Run()
+    once.finish(owner, ticket, DONE, 2.0)
+    once.expire(owner, 61.0)
+    answer = use(owner, ticket, 59.0)
+    assert answer == once.Refused(UNKNOWN, Reason.TICKET_EXPIRED)
+
+
+def test_an_execution_longer_than_its_ticket_keeps_its_record() -> None:
+    owner = make_owner(records=1)
+    ticket = take(owner)
+    use(owner, ticket)
+    once.expire(owner, 100.0)
+    assert use(owner, ticket, 100.0) == once.Join()
+    full = once.issue(owner, "poster", "write-down", 60.0, 100.0)
+    assert full == once.Refused(NOT_RUN, Reason.TICKETS_FULL)
+    assert once.finish(owner, ticket, DONE, 101.0) == DONE
+    answer = use(owner, ticket, 102.0)
+    assert answer == once.Refused(UNKNOWN, Reason.TICKET_EXPIRED)
+    take(owner, 102.0)
+
+
+def test_issue_stops_at_the_bound_and_frees_with_expiry() -> None:
+    owner = make_owner(records=3)
+    tickets = [take(owner) for _ in range(3)]
+    full = once.issue(owner, "poster", "write-down", 60.0, 1.0)
+    assert full == once.Refused(NOT_RUN, Reason.TICKETS_FULL)
+    for ticket in tickets:
+        use(owner, ticket)
+        once.finish(owner, ticket, DONE, 2.0)
+    assert len(owner.records.by_serial) == 3
+    take(owner, 61.0)
+    assert not owner.records.by_serial
+    assert owner.records.stored_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("reason", "told"),
+    [
+        (Reason.UPSTREAM_REFUSED, NOT_RUN),
+        (Reason.UPSTREAM_UNREACHABLE, NOT_RUN),
+        (Reason.CANCELLED, UNKNOWN),
+        (Reason.DEADLINE_PASSED, UNKNOWN),
+    ],
+)
+def test_not_run_after_dispatch_is_the_upstreams_word(
+    reason: outcomes.Reason, told: outcomes.Outcome
+) -> None:
+    """A caller goes away and its binding is cancelled after dispatch.
+
+    The upstream has the bytes and has not confirmed the cancellation.
+    "Not run" would make the broker bind again.
+    """
+    owner = make_owner()
+    ticket = take(owner)
+    use(owner, ticket)
+    assert once.dispatched(owner, ticket, 1.0)
+    once.finish(owner, ticket, once.NotRun(reason), 2.0)
+    answer = use(owner, ticket, 3.0)
+    assert isinstance(answer, once.Refused)
+    assert answer.outcome is told
+
+
+def test_what_was_voided_or_sent_is_not_sent() -> None:
+    """A binding waits in the queue, is cancelled, and its turn comes.
+
+    Its caller was told "not run" on the cancellation; the effect that
+    starts it was already on its way when the process paused.
+    """
+    owner = make_owner()
+    voided, sent = take(owner), take(owner)
+    use(owner, voided)
+    once.finish(owner, voided, once.NotRun(Reason.CANCELLED), 1.0)
+    assert not once.dispatched(owner, voided, 2.0)
+    use(owner, sent)
+    assert once.dispatched(owner, sent, 2.0)
+    assert not once.dispatched(owner, sent, 2.0)
+    assert not once.dispatched(owner, take(owner), 2.0)
+
+
+def test_the_first_end_counts() -> None:
+    owner = make_owner()
+    ticket = take(owner)
+    use(owner, ticket)
+    once.finish(owner, ticket, LOST, 2.0)
+    assert once.finish(owner, ticket, DONE, 3.0) == LOST
+    assert once.finish(owner, "none", DONE, 3.0) != DONE
+
+
+@pytest.mark.parametrize("stored", [100_000, 10])
+def test_a_large_answer_is_kept_as_its_digest(stored: int) -> None:
+    owner = make_owner(stored=stored)
+    ticket = take(owner)
+    use(owner, ticket)
+    body = b"x" * (20_000 if stored > 10 else 20)
+    assert once.finish(owner, ticket, once.Done(201, (), body), 2.0)
+    answer = use(owner, ticket, 3.0)
+    assert isinstance(answer, once.Replay)
+    assert isinstance(answer.result, once.Summary)
+    assert (answer.result.status, answer.result.length) == (201, len(body))
+    assert answer.result.reason is Reason.ANSWER_NOT_KEPT
+
+
+@pytest.mark.parametrize(
+    ("before", "told"),
+    [(None, NOT_RUN), (DONE, UNKNOWN), (SHED, NOT_RUN)],
+)
+def test_a_ticket_of_another_class_is_settled_without_running(
+    before: once.Result | None, told: outcomes.Outcome
+) -> None:
+    owner = make_owner()
+    ticket = take(owner)
+    if before is not None:
+        use(owner, ticket)
+        once.finish(owner, ticket, before, 1.0)
+    answer = once.arrive(owner, ticket, "upload", 2.0)
+    assert answer == once.Refused(told, Reason.TICKET_INVALID)
+    if told is NOT_RUN:
+        late = use(owner, ticket, 3.0)
+        assert late == once.Refused(NOT_RUN, Reason.TICKET_VOID)
+
+
+def test_a_leaving_owner_issues_nothing() -> None:
+    owner = make_owner()
+    once.stop_issuing(owner)
+    answer = once.issue(owner, "poster", "write-down", 60.0, 0.0)
+    assert answer == once.Refused(NOT_RUN, Reason.LEAVING)
+
+
+@pytest.mark.parametrize(
+    ("vm", "secret"), [("a~b", b"s" * 16), ("", b"s" * 16), ("a", b"s")]
+)
+def test_new_owner_refuses_what_would_break_tickets(
+    vm: str, secret: bytes
+) -> None:
+    with pytest.raises(ValueError, match=r"'~'|bytes"):
+        once.new_owner(vm, "i1", secret, 10)
+
+
+@pytest.mark.parametrize(("repeat", "told"), [(0, NOT_RUN), (1, UNKNOWN)])
+def test_an_entrance_says_not_run_of_a_first_use_alone(
+    repeat: int, told: outcomes.Outcome
+) -> None:
+    """A broker repeats through a second entrance, which is cut off.
+
+    The first attempt, through the first entrance, is still on its way to
+    the owner and runs after the second entrance's refusal.
+    """
+    refused = once.entrance_refusal(repeat, Reason.PEER_UNREACHABLE)
+    assert refused == once.Refused(told, Reason.PEER_UNREACHABLE)
+
+
+def test_a_record_stays_until_its_ticket_expires() -> None:
+    """A repeat arrives in the last half second of its ticket.
+
+    A record dropped with the whole second before would let it run again.
+    """
+    owner = make_owner()
+    ticket = take(owner, lifetime=60.5)
+    use(owner, ticket)
+    once.finish(owner, ticket, DONE, 2.0)
+    once.expire(owner, 60.2)
+    assert use(owner, ticket, 60.3) == once.Replay(DONE)
