--- /dev/null
+++ b/src/sassafrasstair/console/daemon.py
@@ -0,0 +1,60 @@
+"""The command ``sassafrasstaird``: one daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+import click
+import uvloop
+
+from sassafrasstair import clocks
+from sassafrasstair import logs
+from sassafrasstair import runtime
+from sassafrasstair import settings as settings_module
+
+EXIT_BAD_INPUT = 2
+EXIT_NOT_STARTED = 1
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="The daemon's settings, a JSON file (docs/SETTINGS.md).",
+)
+@click.option(
+    "--check", is_flag=True, help="Check the settings and stop: 0 or 2."
+)
+def main(path: str, check: bool) -> None:
+    """Run the daemon of one upstream VM until SIGTERM.
+
+    Exit codes: 0 after a planned stop, 1 when an address can't be bound,
+    2 when the settings can't be used.
+    """
+    try:
+        settings = settings_module.load(path)
+    except settings_module.SettingsError as error:
+        click.echo(f"{path}: {error}", err=True)
+        sys.exit(EXIT_BAD_INPUT)
+    if check:
+        click.echo(f"{path}: ok")
+        return
+    logs.configure(settings.log.format, settings.log.level)
+    try:
+        uvloop.run(_run(settings))
+    except OSError as error:
+        click.echo(f"{path}: {error}", err=True)
+        sys.exit(EXIT_NOT_STARTED)
+
+
+async def _run(settings: settings_module.Settings) -> None:
+    daemon = runtime.build(settings, clocks.SystemClock())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # A second signal changes nothing: it must not cut requests.
+        loop.add_signal_handler(number, runtime.stop, daemon)
+    await runtime.run(daemon)
--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -22,6 +22,10 @@
 from sassafrasstair.decisions.calls._pauses import Pauses
 from sassafrasstair.decisions.calls._routing import probe_due
 from sassafrasstair.decisions.calls._routing import probed
+from sassafrasstair.decisions.calls._views import choose
+from sassafrasstair.decisions.calls._views import floor_below
+from sassafrasstair.decisions.calls._views import floors
+from sassafrasstair.decisions.calls._views import retry_tokens
 
 __all__ = [
     "BEAT_SECONDS",
@@ -38,10 +42,14 @@
     "abandon",
     "answered",
     "begin",
+    "choose",
     "floor",
+    "floor_below",
+    "floors",
     "lateness",
     "new_entrance",
     "note_beat",
     "probe_due",
     "probed",
+    "retry_tokens",
 ]
--- a/src/sassafrasstair/decisions/fleet/__init__.py
+++ b/src/sassafrasstair/decisions/fleet/__init__.py
@@ -43,6 +43,7 @@
 from sassafrasstair.decisions.fleet._queries import address_of
 from sassafrasstair.decisions.fleet._queries import in_force
 from sassafrasstair.decisions.fleet._queries import incarnation_of
+from sassafrasstair.decisions.fleet._queries import is_leaving
 from sassafrasstair.decisions.fleet._queries import ready
 from sassafrasstair.decisions.fleet._queries import status
 from sassafrasstair.decisions.fleet._states import Node
@@ -79,6 +80,7 @@
     "handle",
     "in_force",
     "incarnation_of",
+    "is_leaving",
     "new_node",
     "observed",
     "platform_bundles",
--- a/src/sassafrasstair/decisions/fleet/_queries.py
+++ b/src/sassafrasstair/decisions/fleet/_queries.py
@@ -33,6 +33,11 @@
     return "" if member is None else member.incarnation
 
 
+def is_leaving(node: _states.Node) -> bool:
+    """Return whether this VM is known to be leaving, whoever said so."""
+    return node.members[node.me.vm].leaving
+
+
 def status(node: _states.Node) -> dict[str, typing.Any]:
     """Return what ``sassafras status`` shows of the fleet, as JSON has."""
     lives = [member.life for member in node.members.values()]
--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -17,6 +17,8 @@
 from sassafrasstair.decisions.load._messages import Turn
 from sassafrasstair.decisions.load._messages import Work
 from sassafrasstair.decisions.load._rank import rank
+from sassafrasstair.decisions.load._views import limit
+from sassafrasstair.decisions.load._views import resize
 
 __all__ = [
     "Abort",
@@ -30,8 +32,10 @@
     "cancel",
     "finish",
     "floor",
+    "limit",
     "new_guard",
     "offer",
     "rank",
+    "resize",
     "tick",
 ]
--- a/src/sassafrasstair/decisions/once/_messages.py
+++ b/src/sassafrasstair/decisions/once/_messages.py
@@ -48,7 +48,7 @@
     reason: outcomes.Reason
 
 
-Result = Done | NotRun | Unknown
+Result = Done | Summary | NotRun | Unknown
 """How the one execution of a ticket ended."""
 
 
--- a/src/sassafrasstair/runtime/__init__.py
+++ b/src/sassafrasstair/runtime/__init__.py
@@ -1,3 +1,10 @@
-"""TODO."""
+"""The daemon at work: the decisions driven with real time and I/O."""
 
 from __future__ import annotations
+
+from sassafrasstair.runtime._daemon import build
+from sassafrasstair.runtime._daemon import Daemon
+from sassafrasstair.runtime._daemon import run
+from sassafrasstair.runtime._daemon import stop
+
+__all__ = ["Daemon", "build", "run", "stop"]
--- /dev/null
+++ b/src/sassafrasstair/runtime/_answers.py
@@ -0,0 +1,105 @@
+"""The answers of the callee's side, each with its load and floor."""
+
+from __future__ import annotations
+
+import typing
+
+from sassafrasstair import daemons
+from sassafrasstair.decisions import load
+from sassafrasstair.decisions import once
+from sassafrasstair import outcomes
+from sassafrasstair.runtime import _attempts
+from sassafrasstair.runtime import _slots
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair import upstreams
+
+_Outcome = outcomes.Outcome
+
+
+def done(
+    slot: _slots.Slot,
+    attempt: _attempts.Attempt,
+    response: upstreams.Response,
+    body: bytes,
+    *,
+    more: bool,
+) -> daemons.RunAnswer:
+    """Return the upstream's answer, or its beginning when ``more``."""
+    return daemons.RunAnswer(
+        attempt_id=attempt.run.attempt_id,
+        incarnation=slot.incarnation,
+        outcome=_Outcome.DONE.value,
+        reason=outcomes.Reason.NONE.value,
+        spent=attempt.spent,
+        busy=load.busy(slot.guard),
+        floor=_slots.floor(slot, attempt.run.request_class),
+        status=response.status,
+        headers=response.headers,
+        body=body,
+        more=more,
+        digest=attempt.rest_digest.digest(),
+    )
+
+
+def refusal(
+    slot: _slots.Slot,
+    message: daemons.Run,
+    outcome: outcomes.Outcome,
+    reason: outcomes.Reason,
+    *,
+    spent: int = 0,
+    after: float = 0.0,
+) -> daemons.RunAnswer:
+    """Return a refusal; ``after`` is in seconds, 0 for the class's rule."""
+    return daemons.RunAnswer(
+        attempt_id=message.attempt_id,
+        incarnation=slot.incarnation,
+        outcome=outcome.value,
+        reason=reason.value,
+        retry_after_ms=int(after * 1000),
+        spent=spent,
+        busy=load.busy(slot.guard),
+        floor=_slots.floor(slot, message.request_class),
+    )
+
+
+def told(
+    slot: _slots.Slot,
+    attempt: _attempts.Attempt,
+    result: once.Result,
+    after: float = 0.0,
+) -> daemons.RunAnswer:
+    """Return the refusal for how an attempt ended."""
+    outcome = _Outcome.UNKNOWN
+    reason = outcomes.Reason.ANSWER_NOT_KEPT
+    if isinstance(result, once.NotRun):
+        outcome = _Outcome.NOT_RUN
+    if isinstance(result, once.NotRun | once.Unknown):
+        reason = result.reason
+    return refusal(
+        slot, attempt.run, outcome, reason, spent=attempt.spent, after=after
+    )
+
+
+def replay(
+    slot: _slots.Slot, message: daemons.Run, result: once.Done | once.Summary
+) -> daemons.RunAnswer:
+    """Return the stored answer of a ticket that was run before."""
+    if isinstance(result, once.Summary):
+        return refusal(slot, message, _Outcome.DONE, result.reason)
+    return daemons.RunAnswer(
+        attempt_id=message.attempt_id,
+        incarnation=slot.incarnation,
+        outcome=_Outcome.DONE.value,
+        reason=outcomes.Reason.NONE.value,
+        busy=load.busy(slot.guard),
+        floor=_slots.floor(slot, message.request_class),
+        status=result.status,
+        headers=tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in result.headers
+        ),
+        body=result.body,
+        digest=_attempts.new_digest(result.body).digest(),
+    )
--- /dev/null
+++ b/src/sassafrasstair/runtime/_attempts.py
@@ -0,0 +1,55 @@
+"""An attempt that is at this VM's upstream, or waits for it."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+import typing
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from sassafrasstair import daemons
+    from sassafrasstair.decisions import load
+
+DIGEST_BYTES = 16
+PART_QUEUE = 2
+
+
+def new_digest(data: bytes = b"") -> hashlib.blake2b:
+    """Return the running digest that both sides of a body keep."""
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES)
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """State of one attempt; ``deadline`` is a local monotonic instant.
+
+    ``spent`` and ``child_retry_after`` gather what the upstream's own
+    calls further down told. ``parts`` holds request parts that the
+    upstream has not taken yet, ``rest`` what it has not answered yet.
+    """
+
+    run: daemons.Run
+    deadline: float
+    verdict: asyncio.Future[load.Start | load.Turn]
+    parts: asyncio.Queue[daemons.BodyPart]
+    spent: int = 0
+    child_retry_after: float = 0.0
+    task: asyncio.Task[daemons.RunAnswer] | None = None
+    next_part: int = 1
+    status: int = 0
+    rest: abc.AsyncIterator[bytes] | None = None
+    rest_digest: hashlib.blake2b = dataclasses.field(
+        default_factory=new_digest
+    )
+    rest_length: int = 0
+    rest_parts: int = 0
+    ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+def new_attempt(run: daemons.Run, deadline: float) -> Attempt:
+    """Return an attempt that the guard has not decided on yet."""
+    verdict = asyncio.get_running_loop().create_future()
+    return Attempt(run, deadline, verdict, asyncio.Queue(PART_QUEUE))
--- /dev/null
+++ b/src/sassafrasstair/runtime/_children.py
@@ -0,0 +1,124 @@
+"""Tickets at the entrance: for callers, and for calls deeper in a chain."""
+
+from __future__ import annotations
+
+import typing
+
+from sassafrasstair import callers
+from sassafrasstair import daemons
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import fleet
+from sassafrasstair.decisions import once
+from sassafrasstair import outcomes
+from sassafrasstair.runtime import _entries
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair import bundles
+
+TICKET_TRIES = 3
+TICKET_TIMEOUT = 1.0
+
+
+async def take(
+    entry: _entries.Entry, service: str, fields: callers.Fields
+) -> callers.TicketReply | callers.Refusal:
+    """Take a ticket for a caller of once-only work."""
+    bundle = entry.bundle()
+    if bundle is None or entry.leaving:
+        reason = outcomes.Reason.LEAVING
+        if bundle is None:
+            reason = outcomes.Reason.NO_BUNDLE
+        return _refusal(reason, _entries.NOT_READY_RETRY_AFTER)
+    refusal = _entries.check_class(bundle, service, fields.request_class, 0)
+    if refusal is not None:
+        return refusal
+    if not bundle.classes[fields.request_class].once:
+        return callers.Refusal(
+            outcomes.Outcome.NOT_RUN,
+            outcomes.Reason.MALFORMED,
+            0.0,
+            f"class {fields.request_class!r} needs no ticket",
+        )
+    ask = daemons.TicketAsk(
+        service, fields.request_class, fields.caller, fields.tenant
+    )
+    return await _take(entry, bundle, ask)
+
+
+async def with_ticket(
+    entry: _entries.Entry, ready: _entries.Ready, request: callers.Request
+) -> _entries.Ready | callers.Refusal:
+    """Return a child call of once-only work with its ticket.
+
+    The parent's owner is this daemon: it remembers the child's ticket, so
+    that the upstream's repeat of the call carries the same.
+    """
+    assert ready.parent is not None
+    parent_ticket = ready.parent.run.ticket
+    service = ready.call.service
+    key = request.fields.child_key
+    owner = entry.slot.owner
+    known = once.child(owner, parent_ticket, service, key)
+    if known is None:
+        ask = daemons.TicketAsk(
+            service,
+            ready.call.request_class,
+            ready.call.caller,
+            ready.call.tenant,
+        )
+        taken = await _take(entry, ready.bundle, ask)
+        if isinstance(taken, callers.Refusal):
+            return taken
+        known = once.adopt(owner, parent_ticket, service, key, taken.ticket)
+    if isinstance(known, once.Refused):
+        return callers.Refusal(known.outcome, known.reason)
+    return _entries.with_child_ticket(ready, known)
+
+
+async def _take(
+    entry: _entries.Entry, bundle: bundles.Bundle, ask: daemons.TicketAsk
+) -> callers.TicketReply | callers.Refusal:
+    """Ask instances for a ticket; asking again elsewhere runs nothing."""
+    tried: list[str] = []
+    refusal = _refusal(outcomes.Reason.NO_INSTANCE, 1.0)
+    for _ in range(TICKET_TRIES):
+        now = entry.clock.monotonic()
+        targets = fleet.targets(entry.node, ask.service, now)
+        target = calls.choose(entry.entrance, targets, tried, now, entry.rng)
+        if target is None:
+            return refusal
+        tried.append(target.vm)
+        try:
+            given = await entry.ask(target.vm, ask, TICKET_TIMEOUT)
+        except daemons.PeerError:
+            refusal = _refusal(outcomes.Reason.PEER_UNREACHABLE, 1.0)
+            fleet.observed(entry.node, target.vm, False, "", now)
+            continue
+        if not isinstance(given, daemons.TicketGiven):
+            continue
+        if given.ticket:
+            expires_in = given.expires_in_ms / 1000
+            return callers.TicketReply(given.ticket, expires_in)
+        refusal = _given_refusal(entry, bundle, ask, given)
+        if refusal.reason is not outcomes.Reason.LEAVING:
+            return refusal
+    return refusal
+
+
+def _given_refusal(
+    entry: _entries.Entry,
+    bundle: bundles.Bundle,
+    ask: daemons.TicketAsk,
+    given: daemons.TicketGiven,
+) -> callers.Refusal:
+    rules = bundle.classes[ask.request_class].refusal
+    low = max(rules.retry_after_min_ms, given.retry_after_ms) / 1000
+    high = max(low, rules.retry_after_max_ms / 1000)
+    after = entry.rng.uniform(low, high)
+    return _refusal(outcomes.Reason(given.reason), after)
+
+
+def _refusal(reason: outcomes.Reason, after: float) -> callers.Refusal:
+    return callers.Refusal(
+        outcomes.Outcome.NOT_RUN, reason, after, "no ticket was issued"
+    )
--- /dev/null
+++ b/src/sassafrasstair/runtime/_control.py
@@ -0,0 +1,245 @@
+"""The daemon's part in the fleet: gossip, and the platform's watches.
+
+It drives ``decisions.fleet`` with real time, the link to the other
+daemons and the platform's client.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import typing
+
+from sassafrasstair import daemons
+from sassafrasstair.decisions import fleet
+from sassafrasstair import logs
+from sassafrasstair import platform
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+    import random
+
+    from sassafrasstair import bundles
+    from sassafrasstair import clocks
+
+TICK_SECONDS = 0.25
+WATCH_SECONDS = 40.0
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Control:
+    """State of the control side. ``adopted`` is told each new bundle."""
+
+    clock: clocks.Clock
+    rng: random.Random
+    node: fleet.Node
+    links: daemons.Links
+    client: platform.Client
+    adopted: abc.Callable[[bundles.Bundle], None]
+    counted: abc.Callable[[], None]
+    watches: list[asyncio.Task[None]] = dataclasses.field(default_factory=list)
+    tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+
+
+def tick(control: Control) -> None:
+    """Let the fleet decisions do what is due."""
+    now = control.clock.monotonic()
+    apply(control, fleet.tick(control.node, now, control.rng))
+
+
+def leave(control: Control) -> None:
+    """Tell the others that this VM takes no new work."""
+    now = control.clock.monotonic()
+    apply(control, fleet.set_leaving(control.node, now, control.rng))
+
+
+def handle(control: Control, message: daemons.Control) -> daemons.Message:
+    """Answer one control message of a peer."""
+    try:
+        decoded = fleet.decode(message.body)
+    except fleet.BadMessage as error:
+        logs.event(_LOG, logging.WARNING, "bad_message", detail=str(error))
+        return daemons.Nothing()
+    now = control.clock.monotonic()
+    reply, effects = fleet.handle(control.node, decoded, now, control.rng)
+    apply(control, effects)
+    if reply is None:
+        return daemons.Nothing()
+    return daemons.Control(fleet.encode(reply))
+
+
+async def close(control: Control) -> None:
+    """End all tasks and the platform's connections."""
+    tasks = [*control.watches, *control.tasks]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await control.client.close()
+
+
+def apply(control: Control, effects: list[fleet.Effect]) -> None:
+    """Carry out what the fleet decisions ask."""
+    for effect in effects:
+        if isinstance(effect, fleet.Exchange):
+            _start(control, _exchange(control, effect))
+        elif isinstance(effect, fleet.Watch):
+            _set_watch(control, effect.on)
+        elif isinstance(effect, fleet.ReadPlatform):
+            if not control.watches:
+                _start(control, _read(control, effect.delay))
+        elif isinstance(effect, fleet.InForce):
+            control.adopted(effect.bundle)
+        else:
+            logs.event(_LOG, logging.INFO, effect.event, **effect.fields)
+
+
+def _start(
+    control: Control, work: abc.Coroutine[typing.Any, typing.Any, None]
+) -> None:
+    task = asyncio.get_running_loop().create_task(work)
+    control.tasks.add(task)
+    task.add_done_callback(control.tasks.discard)
+
+
+async def _exchange(control: Control, effect: fleet.Exchange) -> None:
+    message = daemons.Control(fleet.encode(effect.message))
+    try:
+        reply = await daemons.exchange(
+            control.links, effect.address, message, effect.timeout
+        )
+        decoded = _decoded(reply)
+    except (daemons.PeerError, fleet.BadMessage):
+        effects = fleet.unreachable(
+            control.node,
+            effect.address,
+            control.clock.monotonic(),
+            control.rng,
+        )
+    else:
+        effects = fleet.replied(
+            control.node,
+            effect.address,
+            decoded,
+            control.clock.monotonic(),
+            control.rng,
+        )
+    apply(control, effects)
+
+
+def _decoded(reply: daemons.Message) -> fleet.Message:
+    if not isinstance(reply, daemons.Control):
+        raise fleet.BadMessage("not a control message")
+    return fleet.decode(reply.body)
+
+
+def _set_watch(control: Control, on: bool) -> None:
+    for task in control.watches:
+        task.cancel()
+    control.watches.clear()
+    logs.event(_LOG, logging.INFO, "watch", on=on)
+    if on:
+        loop = asyncio.get_running_loop()
+        control.watches += [
+            loop.create_task(
+                _watch(control, platform.BUNDLES_PREFIX, _took_bundles)
+            ),
+            loop.create_task(_watch(control, platform.VMS_KEY, _took_vms)),
+        ]
+
+
+async def _watch(
+    control: Control,
+    prefix: str,
+    took: abc.Callable[[Control, platform.Snapshot], None],
+) -> None:
+    index = 0
+    while True:
+        control.counted()
+        try:
+            snapshot = await control.client.watch(prefix, index, WATCH_SECONDS)
+        except platform.PlatformError as error:
+            # What changed while the watch was lost is unknown: index 0
+            # makes the next one a read of the whole, after a spread delay.
+            index = 0
+            await asyncio.sleep(_failed(control, error))
+            continue
+        if snapshot.index != index:
+            took(control, snapshot)
+        index = snapshot.index
+
+
+async def _read(control: Control, delay: float) -> None:
+    await asyncio.sleep(delay)
+    try:
+        control.counted()
+        held = await control.client.read(platform.BUNDLES_PREFIX)
+        control.counted()
+        vms = await control.client.read(platform.VMS_KEY)
+    except platform.PlatformError as error:
+        effects = _failure(control, error)
+        apply(control, effects)
+        return
+    _took_vms(control, vms)
+    _took_bundles(control, held)
+
+
+def _took_bundles(control: Control, snapshot: platform.Snapshot) -> None:
+    envelopes = list(snapshot.values.values())
+    now = control.clock.monotonic()
+    apply(
+        control,
+        fleet.platform_bundles(
+            control.node, envelopes, snapshot.index, now, control.rng
+        ),
+    )
+
+
+def _took_vms(control: Control, snapshot: platform.Snapshot) -> None:
+    raw = snapshot.values.get(platform.VMS_KEY)
+    if raw is None:
+        return
+    try:
+        entries = platform.decode_vms(raw)
+    except platform.PlatformError as error:
+        logs.event(_LOG, logging.WARNING, "vm_list_refused", detail=str(error))
+        return
+    records = [
+        fleet.Record(
+            entry.vm,
+            entry.service,
+            entry.failure_domain,
+            entry.region,
+            entry.address,
+            entry.state,
+        )
+        for entry in entries
+    ]
+    now = control.clock.monotonic()
+    apply(
+        control,
+        fleet.platform_vms(
+            control.node, records, snapshot.index, now, control.rng
+        ),
+    )
+
+
+def _failure(
+    control: Control, error: platform.PlatformError
+) -> list[fleet.Effect]:
+    logs.event(_LOG, logging.WARNING, "platform_failed", detail=str(error))
+    now = control.clock.monotonic()
+    return fleet.platform_failed(control.node, now, control.rng)
+
+
+def _failed(control: Control, error: platform.PlatformError) -> float:
+    """Report a lost watch; return the seconds until the next one."""
+    delay = TICK_SECONDS
+    for effect in _failure(control, error):
+        if isinstance(effect, fleet.ReadPlatform):
+            delay = max(delay, effect.delay)
+        else:
+            apply(control, [effect])
+    return delay
--- /dev/null
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -0,0 +1,373 @@
+"""The daemon: its parts put together, started, run and stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import functools
+import logging
+import random
+import secrets
+import typing
+
+from sassafrasstair import bundles
+from sassafrasstair import callers
+from sassafrasstair import clocks
+from sassafrasstair import daemons
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import fleet
+from sassafrasstair.decisions import load
+from sassafrasstair.decisions import once
+from sassafrasstair import logs
+from sassafrasstair import metrics
+from sassafrasstair import operators
+from sassafrasstair import platform
+from sassafrasstair.runtime import _bodies
+from sassafrasstair.runtime import _children
+from sassafrasstair.runtime import _control
+from sassafrasstair.runtime import _entrance
+from sassafrasstair.runtime import _entries
+from sassafrasstair.runtime import _execution
+from sassafrasstair.runtime import _http
+from sassafrasstair.runtime import _slots
+from sassafrasstair.runtime import _status
+from sassafrasstair.runtime import _tickets
+from sassafrasstair import upstreams
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair import settings
+
+MAX_TICKET_RECORDS = 50_000
+LEAVE_SECONDS = 2.5
+LINK_REVIEW_SECONDS = 10.0
+UNSET_SLOTS = 1
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Daemon:
+    """All state of one daemon process."""
+
+    settings: settings.Settings
+    clock: clocks.Clock
+    rng: random.Random
+    incarnation: str
+    links: daemons.Links
+    control: _control.Control
+    slot: _slots.Slot
+    entry: _entries.Entry
+    metrics: metrics.Metrics
+    stopping: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+def new_incarnation(clock: clocks.Clock) -> str:
+    """Return a name of this process; a later start has a greater one."""
+    milliseconds = int(clock.wall().timestamp() * 1000)
+    return f"{milliseconds:012x}{secrets.token_hex(4)}"
+
+
+def build(settings_: settings.Settings, clock: clocks.Clock) -> Daemon:
+    """Return a daemon that has done no I/O yet."""
+    rng = random.Random(secrets.randbits(64))
+    incarnation = new_incarnation(clock)
+    counts = metrics.Metrics()
+    links = daemons.Links()
+    node = _new_node(settings_, incarnation, clock.monotonic(), rng)
+    bundle = functools.partial(_in_force, node, clock)
+    entrance = calls.new_entrance(
+        incarnation, settings_.failure_domain, settings_.region
+    )
+    slot = _new_slot(settings_, incarnation, clock, bundle, entrance)
+    entry = _entries.Entry(
+        clock=clock,
+        rng=rng,
+        entrance=entrance,
+        node=node,
+        slot=slot,
+        ask=functools.partial(_ask, links, node, slot),
+        bundle=bundle,
+        counts=counts,
+    )
+    control = _control.Control(
+        clock=clock,
+        rng=rng,
+        node=node,
+        links=links,
+        client=platform.open_client(settings_.platform.urls),
+        adopted=functools.partial(_adopt, slot, counts),
+        counted=counts.platform_read,
+    )
+    return Daemon(
+        settings_,
+        clock,
+        rng,
+        incarnation,
+        links,
+        control,
+        slot,
+        entry,
+        counts,
+    )
+
+
+async def run(daemon: Daemon) -> None:
+    """Serve until ``stop``, then finish what is in flight and return.
+
+    Raises ``OSError`` when one of the addresses can't be bound.
+    """
+    chosen = daemon.settings
+    handler = functools.partial(_handle, daemon)
+    server = daemons.listen(chosen.peers.listen, handler)
+    apps = (
+        (chosen.callers.listen, _callers_app(daemon)),
+        (chosen.operators.listen, _operators_app(daemon)),
+    )
+    http = await _http.start(apps)
+    logs.event(
+        _LOG,
+        logging.INFO,
+        "started",
+        vm=chosen.vm,
+        service=chosen.service,
+        incarnation=daemon.incarnation,
+    )
+    beats = asyncio.create_task(_beat(daemon))
+    ticks = asyncio.create_task(_tick(daemon))
+    await daemon.stopping.wait()
+    await _leave(daemon)
+    await _http.stop(http)
+    for task in (beats, ticks):
+        task.cancel()
+    await asyncio.gather(beats, ticks, return_exceptions=True)
+    await _control.close(daemon.control)
+    await daemons.close_server(server)
+    daemons.close(daemon.links)
+    await upstreams.close(daemon.slot.upstream)
+    logs.event(_LOG, logging.INFO, "stopped", vm=chosen.vm)
+
+
+def stop(daemon: Daemon) -> None:
+    """Begin a planned stop; a second call changes nothing."""
+    daemon.stopping.set()
+
+
+async def _leave(daemon: Daemon) -> None:
+    """Take no new work, let peers know, and wait for what is in flight."""
+    logs.event(_LOG, logging.INFO, "leaving", vm=daemon.settings.vm)
+    daemon.entry.leaving = True
+    daemon.slot.guard.leaving = True
+    once.stop_issuing(daemon.slot.owner)
+    _control.leave(daemon.control)
+    # Peers and callers learn of it meanwhile and are refused, not cut: a
+    # closed socket at once would show them as lost answers.
+    await asyncio.sleep(LEAVE_SECONDS)
+    while daemon.slot.attempts or daemon.entry.in_flight:
+        await asyncio.sleep(calls.BEAT_SECONDS)
+
+
+async def _beat(daemon: Daemon) -> None:
+    while True:
+        now = daemon.clock.monotonic()
+        if calls.note_beat(daemon.slot.pauses, now):
+            gap = daemon.slot.pauses.gap
+            logs.event(_LOG, logging.WARNING, "woke_late", seconds=gap)
+        _slots.tick(daemon.slot)
+        _ping_ejected(daemon, now)
+        await asyncio.sleep(calls.BEAT_SECONDS)
+
+
+async def _tick(daemon: Daemon) -> None:
+    reviewed = daemon.clock.monotonic()
+    while True:
+        now = daemon.clock.monotonic()
+        _control.tick(daemon.control)
+        _follow_vm_list(daemon)
+        _status.update_gauges(daemon.metrics, daemon.entry)
+        if now - reviewed > LINK_REVIEW_SECONDS:
+            reviewed = now
+            daemons.close_idle(daemon.links)
+        await asyncio.sleep(_control.TICK_SECONDS)
+
+
+def _follow_vm_list(daemon: Daemon) -> None:
+    # The platform said that this VM leaves: its upstream gets nothing new,
+    # whoever has not heard of it yet and sends here all the same.
+    if fleet.is_leaving(daemon.control.node):
+        daemon.slot.guard.leaving = True
+        once.stop_issuing(daemon.slot.owner)
+
+
+def _ping_ejected(daemon: Daemon, now: float) -> None:
+    for vm in calls.probe_due(daemon.entry.entrance.routes, now):
+        task = asyncio.ensure_future(_ping(daemon, vm))
+        daemon.control.tasks.add(task)
+        task.add_done_callback(daemon.control.tasks.discard)
+
+
+async def _ping(daemon: Daemon, vm: str) -> None:
+    alive = False
+    try:
+        reply = await daemon.entry.ask(vm, daemons.Ping(), 1.0)
+        alive = isinstance(reply, daemons.Pong) and reply.serving
+    except daemons.PeerError:
+        alive = False
+    now = daemon.clock.monotonic()
+    calls.probed(daemon.entry.entrance.routes, vm, alive, now)
+
+
+async def _handle(daemon: Daemon, message: daemons.Message) -> daemons.Message:
+    if isinstance(message, daemons.Control):
+        return _control.handle(daemon.control, message)
+    return await _serve(daemon.slot, message)
+
+
+async def _serve(
+    slot: _slots.Slot, message: daemons.Message
+) -> daemons.Message:
+    if isinstance(message, daemons.Run):
+        return await _execution.run(slot, message)
+    if isinstance(message, daemons.BodyPart):
+        return await _bodies.take_part(slot, message)
+    if isinstance(message, daemons.AnswerNext):
+        return await _bodies.next_part(slot, message)
+    if isinstance(message, daemons.TicketAsk):
+        return _tickets.issue(slot, message)
+    if isinstance(message, daemons.Cancel):
+        _slots.cancel(slot, message.attempt_id)
+    if isinstance(message, daemons.Ping):
+        serving = slot.bundle() is not None and not slot.guard.leaving
+        return daemons.Pong(slot.incarnation, serving)
+    return daemons.Nothing()
+
+
+async def _ask(
+    links: daemons.Links,
+    node: fleet.Node,
+    slot: _slots.Slot,
+    vm: str,
+    message: daemons.Message,
+    timeout: float,
+) -> daemons.Message:
+    if vm == node.me.vm:
+        return await _ask_self(slot, message, timeout)
+    address = fleet.address_of(node, vm)
+    if address is None:
+        raise daemons.PeerUnreachable(f"no address of {vm}")
+    return await daemons.exchange(links, address, message, timeout)
+
+
+async def _ask_self(
+    slot: _slots.Slot, message: daemons.Message, timeout: float
+) -> daemons.Message:
+    """Serve a message of this daemon's own entrance without the link."""
+    serving = asyncio.ensure_future(_serve(slot, message))
+    await asyncio.wait({serving}, timeout=timeout)
+    if not serving.done():
+        raise daemons.PeerTimeout("own slot")
+    return serving.result()
+
+
+def _adopt(
+    slot: _slots.Slot, counts: metrics.Metrics, bundle: bundles.Bundle
+) -> None:
+    counts.adopt(bundle)
+    service = bundle.services.get(slot.service)
+    if service is not None:
+        now = slot.clock.monotonic()
+        load.resize(slot.guard, service.slots, now)
+    logs.event(
+        _LOG,
+        logging.INFO,
+        "bundle_in_force",
+        version=bundle.version,
+        mesh=bundle.mesh,
+    )
+
+
+def _in_force(node: fleet.Node, clock: clocks.Clock) -> bundles.Bundle | None:
+    if not fleet.ready(node, clock.monotonic()):
+        return None
+    return fleet.in_force(node)
+
+
+def _new_node(
+    settings_: settings.Settings,
+    incarnation: str,
+    now: float,
+    rng: random.Random,
+) -> fleet.Node:
+    me = fleet.Record(
+        settings_.vm,
+        settings_.service,
+        settings_.failure_domain,
+        settings_.region,
+        settings_.peers.listen,
+    )
+    keys = {key.name: key.raw for key in settings_.keys}
+    verify = functools.partial(_verify, keys)
+    return fleet.new_node(
+        me, incarnation, settings_.peers.seeds, verify, now, rng
+    )
+
+
+def _verify(keys: dict[str, bytes], envelope: bytes) -> bundles.Bundle:
+    return bundles.verify(envelope, keys).bundle
+
+
+def _new_slot(
+    settings_: settings.Settings,
+    incarnation: str,
+    clock: clocks.Clock,
+    bundle: typing.Callable[[], bundles.Bundle | None],
+    entrance: calls.Entrance,
+) -> _slots.Slot:
+    now = clock.monotonic()
+    owner = once.new_owner(
+        settings_.vm,
+        incarnation,
+        secrets.token_bytes(32),
+        MAX_TICKET_RECORDS,
+    )
+    return _slots.Slot(
+        service=settings_.service,
+        incarnation=incarnation,
+        clock=clock,
+        guard=load.new_guard(UNSET_SLOTS, now),
+        owner=owner,
+        upstream=upstreams.connect(settings_.upstream.url),
+        bundle=bundle,
+        floor_below=functools.partial(
+            _floor_below, settings_.service, entrance, bundle, clock
+        ),
+        pauses=calls.Pauses(now),
+    )
+
+
+def _floor_below(
+    service: str,
+    entrance: calls.Entrance,
+    bundle: typing.Callable[[], bundles.Bundle | None],
+    clock: clocks.Clock,
+    request_class: str,
+) -> float:
+    current = bundle()
+    if current is None or service not in current.services:
+        return 0.0
+    below = current.services[service].calls
+    now = clock.monotonic()
+    return calls.floor_below(entrance, below, request_class, now)
+
+
+def _callers_app(daemon: Daemon) -> typing.Any:
+    return callers.create_app(
+        functools.partial(_entrance.call, daemon.entry),
+        functools.partial(_children.take, daemon.entry),
+    )
+
+
+def _operators_app(daemon: Daemon) -> typing.Any:
+    show = functools.partial(
+        _status.status, daemon.settings, daemon.control, daemon.entry
+    )
+    return operators.create_app(show, daemon.metrics)
--- /dev/null
+++ b/src/sassafrasstair/runtime/_entries.py
@@ -0,0 +1,197 @@
+"""State of the entrance's side of a daemon, and calls made ready for it."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from sassafrasstair import callers
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import once
+from sassafrasstair import outcomes
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+    import random
+
+    from sassafrasstair import bundles
+    from sassafrasstair import clocks
+    from sassafrasstair import daemons
+    from sassafrasstair.decisions import fleet
+    from sassafrasstair import metrics
+    from sassafrasstair.runtime import _attempts
+    from sassafrasstair.runtime import _slots
+
+NOT_READY_RETRY_AFTER = 1.0
+
+_Outcome = outcomes.Outcome
+_Reason = outcomes.Reason
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """State of the entrance's side of one daemon.
+
+    ``ask`` makes an exchange with the daemon of a VM: (vm, message,
+    timeout in seconds) to its reply, raising ``daemons.PeerError``.
+    """
+
+    clock: clocks.Clock
+    rng: random.Random
+    entrance: calls.Entrance
+    node: fleet.Node
+    slot: _slots.Slot
+    ask: abc.Callable[
+        [str, daemons.Message, float], abc.Awaitable[daemons.Message]
+    ]
+    bundle: abc.Callable[[], bundles.Bundle | None]
+    counts: metrics.Metrics
+    leaving: bool = False
+    in_flight: int = 0
+    late_answers: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ready:
+    """A call that the entrance can begin.
+
+    ``parent`` is the attempt whose upstream made the call, if any.
+    ``owner`` is set for once-only work: no other instance may run it.
+    """
+
+    call: calls.Call
+    bundle: bundles.Bundle
+    parent: _attempts.Attempt | None
+    owner: once.TicketName | None
+
+
+def prepare(entry: Entry, request: callers.Request) -> Ready | callers.Refusal:
+    """Check a request and make it a call; nothing is dispatched here."""
+    bundle = entry.bundle()
+    if bundle is None:
+        return _refuse(
+            _Reason.NO_BUNDLE,
+            "no approved bundle is in force yet",
+            NOT_READY_RETRY_AFTER,
+        )
+    if request.fields.context:
+        return _prepare_child(entry, bundle, request)
+    if entry.leaving:
+        return _refuse(
+            _Reason.LEAVING, "this daemon stops", NOT_READY_RETRY_AFTER
+        )
+    return _prepare_root(entry, bundle, request)
+
+
+def check_class(
+    bundle: bundles.Bundle, service: str, request_class: str, length: int
+) -> callers.Refusal | None:
+    """Return why the bundle does not allow such a request, if so."""
+    if service not in bundle.services:
+        return _refuse(_Reason.UNKNOWN_SERVICE, f"no service {service!r}")
+    rules = bundle.classes.get(request_class)
+    if rules is None:
+        return _refuse(_Reason.UNKNOWN_CLASS, f"no class {request_class!r}")
+    if length > rules.max_body_bytes:
+        most = rules.max_body_bytes
+        return _refuse(_Reason.BODY_TOO_LARGE, f"at most {most} bytes")
+    return None
+
+
+def _prepare_root(
+    entry: Entry, bundle: bundles.Bundle, request: callers.Request
+) -> Ready | callers.Refusal:
+    fields = request.fields
+    length = max(request.length, len(request.body))
+    refusal = check_class(
+        bundle, request.service, fields.request_class, length
+    )
+    if refusal is not None:
+        return refusal
+    rules = bundle.classes[fields.request_class]
+    if rules.service != request.service:
+        return _refuse(
+            _Reason.UNKNOWN_CLASS,
+            f"class {fields.request_class!r} enters at {rules.service!r}",
+        )
+    timeout = rules.deadline_ms / 1000
+    if fields.timeout > 0:
+        timeout = min(timeout, fields.timeout)
+    call = calls.Call(
+        call_id=f"{entry.rng.getrandbits(64):016x}",
+        service=request.service,
+        request_class=fields.request_class,
+        tenant=fields.tenant,
+        caller=fields.caller,
+        deadline=entry.clock.monotonic() + timeout,
+        repeat=fields.repeat,
+        retries=rules.retries,
+        ticket=fields.ticket if rules.once else "",
+    )
+    if not rules.once:
+        return Ready(call, bundle, None, None)
+    return _with_owner(call, bundle, None)
+
+
+def _prepare_child(
+    entry: Entry, bundle: bundles.Bundle, request: callers.Request
+) -> Ready | callers.Refusal:
+    parent = entry.slot.attempts.get(request.fields.context)
+    if parent is None:
+        # Nobody waits for the parent's work any more, so its upstream's
+        # further calls would be work that no answer accounts for.
+        return _refuse(_Reason.PARENT_GONE, "the parent request has ended")
+    run = parent.run
+    length = max(request.length, len(request.body))
+    refusal = check_class(bundle, request.service, run.request_class, length)
+    if refusal is not None:
+        return refusal
+    call = calls.Call(
+        call_id=run.call_id,
+        service=request.service,
+        request_class=run.request_class,
+        tenant=run.tenant,
+        caller=run.caller,
+        deadline=parent.deadline,
+        retries=max(0, run.retries - parent.spent),
+        depth=run.depth + 1,
+    )
+    return Ready(call, bundle, parent, None)
+
+
+def with_child_ticket(ready: Ready, ticket: str) -> Ready | callers.Refusal:
+    """Return a child call of once-only work with its own ticket."""
+    call = dataclasses.replace(ready.call, ticket=ticket)
+    return _with_owner(call, ready.bundle, ready.parent)
+
+
+def _with_owner(
+    call: calls.Call,
+    bundle: bundles.Bundle,
+    parent: _attempts.Attempt | None,
+) -> Ready | callers.Refusal:
+    if not call.ticket:
+        return _refuse(
+            _Reason.TICKET_MISSING,
+            f"class {call.request_class!r} is once-only: take a ticket at "
+            f"POST /v1/ticket/{call.service} and send it as "
+            "Sassafras-Ticket",
+        )
+    name = once.parse(call.ticket)
+    if name is None:
+        return _refuse(_Reason.TICKET_INVALID, "this is not a ticket")
+    if (name.service, name.request_class) != (
+        call.service,
+        call.request_class,
+    ):
+        return _refuse(
+            _Reason.TICKET_INVALID,
+            f"the ticket is for {name.service}/{name.request_class}",
+        )
+    return Ready(call, bundle, parent, name)
+
+
+def _refuse(
+    reason: outcomes.Reason, detail: str, after: float = 0.0
+) -> callers.Refusal:
+    return callers.Refusal(_Outcome.NOT_RUN, reason, after, detail)
--- /dev/null
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -0,0 +1,252 @@
+"""One attempt at this VM's upstream: admitted, sent, answered."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import typing
+
+from sassafrasstair import daemons
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import load
+from sassafrasstair.decisions import once
+from sassafrasstair import outcomes
+from sassafrasstair.runtime import _answers
+from sassafrasstair.runtime import _attempts
+from sassafrasstair.runtime import _bodies
+from sassafrasstair.runtime import _slots
+from sassafrasstair import upstreams
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from sassafrasstair import bundles
+
+MAX_LARGE_BODIES = 48
+
+_LOG = logging.getLogger(__name__)
+_Outcome = outcomes.Outcome
+_Reason = outcomes.Reason
+
+
+async def run(slot: _slots.Slot, message: daemons.Run) -> daemons.RunAnswer:
+    """Run one attempt, or refuse it; raises only ``CancelledError``."""
+    now = slot.clock.monotonic()
+    calls.note_beat(slot.pauses, now)
+    reason = _unfit(slot, message)
+    if reason is not _Reason.NONE:
+        return _answers.refusal(slot, message, _Outcome.NOT_RUN, reason)
+    if message.ticket:
+        return await _run_ticket(slot, message, now)
+    return await _run(slot, message, now)
+
+
+def _unfit(slot: _slots.Slot, message: daemons.Run) -> outcomes.Reason:
+    bundle = slot.bundle()
+    if bundle is None:
+        return _Reason.NO_BUNDLE
+    if message.service != slot.service:
+        return _Reason.UNKNOWN_SERVICE
+    rules = bundle.classes.get(message.request_class)
+    if rules is None:
+        return _Reason.UNKNOWN_CLASS
+    if rules.once and not message.ticket:
+        return _Reason.TICKET_MISSING
+    if message.attempt_id in slot.attempts:
+        # Failure: the link delivers a request twice. The second one would
+        # run beside the first; attempts are numbered so that it is seen.
+        slot.doubled += 1
+        return _Reason.MALFORMED
+    if message.more and slot.large_bodies >= MAX_LARGE_BODIES:
+        return _Reason.BODY_MEMORY
+    return _Reason.NONE
+
+
+async def _run_ticket(
+    slot: _slots.Slot, message: daemons.Run, now: float
+) -> daemons.RunAnswer:
+    arrival = once.arrive(
+        slot.owner, message.ticket, message.request_class, now
+    )
+    if isinstance(arrival, once.Run):
+        slot.joins[message.ticket] = asyncio.Event()
+        return await _run(slot, message, now)
+    if isinstance(arrival, once.Join):
+        await _wait_for_end(slot, message)
+        now = slot.clock.monotonic()
+        arrival = once.arrive(
+            slot.owner, message.ticket, message.request_class, now
+        )
+    if isinstance(arrival, once.Replay):
+        return _answers.replay(slot, message, arrival.result)
+    if isinstance(arrival, once.Refused):
+        return _answers.refusal(slot, message, arrival.outcome, arrival.reason)
+    reason = _Reason.DEADLINE_PASSED
+    return _answers.refusal(slot, message, _Outcome.UNKNOWN, reason)
+
+
+async def _wait_for_end(slot: _slots.Slot, message: daemons.Run) -> None:
+    event = slot.joins.get(message.ticket)
+    if event is None:
+        return
+    waiting = asyncio.ensure_future(event.wait())
+    await asyncio.wait({waiting}, timeout=message.remaining_ms / 1000)
+    waiting.cancel()
+
+
+async def _run(
+    slot: _slots.Slot, message: daemons.Run, now: float
+) -> daemons.RunAnswer:
+    late = calls.lateness(slot.pauses, now)
+    deadline = now + message.remaining_ms / 1000 - late
+    attempt = _attempts.new_attempt(message, deadline)
+    slot.attempts[message.attempt_id] = attempt
+    slot.large_bodies += message.more
+    # A task of its own: the guard aborts it, and a caller that goes away
+    # while others have joined the same ticket does not end it.
+    attempt.task = asyncio.ensure_future(_work(slot, attempt))
+    return await asyncio.shield(attempt.task)
+
+
+async def _work(
+    slot: _slots.Slot, attempt: _attempts.Attempt
+) -> daemons.RunAnswer:
+    result: once.Result
+    try:
+        verdict = await _admit(slot, attempt)
+        if isinstance(verdict, load.Turn):
+            result = once.NotRun(verdict.reason)
+            result = _slots.end_ticket(slot, attempt, result)
+            _slots.forget(slot, attempt)
+            after = verdict.retry_after
+            return _answers.told(slot, attempt, result, after)
+        return await _dispatch(slot, attempt)
+    except upstreams.UpstreamError as error:
+        return _failed(slot, attempt, error)
+    except asyncio.CancelledError:
+        result = once.Unknown(_Reason.CANCELLED)
+    except Exception:
+        # A fault of ours must not leave a ticket running for ever.
+        _LOG.exception("event=attempt_fault id=%s", attempt.run.attempt_id)
+        result = once.Unknown(_Reason.UPSTREAM_LOST)
+    result = _slots.end_ticket(slot, attempt, result)
+    _slots.end(slot, attempt, load.End.CANCELLED)
+    return _answers.told(slot, attempt, result)
+
+
+async def _admit(
+    slot: _slots.Slot, attempt: _attempts.Attempt
+) -> load.Start | load.Turn:
+    now = slot.clock.monotonic()
+    work = _to_work(slot, attempt)
+    _slots.apply(slot, load.offer(slot.guard, work, now))
+    return await attempt.verdict
+
+
+async def _dispatch(
+    slot: _slots.Slot, attempt: _attempts.Attempt
+) -> daemons.RunAnswer:
+    # Failure: the process pauses between admission and dispatch, and wakes
+    # when nobody waits any more. Both are looked at again here, with no
+    # await before the request is handed to the upstream's connection.
+    now = slot.clock.monotonic()
+    remaining = attempt.deadline - now
+    ticket = attempt.run.ticket
+    if remaining <= 0:
+        raise upstreams.UpstreamError(
+            _Outcome.NOT_RUN, _Reason.DEADLINE_PASSED
+        )
+    if ticket and not once.dispatched(slot.owner, ticket, now):
+        raise upstreams.UpstreamError(_Outcome.NOT_RUN, _Reason.TICKET_VOID)
+    try:
+        async with asyncio.timeout(remaining):
+            return await _send(slot, attempt, remaining)
+    except TimeoutError as error:
+        raise upstreams.UpstreamError(
+            _Outcome.UNKNOWN, _Reason.DEADLINE_PASSED
+        ) from error
+    except _bodies.BodyBroken as error:
+        raise upstreams.UpstreamError(
+            _Outcome.UNKNOWN, _Reason.CANCELLED
+        ) from error
+
+
+async def _send(
+    slot: _slots.Slot, attempt: _attempts.Attempt, remaining: float
+) -> daemons.RunAnswer:
+    request = _request(attempt, remaining)
+    response = await upstreams.send(slot.upstream, request)
+    attempt.status = response.status
+    chunks = _bodies.rechunk(response.chunks)
+    first = await anext(chunks, b"")
+    _bodies.note_answered(attempt, first)
+    if len(first) >= daemons.CHUNK_BYTES:
+        attempt.rest = chunks
+        return _answers.done(slot, attempt, response, first, more=True)
+    answer = _answers.done(slot, attempt, response, first, more=False)
+    headers = tuple(
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in response.headers
+    )
+    stored = once.Done(response.status, headers, first)
+    _slots.end_ticket(slot, attempt, stored)
+    _slots.end(slot, attempt, load.End.DONE)
+    return answer
+
+
+def _request(
+    attempt: _attempts.Attempt, remaining: float
+) -> upstreams.Request:
+    message = attempt.run
+    body: bytes | abc.AsyncIterator[bytes] = message.body
+    if message.more:
+        body = _bodies.request_body(attempt)
+    headers = message.headers + _context_headers(message, remaining)
+    return upstreams.Request(
+        message.method, message.path, headers, body, remaining
+    )
+
+
+def _context_headers(
+    message: daemons.Run, remaining: float
+) -> tuple[tuple[str, str], ...]:
+    headers = [
+        ("sassafras-context", message.attempt_id),
+        ("sassafras-class", message.request_class),
+        ("sassafras-tenant", message.tenant),
+        ("sassafras-timeout-ms", str(int(remaining * 1000))),
+    ]
+    if message.ticket:
+        headers.append(("sassafras-ticket", message.ticket))
+    return tuple(headers)
+
+
+def _failed(
+    slot: _slots.Slot,
+    attempt: _attempts.Attempt,
+    error: upstreams.UpstreamError,
+) -> daemons.RunAnswer:
+    result: once.Result = once.Unknown(error.reason)
+    how = load.End.FAILED
+    if error.outcome is _Outcome.NOT_RUN:
+        result = once.NotRun(error.reason)
+        how = load.End.REFUSED
+    if error.reason is _Reason.DEADLINE_PASSED:
+        how = load.End.CANCELLED
+    result = _slots.end_ticket(slot, attempt, result)
+    _slots.end(slot, attempt, how)
+    return _answers.told(slot, attempt, result, attempt.child_retry_after)
+
+
+def _to_work(slot: _slots.Slot, attempt: _attempts.Attempt) -> load.Work:
+    message = attempt.run
+    bundle = typing.cast("bundles.Bundle", slot.bundle())
+    rules = bundle.classes[message.request_class]
+    return load.Work(
+        attempt_id=message.attempt_id,
+        request_class=message.request_class,
+        tenant=message.tenant,
+        rank=load.rank(rules.importance, message.caller, bundle.version),
+        deadline=attempt.deadline,
+        queue_limit=rules.refusal.queue_ms / 1000,
+    )
--- /dev/null
+++ b/src/sassafrasstair/runtime/_status.py
@@ -0,0 +1,132 @@
+"""What the daemon shows operators: status and gauges."""
+
+from __future__ import annotations
+
+import typing
+
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import fleet
+from sassafrasstair.decisions import load
+from sassafrasstair import operators
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair import metrics
+    from sassafrasstair.runtime import _control
+    from sassafrasstair.runtime import _entries
+    from sassafrasstair.runtime import _slots
+    from sassafrasstair import settings
+
+
+def status(
+    settings_: settings.Settings,
+    control: _control.Control,
+    entry: _entries.Entry,
+) -> operators.Status:
+    """Return the daemon's status as ``/status`` shows it."""
+    shown = fleet.status(control.node)
+    members = shown["members"]
+    return operators.Status(
+        vm=settings_.vm,
+        service=settings_.service,
+        failure_domain=settings_.failure_domain,
+        region=settings_.region,
+        incarnation=entry.slot.incarnation,
+        state=_state(entry),
+        in_force=_in_force(entry, shown["in_force"]),
+        newest_seen=_newest(shown["held"]),
+        refused_bundles=tuple(
+            operators.Refused("", reason, digest)
+            for digest, reason in shown["refused"].items()
+        ),
+        conflicts=tuple(
+            operators.Conflict(int(version), "", dropped)
+            for version, dropped in shown["conflicts"].items()
+        ),
+        members=members["serving"],
+        platform=operators.Platform(
+            watching=shown["watching"],
+            reachable=shown["platform_failures"] == 0,
+        ),
+        instance=_instance(entry.slot),
+        entrance=_entrance(entry),
+        counters=_counters(entry),
+    )
+
+
+def update_gauges(counts: metrics.Metrics, entry: _entries.Entry) -> None:
+    """Set the gauges from the daemon's state."""
+    instance = _instance(entry.slot)
+    counts.gauges.limit = instance.limit
+    counts.gauges.running = instance.running
+    counts.gauges.waiting = instance.waiting
+    counts.gauges.shed_floor = instance.shed_floor
+    counts.gauges.in_flight = entry.in_flight
+    counts.gauges.leaving = int(entry.leaving)
+    shown = fleet.status(entry.node)
+    counts.gauges.members = shown["members"]["serving"]
+
+
+def _state(entry: _entries.Entry) -> operators.State:
+    if entry.leaving or entry.slot.guard.leaving:
+        return operators.State.LEAVING
+    if entry.bundle() is None:
+        return operators.State.STARTING
+    return operators.State.SERVING
+
+
+def _in_force(
+    entry: _entries.Entry, shown: dict[str, typing.Any] | None
+) -> operators.InForce:
+    bundle = entry.bundle()
+    if bundle is None or shown is None:
+        return operators.InForce()
+    return operators.InForce(
+        bundle=operators.BundleId(shown["version"], shown["digest"]),
+        mesh=bundle.mesh,
+    )
+
+
+def _newest(held: list[dict[str, typing.Any]]) -> operators.BundleId:
+    if not held:
+        return operators.BundleId()
+    return operators.BundleId(held[-1]["version"], held[-1]["digest"])
+
+
+def _instance(slot: _slots.Slot) -> operators.Instance:
+    bundle = slot.bundle()
+    service = bundle.services.get(slot.service) if bundle else None
+    return operators.Instance(
+        slots=service.slots if service else 0,
+        limit=load.limit(slot.guard),
+        running=len(slot.guard.running),
+        waiting=len(slot.guard.waiting),
+        shed_floor=load.floor(slot.guard, slot.clock.monotonic()),
+    )
+
+
+def _entrance(entry: _entries.Entry) -> operators.Entrance:
+    now = entry.clock.monotonic()
+    floors = calls.floors(entry.entrance, now)
+    return operators.Entrance(
+        in_flight=entry.in_flight,
+        retry_tokens=calls.retry_tokens(entry.entrance),
+        shed_floors={
+            f"{service}/{request_class}": floor
+            for (service, request_class), floor in floors.items()
+        },
+    )
+
+
+def _counters(entry: _entries.Entry) -> dict[str, int]:
+    counts = entry.slot.owner.counts
+    return {
+        "late_answers": entry.late_answers,
+        "doubled_attempts": entry.slot.doubled,
+        "pauses": entry.slot.pauses.count,
+        "tickets_issued": counts.issued,
+        "tickets_run": counts.ran,
+        "tickets_joined": counts.joined,
+        "tickets_replayed": counts.replayed,
+        "tickets_voided": counts.voided,
+        "tickets_unknown": counts.unknown,
+    }
--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -81,11 +81,15 @@
     transport: httpx.AsyncHTTPTransport
 
 
-def connect(url: str, connections: int) -> Upstream:
-    """Return a pool of at most ``connections`` to the upstream."""
+def connect(url: str) -> Upstream:
+    """Return a pool of connections to the upstream.
+
+    It has no limit of its own: the guard's concurrency limit, which the
+    bundle sets far below the upstream's connections, is the one limit.
+    """
     limits = httpx.Limits(
-        max_connections=connections,
-        max_keepalive_connections=connections,
+        max_connections=None,
+        max_keepalive_connections=None,
         keepalive_expiry=KEEPALIVE_SECONDS,
     )
     # The transport alone: redirects, cookies and proxies of the client
