Choose watchers again once the peers are known

Cause: a profile run of two daemons never saw bundle 2. Watchers are chosen when the members change; a choice made before the peers are known chose nobody and still counted, so a quiet failure domain had no watch. Ruled out: the platform's stand-in (it answered reads) and the index of the watch. Change: a look before the peers are known does not count; httpx and uvicorn log warnings only. Shown: test_watch_start fails without the change and passes with it.

--- a/src/sassafrasstair/console/daemon.py
+++ b/src/sassafrasstair/console/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import signal
 import sys
 
@@ -16,6 +17,8 @@
 
 EXIT_BAD_INPUT = 2
 EXIT_NOT_STARTED = 1
+_CHATTY_LIBRARIES = ("httpx", "httpcore", "uvicorn")
+"""They log each request or start: not events of this daemon."""
 
 
 @click.command()
@@ -44,6 +47,8 @@
         click.echo(f"{path}: ok")
         return
     logs.configure(settings.log.format, settings.log.level)
+    for name in _CHATTY_LIBRARIES:
+        logging.getLogger(name).setLevel(logging.WARNING)
     try:
         uvloop.run(_run(settings))
     except OSError as error:
--- a/src/sassafrasstair/decisions/fleet/_platform.py
+++ b/src/sassafrasstair/decisions/fleet/_platform.py
@@ -81,11 +81,13 @@
 ) -> list[_effects.Effect]:
     """Return the change of watch, or the first read, that is due."""
     effects: list[_effects.Effect] = []
-    if node.settled and node.watchers_edition != node.edition:
+    # Failure: a bundle never comes to a quiet failure domain. The watchers
+    # are looked for again only when the members change, so a look before
+    # the peers are known must not count as one.
+    knows = node.settled and _knows_peers(node, now)
+    if knows and node.watchers_edition != node.edition:
         node.watchers_edition = node.edition
-        chosen = _knows_peers(node, now) and node.me.vm in _subsets.watchers(
-            node
-        )
+        chosen = node.me.vm in _subsets.watchers(node)
         if chosen != node.watching:
             node.watching = chosen
             effects.append(_effects.Watch(chosen))
--- /dev/null
+++ b/tests/decisions/fleet/test_watch_start.py
@@ -0,0 +1,29 @@
+from __future__ import annotations
+
+import random
+import typing
+
+from sassafrasstair.decisions import fleet
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair import bundles
+
+
+def _refuse(envelope: bytes) -> bundles.Bundle:
+    raise AssertionError("no bundle is offered here")
+
+
+def test_lone_daemon_watches_once_its_peers_are_known() -> None:
+    """A new bundle never comes into force in a quiet failure domain.
+
+    Two daemons start and read the platform once. No member comes or goes
+    afterwards. The watchers were chosen before the peers were known, when
+    nobody may watch yet, and never again, as nothing changed.
+    """
+    rng = random.Random(1)
+    me = fleet.Record("a-1", "ledger", "pos-a", "tt-north", "10.0.0.1:1")
+    node = fleet.new_node(me, "01", (), _refuse, 0.0, rng)
+    effects = []
+    for step in range(120):
+        effects += fleet.tick(node, step / 4, rng)
+    assert fleet.Watch(True) in effects
