Call the upstream and the platform by aiohttp instead of httpx

Cause: in a profile of a daemon at 200 calls a second most of the time was spent in httpx and httpcore: the pool looks at every idle connection on each request. Ruled out: fewer idle connections and no certificates (CPU for a call did not fall in a trial). Change: aiohttp, its own resending of idempotent methods off. The client's tests keep each case, with a fake session in place of httpx's.

--- a/src/sassafrasstair/platform/_client.py
+++ b/src/sassafrasstair/platform/_client.py
@@ -6,7 +6,7 @@
 import typing
 import urllib.parse
 
-import httpx
+import aiohttp
 import msgspec
 
 from sassafrasstair.platform import _errors
@@ -57,7 +57,7 @@
     """
 
     def __init__(
-        self, http: httpx.AsyncClient, urls: abc.Sequence[str]
+        self, http: aiohttp.ClientSession, urls: abc.Sequence[str]
     ) -> None:
         self._http = http
         self._urls = tuple(urls)
@@ -89,7 +89,7 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._http.aclose()
+        await self._http.close()
 
     async def _ask(
         self, prefix: str, params: dict[str, str], read_seconds: float
@@ -119,21 +119,23 @@
         read_seconds: float,
     ) -> Snapshot:
         path = urllib.parse.quote(prefix)
-        timeout = httpx.Timeout(CONNECT_SECONDS, read=read_seconds)
+        timeout = aiohttp.ClientTimeout(
+            sock_connect=CONNECT_SECONDS, sock_read=read_seconds
+        )
         try:
-            async with self._http.stream(
-                "GET", f"{url}/v1/kv/{path}", params=params, timeout=timeout
+            async with self._http.get(
+                f"{url}/v1/kv/{path}", params=params, timeout=timeout
             ) as response:
                 body = await _bounded_body(response)
-        except httpx.TimeoutException as error:
+        except TimeoutError as error:
             raise _errors.PlatformError(
                 _errors.Reason.TIMEOUT, f"{url}: {error!r}"
             ) from error
-        except httpx.ConnectError as error:
+        except aiohttp.ClientConnectorError as error:
             raise _errors.PlatformError(
                 _errors.Reason.UNREACHABLE, f"{url}: {error}"
             ) from error
-        except (httpx.HTTPError, httpx.InvalidURL) as error:
+        except aiohttp.ClientError as error:
             raise _errors.PlatformError(
                 _errors.Reason.CUT_SHORT, f"{url}: {error!r}"
             ) from error
@@ -141,16 +143,16 @@
 
 
 def open_client(urls: abc.Sequence[str]) -> Client:
-    """Return a client for the service at ``urls``, tried in order."""
-    # Proxies of the environment are left out: addresses are IP numbers of
-    # the platform itself.
-    http = httpx.AsyncClient(verify=False, trust_env=False)
-    return Client(http, [url.rstrip("/") for url in urls])
+    """Return a client for the service at ``urls``, tried in order.
+
+    Called on a running loop.
+    """
+    return Client(aiohttp.ClientSession(), [url.rstrip("/") for url in urls])
 
 
-async def _bounded_body(response: httpx.Response) -> bytes:
+async def _bounded_body(response: aiohttp.ClientResponse) -> bytes:
     body = bytearray()
-    async for chunk in response.aiter_bytes():
+    async for chunk in response.content.iter_any():
         body += chunk
         if len(body) > MAX_ANSWER_BYTES:
             raise _errors.PlatformError(
@@ -160,13 +162,15 @@
     return bytes(body)
 
 
-def _decode(url: str, response: httpx.Response, body: bytes) -> Snapshot:
-    if response.status_code not in (200, 404):
+def _decode(
+    url: str, response: aiohttp.ClientResponse, body: bytes
+) -> Snapshot:
+    if response.status not in (200, 404):
         raise _errors.PlatformError(
-            _errors.Reason.BAD_STATUS, f"{url}: {response.status_code}"
+            _errors.Reason.BAD_STATUS, f"{url}: {response.status}"
         )
     index = _decode_index(response.headers.get(INDEX_HEADER, ""))
-    if response.status_code == 404:
+    if response.status == 404:
         return Snapshot(index, {})
     try:
         pairs = _PAIRS.decode(body)
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -165,10 +165,6 @@
         raise upstreams.UpstreamError(
             _Outcome.UNKNOWN, _Reason.DEADLINE_PASSED
         ) from error
-    except _bodies.BodyBroken as error:
-        raise upstreams.UpstreamError(
-            _Outcome.UNKNOWN, _Reason.CANCELLED
-        ) from error
 
 
 async def _send(
@@ -202,9 +198,7 @@
     if message.more:
         body = _bodies.request_body(attempt)
     headers = message.headers + _context_headers(message, remaining)
-    return upstreams.Request(
-        message.method, message.path, headers, body, remaining
-    )
+    return upstreams.Request(message.method, message.path, headers, body)
 
 
 def _context_headers(
--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -1,11 +1,16 @@
-"""One request to the VM's own upstream, over HTTP."""
+"""One request to the VM's own upstream, over HTTP.
+
+By aiohttp and not httpx: docs/MEASUREMENTS.md has the comparison that
+decided it.
+"""
 
 from __future__ import annotations
 
 import dataclasses
 import typing
 
-import httpx
+import aiohttp
+import yarl
 
 from sassafrasstair import outcomes
 
@@ -29,6 +34,7 @@
         "upgrade",
     }
 )
+_NEVER_SENT = HOP_BY_HOP | {"host"}
 
 
 class UpstreamError(Exception):
@@ -48,16 +54,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """A request for the upstream; ``body`` may be read once.
-
-    ``timeout`` in seconds bounds each wait for the upstream.
-    """
+    """A request for the upstream; ``body`` may be read once."""
 
     method: str
     path: str
     headers: tuple[tuple[str, str], ...]
     body: bytes | abc.AsyncIterator[bytes]
-    timeout: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,32 +72,39 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     chunks: abc.AsyncIterator[bytes]
-    close: abc.Callable[[], abc.Awaitable[None]]
 
 
 @dataclasses.dataclass(slots=True)
 class Upstream:
     """The connection pool to the VM's upstream."""
 
-    url: httpx.URL
-    transport: httpx.AsyncHTTPTransport
+    url: str
+    session: aiohttp.ClientSession
 
 
 def connect(url: str) -> Upstream:
-    """Return a pool of connections to the upstream.
+    """Return a pool of connections to the upstream; on a running loop.
 
     It has no limit of its own: the guard's concurrency limit, which the
     bundle sets far below the upstream's connections, is the one limit.
     """
-    limits = httpx.Limits(
-        max_connections=None,
-        max_keepalive_connections=None,
-        keepalive_expiry=KEEPALIVE_SECONDS,
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=KEEPALIVE_SECONDS
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT
+        ),
     )
-    # The transport alone: redirects, cookies and proxies of the client
-    # layer must not touch a caller's request, and it costs less.
-    transport = httpx.AsyncHTTPTransport(limits=limits)
-    return Upstream(httpx.URL(url), transport)
+    # Failure: a once-only PUT runs twice. The library sends a request with
+    # an idempotent method again when a reused connection closes without an
+    # answer; the upstream may have run it by then. What is lost is unknown
+    # here, and only the decisions may retry.
+    session._retry_connection = False
+    return Upstream(url.rstrip("/"), session)
 
 
 async def send(upstream: Upstream, request: Request) -> Response:
@@ -105,59 +114,49 @@
     connection was had, so that no byte reached the upstream, or when the
     upstream itself said so.
     """
-    wire = _wire_request(upstream, request)
     try:
-        answer = await upstream.transport.handle_async_request(wire)
+        answer = await upstream.session.request(
+            request.method,
+            yarl.URL(upstream.url + request.path, encoded=True),
+            headers=_wire_headers(request),
+            data=request.body,
+            allow_redirects=False,
+        )
     except (
-        httpx.ConnectError,
-        httpx.ConnectTimeout,
-        httpx.PoolTimeout,
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
     ) as error:
         raise UpstreamError(
             outcomes.Outcome.NOT_RUN, outcomes.Reason.UPSTREAM_UNREACHABLE
         ) from error
-    except httpx.TimeoutException as error:
-        raise UpstreamError(
-            outcomes.Outcome.UNKNOWN, outcomes.Reason.DEADLINE_PASSED
-        ) from error
-    except httpx.HTTPError as error:
+    except (aiohttp.ClientError, ValueError) as error:
         raise UpstreamError(
             outcomes.Outcome.UNKNOWN, outcomes.Reason.UPSTREAM_LOST
         ) from error
-    if answer.status_code == REFUSED_STATUS:
-        await _raise_refusal(answer)
-    return Response(
-        answer.status_code, _headers(answer), _chunks(answer), answer.aclose
-    )
+    if answer.status == REFUSED_STATUS:
+        _raise_refusal(answer)
+    return Response(answer.status, _headers(answer), _chunks(answer))
 
 
 async def close(upstream: Upstream) -> None:
     """Close the pool."""
-    await upstream.transport.aclose()
+    await upstream.session.close()
 
 
-def _wire_request(upstream: Upstream, request: Request) -> httpx.Request:
-    headers = [("host", upstream.url.netloc.decode())]
-    headers += [
+def _wire_headers(request: Request) -> list[tuple[str, str]]:
+    left_out = _NEVER_SENT
+    if isinstance(request.body, bytes):
+        left_out = _NEVER_SENT | {"content-length"}
+    return [
         (name, value)
         for name, value in request.headers
-        if name not in HOP_BY_HOP and name != "host"
+        if name not in left_out
     ]
-    timeout = httpx.Timeout(
-        request.timeout, connect=min(CONNECT_TIMEOUT, request.timeout)
-    )
-    return httpx.Request(
-        request.method,
-        upstream.url.join(request.path),
-        headers=headers,
-        content=request.body,
-        extensions={"timeout": timeout.as_dict()},
-    )
 
 
-async def _raise_refusal(answer: httpx.Response) -> typing.NoReturn:
+def _raise_refusal(answer: aiohttp.ClientResponse) -> typing.NoReturn:
     said = answer.headers.get(OUTCOME_HEADER, "")
-    await answer.aclose()
+    answer.close()
     known = said in NOT_RUN_VALUES
     raise UpstreamError(
         outcomes.Outcome.NOT_RUN if known else outcomes.Outcome.UNKNOWN,
@@ -165,22 +164,24 @@
     )
 
 
-def _headers(answer: httpx.Response) -> tuple[tuple[str, str], ...]:
+def _headers(answer: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
     return tuple(
-        (name.decode("latin-1").lower(), value.decode("latin-1"))
-        for name, value in answer.headers.raw
-        if name.lower().decode("latin-1") not in HOP_BY_HOP
+        (lowered, value)
+        for name, value in answer.headers.items()
+        if (lowered := name.lower()) not in HOP_BY_HOP
     )
 
 
-async def _chunks(answer: httpx.Response) -> abc.AsyncIterator[bytes]:
-    stream = typing.cast("httpx.AsyncByteStream", answer.stream)
+async def _chunks(
+    answer: aiohttp.ClientResponse,
+) -> abc.AsyncIterator[bytes]:
     try:
-        async for chunk in stream:
+        async for chunk in answer.content.iter_any():
             yield chunk
-    except httpx.HTTPError as error:
+    except aiohttp.ClientError as error:
         raise UpstreamError(
             outcomes.Outcome.UNKNOWN, outcomes.Reason.ANSWER_CUT_SHORT
         ) from error
     finally:
-        await answer.aclose()
+        # Closes the connection if the body was not read to its end.
+        answer.release()
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
+import typing
+import urllib.parse
 
-import httpx
+import aiohttp
+from aiohttp import client_reqrep
 import pytest
 
 from sassafrasstair import platform
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 PREFIX = platform.BUNDLES_PREFIX
 URLS = ("http://127.0.0.1:1", "http://127.0.0.1:2")
 
@@ -20,28 +27,58 @@
     ).encode()
 
 
-def _reply(
-    status: int = 200, body: bytes = b"[]", index: str = "7"
-) -> httpx.Response:
-    return httpx.Response(
-        status, content=body, headers={"X-Consul-Index": index}
-    )
+@dataclasses.dataclass
+class _Reply:
+    """What the client reads of a response, and as what it is entered."""
 
+    status: int
+    body: bytes
+    headers: dict[str, str]
 
-def _watch(
-    replies: dict[int, httpx.Response | Exception], index: int = 5
-) -> platform.Snapshot:
-    def handle(request: httpx.Request) -> httpx.Response:
-        reply = replies[request.url.port or 0]
+    @property
+    def content(self) -> _Reply:
+        return self
+
+    async def iter_any(self) -> abc.AsyncIterator[bytes]:
+        yield self.body
+
+    async def __aenter__(self) -> _Reply:
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        return
+
+
+@dataclasses.dataclass
+class _Http:
+    replies: dict[int, _Reply | Exception]
+
+    def get(self, url: str, **options: object) -> _Reply:
+        reply = self.replies[urllib.parse.urlsplit(url).port or 0]
         if isinstance(reply, Exception):
             raise reply
         return reply
 
-    http = httpx.AsyncClient(transport=httpx.MockTransport(handle))
+
+def _reply(status: int = 200, body: bytes = b"[]", index: str = "7") -> _Reply:
+    return _Reply(status, body, {"X-Consul-Index": index})
+
+
+def _watch(
+    replies: dict[int, _Reply | Exception], index: int = 5
+) -> platform.Snapshot:
+    http = typing.cast("aiohttp.ClientSession", _Http(replies))
     client = platform.Client(http, URLS)
     return asyncio.run(client.watch(PREFIX, index, 0.1))
 
 
+def _refused() -> Exception:
+    key = client_reqrep.ConnectionKey(
+        "127.0.0.1", 1, False, True, None, None, None
+    )
+    return aiohttp.ClientConnectorError(key, OSError("refused"))
+
+
 def test_values_are_decoded() -> None:
     snapshot = _watch({1: _reply(body=_pairs(b"one"))})
     assert snapshot == platform.Snapshot(7, {PREFIX + "all": b"one"})
@@ -53,8 +90,8 @@
 
 
 def test_second_address_answers_for_a_dead_first() -> None:
-    replies: dict[int, httpx.Response | Exception] = {
-        1: httpx.ConnectError("refused"),
+    replies: dict[int, _Reply | Exception] = {
+        1: _refused(),
         2: _reply(),
     }
     assert _watch(replies).index == 7
@@ -82,13 +119,13 @@
         ),
         (_reply(body=_pairs(bytes(1_000_001))), platform.Reason.TOO_LARGE),
         (_reply(body=bytes(6_000_001)), platform.Reason.TOO_LARGE),
-        (httpx.ReadTimeout("late"), platform.Reason.TIMEOUT),
-        (httpx.ConnectError("refused"), platform.Reason.UNREACHABLE),
-        (httpx.RemoteProtocolError("cut"), platform.Reason.CUT_SHORT),
+        (aiohttp.SocketTimeoutError("late"), platform.Reason.TIMEOUT),
+        (_refused(), platform.Reason.UNREACHABLE),
+        (aiohttp.ServerDisconnectedError("cut"), platform.Reason.CUT_SHORT),
     ],
 )
 def test_refusal_is_whole_and_has_a_reason(
-    reply: httpx.Response | Exception, reason: platform.Reason
+    reply: _Reply | Exception, reason: platform.Reason
 ) -> None:
     with pytest.raises(platform.PlatformError) as caught:
         _watch({1: reply, 2: reply})
