Add the operator's client

"sassafras" on click: bundle new, check, diff, approve and show, key new, and status. It writes files for operators to publish and nothing to the platform. Exit codes: 0 done, 1 a finding, 2 bad input, 3 unreachable; status compares bundles within a failure domain only, for a rollout makes domains differ on purpose. Keys that stand twice in an object are refused by the client: decoders keep the last silently, and the operator would sign something other than what they read; in the daemon that check was ruled out, it would parse a megabyte in pure Python on the loop.

--- a/src/sassafrasstair/bundles/__init__.py
+++ b/src/sassafrasstair/bundles/__init__.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+from sassafrasstair.bundles._checks import duplicate_keys
+from sassafrasstair.bundles._differences import Change
+from sassafrasstair.bundles._differences import differences
 from sassafrasstair.bundles._envelopes import Approval
 from sassafrasstair.bundles._envelopes import approve
 from sassafrasstair.bundles._envelopes import Approved
 from sassafrasstair.bundles._envelopes import decode
 from sassafrasstair.bundles._envelopes import digest
 from sassafrasstair.bundles._envelopes import Envelope
+from sassafrasstair.bundles._envelopes import new_key_pair
 from sassafrasstair.bundles._envelopes import open_envelope
 from sassafrasstair.bundles._envelopes import verify
 from sassafrasstair.bundles._errors import BundleError
 from sassafrasstair.bundles._errors import Defect
+from sassafrasstair.bundles._errors import KeyFault
 from sassafrasstair.bundles._schema import Bundle
 from sassafrasstair.bundles._schema import BUNDLE_FORMAT
 from sassafrasstair.bundles._schema import IMPORTANCE_MAX
@@ -30,8 +35,10 @@
     "Approved",
     "Bundle",
     "BundleError",
+    "Change",
     "Defect",
     "Envelope",
+    "KeyFault",
     "Refusal",
     "RequestClass",
     "RetryBudget",
@@ -39,7 +46,10 @@
     "Tenant",
     "approve",
     "decode",
+    "differences",
     "digest",
+    "duplicate_keys",
+    "new_key_pair",
     "open_envelope",
     "verify",
 ]
--- a/src/sassafrasstair/bundles/_checks.py
+++ b/src/sassafrasstair/bundles/_checks.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import graphlib
+import json
 import typing
 
 if typing.TYPE_CHECKING:
@@ -20,6 +21,25 @@
     return [line for check in checks for line in check(bundle)]
 
 
+def duplicate_keys(payload: bytes) -> list[str]:
+    """Return a line for each key that its object has twice.
+
+    JSON decoders keep the last one, silently: an operator who adds a class
+    that exists already would approve something other than what they read.
+    """
+    twice: list[str] = []
+
+    def note(pairs: list[tuple[str, object]]) -> None:
+        seen: set[str] = set()
+        for key, _ in pairs:
+            if key in seen:
+                twice.append(f"{key}: wants each key once in its object")
+            seen.add(key)
+
+    json.loads(payload, object_pairs_hook=note)
+    return twice
+
+
 def _version(bundle: _schema.Bundle) -> abc.Iterator[str]:
     if bundle.version <= bundle.supersedes:
         yield f"version: wants more than supersedes, {bundle.supersedes}"
--- a/src/sassafrasstair/bundles/_envelopes.py
+++ b/src/sassafrasstair/bundles/_envelopes.py
@@ -123,6 +123,13 @@
     return bundle
 
 
+def new_key_pair() -> tuple[bytes, bytes]:
+    """Return a new private and public key, 32 raw bytes each."""
+    from sassafrasstair.bundles import _signatures
+
+    return _signatures.new_pair()
+
+
 def digest(payload: bytes) -> str:
     """Return the digest that breaks ties between equal versions."""
     return hashlib.sha256(payload).hexdigest()
--- a/src/sassafrasstair/bundles/_errors.py
+++ b/src/sassafrasstair/bundles/_errors.py
@@ -30,3 +30,7 @@
     def detail(self) -> str:
         """All faults on one line."""
         return "; ".join(self.details)
+
+
+class KeyFault(Exception):
+    """Bytes that are no Ed25519 key."""
--- a/src/sassafrasstair/bundles/_signatures.py
+++ b/src/sassafrasstair/bundles/_signatures.py
@@ -8,21 +8,19 @@
 from cryptography import exceptions
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
+from sassafrasstair.bundles import _errors
+
 _CONTEXT = b"sassafrasstair bundle 1\n"
 """Signed before the text, so that a signature made for anything else
 with the same key can never approve a bundle."""
 
 
-class KeyFault(Exception):
-    """Bytes that are no Ed25519 key."""
-
-
 def sign(payload: bytes, private: bytes) -> bytes:
     """Return the signature of ``payload`` by the 32 raw private bytes."""
     try:
         key = ed25519.Ed25519PrivateKey.from_private_bytes(private)
     except ValueError as error:
-        raise KeyFault("wants 32 bytes of a private key") from error
+        raise _errors.KeyFault("wants 32 bytes of a private key") from error
     return key.sign(_CONTEXT + payload)
 
 
@@ -43,12 +41,3 @@
         private.private_bytes_raw(),
         private.public_key().public_bytes_raw(),
     )
-
-
-def public_of(private: bytes) -> bytes:
-    """Return the public key of the 32 raw private bytes."""
-    try:
-        key = ed25519.Ed25519PrivateKey.from_private_bytes(private)
-    except ValueError as error:
-        raise KeyFault("wants 32 bytes of a private key") from error
-    return key.public_key().public_bytes_raw()
--- /dev/null
+++ b/src/sassafrasstair/console/_errors.py
@@ -0,0 +1,19 @@
+"""Errors of the client and its exit codes.
+
+0: done, nothing to report. 1: done, with a finding. 2: bad input. 3: a
+daemon could not be reached. ``click`` uses 2 for its own usage errors.
+"""
+
+from __future__ import annotations
+
+import click
+
+FINDING = 1
+BAD_INPUT = 2
+UNREACHABLE = 3
+
+
+class BadInputError(click.ClickException):
+    """A file, key or address that cannot be used."""
+
+    exit_code = BAD_INPUT
--- /dev/null
+++ b/src/sassafrasstair/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Commands, one a module."""
+
+from __future__ import annotations
--- a/src/sassafrasstair/metrics.py
+++ b/src/sassafrasstair/metrics.py
@@ -216,6 +216,10 @@
         """Return the sum of one counter over all labels."""
         return sum(self._counts[count].values())
 
+    def totals(self) -> dict[str, int]:
+        """Return the sum of each counter, for the status of a daemon."""
+        return {count.name.lower(): self.count(count) for count in Count}
+
     def render_parts(self) -> abc.Iterator[bytes]:
         """Yield the Prometheus text in parts of a millisecond or so."""
         yield _render(self._gauge_collectors())
--- /dev/null
+++ b/tests/console/test_status_command.py
@@ -0,0 +1,137 @@
+from __future__ import annotations
+
+import asyncio
+import json
+
+from click import testing
+import httpx
+import msgspec
+import pytest
+
+from sassafrasstair.console import _daemons
+from sassafrasstair.console import application
+from sassafrasstair import operators
+
+SERVING = operators.Status(
+    vm="vm-1",
+    service="pricer",
+    failure_domain="pos-a",
+    region="tt-north",
+    incarnation="i1",
+    state=operators.State.SERVING,
+    in_force=operators.InForce(operators.BundleId(7, "abcdef0123")),
+    members=4,
+    instance=operators.Instance(160, 31.5, 30, 2, 4.25),
+)
+LEAVING = msgspec.structs.replace(SERVING, state=operators.State.LEAVING)
+REFUSING = msgspec.structs.replace(
+    SERVING,
+    refused_bundles=(operators.Refused("bundles/all", "unsigned", "why"),),
+)
+CONFLICT = msgspec.structs.replace(
+    SERVING, conflicts=(operators.Conflict(7, "b", "a"),)
+)
+OLD = msgspec.structs.replace(
+    SERVING, in_force=operators.InForce(operators.BundleId(6, "ff"))
+)
+OLD_ELSEWHERE = msgspec.structs.replace(OLD, failure_domain="pos-b")
+GONE = _daemons.Unreachable("10.0.0.9:1", "refused")
+
+
+def run(
+    monkeypatch: pytest.MonkeyPatch,
+    readings: list[_daemons.Reading],
+    *options: str,
+) -> testing.Result:
+    async def read_all(*_: object) -> list[_daemons.Reading]:
+        return readings
+
+    monkeypatch.setattr(_daemons, "read_all", read_all)
+    return testing.CliRunner().invoke(
+        application.main, ["status", "10.0.0.1:1", *options]
+    )
+
+
+@pytest.mark.parametrize(
+    ("readings", "options", "code", "findings"),
+    [
+        ([SERVING, SERVING], (), 0, []),
+        ([SERVING, OLD_ELSEWHERE], (), 0, []),
+        ([SERVING], ("--expect", "7"), 0, []),
+        ([OLD], ("--expect", "7"), 1, ["vm-1: version 6 in force, not 7"]),
+        ([LEAVING], (), 1, ["vm-1: leaving"]),
+        (
+            [REFUSING],
+            (),
+            1,
+            ["vm-1: refused a bundle from bundles/all: unsigned: why"],
+        ),
+        (
+            [CONFLICT],
+            (),
+            1,
+            ["vm-1: two bundles of version 7: kept b, dropped a"],
+        ),
+        (
+            [SERVING, OLD],
+            (),
+            1,
+            ["pos-a: bundles in force differ: 6 ff, 7 abcdef01"],
+        ),
+        ([LEAVING, GONE], (), 3, ["10.0.0.9:1: unreachable: refused"]),
+    ],
+)
+def test_status(
+    monkeypatch: pytest.MonkeyPatch,
+    readings: list[_daemons.Reading],
+    options: tuple[str, ...],
+    code: int,
+    findings: list[str],
+) -> None:
+    result = run(monkeypatch, readings, *options)
+    assert result.exit_code == code
+    assert set(findings) <= set(result.stderr.splitlines())
+    assert bool(findings) == bool(result.stderr)
+
+
+def test_status_table(monkeypatch: pytest.MonkeyPatch) -> None:
+    lines = run(monkeypatch, [SERVING]).stdout.splitlines()
+    assert lines[1].split() == (
+        "vm-1 pricer pos-a serving 7 abcdef01 4 31.50 30 2 4.25 0 0 0".split()
+    )
+
+
+def test_status_json(monkeypatch: pytest.MonkeyPatch) -> None:
+    lines = run(monkeypatch, [SERVING, GONE], "--json").stdout.splitlines()
+    assert json.loads(lines[0])["instance"]["limit"] == 31.5
+    assert json.loads(lines[1]) == {
+        "address": "10.0.0.9:1",
+        "error": "refused",
+    }
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        (httpx.Response(503), "503"),
+        (httpx.Response(200, content=b"<html>"), "malformed"),
+        (httpx.ConnectError("no route\nto host"), "no route"),
+        (httpx.ReadTimeout(""), "ReadTimeout"),
+    ],
+)
+def test_read_all_says_why_a_daemon_gave_nothing(
+    answer: httpx.Response | httpx.HTTPError, error: str
+) -> None:
+    def handle(request: httpx.Request) -> httpx.Response:
+        if request.url.port == 2:
+            return httpx.Response(200, content=msgspec.json.encode(SERVING))
+        if isinstance(answer, httpx.HTTPError):
+            raise answer
+        return answer
+
+    transport = httpx.MockTransport(handle)
+    addresses = ["10.0.0.1:1", "10.0.0.2:2"]
+    readings = asyncio.run(_daemons.read_all(addresses, 1.0, transport))
+    assert isinstance(readings[0], _daemons.Unreachable)
+    assert error in readings[0].error
+    assert readings[1] == SERVING
