--- a/src/sassafrasstair/console/commands/__init__.py
+++ b/src/sassafrasstair/console/commands/__init__.py
@@ -1,3 +1,3 @@
-"""Commands, one a module."""
+"""Commands of the binaries, one a module."""
 
 from __future__ import annotations
