--- a/src/sassafrasstair/console/commands/bundle/new.py
+++ b/src/sassafrasstair/console/commands/bundle/new.py
@@ -19,28 +19,44 @@
     metavar="FILE",
     help="Start from this bundle; the new one supersedes it.",
 )
+@click.option(
+    "--supersedes",
+    type=click.IntRange(0),
+    metavar="VERSION",
+    help="Version to supersede, if not that of --from.",
+)
 @click.option(
     "--rollout",
     multiple=True,
     metavar="DOMAIN",
     help="Apply to this failure domain only; may be repeated.",
 )
-def new(mesh: str, base: str | None, rollout: tuple[str, ...]) -> None:
+def new(
+    mesh: str,
+    base: str | None,
+    supersedes: int | None,
+    rollout: tuple[str, ...],
+) -> None:
     """Print a new bundle to edit.
 
     With --from it is the next version of that bundle, for all failure
-    domains unless --rollout names some; otherwise a small first one.
+    domains unless --rollout names some; otherwise a small first one. To
+    undo a version, give the good older one with --from and the bad one's
+    number with --supersedes.
     """
-    document = _next(base) if base else _first(mesh)
+    document = _from(base) if base else _first(mesh)
+    if supersedes is not None:
+        document["supersedes"] = supersedes
+    document["version"] = document["supersedes"] + 1
     document["rollout"] = list(rollout)
     click.echo(_files.as_document(document), nl=False)
 
 
-def _next(base: str) -> dict[str, typing.Any]:
+def _from(base: str) -> dict[str, typing.Any]:
     source = _files.read_source(base)
     old = _files.decode(source)
     document: dict[str, typing.Any] = msgspec.json.decode(source.payload)
-    return document | {"version": old.version + 1, "supersedes": old.version}
+    return document | {"supersedes": old.version}
 
 
 def _first(mesh: str) -> dict[str, typing.Any]:
--- a/src/sassafrasstair/operators/_status.py
+++ b/src/sassafrasstair/operators/_status.py
@@ -43,7 +43,7 @@
 
     source: str
     reason: str
-    detail: str
+    detail: str = ""
     age_seconds: float = 0.0
 
 
--- a/tests/console/test_bundle_commands.py
+++ b/tests/console/test_bundle_commands.py
@@ -96,6 +96,14 @@
     ]
 
 
+def test_new_undoes_a_later_version() -> None:
+    result = run("bundle", "new", "--from", TRUST, "--supersedes", "9")
+    made = json.loads(result.output)
+    assert (made["version"], made["supersedes"]) == (10, 9)
+    source = json.loads(pathlib.Path(TRUST).read_text())
+    assert made["classes"] == source["classes"]
+
+
 def test_new_makes_a_first_bundle(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "first.json"
     path.write_text(run("bundle", "new", "--mesh", "m").output)
