Bound versions and sizes in bundles

The four new rows of the table failed for the first three of them, the fourth (subset_size) had its bound already. Integers now end at 2**53 - 1 and a version passes the one that it supersedes by 1,000 at most. A limit on the version alone was ruled out: any slip below it would still last.

--- a/src/sassafrasstair/bundles/_checks.py
+++ b/src/sassafrasstair/bundles/_checks.py
@@ -15,6 +15,14 @@
     from sassafrasstair.bundles import _schema
 
 
+MAX_STEP = 1_000
+"""How far a version may pass the one that it supersedes.
+
+Versions never go back, so a digit too many would be in force for good:
+every later bundle that continues the old count is refused.
+"""
+
+
 def faults(bundle: _schema.Bundle) -> list[str]:
     """Return every fault of ``bundle``, in the order of its sections."""
     checks = (_version, _sections, _rollout, _services, _cycles, _classes)
@@ -43,6 +51,9 @@
 def _version(bundle: _schema.Bundle) -> abc.Iterator[str]:
     if bundle.version <= bundle.supersedes:
         yield f"version: wants more than supersedes, {bundle.supersedes}"
+    most = bundle.supersedes + MAX_STEP
+    if bundle.version > most:
+        yield f"version: wants at most {most}, supersedes and {MAX_STEP}"
 
 
 def _sections(bundle: _schema.Bundle) -> abc.Iterator[str]:
--- a/src/sassafrasstair/bundles/_schema.py
+++ b/src/sassafrasstair/bundles/_schema.py
@@ -14,7 +14,13 @@
 Name = typing.Annotated[
     str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z")
 ]
-PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
+MAX_INT = 2**53 - 1
+"""Greatest integer that every reader of JSON keeps exactly.
+
+Without a bound an approved version of 2**64 came into force and could not
+be encoded for peers: each daemon that took it fell silent.
+"""
+PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_INT)]
 Milliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 Share = typing.Annotated[float, msgspec.Meta(gt=0, le=1)]
 
@@ -60,7 +66,9 @@
     slots: PositiveInt
     connections: PositiveInt
     calls: tuple[Name, ...] = ()
-    cold_start_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 5_000
+    cold_start_ms: typing.Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = (
+        5_000
+    )
 
 
 class Tenant(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -86,7 +94,7 @@
     format: typing.Literal[1]
     mesh: Name
     version: PositiveInt
-    supersedes: typing.Annotated[int, msgspec.Meta(ge=0)]
+    supersedes: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
     failure_domains: dict[Name, Name]
     services: dict[Name, Service]
     classes: dict[Name, RequestClass]
--- a/src/sassafrasstair/console/__init__.py
+++ b/src/sassafrasstair/console/__init__.py
@@ -1,3 +1,3 @@
-"""TODO."""
+"""Console: the command lines of the binaries."""
 
 from __future__ import annotations
--- a/tests/bundles/test_envelopes.py
+++ b/tests/bundles/test_envelopes.py
@@ -66,6 +66,17 @@
         ("tenants/x", 3, "bad_value", "tenants.x: wants object, not int"),
         ("format", 2, "bad_value", "format: wants one of 1"),
         ("version", 1, "inconsistent", "version: wants more than supersedes"),
+        # Daemons could not encode it for their peers: OverflowError.
+        ("version", 2**64, "bad_value", "version: wants int <= "),
+        # A slip of the keyboard could never be superseded by 3.
+        ("version", 2_000, "inconsistent", "version: wants at most 1001,"),
+        ("subset_size", 2**64, "bad_value", "subset_size: wants int <= 64"),
+        (
+            "classes/c/max_body_bytes",
+            2**64,
+            "bad_value",
+            "classes.c.max_body_bytes: wants int <= ",
+        ),
         ("tenants", {}, "inconsistent", "tenants: wants one entry at least"),
         ("rollout", ["b"], "inconsistent", "rollout: wants names from failur"),
         ("rollout", ["a", "a"], "inconsistent", "rollout: wants each failure"),
