Show findings whose source or winner is not told

The daemon fills refused bundles without a source and conflicts without the digest that was kept, since its fleet view holds neither. The client printed "refused a bundle from : ..." and "kept , dropped ...".

Parts that are empty are left out now; to drop the fields was ruled out, for other daemons' reports may fill them.

--- a/src/sassafrasstair/console/commands/status.py
+++ b/src/sassafrasstair/console/commands/status.py
@@ -142,14 +142,14 @@
     if expect is not None and version != expect:
         yield f"version {version} in force, not {expect}"
     for refused in one.refused_bundles:
-        yield (
-            f"refused a bundle from {refused.source}: "
-            f"{refused.reason}: {refused.detail}"
-        )
+        source = f" from {refused.source}" if refused.source else ""
+        why = ": ".join(filter(None, (refused.reason, refused.detail)))
+        yield f"refused a bundle{source}: {why}"
     for conflict in one.conflicts:
+        kept = f"kept {conflict.kept}, " if conflict.kept else ""
         yield (
-            f"two bundles of version {conflict.version}: kept "
-            f"{conflict.kept}, dropped {conflict.dropped}"
+            f"two bundles of version {conflict.version}: "
+            f"{kept}dropped {conflict.dropped}"
         )
 
 
--- a/tests/console/test_status_command.py
+++ b/tests/console/test_status_command.py
@@ -28,6 +28,11 @@
     SERVING,
     refused_bundles=(operators.Refused("bundles/all", "unsigned", "why"),),
 )
+SOURCELESS = msgspec.structs.replace(
+    SERVING,
+    refused_bundles=(operators.Refused("", "unsigned"),),
+    conflicts=(operators.Conflict(7, "", "a"),),
+)
 CONFLICT = msgspec.structs.replace(
     SERVING, conflicts=(operators.Conflict(7, "b", "a"),)
 )
@@ -66,6 +71,15 @@
             1,
             ["vm-1: refused a bundle from bundles/all: unsigned: why"],
         ),
+        (
+            [SOURCELESS],
+            (),
+            1,
+            [
+                "vm-1: refused a bundle: unsigned",
+                "vm-1: two bundles of version 7: dropped a",
+            ],
+        ),
         (
             [CONFLICT],
             (),
