Keep HTTP libraries from logging each request

In a trial with two daemons and the stand-in platform httpx logged a line at level info for each of its requests; the upstream is called through it too, hundreds of times a second. The new test's row for info failed at first. Its logger and httpcore's now start at warning, or at the daemon's own level if that is higher, but for debug. To leave httpx out of the log altogether was ruled out: its warnings tell of faults.

--- a/src/sassafrasstair/logs.py
+++ b/src/sassafrasstair/logs.py
@@ -16,6 +16,7 @@
 
 _FIELDS = "sassafrasstair_fields"
 _PLAIN = re.compile(r"[A-Za-z0-9_./:+@%,~<>\[\]()*-]+")
+_CHATTY = ("httpcore", "httpx")
 _VALUE_MAX = 1_000
 _FLOAT_DIGITS = 6
 
@@ -41,6 +42,15 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
+    _quieten(logging.getLevelName(level.upper()))
+
+
+def _quieten(level: int) -> None:
+    """Keep libraries from logging a line for each request they make."""
+    quiet = max(level, logging.WARNING)
+    least = logging.NOTSET if level <= logging.DEBUG else quiet
+    for name in _CHATTY:
+        logging.getLogger(name).setLevel(least)
 
 
 class KeyValueFormatter(logging.Formatter):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -62,6 +62,25 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("level", "shown"),
+    [("error", []), ("info", ["warned"]), ("debug", ["told", "warned"])],
+)
+def test_http_libraries_are_quiet_but_in_debug(level: str, shown: int) -> None:
+    """An operator sees a line for each call to the upstream.
+
+    httpx logs every request at the level info. At hundreds of calls a
+    second these lines hid the daemon's own events and cost more than they
+    told.
+    """
+    stream = io.StringIO()
+    logs.configure("keyvalue", level, stream)
+    logging.getLogger("httpx").info("told")
+    logging.getLogger("httpx").warning("warned")
+    lines = stream.getvalue().splitlines()
+    assert [line.rpartition("=")[2] for line in lines] == shown
+
+
 def test_library_records_keep_to_one_line() -> None:
     stream = io.StringIO()
     logs.configure("keyvalue", "info", stream)
