--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -66,7 +66,9 @@
     ("level", "shown"),
     [("error", []), ("info", ["warned"]), ("debug", ["told", "warned"])],
 )
-def test_http_libraries_are_quiet_but_in_debug(level: str, shown: int) -> None:
+def test_http_libraries_are_quiet_but_in_debug(
+    level: str, shown: list[str]
+) -> None:
     """An operator sees a line for each call to the upstream.
 
     httpx logs every request at the level info. At hundreds of calls a
