Add the load tool with retrying callers and its judge

Goodput and recovery need callers that arrive whatever becomes of earlier ones, grow into a surge, and come back. A ready load generator was ruled out: it knows neither tickets, nor Retry-After, nor nonces that tell a wrong answer, and could not be judged by what the upstreams ran.

One httpx client with hundreds of connections was tried first and dropped: at 1,500 calls/s offered its pool took 84 s of processor time for 9,004 calls, for it looks through all connections at each call. Clients of one connection each, lent out a call at a time, took 1.2 ms of processor time a call (trial on a busy machine; httpcore alone 1.0 ms).

--- a/src/sassafrasstair/console/standin.py
+++ b/src/sassafrasstair/console/standin.py
@@ -5,6 +5,7 @@
 import click
 
 from sassafrasstair.console.commands.standin import control
+from sassafrasstair.console.commands.standin import load
 from sassafrasstair.console.commands.standin import platform
 from sassafrasstair.console.commands.standin import upstream
 
@@ -15,5 +16,6 @@
 
 
 main.add_command(control.control)
+main.add_command(load.load)
 main.add_command(platform.platform)
 main.add_command(upstream.upstream)
--- /dev/null
+++ b/src/sassafrasstair/standins/_caller.py
@@ -0,0 +1,251 @@
+"""One caller's request: tickets, attempts, retries, one final result."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+import time
+import typing
+import zlib
+
+import httpx
+import msgspec
+
+from sassafrasstair.standins import _answers
+from sassafrasstair.standins import _lanes
+
+if typing.TYPE_CHECKING:
+    import random
+
+    from sassafrasstair.standins import _plan
+
+PATIENCE_SECONDS = 1.0
+"""A caller waits this much longer than the deadline that it asked for."""
+
+TICKET_SECONDS = 2.0
+
+SOON_SECONDS = (0.05, 0.15)
+"""A caller that is told no time comes back within these bounds."""
+
+FATAL_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 415, 422})
+"""The request itself is bad: a repeat would not help."""
+
+VOID_TICKET_REASONS = frozenset(
+    {
+        "ticket_missing",
+        "ticket_invalid",
+        "ticket_expired",
+        "ticket_void",
+        "owner_gone",
+    }
+)
+"""The ticket is of no more use; what never ran may take a new one."""
+
+
+class Final(enum.Enum):
+    """What a caller knows at the end."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    WRONG = "wrong"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """How one attempt ended; ``retry_after`` in seconds, -1 if not told."""
+
+    final: Final
+    reason: str = ""
+    retry_after: float = -1.0
+    fatal: bool = False
+    seconds: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """The end of a request; ``seconds`` is since its arrival.
+
+    ``last_seconds`` is the length of the last attempt alone.
+    """
+
+    want: _plan.Want
+    final: Final
+    attempts: int
+    seconds: float
+    last_seconds: float
+    reasons: tuple[str, ...]
+
+
+class _Refusal(msgspec.Struct, frozen=True):
+    outcome: str = "unknown"
+    reason: str = ""
+    retry_after_ms: int = -1
+
+
+class _Ticket(msgspec.Struct, frozen=True):
+    ticket: str
+
+
+_REFUSAL = msgspec.json.Decoder(_Refusal)
+_TICKET = msgspec.json.Decoder(_Ticket)
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """What all callers of a run share.
+
+    ``doors`` are base URLs of the daemons; in direct mode ``direct`` maps
+    each service to those of its upstreams and there are no tickets.
+    No attempt begins after ``give_up`` on the monotonic clock.
+    """
+
+    lanes: _lanes.Lanes
+    doors: tuple[str, ...]
+    direct: dict[str, tuple[str, ...]]
+    repeats: int
+    hasty_share: float
+    give_up: float
+    rng: random.Random
+
+
+async def serve(session: Session, want: _plan.Want) -> Result:
+    """Run one request to its end."""
+    began = time.monotonic()
+    known = Final.NOT_RUN
+    ticket = ""
+    reasons: list[str] = []
+    repeat = 0
+    while True:
+        attempt, ticket = await _attempt(session, want, ticket, repeat)
+        reasons.append(attempt.reason)
+        if attempt.final in (Final.WHOLE, Final.WRONG):
+            known = attempt.final
+            break
+        if attempt.final is Final.UNKNOWN:
+            known = Final.UNKNOWN
+        if attempt.reason in VOID_TICKET_REASONS:
+            # A new ticket for work that may have run could run it twice.
+            if known is Final.UNKNOWN:
+                break
+            ticket = ""
+        pause = _pause(session, want, attempt)
+        too_late = time.monotonic() + pause >= session.give_up
+        if attempt.fatal or too_late or repeat >= session.repeats:
+            break
+        await asyncio.sleep(pause)
+        repeat += 1
+    return Result(
+        want,
+        known,
+        repeat + 1,
+        time.monotonic() - began,
+        attempt.seconds,
+        tuple(reasons),
+    )
+
+
+async def _attempt(
+    session: Session, want: _plan.Want, ticket: str, repeat: int
+) -> tuple[Attempt, str]:
+    """Make one attempt, with a ticket first where the class needs one."""
+    if want.once and not ticket and not session.direct:
+        taken = await _take_ticket(session, want, repeat)
+        if isinstance(taken, Attempt):
+            return taken, ""
+        ticket = taken
+    return await _call(session, want, ticket, repeat), ticket
+
+
+async def _take_ticket(
+    session: Session, want: _plan.Want, repeat: int
+) -> str | Attempt:
+    door = _door(session, want, repeat)
+    path = f"/v1/ticket/{want.service}"
+    headers = _who(want, repeat)
+    try:
+        response = await session.lanes.post(
+            door, path, headers, b"", TICKET_SECONDS
+        )
+    except httpx.HTTPError as error:
+        # Without a ticket nothing can have run.
+        return Attempt(Final.NOT_RUN, type(error).__name__)
+    if response.status_code == 201:
+        return _TICKET.decode(response.content).ticket
+    refused = _refused(response, 0.0)
+    return dataclasses.replace(refused, final=Final.NOT_RUN)
+
+
+async def _call(
+    session: Session, want: _plan.Want, ticket: str, repeat: int
+) -> Attempt:
+    door = _door(session, want, repeat)
+    path = "/work" if session.direct else f"/v1/call/{want.service}/work"
+    headers = _who(want, repeat)
+    headers["Sassafras-Timeout-Ms"] = str(round(want.deadline * 1000))
+    if ticket:
+        headers["Sassafras-Ticket"] = ticket
+    body = _answers.new_body(want.nonce, want.body_bytes)
+    began = time.monotonic()
+    try:
+        response = await session.lanes.post(
+            door, path, headers, body, want.deadline + PATIENCE_SECONDS
+        )
+    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        return Attempt(Final.NOT_RUN, type(error).__name__)
+    except httpx.HTTPError as error:
+        return Attempt(Final.UNKNOWN, type(error).__name__)
+    seconds = time.monotonic() - began
+    if response.status_code != 200:
+        return _refused(response, seconds)
+    answer = _answers.decode(response.content, want.nonce, body)
+    if answer is None or answer.service != want.service:
+        return Attempt(Final.WRONG, "wrong_answer", seconds=seconds)
+    return Attempt(Final.WHOLE, seconds=seconds)
+
+
+def _who(want: _plan.Want, repeat: int) -> dict[str, str]:
+    return {
+        "Sassafras-Class": want.request_class,
+        "Sassafras-Tenant": want.tenant,
+        "Sassafras-Caller": want.caller,
+        "Sassafras-Repeat": str(repeat),
+    }
+
+
+def _door(session: Session, want: _plan.Want, repeat: int) -> str:
+    """Return the base URL for an attempt: another daemon at each repeat."""
+    doors = session.direct.get(want.service, session.doors)
+    home = zlib.crc32(want.caller.encode())
+    return doors[(home + repeat) % len(doors)]
+
+
+def _refused(response: httpx.Response, seconds: float) -> Attempt:
+    try:
+        told = _REFUSAL.decode(response.content)
+    except msgspec.DecodeError:
+        told = _Refusal()
+    outcome = response.headers.get("Sassafras-Outcome", told.outcome)
+    not_run = outcome in ("not run", "not-run")
+    return Attempt(
+        Final.NOT_RUN if not_run else Final.UNKNOWN,
+        told.reason or str(response.status_code),
+        _retry_after(response, told),
+        response.status_code in FATAL_STATUSES,
+        seconds,
+    )
+
+
+def _retry_after(response: httpx.Response, told: _Refusal) -> float:
+    if told.retry_after_ms > 0:
+        return told.retry_after_ms / 1000
+    header = response.headers.get("Retry-After", "")
+    return float(header) if header.isdigit() else -1.0
+
+
+def _pause(session: Session, want: _plan.Want, attempt: Attempt) -> float:
+    hasty = zlib.adler32(want.caller.encode()) % 1000
+    if attempt.retry_after > 0 and hasty >= session.hasty_share * 1000:
+        return attempt.retry_after
+    return session.rng.uniform(*SOON_SECONDS)
--- a/src/sassafrasstair/standins/_platform.py
+++ b/src/sassafrasstair/standins/_platform.py
@@ -79,7 +79,7 @@
             raise exceptions.ServiceUnavailableException
         return _answer(view, prefix)
 
-    return litestar.Litestar([read], openapi_config=None)
+    return litestar.Litestar([read], openapi_config=None, logging_config=None)
 
 
 def control_app(
@@ -129,6 +129,7 @@
     return litestar.Litestar(
         handlers,
         openapi_config=None,
+        logging_config=None,
         request_max_body_size=2 * platform.MAX_VALUE_BYTES,
     )
 
--- a/src/sassafrasstair/standins/_upstream.py
+++ b/src/sassafrasstair/standins/_upstream.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from sassafrasstair.standins import _answers
+from sassafrasstair.standins import _lanes
 from sassafrasstair.standins import _model
 from sassafrasstair.standins import _ran
 
@@ -59,16 +60,17 @@
     """State of one stand-in upstream.
 
     ``children`` are the services it calls, in order; ``roots`` holds, for
-    each, the URLs that take the call: its daemon's, or in direct mode
+    each, the base URLs that take the call: its daemon's, or in direct mode
     those of the service's upstreams.
     """
 
     name: str
     model: _model.Model
     ran: _ran.Ran
-    http: httpx.AsyncClient
+    lanes: _lanes.Lanes
     children: tuple[str, ...] = ()
     roots: dict[str, tuple[str, ...]] = dataclasses.field(default_factory=dict)
+    is_direct: bool = False
     rng: random.Random = dataclasses.field(default_factory=random.Random)
     cancelled: int = 0
     shed: int = 0
@@ -132,12 +134,13 @@
     """Call one child; set what is known if it is not done."""
     before = effect[0]
     effect[0] = Effect.UNKNOWN
-    url = upstream.rng.choice(upstream.roots[service])
+    root = upstream.rng.choice(upstream.roots[service])
+    path = "" if upstream.is_direct else f"/v1/call/{service}"
     body = _answers.child_body(request.nonce, service)
     headers = {CONTEXT_HEADER: request.context} if request.context else {}
     try:
-        response = await upstream.http.post(
-            url, content=body, headers=headers, timeout=request.timeout
+        response = await upstream.lanes.post(
+            root, f"{path}/work", headers, body, request.timeout
         )
     except httpx.ConnectError as error:
         effect[0] = before
@@ -165,11 +168,10 @@
     daemon: str,
     direct: abc.Iterable[tuple[str, str]],
 ) -> dict[str, tuple[str, ...]]:
-    """Return the URLs for each child, by the daemon if there is one."""
+    """Return the base URLs for each child, by the daemon if there is one."""
     if daemon:
-        base = daemon.rstrip("/")
-        return {name: (f"{base}/v1/call/{name}/work",) for name in children}
+        return {name: (daemon.rstrip("/"),) for name in children}
     urls: dict[str, tuple[str, ...]] = {}
     for name, url in direct:
-        urls[name] = urls.get(name, ()) + (f"{url.rstrip('/')}/work",)
+        urls[name] = urls.get(name, ()) + (url.rstrip("/"),)
     return urls
--- a/src/sassafrasstair/standins/_upstream_app.py
+++ b/src/sassafrasstair/standins/_upstream_app.py
@@ -8,12 +8,12 @@
 import time
 import typing
 
-import httpx
 import litestar
 from litestar import params
 import msgspec
 
 from sassafrasstair.standins import _answers
+from sassafrasstair.standins import _lanes
 from sassafrasstair.standins import _model
 from sassafrasstair.standins import _ran
 from sassafrasstair.standins import _serving
@@ -78,7 +78,9 @@
             await _send(send, reply)
 
     return litestar.Litestar(
-        [health, ran, behaviour, work], openapi_config=None
+        [health, ran, behaviour, work],
+        openapi_config=None,
+        logging_config=None,
     )
 
 
@@ -93,7 +95,7 @@
     while upstream.model.inflight:
         await asyncio.sleep(POLL_SECONDS)
     await listener.stop()
-    await upstream.http.aclose()
+    await upstream.lanes.close()
     sys.stdout.buffer.write(msgspec.json.encode(upstream.ran) + b"\n")
 
 
@@ -105,15 +107,14 @@
     direct: abc.Iterable[tuple[str, str]],
 ) -> _upstream.Upstream:
     """Return an upstream that starts cold now."""
-    limits = httpx.Limits(max_connections=None, max_keepalive_connections=64)
-    http = httpx.AsyncClient(limits=limits, trust_env=False, verify=False)
     return _upstream.Upstream(
         name,
         _model.Model(rules, time.monotonic()),
         _ran.Ran(name),
-        http,
+        _lanes.Lanes(),
         children,
         _upstream.child_roots(children, daemon, direct),
+        is_direct=not daemon,
     )
 
 
