Let a body wait for its request at the callee

Each message has an exchange of its own, and the one that asks whether the body is wanted was handled before its request 13 times; told no, the entrance sent no body and the request waited for it. Ruled out: the stand-in upstream (it had no such request), the guard's limit (no refusal was told) and the link itself (nothing was lost).

Change: the callee keeps such a question for up to a second until its request is known. Sending the question only after the request's own reply cannot be done, for that reply is the answer.

--- a/src/sassafrasstair/runtime/_bodies.py
+++ b/src/sassafrasstair/runtime/_bodies.py
@@ -20,6 +20,8 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+ARRIVAL_SECONDS = 1.0
+
 _GONE = daemons.AnswerPart(b"", gone=True)
 
 
@@ -57,6 +59,8 @@
 ) -> daemons.PartTaken:
     """Take one part of a request's body; the reply waits for room."""
     attempt = slot.attempts.get(part.attempt_id)
+    if attempt is None and part.sequence == 0:
+        attempt = await _arrival(slot, part.attempt_id)
     if attempt is None:
         return daemons.PartTaken(False)
     if part.sequence == 0:
@@ -116,6 +120,25 @@
         yield bytes(held)
 
 
+async def _arrival(
+    slot: _slots.Slot, attempt_id: str
+) -> _attempts.Attempt | None:
+    """Wait until the attempt is known; None if it is not in time."""
+    # Failure: each message has an exchange of its own, so the question
+    # whether a body is wanted may be handled before its request. Told no,
+    # the entrance sends nothing, and the request waits for its body until
+    # its deadline.
+    arrived = slot.arrivals.setdefault(attempt_id, asyncio.Event())
+    try:
+        async with asyncio.timeout(ARRIVAL_SECONDS):
+            await arrived.wait()
+    except TimeoutError:
+        return None
+    finally:
+        slot.arrivals.pop(attempt_id, None)
+    return slot.attempts.get(attempt_id)
+
+
 async def _admitted(attempt: _attempts.Attempt) -> daemons.PartTaken:
     ending = asyncio.ensure_future(attempt.ended.wait())
     both: set[asyncio.Future[typing.Any]] = {attempt.verdict, ending}
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -100,7 +100,7 @@
     late = calls.lateness(slot.pauses, now)
     deadline = now + message.remaining_ms / 1000 - late
     attempt = _attempts.new_attempt(message, deadline)
-    slot.attempts[message.attempt_id] = attempt
+    _slots.arrived(slot, attempt)
     slot.large_bodies += message.more
     # A task of its own: the guard aborts it, and a caller that goes away
     # while others have joined the same ticket does not end it.
--- a/src/sassafrasstair/runtime/_slots.py
+++ b/src/sassafrasstair/runtime/_slots.py
@@ -28,7 +28,8 @@
 
     ``floor_below`` gives, for a class, the greatest shed floor that this
     VM's own calls have met further down the chain. ``joins`` maps a
-    running ticket to the event of its end.
+    running ticket to the event of its end, ``arrivals`` an attempt whose
+    body came first to the event of its own arrival.
     """
 
     service: str
@@ -44,6 +45,9 @@
         default_factory=dict
     )
     joins: dict[str, asyncio.Event] = dataclasses.field(default_factory=dict)
+    arrivals: dict[str, asyncio.Event] = dataclasses.field(
+        default_factory=dict
+    )
     large_bodies: int = 0
     doubled: int = 0
 
@@ -60,6 +64,15 @@
             attempt.verdict.set_result(effect)
 
 
+def arrived(slot: Slot, attempt: _attempts.Attempt) -> None:
+    """Make the attempt known, also to a body that came before it."""
+    attempt_id = attempt.run.attempt_id
+    slot.attempts[attempt_id] = attempt
+    waiting = slot.arrivals.get(attempt_id)
+    if waiting is not None:
+        waiting.set()
+
+
 def cancel(slot: Slot, attempt_id: str) -> None:
     """Drop an attempt that nobody waits for any more."""
     attempt = slot.attempts.get(attempt_id)
