Measure policies under overload on a virtual clock

Cause: the guard and the entrance were stubs, and nothing measured them. Ruled out: a simulator of the daemons; only the decisions run, with fakes. Change: guard with limit, queue, floors; entrance with floors, budgets, routes; bench with the policies none, static and chosen.

--- /dev/null
+++ b/src/sassafrasstair/bench/_overload.py
@@ -0,0 +1,128 @@
+"""Run scenarios: one world for each mix, scenario, policy and seed."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+import typing
+
+from sassafrasstair.bench import _model_callers
+from sassafrasstair.bench import _model_nodes
+from sassafrasstair.bench import _model_upstreams
+from sassafrasstair.bench import _overload_figures
+from sassafrasstair.bench import _overload_mixes
+from sassafrasstair.bench import _overload_policies
+from sassafrasstair.bench import _overload_scenarios
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from sassafrasstair.decisions import calls
+
+CALM = _overload_scenarios.CALM
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """What to run: names of the mix, scenario and policy, and a seed."""
+
+    mix: str
+    scenario: str
+    policy: str
+    seed: int
+
+
+def run_one(run: Run) -> _overload_figures.Figures:
+    """Run one world and return its figures."""
+    mix = _overload_mixes.MIXES[run.mix]
+    make = _overload_policies.POLICIES[run.policy]
+    world = _model_nodes.World(mix, make, run.seed)
+    callers = _model_callers.Callers(world)
+    full = _capacity(world)
+    callers.rate = CALM.load * full
+    callers.start()
+    spans = []
+    # Connections and estimates settle in the first second.
+    before = _pass(world, CALM.seconds)
+    before = dataclasses.replace(before, start=before.start + 1.0)
+    for phase in _overload_scenarios.SCENARIOS[run.scenario]:
+        _enter_phase(world, callers, phase, full)
+        spans.append(_pass(world, phase.seconds))
+        _leave_phase(world, phase)
+    callers.rate = CALM.load * full
+    after = _pass(world, _overload_scenarios.AFTER_SECONDS)
+    after = dataclasses.replace(after, capacity=full)
+    world.timeline.run(after.end + _overload_scenarios.DRAIN_SECONDS)
+    return _overload_figures.figures(world.meter, spans, before, after)
+
+
+def run_all(
+    runs: abc.Sequence[Run], workers: int
+) -> list[_overload_figures.Figures]:
+    """Run each; the longest first, so that the workers end together."""
+    if workers == 1:
+        return [run_one(run) for run in runs]
+    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+        order = sorted(runs, key=lambda run: "surge" not in run.scenario)
+        found = dict(zip(order, pool.map(run_one, order), strict=True))
+    return [found[run] for run in runs]
+
+
+def _pass(world: _model_nodes.World, seconds: float) -> _overload_figures.Span:
+    start = world.timeline.now
+    capacity = _capacity(world)
+    world.timeline.run(start + seconds)
+    return _overload_figures.Span(start, start + seconds, capacity)
+
+
+def _capacity(world: _model_nodes.World) -> float:
+    """Return what the deepest service can finish a second."""
+    now = world.timeline.now
+    return sum(
+        _model_upstreams.capacity(node.upstream, now)
+        for node in _deepest(world)
+        if node.alive
+    )
+
+
+def _deepest(world: _model_nodes.World) -> list[_model_nodes.Node]:
+    targets = world.targets[world.mix.deepest]
+    return [world.nodes[target.vm] for target in targets]
+
+
+def _lost(world: _model_nodes.World) -> list[calls.Target]:
+    """Return one instance of each service, spread over the domains."""
+    return [
+        targets[index % len(targets)]
+        for index, targets in enumerate(world.targets.values())
+    ]
+
+
+def _enter_phase(
+    world: _model_nodes.World,
+    callers: _model_callers.Callers,
+    phase: _overload_scenarios.Phase,
+    full: float,
+) -> None:
+    callers.rate = phase.load * full
+    for node in _deepest(world):
+        node.upstream.factor = phase.slow
+    _deepest(world)[0].upstream.factor *= phase.slow_one
+    world.stale = phase.stale
+    if phase.cut:
+        world.cut_domain = next(iter(world.mix.bundle.failure_domains))
+    if phase.lost:
+        for target in _lost(world):
+            world.stop_node(target)
+
+
+def _leave_phase(
+    world: _model_nodes.World, phase: _overload_scenarios.Phase
+) -> None:
+    for node in _deepest(world):
+        node.upstream.factor = 1.0
+    world.stale = CALM.stale
+    world.cut_domain = ""
+    if phase.lost:
+        for target in _lost(world):
+            world.start_node(target, cold=True)
--- /dev/null
+++ b/src/sassafrasstair/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""One file for each command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sassafrasstair/console/commands/bench/__init__.py
@@ -0,0 +1,3 @@
+"""The commands of ``sassafras-bench``."""
+
+from __future__ import annotations
--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -7,6 +7,7 @@
 from sassafrasstair.decisions.calls._entrances import begin
 from sassafrasstair.decisions.calls._entrances import Entrance
 from sassafrasstair.decisions.calls._entrances import floor
+from sassafrasstair.decisions.calls._entrances import floor_below
 from sassafrasstair.decisions.calls._entrances import new_entrance
 from sassafrasstair.decisions.calls._messages import Answer
 from sassafrasstair.decisions.calls._messages import Call
@@ -33,6 +34,7 @@
     "answered",
     "begin",
     "floor",
+    "floor_below",
     "new_entrance",
     "probe_due",
     "probed",
--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -11,6 +11,7 @@
 import dataclasses
 import typing
 
+from sassafrasstair.decisions.calls import _floors
 from sassafrasstair.decisions.calls import _messages
 from sassafrasstair.decisions.calls import _retries
 from sassafrasstair.decisions.calls import _routing
@@ -26,21 +27,16 @@
 EPOCH_SECONDS = 600.0
 
 
-@dataclasses.dataclass(slots=True)
-class Floor:
-    """Shed floor last heard from a service for a class, and when."""
-
-    value: float
-    heard: float
-
-
 @dataclasses.dataclass(slots=True)
 class Pending:
     """One call under way at this entrance."""
 
     call: _messages.Call
+    rank: float
     tried: list[str] = dataclasses.field(default_factory=list)
     attempt_id: str = ""
+    sent: float = 0.0
+    given: int = 0
     spent: int = 0
 
 
@@ -51,9 +47,7 @@
     incarnation: str
     routes: _routing.Routes
     pending: dict[str, Pending] = dataclasses.field(default_factory=dict)
-    floors: dict[tuple[str, str], Floor] = dataclasses.field(
-        default_factory=dict
-    )
+    floors: _floors.Floors = dataclasses.field(default_factory=_floors.Floors)
     budgets: dict[str, _retries.Budget] = dataclasses.field(
         default_factory=dict
     )
@@ -86,17 +80,16 @@
     if call.repeat > rules.caller_repeats:
         return "", _refuse(rules, call, outcomes.Reason.TOO_MANY_REPEATS, rng)
     rank = load.rank(rules.importance, call.caller, int(now / EPOCH_SECONDS))
-    if rank < floor(entrance, call.service, call.request_class, now):
+    if rank < _floors.of_service(entrance.floors, _floor_key(call), now):
         return "", _refuse(rules, call, outcomes.Reason.SHED_AT_ENTRANCE, rng)
     entrance.serial += 1
     key = f"{entrance.incarnation}.{entrance.serial}"
-    pending = Pending(call)
-    entrance.pending[key] = pending
-    effect = _send(entrance, key, pending, targets, now, rng)
+    pending = Pending(call, rank)
+    effect = _send(entrance, bundle, key, pending, targets, now, rng)
     if effect is None:
-        del entrance.pending[key]
         reason = outcomes.Reason.NO_INSTANCE
         return "", _refuse(rules, call, reason, rng)
+    entrance.pending[key] = pending
     return key, effect
 
 
@@ -115,24 +108,28 @@
     if pending is None or pending.attempt_id != attempt_id:
         return None
     call = pending.call
-    _routing.ended(entrance.routes, pending.tried[-1], answer, now)
-    _hear(entrance, call, answer, now)
-    pending.spent += answer.spent
+    vm = pending.tried[-1]
+    _routing.ended(entrance.routes, vm, answer, now - pending.sent, now)
+    if answer.incarnation:
+        key_of_floor = _floor_key(call)
+        told = answer.load.floor
+        _floors.hear(entrance.floors, key_of_floor, vm, told, now)
+    pending.spent += _spent(pending, answer)
     budget = _budget(entrance, bundle, call.service)
     if answer.outcome is outcomes.Outcome.DONE:
         _retries.earn(budget, bundle.retry_budget)
         del entrance.pending[key]
-        return _messages.Deliver(attempt_id, pending.spent)
+        return _messages.Deliver(attempt_id, pending.spent, answer.load.floor)
     if _may_retry(bundle, pending, answer, now) and _retries.spend(budget):
         pending.spent += 1
-        effect = _send(entrance, key, pending, targets, now, rng)
+        effect = _send(entrance, bundle, key, pending, targets, now, rng)
         if effect is not None:
             return effect
     del entrance.pending[key]
     return _messages.Refuse(
         answer.outcome,
         answer.reason,
-        answer.retry_after,
+        _come_back(bundle, call, answer, rng),
         pending.spent,
         answer.load.floor,
     )
@@ -143,41 +140,93 @@
     pending = entrance.pending.pop(key, None)
     if pending is None:
         return ""
-    gone = _messages.Answer(
-        outcomes.Outcome.UNKNOWN, outcomes.Reason.CANCELLED
-    )
-    _routing.ended(entrance.routes, pending.tried[-1], gone, now)
+    _routing.forget(entrance.routes, pending.tried[-1])
     return pending.attempt_id
 
 
 def floor(
-    entrance: Entrance, service: str, request_class: str, now: float
+    entrance: Entrance,
+    service: str,
+    request_class: str,
+    now: float,
+    tenant: str = "",
 ) -> float:
     """Return the floor that ``service`` last told for the class."""
-    heard = entrance.floors.get((service, request_class))
-    return heard.value if heard is not None else 0.0
+    key = (service, request_class, tenant)
+    return _floors.of_service(entrance.floors, key, now)
+
+
+def floor_below(
+    entrance: Entrance,
+    bundle: bundles.Bundle,
+    service: str,
+    request_class: str,
+    now: float,
+    tenant: str = "",
+) -> float:
+    """Return the greatest floor of what ``service`` itself calls.
+
+    A daemon tells the greater of this and its guard's floor on answers, so
+    that the refusal moves to the first entrance. The service's own floors
+    are left out: its instances would tell each other an old floor for ever.
+    """
+    callees = bundle.services[service].calls
+    return max(
+        (
+            floor(entrance, callee, request_class, now, tenant)
+            for callee in callees
+        ),
+        default=0.0,
+    )
+
+
+def _floor_key(call: _messages.Call) -> tuple[str, str, str]:
+    return call.service, call.request_class, call.tenant
 
 
 def _send(
     entrance: Entrance,
+    bundle: bundles.Bundle,
     key: str,
     pending: Pending,
     targets: abc.Sequence[_messages.Target],
     now: float,
     rng: random.Random,
 ) -> _messages.Send | None:
-    target = _routing.pick(entrance.routes, targets, pending.tried, now, rng)
+    call = pending.call
+    refusing = _floors.refusing(
+        entrance.floors, _floor_key(call), pending.rank, now
+    )
+    passing = [target for target in targets if target.vm not in refusing]
+    target = _routing.pick(
+        entrance.routes, passing or targets, pending.tried, now, rng
+    )
     if target is None:
         return None
     pending.tried.append(target.vm)
     pending.attempt_id = f"{key}.{len(pending.tried)}"
+    pending.sent = now
     _routing.sent(entrance.routes, target.vm, now)
-    left = max(0, pending.call.retries - pending.spent)
+    leaf = not bundle.services[call.service].calls
+    left = call.retries - pending.spent
+    pending.given = _retries.passed_down(left, leaf)
     return _messages.Send(
-        pending.attempt_id, target, pending.call.deadline, left
+        pending.attempt_id, target, call.deadline, pending.given
     )
 
 
+def _spent(pending: Pending, answer: _messages.Answer) -> int:
+    """Return the retries used further down.
+
+    An attempt that was lost may have used all that it was given: less
+    would let the chain make more than its allowance.
+    """
+    lost = answer.outcome is outcomes.Outcome.UNKNOWN
+    if lost and not answer.incarnation:
+        return pending.given
+    return answer.spent
+
+
 def _may_retry(
     bundle: bundles.Bundle,
     pending: Pending,
@@ -204,16 +253,18 @@
     return budget
 
 
-def _hear(
-    entrance: Entrance,
+def _come_back(
+    bundle: bundles.Bundle,
     call: _messages.Call,
     answer: _messages.Answer,
-    now: float,
-) -> None:
-    if answer.incarnation:
-        entrance.floors[call.service, call.request_class] = Floor(
-            answer.load.floor, now
-        )
+    rng: random.Random,
+) -> float:
+    """Return the Retry-After in seconds, the entrance's own if greater."""
+    rules = bundle.classes[call.request_class]
+    if answer.reason not in outcomes.OVERLOAD_REASONS:
+        return answer.retry_after
+    own = _retries.retry_after(rules.refusal, call.repeat, rng)
+    return max(own, answer.retry_after)
 
 
 def _refuse(
--- a/src/sassafrasstair/decisions/calls/_retries.py
+++ b/src/sassafrasstair/decisions/calls/_retries.py
@@ -10,6 +10,8 @@
 
     from sassafrasstair import bundles
 
+REPEAT_DOUBLINGS_MAX = 3
+
 
 @dataclasses.dataclass(slots=True)
 class Budget:
@@ -36,10 +38,27 @@
     return True
 
 
+def passed_down(left: int, leaf: bool) -> int:
+    """Return how many of the chain's ``left`` retries go with an attempt.
+
+    A service that calls no other gets none. Else one is kept back: when
+    the attempt is lost, what it was given counts as spent, and without
+    one kept back no hop could retry a lost attempt.
+    """
+    if leaf or left <= 0:
+        return 0
+    return max(1, left - 1)
+
+
 def retry_after(
     refusal: bundles.Refusal, repeat: int, rng: random.Random
 ) -> float:
-    """Return seconds until the caller should come back, spread evenly."""
+    """Return seconds until the caller should come back.
+
+    Spread evenly between the bundle's bounds, so that refused callers do
+    not return together, and doubled with each repeat.
+    """
     low = refusal.retry_after_min_ms / 1000
     high = refusal.retry_after_max_ms / 1000
-    return rng.uniform(low, high)
+    doublings = min(repeat, REPEAT_DOUBLINGS_MAX)
+    return rng.uniform(low, high) * float(2**doublings)
--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -1,10 +1,18 @@
-"""Which instance of a service an attempt goes to."""
+"""Which instance of a service an attempt goes to.
+
+The own failure domain first, with spill-over by load; among the others the
+less loaded of two drawn at random (Mitzenmacher, "The Power of Two Choices
+in Randomized Load Balancing", 2001). An instance that fails or falls
+silent is ejected until a ping shows that its daemon answers.
+"""
 
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
+from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -12,6 +20,50 @@
 
     from sassafrasstair.decisions.calls import _messages
 
+FAILURES_TO_EJECT = 3
+EJECTED_SHARE_MAX = 0.5
+# With attempts under way and no answer for this long, in seconds and in
+# multiples of the usual latency, an instance is pinged.
+SILENT_SECONDS = 0.3
+SILENT_LATENCIES = 4.0
+PING_SECONDS = 0.25
+LATENCY_WEIGHT = 0.1
+# What was heard of a load fades with this time constant.
+LOAD_FADES_SECONDS = 0.5
+UNKNOWN_LIMIT = 20.0
+# An instance of the own domain is left only when this busy, and then only
+# for one that is less busy by the margin.
+SPILL_BUSY = 0.9
+SPILL_MARGIN = 0.1
+
+FAILURES = frozenset(
+    {
+        outcomes.Reason.PEER_UNREACHABLE,
+        outcomes.Reason.PEER_LOST,
+        outcomes.Reason.UPSTREAM_UNREACHABLE,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """What is known of one instance.
+
+    ``silent_from`` is the last answer, or the first send after an idle
+    time; ``sent`` counts the attempts since the load was heard.
+    """
+
+    inflight: int = 0
+    sent: int = 0
+    busy: float = 0.0
+    limit: float = UNKNOWN_LIMIT
+    heard: float = -math.inf
+    silent_from: float = 0.0
+    latency: float = 0.0
+    failures: int = 0
+    ejected: bool = False
+    pinged: float = -math.inf
+
 
 @dataclasses.dataclass(slots=True)
 class Routes:
@@ -19,8 +71,7 @@
 
     failure_domain: str
     region: str
-    inflight: dict[str, int] = dataclasses.field(default_factory=dict)
-    loads: dict[str, _messages.Load] = dataclasses.field(default_factory=dict)
+    peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
 
 
 def pick(
@@ -31,27 +82,135 @@
     rng: random.Random,
 ) -> _messages.Target | None:
     """Return the instance for one attempt, or None if none is usable."""
-    usable = [target for target in targets if target.vm not in tried]
-    return rng.choice(usable) if usable else None
+    usable = [
+        target
+        for target in _not_ejected(routes, targets)
+        if target.vm not in tried
+    ]
+    near = [
+        target
+        for target in usable
+        if target.failure_domain == routes.failure_domain
+    ]
+    best = _less_busy(routes, near, now, rng)
+    if best is not None and score(routes, best.vm, now) < SPILL_BUSY:
+        return best
+    far = [target for target in usable if target.region == routes.region]
+    other = _less_busy(routes, far or usable, now, rng)
+    if best is None or other is None:
+        return best or other
+    gain = score(routes, best.vm, now) - score(routes, other.vm, now)
+    return other if gain > SPILL_MARGIN else best
+
+
+def score(routes: Routes, vm: str, now: float) -> float:
+    """Return how busy the instance is thought to be."""
+    peer = routes.peers.get(vm)
+    if peer is None:
+        return 0.0
+    faded = math.exp(-(now - peer.heard) / LOAD_FADES_SECONDS)
+    return peer.busy * faded + peer.sent / peer.limit
 
 
 def sent(routes: Routes, vm: str, now: float) -> None:
     """Note that an attempt went to ``vm``."""
-    routes.inflight[vm] = routes.inflight.get(vm, 0) + 1
+    peer = routes.peers.setdefault(vm, Peer())
+    if not peer.inflight:
+        peer.silent_from = now
+    peer.inflight += 1
+    peer.sent += 1
 
 
 def ended(
-    routes: Routes, vm: str, answer: _messages.Answer, now: float
+    routes: Routes,
+    vm: str,
+    answer: _messages.Answer,
+    latency: float,
+    now: float,
 ) -> None:
     """Note how an attempt at ``vm`` ended, and the load it told."""
-    routes.inflight[vm] = max(0, routes.inflight.get(vm, 0) - 1)
-    routes.loads[vm] = answer.load
+    peer = routes.peers.setdefault(vm, Peer())
+    peer.inflight = max(0, peer.inflight - 1)
+    if answer.incarnation:
+        _heard(peer, answer, now)
+    if answer.outcome is outcomes.Outcome.DONE:
+        peer.latency += LATENCY_WEIGHT * (latency - peer.latency)
+        peer.failures = 0
+    elif answer.reason in FAILURES:
+        peer.failures += 1
+        peer.ejected = peer.ejected or peer.failures >= FAILURES_TO_EJECT
+
+
+def forget(routes: Routes, vm: str) -> None:
+    """Note that an attempt ended without telling anything of ``vm``."""
+    peer = routes.peers.get(vm)
+    if peer is not None:
+        peer.inflight = max(0, peer.inflight - 1)
 
 
 def probe_due(routes: Routes, now: float) -> list[str]:
-    """Return the ejected VMs that a ping should now be sent to."""
-    return []
+    """Return the ejected or silent VMs to send a ping to now."""
+    due = [
+        vm
+        for vm, peer in routes.peers.items()
+        if now - peer.pinged >= PING_SECONDS
+        and (peer.ejected or _silent(peer, now))
+    ]
+    for vm in due:
+        routes.peers[vm].pinged = now
+    return due
 
 
 def probed(routes: Routes, vm: str, alive: bool, now: float) -> None:
-    """Note the end of a ping to an ejected VM."""
+    """Note the end of a ping: only a ping brings an instance back."""
+    peer = routes.peers.setdefault(vm, Peer())
+    peer.ejected = not alive
+    if alive:
+        peer.failures = 0
+        peer.silent_from = now
+
+
+def _heard(peer: Peer, answer: _messages.Answer, now: float) -> None:
+    peer.busy = answer.load.busy
+    peer.limit = answer.load.limit or UNKNOWN_LIMIT
+    peer.sent = 0
+    peer.heard = now
+    peer.silent_from = now
+
+
+def _silent(peer: Peer, now: float) -> bool:
+    patience = max(SILENT_SECONDS, SILENT_LATENCIES * peer.latency)
+    return peer.inflight > 0 and now - peer.silent_from >= patience
+
+
+def _not_ejected(
+    routes: Routes, targets: abc.Sequence[_messages.Target]
+) -> list[_messages.Target]:
+    """Leave the ejected out, unless that were too many of them.
+
+    A fault of this VM's own network makes all others look failed: with
+    more than the bounded share ejected, none counts as ejected.
+    """
+    usable = [
+        target
+        for target in targets
+        if not (peer := routes.peers.get(target.vm)) or not peer.ejected
+    ]
+    if len(targets) - len(usable) > EJECTED_SHARE_MAX * len(targets):
+        return list(targets)
+    return usable
+
+
+def _less_busy(
+    routes: Routes,
+    targets: abc.Sequence[_messages.Target],
+    now: float,
+    rng: random.Random,
+) -> _messages.Target | None:
+    if not targets:
+        return None
+    first = targets[int(rng.random() * len(targets))]
+    second = targets[int(rng.random() * len(targets))]
+    if score(routes, first.vm, now) <= score(routes, second.vm, now):
+        return first
+    return second
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -3,56 +3,104 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
+from sassafrasstair.decisions.load import _floors
+from sassafrasstair.decisions.load import _limits
 from sassafrasstair.decisions.load import _messages
+from sassafrasstair.decisions.load import _queues
 from sassafrasstair import outcomes
 
 RETRY_AFTER_FLOOR = 0.5
+WARM_SECONDS = 5.0
+# An estimate of the service time without a new sample halves in this time.
+ESTIMATE_HALF_LIFE = 1.0
+ESTIMATE_WEIGHT = 0.2
+PRESSED_SECONDS = 0.5
+LEAST_QUEUE = 4
+# The time within which the admitted work may exceed what is served, so
+# that a slot that falls free finds one waiting.
+SLACK_SECONDS = 0.1
 
 
 @dataclasses.dataclass(slots=True)
 class Guard:
     """State of the guard. ``running`` maps attempts to their start."""
 
-    limit: float
+    limits: _limits.Limit
+    floors: _floors.Floors
     running: dict[str, float] = dataclasses.field(default_factory=dict)
-    waiting: dict[str, _messages.Work] = dataclasses.field(
+    works: dict[str, _messages.Work] = dataclasses.field(default_factory=dict)
+    waiting: dict[str, _queues.Waiter] = dataclasses.field(
         default_factory=dict
     )
+    used: dict[str, int] = dataclasses.field(default_factory=dict)
+    estimates: dict[str, float] = dataclasses.field(default_factory=dict)
+    mean: float = 0.0
+    sampled: float = 0.0
+    pressed: float = -math.inf
+    ticked: float = 0.0
     leaving: bool = False
 
+    @property
+    def limit(self) -> float:
+        """The learnt concurrency limit, warm-up left out."""
+        return self.limits.value
 
-def new_guard(slots: int, now: float, cold: bool = False) -> Guard:
+
+def new_guard(
+    slots: int,
+    now: float,
+    cold: bool = False,
+    warm_seconds: float = WARM_SECONDS,
+) -> Guard:
     """Return the guard of an instance with ``slots`` from the bundle."""
-    return Guard(limit=float(slots))
+    limits = _limits.new_limit(slots, now, cold, warm_seconds)
+    floors = _floors.new_floors(now)
+    return Guard(limits, floors, sampled=now, ticked=now)
 
 
 def offer(
     guard: Guard, work: _messages.Work, now: float
 ) -> list[_messages.Effect]:
     """Take one arriving attempt: it starts, waits or is turned away."""
+    _floors.note(guard.floors, work.tenant, work.share, work.rank)
     if guard.leaving:
         return [_turn(work, outcomes.Reason.LEAVING)]
     if now >= work.deadline:
         return [_turn(work, outcomes.Reason.DEADLINE_PASSED)]
-    if len(guard.running) >= guard.limit:
-        return [_turn(work, outcomes.Reason.QUEUE_FULL)]
-    guard.running[work.attempt_id] = now
-    return [_messages.Start(work.attempt_id)]
+    if now + _estimate(guard, work, now) > work.deadline:
+        return [_turn(work, outcomes.Reason.DEADLINE_TOO_SHORT)]
+    if not guard.waiting and _has_room(guard, now):
+        return [_start(guard, work, now)]
+    return _wait(guard, work, now)
 
 
 def finish(
     guard: Guard, attempt_id: str, end: _messages.End, now: float
 ) -> list[_messages.Effect]:
     """Note how a started attempt ended; waiting ones may now start."""
-    guard.running.pop(attempt_id, None)
-    return []
+    started = guard.running.pop(attempt_id, None)
+    if started is None:
+        return []
+    work = guard.works.pop(attempt_id)
+    guard.used[work.tenant] -= 1
+    if not guard.used[work.tenant]:
+        del guard.used[work.tenant]
+    taken = now - started
+    if end is _messages.End.DONE:
+        _learn(guard, work, taken, now)
+        _limits.succeeded(guard.limits)
+    elif end is _messages.End.REFUSED:
+        _limits.refused(guard.limits, guard.mean, now)
+    return _dispatch(guard, now)
 
 
 def cancel(
     guard: Guard, attempt_id: str, now: float
 ) -> list[_messages.Effect]:
     """Drop an attempt that nobody waits for; abort it if it started."""
+    guard.waiting.pop(attempt_id, None)
     if attempt_id in guard.running:
         return [_messages.Abort(attempt_id)]
     return []
@@ -60,12 +108,20 @@
 
 def tick(guard: Guard, now: float) -> list[_messages.Effect]:
     """Look again at every deadline; called each 50 ms and after a pause."""
-    return []
+    effects = _expire(guard, now)
+    effects += _overdue(guard, now)
+    effects += _dispatch(guard, now)
+    pressed = now - guard.pressed < PRESSED_SECONDS
+    _floors.look(guard.floors, _admissible(guard, now), pressed, now)
+    guard.ticked = now
+    return effects
 
 
-def floor(guard: Guard, now: float) -> float:
+def floor(guard: Guard, now: float, tenant: str = "") -> float:
     """Return the rank below which this guard refuses now."""
-    return 0.0
+    if now - guard.pressed >= PRESSED_SECONDS:
+        return 0.0
+    return _floors.floor(guard.floors, tenant)
 
 
 def busy(guard: Guard) -> float:
@@ -73,5 +129,116 @@
     return (len(guard.running) + len(guard.waiting)) / max(1.0, guard.limit)
 
 
+def _has_room(guard: Guard, now: float) -> bool:
+    return len(guard.running) + 1 <= _limits.current(guard.limits, now)
+
+
+def _start(guard: Guard, work: _messages.Work, now: float) -> _messages.Effect:
+    guard.running[work.attempt_id] = now
+    guard.works[work.attempt_id] = work
+    guard.used[work.tenant] = guard.used.get(work.tenant, 0) + 1
+    return _messages.Start(work.attempt_id)
+
+
+def _wait(
+    guard: Guard, work: _messages.Work, now: float
+) -> list[_messages.Effect]:
+    if work.rank < floor(guard, now, work.tenant):
+        guard.pressed = now
+        return [_turn(work, outcomes.Reason.SHED_AT_CALLEE)]
+    guard.waiting[work.attempt_id] = _queues.Waiter(work, now)
+    effects = _dispatch(guard, now)
+    if len(guard.waiting) <= max(LEAST_QUEUE, guard.limit):
+        return effects
+    guard.pressed = now
+    out = _queues.least(guard.waiting).work
+    del guard.waiting[out.attempt_id]
+    return effects + [_turn(out, outcomes.Reason.QUEUE_FULL)]
+
+
+def _dispatch(guard: Guard, now: float) -> list[_messages.Effect]:
+    """Start what may start, each deadline looked at again first."""
+    effects: list[_messages.Effect] = []
+    while guard.waiting and _has_room(guard, now):
+        last_in_first = now - guard.pressed < PRESSED_SECONDS
+        waiter = _queues.pick(guard.waiting, guard.used, last_in_first)
+        del guard.waiting[waiter.work.attempt_id]
+        estimate = _estimate(guard, waiter.work, now)
+        if _queues.expired(waiter, now, estimate):
+            effects.append(_expiry(guard, waiter, now))
+        else:
+            effects.append(_start(guard, waiter.work, now))
+    return effects
+
+
+def _expire(guard: Guard, now: float) -> list[_messages.Effect]:
+    late = [
+        waiter
+        for waiter in guard.waiting.values()
+        if _queues.expired(waiter, now, _estimate(guard, waiter.work, now))
+    ]
+    effects = []
+    for waiter in late:
+        del guard.waiting[waiter.work.attempt_id]
+        effects.append(_expiry(guard, waiter, now))
+    return effects
+
+
+def _expiry(
+    guard: Guard, waiter: _queues.Waiter, now: float
+) -> _messages.Effect:
+    guard.pressed = now
+    if now >= waiter.work.deadline:
+        return _turn(waiter.work, outcomes.Reason.DEADLINE_PASSED)
+    return _turn(waiter.work, outcomes.Reason.QUEUE_DELAY)
+
+
+def _overdue(guard: Guard, now: float) -> list[_messages.Effect]:
+    """Abort what runs past its deadline: nobody waits for it.
+
+    Only at the first tick after the deadline, so that an upstream that is
+    slow to stop is told once.
+    """
+    return [
+        _messages.Abort(attempt_id)
+        for attempt_id, work in guard.works.items()
+        if guard.ticked < work.deadline <= now
+    ]
+
+
+def _learn(
+    guard: Guard, work: _messages.Work, taken: float, now: float
+) -> None:
+    known = guard.estimates.get(work.request_class, taken)
+    known += ESTIMATE_WEIGHT * (taken - known)
+    guard.estimates[work.request_class] = known
+    guard.mean += ESTIMATE_WEIGHT * (taken - guard.mean)
+    guard.sampled = now
+
+
+def _estimate(guard: Guard, work: _messages.Work, now: float) -> float:
+    """Return the expected service time of the work.
+
+    It fades when no sample comes: else an instance that was slow once, and
+    for that reason starts nothing, would never be seen to be quick again.
+    """
+    known = guard.estimates.get(work.request_class, 0.0)
+    age = now - guard.sampled
+    return known * math.exp2(-age / ESTIMATE_HALF_LIFE)
+
+
+def _admissible(guard: Guard, now: float) -> float:
+    """Return how many attempts a second callers should send.
+
+    More than is served, by the square root of what is served in the slack
+    time: with arrivals at random, less would leave slots idle.
+    """
+    if guard.mean <= 0.0:
+        return math.inf
+    limit = _limits.current(guard.limits, now)
+    served = limit / guard.mean * SLACK_SECONDS
+    return (served + math.sqrt(served) + 0.5) / SLACK_SECONDS
+
+
 def _turn(work: _messages.Work, reason: outcomes.Reason) -> _messages.Turn:
     return _messages.Turn(work.attempt_id, reason, RETRY_AFTER_FLOOR)
--- a/src/sassafrasstair/decisions/load/_messages.py
+++ b/src/sassafrasstair/decisions/load/_messages.py
@@ -21,6 +21,7 @@
 
     ``rank`` orders by importance and then by caller (``load.rank``);
     greater is shed later. ``queue_limit`` is how long it may wait.
+    ``share`` is the tenant's weight in the bundle.
     """
 
     attempt_id: str
@@ -29,6 +30,7 @@
     rank: float
     deadline: float
     queue_limit: float
+    share: float = 1.0
 
 
 class End(enum.Enum):
