Order the queue by deadline above the marginal level and keep it short

Change: last-in-first-out only at the level that is partly shed; shorter waits while the queue stands; deadlines of the first try in the figures.

--- a/src/sassafrasstair/bench/_model_callers.py
+++ b/src/sassafrasstair/bench/_model_callers.py
@@ -30,8 +30,8 @@
     serial: int
     caller: str
     kind: _overload_mixes.Kind
+    first: float
     repeat: int = 0
-    done: bool = False
 
 
 class Callers:
@@ -57,7 +57,8 @@
         kinds = self._world.mix.kinds
         kind = rng.choices(kinds, self._weights)[0]
         caller = f"caller-{rng.randrange(POPULATION)}"
-        self._try(Request(next(self._serial), caller, kind))
+        now = self._world.timeline.now
+        self._try(Request(next(self._serial), caller, kind, now))
         self._plan_next()
 
     def _try(self, request: Request) -> None:
@@ -66,7 +67,8 @@
         kind = request.kind
         call_id = f"{request.serial}.{request.repeat}"
         rules = world.mix.bundle.classes[kind.name]
-        tried = _model_meters.Try(now, request.repeat, kind.important)
+        deadline = now + rules.deadline_ms / 1000
+        tried = _model_meters.Try(now, request.first, deadline, kind.important)
         world.meter.tries[call_id] = tried
         call = calls.Call(
             call_id,
@@ -74,7 +76,7 @@
             kind.name,
             "main",
             request.caller,
-            now + rules.deadline_ms / 1000,
+            deadline,
             request.repeat,
             rules.retries,
             ticket="ticket" if rules.once else "",
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -17,7 +17,13 @@
 ESTIMATE_HALF_LIFE = 1.0
 ESTIMATE_WEIGHT = 0.2
 PRESSED_SECONDS = 0.5
-LEAST_QUEUE = 4
+LEAST_QUEUE = 8
+QUEUE_PER_SLOT = 2
+# When the queue has not been empty for this long, waiting longer than a
+# few slots take to fall free gains nothing: the queue stands (Nichols and
+# Jacobson, "Controlling Queue Delay", 2012).
+STANDING_SECONDS = 0.3
+STANDING_TURNS = 2.0
 # The time within which the admitted work may exceed what is served, so
 # that a slot that falls free finds one waiting.
 SLACK_SECONDS = 0.1
@@ -39,6 +45,7 @@
     mean: float = 0.0
     sampled: float = 0.0
     pressed: float = -math.inf
+    emptied: float = 0.0
     ticked: float = 0.0
     leaving: bool = False
 
@@ -57,7 +64,7 @@
     """Return the guard of an instance with ``slots`` from the bundle."""
     limits = _limits.new_limit(slots, now, cold, warm_seconds)
     floors = _floors.new_floors(now)
-    return Guard(limits, floors, sampled=now, ticked=now)
+    return Guard(limits, floors, sampled=now, emptied=now, ticked=now)
 
 
 def offer(
@@ -72,6 +79,7 @@
     if now + _estimate(guard, work, now) > work.deadline:
         return [_turn(work, outcomes.Reason.DEADLINE_TOO_SHORT)]
     if not guard.waiting and _has_room(guard, now):
+        guard.emptied = now
         return [_start(guard, work, now)]
     return _wait(guard, work, now)
 
@@ -148,7 +156,7 @@
         return [_turn(work, outcomes.Reason.SHED_AT_CALLEE)]
     guard.waiting[work.attempt_id] = _queues.Waiter(work, now)
     effects = _dispatch(guard, now)
-    if len(guard.waiting) <= max(LEAST_QUEUE, guard.limit):
+    if len(guard.waiting) <= max(LEAST_QUEUE, QUEUE_PER_SLOT * guard.limit):
         return effects
     guard.pressed = now
     out = _queues.least(guard.waiting).work
@@ -159,15 +167,16 @@
 def _dispatch(guard: Guard, now: float) -> list[_messages.Effect]:
     """Start what may start, each deadline looked at again first."""
     effects: list[_messages.Effect] = []
+    marginal = _marginal(guard, now)
     while guard.waiting and _has_room(guard, now):
-        last_in_first = now - guard.pressed < PRESSED_SECONDS
-        waiter = _queues.pick(guard.waiting, guard.used, last_in_first)
+        waiter = _queues.pick(guard.waiting, guard.used, marginal)
         del guard.waiting[waiter.work.attempt_id]
-        estimate = _estimate(guard, waiter.work, now)
-        if _queues.expired(waiter, now, estimate):
+        if _is_late(guard, waiter, now):
             effects.append(_expiry(guard, waiter, now))
         else:
             effects.append(_start(guard, waiter.work, now))
+    if not guard.waiting:
+        guard.emptied = now
     return effects
 
 
@@ -175,7 +184,7 @@
     late = [
         waiter
         for waiter in guard.waiting.values()
-        if _queues.expired(waiter, now, _estimate(guard, waiter.work, now))
+        if _is_late(guard, waiter, now)
     ]
     effects = []
     for waiter in late:
@@ -184,6 +193,23 @@
     return effects
 
 
+def _is_late(guard: Guard, waiter: _queues.Waiter, now: float) -> bool:
+    work = waiter.work
+    patience = math.inf
+    standing = now - guard.emptied >= STANDING_SECONDS
+    if standing and math.floor(work.rank) <= _marginal(guard, now):
+        turn = guard.mean / _limits.current(guard.limits, now)
+        patience = STANDING_TURNS * turn
+    estimate = _estimate(guard, work, now)
+    return _queues.expired(waiter, now, estimate, patience)
+
+
+def _marginal(guard: Guard, now: float) -> int:
+    """Return the level of which a part is shed, -1 if there is none."""
+    value = floor(guard, now)
+    return math.floor(value) if value > 0.0 else -1
+
+
 def _expiry(
     guard: Guard, waiter: _queues.Waiter, now: float
 ) -> _messages.Effect:
--- a/src/sassafrasstair/decisions/load/_queues.py
+++ b/src/sassafrasstair/decisions/load/_queues.py
@@ -19,21 +19,22 @@
 
 
 def pick(
-    waiting: dict[str, Waiter],
-    used: dict[str, int],
-    last_in_first: bool,
+    waiting: dict[str, Waiter], used: dict[str, int], marginal: int
 ) -> Waiter:
     """Return the one to start next: the most important.
 
     Among equals the tenant that uses least of its share goes first; then
-    the last to arrive under overload, else the earliest deadline.
+    the earliest deadline. At the ``marginal`` level, of which a part is
+    being shed, the last to arrive goes first: in order of arrival, all of
+    them would wait nearly as long as they may.
     """
 
     def order(waiter: Waiter) -> tuple[float, float, float]:
         work = waiter.work
+        level = math.floor(work.rank)
         use = used.get(work.tenant, 0) / work.share
-        age = -waiter.since if last_in_first else work.deadline
-        return -math.floor(work.rank), use, age
+        age = -waiter.since if level <= marginal else work.deadline
+        return -level, use, age
 
     return min(waiting.values(), key=order)
 
@@ -43,8 +44,13 @@
     return min(waiting.values(), key=lambda waiter: waiter.work.rank)
 
 
-def expired(waiter: Waiter, now: float, estimate: float) -> bool:
-    """Say whether the waiter waited too long or cannot finish in time."""
+def expired(
+    waiter: Waiter, now: float, estimate: float, patience: float
+) -> bool:
+    """Say whether the waiter waited too long or cannot finish in time.
+
+    ``patience`` in seconds may shorten how long it may wait.
+    """
     work = waiter.work
-    waited = now - waiter.since >= work.queue_limit
+    waited = now - waiter.since >= min(work.queue_limit, patience)
     return waited or now + estimate > work.deadline
