--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -7,6 +7,7 @@
 from sassafrasstair.decisions.calls._entrances import begin
 from sassafrasstair.decisions.calls._entrances import Entrance
 from sassafrasstair.decisions.calls._entrances import floor
+from sassafrasstair.decisions.calls._entrances import floor_below
 from sassafrasstair.decisions.calls._entrances import new_entrance
 from sassafrasstair.decisions.calls._messages import Answer
 from sassafrasstair.decisions.calls._messages import Call
@@ -23,7 +24,6 @@
 from sassafrasstair.decisions.calls._routing import probe_due
 from sassafrasstair.decisions.calls._routing import probed
 from sassafrasstair.decisions.calls._views import choose
-from sassafrasstair.decisions.calls._views import floor_below
 from sassafrasstair.decisions.calls._views import floors
 from sassafrasstair.decisions.calls._views import retry_tokens
 
--- a/src/sassafrasstair/decisions/load/_views.py
+++ b/src/sassafrasstair/decisions/load/_views.py
@@ -4,15 +4,24 @@
 
 import typing
 
+from sassafrasstair.decisions.load import _limits
+
 if typing.TYPE_CHECKING:
     from sassafrasstair.decisions.load import _guards
 
 
-def limit(guard: _guards.Guard) -> float:
+def limit(guard: _guards.Guard, now: float) -> float:
     """Return how many attempts may run at the upstream now."""
-    return guard.limit
+    return _limits.current(guard.limits, now)
+
 
+def resize(guard: _guards.Guard, slots: int) -> None:
+    """Take the slots that a new bundle gives the instance.
 
-def resize(guard: _guards.Guard, slots: int, now: float) -> None:
-    """Take the slots that a bundle gives the instance."""
-    guard.limit = float(slots)
+    What was learnt below the old slots is kept; a limit that stood at the
+    old slots goes to the new ones.
+    """
+    limits = guard.limits
+    at_slots = limits.value >= limits.slots
+    limits.slots = float(slots)
+    limits.value = limits.slots if at_slots else min(limits.value, slots)
--- a/src/sassafrasstair/runtime/_answers.py
+++ b/src/sassafrasstair/runtime/_answers.py
@@ -33,7 +33,9 @@
         reason=outcomes.Reason.NONE.value,
         spent=attempt.spent,
         busy=load.busy(slot.guard),
-        floor=_slots.floor(slot, attempt.run.request_class),
+        floor=_slots.floor(
+            slot, attempt.run.request_class, attempt.run.tenant
+        ),
         status=response.status,
         headers=response.headers,
         body=body,
@@ -60,7 +62,7 @@
         retry_after_ms=int(after * 1000),
         spent=spent,
         busy=load.busy(slot.guard),
-        floor=_slots.floor(slot, message.request_class),
+        floor=_slots.floor(slot, message.request_class, message.tenant),
     )
 
 
@@ -94,7 +96,7 @@
         outcome=_Outcome.DONE.value,
         reason=outcomes.Reason.NONE.value,
         busy=load.busy(slot.guard),
-        floor=_slots.floor(slot, message.request_class),
+        floor=_slots.floor(slot, message.request_class, message.tenant),
         status=result.status,
         headers=tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -274,8 +274,7 @@
     counts.adopt(bundle)
     service = bundle.services.get(slot.service)
     if service is not None:
-        now = slot.clock.monotonic()
-        load.resize(slot.guard, service.slots, now)
+        _size(slot, service)
     logs.event(
         _LOG,
         logging.INFO,
@@ -285,6 +284,22 @@
     )
 
 
+def _size(slot: _slots.Slot, service: bundles.Service) -> None:
+    if slot.sized:
+        load.resize(slot.guard, service.slots)
+        return
+    # The first bundle: nothing can have run before it.
+    slot.sized = True
+    leaving = slot.guard.leaving
+    slot.guard = load.new_guard(
+        service.slots,
+        slot.clock.monotonic(),
+        cold=service.cold_start_ms > 0,
+        warm_seconds=service.cold_start_ms / 1000,
+    )
+    slot.guard.leaving = leaving
+
+
 def _in_force(node: fleet.Node, clock: clocks.Clock) -> bundles.Bundle | None:
     if not fleet.ready(node, clock.monotonic()):
         return None
@@ -350,13 +365,15 @@
     bundle: typing.Callable[[], bundles.Bundle | None],
     clock: clocks.Clock,
     request_class: str,
+    tenant: str,
 ) -> float:
     current = bundle()
     if current is None or service not in current.services:
         return 0.0
-    below = current.services[service].calls
     now = clock.monotonic()
-    return calls.floor_below(entrance, below, request_class, now)
+    return calls.floor_below(
+        entrance, current, service, request_class, now, tenant
+    )
 
 
 def _callers_app(daemon: Daemon) -> typing.Any:
--- a/src/sassafrasstair/runtime/_slots.py
+++ b/src/sassafrasstair/runtime/_slots.py
@@ -26,8 +26,8 @@
 class Slot:
     """State of the callee's side of one daemon.
 
-    ``floor_below`` gives, for a class, the greatest shed floor that this
-    VM's own calls have met further down the chain. ``joins`` maps a
+    ``floor_below`` gives, for a class and a tenant, the greatest shed floor
+    that this VM's own calls have met further down the chain. ``joins`` maps a
     running ticket to the event of its end, ``arrivals`` an attempt whose
     body came first to the event of its own arrival.
     """
@@ -39,7 +39,7 @@
     owner: once.Owner
     upstream: upstreams.Upstream
     bundle: abc.Callable[[], bundles.Bundle | None]
-    floor_below: abc.Callable[[str], float]
+    floor_below: abc.Callable[[str, str], float]
     pauses: calls.Pauses
     attempts: dict[str, _attempts.Attempt] = dataclasses.field(
         default_factory=dict
@@ -49,6 +49,7 @@
         default_factory=dict
     )
     large_bodies: int = 0
+    sized: bool = False
     doubled: int = 0
 
 
@@ -137,10 +138,10 @@
     return told
 
 
-def floor(slot: Slot, request_class: str) -> float:
+def floor(slot: Slot, request_class: str, tenant: str) -> float:
     """Return the shed floor that answers for the class carry now."""
-    own = load.floor(slot.guard, slot.clock.monotonic())
-    return max(own, slot.floor_below(request_class))
+    own = load.floor(slot.guard, slot.clock.monotonic(), tenant)
+    return max(own, slot.floor_below(request_class, tenant))
 
 
 def remaining(slot: Slot, attempt: _attempts.Attempt) -> float:
--- a/src/sassafrasstair/runtime/_tickets.py
+++ b/src/sassafrasstair/runtime/_tickets.py
@@ -22,7 +22,7 @@
     Overload is met here, before the caller depends on a ticket: a request
     that holds one is not shed at an entrance.
     """
-    floor = _slots.floor(slot, ask.request_class)
+    floor = _slots.floor(slot, ask.request_class, ask.tenant)
     answer = _decide(slot, ask, floor)
     if isinstance(answer, once.Issued):
         return _given(slot, answer, floor)
