--- a/src/sassafrasstair/decisions/calls/_views.py
+++ b/src/sassafrasstair/decisions/calls/_views.py
@@ -5,6 +5,7 @@
 import typing
 
 from sassafrasstair.decisions.calls import _entrances
+from sassafrasstair.decisions.calls import _floors
 from sassafrasstair.decisions.calls import _routing
 
 if typing.TYPE_CHECKING:
@@ -27,40 +28,14 @@
 
 def floors(
     entrance: _entrances.Entrance, now: float
-) -> dict[tuple[str, str], float]:
-    """Return the floor heard from each (service, class)."""
+) -> dict[tuple[str, str, str], float]:
+    """Return the floor heard of each (service, class, tenant)."""
     return {
-        (service, request_class): _entrances.floor(
-            entrance, service, request_class, now
-        )
-        for service, request_class in entrance.floors
+        key: _floors.of_service(entrance.floors, key, now)
+        for key in list(entrance.floors.heard)
     }
 
 
-def floor_below(
-    entrance: _entrances.Entrance,
-    services: abc.Iterable[str],
-    request_class: str,
-    now: float,
-) -> float:
-    """Return the greatest floor heard from ``services`` for a class.
-
-    ``services`` are those that this VM's own upstream calls. Its daemon's
-    answers pass the floor on, so that the first entrance of the chain
-    refuses what the last service would. Floors heard from other services,
-    for callers that use this daemon as their entrance, stay out: two
-    daemons that enter calls to each other would keep a floor alive for
-    ever.
-    """
-    return max(
-        (
-            _entrances.floor(entrance, service, request_class, now)
-            for service in services
-        ),
-        default=0.0,
-    )
-
-
 def retry_tokens(entrance: _entrances.Entrance) -> dict[str, float]:
     """Return what is left of the retry budget towards each service."""
     return {
--- a/src/sassafrasstair/runtime/_status.py
+++ b/src/sassafrasstair/runtime/_status.py
@@ -97,7 +97,7 @@
     service = bundle.services.get(slot.service) if bundle else None
     return operators.Instance(
         slots=service.slots if service else 0,
-        limit=load.limit(slot.guard),
+        limit=load.limit(slot.guard, slot.clock.monotonic()),
         running=len(slot.guard.running),
         waiting=len(slot.guard.waiting),
         shed_floor=load.floor(slot.guard, slot.clock.monotonic()),
@@ -110,10 +110,7 @@
     return operators.Entrance(
         in_flight=entry.in_flight,
         retry_tokens=calls.retry_tokens(entry.entrance),
-        shed_floors={
-            f"{service}/{request_class}": floor
-            for (service, request_class), floor in floors.items()
-        },
+        shed_floors={"/".join(key): floor for key, floor in floors.items()},
     )
 
 
--- a/tests/runtime/test_early_part.py
+++ b/tests/runtime/test_early_part.py
@@ -41,7 +41,7 @@
         owner=once.new_owner("intake-1", "i", bytes(32), 1),
         upstream=upstreams.connect("http://127.0.0.1:1"),
         bundle=lambda: None,
-        floor_below=lambda _: 0.0,
+        floor_below=lambda _class, _tenant: 0.0,
         pauses=calls.Pauses(0.0),
     )
 
