Measure what a hop adds, in real processes

Cause: no figure said what two daemons add to a call. Change: sassafras-bench hop calls an upstream directly and through two daemons in turn, in one run, and prints added p50 and p99, processor time for a call and resident memory; examples/hop.sh starts the processes.

--- a/src/sassafrasstair/console/bench.py
+++ b/src/sassafrasstair/console/bench.py
@@ -1,17 +1,19 @@
-"""``sassafras-bench``: measure the decisions."""
+"""``sassafras-bench``: measurements."""
 
 from __future__ import annotations
 
 import click
 
+from sassafrasstair.console.commands.bench import hop
 from sassafrasstair.console.commands.bench import overload
 
 
 @click.group()
 def main() -> None:
-    """Measure the decisions on a virtual clock."""
+    """Measure the decisions on a virtual clock, and real processes."""
 
 
+main.add_command(hop.hop)
 main.add_command(overload.overload)
 
 
--- /dev/null
+++ b/src/sassafrasstair/console/commands/bench/hop.py
@@ -0,0 +1,76 @@
+"""``sassafras-bench hop``: what two daemons add to a call."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+
+import click
+
+from sassafrasstair.bench import _hop
+
+
+@click.command()
+@click.option("--direct", required=True, help="URL at the upstream itself.")
+@click.option("--through", required=True, help="URL at the entrance.")
+@click.option("--class", "request_class", required=True)
+@click.option("--pid", "pids", type=int, multiple=True, help="Of a daemon.")
+@click.option("--rate", default=160.0, show_default=True)
+@click.option("--seconds", default=5.0, show_default=True)
+@click.option("--rounds", default=5, show_default=True)
+def hop(
+    direct: str,
+    through: str,
+    request_class: str,
+    pids: tuple[int, ...],
+    rate: float,
+    seconds: float,
+    rounds: int,
+) -> None:
+    """Call directly and through daemons in turn; JSON on the last line.
+
+    Start the processes first, for example with examples/hop.sh.
+    """
+    headers = {
+        "Sassafras-Class": request_class,
+        "Sassafras-Caller": "bench",
+    }
+    plan = _hop.Plan(direct, through, headers, pids, rate, seconds, rounds)
+    measured = asyncio.run(_hop.measure(plan))
+    figures = {
+        "direct_p50_ms": [one.direct_p50 for one in measured],
+        "direct_p99_ms": [one.direct_p99 for one in measured],
+        "added_p50_ms": [one.added_p50 for one in measured],
+        "added_p99_ms": [one.added_p99 for one in measured],
+        "ratio_p50": [one.through_p50 / one.direct_p50 for one in measured],
+    }
+    for number, pid in enumerate(pids):
+        figures[f"cpu_ms_per_call_{number}"] = [
+            one.cpu[number] for one in measured
+        ]
+        figures[f"resident_mb_{number}"] = [
+            _hop.resident_kilobytes(pid) / 1000
+        ]
+    _show(figures, sum(one.failed for one in measured), plan)
+
+
+def _show(
+    figures: dict[str, list[float]], failed: int, plan: _hop.Plan
+) -> None:
+    click.echo(f"{'figure':24}{'median':>10}{'least':>10}{'greatest':>10}")
+    result: dict[str, object] = {
+        "rate": plan.rate,
+        "rounds": plan.rounds,
+        "failed": failed,
+    }
+    for name, values in figures.items():
+        one = _hop.spread(values)
+        click.echo(
+            f"{name:24}{one.median:10.3f}{one.least:10.3f}{one.greatest:10.3f}"
+        )
+        result[name] = {
+            key: round(value, 4)
+            for key, value in dataclasses.asdict(one).items()
+        }
+    click.echo(json.dumps(result))
