--- /dev/null
+++ b/src/sassafrasstair/bench/_model_meters.py
@@ -0,0 +1,38 @@
+"""What is counted in one run."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Try:
+    """One try of a caller's request, and what became of it.
+
+    ``first`` is the time of the request's first try, ``deadline`` that of
+    this one's end; ``done_at`` is 0 until a whole answer came, and
+    ``work`` is the stretch that the deepest service worked on it.
+    """
+
+    arrived: float
+    first: float
+    deadline: float
+    important: bool
+    done_at: float = 0.0
+    work: tuple[float, float] = (0.0, 0.0)
+
+    @property
+    def repeated(self) -> bool:
+        """Whether an earlier try of the request failed."""
+        return self.arrived > self.first
+
+
+@dataclasses.dataclass(slots=True)
+class Meter:
+    """Tries, and calls for each (try, service)."""
+
+    tries: dict[str, Try] = dataclasses.field(default_factory=dict)
+    calls: collections.Counter[tuple[str, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
--- a/src/sassafrasstair/decisions/fleet/_queries.py
+++ b/src/sassafrasstair/decisions/fleet/_queries.py
@@ -21,11 +21,6 @@
     return node.settled and node.in_force is not None
 
 
-def leaving(node: _states.Node) -> bool:
-    """Return whether this VM leaves, by its own word or the VM list's."""
-    return node.members[node.me.vm].leaving
-
-
 def address_of(node: _states.Node, vm: str) -> str | None:
     """Return the "IP:port" of the daemon on ``vm``, None if unknown."""
     member = node.members.get(vm)
@@ -38,6 +33,11 @@
     return "" if member is None else member.incarnation
 
 
+def is_leaving(node: _states.Node) -> bool:
+    """Return whether this VM is known to be leaving, whoever said so."""
+    return node.members[node.me.vm].leaving
+
+
 def status(node: _states.Node) -> dict[str, typing.Any]:
     """Return what ``sassafras status`` shows of the fleet, as JSON has."""
     lives = [member.life for member in node.members.values()]
--- /dev/null
+++ b/src/sassafrasstair/decisions/load/_queues.py
@@ -0,0 +1,56 @@
+"""The short queue of attempts that wait for a free slot."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair.decisions.load import _messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiter:
+    """One waiting attempt and when it arrived."""
+
+    work: _messages.Work
+    since: float
+
+
+def pick(
+    waiting: dict[str, Waiter], used: dict[str, int], marginal: int
+) -> Waiter:
+    """Return the one to start next: the most important.
+
+    Among equals the tenant that uses least of its share goes first; then
+    the earliest deadline. At the ``marginal`` level, of which a part is
+    being shed, the last to arrive goes first: in order of arrival, all of
+    them would wait nearly as long as they may.
+    """
+
+    def order(waiter: Waiter) -> tuple[float, float, float]:
+        work = waiter.work
+        level = math.floor(work.rank)
+        use = used.get(work.tenant, 0) / work.share
+        age = -waiter.since if level <= marginal else work.deadline
+        return -level, use, age
+
+    return min(waiting.values(), key=order)
+
+
+def least(waiting: dict[str, Waiter]) -> Waiter:
+    """Return the one to turn away when the queue is full."""
+    return min(waiting.values(), key=lambda waiter: waiter.work.rank)
+
+
+def expired(
+    waiter: Waiter, now: float, estimate: float, patience: float
+) -> bool:
+    """Say whether the waiter waited too long or cannot finish in time.
+
+    ``patience`` in seconds may shorten how long it may wait.
+    """
+    work = waiter.work
+    waited = now - waiter.since >= min(work.queue_limit, patience)
+    return waited or now + estimate > work.deadline
--- a/src/sassafrasstair/metrics.py
+++ b/src/sassafrasstair/metrics.py
@@ -51,7 +51,7 @@
 a class go to ``other``, so that a bundle with thousands of tenants costs
 neither memory nor a long rendering."""
 
-CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+CONTENT_TYPE = "text/plain; version=0.0.4"
 _PREFIX = "sassafrasstair_"
 _HEADER_LINES = 2
 _SERIES_A_PART = 2
@@ -216,6 +216,10 @@
         """Return the sum of one counter over all labels."""
         return sum(self._counts[count].values())
 
+    def totals(self) -> dict[str, int]:
+        """Return the sum of each counter, for the status of a daemon."""
+        return {count.name.lower(): self.count(count) for count in Count}
+
     def render_parts(self) -> abc.Iterator[bytes]:
         """Yield the Prometheus text in parts of a millisecond or so."""
         yield _render(self._gauge_collectors())
--- /dev/null
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -0,0 +1,187 @@
+"""One request to the VM's own upstream, over HTTP.
+
+By aiohttp and not httpx: docs/MEASUREMENTS.md has the comparison that
+decided it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import aiohttp
+import yarl
+
+from sassafrasstair import outcomes
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+OUTCOME_HEADER = "sassafras-outcome"
+NOT_RUN_VALUES = frozenset({"not-run", "not run"})
+CONNECT_TIMEOUT = 1.0
+KEEPALIVE_SECONDS = 30.0
+REFUSED_STATUS = 503
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_NEVER_SENT = HOP_BY_HOP | {"host"}
+
+
+class UpstreamError(Exception):
+    """The upstream gave no whole answer.
+
+    ``outcome`` says what is known of the request's execution there.
+    """
+
+    def __init__(
+        self, outcome: outcomes.Outcome, reason: outcomes.Reason
+    ) -> None:
+        """Keep the outcome and the sentinel reason."""
+        super().__init__(reason.value)
+        self.outcome = outcome
+        self.reason = reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request for the upstream; ``body`` may be read once."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | abc.AsyncIterator[bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """The head of the upstream's answer; ``chunks`` gives its body.
+
+    ``chunks`` raises ``UpstreamError`` when the body is cut short.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    chunks: abc.AsyncIterator[bytes]
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """The connection pool to the VM's upstream."""
+
+    url: str
+    session: aiohttp.ClientSession
+
+
+def connect(url: str) -> Upstream:
+    """Return a pool of connections to the upstream; on a running loop.
+
+    It has no limit of its own: the guard's concurrency limit, which the
+    bundle sets far below the upstream's connections, is the one limit.
+    """
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=KEEPALIVE_SECONDS
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT
+        ),
+    )
+    # Failure: a once-only PUT runs twice. The library sends a request with
+    # an idempotent method again when a reused connection closes without an
+    # answer; the upstream may have run it by then. What is lost is unknown
+    # here, and only the decisions may retry.
+    session._retry_connection = False
+    return Upstream(url.rstrip("/"), session)
+
+
+async def send(upstream: Upstream, request: Request) -> Response:
+    """Send one request and return the head of its answer.
+
+    Raises ``UpstreamError``. Its outcome is ``NOT_RUN`` only when no
+    connection was had, so that no byte reached the upstream, or when the
+    upstream itself said so.
+    """
+    try:
+        answer = await upstream.session.request(
+            request.method,
+            yarl.URL(upstream.url + request.path, encoded=True),
+            headers=_wire_headers(request),
+            data=request.body,
+            allow_redirects=False,
+        )
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        raise UpstreamError(
+            outcomes.Outcome.NOT_RUN, outcomes.Reason.UPSTREAM_UNREACHABLE
+        ) from error
+    except (aiohttp.ClientError, ValueError) as error:
+        raise UpstreamError(
+            outcomes.Outcome.UNKNOWN, outcomes.Reason.UPSTREAM_LOST
+        ) from error
+    if answer.status == REFUSED_STATUS:
+        _raise_refusal(answer)
+    return Response(answer.status, _headers(answer), _chunks(answer))
+
+
+async def close(upstream: Upstream) -> None:
+    """Close the pool."""
+    await upstream.session.close()
+
+
+def _wire_headers(request: Request) -> list[tuple[str, str]]:
+    left_out = _NEVER_SENT
+    if isinstance(request.body, bytes):
+        left_out = _NEVER_SENT | {"content-length"}
+    return [
+        (name, value)
+        for name, value in request.headers
+        if name not in left_out
+    ]
+
+
+def _raise_refusal(answer: aiohttp.ClientResponse) -> typing.NoReturn:
+    said = answer.headers.get(OUTCOME_HEADER, "")
+    answer.close()
+    known = said in NOT_RUN_VALUES
+    raise UpstreamError(
+        outcomes.Outcome.NOT_RUN if known else outcomes.Outcome.UNKNOWN,
+        outcomes.Reason.UPSTREAM_REFUSED,
+    )
+
+
+def _headers(answer: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (lowered, value)
+        for name, value in answer.headers.items()
+        if (lowered := name.lower()) not in HOP_BY_HOP
+    )
+
+
+async def _chunks(
+    answer: aiohttp.ClientResponse,
+) -> abc.AsyncIterator[bytes]:
+    try:
+        async for chunk in answer.content.iter_any():
+            yield chunk
+    except aiohttp.ClientError as error:
+        raise UpstreamError(
+            outcomes.Outcome.UNKNOWN, outcomes.Reason.ANSWER_CUT_SHORT
+        ) from error
+    finally:
+        # Closes the connection if the body was not read to its end.
+        answer.release()
