Say "not run" only where no attempt can have run

Cause: in a test with real processes the owner of a binding was killed in its middle; the broker's repeat through the other daemon was told "not run", for its send found the owner unreachable, though the first use had run. The same was found by reading in two more places: an upstream's repeat of a once-only call down the chain counted as a first use, and a retry's refusal hid that the attempt before it was lost.

Ruled out: the link (it had sent nothing on the repeat, which is true but says nothing of the first use) and the owner's records (gone with it).

Change: for a ticket only the owner's answer may say "not run" of a later use; a child ticket's second use is told as a repeat; one lost attempt leaves the whole call unknown.

--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -27,10 +27,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Pending:
-    """One call under way at this entrance."""
+    """One call under way at this entrance.
+
+    ``lost`` is set once an attempt ended without its outcome known.
+    """
 
     call: _messages.Call
     rank: float
+    lost: bool = False
     tried: list[str] = dataclasses.field(default_factory=list)
     attempt_id: str = ""
     sent: float = 0.0
@@ -114,6 +118,8 @@
         told = answer.load.floor
         _floors.hear(entrance.floors, key_of_floor, vm, told, now)
     pending.spent += _spent(pending, answer)
+    lost = answer.outcome is outcomes.Outcome.UNKNOWN
+    pending.lost = pending.lost or lost
     budget = _budget(entrance, bundle, call.service)
     if answer.outcome is outcomes.Outcome.DONE:
         _retries.earn(budget, bundle.retry_budget)
@@ -126,7 +132,7 @@
             return effect
     del entrance.pending[key]
     return _messages.Refuse(
-        answer.outcome,
+        _outcome_of_all(pending, answer),
         answer.reason,
         _come_back(bundle, call, answer, rng),
         pending.spent,
@@ -221,6 +227,15 @@
     )
 
 
+def _outcome_of_all(
+    pending: Pending, answer: _messages.Answer
+) -> outcomes.Outcome:
+    # Failure: the first attempt ran and was lost, the second was refused,
+    # and the caller was told "not run". One lost attempt leaves the whole
+    # call unknown.
+    return outcomes.Outcome.UNKNOWN if pending.lost else answer.outcome
+
+
 def _spent(pending: Pending, answer: _messages.Answer) -> int:
     """Return the retries used further down.
 
--- a/src/sassafrasstair/runtime/_entrance.py
+++ b/src/sassafrasstair/runtime/_entrance.py
@@ -189,7 +189,11 @@
             entry, progress.vm, progress.answer, ready.call.deadline
         )
     outcome = effect.outcome
-    if ready.call.ticket and not progress.attempt_id:
+    not_run = outcome is _Outcome.NOT_RUN
+    # Failure: a binding ran, its owner died, and the caller's repeat was
+    # told "not run" because the owner could not be reached. Only the owner
+    # can say that of a ticket that was used before.
+    if ready.call.ticket and not_run and progress.answer is None:
         outcome = once.entrance_refusal(
             ready.call.repeat, effect.reason
         ).outcome
--- a/src/sassafrasstair/runtime/_entries.py
+++ b/src/sassafrasstair/runtime/_entries.py
@@ -159,9 +159,14 @@
     return Ready(call, bundle, parent, None)
 
 
-def with_child_ticket(ready: Ready, ticket: str) -> Ready | callers.Refusal:
-    """Return a child call of once-only work with its own ticket."""
-    call = dataclasses.replace(ready.call, ticket=ticket)
+def with_child_ticket(
+    ready: Ready, ticket: str, repeat: int
+) -> Ready | callers.Refusal:
+    """Return a child call of once-only work with its own ticket.
+
+    ``repeat`` is 0 for the ticket's first use.
+    """
+    call = dataclasses.replace(ready.call, ticket=ticket, repeat=repeat)
     return _with_owner(call, ready.bundle, ready.parent)
 
 
--- a/src/sassafrasstair/standins/_http.py
+++ b/src/sassafrasstair/standins/_http.py
@@ -41,18 +41,18 @@
 
         Raises ``NotSent`` or ``Lost``. The library sends no POST again.
         """
-        return await self._request("POST", url, headers, body, timeout)
+        return await self.request("POST", url, headers, body, timeout)
 
     async def get(self, url: str, timeout: float) -> Answer:
         """Read one page; raises as ``post``."""
-        return await self._request("GET", url, {}, None, timeout)
+        return await self.request("GET", url, {}, None, timeout)
 
     async def close(self) -> None:
         """Close all connections."""
         if self._session is not None:
             await self._session.close()
 
-    async def _request(
+    async def request(
         self,
         method: str,
         url: str,
@@ -60,6 +60,7 @@
         body: bytes | None,
         timeout: float,
     ) -> Answer:
+        """Send any request; raises as ``post``."""
         session = self._session or _open()
         self._session = session
         try:
--- /dev/null
+++ b/tests/runtime/test_child_repeat.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+import asyncio
+import types
+import typing
+
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import once
+from sassafrasstair.runtime import _children
+from sassafrasstair.runtime import _entries
+
+
+def test_second_use_of_a_child_ticket_is_a_repeat() -> None:
+    """A write-down's entry runs, and its upstream is told "not run".
+
+    The upstream repeats its call down the chain after the first one was
+    lost. The callee's daemon is gone by then, which says nothing of the
+    first use, so the entrance must know that this is a later one.
+    """
+    owner = once.new_owner("poster-1", "i", bytes(32), 10)
+    parent = once.issue(owner, "poster", "write-down", 60.0, 0.0)
+    assert isinstance(parent, once.Issued)
+    once.arrive(owner, parent.ticket, "write-down", 0.0)
+    ledger = once.new_owner("ledger-1", "i", bytes(32), 10)
+    child = once.issue(ledger, "ledger", "write-down", 60.0, 0.0)
+    assert isinstance(child, once.Issued)
+    once.adopt(owner, parent.ticket, "ledger", "", child.ticket)
+    attempt = types.SimpleNamespace(
+        run=types.SimpleNamespace(ticket=parent.ticket)
+    )
+    call = calls.Call("1", "ledger", "write-down", "t", "c", 9.0)
+    ready = _entries.Ready(
+        call, typing.cast("typing.Any", None), _any(attempt), None
+    )
+    entry = types.SimpleNamespace(slot=types.SimpleNamespace(owner=owner))
+    request = types.SimpleNamespace(fields=types.SimpleNamespace(child_key=""))
+    used = asyncio.run(
+        _children.with_ticket(_any(entry), ready, _any(request))
+    )
+    assert isinstance(used, _entries.Ready)
+    assert (used.call.ticket, used.call.repeat) == (child.ticket, 1)
+
+
+def _any(stub: types.SimpleNamespace) -> typing.Any:
+    return stub
