Fuzz the decision cores and keep repeats of a ticket truthful

Cause: four daemons' cores on a virtual clock, with kills, pauses, cuts, doubled and late messages, found 'not run' told of a write-down that ran: a repeat that could not reach its ticket's owner was refused as not run by the entrance, while the earlier use was still on its way. Ruled out: the owner (its records were right) and the repeat's transport (it had sent nothing, so 'not run' was true of the repeat alone).

--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -16,6 +16,7 @@
 from sassafrasstair.decisions.calls import _retries
 from sassafrasstair.decisions.calls import _routing
 from sassafrasstair.decisions import load
+from sassafrasstair.decisions import once
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
@@ -126,7 +127,7 @@
             return effect
     del entrance.pending[key]
     return _messages.Refuse(
-        answer.outcome,
+        _outcome(call, answer),
         answer.reason,
         _come_back(bundle, call, answer, rng),
         pending.spent,
@@ -233,6 +234,21 @@
     return answer.spent
 
 
+def _outcome(
+    call: _messages.Call, answer: _messages.Answer
+) -> outcomes.Outcome:
+    """Return what the caller may be told of an attempt that failed.
+
+    Failure: a repeat cannot reach its ticket's owner, its caller is told
+    "not run", and the earlier use, still on its way, runs. Without the
+    owner's own word "not run" holds for a first use alone.
+    """
+    not_run = answer.outcome is outcomes.Outcome.NOT_RUN
+    if not (call.ticket and not_run) or answer.incarnation:
+        return answer.outcome
+    return once.entrance_refusal(call.repeat, answer.reason).outcome
+
+
 def _may_retry(
     bundle: bundles.Bundle,
     pending: Pending,
@@ -280,4 +296,7 @@
     rng: random.Random,
 ) -> _messages.Refuse:
     after = _retries.retry_after(rules.refusal, call.repeat, rng)
-    return _messages.Refuse(outcomes.Outcome.NOT_RUN, reason, after)
+    outcome = outcomes.Outcome.NOT_RUN
+    if call.ticket:
+        outcome = once.entrance_refusal(call.repeat, reason).outcome
+    return _messages.Refuse(outcome, reason, after)
--- /dev/null
+++ b/tests/fuzz/daemons.py
@@ -0,0 +1,454 @@
+"""One daemon of a virtual world: the decision cores and what joins them."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import random
+import typing
+
+from sassafrasstair import bundles
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import fleet
+from sassafrasstair.decisions import load
+from sassafrasstair.decisions import once
+from sassafrasstair import outcomes
+from tests.fuzz import upstreams
+from tests.fuzz import worlds
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+CANCELLED = once.Unknown(outcomes.Reason.CANCELLED)
+STEP = 0.05
+FLEET_EVERY = 5
+Reply = typing.Callable[[tuple[calls.Answer, bytes]], None]
+Tell = typing.Callable[[outcomes.Outcome, outcomes.Reason, bytes], object]
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One attempt at its callee, and who waits for its end."""
+
+    call: calls.Call
+    work: int
+    replies: dict[str, Reply]
+
+
+class Daemon:
+    def __init__(self, world: worlds.World, vm: str) -> None:
+        world.starts += 1
+        self.world = world
+        self.record = worlds.record(vm)
+        self.incarnation = f"{world.starts:06d}"
+        self.rng = random.Random(world.rng.random())
+        self.skew = self.rng.uniform(0.0, 1000.0)
+        self.alive, self.stopping = True, False
+        self.paused_until = 0.0
+        self.steps = 0
+        self.watch_failed, self.watched = False, 0
+        self.bundle: bundles.Bundle | None = None
+        self.calls: dict[str, tuple[int, Tell]] = {}
+        self.bodies: dict[str, bytes] = {}
+        self.attempts: dict[str, Attempt] = {}
+        now = self.now
+        self.node = fleet.new_node(
+            self.record,
+            self.incarnation,
+            worlds.VMS,
+            worlds.verify,
+            now,
+            self.rng,
+        )
+        self.entrance = calls.new_entrance(
+            self.incarnation, self.record.failure_domain, "r"
+        )
+        self.guard = load.new_guard(4, now, cold=True)
+        self.owner = once.new_owner(
+            vm, self.incarnation, self.rng.randbytes(16), 64
+        )
+        world.daemons[vm] = self
+        self.step()
+
+    @property
+    def now(self) -> float:
+        return self.world.now + self.skew
+
+    def at(self, delay: float, action: abc.Callable[[], object]) -> None:
+        self.world.at(delay, action, self)
+
+    def step(self) -> None:
+        self.steps += 1
+        self.guarded(load.tick(self.guard, self.now))
+        if self.steps % FLEET_EVERY == 0:
+            self.carry_out(fleet.tick(self.node, self.now, self.rng))
+            once.expire(self.owner, self.now)
+            self.watch()
+        leaving = self.node.members[self.record.vm].leaving
+        self.guard.leaving = self.guard.leaving or leaving
+        busy = self.guard.running or self.guard.waiting or self.calls
+        if self.stopping and not busy and not self.attempts:
+            self.alive = False
+            self.world.note(f"{self.record.vm} stopped")
+        else:
+            self.at(STEP, self.step)
+
+    def stop(self) -> None:
+        self.stopping = self.guard.leaving = True
+        once.stop_issuing(self.owner)
+        self.carry_out(fleet.set_leaving(self.node, self.now, self.rng))
+
+    # The fleet.
+
+    def carry_out(self, effects: abc.Iterable[fleet.Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, fleet.Exchange):
+                self.exchange(effect)
+            elif isinstance(effect, fleet.Watch):
+                self.watched = 0
+            elif isinstance(effect, fleet.ReadPlatform):
+                self.at(effect.delay, self.read)
+            elif isinstance(effect, fleet.InForce):
+                self.take_in_force(effect.bundle)
+
+    def exchange(self, effect: fleet.Exchange) -> None:
+        state = {"open": True}
+
+        def serve(peer: Daemon, reply: abc.Callable[[bytes], None]) -> None:
+            message = fleet.decode(fleet.encode(effect.message))
+            answer, effects = fleet.handle(
+                peer.node, message, peer.now, peer.rng
+            )
+            peer.carry_out(effects)
+            if answer is not None:
+                reply(fleet.encode(answer))
+
+        def replied(daemon: Daemon, text: bytes) -> None:
+            if daemon is self and state.pop("open", False):
+                message = fleet.decode(text)
+                self.carry_out(
+                    fleet.replied(
+                        self.node, effect.address, message, self.now, self.rng
+                    )
+                )
+
+        def failed(sent: bool) -> None:
+            if state.pop("open", False):
+                self.carry_out(
+                    fleet.unreachable(
+                        self.node, effect.address, self.now, self.rng
+                    )
+                )
+
+        self.world.request(
+            self, effect.address, serve, replied, failed, effect.timeout
+        )
+
+    def watch(self) -> None:
+        view = self.world.platform.view(self.record.failure_domain)
+        if not self.node.watching or self.watch_failed:
+            return
+        if view is None:
+            self.watch_failed = True
+            self.carry_out(
+                fleet.platform_failed(self.node, self.now, self.rng)
+            )
+        elif view[0] != self.watched:
+            self.read()
+
+    def read(self) -> None:
+        self.world.platform.reads += 1
+        view = self.world.platform.view(self.record.failure_domain)
+        if view is None:
+            self.carry_out(
+                fleet.platform_failed(self.node, self.now, self.rng)
+            )
+            return
+        self.watch_failed = False
+        self.watched, texts, records = view
+        index = self.watched
+        node, now, rng = self.node, self.now, self.rng
+        self.carry_out(
+            fleet.platform_vms(node, list(records), index, now, rng)
+        )
+        self.carry_out(
+            fleet.platform_bundles(node, list(texts), index, now, rng)
+        )
+
+    def take_in_force(self, bundle: bundles.Bundle) -> None:
+        before, self.bundle = self.bundle, bundle
+        if before and fleet.bundle_id(before) >= fleet.bundle_id(bundle):
+            self.world.oracle.faults.append(f"{self.record.vm} reverted")
+        self.world.note(f"{self.record.vm} in force v{bundle.version}")
+
+    # The entrance.
+
+    def take_ticket(
+        self, request_class: str, got: abc.Callable[[str], object]
+    ) -> None:
+        """Take a ticket from an instance; ``got`` is told "" of a failure."""
+        service = "poster" if request_class == "write-down" else "ledger"
+        targets = fleet.targets(self.node, service, self.now)
+        if not targets:
+            got("")
+            return
+
+        def serve(owner: Daemon, reply: abc.Callable[[str], None]) -> None:
+            issued = once.issue(
+                owner.owner,
+                service,
+                request_class,
+                worlds.LIFETIME,
+                owner.now,
+            )
+            reply(issued.ticket if isinstance(issued, once.Issued) else "")
+
+        def replied(daemon: Daemon, ticket: str) -> None:
+            if daemon is self:
+                got(ticket)
+
+        vm = self.rng.choice(targets).vm
+        self.world.request(self, vm, serve, replied, lambda _: got(""), 1.0)
+
+    def begin(self, call: calls.Call, work: int, tell: Tell) -> str:
+        """Take a call; return its key at this entrance, or ""."""
+        if not self.bundle or not fleet.ready(self.node, self.now):
+            tell(*self.refusal(call, outcomes.Reason.NO_BUNDLE))
+            return ""
+        targets = fleet.targets(self.node, call.service, self.now)
+        if self.bundle.classes[call.request_class].once:
+            name = once.parse(call.ticket)
+            assert name is not None
+            known = fleet.incarnation_of(self.node, name.vm)
+            if known > name.incarnation:
+                tell(*self.refusal(call, outcomes.Reason.OWNER_GONE))
+                return ""
+            targets = (calls.Target(name.vm, call.service, name.vm[-1], "r"),)
+        key, effect = calls.begin(
+            self.entrance, self.bundle, call, targets, self.now, self.rng
+        )
+        if key:
+            self.calls[key] = (work, tell)
+        self.act(key, call, work, effect, tell)
+        return key
+
+    def refusal(
+        self, call: calls.Call, reason: outcomes.Reason
+    ) -> tuple[outcomes.Outcome, outcomes.Reason, bytes]:
+        refused = once.entrance_refusal(call.repeat, reason)
+        return refused.outcome, refused.reason, b""
+
+    def act(
+        self,
+        key: str,
+        call: calls.Call,
+        work: int,
+        effect: calls.Effect,
+        tell: Tell,
+    ) -> None:
+        if isinstance(effect, calls.Send):
+            self.send(key, call, work, effect)
+            return
+        self.calls.pop(key, None)
+        if isinstance(effect, calls.Deliver):
+            body = self.bodies.pop(effect.attempt_id)
+            tell(outcomes.Outcome.DONE, outcomes.Reason.NONE, body)
+        else:
+            tell(effect.outcome, effect.reason, b"")
+
+    def send(
+        self, key: str, call: calls.Call, work: int, effect: calls.Send
+    ) -> None:
+        attempt_id, vm = effect.attempt_id, effect.target.vm
+        left = max(0.0, effect.deadline - self.now)
+        self.world.oracle.sends[call.call_id, call.service] += 1
+        if not call.ticket:
+            self.world.check_leaving(vm)
+
+        def serve(callee: Daemon, reply: Reply) -> None:
+            callee.accept(attempt_id, call, left, work, effect.retries, reply)
+
+        def replied(daemon: Daemon, value: tuple[calls.Answer, bytes]) -> None:
+            daemon.answered(key, attempt_id, call, *value)
+
+        def failed(sent: bool) -> None:
+            reason = outcomes.Reason.PEER_LOST
+            outcome = outcomes.Outcome.UNKNOWN
+            if not sent:
+                reason = outcomes.Reason.PEER_UNREACHABLE
+                outcome = outcomes.Outcome.NOT_RUN
+            answer = calls.Answer(outcome, reason)
+            fleet.observed(self.node, vm, False, "", self.now)
+            self.answered(key, attempt_id, call, answer, b"")
+
+        self.world.request(self, vm, serve, replied, failed, left)
+
+    def answered(
+        self,
+        key: str,
+        attempt_id: str,
+        call: calls.Call,
+        answer: calls.Answer,
+        body: bytes,
+    ) -> None:
+        if self.bundle is None:
+            return
+        targets = fleet.targets(self.node, call.service, self.now)
+        if call.ticket:
+            targets = ()
+        effect = calls.answered(
+            self.entrance,
+            self.bundle,
+            key,
+            attempt_id,
+            answer,
+            targets,
+            self.now,
+            self.rng,
+        )
+        if effect is None:
+            self.world.oracle.counts["late answers dropped"] += 1
+            return
+        work, tell = self.calls[key]
+        self.bodies[attempt_id] = body
+        self.act(key, call, work, effect, tell)
+
+    def abandon(self, key: str) -> None:
+        """Give up a call whose caller went away, and its attempt."""
+        self.calls.pop(key, None)
+        pending = self.entrance.pending.get(key)
+        attempt_id = calls.abandon(self.entrance, key, self.now)
+        if pending is not None and attempt_id:
+            vm = pending.tried[-1]
+            self.world.carry(
+                self.record.vm, vm, lambda peer: peer.cancelled(attempt_id)
+            )
+
+    # The upstream's side.
+
+    def accept(
+        self,
+        attempt_id: str,
+        call: calls.Call,
+        left: float,
+        work: int,
+        retries: int,
+        reply: Reply,
+    ) -> None:
+        self.world.oracle.deliver(call.call_id, attempt_id)
+        if self.bundle is None:
+            return
+        rules = self.bundle.classes[call.request_class]
+        local = call.ticket or f"{attempt_id}/{self.world.rng.random()}"
+        if call.ticket:
+            arrival = once.arrive(
+                self.owner, call.ticket, call.request_class, self.now
+            )
+            if isinstance(arrival, once.Join):
+                self.attempts[local].replies[attempt_id] = reply
+                return
+            if not isinstance(arrival, once.Run):
+                reply(self.settled(arrival))
+                return
+        deadline = self.now + left
+        call = dataclasses.replace(call, deadline=deadline, retries=retries)
+        self.attempts[local] = Attempt(call, work, {attempt_id: reply})
+        rank = load.rank(rules.importance, call.caller, 0)
+        work_item = load.Work(
+            local,
+            call.request_class,
+            call.tenant,
+            rank,
+            deadline,
+            rules.refusal.queue_ms / 1000,
+        )
+        self.guarded(load.offer(self.guard, work_item, self.now))
+
+    def guarded(self, effects: abc.Iterable[load.Effect]) -> None:
+        for effect in effects:
+            local = effect.attempt_id
+            if isinstance(effect, load.Start):
+                self.start(local)
+            elif isinstance(effect, load.Turn):
+                self.check_turn(effect)
+                self.end(local, once.NotRun(effect.reason))
+            else:
+                aborted = functools.partial(self.ended, local, CANCELLED)
+                self.at(0.001, aborted)
+
+    def check_turn(self, turn: load.Turn) -> None:
+        """Check that nothing less important was kept instead."""
+        attempt = self.attempts.get(turn.attempt_id)
+        if turn.reason is not outcomes.Reason.QUEUE_FULL or not attempt:
+            return
+        assert self.bundle is not None
+        rules = self.bundle.classes[attempt.call.request_class]
+        rank = load.rank(rules.importance, attempt.call.caller, 0)
+        kept = [one.work.rank for one in self.guard.waiting.values()]
+        if min(kept, default=rank) < rank:
+            self.world.oracle.faults.append("shed out of order")
+
+    def cancelled(self, attempt_id: str) -> None:
+        for local, attempt in list(self.attempts.items()):
+            if attempt.replies.pop(attempt_id, None) and not attempt.replies:
+                self.guarded(load.cancel(self.guard, local, self.now))
+                if local not in self.guard.running:
+                    self.end(local, once.NotRun(outcomes.Reason.CANCELLED))
+
+    def start(self, local: str) -> None:
+        attempt = self.attempts.get(local)
+        if attempt is None:
+            return
+        ticket = attempt.call.ticket
+        if ticket and not once.dispatched(self.owner, ticket, self.now):
+            self.at(0.0, lambda: self.ended(local, CANCELLED))
+            return
+        self.world.check_leaving(self.record.vm)
+        upstreams.execute(self, local, attempt)
+
+    def ended(self, local: str, result: once.Result) -> None:
+        """Take how a started attempt ended at the upstream."""
+        if local not in self.attempts:
+            return
+        end = load.End.DONE
+        if not isinstance(result, once.Done):
+            end = load.End.FAILED
+        self.end(local, result)
+        self.guarded(load.finish(self.guard, local, end, self.now))
+
+    def end(self, local: str, result: once.Result) -> None:
+        attempt = self.attempts.pop(local, None)
+        if attempt is None:
+            return
+        ticket = attempt.call.ticket
+        if ticket:
+            result = once.finish(self.owner, ticket, result, self.now)
+        for reply in attempt.replies.values():
+            reply(self.settled(result))
+
+    def settled(
+        self, result: once.Result | once.Replay | once.Refused
+    ) -> tuple[calls.Answer, bytes]:
+        outcome, reason, body = (
+            outcomes.Outcome.DONE,
+            outcomes.Reason.NONE,
+            b"",
+        )
+        if isinstance(result, once.Replay):
+            assert isinstance(result.result, once.Done)
+            result = result.result
+        if isinstance(result, once.Done):
+            body = result.body
+        elif isinstance(result, once.Refused):
+            outcome, reason = result.outcome, result.reason
+        else:
+            outcome, reason = outcomes.Outcome.UNKNOWN, result.reason
+            if isinstance(result, once.NotRun):
+                outcome = outcomes.Outcome.NOT_RUN
+        told = calls.Load(
+            load.busy(self.guard), load.floor(self.guard, self.now)
+        )
+        answer = calls.Answer(
+            outcome, reason, told, incarnation=self.incarnation
+        )
+        return answer, body
--- /dev/null
+++ b/tests/fuzz/test_found.py
@@ -0,0 +1,83 @@
+"""Failures that stateful fuzzing found, each with its story."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from sassafrasstair.decisions import calls
+from sassafrasstair import outcomes
+from tests.fuzz import worlds
+
+NOT_RUN = outcomes.Outcome.NOT_RUN
+UNKNOWN = outcomes.Outcome.UNKNOWN
+CUT = calls.Answer(NOT_RUN, outcomes.Reason.PEER_UNREACHABLE)
+VOID = calls.Answer(NOT_RUN, outcomes.Reason.QUEUE_FULL, incarnation="1")
+
+
+def begin(
+    repeat: int, targets: tuple[calls.Target, ...]
+) -> tuple[calls.Entrance, str, calls.Effect]:
+    entrance = calls.new_entrance("1", "a", "r")
+    bundle = worlds.verify(worlds.envelope(1))
+    call = calls.Call(
+        "root",
+        "poster",
+        "write-down",
+        "shop",
+        "caller",
+        10.0,
+        repeat,
+        ticket="t",
+    )
+    rng = random.Random(1)
+    return (
+        entrance,
+        *calls.begin(entrance, bundle, call, targets, 0.0, rng),
+    )
+
+
+@pytest.mark.parametrize(
+    ("repeat", "answer", "told"),
+    [
+        (0, CUT, NOT_RUN),
+        (1, CUT, UNKNOWN),
+        (0, VOID, NOT_RUN),
+        (1, VOID, NOT_RUN),
+    ],
+)
+def test_a_repeat_that_cannot_reach_the_owner_is_unknown(
+    repeat: int, answer: calls.Answer, told: outcomes.Outcome
+) -> None:
+    """A shopkeeper's write-down is slow and is repeated elsewhere.
+
+    The second entrance cannot connect to the ticket's owner and says "not
+    run"; the first use, still on its way, then runs. The shopkeeper takes
+    a new ticket and the write-down is posted twice.
+    """
+    target = calls.Target("poster-a", "poster", "a", "r")
+    entrance, key, sent = begin(repeat, (target,))
+    assert isinstance(sent, calls.Send)
+    refused = calls.answered(
+        entrance,
+        worlds.verify(worlds.envelope(1)),
+        key,
+        sent.attempt_id,
+        answer,
+        (),
+        1.0,
+        random.Random(1),
+    )
+    assert isinstance(refused, calls.Refuse)
+    assert refused.outcome is told
+
+
+@pytest.mark.parametrize(("repeat", "told"), [(0, NOT_RUN), (1, UNKNOWN)])
+def test_a_repeat_without_a_known_owner_is_unknown(
+    repeat: int, told: outcomes.Outcome
+) -> None:
+    """The same story, at an entrance that knows no way to the owner."""
+    _, _, refused = begin(repeat, ())
+    assert isinstance(refused, calls.Refuse)
+    assert refused.outcome is told
