Keep the daemon's own refusals of tickets true

Cause: read after the fuzz run: the runtime refused ticketed requests as 'not run' on paths that pass neither the ticket's owner nor calls.begin. (1) the owner's daemon, before once.arrive (no bundle, no memory, doubled delivery), while an earlier use ran; (2) an entrance without a bundle, or stopping, for a repeat; (3) a repeated child call, sent with repeat 0; (4) a child call after its parent ended; (5) a cancelled attempt that waited in the guard never ended, so its ticket stayed running, joined callers and a planned stop waited for ever; (6) the cancellation of a first use ended the execution that its repeat had joined. Ruled out: leaving it to callers, who cannot tell these apart. Change: once.refuse settles a ticket without running it; load.cancel turns a waiting attempt away; joined executions are not cancelled; refusals of repeats say unknown; a child ticket that was given before counts as used. Not tested here: (3) has no test of its own yet. Conclusion: every 'not run' for a ticket now passes one of two functions, once.refuse at the owner and once.entrance_refusal at an entrance.

--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -108,7 +108,11 @@
     guard: Guard, attempt_id: str, now: float
 ) -> list[_messages.Effect]:
     """Drop an attempt that nobody waits for; abort it if it started."""
-    guard.waiting.pop(attempt_id, None)
+    waiter = guard.waiting.pop(attempt_id, None)
+    if waiter is not None:
+        # Failure: its end is never told; whoever joined it waits for
+        # ever, and a planned stop waits for it too.
+        return [_turn(waiter.work, outcomes.Reason.CANCELLED)]
     if attempt_id in guard.running:
         return [_messages.Abort(attempt_id)]
     return []
--- a/src/sassafrasstair/decisions/once/__init__.py
+++ b/src/sassafrasstair/decisions/once/__init__.py
@@ -26,6 +26,7 @@
 from sassafrasstair.decisions.once._owners import issue
 from sassafrasstair.decisions.once._owners import new_owner
 from sassafrasstair.decisions.once._owners import Owner
+from sassafrasstair.decisions.once._owners import refuse
 from sassafrasstair.decisions.once._owners import stop_issuing
 from sassafrasstair.decisions.once._refusals import entrance_refusal
 from sassafrasstair.decisions.once._tickets import parse
@@ -56,5 +57,6 @@
     "issue",
     "new_owner",
     "parse",
+    "refuse",
     "stop_issuing",
 ]
--- a/src/sassafrasstair/decisions/once/_owners.py
+++ b/src/sassafrasstair/decisions/once/_owners.py
@@ -149,6 +149,27 @@
     return _again(owner, record)
 
 
+def refuse(
+    owner: Owner,
+    ticket: str,
+    request_class: str,
+    reason: outcomes.Reason,
+    now: float,
+) -> _messages.Arrival:
+    """Take a request that this daemon will not run, for ``reason``.
+
+    Failure: the owner refuses a repeat as "not run" for want of memory,
+    while an earlier use of the ticket is executed. A ticket that was not
+    run before is void from now on; for any other one the result is what
+    ``arrive`` gives, and never ``Run``.
+    """
+    arrival = arrive(owner, ticket, request_class, now)
+    if not isinstance(arrival, _messages.Run):
+        return arrival
+    finish(owner, ticket, _messages.NotRun(reason), now)
+    return _not_run(reason)
+
+
 def dispatched(owner: Owner, ticket: str, now: float) -> bool:
     """Note that the first byte goes to the upstream next.
 
--- a/src/sassafrasstair/runtime/_children.py
+++ b/src/sassafrasstair/runtime/_children.py
@@ -59,6 +59,7 @@
     key = request.fields.child_key
     owner = entry.slot.owner
     known = once.child(owner, parent_ticket, service, key)
+    repeated = known is not None
     if known is None:
         ask = daemons.TicketAsk(
             service,
@@ -70,9 +71,10 @@
         if isinstance(taken, callers.Refusal):
             return taken
         known = once.adopt(owner, parent_ticket, service, key, taken.ticket)
+        repeated = known != taken.ticket
     if isinstance(known, once.Refused):
         return callers.Refusal(known.outcome, known.reason)
-    return _entries.with_child_ticket(ready, known)
+    return _entries.with_child_ticket(ready, known, repeated=repeated)
 
 
 async def _take(
--- a/src/sassafrasstair/runtime/_entrance.py
+++ b/src/sassafrasstair/runtime/_entrance.py
@@ -47,6 +47,7 @@
     try:
         ready = await _prepare(entry, request)
         if isinstance(ready, callers.Refusal):
+            ready = _entries.true_refusal(request.fields, ready)
             return _refused(entry, request.fields.request_class, ready)
         reply = await _drive(entry, ready, request)
     finally:
@@ -188,12 +189,7 @@
         return _transfers.to_reply(
             entry, progress.vm, progress.answer, ready.call.deadline
         )
-    outcome = effect.outcome
-    if ready.call.ticket and not progress.attempt_id:
-        outcome = once.entrance_refusal(
-            ready.call.repeat, effect.reason
-        ).outcome
-    return callers.Refusal(outcome, effect.reason, effect.retry_after)
+    return callers.Refusal(effect.outcome, effect.reason, effect.retry_after)
 
 
 def _tell_parent(
--- a/src/sassafrasstair/runtime/_entries.py
+++ b/src/sassafrasstair/runtime/_entries.py
@@ -98,6 +98,23 @@
     return None
 
 
+def true_refusal(
+    fields: callers.Fields, refusal: callers.Refusal
+) -> callers.Refusal:
+    """Return ``refusal`` with what may be said of an earlier use.
+
+    Failure: a repeat comes to a daemon that has no bundle yet or stops, is
+    told "not run", and the first use, through another daemon, has run.
+    """
+    if refusal.outcome is not _Outcome.NOT_RUN:
+        return refusal
+    if not fields.ticket and refusal.reason is not _Reason.PARENT_GONE:
+        return refusal
+    repeat = max(fields.repeat, refusal.reason is _Reason.PARENT_GONE)
+    told = once.entrance_refusal(repeat, refusal.reason).outcome
+    return dataclasses.replace(refusal, outcome=told)
+
+
 def _prepare_root(
     entry: Entry, bundle: bundles.Bundle, request: callers.Request
 ) -> Ready | callers.Refusal:
@@ -159,9 +176,16 @@
     return Ready(call, bundle, parent, None)
 
 
-def with_child_ticket(ready: Ready, ticket: str) -> Ready | callers.Refusal:
-    """Return a child call of once-only work with its own ticket."""
-    call = dataclasses.replace(ready.call, ticket=ticket)
+def with_child_ticket(
+    ready: Ready, ticket: str, *, repeated: bool
+) -> Ready | callers.Refusal:
+    """Return a child call of once-only work with its own ticket.
+
+    ``repeated`` says that the ticket was given before, so that an earlier
+    call with it may be on its way.
+    """
+    repeat = int(repeated)
+    call = dataclasses.replace(ready.call, ticket=ticket, repeat=repeat)
     return _with_owner(call, ready.bundle, ready.parent)
 
 
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -34,10 +34,17 @@
     now = slot.clock.monotonic()
     calls.note_beat(slot.pauses, now)
     reason = _unfit(slot, message)
+    if message.ticket:
+        return await _run_ticket(slot, message, reason, now)
+    if message.attempt_id in slot.attempts:
+        # Failure: the link delivers a request twice. The second one would
+        # run beside the first; attempts are numbered so that it is seen.
+        # The first one runs, so that "not run" would be false.
+        slot.doubled += 1
+        reason = _Reason.MALFORMED
+        return _answers.refusal(slot, message, _Outcome.UNKNOWN, reason)
     if reason is not _Reason.NONE:
         return _answers.refusal(slot, message, _Outcome.NOT_RUN, reason)
-    if message.ticket:
-        return await _run_ticket(slot, message, now)
     return await _run(slot, message, now)
 
 
@@ -52,31 +59,25 @@
         return _Reason.UNKNOWN_CLASS
     if rules.once and not message.ticket:
         return _Reason.TICKET_MISSING
-    if message.attempt_id in slot.attempts:
-        # Failure: the link delivers a request twice. The second one would
-        # run beside the first; attempts are numbered so that it is seen.
-        slot.doubled += 1
-        return _Reason.MALFORMED
     if message.more and slot.large_bodies >= MAX_LARGE_BODIES:
         return _Reason.BODY_MEMORY
     return _Reason.NONE
 
 
 async def _run_ticket(
-    slot: _slots.Slot, message: daemons.Run, now: float
+    slot: _slots.Slot,
+    message: daemons.Run,
+    unfit: outcomes.Reason,
+    now: float,
 ) -> daemons.RunAnswer:
-    arrival = once.arrive(
-        slot.owner, message.ticket, message.request_class, now
-    )
+    arrival = _arrive(slot, message, unfit, now)
     if isinstance(arrival, once.Run):
         slot.joins[message.ticket] = asyncio.Event()
         return await _run(slot, message, now)
     if isinstance(arrival, once.Join):
         await _wait_for_end(slot, message)
         now = slot.clock.monotonic()
-        arrival = once.arrive(
-            slot.owner, message.ticket, message.request_class, now
-        )
+        arrival = _arrive(slot, message, unfit, now)
     if isinstance(arrival, once.Replay):
         return _answers.replay(slot, message, arrival.result)
     if isinstance(arrival, once.Refused):
@@ -85,13 +86,31 @@
     return _answers.refusal(slot, message, _Outcome.UNKNOWN, reason)
 
 
+def _arrive(
+    slot: _slots.Slot,
+    message: daemons.Run,
+    unfit: outcomes.Reason,
+    now: float,
+) -> once.Arrival:
+    ticket, request_class = message.ticket, message.request_class
+    if unfit is _Reason.NONE:
+        return once.arrive(slot.owner, ticket, request_class, now)
+    return once.refuse(slot.owner, ticket, request_class, unfit, now)
+
+
 async def _wait_for_end(slot: _slots.Slot, message: daemons.Run) -> None:
     event = slot.joins.get(message.ticket)
     if event is None:
         return
     waiting = asyncio.ensure_future(event.wait())
-    await asyncio.wait({waiting}, timeout=message.remaining_ms / 1000)
-    waiting.cancel()
+    slot.joined[message.ticket] += 1
+    try:
+        await asyncio.wait({waiting}, timeout=message.remaining_ms / 1000)
+    finally:
+        slot.joined[message.ticket] -= 1
+        if not slot.joined[message.ticket]:
+            del slot.joined[message.ticket]
+        waiting.cancel()
 
 
 async def _run(
--- a/src/sassafrasstair/runtime/_slots.py
+++ b/src/sassafrasstair/runtime/_slots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections import abc
 import contextlib
 import dataclasses
@@ -28,7 +29,8 @@
 
     ``floor_below`` gives, for a class and a tenant, the greatest shed floor
     that this VM's own calls have met further down the chain. ``joins`` maps a
-    running ticket to the event of its end, ``arrivals`` an attempt whose
+    running ticket to the event of its end, ``joined`` counts who waits for
+    that end, ``arrivals`` an attempt whose
     body came first to the event of its own arrival.
     """
 
@@ -45,6 +47,9 @@
         default_factory=dict
     )
     joins: dict[str, asyncio.Event] = dataclasses.field(default_factory=dict)
+    joined: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     arrivals: dict[str, asyncio.Event] = dataclasses.field(
         default_factory=dict
     )
@@ -79,6 +84,10 @@
     attempt = slot.attempts.get(attempt_id)
     if attempt is None:
         return
+    if slot.joined[attempt.run.ticket]:
+        # Failure: a caller gives up, repeats and joins its own execution;
+        # the cancellation of its first use then ends what it waits for.
+        return
     if attempt.rest is not None:
         fail_rest(slot, attempt, outcomes.Reason.CANCELLED)
         return
--- a/tests/decisions/once/test_owners.py
+++ b/tests/decisions/once/test_owners.py
@@ -269,3 +269,20 @@
     once.finish(owner, ticket, DONE, 2.0)
     once.expire(owner, 60.2)
     assert use(owner, ticket, 60.3) == once.Replay(DONE)
+
+
+@pytest.mark.parametrize("before", [None, DONE])
+def test_refuse_voids_what_never_ran_and_keeps_what_did(
+    before: once.Result | None,
+) -> None:
+    owner = make_owner()
+    ticket = take(owner)
+    expected: once.Arrival = once.Refused(NOT_RUN, Reason.BODY_MEMORY)
+    later: once.Arrival = once.Refused(NOT_RUN, Reason.TICKET_VOID)
+    if before is not None:
+        use(owner, ticket)
+        once.finish(owner, ticket, before, 1.0)
+        expected = later = once.Replay(DONE)
+    answer = once.refuse(owner, ticket, "write-down", Reason.BODY_MEMORY, 1.0)
+    assert answer == expected
+    assert use(owner, ticket) == later
