Check stops and new daemons' bundles in the fuzz run

Cause: the state machine had no invariant for a planned stop that cuts a request, nor for a new daemon that brings back an older bundle. Ruled out: checking the latter under loss or pauses, where the promise is that of the daemon's bounded wait and not of the peers' answers. Change: both are checked at the moment they would happen.

--- a/tests/fuzz/daemons.py
+++ b/tests/fuzz/daemons.py
@@ -67,6 +67,8 @@
         self.owner = once.new_owner(
             vm, self.incarnation, self.rng.randbytes(16), 64
         )
+        self.started = world.now
+        self.known = world.known_in(vm[-1])
         world.daemons[vm] = self
         self.step()
 
@@ -89,6 +91,7 @@
         busy = self.guard.running or self.guard.waiting or self.calls
         if self.stopping and not busy and not self.attempts:
             self.alive = False
+            self.world.check_stop(self.record.vm)
             self.world.note(f"{self.record.vm} stopped")
         else:
             self.at(STEP, self.step)
@@ -177,8 +180,13 @@
 
     def take_in_force(self, bundle: bundles.Bundle) -> None:
         before, self.bundle = self.bundle, bundle
-        if before and fleet.bundle_id(before) >= fleet.bundle_id(bundle):
+        place = fleet.bundle_id(bundle)
+        if before and fleet.bundle_id(before) >= place:
             self.world.oracle.faults.append(f"{self.record.vm} reverted")
+        calm = self.world.disturbed <= self.started
+        if not before and calm and self.known and place < self.known:
+            fault = f"{self.record.vm} brought back an older bundle"
+            self.world.oracle.faults.append(fault)
         self.world.note(f"{self.record.vm} in force v{bundle.version}")
 
     # The entrance.
--- a/tests/fuzz/worlds.py
+++ b/tests/fuzz/worlds.py
@@ -288,6 +288,24 @@
         if self.now - since > LEAVING_IN and self.disturbed < since:
             self.oracle.faults.append(f"{vm} leaves and gets new work")
 
+    def check_stop(self, vm: str) -> None:
+        """Check that a planned stop left nobody without an answer."""
+        for use in self.oracle.uses:
+            if use.vm == vm and use.open and use.told is None:
+                self.oracle.faults.append(f"{vm} stopped and cut {use.root}")
+
+    def known_in(self, domain: str) -> fleet.BundleId | None:
+        """Return the greatest bundle that a new daemon there can learn."""
+        peers = [
+            one.bundle
+            for one in self.daemons.values()
+            if one.record.failure_domain == domain
+            and one.alive
+            and one.paused_until <= self.now
+        ]
+        ids = [fleet.bundle_id(bundle) for bundle in peers if bundle]
+        return None if self.loss or self.late else max(ids, default=None)
+
     def _push(
         self,
         when: float,
