--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -44,6 +44,9 @@
     }
 )
 
+NOT_SERVING = frozenset({outcomes.Reason.NO_BUNDLE, outcomes.Reason.LEAVING})
+"""Said by a daemon that starts or stops."""
+
 
 @dataclasses.dataclass(slots=True)
 class Peer:
@@ -139,6 +142,10 @@
     elif answer.reason in FAILURES:
         peer.failures += 1
         peer.ejected = peer.ejected or peer.failures >= FAILURES_TO_EJECT
+    elif answer.reason in NOT_SERVING:
+        # Failure: a restarted daemon is the least busy one while it asks
+        # its peers for the bundle, and draws all calls into refusals.
+        peer.ejected = True
 
 
 def forget(routes: Routes, vm: str) -> None:
--- a/tests/fuzz/daemons.py
+++ b/tests/fuzz/daemons.py
@@ -13,6 +13,7 @@
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import once
 from sassafrasstair import outcomes
+from tests.fuzz import members
 from tests.fuzz import upstreams
 from tests.fuzz import worlds
 
@@ -83,9 +84,10 @@
         self.steps += 1
         self.guarded(load.tick(self.guard, self.now))
         if self.steps % FLEET_EVERY == 0:
-            self.carry_out(fleet.tick(self.node, self.now, self.rng))
+            members.carry_out(self, fleet.tick(self.node, self.now, self.rng))
             once.expire(self.owner, self.now)
-            self.watch()
+            members.watch(self)
+            self.ping()
         leaving = self.node.members[self.record.vm].leaving
         self.guard.leaving = self.guard.leaving or leaving
         busy = self.guard.running or self.guard.waiting or self.calls
@@ -99,97 +101,26 @@
     def stop(self) -> None:
         self.stopping = self.guard.leaving = True
         once.stop_issuing(self.owner)
-        self.carry_out(fleet.set_leaving(self.node, self.now, self.rng))
+        members.carry_out(
+            self, fleet.set_leaving(self.node, self.now, self.rng)
+        )
 
-    # The fleet.
+    # The entrance.
 
-    def carry_out(self, effects: abc.Iterable[fleet.Effect]) -> None:
-        for effect in effects:
-            if isinstance(effect, fleet.Exchange):
-                self.exchange(effect)
-            elif isinstance(effect, fleet.Watch):
-                self.watched = 0
-            elif isinstance(effect, fleet.ReadPlatform):
-                self.at(effect.delay, self.read)
-            elif isinstance(effect, fleet.InForce):
-                self.take_in_force(effect.bundle)
-
-    def exchange(self, effect: fleet.Exchange) -> None:
-        state = {"open": True}
-
-        def serve(peer: Daemon, reply: abc.Callable[[bytes], None]) -> None:
-            message = fleet.decode(fleet.encode(effect.message))
-            answer, effects = fleet.handle(
-                peer.node, message, peer.now, peer.rng
-            )
-            peer.carry_out(effects)
-            if answer is not None:
-                reply(fleet.encode(answer))
-
-        def replied(daemon: Daemon, text: bytes) -> None:
-            if daemon is self and state.pop("open", False):
-                message = fleet.decode(text)
-                self.carry_out(
-                    fleet.replied(
-                        self.node, effect.address, message, self.now, self.rng
-                    )
-                )
+    def ping(self) -> None:
+        routes = self.entrance.routes
+        for vm in calls.probe_due(routes, self.now):
 
-        def failed(sent: bool) -> None:
-            if state.pop("open", False):
-                self.carry_out(
-                    fleet.unreachable(
-                        self.node, effect.address, self.now, self.rng
-                    )
-                )
-
-        self.world.request(
-            self, effect.address, serve, replied, failed, effect.timeout
-        )
+            def serve(peer: Daemon, reply: abc.Callable[[bool], None]) -> None:
+                reply(peer.bundle is not None and not peer.guard.leaving)
 
-    def watch(self) -> None:
-        view = self.world.platform.view(self.record.failure_domain)
-        if not self.node.watching or self.watch_failed:
-            return
-        if view is None:
-            self.watch_failed = True
-            self.carry_out(
-                fleet.platform_failed(self.node, self.now, self.rng)
-            )
-        elif view[0] != self.watched:
-            self.read()
-
-    def read(self) -> None:
-        self.world.platform.reads += 1
-        view = self.world.platform.view(self.record.failure_domain)
-        if view is None:
-            self.carry_out(
-                fleet.platform_failed(self.node, self.now, self.rng)
-            )
-            return
-        self.watch_failed = False
-        self.watched, texts, records = view
-        index = self.watched
-        node, now, rng = self.node, self.now, self.rng
-        self.carry_out(
-            fleet.platform_vms(node, list(records), index, now, rng)
-        )
-        self.carry_out(
-            fleet.platform_bundles(node, list(texts), index, now, rng)
-        )
+            def replied(daemon: Daemon, alive: bool, vm: str = vm) -> None:
+                calls.probed(daemon.entrance.routes, vm, alive, daemon.now)
 
-    def take_in_force(self, bundle: bundles.Bundle) -> None:
-        before, self.bundle = self.bundle, bundle
-        place = fleet.bundle_id(bundle)
-        if before and fleet.bundle_id(before) >= place:
-            self.world.oracle.faults.append(f"{self.record.vm} reverted")
-        calm = self.world.disturbed <= self.started
-        if not before and calm and self.known and place < self.known:
-            fault = f"{self.record.vm} brought back an older bundle"
-            self.world.oracle.faults.append(fault)
-        self.world.note(f"{self.record.vm} in force v{bundle.version}")
+            def failed(sent: bool) -> None:
+                """Leave it ejected."""
 
-    # The entrance.
+            self.world.request(self, vm, serve, replied, failed, 1.0)
 
     def take_ticket(
         self, request_class: str, got: abc.Callable[[str], object]
@@ -276,17 +207,24 @@
         def serve(callee: Daemon, reply: Reply) -> None:
             callee.accept(attempt_id, call, left, work, effect.retries, reply)
 
+        heard = []
+
         def replied(daemon: Daemon, value: tuple[calls.Answer, bytes]) -> None:
+            heard.append(value)
+            there = value[0].incarnation
+            fleet.observed(daemon.node, vm, True, there, daemon.now)
             daemon.answered(key, attempt_id, call, *value)
 
         def failed(sent: bool) -> None:
+            if heard:
+                return
             reason = outcomes.Reason.PEER_LOST
             outcome = outcomes.Outcome.UNKNOWN
             if not sent:
                 reason = outcomes.Reason.PEER_UNREACHABLE
                 outcome = outcomes.Outcome.NOT_RUN
+                fleet.observed(self.node, vm, False, "", self.now)
             answer = calls.Answer(outcome, reason)
-            fleet.observed(self.node, vm, False, "", self.now)
             self.answered(key, attempt_id, call, answer, b"")
 
         self.world.request(self, vm, serve, replied, failed, left)
@@ -344,20 +282,22 @@
         reply: Reply,
     ) -> None:
         self.world.oracle.deliver(call.call_id, attempt_id)
+        unfit = outcomes.Reason.NONE
         if self.bundle is None:
-            return
-        rules = self.bundle.classes[call.request_class]
+            unfit = outcomes.Reason.NO_BUNDLE
         local = call.ticket or f"{attempt_id}/{self.world.rng.random()}"
         if call.ticket:
-            arrival = once.arrive(
-                self.owner, call.ticket, call.request_class, self.now
-            )
+            arrival = self.arrive(call, unfit)
             if isinstance(arrival, once.Join):
                 self.attempts[local].replies[attempt_id] = reply
                 return
             if not isinstance(arrival, once.Run):
                 reply(self.settled(arrival))
                 return
+        if self.bundle is None:
+            reply(self.settled(once.NotRun(unfit)))
+            return
+        rules = self.bundle.classes[call.request_class]
         deadline = self.now + left
         call = dataclasses.replace(call, deadline=deadline, retries=retries)
         self.attempts[local] = Attempt(call, work, {attempt_id: reply})
@@ -372,6 +312,12 @@
         )
         self.guarded(load.offer(self.guard, work_item, self.now))
 
+    def arrive(self, call: calls.Call, unfit: outcomes.Reason) -> once.Arrival:
+        name, now = call.request_class, self.now
+        if unfit is outcomes.Reason.NONE:
+            return once.arrive(self.owner, call.ticket, name, now)
+        return once.refuse(self.owner, call.ticket, name, unfit, now)
+
     def guarded(self, effects: abc.Iterable[load.Effect]) -> None:
         for effect in effects:
             local = effect.attempt_id
