--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -16,6 +16,7 @@
 from sassafrasstair.decisions.calls import _retries
 from sassafrasstair.decisions.calls import _routing
 from sassafrasstair.decisions import load
+from sassafrasstair.decisions import once
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
@@ -132,7 +133,7 @@
             return effect
     del entrance.pending[key]
     return _messages.Refuse(
-        _outcome_of_all(pending, answer),
+        _told_outcome(pending, answer),
         answer.reason,
         _come_back(bundle, call, answer, rng),
         pending.spent,
@@ -227,15 +228,6 @@
     )
 
 
-def _outcome_of_all(
-    pending: Pending, answer: _messages.Answer
-) -> outcomes.Outcome:
-    # Failure: the first attempt ran and was lost, the second was refused,
-    # and the caller was told "not run". One lost attempt leaves the whole
-    # call unknown.
-    return outcomes.Outcome.UNKNOWN if pending.lost else answer.outcome
-
-
 def _spent(pending: Pending, answer: _messages.Answer) -> int:
     """Return the retries used further down.
 
@@ -248,6 +240,28 @@
     return answer.spent
 
 
+def _told_outcome(
+    pending: Pending, answer: _messages.Answer
+) -> outcomes.Outcome:
+    """Return what the caller may be told of a call that failed.
+
+    Failure: the first attempt ran and was lost, the second was refused,
+    and the caller was told "not run". One lost attempt leaves the whole
+    call unknown.
+
+    Failure: a repeat cannot reach its ticket's owner, its caller is told
+    "not run", and the earlier use, still on its way, runs. Without the
+    owner's own word "not run" holds for a first use alone.
+    """
+    if pending.lost:
+        return outcomes.Outcome.UNKNOWN
+    call = pending.call
+    not_run = answer.outcome is outcomes.Outcome.NOT_RUN
+    if not (call.ticket and not_run) or answer.incarnation:
+        return answer.outcome
+    return once.entrance_refusal(call.repeat, answer.reason).outcome
+
+
 def _may_retry(
     bundle: bundles.Bundle,
     pending: Pending,
@@ -295,4 +309,7 @@
     rng: random.Random,
 ) -> _messages.Refuse:
     after = _retries.retry_after(rules.refusal, call.repeat, rng)
-    return _messages.Refuse(outcomes.Outcome.NOT_RUN, reason, after)
+    outcome = outcomes.Outcome.NOT_RUN
+    if call.ticket:
+        outcome = once.entrance_refusal(call.repeat, reason).outcome
+    return _messages.Refuse(outcome, reason, after)
