--- a/src/sassafrasstair/callers/_app.py
+++ b/src/sassafrasstair/callers/_app.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import logging
 import typing
 
 import litestar
 from litestar import types
 
-from sassafrasstair.callers import _refusals
+from sassafrasstair.callers import _bodies
+from sassafrasstair.callers import _replies
 from sassafrasstair.callers import _request
 from sassafrasstair import outcomes
 
@@ -32,28 +33,36 @@
 
 CALL_PREFIX = "/v1/call"
 TICKET_PREFIX = "/v1/ticket"
-FIRST_BODY_BYTES = 65_536
 CREATED = 201
 
+_LOG = logging.getLogger(__name__)
 
-def create_app(call: CallHandler, ticket: TicketHandler) -> litestar.Litestar:
-    """Return the application; ``call`` and ``ticket`` decide."""
+
+def create_app(
+    call: CallHandler,
+    ticket: TicketHandler,
+    leaving: abc.Callable[[], bool] = lambda: False,
+) -> litestar.Litestar:
+    """Return the application; ``call`` and ``ticket`` decide.
+
+    While ``leaving``, each answer asks its caller to close the connection.
+    """
 
     @litestar.asgi(CALL_PREFIX, is_mount=True, copy_scope=False)
     async def calls(
         scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
-        await _serve_call(
-            call, typing.cast("types.HTTPScope", scope), receive, send
-        )
+        http = typing.cast("types.HTTPScope", scope)
+        answer = _replies.Answering(send, http["method"], leaving())
+        await _serve_call(call, http, receive, answer)
 
     @litestar.asgi(TICKET_PREFIX, is_mount=True, copy_scope=False)
     async def tickets(
         scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
-        await _serve_ticket(
-            ticket, typing.cast("types.HTTPScope", scope), send
-        )
+        http = typing.cast("types.HTTPScope", scope)
+        answer = _replies.Answering(send, http["method"], leaving())
+        await _serve_ticket(ticket, http, answer)
 
     return litestar.Litestar(
         route_handlers=[calls, tickets],
@@ -66,146 +75,103 @@
     call: CallHandler,
     scope: types.HTTPScope,
     receive: types.Receive,
-    send: types.Send,
+    answer: _replies.Answering,
 ) -> None:
+    headers = _headers(scope)
+    incoming = _bodies.Incoming(receive)
     try:
-        request = await _read(scope, receive)
+        request = await _read(scope, headers, incoming)
+        reply = await _until_gone(call, request, incoming)
     except _request.CallerGone:
         return
     except _request.Malformed as error:
-        await _send_refusal(send, _malformed(error))
-        return
-    reply = await _until_gone(call, request, receive)
-    if isinstance(reply, _request.Refusal):
-        await _send_refusal(send, reply)
-    elif reply is not None:
-        await _send_reply(send, reply)
+        reply = _malformed(headers, error)
+    except _bodies.TooSlow:
+        reply = _too_slow(headers)
+    except Exception:
+        # A fault of ours: the caller gets a refusal that is true whatever
+        # was done by then, instead of the server's plain text or nothing.
+        _LOG.exception("event=call_fault path=%s", scope["path"])
+        reply = _request.Refusal(
+            outcomes.Outcome.UNKNOWN, outcomes.Reason.INTERNAL_FAULT
+        )
+    await _replies.send(answer, reply, incoming)
 
 
 async def _serve_ticket(
-    ticket: TicketHandler, scope: types.HTTPScope, send: types.Send
+    ticket: TicketHandler, scope: types.HTTPScope, answer: _replies.Answering
 ) -> None:
+    service = _path(scope, TICKET_PREFIX).strip("/")
     try:
         fields = _request.read_fields(_headers(scope))
+        reply = await ticket(service, fields)
     except _request.Malformed as error:
-        await _send_refusal(send, _malformed(error))
-        return
-    service = _path(scope, TICKET_PREFIX).strip("/")
-    reply = await ticket(service, fields)
+        reply = _malformed((), error)
+    except Exception:
+        # Nothing runs for a ticket that its caller does not get.
+        _LOG.exception("event=ticket_fault path=%s", scope["path"])
+        reply = _request.Refusal(
+            outcomes.Outcome.NOT_RUN, outcomes.Reason.INTERNAL_FAULT
+        )
     if isinstance(reply, _request.Refusal):
-        await _send_refusal(send, reply)
+        await _replies.send(answer, reply, None)
         return
     body = b'{"ticket":"%s","expires_in_ms":%d}' % (
         reply.ticket.encode(),
         int(reply.expires_in * 1000),
     )
-    headers = (("content-type", "application/json"),)
-    await _send_reply(send, _request.Reply(CREATED, headers, body))
+    json = (("content-type", "application/json"),)
+    await _replies.send(answer, _request.Reply(CREATED, json, body), None)
 
 
 async def _read(
-    scope: types.HTTPScope, receive: types.Receive
+    scope: types.HTTPScope,
+    headers: _request.Headers,
+    incoming: _bodies.Incoming,
 ) -> _request.Request:
-    headers = _headers(scope)
     fields = _request.read_fields(headers)
+    own = _request.own_headers(headers)
     service, _, rest = _path(scope, CALL_PREFIX).lstrip("/").partition("/")
     query = scope["query_string"].decode("latin-1")
-    parts = _body_parts(receive)
-    body, more = await _first_part(parts)
+    body, more = await _bodies.first_part(incoming)
     return _request.Request(
         method=scope["method"],
         service=service,
         path=f"/{rest}?{query}" if query else f"/{rest}",
-        headers=_request.own_headers(headers),
+        headers=own,
         fields=fields,
         body=body,
         length=_length(headers),
         more=more,
-        parts=parts,
+        parts=incoming.parts,
     )
 
 
-async def _first_part(
-    parts: abc.AsyncGenerator[bytes, None],
-) -> tuple[bytes, bool]:
-    collected = bytearray()
-    while len(collected) < FIRST_BODY_BYTES:
-        chunk = await anext(parts, None)
-        if chunk is None:
-            return bytes(collected), False
-        collected += chunk
-    return bytes(collected), True
-
-
-async def _body_parts(
-    receive: types.Receive,
-) -> abc.AsyncGenerator[bytes, None]:
-    more = True
-    while more:
-        message = typing.cast("dict[str, typing.Any]", await receive())
-        if message["type"] == "http.disconnect":
-            raise _request.CallerGone
-        chunk = message.get("body", b"")
-        more = bool(message.get("more_body", False))
-        if chunk:
-            yield chunk
-
-
 async def _until_gone(
-    call: CallHandler, request: _request.Request, receive: types.Receive
-) -> _request.Reply | _request.Refusal | None:
-    """Run the call; cancel it and return None if the caller goes away."""
-    if request.more:
-        # The handler reads the rest itself and so sees the caller go.
-        with contextlib.suppress(_request.CallerGone):
-            return await call(request)
-        return None
-    working = asyncio.ensure_future(call(request))
-    leaving = asyncio.ensure_future(_gone(receive))
-    await asyncio.wait({working, leaving}, return_when=asyncio.FIRST_COMPLETED)
-    leaving.cancel()
-    if working.done():
-        return working.result()
-    working.cancel()
-    await asyncio.wait({working})
-    return None
-
-
-async def _gone(receive: types.Receive) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
-async def _send_refusal(send: types.Send, refusal: _request.Refusal) -> None:
-    await _send_reply(send, _refusals.to_reply(refusal))
-
-
-async def _send_reply(send: types.Send, reply: _request.Reply) -> None:
-    headers = [
-        (name.encode("latin-1"), value.encode("latin-1"))
-        for name, value in reply.headers
-        if reply.parts is not None or name != "content-length"
-    ]
-    if reply.parts is None:
-        headers.append((b"content-length", b"%d" % len(reply.body)))
-    await send(
-        {
-            "type": "http.response.start",
-            "status": reply.status,
-            "headers": headers,
-        }
-    )
-    if reply.parts is None:
-        await _send_body(send, reply.body, more=False)
-        return
-    await _send_body(send, reply.body, more=True)
-    async for part in reply.parts:
-        await _send_body(send, part, more=True)
-    await _send_body(send, b"", more=False)
+    call: CallHandler, request: _request.Request, incoming: _bodies.Incoming
+) -> _request.Reply | _request.Refusal:
+    """Run the call; cancel it and raise if the caller goes away.
+
+    It runs in this task, with one task beside it that watches the caller:
+    a task for the call as well would cost each call some more time.
+    """
+    task = typing.cast("asyncio.Task[None]", asyncio.current_task())
+    watching = asyncio.ensure_future(_cancel_when_gone(incoming, task))
+    try:
+        return await call(request)
+    except asyncio.CancelledError:
+        if not incoming.gone or task.uncancel():
+            raise
+        raise _request.CallerGone from None
+    finally:
+        watching.cancel()
 
 
-async def _send_body(send: types.Send, body: bytes, *, more: bool) -> None:
-    await send({"type": "http.response.body", "body": body, "more_body": more})
+async def _cancel_when_gone(
+    incoming: _bodies.Incoming, task: asyncio.Task[None]
+) -> None:
+    await _bodies.wait_until_gone(incoming)
+    task.cancel()
 
 
 def _headers(scope: types.HTTPScope) -> _request.Headers:
@@ -228,7 +194,24 @@
     return -1
 
 
-def _malformed(error: _request.Malformed) -> _request.Refusal:
+def _malformed(
+    headers: _request.Headers, error: _request.Malformed
+) -> _request.Refusal:
     return _request.Refusal(
-        outcomes.Outcome.NOT_RUN, outcomes.Reason.MALFORMED, 0.0, str(error)
+        _outcome(headers), outcomes.Reason.MALFORMED, 0.0, str(error)
     )
+
+
+def _too_slow(headers: _request.Headers) -> _request.Refusal:
+    return _request.Refusal(
+        _outcome(headers),
+        outcomes.Reason.DEADLINE_PASSED,
+        0.0,
+        "the body's beginning did not come in time",
+    )
+
+
+def _outcome(headers: _request.Headers) -> outcomes.Outcome:
+    if _request.may_have_run(headers):
+        return outcomes.Outcome.UNKNOWN
+    return outcomes.Outcome.NOT_RUN
--- a/src/sassafrasstair/callers/_refusals.py
+++ b/src/sassafrasstair/callers/_refusals.py
@@ -10,6 +10,7 @@
 from sassafrasstair import outcomes
 
 BAD_REQUEST = 400
+INTERNAL = 500
 NOT_FOUND = 404
 CONFLICT = 409
 TOO_LARGE = 413
@@ -29,6 +30,7 @@
     _Reason.OWNER_GONE: CONFLICT,
     _Reason.PARENT_GONE: CONFLICT,
     _Reason.BODY_TOO_LARGE: TOO_LARGE,
+    _Reason.INTERNAL_FAULT: INTERNAL,
     _Reason.TOO_MANY_REPEATS: TOO_MANY,
     _Reason.TENANT_SHARE: TOO_MANY,
     _Reason.DEADLINE_PASSED: TIMED_OUT,
--- a/src/sassafrasstair/callers/_request.py
+++ b/src/sassafrasstair/callers/_request.py
@@ -15,6 +15,7 @@
 MAX_TOKEN = 256
 MAX_TIMEOUT_MS = 3_600_000
 MAX_REPEAT = 1_000
+MAX_DIGITS = 12
 PREFIX = "sassafras-"
 CONTEXT = "sassafras-context"
 CLASS = "sassafras-class"
@@ -76,16 +77,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """A whole answer. ``parts`` goes on after ``body`` when ``more``.
+    """A whole answer. ``parts`` goes on after ``body`` when it is set.
 
-    When ``parts`` raises, the connection is cut, so that the caller sees
-    that its answer is not whole.
+    When ``parts`` raises or is not taken within ``timeout`` seconds, the
+    connection is cut, so that the caller sees that its answer is not whole.
     """
 
     status: int
     headers: Headers
     body: bytes = b""
-    parts: abc.AsyncIterator[bytes] | None = None
+    parts: abc.AsyncGenerator[bytes, None] | None = None
+    timeout: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,7 +110,7 @@
 
 def read_fields(headers: Headers) -> Fields:
     """Return what the headers say; raise ``Malformed`` naming the first."""
-    values = {name: text for name, text in headers if name.startswith(PREFIX)}
+    values = _own_values(headers)
     context = _token(values, CONTEXT)
     tenant = _token(values, TENANT)
     caller = _token(values, CALLER)
@@ -127,11 +129,40 @@
     )
 
 
+def may_have_run(headers: Headers) -> bool:
+    """Return whether an earlier use of the request's ticket may run.
+
+    Of such a request only the ticket's owner can say "not run". A count of
+    repeats that can't be read is taken for one.
+    """
+    values = _own_values(headers)
+    return bool(values.get(TICKET)) and values.get(REPEAT, "0") != "0"
+
+
 def own_headers(headers: Headers) -> Headers:
-    """Return the caller's own headers, without the ``Sassafras-*`` ones."""
-    return tuple(
+    """Return the caller's own headers, without the ``Sassafras-*`` ones.
+
+    Raises ``Malformed`` for a value that is neither ASCII nor UTF-8: the
+    upstream's client library could not send it unchanged.
+    """
+    own = tuple(
         (name, value) for name, value in headers if not name.startswith(PREFIX)
     )
+    for name, value in own:
+        if not value.isascii():
+            _check_utf8(name, value)
+    return own
+
+
+def _own_values(headers: Headers) -> dict[str, str]:
+    return {name: text for name, text in headers if name.startswith(PREFIX)}
+
+
+def _check_utf8(name: str, value: str) -> None:
+    try:
+        value.encode("latin-1").decode()
+    except UnicodeDecodeError as error:
+        raise Malformed(f"{name} is not ASCII or UTF-8") from error
 
 
 def _token(values: dict[str, str], name: str) -> str:
@@ -143,6 +174,7 @@
 
 def _number(values: dict[str, str], name: str, most: int) -> int:
     text = values.get(name, "0")
-    if not (text.isascii() and text.isdigit()) or int(text[:12]) > most:
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > MAX_DIGITS or int(text) > most:
         raise Malformed(f"{name} is not a whole number from 0 to {most}")
     return int(text)
--- a/src/sassafrasstair/outcomes.py
+++ b/src/sassafrasstair/outcomes.py
@@ -45,6 +45,7 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_LOST = "upstream_lost"
     ANSWER_CUT_SHORT = "answer_cut_short"
+    INTERNAL_FAULT = "internal_fault"
     # Once-only work.
     TICKET_MISSING = "ticket_missing"
     TICKET_INVALID = "ticket_invalid"
--- a/src/sassafrasstair/runtime/_attempts.py
+++ b/src/sassafrasstair/runtime/_attempts.py
@@ -7,15 +7,18 @@
 import hashlib
 import typing
 
+from sassafrasstair import daemons
+
 if typing.TYPE_CHECKING:
     from collections import abc
 
-    from sassafrasstair import daemons
     from sassafrasstair.decisions import load
 
 DIGEST_BYTES = 16
 PART_QUEUE = 2
 
+_NO_MORE = daemons.BodyPart("", -1, b"")
+
 
 def new_digest(data: bytes = b"") -> hashlib.blake2b:
     """Return the running digest that both sides of a body keep."""
@@ -28,7 +31,9 @@
 
     ``spent`` and ``child_retry_after`` gather what the upstream's own
     calls further down told. ``parts`` holds request parts that the
-    upstream has not taken yet, ``rest`` what it has not answered yet.
+    upstream has not taken yet, ``rest`` what it has not answered yet and
+    ``reading`` the read of its next part. ``body_taken`` is true once the
+    last part of a long body has come.
     """
 
     run: daemons.Run
@@ -40,14 +45,27 @@
     task: asyncio.Task[daemons.RunAnswer] | None = None
     next_part: int = 1
     status: int = 0
-    rest: abc.AsyncIterator[bytes] | None = None
+    rest: abc.AsyncGenerator[bytes, None] | None = None
     rest_digest: hashlib.blake2b = dataclasses.field(
         default_factory=new_digest
     )
     rest_length: int = 0
     rest_parts: int = 0
+    reading: asyncio.Future[bytes] | None = None
+    body_taken: bool = False
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    @property
+    def body_is_whole(self) -> bool:
+        """Whether all of the request's body is here or at the upstream."""
+        return self.body_taken or not self.run.more
+
+    def stop_parts(self) -> None:
+        """Let whoever waits for a part of the body see that none comes."""
+        while not self.parts.empty():
+            self.parts.get_nowait()
+        self.parts.put_nowait(_NO_MORE)
+
 
 def new_attempt(run: daemons.Run, deadline: float) -> Attempt:
     """Return an attempt that the guard has not decided on yet."""
--- a/src/sassafrasstair/runtime/_bodies.py
+++ b/src/sassafrasstair/runtime/_bodies.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import typing
 
 from sassafrasstair import daemons
@@ -43,6 +44,8 @@
     last = False
     while not last:
         part = await attempt.parts.get()
+        if attempt.ended.is_set():
+            raise BodyBroken("the attempt has ended")
         digest.update(part.data)
         length += len(part.data)
         last = part.last
@@ -68,13 +71,12 @@
     if part.sequence != attempt.next_part:
         return daemons.PartTaken(False)
     attempt.next_part += 1
+    attempt.body_taken = part.last
+    if not attempt.parts.full():
+        attempt.parts.put_nowait(part)
+        return daemons.PartTaken(True)
     putting = asyncio.ensure_future(attempt.parts.put(part))
-    ending = asyncio.ensure_future(attempt.ended.wait())
-    await asyncio.wait({putting, ending}, return_when=asyncio.FIRST_COMPLETED)
-    taken = putting.done()
-    putting.cancel()
-    ending.cancel()
-    return daemons.PartTaken(taken)
+    return daemons.PartTaken(await _unless_ended(attempt, putting))
 
 
 async def next_part(
@@ -89,8 +91,7 @@
         _slots.fail_rest(slot, attempt, outcomes.Reason.ANSWER_CUT_SHORT)
         return _GONE
     try:
-        async with asyncio.timeout(_slots.remaining(slot, attempt)):
-            data = await anext(attempt.rest, b"")
+        data = await _read(slot, attempt, attempt.rest)
     except (upstreams.UpstreamError, TimeoutError):
         _slots.fail_rest(slot, attempt, outcomes.Reason.ANSWER_CUT_SHORT)
         return _GONE
@@ -106,18 +107,45 @@
     attempt.rest_length += len(data)
 
 
+async def _read(
+    slot: _slots.Slot,
+    attempt: _attempts.Attempt,
+    rest: abc.AsyncIterator[bytes],
+) -> bytes:
+    """Return the answer's next part; ``TimeoutError`` if it was dropped.
+
+    In a task of its own, so that a cancellation of the attempt ends it and
+    the upstream sees that at once, and not at the deadline.
+    """
+    reading = asyncio.ensure_future(_next(rest))
+    attempt.reading = reading
+    left = max(0.0, _slots.remaining(slot, attempt))
+    try:
+        await asyncio.wait({reading}, timeout=left)
+    finally:
+        reading.cancel()
+    if not reading.done() or reading.cancelled():
+        raise TimeoutError
+    return reading.result()
+
+
+async def _next(rest: abc.AsyncIterator[bytes]) -> bytes:
+    return await anext(rest, b"")
+
+
 async def rechunk(
-    chunks: abc.AsyncIterator[bytes],
-) -> abc.AsyncIterator[bytes]:
+    chunks: abc.AsyncGenerator[bytes, None],
+) -> abc.AsyncGenerator[bytes, None]:
     """Yield parts of at least ``CHUNK_BYTES``, only the last shorter."""
     held = bytearray()
-    async for chunk in chunks:
-        held += chunk
-        if len(held) >= daemons.CHUNK_BYTES:
+    async with contextlib.aclosing(chunks):
+        async for chunk in chunks:
+            held += chunk
+            if len(held) >= daemons.CHUNK_BYTES:
+                yield bytes(held)
+                held.clear()
+        if held:
             yield bytes(held)
-            held.clear()
-    if held:
-        yield bytes(held)
 
 
 async def _arrival(
@@ -140,12 +168,23 @@
 
 
 async def _admitted(attempt: _attempts.Attempt) -> daemons.PartTaken:
+    if not await _unless_ended(attempt, asyncio.shield(attempt.verdict)):
+        return daemons.PartTaken(False)
+    return daemons.PartTaken(isinstance(attempt.verdict.result(), load.Start))
+
+
+async def _unless_ended(
+    attempt: _attempts.Attempt, work: asyncio.Future[typing.Any]
+) -> bool:
+    """Wait for ``work``; give it up, and say so, if the attempt ends."""
     ending = asyncio.ensure_future(attempt.ended.wait())
-    both: set[asyncio.Future[typing.Any]] = {attempt.verdict, ending}
-    await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-    ending.cancel()
-    verdict = attempt.verdict.result() if attempt.verdict.done() else None
-    return daemons.PartTaken(isinstance(verdict, load.Start))
+    both: set[asyncio.Future[typing.Any]] = {work, ending}
+    try:
+        await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+        return work.done()
+    finally:
+        work.cancel()
+        ending.cancel()
 
 
 def _last_part(
--- a/src/sassafrasstair/runtime/_children.py
+++ b/src/sassafrasstair/runtime/_children.py
@@ -23,6 +23,15 @@
     entry: _entries.Entry, service: str, fields: callers.Fields
 ) -> callers.TicketReply | callers.Refusal:
     """Take a ticket for a caller of once-only work."""
+    reply = await _take_for_caller(entry, service, fields)
+    if isinstance(reply, callers.Refusal):
+        _entries.note_refusal(entry, fields.request_class, reply)
+    return reply
+
+
+async def _take_for_caller(
+    entry: _entries.Entry, service: str, fields: callers.Fields
+) -> callers.TicketReply | callers.Refusal:
     bundle = entry.bundle()
     if bundle is None or entry.leaving:
         reason = outcomes.Reason.LEAVING
@@ -59,6 +68,7 @@
     key = request.fields.child_key
     owner = entry.slot.owner
     known = once.child(owner, parent_ticket, service, key)
+    first_use = known is None
     if known is None:
         ask = daemons.TicketAsk(
             service,
@@ -70,9 +80,10 @@
         if isinstance(taken, callers.Refusal):
             return taken
         known = once.adopt(owner, parent_ticket, service, key, taken.ticket)
+        first_use = known == taken.ticket
     if isinstance(known, once.Refused):
         return callers.Refusal(known.outcome, known.reason)
-    return _entries.with_child_ticket(ready, known)
+    return _entries.with_child_ticket(ready, known, first_use)
 
 
 async def _take(
--- a/src/sassafrasstair/runtime/_control.py
+++ b/src/sassafrasstair/runtime/_control.py
@@ -11,6 +11,7 @@
 import logging
 import typing
 
+from sassafrasstair import bundles
 from sassafrasstair import daemons
 from sassafrasstair.decisions import fleet
 from sassafrasstair import logs
@@ -20,18 +21,24 @@
     from collections import abc
     import random
 
-    from sassafrasstair import bundles
     from sassafrasstair import clocks
+    from sassafrasstair import metrics
 
 TICK_SECONDS = 0.25
 WATCH_SECONDS = 40.0
+WATCH_FAULT_SECONDS = 5.0
 
 _LOG = logging.getLogger(__name__)
+_FINDINGS = frozenset({"bundle_refused", "bundle_conflict"})
+"""Events that operators must look into."""
 
 
 @dataclasses.dataclass(slots=True)
 class Control:
-    """State of the control side. ``adopted`` is told each new bundle."""
+    """State of the control side. ``adopted`` is told each new bundle.
+
+    ``heard`` is when this daemon itself last heard of the platform.
+    """
 
     clock: clocks.Clock
     rng: random.Random
@@ -39,7 +46,8 @@
     links: daemons.Links
     client: platform.Client
     adopted: abc.Callable[[bundles.Bundle], None]
-    counted: abc.Callable[[], None]
+    counts: metrics.Metrics
+    heard: float | None = None
     watches: list[asyncio.Task[None]] = dataclasses.field(default_factory=list)
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
@@ -93,7 +101,25 @@
         elif isinstance(effect, fleet.InForce):
             control.adopted(effect.bundle)
         else:
-            logs.event(_LOG, logging.INFO, effect.event, **effect.fields)
+            _report(control, effect)
+
+
+def _report(control: Control, effect: fleet.Report) -> None:
+    level = logging.INFO
+    if effect.event in _FINDINGS:
+        level = logging.WARNING
+    if effect.event == "bundle_refused":
+        control.counts.bundle_refused(_defect(effect.fields["reason"]))
+    logs.event(_LOG, level, effect.event, **effect.fields)
+
+
+def _defect(reason: str) -> bundles.Defect:
+    """Return the sentinel that a refusal's text begins with."""
+    name = reason.partition(":")[0].replace(" ", "_")
+    known = {defect.value for defect in bundles.Defect}
+    if name in known:
+        return bundles.Defect(name)
+    return bundles.Defect.BAD_VALUE
 
 
 def _start(
@@ -157,31 +183,40 @@
 ) -> None:
     index = 0
     while True:
-        control.counted()
+        control.counts.platform_read()
         try:
             snapshot = await control.client.watch(prefix, index, WATCH_SECONDS)
+            if snapshot.index != index:
+                took(control, snapshot)
         except platform.PlatformError as error:
             # What changed while the watch was lost is unknown: index 0
             # makes the next one a read of the whole, after a spread delay.
             index = 0
             await asyncio.sleep(_failed(control, error))
             continue
-        if snapshot.index != index:
-            took(control, snapshot)
+        except Exception:
+            # A fault of ours must not end the watch for good: new bundles
+            # would never again come into force in this failure domain.
+            _LOG.exception("event=watch_fault prefix=%s", prefix)
+            index = 0
+            await asyncio.sleep(WATCH_FAULT_SECONDS)
+            continue
+        control.heard = control.clock.monotonic()
         index = snapshot.index
 
 
 async def _read(control: Control, delay: float) -> None:
     await asyncio.sleep(delay)
     try:
-        control.counted()
+        control.counts.platform_read()
         held = await control.client.read(platform.BUNDLES_PREFIX)
-        control.counted()
+        control.counts.platform_read()
         vms = await control.client.read(platform.VMS_KEY)
     except platform.PlatformError as error:
         effects = _failure(control, error)
         apply(control, effects)
         return
+    control.heard = control.clock.monotonic()
     _took_vms(control, vms)
     _took_bundles(control, held)
 
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -78,7 +78,7 @@
     entrance = calls.new_entrance(
         incarnation, settings_.failure_domain, settings_.region
     )
-    slot = _new_slot(settings_, incarnation, clock, bundle, entrance)
+    slot = _new_slot(settings_, incarnation, clock, bundle, entrance, counts)
     entry = _entries.Entry(
         clock=clock,
         rng=rng,
@@ -96,7 +96,7 @@
         links=links,
         client=platform.open_client(settings_.platform.urls),
         adopted=functools.partial(_adopt, slot, counts),
-        counted=counts.platform_read,
+        counts=counts,
     )
     return Daemon(
         settings_,
@@ -261,11 +261,13 @@
     slot: _slots.Slot, message: daemons.Message, timeout: float
 ) -> daemons.Message:
     """Serve a message of this daemon's own entrance without the link."""
-    serving = asyncio.ensure_future(_serve(slot, message))
-    await asyncio.wait({serving}, timeout=timeout)
-    if not serving.done():
-        raise daemons.PeerTimeout("own slot")
-    return serving.result()
+    # A time-out, or a cancellation, ends this wait only: the attempt is a
+    # task of its own, which the entrance's ``Cancel`` then ends.
+    try:
+        async with asyncio.timeout(timeout):
+            return await _serve(slot, message)
+    except TimeoutError as error:
+        raise daemons.PeerTimeout("own slot") from error
 
 
 def _adopt(
@@ -336,6 +338,7 @@
     clock: clocks.Clock,
     bundle: typing.Callable[[], bundles.Bundle | None],
     entrance: calls.Entrance,
+    counts: metrics.Metrics,
 ) -> _slots.Slot:
     now = clock.monotonic()
     owner = once.new_owner(
@@ -356,6 +359,7 @@
             _floor_below, settings_.service, entrance, bundle, clock
         ),
         pauses=calls.Pauses(now),
+        counts=counts,
     )
 
 
@@ -380,6 +384,7 @@
     return callers.create_app(
         functools.partial(_entrance.call, daemon.entry),
         functools.partial(_children.take, daemon.entry),
+        lambda: daemon.entry.leaving,
     )
 
 
--- a/src/sassafrasstair/runtime/_entrance.py
+++ b/src/sassafrasstair/runtime/_entrance.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
 import typing
 
@@ -26,6 +25,21 @@
 
 _Outcome = outcomes.Outcome
 _Reason = outcomes.Reason
+_PASSING = outcomes.OVERLOAD_REASONS | {
+    _Reason.ANSWER_CUT_SHORT,
+    _Reason.CANCELLED,
+    _Reason.DEADLINE_PASSED,
+    _Reason.DEADLINE_TOO_SHORT,
+    _Reason.LEAVING,
+    _Reason.NO_BUNDLE,
+    _Reason.NO_INSTANCE,
+    _Reason.PEER_LOST,
+    _Reason.PEER_UNREACHABLE,
+    _Reason.TOO_MANY_REPEATS,
+    _Reason.UPSTREAM_LOST,
+    _Reason.UPSTREAM_UNREACHABLE,
+}
+"""What a later repeat of the same request may find changed."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,7 +61,8 @@
     try:
         ready = await _prepare(entry, request)
         if isinstance(ready, callers.Refusal):
-            return _refused(entry, request.fields.request_class, ready)
+            refusal = _as_known(ready, _is_first_use(request))
+            return _refused(entry, request.fields.request_class, refusal)
         reply = await _drive(entry, ready, request)
     finally:
         entry.in_flight -= 1
@@ -70,10 +85,22 @@
 def _refused(
     entry: _entries.Entry, request_class: str, refusal: callers.Refusal
 ) -> callers.Refusal:
-    entry.counts.refused(request_class, refusal.outcome, refusal.reason)
+    _entries.note_refusal(entry, request_class, refusal)
     return refusal
 
 
+def _is_first_use(request: callers.Request) -> bool:
+    return not request.fields.ticket or request.fields.repeat == 0
+
+
+def _as_known(refusal: callers.Refusal, first_use: bool) -> callers.Refusal:
+    """Return what may be said of a request that no owner answered for."""
+    if first_use or refusal.outcome is not _Outcome.NOT_RUN:
+        return refusal
+    told = once.entrance_refusal(1, refusal.reason)
+    return dataclasses.replace(refusal, outcome=told.outcome)
+
+
 def _needs_child_ticket(ready: _entries.Ready) -> bool:
     rules = ready.bundle.classes[ready.call.request_class]
     return rules.once and ready.parent is not None
@@ -104,7 +131,8 @@
     try:
         while isinstance(effect, calls.Send):
             effect = await _attempt(entry, ready, request, effect, progress)
-    except (asyncio.CancelledError, callers.CallerGone):
+    except BaseException:
+        # The caller went away, or a fault of ours: nobody waits any more.
         _abandon(entry, progress)
         raise
     return _finish(entry, ready, effect, progress)
@@ -117,9 +145,12 @@
     send: calls.Send,
     progress: _Progress,
 ) -> calls.Effect:
+    if progress.attempt_id:
+        entry.counts.retried(ready.call.service)
     progress.attempt_id = send.attempt_id
     progress.vm = send.target.vm
-    transfer = _transfers.Transfer(send.attempt_id, send.target.vm)
+    max_body = ready.bundle.classes[ready.call.request_class].max_body_bytes
+    transfer = _transfers.Transfer(send.attempt_id, send.target.vm, max_body)
     message = _to_run(entry, ready, request, send)
     answer, raw = await _transfers.send(entry, transfer, message, request)
     progress.answer = raw
@@ -141,7 +172,7 @@
         entry.rng,
     )
     if effect is None:
-        entry.late_answers += 1
+        entry.counts.late_answer()
         return calls.Refuse(_Outcome.UNKNOWN, _Reason.PEER_LOST)
     return effect
 
@@ -188,12 +219,34 @@
         return _transfers.to_reply(
             entry, progress.vm, progress.answer, ready.call.deadline
         )
-    outcome = effect.outcome
-    if ready.call.ticket and not progress.attempt_id:
-        outcome = once.entrance_refusal(
-            ready.call.repeat, effect.reason
-        ).outcome
-    return callers.Refusal(outcome, effect.reason, effect.retry_after)
+    reason = effect.reason
+    if ready.owner is not None and reason is _Reason.NO_INSTANCE:
+        reason = _Reason.OWNER_GONE
+    after = _come_back(entry, ready, reason, effect.retry_after)
+    refusal = callers.Refusal(effect.outcome, reason, after)
+    if ready.owner is None or progress.answer is not None:
+        return refusal
+    return _as_known(refusal, ready.first_use)
+
+
+def _come_back(
+    entry: _entries.Entry,
+    ready: _entries.Ready,
+    reason: outcomes.Reason,
+    after: float,
+) -> float:
+    """Return the Retry-After: spread by the class's rule if none is given.
+
+    0, "coming back is of no use", stays for what no repeat can change.
+    """
+    if reason not in _PASSING:
+        return 0.0
+    if after > 0:
+        return after
+    rules = ready.bundle.classes[ready.call.request_class].refusal
+    low = rules.retry_after_min_ms / 1000
+    high = max(low, rules.retry_after_max_ms / 1000)
+    return entry.rng.uniform(low, high)
 
 
 def _tell_parent(
--- a/src/sassafrasstair/runtime/_entries.py
+++ b/src/sassafrasstair/runtime/_entries.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import logging
 import typing
 
 from sassafrasstair import callers
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import once
+from sassafrasstair import logs
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
@@ -24,6 +26,7 @@
 
 NOT_READY_RETRY_AFTER = 1.0
 
+_LOG = logging.getLogger(__name__)
 _Outcome = outcomes.Outcome
 _Reason = outcomes.Reason
 
@@ -48,7 +51,6 @@
     counts: metrics.Metrics
     leaving: bool = False
     in_flight: int = 0
-    late_answers: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,12 +59,15 @@
 
     ``parent`` is the attempt whose upstream made the call, if any.
     ``owner`` is set for once-only work: no other instance may run it.
+    ``first_use`` is false where the ticket was sent before, maybe through
+    another entrance: then only the owner can say "not run".
     """
 
     call: calls.Call
     bundle: bundles.Bundle
     parent: _attempts.Attempt | None
     owner: once.TicketName | None
+    first_use: bool = True
 
 
 def prepare(entry: Entry, request: callers.Request) -> Ready | callers.Refusal:
@@ -98,6 +103,22 @@
     return None
 
 
+def note_refusal(
+    entry: Entry, request_class: str, refusal: callers.Refusal
+) -> None:
+    """Count and log a final refusal that a caller is given."""
+    entry.counts.refused(request_class, refusal.outcome, refusal.reason)
+    logs.event(
+        _LOG,
+        logging.DEBUG,
+        "refused",
+        request_class=request_class,
+        outcome=refusal.outcome.value,
+        reason=refusal.reason.value,
+        retry_after=refusal.retry_after,
+    )
+
+
 def _prepare_root(
     entry: Entry, bundle: bundles.Bundle, request: callers.Request
 ) -> Ready | callers.Refusal:
@@ -130,7 +151,7 @@
     )
     if not rules.once:
         return Ready(call, bundle, None, None)
-    return _with_owner(call, bundle, None)
+    return _with_owner(call, bundle, None, fields.repeat == 0)
 
 
 def _prepare_child(
@@ -140,7 +161,13 @@
     if parent is None:
         # Nobody waits for the parent's work any more, so its upstream's
         # further calls would be work that no answer accounts for.
-        return _refuse(_Reason.PARENT_GONE, "the parent request has ended")
+        # An earlier use of its ticket, if it has one, may have run.
+        return callers.Refusal(
+            _Outcome.UNKNOWN,
+            _Reason.PARENT_GONE,
+            0.0,
+            "the parent request has ended",
+        )
     run = parent.run
     length = max(request.length, len(request.body))
     refusal = check_class(bundle, request.service, run.request_class, length)
@@ -159,16 +186,19 @@
     return Ready(call, bundle, parent, None)
 
 
-def with_child_ticket(ready: Ready, ticket: str) -> Ready | callers.Refusal:
+def with_child_ticket(
+    ready: Ready, ticket: str, first_use: bool
+) -> Ready | callers.Refusal:
     """Return a child call of once-only work with its own ticket."""
     call = dataclasses.replace(ready.call, ticket=ticket)
-    return _with_owner(call, ready.bundle, ready.parent)
+    return _with_owner(call, ready.bundle, ready.parent, first_use)
 
 
 def _with_owner(
     call: calls.Call,
     bundle: bundles.Bundle,
     parent: _attempts.Attempt | None,
+    first_use: bool,
 ) -> Ready | callers.Refusal:
     if not call.ticket:
         return _refuse(
@@ -188,7 +218,7 @@
             _Reason.TICKET_INVALID,
             f"the ticket is for {name.service}/{name.request_class}",
         )
-    return Ready(call, bundle, parent, name)
+    return Ready(call, bundle, parent, name, first_use)
 
 
 def _refuse(
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -33,11 +33,17 @@
     """Run one attempt, or refuse it; raises only ``CancelledError``."""
     now = slot.clock.monotonic()
     calls.note_beat(slot.pauses, now)
+    known = slot.attempts.get(message.attempt_id)
+    if known is not None and known.task is not None:
+        # Failure: the link delivers a request twice. Were the second one
+        # refused as not run, its answer could come first and be believed.
+        slot.doubled += 1
+        return await asyncio.shield(known.task)
     reason = _unfit(slot, message)
+    if message.ticket:
+        return await _run_ticket(slot, message, reason, now)
     if reason is not _Reason.NONE:
         return _answers.refusal(slot, message, _Outcome.NOT_RUN, reason)
-    if message.ticket:
-        return await _run_ticket(slot, message, now)
     return await _run(slot, message, now)
 
 
@@ -52,23 +58,30 @@
         return _Reason.UNKNOWN_CLASS
     if rules.once and not message.ticket:
         return _Reason.TICKET_MISSING
-    if message.attempt_id in slot.attempts:
-        # Failure: the link delivers a request twice. The second one would
-        # run beside the first; attempts are numbered so that it is seen.
-        slot.doubled += 1
-        return _Reason.MALFORMED
+    if message.attempt_id in slot.cancelled:
+        del slot.cancelled[message.attempt_id]
+        return _Reason.CANCELLED
     if message.more and slot.large_bodies >= MAX_LARGE_BODIES:
         return _Reason.BODY_MEMORY
     return _Reason.NONE
 
 
 async def _run_ticket(
-    slot: _slots.Slot, message: daemons.Run, now: float
+    slot: _slots.Slot,
+    message: daemons.Run,
+    unfit: outcomes.Reason,
+    now: float,
 ) -> daemons.RunAnswer:
+    # The ticket's record comes first: an unfit repeat of work that runs, or
+    # has run, must not be told "not run", and an unfit first use is voided.
     arrival = once.arrive(
         slot.owner, message.ticket, message.request_class, now
     )
     if isinstance(arrival, once.Run):
+        if unfit is not _Reason.NONE:
+            result = once.NotRun(unfit)
+            once.finish(slot.owner, message.ticket, result, now)
+            return _answers.refusal(slot, message, _Outcome.NOT_RUN, unfit)
         slot.joins[message.ticket] = asyncio.Event()
         return await _run(slot, message, now)
     if isinstance(arrival, once.Join):
@@ -86,12 +99,20 @@
 
 
 async def _wait_for_end(slot: _slots.Slot, message: daemons.Run) -> None:
-    event = slot.joins.get(message.ticket)
+    ticket = message.ticket
+    event = slot.joins.get(ticket)
     if event is None:
         return
-    waiting = asyncio.ensure_future(event.wait())
-    await asyncio.wait({waiting}, timeout=message.remaining_ms / 1000)
-    waiting.cancel()
+    slot.joined[ticket] = slot.joined.get(ticket, 0) + 1
+    try:
+        async with asyncio.timeout(message.remaining_ms / 1000):
+            await event.wait()
+    except TimeoutError:
+        return
+    finally:
+        slot.joined[ticket] -= 1
+        if not slot.joined[ticket]:
+            del slot.joined[ticket]
 
 
 async def _run(
--- a/src/sassafrasstair/runtime/_slots.py
+++ b/src/sassafrasstair/runtime/_slots.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import abc
 import contextlib
 import dataclasses
 import typing
@@ -13,12 +12,17 @@
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from sassafrasstair import bundles
     from sassafrasstair import clocks
     from sassafrasstair.decisions import calls
+    from sassafrasstair import metrics
     from sassafrasstair.runtime import _attempts
     from sassafrasstair import upstreams
 
+MAX_CANCELLED = 256
+
 _closing: set[asyncio.Future[None]] = set()
 
 
@@ -29,7 +33,8 @@
     ``floor_below`` gives, for a class and a tenant, the greatest shed floor
     that this VM's own calls have met further down the chain. ``joins`` maps a
     running ticket to the event of its end, ``arrivals`` an attempt whose
-    body came first to the event of its own arrival.
+    body came first to the event of its own arrival. ``cancelled`` holds the
+    last attempts of which a cancellation came and no request.
     """
 
     service: str
@@ -41,13 +46,16 @@
     bundle: abc.Callable[[], bundles.Bundle | None]
     floor_below: abc.Callable[[str, str], float]
     pauses: calls.Pauses
+    counts: metrics.Metrics
     attempts: dict[str, _attempts.Attempt] = dataclasses.field(
         default_factory=dict
     )
     joins: dict[str, asyncio.Event] = dataclasses.field(default_factory=dict)
+    joined: dict[str, int] = dataclasses.field(default_factory=dict)
     arrivals: dict[str, asyncio.Event] = dataclasses.field(
         default_factory=dict
     )
+    cancelled: dict[str, None] = dataclasses.field(default_factory=dict)
     large_bodies: int = 0
     sized: bool = False
     doubled: int = 0
@@ -78,12 +86,11 @@
     """Drop an attempt that nobody waits for any more."""
     attempt = slot.attempts.get(attempt_id)
     if attempt is None:
-        return
-    if attempt.rest is not None:
+        _note_cancelled(slot, attempt_id)
+    elif attempt.rest is not None:
         fail_rest(slot, attempt, outcomes.Reason.CANCELLED)
-        return
-    now = slot.clock.monotonic()
-    apply(slot, load.cancel(slot.guard, attempt_id, now))
+    elif not _must_go_on(slot, attempt):
+        _drop(slot, attempt)
 
 
 def tick(slot: Slot) -> None:
@@ -100,8 +107,9 @@
     slot: Slot, attempt: _attempts.Attempt, reason: outcomes.Reason
 ) -> None:
     """Give up on an answer whose body has not been passed on whole."""
-    end_ticket(slot, attempt, once.Unknown(reason))
-    end(slot, attempt, load.End.FAILED)
+    if attempt.run.attempt_id in slot.attempts:
+        end_ticket(slot, attempt, once.Unknown(reason))
+        end(slot, attempt, load.End.FAILED)
 
 
 def end(slot: Slot, attempt: _attempts.Attempt, how: load.End) -> None:
@@ -109,6 +117,8 @@
     if forget(slot, attempt):
         now = slot.clock.monotonic()
         attempt_id = attempt.run.attempt_id
+        started = slot.guard.running.get(attempt_id, now)
+        slot.counts.ran(attempt.run.request_class, now - started)
         apply(slot, load.finish(slot.guard, attempt_id, how, now))
 
 
@@ -119,6 +129,10 @@
         return False
     slot.large_bodies -= attempt.run.more
     attempt.ended.set()
+    if attempt.run.more:
+        attempt.stop_parts()
+    if attempt.reading is not None:
+        attempt.reading.cancel()
     if attempt.rest is not None:
         _close(attempt.rest)
     return True
@@ -149,16 +163,49 @@
     return attempt.deadline - slot.clock.monotonic()
 
 
+def _note_cancelled(slot: Slot, attempt_id: str) -> None:
+    # Failure: each message has an exchange of its own, so a cancellation may
+    # be handled before its request, which then runs with nobody waiting.
+    slot.cancelled[attempt_id] = None
+    if len(slot.cancelled) > MAX_CANCELLED:
+        del slot.cancelled[next(iter(slot.cancelled))]
+
+
+def _must_go_on(slot: Slot, attempt: _attempts.Attempt) -> bool:
+    """Return whether once-only work goes on without its caller.
+
+    Cancelled at the upstream it would be unknown for ever; let end, it
+    gives the caller's repeat, which carries the same ticket, a true answer.
+    A body that has not come whole can't end, so it is cancelled.
+    """
+    ticket = attempt.run.ticket
+    if not ticket or not attempt.body_is_whole:
+        return False
+    started = attempt.run.attempt_id in slot.guard.running
+    return started or slot.joined.get(ticket, 0) > 0
+
+
+def _drop(slot: Slot, attempt: _attempts.Attempt) -> None:
+    attempt_id = attempt.run.attempt_id
+    now = slot.clock.monotonic()
+    apply(slot, load.cancel(slot.guard, attempt_id, now))
+    if attempt_id not in slot.guard.running and not attempt.verdict.done():
+        # Failure: a cancelled attempt waits for the guard's verdict, which
+        # has forgotten it: it stays here for ever, a planned stop waits for
+        # it without end, and so do the callers that joined its ticket.
+        reason = outcomes.Reason.CANCELLED
+        attempt.verdict.set_result(load.Turn(attempt_id, reason, 0.0))
+
+
 def _abort(attempt: _attempts.Attempt) -> None:
     if attempt.task is not None:
         attempt.task.cancel()
 
 
-def _close(rest: abc.AsyncIterator[bytes]) -> None:
-    if isinstance(rest, abc.AsyncGenerator):
-        task = asyncio.ensure_future(_aclose(rest))
-        _closing.add(task)
-        task.add_done_callback(_closing.discard)
+def _close(rest: abc.AsyncGenerator[bytes, None]) -> None:
+    task = asyncio.ensure_future(_aclose(rest))
+    _closing.add(task)
+    task.add_done_callback(_closing.discard)
 
 
 async def _aclose(rest: abc.AsyncGenerator[bytes, None]) -> None:
--- a/src/sassafrasstair/runtime/_status.py
+++ b/src/sassafrasstair/runtime/_status.py
@@ -117,7 +117,7 @@
 def _counters(entry: _entries.Entry) -> dict[str, int]:
     counts = entry.slot.owner.counts
     return {
-        "late_answers": entry.late_answers,
+        **entry.counts.totals(),
         "doubled_attempts": entry.slot.doubled,
         "pauses": entry.slot.pauses.count,
         "tickets_issued": counts.issued,
@@ -126,4 +126,12 @@
         "tickets_replayed": counts.replayed,
         "tickets_voided": counts.voided,
         "tickets_unknown": counts.unknown,
+        "tickets_full": counts.full,
+        "tickets_invalid": counts.invalid,
+        "tickets_expired": counts.expired,
+        "tickets_owner_gone": counts.owner_gone,
+        # These are 0 unless something else is broken.
+        "tickets_not_sent": counts.not_sent,
+        "tickets_not_run_disbelieved": counts.not_run_disbelieved,
+        "tickets_ended_twice": counts.ended_twice,
     }
--- a/src/sassafrasstair/runtime/_transfers.py
+++ b/src/sassafrasstair/runtime/_transfers.py
@@ -25,16 +25,24 @@
 _background: set[asyncio.Future[typing.Any]] = set()
 
 
+class BodyTooLarge(Exception):
+    """The caller sent more than the class allows, after it began."""
+
+
 class AnswerBroken(Exception):
     """The rest of an answer is lost, or it does not match its digest."""
 
 
 @dataclasses.dataclass(slots=True)
 class Transfer:
-    """One attempt at ``vm``; whether the caller's later parts were read."""
+    """One attempt at ``vm``, whose body is at most ``max_body`` bytes.
+
+    ``body_used`` says whether the caller's later parts were read.
+    """
 
     attempt_id: str
     vm: str
+    max_body: int
     body_used: bool = False
 
 
@@ -48,13 +56,11 @@
 
     The second value is the upstream's answer when there is one.
     """
-    timeout = message.remaining_ms / 1000
-    asking = asyncio.ensure_future(entry.ask(transfer.vm, message, timeout))
-    pump: asyncio.Future[None] | None = None
-    if request.more:
-        pump = asyncio.ensure_future(_pump(entry, transfer, request, timeout))
     try:
-        reply = await _first_of(asking, pump)
+        reply = await _exchange(entry, transfer, message, request)
+    except BodyTooLarge:
+        cancel(entry, transfer.vm, transfer.attempt_id)
+        return _lost(_Reason.BODY_TOO_LARGE), None
     except daemons.PeerTimeout:
         cancel(entry, transfer.vm, transfer.attempt_id)
         return _lost(_Reason.DEADLINE_PASSED), None
@@ -62,24 +68,30 @@
         return _unreachable(), None
     except daemons.PeerLost:
         return _lost(_Reason.PEER_LOST), None
-    finally:
-        asking.cancel()
-        if pump is not None:
-            pump.cancel()
     return _read(transfer, reply)
 
 
-async def _first_of(
-    asking: asyncio.Future[daemons.Message],
-    pump: asyncio.Future[None] | None,
+async def _exchange(
+    entry: _entries.Entry,
+    transfer: Transfer,
+    message: daemons.Run,
+    request: callers.Request,
 ) -> daemons.Message:
-    """Return the reply; raise at once if the caller goes away."""
-    if pump is not None:
-        both: set[asyncio.Future[typing.Any]] = {asking, pump}
+    """Return the reply; raise at once what ends the body's passing on."""
+    timeout = message.remaining_ms / 1000
+    if not request.more:
+        return await entry.ask(transfer.vm, message, timeout)
+    asking = asyncio.ensure_future(entry.ask(transfer.vm, message, timeout))
+    pump = asyncio.ensure_future(_pump(entry, transfer, request, timeout))
+    both: set[asyncio.Future[typing.Any]] = {asking, pump}
+    try:
         await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-        if pump.done() and isinstance(pump.exception(), callers.CallerGone):
-            raise callers.CallerGone
-    return await asking
+        if pump.done():
+            pump.result()
+        return await asking
+    finally:
+        asking.cancel()
+        pump.cancel()
 
 
 def _read(
@@ -124,9 +136,13 @@
         return
     transfer.body_used = True
     digest = _attempts.new_digest(request.body)
+    length = len(request.body)
     sequence = 0
     async for data in _chunked(request.parts):
         sequence += 1
+        length += len(data)
+        if length > transfer.max_body:
+            raise BodyTooLarge
         digest.update(data)
         part = daemons.BodyPart(transfer.attempt_id, sequence, data)
         if not await _wanted(entry, transfer, part, timeout):
@@ -186,7 +202,8 @@
     if not answer.more:
         return callers.Reply(answer.status, headers, answer.body)
     parts = _rest(entry, vm, answer, deadline)
-    return callers.Reply(answer.status, headers, answer.body, parts)
+    left = max(0.0, deadline - entry.clock.monotonic())
+    return callers.Reply(answer.status, headers, answer.body, parts, left)
 
 
 async def _rest(
@@ -194,7 +211,7 @@
     vm: str,
     answer: daemons.RunAnswer,
     deadline: float,
-) -> abc.AsyncIterator[bytes]:
+) -> abc.AsyncGenerator[bytes, None]:
     digest = _attempts.new_digest(answer.body)
     sequence = 0
     whole = False
--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -25,6 +25,7 @@
 HOP_BY_HOP = frozenset(
     {
         "connection",
+        "expect",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
@@ -71,7 +72,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    chunks: abc.AsyncIterator[bytes]
+    chunks: abc.AsyncGenerator[bytes, None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -148,15 +149,25 @@
     if isinstance(request.body, bytes):
         left_out = _NEVER_SENT | {"content-length"}
     return [
-        (name, value)
+        (name, _wire_text(value))
         for name, value in request.headers
         if name not in left_out
     ]
 
 
+def _wire_text(value: str) -> str:
+    """Return what the library, which sends UTF-8, sends as ``value``.
+
+    Header values are held as Latin-1 text, so that they are bytes to us.
+    """
+    return value if value.isascii() else value.encode("latin-1").decode()
+
+
 def _raise_refusal(answer: aiohttp.ClientResponse) -> typing.NoReturn:
     said = answer.headers.get(OUTCOME_HEADER, "")
-    answer.close()
+    # Keeps the connection if the refusal has come whole, as a short one
+    # has: under overload a new connection for each would be more load.
+    answer.release()
     known = said in NOT_RUN_VALUES
     raise UpstreamError(
         outcomes.Outcome.NOT_RUN if known else outcomes.Outcome.UNKNOWN,
@@ -166,15 +177,15 @@
 
 def _headers(answer: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
     return tuple(
-        (lowered, value)
-        for name, value in answer.headers.items()
-        if (lowered := name.lower()) not in HOP_BY_HOP
+        (lowered, value.decode("latin-1"))
+        for name, value in answer.raw_headers
+        if (lowered := name.decode("latin-1").lower()) not in HOP_BY_HOP
     )
 
 
 async def _chunks(
     answer: aiohttp.ClientResponse,
-) -> abc.AsyncIterator[bytes]:
+) -> abc.AsyncGenerator[bytes, None]:
     try:
         async for chunk in answer.content.iter_any():
             yield chunk
--- /dev/null
+++ b/tests/runtime/conftest.py
@@ -0,0 +1,11 @@
+from __future__ import annotations
+
+import pytest
+
+from sassafrasstair.runtime import _daemon
+
+
+@pytest.fixture(autouse=True)
+def _short_leave(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let a planned stop, of which most stories have two, be short."""
+    monkeypatch.setattr(_daemon, "LEAVE_SECONDS", 0.05)
--- /dev/null
+++ b/tests/runtime/meshes.py
@@ -0,0 +1,224 @@
+"""Two daemons, ``front-1`` and ``back-1``, on one loop for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+import socket
+import typing
+
+import aiohttp
+from aiohttp import web
+
+from sassafrasstair import bundles
+from sassafrasstair import clocks
+from sassafrasstair import platform
+from sassafrasstair import runtime
+from sassafrasstair.runtime import _control
+from sassafrasstair import settings
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    Handler = abc.Callable[
+        [web.BaseRequest], abc.Awaitable[web.StreamResponse]
+    ]
+
+PRIVATE, PUBLIC = bundles.new_key_pair()
+WAIT = 10.0
+SLOTS = 4
+MAX_BODY = 4_000_000
+DOCUMENT: dict[str, typing.Any] = {
+    "format": 1,
+    "mesh": "m",
+    "version": 2,
+    "supersedes": 1,
+    "failure_domains": {"a": "r"},
+    "services": {
+        name: {"slots": SLOTS, "connections": 99, "cold_start_ms": 0}
+        for name in ("front", "back")
+    },
+    "classes": {
+        name: {
+            "service": "front" if name == "near" else "back",
+            "importance": 5,
+            "deadline_ms": 8_000,
+            "max_body_bytes": MAX_BODY,
+            "once": name == "bind",
+            "refusal": {"queue_ms": 7_000},
+        }
+        for name in ("look", "near", "bind")
+    },
+    "tenants": {"t": {}},
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mesh:
+    """``url`` is that of front-1's interface for callers."""
+
+    front: runtime.Daemon
+    back: runtime.Daemon
+    http: aiohttp.ClientSession
+    url: str
+
+    def call(
+        self, service: str, path: str = "/", **fields: typing.Any
+    ) -> typing.Any:
+        """Return a request to ``service`` through front-1."""
+        method = fields.pop("method", "POST")
+        headers = {"sassafras-class": "look", "sassafras-tenant": "t"}
+        headers |= fields.pop("headers", {})
+        url = f"{self.url}/v1/call/{service}{path}"
+        return self.http.request(method, url, headers=headers, **fields)
+
+    async def ticket(self) -> str:
+        """Return a ticket of back-1 for ``bind``."""
+        url = f"{self.url}/v1/ticket/back"
+        headers = {"sassafras-class": "bind"}
+        async with self.http.post(url, headers=headers) as answer:
+            given: str = (await answer.json())["ticket"]
+            return given
+
+    def bind(
+        self, ticket: str, repeat: int = 0, **fields: typing.Any
+    ) -> typing.Any:
+        """Return a once-only request with ``ticket``."""
+        headers = {"sassafras-class": "bind", "sassafras-ticket": ticket}
+        headers["sassafras-repeat"] = str(repeat)
+        return self.call("back", headers=headers, **fields)
+
+
+async def until(condition: abc.Callable[[], object]) -> None:
+    """Wait for a condition; ``TimeoutError`` if it does not come true."""
+    async with asyncio.timeout(WAIT):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def started(
+    handler: Handler, upstream: str = ""
+) -> abc.AsyncIterator[Mesh]:
+    """Run both daemons; ``handler`` serves as the upstream of both.
+
+    ``upstream`` is the URL of another upstream to use instead.
+    """
+    ports = free_ports(7)
+    server = web.Server(handler, handler_cancellation=True)
+    await asyncio.get_running_loop().create_server(
+        server, "127.0.0.1", ports[6]
+    )
+    upstream = upstream or f"http://127.0.0.1:{ports[6]}"
+    daemons = [
+        await _build("front", ports[0:3], ports, upstream),
+        await _build("back", ports[3:6], ports, upstream),
+    ]
+    runs = [asyncio.create_task(runtime.run(one)) for one in daemons]
+    await asyncio.sleep(0)
+    for one in daemons:
+        await _feed(one.control)
+    async with aiohttp.ClientSession() as http:
+        mesh = Mesh(
+            daemons[0], daemons[1], http, f"http://127.0.0.1:{ports[0]}"
+        )
+        await until(lambda: all(one.entry.bundle() for one in daemons))
+        try:
+            yield mesh
+        finally:
+            for one in daemons:
+                runtime.stop(one)
+            await asyncio.gather(*runs)
+    await server.shutdown()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
+class _Platform:
+    """The platform with one bundle and both VMs, which never change."""
+
+    def __init__(self, ports: list[int]) -> None:
+        entries = [
+            {
+                "vm": f"{service}-1",
+                "service": service,
+                "failure_domain": "a",
+                "region": "r",
+                "address": f"127.0.0.1:{port}",
+                "state": "live",
+            }
+            for service, port in (("front", ports[1]), ("back", ports[4]))
+        ]
+        payload = json.dumps(DOCUMENT).encode()
+        self._values = {
+            platform.BUNDLE_IN_FORCE_KEY: bundles.approve(
+                payload, PRIVATE, "ops-1"
+            ),
+            platform.VMS_KEY: json.dumps(entries).encode(),
+        }
+
+    async def read(self, prefix: str) -> platform.Snapshot:
+        found = {
+            key: value
+            for key, value in self._values.items()
+            if key.startswith(prefix)
+        }
+        return platform.Snapshot(1, found)
+
+    async def watch(
+        self, prefix: str, index: int, wait: float
+    ) -> platform.Snapshot:
+        await asyncio.sleep(wait)
+        return await self.read(prefix)
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+async def _build(
+    service: str, own: list[int], ports: list[int], upstream: str
+) -> runtime.Daemon:
+    callers, peers, operators = (f"127.0.0.1:{port}" for port in own)
+    key = settings.Key("ops-1", _base64(PUBLIC))
+    chosen = settings.Settings(
+        vm=f"{service}-1",
+        service=service,
+        failure_domain="a",
+        region="r",
+        callers=settings.Listen(callers),
+        peers=settings.Peers(peers, (f"127.0.0.1:{ports[1]}",)),
+        operators=settings.Listen(operators),
+        upstream=settings.Upstream(upstream),
+        platform=settings.Platform(("http://127.0.0.1:1",)),
+        keys=(key,),
+    )
+    daemon = runtime.build(chosen, clocks.SystemClock())
+    # Asking peers for a newer bundle before serving takes seconds.
+    daemon.control.node.settled = True
+    await daemon.control.client.close()
+    fake = _Platform(ports)
+    daemon.control.client = typing.cast("platform.Client", fake)
+    return daemon
+
+
+async def _feed(control: _control.Control) -> None:
+    """Tell the platform's state at once: daemons spread their reads."""
+    for prefix, took in (
+        (platform.VMS_KEY, _control._took_vms),
+        (platform.BUNDLES_PREFIX, _control._took_bundles),
+    ):
+        took(control, await control.client.read(prefix))
+
+
+def _base64(raw: bytes) -> str:
+    return base64.b64encode(raw).decode()
--- a/tests/runtime/test_early_part.py
+++ b/tests/runtime/test_early_part.py
@@ -7,6 +7,7 @@
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import once
+from sassafrasstair import metrics
 from sassafrasstair.runtime import _attempts
 from sassafrasstair.runtime import _bodies
 from sassafrasstair.runtime import _slots
@@ -43,6 +44,7 @@
         bundle=lambda: None,
         floor_below=lambda _class, _tenant: 0.0,
         pauses=calls.Pauses(0.0),
+        counts=metrics.Metrics(),
     )
 
 
