--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -33,16 +33,15 @@
     """Run one attempt, or refuse it; raises only ``CancelledError``."""
     now = slot.clock.monotonic()
     calls.note_beat(slot.pauses, now)
+    known = slot.attempts.get(message.attempt_id)
+    if known is not None and known.task is not None:
+        # Failure: the link delivers a request twice. Were the second one
+        # refused as not run, its answer could come first and be believed.
+        slot.doubled += 1
+        return await asyncio.shield(known.task)
     reason = _unfit(slot, message)
     if message.ticket:
         return await _run_ticket(slot, message, reason, now)
-    if message.attempt_id in slot.attempts:
-        # Failure: the link delivers a request twice. The second one would
-        # run beside the first; attempts are numbered so that it is seen.
-        # The first one runs, so that "not run" would be false.
-        slot.doubled += 1
-        reason = _Reason.MALFORMED
-        return _answers.refusal(slot, message, _Outcome.UNKNOWN, reason)
     if reason is not _Reason.NONE:
         return _answers.refusal(slot, message, _Outcome.NOT_RUN, reason)
     return await _run(slot, message, now)
@@ -59,6 +58,9 @@
         return _Reason.UNKNOWN_CLASS
     if rules.once and not message.ticket:
         return _Reason.TICKET_MISSING
+    if message.attempt_id in slot.cancelled:
+        del slot.cancelled[message.attempt_id]
+        return _Reason.CANCELLED
     if message.more and slot.large_bodies >= MAX_LARGE_BODIES:
         return _Reason.BODY_MEMORY
     return _Reason.NONE
@@ -99,18 +101,20 @@
 
 
 async def _wait_for_end(slot: _slots.Slot, message: daemons.Run) -> None:
-    event = slot.joins.get(message.ticket)
+    ticket = message.ticket
+    event = slot.joins.get(ticket)
     if event is None:
         return
-    waiting = asyncio.ensure_future(event.wait())
-    slot.joined[message.ticket] += 1
+    slot.joined[ticket] = slot.joined.get(ticket, 0) + 1
     try:
-        await asyncio.wait({waiting}, timeout=message.remaining_ms / 1000)
+        async with asyncio.timeout(message.remaining_ms / 1000):
+            await event.wait()
+    except TimeoutError:
+        return
     finally:
-        slot.joined[message.ticket] -= 1
-        if not slot.joined[message.ticket]:
-            del slot.joined[message.ticket]
-        waiting.cancel()
+        slot.joined[ticket] -= 1
+        if not slot.joined[ticket]:
+            del slot.joined[ticket]
 
 
 async def _run(
--- a/tests/runtime/test_tickets_in_use.py
+++ b/tests/runtime/test_tickets_in_use.py
@@ -78,10 +78,12 @@
     async def story() -> None:
         slot = busy_slot()
         first = await arrived(slot, "", "1.1")
-        second = await (await arrived(slot, "", "1.1"))
-        assert second.outcome == "unknown"
+        second = await arrived(slot, "", "1.1")
+        assert not second.done()
         _slots.cancel(slot, "1.1")
         assert (await first).reason == Reason.CANCELLED.value
+        assert (await second) == (await first)
+        assert slot.doubled == 1
 
     asyncio.run(asyncio.wait_for(story(), WAIT))
 
