Serve the last arrived first wherever a level's queue stands

Cause: p99 stayed 10% up after surge+slow-deep, from work above the partly shed level that waited its whole 250 ms in order of deadline. Change: last-in-first-out up to the highest level whose queue stood for 0.3 s and eight turns of a slot.

--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -5,6 +5,7 @@
 import dataclasses
 import math
 
+from sassafrasstair import bundles
 from sassafrasstair.decisions.load import _floors
 from sassafrasstair.decisions.load import _limits
 from sassafrasstair.decisions.load import _messages
@@ -19,11 +20,14 @@
 PRESSED_SECONDS = 0.5
 LEAST_QUEUE = 8
 QUEUE_PER_SLOT = 2
-# When the queue has not been empty for this long, waiting longer than a
-# few slots take to fall free gains nothing: the queue stands (Nichols and
-# Jacobson, "Controlling Queue Delay", 2012).
+# When a level and those above it have not been without a waiter for this
+# long, in seconds and in turns of a slot, its queue stands.
 STANDING_SECONDS = 0.3
-STANDING_TURNS = 2.0
+STANDING_TURNS = 8.0
+# Where a level is partly shed and its queue stands, waiting longer than a
+# few turns gains nothing (Nichols and Jacobson, "Controlling Queue Delay",
+# 2012).
+PATIENCE_TURNS = 2.0
 # The time within which the admitted work may exceed what is served, so
 # that a slot that falls free finds one waiting.
 SLACK_SECONDS = 0.1
@@ -45,7 +49,7 @@
     mean: float = 0.0
     sampled: float = 0.0
     pressed: float = -math.inf
-    emptied: float = 0.0
+    emptied: list[float] = dataclasses.field(default_factory=list)
     ticked: float = 0.0
     leaving: bool = False
 
@@ -64,7 +68,8 @@
     """Return the guard of an instance with ``slots`` from the bundle."""
     limits = _limits.new_limit(slots, now, cold, warm_seconds)
     floors = _floors.new_floors(now)
-    return Guard(limits, floors, sampled=now, emptied=now, ticked=now)
+    emptied = [now] * (bundles.IMPORTANCE_MAX + 1)
+    return Guard(limits, floors, sampled=now, emptied=emptied, ticked=now)
 
 
 def offer(
@@ -79,7 +84,6 @@
     if now + _estimate(guard, work, now) > work.deadline:
         return [_turn(work, outcomes.Reason.DEADLINE_TOO_SHORT)]
     if not guard.waiting and _has_room(guard, now):
-        guard.emptied = now
         return [_start(guard, work, now)]
     return _wait(guard, work, now)
 
@@ -172,16 +176,15 @@
 def _dispatch(guard: Guard, now: float) -> list[_messages.Effect]:
     """Start what may start, each deadline looked at again first."""
     effects: list[_messages.Effect] = []
-    marginal = _marginal(guard, now)
+    stands = max(_marginal(guard, now), _standing(guard, now))
     while guard.waiting and _has_room(guard, now):
-        waiter = _queues.pick(guard.waiting, guard.used, marginal)
+        waiter = _queues.pick(guard.waiting, guard.used, stands)
         del guard.waiting[waiter.work.attempt_id]
         if _is_late(guard, waiter, now):
             effects.append(_expiry(guard, waiter, now))
         else:
             effects.append(_start(guard, waiter.work, now))
-    if not guard.waiting:
-        guard.emptied = now
+    _note_emptied(guard, now)
     return effects
 
 
@@ -200,15 +203,38 @@
 
 def _is_late(guard: Guard, waiter: _queues.Waiter, now: float) -> bool:
     work = waiter.work
-    patience = math.inf
-    standing = now - guard.emptied >= STANDING_SECONDS
-    if standing and math.floor(work.rank) <= _marginal(guard, now):
-        turn = guard.mean / _limits.current(guard.limits, now)
-        patience = STANDING_TURNS * turn
     estimate = _estimate(guard, work, now)
+    patience = _patience(guard, math.floor(work.rank), now)
     return _queues.expired(waiter, now, estimate, patience)
 
 
+def _patience(guard: Guard, level: int, now: float) -> float:
+    """Return how long work of the level may wait at most."""
+    stood = now - guard.emptied[0] >= STANDING_SECONDS
+    if stood and level <= _marginal(guard, now):
+        return PATIENCE_TURNS * _turn_seconds(guard, now)
+    return math.inf
+
+
+def _turn_seconds(guard: Guard, now: float) -> float:
+    """Return how long it takes on average until a slot falls free."""
+    return guard.mean / _limits.current(guard.limits, now)
+
+
+def _standing(guard: Guard, now: float) -> int:
+    """Return the highest level whose queue stands, -1 if none does."""
+    turns = STANDING_TURNS * _turn_seconds(guard, now)
+    since = now - max(STANDING_SECONDS, turns)
+    return sum(emptied <= since for emptied in guard.emptied) - 1
+
+
+def _note_emptied(guard: Guard, now: float) -> None:
+    """Note which levels have no waiter at or above them."""
+    top = _queues.top(guard.waiting)
+    for level in range(top + 1, len(guard.emptied)):
+        guard.emptied[level] = now
+
+
 def _marginal(guard: Guard, now: float) -> int:
     """Return the level of which a part is shed, -1 if there is none."""
     value = floor(guard, now)
--- a/src/sassafrasstair/decisions/load/_queues.py
+++ b/src/sassafrasstair/decisions/load/_queues.py
@@ -18,22 +18,29 @@
     since: float
 
 
+def top(waiting: dict[str, Waiter]) -> int:
+    """Return the highest level that waits, -1 if none does."""
+    if not waiting:
+        return -1
+    return math.floor(max(waiter.work.rank for waiter in waiting.values()))
+
+
 def pick(
-    waiting: dict[str, Waiter], used: dict[str, int], marginal: int
+    waiting: dict[str, Waiter], used: dict[str, int], stands: int
 ) -> Waiter:
     """Return the one to start next: the most important.
 
     Among equals the tenant that uses least of its share goes first; then
-    the earliest deadline. At the ``marginal`` level, of which a part is
-    being shed, the last to arrive goes first: in order of arrival, all of
-    them would wait nearly as long as they may.
+    the earliest deadline. Up to the level ``stands`` the last to arrive
+    goes first: in a queue that does not empty the others would all wait
+    nearly as long as they may.
     """
 
     def order(waiter: Waiter) -> tuple[float, float, float]:
         work = waiter.work
         level = math.floor(work.rank)
         use = used.get(work.tenant, 0) / work.share
-        age = -waiter.since if level <= marginal else work.deadline
+        age = -waiter.since if level <= stands else work.deadline
         return -level, use, age
 
     return min(waiting.values(), key=order)
