Count work under way into the service time, and bound waits by turns

Change: under pressure such work waits four turns of a slot at most; a turn counts from twice the mean age of what runs.

--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -28,6 +28,7 @@
 # few turns gains nothing (Nichols and Jacobson, "Controlling Queue Delay",
 # 2012).
 PATIENCE_TURNS = 2.0
+PATIENCE_ABOVE_TURNS = 4.0
 # The time within which the admitted work may exceed what is served, so
 # that a slot that falls free finds one waiting.
 SLACK_SECONDS = 0.1
@@ -47,6 +48,7 @@
     used: dict[str, int] = dataclasses.field(default_factory=dict)
     estimates: dict[str, float] = dataclasses.field(default_factory=dict)
     mean: float = 0.0
+    live: float = 0.0
     sampled: float = 0.0
     pressed: float = -math.inf
     emptied: list[float] = dataclasses.field(default_factory=list)
@@ -120,6 +122,7 @@
 
 def tick(guard: Guard, now: float) -> list[_messages.Effect]:
     """Look again at every deadline; called each 50 ms and after a pause."""
+    guard.live = _live(guard, now)
     effects = _expire(guard, now)
     effects += _overdue(guard, now)
     effects += _dispatch(guard, now)
@@ -143,7 +146,7 @@
 
 def service(guard: Guard) -> float:
     """Return the usual seconds of service; 0 when none is known yet."""
-    return guard.mean
+    return guard.live
 
 
 def _has_room(guard: Guard, now: float) -> bool:
@@ -213,12 +216,14 @@
     stood = now - guard.emptied[0] >= STANDING_SECONDS
     if stood and level <= _marginal(guard, now):
         return PATIENCE_TURNS * _turn_seconds(guard, now)
+    if now - guard.pressed < PRESSED_SECONDS:
+        return PATIENCE_ABOVE_TURNS * _turn_seconds(guard, now)
     return math.inf
 
 
 def _turn_seconds(guard: Guard, now: float) -> float:
     """Return how long it takes on average until a slot falls free."""
-    return guard.mean / _limits.current(guard.limits, now)
+    return guard.live / _limits.current(guard.limits, now)
 
 
 def _standing(guard: Guard, now: float) -> int:
@@ -273,6 +278,19 @@
     guard.sampled = now
 
 
+def _live(guard: Guard, now: float) -> float:
+    """Return the seconds of service, work under way included.
+
+    A slowed upstream finishes nothing for a while, so that what finished
+    says nothing of it. What runs is on average half done: twice its mean
+    age shows the slowness after as long as a service used to take.
+    """
+    if not guard.running:
+        return guard.mean
+    age = now - sum(guard.running.values()) / len(guard.running)
+    return max(guard.mean, 2.0 * age)
+
+
 def _estimate(guard: Guard, work: _messages.Work, now: float) -> float:
     """Return the expected service time of the work.
 
@@ -290,10 +308,10 @@
     More than is served, by the square root of what is served in the slack
     time: with arrivals at random, less would leave slots idle.
     """
-    if guard.mean <= 0.0:
+    if guard.live <= 0.0:
         return math.inf
     limit = _limits.current(guard.limits, now)
-    served = limit / guard.mean * SLACK_SECONDS
+    served = limit / guard.live * SLACK_SECONDS
     return (served + math.sqrt(served) + 0.5) / SLACK_SECONDS
 
 
