--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -24,9 +24,9 @@
 EJECTED_SHARE_MAX = 0.5
 # With attempts under way and no answer for this long, in seconds and in
 # multiples of the usual latency, an instance is pinged.
-SILENT_SECONDS = 0.3
-SILENT_LATENCIES = 4.0
-PING_SECONDS = 0.25
+SILENT_SECONDS = 0.1
+SILENT_LATENCIES = 1.5
+PING_SECONDS = 0.2
 LATENCY_WEIGHT = 0.1
 # What was heard of a load fades with this time constant.
 LOAD_FADES_SECONDS = 0.5
