--- a/src/sassafrasstair/bench/_model_meters.py
+++ b/src/sassafrasstair/bench/_model_meters.py
@@ -29,7 +29,7 @@
     deadline: float
     important: bool
     done_at: float = 0.0
-    work: list[Stretch] = dataclasses.field(default_factory=list)
+    work: tuple[Stretch, ...] = ()
 
     @property
     def repeated(self) -> bool:
--- a/src/sassafrasstair/bench/_overload_figures.py
+++ b/src/sassafrasstair/bench/_overload_figures.py
@@ -36,8 +36,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Figures:
-    """What one run came to; ``most_calls`` is that of a single try."""
+    """What one run came to.
 
+    ``calm`` is the goodput before the trigger, and ``most_calls`` the most
+    calls that one service saw for a single try.
+    """
+
+    calm: float
     goodput: float
     important_goodput: float
     recovery_s: float
@@ -64,6 +69,7 @@
     tries = list(meter.tries.values())
     important = [tried for tried in tries if tried.important]
     return Figures(
+        _goodput(tries, [before]),
         _goodput(tries, spans),
         _goodput(important, spans),
         _recovery(tries, before, after),
