--- a/src/sassafrasstair/bench/_overload.py
+++ b/src/sassafrasstair/bench/_overload.py
@@ -24,17 +24,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
-    """What to run: names of the mix, scenario and policy, and a seed."""
+    """What to run: names of the mix, scenario and policy, and a seed.
+
+    ``full`` takes the brief's own slots, not the scaled-down ones.
+    """
 
     mix: str
     scenario: str
     policy: str
     seed: int
+    full: bool = False
 
 
 def run_one(run: Run) -> _overload_figures.Figures:
     """Run one world and return its figures."""
-    mix = _overload_mixes.MIXES[run.mix]
+    mixes = _overload_mixes.MIXES
+    if run.full:
+        mixes = _overload_mixes.FULL_MIXES
+    mix = mixes[run.mix]
     make = _overload_policies.POLICIES[run.policy]
     world = _model_nodes.World(mix, make, run.seed)
     callers = _model_callers.Callers(world)
--- a/src/sassafrasstair/bench/_overload_mixes.py
+++ b/src/sassafrasstair/bench/_overload_mixes.py
@@ -89,8 +89,7 @@
     )
 
 
-def _trust() -> Mix:
-    scale = 5
+def _trust(scale: int) -> Mix:
     services = {
         "intake": _service(160, 1_000, scale, "pricer", "poster"),
         "pricer": _service(160, 1_000, scale, "ledger"),
@@ -121,8 +120,7 @@
     return Mix("trust", bundle, kinds, seconds, "ledger", 0.001)
 
 
-def _swanfield() -> Mix:
-    scale = 9
+def _swanfield(scale: int) -> Mix:
     services = {
         "surveyhold": _service(120, 800, scale, "bindery"),
         "bindery": _service(120, 800, scale, "certdesk"),
@@ -154,4 +152,6 @@
     return Mix("swanfield", bundle, kinds, seconds, "quoteline", 0.003)
 
 
-MIXES = {mix.name: mix for mix in (_trust(), _swanfield())}
+MIXES = {mix.name: mix for mix in (_trust(5), _swanfield(9))}
+FULL_MIXES = {mix.name: mix for mix in (_trust(1), _swanfield(1))}
+"""The same with the brief's own slots: slow to run with baselines."""
--- a/src/sassafrasstair/console/commands/bench/overload.py
+++ b/src/sassafrasstair/console/commands/bench/overload.py
@@ -34,12 +34,16 @@
     show_default=True,
     help="Runs side by side; the figures do not depend on it.",
 )
+@click.option(
+    "--full", is_flag=True, help="The brief's own slots; takes minutes."
+)
 def overload(
     mix: str | None,
     scenario: str | None,
     policy: str | None,
     seeds: int,
     workers: int,
+    full: bool,
 ) -> None:
     """Measure the policies on a virtual clock; JSON on the last line."""
     combinations = itertools.product(
@@ -48,7 +52,7 @@
         [policy] if policy else bench.POLICIES,
         range(seeds),
     )
-    runs = [bench.Run(*names) for names in combinations]
+    runs = [bench.Run(*names, full=full) for names in combinations]
     figures = bench.run_all(runs, workers)
     results = dict(zip(runs, figures, strict=True))
     click.echo(bench.as_table(results))
--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -29,11 +29,14 @@
 PING_SECONDS = 0.2
 LATENCY_WEIGHT = 0.1
 # What was heard of a load fades with this time constant.
-LOAD_FADES_SECONDS = 0.5
+LOAD_FADES_SECONDS = 0.1
+FADES_SERVICES = 2.0
 UNKNOWN_LIMIT = 20.0
 # The own domain is left only when its instance has no free slot, and then
 # only for one where the wait is shorter by the margin.
 SPILL_MARGIN = 0.005
+# How many of an instance's rivals are compared.
+DRAWN = 4
 # Without a wait anywhere the less busy is preferred.
 BUSY_SECONDS = 0.02
 
@@ -114,7 +117,8 @@
     peer = routes.peers.get(vm)
     if peer is None:
         return 0.0
-    faded = math.exp(-(now - peer.heard) / LOAD_FADES_SECONDS)
+    fades = max(LOAD_FADES_SECONDS, FADES_SERVICES * peer.service)
+    faded = math.exp(-(now - peer.heard) / fades)
     busy = peer.busy * faded + (peer.sent + 1) / peer.limit
     wait = max(0.0, busy - 1.0) * peer.service
     return wait + BUSY_SECONDS * min(1.0, busy)
@@ -218,8 +222,5 @@
 ) -> _messages.Target | None:
     if not targets:
         return None
-    first = targets[int(rng.random() * len(targets))]
-    second = targets[int(rng.random() * len(targets))]
-    if score(routes, first.vm, now) <= score(routes, second.vm, now):
-        return first
-    return second
+    drawn = [targets[int(rng.random() * len(targets))] for _ in range(DRAWN)]
+    return min(drawn, key=lambda target: score(routes, target.vm, now))
