Forget peers and tenants that are gone, and leave out the dead

Cause: ejected peers were pinged for ever and never forgotten, tenants too; in a cut-off domain three of four ejected counted as none ejected. Ruled out: no bound on ejection, which one's own network fault would turn into a refusal of everything. Change: a failed ping marks an instance dead, which the bound leaves out; pings grow rarer up to 1 s; silence of 60 s and a rate near 0 forget.

--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -80,8 +80,10 @@
     if call.repeat > rules.caller_repeats:
         return "", _refuse(rules, call, outcomes.Reason.TOO_MANY_REPEATS, rng)
     rank = load.rank(rules.importance, call.caller, int(now / EPOCH_SECONDS))
-    if rank < _floors.of_service(entrance.floors, _floor_key(call), now):
-        return "", _refuse(rules, call, outcomes.Reason.SHED_AT_ENTRANCE, rng)
+    least = _floors.of_service(entrance.floors, _floor_key(call), now)
+    if rank < least:
+        reason = outcomes.Reason.SHED_AT_ENTRANCE
+        return "", _refuse(rules, call, reason, rng, least)
     entrance.serial += 1
     key = f"{entrance.incarnation}.{entrance.serial}"
     pending = Pending(call, rank)
@@ -272,6 +274,9 @@
     call: _messages.Call,
     reason: outcomes.Reason,
     rng: random.Random,
+    floor: float = 0.0,
 ) -> _messages.Refuse:
     after = _retries.retry_after(rules.refusal, call.repeat, rng)
-    return _messages.Refuse(outcomes.Outcome.NOT_RUN, reason, after)
+    return _messages.Refuse(
+        outcomes.Outcome.NOT_RUN, reason, after, floor=floor
+    )
--- a/src/sassafrasstair/decisions/calls/_floors.py
+++ b/src/sassafrasstair/decisions/calls/_floors.py
@@ -56,6 +56,8 @@
     for vm in [vm for vm, floor in heard.items() if _is_old(floor, now)]:
         # An instance that left would else count as one without a floor.
         del heard[vm]
+    if not heard:
+        del floors.heard[key]
     return min(
         (of_instance(floor, now) for floor in heard.values()), default=0.0
     )
--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -26,7 +26,13 @@
 # multiples of the usual latency, an instance is pinged.
 SILENT_SECONDS = 0.1
 SILENT_LATENCIES = 1.5
+# Pings to an instance that stays away become rarer, up to the second bound.
 PING_SECONDS = 0.2
+PING_SECONDS_MAX = 1.0
+PING_SHARE_OF_AWAY = 0.25
+# An instance not heard of for this long is forgotten: VMs are replaced all
+# day, and pings to those that are gone would never end.
+FORGET_SECONDS = 60.0
 LATENCY_WEIGHT = 0.1
 # What was heard of a load fades with this time constant.
 LOAD_FADES_SECONDS = 0.1
@@ -54,7 +60,8 @@
     """What is known of one instance.
 
     ``silent_from`` is the last answer, or the first send after an idle
-    time; ``sent`` counts the attempts since the load was heard.
+    time; ``sent`` counts the attempts since the load was heard. Failures
+    make it ``ejected``, and a ping without an answer makes it ``dead``.
     """
 
     inflight: int = 0
@@ -67,6 +74,7 @@
     latency: float = 0.0
     failures: int = 0
     ejected: bool = False
+    dead: bool = False
     pinged: float = -math.inf
 
 
@@ -88,9 +96,7 @@
 ) -> _messages.Target | None:
     """Return the instance for one attempt, or None if none is usable."""
     usable = [
-        target
-        for target in _not_ejected(routes, targets)
-        if target.vm not in tried
+        target for target in _usable(routes, targets) if target.vm not in tried
     ]
     near = [
         target
@@ -161,23 +167,32 @@
 
 
 def probe_due(routes: Routes, now: float) -> list[str]:
-    """Return the ejected or silent VMs to send a ping to now."""
-    due = [
-        vm
-        for vm, peer in routes.peers.items()
-        if now - peer.pinged >= PING_SECONDS
-        and (peer.ejected or _silent(peer, now))
-    ]
-    for vm in due:
-        routes.peers[vm].pinged = now
+    """Return the ejected or silent VMs to send a ping to now.
+
+    When a ping fails, the transport must also report each attempt under
+    way there as lost, for nothing else ends it before its deadline.
+    """
+    due = []
+    for vm, peer in list(routes.peers.items()):
+        away = now - peer.silent_from
+        if not peer.inflight and away >= FORGET_SECONDS:
+            del routes.peers[vm]
+        elif peer.ejected or peer.dead or _silent(peer, now):
+            rarer = min(PING_SECONDS_MAX, PING_SHARE_OF_AWAY * away)
+            if now - peer.pinged >= max(PING_SECONDS, rarer):
+                peer.pinged = now
+                due.append(vm)
     return due
 
 
 def probed(routes: Routes, vm: str, alive: bool, now: float) -> None:
     """Note the end of a ping: only a ping brings an instance back."""
-    peer = routes.peers.setdefault(vm, Peer())
-    peer.ejected = not alive
+    peer = routes.peers.get(vm)
+    if peer is None:
+        return
+    peer.dead = not alive
     if alive:
+        peer.ejected = False
         peer.failures = 0
         peer.silent_from = now
 
@@ -196,22 +211,28 @@
     return peer.inflight > 0 and now - peer.silent_from >= patience
 
 
-def _not_ejected(
+def _usable(
     routes: Routes, targets: abc.Sequence[_messages.Target]
-) -> list[_messages.Target]:
-    """Leave the ejected out, unless that were too many of them.
+) -> abc.Sequence[_messages.Target]:
+    """Leave out the dead, and a bounded share of the ejected.
 
     A fault of this VM's own network makes all others look failed: with
-    more than the bounded share ejected, none counts as ejected.
+    too many ejected, or none left, it must not stop sending.
     """
-    usable = [
+    known = routes.peers
+    living = [
         target
         for target in targets
-        if not (peer := routes.peers.get(target.vm)) or not peer.ejected
+        if target.vm not in known or not known[target.vm].dead
+    ]
+    kept = [
+        target
+        for target in living
+        if target.vm not in known or not known[target.vm].ejected
     ]
-    if len(targets) - len(usable) > EJECTED_SHARE_MAX * len(targets):
-        return list(targets)
-    return usable
+    if len(living) - len(kept) > EJECTED_SHARE_MAX * len(living):
+        kept = living
+    return kept or targets
 
 
 def _less_busy(
--- a/src/sassafrasstair/decisions/load/_floors.py
+++ b/src/sassafrasstair/decisions/load/_floors.py
@@ -17,6 +17,8 @@
 LEVELS = bundles.IMPORTANCE_MAX + 1
 OBSERVE_SECONDS = 0.2
 FORGET_SECONDS = 0.5
+# Below this rate a tenant's demand is forgotten altogether.
+LEAST_RATE = 0.01
 LEAST_PART = 0.02
 
 
@@ -97,7 +99,7 @@
     weight = 1.0 - math.exp(-elapsed / OBSERVE_SECONDS)
     faded = math.exp(-elapsed / FORGET_SECONDS)
     for level, demands in enumerate(floors.demands):
-        for tenant, demand in demands.items():
+        for tenant, demand in list(demands.items()):
             part = min(1.0, level + 1 - _applied(floors, tenant))
             if part < LEAST_PART:
                 # Nothing of this level arrives, so nothing would ever
@@ -107,6 +109,8 @@
                 seen = demand.count / elapsed / part
                 demand.rate += weight * (seen - demand.rate)
             demand.count = 0
+            if demand.rate < LEAST_RATE:
+                del demands[tenant]
 
 
 def _fill(floors: Floors, capacity: float) -> None:
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -171,7 +171,7 @@
     if len(guard.waiting) <= max(LEAST_QUEUE, QUEUE_PER_SLOT * guard.limit):
         return effects
     guard.pressed = now
-    out = _queues.least(guard.waiting).work
+    out = _queues.least(guard.waiting, guard.used).work
     del guard.waiting[out.attempt_id]
     return effects + [_turn(out, outcomes.Reason.QUEUE_FULL)]
 
--- a/src/sassafrasstair/decisions/load/_queues.py
+++ b/src/sassafrasstair/decisions/load/_queues.py
@@ -46,9 +46,19 @@
     return min(waiting.values(), key=order)
 
 
-def least(waiting: dict[str, Waiter]) -> Waiter:
-    """Return the one to turn away when the queue is full."""
-    return min(waiting.values(), key=lambda waiter: waiter.work.rank)
+def least(waiting: dict[str, Waiter], used: dict[str, int]) -> Waiter:
+    """Return the one to turn away when the queue is full.
+
+    The least important; among equals one of the tenant that uses most of
+    its share, and of those the lowest rank.
+    """
+
+    def order(waiter: Waiter) -> tuple[float, float, float]:
+        work = waiter.work
+        use = used.get(work.tenant, 0) / work.share
+        return math.floor(work.rank), -use, work.rank
+
+    return min(waiting.values(), key=order)
 
 
 def expired(
