--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -28,7 +28,7 @@
 # few turns gains nothing (Nichols and Jacobson, "Controlling Queue Delay",
 # 2012).
 PATIENCE_TURNS = 2.0
-PATIENCE_ABOVE_TURNS = 4.0
+PATIENCE_ABOVE_TURNS = 3.0
 # The time within which the admitted work may exceed what is served, so
 # that a slot that falls free finds one waiting.
 SLACK_SECONDS = 0.1
