--- a/src/sassafrasstair/bench/_model_callers.py
+++ b/src/sassafrasstair/bench/_model_callers.py
@@ -15,7 +15,7 @@
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
-    from sassafrasstair.bench import _model_nodes
+    from sassafrasstair.bench import _model_worlds
     from sassafrasstair.bench import _overload_mixes
 
 REPEATS_MAX = 2
@@ -37,7 +37,7 @@
 class Callers:
     """Callers that send at a rate to entrances in all failure domains."""
 
-    def __init__(self, world: _model_nodes.World) -> None:
+    def __init__(self, world: _model_worlds.World) -> None:
         self._world = world
         self._serial = itertools.count()
         self._weights = [kind.part for kind in world.mix.kinds]
@@ -92,8 +92,8 @@
     ) -> None:
         world = self._world
         drawn = world.rng.choice(world.targets[call.service])
-        node = world.nodes[drawn.vm]
-        if not node.alive:
+        vm = world.vms[drawn.vm]
+        if not vm.alive:
             # The connection fails and the caller takes the next address.
             later = world.timeline.now + 2 * world.mix.client_delay
             world.timeline.at(later, self._enter, request, tried, call)
@@ -112,13 +112,13 @@
             if ended:
                 return
             ended = True
-            if node.policy.propagates:
-                world.leave(node, key)
+            if vm.policy.propagates:
+                world.leave(vm, key)
             reason = outcomes.Reason.DEADLINE_PASSED
             effect = calls.Refuse(outcomes.Outcome.UNKNOWN, reason)
             self._replied(request, tried, effect)
 
-        key = world.enter(node, call, reply)
+        key = world.enter(vm, call, reply)
         if not ended:
             world.timeline.time_out(call.deadline, give_up)
 
--- a/src/sassafrasstair/bench/_overload.py
+++ b/src/sassafrasstair/bench/_overload.py
@@ -7,8 +7,8 @@
 import typing
 
 from sassafrasstair.bench import _model_callers
-from sassafrasstair.bench import _model_nodes
 from sassafrasstair.bench import _model_upstreams
+from sassafrasstair.bench import _model_worlds
 from sassafrasstair.bench import _overload_figures
 from sassafrasstair.bench import _overload_mixes
 from sassafrasstair.bench import _overload_policies
@@ -17,6 +17,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from sassafrasstair.bench import _model_vms
     from sassafrasstair.decisions import calls
 
 CALM = _overload_scenarios.CALM
@@ -43,7 +44,7 @@
         mixes = _overload_mixes.FULL_MIXES
     mix = mixes[run.mix]
     make = _overload_policies.POLICIES[run.policy]
-    world = _model_nodes.World(mix, make, run.seed)
+    world = _model_worlds.World(mix, make, run.seed)
     callers = _model_callers.Callers(world)
     full = _capacity(world)
     callers.rate = CALM.load * full
@@ -75,29 +76,31 @@
     return [found[run] for run in runs]
 
 
-def _pass(world: _model_nodes.World, seconds: float) -> _overload_figures.Span:
+def _pass(
+    world: _model_worlds.World, seconds: float
+) -> _overload_figures.Span:
     start = world.timeline.now
     capacity = _capacity(world)
     world.timeline.run(start + seconds)
     return _overload_figures.Span(start, start + seconds, capacity)
 
 
-def _capacity(world: _model_nodes.World) -> float:
+def _capacity(world: _model_worlds.World) -> float:
     """Return what the deepest service can finish a second."""
     now = world.timeline.now
     return sum(
-        _model_upstreams.capacity(node.upstream, now)
-        for node in _deepest(world)
-        if node.alive
+        _model_upstreams.capacity(vm.upstream, now)
+        for vm in _deepest(world)
+        if vm.alive
     )
 
 
-def _deepest(world: _model_nodes.World) -> list[_model_nodes.Node]:
+def _deepest(world: _model_worlds.World) -> list[_model_vms.Vm]:
     targets = world.targets[world.mix.deepest]
-    return [world.nodes[target.vm] for target in targets]
+    return [world.vms[target.vm] for target in targets]
 
 
-def _lost(world: _model_nodes.World) -> list[calls.Target]:
+def _lost(world: _model_worlds.World) -> list[calls.Target]:
     """Return one instance of each service, spread over the domains."""
     return [
         targets[index % len(targets)]
@@ -106,30 +109,30 @@
 
 
 def _enter_phase(
-    world: _model_nodes.World,
+    world: _model_worlds.World,
     callers: _model_callers.Callers,
     phase: _overload_scenarios.Phase,
     full: float,
 ) -> None:
     callers.rate = phase.load * full
-    for index, node in enumerate(_deepest(world)):
+    for index, vm in enumerate(_deepest(world)):
         one = phase.slow_one if index == 0 else 1.0
-        world.set_pace(node, phase.slow * one)
+        world.set_pace(vm, phase.slow * one)
     world.stale = phase.stale
     if phase.cut:
         world.cut_domain = next(iter(world.mix.bundle.failure_domains))
     if phase.lost:
         for target in _lost(world):
-            world.stop_node(target)
+            world.stop_vm(target)
 
 
 def _leave_phase(
-    world: _model_nodes.World, phase: _overload_scenarios.Phase
+    world: _model_worlds.World, phase: _overload_scenarios.Phase
 ) -> None:
-    for node in _deepest(world):
-        world.set_pace(node, 1.0)
+    for vm in _deepest(world):
+        world.set_pace(vm, 1.0)
     world.stale = CALM.stale
     world.cut_domain = ""
     if phase.lost:
         for target in _lost(world):
-            world.start_node(target, cold=True)
+            world.start_vm(target, cold=True)
--- a/src/sassafrasstair/bench/_overload_mixes.py
+++ b/src/sassafrasstair/bench/_overload_mixes.py
@@ -17,8 +17,6 @@
 # when the deepest service is ten times slower.
 PATIENT_MS = 2_300
 DOMAINS = 4
-LOCAL_DELAY = 0.0002
-DOMAIN_DELAY = 0.0015
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/decisions/calls/test_routing.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import collections
+import random
+
+import pytest
+
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions.calls import _routing
+from sassafrasstair import outcomes
+
+HERE, THERE = "domain-a", "domain-b"
+NEAR = calls.Target("near", "ledger", HERE, "region")
+FAR = [
+    calls.Target(f"far-{index}", "ledger", THERE, "region")
+    for index in range(3)
+]
+TARGETS = [NEAR, *FAR]
+LOST = calls.Answer(outcomes.Outcome.UNKNOWN, outcomes.Reason.PEER_UNREACHABLE)
+
+
+def _hear(routes: _routing.Routes, vm: str, busy: float, now: float) -> None:
+    told = calls.Load(busy=busy, limit=20.0, service=0.1)
+    answer = calls.Answer(outcomes.Outcome.DONE, load=told, incarnation="one")
+    _routing.sent(routes, vm, now)
+    _routing.ended(routes, vm, answer, 0.1, now)
+
+
+def _picked(routes: _routing.Routes, now: float) -> collections.Counter[str]:
+    rng = random.Random(1)
+    found = [_routing.pick(routes, TARGETS, (), now, rng) for _ in range(100)]
+    return collections.Counter(target.vm for target in found if target)
+
+
+def _fail(routes: _routing.Routes, vm: str, now: float) -> None:
+    for _ in range(_routing.FAILURES_TO_EJECT):
+        _routing.sent(routes, vm, now)
+        _routing.ended(routes, vm, LOST, 0.0, now)
+
+
+@pytest.mark.parametrize(
+    ("near", "far", "expected"),
+    [(0.5, 0.1, "near"), (1.5, 0.5, "far"), (1.5, 1.8, "near")],
+)
+def test_own_domain_first_with_spill_over(
+    near: float, far: float, expected: str
+) -> None:
+    routes = _routing.Routes(HERE, "region")
+    _hear(routes, "near", near, 1.0)
+    for target in FAR:
+        _hear(routes, target.vm, far, 1.0)
+    picked = _picked(routes, 1.0)
+    assert all(vm.startswith(expected) for vm in picked)
+
+
+def test_only_a_ping_brings_an_ejected_instance_back() -> None:
+    routes = _routing.Routes(HERE, "region")
+    _fail(routes, "near", 1.0)
+    assert "near" not in _picked(routes, 50.0)
+    assert calls.probe_due(routes, 1.0) == ["near"]
+    assert calls.probe_due(routes, 1.05) == []
+    calls.probed(routes, "near", True, 1.1)
+    assert "near" in _picked(routes, 1.1)
+
+
+def test_own_network_fault_does_not_eject_all() -> None:
+    """One VM's broken network must not make it refuse everything.
+
+    All attempts fail at once, so that each instance looks like an outlier.
+    """
+    routes = _routing.Routes(HERE, "region")
+    for target in TARGETS:
+        _fail(routes, target.vm, 1.0)
+    assert sum(_picked(routes, 1.0).values()) == 100
+    for target in TARGETS:
+        calls.probed(routes, target.vm, False, 1.2)
+    assert sum(_picked(routes, 1.2).values()) == 100
+
+
+def test_cut_off_domain_uses_its_own() -> None:
+    routes = _routing.Routes(HERE, "region")
+    _hear(routes, "near", 3.0, 1.0)
+    for target in FAR:
+        _fail(routes, target.vm, 1.0)
+        calls.probed(routes, target.vm, False, 1.1)
+    assert set(_picked(routes, 1.1)) == {"near"}
+
+
+def test_silent_instance_is_pinged_at_once() -> None:
+    """A VM that vanishes tells nobody.
+
+    Attempts to it are under way and none is answered. Waiting for their
+    deadlines would send it seconds of further work.
+    """
+    routes = _routing.Routes(HERE, "region")
+    _hear(routes, "near", 0.1, 1.0)
+    _routing.sent(routes, "near", 1.0)
+    assert calls.probe_due(routes, 1.05) == []
+    assert calls.probe_due(routes, 1.2) == ["near"]
+    calls.probed(routes, "near", False, 1.3)
+    assert "near" not in _picked(routes, 1.3)
+
+
+def test_gone_instances_are_forgotten() -> None:
+    routes = _routing.Routes(HERE, "region")
+    _fail(routes, "near", 1.0)
+    assert calls.probe_due(routes, 100.0) == []
+    assert not routes.peers
--- /dev/null
+++ b/tests/decisions/calls/test_shed_floors.py
@@ -0,0 +1,82 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from sassafrasstair import bundles
+from sassafrasstair.decisions import calls
+from sassafrasstair import outcomes
+from tests.decisions.calls import samples
+
+RNG = random.Random(1)
+
+
+def _told(
+    entrance: calls.Entrance, rules: bundles.Bundle, floor: float, now: float
+) -> None:
+    """Let one call through that answers with the floor."""
+    taken = calls.Call("c", "intake", "lookup", "main", "x", now + 1)
+    key, sent = calls.begin(entrance, rules, taken, samples.TARGETS, now, RNG)
+    assert isinstance(sent, calls.Send)
+    answer = calls.Answer(
+        outcomes.Outcome.DONE,
+        load=calls.Load(floor=floor),
+        incarnation="one",
+    )
+    calls.answered(
+        entrance,
+        rules,
+        key,
+        sent.attempt_id,
+        answer,
+        samples.TARGETS,
+        now,
+        RNG,
+    )
+
+
+@pytest.mark.parametrize(
+    ("floor", "after", "refused"),
+    [
+        (0.0, 0.0, False),
+        (5.0, 0.0, False),
+        (6.0, 0.0, True),
+        (6.0, 0.2, True),
+        (10.0, 1.0, False),
+    ],
+)
+def test_refused_at_the_entrance_while_the_floor_is_fresh(
+    floor: float, after: float, refused: bool
+) -> None:
+    """No floor outlives its cause by more than a second.
+
+    A floor at which nothing passes brings no answer that would lower it,
+    so that it has to fall by itself.
+    """
+    rules = samples.bundle()
+    entrance = calls.new_entrance("me", "domain-a", "region")
+    _told(entrance, rules, floor, 1.0)
+    taken = calls.Call("d", "intake", "lookup", "main", "me", 5.0)
+    _, effect = calls.begin(
+        entrance, rules, taken, samples.TARGETS, 1.0 + after, RNG
+    )
+    assert isinstance(effect, calls.Refuse) is refused
+    if isinstance(effect, calls.Refuse):
+        assert effect.reason is outcomes.Reason.SHED_AT_ENTRANCE
+        assert effect.retry_after >= 1.0
+        assert effect.floor == pytest.approx(floor)
+
+
+def test_own_service_is_left_out_of_the_floor_below() -> None:
+    """Instances of one service must not keep each other's floor alive.
+
+    Each hears the others' floor and would answer with it, long after the
+    load that caused it is gone.
+    """
+    rules = samples.bundle()
+    entrance = calls.new_entrance("me", "domain-a", "region")
+    _told(entrance, rules, 6.0, 1.0)
+    assert calls.floor(entrance, "intake", "lookup", 1.0, "main") == 6.0
+    below = calls.floor_below(entrance, rules, "intake", "lookup", 1.0, "main")
+    assert below == 0.0
--- /dev/null
+++ b/tests/decisions/load/test_floors.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from sassafrasstair.decisions.load import _floors
+
+TICK = 0.05
+
+
+def _offer(
+    floors: _floors.Floors,
+    rates: dict[str, float],
+    seconds: float,
+    capacity: float,
+    start: float = 0.0,
+    share: float = 1.0,
+) -> float:
+    """Offer ranks of level 5 that callers filter by the floor."""
+    rng = random.Random(1)
+    now = start
+    while now < start + seconds:
+        now += TICK
+        for tenant, rate in rates.items():
+            for _ in range(int(rate * TICK)):
+                rank = 5 + rng.random()
+                if rank >= _floors.floor(floors, tenant):
+                    _floors.note(floors, tenant, share, rank)
+        _floors.look(floors, capacity, pressed=True, now=now)
+    return now
+
+
+def test_floor_admits_the_share_that_is_held() -> None:
+    floors = _floors.new_floors(0.0)
+    _offer(floors, {"main": 1000.0}, 3.0, capacity=250.0)
+    assert _floors.floor(floors, "main") == pytest.approx(5.75, abs=0.08)
+
+
+def test_a_tenant_cannot_starve_another() -> None:
+    """One tenant's surge leaves another's requests alone.
+
+    The big tenant sends ten times the capacity, the small one a tenth of
+    it. One floor for both would refuse nine in ten of the small one's.
+    """
+    floors = _floors.new_floors(0.0)
+    _offer(floors, {"big": 2000.0, "small": 20.0}, 2.0, capacity=200.0)
+    assert _floors.floor(floors, "small") <= 5.0
+    assert _floors.floor(floors, "big") > 5.85
+
+
+def test_lower_levels_go_first() -> None:
+    floors = _floors.new_floors(0.0)
+    for step in range(1, 40):
+        for _ in range(10):
+            _floors.note(floors, "main", 1.0, 9.5)
+            _floors.note(floors, "main", 1.0, 3.5)
+        _floors.look(floors, 150.0, pressed=True, now=step * TICK)
+    assert 9.0 < _floors.floor(floors, "main") < 9.6
+
+
+def test_floor_is_gone_a_second_after_its_cause() -> None:
+    """When a surge ends, refusals must end with it.
+
+    Callers above the floor send a fifth as much. What is below it sends
+    nothing that the guard sees, so that only the memory of it could keep
+    the floor up.
+    """
+    floors = _floors.new_floors(0.0)
+    now = _offer(floors, {"main": 1000.0}, 3.0, capacity=200.0)
+    _offer(floors, {"main": 100.0}, 1.0, capacity=200.0, start=now)
+    assert _floors.floor(floors, "main") == 0.0
+
+
+def test_no_pressure_no_floor() -> None:
+    floors = _floors.new_floors(0.0)
+    now = _offer(floors, {"main": 1000.0}, 1.0, capacity=200.0)
+    _floors.look(floors, 200.0, pressed=False, now=now + TICK)
+    assert _floors.floor(floors, "main") == 0.0
