--- a/src/sassafrasstair/bench/_capacity_warm.py
+++ b/src/sassafrasstair/bench/_capacity_warm.py
@@ -94,6 +94,7 @@
     node.urgent = False
     node.offer = False
     node.next_gossip = rng.random()
+    node.round = rng.randrange(64)
 
 
 def _incarnation(number: int) -> str:
--- a/src/sassafrasstair/decisions/fleet/_spreads.py
+++ b/src/sassafrasstair/decisions/fleet/_spreads.py
@@ -26,7 +26,7 @@
 FLUSH_EVERY = 0.25
 TOKENS_PER_SECOND = 2.0
 MOST_TOKENS = 24.0
-ASK_MANY = 4
+ASK_MANY = 2
 SETTLE_WAIT = 3.0
 SETTLE_LONGEST = 6.0
 SETTLE_ANSWERS = 2
@@ -50,7 +50,7 @@
         chosen = other
     if not chosen:
         return _to_stranger(node, rng)
-    vm = chosen[node.round // 2 % len(chosen)]
+    vm = chosen[_turn(node, chosen is other) % len(chosen)]
     if vm in node.barred or _cut_off(node, vm):
         return _to_stranger(node, rng)
     return [_gossip(node, node.members[vm].record.address, vm)]
@@ -88,6 +88,7 @@
     if not _knows_enough(node, now):
         return []
     node.settled = True
+    node.round = rng.randrange(STRANGER_EACH)
     node.offer = bool(node.held)
     node.next_gossip = now + GOSSIP_EVERY * rng.random()
     return _versions.settle(node)
@@ -123,6 +124,12 @@
     return member.record.failure_domain == node.me.failure_domain
 
 
+def _turn(node: _states.Node, other: bool) -> int:
+    """Return the count of rounds of the kind, to go through all partners."""
+    others = node.round // OTHER_DOMAIN_EACH
+    return others if other else node.round - others
+
+
 def _ask(node: _states.Node, rng: random.Random) -> list[_effects.Effect]:
     """Ask a few peers that have not answered yet."""
     addresses: set[str] = set()
--- a/src/sassafrasstair/decisions/fleet/_subsets.py
+++ b/src/sassafrasstair/decisions/fleet/_subsets.py
@@ -15,7 +15,6 @@
     import random
 
 OWN_RINGS = 4
-OTHER_RINGS = 2
 WATCHERS = 2
 MOST_WATCHERS = 4
 SPILL_SHARE = 4
@@ -136,13 +135,19 @@
 
 
 def _other_partners(node: _states.Node) -> tuple[str, ...]:
-    names = [
+    """Return one partner in each other failure domain."""
+    # With a few partners anywhere, a small fleet may have nobody who tests
+    # some domain: its loss would go unseen until calls fail.
+    by_domain: dict[str, list[str]] = {}
+    for vm, member in node.members.items():
+        domain = member.record.failure_domain
+        if domain != node.me.failure_domain and _members.is_member(member):
+            by_domain.setdefault(domain, []).append(vm)
+    return tuple(
         vm
-        for vm, member in node.members.items()
-        if member.record.failure_domain != node.me.failure_domain
-        and _members.is_member(member)
-    ]
-    return _next_in_rings(node.me.vm, names, "other", OTHER_RINGS)
+        for domain in sorted(by_domain)
+        for vm in _next_in_rings(node.me.vm, by_domain[domain], "other", 1)
+    )
 
 
 def _next_in_rings(
