Send the upstream the caller's request and nothing more

Cause: the client library added "content-type: application/octet-stream" and an empty body to requests without one, so a GET reached the upstream changed. That the library does not send a PUT again on a reused connection hung on a private attribute that no test looked at.

Ruled out: no data at all for every method: the library itself tells "content-length: 0" where the method wants one.

Change: an empty body is no body, and Content-Type is never added. Tests on a raw server: one PUT on a reused connection that closes without an answer, encoded paths and odd header bytes both ways, Expect, HEAD, 204, 304, and that a refusal keeps its connection.

Conclusion: the upstream sees each request once and as it was sent.

--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -35,6 +35,7 @@
         "upgrade",
     }
 )
+_NOT_ADDED = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 _NEVER_SENT = HOP_BY_HOP | {"host"}
 
 
@@ -95,7 +96,7 @@
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
-        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+        skip_auto_headers=_NOT_ADDED,
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT
         ),
@@ -120,7 +121,7 @@
             request.method,
             yarl.URL(upstream.url + request.path, encoded=True),
             headers=_wire_headers(request),
-            data=request.body,
+            data=request.body or None,
             allow_redirects=False,
         )
     except (
--- /dev/null
+++ b/tests/upstreams/test_client.py
@@ -0,0 +1,156 @@
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import pytest
+
+from sassafrasstair import outcomes
+from sassafrasstair import upstreams
+from tests.runtime import meshes
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+class RawUpstream:
+    """Answers the heads that it gets from a list; b"" closes instead."""
+
+    def __init__(self, *answers: bytes) -> None:
+        self.answers = list(answers)
+        self.heads: list[bytes] = []
+        self.connections = 0
+
+    async def __call__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        answer = b"-"
+        while answer:
+            try:
+                self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+            except asyncio.IncompleteReadError:
+                break
+            answer = self.answers.pop(0)
+            writer.write(answer)
+        writer.close()
+
+
+def run(
+    raw: RawUpstream,
+    story: abc.Callable[[upstreams.Upstream], abc.Awaitable[None]],
+) -> None:
+    async def whole() -> None:
+        port = meshes.free_ports(1)[0]
+        async with await asyncio.start_server(raw, "127.0.0.1", port):
+            upstream = upstreams.connect(f"http://127.0.0.1:{port}")
+            await story(upstream)
+            await upstreams.close(upstream)
+
+    asyncio.run(whole())
+
+
+def request(
+    method: str = "PUT", path: str = "/", *headers: tuple[str, str]
+) -> upstreams.Request:
+    return upstreams.Request(method, path, headers, b"")
+
+
+async def read(
+    upstream: upstreams.Upstream, sent: upstreams.Request
+) -> tuple[upstreams.Response, bytes]:
+    response = await upstreams.send(upstream, sent)
+    chunks = [chunk async for chunk in response.chunks]
+    return response, b"".join(chunks)
+
+
+def test_put_that_may_have_run_is_not_sent_again() -> None:
+    """A cover binding is recorded twice, though its daemon sent it once.
+
+    The upstream runs it and dies before its answer, on a connection that
+    was used before; the HTTP library sends an idempotent method again.
+    """
+    raw = RawUpstream(OK, b"", OK)
+
+    async def story(upstream: upstreams.Upstream) -> None:
+        await read(upstream, request())
+        with pytest.raises(upstreams.UpstreamError) as raised:
+            await read(upstream, request())
+        assert raised.value.outcome is outcomes.Outcome.UNKNOWN
+
+    run(raw, story)
+    assert len(raw.heads) == 2
+
+
+def test_request_reaches_the_upstream_unchanged() -> None:
+    """Paths stay encoded as they are, and header values the same bytes."""
+    raw = RawUpstream(OK)
+    path = "/a%2Fb/%41//c;d=e/../?x=%20&y=+#"[:-1]
+    value = "é".encode().decode("latin-1")
+    sent = request("GET", path, ("x-name", value), ("expect", "100-continue"))
+
+    async def story(upstream: upstreams.Upstream) -> None:
+        await read(upstream, sent)
+
+    run(raw, story)
+    head = raw.heads[0].lower()
+    assert raw.heads[0].startswith(f"GET {path} HTTP/1.1\r\n".encode())
+    assert b"x-name: \xc3\xa9\r\n" in head
+    assert head.count(b"\r\n") == len(("request", "host", "x-name", "end"))
+
+
+@pytest.mark.parametrize(
+    ("method", "answer", "headers", "body"),
+    [
+        ("HEAD", OK[:-2], (("content-length", "2"),), b""),
+        ("GET", b"HTTP/1.1 204 No Content\r\n\r\n", (), b""),
+        (
+            "GET",
+            b"HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n",
+            (("content-length", "9"),),
+            b"",
+        ),
+        (
+            "GET",
+            b"HTTP/1.1 200 OK\r\nX: \xff\xc3\xa9\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            (("x", "\xff\xc3\xa9"),),
+            b"ok",
+        ),
+    ],
+    ids=["head", "no content", "not modified", "odd bytes"],
+)
+def test_answer_comes_as_it_was_sent(
+    method: str, answer: bytes, headers: typing.Any, body: bytes
+) -> None:
+    async def story(upstream: upstreams.Upstream) -> None:
+        response, got = await read(upstream, request(method))
+        assert (response.headers, got) == (headers, body)
+
+    run(RawUpstream(answer), story)
+
+
+@pytest.mark.parametrize(
+    ("header", "outcome"),
+    [
+        (b"Sassafras-Outcome: not-run\r\n", outcomes.Outcome.NOT_RUN),
+        (b"", outcomes.Outcome.UNKNOWN),
+    ],
+)
+def test_refusal_keeps_the_connection(
+    header: bytes, outcome: outcomes.Outcome
+) -> None:
+    """An overloaded upstream gets a new connection for each refusal."""
+    refused = b"HTTP/1.1 503 Busy\r\n%scontent-length: 2\r\n\r\nno" % header
+    raw = RawUpstream(refused, refused)
+
+    async def story(upstream: upstreams.Upstream) -> None:
+        for _ in range(2):
+            with pytest.raises(upstreams.UpstreamError) as raised:
+                await upstreams.send(upstream, request())
+            assert raised.value.outcome is outcome
+
+    run(raw, story)
+    assert (len(raw.heads), raw.connections) == (2, 1)
