Refuse no call in flight while peers have yet to hear of a stop

Cause: a stopping daemon refused work from peers in the same moment in which it told them; calls in flight at other entrances that picked it before they heard were refused, and failed where their class allows no retry. A caller that reads nothing more held the stop up for ever.

Ruled out: keeping idle connections for longer before they are closed: a request can cross the close at any time, HTTP/1.1 has no way around that.

Once all requests are answered, connections that take no data get 30 s.

--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -38,6 +38,7 @@
     from sassafrasstair import settings
 
 MAX_TICKET_RECORDS = 50_000
+ACCEPT_SECONDS = 2.0
 LEAVE_SECONDS = 2.5
 LINK_REVIEW_SECONDS = 10.0
 UNSET_SLOTS = 1
@@ -156,9 +157,8 @@
     """Take no new work, let peers know, and wait for what is in flight."""
     logs.event(_LOG, logging.INFO, "leaving", vm=daemon.settings.vm)
     daemon.entry.leaving = True
-    daemon.slot.guard.leaving = True
-    once.stop_issuing(daemon.slot.owner)
     _control.leave(daemon.control)
+    _drain(daemon)
     # Peers and callers learn of it meanwhile and are refused, not cut: a
     # closed socket at once would show them as lost answers.
     await asyncio.sleep(LEAVE_SECONDS)
@@ -194,8 +194,26 @@
     # The platform said that this VM leaves: its upstream gets nothing new,
     # whoever has not heard of it yet and sends here all the same.
     if fleet.is_leaving(daemon.control.node):
-        daemon.slot.guard.leaving = True
-        once.stop_issuing(daemon.slot.owner)
+        _drain(daemon)
+
+
+def _drain(daemon: Daemon) -> None:
+    """Issue no more tickets, and soon take no more work.
+
+    Failure: a call in flight at another entrance picks this instance before
+    that entrance has heard, is refused, and fails if its class allows no
+    retry; so would a ticket that was issued a moment ago. Hearing takes a
+    second or so: until then such work is still taken.
+    """
+    if daemon.slot.owner.leaving:
+        return
+    once.stop_issuing(daemon.slot.owner)
+    loop = asyncio.get_running_loop()
+    loop.call_later(ACCEPT_SECONDS, _refuse_work, daemon.slot)
+
+
+def _refuse_work(slot: _slots.Slot) -> None:
+    slot.guard.leaving = True
 
 
 def _ping_ejected(daemon: Daemon, now: float) -> None:
@@ -236,7 +254,7 @@
     if isinstance(message, daemons.Cancel):
         _slots.cancel(slot, message.attempt_id)
     if isinstance(message, daemons.Ping):
-        serving = slot.bundle() is not None and not slot.guard.leaving
+        serving = slot.bundle() is not None and not slot.owner.leaving
         return daemons.Pong(slot.incarnation, serving)
     return daemons.Nothing()
 
--- a/src/sassafrasstair/runtime/_http.py
+++ b/src/sassafrasstair/runtime/_http.py
@@ -17,7 +17,8 @@
 
 BACKLOG = 2_048
 KEEPALIVE_SECONDS = 75
-START_POLL_SECONDS = 0.01
+POLL_SECONDS = 0.01
+FLUSH_SECONDS = 30.0
 
 
 class _Server(uvicorn.Server):
@@ -50,7 +51,7 @@
         servers.append(server)
         tasks.append(asyncio.create_task(server.serve([listening])))
     while not all(server.started for server in servers):
-        await asyncio.sleep(START_POLL_SECONDS)
+        await asyncio.sleep(POLL_SECONDS)
     return Http(tuple(servers), tuple(tasks))
 
 
@@ -58,7 +59,20 @@
     """Stop listening, finish the requests in flight, and return."""
     for server in http.servers:
         server.should_exit = True
+    flushing = asyncio.ensure_future(_force_when_answered(http))
     await asyncio.gather(*http.tasks)
+    flushing.cancel()
+
+
+async def _force_when_answered(http: Http) -> None:
+    # Failure: a caller that reads nothing more keeps its connection open,
+    # with an answer that was written, and the stop never ends. Once every
+    # request has been answered, such a connection gets a bounded time.
+    while any(server.server_state.tasks for server in http.servers):
+        await asyncio.sleep(POLL_SECONDS)
+    await asyncio.sleep(FLUSH_SECONDS)
+    for server in http.servers:
+        server.force_exit = True
 
 
 def _listen(address: str) -> socket.socket:
--- a/src/sassafrasstair/runtime/_status.py
+++ b/src/sassafrasstair/runtime/_status.py
@@ -67,7 +67,7 @@
 
 
 def _state(entry: _entries.Entry) -> operators.State:
-    if entry.leaving or entry.slot.guard.leaving:
+    if entry.leaving or entry.slot.owner.leaving:
         return operators.State.LEAVING
     if entry.bundle() is None:
         return operators.State.STARTING
