--- a/src/sassafrasstair/decisions/fleet/_subsets.py
+++ b/src/sassafrasstair/decisions/fleet/_subsets.py
@@ -51,8 +51,8 @@
     """
     domain = node.me.failure_domain
     ranked = sorted(
-        (vm for vm in _domain(node, domain) if _may_watch(node, vm)),
-        key=lambda vm: weight(domain, vm),
+        (vm for vm in _domain(node, domain) if not node.members[vm].barred),
+        key=lambda vm: _watch_rank(node, vm),
         reverse=True,
     )[:MOST_WATCHERS]
     chosen: list[str] = []
@@ -170,6 +170,9 @@
             yield vm
 
 
-def _may_watch(node: _states.Node, vm: str) -> bool:
+def _watch_rank(node: _states.Node, vm: str) -> tuple[bool, int]:
+    # Failure: all VMs of a failure domain are being replaced and leave;
+    # with nobody left to watch, new bundles never come into force there.
+    # Those that leave therefore rank last but are not left out.
     member = node.members[vm]
-    return not member.leaving and not member.barred
+    return not member.leaving, weight(node.me.failure_domain, vm)
--- a/tests/fuzz/test_found.py
+++ b/tests/fuzz/test_found.py
@@ -8,6 +8,7 @@
 
 from sassafrasstair.decisions import calls
 from sassafrasstair import outcomes
+from tests.fuzz import daemons
 from tests.fuzz import worlds
 
 NOT_RUN = outcomes.Outcome.NOT_RUN
@@ -81,3 +82,23 @@
     _, _, refused = begin(repeat, ())
     assert isinstance(refused, calls.Refuse)
     assert refused.outcome is told
+
+
+def test_a_domain_whose_vms_all_leave_gets_new_bundles() -> None:
+    """All VMs of a domain are replaced one by one while a bundle comes.
+
+    Each of them is listed as leaving and still serves what it has. Those
+    that leave did not watch the platform, so nobody did, and the bundle
+    was not in force until a new VM had started.
+    """
+    world = worlds.World(1)
+    for vm in worlds.VMS:
+        daemons.Daemon(world, vm)
+    world.run(12.0)
+    for vm in worlds.VMS:
+        world.platform.list_as(vm, "leaving")
+    world.run(3.0)
+    world.platform.publish(worlds.envelope(2))
+    world.run(6.0)
+    held = [daemon.bundle for daemon in world.daemons.values()]
+    assert [one.version for one in held if one] == [2, 2, 2, 2]
