--- a/src/sassafrasstair/console/bench.py
+++ b/src/sassafrasstair/console/bench.py
@@ -4,6 +4,7 @@
 
 import click
 
+from sassafrasstair.console.commands.bench import capacity
 from sassafrasstair.console.commands.bench import hop
 from sassafrasstair.console.commands.bench import overload
 
@@ -13,6 +14,7 @@
     """Measure the decisions on a virtual clock, and real processes."""
 
 
+main.add_command(capacity.command)
 main.add_command(hop.hop)
 main.add_command(overload.overload)
 
