--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -84,8 +84,10 @@
         return "", _refuse(rules, call, outcomes.Reason.TOO_MANY_REPEATS, rng)
     # The bundle's version is the one epoch that all daemons agree on.
     rank = load.rank(rules.importance, call.caller, bundle.version)
-    if not call.ticket and _is_shed(entrance, call, rank, now):
-        return "", _refuse(rules, call, outcomes.Reason.SHED_AT_ENTRANCE, rng)
+    least = _floors.of_service(entrance.floors, _floor_key(call), now)
+    if not call.ticket and rank < least:
+        reason = outcomes.Reason.SHED_AT_ENTRANCE
+        return "", _refuse(rules, call, reason, rng, least)
     entrance.serial += 1
     key = f"{entrance.incarnation}.{entrance.serial}"
     pending = Pending(call, rank)
@@ -190,13 +192,6 @@
     return call.service, call.request_class, call.tenant
 
 
-def _is_shed(
-    entrance: Entrance, call: _messages.Call, rank: float, now: float
-) -> bool:
-    key = _floor_key(call)
-    return rank < _floors.of_service(entrance.floors, key, now)
-
-
 def _send(
     entrance: Entrance,
     bundle: bundles.Bundle,
@@ -307,9 +302,10 @@
     call: _messages.Call,
     reason: outcomes.Reason,
     rng: random.Random,
+    floor: float = 0.0,
 ) -> _messages.Refuse:
     after = _retries.retry_after(rules.refusal, call.repeat, rng)
     outcome = outcomes.Outcome.NOT_RUN
     if call.ticket:
         outcome = once.entrance_refusal(call.repeat, reason).outcome
-    return _messages.Refuse(outcome, reason, after)
+    return _messages.Refuse(outcome, reason, after, floor=floor)
