Use instances that are held back when there are no others

Cause: the fuzz run's new check that all is served once all is calm found lookups refused for want of an instance, up to 16 s after a time of 50% loss: each daemon held all instances of the service back as flapping. Ruled out: cut or gone members (all serving, none barred, no domain cut); ejection at the entrance (none ejected). Change: fleet.targets falls back to held back instances when nothing else is left. The fuzz run repeats right after a kill, loses half the answers of the deep service in examples with upstream faults, and a daemon that stops waits for requests already on their way in (the world's own gap). The longest hold stays for a service with others.

--- a/src/sassafrasstair/decisions/fleet/_subsets.py
+++ b/src/sassafrasstair/decisions/fleet/_subsets.py
@@ -4,6 +4,7 @@
 
 import functools
 import hashlib
+import math
 import typing
 
 from sassafrasstair.decisions import calls
@@ -14,6 +15,8 @@
     from collections import abc
     import random
 
+    from sassafrasstair.decisions.fleet import _messages
+
 OWN_RINGS = 4
 WATCHERS = 2
 MOST_WATCHERS = 4
@@ -88,12 +91,12 @@
     node: _states.Node, service: str, size: int, now: float
 ) -> tuple[calls.Target, ...]:
     """Return up to ``size`` usable instances, see ``targets``."""
-    live = [
-        member.record
-        for member in node.members.values()
-        if member.record.service == service
-        and _members.usable(node, member, now)
-    ]
+    live = _usable(node, service, now)
+    if not live:
+        # Failure: after a time of heavy loss every instance is held back
+        # as one that flaps, and all calls are refused though all serve.
+        # Held back instances are better than none.
+        live = _usable(node, service, math.inf)
     live.sort(key=lambda record: weight(node.me.vm, record.vm), reverse=True)
     domain = node.me.failure_domain
     own = [record for record in live if record.failure_domain == domain]
@@ -129,6 +132,17 @@
     return rng.choice(left) if left else None
 
 
+def _usable(
+    node: _states.Node, service: str, now: float
+) -> list[_messages.Record]:
+    return [
+        member.record
+        for member in node.members.values()
+        if member.record.service == service
+        and _members.usable(node, member, now)
+    ]
+
+
 def _own_partners(node: _states.Node) -> tuple[str, ...]:
     names = list(_domain(node, node.me.failure_domain))
     return _next_in_rings(node.me.vm, names, "own", OWN_RINGS)
--- a/tests/fuzz/daemons.py
+++ b/tests/fuzz/daemons.py
@@ -35,7 +35,7 @@
         self.skew = self.rng.uniform(0.0, 1000.0)
         self.alive, self.stopping = True, False
         self.paused_until = 0.0
-        self.steps = 0
+        self.steps = self.arriving = 0
         self.watch_failed, self.watched = False, 0
         self.bundle: bundles.Bundle | None = None
         self.calls: dict[str, upstreams.Asked] = {}
@@ -79,7 +79,8 @@
             self.ping()
         leaving = self.node.members[self.record.vm].leaving
         self.guard.leaving = self.guard.leaving or leaving
-        busy = self.guard.running or self.guard.waiting or self.calls
+        busy = bool(self.guard.running or self.guard.waiting)
+        busy = busy or bool(self.calls or self.arriving)
         if self.stopping and not busy and not self.attempts:
             self.alive = False
             self.world.check_stop(self.record.vm)
--- a/tests/fuzz/test_found.py
+++ b/tests/fuzz/test_found.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import fleet
 from sassafrasstair import outcomes
 from tests.fuzz import daemons
 from tests.fuzz import worlds
@@ -102,3 +103,21 @@
     world.run(6.0)
     held = [daemon.bundle for daemon in world.daemons.values()]
     assert [one.version for one in held if one] == [2, 2, 2, 2]
+
+
+def test_instances_that_are_all_held_back_are_used() -> None:
+    """After half a minute of heavy loss all lookups are refused.
+
+    Each daemon has seen all instances come and go, holds them back for up
+    to 16 s, and refuses for want of an instance though all of them serve.
+    """
+    world = worlds.World(1)
+    for vm in worlds.VMS:
+        daemons.Daemon(world, vm)
+    world.run(12.0)
+    daemon = world.daemons["ledger-a"]
+    for vm in ("poster-a", "poster-b"):
+        daemon.node.members[vm].hold_until = daemon.now + 10.0
+    daemon.node.edition += 1
+    found = fleet.targets(daemon.node, "poster", daemon.now)
+    assert [target.vm for target in found] == ["poster-a", "poster-b"]
--- a/tests/fuzz/test_whole_system.py
+++ b/tests/fuzz/test_whole_system.py
@@ -94,6 +94,8 @@
             daemons.Daemon(self.world, vm)
         self.world.run(STARTED_IN)
         self.disturbed()
+        if "upstream" in faults:
+            self.upstream("ledger", slow=1.0, refuses=0.0, loses=0.5)
 
     def teardown(self) -> None:
         if hasattr(self, "world"):
@@ -108,7 +110,7 @@
     @stateful.rule(
         vm=vms,
         kind=st.sampled_from(("lookup", "report")),
-        count=st.sampled_from((1, 8, 60)),
+        count=st.sampled_from((1, 8, 8, 60)),
     )
     def look_up(self, vm: str, kind: str, count: int) -> None:
         for _ in range(count):
@@ -177,8 +179,8 @@
         self.world.run(seconds)
 
     @may("kill")
-    @stateful.rule(vm=vms, back=st.booleans())
-    def kill(self, vm: str, back: bool) -> None:
+    @stateful.rule(vm=vms, other=vms, back=st.booleans())
+    def kill(self, vm: str, other: str, back: bool) -> None:
         self.disturbed()
         self.world.daemons[vm].alive = False
         for use in self.world.oracle.uses:
@@ -186,6 +188,8 @@
                 use.open = False
         if back:
             self.restart(vm)
+        for pick in range(IMPATIENT):
+            self.repeat(other, pick)
 
     @stateful.rule(vm=vms)
     def restart(self, vm: str) -> None:
@@ -236,9 +240,9 @@
     @may("upstream")
     @stateful.rule(
         service=st.sampled_from(("poster", "ledger")),
-        slow=st.sampled_from((1.0, 1.0, 40.0)),
-        refuses=shares,
-        loses=shares,
+        slow=st.sampled_from((1.0, 1.0, 1.0, 40.0)),
+        refuses=st.sampled_from((0.0, 0.0, 0.5)),
+        loses=st.sampled_from((0.0, 0.5)),
     )
     def upstream(
         self, service: str, slow: float, refuses: float, loses: float
--- a/tests/fuzz/upstreams.py
+++ b/tests/fuzz/upstreams.py
@@ -190,10 +190,12 @@
     )
 
     def arrive() -> None:
+        daemon.arriving -= 1
         if use.open:
             tell = functools.partial(world.oracle.tell, use)
             use.key = daemon.begin(Asked(call, use.work, tell))
 
+    daemon.arriving += 1
     daemon.at(0.0, arrive)
 
 
