--- a/src/sassafrasstair/standins/_upstream.py
+++ b/src/sassafrasstair/standins/_upstream.py
@@ -24,6 +24,7 @@
 NOT_RUN = "not run"
 NOT_RUN_FROM_UPSTREAM = "not-run"
 DEFAULT_TIMEOUT_SECONDS = 30.0
+DIRECT_TRIES = 3
 
 
 class Effect(enum.Enum):
@@ -108,7 +109,8 @@
 ) -> _answers.Done:
     calls = []
     for service in upstream.children:
-        calls.append(await _call(upstream, request, service, effect))
+        done = await _call_until_done(upstream, request, service, effect)
+        calls.append(done)
     effect[0] = Effect.UNKNOWN
     _ran.note(upstream.ran, request.nonce, request.ticket)
     seconds = _model.service_seconds(
@@ -124,6 +126,26 @@
     )
 
 
+async def _call_until_done(
+    upstream: Upstream,
+    request: Request,
+    service: str,
+    effect: list[Effect],
+) -> _answers.Done:
+    """Call one child; without a daemon, again when it fails.
+
+    That is the plain forwarding that the system is compared with: each
+    hop retries by itself, as HTTP clients are usually set up to.
+    """
+    tries = DIRECT_TRIES if upstream.is_direct else 1
+    for _ in range(tries - 1):
+        try:
+            return await _call(upstream, request, service, effect)
+        except _ChildRefused:
+            continue
+    return await _call(upstream, request, service, effect)
+
+
 async def _call(
     upstream: Upstream,
     request: Request,
