Show who approved the bundle in force, and whence refused ones came

Cause: the status left approvers, ages, sources, the winner of a conflict and the members of each failure domain empty, though the daemon knew them; an offered older version was counted as no defect at all.

Ruled out: keeping these in the fleet's decisions: they are for showing alone, and the events that decisions report carry them already.

Change: the control side notes who approved each envelope that held good (64 at most), when a bundle came into force, and the source and age of refused ones; "downgraded" is a defect of its own. heard_seconds is told by daemons that read or watch the platform themselves, 0 by the others.

Conclusion: every field of the status has a source now.

--- a/src/sassafrasstair/bundles/_errors.py
+++ b/src/sassafrasstair/bundles/_errors.py
@@ -16,6 +16,7 @@
     UNKNOWN_SIGNER = "unknown_signer"
     BAD_SIGNATURE = "bad_signature"
     INCONSISTENT = "inconsistent"
+    DOWNGRADED = "downgraded"
 
 
 class BundleError(Exception):
--- a/src/sassafrasstair/decisions/fleet/__init__.py
+++ b/src/sassafrasstair/decisions/fleet/__init__.py
@@ -30,6 +30,7 @@
 from sassafrasstair.decisions.fleet._messages import Received
 from sassafrasstair.decisions.fleet._messages import Record
 from sassafrasstair.decisions.fleet._messages import Rumour
+from sassafrasstair.decisions.fleet._messages import SERVING
 from sassafrasstair.decisions.fleet._nodes import handle
 from sassafrasstair.decisions.fleet._nodes import new_node
 from sassafrasstair.decisions.fleet._nodes import observed
@@ -51,6 +52,7 @@
 from sassafrasstair.decisions.fleet._versions import bundle_id
 
 __all__ = [
+    "SERVING",
     "EXCHANGE_TIMEOUT",
     "BadMessage",
     "BundleFetch",
--- a/src/sassafrasstair/runtime/_control.py
+++ b/src/sassafrasstair/runtime/_control.py
@@ -37,7 +37,10 @@
 class Control:
     """State of the control side. ``adopted`` is told each new bundle.
 
-    ``heard`` is when this daemon itself last heard of the platform.
+    ``heard`` is when this daemon itself last heard of the platform,
+    ``adopted_at`` when the bundle in force came into force here.
+    ``approvals`` names who approved an envelope, ``refused`` whence and when
+    one came that was refused, ``kept`` the winner of a version's conflict.
     """
 
     clock: clocks.Clock
@@ -47,7 +50,13 @@
     client: platform.Client
     adopted: abc.Callable[[bundles.Bundle], None]
     counts: metrics.Metrics
+    approvals: dict[bytes, tuple[str, ...]]
     heard: float | None = None
+    adopted_at: float = 0.0
+    refused: dict[str, tuple[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    kept: dict[str, str] = dataclasses.field(default_factory=dict)
     watches: list[asyncio.Task[None]] = dataclasses.field(default_factory=list)
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
@@ -99,6 +108,7 @@
             if not control.watches:
                 _start(control, _read(control, effect.delay))
         elif isinstance(effect, fleet.InForce):
+            control.adopted_at = control.clock.monotonic()
             control.adopted(effect.bundle)
         else:
             _report(control, effect)
@@ -109,10 +119,24 @@
     if effect.event in _FINDINGS:
         level = logging.WARNING
     if effect.event == "bundle_refused":
-        control.counts.bundle_refused(_defect(effect.fields["reason"]))
+        _note_refused(control, effect.fields)
+    elif effect.event == "bundle_conflict":
+        control.kept[effect.fields["version"]] = effect.fields["kept"]
     logs.event(_LOG, level, effect.event, **effect.fields)
 
 
+def _note_refused(control: Control, fields: dict[str, str]) -> None:
+    control.counts.bundle_refused(_defect(fields["reason"]))
+    now = control.clock.monotonic()
+    shown = control.node.refused
+    control.refused = {
+        digest: finding
+        for digest, finding in control.refused.items()
+        if digest in shown
+    }
+    control.refused[fields["digest"]] = (fields["source"], now)
+
+
 def _defect(reason: str) -> bundles.Defect:
     """Return the sentinel that a refusal's text begins with."""
     name = reason.partition(":")[0].replace(" ", "_")
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -29,6 +29,7 @@
 from sassafrasstair.runtime import _entries
 from sassafrasstair.runtime import _execution
 from sassafrasstair.runtime import _http
+from sassafrasstair.runtime import _parts
 from sassafrasstair.runtime import _slots
 from sassafrasstair.runtime import _status
 from sassafrasstair.runtime import _tickets
@@ -37,11 +38,9 @@
 if typing.TYPE_CHECKING:
     from sassafrasstair import settings
 
-MAX_TICKET_RECORDS = 50_000
 ACCEPT_SECONDS = 2.0
 LEAVE_SECONDS = 2.5
 LINK_REVIEW_SECONDS = 10.0
-UNSET_SLOTS = 1
 
 _LOG = logging.getLogger(__name__)
 
@@ -74,12 +73,17 @@
     incarnation = new_incarnation(clock)
     counts = metrics.Metrics()
     links = daemons.Links()
-    node = _new_node(settings_, incarnation, clock.monotonic(), rng)
-    bundle = functools.partial(_in_force, node, clock)
+    approvals: dict[bytes, tuple[str, ...]] = {}
+    node = _parts.new_node(
+        settings_, incarnation, clock.monotonic(), rng, approvals
+    )
+    bundle = functools.partial(_parts.in_force, node, clock)
     entrance = calls.new_entrance(
         incarnation, settings_.failure_domain, settings_.region
     )
-    slot = _new_slot(settings_, incarnation, clock, bundle, entrance, counts)
+    slot = _parts.new_slot(
+        settings_, incarnation, clock, bundle, entrance, counts
+    )
     entry = _entries.Entry(
         clock=clock,
         rng=rng,
@@ -98,6 +102,7 @@
         client=platform.open_client(settings_.platform.urls),
         adopted=functools.partial(_adopt, slot, counts),
         counts=counts,
+        approvals=approvals,
     )
     return Daemon(
         settings_,
@@ -320,84 +325,6 @@
     slot.guard.leaving = leaving
 
 
-def _in_force(node: fleet.Node, clock: clocks.Clock) -> bundles.Bundle | None:
-    if not fleet.ready(node, clock.monotonic()):
-        return None
-    return fleet.in_force(node)
-
-
-def _new_node(
-    settings_: settings.Settings,
-    incarnation: str,
-    now: float,
-    rng: random.Random,
-) -> fleet.Node:
-    me = fleet.Record(
-        settings_.vm,
-        settings_.service,
-        settings_.failure_domain,
-        settings_.region,
-        settings_.peers.listen,
-    )
-    keys = {key.name: key.raw for key in settings_.keys}
-    verify = functools.partial(_verify, keys)
-    return fleet.new_node(
-        me, incarnation, settings_.peers.seeds, verify, now, rng
-    )
-
-
-def _verify(keys: dict[str, bytes], envelope: bytes) -> bundles.Bundle:
-    return bundles.verify(envelope, keys).bundle
-
-
-def _new_slot(
-    settings_: settings.Settings,
-    incarnation: str,
-    clock: clocks.Clock,
-    bundle: typing.Callable[[], bundles.Bundle | None],
-    entrance: calls.Entrance,
-    counts: metrics.Metrics,
-) -> _slots.Slot:
-    now = clock.monotonic()
-    owner = once.new_owner(
-        settings_.vm,
-        incarnation,
-        secrets.token_bytes(32),
-        MAX_TICKET_RECORDS,
-    )
-    return _slots.Slot(
-        service=settings_.service,
-        incarnation=incarnation,
-        clock=clock,
-        guard=load.new_guard(UNSET_SLOTS, now),
-        owner=owner,
-        upstream=upstreams.connect(settings_.upstream.url),
-        bundle=bundle,
-        floor_below=functools.partial(
-            _floor_below, settings_.service, entrance, bundle, clock
-        ),
-        pauses=calls.Pauses(now),
-        counts=counts,
-    )
-
-
-def _floor_below(
-    service: str,
-    entrance: calls.Entrance,
-    bundle: typing.Callable[[], bundles.Bundle | None],
-    clock: clocks.Clock,
-    request_class: str,
-    tenant: str,
-) -> float:
-    current = bundle()
-    if current is None or service not in current.services:
-        return 0.0
-    now = clock.monotonic()
-    return calls.floor_below(
-        entrance, current, service, request_class, now, tenant
-    )
-
-
 def _callers_app(daemon: Daemon) -> typing.Any:
     return callers.create_app(
         functools.partial(_entrance.call, daemon.entry),
--- /dev/null
+++ b/src/sassafrasstair/runtime/_parts.py
@@ -0,0 +1,121 @@
+"""The parts of a daemon, made from its settings."""
+
+from __future__ import annotations
+
+import functools
+import hashlib
+import secrets
+import typing
+
+from sassafrasstair import bundles
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import fleet
+from sassafrasstair.decisions import load
+from sassafrasstair.decisions import once
+from sassafrasstair.runtime import _slots
+from sassafrasstair import upstreams
+
+if typing.TYPE_CHECKING:
+    import random
+
+    from sassafrasstair import clocks
+    from sassafrasstair import metrics
+    from sassafrasstair import settings
+
+MAX_TICKET_RECORDS = 50_000
+MAX_APPROVALS = 64
+UNSET_SLOTS = 1
+
+
+def in_force(node: fleet.Node, clock: clocks.Clock) -> bundles.Bundle | None:
+    """Return the bundle in force, None before this daemon may serve."""
+    if not fleet.ready(node, clock.monotonic()):
+        return None
+    return fleet.in_force(node)
+
+
+def new_node(
+    settings_: settings.Settings,
+    incarnation: str,
+    now: float,
+    rng: random.Random,
+    approvals: dict[bytes, tuple[str, ...]],
+) -> fleet.Node:
+    """Return the daemon's view of the fleet: itself alone.
+
+    ``approvals`` is given who approved each envelope that held good, by
+    the envelope's SHA-256.
+    """
+    me = fleet.Record(
+        settings_.vm,
+        settings_.service,
+        settings_.failure_domain,
+        settings_.region,
+        settings_.peers.listen,
+    )
+    keys = {key.name: key.raw for key in settings_.keys}
+    verify = functools.partial(_verify, keys, approvals)
+    return fleet.new_node(
+        me, incarnation, settings_.peers.seeds, verify, now, rng
+    )
+
+
+def _verify(
+    keys: dict[str, bytes],
+    approvals: dict[bytes, tuple[str, ...]],
+    envelope: bytes,
+) -> bundles.Bundle:
+    approved = bundles.verify(envelope, keys)
+    if len(approvals) >= MAX_APPROVALS:
+        del approvals[next(iter(approvals))]
+    approvals[hashlib.sha256(envelope).digest()] = approved.approved_by
+    return approved.bundle
+
+
+def new_slot(
+    settings_: settings.Settings,
+    incarnation: str,
+    clock: clocks.Clock,
+    bundle: typing.Callable[[], bundles.Bundle | None],
+    entrance: calls.Entrance,
+    counts: metrics.Metrics,
+) -> _slots.Slot:
+    """Return the callee's side, with a new owner of tickets."""
+    now = clock.monotonic()
+    owner = once.new_owner(
+        settings_.vm,
+        incarnation,
+        secrets.token_bytes(32),
+        MAX_TICKET_RECORDS,
+    )
+    return _slots.Slot(
+        service=settings_.service,
+        incarnation=incarnation,
+        clock=clock,
+        guard=load.new_guard(UNSET_SLOTS, now),
+        owner=owner,
+        upstream=upstreams.connect(settings_.upstream.url),
+        bundle=bundle,
+        floor_below=functools.partial(
+            _floor_below, settings_.service, entrance, bundle, clock
+        ),
+        pauses=calls.Pauses(now),
+        counts=counts,
+    )
+
+
+def _floor_below(
+    service: str,
+    entrance: calls.Entrance,
+    bundle: typing.Callable[[], bundles.Bundle | None],
+    clock: clocks.Clock,
+    request_class: str,
+    tenant: str,
+) -> float:
+    current = bundle()
+    if current is None or service not in current.services:
+        return 0.0
+    now = clock.monotonic()
+    return calls.floor_below(
+        entrance, current, service, request_class, now, tenant
+    )
--- a/src/sassafrasstair/runtime/_status.py
+++ b/src/sassafrasstair/runtime/_status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from sassafrasstair.decisions import calls
@@ -32,20 +33,24 @@
         region=settings_.region,
         incarnation=entry.slot.incarnation,
         state=_state(entry),
-        in_force=_in_force(entry, shown["in_force"]),
+        in_force=_in_force(control, entry, shown["in_force"]),
         newest_seen=_newest(shown["held"]),
         refused_bundles=tuple(
-            operators.Refused("", reason, digest)
+            _refused(control, digest, reason)
             for digest, reason in shown["refused"].items()
         ),
         conflicts=tuple(
-            operators.Conflict(int(version), "", dropped)
+            operators.Conflict(
+                int(version), control.kept.get(version, ""), dropped
+            )
             for version, dropped in shown["conflicts"].items()
         ),
         members=members["serving"],
+        members_by_domain=_members_by_domain(control),
         platform=operators.Platform(
             watching=shown["watching"],
             reachable=shown["platform_failures"] == 0,
+            heard_seconds=_age(control, control.heard),
         ),
         instance=_instance(entry.slot),
         entrance=_entrance(entry),
@@ -75,17 +80,46 @@
 
 
 def _in_force(
-    entry: _entries.Entry, shown: dict[str, typing.Any] | None
+    control: _control.Control,
+    entry: _entries.Entry,
+    shown: dict[str, typing.Any] | None,
 ) -> operators.InForce:
     bundle = entry.bundle()
-    if bundle is None or shown is None:
+    held = control.node.in_force
+    if bundle is None or shown is None or held is None:
         return operators.InForce()
     return operators.InForce(
         bundle=operators.BundleId(shown["version"], shown["digest"]),
         mesh=bundle.mesh,
+        approved_by=control.approvals.get(held.seal, ()),
+        age_seconds=_age(control, control.adopted_at),
     )
 
 
+def _refused(
+    control: _control.Control, digest: str, text: str
+) -> operators.Refused:
+    source, since = control.refused.get(digest, ("", None))
+    reason, _, detail = text.partition(": ")
+    return operators.Refused(source, reason, detail, _age(control, since))
+
+
+def _members_by_domain(control: _control.Control) -> dict[str, int]:
+    return dict(
+        collections.Counter(
+            member.record.failure_domain
+            for member in control.node.members.values()
+            if member.life == fleet.SERVING
+        )
+    )
+
+
+def _age(control: _control.Control, since: float | None) -> float:
+    if since is None:
+        return 0.0
+    return round(control.clock.monotonic() - since, 1)
+
+
 def _newest(held: list[dict[str, typing.Any]]) -> operators.BundleId:
     if not held:
         return operators.BundleId()
