--- a/src/sassafrasstair/runtime/_http.py
+++ b/src/sassafrasstair/runtime/_http.py
@@ -96,5 +96,8 @@
         log_config=None,
         access_log=False,
         server_header=False,
+        # The upstream's own Date is passed on; two would differ.
+        date_header=False,
+        proxy_headers=False,
         timeout_keep_alive=KEEPALIVE_SECONDS,
     )
