--- a/src/sassafrasstair/decisions/fleet/_subsets.py
+++ b/src/sassafrasstair/decisions/fleet/_subsets.py
@@ -4,6 +4,7 @@
 
 import functools
 import hashlib
+import math
 import typing
 
 from sassafrasstair.decisions import calls
@@ -14,8 +15,9 @@
     from collections import abc
     import random
 
+    from sassafrasstair.decisions.fleet import _messages
+
 OWN_RINGS = 4
-OTHER_RINGS = 2
 WATCHERS = 2
 MOST_WATCHERS = 4
 SPILL_SHARE = 4
@@ -51,8 +53,8 @@
     """
     domain = node.me.failure_domain
     ranked = sorted(
-        (vm for vm in _domain(node, domain) if _may_watch(node, vm)),
-        key=lambda vm: weight(domain, vm),
+        (vm for vm in _domain(node, domain) if not node.members[vm].barred),
+        key=lambda vm: _watch_rank(node, vm),
         reverse=True,
     )[:MOST_WATCHERS]
     chosen: list[str] = []
@@ -81,10 +83,36 @@
         node.targets_edition = node.edition
     key = (service, size)
     if key not in node.targets:
-        node.targets[key] = _choose(node, service, size, now)
+        node.targets[key] = choose(node, service, size, now)
     return node.targets[key]
 
 
+def choose(
+    node: _states.Node, service: str, size: int, now: float
+) -> tuple[calls.Target, ...]:
+    """Return up to ``size`` usable instances, see ``targets``."""
+    live = _usable(node, service, now)
+    if not live:
+        # Failure: after a time of heavy loss every instance is held back
+        # as one that flaps, and all calls are refused though all serve.
+        # Held back instances are better than none.
+        live = _usable(node, service, math.inf)
+    live.sort(key=lambda record: weight(node.me.vm, record.vm), reverse=True)
+    domain = node.me.failure_domain
+    own = [record for record in live if record.failure_domain == domain]
+    others = [record for record in live if record.failure_domain != domain]
+    others.sort(key=lambda record: record.region != node.me.region)
+    spill = min(len(others), max(1, size // SPILL_SHARE))
+    near = own[: size - spill]
+    chosen = near + others[: size - len(near)]
+    return tuple(
+        calls.Target(
+            record.vm, record.service, record.failure_domain, record.region
+        )
+        for record in chosen
+    )
+
+
 def random_member(
     node: _states.Node,
     rng: random.Random,
@@ -104,29 +132,15 @@
     return rng.choice(left) if left else None
 
 
-def _choose(
-    node: _states.Node, service: str, size: int, now: float
-) -> tuple[calls.Target, ...]:
-    live = [
+def _usable(
+    node: _states.Node, service: str, now: float
+) -> list[_messages.Record]:
+    return [
         member.record
         for member in node.members.values()
         if member.record.service == service
         and _members.usable(node, member, now)
     ]
-    live.sort(key=lambda record: weight(node.me.vm, record.vm), reverse=True)
-    domain = node.me.failure_domain
-    own = [record for record in live if record.failure_domain == domain]
-    others = [record for record in live if record.failure_domain != domain]
-    others.sort(key=lambda record: record.region != node.me.region)
-    spill = min(len(others), max(1, size // SPILL_SHARE))
-    near = own[: size - spill]
-    chosen = near + others[: size - len(near)]
-    return tuple(
-        calls.Target(
-            record.vm, record.service, record.failure_domain, record.region
-        )
-        for record in chosen
-    )
 
 
 def _own_partners(node: _states.Node) -> tuple[str, ...]:
@@ -135,13 +149,19 @@
 
 
 def _other_partners(node: _states.Node) -> tuple[str, ...]:
-    names = [
+    """Return one partner in each other failure domain."""
+    # With a few partners anywhere, a small fleet may have nobody who tests
+    # some domain: its loss would go unseen until calls fail.
+    by_domain: dict[str, list[str]] = {}
+    for vm, member in node.members.items():
+        domain = member.record.failure_domain
+        if domain != node.me.failure_domain and _members.is_member(member):
+            by_domain.setdefault(domain, []).append(vm)
+    return tuple(
         vm
-        for vm, member in node.members.items()
-        if member.record.failure_domain != node.me.failure_domain
-        and _members.is_member(member)
-    ]
-    return _next_in_rings(node.me.vm, names, "other", OTHER_RINGS)
+        for domain in sorted(by_domain)
+        for vm in _next_in_rings(node.me.vm, by_domain[domain], "other", 1)
+    )
 
 
 def _next_in_rings(
@@ -169,6 +189,9 @@
             yield vm
 
 
-def _may_watch(node: _states.Node, vm: str) -> bool:
+def _watch_rank(node: _states.Node, vm: str) -> tuple[bool, int]:
+    # Failure: all VMs of a failure domain are being replaced and leave;
+    # with nobody left to watch, new bundles never come into force there.
+    # Those that leave therefore rank last but are not left out.
     member = node.members[vm]
-    return not member.leaving and not member.barred
+    return not member.leaving, weight(node.me.failure_domain, vm)
--- a/src/sassafrasstair/runtime/_entrance.py
+++ b/src/sassafrasstair/runtime/_entrance.py
@@ -61,7 +61,7 @@
     try:
         ready = await _prepare(entry, request)
         if isinstance(ready, callers.Refusal):
-            refusal = _as_known(ready, _is_first_use(request))
+            refusal = _entries.true_refusal(request.fields, ready)
             return _refused(entry, request.fields.request_class, refusal)
         reply = await _drive(entry, ready, request)
     finally:
@@ -89,10 +89,6 @@
     return refusal
 
 
-def _is_first_use(request: callers.Request) -> bool:
-    return not request.fields.ticket or request.fields.repeat == 0
-
-
 def _as_known(refusal: callers.Refusal, first_use: bool) -> callers.Refusal:
     """Return what may be said of a request that no owner answered for."""
     if first_use or refusal.outcome is not _Outcome.NOT_RUN:
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -72,24 +72,14 @@
     unfit: outcomes.Reason,
     now: float,
 ) -> daemons.RunAnswer:
-    # The ticket's record comes first: an unfit repeat of work that runs, or
-    # has run, must not be told "not run", and an unfit first use is voided.
-    arrival = once.arrive(
-        slot.owner, message.ticket, message.request_class, now
-    )
+    arrival = _arrive(slot, message, unfit, now)
     if isinstance(arrival, once.Run):
-        if unfit is not _Reason.NONE:
-            result = once.NotRun(unfit)
-            once.finish(slot.owner, message.ticket, result, now)
-            return _answers.refusal(slot, message, _Outcome.NOT_RUN, unfit)
         slot.joins[message.ticket] = asyncio.Event()
         return await _run(slot, message, now)
     if isinstance(arrival, once.Join):
         await _wait_for_end(slot, message)
         now = slot.clock.monotonic()
-        arrival = once.arrive(
-            slot.owner, message.ticket, message.request_class, now
-        )
+        arrival = _arrive(slot, message, unfit, now)
     if isinstance(arrival, once.Replay):
         return _answers.replay(slot, message, arrival.result)
     if isinstance(arrival, once.Refused):
@@ -98,6 +88,18 @@
     return _answers.refusal(slot, message, _Outcome.UNKNOWN, reason)
 
 
+def _arrive(
+    slot: _slots.Slot,
+    message: daemons.Run,
+    unfit: outcomes.Reason,
+    now: float,
+) -> once.Arrival:
+    ticket, request_class = message.ticket, message.request_class
+    if unfit is _Reason.NONE:
+        return once.arrive(slot.owner, ticket, request_class, now)
+    return once.refuse(slot.owner, ticket, request_class, unfit, now)
+
+
 async def _wait_for_end(slot: _slots.Slot, message: daemons.Run) -> None:
     ticket = message.ticket
     event = slot.joins.get(ticket)
