--- a/src/sassafrasstair/bench/_capacity_warm.py
+++ b/src/sassafrasstair/bench/_capacity_warm.py
@@ -84,6 +84,7 @@
     node.in_force = template.in_force
     node.settled = True
     node.edition += 1
+    node.roster += 1
     _quiet(node, rng)
     return node
 
--- a/src/sassafrasstair/decisions/fleet/_members.py
+++ b/src/sassafrasstair/decisions/fleet/_members.py
@@ -61,9 +61,11 @@
     )
 
 
-def changed(node: _states.Node) -> None:
-    """Void what was worked out from the membership before."""
+def changed(node: _states.Node, roster: bool = False) -> None:
+    """Void what was worked out of who is usable, or of all members."""
     node.edition += 1
+    if roster:
+        node.roster += 1
 
 
 def merge(node: _states.Node, rumour: _messages.Rumour, now: float) -> bool:
@@ -190,7 +192,7 @@
     node.holding.discard(vm)
     node.unwell.discard(vm)
     node.unlisted.discard(vm)
-    changed(node)
+    changed(node, roster=True)
 
 
 def _is_current(node: _states.Node, rumour: _messages.Rumour) -> bool:
@@ -220,7 +222,7 @@
     _toggle(node, member)
     _note_life(node, member)
     node.unlisted.add(rumour.vm)
-    changed(node)
+    changed(node, roster=True)
     return True
 
 
@@ -280,7 +282,7 @@
         node.barred.discard(member.record.vm)
         hold(node, member, now)
     if before[2:] != _place(member)[2:]:
-        changed(node)
+        changed(node, roster=True)
     # That a suspected VM is now held for gone changes nothing for calls
     # and can wait for the next rounds; a rack's loss would send it twice.
     if _takes_work(before[2], before[3]) != _takes_work(
--- a/src/sassafrasstair/decisions/fleet/_platform.py
+++ b/src/sassafrasstair/decisions/fleet/_platform.py
@@ -91,8 +91,8 @@
     # are looked for again only when the members change, so a look before
     # the peers are known must not count as one.
     knows = node.settled and _knows_peers(node, now)
-    if knows and node.watchers_edition != node.edition:
-        node.watchers_edition = node.edition
+    if knows and node.watchers_roster != node.roster:
+        node.watchers_roster = node.roster
         chosen = node.me.vm in _subsets.watchers(node)
         if chosen != node.watching:
             node.watching = chosen
--- a/src/sassafrasstair/decisions/fleet/_states.py
+++ b/src/sassafrasstair/decisions/fleet/_states.py
@@ -102,6 +102,7 @@
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
     by_address: dict[str, str] = dataclasses.field(default_factory=dict)
     edition: int = 0
+    roster: int = 0
     checksums: list[int] = dataclasses.field(
         default_factory=lambda: [0] * BUCKETS
     )
@@ -119,10 +120,11 @@
     reach: dict[str, Reach] = dataclasses.field(default_factory=dict)
     next_sync: float = -1e9
     syncing: bool = False
-    # Caches, valid for one edition of the membership.
-    partners_edition: int = -1
+    # Caches, valid for one edition of who is usable, or for one roster
+    # of who is a member and may watch.
+    partners_roster: int = -1
     partners: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
-    watchers_edition: int = -1
+    watchers_roster: int = -1
     targets_edition: int = -1
     targets: dict[tuple[str, int], tuple[calls.Target, ...]] = (
         dataclasses.field(default_factory=dict)
--- a/src/sassafrasstair/decisions/fleet/_subsets.py
+++ b/src/sassafrasstair/decisions/fleet/_subsets.py
@@ -36,9 +36,9 @@
     one. So every member has exactly as many own-domain partners that test
     it as there are rings, and connections stay few and lasting.
     """
-    if node.partners_edition != node.edition:
+    if node.partners_roster != node.roster:
         node.partners = (_own_partners(node), _other_partners(node))
-        node.partners_edition = node.edition
+        node.partners_roster = node.roster
     return node.partners
 
 
--- a/src/sassafrasstair/decisions/fleet/_suspicions.py
+++ b/src/sassafrasstair/decisions/fleet/_suspicions.py
@@ -68,6 +68,7 @@
         member.barred = False
         node.barred.discard(vm)
         _members.hold(node, member, now)
+        _members.changed(node, roster=_is_own(node, member))
     effects = _end_check(node, vm, reached=True)
     return effects + _reaches.reached(node, member.record.failure_domain, now)
 
@@ -263,13 +264,17 @@
     return member.life != _messages.SERVING
 
 
+def _is_own(node: _states.Node, member: _states.Member) -> bool:
+    return member.record.failure_domain == node.me.failure_domain
+
+
 def _bar(node: _states.Node, member: _states.Member, now: float) -> None:
     wait = RETRY_FIRST * 2 ** min(member.failures - FAILURES_TO_BAR, 4)
     member.next_probe = now + min(wait, RETRY_LONGEST)
     if not member.barred:
         member.barred = True
         node.barred.add(member.record.vm)
-        _members.changed(node)
+        _members.changed(node, roster=_is_own(node, member))
 
 
 def _retry_barred(
