--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -24,17 +24,27 @@
 EJECTED_SHARE_MAX = 0.5
 # With attempts under way and no answer for this long, in seconds and in
 # multiples of the usual latency, an instance is pinged.
-SILENT_SECONDS = 0.3
-SILENT_LATENCIES = 4.0
-PING_SECONDS = 0.25
+SILENT_SECONDS = 0.1
+SILENT_LATENCIES = 1.5
+# Pings to an instance that stays away become rarer, up to the second bound.
+PING_SECONDS = 0.2
+PING_SECONDS_MAX = 1.0
+PING_SHARE_OF_AWAY = 0.25
+# An instance not heard of for this long is forgotten: VMs are replaced all
+# day, and pings to those that are gone would never end.
+FORGET_SECONDS = 60.0
 LATENCY_WEIGHT = 0.1
 # What was heard of a load fades with this time constant.
-LOAD_FADES_SECONDS = 0.5
+LOAD_FADES_SECONDS = 0.1
+FADES_SERVICES = 2.0
 UNKNOWN_LIMIT = 20.0
-# An instance of the own domain is left only when this busy, and then only
-# for one that is less busy by the margin.
-SPILL_BUSY = 0.9
-SPILL_MARGIN = 0.1
+# The own domain is left only when its instance has no free slot, and then
+# only for one where the wait is shorter by the margin.
+SPILL_MARGIN = 0.005
+# How many of an instance's rivals are compared.
+DRAWN = 4
+# Without a wait anywhere the less busy is preferred.
+BUSY_SECONDS = 0.02
 
 FAILURES = frozenset(
     {
@@ -44,24 +54,30 @@
     }
 )
 
+NOT_SERVING = frozenset({outcomes.Reason.NO_BUNDLE, outcomes.Reason.LEAVING})
+"""Said by a daemon that starts or stops."""
+
 
 @dataclasses.dataclass(slots=True)
 class Peer:
     """What is known of one instance.
 
     ``silent_from`` is the last answer, or the first send after an idle
-    time; ``sent`` counts the attempts since the load was heard.
+    time; ``sent`` counts the attempts since the load was heard. Failures
+    make it ``ejected``, and a ping without an answer makes it ``dead``.
     """
 
     inflight: int = 0
     sent: int = 0
     busy: float = 0.0
     limit: float = UNKNOWN_LIMIT
+    service: float = 0.0
     heard: float = -math.inf
     silent_from: float = 0.0
     latency: float = 0.0
     failures: int = 0
     ejected: bool = False
+    dead: bool = False
     pinged: float = -math.inf
 
 
@@ -83,9 +99,7 @@
 ) -> _messages.Target | None:
     """Return the instance for one attempt, or None if none is usable."""
     usable = [
-        target
-        for target in _not_ejected(routes, targets)
-        if target.vm not in tried
+        target for target in _usable(routes, targets) if target.vm not in tried
     ]
     near = [
         target
@@ -93,7 +107,7 @@
         if target.failure_domain == routes.failure_domain
     ]
     best = _less_busy(routes, near, now, rng)
-    if best is not None and score(routes, best.vm, now) < SPILL_BUSY:
+    if best is not None and score(routes, best.vm, now) <= BUSY_SECONDS:
         return best
     far = [target for target in usable if target.region == routes.region]
     other = _less_busy(routes, far or usable, now, rng)
@@ -104,12 +118,19 @@
 
 
 def score(routes: Routes, vm: str, now: float) -> float:
-    """Return how busy the instance is thought to be."""
+    """Return the seconds that an attempt is thought to wait there.
+
+    Up to ``BUSY_SECONDS`` there is a free slot. The wait counts, not how
+    many wait: at an instance that has become slow a short queue is long.
+    """
     peer = routes.peers.get(vm)
     if peer is None:
         return 0.0
-    faded = math.exp(-(now - peer.heard) / LOAD_FADES_SECONDS)
-    return peer.busy * faded + peer.sent / peer.limit
+    fades = max(LOAD_FADES_SECONDS, FADES_SERVICES * peer.service)
+    faded = math.exp(-(now - peer.heard) / fades)
+    busy = peer.busy * faded + (peer.sent + 1) / peer.limit
+    wait = max(0.0, busy - 1.0) * peer.service
+    return wait + BUSY_SECONDS * min(1.0, busy)
 
 
 def sent(routes: Routes, vm: str, now: float) -> None:
@@ -139,6 +160,10 @@
     elif answer.reason in FAILURES:
         peer.failures += 1
         peer.ejected = peer.ejected or peer.failures >= FAILURES_TO_EJECT
+    elif answer.reason in NOT_SERVING:
+        # Failure: a restarted daemon is the least busy one while it asks
+        # its peers for the bundle, and draws all calls into refusals.
+        peer.ejected = True
 
 
 def forget(routes: Routes, vm: str) -> None:
@@ -149,23 +174,32 @@
 
 
 def probe_due(routes: Routes, now: float) -> list[str]:
-    """Return the ejected or silent VMs to send a ping to now."""
-    due = [
-        vm
-        for vm, peer in routes.peers.items()
-        if now - peer.pinged >= PING_SECONDS
-        and (peer.ejected or _silent(peer, now))
-    ]
-    for vm in due:
-        routes.peers[vm].pinged = now
+    """Return the ejected or silent VMs to send a ping to now.
+
+    When a ping fails, the transport must also report each attempt under
+    way there as lost, for nothing else ends it before its deadline.
+    """
+    due = []
+    for vm, peer in list(routes.peers.items()):
+        away = now - peer.silent_from
+        if not peer.inflight and away >= FORGET_SECONDS:
+            del routes.peers[vm]
+        elif peer.ejected or peer.dead or _silent(peer, now):
+            rarer = min(PING_SECONDS_MAX, PING_SHARE_OF_AWAY * away)
+            if now - peer.pinged >= max(PING_SECONDS, rarer):
+                peer.pinged = now
+                due.append(vm)
     return due
 
 
 def probed(routes: Routes, vm: str, alive: bool, now: float) -> None:
     """Note the end of a ping: only a ping brings an instance back."""
-    peer = routes.peers.setdefault(vm, Peer())
-    peer.ejected = not alive
+    peer = routes.peers.get(vm)
+    if peer is None:
+        return
+    peer.dead = not alive
     if alive:
+        peer.ejected = False
         peer.failures = 0
         peer.silent_from = now
 
@@ -173,6 +207,7 @@
 def _heard(peer: Peer, answer: _messages.Answer, now: float) -> None:
     peer.busy = answer.load.busy
     peer.limit = answer.load.limit or UNKNOWN_LIMIT
+    peer.service = answer.load.service
     peer.sent = 0
     peer.heard = now
     peer.silent_from = now
@@ -183,22 +218,28 @@
     return peer.inflight > 0 and now - peer.silent_from >= patience
 
 
-def _not_ejected(
+def _usable(
     routes: Routes, targets: abc.Sequence[_messages.Target]
-) -> list[_messages.Target]:
-    """Leave the ejected out, unless that were too many of them.
+) -> abc.Sequence[_messages.Target]:
+    """Leave out the dead, and a bounded share of the ejected.
 
     A fault of this VM's own network makes all others look failed: with
-    more than the bounded share ejected, none counts as ejected.
+    too many ejected, or none left, it must not stop sending.
     """
-    usable = [
+    known = routes.peers
+    living = [
         target
         for target in targets
-        if not (peer := routes.peers.get(target.vm)) or not peer.ejected
+        if target.vm not in known or not known[target.vm].dead
+    ]
+    kept = [
+        target
+        for target in living
+        if target.vm not in known or not known[target.vm].ejected
     ]
-    if len(targets) - len(usable) > EJECTED_SHARE_MAX * len(targets):
-        return list(targets)
-    return usable
+    if len(living) - len(kept) > EJECTED_SHARE_MAX * len(living):
+        kept = living
+    return kept or targets
 
 
 def _less_busy(
@@ -209,8 +250,5 @@
 ) -> _messages.Target | None:
     if not targets:
         return None
-    first = targets[int(rng.random() * len(targets))]
-    second = targets[int(rng.random() * len(targets))]
-    if score(routes, first.vm, now) <= score(routes, second.vm, now):
-        return first
-    return second
+    drawn = [targets[int(rng.random() * len(targets))] for _ in range(DRAWN)]
+    return min(drawn, key=lambda target: score(routes, target.vm, now))
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -38,6 +38,7 @@
     from sassafrasstair import settings
 
 MAX_TICKET_RECORDS = 50_000
+ACCEPT_SECONDS = 2.0
 LEAVE_SECONDS = 2.5
 LINK_REVIEW_SECONDS = 10.0
 UNSET_SLOTS = 1
@@ -78,7 +79,7 @@
     entrance = calls.new_entrance(
         incarnation, settings_.failure_domain, settings_.region
     )
-    slot = _new_slot(settings_, incarnation, clock, bundle, entrance)
+    slot = _new_slot(settings_, incarnation, clock, bundle, entrance, counts)
     entry = _entries.Entry(
         clock=clock,
         rng=rng,
@@ -96,7 +97,7 @@
         links=links,
         client=platform.open_client(settings_.platform.urls),
         adopted=functools.partial(_adopt, slot, counts),
-        counted=counts.platform_read,
+        counts=counts,
     )
     return Daemon(
         settings_,
@@ -156,9 +157,8 @@
     """Take no new work, let peers know, and wait for what is in flight."""
     logs.event(_LOG, logging.INFO, "leaving", vm=daemon.settings.vm)
     daemon.entry.leaving = True
-    daemon.slot.guard.leaving = True
-    once.stop_issuing(daemon.slot.owner)
     _control.leave(daemon.control)
+    _drain(daemon)
     # Peers and callers learn of it meanwhile and are refused, not cut: a
     # closed socket at once would show them as lost answers.
     await asyncio.sleep(LEAVE_SECONDS)
@@ -194,8 +194,26 @@
     # The platform said that this VM leaves: its upstream gets nothing new,
     # whoever has not heard of it yet and sends here all the same.
     if fleet.is_leaving(daemon.control.node):
-        daemon.slot.guard.leaving = True
-        once.stop_issuing(daemon.slot.owner)
+        _drain(daemon)
+
+
+def _drain(daemon: Daemon) -> None:
+    """Issue no more tickets, and soon take no more work.
+
+    Failure: a call in flight at another entrance picks this instance before
+    that entrance has heard, is refused, and fails if its class allows no
+    retry; so would a ticket that was issued a moment ago. Hearing takes a
+    second or so: until then such work is still taken.
+    """
+    if daemon.slot.owner.leaving:
+        return
+    once.stop_issuing(daemon.slot.owner)
+    loop = asyncio.get_running_loop()
+    loop.call_later(ACCEPT_SECONDS, _refuse_work, daemon.slot)
+
+
+def _refuse_work(slot: _slots.Slot) -> None:
+    slot.guard.leaving = True
 
 
 def _ping_ejected(daemon: Daemon, now: float) -> None:
@@ -236,7 +254,7 @@
     if isinstance(message, daemons.Cancel):
         _slots.cancel(slot, message.attempt_id)
     if isinstance(message, daemons.Ping):
-        serving = slot.bundle() is not None and not slot.guard.leaving
+        serving = slot.bundle() is not None and not slot.owner.leaving
         return daemons.Pong(slot.incarnation, serving)
     return daemons.Nothing()
 
@@ -261,11 +279,13 @@
     slot: _slots.Slot, message: daemons.Message, timeout: float
 ) -> daemons.Message:
     """Serve a message of this daemon's own entrance without the link."""
-    serving = asyncio.ensure_future(_serve(slot, message))
-    await asyncio.wait({serving}, timeout=timeout)
-    if not serving.done():
-        raise daemons.PeerTimeout("own slot")
-    return serving.result()
+    # A time-out, or a cancellation, ends this wait only: the attempt is a
+    # task of its own, which the entrance's ``Cancel`` then ends.
+    try:
+        async with asyncio.timeout(timeout):
+            return await _serve(slot, message)
+    except TimeoutError as error:
+        raise daemons.PeerTimeout("own slot") from error
 
 
 def _adopt(
@@ -336,6 +356,7 @@
     clock: clocks.Clock,
     bundle: typing.Callable[[], bundles.Bundle | None],
     entrance: calls.Entrance,
+    counts: metrics.Metrics,
 ) -> _slots.Slot:
     now = clock.monotonic()
     owner = once.new_owner(
@@ -356,6 +377,7 @@
             _floor_below, settings_.service, entrance, bundle, clock
         ),
         pauses=calls.Pauses(now),
+        counts=counts,
     )
 
 
@@ -380,6 +402,7 @@
     return callers.create_app(
         functools.partial(_entrance.call, daemon.entry),
         functools.partial(_children.take, daemon.entry),
+        lambda: daemon.entry.leaving,
     )
 
 
--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -25,6 +25,7 @@
 HOP_BY_HOP = frozenset(
     {
         "connection",
+        "expect",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
@@ -34,6 +35,7 @@
         "upgrade",
     }
 )
+_NOT_ADDED = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 _NEVER_SENT = HOP_BY_HOP | {"host"}
 
 
@@ -71,7 +73,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    chunks: abc.AsyncIterator[bytes]
+    chunks: abc.AsyncGenerator[bytes, None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,7 +96,7 @@
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
-        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+        skip_auto_headers=_NOT_ADDED,
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT
         ),
@@ -119,7 +121,7 @@
             request.method,
             yarl.URL(upstream.url + request.path, encoded=True),
             headers=_wire_headers(request),
-            data=request.body,
+            data=request.body or None,
             allow_redirects=False,
         )
     except (
@@ -148,15 +150,25 @@
     if isinstance(request.body, bytes):
         left_out = _NEVER_SENT | {"content-length"}
     return [
-        (name, value)
+        (name, _wire_text(value))
         for name, value in request.headers
         if name not in left_out
     ]
 
 
+def _wire_text(value: str) -> str:
+    """Return what the library, which sends UTF-8, sends as ``value``.
+
+    Header values are held as Latin-1 text, so that they are bytes to us.
+    """
+    return value if value.isascii() else value.encode("latin-1").decode()
+
+
 def _raise_refusal(answer: aiohttp.ClientResponse) -> typing.NoReturn:
     said = answer.headers.get(OUTCOME_HEADER, "")
-    answer.close()
+    # Keeps the connection if the refusal has come whole, as a short one
+    # has: under overload a new connection for each would be more load.
+    answer.release()
     known = said in NOT_RUN_VALUES
     raise UpstreamError(
         outcomes.Outcome.NOT_RUN if known else outcomes.Outcome.UNKNOWN,
@@ -166,15 +178,15 @@
 
 def _headers(answer: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
     return tuple(
-        (lowered, value)
-        for name, value in answer.headers.items()
-        if (lowered := name.lower()) not in HOP_BY_HOP
+        (lowered, value.decode("latin-1"))
+        for name, value in answer.raw_headers
+        if (lowered := name.decode("latin-1").lower()) not in HOP_BY_HOP
     )
 
 
 async def _chunks(
     answer: aiohttp.ClientResponse,
-) -> abc.AsyncIterator[bytes]:
+) -> abc.AsyncGenerator[bytes, None]:
     try:
         async for chunk in answer.content.iter_any():
             yield chunk
