--- a/tests/fuzz/test_whole_system.py
+++ b/tests/fuzz/test_whole_system.py
@@ -44,7 +44,8 @@
 STARTED_IN = 12.0
 IN_FORCE_IN = 6.0
 RETRIES = 1
-DONE_IN = 3.0
+DONE_IN = 2.0
+KILLED_AFTER = 0.1
 IMPATIENT = 5
 LEAST_STEPS = 1_000
 vms = st.sampled_from(worlds.VMS)
@@ -181,6 +182,8 @@
     @may("kill")
     @stateful.rule(vm=vms, other=vms, back=st.booleans())
     def kill(self, vm: str, other: str, back: bool) -> None:
+        self.write_down(other, IMPATIENT)
+        self.world.run(KILLED_AFTER)
         self.disturbed()
         self.world.daemons[vm].alive = False
         for use in self.world.oracle.uses:
@@ -297,7 +300,7 @@
         for vm in worlds.VMS:
             self.look_up(vm, "lookup", 1)
             self.write_down(vm, 1)
-        self.world.run(DONE_IN)
+            self.world.run(DONE_IN)
         uses = self.world.oracle.uses[before:]
         told = [use.told and use.told[0] for use in uses]
         done = [outcomes.Outcome.DONE] * 2 * len(worlds.VMS)
