Let levels with room to spare wait as long as the bundle lets them

Change: no bound by turns for levels that, with those above, ask for less than 0.7 of what is served.

--- a/src/sassafrasstair/decisions/load/_floors.py
+++ b/src/sassafrasstair/decisions/load/_floors.py
@@ -72,6 +72,16 @@
     return floors.values.get(tenant, floors.value)
 
 
+def reach(floors: Floors, room: float) -> int:
+    """Return the lowest level down to which the demand is within room."""
+    left = room
+    for level in range(LEVELS - 1, -1, -1):
+        left -= sum(d.rate for d in floors.demands[level].values())
+        if left < 0.0:
+            return level + 1
+    return 0
+
+
 def look(floors: Floors, capacity: float, pressed: bool, now: float) -> None:
     """Learn the demand since the last look and set the floors anew.
 
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -29,6 +29,9 @@
 # 2012).
 PATIENCE_TURNS = 2.0
 PATIENCE_ABOVE_TURNS = 3.0
+# Levels that together ask for less than this share of what is served queue
+# only for a moment, and wait for as long as the bundle lets them.
+COMFORTABLE_SHARE = 0.7
 # The time within which the admitted work may exceed what is served, so
 # that a slot that falls free finds one waiting.
 SLACK_SECONDS = 0.1
@@ -53,6 +56,7 @@
     pressed: float = -math.inf
     emptied: list[float] = dataclasses.field(default_factory=list)
     ticked: float = 0.0
+    comfortable: int = 0
     leaving: bool = False
 
     @property
@@ -128,6 +132,7 @@
     effects += _dispatch(guard, now)
     pressed = now - guard.pressed < PRESSED_SECONDS
     _floors.look(guard.floors, _admissible(guard, now), pressed, now)
+    guard.comfortable = _comfortable(guard, now)
     guard.ticked = now
     return effects
 
@@ -216,7 +221,8 @@
     stood = now - guard.emptied[0] >= STANDING_SECONDS
     if stood and level <= _marginal(guard, now):
         return PATIENCE_TURNS * _turn_seconds(guard, now)
-    if now - guard.pressed < PRESSED_SECONDS:
+    comfortable = level >= guard.comfortable
+    if now - guard.pressed < PRESSED_SECONDS and not comfortable:
         return PATIENCE_ABOVE_TURNS * _turn_seconds(guard, now)
     return math.inf
 
@@ -278,6 +284,14 @@
     guard.sampled = now
 
 
+def _comfortable(guard: Guard, now: float) -> int:
+    """Return the lowest level with room to spare, all above counted."""
+    if guard.live <= 0.0:
+        return 0
+    served = _limits.current(guard.limits, now) / guard.live
+    return _floors.reach(guard.floors, COMFORTABLE_SHARE * served)
+
+
 def _live(guard: Guard, now: float) -> float:
     """Return the seconds of service, work under way included.
 
--- a/tests/decisions/load/test_floors.py
+++ b/tests/decisions/load/test_floors.py
@@ -77,3 +77,16 @@
     now = _offer(floors, {"main": 1000.0}, 1.0, capacity=200.0)
     _floors.look(floors, 200.0, pressed=False, now=now + TICK)
     assert _floors.floor(floors, "main") == 0.0
+
+
+@pytest.mark.parametrize(
+    ("room", "level"), [(50.0, 10), (150.0, 9), (450.0, 4), (900.0, 0)]
+)
+def test_reach_is_the_lowest_level_with_room(room: float, level: int) -> None:
+    floors = _floors.new_floors(0.0)
+    for step in range(1, 60):
+        for rank, count in ((9.5, 5), (3.5, 20)):
+            for _ in range(count):
+                _floors.note(floors, "main", 1.0, rank)
+        _floors.look(floors, 1e9, pressed=False, now=step * TICK)
+    assert _floors.reach(floors, room) == level
