--- a/tests/bench/test_overload_model.py
+++ b/tests/bench/test_overload_model.py
@@ -2,9 +2,11 @@
 
 import json
 
+from click import testing
 import pytest
 
 from sassafrasstair import bench
+from sassafrasstair.console import bench as console
 
 # Goodput, important goodput, recovery and amplification: see issue 4.
 AIMS = {"goodput": 0.95, "recovery_s": 2.0, "amplification": 0.1}
@@ -43,3 +45,13 @@
     found = decoded["scenarios"]["trust/upstream-lost"]["chosen"]
     assert set(found) == {*AIMS, "important_goodput"}
     assert "trust/upstream-lost" in bench.as_table(results)
+
+
+def test_command_prints_the_json_last() -> None:
+    arguments = "overload --mix trust --scenario domain-cut --policy chosen"
+    result = testing.CliRunner().invoke(
+        console.main, [*arguments.split(), "--seeds", "1", "--workers", "1"]
+    )
+    assert result.exit_code == 0, result.output
+    last = json.loads(result.output.splitlines()[-1])
+    assert list(last["scenarios"]) == ["trust/domain-cut"]
