Test that a callee's planned stop waits for what its upstream runs

Cause: with _leave's wait for attempts and calls in flight taken out, all tests of runtime and decisions still passed. Ruled out: the test of answers in parts, whose wait is the HTTP server's. Change: a request slower than the time of leaving, at the callee. Conclusion: the wait is now guarded.

--- a/tests/runtime/test_planned_stop.py
+++ b/tests/runtime/test_planned_stop.py
@@ -94,3 +94,37 @@
                 assert len(await answer.read()) == DOWNLOAD
 
     asyncio.run(asyncio.wait_for(story(), 4 * meshes.WAIT))
+
+
+def test_stop_of_a_callee_waits_for_what_its_upstream_runs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A lookup is lost because the VM that runs it is replaced.
+
+    It takes longer than the daemon there goes on after it said that it
+    leaves; the link to its entrance is then closed under it.
+    """
+    monkeypatch.setattr(_daemon, "LEAVE_SECONDS", 0.05)
+    began, go = asyncio.Event(), asyncio.Event()
+
+    async def slow(request: web.BaseRequest) -> web.StreamResponse:
+        began.set()
+        await go.wait()
+        return web.Response(text="ok")
+
+    async def ask(mesh: meshes.Mesh) -> int:
+        async with mesh.call("back") as answer:
+            await answer.read()
+            return int(answer.status)
+
+    async def story() -> None:
+        async with meshes.started(slow) as mesh:
+            asked = asyncio.create_task(ask(mesh))
+            await began.wait()
+            runtime.stop(mesh.back)
+            await meshes.until(lambda: mesh.back.entry.leaving)
+            await asyncio.wait({asked}, timeout=10 * _daemon.LEAVE_SECONDS)
+            go.set()
+            assert await asked == 200
+
+    asyncio.run(asyncio.wait_for(story(), 4 * meshes.WAIT))
