Count the refusals that the callers' interface gives by itself

Cause: a malformed request, a body that stalls at its start and a fault of the daemon's own were answered, and counted and logged nowhere.

Ruled out: their class as a label: it can't be trusted before the bundle was asked, so they count under "other".

Change: the interface is given a handler for its own refusals.

--- a/src/sassafrasstair/callers/_app.py
+++ b/src/sassafrasstair/callers/_app.py
@@ -30,6 +30,7 @@
         [str, _request.Fields],
         abc.Awaitable[_request.TicketReply | _request.Refusal],
     ]
+    RefusalHandler = abc.Callable[[_request.Refusal], None]
 
 CALL_PREFIX = "/v1/call"
 TICKET_PREFIX = "/v1/ticket"
@@ -41,11 +42,13 @@
 def create_app(
     call: CallHandler,
     ticket: TicketHandler,
-    leaving: abc.Callable[[], bool] = lambda: False,
+    leaving: abc.Callable[[], bool],
+    refused: RefusalHandler,
 ) -> litestar.Litestar:
     """Return the application; ``call`` and ``ticket`` decide.
 
     While ``leaving``, each answer asks its caller to close the connection.
+    ``refused`` is told what is refused here, before they are asked.
     """
 
     @litestar.asgi(CALL_PREFIX, is_mount=True, copy_scope=False)
@@ -54,7 +57,7 @@
     ) -> None:
         http = typing.cast("types.HTTPScope", scope)
         answer = _replies.Answering(send, http["method"], leaving())
-        await _serve_call(call, http, receive, answer)
+        await _serve_call(call, http, receive, answer, refused)
 
     @litestar.asgi(TICKET_PREFIX, is_mount=True, copy_scope=False)
     async def tickets(
@@ -62,7 +65,7 @@
     ) -> None:
         http = typing.cast("types.HTTPScope", scope)
         answer = _replies.Answering(send, http["method"], leaving())
-        await _serve_ticket(ticket, http, answer)
+        await _serve_ticket(ticket, http, answer, refused)
 
     return litestar.Litestar(
         route_handlers=[calls, tickets],
@@ -76,6 +79,7 @@
     scope: types.HTTPScope,
     receive: types.Receive,
     answer: _replies.Answering,
+    refused: RefusalHandler,
 ) -> None:
     headers = _headers(scope)
     incoming = _bodies.Incoming(receive)
@@ -86,8 +90,10 @@
         return
     except _request.Malformed as error:
         reply = _malformed(headers, error)
+        refused(reply)
     except _bodies.TooSlow:
         reply = _too_slow(headers)
+        refused(reply)
     except Exception:
         # A fault of ours: the caller gets a refusal that is true whatever
         # was done by then, instead of the server's plain text or nothing.
@@ -95,11 +101,15 @@
         reply = _request.Refusal(
             outcomes.Outcome.UNKNOWN, outcomes.Reason.INTERNAL_FAULT
         )
+        refused(reply)
     await _replies.send(answer, reply, incoming)
 
 
 async def _serve_ticket(
-    ticket: TicketHandler, scope: types.HTTPScope, answer: _replies.Answering
+    ticket: TicketHandler,
+    scope: types.HTTPScope,
+    answer: _replies.Answering,
+    refused: RefusalHandler,
 ) -> None:
     service = _path(scope, TICKET_PREFIX).strip("/")
     try:
@@ -107,12 +117,14 @@
         reply = await ticket(service, fields)
     except _request.Malformed as error:
         reply = _malformed((), error)
+        refused(reply)
     except Exception:
         # Nothing runs for a ticket that its caller does not get.
         _LOG.exception("event=ticket_fault path=%s", scope["path"])
         reply = _request.Refusal(
             outcomes.Outcome.NOT_RUN, outcomes.Reason.INTERNAL_FAULT
         )
+        refused(reply)
     if isinstance(reply, _request.Refusal):
         await _replies.send(answer, reply, None)
         return
--- a/src/sassafrasstair/runtime/_bodies.py
+++ b/src/sassafrasstair/runtime/_bodies.py
@@ -3,7 +3,7 @@
 A part is at least ``CHUNK_BYTES`` and at most that and one read of the
 loop (256 KB). At most ``PART_QUEUE`` parts of a request wait here, one more
 is on its way in and one out; of an answer one part is. With the copies that
-encoding and sending make, a transfer holds at most 3 MB of a daemon's
+encoding and sending make, a transfer holds about 3 MB of a daemon's
 memory, whatever its length (docs/MEASUREMENTS.md, "Large bodies").
 ``MAX_LARGE_BODIES`` bounds the requests at once, the instance's slots the
 answers.
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -330,6 +330,7 @@
         functools.partial(_entrance.call, daemon.entry),
         functools.partial(_children.take, daemon.entry),
         lambda: daemon.entry.leaving,
+        functools.partial(_entries.note_refusal, daemon.entry, ""),
     )
 
 
--- a/tests/runtime/test_early_part.py
+++ b/tests/runtime/test_early_part.py
@@ -2,16 +2,22 @@
 
 import asyncio
 
+from aiohttp import web
+import msgspec
+
 from sassafrasstair import clocks
 from sassafrasstair import daemons
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import once
 from sassafrasstair import metrics
+from sassafrasstair import outcomes
 from sassafrasstair.runtime import _attempts
 from sassafrasstair.runtime import _bodies
+from sassafrasstair.runtime import _execution
 from sassafrasstair.runtime import _slots
 from sassafrasstair import upstreams
+from tests.runtime import meshes
 
 RUN = daemons.Run(
     attempt_id="a.1",
@@ -31,6 +37,9 @@
     body_length=200_000,
     more=True,
 )
+SHORT = msgspec.structs.replace(
+    RUN, service="back", request_class="look", body_length=5, more=False
+)
 
 
 def _new_slot() -> _slots.Slot:
@@ -69,3 +78,46 @@
         assert slot.arrivals == {}
 
     asyncio.run(story())
+
+
+def test_doubled_request_gets_the_first_ones_answer() -> None:
+    """A caller is told "not run" of what runs, and it runs again elsewhere.
+
+    The link delivers a request twice; the second one was refused as not
+    run, and its answer may come before the first one's.
+    """
+    began = 0
+
+    async def upstream(_: web.BaseRequest) -> web.StreamResponse:
+        nonlocal began
+        began += 1
+        await asyncio.sleep(0.05)
+        return web.Response(text="ok")
+
+    async def story() -> None:
+        async with meshes.started(upstream) as mesh:
+            slot = mesh.back.slot
+            both = await asyncio.gather(
+                _execution.run(slot, SHORT), _execution.run(slot, SHORT)
+            )
+            assert [answer.body for answer in both] == [b"ok", b"ok"]
+
+    asyncio.run(asyncio.wait_for(story(), meshes.WAIT))
+    assert began == 1
+
+
+def test_cancellation_that_comes_before_its_request_holds() -> None:
+    """An instance works for a caller that had gone before it began."""
+
+    async def upstream(_: web.BaseRequest) -> web.StreamResponse:
+        raise AssertionError("nothing may run")
+
+    async def story() -> None:
+        async with meshes.started(upstream) as mesh:
+            slot = mesh.back.slot
+            _slots.cancel(slot, SHORT.attempt_id)
+            answer = await _execution.run(slot, SHORT)
+            told = (answer.outcome, answer.reason)
+            assert told == ("not run", outcomes.Reason.CANCELLED.value)
+
+    asyncio.run(asyncio.wait_for(story(), meshes.WAIT))
--- a/tests/runtime/test_status.py
+++ b/tests/runtime/test_status.py
@@ -31,6 +31,9 @@
             _control._took_bundles(control, offered)
             async with mesh.call("none") as answer:
                 assert answer.status == 404
+            bad = {"sassafras-timeout-ms": "x"}
+            async with mesh.call("back", headers=bad) as answer:
+                assert answer.status == 400
             shown = _status.status(
                 mesh.front.settings, control, mesh.front.entry
             )
@@ -40,7 +43,7 @@
         assert {one.reason for one in refused} == {"bad_value", "downgraded"}
         assert all(one.source == "platform" for one in refused)
         counters = shown.counters
-        assert (counters["bundles_refused"], counters["refusals"]) == (2, 1)
+        assert (counters["bundles_refused"], counters["refusals"]) == (2, 2)
         text = metrics.render(mesh.front.metrics).decode()
         assert 'reason="downgraded"} 1' in text
 
