--- a/src/sassafrasstair/console/commands/__init__.py
+++ b/src/sassafrasstair/console/commands/__init__.py
@@ -1,3 +1,3 @@
-"""One file for each command."""
+"""Commands of the binaries, one a module."""
 
 from __future__ import annotations
--- /dev/null
+++ b/src/sassafrasstair/daemons/_server.py
@@ -0,0 +1,126 @@
+"""Incoming exchanges from other daemons, over one SP reply socket."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import typing
+
+import msgspec
+import pynng
+
+from sassafrasstair.daemons import _messages
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    Handler = abc.Callable[
+        [_messages.Message], abc.Awaitable[_messages.Message]
+    ]
+
+CLOSE_POLL_SECONDS = 0.1
+IDLE_RECEIVERS = 8
+MAX_RECEIVERS = 4_096
+MAX_MESSAGE_BYTES = 2_000_000
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Server:
+    """A listening reply socket and its receivers.
+
+    Each exchange in progress holds one receiver; a new one is made when
+    few are idle, up to ``MAX_RECEIVERS``.
+    """
+
+    socket: pynng.Rep0
+    handler: Handler
+    idle: int = 0
+    tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    unreadable: int = 0
+    bytes_received: int = 0
+    bytes_sent: int = 0
+
+
+def listen(address: str, handler: Handler) -> Server:
+    """Listen at ``address`` ("IP:port"); give each message to ``handler``.
+
+    Raises ``OSError`` when the address can't be bound.
+    """
+    socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
+    socket.tcp_nodelay = True
+    try:
+        socket.listen(f"tcp://{address}")
+    except pynng.NNGException as error:
+        socket.close()
+        raise OSError(f"cannot listen at {address}: {error}") from error
+    server = Server(socket, handler)
+    _grow(server)
+    return server
+
+
+async def close(server: Server) -> None:
+    """Stop listening; exchanges in progress lose their reply."""
+    while server.tasks:
+        # Again and again: pynng drops a cancellation that comes when its
+        # operation has just succeeded, and the stop would never end.
+        for task in server.tasks:
+            task.cancel()
+        await asyncio.wait(server.tasks, timeout=CLOSE_POLL_SECONDS)
+    server.socket.close()
+
+
+def _grow(server: Server) -> None:
+    while server.idle < IDLE_RECEIVERS and len(server.tasks) < MAX_RECEIVERS:
+        task = asyncio.get_running_loop().create_task(_receive(server))
+        server.idle += 1
+        server.tasks.add(task)
+        task.add_done_callback(server.tasks.discard)
+
+
+async def _receive(server: Server) -> None:
+    # Failure: a receiver ends by an error and still counts as idle. After
+    # a few of these no new one is made, and every exchange with this daemon
+    # waits for its timeout. So the count goes down however it ends.
+    try:
+        with server.socket.new_context() as context:
+            while server.idle <= 2 * IDLE_RECEIVERS:
+                data = await context.arecv()
+                server.idle -= 1
+                try:
+                    server.bytes_received += len(data)
+                    _grow(server)
+                    await _reply(server, context, data)
+                finally:
+                    server.idle += 1
+    except pynng.NNGException as error:
+        _LOG.warning("event=receiver_ended detail=%r", str(error))
+    finally:
+        server.idle -= 1
+
+
+async def _reply(server: Server, context: pynng.Context, data: bytes) -> None:
+    encoded = _messages.encode(await _handled(server, data))
+    server.bytes_sent += len(encoded)
+    try:
+        await context.asend(encoded)
+    except pynng.NNGException:
+        # The peer went away while the handler ran; it reports PeerLost.
+        return
+
+
+async def _handled(server: Server, data: bytes) -> _messages.Message:
+    try:
+        message = _messages.decode(data)
+    except msgspec.DecodeError:
+        server.unreadable += 1
+        return _messages.Nothing()
+    try:
+        return await server.handler(message)
+    except Exception:
+        # A fault of ours: the peer is told at once that there is no answer,
+        # which it takes for unknown, instead of waiting for its timeout.
+        _LOG.exception("event=handler_fault kind=%s", type(message).__name__)
+        return _messages.Nothing()
--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -16,6 +16,7 @@
 from sassafrasstair.decisions.calls import _retries
 from sassafrasstair.decisions.calls import _routing
 from sassafrasstair.decisions import load
+from sassafrasstair.decisions import once
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
@@ -24,15 +25,17 @@
 
     from sassafrasstair import bundles
 
-EPOCH_SECONDS = 600.0
-
 
 @dataclasses.dataclass(slots=True)
 class Pending:
-    """One call under way at this entrance."""
+    """One call under way at this entrance.
+
+    ``lost`` is set once an attempt ended without its outcome known.
+    """
 
     call: _messages.Call
     rank: float
+    lost: bool = False
     tried: list[str] = dataclasses.field(default_factory=list)
     attempt_id: str = ""
     sent: float = 0.0
@@ -79,9 +82,10 @@
         return "", _refuse(rules, call, outcomes.Reason.DEADLINE_PASSED, rng)
     if call.repeat > rules.caller_repeats:
         return "", _refuse(rules, call, outcomes.Reason.TOO_MANY_REPEATS, rng)
-    rank = load.rank(rules.importance, call.caller, int(now / EPOCH_SECONDS))
+    # The bundle's version is the one epoch that all daemons agree on.
+    rank = load.rank(rules.importance, call.caller, bundle.version)
     least = _floors.of_service(entrance.floors, _floor_key(call), now)
-    if rank < least:
+    if not call.ticket and rank < least:
         reason = outcomes.Reason.SHED_AT_ENTRANCE
         return "", _refuse(rules, call, reason, rng, least)
     entrance.serial += 1
@@ -117,6 +121,8 @@
         told = answer.load.floor
         _floors.hear(entrance.floors, key_of_floor, vm, told, now)
     pending.spent += _spent(pending, answer)
+    lost = answer.outcome is outcomes.Outcome.UNKNOWN
+    pending.lost = pending.lost or lost
     budget = _budget(entrance, bundle, call.service)
     if answer.outcome is outcomes.Outcome.DONE:
         _retries.earn(budget, bundle.retry_budget)
@@ -129,7 +135,7 @@
             return effect
     del entrance.pending[key]
     return _messages.Refuse(
-        answer.outcome,
+        _told_outcome(pending, answer),
         answer.reason,
         _come_back(bundle, call, answer, rng),
         pending.spent,
@@ -229,6 +235,28 @@
     return answer.spent
 
 
+def _told_outcome(
+    pending: Pending, answer: _messages.Answer
+) -> outcomes.Outcome:
+    """Return what the caller may be told of a call that failed.
+
+    Failure: the first attempt ran and was lost, the second was refused,
+    and the caller was told "not run". One lost attempt leaves the whole
+    call unknown.
+
+    Failure: a repeat cannot reach its ticket's owner, its caller is told
+    "not run", and the earlier use, still on its way, runs. Without the
+    owner's own word "not run" holds for a first use alone.
+    """
+    if pending.lost:
+        return outcomes.Outcome.UNKNOWN
+    call = pending.call
+    not_run = answer.outcome is outcomes.Outcome.NOT_RUN
+    if not (call.ticket and not_run) or answer.incarnation:
+        return answer.outcome
+    return once.entrance_refusal(call.repeat, answer.reason).outcome
+
+
 def _may_retry(
     bundle: bundles.Bundle,
     pending: Pending,
@@ -277,6 +305,7 @@
     floor: float = 0.0,
 ) -> _messages.Refuse:
     after = _retries.retry_after(rules.refusal, call.repeat, rng)
-    return _messages.Refuse(
-        outcomes.Outcome.NOT_RUN, reason, after, floor=floor
-    )
+    outcome = outcomes.Outcome.NOT_RUN
+    if call.ticket:
+        outcome = once.entrance_refusal(call.repeat, reason).outcome
+    return _messages.Refuse(outcome, reason, after, floor=floor)
--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -18,6 +18,8 @@
 from sassafrasstair.decisions.load._messages import Turn
 from sassafrasstair.decisions.load._messages import Work
 from sassafrasstair.decisions.load._rank import rank
+from sassafrasstair.decisions.load._views import limit
+from sassafrasstair.decisions.load._views import resize
 
 __all__ = [
     "Abort",
@@ -31,9 +33,11 @@
     "cancel",
     "finish",
     "floor",
+    "limit",
     "new_guard",
     "offer",
     "rank",
+    "resize",
     "service",
     "tick",
 ]
--- a/src/sassafrasstair/outcomes.py
+++ b/src/sassafrasstair/outcomes.py
@@ -45,12 +45,14 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_LOST = "upstream_lost"
     ANSWER_CUT_SHORT = "answer_cut_short"
+    INTERNAL_FAULT = "internal_fault"
     # Once-only work.
     TICKET_MISSING = "ticket_missing"
     TICKET_INVALID = "ticket_invalid"
     TICKET_EXPIRED = "ticket_expired"
     TICKET_VOID = "ticket_void"
     OWNER_GONE = "owner_gone"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     # Bad input: the caller must change the request.
     MALFORMED = "malformed"
     UNKNOWN_SERVICE = "unknown_service"
--- /dev/null
+++ b/src/sassafrasstair/runtime/_bodies.py
@@ -0,0 +1,202 @@
+"""Bodies longer than one message, passed on part by part.
+
+A part is at least ``CHUNK_BYTES`` and at most that and one read of the
+loop (256 KB). At most ``PART_QUEUE`` parts of a request wait here, one more
+is on its way in and one out; of an answer one part is. With the copies that
+encoding and sending make, a transfer holds at most 3 MB of a daemon's
+memory, whatever its length (docs/MEASUREMENTS.md, "Large bodies").
+``MAX_LARGE_BODIES`` bounds the requests at once, the instance's slots the
+answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing
+
+from sassafrasstair import daemons
+from sassafrasstair.decisions import load
+from sassafrasstair.decisions import once
+from sassafrasstair import outcomes
+from sassafrasstair.runtime import _attempts
+from sassafrasstair.runtime import _slots
+from sassafrasstair import upstreams
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+ARRIVAL_SECONDS = 1.0
+
+_GONE = daemons.AnswerPart(b"", gone=True)
+
+
+class BodyBroken(Exception):
+    """A request body ended early or does not match its digest."""
+
+
+async def request_body(
+    attempt: _attempts.Attempt,
+) -> abc.AsyncIterator[bytes]:
+    """Yield the whole request body as its parts arrive.
+
+    Raises ``BodyBroken`` instead of ending early: the upstream must see a
+    cut connection and not a short body that looks whole.
+    """
+    digest = _attempts.new_digest(attempt.run.body)
+    length = len(attempt.run.body)
+    yield attempt.run.body
+    last = False
+    while not last:
+        part = await attempt.parts.get()
+        if attempt.ended.is_set():
+            raise BodyBroken("the attempt has ended")
+        digest.update(part.data)
+        length += len(part.data)
+        last = part.last
+        if last and part.digest != digest.digest():
+            raise BodyBroken("digest differs")
+        if part.data:
+            yield part.data
+    if attempt.run.body_length not in (-1, length):
+        raise BodyBroken("length differs")
+
+
+async def take_part(
+    slot: _slots.Slot, part: daemons.BodyPart
+) -> daemons.PartTaken:
+    """Take one part of a request's body; the reply waits for room."""
+    attempt = slot.attempts.get(part.attempt_id)
+    if attempt is None and part.sequence == 0:
+        attempt = await _arrival(slot, part.attempt_id)
+    if attempt is None:
+        return daemons.PartTaken(False)
+    if part.sequence == 0:
+        return await _admitted(attempt)
+    if part.sequence != attempt.next_part:
+        return daemons.PartTaken(False)
+    attempt.next_part += 1
+    attempt.body_taken = part.last
+    if not attempt.parts.full():
+        attempt.parts.put_nowait(part)
+        return daemons.PartTaken(True)
+    putting = asyncio.ensure_future(attempt.parts.put(part))
+    return daemons.PartTaken(await _unless_ended(attempt, putting))
+
+
+async def next_part(
+    slot: _slots.Slot, message: daemons.AnswerNext
+) -> daemons.AnswerPart:
+    """Return the next part of an answer that is still coming."""
+    attempt = slot.attempts.get(message.attempt_id)
+    if attempt is None or attempt.rest is None:
+        return _GONE
+    attempt.rest_parts += 1
+    if message.sequence != attempt.rest_parts:
+        _slots.fail_rest(slot, attempt, outcomes.Reason.ANSWER_CUT_SHORT)
+        return _GONE
+    try:
+        data = await _read(slot, attempt, attempt.rest)
+    except (upstreams.UpstreamError, TimeoutError):
+        _slots.fail_rest(slot, attempt, outcomes.Reason.ANSWER_CUT_SHORT)
+        return _GONE
+    note_answered(attempt, data)
+    if data:
+        return daemons.AnswerPart(data)
+    return _last_part(slot, attempt)
+
+
+def note_answered(attempt: _attempts.Attempt, data: bytes) -> None:
+    """Count a part of the answer's body into its digest and length."""
+    attempt.rest_digest.update(data)
+    attempt.rest_length += len(data)
+
+
+async def _read(
+    slot: _slots.Slot,
+    attempt: _attempts.Attempt,
+    rest: abc.AsyncIterator[bytes],
+) -> bytes:
+    """Return the answer's next part; ``TimeoutError`` if it was dropped.
+
+    In a task of its own, so that a cancellation of the attempt ends it and
+    the upstream sees that at once, and not at the deadline.
+    """
+    reading = asyncio.ensure_future(_next(rest))
+    attempt.reading = reading
+    left = max(0.0, _slots.remaining(slot, attempt))
+    try:
+        await asyncio.wait({reading}, timeout=left)
+    finally:
+        reading.cancel()
+    if not reading.done() or reading.cancelled():
+        raise TimeoutError
+    return reading.result()
+
+
+async def _next(rest: abc.AsyncIterator[bytes]) -> bytes:
+    return await anext(rest, b"")
+
+
+async def rechunk(
+    chunks: abc.AsyncGenerator[bytes, None],
+) -> abc.AsyncGenerator[bytes, None]:
+    """Yield parts of at least ``CHUNK_BYTES``, only the last shorter."""
+    held = bytearray()
+    async with contextlib.aclosing(chunks):
+        async for chunk in chunks:
+            held += chunk
+            if len(held) >= daemons.CHUNK_BYTES:
+                yield bytes(held)
+                held.clear()
+        if held:
+            yield bytes(held)
+
+
+async def _arrival(
+    slot: _slots.Slot, attempt_id: str
+) -> _attempts.Attempt | None:
+    """Wait until the attempt is known; None if it is not in time."""
+    # Failure: each message has an exchange of its own, so the question
+    # whether a body is wanted may be handled before its request. Told no,
+    # the entrance sends nothing, and the request waits for its body until
+    # its deadline.
+    arrived = slot.arrivals.setdefault(attempt_id, asyncio.Event())
+    try:
+        async with asyncio.timeout(ARRIVAL_SECONDS):
+            await arrived.wait()
+    except TimeoutError:
+        return None
+    finally:
+        slot.arrivals.pop(attempt_id, None)
+    return slot.attempts.get(attempt_id)
+
+
+async def _admitted(attempt: _attempts.Attempt) -> daemons.PartTaken:
+    if not await _unless_ended(attempt, asyncio.shield(attempt.verdict)):
+        return daemons.PartTaken(False)
+    return daemons.PartTaken(isinstance(attempt.verdict.result(), load.Start))
+
+
+async def _unless_ended(
+    attempt: _attempts.Attempt, work: asyncio.Future[typing.Any]
+) -> bool:
+    """Wait for ``work``; give it up, and say so, if the attempt ends."""
+    ending = asyncio.ensure_future(attempt.ended.wait())
+    both: set[asyncio.Future[typing.Any]] = {work, ending}
+    try:
+        await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+        return work.done()
+    finally:
+        work.cancel()
+        ending.cancel()
+
+
+def _last_part(
+    slot: _slots.Slot, attempt: _attempts.Attempt
+) -> daemons.AnswerPart:
+    digest = attempt.rest_digest.digest()
+    summary = once.Summary(attempt.status, digest, attempt.rest_length)
+    _slots.end_ticket(slot, attempt, summary)
+    _slots.end(slot, attempt, load.End.DONE)
+    return daemons.AnswerPart(b"", last=True, digest=digest)
