--- a/src/sassafrasstair/bench/_model_worlds.py
+++ b/src/sassafrasstair/bench/_model_worlds.py
@@ -25,7 +25,7 @@
 PING_TIMEOUT = 0.1
 SAMPLE_SECONDS = 0.5
 
-_rank = functools.cache(functools.partial(load.rank, epoch=0))
+_rank = functools.cache(load.rank)
 
 
 class World:
@@ -197,7 +197,7 @@
             send.attempt_id,
             call.request_class,
             call.tenant,
-            _rank(rules.importance, call.caller),
+            _rank(rules.importance, call.caller, _overload_mixes.VERSION),
             send.deadline,
             rules.refusal.queue_ms / 1000,
         )
--- a/src/sassafrasstair/bench/_overload_mixes.py
+++ b/src/sassafrasstair/bench/_overload_mixes.py
@@ -16,6 +16,7 @@
 # An important request may wait for a slot as long as its deadline allows
 # when the deepest service is ten times slower.
 PATIENT_MS = 2_300
+VERSION = 1
 DOMAINS = 4
 
 
@@ -50,7 +51,7 @@
     return bundles.Bundle(
         format=1,
         mesh=mesh,
-        version=1,
+        version=VERSION,
         supersedes=0,
         failure_domains=domains,
         services=services,
