Test news of calls and of leaving without the periodic exchanges

Cause: with one more partner in each other domain, 24 daemons found a dead VM within 3 s by their periodic exchanges, so that the tests passed with urgent gossip, or the look at failed calls, taken out. Ruled out: a shorter limit: it would still pass by chance. Change: these tests stop the periodic exchanges.

--- a/tests/decisions/fleet/test_fleet_failures.py
+++ b/tests/decisions/fleet/test_fleet_failures.py
@@ -33,6 +33,12 @@
     )
 
 
+def _silence(made: _capacity_fleets.Fleet) -> None:
+    """Stop the periodic exchanges, which might find the news themselves."""
+    for node in made.nodes.values():
+        node.next_gossip = made.now + 60
+
+
 def _domain(made: _capacity_fleets.Fleet, name: str) -> list[str]:
     return [
         address
@@ -246,6 +252,7 @@
     )
     vm = made.nodes[address].me.vm
     made.stop(address)
+    _silence(made)
     fleet.observed(made.nodes[caller], vm, False, "", made.now)
     assert made.run(3, lambda: _shunned(made, vm))
 
@@ -257,6 +264,7 @@
         _domain(made, "domain-4")[1],
     ):
         node = made.nodes[address]
+        _silence(made)
         made.perform(address, fleet.set_leaving(node, made.now, made.rng))
         shunned = functools.partial(_shunned, made, node.me.vm)
         assert made.run(3, shunned)
