Tell routing the limit and service time, and end calls at lost VMs

Cause: routing weighs an instance by its limit and service time, which answers did not carry; tenants' shares reached no guard; and a refusal from further down was counted against each upstream above it, so that a deep overload cut all limits on its way. A vanished VM held calls for their whole deadline.

--- a/src/sassafrasstair/daemons/__init__.py
+++ b/src/sassafrasstair/daemons/__init__.py
@@ -8,6 +8,7 @@
 from sassafrasstair.daemons._errors import PeerUnreachable
 from sassafrasstair.daemons._links import close
 from sassafrasstair.daemons._links import close_idle
+from sassafrasstair.daemons._links import drop
 from sassafrasstair.daemons._links import exchange
 from sassafrasstair.daemons._links import Links
 from sassafrasstair.daemons._messages import AnswerNext
@@ -57,6 +58,7 @@
     "close_idle",
     "close_server",
     "decode",
+    "drop",
     "encode",
     "exchange",
     "listen",
--- a/src/sassafrasstair/daemons/_links.py
+++ b/src/sassafrasstair/daemons/_links.py
@@ -84,6 +84,13 @@
             del links.by_address[address]
 
 
+def drop(links: Links, address: str) -> None:
+    """Close one link; its exchanges under way end with ``PeerLost``."""
+    link = links.by_address.pop(address, None)
+    if link is not None:
+        link.socket.close()
+
+
 def close(links: Links) -> None:
     """Close all sockets; exchanges under way end with ``PeerLost``."""
     for link in links.by_address.values():
--- a/src/sassafrasstair/daemons/_messages.py
+++ b/src/sassafrasstair/daemons/_messages.py
@@ -45,6 +45,8 @@
 
     ``outcome`` and ``reason`` are values of the enums in ``outcomes``.
     ``more`` means that the body goes on: ask with ``AnswerNext``.
+    ``limit`` is the concurrency limit that ``busy`` is a share of and
+    ``service_seconds`` the usual time of service there.
     ``digest`` is the blake2b of the body so far, of the whole when not
     ``more``.
     """
@@ -62,6 +64,8 @@
     body: bytes = b""
     more: bool = False
     digest: bytes = b""
+    limit: float = 0.0
+    service_seconds: float = 0.0
 
 
 class BodyPart(msgspec.Struct, frozen=True, tag="part", array_like=True):
--- a/src/sassafrasstair/decisions/fleet/__init__.py
+++ b/src/sassafrasstair/decisions/fleet/__init__.py
@@ -45,6 +45,7 @@
 from sassafrasstair.decisions.fleet._queries import in_force
 from sassafrasstair.decisions.fleet._queries import incarnation_of
 from sassafrasstair.decisions.fleet._queries import is_leaving
+from sassafrasstair.decisions.fleet._queries import is_serving
 from sassafrasstair.decisions.fleet._queries import ready
 from sassafrasstair.decisions.fleet._queries import status
 from sassafrasstair.decisions.fleet._states import Node
@@ -83,6 +84,7 @@
     "in_force",
     "incarnation_of",
     "is_leaving",
+    "is_serving",
     "new_node",
     "observed",
     "platform_bundles",
--- a/src/sassafrasstair/decisions/fleet/_queries.py
+++ b/src/sassafrasstair/decisions/fleet/_queries.py
@@ -33,6 +33,12 @@
     return "" if member is None else member.incarnation
 
 
+def is_serving(node: _states.Node, vm: str) -> bool:
+    """Return whether the fleet believes that the daemon of ``vm`` runs."""
+    member = node.members.get(vm)
+    return member is not None and member.life == _messages.SERVING
+
+
 def is_leaving(node: _states.Node) -> bool:
     """Return whether this VM is known to be leaving, whoever said so."""
     return node.members[node.me.vm].leaving
--- a/src/sassafrasstair/runtime/_answers.py
+++ b/src/sassafrasstair/runtime/_answers.py
@@ -33,6 +33,8 @@
         reason=outcomes.Reason.NONE.value,
         spent=attempt.spent,
         busy=load.busy(slot.guard),
+        limit=slot.guard.limit,
+        service_seconds=load.service(slot.guard),
         floor=_slots.floor(
             slot, attempt.run.request_class, attempt.run.tenant
         ),
@@ -62,6 +64,8 @@
         retry_after_ms=int(after * 1000),
         spent=spent,
         busy=load.busy(slot.guard),
+        limit=slot.guard.limit,
+        service_seconds=load.service(slot.guard),
         floor=_slots.floor(slot, message.request_class, message.tenant),
     )
 
@@ -96,6 +100,8 @@
         outcome=_Outcome.DONE.value,
         reason=outcomes.Reason.NONE.value,
         busy=load.busy(slot.guard),
+        limit=slot.guard.limit,
+        service_seconds=load.service(slot.guard),
         floor=_slots.floor(slot, message.request_class, message.tenant),
         status=result.status,
         headers=tuple(
--- a/src/sassafrasstair/runtime/_attempts.py
+++ b/src/sassafrasstair/runtime/_attempts.py
@@ -29,7 +29,7 @@
 class Attempt:
     """State of one attempt; ``deadline`` is a local monotonic instant.
 
-    ``spent`` and ``child_retry_after`` gather what the upstream's own
+    ``spent`` and the ``child_`` fields gather what the upstream's own
     calls further down told. ``parts`` holds request parts that the
     upstream has not taken yet, ``rest`` what it has not answered yet and
     ``reading`` the read of its next part. ``body_taken`` is true once the
@@ -42,6 +42,7 @@
     parts: asyncio.Queue[daemons.BodyPart]
     spent: int = 0
     child_retry_after: float = 0.0
+    child_refused: bool = False
     task: asyncio.Task[daemons.RunAnswer] | None = None
     next_part: int = 1
     status: int = 0
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -41,6 +41,7 @@
 ACCEPT_SECONDS = 2.0
 LEAVE_SECONDS = 2.5
 LINK_REVIEW_SECONDS = 10.0
+PING_SECONDS = 1.0
 
 _LOG = logging.getLogger(__name__)
 
@@ -229,14 +230,29 @@
 
 
 async def _ping(daemon: Daemon, vm: str) -> None:
-    alive = False
+    serving = False
     try:
-        reply = await daemon.entry.ask(vm, daemons.Ping(), 1.0)
-        alive = isinstance(reply, daemons.Pong) and reply.serving
+        reply = await daemon.entry.ask(vm, daemons.Ping(), PING_SECONDS)
+        serving = isinstance(reply, daemons.Pong) and reply.serving
     except daemons.PeerError:
-        alive = False
+        now = daemon.clock.monotonic()
+        fleet.observed(daemon.control.node, vm, False, "", now)
+        _drop_lost(daemon, vm)
     now = daemon.clock.monotonic()
-    calls.probed(daemon.entry.entrance.routes, vm, alive, now)
+    calls.probed(daemon.entry.entrance.routes, vm, serving, now)
+
+
+def _drop_lost(daemon: Daemon, vm: str) -> None:
+    # Failure: a VM vanishes without closing its connections, and each call
+    # under way there waits for its whole deadline. Closing the link ends
+    # them now, as lost, so that they can be tried elsewhere. One's own ping
+    # is not enough: where all VMs are slow it would cut work that is about
+    # to end, and the repeats would slow them further. So the fleet must
+    # agree, which asks helpers too.
+    node = daemon.control.node
+    address = fleet.address_of(node, vm)
+    if address is not None and not fleet.is_serving(node, vm):
+        daemons.drop(daemon.links, address)
 
 
 async def _handle(daemon: Daemon, message: daemons.Message) -> daemons.Message:
--- a/src/sassafrasstair/runtime/_entrance.py
+++ b/src/sassafrasstair/runtime/_entrance.py
@@ -250,6 +250,7 @@
 ) -> None:
     parent.spent += effect.spent
     if isinstance(effect, calls.Refuse):
+        parent.child_refused = True
         parent.child_retry_after = max(
             parent.child_retry_after, effect.retry_after
         )
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -23,6 +23,7 @@
     from sassafrasstair import bundles
 
 MAX_LARGE_BODIES = 48
+NO_TENANT_SHARE = 1.0
 
 _LOG = logging.getLogger(__name__)
 _Outcome = outcomes.Outcome
@@ -247,7 +248,11 @@
     how = load.End.FAILED
     if error.outcome is _Outcome.NOT_RUN:
         result = once.NotRun(error.reason)
-        how = load.End.REFUSED
+        # Failure: the deepest service is overloaded, its refusals are passed
+        # on by each upstream above it, and every guard on the way cuts its
+        # limit though its own upstream has room. Only an upstream that
+        # refuses of itself is counted against its limit.
+        how = load.End.FAILED if attempt.child_refused else load.End.REFUSED
     if error.reason is _Reason.DEADLINE_PASSED:
         how = load.End.CANCELLED
     result = _slots.end_ticket(slot, attempt, result)
@@ -259,6 +264,7 @@
     message = attempt.run
     bundle = typing.cast("bundles.Bundle", slot.bundle())
     rules = bundle.classes[message.request_class]
+    tenant = bundle.tenants.get(message.tenant)
     return load.Work(
         attempt_id=message.attempt_id,
         request_class=message.request_class,
@@ -266,4 +272,5 @@
         rank=load.rank(rules.importance, message.caller, bundle.version),
         deadline=attempt.deadline,
         queue_limit=rules.refusal.queue_ms / 1000,
+        share=tenant.share if tenant is not None else NO_TENANT_SHARE,
     )
--- a/src/sassafrasstair/runtime/_transfers.py
+++ b/src/sassafrasstair/runtime/_transfers.py
@@ -112,7 +112,9 @@
     answer = calls.Answer(
         outcome=outcome,
         reason=reason,
-        load=calls.Load(reply.busy, reply.floor),
+        load=calls.Load(
+            reply.busy, reply.floor, reply.limit, reply.service_seconds
+        ),
         spent=reply.spent,
         retry_after=reply.retry_after_ms / 1000,
         incarnation=reply.incarnation,
--- a/tests/daemons/test_links.py
+++ b/tests/daemons/test_links.py
@@ -144,3 +144,27 @@
         await daemons.close_server(server)
 
     asyncio.run(story())
+
+
+def test_dropped_link_ends_what_is_under_way() -> None:
+    """A shopkeeper waits ten seconds for a VM that lost its power.
+
+    A call is under way when its callee falls silent; no connection is
+    closed. A ping gets no answer, but the call waits for its deadline.
+    """
+
+    async def story() -> None:
+        address = new_address()
+        server = daemons.listen(address, pong)
+        links = daemons.Links()
+        call = asyncio.create_task(
+            daemons.exchange(links, address, daemons.AnswerNext("a", 1), 60)
+        )
+        assert await daemons.exchange(links, address, daemons.Ping(), WAIT)
+        daemons.drop(links, address)
+        with pytest.raises(daemons.PeerLost):
+            await asyncio.wait_for(call, WAIT)
+        daemons.close(links)
+        await daemons.close_server(server)
+
+    asyncio.run(story())
