--- a/src/sassafrasstair/bench/_overload_figures.py
+++ b/src/sassafrasstair/bench/_overload_figures.py
@@ -36,8 +36,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Figures:
-    """What one run came to; ``most_calls`` is that of a single try."""
+    """What one run came to.
 
+    ``calm`` is the goodput before the trigger, and ``most_calls`` the most
+    calls that one service saw for a single try.
+    """
+
+    calm: float
     goodput: float
     important_goodput: float
     recovery_s: float
@@ -64,6 +69,7 @@
     tries = list(meter.tries.values())
     important = [tried for tried in tries if tried.important]
     return Figures(
+        _goodput(tries, [before]),
         _goodput(tries, spans),
         _goodput(important, spans),
         _recovery(tries, before, after),
@@ -103,9 +109,15 @@
     """Return the part of a good try's deepest work done in the span."""
     if not tried.done_at:
         return 0.0
-    start, end = tried.work
-    overlap = min(end, span.end) - max(start, span.start)
-    return max(0.0, overlap) / (end - start) if end > start else 0.0
+    return sum(
+        stretch.part * _overlap(stretch, span) for stretch in tried.work
+    )
+
+
+def _overlap(stretch: _model_meters.Stretch, span: Span) -> float:
+    shared = min(stretch.end, span.end) - max(stretch.start, span.start)
+    length = stretch.end - stretch.start
+    return max(0.0, shared) / length if length > 0 else 0.0
 
 
 def _recovery(
--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -16,6 +16,7 @@
 from sassafrasstair.decisions.calls import _retries
 from sassafrasstair.decisions.calls import _routing
 from sassafrasstair.decisions import load
+from sassafrasstair.decisions import once
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
@@ -83,8 +84,10 @@
         return "", _refuse(rules, call, outcomes.Reason.TOO_MANY_REPEATS, rng)
     # The bundle's version is the one epoch that all daemons agree on.
     rank = load.rank(rules.importance, call.caller, bundle.version)
-    if not call.ticket and _is_shed(entrance, call, rank, now):
-        return "", _refuse(rules, call, outcomes.Reason.SHED_AT_ENTRANCE, rng)
+    least = _floors.of_service(entrance.floors, _floor_key(call), now)
+    if not call.ticket and rank < least:
+        reason = outcomes.Reason.SHED_AT_ENTRANCE
+        return "", _refuse(rules, call, reason, rng, least)
     entrance.serial += 1
     key = f"{entrance.incarnation}.{entrance.serial}"
     pending = Pending(call, rank)
@@ -132,7 +135,7 @@
             return effect
     del entrance.pending[key]
     return _messages.Refuse(
-        _outcome_of_all(pending, answer),
+        _told_outcome(pending, answer),
         answer.reason,
         _come_back(bundle, call, answer, rng),
         pending.spent,
@@ -189,13 +192,6 @@
     return call.service, call.request_class, call.tenant
 
 
-def _is_shed(
-    entrance: Entrance, call: _messages.Call, rank: float, now: float
-) -> bool:
-    key = _floor_key(call)
-    return rank < _floors.of_service(entrance.floors, key, now)
-
-
 def _send(
     entrance: Entrance,
     bundle: bundles.Bundle,
@@ -227,15 +223,6 @@
     )
 
 
-def _outcome_of_all(
-    pending: Pending, answer: _messages.Answer
-) -> outcomes.Outcome:
-    # Failure: the first attempt ran and was lost, the second was refused,
-    # and the caller was told "not run". One lost attempt leaves the whole
-    # call unknown.
-    return outcomes.Outcome.UNKNOWN if pending.lost else answer.outcome
-
-
 def _spent(pending: Pending, answer: _messages.Answer) -> int:
     """Return the retries used further down.
 
@@ -248,6 +235,28 @@
     return answer.spent
 
 
+def _told_outcome(
+    pending: Pending, answer: _messages.Answer
+) -> outcomes.Outcome:
+    """Return what the caller may be told of a call that failed.
+
+    Failure: the first attempt ran and was lost, the second was refused,
+    and the caller was told "not run". One lost attempt leaves the whole
+    call unknown.
+
+    Failure: a repeat cannot reach its ticket's owner, its caller is told
+    "not run", and the earlier use, still on its way, runs. Without the
+    owner's own word "not run" holds for a first use alone.
+    """
+    if pending.lost:
+        return outcomes.Outcome.UNKNOWN
+    call = pending.call
+    not_run = answer.outcome is outcomes.Outcome.NOT_RUN
+    if not (call.ticket and not_run) or answer.incarnation:
+        return answer.outcome
+    return once.entrance_refusal(call.repeat, answer.reason).outcome
+
+
 def _may_retry(
     bundle: bundles.Bundle,
     pending: Pending,
@@ -293,6 +302,10 @@
     call: _messages.Call,
     reason: outcomes.Reason,
     rng: random.Random,
+    floor: float = 0.0,
 ) -> _messages.Refuse:
     after = _retries.retry_after(rules.refusal, call.repeat, rng)
-    return _messages.Refuse(outcomes.Outcome.NOT_RUN, reason, after)
+    outcome = outcomes.Outcome.NOT_RUN
+    if call.ticket:
+        outcome = once.entrance_refusal(call.repeat, reason).outcome
+    return _messages.Refuse(outcome, reason, after, floor=floor)
--- a/src/sassafrasstair/decisions/fleet/_suspicions.py
+++ b/src/sassafrasstair/decisions/fleet/_suspicions.py
@@ -68,6 +68,7 @@
         member.barred = False
         node.barred.discard(vm)
         _members.hold(node, member, now)
+        _members.changed(node, roster=_is_own(node, member))
     effects = _end_check(node, vm, reached=True)
     return effects + _reaches.reached(node, member.record.failure_domain, now)
 
@@ -116,15 +117,17 @@
 
 
 def review_members(node: _states.Node, now: float) -> list[_effects.Effect]:
-    """Turn long suspicion into gone, and forget what is long gone."""
+    """Turn long suspicion into gone, and forget what is long gone.
+
+    Each daemon does so by itself: a rumour of it would tell nobody more
+    than the suspicion that all have heard of.
+    """
     effects: list[_effects.Effect] = []
     for vm in sorted(node.unwell):
         member = node.members[vm]
         age = now - member.changed
-        own = member.record.failure_domain == node.me.failure_domain
-        if member.life == _messages.SUSPECTED and own:
-            if age > SUSPECTED_FOR:
-                effects += _declare(node, vm, _messages.GONE, now)
+        if member.life == _messages.SUSPECTED and age > SUSPECTED_FOR:
+            effects += _declare(node, vm, _messages.GONE, now)
         elif member.life == _messages.GONE and age > GONE_KEPT_FOR:
             _members.forget(node, vm)
     return effects
@@ -249,8 +252,10 @@
     )
     if not _members.merge(node, rumour, now):
         return []
-    _members.mark_hot(node, vm)
-    event = "member_suspected" if life < _messages.GONE else "member_gone"
+    event = "member_gone"
+    if life == _messages.SUSPECTED:
+        event = "member_suspected"
+        _members.mark_hot(node, vm)
     fields = {"vm": vm, "incarnation": member.incarnation}
     return [_effects.Report(event, fields)]
 
@@ -259,13 +264,17 @@
     return member.life != _messages.SERVING
 
 
+def _is_own(node: _states.Node, member: _states.Member) -> bool:
+    return member.record.failure_domain == node.me.failure_domain
+
+
 def _bar(node: _states.Node, member: _states.Member, now: float) -> None:
     wait = RETRY_FIRST * 2 ** min(member.failures - FAILURES_TO_BAR, 4)
     member.next_probe = now + min(wait, RETRY_LONGEST)
     if not member.barred:
         member.barred = True
         node.barred.add(member.record.vm)
-        _members.changed(node)
+        _members.changed(node, roster=_is_own(node, member))
 
 
 def _retry_barred(
--- a/src/sassafrasstair/decisions/load/_floors.py
+++ b/src/sassafrasstair/decisions/load/_floors.py
@@ -17,6 +17,8 @@
 LEVELS = bundles.IMPORTANCE_MAX + 1
 OBSERVE_SECONDS = 0.2
 FORGET_SECONDS = 0.5
+# Below this rate a tenant's demand is forgotten altogether.
+LEAST_RATE = 0.01
 LEAST_PART = 0.02
 
 
@@ -70,6 +72,16 @@
     return floors.values.get(tenant, floors.value)
 
 
+def reach(floors: Floors, room: float) -> int:
+    """Return the lowest level down to which the demand is within room."""
+    left = room
+    for level in range(LEVELS - 1, -1, -1):
+        left -= sum(d.rate for d in floors.demands[level].values())
+        if left < 0.0:
+            return level + 1
+    return 0
+
+
 def look(floors: Floors, capacity: float, pressed: bool, now: float) -> None:
     """Learn the demand since the last look and set the floors anew.
 
@@ -97,7 +109,7 @@
     weight = 1.0 - math.exp(-elapsed / OBSERVE_SECONDS)
     faded = math.exp(-elapsed / FORGET_SECONDS)
     for level, demands in enumerate(floors.demands):
-        for tenant, demand in demands.items():
+        for tenant, demand in list(demands.items()):
             part = min(1.0, level + 1 - _applied(floors, tenant))
             if part < LEAST_PART:
                 # Nothing of this level arrives, so nothing would ever
@@ -107,6 +119,8 @@
                 seen = demand.count / elapsed / part
                 demand.rate += weight * (seen - demand.rate)
             demand.count = 0
+            if demand.rate < LEAST_RATE:
+                del demands[tenant]
 
 
 def _fill(floors: Floors, capacity: float) -> None:
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -5,6 +5,7 @@
 import dataclasses
 import math
 
+from sassafrasstair import bundles
 from sassafrasstair.decisions.load import _floors
 from sassafrasstair.decisions.load import _limits
 from sassafrasstair.decisions.load import _messages
@@ -19,11 +20,18 @@
 PRESSED_SECONDS = 0.5
 LEAST_QUEUE = 8
 QUEUE_PER_SLOT = 2
-# When the queue has not been empty for this long, waiting longer than a
-# few slots take to fall free gains nothing: the queue stands (Nichols and
-# Jacobson, "Controlling Queue Delay", 2012).
+# When a level and those above it have not been without a waiter for this
+# long, in seconds and in turns of a slot, its queue stands.
 STANDING_SECONDS = 0.3
-STANDING_TURNS = 2.0
+STANDING_TURNS = 8.0
+# Where a level is partly shed and its queue stands, waiting longer than a
+# few turns gains nothing (Nichols and Jacobson, "Controlling Queue Delay",
+# 2012).
+PATIENCE_TURNS = 2.0
+PATIENCE_ABOVE_TURNS = 3.0
+# Levels that together ask for less than this share of what is served queue
+# only for a moment, and wait for as long as the bundle lets them.
+COMFORTABLE_SHARE = 0.7
 # The time within which the admitted work may exceed what is served, so
 # that a slot that falls free finds one waiting.
 SLACK_SECONDS = 0.1
@@ -43,10 +51,12 @@
     used: dict[str, int] = dataclasses.field(default_factory=dict)
     estimates: dict[str, float] = dataclasses.field(default_factory=dict)
     mean: float = 0.0
+    live: float = 0.0
     sampled: float = 0.0
     pressed: float = -math.inf
-    emptied: float = 0.0
+    emptied: list[float] = dataclasses.field(default_factory=list)
     ticked: float = 0.0
+    comfortable: int = 0
     leaving: bool = False
 
     @property
@@ -64,7 +74,8 @@
     """Return the guard of an instance with ``slots`` from the bundle."""
     limits = _limits.new_limit(slots, now, cold, warm_seconds)
     floors = _floors.new_floors(now)
-    return Guard(limits, floors, sampled=now, emptied=now, ticked=now)
+    emptied = [now] * (bundles.IMPORTANCE_MAX + 1)
+    return Guard(limits, floors, sampled=now, emptied=emptied, ticked=now)
 
 
 def offer(
@@ -79,7 +90,6 @@
     if now + _estimate(guard, work, now) > work.deadline:
         return [_turn(work, outcomes.Reason.DEADLINE_TOO_SHORT)]
     if not guard.waiting and _has_room(guard, now):
-        guard.emptied = now
         return [_start(guard, work, now)]
     return _wait(guard, work, now)
 
@@ -108,7 +118,11 @@
     guard: Guard, attempt_id: str, now: float
 ) -> list[_messages.Effect]:
     """Drop an attempt that nobody waits for; abort it if it started."""
-    guard.waiting.pop(attempt_id, None)
+    waiter = guard.waiting.pop(attempt_id, None)
+    if waiter is not None:
+        # Failure: its end is never told; whoever joined it waits for
+        # ever, and a planned stop waits for it too.
+        return [_turn(waiter.work, outcomes.Reason.CANCELLED)]
     if attempt_id in guard.running:
         return [_messages.Abort(attempt_id)]
     return []
@@ -116,11 +130,13 @@
 
 def tick(guard: Guard, now: float) -> list[_messages.Effect]:
     """Look again at every deadline; called each 50 ms and after a pause."""
+    guard.live = _live(guard, now)
     effects = _expire(guard, now)
     effects += _overdue(guard, now)
     effects += _dispatch(guard, now)
     pressed = now - guard.pressed < PRESSED_SECONDS
     _floors.look(guard.floors, _admissible(guard, now), pressed, now)
+    guard.comfortable = _comfortable(guard, now)
     guard.ticked = now
     return effects
 
@@ -137,6 +153,11 @@
     return (len(guard.running) + len(guard.waiting)) / max(1.0, guard.limit)
 
 
+def service(guard: Guard) -> float:
+    """Return the usual seconds of service; 0 when none is known yet."""
+    return guard.live
+
+
 def _has_room(guard: Guard, now: float) -> bool:
     return len(guard.running) + 1 <= _limits.current(guard.limits, now)
 
@@ -159,7 +180,7 @@
     if len(guard.waiting) <= max(LEAST_QUEUE, QUEUE_PER_SLOT * guard.limit):
         return effects
     guard.pressed = now
-    out = _queues.least(guard.waiting).work
+    out = _queues.least(guard.waiting, guard.used).work
     del guard.waiting[out.attempt_id]
     return effects + [_turn(out, outcomes.Reason.QUEUE_FULL)]
 
@@ -167,16 +188,15 @@
 def _dispatch(guard: Guard, now: float) -> list[_messages.Effect]:
     """Start what may start, each deadline looked at again first."""
     effects: list[_messages.Effect] = []
-    marginal = _marginal(guard, now)
+    stands = max(_marginal(guard, now), _standing(guard, now))
     while guard.waiting and _has_room(guard, now):
-        waiter = _queues.pick(guard.waiting, guard.used, marginal)
+        waiter = _queues.pick(guard.waiting, guard.used, stands)
         del guard.waiting[waiter.work.attempt_id]
         if _is_late(guard, waiter, now):
             effects.append(_expiry(guard, waiter, now))
         else:
             effects.append(_start(guard, waiter.work, now))
-    if not guard.waiting:
-        guard.emptied = now
+    _note_emptied(guard, now)
     return effects
 
 
@@ -195,15 +215,41 @@
 
 def _is_late(guard: Guard, waiter: _queues.Waiter, now: float) -> bool:
     work = waiter.work
-    patience = math.inf
-    standing = now - guard.emptied >= STANDING_SECONDS
-    if standing and math.floor(work.rank) <= _marginal(guard, now):
-        turn = guard.mean / _limits.current(guard.limits, now)
-        patience = STANDING_TURNS * turn
     estimate = _estimate(guard, work, now)
+    patience = _patience(guard, math.floor(work.rank), now)
     return _queues.expired(waiter, now, estimate, patience)
 
 
+def _patience(guard: Guard, level: int, now: float) -> float:
+    """Return how long work of the level may wait at most."""
+    stood = now - guard.emptied[0] >= STANDING_SECONDS
+    if stood and level <= _marginal(guard, now):
+        return PATIENCE_TURNS * _turn_seconds(guard, now)
+    comfortable = level >= guard.comfortable
+    if now - guard.pressed < PRESSED_SECONDS and not comfortable:
+        return PATIENCE_ABOVE_TURNS * _turn_seconds(guard, now)
+    return math.inf
+
+
+def _turn_seconds(guard: Guard, now: float) -> float:
+    """Return how long it takes on average until a slot falls free."""
+    return guard.live / _limits.current(guard.limits, now)
+
+
+def _standing(guard: Guard, now: float) -> int:
+    """Return the highest level whose queue stands, -1 if none does."""
+    turns = STANDING_TURNS * _turn_seconds(guard, now)
+    since = now - max(STANDING_SECONDS, turns)
+    return sum(emptied <= since for emptied in guard.emptied) - 1
+
+
+def _note_emptied(guard: Guard, now: float) -> None:
+    """Note which levels have no waiter at or above them."""
+    top = _queues.top(guard.waiting)
+    for level in range(top + 1, len(guard.emptied)):
+        guard.emptied[level] = now
+
+
 def _marginal(guard: Guard, now: float) -> int:
     """Return the level of which a part is shed, -1 if there is none."""
     value = floor(guard, now)
@@ -242,6 +288,27 @@
     guard.sampled = now
 
 
+def _comfortable(guard: Guard, now: float) -> int:
+    """Return the lowest level with room to spare, all above counted."""
+    if guard.live <= 0.0:
+        return 0
+    served = _limits.current(guard.limits, now) / guard.live
+    return _floors.reach(guard.floors, COMFORTABLE_SHARE * served)
+
+
+def _live(guard: Guard, now: float) -> float:
+    """Return the seconds of service, work under way included.
+
+    A slowed upstream finishes nothing for a while, so that what finished
+    says nothing of it. What runs is on average half done: twice its mean
+    age shows the slowness after as long as a service used to take.
+    """
+    if not guard.running:
+        return guard.mean
+    age = now - sum(guard.running.values()) / len(guard.running)
+    return max(guard.mean, 2.0 * age)
+
+
 def _estimate(guard: Guard, work: _messages.Work, now: float) -> float:
     """Return the expected service time of the work.
 
@@ -259,10 +326,10 @@
     More than is served, by the square root of what is served in the slack
     time: with arrivals at random, less would leave slots idle.
     """
-    if guard.mean <= 0.0:
+    if guard.live <= 0.0:
         return math.inf
     limit = _limits.current(guard.limits, now)
-    served = limit / guard.mean * SLACK_SECONDS
+    served = limit / guard.live * SLACK_SECONDS
     return (served + math.sqrt(served) + 0.5) / SLACK_SECONDS
 
 
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -29,6 +29,7 @@
 from sassafrasstair.runtime import _entries
 from sassafrasstair.runtime import _execution
 from sassafrasstair.runtime import _http
+from sassafrasstair.runtime import _parts
 from sassafrasstair.runtime import _slots
 from sassafrasstair.runtime import _status
 from sassafrasstair.runtime import _tickets
@@ -37,10 +38,9 @@
 if typing.TYPE_CHECKING:
     from sassafrasstair import settings
 
-MAX_TICKET_RECORDS = 50_000
+ACCEPT_SECONDS = 2.0
 LEAVE_SECONDS = 2.5
 LINK_REVIEW_SECONDS = 10.0
-UNSET_SLOTS = 1
 
 _LOG = logging.getLogger(__name__)
 
@@ -73,12 +73,17 @@
     incarnation = new_incarnation(clock)
     counts = metrics.Metrics()
     links = daemons.Links()
-    node = _new_node(settings_, incarnation, clock.monotonic(), rng)
-    bundle = functools.partial(_in_force, node, clock)
+    approvals: dict[bytes, tuple[str, ...]] = {}
+    node = _parts.new_node(
+        settings_, incarnation, clock.monotonic(), rng, approvals
+    )
+    bundle = functools.partial(_parts.in_force, node, clock)
     entrance = calls.new_entrance(
         incarnation, settings_.failure_domain, settings_.region
     )
-    slot = _new_slot(settings_, incarnation, clock, bundle, entrance)
+    slot = _parts.new_slot(
+        settings_, incarnation, clock, bundle, entrance, counts
+    )
     entry = _entries.Entry(
         clock=clock,
         rng=rng,
@@ -96,7 +101,8 @@
         links=links,
         client=platform.open_client(settings_.platform.urls),
         adopted=functools.partial(_adopt, slot, counts),
-        counted=counts.platform_read,
+        counts=counts,
+        approvals=approvals,
     )
     return Daemon(
         settings_,
@@ -166,9 +172,8 @@
     """Take no new work, let peers know, and wait for what is in flight."""
     logs.event(_LOG, logging.INFO, "leaving", vm=daemon.settings.vm)
     daemon.entry.leaving = True
-    daemon.slot.guard.leaving = True
-    once.stop_issuing(daemon.slot.owner)
     _control.leave(daemon.control)
+    _drain(daemon)
     # Peers and callers learn of it meanwhile and are refused, not cut: a
     # closed socket at once would show them as lost answers.
     await asyncio.sleep(LEAVE_SECONDS)
@@ -204,8 +209,26 @@
     # The platform said that this VM leaves: its upstream gets nothing new,
     # whoever has not heard of it yet and sends here all the same.
     if fleet.is_leaving(daemon.control.node):
-        daemon.slot.guard.leaving = True
-        once.stop_issuing(daemon.slot.owner)
+        _drain(daemon)
+
+
+def _drain(daemon: Daemon) -> None:
+    """Issue no more tickets, and soon take no more work.
+
+    Failure: a call in flight at another entrance picks this instance before
+    that entrance has heard, is refused, and fails if its class allows no
+    retry; so would a ticket that was issued a moment ago. Hearing takes a
+    second or so: until then such work is still taken.
+    """
+    if daemon.slot.owner.leaving:
+        return
+    once.stop_issuing(daemon.slot.owner)
+    loop = asyncio.get_running_loop()
+    loop.call_later(ACCEPT_SECONDS, _refuse_work, daemon.slot)
+
+
+def _refuse_work(slot: _slots.Slot) -> None:
+    slot.guard.leaving = True
 
 
 def _ping_ejected(daemon: Daemon, now: float) -> None:
@@ -246,7 +269,7 @@
     if isinstance(message, daemons.Cancel):
         _slots.cancel(slot, message.attempt_id)
     if isinstance(message, daemons.Ping):
-        serving = slot.bundle() is not None and not slot.guard.leaving
+        serving = slot.bundle() is not None and not slot.owner.leaving
         return daemons.Pong(slot.incarnation, serving)
     return daemons.Nothing()
 
@@ -271,11 +294,13 @@
     slot: _slots.Slot, message: daemons.Message, timeout: float
 ) -> daemons.Message:
     """Serve a message of this daemon's own entrance without the link."""
-    serving = asyncio.ensure_future(_serve(slot, message))
-    await asyncio.wait({serving}, timeout=timeout)
-    if not serving.done():
-        raise daemons.PeerTimeout("own slot")
-    return serving.result()
+    # A time-out, or a cancellation, ends this wait only: the attempt is a
+    # task of its own, which the entrance's ``Cancel`` then ends.
+    try:
+        async with asyncio.timeout(timeout):
+            return await _serve(slot, message)
+    except TimeoutError as error:
+        raise daemons.PeerTimeout("own slot") from error
 
 
 def _adopt(
@@ -310,86 +335,11 @@
     slot.guard.leaving = leaving
 
 
-def _in_force(node: fleet.Node, clock: clocks.Clock) -> bundles.Bundle | None:
-    if not fleet.ready(node, clock.monotonic()):
-        return None
-    return fleet.in_force(node)
-
-
-def _new_node(
-    settings_: settings.Settings,
-    incarnation: str,
-    now: float,
-    rng: random.Random,
-) -> fleet.Node:
-    me = fleet.Record(
-        settings_.vm,
-        settings_.service,
-        settings_.failure_domain,
-        settings_.region,
-        settings_.peers.advertise or settings_.peers.listen,
-    )
-    keys = {key.name: key.raw for key in settings_.keys}
-    verify = functools.partial(_verify, keys)
-    return fleet.new_node(
-        me, incarnation, settings_.peers.seeds, verify, now, rng
-    )
-
-
-def _verify(keys: dict[str, bytes], envelope: bytes) -> bundles.Bundle:
-    return bundles.verify(envelope, keys).bundle
-
-
-def _new_slot(
-    settings_: settings.Settings,
-    incarnation: str,
-    clock: clocks.Clock,
-    bundle: typing.Callable[[], bundles.Bundle | None],
-    entrance: calls.Entrance,
-) -> _slots.Slot:
-    now = clock.monotonic()
-    owner = once.new_owner(
-        settings_.vm,
-        incarnation,
-        secrets.token_bytes(32),
-        MAX_TICKET_RECORDS,
-    )
-    return _slots.Slot(
-        service=settings_.service,
-        incarnation=incarnation,
-        clock=clock,
-        guard=load.new_guard(UNSET_SLOTS, now),
-        owner=owner,
-        upstream=upstreams.connect(settings_.upstream.url),
-        bundle=bundle,
-        floor_below=functools.partial(
-            _floor_below, settings_.service, entrance, bundle, clock
-        ),
-        pauses=calls.Pauses(now),
-    )
-
-
-def _floor_below(
-    service: str,
-    entrance: calls.Entrance,
-    bundle: typing.Callable[[], bundles.Bundle | None],
-    clock: clocks.Clock,
-    request_class: str,
-    tenant: str,
-) -> float:
-    current = bundle()
-    if current is None or service not in current.services:
-        return 0.0
-    now = clock.monotonic()
-    return calls.floor_below(
-        entrance, current, service, request_class, now, tenant
-    )
-
-
 def _callers_app(daemon: Daemon) -> typing.Any:
     return callers.create_app(
         functools.partial(_entrance.call, daemon.entry),
         functools.partial(_children.take, daemon.entry),
+        lambda: daemon.entry.leaving,
     )
 
 
--- a/src/sassafrasstair/runtime/_http.py
+++ b/src/sassafrasstair/runtime/_http.py
@@ -17,7 +17,8 @@
 
 BACKLOG = 2_048
 KEEPALIVE_SECONDS = 75
-START_POLL_SECONDS = 0.01
+POLL_SECONDS = 0.01
+FLUSH_SECONDS = 30.0
 
 
 class _Server(uvicorn.Server):
@@ -51,7 +52,7 @@
         tasks.append(asyncio.create_task(server.serve([listening])))
     while not all(server.started for server in servers):
         _raise_failure(tasks)
-        await asyncio.sleep(START_POLL_SECONDS)
+        await asyncio.sleep(POLL_SECONDS)
     return Http(tuple(servers), tuple(tasks))
 
 
@@ -59,7 +60,20 @@
     """Stop listening, finish the requests in flight, and return."""
     for server in http.servers:
         server.should_exit = True
+    flushing = asyncio.ensure_future(_force_when_answered(http))
     await asyncio.gather(*http.tasks)
+    flushing.cancel()
+
+
+async def _force_when_answered(http: Http) -> None:
+    # Failure: a caller that reads nothing more keeps its connection open,
+    # with an answer that was written, and the stop never ends. Once every
+    # request has been answered, such a connection gets a bounded time.
+    while any(server.server_state.tasks for server in http.servers):
+        await asyncio.sleep(POLL_SECONDS)
+    await asyncio.sleep(FLUSH_SECONDS)
+    for server in http.servers:
+        server.force_exit = True
 
 
 def _raise_failure(tasks: abc.Iterable[asyncio.Task[None]]) -> None:
@@ -92,5 +106,8 @@
         log_config=None,
         access_log=False,
         server_header=False,
+        # The upstream's own Date is passed on; two would differ.
+        date_header=False,
+        proxy_headers=False,
         timeout_keep_alive=KEEPALIVE_SECONDS,
     )
--- a/src/sassafrasstair/settings.py
+++ b/src/sassafrasstair/settings.py
@@ -49,8 +49,8 @@
     """
 
     listen: str
-    advertise: str | None = None
     seeds: tuple[str, ...] = ()
+    advertise: str | None = None
 
     def __post_init__(self) -> None:
         """Check the addresses."""
