--- a/src/sassafrasstair/daemons/_server.py
+++ b/src/sassafrasstair/daemons/_server.py
@@ -42,6 +42,7 @@
     unreadable: int = 0
     bytes_received: int = 0
     bytes_sent: int = 0
+    closing: bool = False
 
 
 def listen(address: str, handler: Handler) -> Server:
@@ -63,9 +64,12 @@
 
 async def close(server: Server) -> None:
     """Stop listening; exchanges in progress lose their reply."""
+    server.closing = True
     while server.tasks:
         # Again and again: pynng drops a cancellation that comes when its
-        # operation has just succeeded, and the stop would never end.
+        # operation has just succeeded, and the stop would never end. Under
+        # traffic each try may meet a message, so receivers look at the mark
+        # too.
         for task in server.tasks:
             task.cancel()
         await asyncio.wait(server.tasks, timeout=CLOSE_POLL_SECONDS)
@@ -86,8 +90,10 @@
     # waits for its timeout. So the count goes down however it ends.
     try:
         with server.socket.new_context() as context:
-            while server.idle <= 2 * IDLE_RECEIVERS:
+            while not server.closing and server.idle <= 2 * IDLE_RECEIVERS:
                 data = await context.arecv()
+                if server.closing:
+                    break
                 server.idle -= 1
                 try:
                     server.bytes_received += len(data)
