Order bundles by the digest of the signed text

Cause: the total order used a digest of the decoded bundle. Daemons of two releases, whose schema defaults differ, would settle two bundles of one version differently for good, and status showed another digest than approve printed. Ruled out: a digest of the envelope; two signatures under one text would make two bundles. Change: verify hands on the approved text's digest, and the place in the order is made of it.

--- a/src/sassafrasstair/bench/_capacity_bundles.py
+++ b/src/sassafrasstair/bench/_capacity_bundles.py
@@ -56,13 +56,13 @@
     return bundles.approve(text, _keys()[0], KEY_NAME)
 
 
-def verify(approved: bytes) -> bundles.Bundle:
+def verify(approved: bytes) -> bundles.Approved:
     """Return the bundle in ``approved``, its signature checked."""
-    return bundles.verify(approved, {KEY_NAME: _keys()[1]}).bundle
+    return bundles.verify(approved, {KEY_NAME: _keys()[1]})
 
 
 @functools.lru_cache(maxsize=64)
-def verify_once(approved: bytes) -> bundles.Bundle:
+def verify_once(approved: bytes) -> bundles.Approved:
     """Return what ``verify`` does, worked out once for a whole fleet."""
     return verify(approved)
 
--- a/src/sassafrasstair/bench/_capacity_fleets.py
+++ b/src/sassafrasstair/bench/_capacity_fleets.py
@@ -54,7 +54,7 @@
     lost.
     """
 
-    verify: abc.Callable[[bytes], bundles.Bundle]
+    verify: abc.Callable[[bytes], bundles.Approved]
     platform: _capacity_platform.Platform
     rng: random.Random
     loss: float = 0.0
--- a/src/sassafrasstair/bench/_capacity_warm.py
+++ b/src/sassafrasstair/bench/_capacity_warm.py
@@ -22,7 +22,7 @@
 def warm_node(
     records: list[fleet.Record],
     number: int,
-    verify: abc.Callable[[bytes], bundles.Bundle],
+    verify: abc.Callable[[bytes], bundles.Approved],
     approved: bytes,
 ) -> fleet.Node:
     """Return the state of one daemon that knows all of a quiet fleet."""
--- a/src/sassafrasstair/decisions/fleet/_nodes.py
+++ b/src/sassafrasstair/decisions/fleet/_nodes.py
@@ -30,7 +30,7 @@
     me: _messages.Record,
     incarnation: str,
     seeds: tuple[str, ...],
-    verify: abc.Callable[[bytes], bundles.Bundle],
+    verify: abc.Callable[[bytes], bundles.Approved],
     now: float,
     rng: random.Random,
 ) -> _states.Node:
--- a/src/sassafrasstair/decisions/fleet/_states.py
+++ b/src/sassafrasstair/decisions/fleet/_states.py
@@ -95,7 +95,7 @@
     me: _messages.Record
     incarnation: str
     seeds: tuple[str, ...]
-    verify: abc.Callable[[bytes], bundles.Bundle]
+    verify: abc.Callable[[bytes], bundles.Approved]
     started: float
     # Membership.
     revision: int = 0
--- a/src/sassafrasstair/decisions/fleet/_versions.py
+++ b/src/sassafrasstair/decisions/fleet/_versions.py
@@ -11,8 +11,6 @@
 import typing
 import zlib
 
-import msgspec
-
 from sassafrasstair import bundles
 from sassafrasstair.decisions.fleet import _effects
 from sassafrasstair.decisions.fleet import _messages
@@ -25,15 +23,18 @@
 DIGEST_BYTES = 16
 
 
-def bundle_id(bundle: bundles.Bundle) -> _messages.BundleId:
-    """Return the place of ``bundle`` in the total order.
+def bundle_id(approved: bundles.Approved) -> _messages.BundleId:
+    """Return the place of a bundle in the total order.
 
     The digest is of the payload and not of the envelope: two signatures
     under the same payload do not make two bundles.
     """
-    payload = msgspec.json.encode(bundle, order="sorted")
-    digest = hashlib.sha256(payload).digest()[:DIGEST_BYTES]
-    return _messages.BundleId(bundle.version, digest)
+    # Failure: while daemons are replaced by a newer release, old and new
+    # ones settle two bundles of one version differently for good. A digest
+    # of the decoded bundle depends on the release's defaults; that of the
+    # signed text does not.
+    digest = bytes.fromhex(approved.digest)[:DIGEST_BYTES]
+    return _messages.BundleId(approved.bundle.version, digest)
 
 
 def offered(
@@ -46,10 +47,11 @@
     if any(seal == held.seal for held in node.held.values()):
         return []
     try:
-        bundle = node.verify(envelope)
+        approved = node.verify(envelope)
     except bundles.BundleError as error:
         return _refuse(node, seal, str(error), source)
-    held = _states.Held(bundle_id(bundle), bundle, pack(envelope), seal)
+    place = bundle_id(approved)
+    held = _states.Held(place, approved.bundle, pack(envelope), seal)
     return _keep(node, held, source)
 
 
--- a/src/sassafrasstair/runtime/_parts.py
+++ b/src/sassafrasstair/runtime/_parts.py
@@ -64,12 +64,12 @@
     keys: dict[str, bytes],
     approvals: dict[bytes, tuple[str, ...]],
     envelope: bytes,
-) -> bundles.Bundle:
+) -> bundles.Approved:
     approved = bundles.verify(envelope, keys)
     if len(approvals) >= MAX_APPROVALS:
         del approvals[next(iter(approvals))]
     approvals[hashlib.sha256(envelope).digest()] = approved.approved_by
-    return approved.bundle
+    return approved
 
 
 def new_slot(
--- a/tests/decisions/fleet/conftest.py
+++ b/tests/decisions/fleet/conftest.py
@@ -39,9 +39,11 @@
     )
 
 
-def _verify(envelope: bytes) -> bundles.Bundle:
+def _verify(envelope: bytes) -> bundles.Approved:
+    digest = bundles.digest(envelope)
     try:
-        return msgspec.json.decode(envelope, type=bundles.Bundle)
+        bundle = msgspec.json.decode(envelope, type=bundles.Bundle)
+        return bundles.Approved(bundle, envelope, digest, ())
     except msgspec.MsgspecError as error:
         raise bundles.BundleError(
             bundles.Defect.BAD_VALUE, str(error)
@@ -72,7 +74,7 @@
 
 
 @pytest.fixture
-def verify() -> abc.Callable[[bytes], bundles.Bundle]:
+def verify() -> abc.Callable[[bytes], bundles.Approved]:
     return _verify
 
 
--- a/tests/decisions/fleet/test_members.py
+++ b/tests/decisions/fleet/test_members.py
@@ -112,7 +112,7 @@
 
 
 def test_rng_is_the_only_source_of_chance(
-    verify: abc.Callable[[bytes], bundles.Bundle],
+    verify: abc.Callable[[bytes], bundles.Approved],
 ) -> None:
     seen = []
     for _ in range(2):
@@ -123,7 +123,7 @@
 
 
 def test_what_rumours_missed_is_fetched(
-    node: fleet.Node, verify: abc.Callable[[bytes], bundles.Bundle]
+    node: fleet.Node, verify: abc.Callable[[bytes], bundles.Approved]
 ) -> None:
     """A rumour died out before it came here; tables differ for good.
 
--- a/tests/decisions/fleet/test_versions.py
+++ b/tests/decisions/fleet/test_versions.py
@@ -38,7 +38,7 @@
 def test_same_bundle_in_force_in_any_order(
     node: fleet.Node,
     make_bundle: Make,
-    verify: abc.Callable[[bytes], bundles.Bundle],
+    verify: abc.Callable[[bytes], bundles.Approved],
     offers: list[tuple[int, tuple[str, ...]]],
     expected: int,
     kept: set[int],
@@ -65,7 +65,7 @@
 def test_same_version_twice_is_settled_alike_and_reported(
     node: fleet.Node,
     make_bundle: Make,
-    verify: abc.Callable[[bytes], bundles.Bundle],
+    verify: abc.Callable[[bytes], bundles.Approved],
 ) -> None:
     """Two operators approve version 2 at once, with different payloads.
 
@@ -136,3 +136,21 @@
     assert asked in effects
     fleet.replied(node, "10.0.0.6:1", reply, 3.1, rng)
     assert asked not in fleet.handle(node, gossip, 4.0, rng)[1]
+
+
+def test_order_follows_the_signed_text(
+    make_bundle: Make,
+    verify: abc.Callable[[bytes], bundles.Approved],
+) -> None:
+    """Two halves of a mesh stay on different bundles of one version.
+
+    Two operators approved the same version; half of the daemons run a
+    newer release, whose schema has one more default. A digest of what they
+    decoded orders the two bundles differently in either half.
+    """
+    text = make_bundle(7)
+    wider = text.replace(b"{", b"{ ", 1)
+    for one in (text, wider):
+        place = fleet.bundle_id(verify(one))
+        assert bundles.digest(one).startswith(place.digest.hex())
+    assert fleet.bundle_id(verify(text)) != fleet.bundle_id(verify(wider))
--- a/tests/decisions/fleet/test_watch_start.py
+++ b/tests/decisions/fleet/test_watch_start.py
@@ -9,7 +9,7 @@
     from sassafrasstair import bundles
 
 
-def _refuse(envelope: bytes) -> bundles.Bundle:
+def _refuse(envelope: bytes) -> bundles.Approved:
     raise AssertionError("no bundle is offered here")
 
 
--- a/tests/fuzz/daemons.py
+++ b/tests/fuzz/daemons.py
@@ -46,7 +46,7 @@
             self.record,
             self.incarnation,
             worlds.VMS,
-            worlds.verify,
+            worlds.approved,
             now,
             self.rng,
         )
--- a/tests/fuzz/members.py
+++ b/tests/fuzz/members.py
@@ -5,12 +5,14 @@
 import functools
 import typing
 
+import msgspec
+
+from sassafrasstair import bundles
 from sassafrasstair.decisions import fleet
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
-    from sassafrasstair import bundles
     from tests.fuzz import daemons
 
 
@@ -103,13 +105,19 @@
     )
 
 
+def place(bundle: bundles.Bundle) -> fleet.BundleId:
+    text = msgspec.json.encode(bundle)
+    digest = bundles.digest(text)
+    return fleet.bundle_id(bundles.Approved(bundle, text, digest, ()))
+
+
 def take_in_force(daemon: daemons.Daemon, bundle: bundles.Bundle) -> None:
     before, daemon.bundle = daemon.bundle, bundle
-    place = fleet.bundle_id(bundle)
-    if before and fleet.bundle_id(before) >= place:
+    mine = place(bundle)
+    if before and place(before) >= mine:
         daemon.world.oracle.faults.append(f"{daemon.record.vm} reverted")
     calm = daemon.world.disturbed <= daemon.started
-    if not before and calm and daemon.known and place < daemon.known:
+    if not before and calm and daemon.known and mine < daemon.known:
         fault = f"{daemon.record.vm} brought back an older bundle"
         daemon.world.oracle.faults.append(fault)
     daemon.world.note(f"{daemon.record.vm} in force v{bundle.version}")
--- a/tests/fuzz/test_whole_system.py
+++ b/tests/fuzz/test_whole_system.py
@@ -12,9 +12,9 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from sassafrasstair.decisions import fleet
 from sassafrasstair import outcomes
 from tests.fuzz import daemons
+from tests.fuzz import members
 from tests.fuzz import upstreams
 from tests.fuzz import worlds
 
@@ -283,11 +283,11 @@
         world.run(STARTED_IN)
         self.publish("", rivals=False)
         world.run(IN_FORCE_IN)
-        wanted = fleet.bundle_id(worlds.verify(worlds.envelope(self.version)))
+        wanted = members.place(worlds.verify(worlds.envelope(self.version)))
         for vm, daemon in world.daemons.items():
             if daemon.alive:
                 assert daemon.bundle, f"{vm} has no bundle"
-                assert fleet.bundle_id(daemon.bundle) == wanted, vm
+                assert members.place(daemon.bundle) == wanted, vm
         for use in world.oracle.uses:
             answered = use.told or not use.open
             assert answered, f"{use.root} was never answered"
--- a/tests/fuzz/worlds.py
+++ b/tests/fuzz/worlds.py
@@ -20,6 +20,7 @@
 from sassafrasstair.bundles import _signatures
 from sassafrasstair.decisions import fleet
 from sassafrasstair import outcomes
+from tests.fuzz import members
 from tests.fuzz import upstreams
 
 if typing.TYPE_CHECKING:
@@ -70,9 +71,12 @@
 
 
 @functools.cache
+def approved(text: bytes) -> bundles.Approved:
+    return bundles.verify(text, {"op": _signatures.public_of(PRIVATE)})
+
+
 def verify(text: bytes) -> bundles.Bundle:
-    keys = {"op": _signatures.public_of(PRIVATE)}
-    return bundles.verify(text, keys).bundle
+    return approved(text).bundle
 
 
 @dataclasses.dataclass
@@ -308,7 +312,7 @@
             and one.alive
             and one.paused_until <= self.now
         ]
-        ids = [fleet.bundle_id(bundle) for bundle in peers if bundle]
+        ids = [members.place(bundle) for bundle in peers if bundle]
         return None if self.loss or self.late else max(ids, default=None)
 
     def _push(
