--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -11,6 +11,8 @@
 set -eu
 
 here=$(cd "$(dirname "$0")" && pwd)
+# shellcheck source=examples/lib.sh
+. "$here/lib.sh"
 work=$(mktemp -d "${TMPDIR:-/tmp}/sassafrasstair-demo.XXXXXX")
 host=127.0.0.1
 domains="pos-a pos-b arima"
@@ -27,17 +29,11 @@
 
 stop() {
     trap - EXIT INT TERM
-    for pid in $load $daemons $others; do
-        kill -TERM "$pid" 2>/dev/null || true
-    done
-    for pid in $load $daemons $others; do
-        wait "$pid" 2>/dev/null || true
-    done
+    # shellcheck disable=SC2086
+    end_processes $load $daemons $others
     rm -rf "$work"
 }
-trap stop EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
+stop_on_exit
 
 say() { printf '%s\n' "$*" >&2; }
 
@@ -48,17 +44,7 @@
 
 # --- Free ports, each used once. -------------------------------------------
 
-ports=$(python -c '
-import socket
-held = [socket.socket() for _ in range(64)]
-for one in held:
-    one.bind(("127.0.0.1", 0))
-print(*(one.getsockname()[1] for one in held))
-')
-next_port() {
-    port=${ports%% *}
-    ports=${ports#* }
-}
+pick_ports 64
 
 # --- The platform, with the operators' first bundle. ------------------------
 
--- a/examples/hop.sh
+++ b/examples/hop.sh
@@ -8,32 +8,21 @@
 set -eu
 
 here=$(cd "$(dirname "$0")" && pwd)
+# shellcheck source=examples/lib.sh
+. "$here/lib.sh"
 work=$(mktemp -d "${TMPDIR:-/tmp}/sassafrasstair-hop.XXXXXX")
 host=127.0.0.1
 started=""
 
 stop() {
     trap - EXIT INT TERM
-    for pid in $started; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in $started; do wait "$pid" 2>/dev/null || true; done
+    # shellcheck disable=SC2086
+    end_processes $started
     rm -rf "$work"
 }
-trap stop EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
+stop_on_exit
 
-set -- "$@" --
-ports=$(python -c '
-import socket
-held = [socket.socket() for _ in range(10)]
-for one in held:
-    one.bind(("127.0.0.1", 0))
-print(*(one.getsockname()[1] for one in held))
-')
-next_port() {
-    port=${ports%% *}
-    ports=${ports#* }
-}
+pick_ports 10
 
 next_port; platform=$host:$port
 next_port; control=$host:$port
@@ -100,11 +89,6 @@
     sleep 0.25
 done
 
-while [ "$1" != -- ]; do
-    set -- "$@" "$1"
-    shift
-done
-shift
 # shellcheck disable=SC2086
 sassafras-bench hop --direct "http://$target/work" \
     --through "http://$entrance/v1/call/back/work" --class measured \
--- a/examples/surge.sh
+++ b/examples/surge.sh
@@ -8,6 +8,8 @@
 set -eu
 
 here=$(cd "$(dirname "$0")" && pwd)
+# shellcheck source=examples/lib.sh
+. "$here/lib.sh"
 work=$(mktemp -d "${TMPDIR:-/tmp}/sassafrasstair-surge.XXXXXX")
 host=127.0.0.1
 domains="pos-a pos-b arima"
@@ -15,25 +17,13 @@
 
 stop() {
     trap - EXIT INT TERM
-    for pid in $started; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in $started; do wait "$pid" 2>/dev/null || true; done
+    # shellcheck disable=SC2086
+    end_processes $started
     rm -rf "$work"
 }
-trap stop EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
+stop_on_exit
 
-ports=$(python -c '
-import socket
-held = [socket.socket() for _ in range(12)]
-for one in held:
-    one.bind(("127.0.0.1", 0))
-print(*(one.getsockname()[1] for one in held))
-')
-next_port() {
-    port=${ports%% *}
-    ports=${ports#* }
-}
+pick_ports 12
 
 # The slots and times of demo.sh; $3 names what the service calls.
 start_service() {
@@ -69,8 +59,8 @@
     --mix accountant-report=3 --body stock-upload=200000 \
     --hasty 0.3 --tail 5 >"$work/none.out" 2>/dev/null || true
 [ -s "$work/none.out" ] || { echo "surge: no counts" >&2; exit 1; }
-for pid in $started; do kill -TERM "$pid" 2>/dev/null || true; done
-for pid in $started; do wait "$pid" 2>/dev/null || true; done
+# shellcheck disable=SC2086
+end_processes $started
 started=""
 
 chosen=0
