Keep a daemon's periodic steps going after a fault

Cause: found by reading: an exception in one tick ended its task unseen, so that queues would never expire or members never change while the daemon served on. Ruled out: stopping the daemon, which cuts work that other parts still carry. Change: one loop for all periodic steps that logs a fault and goes on; the review of idle links is a step of its own. Shown: test_periodic fails with the guard out (1 failed) and passes with it.

--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -36,6 +36,8 @@
 from sassafrasstair import upstreams
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from sassafrasstair import settings
 
 ACCEPT_SECONDS = 2.0
@@ -145,18 +147,31 @@
         service=chosen.service,
         incarnation=daemon.incarnation,
     )
-    beats = asyncio.create_task(_beat(daemon))
-    ticks = asyncio.create_task(_tick(daemon))
+    periodic = _start_periodic(daemon)
     await daemon.stopping.wait()
     await _leave(daemon)
     await _http.stop(http)
-    for task in (beats, ticks):
+    for task in periodic:
         task.cancel()
-    await asyncio.gather(beats, ticks, return_exceptions=True)
+    await asyncio.gather(*periodic, return_exceptions=True)
     await _close(daemon, server)
     logs.event(_LOG, logging.INFO, "stopped", vm=chosen.vm)
 
 
+def _start_periodic(daemon: Daemon) -> list[asyncio.Task[None]]:
+    steps: tuple[tuple[abc.Callable[[], None], float], ...] = (
+        (functools.partial(_beat, daemon), calls.BEAT_SECONDS),
+        (functools.partial(_tick, daemon), _control.TICK_SECONDS),
+        (
+            functools.partial(daemons.close_idle, daemon.links),
+            LINK_REVIEW_SECONDS,
+        ),
+    )
+    return [
+        asyncio.create_task(_repeat(step, period)) for step, period in steps
+    ]
+
+
 async def _close(daemon: Daemon, server: daemons.Server) -> None:
     await _control.close(daemon.control)
     await daemons.close_server(server)
@@ -182,28 +197,32 @@
         await asyncio.sleep(calls.BEAT_SECONDS)
 
 
-async def _beat(daemon: Daemon) -> None:
+async def _repeat(step: abc.Callable[[], None], period: float) -> None:
+    """Call ``step`` for ever, each ``period`` seconds."""
     while True:
-        now = daemon.clock.monotonic()
-        if calls.note_beat(daemon.slot.pauses, now):
-            gap = daemon.slot.pauses.gap
-            logs.event(_LOG, logging.WARNING, "woke_late", seconds=gap)
-        _slots.tick(daemon.slot)
-        _ping_ejected(daemon, now)
-        await asyncio.sleep(calls.BEAT_SECONDS)
+        try:
+            step()
+        except Exception:
+            # Failure: one fault ends the task unseen; the daemon serves on
+            # with queues that never expire and members that never change.
+            # The next call may go well, and the fault is in the log.
+            _LOG.exception("periodic_fault")
+        await asyncio.sleep(period)
 
 
-async def _tick(daemon: Daemon) -> None:
-    reviewed = daemon.clock.monotonic()
-    while True:
-        now = daemon.clock.monotonic()
-        _control.tick(daemon.control)
-        _follow_vm_list(daemon)
-        _status.update_gauges(daemon.metrics, daemon.entry)
-        if now - reviewed > LINK_REVIEW_SECONDS:
-            reviewed = now
-            daemons.close_idle(daemon.links)
-        await asyncio.sleep(_control.TICK_SECONDS)
+def _beat(daemon: Daemon) -> None:
+    now = daemon.clock.monotonic()
+    if calls.note_beat(daemon.slot.pauses, now):
+        gap = daemon.slot.pauses.gap
+        logs.event(_LOG, logging.WARNING, "woke_late", seconds=gap)
+    _slots.tick(daemon.slot)
+    _ping_ejected(daemon, now)
+
+
+def _tick(daemon: Daemon) -> None:
+    _control.tick(daemon.control)
+    _follow_vm_list(daemon)
+    _status.update_gauges(daemon.metrics, daemon.entry)
 
 
 def _follow_vm_list(daemon: Daemon) -> None:
