Name the settings file once in an error

Cause: trying the command as a new user would printed the path twice, since the error names it already.

--- a/src/sassafrasstair/console/daemon.py
+++ b/src/sassafrasstair/console/daemon.py
@@ -41,7 +41,7 @@
     try:
         settings = settings_module.load(path)
     except settings_module.SettingsError as error:
-        click.echo(f"{path}: {error}", err=True)
+        click.echo(str(error), err=True)
         sys.exit(EXIT_BAD_INPUT)
     if check:
         click.echo(f"{path}: ok")
