Decide in one place what a repeat of a ticket may be told

Cause: reading the whole change showed the rule twice: the entrance's decisions answer by the call's repeat, and the runtime applied the same rule again to their refusals with a field of its own. Change: the runtime's copy and its field are gone; a child call's first use already sets the repeat.

--- a/src/sassafrasstair/runtime/_entrance.py
+++ b/src/sassafrasstair/runtime/_entrance.py
@@ -89,14 +89,6 @@
     return refusal
 
 
-def _as_known(refusal: callers.Refusal, first_use: bool) -> callers.Refusal:
-    """Return what may be said of a request that no owner answered for."""
-    if first_use or refusal.outcome is not _Outcome.NOT_RUN:
-        return refusal
-    told = once.entrance_refusal(1, refusal.reason)
-    return dataclasses.replace(refusal, outcome=told.outcome)
-
-
 def _needs_child_ticket(ready: _entries.Ready) -> bool:
     rules = ready.bundle.classes[ready.call.request_class]
     return rules.once and ready.parent is not None
@@ -219,10 +211,7 @@
     if ready.owner is not None and reason is _Reason.NO_INSTANCE:
         reason = _Reason.OWNER_GONE
     after = _come_back(entry, ready, reason, effect.retry_after)
-    refusal = callers.Refusal(effect.outcome, reason, after)
-    if ready.owner is None or progress.answer is not None:
-        return refusal
-    return _as_known(refusal, ready.first_use)
+    return callers.Refusal(effect.outcome, reason, after)
 
 
 def _come_back(
--- a/src/sassafrasstair/runtime/_entries.py
+++ b/src/sassafrasstair/runtime/_entries.py
@@ -59,15 +59,12 @@
 
     ``parent`` is the attempt whose upstream made the call, if any.
     ``owner`` is set for once-only work: no other instance may run it.
-    ``first_use`` is false where the ticket was sent before, maybe through
-    another entrance: then only the owner can say "not run".
     """
 
     call: calls.Call
     bundle: bundles.Bundle
     parent: _attempts.Attempt | None
     owner: once.TicketName | None
-    first_use: bool = True
 
 
 def prepare(entry: Entry, request: callers.Request) -> Ready | callers.Refusal:
@@ -168,7 +165,7 @@
     )
     if not rules.once:
         return Ready(call, bundle, None, None)
-    return _with_owner(call, bundle, None, fields.repeat == 0)
+    return _with_owner(call, bundle, None)
 
 
 def _prepare_child(
@@ -206,17 +203,20 @@
 def with_child_ticket(
     ready: Ready, ticket: str, first_use: bool
 ) -> Ready | callers.Refusal:
-    """Return a child call of once-only work with its own ticket."""
+    """Return a child call of once-only work with its own ticket.
+
+    ``first_use`` is false where the ticket was sent before: then only the
+    owner can say "not run", which ``calls`` decides by the repeat.
+    """
     repeat = int(not first_use)
     call = dataclasses.replace(ready.call, ticket=ticket, repeat=repeat)
-    return _with_owner(call, ready.bundle, ready.parent, first_use)
+    return _with_owner(call, ready.bundle, ready.parent)
 
 
 def _with_owner(
     call: calls.Call,
     bundle: bundles.Bundle,
     parent: _attempts.Attempt | None,
-    first_use: bool,
 ) -> Ready | callers.Refusal:
     if not call.ticket:
         return _refuse(
@@ -236,7 +236,7 @@
             _Reason.TICKET_INVALID,
             f"the ticket is for {name.service}/{name.request_class}",
         )
-    return Ready(call, bundle, parent, name, first_use)
+    return Ready(call, bundle, parent, name)
 
 
 def _refuse(
