Name the configuration service's client for its peer

Cause: the package platform held the client of the product's own configuration service, and the adapter to the users' platform needs that name. Ruled out: a second name for the adapter, since the users name the folder. Change: a move to configservice and the names that follow, no behaviour. Result: ruff, flake8 and mypy clean, tests of configservice, runtime and standins pass.

--- a/src/sassafrasstair/platform/__init__.py
+++ b/src/sassafrasstair/configservice/__init__.py
@@ -6,15 +6,15 @@
 
 from __future__ import annotations
 
-from sassafrasstair.platform._client import Client
-from sassafrasstair.platform._client import MAX_VALUE_BYTES
-from sassafrasstair.platform._client import open_client
-from sassafrasstair.platform._client import Snapshot
-from sassafrasstair.platform._errors import PlatformError
-from sassafrasstair.platform._errors import Reason
-from sassafrasstair.platform._vms import decode_vms
-from sassafrasstair.platform._vms import VmEntry
-from sassafrasstair.platform._vms import VmState
+from sassafrasstair.configservice._client import Client
+from sassafrasstair.configservice._client import MAX_VALUE_BYTES
+from sassafrasstair.configservice._client import open_client
+from sassafrasstair.configservice._client import Snapshot
+from sassafrasstair.configservice._errors import PlatformError
+from sassafrasstair.configservice._errors import Reason
+from sassafrasstair.configservice._vms import decode_vms
+from sassafrasstair.configservice._vms import VmEntry
+from sassafrasstair.configservice._vms import VmState
 
 BUNDLES_PREFIX = "sassafrasstair/bundles/"
 BUNDLE_IN_FORCE_KEY = "sassafrasstair/bundles/all"
--- a/src/sassafrasstair/platform/_client.py
+++ b/src/sassafrasstair/configservice/_client.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 
-from sassafrasstair.platform import _errors
+from sassafrasstair.configservice import _errors
 
 if typing.TYPE_CHECKING:
     from collections import abc
--- a/src/sassafrasstair/platform/_vms.py
+++ b/src/sassafrasstair/configservice/_vms.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from sassafrasstair.platform import _errors
+from sassafrasstair.configservice import _errors
 
 VmState = typing.Literal["live", "leaving"]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
--- a/src/sassafrasstair/runtime/_control.py
+++ b/src/sassafrasstair/runtime/_control.py
@@ -12,10 +12,10 @@
 import typing
 
 from sassafrasstair import bundles
+from sassafrasstair import configservice
 from sassafrasstair import daemons
 from sassafrasstair.decisions import fleet
 from sassafrasstair import logs
-from sassafrasstair import platform
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -47,7 +47,7 @@
     rng: random.Random
     node: fleet.Node
     links: daemons.Links
-    client: platform.Client
+    client: configservice.Client
     adopted: abc.Callable[[bundles.Bundle], None]
     counts: metrics.Metrics
     approvals: dict[bytes, tuple[str, ...]]
@@ -194,16 +194,18 @@
         loop = asyncio.get_running_loop()
         control.watches += [
             loop.create_task(
-                _watch(control, platform.BUNDLES_PREFIX, _took_bundles)
+                _watch(control, configservice.BUNDLES_PREFIX, _took_bundles)
+            ),
+            loop.create_task(
+                _watch(control, configservice.VMS_KEY, _took_vms)
             ),
-            loop.create_task(_watch(control, platform.VMS_KEY, _took_vms)),
         ]
 
 
 async def _watch(
     control: Control,
     prefix: str,
-    took: abc.Callable[[Control, platform.Snapshot], None],
+    took: abc.Callable[[Control, configservice.Snapshot], None],
 ) -> None:
     index = 0
     while True:
@@ -212,7 +214,7 @@
             snapshot = await control.client.watch(prefix, index, WATCH_SECONDS)
             if snapshot.index != index:
                 took(control, snapshot)
-        except platform.PlatformError as error:
+        except configservice.PlatformError as error:
             # What changed while the watch was lost is unknown: index 0
             # makes the next one a read of the whole, after a spread delay.
             index = 0
@@ -233,10 +235,10 @@
     await asyncio.sleep(delay)
     try:
         control.counts.platform_read()
-        held = await control.client.read(platform.BUNDLES_PREFIX)
+        held = await control.client.read(configservice.BUNDLES_PREFIX)
         control.counts.platform_read()
-        vms = await control.client.read(platform.VMS_KEY)
-    except platform.PlatformError as error:
+        vms = await control.client.read(configservice.VMS_KEY)
+    except configservice.PlatformError as error:
         effects = _failure(control, error)
         apply(control, effects)
         return
@@ -245,7 +247,7 @@
     _took_bundles(control, held)
 
 
-def _took_bundles(control: Control, snapshot: platform.Snapshot) -> None:
+def _took_bundles(control: Control, snapshot: configservice.Snapshot) -> None:
     envelopes = list(snapshot.values.values())
     now = control.clock.monotonic()
     apply(
@@ -256,13 +258,13 @@
     )
 
 
-def _took_vms(control: Control, snapshot: platform.Snapshot) -> None:
-    raw = snapshot.values.get(platform.VMS_KEY)
+def _took_vms(control: Control, snapshot: configservice.Snapshot) -> None:
+    raw = snapshot.values.get(configservice.VMS_KEY)
     if raw is None:
         return
     try:
-        entries = platform.decode_vms(raw)
-    except platform.PlatformError as error:
+        entries = configservice.decode_vms(raw)
+    except configservice.PlatformError as error:
         logs.event(_LOG, logging.WARNING, "vm_list_refused", detail=str(error))
         return
     records = [
@@ -286,14 +288,14 @@
 
 
 def _failure(
-    control: Control, error: platform.PlatformError
+    control: Control, error: configservice.PlatformError
 ) -> list[fleet.Effect]:
     logs.event(_LOG, logging.WARNING, "platform_failed", detail=str(error))
     now = control.clock.monotonic()
     return fleet.platform_failed(control.node, now, control.rng)
 
 
-def _failed(control: Control, error: platform.PlatformError) -> float:
+def _failed(control: Control, error: configservice.PlatformError) -> float:
     """Report a lost watch; return the seconds until the next one."""
     delay = TICK_SECONDS
     for effect in _failure(control, error):
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -13,6 +13,7 @@
 from sassafrasstair import bundles
 from sassafrasstair import callers
 from sassafrasstair import clocks
+from sassafrasstair import configservice
 from sassafrasstair import daemons
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import fleet
@@ -21,7 +22,6 @@
 from sassafrasstair import logs
 from sassafrasstair import metrics
 from sassafrasstair import operators
-from sassafrasstair import platform
 from sassafrasstair.runtime import _bodies
 from sassafrasstair.runtime import _children
 from sassafrasstair.runtime import _control
@@ -102,7 +102,7 @@
         rng=rng,
         node=node,
         links=links,
-        client=platform.open_client(settings_.platform.urls),
+        client=configservice.open_client(settings_.platform.urls),
         adopted=functools.partial(_adopt, slot, counts),
         counts=counts,
         approvals=approvals,
--- a/src/sassafrasstair/standins/_platform.py
+++ b/src/sassafrasstair/standins/_platform.py
@@ -18,7 +18,7 @@
 from litestar import params
 import msgspec
 
-from sassafrasstair import platform
+from sassafrasstair import configservice
 from sassafrasstair.standins import _serving
 from sassafrasstair.standins import _store
 
@@ -93,7 +93,7 @@
         request: litestar.Request[typing.Any, typing.Any, typing.Any],
     ) -> None:
         value = await request.body()
-        if len(value) > platform.MAX_VALUE_BYTES:
+        if len(value) > configservice.MAX_VALUE_BYTES:
             raise exceptions.ClientException("value is over a megabyte")
         _put(state, key.lstrip("/"), value)
 
@@ -130,7 +130,7 @@
         handlers,
         openapi_config=None,
         logging_config=None,
-        request_max_body_size=2 * platform.MAX_VALUE_BYTES,
+        request_max_body_size=2 * configservice.MAX_VALUE_BYTES,
     )
 
 
@@ -148,7 +148,7 @@
 
 
 def _put(state: Platform, key: str, value: bytes) -> None:
-    if key != platform.VMS_KEY or state.lag <= 0:
+    if key != configservice.VMS_KEY or state.lag <= 0:
         _store.put(state.store, key, value)
         return
     state.vms_written += 1
@@ -161,7 +161,7 @@
     # after a newer one. An older one is dropped.
     if written > state.vms_shown:
         state.vms_shown = written
-        _store.put(state.store, platform.VMS_KEY, value)
+        _store.put(state.store, configservice.VMS_KEY, value)
 
 
 def _count(state: Platform) -> None:
--- a/tests/platform/test_client.py
+++ b/tests/configservice/test_client.py
@@ -11,12 +11,12 @@
 from aiohttp import client_reqrep
 import pytest
 
-from sassafrasstair import platform
+from sassafrasstair import configservice
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
-PREFIX = platform.BUNDLES_PREFIX
+PREFIX = configservice.BUNDLES_PREFIX
 URLS = ("http://127.0.0.1:1", "http://127.0.0.1:2")
 
 
@@ -66,9 +66,9 @@
 
 def _watch(
     replies: dict[int, _Reply | Exception], index: int = 5
-) -> platform.Snapshot:
+) -> configservice.Snapshot:
     http = typing.cast("aiohttp.ClientSession", _Http(replies))
-    client = platform.Client(http, URLS)
+    client = configservice.Client(http, URLS)
     return asyncio.run(client.watch(PREFIX, index, 0.1))
 
 
@@ -81,12 +81,12 @@
 
 def test_values_are_decoded() -> None:
     snapshot = _watch({1: _reply(body=_pairs(b"one"))})
-    assert snapshot == platform.Snapshot(7, {PREFIX + "all": b"one"})
+    assert snapshot == configservice.Snapshot(7, {PREFIX + "all": b"one"})
 
 
 def test_no_key_is_an_empty_snapshot() -> None:
     snapshot = _watch({1: _reply(404, b"", "6")})
-    assert snapshot == platform.Snapshot(6, {})
+    assert snapshot == configservice.Snapshot(6, {})
 
 
 def test_second_address_answers_for_a_dead_first() -> None:
@@ -109,24 +109,30 @@
 @pytest.mark.parametrize(
     ("reply", "reason"),
     [
-        (_reply(500), platform.Reason.BAD_STATUS),
-        (_reply(index="x"), platform.Reason.MALFORMED),
-        (_reply(index=""), platform.Reason.MALFORMED),
-        (_reply(body=b'[{"Key"'), platform.Reason.MALFORMED),
+        (_reply(500), configservice.Reason.BAD_STATUS),
+        (_reply(index="x"), configservice.Reason.MALFORMED),
+        (_reply(index=""), configservice.Reason.MALFORMED),
+        (_reply(body=b'[{"Key"'), configservice.Reason.MALFORMED),
         (
             _reply(body=b'[{"Key": "a", "Value": "%"}]'),
-            platform.Reason.MALFORMED,
+            configservice.Reason.MALFORMED,
+        ),
+        (
+            _reply(body=_pairs(bytes(1_000_001))),
+            configservice.Reason.TOO_LARGE,
+        ),
+        (_reply(body=bytes(6_000_001)), configservice.Reason.TOO_LARGE),
+        (aiohttp.SocketTimeoutError("late"), configservice.Reason.TIMEOUT),
+        (_refused(), configservice.Reason.UNREACHABLE),
+        (
+            aiohttp.ServerDisconnectedError("cut"),
+            configservice.Reason.CUT_SHORT,
         ),
-        (_reply(body=_pairs(bytes(1_000_001))), platform.Reason.TOO_LARGE),
-        (_reply(body=bytes(6_000_001)), platform.Reason.TOO_LARGE),
-        (aiohttp.SocketTimeoutError("late"), platform.Reason.TIMEOUT),
-        (_refused(), platform.Reason.UNREACHABLE),
-        (aiohttp.ServerDisconnectedError("cut"), platform.Reason.CUT_SHORT),
     ],
 )
 def test_refusal_is_whole_and_has_a_reason(
-    reply: _Reply | Exception, reason: platform.Reason
+    reply: _Reply | Exception, reason: configservice.Reason
 ) -> None:
-    with pytest.raises(platform.PlatformError) as caught:
+    with pytest.raises(configservice.PlatformError) as caught:
         _watch({1: reply, 2: reply})
     assert caught.value.reason is reason
--- a/tests/platform/test_vms.py
+++ b/tests/configservice/test_vms.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sassafrasstair import platform
+from sassafrasstair import configservice
 
 GOOD = {
     "vm": "ledger-1",
@@ -18,8 +18,8 @@
 
 
 def test_list_is_decoded() -> None:
-    (entry,) = platform.decode_vms(json.dumps([GOOD]).encode())
-    assert entry == platform.VmEntry(**typing.cast("typing.Any", GOOD))
+    (entry,) = configservice.decode_vms(json.dumps([GOOD]).encode())
+    assert entry == configservice.VmEntry(**typing.cast("typing.Any", GOOD))
 
 
 @pytest.mark.parametrize(
@@ -39,11 +39,11 @@
     change: dict[str, str],
 ) -> None:
     entries = [{**GOOD, "vm": "ledger-0"}, {**GOOD, **change}]
-    with pytest.raises(platform.PlatformError) as caught:
-        platform.decode_vms(json.dumps(entries).encode())
-    assert caught.value.reason is platform.Reason.MALFORMED
+    with pytest.raises(configservice.PlatformError) as caught:
+        configservice.decode_vms(json.dumps(entries).encode())
+    assert caught.value.reason is configservice.Reason.MALFORMED
 
 
 def test_cut_list_is_refused() -> None:
-    with pytest.raises(platform.PlatformError):
-        platform.decode_vms(json.dumps([GOOD]).encode()[:-3])
+    with pytest.raises(configservice.PlatformError):
+        configservice.decode_vms(json.dumps([GOOD]).encode()[:-3])
--- a/tests/processes/mesh.py
+++ b/tests/processes/mesh.py
@@ -16,7 +16,7 @@
 import typing
 
 from sassafrasstair import bundles
-from sassafrasstair import platform
+from sassafrasstair import configservice
 from sassafrasstair.standins import _answers
 from sassafrasstair.standins import _http
 
@@ -184,7 +184,7 @@
             }
             for vm in self.vms
         ]
-        path = f"/keys/{platform.VMS_KEY}"
+        path = f"/keys/{configservice.VMS_KEY}"
         body = json.dumps(entries).encode()
         return await self.ask("PUT", self.control, path, body)
 
@@ -204,7 +204,7 @@
         envelope = bundles.approve(
             json.dumps(payload).encode(), self.private, "ops-1"
         )
-        path = f"/keys/{platform.BUNDLE_IN_FORCE_KEY}"
+        path = f"/keys/{configservice.BUNDLE_IN_FORCE_KEY}"
         assert await self.ask("PUT", self.control, path, envelope)
 
     async def status(self, vm: Vm) -> dict[str, typing.Any]:
--- a/tests/runtime/meshes.py
+++ b/tests/runtime/meshes.py
@@ -15,7 +15,7 @@
 
 from sassafrasstair import bundles
 from sassafrasstair import clocks
-from sassafrasstair import platform
+from sassafrasstair import configservice
 from sassafrasstair import runtime
 from sassafrasstair.runtime import _control
 from sassafrasstair import settings
@@ -161,23 +161,23 @@
         ]
         payload = json.dumps(DOCUMENT).encode()
         self._values = {
-            platform.BUNDLE_IN_FORCE_KEY: bundles.approve(
+            configservice.BUNDLE_IN_FORCE_KEY: bundles.approve(
                 payload, PRIVATE, "ops-1"
             ),
-            platform.VMS_KEY: json.dumps(entries).encode(),
+            configservice.VMS_KEY: json.dumps(entries).encode(),
         }
 
-    async def read(self, prefix: str) -> platform.Snapshot:
+    async def read(self, prefix: str) -> configservice.Snapshot:
         found = {
             key: value
             for key, value in self._values.items()
             if key.startswith(prefix)
         }
-        return platform.Snapshot(1, found)
+        return configservice.Snapshot(1, found)
 
     async def watch(
         self, prefix: str, index: int, wait: float
-    ) -> platform.Snapshot:
+    ) -> configservice.Snapshot:
         await asyncio.sleep(wait)
         return await self.read(prefix)
 
@@ -207,15 +207,15 @@
     daemon.control.node.settled = True
     await daemon.control.client.close()
     fake = _Platform(ports)
-    daemon.control.client = typing.cast("platform.Client", fake)
+    daemon.control.client = typing.cast("configservice.Client", fake)
     return daemon
 
 
 async def _feed(control: _control.Control) -> None:
     """Tell the platform's state at once: daemons spread their reads."""
     for prefix, took in (
-        (platform.VMS_KEY, _control._took_vms),
-        (platform.BUNDLES_PREFIX, _control._took_bundles),
+        (configservice.VMS_KEY, _control._took_vms),
+        (configservice.BUNDLES_PREFIX, _control._took_bundles),
     ):
         took(control, await control.client.read(prefix))
 
--- a/tests/runtime/test_status.py
+++ b/tests/runtime/test_status.py
@@ -6,8 +6,8 @@
 from aiohttp import web
 
 from sassafrasstair import bundles
+from sassafrasstair import configservice
 from sassafrasstair import metrics
-from sassafrasstair import platform
 from sassafrasstair.runtime import _control
 from sassafrasstair.runtime import _status
 from tests.runtime import meshes
@@ -26,7 +26,7 @@
                 json.dumps(older).encode(), meshes.PRIVATE, "ops-1"
             )
             values = {"bundles/a": b"{}", "bundles/b": envelope}
-            offered = platform.Snapshot(2, values)
+            offered = configservice.Snapshot(2, values)
             _control._took_bundles(control, offered)
             _control._took_bundles(control, offered)
             async with mesh.call("none") as answer:
--- a/tests/standins/test_platform_standin.py
+++ b/tests/standins/test_platform_standin.py
@@ -6,20 +6,20 @@
 import httpx
 import pytest
 
-from sassafrasstair import platform
+from sassafrasstair import configservice
 from sassafrasstair.standins import _platform
 from sassafrasstair.standins import _serving
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
-KEY = platform.BUNDLE_IN_FORCE_KEY
-PREFIX = platform.BUNDLES_PREFIX
+KEY = configservice.BUNDLE_IN_FORCE_KEY
+PREFIX = configservice.BUNDLES_PREFIX
 WAIT_SECONDS = 5.0
 
 
 class Pair(typing.NamedTuple):
-    client: platform.Client
+    client: configservice.Client
     control: httpx.AsyncClient
 
     async def publish(self, key: str, value: bytes) -> None:
@@ -44,7 +44,7 @@
         )
         await readers.start()
         await controls.start()
-        client = platform.open_client([f"http://{listen}"])
+        client = configservice.open_client([f"http://{listen}"])
         http = httpx.AsyncClient(base_url=f"http://{control}")
         async with asyncio.timeout(20), http:
             await story(Pair(client, http))
@@ -65,7 +65,7 @@
             pair.client.watch(PREFIX, first.index, WAIT_SECONDS)
         )
         await pair.until_waiting()
-        await pair.publish(platform.VMS_KEY, b"[]")
+        await pair.publish(configservice.VMS_KEY, b"[]")
         await pair.publish(KEY, b"one")
         second = await watch
         assert second.values == {KEY: b"one"}
@@ -84,7 +84,7 @@
         new = await pair.client.read(PREFIX)
         await pair.control.post("/stale", params={"back": 1})
         old = await pair.client.watch(PREFIX, new.index, 0.05)
-        assert old == platform.Snapshot(0, {KEY: b"one"})
+        assert old == configservice.Snapshot(0, {KEY: b"one"})
         await pair.control.post("/back")
         assert await pair.client.read(PREFIX) == new
 
@@ -102,11 +102,11 @@
         )
         await pair.until_waiting()
         await pair.control.post("/down")
-        with pytest.raises(platform.PlatformError):
+        with pytest.raises(configservice.PlatformError):
             await watch
-        with pytest.raises(platform.PlatformError) as caught:
+        with pytest.raises(configservice.PlatformError) as caught:
             await pair.client.read(PREFIX)
-        assert caught.value.reason is platform.Reason.UNREACHABLE
+        assert caught.value.reason is configservice.Reason.UNREACHABLE
         await pair.control.post("/back")
         assert (await pair.client.read(PREFIX)).values == {KEY: b"one"}
 
@@ -124,12 +124,12 @@
 
     async def story(pair: Pair) -> None:
         await pair.control.post("/lag", params={"ms": 100})
-        await pair.publish(platform.VMS_KEY, b"[1]")
+        await pair.publish(configservice.VMS_KEY, b"[1]")
         await pair.control.post("/lag", params={"ms": 1})
-        await pair.publish(platform.VMS_KEY, b"[2]")
-        seen = await pair.client.watch(platform.VMS_KEY, 1, WAIT_SECONDS)
-        assert seen.values == {platform.VMS_KEY: b"[2]"}
-        late = await pair.client.watch(platform.VMS_KEY, seen.index, 0.3)
+        await pair.publish(configservice.VMS_KEY, b"[2]")
+        seen = await pair.client.watch(configservice.VMS_KEY, 1, WAIT_SECONDS)
+        assert seen.values == {configservice.VMS_KEY: b"[2]"}
+        late = await pair.client.watch(configservice.VMS_KEY, seen.index, 0.3)
         assert late == seen
 
     _run(story, free_port)
