Prove the path of a request through two daemons

Change: a small place of daemons, scripted upstreams and one store in one loop, and tables of what an instance, a client and the store may do. Ruled out: mocks of the sockets, since most of the faults lie there.

--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -42,7 +42,7 @@
 """A tick that is later than this was held up by the machine."""
 
 
-class _Running:
+class Running:
     """A daemon with its listeners, and what its stop waits for."""
 
     def __init__(self, daemon: _state.Daemon) -> None:
@@ -82,8 +82,8 @@
     daemon = _state.new_daemon(
         dialect, settings, clock, random.Random(seed), journal
     )
-    running = _Running(daemon)
-    await _open(running)
+    running = Running(daemon)
+    await open_listeners(running)
     loop = asyncio.get_running_loop()
     # A second signal changes nothing: it must not cut requests.
     loop.add_signal_handler(signal.SIGTERM, running.stopping.set)
@@ -92,14 +92,21 @@
     journal.note(
         "started", vm=settings.vm, service=settings.service, seed=seed
     )
+    start(running)
+    await running.stopping.wait()
+    await stop(running)
+
+
+def start(running: Running) -> None:
+    """Begin to follow the store and the periodic work."""
+    daemon = running.daemon
     _state.start_task(daemon, _sync.follow(daemon))
     _state.start_task(daemon, _sync.ask_peers(daemon))
     _state.start_task(daemon, _tick_forever(running))
-    await running.stopping.wait()
-    await _stop(running)
 
 
-async def _open(running: _Running) -> None:
+async def open_listeners(running: Running) -> None:
+    """Listen on the addresses of the settings; raises ``OSError``."""
     settings = running.daemon.settings
     at = settings.callers
     await running.callers.open(at.host, at.port)
@@ -165,7 +172,7 @@
     }
 
 
-async def _tick_forever(running: _Running) -> None:
+async def _tick_forever(running: Running) -> None:
     count = 0
     while True:
         await asyncio.sleep(TICK_SECONDS)
@@ -179,7 +186,7 @@
             running.daemon.journal.note("tick_failed", error=repr(error))
 
 
-def _tick(running: _Running, count: int) -> None:
+def _tick(running: Running, count: int) -> None:
     daemon = running.daemon
     now = daemon.clock.monotonic()
     late = now - running.ticked - TICK_SECONDS
@@ -206,7 +213,7 @@
         _reload(running)
 
 
-def _use_limits(running: _Running) -> None:
+def _use_limits(running: Running) -> None:
     """Apply what the policy in force lets clients send."""
     table = running.daemon.view.table
     if table is None or table.policy.version == running.policy_version:
@@ -224,7 +231,7 @@
     )
 
 
-def _reload(running: _Running) -> None:
+def _reload(running: Running) -> None:
     """Read the settings again; bad ones change nothing."""
     daemon = running.daemon
     running.mark = daemon.dialect.settings_mark()
@@ -239,7 +246,7 @@
         _state.use_settings(daemon, settings)
 
 
-async def _stop(running: _Running) -> None:
+async def stop(running: Running) -> None:
     """End in order: no cut request, no answer made up while one comes."""
     daemon = running.daemon
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/forwarding/place.py
@@ -0,0 +1,368 @@
+"""A small place for daemons in one loop: store, upstreams and clients.
+
+Each host is an address of the loopback network; upstreams do what a test's
+script says.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import socket
+import typing
+
+from sassafrasstair import clocks
+from sassafrasstair.decisions import policies
+from sassafrasstair.decisions import requests
+from sassafrasstair.decisions import views
+from sassafrasstair import forwarding
+from sassafrasstair.forwarding import _daemon
+from sassafrasstair.forwarding import _events
+from sassafrasstair.forwarding import _state
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+NAMES = forwarding.Names(
+    request_id=b"X-Request",
+    deadline_ms=b"X-Deadline-Ms",
+    target=b"X-Target",
+    caller=b"X-Caller",
+    signature=b"X-Signature",
+    not_run=b"X-Not-Run",
+)
+LIMITS = policies.ClientLimits(4096, 1_000_000, 2.0, 10.0)
+GRACE = 2.0
+
+
+def route(
+    prefix: str,
+    service: str,
+    idempotent: bool = True,
+    timeout: float = 2.0,
+    attempts_max: int = 2,
+) -> policies.Route:
+    """Return a route of ``a.example`` to one service."""
+    share = policies.Share(service, 1.0)
+    return policies.Route(
+        prefix.strip("/"),
+        "a.example",
+        prefix,
+        idempotent,
+        timeout,
+        timeout / 2,
+        5,
+        attempts_max,
+        (share,),
+    )
+
+
+class Source:
+    """A store that a test changes, and that can be away for some hosts."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, views.Change] = {}
+        self.log: list[tuple[int, views.Change]] = []
+        self.revision = 1
+        self.away: set[str] = set()
+        self.changed = asyncio.Event()
+
+    def put(self, key: str, change: views.Change) -> None:
+        """Write one item."""
+        self.revision += 1
+        self.items[key] = change
+        self.log.append((self.revision, change))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def remove(self, key: str) -> None:
+        """Remove one instance."""
+        self.revision += 1
+        del self.items[key]
+        self.log.append((self.revision, views.Removed(key)))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class _View:
+    """The store as one host sees it."""
+
+    def __init__(self, source: Source, host: str) -> None:
+        self._source = source
+        self._host = host
+
+    async def read(self) -> forwarding.Reading:
+        self._check()
+        revision = self._source.revision
+        items = tuple(self._source.items.values())
+        return forwarding.Reading(items, revision, revision, True)
+
+    async def watch(self, after: int, wait: float) -> forwarding.Reading:
+        self._check()
+        while True:
+            new = [(r, c) for r, c in self._source.log if r > after]
+            if new:
+                break
+            await self._source.changed.wait()
+            self._check()
+        changes = tuple(change for _, change in new)
+        return forwarding.Reading(
+            changes, self._source.revision, new[-1][0], False
+        )
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+    def _check(self) -> None:
+        if self._host in self._source.away:
+            raise forwarding.SourceError(
+                forwarding.SourceReason.UNREACHABLE, self._host
+            )
+
+
+class Dialect:
+    """Names and settings of one host of the place."""
+
+    names = NAMES
+    ready_path = b"/ready"
+
+    def __init__(self, place: Place, host: str, service: str) -> None:
+        self._place = place
+        self._host = host
+        self._service = service
+
+    def settings(self) -> forwarding.Settings:
+        ports = self._place.ports
+
+        def at(port: int) -> forwarding.Address:
+            return forwarding.Address(self._host, port)
+
+        return forwarding.Settings(
+            vm=self._host,
+            service=self._service,
+            failure_domain="d",
+            regions={"d": "r"},
+            callers=at(ports[0]),
+            daemons=at(ports[1]),
+            operators=at(ports[2]),
+            metrics=at(ports[2]),
+            seeding=None,
+            seeds=self._place.seeds,
+            upstream=at(ports[3]),
+            store=at(1),
+            memory_bytes=100_000_000,
+            bounds=forwarding.Bounds(
+                2.0, GRACE, requests.BudgetRules(0.2, 400.0, 10.0)
+            ),
+        )
+
+    def settings_mark(self) -> object:
+        return 0
+
+    def source(
+        self, settings: forwarding.Settings, clock: clocks.Clock
+    ) -> forwarding.Source:
+        return _View(self._place.source, self._host)
+
+
+@dataclasses.dataclass
+class Got:
+    """What an upstream got: the request's head, fields and body."""
+
+    line: bytes
+    fields: dict[bytes, bytes]
+    body: bytes
+    cut: asyncio.Event
+
+
+Script = typing.Callable[[Got, asyncio.StreamWriter], "abc.Awaitable[None]"]
+
+
+async def answer(got: Got, writer: asyncio.StreamWriter) -> None:
+    """Answer as a sound instance does."""
+    writer.write(signed(got, b"whole"))
+
+
+def signed(got: Got, body: bytes, status: bytes = b"200 OK") -> bytes:
+    """Return an instance's whole answer."""
+    return (
+        b"HTTP/1.1 %s\r\nX-Request: %s\r\nX-Signature: s\r\n"
+        b"Content-Length: %d\r\n\r\n%s"
+        % (status, got.fields[b"x-request"], len(body), body)
+    )
+
+
+class Upstream:
+    """An instance that answers as its script says."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.got: list[Got] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+                return
+            line, _, rest = head.partition(b"\r\n")
+            fields = {}
+            for field in rest.strip().split(b"\r\n"):
+                name, _, value = field.partition(b":")
+                fields[name.strip().lower()] = value.strip()
+            size = int(fields.get(b"content-length", b"0"))
+            body = await reader.readexactly(size)
+            got = Got(line, fields, body, asyncio.Event())
+            self.got.append(got)
+            await self._run(got, reader, writer)
+
+    async def _run(
+        self,
+        got: Got,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        script = asyncio.ensure_future(self.script(got, writer))
+        while not script.done():
+            await asyncio.wait([script], timeout=0.01)
+            if reader.at_eof() or reader.exception():
+                got.cut.set()
+                script.cancel()
+                return
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a client got; status 0 when the connection just ended."""
+
+    status: int
+    fields: dict[bytes, bytes]
+    body: bytes
+    seconds: float
+
+
+class Place:
+    """Hosts with a daemon and an upstream each, and one store."""
+
+    def __init__(self) -> None:
+        self.source = Source()
+        self.ports = _free_ports(4)
+        self.seeds: tuple[forwarding.Address, ...] = ()
+        self.daemons: dict[str, _daemon.Running] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.lines: list[bytes] = []
+        self._serial = 0
+
+    async def upstream(
+        self, host: str, service: str, script: Script = answer, slots: int = 8
+    ) -> Upstream:
+        """Start an instance and write its entry."""
+        made = Upstream(script)
+        await asyncio.start_server(made.serve, host, self.ports[3])
+        self.upstreams[host] = made
+        self.entry(host, service, slots=slots)
+        return made
+
+    def entry(
+        self,
+        host: str,
+        service: str,
+        state: views.InstanceState = views.InstanceState.READY,
+        slots: int = 8,
+    ) -> None:
+        """Write the entry of the instance on a host."""
+        key = f"i-{host}"
+        self.source.put(
+            key,
+            views.Instance(key, service, host, "d", "r", slots, state, 0.0),
+        )
+
+    def policy(self, version: int, *routes: policies.Route) -> None:
+        """Put a policy in force."""
+        self.source.put("policy", policies.Policy(version, routes, LIMITS))
+
+    async def daemon(self, host: str, service: str) -> _daemon.Running:
+        """Start a daemon and wait until it knows what the store holds."""
+        dialect = Dialect(self, host, service)
+        journal = _events.Journal(self._take_line)
+        journal.attach()
+        made = _state.new_daemon(
+            dialect,
+            dialect.settings(),
+            clocks.SystemClock(),
+            random.Random(1),
+            journal,
+        )
+        running = _daemon.Running(made)
+        await _daemon.open_listeners(running)
+        _daemon.start(running)
+        self.daemons[host] = running
+        return running
+
+    async def knows(self, *hosts: str) -> None:
+        """Wait until the daemons know all that the store holds."""
+        for host in hosts:
+            view = self.daemons[host].daemon.view
+            while view.revision < self.source.revision:
+                await asyncio.sleep(0.005)
+
+    async def call(
+        self,
+        host: str,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        deadline_ms: int = 4000,
+        headers: bytes = b"",
+    ) -> Answer:
+        """Send one request to a daemon on a connection of its own."""
+        self._serial += 1
+        reader, writer = await asyncio.open_connection(host, self.ports[0])
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
+            f"X-Request: r{self._serial}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
+            f"Content-Length: {len(body)}\r\n"
+        ).encode()
+        begun = asyncio.get_running_loop().time()
+        writer.write(head + headers + b"\r\n" + body)
+        try:
+            return await _read_answer(reader, begun)
+        finally:
+            writer.close()
+
+    def _take_line(self, data: bytes) -> int:
+        self.lines.append(data)
+        return len(data)
+
+
+async def _read_answer(reader: asyncio.StreamReader, begun: float) -> Answer:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Answer(0, {}, b"", _since(begun))
+    line, _, rest = head.partition(b"\r\n")
+    fields = {}
+    for field in rest.strip().split(b"\r\n"):
+        name, _, value = field.partition(b":")
+        fields[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(fields[b"content-length"]))
+    return Answer(int(line.split(b" ")[1]), fields, body, _since(begun))
+
+
+def _since(begun: float) -> float:
+    return asyncio.get_running_loop().time() - begun
+
+
+def _free_ports(count: int) -> list[int]:
+    held = [socket.socket() for _ in range(count)]
+    for one in held:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in held]
+    for one in held:
+        one.close()
+    return ports
--- /dev/null
+++ b/tests/forwarding/test_path.py
@@ -0,0 +1,338 @@
+"""The path of a request through two daemons, with sound and odd instances."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import pytest
+
+from sassafrasstair.decisions import views
+from sassafrasstair import forwarding
+from sassafrasstair.forwarding import _daemon
+from tests.forwarding import place
+
+A = "127.0.0.11"
+B = "127.0.0.12"
+C = "127.0.0.13"
+
+
+def run(test: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+    """Run a test in a loop of its own, with an end in any case."""
+
+    async def bounded() -> None:
+        await asyncio.wait_for(test, 20.0)
+
+    asyncio.run(bounded())
+
+
+async def _world(
+    script: place.Script = place.answer,
+    idempotent: bool = True,
+    timeout: float = 2.0,
+    slots: int = 8,
+) -> place.Place:
+    """Return a client's VM A, and an instance of ``s`` on B."""
+    world = place.Place()
+    world.policy(3, place.route("/s/", "s", idempotent, timeout))
+    await world.upstream(B, "s", script, slots)
+    await world.daemon(A, "front")
+    await world.daemon(B, "s")
+    await world.knows(A, B)
+    return world
+
+
+async def refuse(got: place.Got, writer: asyncio.StreamWriter) -> None:
+    writer.write(
+        b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+
+
+async def fail(got: place.Got, writer: asyncio.StreamWriter) -> None:
+    writer.write(place.signed(got, b"bad", b"500 Internal Server Error"))
+
+
+async def unsigned(got: place.Got, writer: asyncio.StreamWriter) -> None:
+    whole = place.signed(got, b"x")
+    writer.write(whole.replace(b"X-Signature: s\r\n", b""))
+
+
+async def of_another(got: place.Got, writer: asyncio.StreamWriter) -> None:
+    whole = place.signed(got, b"x")
+    writer.write(whole.replace(got.fields[b"x-request"], b"other"))
+    writer.close()
+
+
+async def cut_short(got: place.Got, writer: asyncio.StreamWriter) -> None:
+    writer.write(place.signed(got, b"whole")[:-1])
+    writer.close()
+
+
+async def lose(got: place.Got, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+async def hang(got: place.Got, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(60.0)
+
+
+async def other_instance(got: place.Got, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
+
+
+@pytest.mark.parametrize("host", [A, B])
+def test_answer_is_the_instances_own(host: str) -> None:
+    """Also when the instance is on the client's own VM."""
+
+    async def test() -> None:
+        world = await _world()
+        got = await world.call(host, "/s/a%20b?q", "POST", b"body")
+        assert (got.status, got.body) == (200, b"whole")
+        assert got.fields[b"x-signature"] == b"s"
+        (seen,) = world.upstreams[B].got
+        assert seen.line == b"POST /s/a%20b?q HTTP/1.1"
+        assert seen.body == b"body"
+        assert seen.fields[b"x-target"] == f"i-{B}".encode()
+        assert seen.fields[b"host"] == b"a.example"
+
+    run(test())
+
+
+def test_caller_deadline_and_target_are_the_systems() -> None:
+    """A client names another service, instance and a list of hops.
+
+    An instance that believed it would serve the wrong caller.
+    """
+
+    async def test() -> None:
+        world = await _world()
+        forged = (
+            b"X-Caller: boss\r\nX-Target: i-1\r\nX-Hop: 1\r\n"
+            b"Connection: X-Hop, keep-alive\r\nAccept: a;q=1\r\n"
+        )
+        await world.call(A, "/s/", headers=forged, deadline_ms=900)
+        fields = world.upstreams[B].got[0].fields
+        assert fields[b"x-caller"] == b"front"
+        assert fields[b"x-target"] == f"i-{B}".encode()
+        assert 700 < int(fields[b"x-deadline-ms"]) <= 900
+        assert fields[b"accept"] == b"a;q=1"
+        assert b"x-hop" not in fields
+        assert b"accept-encoding" not in fields
+        assert not any(name.startswith(b"sassafras") for name in fields)
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("script", "idempotent", "status"),
+    [
+        pytest.param(refuse, True, 503, id="refused"),
+        pytest.param(refuse, False, 503, id="refused, once only"),
+        pytest.param(other_instance, False, 503, id="another instance"),
+        pytest.param(fail, True, 500, id="its own failure"),
+        pytest.param(unsigned, True, 502, id="no signature"),
+        pytest.param(of_another, True, 502, id="another's answer"),
+        pytest.param(cut_short, True, 502, id="cut short"),
+        pytest.param(lose, True, 502, id="lost"),
+        pytest.param(lose, False, 502, id="lost, once only"),
+        pytest.param(cut_short, False, 502, id="cut short, once only"),
+    ],
+)
+def test_failure_of_an_instance_is_told_as_it_is(
+    script: place.Script, idempotent: bool, status: int
+) -> None:
+    """503 promises that nothing ran; only the instance's word allows it."""
+
+    async def test() -> None:
+        world = await _world(script, idempotent)
+        got = await world.call(A, "/s/", "POST")
+        assert got.status == status
+        assert (b"x-signature" in got.fields) is (status == 500)
+        assert (b"retry-after" in got.fields) is (status == 503)
+        if not idempotent and status != 503:
+            assert len(world.upstreams[B].got) == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("script", "idempotent", "runs"),
+    [
+        pytest.param(refuse, False, 1, id="refused is sent elsewhere"),
+        pytest.param(lose, True, 1, id="lost and repeatable too"),
+        pytest.param(lose, False, 0, id="lost and once only not"),
+    ],
+)
+def test_second_instance_is_asked_where_it_may_be(
+    script: place.Script, idempotent: bool, runs: int
+) -> None:
+    async def test() -> None:
+        world = await _world(script, idempotent)
+        await world.upstream(C, "s")
+        await world.daemon(C, "s")
+        await world.knows(A, B, C)
+        # Until the first choice was the instance that fails.
+        while not world.upstreams[B].got:
+            got = await world.call(A, "/s/", "POST")
+        sound = [
+            seen
+            for seen in world.upstreams[C].got
+            if seen.fields[b"x-request"]
+            == world.upstreams[B].got[0].fields[b"x-request"]
+        ]
+        assert len(sound) == runs
+        assert (got.status == 200) is bool(runs)
+
+    run(test())
+
+
+def test_timeout_of_the_route_ends_the_request_everywhere() -> None:
+    async def test() -> None:
+        world = await _world(hang, timeout=0.4)
+        got = await world.call(A, "/s/")
+        assert got.status == 504
+        assert 0.35 < got.seconds < 0.8
+        await asyncio.wait_for(world.upstreams[B].got[0].cut.wait(), 0.5)
+
+    run(test())
+
+
+def test_client_that_leaves_ends_the_work() -> None:
+    """The client closes its connection half a second into its request."""
+
+    async def test() -> None:
+        world = await _world(hang)
+        call = asyncio.ensure_future(world.call(A, "/s/"))
+        while not world.upstreams[B].got:
+            await asyncio.sleep(0.01)
+        call.cancel()
+        await asyncio.wait_for(world.upstreams[B].got[0].cut.wait(), 0.5)
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("path", "status"), [("/none/", 404), ("/", 404), ("/s/", 200)]
+)
+def test_route_decides(path: str, status: int) -> None:
+    async def test() -> None:
+        world = await _world()
+        assert (await world.call(A, path)).status == status
+
+    run(test())
+
+
+def test_daemon_without_a_policy_refuses_instead_of_denying() -> None:
+    """A daemon starts while the store is away and nobody else is known.
+
+    A 404 would tell the client never to come back; 503 says when.
+    """
+
+    async def test() -> None:
+        world = place.Place()
+        world.source.away.add(A)
+        world.policy(1, place.route("/s/", "s"))
+        await world.daemon(A, "front")
+        got = await world.call(A, "/s/")
+        assert got.status == 503
+        assert float(got.fields[b"retry-after"]) > 0
+
+    run(test())
+
+
+def test_daemon_cut_from_the_store_learns_from_its_peers() -> None:
+    """The store turns one machine away while it serves the others.
+
+    A new policy and an instance that leaves are in force there all the
+    same, since its peers tell it.
+    """
+
+    async def test() -> None:
+        world = await _world()
+        await world.upstream(C, "s")
+        await world.daemon(C, "s")
+        await world.knows(A, B, C)
+        world.source.away.add(A)
+        world.entry(B, "s", views.InstanceState.LEAVING)
+        world.policy(4, place.route("/t/", "s"))
+        await asyncio.wait_for(world.knows(A), 2.0)
+        assert (await world.call(A, "/t/")).status == 200
+        assert len(world.upstreams[B].got) == 0
+
+    run(test())
+
+
+def test_daemon_that_starts_without_the_store_asks_a_seed() -> None:
+    async def test() -> None:
+        world = await _world()
+        world.source.away.add(C)
+        port = world.ports[1]
+        world.seeds = (forwarding.Address(B, port),)
+        await world.daemon(C, "front")
+        await asyncio.wait_for(world.knows(C), 2.0)
+        assert (await world.call(C, "/s/")).status == 200
+
+    run(test())
+
+
+def test_instances_queue_is_ours_and_ordered() -> None:
+    """More requests come than the instance has slots.
+
+    Those that wait do so at its daemon, which can still turn them away;
+    in the instance's own queue they could not be called back.
+    """
+
+    async def slow(got: place.Got, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.1)
+        writer.write(place.signed(got, b"whole"))
+
+    async def test() -> None:
+        world = await _world(slow, slots=2)
+        most = 0
+
+        async def look() -> None:
+            nonlocal most
+            while True:
+                held = world.daemons[B].daemon.runs.values()
+                most = max(most, sum(run.job is not None for run in held))
+                await asyncio.sleep(0.005)
+
+        looking = asyncio.ensure_future(look())
+        calls = [world.call(A, "/s/") for _ in range(8)]
+        statuses = [got.status for got in await asyncio.gather(*calls)]
+        looking.cancel()
+        assert statuses.count(200) >= 6
+        assert most <= 2
+
+    run(test())
+
+
+def test_planned_stop_cuts_nothing() -> None:
+    """SIGTERM comes while requests run and while more arrive.
+
+    Each gets its answer; readiness says at once that others should serve.
+    """
+
+    async def slow(got: place.Got, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.3)
+        writer.write(place.signed(got, b"whole"))
+
+    async def test() -> None:
+        world = await _world(slow)
+        running = world.daemons[A]
+        calls = [asyncio.ensure_future(world.call(A, "/s/"))]
+        await asyncio.sleep(0.05)
+
+        stopping = asyncio.ensure_future(_daemon.stop(running))
+        await asyncio.sleep(0.05)
+        calls.append(asyncio.ensure_future(world.call(A, "/s/")))
+        reader, writer = await asyncio.open_connection(A, world.ports[2])
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+        writer.close()
+        answers = await asyncio.gather(*calls)
+        assert [got.status for got in answers] == [200, 200]
+        assert answers[1].fields[b"connection"] == b"close"
+        await asyncio.wait_for(stopping, place.GRACE)
+
+    run(test())
