Trace a request through the logs of several daemons

Cause: a user's complaint names a request, and nothing joined the lines of the daemons that it touched. Ruled out: a store of traces, since nothing of ours lasts.

--- a/src/sassafrasstair/console/application.py
+++ b/src/sassafrasstair/console/application.py
@@ -6,6 +6,7 @@
 
 import sassafrasstair
 from sassafrasstair.console.commands import bundle
+from sassafrasstair.console.commands import explain
 from sassafrasstair.console.commands import key
 from sassafrasstair.console.commands import status
 
@@ -26,3 +27,4 @@
 main.add_command(bundle.group)
 main.add_command(key.group)
 main.add_command(status.status)
+main.add_command(explain.explain)
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -313,8 +313,9 @@
     fields = httpio.end_to_end(
         response.fields, response.found, _wire.OWN_FIELDS
     )
-    if response.status >= 500:
-        _log_end(daemon, call, "answered", response.status, "own_failure")
+    reason = "own_failure" if response.status >= 500 else "ok"
+    if daemon.journal.wants("answered", reason):
+        _log_end(daemon, call, "answered", response.status, reason)
     _close(daemon, call, response.status, "answered")
     call.exchange.respond(response.status, fields, response.body)
 
--- a/src/sassafrasstair/forwarding/_events.py
+++ b/src/sassafrasstair/forwarding/_events.py
@@ -75,14 +75,23 @@
         """Log what a process believes or does; not bounded, so rare."""
         logs.event(self._logger, logging.INFO, name, **fields)
 
+    def wants(self, name: str, reason: str) -> bool:
+        """Return whether a line would be written; counts it if not.
+
+        For what happens all the time: the fields are then not put
+        together in vain.
+        """
+        kind = self._kinds.get((name, reason))
+        if kind is None or kind.written < LINES_PER_SECOND:
+            return True
+        kind.held_back += 1
+        return False
+
     def request(self, name: str, reason: str, **fields: Field) -> None:
         """Log a decision that touches a request, within the bound."""
-        kind = self._kinds.get((name, reason))
-        if kind is None:
-            kind = self._kinds[name, reason] = _Kind()
-        if kind.written >= LINES_PER_SECOND:
-            kind.held_back += 1
+        if not self.wants(name, reason):
             return
+        kind = self._kinds.setdefault((name, reason), _Kind())
         kind.written += 1
         logs.event(self._logger, logging.INFO, name, reason=reason, **fields)
 
