--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -30,7 +30,7 @@
 ACCEPT_SHARE = 0.55
 """The part of the grace in which a stopping daemon takes new connections:
 clients are sent elsewhere within a few seconds, not at once."""
-ANSWER_SHARE = 0.9
+ANSWER_SHARE = 0.85
 """The part of the grace after which what still runs gets an answer."""
 QUIET_SECONDS = 0.3
 """Without a request for so long after that, a stopping daemon is done."""
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -122,7 +122,15 @@
             _ended(daemon, call, requests.Ending.LOST, reason)
 
 
-def _send(daemon: _state.Daemon, call: Call) -> None:
+def _send(
+    daemon: _state.Daemon,
+    call: Call,
+    before: outcomes.Reason = outcomes.Reason.NO_INSTANCE,
+) -> None:
+    """Send the request to an instance not tried yet.
+
+    Without one, the end of the attempt ``before`` is the client's answer.
+    """
     now = daemon.clock.monotonic()
     progress = call.progress
     targets = views.targets(daemon.view, progress.service)
@@ -130,7 +138,7 @@
         daemon.routes, targets, progress.tried, now, daemon.rng
     )
     if target is None:
-        _give_up(daemon, call, outcomes.Reason.NO_INSTANCE)
+        _give_up(daemon, call, before)
         return
     instance = views.instance(daemon.view, target.vm)
     host = "" if instance is None else instance.host
@@ -302,7 +310,7 @@
         revision=daemon.view.revision,
     )
     if step is requests.Step.RETRY:
-        _send(daemon, call)
+        _send(daemon, call, reason)
     else:
         _give_up(daemon, call, reason)
 
--- /dev/null
+++ b/tests/forwarding/test_walks.py
@@ -0,0 +1,98 @@
+"""From a failed request's id to its cause, by logs alone.
+
+``pytest -s tests/forwarding/test_walks.py`` prints what the command shows;
+docs/OPERATIONS.md quotes it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from click import testing
+import pytest
+
+from sassafrasstair.console import application
+from tests.forwarding import place
+from tests.forwarding import test_path
+
+if typing.TYPE_CHECKING:
+    import pathlib
+
+
+async def _fill_and_call(world: place.Place) -> place.Answer:
+    """Hold the only slot with other requests, then send one more."""
+    held = [
+        asyncio.ensure_future(world.call(test_path.A, "/s/")) for _ in range(4)
+    ]
+    while not world.upstreams[test_path.B].got:
+        await asyncio.sleep(0.01)
+    got = await world.call(test_path.A, "/s/")
+    for call in held:
+        call.cancel()
+    return got
+
+
+async def _call(world: place.Place) -> place.Answer:
+    return await world.call(test_path.A, "/s/", "POST")
+
+
+@pytest.mark.parametrize(
+    ("script", "send", "status", "request_id", "cause"),
+    [
+        pytest.param(
+            test_path.hang,
+            _fill_and_call,
+            503,
+            "r5",
+            "run_ended reason=queue_delay",
+            id="refused though room seemed to be there",
+        ),
+        pytest.param(
+            test_path.hang,
+            _call,
+            504,
+            "r1",
+            "run_ended reason=cancelled",
+            id="timed out behind a silent instance",
+        ),
+        pytest.param(
+            test_path.lose,
+            _call,
+            502,
+            "r1",
+            "run_ended reason=upstream_lost",
+            id="outcome unknown after a lost connection",
+        ),
+    ],
+)
+def test_cause_is_found_from_the_id(
+    tmp_path: pathlib.Path,
+    script: place.Script,
+    send: typing.Callable[
+        [place.Place], typing.Coroutine[typing.Any, typing.Any, place.Answer]
+    ],
+    status: int,
+    request_id: str,
+    cause: str,
+) -> None:
+    async def test() -> None:
+        world = await test_path._world(script, False, 0.6, slots=1)
+        got = await send(world)
+        assert got.status == status
+        # The callee's daemon hears of the end a moment later.
+        await asyncio.sleep(0.1)
+        for running in world.daemons.values():
+            running.daemon.journal.flush_lines()
+        log = tmp_path / "daemons.log"
+        log.write_bytes(b"".join(world.lines))
+        result = testing.CliRunner().invoke(
+            application.main, ["explain", request_id, str(log)]
+        )
+        print(f"\n$ sassafras explain {request_id} daemons.log")
+        print(result.output)
+        assert result.exit_code == 0
+        assert cause in result.output
+        assert "policy_in_force version=3" in result.output
+
+    test_path.run(test())
