Let in at the entrance what the whole chain has room for

Ruled out: more waiting alone (the demand stays above the capacity); shedding by rank at the last service, since callers can't tell whose part a call is. Change: each answer tells the load of the busiest instance of its chain, along the routes that only upstreams call (learnt from who calls them); entrances let in a share of a route that keeps it at a target, the least important first; the guard on this path lets calls wait and sheds none by rank; 6% of the slots stay free.

--- /dev/null
+++ b/src/sassafrasstair/decisions/admission/__init__.py
@@ -0,0 +1,27 @@
+"""Admission at the entrance by the load of a request's whole chain."""
+
+from __future__ import annotations
+
+from sassafrasstair.decisions.admission._admissions import Admission
+from sassafrasstair.decisions.admission._admissions import admit
+from sassafrasstair.decisions.admission._admissions import Gate
+from sassafrasstair.decisions.admission._admissions import hear
+from sassafrasstair.decisions.admission._callers import Callers
+from sassafrasstair.decisions.admission._callers import is_inner
+from sassafrasstair.decisions.admission._callers import note_caller
+from sassafrasstair.decisions.admission._chains import below
+from sassafrasstair.decisions.admission._chains import Chains
+from sassafrasstair.decisions.admission._chains import hear_inner
+
+__all__ = [
+    "Admission",
+    "Callers",
+    "Chains",
+    "Gate",
+    "admit",
+    "below",
+    "hear",
+    "hear_inner",
+    "is_inner",
+    "note_caller",
+]
--- /dev/null
+++ b/src/sassafrasstair/decisions/admission/_admissions.py
@@ -0,0 +1,96 @@
+"""The share of a route's requests that an entrance lets in.
+
+A service deep in a chain that is overloaded fails requests on which much
+work was already spent. Each answer tells how loaded the busiest instance of
+its chain was; the entrance lets in a share of the route's requests that
+keeps that load at a target, the least important routes first.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing
+
+if typing.TYPE_CHECKING:
+    import random
+
+TARGET = 1.0
+"""Work at an instance, waiting included, as a share of what it may run at
+once: just no queue, on average."""
+TARGET_STEP = 1.0
+"""By how much the target of a route is higher for each level of importance
+above the least, and its cuts smaller: it sheds only what shedding the lower
+ones has not cured."""
+SMOOTH_SECONDS = 0.15
+"""Time constant over which heard loads are averaged."""
+UPDATE_SECONDS = 0.1
+CUT = 0.25
+CUT_MOST = 0.15
+"""The share is cut by so much for each unit of load above the target, and
+by at most so much at once: the chain answers to a cut only when what is in
+it has drained, about half a second later."""
+RISE = 0.015
+"""What the share gains in each update without overload."""
+LEAST = 0.02
+"""Some requests always pass: without them nothing is heard of the load."""
+FRESH_SECONDS = 1.0
+"""Without an answer for so long nothing is known of the load any more."""
+
+
+@dataclasses.dataclass(slots=True)
+class Gate:
+    """What is known of one route: ``load`` is averaged, ``share`` let in."""
+
+    share: float = 1.0
+    load: float = 0.0
+    heard: float = -math.inf
+    updated: float = -math.inf
+
+
+@dataclasses.dataclass(slots=True)
+class Admission:
+    """The gates of an entrance by route."""
+
+    gates: dict[str, Gate] = dataclasses.field(default_factory=dict)
+
+
+def hear(admission: Admission, route: str, load: float, now: float) -> None:
+    """Note the load that came with an answer on the route."""
+    gate = admission.gates.get(route)
+    if gate is None:
+        gate = admission.gates[route] = Gate(updated=now)
+    weight = 1.0 - math.exp(-max(0.0, now - gate.heard) / SMOOTH_SECONDS)
+    # Many answers come in one moment: each must count for something.
+    gate.load += max(0.02, weight) * (load - gate.load)
+    gate.heard = now
+
+
+def admit(
+    admission: Admission,
+    route: str,
+    above_least: int,
+    now: float,
+    rng: random.Random,
+) -> bool:
+    """Return whether to let in a request of the route.
+
+    ``above_least`` is by how much its importance exceeds the least in the
+    policy.
+    """
+    gate = admission.gates.get(route)
+    if gate is None:
+        return True
+    if now - gate.updated >= UPDATE_SECONDS:
+        _update(gate, above_least, now)
+    return gate.share >= 1.0 or rng.random() < gate.share
+
+
+def _update(gate: Gate, above_least: int, now: float) -> None:
+    gate.updated = now
+    over = gate.load - TARGET - TARGET_STEP * above_least
+    if over > 0.0 and now - gate.heard < FRESH_SECONDS:
+        cut = min(CUT_MOST, CUT * over) / (1.0 + above_least)
+        gate.share = max(LEAST, gate.share * (1.0 - cut))
+    else:
+        gate.share = min(1.0, gate.share + RISE)
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -20,6 +20,7 @@
 PRESSED_SECONDS = 0.5
 LEAST_QUEUE = 8
 QUEUE_PER_SLOT = 2
+PATIENT_QUEUE_PER_SLOT = 10
 # When a level and those above it have not been without a waiter for this
 # long, in seconds and in turns of a slot, its queue stands.
 STANDING_SECONDS = 0.3
@@ -39,7 +40,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Guard:
-    """State of the guard. ``running`` maps attempts to their start."""
+    """State of the guard. ``running`` maps attempts to their start.
+
+    A ``patient`` guard lets work wait for as long as it may and sheds none
+    by rank: where callers can't tell whose part a call is, shedding it
+    fails a request on which work was already spent. Callers hold back by
+    the load that they are told instead.
+    """
 
     limits: _limits.Limit
     floors: _floors.Floors
@@ -58,6 +65,7 @@
     ticked: float = 0.0
     comfortable: int = 0
     leaving: bool = False
+    patient: bool = False
 
     @property
     def limit(self) -> float:
@@ -70,12 +78,20 @@
     now: float,
     cold: bool = False,
     warm_seconds: float = WARM_SECONDS,
+    patient: bool = False,
 ) -> Guard:
-    """Return the guard of an instance with ``slots`` from the bundle."""
+    """Return the guard of an instance with ``slots``."""
     limits = _limits.new_limit(slots, now, cold, warm_seconds)
     floors = _floors.new_floors(now)
     emptied = [now] * (bundles.IMPORTANCE_MAX + 1)
-    return Guard(limits, floors, sampled=now, emptied=emptied, ticked=now)
+    return Guard(
+        limits,
+        floors,
+        sampled=now,
+        emptied=emptied,
+        ticked=now,
+        patient=patient,
+    )
 
 
 def offer(
@@ -143,6 +159,8 @@
 
 def floor(guard: Guard, now: float, tenant: str = "") -> float:
     """Return the rank below which this guard refuses now."""
+    if guard.patient:
+        return 0.0
     if now - guard.pressed >= PRESSED_SECONDS:
         return 0.0
     return _floors.floor(guard.floors, tenant)
@@ -177,7 +195,8 @@
         return [_turn(work, outcomes.Reason.SHED_AT_CALLEE)]
     guard.waiting[work.attempt_id] = _queues.Waiter(work, now)
     effects = _dispatch(guard, now)
-    if len(guard.waiting) <= max(LEAST_QUEUE, QUEUE_PER_SLOT * guard.limit):
+    per_slot = PATIENT_QUEUE_PER_SLOT if guard.patient else QUEUE_PER_SLOT
+    if len(guard.waiting) <= max(LEAST_QUEUE, per_slot * guard.limit):
         return effects
     guard.pressed = now
     out = _queues.least(guard.waiting, guard.used).work
@@ -222,6 +241,8 @@
 
 def _patience(guard: Guard, level: int, now: float) -> float:
     """Return how long work of the level may wait at most."""
+    if guard.patient:
+        return math.inf
     stood = now - guard.emptied[0] >= STANDING_SECONDS
     if stood and level <= _marginal(guard, now):
         return PATIENCE_TURNS * _turn_seconds(guard, now)
--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.views._queries import count_services
 from sassafrasstair.decisions.views._queries import instance
 from sassafrasstair.decisions.views._queries import is_behind
 from sassafrasstair.decisions.views._queries import is_stale
 from sassafrasstair.decisions.views._queries import knows
+from sassafrasstair.decisions.views._queries import least_importance
 from sassafrasstair.decisions.views._queries import neighbours
 from sassafrasstair.decisions.views._queries import snapshot
 from sassafrasstair.decisions.views._queries import targets
@@ -34,11 +36,13 @@
     "View",
     "adopt",
     "apply",
+    "count_services",
     "expire",
     "instance",
     "is_behind",
     "is_stale",
     "knows",
+    "least_importance",
     "neighbours",
     "new_view",
     "replace",
--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -90,3 +90,17 @@
     if found is None and key in view.lapsed:
         found = view.lapsed[key].instance
     return found
+
+
+def count_services(view: _views.View) -> int:
+    """Return how many services have an instance."""
+    return len({instance.service for instance in view.instances.values()})
+
+
+def least_importance(view: _views.View) -> int:
+    """Return the least importance of a route in force."""
+    if view.table is None:
+        return 0
+    return min(
+        (route.importance for route in view.table.policy.routes), default=0
+    )
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -8,14 +8,15 @@
 
 import dataclasses
 import functools
+import math
 import typing
 
+from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
-from sassafrasstair.forwarding import _floors
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
@@ -26,6 +27,11 @@
 
 UNKNOWN_SLOTS = 16
 """Slots of an instance whose entry this daemon has not read yet."""
+SPARE_SHARE = 0.06
+"""The part of an instance's slots that is left free: some slow down when
+they are nearly full, by more than the last slots are worth."""
+SPARE_FROM = 16
+"""With fewer slots than this one left free would be too many."""
 FULL_SHARE = 0.7
 """An instance that refuses with less of its slots in use is not full, and
 cutting its limit would only turn more work away."""
@@ -35,9 +41,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Order:
-    """A request for the upstream, with what its entrance told."""
+    """A request for the upstream, with what its entrance told.
+
+    ``caller`` is the service on the VM where it began.
+    """
 
     ask: _wire.Ask
+    caller: str
     request_id: bytes
     method: bytes
     target: bytes
@@ -72,6 +82,7 @@
     """
     now = daemon.clock.monotonic()
     ask = order.ask
+    admission.note_caller(daemon.callers, ask.route, order.caller)
     daemon.serial += 1
     key = f"{daemon.serial}"
     guard = _guard(daemon, ask.instance, now)
@@ -98,8 +109,9 @@
     """Look again at the deadlines of what waits and runs."""
     for instance, guard in list(daemon.guards.items()):
         known = views.instance(daemon.view, instance)
-        if known is not None and known.slots != guard.limits.slots:
-            load.resize(guard, known.slots)
+        slots = _usable_slots(known)
+        if known is not None and slots != guard.limits.slots:
+            load.resize(guard, slots)
         _perform(daemon, instance, load.tick(guard, now))
 
 
@@ -107,8 +119,7 @@
     guard = daemon.guards.get(instance)
     if guard is None:
         known = views.instance(daemon.view, instance)
-        slots = UNKNOWN_SLOTS if known is None else known.slots
-        guard = load.new_guard(slots, now)
+        guard = load.new_guard(_usable_slots(known), now, patient=True)
         daemon.guards[instance] = guard
         if len(daemon.guards) > GUARDS_KEPT:
             oldest = next(iter(daemon.guards))
@@ -117,6 +128,13 @@
     return guard
 
 
+def _usable_slots(instance: views.Instance | None) -> int:
+    slots = UNKNOWN_SLOTS if instance is None else instance.slots
+    if slots < SPARE_FROM:
+        return slots
+    return slots - math.ceil(SPARE_SHARE * slots)
+
+
 def _perform(
     daemon: _state.Daemon, instance: str, effects: list[load.Effect]
 ) -> None:
@@ -244,12 +262,18 @@
     guard = _guard(daemon, order.ask.instance, now)
     told = calls.Load(
         load.busy(guard),
-        _floors.told(daemon, guard, now),
+        load.floor(guard, now),
         load.limit(guard, now),
         load.service(guard),
     )
     return _wire.State(
-        daemon.view.content, daemon.leaving, told, ending, reason
+        daemon.view.content,
+        daemon.leaving,
+        told,
+        admission.below(daemon.chains, now),
+        admission.is_inner(daemon.callers, order.ask.route, daemon.services),
+        ending,
+        reason,
     )
 
 
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -6,6 +6,7 @@
 import dataclasses
 import functools
 
+from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import requests
@@ -90,7 +91,10 @@
     )
     requests.note_request(_window(daemon, service), now)
     key = (service, route.name, "")
-    if rank < calls.floor_of(daemon.floors, key, now):
+    above = route.importance - daemon.least_importance
+    if rank < calls.floor_of(daemon.floors, key, now) or not admission.admit(
+        daemon.gates, route.name, above, now, daemon.rng
+    ):
         _refuse(daemon, call, outcomes.Reason.SHED_AT_ENTRANCE)
         return
     _send(daemon, call)
@@ -168,6 +172,7 @@
     names = daemon.dialect.names
     order = _callee.Order(
         ask,
+        daemon.settings.service,
         call.request_id,
         request.method,
         request.target,
@@ -250,6 +255,11 @@
     now = daemon.clock.monotonic()
     key = (call.progress.service, call.progress.route.name, "")
     calls.hear(daemon.floors, key, attempt.instance, state.load.floor, now)
+    busiest = max(state.load.busy, state.below)
+    if state.inner:
+        admission.hear_inner(daemon.chains, key[1], busiest, now)
+    else:
+        admission.hear(daemon.gates, key[1], busiest, now)
     if response is None or state.ending is not None:
         ending = state.ending or requests.Ending.LOST
         _ended(daemon, call, ending, state.reason, state)
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -48,6 +48,7 @@
     dropped = _wire.OWN_FIELDS
     order = _callee.Order(
         ask,
+        request.found.get(names.caller.lower(), b"").decode("latin-1"),
         request_id,
         request.method,
         request.target,
@@ -88,6 +89,8 @@
         daemon.view.content,
         daemon.leaving,
         calls.Load(),
+        0.0,
+        False,
         None,
         outcomes.Reason.NONE,
     )
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -6,6 +6,7 @@
 import dataclasses
 import typing
 
+from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import requests
@@ -35,7 +36,8 @@
     """One daemon.
 
     ``calls`` are under way here as the entrance, ``runs`` at the own
-    upstream or waiting for it, by their keys.
+    upstream or waiting for it, by their keys. ``hosts``, ``services`` and
+    ``least_importance`` are taken from the view whenever it changes.
     """
 
     dialect: _dialect.Dialect
@@ -50,6 +52,15 @@
     view: views.View
     routes: calls.Routes
     floors: calls.Floors
+    gates: admission.Admission = dataclasses.field(
+        default_factory=admission.Admission
+    )
+    callers: admission.Callers = dataclasses.field(
+        default_factory=admission.Callers
+    )
+    chains: admission.Chains = dataclasses.field(
+        default_factory=admission.Chains
+    )
     windows: dict[str, requests.Window] = dataclasses.field(
         default_factory=dict
     )
@@ -59,6 +70,8 @@
     runs: dict[str, _callee.Run] = dataclasses.field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     hosts: list[str] = dataclasses.field(default_factory=list)
+    services: int = 0
+    least_importance: int = 0
     serial: int = 0
     leaving: bool = False
     pulling: bool = False
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -189,3 +189,5 @@
             )
     if told:
         daemon.hosts = views.neighbours(view, daemon.settings.daemons.host)
+        daemon.services = views.count_services(view)
+        daemon.least_importance = views.least_importance(view)
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -51,12 +51,16 @@
 class State:
     """What a callee's daemon tells with each answer.
 
-    ``ending`` is None when the answer is the instance's own.
+    ``below`` is the load of the busiest service further down the chain;
+    ``inner`` says that only upstreams call the route. ``ending`` is None
+    when the answer is the instance's own.
     """
 
     content: int
     leaving: bool
     load: calls.Load
+    below: float
+    inner: bool
     ending: requests.Ending | None
     reason: outcomes.Reason
 
@@ -93,13 +97,15 @@
     """Return the field's value."""
     ending = _ANSWERED if state.ending is None else state.ending.value
     load = state.load
-    return b"%d %d %.3f %.4f %.1f %.4f %s %s" % (
+    return b"%d %d %.3f %.4f %.1f %.4f %.3f %d %s %s" % (
         state.content,
         state.leaving,
         load.busy,
         load.floor,
         load.limit,
         load.service,
+        state.below,
+        state.inner,
         ending.encode(),
         state.reason.value.encode(),
     )
@@ -108,15 +114,17 @@
 def decode_state(value: bytes) -> State:
     """Return what the field says; raises ``WireError``."""
     try:
-        content, leaving, busy, floor, limit, service, ending, reason = (
-            value.decode().split(" ")
-        )
+        parts = value.decode().split(" ")
+        content, leaving, busy, floor, limit, service = parts[:6]
+        below, inner, ending, reason = parts[6:]
         return State(
             int(content),
             leaving == "1",
             calls.Load(
                 float(busy), float(floor), float(limit), float(service)
             ),
+            float(below),
+            inner == "1",
             None if ending == _ANSWERED else requests.Ending(ending),
             outcomes.Reason(reason),
         )
