Prove that gates find the share that a chain can carry

Ruled out: a test on the whole daemon, where the surge would need real seconds. Change: a closed loop of gates before one service with the delay of a chain, and tables of which routes count as inner.

--- /dev/null
+++ b/tests/decisions/admission/test_admissions.py
@@ -0,0 +1,132 @@
+"""Admission by the load of a chain, and what is known of the chain."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import pytest
+
+from sassafrasstair.decisions import admission
+
+STEP = 0.01
+SLOTS = 40.0
+SERVICE = 0.04
+"""Seconds of work of one call at the last service of the chain."""
+
+
+def _simulate(
+    demand: dict[str, tuple[int, float, int]], seconds: float
+) -> dict[str, list[float]]:
+    """Run entrances before one service at the end of a chain.
+
+    ``demand`` maps routes to importance above the least, requests a
+    second and calls for each. Answers tell the service's load 0.2 s after
+    a request came in. Returns the share let in by route and second.
+    """
+    gates = admission.Admission()
+    rng = random.Random(5)
+    work = 0.0
+    shares: dict[str, list[float]] = {route: [] for route in demand}
+    in_chain: collections.deque[tuple[float, int]] = collections.deque()
+    let_in = dict.fromkeys(demand, 0)
+    asked = dict.fromkeys(demand, 0)
+    for step in range(int(seconds / STEP)):
+        now = 100.0 + step * STEP
+        for route, (above, rate, calls) in demand.items():
+            for _ in range(int(rate * STEP + rng.random())):
+                asked[route] += 1
+                if admission.admit(gates, route, above, now, rng):
+                    let_in[route] += 1
+                    in_chain.append((now + 0.2, calls))
+        while in_chain and in_chain[0][0] <= now:
+            work += in_chain.popleft()[1] * SERVICE
+        work = max(0.0, work - SLOTS * STEP)
+        load = min(5.0, work / SERVICE / SLOTS + 0.9)
+        for route in demand:
+            admission.hear(gates, route, load, now)
+        if step % 100 == 99:
+            for route in demand:
+                shares[route].append(let_in[route] / max(1, asked[route]))
+                let_in[route] = asked[route] = 0
+    return shares
+
+
+def test_share_settles_near_what_the_chain_can_do() -> None:
+    """A surge asks the last service of a chain for twice its capacity.
+
+    Let in whole, nearly all of the requests fail half done; cut too far,
+    the service idles. The gates must find the share between.
+    """
+    shares = _simulate({"lookup": (0, 200.0, 10)}, 20.0)["lookup"]
+    settled = shares[5:]
+    assert 0.35 <= sum(settled) / len(settled) <= 0.55
+    assert min(settled) > 0.2
+
+
+def test_least_important_makes_room() -> None:
+    shares = _simulate(
+        {"lookup": (0, 100.0, 10), "binding": (2, 100.0, 5)}, 20.0
+    )
+    bindings = shares["binding"][3:]
+    lookups = shares["lookup"][5:]
+    assert sum(bindings) / len(bindings) > 0.95
+    assert 0.3 <= sum(lookups) / len(lookups) <= 0.6
+
+
+def test_share_is_whole_without_overload() -> None:
+    shares = _simulate({"lookup": (0, 80.0, 10)}, 10.0)["lookup"]
+    assert min(shares) > 0.9
+
+
+def test_gate_opens_again_when_nothing_is_heard() -> None:
+    gates = admission.Admission()
+    rng = random.Random(1)
+    for step in range(100):
+        now = 100.0 + step * 0.1
+        admission.hear(gates, "r", 5.0, now)
+        admission.admit(gates, "r", 0, now, rng)
+    assert gates.gates["r"].share < 0.1
+    for step in range(200):
+        admission.admit(gates, "r", 0, 112.0 + step * 0.1, rng)
+    assert gates.gates["r"].share == 1.0
+
+
+@pytest.mark.parametrize(
+    ("callers", "inner"),
+    [
+        ({"a": 30}, True),
+        ({"a": 20, "b": 20}, True),
+        ({"a": 20, "b": 20, "c": 20}, False),
+        ({"a": 100, "b": 1, "c": 1, "d": 1}, True),
+        ({"a": 10}, False),
+        ({}, False),
+    ],
+)
+def test_route_of_few_callers_is_inner(
+    callers: dict[str, int], inner: bool
+) -> None:
+    known = admission.Callers()
+    for service, count in callers.items():
+        for _ in range(count):
+            admission.note_caller(known, "r", service)
+    assert admission.is_inner(known, "r", 4) is inner
+
+
+def test_callers_that_change_are_followed() -> None:
+    known = admission.Callers()
+    for _ in range(300):
+        admission.note_caller(known, "r", "a")
+    for _ in range(600):
+        for service in "abcd":
+            admission.note_caller(known, "r", service)
+    assert not admission.is_inner(known, "r", 4)
+
+
+def test_load_below_fades_when_it_is_not_heard() -> None:
+    """The service below has gone; its last load must not stay for ever."""
+    chains = admission.Chains()
+    admission.hear_inner(chains, "r", 3.0, 100.0)
+    admission.hear_inner(chains, "q", 0.5, 100.0)
+    assert admission.below(chains, 100.1) == 3.0
+    assert admission.below(chains, 100.5) == 0.0
