Pace the watches by the size of the fleet

Cause: each change of an entry ends the watch of every daemon, and the next watch came 50 ms later: 1,300 daemons that start together would make 26 thousand calls a second of the 2,000 allowed (worked out). Ruled out: a few daemons that relay, which peers are anyway. Result: 963 calls a second (worked out), and 17 daemons wait 67 ms.

--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -30,7 +30,10 @@
 ASK_SECONDS = 0.3
 """Between two questions to peers while the store is away."""
 PACE_SECONDS = 0.05
-"""Between two watches: changes come in series, and one call brings all."""
+PACE_SECONDS_A_HOST = 0.001
+"""Between two watches: changes come in series, and one call brings all. The
+more hosts, the longer, since each change ends the watches of all: 1,300 hosts
+that start together would else make 26,000 calls a second of 2,000."""
 
 
 async def follow(daemon: _state.Daemon) -> None:
@@ -52,7 +55,8 @@
         pause = RETRY_SECONDS
         whole = False
         _took(daemon, reading)
-        await asyncio.sleep(PACE_SECONDS)
+        pace = PACE_SECONDS + PACE_SECONDS_A_HOST * len(daemon.hosts)
+        await asyncio.sleep(pace)
 
 
 async def ask_peers(daemon: _state.Daemon) -> None:
--- a/tests/decisions/load/test_guards.py
+++ b/tests/decisions/load/test_guards.py
@@ -161,3 +161,27 @@
     load.finish(guard, "b", load.End.CANCELLED, 1.1)
     assert load.busy(guard) == 0.0
     assert load.finish(guard, "b", load.End.DONE, 1.2) == []
+
+
+def test_patient_guard_sheds_nothing_by_rank() -> None:
+    """A service deep in a chain is asked for twice what it can do.
+
+    Shedding by rank there fails requests on which work was already spent
+    further up. A patient guard lets calls wait for as long as they may, and
+    tells its load, so that the entrances hold back.
+    """
+    guard = load.new_guard(2, 0.0, patient=True)
+    turned: dict[str, outcomes.Reason] = {}
+    for step in range(100):
+        now = step * 0.01
+        for name in (f"a{step}", f"b{step}"):
+            work = _work(name, 0.5, deadline=now + 1.0, queue_limit=0.15)
+            turned |= _reasons(load.offer(guard, work, now))
+        if guard.running:
+            first = next(iter(guard.running))
+            turned |= _reasons(load.finish(guard, first, load.End.DONE, now))
+        turned |= _reasons(load.tick(guard, now))
+        assert load.floor(guard, now) == 0.0
+    # Only what waited too long, or found too many waiting before it.
+    assert set(turned.values()) == {Reason.QUEUE_DELAY, Reason.QUEUE_FULL}
+    assert load.busy(guard) > 2.0
