Turn requests away at once while the own upstream takes no connection

Cause: an instance that fell silent keeps its entry for seconds; each request sent to it waited 0.4 s for a connection, and pings to its daemon brought it back into use at once, since the daemon itself was well. Ruled out: probes of the health path, which are paid for. Change: the daemon turns requests away as not sent while its upstream takes no connection, tries one each 0.3 s, and answers pings as one to leave alone. Also: the tests' ports lay in the range that the kernel takes ports for connections from, and one test could not listen (once in 66). They are now looked for below it, on all hosts of the tests.

--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -35,6 +35,8 @@
 FULL_SHARE = 0.7
 """An instance that refuses with less of its slots in use is not full, and
 cutting its limit would only turn more work away."""
+TRY_SECONDS = 0.3
+"""Between two connections tried to an upstream that takes none."""
 GUARDS_KEPT = 4
 """Guards of instances that ran on this VM one after the other."""
 
@@ -87,6 +89,11 @@
     key = f"{daemon.serial}"
     guard = _guard(daemon, ask.instance, now)
     deadline = now + ask.remaining
+    if daemon.upstream_down:
+        reason = outcomes.Reason.UPSTREAM_UNREACHABLE
+        run = Run(order, deadline, done)
+        _end(daemon, run, requests.Ending.UNSENT, reason, None)
+        return key
     daemon.runs[key] = Run(order, deadline, done)
     work = load.Work(key, ask.route, "", ask.rank, deadline, ask.wait)
     _perform(daemon, ask.instance, load.offer(guard, work, now))
@@ -106,7 +113,10 @@
 
 
 def tick(daemon: _state.Daemon, now: float) -> None:
-    """Look again at the deadlines of what waits and runs."""
+    """Look again at the deadlines, and at an upstream that was away."""
+    if daemon.upstream_down and now - daemon.upstream_tried > TRY_SECONDS:
+        daemon.upstream_tried = now
+        daemon.upstream.try_connect(functools.partial(_upstream_tried, daemon))
     for instance, guard in list(daemon.guards.items()):
         known = views.instance(daemon.view, instance)
         slots = _usable_slots(known)
@@ -115,6 +125,22 @@
         _perform(daemon, instance, load.tick(guard, now))
 
 
+def _upstream_tried(daemon: _state.Daemon, reached: bool) -> None:
+    """Note whether the upstream takes connections.
+
+    Failure: an instance whose machine has fallen silent takes none, and
+    each request sent to it costs its connection's timeout, while its entry
+    stays for seconds. Others are sent elsewhere at once, and peers that
+    ping are told to leave it alone, until a connection is made.
+    """
+    if daemon.upstream_down != reached:
+        return
+    daemon.upstream_down = not reached
+    what = "upstream_back" if reached else "upstream_lost"
+    _counters.believed(daemon.counters, what)
+    daemon.journal.note(what, address=daemon.upstream.host)
+
+
 def _guard(daemon: _state.Daemon, instance: str, now: float) -> load.Guard:
     guard = daemon.guards.get(instance)
     if guard is None:
@@ -184,6 +210,10 @@
     if run is None:
         return
     ending, reason = _judge(daemon, run, result)
+    if isinstance(result, httpio.Response):
+        _upstream_tried(daemon, True)
+    elif result is httpio.Failure.NOT_SENT:
+        _upstream_tried(daemon, False)
     end = load.End.DONE
     if ending is requests.Ending.REFUSED:
         guard = daemon.guards[run.order.ask.instance]
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -87,7 +87,7 @@
 def _own_state(daemon: _state.Daemon) -> tuple[bytes, bytes]:
     state = _wire.State(
         daemon.view.content,
-        daemon.leaving,
+        daemon.leaving or daemon.upstream_down,
         calls.Load(),
         0.0,
         False,
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -74,6 +74,8 @@
     least_importance: int = 0
     serial: int = 0
     leaving: bool = False
+    upstream_down: bool = False
+    upstream_tried: float = 0.0
     pulling: bool = False
 
 
--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -120,6 +120,13 @@
         self._connecting.add(task)
         task.add_done_callback(self._connecting.discard)
 
+    def try_connect(self, done: abc.Callable[[bool], None]) -> None:
+        """Make a connection to keep, and say whether it could be made."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._try_connect(done))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+
     def drop_idle(self) -> None:
         """Close what no request uses, as after a link was silent."""
         for connection in self._idle:
@@ -160,6 +167,22 @@
         connection.start(job)
 
     async def _connect(self, job: Job) -> None:
+        connection = await self._open()
+        if connection is None:
+            job.end(Failure.NOT_SENT)
+        elif job.wanted:
+            self._start(connection, job)
+        else:
+            self._idle.append(connection)
+
+    async def _try_connect(self, done: abc.Callable[[bool], None]) -> None:
+        connection = await self._open()
+        if connection is not None:
+            self._idle.append(connection)
+        done(connection is not None)
+
+    async def _open(self) -> _Connection | None:
+        """Return a new connection, None if it could not be made in time."""
         loop = asyncio.get_running_loop()
         try:
             _, connection = await asyncio.wait_for(
@@ -169,13 +192,9 @@
                 CONNECT_SECONDS,
             )
         except (OSError, TimeoutError):
-            job.end(Failure.NOT_SENT)
-            return
+            return None
         self.opened += 1
-        if job.wanted:
-            self._start(connection, job)
-        else:
-            self._idle.append(connection)
+        return connection
 
 
 class _Connection(asyncio.Protocol):
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import dataclasses
+import itertools
+import os
 import random
 import socket
 import typing
@@ -32,6 +34,11 @@
     signature=b"X-Signature",
     not_run=b"X-Not-Run",
 )
+HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
+PORTS = range(15_000, 32_000)
+_candidates = itertools.cycle(
+    [*PORTS[os.getpid() % len(PORTS) :], *PORTS[: os.getpid() % len(PORTS)]]
+)
 LIMITS = policies.ClientLimits(4096, 1_000_000, 2.0, 10.0)
 GRACE = 2.0
 
@@ -359,10 +366,24 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    held = [socket.socket() for _ in range(count)]
-    for one in held:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
+    """Return ports that are free on all hosts of the tests.
+
+    Below the range from which the kernel takes ports for connections: one
+    of those could be taken between this look and the listening.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_candidates)
+        if all(_is_free(host, port) for host in HOSTS):
+            found.append(port)
+    return found
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -12,9 +12,7 @@
 from sassafrasstair.forwarding import _daemon
 from tests.forwarding import place
 
-A = "127.0.0.11"
-B = "127.0.0.12"
-C = "127.0.0.13"
+A, B, C = place.HOSTS
 
 
 def run(test: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
@@ -336,3 +334,28 @@
         await asyncio.wait_for(stopping, place.GRACE)
 
     run(test())
+
+
+def test_upstream_that_takes_no_connection_is_left_alone() -> None:
+    """An instance has ended and its entry is still there.
+
+    Each request sent to it would first wait for its connection; instead its
+    daemon turns them away at once, until a connection is made again.
+    """
+
+    async def test() -> None:
+        world = place.Place()
+        world.policy(3, place.route("/s/", "s"))
+        world.entry(B, "s")
+        await world.daemon(A, "front")
+        await world.daemon(B, "s")
+        await world.knows(A, B)
+        assert (await world.call(A, "/s/")).status == 503
+        assert world.daemons[B].daemon.upstream_down
+        await world.upstream(B, "s")
+        while world.daemons[B].daemon.upstream_down:
+            await asyncio.sleep(0.02)
+        while (await world.call(A, "/s/")).status != 200:
+            await asyncio.sleep(0.05)
+
+    run(test())
