Tell a client that its request has not run where that is certain

Cause: a request whose time ended while its connection was being made, or while it waited for a slot on its own VM, was answered 504, which promises nothing, though it never left the daemon. Ruled out: the same for a request that waits at another daemon, which may start it before the cut arrives. Change: 503 with Retry-After there; kept store connections are dropped after a timeout; a hop spends a fifth of the retry ratio, so that four hops stay within it.

--- a/src/sassafrasstair/decisions/requests/_budgets.py
+++ b/src/sassafrasstair/decisions/requests/_budgets.py
@@ -9,10 +9,11 @@
 
 import dataclasses
 
-OWN_SHARE = 0.3
+OWN_SHARE = 0.2
 """The part of the ratio that one hop spends. A repeated request makes its
 calls again, and these count as repeats further down: with chains of four
-hops, each at the whole ratio, the last service would get four times it."""
+hops, each at the whole ratio, the last service would get four times it, and
+each at a fifth stays within."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -104,7 +104,7 @@
     """Give the final answer at the request's deadline, whatever runs."""
     if call not in daemon.calls:
         return
-    if call.attempt is not None:
+    if call.attempt is not None and _may_have_run(daemon, call.attempt):
         call.progress.lost = True
     _drop_attempt(daemon, call)
     _give_up(daemon, call, outcomes.Reason.DEADLINE_PASSED)
@@ -405,6 +405,19 @@
         _callee.cancel(daemon, attempt.run)
 
 
+def _may_have_run(daemon: _state.Daemon, attempt: Attempt) -> bool:
+    """Return whether an attempt that is given up on may have run.
+
+    Not while its connection is still being made, nor while it waits for a
+    slot on this VM: both end with the attempt.
+    """
+    job = attempt.job
+    if job is None:
+        run = daemon.runs.get(attempt.run)
+        job = None if run is None else run.job
+    return job is not None and job.sent
+
+
 def _log_end(
     daemon: _state.Daemon, call: Call, name: str, status: int, reason: str
 ) -> None:
--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -80,6 +80,11 @@
         if done is not None:
             done(result)
 
+    @property
+    def sent(self) -> bool:
+        """Whether any of it may have left, so that the server has it."""
+        return self._connection is not None
+
     @property
     def wanted(self) -> bool:
         """Whether somebody still waits for the answer."""
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -144,6 +144,8 @@
         try:
             result = await asyncio.wait_for(answer, seconds)
         except TimeoutError as error:
+            # The kept ones may have fallen silent with it.
+            self._pool.drop_idle()
             raise _dialect.SourceError(
                 _dialect.SourceReason.TIMEOUT, verb
             ) from error
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -195,6 +195,26 @@
     run(test())
 
 
+def test_request_that_waited_here_to_its_timeout_has_not_run() -> None:
+    """The only slot, on the client's own VM, is taken until the timeout.
+
+    The request never left this daemon, so its client may be told to come
+    back; 504 would say that it may have run.
+    """
+
+    async def test() -> None:
+        world = await _world(hang, idempotent=False, timeout=0.4, slots=1)
+        first = asyncio.ensure_future(world.call(B, "/s/"))
+        while not world.upstreams[B].got:
+            await asyncio.sleep(0.01)
+        second = await world.call(B, "/s/", deadline_ms=100)
+        assert second.status == 503
+        assert (await first).status == 504
+        assert len(world.upstreams[B].got) == 1
+
+    run(test())
+
+
 def test_client_that_leaves_ends_the_work() -> None:
     """The client closes its connection half a second into its request."""
 
