Prove the adapter against a store that misbehaves

Change: tables for the settings file, pages, changes, removals, bad items, and each failure with its reason; a store that falls silent.

--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,63 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import pytest
+
+from sassafrasstair import forwarding
+from sassafrasstair import platform
+from sassafrasstair.platform import _settings
+
+TEXT = """\
+node_id=sidecar-a-1
+zone=a
+region=r1
+zones.a=r1
+zones.b=r2
+ip=10.0.0.1
+listen.inbound=10.0.0.1:8300
+listen.outbound=10.0.0.1:8304
+listen.readiness=10.0.0.1:8302
+seeds=10.0.0.2:8310,10.0.0.3:8310
+limits.memory_mb=300
+bounds=drain_ms=2500,grace_s=6,retry_budget_ratio=0.2,budget_slack=48
+app_addr=10.0.0.1:8301
+service=huvo
+platform.address=10.9.0.1:8309
+a.field.of.tomorrow=1
+"""
+
+
+def test_fields_are_decoded() -> None:
+    settings = _settings.decode(TEXT)
+    assert settings.vm == "sidecar-a-1"
+    assert settings.regions == {"a": "r1", "b": "r2"}
+    assert settings.callers == forwarding.Address("10.0.0.1", 8304)
+    assert settings.upstream.port == 8301
+    assert [seed.host for seed in settings.seeds] == ["10.0.0.2", "10.0.0.3"]
+    assert settings.seeding is None
+    assert settings.memory_bytes == 300_000_000
+    assert settings.bounds.drain_seconds == 2.5
+    assert settings.bounds.budget.slack == 48.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ("service=huvo", "", "service"),
+        ("app_addr=10.0.0.1:8301", "app_addr=10.0.0.1", "app_addr"),
+        ("platform.address=10.9.0.1:8309", "", "platform.address"),
+        ("memory_mb=300", "memory_mb=lots", "limits.memory_mb"),
+        ("drain_ms=2500", "drain_ms=soon", "drain_ms"),
+        ("10.0.0.3:8310", "10.0.0.3:x", "seeds"),
+    ],
+)
+def test_error_names_the_key(old: str, new: str, key: str) -> None:
+    with pytest.raises(forwarding.SettingsError, match=key):
+        _settings.decode(TEXT.replace(old, new))
+
+
+def test_missing_file_is_named() -> None:
+    dialect = platform.open_dialect({"SASSAFRASSTAIR_BOOT": "/none/boot"})
+    with pytest.raises(forwarding.SettingsError, match="/none/boot"):
+        dialect.settings()
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,216 @@
+"""The client of the store, against one that misbehaves."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import typing
+
+import pytest
+
+from sassafrasstair import clocks
+from sassafrasstair.decisions import policies
+from sassafrasstair.decisions import views
+from sassafrasstair import forwarding
+from sassafrasstair.platform import _store
+
+HOST = "127.0.0.1"
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.5:80",
+    "zone": "a",
+    "slots": 8,
+    "state": "ready",
+    "warmup_ms": 1500,
+    "seq": 4,
+}
+CONFIG = {
+    "version": "r12",
+    "routes": {
+        "one": {
+            "host": "h",
+            "prefix": "/a/",
+            "type": "safe",
+            "timeout_ms": 800,
+            "target_latency_ms": 300,
+            "priority": 0,
+            "service": "s",
+            "max_attempts": 2,
+        },
+        "two": {
+            "host": "h",
+            "prefix": "/b/",
+            "type": "upload",
+            "timeout_ms": 800,
+            "priority": 2,
+            "traffic_split": [
+                {"service": "s", "weight": 9},
+                {"service": "t", "weight": 1},
+            ],
+        },
+    },
+    "services": {"s": {"health_path": "/healthz"}},
+    "limits": {"max_header_bytes": 1000, "idle_timeout_ms": 15000},
+}
+
+
+def _item(key: str, value: object, revision: int) -> dict[str, object]:
+    text = base64.b64encode(json.dumps(value).encode()).decode()
+    return {"key": key, "value": text, "revision": revision, "lease": 0}
+
+
+def _answer(status: str, body: object) -> bytes:
+    text = json.dumps(body).encode()
+    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (
+        status.encode(),
+        len(text),
+        text,
+    )
+
+
+async def _store_of(
+    *answers: bytes | None,
+) -> tuple[forwarding.Source, list[str]]:
+    """Return a client of a store that gives these answers in turn.
+
+    None closes the connection instead; without one left it stays silent.
+    """
+    left = list(answers)
+    asked: list[str] = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                writer.close()
+                return
+            asked.append(head.split(b" ")[1].decode())
+            if not left:
+                continue
+            answer = left.pop(0)
+            if answer is None:
+                writer.close()
+                return
+            writer.write(answer)
+
+    server = await asyncio.start_server(serve, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    address = forwarding.Address(HOST, port)
+    client = _store.open_store(address, {"a": "r1"}, clocks.SystemClock())
+    return client, asked
+
+
+def _run(test: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(test, 10.0))
+
+
+def test_reading_joins_the_pages() -> None:
+    async def test() -> None:
+        first = {
+            "items": [_item("op/config", CONFIG, 5)],
+            "has_more": True,
+            "store_revision": 7,
+        }
+        second = {
+            "items": [
+                _item("servers/i-1", ENTRY, 6),
+                _item("my/other", 1, 6),
+                _item("servers/i-2", {"service": 3}, 6),
+            ],
+            "has_more": False,
+            "store_revision": 9,
+        }
+        source, asked = await _store_of(
+            _answer("200 OK", first), _answer("200 OK", second)
+        )
+        reading = await source.read()
+        assert (reading.revision, reading.whole) == (7, True)
+        policy, instance = reading.changes
+        assert isinstance(policy, policies.Policy)
+        assert policy.version == 12
+        one, two = policy.routes
+        assert (one.idempotent, one.importance, one.timeout) == (True, 9, 0.8)
+        assert (two.idempotent, two.importance) == (False, 7)
+        assert [share.weight for share in two.shares] == [9.0, 1.0]
+        assert policy.limits.head_bytes == 1000
+        assert instance == views.Instance(
+            "i-1",
+            "s",
+            "10.0.0.5",
+            "a",
+            "r1",
+            8,
+            views.InstanceState.READY,
+            1.5,
+        )
+        assert "after=op%2Fconfig" in asked[1]
+
+    _run(test())
+
+
+def test_watch_tells_changes_and_removals() -> None:
+    async def test() -> None:
+        body = {
+            "events": [
+                _item("servers/i-1", ENTRY | {"state": "draining"}, 11),
+                {"key": "servers/i-2", "revision": 12, "removed": True},
+                {"key": "op/else", "revision": 13, "removed": True},
+            ],
+            "store_revision": 14,
+        }
+        source, asked = await _store_of(_answer("200 OK", body))
+        reading = await source.watch(10, 3.0)
+        assert (reading.revision, reading.content) == (14, 13)
+        leaving, gone = reading.changes
+        assert isinstance(leaving, views.Instance)
+        assert leaving.state is views.InstanceState.LEAVING
+        assert gone == views.Removed("i-2")
+        assert "after=10" in asked[0]
+        assert "wait_ms=3000" in asked[0]
+
+    _run(test())
+
+
+@pytest.mark.parametrize(
+    ("answer", "reason"),
+    [
+        (_answer("410 Gone", {}), forwarding.SourceReason.HISTORY_GONE),
+        (_answer("503 Busy", {}), forwarding.SourceReason.REFUSED),
+        (_answer("429 Many", {}), forwarding.SourceReason.REFUSED),
+        (_answer("200 OK", {"no": 1}), forwarding.SourceReason.MALFORMED),
+        (b"\x00\x01\r\n\r\n", forwarding.SourceReason.LOST),
+        (None, forwarding.SourceReason.LOST),
+    ],
+)
+def test_failure_has_its_reason(
+    answer: bytes | None, reason: forwarding.SourceReason
+) -> None:
+    async def test() -> None:
+        source, _ = await _store_of(answer)
+        with pytest.raises(forwarding.SourceError) as caught:
+            await source.watch(1, 0.1)
+        assert caught.value.reason is reason
+
+    _run(test())
+
+
+def test_silent_store_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The link to the store goes silent without a reset.
+
+    Without a time-out of its own the daemon would wait for ever, and serve
+    by an old policy.
+    """
+    monkeypatch.setattr(_store, "CALL_SECONDS", 0.1)
+
+    async def test() -> None:
+        source, asked = await _store_of()
+        with pytest.raises(forwarding.SourceError) as caught:
+            await source.watch(1, 0.1)
+        assert caught.value.reason is forwarding.SourceReason.TIMEOUT
+        assert len(asked) == 1
+
+    _run(test())
