Split the entrance by its jobs: choosing and answering

Ruled out: a class for the call with methods. Change: final answers and their log lines stand in _endings.py, no behaviour. Result: tests of forwarding pass.

--- /dev/null
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -0,0 +1,167 @@
+"""Final answers: an instance's own, or one in its place, and their log."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from sassafrasstair.decisions import requests
+from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _wire
+from sassafrasstair import httpio
+from sassafrasstair import outcomes
+
+if typing.TYPE_CHECKING:
+    import asyncio
+
+    from sassafrasstair.forwarding import _state
+
+REFUSED_STATUS = 503
+UNKNOWN_STATUS = 502
+TIMEOUT_STATUS = 504
+START_SECONDS = 1.0
+"""After which a client is told to come back to a daemon that starts."""
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Attempt:
+    """The attempt under way.
+
+    It goes over the network as ``job``, or as ``run`` to the instance on
+    this VM.
+    """
+
+    instance: str
+    host: str
+    sent: float
+    job: httpio.Job | None = None
+    run: str = ""
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Call:
+    """One client's request under way."""
+
+    exchange: httpio.Exchange
+    request_id: bytes
+    progress: requests.Progress
+    fields: httpio.Fields
+    attempt: Attempt | None = None
+    timer: asyncio.TimerHandle | None = None
+
+
+def deliver(
+    daemon: _state.Daemon, call: Call, response: httpio.Response
+) -> None:
+    fields = httpio.end_to_end(
+        response.fields, response.found, _wire.OWN_FIELDS
+    )
+    reason = "own_failure" if response.status >= 500 else "ok"
+    if daemon.journal.wants("answered", reason):
+        log_end(daemon, call, "answered", response.status, reason)
+    close(daemon, call, response.status, "answered")
+    call.exchange.respond(response.status, fields, response.body)
+
+
+def give_up(
+    daemon: _state.Daemon, call: Call, reason: outcomes.Reason
+) -> None:
+    """Answer in the instances' place, by what is known of the request."""
+    known = requests.outcome(call.progress)
+    if known is outcomes.Outcome.NOT_RUN:
+        refuse(daemon, call, reason)
+        return
+    status = UNKNOWN_STATUS
+    if reason is outcomes.Reason.DEADLINE_PASSED:
+        status = TIMEOUT_STATUS
+    log_end(daemon, call, "gave_up", status, reason.value)
+    close(daemon, call, status, reason.value)
+    call.exchange.respond(status, _own_fields(daemon, call), b"")
+
+
+def refuse(daemon: _state.Daemon, call: Call, reason: outcomes.Reason) -> None:
+    after = requests.retry_after(call.progress.route, daemon.rng)
+    fields = _own_fields(daemon, call)
+    fields.append((b"Retry-After", b"%.3f" % after))
+    log_end(daemon, call, "refused", REFUSED_STATUS, reason.value)
+    close(daemon, call, REFUSED_STATUS, reason.value)
+    call.exchange.respond(REFUSED_STATUS, fields, b"")
+
+
+def close(daemon: _state.Daemon, call: Call, status: int, reason: str) -> None:
+    """Forget the request; its final answer is about to be sent."""
+    daemon.calls.discard(call)
+    if call.timer is not None:
+        call.timer.cancel()
+    route = call.progress.route
+    now = daemon.clock.monotonic()
+    _counters.ended(
+        daemon.counters,
+        route.name,
+        route.importance,
+        status,
+        reason,
+        now - call.exchange.request.began,
+    )
+
+
+def log_end(
+    daemon: _state.Daemon, call: Call, name: str, status: int, reason: str
+) -> None:
+    progress = call.progress
+    now = daemon.clock.monotonic()
+    table = daemon.view.table
+    daemon.journal.request(
+        name,
+        reason,
+        request=call.request_id.decode("latin-1"),
+        route=progress.route.name,
+        service=progress.service,
+        status=status,
+        tried=",".join(progress.tried),
+        outcome=requests.outcome(progress),
+        waited=now - call.exchange.request.began,
+        left=progress.deadline - now,
+        rank=progress.rank,
+        policy=0 if table is None else table.policy.version,
+        revision=daemon.view.revision,
+    )
+
+
+def refuse_early(
+    daemon: _state.Daemon,
+    exchange: httpio.Exchange,
+    reason: outcomes.Reason,
+) -> None:
+    fields = [(b"Retry-After", b"%.3f" % START_SECONDS)]
+    answer_early(daemon, exchange, REFUSED_STATUS, reason, fields)
+
+
+def answer_early(
+    daemon: _state.Daemon,
+    exchange: httpio.Exchange,
+    status: int,
+    reason: outcomes.Reason,
+    fields: httpio.Fields | None = None,
+) -> None:
+    """Answer a request for which there is no route to go by."""
+    request = exchange.request
+    name = daemon.dialect.names.request_id
+    request_id = request.found.get(name.lower(), b"")
+    table = daemon.view.table
+    daemon.journal.request(
+        "refused",
+        reason.value,
+        request=request_id.decode("latin-1"),
+        status=status,
+        host=request.found.get(b"host", b"").decode("latin-1"),
+        target=request.target.decode("latin-1"),
+        policy=0 if table is None else table.policy.version,
+        revision=daemon.view.revision,
+    )
+    _counters.ended(daemon.counters, "none", 0, status, reason.value, 0.0)
+    exchange.respond(status, [*(fields or []), (name, request_id)], b"")
+
+
+def _own_fields(daemon: _state.Daemon, call: Call) -> httpio.Fields:
+    return [(daemon.dialect.names.request_id, call.request_id)]
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import functools
 
 from sassafrasstair.decisions import admission
@@ -14,6 +13,7 @@
 from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
+from sassafrasstair.forwarding import _endings
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _sync
 from sassafrasstair.forwarding import _wire
@@ -22,38 +22,6 @@
 
 WAIT_SHARE = 0.5
 """The part of a route's objective that a request may wait for a slot."""
-REFUSED_STATUS = 503
-UNKNOWN_STATUS = 502
-TIMEOUT_STATUS = 504
-START_SECONDS = 1.0
-"""After which a client is told to come back to a daemon that starts."""
-
-
-@dataclasses.dataclass(eq=False, slots=True)
-class Attempt:
-    """The attempt under way.
-
-    It goes over the network as ``job``, or as ``run`` to the instance on
-    this VM.
-    """
-
-    instance: str
-    host: str
-    sent: float
-    job: httpio.Job | None = None
-    run: str = ""
-
-
-@dataclasses.dataclass(eq=False, slots=True)
-class Call:
-    """One client's request under way."""
-
-    exchange: httpio.Exchange
-    request_id: bytes
-    progress: requests.Progress
-    fields: httpio.Fields
-    attempt: Attempt | None = None
-    timer: asyncio.TimerHandle | None = None
 
 
 def handle(daemon: _state.Daemon, exchange: httpio.Exchange) -> None:
@@ -64,26 +32,30 @@
     request_id = request.found.get(names.request_id.lower(), b"")
     table = daemon.view.table
     if table is None:
-        _refuse_early(daemon, exchange, outcomes.Reason.NO_BUNDLE)
+        _endings.refuse_early(daemon, exchange, outcomes.Reason.NO_BUNDLE)
         return
     host = request.found.get(b"host", b"").decode("latin-1")
     path = request.target.partition(b"?")[0].decode("latin-1")
     route = policies.match(table, host, path)
     if route is None and views.is_stale(daemon.view, now):
-        _refuse_early(daemon, exchange, outcomes.Reason.NO_BUNDLE)
+        _endings.refuse_early(daemon, exchange, outcomes.Reason.NO_BUNDLE)
         return
     if route is None:
-        _answer_early(daemon, exchange, 404, outcomes.Reason.UNKNOWN_SERVICE)
+        _endings.answer_early(
+            daemon, exchange, 404, outcomes.Reason.UNKNOWN_SERVICE
+        )
         return
     if not request_id or not host:
-        _answer_early(daemon, exchange, 400, outcomes.Reason.MALFORMED)
+        _endings.answer_early(daemon, exchange, 400, outcomes.Reason.MALFORMED)
         return
     service = policies.choose_service(route, daemon.rng)
     patience = _patience(request.found.get(names.deadline_ms.lower()))
     deadline = request.began + min(route.timeout, patience)
     rank = route.importance + daemon.rng.random()
     progress = requests.new_progress(route, service, rank, deadline)
-    call = Call(exchange, request_id, progress, _passed_on(daemon, request))
+    call = _endings.Call(
+        exchange, request_id, progress, _passed_on(daemon, request)
+    )
     daemon.calls.add(call)
     exchange.gone = functools.partial(_gone, daemon, call)
     call.timer = asyncio.get_running_loop().call_later(
@@ -95,19 +67,19 @@
     if rank < calls.floor_of(daemon.floors, key, now) or not admission.admit(
         daemon.gates, route.name, above, now, daemon.rng
     ):
-        _refuse(daemon, call, outcomes.Reason.SHED_AT_ENTRANCE)
+        _endings.refuse(daemon, call, outcomes.Reason.SHED_AT_ENTRANCE)
         return
     _send(daemon, call)
 
 
-def expire(daemon: _state.Daemon, call: Call) -> None:
+def expire(daemon: _state.Daemon, call: _endings.Call) -> None:
     """Give the final answer at the request's deadline, whatever runs."""
     if call not in daemon.calls:
         return
     if call.attempt is not None and _may_have_run(daemon, call.attempt):
         call.progress.lost = True
     _drop_attempt(daemon, call)
-    _give_up(daemon, call, outcomes.Reason.DEADLINE_PASSED)
+    _endings.give_up(daemon, call, outcomes.Reason.DEADLINE_PASSED)
 
 
 def lose_attempts(daemon: _state.Daemon, instance: str) -> None:
@@ -128,7 +100,7 @@
 
 def _send(
     daemon: _state.Daemon,
-    call: Call,
+    call: _endings.Call,
     before: outcomes.Reason = outcomes.Reason.NO_INSTANCE,
 ) -> None:
     """Send the request to an instance not tried yet.
@@ -142,13 +114,13 @@
         daemon.routes, targets, progress.tried, now, daemon.rng
     )
     if target is None:
-        _give_up(daemon, call, before)
+        _endings.give_up(daemon, call, before)
         return
     instance = views.instance(daemon.view, target.vm)
     host = "" if instance is None else instance.host
     requests.attempt_sent(progress, target.vm)
     calls.sent(daemon.routes, target.vm, now)
-    attempt = Attempt(target.vm, host, now)
+    attempt = _endings.Attempt(target.vm, host, now)
     call.attempt = attempt
     wait = WAIT_SHARE * progress.route.objective
     ask = _wire.Ask(
@@ -166,7 +138,10 @@
 
 
 def _send_here(
-    daemon: _state.Daemon, call: Call, attempt: Attempt, ask: _wire.Ask
+    daemon: _state.Daemon,
+    call: _endings.Call,
+    attempt: _endings.Attempt,
+    ask: _wire.Ask,
 ) -> None:
     request = call.exchange.request
     names = daemon.dialect.names
@@ -188,7 +163,10 @@
 
 
 def _send_there(
-    daemon: _state.Daemon, call: Call, attempt: Attempt, ask: _wire.Ask
+    daemon: _state.Daemon,
+    call: _endings.Call,
+    attempt: _endings.Attempt,
+    ask: _wire.Ask,
 ) -> None:
     request = call.exchange.request
     names = daemon.dialect.names
@@ -211,8 +189,8 @@
 
 def _answered(
     daemon: _state.Daemon,
-    call: Call,
-    attempt: Attempt,
+    call: _endings.Call,
+    attempt: _endings.Attempt,
     result: httpio.Response | httpio.Failure,
 ) -> None:
     """Take what came from another daemon."""
@@ -244,7 +222,7 @@
 
 def _took(
     daemon: _state.Daemon,
-    call: Call,
+    call: _endings.Call,
     state: _wire.State,
     response: httpio.Response | None,
 ) -> None:
@@ -272,12 +250,12 @@
     if state.leaving:
         calls.eject(daemon.routes, attempt.instance)
     call.attempt = None
-    _deliver(daemon, call, response)
+    _endings.deliver(daemon, call, response)
 
 
 def _ended(
     daemon: _state.Daemon,
-    call: Call,
+    call: _endings.Call,
     ending: requests.Ending,
     reason: outcomes.Reason,
     state: _wire.State | None = None,
@@ -322,78 +300,19 @@
     if step is requests.Step.RETRY:
         _send(daemon, call, reason)
     else:
-        _give_up(daemon, call, reason)
-
-
-def _deliver(
-    daemon: _state.Daemon, call: Call, response: httpio.Response
-) -> None:
-    fields = httpio.end_to_end(
-        response.fields, response.found, _wire.OWN_FIELDS
-    )
-    reason = "own_failure" if response.status >= 500 else "ok"
-    if daemon.journal.wants("answered", reason):
-        _log_end(daemon, call, "answered", response.status, reason)
-    _close(daemon, call, response.status, "answered")
-    call.exchange.respond(response.status, fields, response.body)
-
-
-def _give_up(
-    daemon: _state.Daemon, call: Call, reason: outcomes.Reason
-) -> None:
-    """Answer in the instances' place, by what is known of the request."""
-    known = requests.outcome(call.progress)
-    if known is outcomes.Outcome.NOT_RUN:
-        _refuse(daemon, call, reason)
-        return
-    status = UNKNOWN_STATUS
-    if reason is outcomes.Reason.DEADLINE_PASSED:
-        status = TIMEOUT_STATUS
-    _log_end(daemon, call, "gave_up", status, reason.value)
-    _close(daemon, call, status, reason.value)
-    call.exchange.respond(status, _own_fields(daemon, call), b"")
-
-
-def _refuse(
-    daemon: _state.Daemon, call: Call, reason: outcomes.Reason
-) -> None:
-    after = requests.retry_after(call.progress.route, daemon.rng)
-    fields = _own_fields(daemon, call)
-    fields.append((b"Retry-After", b"%.3f" % after))
-    _log_end(daemon, call, "refused", REFUSED_STATUS, reason.value)
-    _close(daemon, call, REFUSED_STATUS, reason.value)
-    call.exchange.respond(REFUSED_STATUS, fields, b"")
+        _endings.give_up(daemon, call, reason)
 
 
-def _close(
-    daemon: _state.Daemon, call: Call, status: int, reason: str
-) -> None:
-    """Forget the request; its final answer is about to be sent."""
-    daemon.calls.discard(call)
-    if call.timer is not None:
-        call.timer.cancel()
-    route = call.progress.route
-    now = daemon.clock.monotonic()
-    _counters.ended(
-        daemon.counters,
-        route.name,
-        route.importance,
-        status,
-        reason,
-        now - call.exchange.request.began,
-    )
-
-
-def _gone(daemon: _state.Daemon, call: Call) -> None:
+def _gone(daemon: _state.Daemon, call: _endings.Call) -> None:
     """End the work for a client that has left."""
     if call not in daemon.calls:
         return
     _drop_attempt(daemon, call)
-    _log_end(daemon, call, "client_left", 0, "client_left")
-    _close(daemon, call, 0, "client_left")
+    _endings.log_end(daemon, call, "client_left", 0, "client_left")
+    _endings.close(daemon, call, 0, "client_left")
 
 
-def _drop_attempt(daemon: _state.Daemon, call: Call) -> None:
+def _drop_attempt(daemon: _state.Daemon, call: _endings.Call) -> None:
     """Stop the attempt under way, through the callee's daemon too."""
     attempt, call.attempt = call.attempt, None
     if attempt is None:
@@ -405,7 +324,7 @@
         _callee.cancel(daemon, attempt.run)
 
 
-def _may_have_run(daemon: _state.Daemon, attempt: Attempt) -> bool:
+def _may_have_run(daemon: _state.Daemon, attempt: _endings.Attempt) -> bool:
     """Return whether an attempt that is given up on may have run.
 
     Not while its connection is still being made, nor while it waits for a
@@ -418,68 +337,6 @@
     return job is not None and job.sent
 
 
-def _log_end(
-    daemon: _state.Daemon, call: Call, name: str, status: int, reason: str
-) -> None:
-    progress = call.progress
-    now = daemon.clock.monotonic()
-    table = daemon.view.table
-    daemon.journal.request(
-        name,
-        reason,
-        request=call.request_id.decode("latin-1"),
-        route=progress.route.name,
-        service=progress.service,
-        status=status,
-        tried=",".join(progress.tried),
-        outcome=requests.outcome(progress),
-        waited=now - call.exchange.request.began,
-        left=progress.deadline - now,
-        rank=progress.rank,
-        policy=0 if table is None else table.policy.version,
-        revision=daemon.view.revision,
-    )
-
-
-def _refuse_early(
-    daemon: _state.Daemon,
-    exchange: httpio.Exchange,
-    reason: outcomes.Reason,
-) -> None:
-    fields = [(b"Retry-After", b"%.3f" % START_SECONDS)]
-    _answer_early(daemon, exchange, REFUSED_STATUS, reason, fields)
-
-
-def _answer_early(
-    daemon: _state.Daemon,
-    exchange: httpio.Exchange,
-    status: int,
-    reason: outcomes.Reason,
-    fields: httpio.Fields | None = None,
-) -> None:
-    """Answer a request for which there is no route to go by."""
-    request = exchange.request
-    name = daemon.dialect.names.request_id
-    request_id = request.found.get(name.lower(), b"")
-    table = daemon.view.table
-    daemon.journal.request(
-        "refused",
-        reason.value,
-        request=request_id.decode("latin-1"),
-        status=status,
-        host=request.found.get(b"host", b"").decode("latin-1"),
-        target=request.target.decode("latin-1"),
-        policy=0 if table is None else table.policy.version,
-        revision=daemon.view.revision,
-    )
-    _counters.ended(daemon.counters, "none", 0, status, reason.value, 0.0)
-    exchange.respond(status, [*(fields or []), (name, request_id)], b"")
-
-
-def _own_fields(daemon: _state.Daemon, call: Call) -> httpio.Fields:
-    return [(daemon.dialect.names.request_id, call.request_id)]
-
-
 def _passed_on(
     daemon: _state.Daemon, request: httpio.Request
 ) -> httpio.Fields:
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -21,7 +21,7 @@
 
     from sassafrasstair import clocks
     from sassafrasstair.forwarding import _callee
-    from sassafrasstair.forwarding import _entrance
+    from sassafrasstair.forwarding import _endings
 
 PEER_IDLE_SECONDS = 30.0
 """For how long a connection between daemons is kept without a request."""
@@ -66,7 +66,7 @@
     )
     guards: dict[str, load.Guard] = dataclasses.field(default_factory=dict)
     pools: dict[str, httpio.Pool] = dataclasses.field(default_factory=dict)
-    calls: set[_entrance.Call] = dataclasses.field(default_factory=set)
+    calls: set[_endings.Call] = dataclasses.field(default_factory=set)
     runs: dict[str, _callee.Run] = dataclasses.field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     hosts: list[str] = dataclasses.field(default_factory=list)
--- a/tests/bench/test_overload_model.py
+++ b/tests/bench/test_overload_model.py
@@ -8,7 +8,7 @@
 from sassafrasstair import bench
 from sassafrasstair.console import bench as console
 
-# Goodput, important goodput, recovery and amplification: see issue 4.
+# Goodput, important goodput, recovery and amplification.
 AIMS = {"goodput": 0.95, "recovery_s": 2.0, "amplification": 0.1}
 
 
