--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -53,6 +53,7 @@
 def deliver(
     daemon: _state.Daemon, call: Call, response: httpio.Response
 ) -> None:
+    """Pass an instance's answer on as it came."""
     fields = httpio.end_to_end(
         response.fields, response.found, _wire.OWN_FIELDS
     )
@@ -80,6 +81,7 @@
 
 
 def refuse(daemon: _state.Daemon, call: Call, reason: outcomes.Reason) -> None:
+    """Say that the request has not run, and when to come back."""
     after = requests.retry_after(call.progress.route, daemon.rng)
     fields = _own_fields(daemon, call)
     fields.append((b"Retry-After", b"%.3f" % after))
@@ -108,6 +110,7 @@
 def log_end(
     daemon: _state.Daemon, call: Call, name: str, status: int, reason: str
 ) -> None:
+    """Log how the request ended and what it was decided by."""
     progress = call.progress
     now = daemon.clock.monotonic()
     table = daemon.view.table
@@ -133,6 +136,7 @@
     exchange: httpio.Exchange,
     reason: outcomes.Reason,
 ) -> None:
+    """Refuse while too little is known to route requests."""
     fields = [(b"Retry-After", b"%.3f" % START_SECONDS)]
     answer_early(daemon, exchange, REFUSED_STATUS, reason, fields)
 
