--- a/tests/decisions/views/test_views.py
+++ b/tests/decisions/views/test_views.py
@@ -64,12 +64,14 @@
 def test_older_reading_brings_nothing_back() -> None:
     """A slow reading of all entries ends after a newer watch.
 
-    Taken, it would bring back an instance that has left meanwhile.
+    Taken, it would bring back an instance that has left meanwhile, and
+    lose one that has come.
     """
     view = _known(_instance("a"), _instance("b"))
-    views.apply(view, [views.Removed("a")], 12, 12, 101.0)
+    changes = [views.Removed("a"), _instance("c")]
+    views.apply(view, changes, 12, 12, 101.0)
     views.replace(view, [_instance("a"), _instance("b")], 11, 11, 101.1)
-    assert _targets(view) == {"b"}
+    assert _targets(view) == {"b", "c"}
 
 
 def test_removed_instance_serves_on_only_without_another() -> None:
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -195,6 +195,33 @@
     run(test())
 
 
+def test_silent_daemon_is_waited_for_no_longer_than_the_timeout() -> None:
+    """The daemon of the only instance takes the request and falls silent.
+
+    It may have run there and must not run twice, so the entrance waits; at
+    the route's timeout the client has its answer whatever comes.
+    """
+
+    async def silent(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read()
+        writer.close()
+
+    async def test() -> None:
+        world = place.Place()
+        world.policy(3, place.route("/s/", "s", False, 0.8))
+        world.entry(C, "s")
+        await asyncio.start_server(silent, C, world.ports[1])
+        await world.daemon(A, "front")
+        await world.knows(A)
+        got = await world.call(A, "/s/", "POST")
+        assert got.status == 504
+        assert 0.75 < got.seconds < 1.2
+
+    run(test())
+
+
 def test_request_that_waited_here_to_its_timeout_has_not_run() -> None:
     """The only slot, on the client's own VM, is taken until the timeout.
 
