Send a lookup elsewhere when its callee's daemon falls silent

Cause: found by reading: when a ping showed that a daemon was silent, its attempts were dropped before their end was noted, so nothing followed, and each request waited for its deadline and was then told 503. Ruled out: a race with the ping; it happened each time. Change: the attempt is cut and its end noted.

--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -93,7 +93,8 @@
         if attempt is None or attempt.instance != instance:
             continue
         if call.progress.route.idempotent:
-            _drop_attempt(daemon, call)
+            if attempt.job is not None:
+                attempt.job.abort()
             reason = outcomes.Reason.PEER_LOST
             _ended(daemon, call, requests.Ending.LOST, reason)
 
--- a/tests/decisions/views/test_views.py
+++ b/tests/decisions/views/test_views.py
@@ -68,7 +68,7 @@
     lose one that has come.
     """
     view = _known(_instance("a"), _instance("b"))
-    changes = [views.Removed("a"), _instance("c")]
+    changes: list[views.Change] = [views.Removed("a"), _instance("c")]
     views.apply(view, changes, 12, 12, 101.0)
     views.replace(view, [_instance("a"), _instance("b")], 11, 11, 101.1)
     assert _targets(view) == {"b", "c"}
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -195,6 +195,36 @@
     run(test())
 
 
+def test_lookup_leaves_a_silent_daemon_for_another() -> None:
+    """The daemon of the chosen instance takes the request and falls silent.
+
+    The request may run twice, so it goes to another instance as soon as a
+    ping shows the silence, instead of waiting for its timeout.
+    """
+
+    async def silent(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read()
+        writer.close()
+
+    async def test() -> None:
+        world = place.Place()
+        world.policy(3, place.route("/s/", "s", True, 4.0))
+        await asyncio.start_server(silent, C, world.ports[1])
+        await world.upstream(B, "s")
+        world.entry(C, "s")
+        await world.daemon(A, "front")
+        await world.daemon(B, "s")
+        await world.knows(A, B)
+        calls = [world.call(A, "/s/") for _ in range(8)]
+        answers = await asyncio.gather(*calls)
+        assert [got.status for got in answers] == [200] * 8
+        assert max(got.seconds for got in answers) < 2.0
+
+    run(test())
+
+
 def test_silent_daemon_is_waited_for_no_longer_than_the_timeout() -> None:
     """The daemon of the only instance takes the request and falls silent.
 
