--- a/src/sassafrasstair/console/forwarder.py
+++ b/src/sassafrasstair/console/forwarder.py
@@ -15,7 +15,6 @@
 
 from sassafrasstair import clocks
 from sassafrasstair import forwarding
-from sassafrasstair.forwarding import _events
 from sassafrasstair import platform
 
 EXIT_BAD_INPUT = 2
@@ -50,7 +49,7 @@
             forwarding.run(
                 dialect,
                 clocks.SuspendClock(),
-                _events.descriptor_sink(_STDOUT),
+                forwarding.descriptor_sink(_STDOUT),
                 seed,
             )
         )
--- a/src/sassafrasstair/forwarding/__init__.py
+++ b/src/sassafrasstair/forwarding/__init__.py
@@ -18,6 +18,7 @@
 from sassafrasstair.forwarding._dialect import Source
 from sassafrasstair.forwarding._dialect import SourceError
 from sassafrasstair.forwarding._dialect import SourceReason
+from sassafrasstair.forwarding._events import descriptor_sink
 
 __all__ = [
     "Address",
@@ -30,5 +31,6 @@
     "Source",
     "SourceError",
     "SourceReason",
+    "descriptor_sink",
     "run",
 ]
--- a/src/sassafrasstair/platform/_dialect.py
+++ b/src/sassafrasstair/platform/_dialect.py
@@ -5,7 +5,7 @@
 import os
 import typing
 
-from sassafrasstair.forwarding import _dialect
+from sassafrasstair import forwarding
 from sassafrasstair.platform import _settings
 from sassafrasstair.platform import _store
 
@@ -17,7 +17,7 @@
 SETTINGS_VARIABLE = "SASSAFRASSTAIR_BOOT"
 SETTINGS_PATH = "/etc/sassafrasstair/boot.conf"
 
-NAMES = _dialect.Names(
+NAMES = forwarding.Names(
     request_id=b"Sassafrasstair-Request-Id",
     deadline_ms=b"Sassafrasstair-Deadline-Ms",
     target=b"Sassafrasstair-Target-Instance",
@@ -36,13 +36,13 @@
     def __init__(self, path: str) -> None:
         self._path = path
 
-    def settings(self) -> _dialect.Settings:
+    def settings(self) -> forwarding.Settings:
         """Read the settings file; raises ``SettingsError``."""
         try:
             with open(self._path, encoding="utf-8") as file:
                 text = file.read()
         except (OSError, UnicodeError) as error:
-            raise _dialect.SettingsError(f"{self._path}: {error}") from error
+            raise forwarding.SettingsError(f"{self._path}: {error}") from error
         return _settings.decode(text)
 
     def settings_mark(self) -> object:
@@ -54,13 +54,13 @@
         return found.st_mtime_ns, found.st_size, found.st_ino
 
     def source(
-        self, settings: _dialect.Settings, clock: clocks.Clock
-    ) -> _dialect.Source:
+        self, settings: forwarding.Settings, clock: clocks.Clock
+    ) -> forwarding.Source:
         """Return the client of the platform's store."""
         return _store.open_store(settings.store, settings.regions, clock)
 
 
-def open_dialect(environment: abc.Mapping[str, str]) -> _dialect.Dialect:
+def open_dialect(environment: abc.Mapping[str, str]) -> forwarding.Dialect:
     """Return the platform as described by the process's environment."""
     path = environment.get(SETTINGS_VARIABLE, SETTINGS_PATH)
     return _PlatformDialect(path)
--- a/src/sassafrasstair/platform/_settings.py
+++ b/src/sassafrasstair/platform/_settings.py
@@ -5,7 +5,7 @@
 import typing
 
 from sassafrasstair.decisions import requests
-from sassafrasstair.forwarding import _dialect
+from sassafrasstair import forwarding
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -16,7 +16,7 @@
 _MEGABYTE = 1_000_000
 
 
-def decode(text: str) -> _dialect.Settings:
+def decode(text: str) -> forwarding.Settings:
     """Return the settings; raises ``SettingsError`` naming the key."""
     values = _lines(text)
     bounds = dict(
@@ -26,7 +26,7 @@
     )
     host = _text(values, "ip")
     control = values.get("listen.control", "")
-    return _dialect.Settings(
+    return forwarding.Settings(
         vm=_text(values, "node_id"),
         service=_text(values, "service"),
         failure_domain=_text(values, "zone"),
@@ -38,7 +38,7 @@
         callers=_address(values, "listen.outbound"),
         daemons=_address(values, "listen.inbound"),
         operators=_address(values, "listen.readiness"),
-        metrics=_dialect.Address(host, METRICS_PORT),
+        metrics=forwarding.Address(host, METRICS_PORT),
         seeding=_address(values, "listen.control") if control else None,
         seeds=tuple(
             _parse_address("seeds", part)
@@ -50,7 +50,7 @@
         memory_bytes=int(
             _number(values, "limits.memory_mb", 300.0) * _MEGABYTE
         ),
-        bounds=_dialect.Bounds(
+        bounds=forwarding.Bounds(
             drain_seconds=_number(bounds, "drain_ms", 2000.0) / 1000,
             grace_seconds=_number(bounds, "grace_s", 6.0),
             budget=requests.BudgetRules(
@@ -74,7 +74,7 @@
 def _text(values: abc.Mapping[str, str], key: str) -> str:
     value = values.get(key, "")
     if not value:
-        raise _dialect.SettingsError(f"{key}: is missing")
+        raise forwarding.SettingsError(f"{key}: is missing")
     return value
 
 
@@ -85,15 +85,15 @@
     try:
         return float(value)
     except ValueError as error:
-        raise _dialect.SettingsError(f"{key}: not a number") from error
+        raise forwarding.SettingsError(f"{key}: not a number") from error
 
 
-def _address(values: abc.Mapping[str, str], key: str) -> _dialect.Address:
+def _address(values: abc.Mapping[str, str], key: str) -> forwarding.Address:
     return _parse_address(key, _text(values, key))
 
 
-def _parse_address(key: str, value: str) -> _dialect.Address:
+def _parse_address(key: str, value: str) -> forwarding.Address:
     host, _, port = value.rpartition(":")
     if not host or not port.isdigit():
-        raise _dialect.SettingsError(f"{key}: not IP:PORT: {value}")
-    return _dialect.Address(host, int(port))
+        raise forwarding.SettingsError(f"{key}: not IP:PORT: {value}")
+    return forwarding.Address(host, int(port))
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from sassafrasstair.forwarding import _dialect
+from sassafrasstair import forwarding
 from sassafrasstair import httpio
 from sassafrasstair import logs
 from sassafrasstair.platform import _documents
@@ -60,7 +60,7 @@
         self._pool = pool
         self._regions = regions
 
-    async def read(self) -> _dialect.Reading:
+    async def read(self) -> forwarding.Reading:
         """Read all items, page by page; raises ``SourceError``.
 
         The pages are no snapshot: changes after the first are told again
@@ -79,9 +79,11 @@
                 break
             after = page.items[-1].key
         revision = 0 if first is None else first.store_revision
-        return _dialect.Reading(self._changes(items), revision, revision, True)
+        return forwarding.Reading(
+            self._changes(items), revision, revision, True
+        )
 
-    async def watch(self, after: int, wait: float) -> _dialect.Reading:
+    async def watch(self, after: int, wait: float) -> forwarding.Reading:
         """Wait for changes after a revision; raises ``SourceError``."""
         query = {
             "prefix": "",
@@ -91,7 +93,7 @@
         body = await self._call("watch", query, wait + CALL_SECONDS)
         told = _decoded(_WATCH, body)
         content = max((item.revision for item in told.events), default=-1)
-        return _dialect.Reading(
+        return forwarding.Reading(
             self._changes(told.events),
             max(told.store_revision, content),
             content,
@@ -146,8 +148,8 @@
         except TimeoutError as error:
             # The kept ones may have fallen silent with it.
             self._pool.drop_idle()
-            raise _dialect.SourceError(
-                _dialect.SourceReason.TIMEOUT, verb
+            raise forwarding.SourceError(
+                forwarding.SourceReason.TIMEOUT, verb
             ) from error
         finally:
             # A connection whose answer did not come gives none any more.
@@ -157,25 +159,25 @@
 
 
 def open_store(
-    address: _dialect.Address,
+    address: forwarding.Address,
     regions: abc.Mapping[str, str],
     clock: clocks.Clock,
-) -> _dialect.Source:
+) -> forwarding.Source:
     """Return a client; ``regions`` maps failure domains to theirs."""
     pool = httpio.Pool(address.host, address.port, clock, IDLE_SECONDS)
     return _Store(pool, regions)
 
 
 def _body(verb: str, result: httpio.Response | httpio.Failure) -> bytes:
-    reasons = _dialect.SourceReason
+    reasons = forwarding.SourceReason
     if result is httpio.Failure.NOT_SENT:
-        raise _dialect.SourceError(reasons.UNREACHABLE, verb)
+        raise forwarding.SourceError(reasons.UNREACHABLE, verb)
     if isinstance(result, httpio.Failure):
-        raise _dialect.SourceError(reasons.LOST, f"{verb}: {result.value}")
+        raise forwarding.SourceError(reasons.LOST, f"{verb}: {result.value}")
     if result.status == 410:
-        raise _dialect.SourceError(reasons.HISTORY_GONE, verb)
+        raise forwarding.SourceError(reasons.HISTORY_GONE, verb)
     if result.status != 200:
-        raise _dialect.SourceError(
+        raise forwarding.SourceError(
             reasons.REFUSED, f"{verb}: status {result.status}"
         )
     return result.body
@@ -185,6 +187,6 @@
     try:
         return decoder.decode(body)
     except msgspec.MsgspecError as error:
-        raise _dialect.SourceError(
-            _dialect.SourceReason.MALFORMED, str(error)
+        raise forwarding.SourceError(
+            forwarding.SourceReason.MALFORMED, str(error)
         ) from error
