--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -436,3 +436,18 @@
             await asyncio.sleep(0.05)
 
     run(test())
+
+
+def test_reader_of_the_log_that_stops_delays_no_request() -> None:
+    """Whatever reads the daemons' output has no room from the start."""
+
+    async def test() -> None:
+        world = await _world(refuse)
+        for running in world.daemons.values():
+            running.daemon.journal._sink = lambda data: 0
+        for _ in range(300):
+            got = await world.call(A, "/s/", "POST")
+            assert got.status == 503
+            assert got.seconds < 1.0
+
+    run(test())
