End a request whose body stops midway

Cause: found by reading: a client that stopped in the middle of a body held its part in memory for ever; the limits of heads did not cover it. Ruled out: the idle limit, which is for connections between requests. Change: 408 a minute after the request's first byte. Result: a row of the table, red without the change.

--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -227,7 +227,7 @@
         limits.head_bytes,
         limits.body_bytes,
         limits.head_seconds,
-        limits.idle_seconds,
+        idle_seconds=limits.idle_seconds,
     )
 
 
--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -33,6 +33,9 @@
     head_bytes: int = 16_384
     body_bytes: int = 64 * 1024 * 1024
     head_seconds: float = 5.0
+    body_seconds: float = 60.0
+    """From the first byte of the head to the last of the body: a client
+    that stops midway would hold its part in memory for ever."""
     idle_seconds: float = 30.0
 
 
@@ -296,8 +299,9 @@
         if self._current is not None:
             return
         if self._reading is not None:
-            slow = now - self._reading.began > limits.head_seconds
-            if slow and self._head_size >= 0:
+            in_head = self._head_size >= 0
+            allowed = limits.head_seconds if in_head else limits.body_seconds
+            if now - self._reading.began > allowed:
                 self._refuse(408)
         elif now - self._since > limits.idle_seconds:
             self.close()
--- a/tests/httpio/test_listeners.py
+++ b/tests/httpio/test_listeners.py
@@ -12,7 +12,11 @@
 
 HOST = "127.0.0.1"
 LIMITS = httpio.Limits(
-    head_bytes=400, body_bytes=100, head_seconds=0.2, idle_seconds=0.3
+    head_bytes=400,
+    body_bytes=100,
+    head_seconds=0.2,
+    body_seconds=0.2,
+    idle_seconds=0.3,
 )
 GET = b"GET /a%20b/?q=1 HTTP/1.1\r\nHost: h\r\n"
 
@@ -108,11 +112,22 @@
     asyncio.run(run())
 
 
-def test_slow_head_ends_with_408() -> None:
+@pytest.mark.parametrize(
+    "sent",
+    [
+        pytest.param(b"GET / HT", id="head"),
+        pytest.param(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc",
+            id="body",
+        ),
+    ],
+)
+def test_request_that_stops_midway_ends_with_408(sent: bytes) -> None:
     async def run() -> None:
         served = await _serve()
-        answer = await _talk(served, b"GET / HT", pause=0.3)
+        answer = await _talk(served, sent, pause=0.3)
         assert answer.startswith(b"HTTP/1.1 408 ")
+        assert served.listener.memory.held == 0
 
     asyncio.run(run())
 
