Leave out the old entries of instances that restarted

Cause: when VMs lose power with their instances, each instance is back within a second under a new id, and its old entry stays in the store until it lapses, 3 s later. Both entries name the same address; half of each service's requests named the old id, the instance said that it was another one (421), and since each request makes several calls nearly all failed.

Ruled out: cold starts (the calls were refused, not slow), daemons without a policy (known 0.1 s after their start).

Change: an address serves one instance at a time, so the entry that came first (by the store's revision of its creation) is left out; and an id at whose address another instance answered is not asked again until its entry changes, at the callee's daemon and at the entrance.

--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -5,6 +5,7 @@
 from sassafrasstair.decisions.views._queries import count_services
 from sassafrasstair.decisions.views._queries import instance
 from sassafrasstair.decisions.views._queries import is_behind
+from sassafrasstair.decisions.views._queries import is_replaced
 from sassafrasstair.decisions.views._queries import is_stale
 from sassafrasstair.decisions.views._queries import knows
 from sassafrasstair.decisions.views._queries import least_importance
@@ -21,6 +22,7 @@
 from sassafrasstair.decisions.views._views import apply
 from sassafrasstair.decisions.views._views import expire
 from sassafrasstair.decisions.views._views import new_view
+from sassafrasstair.decisions.views._views import note_replaced
 from sassafrasstair.decisions.views._views import replace
 from sassafrasstair.decisions.views._views import source_answered
 from sassafrasstair.decisions.views._views import source_failed
@@ -40,11 +42,13 @@
     "expire",
     "instance",
     "is_behind",
+    "is_replaced",
     "is_stale",
     "knows",
     "least_importance",
     "neighbours",
     "new_view",
+    "note_replaced",
     "replace",
     "snapshot",
     "source_answered",
--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -8,6 +8,8 @@
 from sassafrasstair.decisions.views import _types
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from sassafrasstair.decisions.views import _views
 
 STALE_SECONDS = 1.0
@@ -59,6 +61,35 @@
 
 
 def _targets(view: _views.View, service: str) -> tuple[calls.Target, ...]:
+    """Return whom to ask, without those that are known to have ended.
+
+    Failure: a VM loses power and its instance starts anew under another
+    id, while the entry of the one before stays until it lapses. Sent to
+    that id, half of the service's requests were refused for 3 s. An address
+    serves one instance at a time, so the older entry is out of date.
+    """
+    found = _with_entry(view, service)
+    newest: dict[tuple[str, int], int] = {}
+    for known in view.instances.values():
+        address = (known.host, known.port)
+        newest[address] = max(known.since, newest.get(address, -1))
+    return tuple(
+        calls.Target(
+            instance.id,
+            service,
+            instance.failure_domain,
+            instance.region,
+        )
+        for instance in found
+        if instance.since >= newest.get((instance.host, instance.port), -1)
+        and instance.id not in view.replaced
+    )
+
+
+def _with_entry(
+    view: _views.View, service: str
+) -> abc.Sequence[_types.Instance]:
+    """Return the instances with an entry, or with one that just vanished."""
     ready = [
         instance
         for instance in view.instances.values()
@@ -73,15 +104,12 @@
     ready += [entry.instance for entry in lapsed if entry.trusted]
     if not ready:
         ready = [entry.instance for entry in lapsed]
-    return tuple(
-        calls.Target(
-            instance.id,
-            service,
-            instance.failure_domain,
-            instance.region,
-        )
-        for instance in ready
-    )
+    return ready
+
+
+def is_replaced(view: _views.View, key: str) -> bool:
+    """Return whether another instance answered at the instance's address."""
+    return key in view.replaced
 
 
 def instance(view: _views.View, key: str) -> _types.Instance | None:
--- a/src/sassafrasstair/decisions/views/_types.py
+++ b/src/sassafrasstair/decisions/views/_types.py
@@ -19,13 +19,16 @@
 class Instance:
     """One run of an upstream; a restart has another ``id``.
 
-    ``host`` is the address of its VM, where its daemon listens too.
-    ``cold_seconds`` is for how long it stays slow after its start.
+    ``host`` is the address of its VM, where its daemon listens too, and
+    ``port`` its own. ``since`` is the store's revision at which its entry
+    came. ``cold_seconds`` is for how long it stays slow after its start.
     """
 
     id: str
     service: str
     host: str
+    port: int
+    since: int
     failure_domain: str
     region: str
     slots: int
@@ -62,3 +65,4 @@
     CHANGED = "instance_changed"
     LAPSED = "instance_lapsed"
     GONE = "instance_gone"
+    REPLACED = "instance_replaced"
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -52,6 +52,9 @@
 
     ``answered`` is when the store last answered this daemon, ``failing``
     since when it has not; both are seconds of the clock.
+
+    ``replaced`` are the ids of instances at whose address another one
+    answered: their entries are out of date until they change.
     """
 
     revision: int = -1
@@ -61,6 +64,7 @@
         default_factory=dict
     )
     lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
+    replaced: set[str] = dataclasses.field(default_factory=set)
     answered: float = -math.inf
     failing: float = math.inf
     unsteady_until: float = -math.inf
@@ -164,6 +168,15 @@
     return [(_types.News.GONE, key) for key in over]
 
 
+def note_replaced(view: View, key: str) -> Told:
+    """Note that another instance answered at the address of this one."""
+    if key in view.replaced or key not in view.instances:
+        return []
+    view.replaced.add(key)
+    view.cache.clear()
+    return [(_types.News.REPLACED, key)]
+
+
 def _set_policy(view: View, policy: policies.Policy) -> Told:
     """Put the policy in force unless a later one is: none reverts."""
     if view.table is not None and policy.version <= view.table.policy.version:
@@ -174,6 +187,9 @@
 
 def _set_instance(view: View, instance: _types.Instance) -> Told:
     before = view.instances.get(instance.id)
+    if before != instance:
+        # Only an instance that runs changes its entry.
+        view.replaced.discard(instance.id)
     view.lapsed.pop(instance.id, None)
     view.instances[instance.id] = instance
     if before is None:
@@ -192,6 +208,7 @@
     if instance is None:
         return []
     view.cache.clear()
+    view.replaced.discard(key)
     if instance.state is not _types.InstanceState.READY:
         return [(_types.News.GONE, key)]
     trusted = now < view.unsteady_until
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -18,6 +18,7 @@
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _state
+from sassafrasstair.forwarding import _sync
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
 from sassafrasstair import outcomes
@@ -35,6 +36,8 @@
 FULL_SHARE = 0.7
 """An instance that refuses with less of its slots in use is not full, and
 cutting its limit would only turn more work away."""
+MISDIRECTED_STATUS = 421
+"""Said by an instance that is not the one that the request names."""
 TRY_SECONDS = 0.3
 """Between two connections tried to an upstream that takes none."""
 GUARDS_KEPT = 4
@@ -89,8 +92,8 @@
     key = f"{daemon.serial}"
     guard = _guard(daemon, ask.instance, now)
     deadline = now + ask.remaining
-    if daemon.upstream_down:
-        reason = outcomes.Reason.UPSTREAM_UNREACHABLE
+    reason = _unable(daemon, ask.instance)
+    if reason is not outcomes.Reason.NONE:
         run = Run(order, deadline, done)
         _end(daemon, run, requests.Ending.UNSENT, reason, None)
         return key
@@ -100,6 +103,15 @@
     return key
 
 
+def _unable(daemon: _state.Daemon, instance: str) -> outcomes.Reason:
+    """Return why the upstream need not be asked, or ``NONE``."""
+    if daemon.upstream_down:
+        return outcomes.Reason.UPSTREAM_UNREACHABLE
+    if views.is_replaced(daemon.view, instance):
+        return outcomes.Reason.INSTANCE_REPLACED
+    return outcomes.Reason.NONE
+
+
 def cancel(daemon: _state.Daemon, key: str) -> None:
     """Drop a request that nobody waits for, at the instance too."""
     run = daemon.runs.get(key)
@@ -239,7 +251,11 @@
             reason = outcomes.Reason.UPSTREAM_LOST
         return requests.Ending.LOST, reason
     names = daemon.dialect.names
-    if result.status == 421 or names.not_run.lower() in result.found:
+    if result.status == MISDIRECTED_STATUS:
+        news = views.note_replaced(daemon.view, run.order.ask.instance)
+        _sync.learned(daemon, news, "upstream")
+        return requests.Ending.REFUSED, outcomes.Reason.INSTANCE_REPLACED
+    if names.not_run.lower() in result.found:
         return requests.Ending.REFUSED, outcomes.Reason.UPSTREAM_REFUSED
     success = 200 <= result.status < 300
     told = result.found.get(names.request_id.lower())
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -266,6 +266,9 @@
     if attempt is None:
         return
     now = daemon.clock.monotonic()
+    if reason is outcomes.Reason.INSTANCE_REPLACED:
+        told = views.note_replaced(daemon.view, attempt.instance)
+        _sync.learned(daemon, told, f"peer {attempt.host}")
     lost = ending is requests.Ending.LOST
     answer = calls.Answer(
         outcomes.Outcome.UNKNOWN if lost else outcomes.Outcome.NOT_RUN,
--- a/src/sassafrasstair/outcomes.py
+++ b/src/sassafrasstair/outcomes.py
@@ -39,6 +39,7 @@
     NO_BUNDLE = "no_bundle"
     NO_INSTANCE = "no_instance"
     LEAVING = "leaving"
+    INSTANCE_REPLACED = "instance_replaced"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_LOST = "peer_lost"
     UPSTREAM_REFUSED = "upstream_refused"
--- a/src/sassafrasstair/platform/_documents.py
+++ b/src/sassafrasstair/platform/_documents.py
@@ -67,17 +67,18 @@
 
 
 def decode(
-    key: str, value: bytes, regions: abc.Mapping[str, str]
+    key: str, value: bytes, created: int, regions: abc.Mapping[str, str]
 ) -> views.Change | None:
     """Return what an item says, None for one that does not concern us.
 
+    ``created`` is the store's revision at which the key was first written.
     Raises ``DocumentError``.
     """
     try:
         if key == POLICY_KEY:
             return _policy(_CONFIG.decode(value))
         if key.startswith(INSTANCES_PREFIX):
-            return _instance(key, _ENTRY.decode(value), regions)
+            return _instance(key, _ENTRY.decode(value), created, regions)
     except (msgspec.MsgspecError, ValueError) as error:
         raise DocumentError(f"{key}: {error}") from error
     return None
@@ -125,15 +126,17 @@
 
 
 def _instance(
-    key: str, entry: _Entry, regions: abc.Mapping[str, str]
+    key: str, entry: _Entry, created: int, regions: abc.Mapping[str, str]
 ) -> views.Instance:
-    host, _, _ = entry.address.rpartition(":")
+    host, _, port = entry.address.rpartition(":")
     leaving = entry.state == _LEAVING
     state = views.InstanceState.READY
     return views.Instance(
         key.removeprefix(INSTANCES_PREFIX),
         entry.service,
         host,
+        int(port),
+        created,
         entry.zone,
         regions.get(entry.zone, ""),
         entry.slots,
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -31,6 +31,7 @@
 class _Item(msgspec.Struct, frozen=True):
     key: str
     revision: int = 0
+    created: int = 0
     value: bytes = b""
     removed: bool = False
 
@@ -111,7 +112,9 @@
                 change = (
                     _documents.removed(item.key)
                     if item.removed
-                    else _documents.decode(item.key, item.value, self._regions)
+                    else _documents.decode(
+                        item.key, item.value, item.created, self._regions
+                    )
                 )
             except _documents.DocumentError as error:
                 # One bad item must not hide the others; it is as if it had
--- a/tests/decisions/views/test_views.py
+++ b/tests/decisions/views/test_views.py
@@ -17,9 +17,14 @@
 
 
 def _instance(
-    key: str, state: views.InstanceState = views.InstanceState.READY
+    key: str,
+    state: views.InstanceState = views.InstanceState.READY,
+    host: str = "",
+    since: int = 1,
 ) -> views.Instance:
-    return views.Instance(key, "s", f"host-{key}", "d", "r", 8, state, 0.0)
+    return views.Instance(
+        key, "s", host or f"host-{key}", 1, since, "d", "r", 8, state, 0.0
+    )
 
 
 def _known(*changes: views.Change, revision: int = 10) -> views.View:
@@ -128,3 +133,48 @@
     views.adopt(other, views.snapshot(view), 5.0)
     assert views.snapshot(other) == views.snapshot(view)
     assert dataclasses.asdict(views.snapshot(other))["revision"] == 10
+
+
+@pytest.mark.parametrize("in_order", [True, False])
+def test_instance_that_restarted_replaces_its_old_entry(
+    in_order: bool,
+) -> None:
+    """All VMs lose power and are back before the old entries lapse.
+
+    Each instance runs anew under another id at its address. Half of the
+    requests went to the old ids and were refused until these lapsed.
+    """
+    entries = [
+        _instance("old", host="h", since=5),
+        _instance("new", host="h", since=9),
+    ]
+    view = _known(*(entries if in_order else reversed(entries)))
+    assert _targets(view) == {"new"}
+
+
+def test_old_entry_that_vanishes_is_not_used_beside_its_successor() -> None:
+    view = _known(_instance("old", host="h", since=5), _instance("b"))
+    views.source_failed(view, 101.0)
+    views.source_answered(view, 102.0)
+    successor = _instance("new", host="h", since=11)
+    views.apply(view, [views.Removed("old"), successor], 11, 11, 102.1)
+    assert _targets(view) == {"new", "b"}
+
+
+def test_replaced_instance_is_used_again_only_after_its_entry_changed() -> (
+    None
+):
+    """Another instance answered at its address, so it has ended.
+
+    Should that have been a fault of the one that answered, an entry that
+    changes shows that the instance runs.
+    """
+    view = _known(_instance("a"), _instance("b"))
+    assert views.note_replaced(view, "a") == [(views.News.REPLACED, "a")]
+    assert views.note_replaced(view, "a") == []
+    assert _targets(view) == {"b"}
+    views.apply(view, [_instance("a")], 11, 11, 101.0)
+    assert _targets(view) == {"b"}
+    changed = dataclasses.replace(_instance("a"), cold_seconds=1.0)
+    views.apply(view, [changed], 12, 12, 101.1)
+    assert _targets(view) == {"a", "b"}
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -263,6 +263,7 @@
         self.daemons: dict[str, _daemon.Running] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.lines: list[bytes] = []
+        self.since: dict[str, int] = {}
         self._serial = 0
 
     async def upstream(
@@ -283,10 +284,24 @@
         slots: int = 8,
     ) -> None:
         """Write the entry of the instance on a host."""
-        key = f"i-{host}"
+        self.put_instance(f"i-{host}", host, service, state, slots)
+
+    def put_instance(
+        self,
+        key: str,
+        host: str,
+        service: str,
+        state: views.InstanceState = views.InstanceState.READY,
+        slots: int = 8,
+    ) -> None:
+        """Write the entry of one run of the instance on a host."""
+        since = self.since.setdefault(key, self.source.revision + 1)
+        port = self.ports[3]
         self.source.put(
             key,
-            views.Instance(key, service, host, "d", "r", slots, state, 0.0),
+            views.Instance(
+                key, service, host, port, since, "d", "r", slots, state, 0.0
+            ),
         )
 
     def policy(self, version: int, *routes: policies.Route) -> None:
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -438,6 +438,28 @@
     run(test())
 
 
+def test_replaced_instance_is_asked_once() -> None:
+    """An instance has restarted and its new entry is not known yet.
+
+    Its answer to the old id says that it is another one. Each request that
+    went there still would be refused, until the old entry lapses.
+    """
+
+    async def test() -> None:
+        world = await _world(other_instance)
+        await world.daemon(C, "front")
+        await world.knows(C)
+        for host in (A, A, C, C):
+            assert (await world.call(host, "/s/")).status == 503
+        assert len(world.upstreams[B].got) == 1
+        world.upstreams[B].script = place.answer
+        world.put_instance("i-new", B, "s")
+        await world.knows(A, B, C)
+        assert (await world.call(A, "/s/")).status == 200
+
+    run(test())
+
+
 def test_reader_of_the_log_that_stops_delays_no_request() -> None:
     """Whatever reads the daemons' output has no room from the start."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -57,7 +57,13 @@
 
 def _item(key: str, value: object, revision: int) -> dict[str, object]:
     text = base64.b64encode(json.dumps(value).encode()).decode()
-    return {"key": key, "value": text, "revision": revision, "lease": 0}
+    return {
+        "key": key,
+        "value": text,
+        "revision": revision,
+        "created": 5,
+        "lease": 0,
+    }
 
 
 def _answer(status: str, body: object) -> bytes:
@@ -141,6 +147,8 @@
             "i-1",
             "s",
             "10.0.0.5",
+            80,
+            5,
             "a",
             "r1",
             8,
