Leave slow instances for quick ones, and sort targets seldom

Cause: an instance of the own failure domain got calls as long as it had a free slot, however slow it was.

Change: what a call takes beyond 2.5 times the quickest instance's service time counts as a wait, as long as it was heard within the last second. The targets of a service are sorted by place at most every 0.1 s or when one becomes unusable, in place of at each call.

--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -43,6 +43,15 @@
 SPILL_MARGIN = 0.005
 # How many of an instance's rivals are compared.
 DRAWN = 4
+# An instance counts as slow when its service takes so many times as long as
+# at the quickest of its service; up to that, instances just differ.
+SLOW_FACTOR = 2.5
+# What was heard of the service time counts for this long, so that now and
+# then a slow instance is asked again.
+SLOW_SECONDS = 1.0
+# The targets of a service are sorted anew this often, in seconds, beside
+# each change of what is usable.
+SORT_SECONDS = 0.1
 # Without a wait anywhere the less busy is preferred.
 BUSY_SECONDS = 0.02
 
@@ -81,13 +90,35 @@
     pinged: float = -math.inf
 
 
+@dataclasses.dataclass(slots=True)
+class Sorted:
+    """The usable targets of one service, by where they are.
+
+    ``least`` are the seconds of service at the quickest, 0 if not known;
+    ``changes`` is ``Routes.changes`` at the time ``at`` of sorting.
+    """
+
+    targets: abc.Sequence[_messages.Target]
+    near: list[_messages.Target]
+    same_region: list[_messages.Target]
+    usable: abc.Sequence[_messages.Target]
+    least: float
+    changes: int
+    at: float
+
+
 @dataclasses.dataclass(slots=True)
 class Routes:
-    """What this entrance has seen of the instances that it calls."""
+    """What this entrance has seen of the instances that it calls.
+
+    ``changes`` counts how often an instance became usable or unusable.
+    """
 
     failure_domain: str
     region: str
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    by_service: dict[str, Sorted] = dataclasses.field(default_factory=dict)
+    changes: int = 0
 
 
 def pick(
@@ -98,30 +129,31 @@
     rng: random.Random,
 ) -> _messages.Target | None:
     """Return the instance for one attempt, or None if none is usable."""
-    usable = [
-        target for target in _usable(routes, targets) if target.vm not in tried
-    ]
-    near = [
-        target
-        for target in usable
-        if target.failure_domain == routes.failure_domain
-    ]
-    best = _less_busy(routes, near, now, rng)
-    if best is not None and score(routes, best.vm, now) <= BUSY_SECONDS:
+    if not targets:
+        return None
+    known = _sort(routes, targets, now)
+    near = _untried(known.near, tried)
+    best = _less_busy(routes, near, known.least, now, rng)
+    if best is not None and (
+        score(routes, best.vm, now, known.least) <= BUSY_SECONDS
+    ):
         return best
-    far = [target for target in usable if target.region == routes.region]
-    other = _less_busy(routes, far or usable, now, rng)
+    far = _untried(known.same_region, tried) or _untried(known.usable, tried)
+    other = _less_busy(routes, far, known.least, now, rng)
     if best is None or other is None:
         return best or other
-    gain = score(routes, best.vm, now) - score(routes, other.vm, now)
+    gain = score(routes, best.vm, now, known.least)
+    gain -= score(routes, other.vm, now, known.least)
     return other if gain > SPILL_MARGIN else best
 
 
-def score(routes: Routes, vm: str, now: float) -> float:
-    """Return the seconds that an attempt is thought to wait there.
+def score(routes: Routes, vm: str, now: float, least: float = 0.0) -> float:
+    """Return the seconds that an attempt is thought to lose there.
 
     Up to ``BUSY_SECONDS`` there is a free slot. The wait counts, not how
     many wait: at an instance that has become slow a short queue is long.
+    ``least`` are the seconds of service at the quickest instance, 0 if not
+    known: what a slow one takes beyond counts like a wait.
     """
     peer = routes.peers.get(vm)
     if peer is None:
@@ -130,6 +162,8 @@
     faded = math.exp(-(now - peer.heard) / fades)
     busy = peer.busy * faded + (peer.sent + 1) / peer.limit
     wait = max(0.0, busy - 1.0) * peer.service
+    if least > 0.0 and now - peer.heard < SLOW_SECONDS:
+        wait += max(0.0, peer.service - SLOW_FACTOR * least)
     return wait + BUSY_SECONDS * min(1.0, busy)
 
 
@@ -159,11 +193,12 @@
         peer.failures = 0
     elif answer.reason in FAILURES:
         peer.failures += 1
-        peer.ejected = peer.ejected or peer.failures >= FAILURES_TO_EJECT
+        if peer.failures >= FAILURES_TO_EJECT:
+            _eject(routes, peer)
     elif answer.reason in NOT_SERVING:
         # Failure: a restarted daemon is the least busy one while it asks
         # its peers for the bundle, and draws all calls into refusals.
-        peer.ejected = True
+        _eject(routes, peer)
 
 
 def eject(routes: Routes, vm: str) -> None:
@@ -171,8 +206,7 @@
 
     A VM that is gone answers none, and each try costs time.
     """
-    peer = routes.peers.setdefault(vm, Peer())
-    peer.ejected = True
+    _eject(routes, routes.peers.setdefault(vm, Peer()))
 
 
 def forget(routes: Routes, vm: str) -> None:
@@ -193,6 +227,7 @@
         away = now - peer.silent_from
         if not peer.inflight and away >= FORGET_SECONDS:
             del routes.peers[vm]
+            routes.changes += 1
         elif peer.ejected or peer.dead or _silent(peer, now):
             rarer = min(PING_SECONDS_MAX, PING_SHARE_OF_AWAY * away)
             if now - peer.pinged >= max(PING_SECONDS, rarer):
@@ -206,6 +241,8 @@
     peer = routes.peers.get(vm)
     if peer is None:
         return
+    if peer.dead is alive or (alive and peer.ejected):
+        routes.changes += 1
     peer.dead = not alive
     if alive:
         peer.ejected = False
@@ -213,6 +250,12 @@
         peer.silent_from = now
 
 
+def _eject(routes: Routes, peer: Peer) -> None:
+    if not peer.ejected:
+        peer.ejected = True
+        routes.changes += 1
+
+
 def _heard(peer: Peer, answer: _messages.Answer, now: float) -> None:
     peer.busy = answer.load.busy
     peer.limit = answer.load.limit or UNKNOWN_LIMIT
@@ -227,6 +270,66 @@
     return peer.inflight > 0 and now - peer.silent_from >= patience
 
 
+def _sort(
+    routes: Routes, targets: abc.Sequence[_messages.Target], now: float
+) -> Sorted:
+    """Return the usable targets by place, sorted seldom.
+
+    For each call this would cost more than all else that is decided: a
+    service has dozens of instances.
+    """
+    service = targets[0].service
+    known = routes.by_service.get(service)
+    if (
+        known is not None
+        and known.targets is targets
+        and known.changes == routes.changes
+        and now - known.at < SORT_SECONDS
+    ):
+        return known
+    usable = _usable(routes, targets)
+    known = Sorted(
+        targets,
+        [each for each in usable if _is_near(routes, each)],
+        [each for each in usable if each.region == routes.region],
+        usable,
+        _least_service(routes, usable, now),
+        routes.changes,
+        now,
+    )
+    routes.by_service[service] = known
+    return known
+
+
+def _is_near(routes: Routes, target: _messages.Target) -> bool:
+    return target.failure_domain == routes.failure_domain
+
+
+def _least_service(
+    routes: Routes, targets: abc.Sequence[_messages.Target], now: float
+) -> float:
+    """Return the seconds of service at the quickest heard of lately."""
+    peers = (routes.peers.get(target.vm) for target in targets)
+    return min(
+        (
+            peer.service
+            for peer in peers
+            if peer is not None
+            and peer.service > 0.0
+            and now - peer.heard < SLOW_SECONDS
+        ),
+        default=0.0,
+    )
+
+
+def _untried(
+    targets: abc.Sequence[_messages.Target], tried: abc.Collection[str]
+) -> abc.Sequence[_messages.Target]:
+    if not tried:
+        return targets
+    return [target for target in targets if target.vm not in tried]
+
+
 def _usable(
     routes: Routes, targets: abc.Sequence[_messages.Target]
 ) -> abc.Sequence[_messages.Target]:
@@ -254,10 +357,13 @@
 def _less_busy(
     routes: Routes,
     targets: abc.Sequence[_messages.Target],
+    least: float,
     now: float,
     rng: random.Random,
 ) -> _messages.Target | None:
     if not targets:
         return None
-    drawn = [targets[int(rng.random() * len(targets))] for _ in range(DRAWN)]
-    return min(drawn, key=lambda target: score(routes, target.vm, now))
+    count = len(targets)
+    drawn = dict.fromkeys(int(rng.random() * count) for _ in range(DRAWN))
+    best = min(drawn, key=lambda at: score(routes, targets[at].vm, now, least))
+    return targets[best]
--- a/tests/decisions/calls/test_routing.py
+++ b/tests/decisions/calls/test_routing.py
@@ -19,8 +19,14 @@
 LOST = calls.Answer(outcomes.Outcome.UNKNOWN, outcomes.Reason.PEER_UNREACHABLE)
 
 
-def _hear(routes: _routing.Routes, vm: str, busy: float, now: float) -> None:
-    told = calls.Load(busy=busy, limit=20.0, service=0.1)
+def _hear(
+    routes: _routing.Routes,
+    vm: str,
+    busy: float,
+    now: float,
+    service: float = 0.1,
+) -> None:
+    told = calls.Load(busy=busy, limit=20.0, service=service)
     answer = calls.Answer(outcomes.Outcome.DONE, load=told, incarnation="one")
     _routing.sent(routes, vm, now)
     _routing.ended(routes, vm, answer, 0.1, now)
@@ -53,6 +59,37 @@
     assert all(vm.startswith(expected) for vm in picked)
 
 
+@pytest.mark.parametrize(
+    ("near", "far", "expected"),
+    [(0.1, 0.05, "near"), (1.2, 0.1, "far"), (0.1, 1.2, "near")],
+)
+def test_slow_instance_is_left_for_a_quick_one(
+    near: float, far: float, expected: str
+) -> None:
+    """The instance of the own domain takes twelve times as long as others.
+
+    It has free slots, and so got all calls of its domain, which took
+    longer than their callers could wait. Instances that only differ share
+    the work as before.
+    """
+    routes = _routing.Routes(HERE, "region")
+    _hear(routes, "near", 0.5, 1.0, near)
+    for target in FAR:
+        _hear(routes, target.vm, 0.5, 1.0, far)
+    picked = _picked(routes, 1.0)
+    assert all(vm.startswith(expected) for vm in picked)
+
+
+def test_slow_instance_is_asked_again_after_a_while() -> None:
+    """Nobody would else learn that it is quick again."""
+    routes = _routing.Routes(HERE, "region")
+    _hear(routes, "near", 0.5, 1.0, 1.2)
+    for at in (1.0, 2.2):
+        for target in FAR:
+            _hear(routes, target.vm, 0.5, at)
+    assert set(_picked(routes, 2.2)) == {"near"}
+
+
 def test_only_a_ping_brings_an_ejected_instance_back() -> None:
     routes = _routing.Routes(HERE, "region")
     _fail(routes, "near", 1.0)
