Let the upstream of a stopping daemon work on for a while

Cause: from SIGTERM on, a daemon told its peers that it leaves, and its upstream got nothing until the daemon was back, 4 s later, though it could serve.

Change: the upstream gets work for the first fifth of the grace, then its daemon turns new work away unsent. A stop ends 2.3 s after the signal in place of 3.3 s if nothing runs: clients are sent elsewhere after two missed questions for readiness.

--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -105,6 +105,8 @@
 
 def _unable(daemon: _state.Daemon, instance: str) -> outcomes.Reason:
     """Return why the upstream need not be asked, or ``NONE``."""
+    if daemon.upstream_leaving:
+        return outcomes.Reason.LEAVING
     if daemon.upstream_down:
         return outcomes.Reason.UPSTREAM_UNREACHABLE
     if views.is_replaced(daemon.view, instance):
@@ -314,7 +316,7 @@
     )
     return _wire.State(
         daemon.view.content,
-        daemon.leaving,
+        daemon.upstream_leaving,
         told,
         admission.below(daemon.chains, now),
         admission.is_inner(daemon.callers, order.ask.route, daemon.services),
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -27,9 +27,16 @@
 TICK_SECONDS = 0.05
 SWEEP_TICKS = 5
 """Ticks between two looks at idle connections and at the settings."""
+ACCEPT_SECONDS = 2.3
+"""For how long a stopping daemon takes new connections at least: readiness
+is asked once a second, and clients are sent elsewhere after two misses."""
 ACCEPT_SHARE = 0.55
-"""The part of the grace in which a stopping daemon takes new connections:
-clients are sent elsewhere within a few seconds, not at once."""
+"""The part of the grace after which it takes none, though clients still
+come: all others of its failure domain may be away."""
+SERVE_SHARE = 0.2
+"""The part of the grace in which a stopping daemon's upstream still gets
+work. What runs then ends before the daemon does, and the upstream is idle
+for 2 s in place of 4 s."""
 ANSWER_SHARE = 0.85
 """The part of the grace after which what still runs gets an answer."""
 QUIET_SECONDS = 0.3
@@ -169,6 +176,7 @@
         "body_bytes_held": daemon.memory.held,
         "upstream_connections_opened": daemon.upstream.opened,
         "leaving": int(daemon.leaving),
+        "upstream_leaving": int(daemon.upstream_leaving),
     }
 
 
@@ -255,17 +263,19 @@
     daemon.leaving = True
     daemon.journal.note("stopping", calls=len(daemon.calls))
     running.callers.closing = True
-    accept_until = begun + ACCEPT_SHARE * grace
     quiet_from = begun
     while loop.time() < begun + ANSWER_SHARE * grace:
         await asyncio.sleep(TICK_SECONDS)
+        now = loop.time()
+        daemon.upstream_leaving = now >= begun + SERVE_SHARE * grace
         if daemon.calls or daemon.runs:
-            quiet_from = loop.time()
-        if loop.time() < accept_until:
-            continue
-        running.callers.stop_accepting()
-        if loop.time() - quiet_from >= QUIET_SECONDS:
+            quiet_from = now
+        quiet = now - quiet_from >= QUIET_SECONDS
+        if quiet and now >= begun + min(ACCEPT_SECONDS, ACCEPT_SHARE * grace):
             break
+        if now >= begun + ACCEPT_SHARE * grace:
+            running.callers.stop_accepting()
+    running.callers.stop_accepting()
     for call in list(daemon.calls):
         _entrance.expire(daemon, call)
     running.callers.close_idle()
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -60,12 +60,12 @@
         state = (_wire.STATE, _wire.encode_state(result.state))
         response = result.response
         if response is None:
-            exchange.respond(503, [state], b"", daemon.leaving)
+            exchange.respond(503, [state], b"", daemon.upstream_leaving)
             return
         fields = httpio.end_to_end(response.fields, response.found, dropped)
         fields.append(state)
         exchange.respond(
-            response.status, fields, response.body, daemon.leaving
+            response.status, fields, response.body, daemon.upstream_leaving
         )
 
     key = _callee.offer(daemon, order, done)
@@ -87,7 +87,7 @@
 def _own_state(daemon: _state.Daemon) -> tuple[bytes, bytes]:
     state = _wire.State(
         daemon.view.content,
-        daemon.leaving or daemon.upstream_down,
+        daemon.upstream_leaving or daemon.upstream_down,
         calls.Load(),
         0.0,
         False,
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -38,6 +38,9 @@
     ``calls`` are under way here as the entrance, ``runs`` at the own
     upstream or waiting for it, by their keys. ``hosts``, ``services`` and
     ``least_importance`` are taken from the view whenever it changes.
+
+    ``leaving`` after SIGTERM; the own upstream still takes work until
+    ``upstream_leaving``.
     """
 
     dialect: _dialect.Dialect
@@ -74,6 +77,7 @@
     least_importance: int = 0
     serial: int = 0
     leaving: bool = False
+    upstream_leaving: bool = False
     upstream_down: bool = False
     upstream_tried: float = 0.0
     pulling: bool = False
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -413,6 +413,35 @@
     run(test())
 
 
+def test_upstream_of_a_stopping_daemon_works_on_for_a_while() -> None:
+    """Daemons are stopped one after the other, each beside its upstream.
+
+    The upstream got no work from the signal until the daemon was back, so
+    that a service of four lost a quarter of its room for 4 s each time. New
+    work is turned away, unsent, only shortly before the daemon ends.
+    """
+
+    async def test() -> None:
+        world = await _world(idempotent=False)
+        await world.upstream(C, "s")
+        await world.daemon(C, "s")
+        await world.knows(A, B, C)
+        stopping = asyncio.ensure_future(_daemon.stop(world.daemons[B]))
+        await asyncio.sleep(0.1)
+        for _ in range(20):
+            assert (await world.call(A, "/s/", "POST")).status == 200
+        assert world.upstreams[B].got
+        while not world.daemons[B].daemon.upstream_leaving:
+            await asyncio.sleep(0.01)
+        before = len(world.upstreams[B].got)
+        for _ in range(20):
+            assert (await world.call(A, "/s/", "POST")).status == 200
+        assert len(world.upstreams[B].got) == before
+        await asyncio.wait_for(stopping, place.GRACE)
+
+    run(test())
+
+
 def test_upstream_that_takes_no_connection_is_left_alone() -> None:
     """An instance has ended and its entry is still there.
 
