Give up an answer that its client does not read

Cause: an answer that a client stopped reading stayed in the connection's write buffer for as long as the client stayed; at the idle limit the connection was only asked to close after its last byte. A connection that was to close after its answer was not looked at any more.

A client that reads slowly counts from its last progress. Both with a test, the first failing before (the buffer of 20 MB stayed).

--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -119,6 +119,7 @@
     __slots__ = (
         "_continue",
         "_current",
+        "_ending",
         "_head_size",
         "_listener",
         "_parser",
@@ -129,6 +130,7 @@
         "_since",
         "_size",
         "_transport",
+        "_unread",
         "_waiting",
     )
 
@@ -148,6 +150,8 @@
         self._paused = False
         self._refused = False
         self._continue = False
+        self._ending = False
+        self._unread = 0
 
     @property
     def peer(self) -> str:
@@ -288,11 +292,10 @@
         self._transport.write(
             _messages.reply(status, fields, body, close, bare)
         )
+        self._since = self._listener.clock.monotonic()
         if close:
             self.close()
-            return
-        self._since = self._listener.clock.monotonic()
-        if self._waiting:
+        elif self._waiting:
             asyncio.get_running_loop().call_soon(self._next)
 
     def check(self, now: float) -> None:
@@ -300,7 +303,13 @@
         limits = self._listener.limits
         if self._current is not None:
             return
-        if self._reading is not None:
+        self._note_unread(now)
+        if self._ending or self._unread:
+            # Failure: a client stops reading and its answer would be held
+            # in memory for as long as it stays.
+            if now - self._since > limits.idle_seconds:
+                self._transport.abort()
+        elif self._reading is not None:
             in_head = self._head_size >= 0
             allowed = limits.head_seconds if in_head else limits.body_seconds
             if now - self._reading.began > allowed:
@@ -310,12 +319,19 @@
 
     def close(self) -> None:
         """Close once what was written has been sent."""
+        self._ending = True
         for request in self._waiting:
             self._listener.memory.give(len(request.body))
         self._waiting.clear()
-        self._listener.connections.discard(self)
         self._transport.close()
 
+    def _note_unread(self, now: float) -> None:
+        """Count from now if the client has read some of its answer."""
+        unread = self._transport.get_write_buffer_size()
+        if unread < self._unread:
+            self._since = now
+        self._unread = unread
+
     def _next(self) -> None:
         if self._current is not None or not self._waiting:
             return
--- a/tests/httpio/test_listeners.py
+++ b/tests/httpio/test_listeners.py
@@ -212,6 +212,55 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("last", [b"", b"Connection: close\r\n"])
+def test_answer_that_nobody_reads_is_given_up(last: bytes) -> None:
+    """A client asks for a long answer and stops reading.
+
+    The answer stayed in memory for as long as the client stayed; a hundred
+    such clients and the daemon was killed for its memory.
+    """
+
+    async def test() -> None:
+        served = await _serve()
+        served.listener.handle = lambda exchange: exchange.respond(
+            200, [], b"x" * 20_000_000
+        )
+        _, writer = await asyncio.open_connection(HOST, served.port, limit=1)
+        writer.write(GET + last + b"\r\n")
+        while not served.listener.connections:
+            await asyncio.sleep(0.01)
+        (connection,) = served.listener.connections
+        await asyncio.sleep(0.05)
+        while connection._transport.get_write_buffer_size():
+            await asyncio.sleep(0.05)
+            served.listener.sweep(clocks.SystemClock().monotonic())
+        while served.listener.connections:
+            await asyncio.sleep(0.01)
+        writer.close()
+
+    asyncio.run(asyncio.wait_for(test(), 5.0))
+
+
+def test_client_that_reads_slowly_gets_its_whole_answer() -> None:
+    async def test() -> None:
+        served = await _serve()
+        body = b"x" * 20_000_000
+        served.listener.handle = lambda exchange: exchange.respond(
+            200, [], body
+        )
+        reader, writer = await asyncio.open_connection(HOST, served.port)
+        writer.write(GET + b"Connection: close\r\n\r\n")
+        got = 0
+        while data := await reader.read(1_000_000):
+            got += len(data)
+            await asyncio.sleep(0.03)
+            served.listener.sweep(clocks.SystemClock().monotonic())
+        assert got > len(body)
+        writer.close()
+
+    asyncio.run(asyncio.wait_for(test(), 20.0))
+
+
 def test_client_that_leaves_is_noticed_once() -> None:
     """The client closes while its request is under way.
 
