Count the wait at an instance, and not how many wait

Cause: an entrance cut a route's share by the work at the busiest instance as a share of its slots. At a quick instance a queue of half its slots is a wait of 10 ms, and was answered with the deepest cut, again and again until the queue had drained.

Change: beyond full slots the wait counts, 50 ms as much as all slots.

--- a/src/sassafrasstair/decisions/admission/__init__.py
+++ b/src/sassafrasstair/decisions/admission/__init__.py
@@ -6,6 +6,7 @@
 from sassafrasstair.decisions.admission._admissions import admit
 from sassafrasstair.decisions.admission._admissions import Gate
 from sassafrasstair.decisions.admission._admissions import hear
+from sassafrasstair.decisions.admission._admissions import pressure
 from sassafrasstair.decisions.admission._callers import Callers
 from sassafrasstair.decisions.admission._callers import is_inner
 from sassafrasstair.decisions.admission._callers import note_caller
@@ -24,4 +25,5 @@
     "hear_inner",
     "is_inner",
     "note_caller",
+    "pressure",
 ]
--- a/src/sassafrasstair/decisions/admission/_admissions.py
+++ b/src/sassafrasstair/decisions/admission/_admissions.py
@@ -15,9 +15,14 @@
 if typing.TYPE_CHECKING:
     import random
 
+WAIT_SECONDS = 0.05
+"""A wait at an instance that counts as much as all of its slots. With a
+tenth of a second calls of important requests were turned away for their
+wait before their routes were cut; a wait of 10 ms, at a quick instance's
+queue, is no reason to refuse anything."""
 TARGET = 1.0
-"""Work at an instance, waiting included, as a share of what it may run at
-once: just no queue, on average."""
+"""Work at an instance, as ``pressure`` counts it: just no queue, on
+average."""
 TARGET_STEP = 1.0
 """By how much the target of a route is higher for each level of importance
 above the least, and its cuts smaller: it sheds only what shedding the lower
@@ -58,8 +63,20 @@
     gates: dict[str, Gate] = dataclasses.field(default_factory=dict)
 
 
+def pressure(busy: float, service: float) -> float:
+    """Return how loaded an instance is, where 1 is full without a queue.
+
+    ``busy`` is the work there as a share of its limit, and ``service`` the
+    seconds that one call takes. Beyond the limit the wait counts, not how
+    many wait.
+    """
+    if busy <= 1.0 or service <= 0.0:
+        return busy
+    return 1.0 + (busy - 1.0) * service / WAIT_SECONDS
+
+
 def hear(admission: Admission, route: str, load: float, now: float) -> None:
-    """Note the load that came with an answer on the route."""
+    """Note the pressure told with an answer on the route."""
     gate = admission.gates.get(route)
     if gate is None:
         gate = admission.gates[route] = Gate(updated=now)
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -228,7 +228,8 @@
         return
     now = daemon.clock.monotonic()
     route = call.progress.route.name
-    busiest = max(state.load.busy, state.below)
+    here = admission.pressure(state.load.busy, state.load.service)
+    busiest = max(here, state.below)
     if state.inner:
         admission.hear_inner(daemon.chains, route, busiest, now)
     else:
--- a/tests/decisions/admission/test_admissions.py
+++ b/tests/decisions/admission/test_admissions.py
@@ -110,6 +110,25 @@
     assert gates.gates["r"].share == 1.0
 
 
+@pytest.mark.parametrize(
+    ("busy", "service", "expected"),
+    [
+        (0.5, 0.02, 0.5),
+        (1.5, 0.02, 1.2),
+        (1.5, 0.2, 3.0),
+        (1.5, 0.0, 1.5),
+    ],
+)
+def test_wait_counts_and_not_how_many_wait(
+    busy: float, service: float, expected: float
+) -> None:
+    """A quick instance has a queue of half its slots, 10 ms long.
+
+    The entrances refused half of the lookups for it.
+    """
+    assert admission.pressure(busy, service) == pytest.approx(expected)
+
+
 @pytest.mark.parametrize(
     ("callers", "inner"),
     [
