Prove that a reload cuts nothing and that a freeze starts nothing late

What the path must get right and had no test: a settings file that changes without a signal (first unreadable, then with another memory limit) while a request runs, and deadlines after a VM stood still.

--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -140,6 +140,8 @@
         self._service = service
 
     def settings(self) -> forwarding.Settings:
+        if self._place.bad_settings:
+            raise forwarding.SettingsError("ip: is missing")
         ports = self._place.ports
 
         def at(port: int) -> forwarding.Address:
@@ -158,14 +160,14 @@
             seeds=self._place.seeds,
             upstream=at(ports[3]),
             store=at(1),
-            memory_bytes=100_000_000,
+            memory_bytes=self._place.memory_bytes,
             bounds=forwarding.Bounds(
                 2.0, GRACE, requests.BudgetRules(0.2, 400.0, 10.0)
             ),
         )
 
     def settings_mark(self) -> object:
-        return 0
+        return self._place.settings_mark
 
     def source(
         self, settings: forwarding.Settings, clock: clocks.Clock
@@ -264,6 +266,9 @@
         self.upstreams: dict[str, Upstream] = {}
         self.lines: list[bytes] = []
         self.since: dict[str, int] = {}
+        self.settings_mark = 0
+        self.bad_settings = False
+        self.memory_bytes = 100_000_000
         self._serial = 0
 
     async def upstream(
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import typing
 
 import pytest
@@ -413,6 +414,67 @@
     run(test())
 
 
+def test_settings_that_change_cut_nothing() -> None:
+    """The settings file changes without a signal while a request runs.
+
+    First it can't be read, as in the middle of its writing: nothing changes
+    and the log says why. Then it has another memory limit.
+    """
+
+    async def slow(got: place.Got, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(1.0)
+        writer.write(place.signed(got, b"whole"))
+
+    async def test() -> None:
+        world = await _world(slow)
+        memory = world.daemons[A].daemon.memory
+        before = memory.most
+        call = asyncio.ensure_future(world.call(A, "/s/", "POST"))
+        await asyncio.sleep(0.05)
+        world.bad_settings, world.settings_mark = True, 1
+        while not any(b"settings_refused" in line for line in world.lines):
+            await asyncio.sleep(0.02)
+        assert memory.most == before
+        world.memory_bytes, world.settings_mark = 50_000_000, 2
+        world.bad_settings = False
+        while memory.most == before:
+            await asyncio.sleep(0.02)
+        assert not call.done()
+        assert (await call).status == 200
+
+    run(test())
+
+
+def test_deadlines_are_looked_at_again_after_a_freeze() -> None:
+    """The VM stands still for longer than a request may take.
+
+    A request that waited for a slot must not be started when the VM wakes
+    up: nobody waits for it any more. Its client gets its final answer at
+    once.
+    """
+
+    async def slow(got: place.Got, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.2)
+        writer.write(place.signed(got, b"whole"))
+
+    async def test() -> None:
+        world = await _world(slow, idempotent=False, timeout=0.5, slots=1)
+        calls = [
+            asyncio.ensure_future(world.call(A, "/s/", "POST"))
+            for _ in range(3)
+        ]
+        while len(world.daemons[B].daemon.runs) < len(calls):
+            await asyncio.sleep(0.01)
+        time.sleep(1.0)
+        woken = time.monotonic()
+        statuses = [got.status for got in await asyncio.gather(*calls)]
+        assert time.monotonic() - woken < 0.5
+        assert len(world.upstreams[B].got) == 1
+        assert set(statuses) <= {503, 504}
+
+    run(test())
+
+
 def test_upstream_of_a_stopping_daemon_works_on_for_a_while() -> None:
     """Daemons are stopped one after the other, each beside its upstream.
 
