Tell in the log by which load a request was shed

Change: `share` and `load` of the route's gate on each line of a request's end, and a `shedding` line a second for each route of which a part is refused. The fields of a line that will not be written are not put together any more, which a refusal in a surge did in vain. With a walk from the id to the cause.

--- a/src/sassafrasstair/decisions/admission/__init__.py
+++ b/src/sassafrasstair/decisions/admission/__init__.py
@@ -5,8 +5,10 @@
 from sassafrasstair.decisions.admission._admissions import Admission
 from sassafrasstair.decisions.admission._admissions import admit
 from sassafrasstair.decisions.admission._admissions import Gate
+from sassafrasstair.decisions.admission._admissions import gate_of
 from sassafrasstair.decisions.admission._admissions import hear
 from sassafrasstair.decisions.admission._admissions import pressure
+from sassafrasstair.decisions.admission._admissions import shedding
 from sassafrasstair.decisions.admission._callers import Callers
 from sassafrasstair.decisions.admission._callers import is_inner
 from sassafrasstair.decisions.admission._callers import note_caller
@@ -21,9 +23,11 @@
     "Gate",
     "admit",
     "below",
+    "gate_of",
     "hear",
     "hear_inner",
     "is_inner",
     "note_caller",
     "pressure",
+    "shedding",
 ]
--- a/src/sassafrasstair/decisions/admission/_admissions.py
+++ b/src/sassafrasstair/decisions/admission/_admissions.py
@@ -106,6 +106,20 @@
     return gate.share >= 1.0 or rng.random() < gate.share
 
 
+def gate_of(admission: Admission, route: str) -> Gate:
+    """Return what is known of a route; an open gate if nothing is."""
+    return admission.gates.get(route) or Gate()
+
+
+def shedding(admission: Admission) -> list[tuple[str, Gate]]:
+    """Return the routes of which a part is refused, and their gates."""
+    return [
+        (route, gate)
+        for route, gate in admission.gates.items()
+        if gate.share < 1.0
+    ]
+
+
 def _update(gate: Gate, above_least: int, now: float) -> None:
     gate.updated = now
     over = gate.load - TARGET - TARGET_STEP * above_least
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -8,6 +8,7 @@
 import signal
 import typing
 
+from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _callee
@@ -25,6 +26,8 @@
     from sassafrasstair import clocks
 
 TICK_SECONDS = 0.05
+SHARE_TICKS = 20
+"""Ticks between two lines on the routes that are shed in part."""
 SWEEP_TICKS = 5
 """Ticks between two looks at idle connections and at the settings."""
 ACCEPT_SECONDS = 2.3
@@ -219,6 +222,16 @@
     mark = daemon.dialect.settings_mark()
     if mark != running.mark:
         _reload(running)
+    if count % SHARE_TICKS == 0:
+        _log_shares(daemon)
+
+
+def _log_shares(daemon: _state.Daemon) -> None:
+    """Log which routes are shed in part, and by which load."""
+    for route, gate in admission.shedding(daemon.gates):
+        daemon.journal.request(
+            "shedding", route, share=gate.share, load=gate.load
+        )
 
 
 def _use_limits(running: Running) -> None:
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing
 
+from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import requests
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _wire
@@ -58,8 +59,7 @@
         response.fields, response.found, _wire.OWN_FIELDS
     )
     reason = "own_failure" if response.status >= 500 else "ok"
-    if daemon.journal.wants("answered", reason):
-        log_end(daemon, call, "answered", response.status, reason)
+    log_end(daemon, call, "answered", response.status, reason)
     close(daemon, call, response.status, "answered")
     call.exchange.respond(response.status, fields, response.body)
 
@@ -111,7 +111,10 @@
     daemon: _state.Daemon, call: Call, name: str, status: int, reason: str
 ) -> None:
     """Log how the request ended and what it was decided by."""
+    if not daemon.journal.wants(name, reason):
+        return
     progress = call.progress
+    gate = admission.gate_of(daemon.gates, progress.route.name)
     now = daemon.clock.monotonic()
     table = daemon.view.table
     daemon.journal.request(
@@ -126,6 +129,8 @@
         waited=now - call.exchange.request.began,
         left=progress.deadline - now,
         rank=progress.rank,
+        share=gate.share,
+        load=gate.load,
         policy=0 if table is None else table.policy.version,
         revision=daemon.view.revision,
     )
--- a/tests/forwarding/test_walks.py
+++ b/tests/forwarding/test_walks.py
@@ -14,6 +14,8 @@
 import pytest
 
 from sassafrasstair.console import application
+from sassafrasstair.decisions import admission
+from sassafrasstair.forwarding import _daemon
 from tests.forwarding import place
 from tests.forwarding import test_path
 
@@ -97,3 +99,31 @@
         assert "policy_in_force version=3" in result.output
 
     test_path.run(test())
+
+
+def test_shed_request_tells_by_which_load(tmp_path: pathlib.Path) -> None:
+    """A lookup is refused at the entrance and its caller complains.
+
+    The line of the refusal must tell the load that decided it, and a line
+    a second which routes are shed, so that nobody has to guess.
+    """
+
+    async def test() -> None:
+        world = await test_path._world()
+        daemon = world.daemons[test_path.A].daemon
+        gate = admission.Gate(share=0.0, load=3.5, updated=1e12)
+        daemon.gates.gates["s"] = gate
+        assert (await world.call(test_path.A, "/s/")).status == 503
+        _daemon._log_shares(daemon)
+        for running in world.daemons.values():
+            running.daemon.journal.flush_lines()
+        log = tmp_path / "daemons.log"
+        log.write_bytes(b"".join(world.lines))
+        assert '"event": "shedding", "reason": "s"' in log.read_text()
+        result = testing.CliRunner().invoke(
+            application.main, ["explain", "r1", str(log)]
+        )
+        assert "reason=shed_at_entrance" in result.output
+        assert "share=0.0 load=3.5" in result.output
+
+    test_path.run(test())
