Leave an instance alone while its ping is under way

Cause: when a VM goes dark, its failure domain's entrances go on preferring the instance until a ping has failed, half a second after the silence was noticed.

Change: silence counts as a wait of 250 ms until the ping has ended, so that other instances are chosen.

--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -26,6 +26,10 @@
 # multiples of the usual latency, an instance is pinged.
 SILENT_SECONDS = 0.1
 SILENT_LATENCIES = 1.5
+# A silent instance counts as if an attempt waited there for so long, until
+# its ping has ended: half a second may pass, and what was sent meanwhile to
+# a VM that is gone can't be sent again unless it is idempotent.
+SILENT_PENALTY = 0.25
 # Pings to an instance that stays away become rarer, up to the second bound.
 PING_SECONDS = 0.2
 PING_SECONDS_MAX = 1.0
@@ -164,6 +168,8 @@
     wait = max(0.0, busy - 1.0) * peer.service
     if least > 0.0 and now - peer.heard < SLOW_SECONDS:
         wait += max(0.0, peer.service - SLOW_FACTOR * least)
+    if _silent(peer, now):
+        wait += SILENT_PENALTY
     return wait + BUSY_SECONDS * min(1.0, busy)
 
 
--- a/tests/decisions/calls/test_routing.py
+++ b/tests/decisions/calls/test_routing.py
@@ -138,6 +138,23 @@
     assert "near" not in _picked(routes, 1.3)
 
 
+def test_silent_instance_gets_nothing_while_its_ping_is_under_way() -> None:
+    """The VM of the own domain's instance goes dark.
+
+    For the half second of the ping all calls of the domain were still sent
+    there, and those that must not run twice were lost.
+    """
+    routes = _routing.Routes(HERE, "region")
+    _hear(routes, "near", 0.1, 1.0)
+    _routing.sent(routes, "near", 1.0)
+    assert set(_picked(routes, 1.05)) == {"near"}
+    assert "near" not in _picked(routes, 1.2)
+    assert calls.probe_due(routes, 1.2) == ["near"]
+    assert "near" not in _picked(routes, 1.4)
+    calls.probed(routes, "near", True, 1.4)
+    assert set(_picked(routes, 1.4)) == {"near"}
+
+
 def test_gone_instances_are_forgotten() -> None:
     routes = _routing.Routes(HERE, "region")
     _fail(routes, "near", 1.0)
