Soak real daemons on the platform's protocols

Daemons run as processes; the store, upstreams, clients and a relay before each daemon are stand-ins in the soak's own process. Fourteen kinds of fault come in series that overlap: kills, planned stops, pauses, reloads, a store that is busy, resets, falls silent or forgets its history, new policies, links that delay, reset, pass one way or fall silent, instances that restart under a new id, drain, are slow, lose answers or answer twice. While it runs it checks that answers are whole and of their request, nothing once-only runs twice, no refusal is false, callers and paths are unchanged, time left does not grow, stops end with 0 within the grace, no daemon ends by itself, and all serve again afterwards.

--- /dev/null
+++ b/tests/platform/soak/__main__.py
@@ -0,0 +1,48 @@
+"""Run soaks of several seeds and print a line for each."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+import time
+
+import click
+
+from tests.platform.soak import scenario
+
+
+@click.command()
+@click.option("--seeds", default="", help="One seed, or FIRST-LAST.")
+@click.option("--minutes", default=0.0, help="Fresh seeds for so long.")
+@click.option("--seconds", default=20.0, help="Length of each soak.")
+@click.option("--keep", default="", help="Folder for the daemons' logs.")
+def main(seeds: str, minutes: float, seconds: float, keep: str) -> None:
+    """Soak the daemons; exits with 1 if a promise was broken."""
+    first, _, last = seeds.partition("-")
+    chosen = list(range(int(first), int(last or first) + 1)) if first else []
+    until = time.monotonic() + 60 * minutes
+    bad = 0
+    while chosen or time.monotonic() < until:
+        seed = chosen.pop(0) if chosen else time.time_ns() % 1_000_000_007
+        bad += _soak(seed, seconds, keep)
+    sys.exit(1 if bad else 0)
+
+
+def _soak(seed: int, seconds: float, keep: str) -> bool:
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = pathlib.Path(keep or scratch) / f"{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        report = asyncio.run(scenario.run(seed, seconds, folder))
+    click.echo(
+        f"seed {seed}: faults {len(report.faults)}, served {report.served},"
+        f" refused {report.refused}, failed {report.failed},"
+        f" broken {len(report.broken)}"
+    )
+    for line in report.broken[:10]:
+        click.echo(f"  {line}")
+    return bool(report.broken)
+
+
+main()
--- /dev/null
+++ b/tests/platform/soak/clients.py
@@ -0,0 +1,99 @@
+"""Clients on each VM: kept and new connections, some that leave early."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import typing
+
+from sassafrasstair import clocks
+from sassafrasstair import httpio
+from tests.platform.soak import oracle as oracle_module
+
+if typing.TYPE_CHECKING:
+    import random
+
+LEAVE_SHARE = 0.05
+PATIENCE = (0.3, 2.0)
+LATE_SECONDS = 1.0
+"""After a client's deadline it takes its request for lost."""
+HOST = b"soak.example"
+_serial = itertools.count(1)
+
+
+class Client:
+    """Sends requests to one daemon and checks the answers."""
+
+    def __init__(
+        self,
+        oracle: oracle_module.Oracle,
+        host: str,
+        port: int,
+        service: str,
+        rng: random.Random,
+    ) -> None:
+        self._oracle = oracle
+        self._service = service
+        self._rng = rng
+        self._pool = httpio.Pool(host, port, clocks.SystemClock(), 2.0)
+
+    async def call(
+        self, route: str, idempotent: bool, patience: float = 0.0
+    ) -> int:
+        """Send one request; returns the status, 0 for none."""
+        patience = patience or self._rng.uniform(*PATIENCE)
+        key = f"q{next(_serial)}"
+        body = b"" if idempotent else key.encode() * 20
+        target = f"/{route}/{key}?x=%20"
+        self._oracle.send(
+            oracle_module.Sent(
+                key, route, idempotent, self._service, target, body, patience
+            )
+        )
+        fields = [
+            (b"Host", HOST),
+            (b"Sassafrasstair-Request-Id", key.encode()),
+            (b"Sassafrasstair-Deadline-Ms", b"%d" % (patience * 1000)),
+        ]
+        method = b"GET" if idempotent else b"POST"
+        head = httpio.request_head(method, target.encode(), fields, len(body))
+        return await self._await(key, head + body, patience)
+
+    async def _await(self, key: str, data: bytes, patience: float) -> int:
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[httpio.Response | httpio.Failure] = (
+            loop.create_future()
+        )
+
+        def done(result: httpio.Response | httpio.Failure) -> None:
+            if not future.done():
+                future.set_result(result)
+
+        job = httpio.Job(data, done)
+        fresh = self._rng.random() < 0.5
+        (self._pool.send_on_new if fresh else self._pool.send)(job)
+        wait = patience + LATE_SECONDS
+        if self._rng.random() < LEAVE_SHARE:
+            wait = self._rng.uniform(0.0, 0.05)
+        try:
+            result = await asyncio.wait_for(future, wait)
+        except TimeoutError:
+            job.abort()
+            return 0
+        if isinstance(result, httpio.Failure):
+            return 0
+        named = result.found.get(b"sassafrasstair-request-id", b"").decode()
+        if named not in ("", key):
+            self._oracle.broken.append(f"MIXED {key}: answer of {named}")
+        signature = result.found.get(
+            oracle_module.SIGNATURE.lower().encode(), b""
+        )
+        self._oracle.answered(
+            key, result.status, signature.decode(), result.body
+        )
+        return result.status
+
+
+async def all_ok(calls: typing.Sequence[typing.Awaitable[int]]) -> bool:
+    """Return whether all calls were answered with success."""
+    return all(status == 200 for status in await asyncio.gather(*calls))
--- /dev/null
+++ b/tests/platform/soak/fleet.py
@@ -0,0 +1,237 @@
+"""VMs of a soak: a daemon process, an upstream, a client and a link each."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import os
+import signal
+import subprocess
+import sys
+import typing
+
+from tests.platform.soak import clients
+from tests.platform.soak import oracle as oracle_module
+from tests.platform.soak import relays
+from tests.platform.soak import store as store_module
+from tests.platform.soak import upstreams
+
+if typing.TYPE_CHECKING:
+    import pathlib
+    import random
+
+OUTBOUND, INBOUND, READY, APP, STORE = 18304, 18300, 18302, 18301, 18309
+GRACE = 3.0
+STOP_SLACK = 2.0
+"""Seconds beside the grace for a process to start and end in, on a machine
+that is busy with the other processes."""
+SERVICES = ("front", "front", "deep", "deep", "deep", "edge")
+"""By VM. ``front`` calls ``deep``; ``edge`` has clients only."""
+
+
+@dataclasses.dataclass
+class Vm:
+    """One VM; ``host`` is its own address, ``link.host`` the told one."""
+
+    name: str
+    host: str
+    link: relays.Link
+    upstream: upstreams.Upstream
+    client: clients.Client
+    boot: pathlib.Path
+    log: pathlib.Path
+    process: subprocess.Popen[bytes] | None = None
+    busy: bool = False
+
+    @property
+    def entry(self) -> dict[str, object]:
+        """What the instance writes in the store."""
+        return {
+            "service": self.upstream.service,
+            "address": f"{self.link.host}:{APP}",
+            "zone": "z",
+            "slots": upstreams.SLOTS,
+            "state": "ready",
+        }
+
+
+class Fleet:
+    """All VMs and the store, on loopback addresses of this process."""
+
+    def __init__(self, folder: pathlib.Path, rng: random.Random) -> None:
+        self.rng = rng
+        self.store = store_module.Store()
+        self.oracle = oracle_module.Oracle(
+            {"front": {"front"}, "deep": {"deep"}}
+        )
+        self.faults: list[str] = []
+        net = f"127.{os.getpid() % 200 + 20}"
+        self.store_host = f"{net}.0.1"
+        self.vms = [
+            self._vm(folder, net, index, service)
+            for index, service in enumerate(SERVICES, 2)
+        ]
+        self.version = 0
+
+    def _vm(
+        self, folder: pathlib.Path, net: str, index: int, service: str
+    ) -> Vm:
+        host = f"{net}.1.{index}"
+        client = clients.Client(self.oracle, host, OUTBOUND, service, self.rng)
+
+        async def call(left: float) -> bool:
+            calls = [client.call("deep", True, left) for _ in range(2)]
+            return await clients.all_ok(calls)
+
+        upstream = upstreams.Upstream(
+            service,
+            self.oracle,
+            self.rng,
+            call if service == "front" else None,
+        )
+        link = relays.Link(f"{net}.2.{index}", host, INBOUND)
+        name = f"vm-{index}"
+        return Vm(
+            name,
+            host,
+            link,
+            upstream,
+            client,
+            folder / f"{name}.conf",
+            folder / f"{name}.log",
+        )
+
+    async def open(self) -> None:
+        """Start everything and wait until all daemons are ready."""
+        await self.store.open(self.store_host, STORE)
+        self.configure()
+        for vm in self.vms:
+            await vm.link.open()
+            await vm.upstream.open(vm.host, APP)
+            self.register(vm)
+            vm.boot.write_text(self._settings(vm))
+            self.start(vm)
+        for vm in self.vms:
+            await self.ready(vm)
+
+    def configure(self) -> None:
+        """Write the next version of the policy."""
+        self.version += self.rng.randint(1, 3)
+        routes = {
+            name: {
+                "host": clients.HOST.decode(),
+                "prefix": f"/{name}/",
+                "type": "unsafe" if name == "front" else "safe",
+                "timeout_ms": self.rng.choice([1200, 1500]),
+                "target_latency_ms": 400,
+                "priority": 1,
+                "max_attempts": 2,
+                "service": name,
+            }
+            for name in ("front", "deep")
+        }
+        self.store.put(
+            "op/config", {"version": f"r{self.version}", "routes": routes}
+        )
+
+    def register(self, vm: Vm, state: str = "ready") -> None:
+        """Write the entry of the VM's instance."""
+        if vm.upstream.service != "edge":
+            entry = vm.entry | {"state": state}
+            self.store.put(f"servers/{vm.upstream.id}", entry)
+
+    def _settings(self, vm: Vm) -> str:
+        values = {
+            "node_id": vm.name,
+            "ip": vm.host,
+            "zone": "z",
+            "zones.z": "r",
+            "service": vm.upstream.service,
+            "app_addr": f"{vm.host}:{APP}",
+            "listen.outbound": f"{vm.host}:{OUTBOUND}",
+            "listen.inbound": f"{vm.host}:{INBOUND}",
+            "listen.readiness": f"{vm.host}:{READY}",
+            "platform.address": f"{self.store_host}:{STORE}",
+            "bounds": f"grace_s={GRACE},drain_ms=2000",
+        }
+        return "".join(f"{key}={value}\n" for key, value in values.items())
+
+    def start(self, vm: Vm) -> None:
+        """Start the VM's daemon."""
+        environment = {
+            "PATH": os.environ["PATH"],
+            "SASSAFRASSTAIR_BOOT": str(vm.boot),
+            "PYTHONPATH": os.pathsep.join(sys.path),
+        }
+        with vm.log.open("ab") as log:
+            vm.process = subprocess.Popen(
+                [sys.executable, "-m", "sassafrasstair.console.forwarder"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def ready(self, vm: Vm, seconds: float = 20.0) -> bool:
+        """Wait until the daemon says that it is ready."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            try:
+                reader, writer = await asyncio.open_connection(vm.host, READY)
+                writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
+                line = await asyncio.wait_for(reader.readline(), 1.0)
+                writer.close()
+            except (OSError, TimeoutError):
+                line = b""
+            if b" 200 " in line:
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    async def stop(self, vm: Vm) -> None:
+        """Stop the daemon as planned; it must end by itself with 0."""
+        process = running(vm)
+        process.send_signal(signal.SIGTERM)
+        code = await ended(process, GRACE + STOP_SLACK)
+        if code != 0:
+            self.oracle.broken.append(f"STOP {vm.name}: code {code}")
+
+    async def kill(self, vm: Vm) -> None:
+        """End the daemon at once."""
+        process = running(vm)
+        process.kill()
+        await ended(process, STOP_SLACK)
+
+    def check_alive(self) -> None:
+        """Note daemons that ended by themselves."""
+        for vm in self.vms:
+            if not vm.busy and running(vm).poll() is not None:
+                code = running(vm).returncode
+                self.oracle.broken.append(f"EXIT {vm.name}: code {code}")
+
+    async def close(self) -> None:
+        """End all daemons and stop all stand-ins."""
+        for vm in self.vms:
+            if vm.process is not None and vm.process.poll() is None:
+                vm.process.send_signal(signal.SIGCONT)
+                await self.kill(vm)
+            vm.link.close()
+            vm.upstream.close()
+        self.store.close()
+        await asyncio.sleep(0.05)
+
+
+def running(vm: Vm) -> subprocess.Popen[bytes]:
+    """Return the VM's process, which has been started."""
+    return typing.cast("subprocess.Popen[bytes]", vm.process)
+
+
+async def ended(
+    process: subprocess.Popen[bytes], seconds: float
+) -> int | None:
+    """Wait for the end of a process; None if it does not come."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    while process.poll() is None and loop.time() < until:
+        await asyncio.sleep(0.02)
+    return process.poll()
--- /dev/null
+++ b/tests/platform/soak/oracle.py
@@ -0,0 +1,114 @@
+"""What clients sent, what upstreams ran, and what must hold of both."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+
+NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses that promise that the request has not run and never will."""
+DEADLINE_SLACK = 0.5
+"""Seconds by which the time left may have grown on its way."""
+SIGNATURE = "Sassafrasstair-Response-Signature"
+
+
+@dataclasses.dataclass
+class Sent:
+    """One request as its client sent it."""
+
+    key: str
+    route: str
+    idempotent: bool
+    caller: str
+    target: str
+    body: bytes
+    patience: float
+    runs: int = 0
+    statuses: list[int] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Run:
+    """One run as the upstream saw it."""
+
+    key: str
+    service: str
+    caller: str
+    target: str
+    body: bytes
+    left: float
+
+
+def body_of(key: str) -> bytes:
+    """Return the one right body of the answer to a request."""
+    return hashlib.sha256(key.encode()).hexdigest().encode() * 8
+
+
+def signature_of(key: str, status: int) -> str:
+    """Return how an upstream signs an answer."""
+    return f"{key}.{status}"
+
+
+class Oracle:
+    """Notes what happens and each promise that is broken."""
+
+    def __init__(self, services: dict[str, set[str]]) -> None:
+        self.services = services
+        """Which services a route ever led to."""
+        self.sent: dict[str, Sent] = {}
+        self.broken: list[str] = []
+        self.served = 0
+        self.refused = 0
+        self.failed = 0
+
+    def send(self, sent: Sent) -> None:
+        """Note a request before its first byte leaves."""
+        self.sent[sent.key] = sent
+
+    def ran(self, run: Run) -> None:
+        """Check a run against what its client sent."""
+        sent = self.sent.get(run.key)
+        if sent is None:
+            self._break("UNASKED", run.key, "nobody sent it")
+            return
+        sent.runs += 1
+        if (run.target, run.body) != (sent.target, sent.body):
+            self._break("UNASKED", run.key, "path or body changed")
+        if run.caller != sent.caller:
+            self._break("UNASKED", run.key, f"caller {run.caller}")
+        if run.service not in self.services[sent.route]:
+            self._break("ROUTE", run.key, f"run by {run.service}")
+        if run.left > sent.patience + DEADLINE_SLACK:
+            self._break("BUDGET", run.key, f"left {run.left}")
+        if sent.runs > 1 and not sent.idempotent:
+            self._break("TWICE", run.key, f"{sent.runs} runs")
+        self._check_refusals(sent)
+
+    def answered(
+        self, key: str, status: int, signature: str, body: bytes
+    ) -> None:
+        """Check an answer against the request that it belongs to."""
+        sent = self.sent[key]
+        sent.statuses.append(status)
+        if 200 <= status < 300:
+            self.served += 1
+            whole = body == body_of(key)
+            if not whole or signature != signature_of(key, status):
+                self._break("MIXED", key, f"{status} signed {signature!r}")
+        elif signature and signature != signature_of(key, status):
+            self._break("MIXED", key, f"{status} signed {signature!r}")
+        elif status in NOT_RUN:
+            self.refused += 1
+        else:
+            self.failed += 1
+        if status in (400, 401, 403, 404, 413, 431):
+            self._break("DENIED", key, f"status {status}")
+        self._check_refusals(sent)
+
+    def _check_refusals(self, sent: Sent) -> None:
+        refused = any(status in NOT_RUN for status in sent.statuses)
+        if refused and sent.runs and not sent.idempotent:
+            self._break("REFUSED", sent.key, f"{sent.statuses}")
+
+    def _break(self, rule: str, key: str, detail: str) -> None:
+        self.broken.append(f"{rule} {key}: {detail}")
--- /dev/null
+++ b/tests/platform/soak/scenario.py
@@ -0,0 +1,227 @@
+"""One soak: traffic, faults in series that overlap, and the recovery."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import signal
+import typing
+
+from tests.platform.soak import fleet as fleet_module
+
+if typing.TYPE_CHECKING:
+    import pathlib
+
+CALLS_PER_SECOND = 60
+FAULT_PAUSE = (0.2, 1.2)
+SETTLE_SECONDS = 4.0
+"""After the last fault: entries are back, pings done, queues empty."""
+PROBES = 20
+RECOVERED_SHARE = 0.9
+
+Fault = typing.Callable[
+    [fleet_module.Fleet, fleet_module.Vm], typing.Awaitable[None]
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What one soak showed."""
+
+    seed: int
+    broken: tuple[str, ...]
+    faults: tuple[str, ...]
+    served: int
+    refused: int
+    failed: int
+
+
+async def run(seed: int, seconds: float, folder: pathlib.Path) -> Report:
+    """Run one soak; all that is drawn comes from the seed."""
+    rng = random.Random(seed)
+    fleet = fleet_module.Fleet(folder, rng)
+    try:
+        await fleet.open()
+        traffic = asyncio.ensure_future(_traffic(fleet))
+        await _disturb(fleet, seconds)
+        await asyncio.sleep(SETTLE_SECONDS)
+        traffic.cancel()
+        await _check_recovery(fleet)
+        fleet.check_alive()
+    finally:
+        await fleet.close()
+    oracle = fleet.oracle
+    return Report(
+        seed,
+        tuple(oracle.broken),
+        tuple(fleet.faults),
+        oracle.served,
+        oracle.refused,
+        oracle.failed,
+    )
+
+
+async def _traffic(fleet: fleet_module.Fleet) -> None:
+    calls: set[asyncio.Future[int]] = set()
+    while True:
+        vm = fleet.rng.choice(fleet.vms)
+        idempotent = fleet.rng.random() < 0.5
+        route = "deep" if idempotent else "front"
+        call = asyncio.ensure_future(vm.client.call(route, idempotent))
+        calls.add(call)
+        call.add_done_callback(calls.discard)
+        await asyncio.sleep(1.0 / CALLS_PER_SECOND)
+
+
+async def _disturb(fleet: fleet_module.Fleet, seconds: float) -> None:
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    under_way: set[asyncio.Future[None]] = set()
+    while loop.time() < until:
+        await asyncio.sleep(fleet.rng.uniform(*FAULT_PAUSE))
+        name = fleet.rng.choice(sorted(FAULTS))
+        vm = fleet.rng.choice(fleet.vms)
+        if name in ON_PROCESS and vm.busy:
+            continue
+        fleet.check_alive()
+        fleet.faults.append(f"{name} {vm.name}")
+        under_way.add(asyncio.ensure_future(_apply(fleet, vm, name)))
+    await asyncio.gather(*under_way)
+
+
+async def _apply(
+    fleet: fleet_module.Fleet, vm: fleet_module.Vm, name: str
+) -> None:
+    if name not in ON_PROCESS:
+        await FAULTS[name](fleet, vm)
+        return
+    vm.busy = True
+    try:
+        await FAULTS[name](fleet, vm)
+    finally:
+        vm.busy = False
+
+
+async def _check_recovery(fleet: fleet_module.Fleet) -> None:
+    for vm in fleet.vms:
+        if not await fleet.ready(vm, 5.0):
+            fleet.oracle.broken.append(f"RECOVER {vm.name}: not ready")
+        calls = [vm.client.call("deep", True, 2.0) for _ in range(PROBES)]
+        statuses = await asyncio.gather(*calls)
+        # Some of the clients leave early, which is no fault.
+        owed = [status for status in statuses if status]
+        good = owed.count(200)
+        if good < RECOVERED_SHARE * len(owed):
+            fleet.oracle.broken.append(f"RECOVER {vm.name}: {statuses}")
+
+
+async def _kill(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    await fleet.kill(vm)
+    await asyncio.sleep(fleet.rng.uniform(0.1, 1.0))
+    fleet.start(vm)
+    await fleet.ready(vm)
+
+
+async def _stop(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    await fleet.stop(vm)
+    fleet.start(vm)
+    await fleet.ready(vm)
+
+
+async def _pause(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    process = fleet_module.running(vm)
+    process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(fleet.rng.uniform(0.2, 2.5))
+    process.send_signal(signal.SIGCONT)
+
+
+async def _hup(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    fleet_module.running(vm).send_signal(signal.SIGHUP)
+
+
+async def _store_away(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    fleet.store.mode = fleet.rng.choice(["busy", "reset", "silent"])
+    await asyncio.sleep(fleet.rng.uniform(0.5, 3.0))
+    fleet.store.mode = ""
+
+
+async def _forget(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    fleet.store.forget_history()
+
+
+async def _configure(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    fleet.configure()
+
+
+async def _delay(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    vm.link.delay = fleet.rng.uniform(0.01, 0.15)
+    await asyncio.sleep(fleet.rng.uniform(0.5, 2.0))
+    vm.link.delay = 0.0
+
+
+async def _reset(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    vm.link.reset()
+
+
+async def _one_way(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    way = fleet.rng.choice([vm.link.forth, vm.link.back])
+    way.clear()
+    await asyncio.sleep(fleet.rng.uniform(0.5, 3.0))
+    way.set()
+
+
+async def _silence(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    vm.link.forth.clear()
+    vm.link.back.clear()
+    await asyncio.sleep(fleet.rng.uniform(0.5, 3.0))
+    vm.link.reset()
+    vm.link.heal()
+
+
+async def _renew(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Restart the instance; its old entry stays for a while."""
+    before = vm.upstream.id
+    vm.upstream.renew()
+    fleet.register(vm)
+    await asyncio.sleep(fleet.rng.uniform(0.5, 2.0))
+    fleet.store.remove(f"servers/{before}")
+
+
+async def _drain(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    before = vm.upstream.id
+    fleet.register(vm, "draining")
+    await asyncio.sleep(2.0)
+    fleet.store.remove(f"servers/{before}")
+    if vm.upstream.id == before:
+        vm.upstream.renew()
+    fleet.register(vm)
+
+
+async def _misbehave(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    vm.upstream.lose_share = fleet.rng.uniform(0.0, 0.4)
+    vm.upstream.extra_share = fleet.rng.uniform(0.0, 0.4)
+    vm.upstream.slow = fleet.rng.choice([1.0, 5.0])
+    await asyncio.sleep(fleet.rng.uniform(0.5, 3.0))
+    vm.upstream.lose_share = vm.upstream.extra_share = 0.0
+    vm.upstream.slow = 1.0
+
+
+FAULTS: dict[str, Fault] = {
+    "configure": _configure,
+    "delay": _delay,
+    "drain": _drain,
+    "forget": _forget,
+    "hup": _hup,
+    "kill": _kill,
+    "misbehave": _misbehave,
+    "one_way": _one_way,
+    "pause": _pause,
+    "renew": _renew,
+    "reset": _reset,
+    "silence": _silence,
+    "stop": _stop,
+    "store_away": _store_away,
+}
+ON_PROCESS = frozenset({"hup", "kill", "pause", "stop"})
+"""Faults of a VM's process come one at a time."""
--- /dev/null
+++ b/tests/platform/soak/upstreams.py
@@ -0,0 +1,124 @@
+"""Upstreams beside the daemons: they run, call on, lose and garble."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import itertools
+import typing
+
+from sassafrasstair import clocks
+from sassafrasstair import httpio
+from tests.platform.soak import oracle as oracle_module
+from tests.platform.soak import store
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+    import random
+
+SLOTS = 16
+WORK_SECONDS = (0.005, 0.06)
+_serial = itertools.count(1)
+
+
+class Upstream:
+    """One instance; ``renew`` makes it another with a new id."""
+
+    def __init__(
+        self,
+        service: str,
+        oracle: oracle_module.Oracle,
+        rng: random.Random,
+        call: abc.Callable[[float], abc.Awaitable[bool]] | None,
+    ) -> None:
+        self.service = service
+        self.id = ""
+        self.lose_share = 0.0
+        self.extra_share = 0.0
+        self.slow = 1.0
+        self.oracle = oracle
+        self._rng = rng
+        self._call = call
+        self._running: set[asyncio.Task[None]] = set()
+        self._listener = httpio.Listener(
+            self._handle,
+            lambda status: [],
+            clocks.SystemClock(),
+            httpio.Memory(1 << 30),
+        )
+        self.renew()
+
+    async def open(self, host: str, port: int) -> None:
+        """Listen."""
+        await self._listener.open(host, port)
+
+    def close(self) -> None:
+        """Stop listening and cut all connections."""
+        store.close(self._listener)
+
+    def renew(self) -> None:
+        """Start anew: what runs is lost, the id is another."""
+        self.id = f"i-{next(_serial)}"
+        for task in self._running:
+            task.cancel()
+        for connection in list(self._listener.connections):
+            connection._transport.abort()
+
+    def _handle(self, exchange: httpio.Exchange) -> None:
+        found = exchange.request.found
+        target = found.get(b"sassafrasstair-target-instance", b"").decode()
+        if target != self.id:
+            exchange.respond(421, _not_run(), b"")
+        elif len(self._running) >= SLOTS:
+            exchange.respond(503, _not_run(), b"")
+        else:
+            task = asyncio.ensure_future(self._run(exchange))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+            exchange.gone = functools.partial(_cancel, task)
+
+    async def _run(self, exchange: httpio.Exchange) -> None:
+        request = exchange.request
+        found = request.found
+        key = found[b"sassafrasstair-request-id"].decode()
+        left = int(found[b"sassafrasstair-deadline-ms"]) / 1000
+        self.oracle.ran(
+            oracle_module.Run(
+                key,
+                self.service,
+                found[b"sassafrasstair-caller-service"].decode(),
+                request.target.decode(),
+                request.body,
+                left,
+            )
+        )
+        await asyncio.sleep(self._rng.uniform(*WORK_SECONDS) * self.slow)
+        ok = self._call is None or await self._call(left)
+        if self._rng.random() < self.lose_share:
+            exchange._connection._transport.abort()
+            return
+        self._answer(exchange, key, 200 if ok else 500)
+
+    def _answer(
+        self, exchange: httpio.Exchange, key: str, status: int
+    ) -> None:
+        signature = oracle_module.signature_of(key, status).encode()
+        fields = [
+            (b"Sassafrasstair-Request-Id", key.encode()),
+            (oracle_module.SIGNATURE.encode(), signature),
+        ]
+        body = oracle_module.body_of(key) if status == 200 else b""
+        transport = exchange._connection._transport
+        exchange.respond(status, fields, body)
+        if self._rng.random() < self.extra_share:
+            # A second, late answer to the same request.
+            head = httpio.response_head(status, fields, len(body), False)
+            transport.write(head + body)
+
+
+def _not_run() -> httpio.Fields:
+    return [(b"Sassafrasstair-Not-Executed", b"1")]
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
