--- a/tests/decisions/admission/test_admissions.py
+++ b/tests/decisions/admission/test_admissions.py
@@ -79,6 +79,14 @@
     assert min(shares) > 0.9
 
 
+def _shut(gates: admission.Admission, rng: random.Random) -> None:
+    """Overload the chain of route ``r`` from 100 to 110 s."""
+    for step in range(100):
+        now = 100.0 + step * 0.1
+        admission.hear(gates, "r", 5.0, now)
+        admission.admit(gates, "r", 0, now, rng)
+
+
 def test_gate_opens_soon_when_there_is_room() -> None:
     """An overload has passed and the chain is half idle.
 
@@ -86,10 +94,7 @@
     """
     gates = admission.Admission()
     rng = random.Random(1)
-    for step in range(100):
-        now = 100.0 + step * 0.1
-        admission.hear(gates, "r", 5.0, now)
-        admission.admit(gates, "r", 0, now, rng)
+    _shut(gates, rng)
     for step in range(60):
         now = 110.0 + step * 0.05
         admission.hear(gates, "r", 0.4, now)
@@ -100,10 +105,7 @@
 def test_gate_opens_again_when_nothing_is_heard() -> None:
     gates = admission.Admission()
     rng = random.Random(1)
-    for step in range(100):
-        now = 100.0 + step * 0.1
-        admission.hear(gates, "r", 5.0, now)
-        admission.admit(gates, "r", 0, now, rng)
+    _shut(gates, rng)
     assert gates.gates["r"].share < 0.1
     for step in range(200):
         admission.admit(gates, "r", 0, 112.0 + step * 0.1, rng)
