--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -129,10 +129,11 @@
         progress.deadline - now,
         wait,
     )
+    fields = [*call.fields, (daemon.names.target, target.vm.encode())]
     if host == daemon.settings.daemons.host:
-        _send_here(daemon, call, attempt, ask)
+        _send_here(daemon, call, attempt, ask, fields)
     else:
-        _send_there(daemon, call, attempt, ask)
+        _send_there(daemon, call, attempt, ask, fields)
 
 
 def _send_here(
@@ -140,6 +141,7 @@
     call: _endings.Call,
     attempt: _endings.Attempt,
     ask: _wire.Ask,
+    fields: httpio.Fields,
 ) -> None:
     request = call.exchange.request
     order = _callee.Order(
@@ -148,7 +150,7 @@
         call.request_id,
         request.method,
         request.target,
-        [*call.fields, (daemon.names.target, attempt.instance.encode())],
+        fields,
         request.body,
     )
 
@@ -164,13 +166,10 @@
     call: _endings.Call,
     attempt: _endings.Attempt,
     ask: _wire.Ask,
+    fields: httpio.Fields,
 ) -> None:
     request = call.exchange.request
-    fields = [
-        *call.fields,
-        (daemon.names.target, attempt.instance.encode()),
-        (_wire.ASK, _wire.encode_ask(ask)),
-    ]
+    fields.append((_wire.ASK, _wire.encode_ask(ask)))
     head = httpio.request_head(
         request.method, request.target, fields, len(request.body)
     )
