Refuse at once what no reachable daemon could take

Cause: when no daemon of a service's instances answers its pings (a failure domain is cut off and has no instance of it), attempts were made all the same: each waited for up to four connections of 0.4 s that could not be made, and the attempts whose connection was still being made when a ping failed were counted as lost, though no byte had left, so that their clients could not try again.

Change: with no living instance the request is refused at once, unsent; pings go every 0.5 s at the rarest in place of 1 s, and the first that is answered brings the service back. An attempt without a connection at a silent daemon ends as unsent and goes elsewhere, also where it must not run twice.

--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -32,7 +32,7 @@
 SILENT_PENALTY = 0.25
 # Pings to an instance that stays away become rarer, up to the second bound.
 PING_SECONDS = 0.2
-PING_SECONDS_MAX = 1.0
+PING_SECONDS_MAX = 0.5
 PING_SHARE_OF_AWAY = 0.25
 # An instance not heard of for this long is forgotten: VMs are replaced all
 # day, and pings to those that are gone would never end.
@@ -342,7 +342,9 @@
     """Leave out the dead, and a bounded share of the ejected.
 
     A fault of this VM's own network makes all others look failed: with
-    too many ejected, or none left, it must not stop sending.
+    too many ejected it must not stop sending. Where none has answered its
+    last ping there is none: an attempt would hold its caller for a
+    connection that is not made, or be lost on one that is dead.
     """
     known = routes.peers
     living = [
@@ -357,7 +359,7 @@
     ]
     if len(living) - len(kept) > EJECTED_SHARE_MAX * len(living):
         kept = living
-    return kept or targets
+    return kept
 
 
 def _less_busy(
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -80,20 +80,26 @@
 
 
 def lose_attempts(daemon: _state.Daemon, instance: str) -> None:
-    """Treat attempts at an instance whose daemon is silent as lost.
+    """End the attempts at an instance whose daemon is silent.
 
-    Only those that may run again elsewhere: for the others the answer may
-    still come, and nothing is gained by not waiting for it.
+    Those whose connection is still being made have not run and go
+    elsewhere. Of the others only those that may run again: for the rest the
+    answer may still come, and nothing is gained by not waiting for it.
     """
     for call in list(daemon.calls):
         attempt = call.attempt
         if attempt is None or attempt.instance != instance:
             continue
-        if call.progress.route.idempotent:
-            if attempt.job is not None:
-                attempt.job.abort()
+        ending = requests.Ending.UNSENT
+        reason = outcomes.Reason.PEER_UNREACHABLE
+        if _may_have_run(daemon, attempt):
+            if not call.progress.route.idempotent:
+                continue
+            ending = requests.Ending.LOST
             reason = outcomes.Reason.PEER_LOST
-            _ended(daemon, call, requests.Ending.LOST, reason)
+        if attempt.job is not None:
+            attempt.job.abort()
+        _ended(daemon, call, ending, reason)
 
 
 def _send(
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -251,6 +251,34 @@
     run(test())
 
 
+def test_service_out_of_reach_is_refused_at_once() -> None:
+    """No daemon of the service's instances answers its pings.
+
+    Each request was tried there all the same, and its client was told late,
+    or never, that it had not run.
+    """
+
+    async def test() -> None:
+        world = place.Place()
+        world.policy(3, place.route("/s/", "s", False))
+        world.entry(C, "s")
+        await world.daemon(A, "front")
+        await world.knows(A)
+        assert (await world.call(A, "/s/", "POST")).status == 503
+        peers = world.daemons[A].daemon.routes.peers
+        while not peers[f"i-{C}"].dead:
+            await asyncio.sleep(0.02)
+        got = await world.call(A, "/s/", "POST")
+        assert got.status == 503
+        assert got.seconds < 0.1
+        await world.upstream(C, "s")
+        await world.daemon(C, "s")
+        while (await world.call(A, "/s/", "POST")).status != 200:
+            await asyncio.sleep(0.05)
+
+    run(test())
+
+
 def test_request_that_waited_here_to_its_timeout_has_not_run() -> None:
     """The only slot, on the client's own VM, is taken until the timeout.
 
