--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -192,8 +192,25 @@
                 instance=key,
                 revision=view.revision,
                 source=source,
+                **_shown(views.instance(view, key)),
             )
     if told:
         daemon.hosts = views.neighbours(view, daemon.settings.daemons.host)
         daemon.services = views.count_services(view)
         daemon.least_importance = views.least_importance(view)
+
+
+def _shown(known: views.Instance | None) -> dict[str, str | int | float]:
+    """Return what a log line tells of an instance.
+
+    Two entries with one address, or one instance with few slots, explain
+    failures that the id alone does not.
+    """
+    if known is None:
+        return {}
+    return {
+        "service": known.service,
+        "address": f"{known.host}:{known.port}",
+        "slots": known.slots,
+        "cold": known.cold_seconds,
+    }
--- a/tests/forwarding/test_walks.py
+++ b/tests/forwarding/test_walks.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 import typing
 
@@ -127,3 +128,31 @@
         assert "share=0.0 load=3.5" in result.output
 
     test_path.run(test())
+
+
+def test_restarted_instance_shows_in_the_log_by_its_address() -> None:
+    """Two entries name one address, and requests to one of them fail.
+
+    With ids alone on the lines nobody could see that they belong together.
+    """
+
+    async def test() -> None:
+        world = await test_path._world()
+        world.put_instance("i-new", test_path.B, "s")
+        await world.knows(test_path.A)
+        for running in world.daemons.values():
+            running.daemon.journal.flush_lines()
+        address = f"{test_path.B}:{world.ports[3]}"
+        lines = [
+            json.loads(line)
+            for line in b"".join(world.lines).split(b"\n")
+            if line
+        ]
+        ids = {
+            line["instance"]
+            for line in lines
+            if line["event"] == "instance_added" and line["address"] == address
+        }
+        assert ids == {f"i-{test_path.B}", "i-new"}
+
+    test_path.run(test())
