Use the instance that runs when an ended one's heartbeat comes late

Cause, found by reading: of two entries with one address the one that came later is used. A late heartbeat of an ended instance writes its entry anew, so that it is the later one; once the running instance had answered that it is another (421), the old id was left alone, but still hid the running one, and the address got nothing until the old entry lapsed.

Change: an id at whose address another instance answered hides nobody. With a test, red before.

--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -66,13 +66,15 @@
     Failure: a VM loses power and its instance starts anew under another
     id, while the entry of the one before stays until it lapses. Sent to
     that id, half of the service's requests were refused for 3 s. An address
-    serves one instance at a time, so the older entry is out of date.
+    serves one instance at a time, so the older entry is out of date. An
+    entry that a late heartbeat of an ended instance has written anew counts
+    until the one that runs at the address has said that it is another.
     """
-    found = _with_entry(view, service)
     newest: dict[tuple[str, int], int] = {}
     for known in view.instances.values():
-        address = (known.host, known.port)
-        newest[address] = max(known.since, newest.get(address, -1))
+        if known.id not in view.replaced:
+            address = (known.host, known.port)
+            newest[address] = max(known.since, newest.get(address, -1))
     return tuple(
         calls.Target(
             instance.id,
@@ -80,7 +82,7 @@
             instance.failure_domain,
             instance.region,
         )
-        for instance in found
+        for instance in _with_entry(view, service)
         if instance.since >= newest.get((instance.host, instance.port), -1)
         and instance.id not in view.replaced
     )
--- a/tests/decisions/views/test_views.py
+++ b/tests/decisions/views/test_views.py
@@ -161,6 +161,21 @@
     assert _targets(view) == {"new", "b"}
 
 
+def test_late_heartbeat_of_an_ended_instance_hides_no_other() -> None:
+    """An instance has ended, and another runs at its address.
+
+    A late heartbeat of the first writes its entry anew, so that this is the
+    newer one. The second must be used again as soon as it has answered that
+    it is not the first.
+    """
+    view = _known(_instance("new", host="h", since=9), _instance("b"))
+    late = _instance("old", host="h", since=11)
+    views.apply(view, [late], 11, 11, 101.0)
+    assert _targets(view) == {"old", "b"}
+    views.note_replaced(view, "old")
+    assert _targets(view) == {"new", "b"}
+
+
 def test_replaced_instance_is_used_again_only_after_its_entry_changed() -> (
     None
 ):
