Try the owner of a ticket also where its ping has failed

Traced: since no instance is tried whose ping has failed, in the product's own path too. A ticket has one owner; a ping that failed just before the owner's daemon was back voided it for half a second.

Ruled out: load alone.

Change: whether instances are tried that are taken for dead is a setting of the routes. The product's own path tries them as before, with the half of the test that had been replaced back in place; the forwarder does not, and its test stays.

--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -116,10 +116,14 @@
     """What this entrance has seen of the instances that it calls.
 
     ``changes`` counts how often an instance became usable or unusable.
+    With ``try_dead`` instances whose pings fail are tried when there is no
+    other: where one instance alone will do, as the owner of a ticket, a
+    ping that failed just before it restarted must not void the ticket.
     """
 
     failure_domain: str
     region: str
+    try_dead: bool = True
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     by_service: dict[str, Sorted] = dataclasses.field(default_factory=dict)
     changes: int = 0
@@ -343,8 +347,9 @@
 
     A fault of this VM's own network makes all others look failed: with
     too many ejected it must not stop sending. Where none has answered its
-    last ping there is none: an attempt would hold its caller for a
-    connection that is not made, or be lost on one that is dead.
+    last ping and ``try_dead`` is off there is none: an attempt would hold
+    its caller for a connection that is not made, or be lost on one that is
+    dead.
     """
     known = routes.peers
     living = [
@@ -359,7 +364,9 @@
     ]
     if len(living) - len(kept) > EJECTED_SHARE_MAX * len(living):
         kept = living
-    return kept
+    if kept or not routes.try_dead:
+        return kept
+    return targets
 
 
 def _less_busy(
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -108,7 +108,7 @@
         source=dialect.source(settings, clock),
         upstream=_upstream_pool(settings, clock),
         view=views.new_view(),
-        routes=calls.Routes(domain, region),
+        routes=calls.Routes(domain, region, try_dead=False),
     )
 
 
--- a/tests/decisions/calls/test_routing.py
+++ b/tests/decisions/calls/test_routing.py
@@ -109,6 +109,9 @@
     for target in TARGETS:
         _fail(routes, target.vm, 1.0)
     assert sum(_picked(routes, 1.0).values()) == 100
+    for target in TARGETS:
+        calls.probed(routes, target.vm, False, 1.2)
+    assert sum(_picked(routes, 1.2).values()) == 100
 
 
 def test_nothing_is_sent_where_no_ping_is_answered() -> None:
@@ -118,7 +121,7 @@
     or was lost on a kept one, and its client could not try again. The first
     ping that is answered brings the service back.
     """
-    routes = _routing.Routes(HERE, "region")
+    routes = _routing.Routes(HERE, "region", try_dead=False)
     for target in TARGETS:
         _fail(routes, target.vm, 1.0)
         calls.probed(routes, target.vm, False, 1.2)
