--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -30,6 +30,7 @@
 from sassafrasstair.decisions.calls._routing import pick
 from sassafrasstair.decisions.calls._routing import probe_due
 from sassafrasstair.decisions.calls._routing import probed
+from sassafrasstair.decisions.calls._routing import restarted
 from sassafrasstair.decisions.calls._routing import Routes
 from sassafrasstair.decisions.calls._routing import sent
 from sassafrasstair.decisions.calls._views import choose
@@ -68,6 +69,7 @@
     "pick",
     "probe_due",
     "probed",
+    "restarted",
     "retry_tokens",
     "sent",
 ]
--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -226,6 +226,17 @@
         peer.inflight = max(0, peer.inflight - 1)
 
 
+def restarted(routes: Routes, vm: str, now: float) -> None:
+    """Forget what is known of an instance that has started again.
+
+    Only the attempts under way stay counted, until each has ended.
+    """
+    peer = routes.peers.get(vm)
+    if peer is not None:
+        routes.peers[vm] = Peer(inflight=peer.inflight, silent_from=now)
+        routes.changes += 1
+
+
 def probe_due(routes: Routes, now: float) -> list[str]:
     """Return the ejected or silent VMs to send a ping to now.
 
--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -9,6 +9,7 @@
 from sassafrasstair.decisions.load._guards import Guard
 from sassafrasstair.decisions.load._guards import new_guard
 from sassafrasstair.decisions.load._guards import offer
+from sassafrasstair.decisions.load._guards import retire
 from sassafrasstair.decisions.load._guards import service
 from sassafrasstair.decisions.load._guards import tick
 from sassafrasstair.decisions.load._messages import Abort
@@ -38,6 +39,7 @@
     "offer",
     "rank",
     "resize",
+    "retire",
     "service",
     "tick",
 ]
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -144,6 +144,13 @@
     return []
 
 
+def retire(guard: Guard, reason: outcomes.Reason) -> list[_messages.Effect]:
+    """Turn away all that waits, and all that comes: the instance is over."""
+    guard.leaving = True
+    waiting, guard.waiting = guard.waiting, {}
+    return [_turn(waiter.work, reason) for waiter in waiting.values()]
+
+
 def tick(guard: Guard, now: float) -> list[_messages.Effect]:
     """Look again at every deadline; called each 50 ms and after a pause."""
     guard.live = _live(guard, now)
--- a/src/sassafrasstair/decisions/policies/__init__.py
+++ b/src/sassafrasstair/decisions/policies/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.policies._checks import unsound
 from sassafrasstair.decisions.policies._policies import ClientLimits
 from sassafrasstair.decisions.policies._policies import Policy
 from sassafrasstair.decisions.policies._policies import Route
@@ -20,4 +21,5 @@
     "choose_service",
     "match",
     "new_table",
+    "unsound",
 ]
--- /dev/null
+++ b/src/sassafrasstair/decisions/policies/_checks.py
@@ -0,0 +1,52 @@
+"""Whether a policy can be served by, whoever handed it over."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair.decisions.policies import _policies
+
+SECONDS_MAX = 86_400.0
+"""No client waits for a day; a greater number is garbage."""
+
+
+def unsound(policy: _policies.Policy) -> str:
+    """Return what is wrong with a policy, or an empty string."""
+    if policy.version < 0:
+        return "version"
+    limits = policy.limits
+    if limits.head_bytes <= 0 or limits.body_bytes < 0:
+        return "limits"
+    if not (_is_time(limits.head_seconds) and _is_time(limits.idle_seconds)):
+        return "limits"
+    for route in policy.routes:
+        wrong = _wrong_with_route(route)
+        if wrong:
+            return f"{route.name[:80]!r}: {wrong}"
+    return ""
+
+
+def _wrong_with_route(route: _policies.Route) -> str:
+    if not route.host:
+        return "host"
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        return "prefix"
+    if not (_is_time(route.timeout) and 0.0 <= route.objective <= SECONDS_MAX):
+        return "times"
+    if route.attempts_max < 1:
+        return "attempts"
+    # Names travel in a field between daemons, parted by blanks.
+    if not route.name.isprintable() or " " in route.name or not route.name:
+        return "name"
+    weights = [share.weight for share in route.shares]
+    if not all(0.0 <= weight < math.inf for weight in weights):
+        return "weights"
+    if sum(weights) <= 0.0 or not all(each.service for each in route.shares):
+        return "services"
+    return ""
+
+
+def _is_time(seconds: float) -> bool:
+    return 0.0 < seconds <= SECONDS_MAX
--- a/src/sassafrasstair/decisions/policies/_policies.py
+++ b/src/sassafrasstair/decisions/policies/_policies.py
@@ -47,8 +47,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
-    """One version of the policy; the highest version seen is in force."""
+    """One version of the policy; the highest version seen is in force.
+
+    ``services`` are those that it names beside the services of its routes.
+    """
 
     version: int
     routes: tuple[Route, ...]
     limits: ClientLimits
+    services: tuple[str, ...] = ()
--- a/src/sassafrasstair/decisions/policies/_tables.py
+++ b/src/sassafrasstair/decisions/policies/_tables.py
@@ -13,10 +13,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Table:
-    """The routes of one policy by host and then by prefix."""
+    """The routes of one policy by host and then by prefix.
+
+    ``services`` are all that the policy names.
+    """
 
     policy: _policies.Policy
     hosts: dict[str, dict[str, _policies.Route]]
+    services: frozenset[str]
 
 
 def new_table(policy: _policies.Policy) -> Table:
@@ -24,7 +28,10 @@
     hosts: dict[str, dict[str, _policies.Route]] = {}
     for route in policy.routes:
         hosts.setdefault(route.host.lower(), {})[route.prefix] = route
-    return Table(policy, hosts)
+    named = frozenset(
+        share.service for route in policy.routes for share in route.shares
+    )
+    return Table(policy, hosts, named | frozenset(policy.services))
 
 
 def match(table: Table, host: str, path: str) -> _policies.Route | None:
--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.views._queries import born
 from sassafrasstair.decisions.views._queries import count_services
 from sassafrasstair.decisions.views._queries import instance
 from sassafrasstair.decisions.views._queries import is_behind
@@ -18,6 +19,8 @@
 from sassafrasstair.decisions.views._types import News
 from sassafrasstair.decisions.views._types import Removed
 from sassafrasstair.decisions.views._types import Snapshot
+from sassafrasstair.decisions.views._types import Unusable
+from sassafrasstair.decisions.views._types import without_unusable
 from sassafrasstair.decisions.views._views import adopt
 from sassafrasstair.decisions.views._views import apply
 from sassafrasstair.decisions.views._views import expire
@@ -35,9 +38,11 @@
     "News",
     "Removed",
     "Snapshot",
+    "Unusable",
     "View",
     "adopt",
     "apply",
+    "born",
     "count_services",
     "expire",
     "instance",
@@ -54,4 +59,5 @@
     "source_answered",
     "source_failed",
     "targets",
+    "without_unusable",
 ]
--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -54,7 +54,8 @@
 
 def neighbours(view: _views.View, own_host: str) -> list[str]:
     """Return the hosts of all other daemons that are known."""
-    hosts = {instance.host for instance in view.instances.values()}
+    known = [entry for entry in view.instances.values() if _named(view, entry)]
+    hosts = {entry.host for entry in known}
     hosts |= {lapsed.instance.host for lapsed in view.lapsed.values()}
     hosts.discard(own_host)
     return sorted(hosts)
@@ -69,12 +70,18 @@
     serves one instance at a time, so the older entry is out of date. An
     entry that a late heartbeat of an ended instance has written anew counts
     until the one that runs at the address has said that it is another.
+
+    Failure: an entry of a service that no policy names stands at the
+    address of a sound instance. It is no instance, and hides none.
     """
-    newest: dict[tuple[str, int], int] = {}
+    newest: dict[tuple[str, int], _types.Instance] = {}
     for known in view.instances.values():
-        if known.id not in view.replaced:
-            address = (known.host, known.port)
-            newest[address] = max(known.since, newest.get(address, -1))
+        if known.id in view.replaced or not _named(view, known):
+            continue
+        address = (known.host, known.port)
+        other = newest.get(address)
+        if other is None or _is_later(known, other):
+            newest[address] = known
     return tuple(
         calls.Target(
             instance.id,
@@ -83,11 +90,34 @@
             instance.region,
         )
         for instance in _with_entry(view, service)
-        if instance.since >= newest.get((instance.host, instance.port), -1)
-        and instance.id not in view.replaced
+        if instance.id not in view.replaced
+        and not _is_hidden(
+            instance, newest.get((instance.host, instance.port))
+        )
     )
 
 
+def _is_hidden(instance: _types.Instance, at: _types.Instance | None) -> bool:
+    """Return whether another instance runs at the instance's address."""
+    return at is not None and at.id != instance.id and _is_later(at, instance)
+
+
+def _is_later(one: _types.Instance, other: _types.Instance) -> bool:
+    """Return whether ``one`` came to their address after ``other``.
+
+    By when they started, where both tell it: the revision at which an entry
+    came does not move when a run under the same id writes it again.
+    """
+    if one.born and other.born and one.born != other.born:
+        return one.born > other.born
+    return one.since > other.since
+
+
+def _named(view: _views.View, instance: _types.Instance) -> bool:
+    """Return whether the policy names the instance's service."""
+    return view.table is None or instance.service in view.table.services
+
+
 def _with_entry(
     view: _views.View, service: str
 ) -> abc.Sequence[_types.Instance]:
@@ -122,9 +152,20 @@
     return found
 
 
+def born(view: _views.View, key: str) -> int:
+    """Return when the run under an id started, 0 if that was not told."""
+    return view.latest.get(key, 0)
+
+
 def count_services(view: _views.View) -> int:
     """Return how many services have an instance."""
-    return len({instance.service for instance in view.instances.values()})
+    return len(
+        {
+            instance.service
+            for instance in view.instances.values()
+            if _named(view, instance)
+        }
+    )
 
 
 def least_importance(view: _views.View) -> int:
--- a/src/sassafrasstair/decisions/views/_types.py
+++ b/src/sassafrasstair/decisions/views/_types.py
@@ -4,10 +4,14 @@
 
 import dataclasses
 import enum
+import math
 
 from sassafrasstair.decisions.policies import _policies
 
 
+PORT_MAX = 65_535
+
+
 class InstanceState(enum.Enum):
     """What an instance says of itself."""
 
@@ -17,11 +21,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Instance:
-    """One run of an upstream; a restart has another ``id``.
+    """One run of an upstream; a restart has another ``id`` or ``born``.
 
     ``host`` is the address of its VM, where its daemon listens too, and
     ``port`` its own. ``since`` is the store's revision at which its entry
     came. ``cold_seconds`` is for how long it stays slow after its start.
+    ``born`` is when it started, in Unix milliseconds by the clock of its VM;
+    0 if that was not told.
     """
 
     id: str
@@ -34,6 +40,7 @@
     slots: int
     state: InstanceState
     cold_seconds: float
+    born: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,7 +50,14 @@
     id: str
 
 
-Change = _policies.Policy | Instance | Removed
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unusable:
+    """The entry of an instance can't be read any more: it names none."""
+
+    id: str
+
+
+Change = _policies.Policy | Instance | Removed | Unusable
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +70,23 @@
     instances: tuple[Instance, ...]
 
 
+def without_unusable(snapshot: Snapshot) -> Snapshot:
+    """Return the snapshot without instances that can't be asked."""
+    usable = tuple(each for each in snapshot.instances if _is_usable(each))
+    return dataclasses.replace(snapshot, instances=usable)
+
+
+def _is_usable(instance: Instance) -> bool:
+    return (
+        bool(instance.id and instance.service and instance.host)
+        and f"{instance.id}{instance.service}{instance.host}".isascii()
+        and 0 < instance.port <= PORT_MAX
+        and instance.slots > 0
+        and 0.0 <= instance.cold_seconds < math.inf
+        and instance.born >= 0
+    )
+
+
 class News(enum.Enum):
     """What a change made different here."""
 
@@ -66,3 +97,6 @@
     LAPSED = "instance_lapsed"
     GONE = "instance_gone"
     REPLACED = "instance_replaced"
+    RESTARTED = "instance_restarted"
+    OUTDATED = "instance_outdated"
+    UNUSABLE = "instance_unusable"
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -25,6 +25,11 @@
 """For how long after the store was away a vanished entry may have lapsed
 rather than been removed."""
 
+BORN_KEPT = 4_000
+"""Ids whose latest start is remembered, those that ended included: an entry
+that comes back must not be that of an earlier run. 1,300 instances that are
+replaced three times."""
+
 Told = list[tuple[_types.News, str]]
 """What became different: the news, and an instance's id or ''."""
 
@@ -55,6 +60,8 @@
 
     ``replaced`` are the ids of instances at whose address another one
     answered: their entries are out of date until they change.
+
+    ``latest`` are the latest starts by id, the last seen at the end.
     """
 
     revision: int = -1
@@ -65,6 +72,7 @@
     )
     lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
     replaced: set[str] = dataclasses.field(default_factory=set)
+    latest: dict[str, int] = dataclasses.field(default_factory=dict)
     answered: float = -math.inf
     failing: float = math.inf
     unsteady_until: float = -math.inf
@@ -137,6 +145,8 @@
             told += _set_policy(view, change)
         elif isinstance(change, _types.Removed):
             told += _remove(view, change.id, now)
+        elif isinstance(change, _types.Unusable):
+            told += _withdraw(view, change.id)
         else:
             told += _set_instance(view, change)
     if told:
@@ -186,13 +196,28 @@
 
 
 def _set_instance(view: View, instance: _types.Instance) -> Told:
+    """Take an entry, unless a later run under the same id is known.
+
+    Failure: an instance restarts under its id, and a heartbeat of the run
+    before, or a peer that is behind, comes later. Taken, it would bring
+    back the state, slots and address of a run that has ended.
+    """
+    latest = view.latest.get(instance.id, 0)
+    if instance.born and instance.born < latest:
+        return [(_types.News.OUTDATED, instance.id)]
+    if not instance.born and latest:
+        # Told by a daemon of the version before: it may be either run.
+        instance = dataclasses.replace(instance, born=latest)
     before = view.instances.get(instance.id)
     if before != instance:
         # Only an instance that runs changes its entry.
         view.replaced.discard(instance.id)
     view.lapsed.pop(instance.id, None)
     view.instances[instance.id] = instance
-    if before is None:
+    _note_born(view, instance)
+    if latest and instance.born > latest:
+        news = _types.News.RESTARTED
+    elif before is None:
         news = _types.News.ADDED
     elif before == instance:
         return []
@@ -203,6 +228,25 @@
     return [(news, instance.id)]
 
 
+def _note_born(view: View, instance: _types.Instance) -> None:
+    if not instance.born:
+        return
+    view.latest.pop(instance.id, None)
+    view.latest[instance.id] = instance.born
+    if len(view.latest) > BORN_KEPT:
+        del view.latest[next(iter(view.latest))]
+
+
+def _withdraw(view: View, key: str) -> Told:
+    """Use an instance no longer whose entry has become unreadable."""
+    known = view.instances.pop(key, None)
+    lapsed = view.lapsed.pop(key, None)
+    if known is None and lapsed is None:
+        return []
+    view.replaced.discard(key)
+    return [(_types.News.UNUSABLE, key)]
+
+
 def _remove(view: View, key: str, now: float) -> Told:
     instance = view.instances.pop(key, None)
     if instance is None:
--- a/src/sassafrasstair/forwarding/__init__.py
+++ b/src/sassafrasstair/forwarding/__init__.py
@@ -13,6 +13,7 @@
 from sassafrasstair.forwarding._dialect import Dialect
 from sassafrasstair.forwarding._dialect import Names
 from sassafrasstair.forwarding._dialect import Reading
+from sassafrasstair.forwarding._dialect import Refusal
 from sassafrasstair.forwarding._dialect import Settings
 from sassafrasstair.forwarding._dialect import SettingsError
 from sassafrasstair.forwarding._dialect import Source
@@ -26,6 +27,7 @@
     "Dialect",
     "Names",
     "Reading",
+    "Refusal",
     "Settings",
     "SettingsError",
     "Source",
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import dataclasses
 import functools
-import math
 import typing
 
 from sassafrasstair.decisions import admission
@@ -17,6 +15,8 @@
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _guards
+from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _sync
 from sassafrasstair.forwarding import _wire
@@ -26,13 +26,6 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-UNKNOWN_SLOTS = 16
-"""Slots of an instance whose entry this daemon has not read yet."""
-SPARE_SHARE = 0.06
-"""The part of an instance's slots that is left free: some slow down when
-they are nearly full, by more than the last slots are worth."""
-SPARE_FROM = 16
-"""With fewer slots than this one left free would be too many."""
 FULL_SHARE = 0.7
 """An instance that refuses with less of its slots in use is not full, and
 cutting its limit would only turn more work away."""
@@ -40,46 +33,12 @@
 """Said by an instance that is not the one that the request names."""
 TRY_SECONDS = 0.3
 """Between two connections tried to an upstream that takes none."""
-GUARDS_KEPT = 4
-"""Guards of instances that ran on this VM one after the other."""
-
-
-@dataclasses.dataclass(slots=True)
-class Order:
-    """A request for the upstream, with what its entrance told.
-
-    ``caller`` is the service on the VM where it began.
-    """
-
-    ask: _wire.Ask
-    caller: str
-    request_id: bytes
-    method: bytes
-    target: bytes
-    fields: httpio.Fields
-    body: bytes
-
-
-@dataclasses.dataclass(slots=True)
-class Result:
-    """The end of a run: the instance's answer, or why there is none."""
-
-    state: _wire.State
-    response: httpio.Response | None
-
-
-@dataclasses.dataclass(slots=True)
-class Run:
-    """One request that waits for the upstream or is there."""
-
-    order: Order
-    deadline: float
-    done: abc.Callable[[Result], None]
-    job: httpio.Job | None = None
 
 
 def offer(
-    daemon: _state.Daemon, order: Order, done: abc.Callable[[Result], None]
+    daemon: _state.Daemon,
+    order: _records.Order,
+    done: abc.Callable[[_records.Result], None],
 ) -> str:
     """Take a request; ``done`` is called once, maybe before the return.
 
@@ -90,16 +49,16 @@
     admission.note_caller(daemon.callers, ask.route, order.caller)
     daemon.serial += 1
     key = f"{daemon.serial}"
-    guard = _guard(daemon, ask.instance, now)
+    guard = _guards.of_instance(daemon, ask.instance, now)
     deadline = now + ask.remaining
     reason = _unable(daemon, ask.instance)
+    run = _records.Run(order, deadline, done, guard)
     if reason is not outcomes.Reason.NONE:
-        run = Run(order, deadline, done)
         _end(daemon, run, requests.Ending.UNSENT, reason, None)
         return key
-    daemon.runs[key] = Run(order, deadline, done)
+    daemon.runs[key] = run
     work = load.Work(key, ask.route, "", ask.rank, deadline, ask.wait)
-    _perform(daemon, ask.instance, load.offer(guard, work, now))
+    _perform(daemon, load.offer(guard, work, now))
     return key
 
 
@@ -120,10 +79,8 @@
     if run is None:
         return
     now = daemon.clock.monotonic()
-    instance = run.order.ask.instance
     run.done = _nobody
-    guard = _guard(daemon, instance, now)
-    _perform(daemon, instance, load.cancel(guard, key, now))
+    _perform(daemon, load.cancel(run.guard, key, now))
 
 
 def tick(daemon: _state.Daemon, now: float) -> None:
@@ -131,12 +88,34 @@
     if daemon.upstream_down and now - daemon.upstream_tried > TRY_SECONDS:
         daemon.upstream_tried = now
         daemon.upstream.try_connect(functools.partial(_upstream_tried, daemon))
-    for instance, guard in list(daemon.guards.items()):
-        known = views.instance(daemon.view, instance)
-        slots = _usable_slots(known)
-        if known is not None and slots != guard.limits.slots:
-            load.resize(guard, slots)
-        _perform(daemon, instance, load.tick(guard, now))
+    for key, guard in list(daemon.guards.items()):
+        if _guards.is_over(daemon, key):
+            _end_run_of_instance(daemon, key, guard, now)
+        else:
+            _guards.resize(daemon, key[0], guard)
+        _perform(daemon, load.tick(guard, now))
+
+
+def _end_run_of_instance(
+    daemon: _state.Daemon, key: _guards.Key, guard: load.Guard, now: float
+) -> None:
+    """Answer truly for what came for a run of the instance that is over.
+
+    Failure: an instance falls silent and starts again under its id. What
+    had been handed to it gets no answer any more, and was waited for to
+    its deadline, though a lookup could have gone elsewhere. What still
+    waits has not run.
+    """
+    if not guard.leaving:
+        daemon.upstream.drop_idle()
+        reason = outcomes.Reason.INSTANCE_RESTARTED
+        _perform(daemon, load.retire(guard, reason))
+    began = _guards.began(daemon, key[0], now)
+    for attempt_id, started in list(guard.running.items()):
+        run = daemon.runs.get(attempt_id)
+        if run is not None and started < began:
+            reason = outcomes.Reason.UPSTREAM_LOST
+            _abort(daemon, attempt_id, run, reason)
 
 
 def _upstream_tried(daemon: _state.Daemon, reached: bool) -> None:
@@ -155,29 +134,7 @@
     daemon.journal.note(what, address=daemon.upstream.host)
 
 
-def _guard(daemon: _state.Daemon, instance: str, now: float) -> load.Guard:
-    guard = daemon.guards.get(instance)
-    if guard is None:
-        known = views.instance(daemon.view, instance)
-        guard = load.new_guard(_usable_slots(known), now, patient=True)
-        daemon.guards[instance] = guard
-        if len(daemon.guards) > GUARDS_KEPT:
-            oldest = next(iter(daemon.guards))
-            if not daemon.guards[oldest].works:
-                del daemon.guards[oldest]
-    return guard
-
-
-def _usable_slots(instance: views.Instance | None) -> int:
-    slots = UNKNOWN_SLOTS if instance is None else instance.slots
-    if slots < SPARE_FROM:
-        return slots
-    return slots - math.ceil(SPARE_SHARE * slots)
-
-
-def _perform(
-    daemon: _state.Daemon, instance: str, effects: list[load.Effect]
-) -> None:
+def _perform(daemon: _state.Daemon, effects: list[load.Effect]) -> None:
     for effect in effects:
         run = daemon.runs.get(effect.attempt_id)
         if run is None:
@@ -188,16 +145,25 @@
             del daemon.runs[effect.attempt_id]
             _end(daemon, run, requests.Ending.TURNED_AWAY, effect.reason, None)
         else:
-            if run.job is not None:
-                run.job.abort()
-            _finish(daemon, effect.attempt_id, run, load.End.CANCELLED)
             reason = outcomes.Reason.CANCELLED
             if daemon.clock.monotonic() >= run.deadline:
                 reason = outcomes.Reason.DEADLINE_PASSED
-            _end(daemon, run, requests.Ending.LOST, reason, None)
+            _abort(daemon, effect.attempt_id, run, reason)
 
 
-def _start(daemon: _state.Daemon, key: str, run: Run) -> None:
+def _abort(
+    daemon: _state.Daemon,
+    key: str,
+    run: _records.Run,
+    reason: outcomes.Reason,
+) -> None:
+    if run.job is not None:
+        run.job.abort()
+    _finish(daemon, key, run, load.End.CANCELLED)
+    _end(daemon, run, requests.Ending.LOST, reason, None)
+
+
+def _start(daemon: _state.Daemon, key: str, run: _records.Run) -> None:
     order = run.order
     left = max(0.001, run.deadline - daemon.clock.monotonic())
     fields = [
@@ -229,7 +195,7 @@
         _upstream_tried(daemon, False)
     end = load.End.DONE
     if ending is requests.Ending.REFUSED:
-        guard = daemon.guards[run.order.ask.instance]
+        guard = run.guard
         full = len(guard.running) >= FULL_SHARE * guard.limits.slots
         end = load.End.REFUSED if full else load.End.FAILED
     elif ending is not None:
@@ -240,7 +206,9 @@
 
 
 def _judge(
-    daemon: _state.Daemon, run: Run, result: httpio.Response | httpio.Failure
+    daemon: _state.Daemon,
+    run: _records.Run,
+    result: httpio.Response | httpio.Failure,
 ) -> tuple[requests.Ending | None, outcomes.Reason]:
     """Return how the run ended; None for an answer to pass on."""
     if result is httpio.Failure.NOT_SENT:
@@ -268,17 +236,17 @@
     return None, outcomes.Reason.NONE
 
 
-def _finish(daemon: _state.Daemon, key: str, run: Run, end: load.End) -> None:
+def _finish(
+    daemon: _state.Daemon, key: str, run: _records.Run, end: load.End
+) -> None:
     now = daemon.clock.monotonic()
     daemon.runs.pop(key, None)
-    instance = run.order.ask.instance
-    guard = _guard(daemon, instance, now)
-    _perform(daemon, instance, load.finish(guard, key, end, now))
+    _perform(daemon, load.finish(run.guard, key, end, now))
 
 
 def _end(
     daemon: _state.Daemon,
-    run: Run,
+    run: _records.Run,
     ending: requests.Ending | None,
     reason: outcomes.Reason,
     response: httpio.Response | None,
@@ -296,17 +264,17 @@
             ending=ending,
             left=run.deadline - daemon.clock.monotonic(),
         )
-    run.done(Result(_told(daemon, order, ending, reason), response))
+    run.done(_records.Result(_told(daemon, order, ending, reason), response))
 
 
 def _told(
     daemon: _state.Daemon,
-    order: Order,
+    order: _records.Order,
     ending: requests.Ending | None,
     reason: outcomes.Reason,
 ) -> _wire.State:
     now = daemon.clock.monotonic()
-    guard = _guard(daemon, order.ask.instance, now)
+    guard = _guards.of_instance(daemon, order.ask.instance, now)
     told = calls.Load(
         load.busy(guard),
         load.floor(guard, now),
@@ -324,5 +292,5 @@
     )
 
 
-def _nobody(result: Result) -> None:
+def _nobody(result: _records.Result) -> None:
     """Take the end of a run that nobody waits for."""
--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -28,6 +28,8 @@
     """Attempts ended, by service and how."""
     beliefs: dict[str, int] = dataclasses.field(default_factory=dict)
     """Changes of what is believed, by their names in the log."""
+    refusals: dict[str, int] = dataclasses.field(default_factory=dict)
+    """Items of the store that could not be used, by reason."""
     seconds: dict[str, histograms.Series] = dataclasses.field(
         default_factory=dict
     )
@@ -69,6 +71,11 @@
     counters.beliefs[what] = counters.beliefs.get(what, 0) + 1
 
 
+def refused(counters: Counters, reason: str) -> None:
+    """Count an item of the store that could not be used."""
+    counters.refusals[reason] = counters.refusals.get(reason, 0) + 1
+
+
 def render(counters: Counters, gauges: abc.Mapping[str, float]) -> bytes:
     """Return the Prometheus text."""
     parts = [
@@ -90,6 +97,12 @@
             ("what",),
             {(name,): value for name, value in counters.beliefs.items()},
         ),
+        histograms.render_counter(
+            "items_refused_total",
+            "Items of the store that could not be used",
+            ("reason",),
+            {(name,): value for name, value in counters.refusals.items()},
+        ),
         histograms.render_gauges(gauges),
         histograms.render_histogram(
             "request_seconds",
--- a/src/sassafrasstair/forwarding/_dialect.py
+++ b/src/sassafrasstair/forwarding/_dialect.py
@@ -106,17 +106,28 @@
     bounds: Bounds
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """An item of the store that could not be used, and why."""
+
+    key: str
+    revision: int
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reading:
     """Changes of the store up to ``revision``, the last at ``content``.
 
-    ``whole`` when they are all that the store holds.
+    ``whole`` when they are all that the store holds. ``refused`` are the
+    items that could not be used.
     """
 
     changes: tuple[views.Change, ...]
     revision: int
     content: int
     whole: bool
+    refused: tuple[Refusal, ...] = ()
 
 
 class Source(typing.Protocol):
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing
 
 from sassafrasstair.decisions import admission
@@ -13,8 +12,7 @@
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
-    import asyncio
-
+    from sassafrasstair.forwarding import _records
     from sassafrasstair.forwarding import _state
 
 REFUSED_STATUS = 503
@@ -24,35 +22,8 @@
 """After which a client is told to come back to a daemon that starts."""
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class Attempt:
-    """The attempt under way.
-
-    It goes over the network as ``job``, or as ``run`` to the instance on
-    this VM.
-    """
-
-    instance: str
-    host: str
-    sent: float
-    job: httpio.Job | None = None
-    run: str = ""
-
-
-@dataclasses.dataclass(eq=False, slots=True)
-class Call:
-    """One client's request under way."""
-
-    exchange: httpio.Exchange
-    request_id: bytes
-    progress: requests.Progress
-    fields: httpio.Fields
-    attempt: Attempt | None = None
-    timer: asyncio.TimerHandle | None = None
-
-
 def deliver(
-    daemon: _state.Daemon, call: Call, response: httpio.Response
+    daemon: _state.Daemon, call: _records.Call, response: httpio.Response
 ) -> None:
     """Pass an instance's answer on as it came."""
     fields = httpio.end_to_end(
@@ -65,7 +36,7 @@
 
 
 def give_up(
-    daemon: _state.Daemon, call: Call, reason: outcomes.Reason
+    daemon: _state.Daemon, call: _records.Call, reason: outcomes.Reason
 ) -> None:
     """Answer in the instances' place, by what is known of the request."""
     known = requests.outcome(call.progress)
@@ -80,7 +51,9 @@
     call.exchange.respond(status, _own_fields(daemon, call), b"")
 
 
-def refuse(daemon: _state.Daemon, call: Call, reason: outcomes.Reason) -> None:
+def refuse(
+    daemon: _state.Daemon, call: _records.Call, reason: outcomes.Reason
+) -> None:
     """Say that the request has not run, and when to come back."""
     after = requests.retry_after(call.progress.route, daemon.rng)
     fields = _own_fields(daemon, call)
@@ -90,7 +63,9 @@
     call.exchange.respond(REFUSED_STATUS, fields, b"")
 
 
-def close(daemon: _state.Daemon, call: Call, status: int, reason: str) -> None:
+def close(
+    daemon: _state.Daemon, call: _records.Call, status: int, reason: str
+) -> None:
     """Forget the request; its final answer is about to be sent."""
     daemon.calls.discard(call)
     if call.timer is not None:
@@ -108,7 +83,11 @@
 
 
 def log_end(
-    daemon: _state.Daemon, call: Call, name: str, status: int, reason: str
+    daemon: _state.Daemon,
+    call: _records.Call,
+    name: str,
+    status: int,
+    reason: str,
 ) -> None:
     """Log how the request ended and what it was decided by."""
     if not daemon.journal.wants(name, reason):
@@ -172,5 +151,5 @@
     exchange.respond(status, [*(fields or []), named], b"")
 
 
-def _own_fields(daemon: _state.Daemon, call: Call) -> httpio.Fields:
+def _own_fields(daemon: _state.Daemon, call: _records.Call) -> httpio.Fields:
     return [(daemon.names.request_id, call.request_id)]
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -14,6 +14,7 @@
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _endings
+from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _sync
 from sassafrasstair.forwarding import _wire
@@ -56,7 +57,7 @@
     deadline = request.began + min(route.timeout, patience)
     rank = route.importance + daemon.rng.random()
     progress = requests.new_progress(route, service, rank, deadline)
-    call = _endings.Call(
+    call = _records.Call(
         exchange, request_id, progress, _passed_on(daemon, request)
     )
     daemon.calls.add(call)
@@ -72,7 +73,7 @@
     _send(daemon, call)
 
 
-def expire(daemon: _state.Daemon, call: _endings.Call) -> None:
+def expire(daemon: _state.Daemon, call: _records.Call) -> None:
     """Give the final answer at the request's deadline, whatever runs."""
     if call not in daemon.calls:
         return
@@ -107,7 +108,7 @@
 
 def _send(
     daemon: _state.Daemon,
-    call: _endings.Call,
+    call: _records.Call,
     before: outcomes.Reason = outcomes.Reason.NO_INSTANCE,
 ) -> None:
     """Send the request to an instance not tried yet.
@@ -127,7 +128,8 @@
     host = "" if instance is None else instance.host
     requests.attempt_sent(progress, target.vm)
     calls.sent(daemon.routes, target.vm, now)
-    attempt = _endings.Attempt(target.vm, host, now)
+    born = views.born(daemon.view, target.vm)
+    attempt = _records.Attempt(target.vm, host, now, born)
     call.attempt = attempt
     left = progress.deadline - now
     ask = _wire.Ask(
@@ -147,13 +149,13 @@
 
 def _send_here(
     daemon: _state.Daemon,
-    call: _endings.Call,
-    attempt: _endings.Attempt,
+    call: _records.Call,
+    attempt: _records.Attempt,
     ask: _wire.Ask,
     fields: httpio.Fields,
 ) -> None:
     request = call.exchange.request
-    order = _callee.Order(
+    order = _records.Order(
         ask,
         daemon.settings.service,
         call.request_id,
@@ -163,7 +165,7 @@
         request.body,
     )
 
-    def done(result: _callee.Result) -> None:
+    def done(result: _records.Result) -> None:
         if call.attempt is attempt:
             _took(daemon, call, result.state, result.response)
 
@@ -172,8 +174,8 @@
 
 def _send_there(
     daemon: _state.Daemon,
-    call: _endings.Call,
-    attempt: _endings.Attempt,
+    call: _records.Call,
+    attempt: _records.Attempt,
     ask: _wire.Ask,
     fields: httpio.Fields,
 ) -> None:
@@ -193,15 +195,16 @@
 
 def _answered(
     daemon: _state.Daemon,
-    call: _endings.Call,
-    attempt: _endings.Attempt,
+    call: _records.Call,
+    attempt: _records.Attempt,
     result: httpio.Response | httpio.Failure,
 ) -> None:
     """Take what came from another daemon."""
     if call.attempt is not attempt:
         return
     if result is httpio.Failure.NOT_SENT:
-        calls.eject(daemon.routes, attempt.instance)
+        if _is_current(daemon, attempt):
+            calls.eject(daemon.routes, attempt.instance)
         _ended(
             daemon,
             call,
@@ -226,7 +229,7 @@
 
 def _took(
     daemon: _state.Daemon,
-    call: _endings.Call,
+    call: _records.Call,
     state: _wire.State,
     response: httpio.Response | None,
 ) -> None:
@@ -249,8 +252,7 @@
     answer = calls.Answer(
         outcomes.Outcome.DONE, load=state.load, incarnation=attempt.instance
     )
-    taken = now - attempt.sent
-    calls.ended(daemon.routes, attempt.instance, answer, taken, now)
+    _learn_from(daemon, attempt, answer, now)
     if state.leaving:
         calls.eject(daemon.routes, attempt.instance)
     call.attempt = None
@@ -259,7 +261,7 @@
 
 def _ended(
     daemon: _state.Daemon,
-    call: _endings.Call,
+    call: _records.Call,
     ending: requests.Ending,
     reason: outcomes.Reason,
     state: _wire.State | None = None,
@@ -279,8 +281,7 @@
         calls.Load() if state is None else state.load,
         incarnation="" if state is None else attempt.instance,
     )
-    taken = now - attempt.sent
-    calls.ended(daemon.routes, attempt.instance, answer, taken, now)
+    _learn_from(daemon, attempt, answer, now)
     progress = call.progress
     step = requests.attempt_ended(
         progress,
@@ -300,7 +301,7 @@
         peer=attempt.host,
         ending=ending,
         step=step,
-        taken=taken,
+        taken=now - attempt.sent,
         left=progress.deadline - now,
         revision=daemon.view.revision,
     )
@@ -310,7 +311,31 @@
         _endings.give_up(daemon, call, reason)
 
 
-def _gone(daemon: _state.Daemon, call: _endings.Call) -> None:
+def _learn_from(
+    daemon: _state.Daemon,
+    attempt: _records.Attempt,
+    answer: calls.Answer,
+    now: float,
+) -> None:
+    """Take what an attempt's end tells of the instance that was asked."""
+    if not _is_current(daemon, attempt):
+        calls.forget(daemon.routes, attempt.instance)
+        return
+    taken = now - attempt.sent
+    calls.ended(daemon.routes, attempt.instance, answer, taken, now)
+
+
+def _is_current(daemon: _state.Daemon, attempt: _records.Attempt) -> bool:
+    """Return whether the run that was asked is still the latest.
+
+    Failure: attempts at a run that has ended fail after the next run under
+    its id has begun, and that one is left alone for failures not its own.
+    """
+    born = views.born(daemon.view, attempt.instance)
+    return not attempt.born or attempt.born == born
+
+
+def _gone(daemon: _state.Daemon, call: _records.Call) -> None:
     """End the work for a client that has left."""
     if call not in daemon.calls:
         return
@@ -319,7 +344,7 @@
     _endings.close(daemon, call, 0, "client_left")
 
 
-def _drop_attempt(daemon: _state.Daemon, call: _endings.Call) -> None:
+def _drop_attempt(daemon: _state.Daemon, call: _records.Call) -> None:
     """Stop the attempt under way, through the callee's daemon too."""
     attempt, call.attempt = call.attempt, None
     if attempt is None:
@@ -331,7 +356,7 @@
         _callee.cancel(daemon, attempt.run)
 
 
-def _may_have_run(daemon: _state.Daemon, attempt: _endings.Attempt) -> bool:
+def _may_have_run(daemon: _state.Daemon, attempt: _records.Attempt) -> bool:
     """Return whether an attempt that is given up on may have run.
 
     Not while its connection is still being made, nor while it waits for a
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -7,6 +7,7 @@
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _callee
+from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _sync
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
@@ -45,7 +46,7 @@
     _sync.heard(daemon, exchange.peer, ask.content)
     request_id = request.found.get(daemon.keys.request_id, b"")
     dropped = _wire.OWN_FIELDS
-    order = _callee.Order(
+    order = _records.Order(
         ask,
         request.found.get(daemon.keys.caller, b"").decode("latin-1"),
         request_id,
@@ -55,7 +56,7 @@
         request.body,
     )
 
-    def done(result: _callee.Result) -> None:
+    def done(result: _records.Result) -> None:
         state = (_wire.STATE, _wire.encode_state(result.state))
         response = result.response
         if response is None:
--- /dev/null
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -0,0 +1,82 @@
+"""Records of the requests under way, which all parts of the path share."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+if typing.TYPE_CHECKING:
+    import asyncio
+    from collections import abc
+
+    from sassafrasstair.decisions import load
+    from sassafrasstair.decisions import requests
+    from sassafrasstair.forwarding import _wire
+    from sassafrasstair import httpio
+
+
+@dataclasses.dataclass(slots=True)
+class Order:
+    """A request for the upstream, with what its entrance told.
+
+    ``caller`` is the service on the VM where it began.
+    """
+
+    ask: _wire.Ask
+    caller: str
+    request_id: bytes
+    method: bytes
+    target: bytes
+    fields: httpio.Fields
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """The end of a run: the instance's answer, or why there is none."""
+
+    state: _wire.State
+    response: httpio.Response | None
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One request that waits for the upstream or is there.
+
+    ``guard`` is that of the run of the instance for which it came.
+    """
+
+    order: Order
+    deadline: float
+    done: abc.Callable[[Result], None]
+    guard: load.Guard
+    job: httpio.Job | None = None
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Attempt:
+    """The attempt under way.
+
+    It goes over the network as ``job``, or as ``run`` to the instance on
+    this VM. ``born`` is the start of the instance that was asked, as the
+    view had it.
+    """
+
+    instance: str
+    host: str
+    sent: float
+    born: int
+    job: httpio.Job | None = None
+    run: str = ""
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Call:
+    """One client's request under way."""
+
+    exchange: httpio.Exchange
+    request_id: bytes
+    progress: requests.Progress
+    fields: httpio.Fields
+    attempt: Attempt | None = None
+    timer: asyncio.TimerHandle | None = None
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -20,8 +20,7 @@
     import random
 
     from sassafrasstair import clocks
-    from sassafrasstair.forwarding import _callee
-    from sassafrasstair.forwarding import _endings
+    from sassafrasstair.forwarding import _records
 
 PEER_IDLE_SECONDS = 30.0
 """For how long a connection between daemons is kept without a request."""
@@ -39,6 +38,10 @@
     upstream or waiting for it, by their keys. ``hosts``, ``services`` and
     ``least_importance`` are taken from the view whenever it changes.
 
+    ``guards`` are by instance and when its run started.
+
+    ``refused`` are keys of the store's unusable items, by their revision.
+
     ``names`` are those of header fields, and ``keys`` the same lower-cased.
     ``leaving`` after SIGTERM; the own upstream still takes work until
     ``upstream_leaving``.
@@ -69,11 +72,14 @@
     windows: dict[str, requests.Window] = dataclasses.field(
         default_factory=dict
     )
-    guards: dict[str, load.Guard] = dataclasses.field(default_factory=dict)
+    guards: dict[tuple[str, int], load.Guard] = dataclasses.field(
+        default_factory=dict
+    )
     pools: dict[str, httpio.Pool] = dataclasses.field(default_factory=dict)
-    calls: set[_endings.Call] = dataclasses.field(default_factory=set)
-    runs: dict[str, _callee.Run] = dataclasses.field(default_factory=dict)
+    calls: set[_records.Call] = dataclasses.field(default_factory=set)
+    runs: dict[str, _records.Run] = dataclasses.field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    refused: dict[str, int] = dataclasses.field(default_factory=dict)
     hosts: list[str] = dataclasses.field(default_factory=list)
     services: int = 0
     least_importance: int = 0
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -6,6 +6,7 @@
 import functools
 import typing
 
+from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
@@ -38,6 +39,14 @@
 make 26,000 calls a second of 2,000."""
 
 
+REFUSED_KEPT = 1_000
+"""Keys of unusable items whose revision is remembered, so that each is
+logged once."""
+KEY_SHOWN = 200
+"""Characters of a key or reason in a log line; the store takes no longer
+keys."""
+
+
 async def follow(daemon: _state.Daemon) -> None:
     """Follow the store until cancelled."""
     pause = RETRY_SECONDS
@@ -150,6 +159,7 @@
     if views.source_answered(daemon.view, now):
         _counters.believed(daemon.counters, "store_back")
         daemon.journal.note("store_back", revision=reading.revision)
+    _note_refused(daemon, reading.refused)
     take = views.replace if reading.whole else views.apply
     told = take(
         daemon.view, reading.changes, reading.revision, reading.content, now
@@ -157,6 +167,28 @@
     learned(daemon, told, "store")
 
 
+def _note_refused(
+    daemon: _state.Daemon, refused: abc.Iterable[_dialect.Refusal]
+) -> None:
+    """Log and count each item that could not be used, once a revision."""
+    for refusal in refused:
+        if daemon.refused.get(refusal.key) == refusal.revision:
+            continue
+        daemon.refused.pop(refusal.key, None)
+        daemon.refused[refusal.key] = refusal.revision
+        if len(daemon.refused) > REFUSED_KEPT:
+            del daemon.refused[next(iter(daemon.refused))]
+        reason = refusal.reason.partition(":")[0]
+        _counters.refused(daemon.counters, reason)
+        daemon.journal.request(
+            "item_refused",
+            reason,
+            key=refusal.key[:KEY_SHOWN],
+            revision=refusal.revision,
+            detail=refusal.reason[:KEY_SHOWN],
+        )
+
+
 def _failed(daemon: _state.Daemon, error: _dialect.SourceError) -> None:
     now = daemon.clock.monotonic()
     if views.source_failed(daemon.view, now):
@@ -178,6 +210,8 @@
     view = daemon.view
     for news, key in told:
         _counters.believed(daemon.counters, news.value)
+        if news is views.News.RESTARTED:
+            calls.restarted(daemon.routes, key, daemon.clock.monotonic())
         if news is views.News.POLICY and view.table is not None:
             daemon.journal.note(
                 "policy_in_force",
@@ -213,4 +247,5 @@
         "address": f"{known.host}:{known.port}",
         "slots": known.slots,
         "cold": known.cold_seconds,
+        "born": known.born,
     }
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import requests
 from sassafrasstair import httpio
 from sassafrasstair import outcomes
@@ -73,8 +75,8 @@
         ask.instance.encode(),
         ask.route.encode(),
         ask.rank,
-        ask.remaining,
-        ask.wait,
+        max(0.0, ask.remaining),
+        max(0.0, ask.wait),
     )
 
 
@@ -86,9 +88,9 @@
             int(content),
             instance.decode(),
             route.decode(),
-            float(rank),
-            float(remaining),
-            float(wait),
+            _amount(rank),
+            _amount(remaining),
+            _amount(wait),
         )
     except ValueError as error:
         raise WireError(f"ask: {error}") from error
@@ -122,9 +124,9 @@
             int(content),
             leaving == "1",
             calls.Load(
-                float(busy), float(floor), float(limit), float(service)
+                _amount(busy), _amount(floor), _amount(limit), _amount(service)
             ),
-            float(below),
+            _amount(below),
             inner == "1",
             None if ending == _ANSWERED else requests.Ending(ending),
             outcomes.Reason(reason),
@@ -133,6 +135,18 @@
         raise WireError(f"state: {error}") from error
 
 
+def _amount(value: bytes | str) -> float:
+    """Return a number that can be counted with; raises ``ValueError``.
+
+    Failure: one infinity or negative number heard of a load would spoil an
+    average, or make an instance seem free, for as long as it is remembered.
+    """
+    amount = float(value)
+    if not 0.0 <= amount < math.inf:
+        raise ValueError(f"not an amount: {value!r}")
+    return amount
+
+
 def encode_snapshot(snapshot: views.Snapshot) -> bytes:
     """Return a snapshot for a peer that knows less."""
     # Imported here: only a daemon that hands on or takes a view needs it.
@@ -142,12 +156,20 @@
 
 
 def decode_snapshot(body: bytes) -> views.Snapshot:
-    """Return a peer's snapshot; raises ``WireError``."""
+    """Return a peer's snapshot; raises ``WireError``.
+
+    Instances that can't be used are left out.
+    """
     import msgspec
 
     from sassafrasstair.decisions import views as views_module
 
     try:
-        return msgspec.msgpack.decode(body, type=views_module.Snapshot)
-    except msgspec.MsgspecError as error:
+        found = msgspec.msgpack.decode(body, type=views_module.Snapshot)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise WireError(f"snapshot: {error}") from error
+    if found.policy is not None:
+        wrong = policies.unsound(found.policy)
+        if wrong:
+            raise WireError(f"snapshot: policy: {wrong}")
+    return views_module.without_unusable(found)
--- a/src/sassafrasstair/outcomes.py
+++ b/src/sassafrasstair/outcomes.py
@@ -40,6 +40,7 @@
     NO_INSTANCE = "no_instance"
     LEAVING = "leaving"
     INSTANCE_REPLACED = "instance_replaced"
+    INSTANCE_RESTARTED = "instance_restarted"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_LOST = "peer_lost"
     UPSTREAM_REFUSED = "upstream_refused"
--- a/src/sassafrasstair/platform/_documents.py
+++ b/src/sassafrasstair/platform/_documents.py
@@ -1,26 +1,19 @@
-"""What lies in the store, decoded into the product's types."""
+"""The policy that lies in the store, decoded and checked."""
 
 from __future__ import annotations
 
-import typing
-
 import msgspec
 
 from sassafrasstair import bundles
 from sassafrasstair.decisions import policies
-from sassafrasstair.decisions import views
-
-if typing.TYPE_CHECKING:
-    from collections import abc
 
 POLICY_KEY = "op/config"
-INSTANCES_PREFIX = "servers/"
 _IDEMPOTENT = "safe"
-_LEAVING = "draining"
+_KINDS = frozenset({_IDEMPOTENT, "unsafe", "upload"})
 
 
 class DocumentError(Exception):
-    """A value in the store that can't be read, with its key."""
+    """A policy that can't be used; says what is wrong."""
 
 
 class _Share(msgspec.Struct, frozen=True):
@@ -51,44 +44,22 @@
     version: str
     routes: dict[str, _Route]
     limits: _Limits = _Limits()
-
-
-class _Entry(msgspec.Struct, frozen=True):
-    service: str
-    address: str
-    zone: str
-    slots: int = 1
-    state: str = "ready"
-    warmup_ms: float = 0.0
+    services: dict[str, object] = {}
 
 
 _CONFIG = msgspec.json.Decoder(_Config)
-_ENTRY = msgspec.json.Decoder(_Entry)
-
 
-def decode(
-    key: str, value: bytes, created: int, regions: abc.Mapping[str, str]
-) -> views.Change | None:
-    """Return what an item says, None for one that does not concern us.
 
-    ``created`` is the store's revision at which the key was first written.
-    Raises ``DocumentError``.
-    """
+def decode_policy(value: bytes) -> policies.Policy:
+    """Return the policy that is written; raises ``DocumentError``."""
     try:
-        if key == POLICY_KEY:
-            return _policy(_CONFIG.decode(value))
-        if key.startswith(INSTANCES_PREFIX):
-            return _instance(key, _ENTRY.decode(value), created, regions)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise DocumentError(f"{key}: {error}") from error
-    return None
-
-
-def removed(key: str) -> views.Change | None:
-    """Return what the removal of an item says, None if nothing."""
-    if not key.startswith(INSTANCES_PREFIX):
-        return None
-    return views.Removed(key.removeprefix(INSTANCES_PREFIX))
+        policy = _policy(_CONFIG.decode(value))
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise DocumentError(f"policy: {error}") from error
+    wrong = policies.unsound(policy)
+    if wrong:
+        raise DocumentError(f"policy: {wrong}")
+    return policy
 
 
 def _policy(config: _Config) -> policies.Policy:
@@ -102,10 +73,13 @@
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
         ),
+        tuple(config.services),
     )
 
 
 def _route(name: str, route: _Route) -> policies.Route:
+    if route.kind not in _KINDS:
+        raise DocumentError(f"policy: {name}: type {route.kind[:40]!r}")
     shares = tuple(
         policies.Share(share.service, share.weight)
         for share in route.traffic_split
@@ -123,23 +97,3 @@
         route.max_attempts,
         shares or (policies.Share(route.service, 1.0),),
     )
-
-
-def _instance(
-    key: str, entry: _Entry, created: int, regions: abc.Mapping[str, str]
-) -> views.Instance:
-    host, _, port = entry.address.rpartition(":")
-    leaving = entry.state == _LEAVING
-    state = views.InstanceState.READY
-    return views.Instance(
-        key.removeprefix(INSTANCES_PREFIX),
-        entry.service,
-        host,
-        int(port),
-        created,
-        entry.zone,
-        regions.get(entry.zone, ""),
-        entry.slots,
-        views.InstanceState.LEAVING if leaving else state,
-        entry.warmup_ms / 1000,
-    )
--- a/src/sassafrasstair/platform/_settings.py
+++ b/src/sassafrasstair/platform/_settings.py
@@ -14,6 +14,9 @@
 """Where ``deploy/system.toml`` says that the metrics are."""
 _ZONE = "zones."
 _MEGABYTE = 1_000_000
+NUMBER_MAX = 1e9
+"""No duration, size or share of the settings comes near."""
+PORT_MAX = 65_535
 
 
 def decode(text: str) -> forwarding.Settings:
@@ -83,17 +86,25 @@
     if not value:
         return usual
     try:
-        return float(value)
+        number = float(value)
     except ValueError as error:
         raise forwarding.SettingsError(f"{key}: not a number") from error
+    if not 0.0 <= number <= NUMBER_MAX:
+        raise forwarding.SettingsError(f"{key}: out of range: {value}")
+    return number
 
 
 def _address(values: abc.Mapping[str, str], key: str) -> forwarding.Address:
     return _parse_address(key, _text(values, key))
 
 
+def _is_port(text: str) -> bool:
+    digits = text.isascii() and text.isdigit() and len(text) <= 5
+    return digits and 0 < int(text) <= PORT_MAX
+
+
 def _parse_address(key: str, value: str) -> forwarding.Address:
     host, _, port = value.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not _is_port(port):
         raise forwarding.SettingsError(f"{key}: not IP:PORT: {value}")
     return forwarding.Address(host, int(port))
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import typing
 import urllib.parse
 
@@ -11,40 +10,29 @@
 
 from sassafrasstair import forwarding
 from sassafrasstair import httpio
-from sassafrasstair import logs
-from sassafrasstair.platform import _documents
+from sassafrasstair.platform import _items
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
     from sassafrasstair import clocks
-    from sassafrasstair.decisions import views
 
 CALL_SECONDS = 2.0
 """For an answer of the store, beside the time that a watch waits. It takes
 milliseconds; in a slowdown up to some hundred."""
 IDLE_SECONDS = 30.0
 PAGES_MAX = 1_000
-_LOG = logging.getLogger(__name__)
-
-
-class _Item(msgspec.Struct, frozen=True):
-    key: str
-    revision: int = 0
-    created: int = 0
-    value: bytes = b""
-    removed: bool = False
 
 
 class _Range(msgspec.Struct, frozen=True):
-    items: tuple[_Item, ...]
+    items: tuple[msgspec.Raw, ...]
     store_revision: int
     has_more: bool = False
 
 
 class _Watch(msgspec.Struct, frozen=True):
     store_revision: int
-    events: tuple[_Item, ...] = ()
+    events: tuple[msgspec.Raw, ...] = ()
 
 
 _RANGE = msgspec.json.Decoder(_Range)
@@ -69,19 +57,24 @@
         """
         after = ""
         first: _Range | None = None
-        items: list[_Item] = []
+        read: list[_items.Item] = []
+        unread: list[forwarding.Refusal] = []
         for _ in range(PAGES_MAX):
             query = {"prefix": ""} | ({"after": after} if after else {})
             body = await self._call("range", query, CALL_SECONDS)
             page = _decoded(_RANGE, body)
             first = first or page
-            items += page.items
-            if not page.has_more or not page.items:
+            items = _read_items(page.items, unread)
+            read += items
+            last = max((item.key for item in items), default="")
+            # A page of which no key can be read gives no place to go on.
+            if not page.has_more or last <= after:
                 break
-            after = page.items[-1].key
+            after = last
         revision = 0 if first is None else first.store_revision
+        changes, refused = _items.changes(read, self._regions)
         return forwarding.Reading(
-            self._changes(items), revision, revision, True
+            changes, revision, revision, True, (*unread, *refused)
         )
 
     async def watch(self, after: int, wait: float) -> forwarding.Reading:
@@ -93,40 +86,22 @@
         }
         body = await self._call("watch", query, wait + CALL_SECONDS)
         told = _decoded(_WATCH, body)
-        content = max((item.revision for item in told.events), default=-1)
+        unread: list[forwarding.Refusal] = []
+        events = _read_items(told.events, unread)
+        content = max((event.revision for event in events), default=-1)
+        changes, refused = _items.changes(events, self._regions)
         return forwarding.Reading(
-            self._changes(told.events),
+            changes,
             max(told.store_revision, content),
             content,
             False,
+            (*unread, *refused),
         )
 
     def close(self) -> None:
         """Close all connections."""
         self._pool.close()
 
-    def _changes(self, items: abc.Sequence[_Item]) -> tuple[views.Change, ...]:
-        changes: list[views.Change] = []
-        for item in items:
-            try:
-                change = (
-                    _documents.removed(item.key)
-                    if item.removed
-                    else _documents.decode(
-                        item.key, item.value, item.created, self._regions
-                    )
-                )
-            except _documents.DocumentError as error:
-                # One bad item must not hide the others; it is as if it had
-                # not been written.
-                logs.event(
-                    _LOG, logging.ERROR, "item_refused", error=str(error)
-                )
-                continue
-            if change is not None:
-                changes.append(change)
-        return tuple(changes)
-
     async def _call(
         self, verb: str, query: abc.Mapping[str, str], seconds: float
     ) -> bytes:
@@ -171,6 +146,19 @@
     return _Store(pool, regions)
 
 
+def _read_items(
+    found: abc.Iterable[msgspec.Raw], unread: list[forwarding.Refusal]
+) -> list[_items.Item]:
+    """Return the items that can be read; ``unread`` gets the others."""
+    read = []
+    for raw in found:
+        try:
+            read.append(_items.read(raw))
+        except _items.ItemError as error:
+            unread.append(forwarding.Refusal("", 0, str(error)))
+    return read
+
+
 def _body(verb: str, result: httpio.Response | httpio.Failure) -> bytes:
     reasons = forwarding.SourceReason
     if result is httpio.Failure.NOT_SENT:
--- a/tests/decisions/calls/test_routing.py
+++ b/tests/decisions/calls/test_routing.py
@@ -177,3 +177,21 @@
     _fail(routes, "near", 1.0)
     assert calls.probe_due(routes, 100.0) == []
     assert not routes.peers
+
+
+def test_instance_that_started_again_is_judged_anew() -> None:
+    """An instance failed, was ejected and has started again under its id.
+
+    It was left alone, and its old load and latency were held against it.
+    """
+    routes = _routing.Routes(HERE, "region", try_dead=False)
+    _hear(routes, "near", 5.0, 1.0, service=3.0)
+    _fail(routes, "near", 1.1)
+    _routing.sent(routes, "near", 1.1)
+    _routing.probed(routes, "near", alive=False, now=1.2)
+    assert "near" not in _picked(routes, 1.3)
+    _routing.restarted(routes, "near", 1.3)
+    assert set(_picked(routes, 1.3)) == {"near"}
+    assert routes.peers["near"].inflight == 1
+    _routing.restarted(routes, "unknown", 1.3)
+    assert "unknown" not in routes.peers
--- a/tests/decisions/views/test_views.py
+++ b/tests/decisions/views/test_views.py
@@ -193,3 +193,136 @@
     changed = dataclasses.replace(_instance("a"), cold_seconds=1.0)
     views.apply(view, [changed], 12, 12, 101.1)
     assert _targets(view) == {"a", "b"}
+
+
+@pytest.mark.parametrize("state", list(views.InstanceState))
+def test_run_under_the_same_id_starts_anew(
+    state: views.InstanceState,
+) -> None:
+    """An instance crashes and starts again under the id that it had.
+
+    Its entry was written anew, but nothing told that it is another run, and
+    what was believed of the one before was held against it.
+    """
+    view = _known(dataclasses.replace(_instance("a", state), born=1000))
+    again = dataclasses.replace(_instance("a"), born=2000)
+    told = views.apply(view, [again], 11, 11, 101.0)
+    assert told == [(views.News.RESTARTED, "a")]
+    assert views.born(view, "a") == 2000
+    assert _targets(view) == {"a"}
+
+
+@pytest.mark.parametrize("gone", [False, True])
+def test_earlier_run_never_takes_the_place_of_a_later_one(gone: bool) -> None:
+    """A late heartbeat of a run that has ended is written by the store.
+
+    It said that the run was leaving: the one that runs would get no work.
+    """
+    view = _known(dataclasses.replace(_instance("a"), born=2000))
+    if gone:
+        views.apply(view, [views.Removed("a")], 11, 11, 101.0)
+        views.expire(view, 110.0)
+    late = dataclasses.replace(
+        _instance("a", views.InstanceState.LEAVING, since=12), born=1000
+    )
+    told = views.apply(view, [late], 12, 12, 111.0)
+    assert told == [(views.News.OUTDATED, "a")]
+    assert _targets(view) == (set() if gone else {"a"})
+
+
+def test_lapsed_entry_that_comes_back_with_another_start_is_another_run() -> (
+    None
+):
+    view = _known(dataclasses.replace(_instance("a"), born=1000))
+    views.apply(view, [views.Removed("a")], 11, 11, 101.0)
+    same = dataclasses.replace(_instance("a"), born=1000)
+    assert views.apply(view, [same], 12, 12, 101.2) == [
+        (views.News.ADDED, "a")
+    ]
+    views.apply(view, [views.Removed("a")], 13, 13, 101.4)
+    other = dataclasses.replace(_instance("a"), born=3000)
+    assert views.apply(view, [other], 14, 14, 101.6) == [
+        (views.News.RESTARTED, "a")
+    ]
+
+
+def test_id_that_was_replaced_counts_again_after_its_restart() -> None:
+    view = _known(dataclasses.replace(_instance("a"), born=1000))
+    views.note_replaced(view, "a")
+    assert _targets(view) == set()
+    again = dataclasses.replace(_instance("a"), born=2000)
+    views.apply(view, [again], 11, 11, 101.0)
+    assert _targets(view) == {"a"}
+
+
+def test_peer_that_is_behind_brings_no_earlier_run_back() -> None:
+    """A peer has read the store at a later revision, but an old entry there.
+
+    Also a daemon of the version before, which tells no start at all, must
+    not make the start that is known forgotten.
+    """
+    view = _known(dataclasses.replace(_instance("a"), born=2000))
+    old = dataclasses.replace(_instance("a"), born=1000, slots=1)
+    views.adopt(view, views.Snapshot(11, 11, None, (old,)), 101.0)
+    untold = _instance("a")
+    views.adopt(view, views.Snapshot(12, 12, None, (untold,)), 102.0)
+    known = views.instance(view, "a")
+    assert known is not None
+    assert (known.born, known.slots) == (2000, 8)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "used"),
+    [
+        ((5, 2000), (9, 1000), "old"),
+        ((5, 1000), (9, 2000), "new"),
+        ((5, 0), (9, 2000), "new"),
+        ((9, 2000), (5, 0), "old"),
+    ],
+)
+def test_of_two_entries_with_one_address_the_later_start_counts(
+    old: tuple[int, int], new: tuple[int, int], used: str
+) -> None:
+    """An entry's first revision stays when a restarted run writes it."""
+    entries = [
+        dataclasses.replace(
+            _instance(key, host="h", since=since), born=started
+        )
+        for key, (since, started) in {"old": old, "new": new}.items()
+    ]
+    assert _targets(_known(*entries)) == {used}
+
+
+def test_entry_that_becomes_unreadable_names_no_instance() -> None:
+    view = _known(_instance("a"), _instance("b"))
+    told = views.apply(view, [views.Unusable("a")], 11, 11, 101.0)
+    assert told == [(views.News.UNUSABLE, "a")]
+    assert _targets(view) == {"b"}
+    assert views.apply(view, [views.Unusable("x")], 12, 12, 101.1) == []
+
+
+def test_entry_of_an_unknown_service_hides_no_instance() -> None:
+    """Another writer names an unknown service at a sound one's address."""
+    route = policies.Route(
+        "r", "h", "/", True, 1.0, 1.0, 5, 2, (policies.Share("s", 1.0),)
+    )
+    forged = dataclasses.replace(
+        _instance("x", host="h", since=99), service="unknown"
+    )
+    view = _known(
+        policies.Policy(1, (route,), LIMITS), _instance("a", host="h"), forged
+    )
+    assert _targets(view) == {"a"}
+    assert views.count_services(view) == 1
+    assert views.neighbours(view, "other") == ["h"]
+
+
+def test_starts_that_are_remembered_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("sassafrasstair.decisions.views._views.BORN_KEPT", 3)
+    view = _known()
+    for number in range(10):
+        entry = dataclasses.replace(_instance(f"i{number}"), born=1 + number)
+        views.apply(view, [entry], 11 + number, 11 + number, 101.0)
+    assert len(view.latest) == 3
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -301,6 +301,7 @@
         service: str,
         state: views.InstanceState = views.InstanceState.READY,
         slots: int = 8,
+        born: int = 0,
     ) -> None:
         """Write the entry of one run of the instance on a host."""
         since = self.since.setdefault(key, self.source.revision + 1)
@@ -308,7 +309,17 @@
         self.source.put(
             key,
             views.Instance(
-                key, service, host, port, since, "d", "r", slots, state, 0.0
+                key,
+                service,
+                host,
+                port,
+                since,
+                "d",
+                "r",
+                slots,
+                state,
+                0.0,
+                born,
             ),
         )
 
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import os
 import signal
 import subprocess
@@ -25,6 +26,7 @@
 STOP_SLACK = 2.0
 """Seconds beside the grace for a process to start and end in, on a machine
 that is busy with the other processes."""
+_seq = itertools.count(1)
 SERVICES = ("front", "front", "deep", "deep", "deep", "edge")
 """By VM. ``front`` calls ``deep``; ``edge`` has clients only."""
 
@@ -50,8 +52,12 @@
             "service": self.upstream.service,
             "address": f"{self.link.host}:{APP}",
             "zone": "z",
+            "version": "v1",
             "slots": upstreams.SLOTS,
             "state": "ready",
+            "warmup_ms": 0,
+            "seq": next(_seq),
+            "born": self.upstream.born,
         }
 
 
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -20,6 +20,16 @@
 PROBES = 20
 RECOVERED_SHARE = 0.9
 
+FORGERIES: tuple[dict[str, object], ...] = (
+    {"state": "zombie"},
+    {"slots": 0},
+    {"service": "unknown"},
+    {"address": "10.0.0.1:99999"},
+    {"warmup_ms": -1},
+    {"born": 1.5},
+    {"zone": None},
+)
+
 Fault = typing.Callable[
     [fleet_module.Fleet, fleet_module.Vm], typing.Awaitable[None]
 ]
@@ -188,6 +198,23 @@
     fleet.store.remove(f"servers/{before}")
 
 
+async def _restart(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Restart the instance under its id; a heartbeat of before comes late."""
+    before = vm.entry
+    vm.upstream.renew(same_id=True)
+    await asyncio.sleep(fleet.rng.uniform(0.0, 1.0))
+    fleet.register(vm)
+    await asyncio.sleep(fleet.rng.uniform(0.0, 0.5))
+    if vm.upstream.service != "edge":
+        fleet.store.put(f"servers/{vm.upstream.id}", before)
+
+
+async def _scribble(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Another writer leaves entries that name no instance."""
+    forged = vm.entry | fleet.rng.choice(FORGERIES)
+    fleet.store.put(f"servers/forged-{fleet.rng.randint(1, 5)}", forged)
+
+
 async def _drain(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
     before = vm.upstream.id
     fleet.register(vm, "draining")
@@ -219,6 +246,8 @@
     "pause": _pause,
     "renew": _renew,
     "reset": _reset,
+    "restart": _restart,
+    "scribble": _scribble,
     "silence": _silence,
     "stop": _stop,
     "store_away": _store_away,
--- a/tests/platform/soak/upstreams.py
+++ b/tests/platform/soak/upstreams.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import itertools
+import time
 import typing
 
 from sassafrasstair import clocks
@@ -22,7 +23,7 @@
 
 
 class Upstream:
-    """One instance; ``renew`` makes it another with a new id."""
+    """One instance; ``renew`` starts it anew, under its id or another."""
 
     def __init__(
         self,
@@ -33,6 +34,7 @@
     ) -> None:
         self.service = service
         self.id = ""
+        self.born = 0
         self.lose_share = 0.0
         self.extra_share = 0.0
         self.slow = 1.0
@@ -56,9 +58,11 @@
         """Stop listening and cut all connections."""
         store.close(self._listener)
 
-    def renew(self) -> None:
-        """Start anew: what runs is lost, the id is another."""
-        self.id = f"i-{next(_serial)}"
+    def renew(self, same_id: bool = False) -> None:
+        """Start anew: what runs is lost, the id is another or the same."""
+        if not same_id:
+            self.id = f"i-{next(_serial)}"
+        self.born = max(self.born + 1, time.time_ns() // 1_000_000)
         for task in self._running:
             task.cancel()
         for connection in list(self._listener.connections):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -49,6 +49,11 @@
         ("platform.address=10.9.0.1:8309", "", "platform.address"),
         ("memory_mb=300", "memory_mb=lots", "limits.memory_mb"),
         ("drain_ms=2500", "drain_ms=soon", "drain_ms"),
+        ("drain_ms=2500", "drain_ms=-1", "drain_ms"),
+        ("drain_ms=2500", "drain_ms=nan", "drain_ms"),
+        ("memory_mb=300", "memory_mb=inf", "limits.memory_mb"),
+        ("10.0.0.3:8310", "10.0.0.3:99999", "seeds"),
+        ("10.0.0.1:8301", "10.0.0.1:0", "app_addr"),
         ("10.0.0.3:8310", "10.0.0.3:x", "seeds"),
     ],
 )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -20,6 +20,7 @@
     "service": "s",
     "address": "10.0.0.5:80",
     "zone": "a",
+    "version": "v1",
     "slots": 8,
     "state": "ready",
     "warmup_ms": 1500,
@@ -135,7 +136,9 @@
         )
         reading = await source.read()
         assert (reading.revision, reading.whole) == (7, True)
-        policy, instance = reading.changes
+        policy, instance, unusable = reading.changes
+        assert unusable == views.Unusable("i-2")
+        assert [each.key for each in reading.refused] == ["servers/i-2"]
         assert isinstance(policy, policies.Policy)
         assert policy.version == 12
         one, two = policy.routes
