Give a call the rank of the request that it is part of

Cause: calls of upstreams had the rank of their own route, so that at a last service that is full those of important requests waited behind those of others; a salt-order with eight of them failed though there was room. Gates also heard the load of all work, whatever would wait behind them. Change: parent_rank finds the request that expires next after the call; guards count work by importance and tell what the asked rank must yield to; loads of a chain are kept by importance.

--- a/src/sassafrasstair/decisions/admission/__init__.py
+++ b/src/sassafrasstair/decisions/admission/__init__.py
@@ -13,8 +13,11 @@
 from sassafrasstair.decisions.admission._callers import is_inner
 from sassafrasstair.decisions.admission._callers import note_caller
 from sassafrasstair.decisions.admission._chains import below
+from sassafrasstair.decisions.admission._chains import calls_on
 from sassafrasstair.decisions.admission._chains import Chains
+from sassafrasstair.decisions.admission._chains import forget_inner
 from sassafrasstair.decisions.admission._chains import hear_inner
+from sassafrasstair.decisions.admission._parents import parent_rank
 
 __all__ = [
     "Admission",
@@ -23,11 +26,14 @@
     "Gate",
     "admit",
     "below",
+    "calls_on",
+    "forget_inner",
     "gate_of",
     "hear",
     "hear_inner",
     "is_inner",
     "note_caller",
+    "parent_rank",
     "pressure",
     "shedding",
 ]
--- a/src/sassafrasstair/decisions/admission/_chains.py
+++ b/src/sassafrasstair/decisions/admission/_chains.py
@@ -1,4 +1,8 @@
-"""The load of the services that the upstream on this VM calls."""
+"""The load of the services that the upstream on this VM calls.
+
+Kept by the importance of the request that a call is part of: the wait of
+calls that matter less is no reason to refuse what matters more.
+"""
 
 from __future__ import annotations
 
@@ -9,6 +13,9 @@
 WEIGHT = 0.1
 """Of one answer in the average for its route."""
 
+Key = tuple[str, int]
+"""A route, and the importance of the requests that the calls are part of."""
+
 
 @dataclasses.dataclass(slots=True)
 class Heard:
@@ -20,28 +27,45 @@
 
 @dataclasses.dataclass(slots=True)
 class Chains:
-    """Loads heard with answers on inner routes, by route."""
+    """Loads heard with answers on inner routes."""
 
-    heard: dict[str, Heard] = dataclasses.field(default_factory=dict)
+    heard: dict[Key, Heard] = dataclasses.field(default_factory=dict)
+    routes: set[str] = dataclasses.field(default_factory=set)
 
 
-def hear_inner(chains: Chains, route: str, load: float, now: float) -> None:
+def hear_inner(
+    chains: Chains, route: str, level: int, load: float, now: float
+) -> None:
     """Note the load that came with the answer to an upstream's call."""
-    known = chains.heard.get(route)
+    chains.routes.add(route)
+    known = chains.heard.get((route, level))
     if known is None:
-        chains.heard[route] = Heard(load, now)
+        chains.heard[route, level] = Heard(load, now)
         return
     known.load += WEIGHT * (load - known.load)
     known.at = now
 
 
-def below(chains: Chains, now: float) -> float:
-    """Return the greatest load among the services called from here."""
+def forget_inner(chains: Chains, route: str) -> None:
+    """Note that clients call the route too."""
+    chains.routes.discard(route)
+
+
+def calls_on(chains: Chains, route: str) -> bool:
+    """Return whether only upstreams call the route, as far as was told."""
+    return route in chains.routes
+
+
+def below(chains: Chains, level: int, now: float) -> float:
+    """Return the greatest load among the services called from here.
+
+    As requests of the importance ``level`` meet it.
+    """
     return max(
         (
             known.load
-            for known in chains.heard.values()
-            if now - known.at < FADE_SECONDS
+            for (_, known_level), known in chains.heard.items()
+            if known_level == level and now - known.at < FADE_SECONDS
         ),
         default=0.0,
     )
--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from sassafrasstair.decisions.load._guards import busy
+from sassafrasstair.decisions.load._guards import busy_at
 from sassafrasstair.decisions.load._guards import cancel
 from sassafrasstair.decisions.load._guards import finish
 from sassafrasstair.decisions.load._guards import floor
@@ -31,6 +32,7 @@
     "Turn",
     "Work",
     "busy",
+    "busy_at",
     "cancel",
     "finish",
     "floor",
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -42,6 +42,8 @@
 class Guard:
     """State of the guard. ``running`` maps attempts to their start.
 
+    ``levels`` counts what runs by importance, ``works`` holds it.
+
     A ``patient`` guard lets work wait for as long as it may and sheds none
     by rank: where callers can't tell whose part a call is, shedding it
     fails a request on which work was already spent. Callers hold back by
@@ -51,6 +53,7 @@
     limits: _limits.Limit
     floors: _floors.Floors
     running: dict[str, float] = dataclasses.field(default_factory=dict)
+    levels: dict[int, int] = dataclasses.field(default_factory=dict)
     works: dict[str, _messages.Work] = dataclasses.field(default_factory=dict)
     waiting: dict[str, _queues.Waiter] = dataclasses.field(
         default_factory=dict
@@ -118,6 +121,7 @@
     if started is None:
         return []
     work = guard.works.pop(attempt_id)
+    guard.levels[math.floor(work.rank)] -= 1
     guard.used[work.tenant] -= 1
     if not guard.used[work.tenant]:
         del guard.used[work.tenant]
@@ -178,6 +182,21 @@
     return (len(guard.running) + len(guard.waiting)) / max(1.0, guard.limit)
 
 
+def busy_at(guard: Guard, level: int) -> float:
+    """Return the share of the limit that work of the level must yield to.
+
+    Work of that importance and above: what matters less waits behind it.
+    """
+    running = sum(
+        count for known, count in guard.levels.items() if known >= level
+    )
+    waiting = sum(
+        math.floor(waiter.work.rank) >= level
+        for waiter in guard.waiting.values()
+    )
+    return (running + waiting) / max(1.0, guard.limit)
+
+
 def service(guard: Guard) -> float:
     """Return the usual seconds of service; 0 when none is known yet."""
     return guard.live
@@ -190,6 +209,8 @@
 def _start(guard: Guard, work: _messages.Work, now: float) -> _messages.Effect:
     guard.running[work.attempt_id] = now
     guard.works[work.attempt_id] = work
+    level = math.floor(work.rank)
+    guard.levels[level] = guard.levels.get(level, 0) + 1
     guard.used[work.tenant] = guard.used.get(work.tenant, 0) + 1
     return _messages.Start(work.attempt_id)
 
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import functools
+import math
 import typing
 
 from sassafrasstair.decisions import admission
@@ -275,17 +276,18 @@
 ) -> _wire.State:
     now = daemon.clock.monotonic()
     guard = _guards.of_instance(daemon, order.ask.instance, now)
+    level = math.floor(order.ask.rank)
     told = calls.Load(
         load.busy(guard),
-        load.floor(guard, now),
-        load.limit(guard, now),
-        load.service(guard),
+        limit=load.limit(guard, now),
+        service=load.service(guard),
     )
     return _wire.State(
         daemon.view.content,
         daemon.upstream_leaving,
         told,
-        admission.below(daemon.chains, now),
+        load.busy_at(guard, level),
+        admission.below(daemon.chains, level, now),
         admission.is_inner(daemon.callers, order.ask.route, daemon.services),
         ending,
         reason,
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import math
 
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import calls
@@ -55,7 +56,7 @@
     service = policies.choose_service(route, daemon.rng)
     patience = _patience(request.found.get(keys.deadline_ms))
     deadline = request.began + min(route.timeout, patience)
-    rank = route.importance + daemon.rng.random()
+    rank = _rank(daemon, route, request.began + patience)
     progress = requests.new_progress(route, service, rank, deadline)
     call = _records.Call(
         exchange, request_id, progress, _passed_on(daemon, request)
@@ -239,11 +240,13 @@
         return
     now = daemon.clock.monotonic()
     route = call.progress.route.name
-    here = admission.pressure(state.load.busy, state.load.service)
+    here = admission.pressure(state.ahead, state.load.service)
     busiest = max(here, state.below)
     if state.inner:
-        admission.hear_inner(daemon.chains, route, busiest, now)
+        level = math.floor(call.progress.rank)
+        admission.hear_inner(daemon.chains, route, level, busiest, now)
     else:
+        admission.forget_inner(daemon.chains, route)
         admission.hear(daemon.gates, route, busiest, now)
     if response is None or state.ending is not None:
         ending = state.ending or requests.Ending.LOST
@@ -392,6 +395,25 @@
     return window
 
 
+def _rank(
+    daemon: _state.Daemon, route: policies.Route, expires: float
+) -> float:
+    """Return the rank of a request: its own, or that of what it is part of.
+
+    Only the own upstream calls an inner route here.
+    """
+    if admission.calls_on(daemon.chains, route.name):
+        running = [
+            (run.deadline, run.order.ask.rank)
+            for run in daemon.runs.values()
+            if run.job is not None
+        ]
+        rank = admission.parent_rank(expires, running)
+        if rank is not None:
+            return rank
+    return route.importance + daemon.rng.random()
+
+
 def _patience(value: bytes | None) -> float:
     """Return the seconds that the client waits, without end if not told."""
     if value is None or not value.isdigit():
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -90,6 +90,7 @@
         daemon.upstream_leaving or daemon.upstream_down,
         calls.Load(),
         0.0,
+        0.0,
         False,
         None,
         outcomes.Reason.NONE,
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -54,14 +54,17 @@
 class State:
     """What a callee's daemon tells with each answer.
 
-    ``below`` is the load of the busiest service further down the chain;
-    ``inner`` says that only upstreams call the route. ``ending`` is None
-    when the answer is the instance's own.
+    ``ahead`` is what a request of the asked rank must yield to at the
+    instance, as a share of its limit, and ``below`` the load of the busiest
+    service further down the chain, as such requests meet it; ``inner`` says
+    that only upstreams call the route. ``ending`` is None when the answer is
+    the instance's own.
     """
 
     content: int
     leaving: bool
     load: calls.Load
+    ahead: float
     below: float
     inner: bool
     ending: requests.Ending | None
@@ -104,7 +107,7 @@
         state.content,
         state.leaving,
         load.busy,
-        load.floor,
+        state.ahead,
         load.limit,
         load.service,
         state.below,
@@ -118,14 +121,13 @@
     """Return what the field says; raises ``WireError``."""
     try:
         parts = value.decode().split(" ")
-        content, leaving, busy, floor, limit, service = parts[:6]
+        content, leaving, busy, ahead, limit, service = parts[:6]
         below, inner, ending, reason = parts[6:]
         return State(
             int(content),
             leaving == "1",
-            calls.Load(
-                _amount(busy), _amount(floor), _amount(limit), _amount(service)
-            ),
+            calls.Load(_amount(busy), 0.0, _amount(limit), _amount(service)),
+            _amount(ahead),
             _amount(below),
             inner == "1",
             None if ending == _ANSWERED else requests.Ending(ending),
--- a/tests/forwarding/test_wire.py
+++ b/tests/forwarding/test_wire.py
@@ -21,6 +21,7 @@
     7,
     False,
     calls.Load(0.5, 0.0, 20.0, 0.03),
+    0.4,
     0.25,
     True,
     requests.Ending.REFUSED,
