Average the load heard of a chain by time

Cause: each answer moved the average by a tenth. Ruled out: missing capacity (the same instances served all at 50 s); the pace at which a share rises (it rose as soon as the loads fell). Change: the weight is by the time since the last answer, a tenth at least.

--- a/src/sassafrasstair/decisions/admission/_chains.py
+++ b/src/sassafrasstair/decisions/admission/_chains.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 FADE_SECONDS = 0.3
 """A load that was not heard again for so long no longer counts."""
-WEIGHT = 0.1
-"""Of one answer in the average for its route."""
+SMOOTH_SECONDS = 0.15
+"""Time constant over which heard loads are averaged."""
+LEAST_WEIGHT = 0.1
+"""Of one answer in the average, however many come in one moment."""
 
 Key = tuple[str, int]
 """A route, and the importance of the requests that the calls are part of."""
@@ -42,7 +45,11 @@
     if known is None:
         chains.heard[route, level] = Heard(load, now)
         return
-    known.load += WEIGHT * (load - known.load)
+    # By time and not by answers. Failure: after a surge has filled a chain,
+    # few requests are let in, and a tenth of each answer's load went into the
+    # average, so that it stayed high for 5 s after the queues had drained.
+    faded = 1.0 - math.exp(-max(0.0, now - known.at) / SMOOTH_SECONDS)
+    known.load += max(LEAST_WEIGHT, faded) * (load - known.load)
     known.at = now
 
 
--- a/tests/decisions/admission/test_admissions.py
+++ b/tests/decisions/admission/test_admissions.py
@@ -171,6 +171,20 @@
     assert admission.below(chains, 5, 100.5) == 0.0
 
 
+def test_load_heard_of_a_chain_falls_with_few_answers() -> None:
+    """A chain was full, is now nearly empty, and few requests are let in.
+
+    Each answer moved the average by a tenth, so that one answer a second
+    kept it high for long, and nothing more was let in.
+    """
+    chains = admission.Chains()
+    for at in range(20):
+        admission.hear_inner(chains, "r", 5, 4.0, 100.0 + 0.01 * at)
+    assert admission.below(chains, 5, 100.2) > 3.0
+    admission.hear_inner(chains, "r", 5, 0.1, 101.2)
+    assert admission.below(chains, 5, 101.2) < 0.2
+
+
 def test_load_heard_at_one_importance_says_nothing_of_another() -> None:
     chains = admission.Chains()
     admission.hear_inner(chains, "r", 7, 4.0, 100.0)
