Count bytes between failure domains, and model a chain on the decisions

Ruled out: counting at the callee, which does not know why a call came. Change: the metric domain_crossing_bytes_total by route and reason; a chain with a last service asked four times in a row, on the gates, ranks, routes and guards that the daemon runs, under a virtual clock.

--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -27,12 +27,14 @@
 from sassafrasstair.decisions.calls._routing import eject
 from sassafrasstair.decisions.calls._routing import ended
 from sassafrasstair.decisions.calls._routing import forget
+from sassafrasstair.decisions.calls._routing import Leaving
 from sassafrasstair.decisions.calls._routing import pick
 from sassafrasstair.decisions.calls._routing import probe_due
 from sassafrasstair.decisions.calls._routing import probed
 from sassafrasstair.decisions.calls._routing import restarted
 from sassafrasstair.decisions.calls._routing import Routes
 from sassafrasstair.decisions.calls._routing import sent
+from sassafrasstair.decisions.calls._routing import why_left
 from sassafrasstair.decisions.calls._views import choose
 from sassafrasstair.decisions.calls._views import floors
 from sassafrasstair.decisions.calls._views import retry_tokens
@@ -45,6 +47,7 @@
     "Effect",
     "Entrance",
     "Floors",
+    "Leaving",
     "Load",
     "Pauses",
     "Refuse",
@@ -72,4 +75,5 @@
     "restarted",
     "retry_tokens",
     "sent",
+    "why_left",
 ]
--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import math
 import typing
 
@@ -187,6 +188,46 @@
     return wait + BUSY_SECONDS * min(1.0, busy)
 
 
+class Leaving(enum.Enum):
+    """Why a call leaves its failure domain."""
+
+    NO_INSTANCE = "no_instance"
+    TRIED = "tried"
+    SILENT = "silent"
+    SLOW = "slow"
+    BUSY = "busy"
+
+
+def why_left(
+    routes: Routes,
+    targets: abc.Sequence[_messages.Target],
+    target: _messages.Target,
+    tried: abc.Collection[str],
+    now: float,
+) -> Leaving | None:
+    """Return why ``target`` was picked in another domain, None if it was not.
+
+    ``tried`` are those tried before it.
+    """
+    if _is_near(routes, target):
+        return None
+    known = _sort(routes, targets, now)
+    if not known.near:
+        return Leaving.NO_INSTANCE
+    near = _untried(known.near, tried)
+    peers = [routes.peers.get(each.vm) for each in near]
+    if not near:
+        return Leaving.TRIED
+    if all(peer is not None and _silent(peer, now) for peer in peers):
+        return Leaving.SILENT
+    if all(
+        peer is not None and peer.service > _slow_from(peer, known.least)
+        for peer in peers
+    ):
+        return Leaving.SLOW
+    return Leaving.BUSY
+
+
 def sent(routes: Routes, vm: str, now: float) -> None:
     """Note that an attempt went to ``vm``."""
     peer = routes.peers.setdefault(vm, Peer())
--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -30,6 +30,11 @@
     """Changes of what is believed, by their names in the log."""
     refusals: dict[str, int] = dataclasses.field(default_factory=dict)
     """Items of the store that could not be used, by reason."""
+    crossings: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
+    """Bytes of bodies and heads sent to and got from other failure domains,
+    by route and why the call left."""
     seconds: dict[str, histograms.Series] = dataclasses.field(
         default_factory=dict
     )
@@ -71,6 +76,14 @@
     counters.beliefs[what] = counters.beliefs.get(what, 0) + 1
 
 
+def crossed(counters: Counters, route: str, why: str, size: int) -> None:
+    """Count bytes that went between failure domains."""
+    key = (route, why)
+    if key not in counters.crossings and len(counters.crossings) >= ROUTES_MAX:
+        key = ("other", why)
+    counters.crossings[key] = counters.crossings.get(key, 0) + size
+
+
 def refused(counters: Counters, reason: str) -> None:
     """Count an item of the store that could not be used."""
     counters.refusals[reason] = counters.refusals.get(reason, 0) + 1
@@ -103,6 +116,12 @@
             ("reason",),
             {(name,): value for name, value in counters.refusals.items()},
         ),
+        histograms.render_counter(
+            "domain_crossing_bytes_total",
+            "Bytes of calls between failure domains, by why they left",
+            ("route", "why"),
+            counters.crossings,
+        ),
         histograms.render_gauges(gauges),
         histograms.render_histogram(
             "request_seconds",
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -127,10 +127,13 @@
         return
     instance = views.instance(daemon.view, target.vm)
     host = "" if instance is None else instance.host
+    left_for = calls.why_left(
+        daemon.routes, targets, target, progress.tried, now
+    )
     requests.attempt_sent(progress, target.vm)
     calls.sent(daemon.routes, target.vm, now)
     born = views.born(daemon.view, target.vm)
-    attempt = _records.Attempt(target.vm, host, now, born)
+    attempt = _records.Attempt(target.vm, host, now, born, left_for)
     call.attempt = attempt
     left = progress.deadline - now
     ask = _wire.Ask(
@@ -185,6 +188,7 @@
     head = httpio.request_head(
         request.method, request.target, fields, len(request.body)
     )
+    _count_crossing(daemon, call, attempt, len(head) + len(request.body))
     attempt.job = httpio.Job(
         head + request.body,
         functools.partial(_answered, daemon, call, attempt),
@@ -194,6 +198,18 @@
     _state.pool(daemon, attempt.host).send(attempt.job)
 
 
+def _count_crossing(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    attempt: _records.Attempt,
+    size: int,
+) -> None:
+    if attempt.left is None:
+        return
+    route = call.progress.route.name
+    _counters.crossed(daemon.counters, route, attempt.left.value, size)
+
+
 def _answered(
     daemon: _state.Daemon,
     call: _records.Call,
@@ -224,10 +240,19 @@
         reason = outcomes.Reason.PEER_LOST
         _ended(daemon, call, requests.Ending.LOST, reason)
         return
+    _count_crossing(daemon, call, attempt, _size(result))
     _sync.heard(daemon, attempt.host, state.content)
     _took(daemon, call, state, result if state.ending is None else None)
 
 
+def _size(response: httpio.Response) -> int:
+    """Return about how many bytes an answer took on the network."""
+    head = sum(
+        len(name) + len(value) + 4 for _, name, value in response.fields
+    )
+    return head + len(response.body)
+
+
 def _took(
     daemon: _state.Daemon,
     call: _records.Call,
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -9,6 +9,7 @@
     import asyncio
     from collections import abc
 
+    from sassafrasstair.decisions import calls
     from sassafrasstair.decisions import load
     from sassafrasstair.decisions import requests
     from sassafrasstair.forwarding import _wire
@@ -59,13 +60,14 @@
 
     It goes over the network as ``job``, or as ``run`` to the instance on
     this VM. ``born`` is the start of the instance that was asked, as the
-    view had it.
+    view had it; ``left`` says why it is in another failure domain.
     """
 
     instance: str
     host: str
     sent: float
     born: int
+    left: calls.Leaving | None = None
     job: httpio.Job | None = None
     run: str = ""
 
--- /dev/null
+++ b/tests/loads/chains.py
@@ -0,0 +1,305 @@
+"""A chain of services on the real decisions, under a virtual clock.
+
+Clients of two kinds call through entrances on all VMs. After its own work
+each request asks the last service several times, one call after the other,
+from a VM of a failure domain, in which there is one instance of the last
+service. The decisions are those that the daemon runs: gates, ranks, loads of
+chains, choice of instance, guards.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from sassafrasstair.decisions import admission
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import load
+from sassafrasstair import outcomes
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+TICK_SECONDS = 0.05
+HOP_SECONDS = 0.001
+PEEK = "peek"
+ATTEMPTS = 2
+LEAST_IMPORTANCE = 7
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """One kind of request; ``rows`` of calls go side by side."""
+
+    name: str
+    importance: int
+    per_second: float
+    worth: float
+    rows: int = 1
+    row_calls: int = 4
+    own_seconds: float = 0.15
+    objective: float = 1.5
+    timeout: float = 0.8
+
+
+LOOKUP = Kind("lookup", 7, 122.0, 1.0)
+ORDER = Kind("order", 9, 50.0, 3.0, rows=2, own_seconds=0.2, timeout=1.0)
+
+
+@dataclasses.dataclass
+class Tally:
+    """What became of one kind's requests, by the second they came."""
+
+    asked: dict[int, int] = dataclasses.field(default_factory=dict)
+    done: dict[int, int] = dataclasses.field(default_factory=dict)
+    failed: dict[int, int] = dataclasses.field(default_factory=dict)
+
+    def share(self, since: int, until: int) -> float:
+        """Return the share done of what came in these seconds."""
+        asked = sum(self.asked.get(at, 0) for at in range(since, until))
+        done = sum(self.done.get(at, 0) for at in range(since, until))
+        return done / max(1, asked)
+
+
+@dataclasses.dataclass
+class Request:
+    """One request under way; ``rows`` are those that still run."""
+
+    kind: Kind
+    entrance: int
+    rank: float
+    came: float
+    domain: int
+    rows: int
+    failed: bool = False
+
+
+@dataclasses.dataclass
+class Peek:
+    """One call of a request at the last service."""
+
+    request: Request
+    left: int
+    tried: list[str] = dataclasses.field(default_factory=list)
+    sent: float = 0.0
+
+
+class Chain:
+    """Entrances, the domains' callers and the instances of a last service."""
+
+    def __init__(
+        self,
+        seed: int,
+        kinds: abc.Sequence[Kind] = (LOOKUP, ORDER),
+        speeds: abc.Sequence[float] = (0.6, 1.0, 1.4),
+        slots: int = 15,
+        entrances: int = 13,
+        work_seconds: float = 0.03,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.kinds = kinds
+        self.speeds = dict(enumerate(speeds))
+        self.work_seconds = work_seconds
+        self.slowness: abc.Callable[[float], float] = lambda now: 1.0
+        self.surge: abc.Callable[[float], float] = lambda now: 1.0
+        self.refusing: abc.Callable[[float], float] = lambda now: 0.0
+        self.tallies = {kind.name: Tally() for kind in kinds}
+        self.gates = [admission.Admission() for _ in range(entrances)]
+        self.heard = [admission.Chains() for _ in speeds]
+        self.routes = [
+            calls.Routes(f"d{domain}", "r", try_dead=False)
+            for domain in self.speeds
+        ]
+        self.targets = tuple(
+            calls.Target(f"i{domain}", PEEK, f"d{domain}", "r")
+            for domain in self.speeds
+        )
+        self.guards = {
+            target.vm: load.new_guard(slots, 0.0, patient=True)
+            for target in self.targets
+        }
+        self.crossed = 0
+        self.peeks = 0
+        self._serial = itertools.count()
+        self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
+        self._attempts: dict[str, tuple[Peek, str]] = {}
+        self._after(0.0, self._tick)
+        for kind in kinds:
+            self._after(self._pause(kind), lambda kind=kind: self._come(kind))
+
+    def run(self, seconds: float) -> None:
+        """Play until the clock shows so many seconds."""
+        while self._events and self._events[0][0] <= seconds:
+            self.now, _, event = heapq.heappop(self._events)
+            event()
+
+    def remove(self, domain: int) -> None:
+        """Let the domain's instance leave."""
+        self.targets = tuple(
+            target for target in self.targets if target.vm != f"i{domain}"
+        )
+
+    def worth(self, since: int, until: int) -> float:
+        """Return the share of the worth asked for that was served."""
+        asked = done = 0.0
+        for kind in self.kinds:
+            tally = self.tallies[kind.name]
+            for at in range(since, until):
+                asked += kind.worth * tally.asked.get(at, 0)
+                done += kind.worth * tally.done.get(at, 0)
+        return done / max(1.0, asked)
+
+    def _after(self, seconds: float, event: abc.Callable[[], None]) -> None:
+        at = self.now + seconds
+        heapq.heappush(self._events, (at, next(self._serial), event))
+
+    def _pause(self, kind: Kind) -> float:
+        return self.rng.expovariate(kind.per_second * self.surge(self.now))
+
+    def _tick(self) -> None:
+        for vm, guard in self.guards.items():
+            self._perform(vm, load.tick(guard, self.now))
+        self._after(TICK_SECONDS, self._tick)
+
+    def _come(self, kind: Kind) -> None:
+        self._after(self._pause(kind), lambda: self._come(kind))
+        tally = self.tallies[kind.name]
+        second = int(self.now)
+        tally.asked[second] = tally.asked.get(second, 0) + 1
+        entrance = self.rng.randrange(len(self.gates))
+        above = kind.importance - LEAST_IMPORTANCE
+        if not admission.admit(
+            self.gates[entrance], kind.name, above, self.now, self.rng
+        ):
+            return
+        request = Request(
+            kind,
+            entrance,
+            kind.importance + self.rng.random(),
+            self.now,
+            self.rng.randrange(len(self.heard)),
+            kind.rows,
+        )
+        work = kind.own_seconds * self.rng.lognormvariate(-0.1, 0.5)
+        work *= self.slowness(self.now)
+        for _ in range(kind.rows):
+            self._after(
+                work,
+                lambda: self._send(Peek(request, kind.row_calls)),
+            )
+
+    def _send(self, peek: Peek) -> None:
+        request = peek.request
+        left = request.came + request.kind.timeout - self.now
+        routes = self.routes[request.domain]
+        target = calls.pick(
+            routes, self.targets, peek.tried, self.now, self.rng
+        )
+        if request.failed or left <= 0.0 or target is None:
+            self._end_row(request, failed=True)
+            return
+        self.peeks += not peek.tried
+        self.crossed += target.failure_domain != routes.failure_domain
+        peek.tried.append(target.vm)
+        peek.sent = self.now
+        calls.sent(routes, target.vm, self.now)
+        attempt = f"{next(self._serial)}"
+        self._attempts[attempt] = peek, target.vm
+        guard = self.guards[target.vm]
+        work = load.Work(
+            attempt,
+            PEEK,
+            "",
+            request.rank,
+            self.now + left,
+            0.5 * min(0.3, left),
+        )
+        self._perform(target.vm, load.offer(guard, work, self.now))
+
+    def _perform(self, vm: str, effects: list[load.Effect]) -> None:
+        for effect in effects:
+            attempt = effect.attempt_id
+            if isinstance(effect, load.Start):
+                speed = self.speeds[int(vm[1:])]
+                work = self.work_seconds * self.rng.lognormvariate(-0.12, 0.5)
+                seconds = work / speed * self.slowness(self.now)
+                refused = self.rng.random() < self.refusing(self.now)
+                self._after(
+                    HOP_SECONDS if refused else seconds + HOP_SECONDS,
+                    lambda attempt=attempt, refused=refused: self._finish(
+                        attempt, refused
+                    ),
+                )
+            elif isinstance(effect, load.Turn):
+                self._answered(attempt, effect.reason)
+            else:
+                guard = self.guards[vm]
+                end = load.End.CANCELLED
+                self._perform(
+                    vm, load.finish(guard, attempt, end, self.now)
+                )
+                self._answered(attempt, outcomes.Reason.DEADLINE_PASSED)
+
+    def _finish(self, attempt: str, refused: bool) -> None:
+        if attempt not in self._attempts:
+            return
+        _, vm = self._attempts[attempt]
+        end = load.End.FAILED if refused else load.End.DONE
+        effects = load.finish(self.guards[vm], attempt, end, self.now)
+        reason = outcomes.Reason.NONE
+        if refused:
+            reason = outcomes.Reason.UPSTREAM_REFUSED
+        self._answered(attempt, reason)
+        self._perform(vm, effects)
+
+    def _answered(self, attempt: str, reason: outcomes.Reason) -> None:
+        peek, vm = self._attempts.pop(attempt)
+        request = peek.request
+        guard = self.guards[vm]
+        level = int(request.rank)
+        service = load.service(guard)
+        told = calls.Load(
+            load.busy(guard),
+            limit=load.limit(guard, self.now),
+            service=service,
+        )
+        good = reason is outcomes.Reason.NONE
+        outcome = outcomes.Outcome.DONE if good else outcomes.Outcome.NOT_RUN
+        answer = calls.Answer(outcome, reason, told, incarnation=vm)
+        routes = self.routes[request.domain]
+        taken = self.now - peek.sent
+        calls.ended(routes, vm, answer, taken, self.now)
+        pressure = admission.pressure(load.busy_at(guard, level), service)
+        admission.hear_inner(
+            self.heard[request.domain], PEEK, level, pressure, self.now
+        )
+        if good:
+            if peek.left > 1:
+                self._send(Peek(request, peek.left - 1))
+            else:
+                self._end_row(request, failed=False)
+        elif len(peek.tried) < ATTEMPTS:
+            self._send(peek)
+        else:
+            self._end_row(request, failed=True)
+
+    def _end_row(self, request: Request, failed: bool) -> None:
+        request.rows -= 1
+        request.failed = request.failed or failed
+        if request.rows:
+            return
+        kind, tally = request.kind, self.tallies[request.kind.name]
+        below = admission.below(
+            self.heard[request.domain], kind.importance, self.now
+        )
+        admission.hear(
+            self.gates[request.entrance], kind.name, below, self.now
+        )
+        second = int(request.came)
+        late = self.now - request.came > kind.timeout
+        counts = tally.failed if request.failed or late else tally.done
+        counts[second] = counts.get(second, 0) + 1
