--- a/tests/loads/chains.py
+++ b/tests/loads/chains.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -72,7 +73,7 @@
     entrance: int
     rank: float
     came: float
-    domain: int
+    caller: int
     rows: int
     failed: bool = False
 
@@ -87,8 +88,17 @@
     sent: float = 0.0
 
 
+def rank_of(request: Request) -> float:
+    """Return the rank of a request's calls: that of the request itself."""
+    return request.rank
+
+
 class Chain:
-    """Entrances, the domains' callers and the instances of a last service."""
+    """Entrances, callers in the middle, and instances of a last service.
+
+    ``callers`` are the VMs that ask the last service, in the failure domains
+    in turn.
+    """
 
     def __init__(
         self,
@@ -97,6 +107,7 @@
         speeds: abc.Sequence[float] = (0.6, 1.0, 1.4),
         slots: int = 15,
         entrances: int = 13,
+        callers: int = 12,
         work_seconds: float = 0.03,
     ) -> None:
         self.rng = random.Random(seed)
@@ -109,10 +120,10 @@
         self.refusing: abc.Callable[[float], float] = lambda now: 0.0
         self.tallies = {kind.name: Tally() for kind in kinds}
         self.gates = [admission.Admission() for _ in range(entrances)]
-        self.heard = [admission.Chains() for _ in speeds]
+        self.heard = [admission.Chains() for _ in range(callers)]
         self.routes = [
-            calls.Routes(f"d{domain}", "r", try_dead=False)
-            for domain in self.speeds
+            calls.Routes(f"d{caller % len(speeds)}", "r", try_dead=False)
+            for caller in range(callers)
         ]
         self.targets = tuple(
             calls.Target(f"i{domain}", PEEK, f"d{domain}", "r")
@@ -129,7 +140,7 @@
         self._attempts: dict[str, tuple[Peek, str]] = {}
         self._after(0.0, self._tick)
         for kind in kinds:
-            self._after(self._pause(kind), lambda kind=kind: self._come(kind))
+            self._after(self._pause(kind), functools.partial(self._come, kind))
 
     def run(self, seconds: float) -> None:
         """Play until the clock shows so many seconds."""
@@ -195,7 +206,7 @@
     def _send(self, peek: Peek) -> None:
         request = peek.request
         left = request.came + request.kind.timeout - self.now
-        routes = self.routes[request.domain]
+        routes = self.routes[request.caller]
         target = calls.pick(
             routes, self.targets, peek.tried, self.now, self.rng
         )
@@ -214,7 +225,7 @@
             attempt,
             PEEK,
             "",
-            request.rank,
+            rank_of(request),
             self.now + left,
             0.5 * min(0.3, left),
         )
@@ -230,18 +241,14 @@
                 refused = self.rng.random() < self.refusing(self.now)
                 self._after(
                     HOP_SECONDS if refused else seconds + HOP_SECONDS,
-                    lambda attempt=attempt, refused=refused: self._finish(
-                        attempt, refused
-                    ),
+                    functools.partial(self._finish, attempt, refused),
                 )
             elif isinstance(effect, load.Turn):
                 self._answered(attempt, effect.reason)
             else:
                 guard = self.guards[vm]
                 end = load.End.CANCELLED
-                self._perform(
-                    vm, load.finish(guard, attempt, end, self.now)
-                )
+                self._perform(vm, load.finish(guard, attempt, end, self.now))
                 self._answered(attempt, outcomes.Reason.DEADLINE_PASSED)
 
     def _finish(self, attempt: str, refused: bool) -> None:
@@ -260,7 +267,7 @@
         peek, vm = self._attempts.pop(attempt)
         request = peek.request
         guard = self.guards[vm]
-        level = int(request.rank)
+        level = int(rank_of(request))
         service = load.service(guard)
         told = calls.Load(
             load.busy(guard),
@@ -270,12 +277,12 @@
         good = reason is outcomes.Reason.NONE
         outcome = outcomes.Outcome.DONE if good else outcomes.Outcome.NOT_RUN
         answer = calls.Answer(outcome, reason, told, incarnation=vm)
-        routes = self.routes[request.domain]
+        routes = self.routes[request.caller]
         taken = self.now - peek.sent
         calls.ended(routes, vm, answer, taken, self.now)
         pressure = admission.pressure(load.busy_at(guard, level), service)
         admission.hear_inner(
-            self.heard[request.domain], PEEK, level, pressure, self.now
+            self.heard[request.caller], PEEK, level, pressure, self.now
         )
         if good:
             if peek.left > 1:
@@ -294,7 +301,7 @@
             return
         kind, tally = request.kind, self.tallies[request.kind.name]
         below = admission.below(
-            self.heard[request.domain], kind.importance, self.now
+            self.heard[request.caller], kind.importance, self.now
         )
         admission.hear(
             self.gates[request.entrance], kind.name, below, self.now
