--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -24,16 +24,16 @@
 from sassafrasstair.decisions.calls._pauses import lateness
 from sassafrasstair.decisions.calls._pauses import note as note_beat
 from sassafrasstair.decisions.calls._pauses import Pauses
-from sassafrasstair.decisions.calls._routing import eject
-from sassafrasstair.decisions.calls._routing import ended
-from sassafrasstair.decisions.calls._routing import forget
+from sassafrasstair.decisions.calls._peers import eject
+from sassafrasstair.decisions.calls._peers import ended
+from sassafrasstair.decisions.calls._peers import forget
 from sassafrasstair.decisions.calls._routing import Leaving
 from sassafrasstair.decisions.calls._routing import pick
-from sassafrasstair.decisions.calls._routing import probe_due
-from sassafrasstair.decisions.calls._routing import probed
-from sassafrasstair.decisions.calls._routing import restarted
-from sassafrasstair.decisions.calls._routing import Routes
-from sassafrasstair.decisions.calls._routing import sent
+from sassafrasstair.decisions.calls._peers import probe_due
+from sassafrasstair.decisions.calls._peers import probed
+from sassafrasstair.decisions.calls._peers import restarted
+from sassafrasstair.decisions.calls._peers import Routes
+from sassafrasstair.decisions.calls._peers import sent
 from sassafrasstair.decisions.calls._routing import why_left
 from sassafrasstair.decisions.calls._views import choose
 from sassafrasstair.decisions.calls._views import floors
--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -14,6 +14,7 @@
 from sassafrasstair.decisions.calls import _floors
 from sassafrasstair.decisions.calls import _messages
 from sassafrasstair.decisions.calls import _retries
+from sassafrasstair.decisions.calls import _peers
 from sassafrasstair.decisions.calls import _routing
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import once
@@ -48,7 +49,7 @@
     """State of an entrance: calls under way, floors, budgets, routes."""
 
     incarnation: str
-    routes: _routing.Routes
+    routes: _peers.Routes
     pending: dict[str, Pending] = dataclasses.field(default_factory=dict)
     floors: _floors.Floors = dataclasses.field(default_factory=_floors.Floors)
     budgets: dict[str, _retries.Budget] = dataclasses.field(
@@ -61,7 +62,7 @@
     incarnation: str, failure_domain: str, region: str
 ) -> Entrance:
     """Return an entrance that has seen nothing yet."""
-    return Entrance(incarnation, _routing.Routes(failure_domain, region))
+    return Entrance(incarnation, _peers.Routes(failure_domain, region))
 
 
 def begin(
@@ -115,7 +116,7 @@
         return None
     call = pending.call
     vm = pending.tried[-1]
-    _routing.ended(entrance.routes, vm, answer, now - pending.sent, now)
+    _peers.ended(entrance.routes, vm, answer, now - pending.sent, now)
     if answer.incarnation:
         key_of_floor = _floor_key(call)
         told = answer.load.floor
@@ -148,7 +149,7 @@
     pending = entrance.pending.pop(key, None)
     if pending is None:
         return ""
-    _routing.forget(entrance.routes, pending.tried[-1])
+    _peers.forget(entrance.routes, pending.tried[-1])
     return pending.attempt_id
 
 
@@ -214,7 +215,7 @@
     pending.tried.append(target.vm)
     pending.attempt_id = f"{key}.{len(pending.tried)}"
     pending.sent = now
-    _routing.sent(entrance.routes, target.vm, now)
+    _peers.sent(entrance.routes, target.vm, now)
     leaf = not bundle.services[call.service].calls
     left = call.retries - pending.spent
     pending.given = _retries.passed_down(left, leaf)
--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -2,18 +2,16 @@
 
 The own failure domain first, with spill-over by load; among the others the
 less loaded of two drawn at random (Mitzenmacher, "The Power of Two Choices
-in Randomized Load Balancing", 2001). An instance that fails or falls
-silent is ejected until a ping shows that its daemon answers.
+in Randomized Load Balancing", 2001).
 """
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import math
 import typing
 
-from sassafrasstair import outcomes
+from sassafrasstair.decisions.calls import _peers
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -21,28 +19,14 @@
 
     from sassafrasstair.decisions.calls import _messages
 
-FAILURES_TO_EJECT = 3
 EJECTED_SHARE_MAX = 0.5
-# With attempts under way and no answer for this long, in seconds and in
-# multiples of the usual latency, an instance is pinged.
-SILENT_SECONDS = 0.1
-SILENT_LATENCIES = 1.5
 # A silent instance counts as if an attempt waited there for so long, until
 # its ping has ended: half a second may pass, and what was sent meanwhile to
 # a VM that is gone can't be sent again unless it is idempotent.
 SILENT_PENALTY = 0.25
-# Pings to an instance that stays away become rarer, up to the second bound.
-PING_SECONDS = 0.2
-PING_SECONDS_MAX = 0.5
-PING_SHARE_OF_AWAY = 0.25
-# An instance not heard of for this long is forgotten: VMs are replaced all
-# day, and pings to those that are gone would never end.
-FORGET_SECONDS = 60.0
-LATENCY_WEIGHT = 0.1
 # What was heard of a load fades with this time constant.
 LOAD_FADES_SECONDS = 0.1
 FADES_SERVICES = 2.0
-UNKNOWN_LIMIT = 20.0
 # The own domain is left only when its instance has no free slot, and then
 # only for one where the wait is shorter by the margin.
 SPILL_MARGIN = 0.005
@@ -55,9 +39,6 @@
 # left their domain.
 SLOW_FACTOR = 2.5
 NATURAL_FACTOR = 6.0
-# The weight of an answer in what is usual, and after how many that is known.
-USUAL_WEIGHT = 0.01
-USUAL_FROM = 20
 # What was heard of the service time counts for this long, so that now and
 # then a slow instance is asked again.
 SLOW_SECONDS = 1.0
@@ -67,81 +48,9 @@
 # Without a wait anywhere the less busy is preferred.
 BUSY_SECONDS = 0.02
 
-FAILURES = frozenset(
-    {
-        outcomes.Reason.PEER_UNREACHABLE,
-        outcomes.Reason.PEER_LOST,
-        outcomes.Reason.UPSTREAM_UNREACHABLE,
-    }
-)
-
-NOT_SERVING = frozenset({outcomes.Reason.NO_BUNDLE, outcomes.Reason.LEAVING})
-"""Said by a daemon that starts or stops."""
-
-
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """What is known of one instance.
-
-    ``usual`` is the usual ``service`` over ``samples`` answers.
-    ``silent_from`` is the last answer, or the first send after an idle
-    time; ``sent`` counts the attempts since the load was heard. Failures
-    make it ``ejected``, and a ping without an answer makes it ``dead``.
-    """
-
-    inflight: int = 0
-    sent: int = 0
-    busy: float = 0.0
-    limit: float = UNKNOWN_LIMIT
-    service: float = 0.0
-    usual: float = 0.0
-    samples: int = 0
-    heard: float = -math.inf
-    silent_from: float = 0.0
-    latency: float = 0.0
-    failures: int = 0
-    ejected: bool = False
-    dead: bool = False
-    pinged: float = -math.inf
-
-
-@dataclasses.dataclass(slots=True)
-class Sorted:
-    """The usable targets of one service, by where they are.
-
-    ``least`` are the seconds of service at the quickest, 0 if not known;
-    ``changes`` is ``Routes.changes`` at the time ``at`` of sorting.
-    """
-
-    targets: abc.Sequence[_messages.Target]
-    near: list[_messages.Target]
-    same_region: list[_messages.Target]
-    usable: abc.Sequence[_messages.Target]
-    least: float
-    changes: int
-    at: float
-
-
-@dataclasses.dataclass(slots=True)
-class Routes:
-    """What this entrance has seen of the instances that it calls.
-
-    ``changes`` counts how often an instance became usable or unusable.
-    With ``try_dead`` instances whose pings fail are tried when there is no
-    other: where one instance alone will do, as the owner of a ticket, a
-    ping that failed just before it restarted must not void the ticket.
-    """
-
-    failure_domain: str
-    region: str
-    try_dead: bool = True
-    peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
-    by_service: dict[str, Sorted] = dataclasses.field(default_factory=dict)
-    changes: int = 0
-
 
 def pick(
-    routes: Routes,
+    routes: _peers.Routes,
     targets: abc.Sequence[_messages.Target],
     tried: abc.Collection[str],
     now: float,
@@ -166,7 +75,9 @@
     return other if gain > SPILL_MARGIN else best
 
 
-def score(routes: Routes, vm: str, now: float, least: float = 0.0) -> float:
+def score(
+    routes: _peers.Routes, vm: str, now: float, least: float = 0.0
+) -> float:
     """Return the seconds that an attempt is thought to lose there.
 
     Up to ``BUSY_SECONDS`` there is a free slot. The wait counts, not how
@@ -183,7 +94,7 @@
     wait = max(0.0, busy - 1.0) * peer.service
     if least > 0.0 and now - peer.heard < SLOW_SECONDS:
         wait += max(0.0, peer.service - _slow_from(peer, least))
-    if _silent(peer, now):
+    if _peers.is_silent(peer, now):
         wait += SILENT_PENALTY
     return wait + BUSY_SECONDS * min(1.0, busy)
 
@@ -199,7 +110,7 @@
 
 
 def why_left(
-    routes: Routes,
+    routes: _peers.Routes,
     targets: abc.Sequence[_messages.Target],
     target: _messages.Target,
     tried: abc.Collection[str],
@@ -218,7 +129,7 @@
     peers = [routes.peers.get(each.vm) for each in near]
     if not near:
         return Leaving.TRIED
-    if all(peer is not None and _silent(peer, now) for peer in peers):
+    if all(peer is not None and _peers.is_silent(peer, now) for peer in peers):
         return Leaving.SILENT
     if all(
         peer is not None and peer.service > _slow_from(peer, known.least)
@@ -228,135 +139,17 @@
     return Leaving.BUSY
 
 
-def sent(routes: Routes, vm: str, now: float) -> None:
-    """Note that an attempt went to ``vm``."""
-    peer = routes.peers.setdefault(vm, Peer())
-    if not peer.inflight:
-        peer.silent_from = now
-    peer.inflight += 1
-    peer.sent += 1
-
-
-def ended(
-    routes: Routes,
-    vm: str,
-    answer: _messages.Answer,
-    latency: float,
-    now: float,
-) -> None:
-    """Note how an attempt at ``vm`` ended, and the load it told."""
-    peer = routes.peers.setdefault(vm, Peer())
-    peer.inflight = max(0, peer.inflight - 1)
-    if answer.incarnation:
-        _heard(peer, answer, now)
-    if answer.outcome is outcomes.Outcome.DONE:
-        peer.latency += LATENCY_WEIGHT * (latency - peer.latency)
-        peer.failures = 0
-    elif answer.reason in FAILURES:
-        peer.failures += 1
-        if peer.failures >= FAILURES_TO_EJECT:
-            _eject(routes, peer)
-    elif answer.reason in NOT_SERVING:
-        # Failure: a restarted daemon is the least busy one while it asks
-        # its peers for the bundle, and draws all calls into refusals.
-        _eject(routes, peer)
-
-
-def eject(routes: Routes, vm: str) -> None:
-    """Leave ``vm`` alone until a ping, after one failed connection.
-
-    A VM that is gone answers none, and each try costs time.
-    """
-    _eject(routes, routes.peers.setdefault(vm, Peer()))
-
-
-def forget(routes: Routes, vm: str) -> None:
-    """Note that an attempt ended without telling anything of ``vm``."""
-    peer = routes.peers.get(vm)
-    if peer is not None:
-        peer.inflight = max(0, peer.inflight - 1)
-
-
-def restarted(routes: Routes, vm: str, now: float) -> None:
-    """Forget what is known of an instance that has started again.
-
-    Only the attempts under way stay counted, until each has ended.
-    """
-    peer = routes.peers.get(vm)
-    if peer is not None:
-        routes.peers[vm] = Peer(inflight=peer.inflight, silent_from=now)
-        routes.changes += 1
-
-
-def probe_due(routes: Routes, now: float) -> list[str]:
-    """Return the ejected or silent VMs to send a ping to now.
-
-    When a ping fails, the transport must also report each attempt under
-    way there as lost, for nothing else ends it before its deadline.
-    """
-    due = []
-    for vm, peer in list(routes.peers.items()):
-        away = now - peer.silent_from
-        if not peer.inflight and away >= FORGET_SECONDS:
-            del routes.peers[vm]
-            routes.changes += 1
-        elif peer.ejected or peer.dead or _silent(peer, now):
-            rarer = min(PING_SECONDS_MAX, PING_SHARE_OF_AWAY * away)
-            if now - peer.pinged >= max(PING_SECONDS, rarer):
-                peer.pinged = now
-                due.append(vm)
-    return due
-
-
-def probed(routes: Routes, vm: str, alive: bool, now: float) -> None:
-    """Note the end of a ping: only a ping brings an instance back."""
-    peer = routes.peers.get(vm)
-    if peer is None:
-        return
-    if peer.dead is alive or (alive and peer.ejected):
-        routes.changes += 1
-    peer.dead = not alive
-    if alive:
-        peer.ejected = False
-        peer.failures = 0
-        peer.silent_from = now
-
-
-def _eject(routes: Routes, peer: Peer) -> None:
-    if not peer.ejected:
-        peer.ejected = True
-        routes.changes += 1
-
-
-def _heard(peer: Peer, answer: _messages.Answer, now: float) -> None:
-    peer.busy = answer.load.busy
-    peer.limit = answer.load.limit or UNKNOWN_LIMIT
-    peer.service = answer.load.service
-    if peer.service > 0.0:
-        peer.samples += 1
-        weight = max(USUAL_WEIGHT, 1.0 / peer.samples)
-        peer.usual += weight * (peer.service - peer.usual)
-    peer.sent = 0
-    peer.heard = now
-    peer.silent_from = now
-
-
-def _slow_from(peer: Peer, least: float) -> float:
+def _slow_from(peer: _peers.Peer, least: float) -> float:
     """Return the seconds of service from which on the instance is slow."""
     slow = NATURAL_FACTOR * least
-    if peer.samples < USUAL_FROM:
+    if peer.samples < _peers.USUAL_FROM:
         return slow
     return min(slow, SLOW_FACTOR * peer.usual)
 
 
-def _silent(peer: Peer, now: float) -> bool:
-    patience = max(SILENT_SECONDS, SILENT_LATENCIES * peer.latency)
-    return peer.inflight > 0 and now - peer.silent_from >= patience
-
-
 def _sort(
-    routes: Routes, targets: abc.Sequence[_messages.Target], now: float
-) -> Sorted:
+    routes: _peers.Routes, targets: abc.Sequence[_messages.Target], now: float
+) -> _peers.Sorted:
     """Return the usable targets by place, sorted seldom.
 
     For each call this would cost more than all else that is decided: a
@@ -372,7 +165,7 @@
     ):
         return known
     usable = _usable(routes, targets)
-    known = Sorted(
+    known = _peers.Sorted(
         targets,
         [each for each in usable if _is_near(routes, each)],
         [each for each in usable if each.region == routes.region],
@@ -385,12 +178,12 @@
     return known
 
 
-def _is_near(routes: Routes, target: _messages.Target) -> bool:
+def _is_near(routes: _peers.Routes, target: _messages.Target) -> bool:
     return target.failure_domain == routes.failure_domain
 
 
 def _least_service(
-    routes: Routes, targets: abc.Sequence[_messages.Target], now: float
+    routes: _peers.Routes, targets: abc.Sequence[_messages.Target], now: float
 ) -> float:
     """Return the seconds of service at the quickest heard of lately."""
     peers = (routes.peers.get(target.vm) for target in targets)
@@ -415,7 +208,7 @@
 
 
 def _usable(
-    routes: Routes, targets: abc.Sequence[_messages.Target]
+    routes: _peers.Routes, targets: abc.Sequence[_messages.Target]
 ) -> abc.Sequence[_messages.Target]:
     """Leave out the dead, and a bounded share of the ejected.
 
@@ -444,7 +237,7 @@
 
 
 def _less_busy(
-    routes: Routes,
+    routes: _peers.Routes,
     targets: abc.Sequence[_messages.Target],
     least: float,
     now: float,
--- a/tests/decisions/calls/test_routing.py
+++ b/tests/decisions/calls/test_routing.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sassafrasstair.decisions import calls
+from sassafrasstair.decisions.calls import _peers
 from sassafrasstair.decisions.calls import _routing
 from sassafrasstair import outcomes
 
@@ -20,7 +21,7 @@
 
 
 def _hear(
-    routes: _routing.Routes,
+    routes: _peers.Routes,
     vm: str,
     busy: float,
     now: float,
@@ -28,20 +29,20 @@
 ) -> None:
     told = calls.Load(busy=busy, limit=20.0, service=service)
     answer = calls.Answer(outcomes.Outcome.DONE, load=told, incarnation="one")
-    _routing.sent(routes, vm, now)
-    _routing.ended(routes, vm, answer, 0.1, now)
+    _peers.sent(routes, vm, now)
+    _peers.ended(routes, vm, answer, 0.1, now)
 
 
-def _picked(routes: _routing.Routes, now: float) -> collections.Counter[str]:
+def _picked(routes: _peers.Routes, now: float) -> collections.Counter[str]:
     rng = random.Random(1)
     found = [_routing.pick(routes, TARGETS, (), now, rng) for _ in range(100)]
     return collections.Counter(target.vm for target in found if target)
 
 
-def _fail(routes: _routing.Routes, vm: str, now: float) -> None:
-    for _ in range(_routing.FAILURES_TO_EJECT):
-        _routing.sent(routes, vm, now)
-        _routing.ended(routes, vm, LOST, 0.0, now)
+def _fail(routes: _peers.Routes, vm: str, now: float) -> None:
+    for _ in range(_peers.FAILURES_TO_EJECT):
+        _peers.sent(routes, vm, now)
+        _peers.ended(routes, vm, LOST, 0.0, now)
 
 
 @pytest.mark.parametrize(
@@ -51,7 +52,7 @@
 def test_own_domain_first_with_spill_over(
     near: float, far: float, expected: str
 ) -> None:
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     _hear(routes, "near", near, 1.0)
     for target in FAR:
         _hear(routes, target.vm, far, 1.0)
@@ -72,7 +73,7 @@
     longer than their callers could wait. Instances that only differ share
     the work as before.
     """
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     _hear(routes, "near", 0.5, 1.0, near)
     for target in FAR:
         _hear(routes, target.vm, 0.5, 1.0, far)
@@ -80,7 +81,7 @@
     assert all(vm.startswith(expected) for vm in picked)
 
 
-def _settle(routes: _routing.Routes, near: float, far: float) -> float:
+def _settle(routes: _peers.Routes, near: float, far: float) -> float:
     """Let instances answer for a while; return when the last did."""
     now = 1.0
     for _ in range(100):
@@ -98,7 +99,7 @@
     third of the calls crossed to another domain on a calm day, for bytes
     that are dear and no answer that came in better time.
     """
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     now = _settle(routes, near=0.06, far=0.02)
     _hear(routes, "near", 0.5, now, 0.09)
     assert set(_picked(routes, now)) == {"near"}
@@ -107,7 +108,7 @@
 @pytest.mark.parametrize("near", [0.02, 0.06])
 def test_instance_that_has_become_slow_is_left_soon(near: float) -> None:
     """An instance turns five times as slow; the others are as usual."""
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     now = _settle(routes, near=near, far=0.02)
     _hear(routes, "near", 0.5, now + 0.1, 5.0 * near)
     assert "near" not in _picked(routes, now + 0.1)
@@ -115,7 +116,7 @@
 
 def test_slow_instance_is_asked_again_after_a_while() -> None:
     """Nobody would else learn that it is quick again."""
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     _hear(routes, "near", 0.5, 1.0, 1.2)
     for at in (1.0, 2.2):
         for target in FAR:
@@ -124,7 +125,7 @@
 
 
 def test_only_a_ping_brings_an_ejected_instance_back() -> None:
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     _fail(routes, "near", 1.0)
     assert "near" not in _picked(routes, 50.0)
     assert calls.probe_due(routes, 1.0) == ["near"]
@@ -138,7 +139,7 @@
 
     All attempts fail at once, so that each instance looks like an outlier.
     """
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     for target in TARGETS:
         _fail(routes, target.vm, 1.0)
     assert sum(_picked(routes, 1.0).values()) == 100
@@ -154,7 +155,7 @@
     or was lost on a kept one, and its client could not try again. The first
     ping that is answered brings the service back.
     """
-    routes = _routing.Routes(HERE, "region", try_dead=False)
+    routes = _peers.Routes(HERE, "region", try_dead=False)
     for target in TARGETS:
         _fail(routes, target.vm, 1.0)
         calls.probed(routes, target.vm, False, 1.2)
@@ -165,7 +166,7 @@
 
 
 def test_cut_off_domain_uses_its_own() -> None:
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     _hear(routes, "near", 3.0, 1.0)
     for target in FAR:
         _fail(routes, target.vm, 1.0)
@@ -179,9 +180,9 @@
     Attempts to it are under way and none is answered. Waiting for their
     deadlines would send it seconds of further work.
     """
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     _hear(routes, "near", 0.1, 1.0)
-    _routing.sent(routes, "near", 1.0)
+    _peers.sent(routes, "near", 1.0)
     assert calls.probe_due(routes, 1.05) == []
     assert calls.probe_due(routes, 1.2) == ["near"]
     calls.probed(routes, "near", False, 1.3)
@@ -194,9 +195,9 @@
     For the half second of the ping all calls of the domain were still sent
     there, and those that must not run twice were lost.
     """
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     _hear(routes, "near", 0.1, 1.0)
-    _routing.sent(routes, "near", 1.0)
+    _peers.sent(routes, "near", 1.0)
     assert set(_picked(routes, 1.05)) == {"near"}
     assert "near" not in _picked(routes, 1.2)
     assert calls.probe_due(routes, 1.2) == ["near"]
@@ -206,7 +207,7 @@
 
 
 def test_gone_instances_are_forgotten() -> None:
-    routes = _routing.Routes(HERE, "region")
+    routes = _peers.Routes(HERE, "region")
     _fail(routes, "near", 1.0)
     assert calls.probe_due(routes, 100.0) == []
     assert not routes.peers
@@ -217,14 +218,14 @@
 
     It was left alone, and its old load and latency were held against it.
     """
-    routes = _routing.Routes(HERE, "region", try_dead=False)
+    routes = _peers.Routes(HERE, "region", try_dead=False)
     _hear(routes, "near", 5.0, 1.0, service=3.0)
     _fail(routes, "near", 1.1)
-    _routing.sent(routes, "near", 1.1)
-    _routing.probed(routes, "near", alive=False, now=1.2)
+    _peers.sent(routes, "near", 1.1)
+    _peers.probed(routes, "near", alive=False, now=1.2)
     assert "near" not in _picked(routes, 1.3)
-    _routing.restarted(routes, "near", 1.3)
+    _peers.restarted(routes, "near", 1.3)
     assert set(_picked(routes, 1.3)) == {"near"}
     assert routes.peers["near"].inflight == 1
-    _routing.restarted(routes, "unknown", 1.3)
+    _peers.restarted(routes, "unknown", 1.3)
     assert "unknown" not in routes.peers
