Split the entrance: finding the route, beginning, attempts

Cause: _entrance had grown to 446 lines and held the whole of a request's way; its first function did three jobs. Change: _attempts has all that follows the first send; handle is three steps. Nothing that is decided changes; the tests of the forwarder and the platform pass.

--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -27,13 +27,13 @@
 from sassafrasstair.decisions.calls._peers import eject
 from sassafrasstair.decisions.calls._peers import ended
 from sassafrasstair.decisions.calls._peers import forget
-from sassafrasstair.decisions.calls._routing import Leaving
-from sassafrasstair.decisions.calls._routing import pick
 from sassafrasstair.decisions.calls._peers import probe_due
 from sassafrasstair.decisions.calls._peers import probed
 from sassafrasstair.decisions.calls._peers import restarted
 from sassafrasstair.decisions.calls._peers import Routes
 from sassafrasstair.decisions.calls._peers import sent
+from sassafrasstair.decisions.calls._routing import Leaving
+from sassafrasstair.decisions.calls._routing import pick
 from sassafrasstair.decisions.calls._routing import why_left
 from sassafrasstair.decisions.calls._views import choose
 from sassafrasstair.decisions.calls._views import floors
--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -13,8 +13,8 @@
 
 from sassafrasstair.decisions.calls import _floors
 from sassafrasstair.decisions.calls import _messages
-from sassafrasstair.decisions.calls import _retries
 from sassafrasstair.decisions.calls import _peers
+from sassafrasstair.decisions.calls import _retries
 from sassafrasstair.decisions.calls import _routing
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import once
--- /dev/null
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -0,0 +1,337 @@
+"""Attempts of a request at instances, from the first to the last."""
+
+from __future__ import annotations
+
+import functools
+import math
+
+from sassafrasstair.decisions import admission
+from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import requests
+from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _callee
+from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _endings
+from sassafrasstair.forwarding import _records
+from sassafrasstair.forwarding import _state
+from sassafrasstair.forwarding import _sync
+from sassafrasstair.forwarding import _wire
+from sassafrasstair import httpio
+from sassafrasstair import outcomes
+
+WAIT_SHARE = 0.5
+"""The part of a route's objective, or of the time left if that is shorter,
+that a request may wait for a slot. Failure: a request waits at the callee to
+its timeout; its entrance can't know that it has not run, and a client that
+must not send it twice is told nothing that it could come back by."""
+
+
+def send(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    before: outcomes.Reason = outcomes.Reason.NO_INSTANCE,
+) -> None:
+    """Send the request to an instance not tried yet.
+
+    Without one, the end of the attempt ``before`` is the client's answer.
+    """
+    now = daemon.clock.monotonic()
+    progress = call.progress
+    targets = views.targets(daemon.view, progress.service)
+    target = calls.pick(
+        daemon.routes, targets, progress.tried, now, daemon.rng
+    )
+    if target is None:
+        _endings.give_up(daemon, call, before)
+        return
+    instance = views.instance(daemon.view, target.vm)
+    host = "" if instance is None else instance.host
+    left_for = calls.why_left(
+        daemon.routes, targets, target, progress.tried, now
+    )
+    requests.attempt_sent(progress, target.vm)
+    calls.sent(daemon.routes, target.vm, now)
+    born = views.born(daemon.view, target.vm)
+    attempt = _records.Attempt(target.vm, host, now, born, left_for)
+    call.attempt = attempt
+    left = progress.deadline - now
+    ask = _wire.Ask(
+        daemon.view.content,
+        target.vm,
+        progress.route.name,
+        progress.rank,
+        left,
+        WAIT_SHARE * min(progress.route.objective, left),
+    )
+    fields = [*call.fields, (daemon.names.target, target.vm.encode())]
+    if host == daemon.settings.daemons.host:
+        _send_here(daemon, call, attempt, ask, fields)
+    else:
+        _send_there(daemon, call, attempt, ask, fields)
+
+
+def lose_all(daemon: _state.Daemon, instance: str) -> None:
+    """End the attempts at an instance whose daemon is silent.
+
+    Those whose connection is still being made have not run and go
+    elsewhere. Of the others only those that may run again: for the rest the
+    answer may still come, and nothing is gained by not waiting for it.
+    """
+    for call in list(daemon.calls):
+        attempt = call.attempt
+        if attempt is None or attempt.instance != instance:
+            continue
+        ending = requests.Ending.UNSENT
+        reason = outcomes.Reason.PEER_UNREACHABLE
+        if may_have_run(daemon, attempt):
+            if not call.progress.route.idempotent:
+                continue
+            ending = requests.Ending.LOST
+            reason = outcomes.Reason.PEER_LOST
+        if attempt.job is not None:
+            attempt.job.abort()
+        _ended(daemon, call, ending, reason)
+
+
+def drop(daemon: _state.Daemon, call: _records.Call) -> None:
+    """Stop the attempt under way, through the callee's daemon too."""
+    attempt, call.attempt = call.attempt, None
+    if attempt is None:
+        return
+    calls.forget(daemon.routes, attempt.instance)
+    if attempt.job is not None:
+        attempt.job.abort()
+    elif attempt.run:
+        _callee.cancel(daemon, attempt.run)
+
+
+def may_have_run(daemon: _state.Daemon, attempt: _records.Attempt) -> bool:
+    """Return whether an attempt that is given up on may have run.
+
+    Not while its connection is still being made, nor while it waits for a
+    slot on this VM: both end with the attempt.
+    """
+    job = attempt.job
+    if job is None:
+        run = daemon.runs.get(attempt.run)
+        job = None if run is None else run.job
+    return job is not None and job.sent
+
+
+def _send_here(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    attempt: _records.Attempt,
+    ask: _wire.Ask,
+    fields: httpio.Fields,
+) -> None:
+    request = call.exchange.request
+    order = _records.Order(
+        ask,
+        daemon.settings.service,
+        call.request_id,
+        request.method,
+        request.target,
+        fields,
+        request.body,
+    )
+
+    def done(result: _records.Result) -> None:
+        if call.attempt is attempt:
+            _took(daemon, call, result.state, result.response)
+
+    attempt.run = _callee.offer(daemon, order, done)
+
+
+def _send_there(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    attempt: _records.Attempt,
+    ask: _wire.Ask,
+    fields: httpio.Fields,
+) -> None:
+    request = call.exchange.request
+    fields.append((_wire.ASK, _wire.encode_ask(ask)))
+    head = httpio.request_head(
+        request.method, request.target, fields, len(request.body)
+    )
+    _count_crossing(daemon, call, attempt, len(head) + len(request.body))
+    attempt.job = httpio.Job(
+        head + request.body,
+        functools.partial(_answered, daemon, call, attempt),
+        None,
+        request.method == b"HEAD",
+    )
+    _state.pool(daemon, attempt.host).send(attempt.job)
+
+
+def _count_crossing(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    attempt: _records.Attempt,
+    size: int,
+) -> None:
+    if attempt.left is None:
+        return
+    route = call.progress.route.name
+    _counters.crossed(daemon.counters, route, attempt.left.value, size)
+
+
+def _answered(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    attempt: _records.Attempt,
+    result: httpio.Response | httpio.Failure,
+) -> None:
+    """Take what came from another daemon."""
+    if call.attempt is not attempt:
+        return
+    if result is httpio.Failure.NOT_SENT:
+        if _is_current(daemon, attempt):
+            calls.eject(daemon.routes, attempt.instance)
+        _ended(
+            daemon,
+            call,
+            requests.Ending.UNSENT,
+            outcomes.Reason.PEER_UNREACHABLE,
+        )
+        return
+    if isinstance(result, httpio.Failure):
+        reason = outcomes.Reason.PEER_LOST
+        _ended(daemon, call, requests.Ending.LOST, reason)
+        return
+    try:
+        state = _wire.decode_state(result.found.get(_wire.STATE_KEY, b""))
+    except _wire.WireError as error:
+        daemon.journal.note("peer_malformed", error=str(error))
+        reason = outcomes.Reason.PEER_LOST
+        _ended(daemon, call, requests.Ending.LOST, reason)
+        return
+    _count_crossing(daemon, call, attempt, _size(result))
+    _sync.heard(daemon, attempt.host, state.content)
+    _took(daemon, call, state, result if state.ending is None else None)
+
+
+def _size(response: httpio.Response) -> int:
+    """Return about how many bytes an answer took on the network."""
+    head = sum(
+        len(name) + len(value) + 4 for _, name, value in response.fields
+    )
+    return head + len(response.body)
+
+
+def _took(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    state: _wire.State,
+    response: httpio.Response | None,
+) -> None:
+    """Take the word of the callee's daemon, its load first."""
+    attempt = call.attempt
+    if attempt is None:
+        return
+    now = daemon.clock.monotonic()
+    route = call.progress.route.name
+    here = admission.pressure(state.ahead, state.load.service)
+    busiest = max(here, state.below)
+    if state.inner:
+        level = math.floor(call.progress.rank)
+        admission.hear_inner(daemon.chains, route, level, busiest, now)
+    else:
+        admission.forget_inner(daemon.chains, route)
+        admission.hear(daemon.gates, route, busiest, now)
+    if response is None or state.ending is not None:
+        ending = state.ending or requests.Ending.LOST
+        _ended(daemon, call, ending, state.reason, state)
+        return
+    answer = calls.Answer(
+        outcomes.Outcome.DONE, load=state.load, incarnation=attempt.instance
+    )
+    _learn_from(daemon, attempt, answer, now)
+    if state.leaving:
+        calls.eject(daemon.routes, attempt.instance)
+    call.attempt = None
+    _endings.deliver(daemon, call, response)
+
+
+def _ended(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    ending: requests.Ending,
+    reason: outcomes.Reason,
+    state: _wire.State | None = None,
+) -> None:
+    """Take the end of an attempt that has no answer to pass on."""
+    attempt, call.attempt = call.attempt, None
+    if attempt is None:
+        return
+    now = daemon.clock.monotonic()
+    if reason is outcomes.Reason.INSTANCE_REPLACED:
+        told = views.note_replaced(daemon.view, attempt.instance)
+        _sync.learned(daemon, told, f"peer {attempt.host}")
+    lost = ending is requests.Ending.LOST
+    answer = calls.Answer(
+        outcomes.Outcome.UNKNOWN if lost else outcomes.Outcome.NOT_RUN,
+        reason,
+        calls.Load() if state is None else state.load,
+        incarnation="" if state is None else attempt.instance,
+    )
+    _learn_from(daemon, attempt, answer, now)
+    progress = call.progress
+    step = requests.attempt_ended(
+        progress,
+        ending,
+        window_of(daemon, progress.service),
+        daemon.settings.bounds.budget,
+        len(daemon.hosts) + 1,
+        now,
+    )
+    _counters.attempted(daemon.counters, progress.service, reason.value)
+    daemon.journal.request(
+        "attempt_ended",
+        reason.value,
+        request=call.request_id.decode("latin-1"),
+        route=progress.route.name,
+        instance=attempt.instance,
+        peer=attempt.host,
+        ending=ending,
+        step=step,
+        taken=now - attempt.sent,
+        left=progress.deadline - now,
+        revision=daemon.view.revision,
+    )
+    if step is requests.Step.RETRY:
+        send(daemon, call, reason)
+    else:
+        _endings.give_up(daemon, call, reason)
+
+
+def _learn_from(
+    daemon: _state.Daemon,
+    attempt: _records.Attempt,
+    answer: calls.Answer,
+    now: float,
+) -> None:
+    """Take what an attempt's end tells of the instance that was asked."""
+    if not _is_current(daemon, attempt):
+        calls.forget(daemon.routes, attempt.instance)
+        return
+    taken = now - attempt.sent
+    calls.ended(daemon.routes, attempt.instance, answer, taken, now)
+
+
+def _is_current(daemon: _state.Daemon, attempt: _records.Attempt) -> bool:
+    """Return whether the run that was asked is still the latest.
+
+    Failure: attempts at a run that has ended fail after the next run under
+    its id has begun, and that one is left alone for failures not its own.
+    """
+    born = views.born(daemon.view, attempt.instance)
+    return not attempt.born or attempt.born == born
+
+
+def window_of(daemon: _state.Daemon, service: str) -> requests.Window:
+    window = daemon.windows.get(service)
+    if window is None:
+        window = daemon.windows[service] = requests.new_window()
+    return window
--- a/src/sassafrasstair/forwarding/_probes.py
+++ b/src/sassafrasstair/forwarding/_probes.py
@@ -7,7 +7,7 @@
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import views
-from sassafrasstair.forwarding import _entrance
+from sassafrasstair.forwarding import _attempts
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _sync
 from sassafrasstair.forwarding import _wire
@@ -77,4 +77,4 @@
         daemon.journal.note("peer_lost", peer=host, instance=vm, reason=reason)
     calls.probed(daemon.routes, vm, False, now)
     _state.pool(daemon, host).drop_idle()
-    _entrance.lose_attempts(daemon, vm)
+    _attempts.lose_all(daemon, vm)
