Look for a call's request without copying what runs here

Cause: for each call of an upstream a record of every request at the own upstream was made, some 100 of them on a busy VM. Ruled out: an index by deadline, to be kept as runs come and go. Change: the run itself is what is looked at, with its rank and route. Before and after: not measured by itself; nothing that is decided changes, and the tests of admission and of the forwarder pass. Conclusion: kept for its processor time.

--- a/src/sassafrasstair/decisions/admission/_parents.py
+++ b/src/sassafrasstair/decisions/admission/_parents.py
@@ -40,8 +40,7 @@
 """Calls after which the counts are halved, so that they follow changes."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Running:
+class Running(typing.Protocol):
     """A request at the own upstream; ``deadline`` is when it expires."""
 
     deadline: float
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -130,13 +130,7 @@
     Only the own upstream calls an inner route here.
     """
     if admission.calls_on(daemon.chains, route.name):
-        running = [
-            admission.Running(
-                run.deadline, run.order.ask.rank, run.order.ask.route
-            )
-            for run in daemon.runs.values()
-            if run.job is not None
-        ]
+        running = [run for run in daemon.runs.values() if run.job is not None]
         rank = admission.parent_rank(
             daemon.parents, route.name, expires, running
         )
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -44,13 +44,16 @@
 class Run:
     """One request that waits for the upstream or is there.
 
-    ``guard`` is that of the run of the instance for which it came.
+    ``guard`` is that of the run of the instance for which it came; ``rank``
+    and ``route`` are the order's, looked at for each call that is made here.
     """
 
     order: Order
     deadline: float
     done: abc.Callable[[Result], None]
     guard: load.Guard
+    rank: float
+    route: str
     job: httpio.Job | None = None
 
 
--- a/tests/decisions/admission/test_parents.py
+++ b/tests/decisions/admission/test_parents.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import pytest
 
 from sassafrasstair.decisions import admission
 
-ORDER = admission.Running(10.6, 9.1, "order")
-LOOKUP = admission.Running(10.5, 7.3, "lookup")
+
+@dataclasses.dataclass
+class Request:
+    """A request at the own upstream."""
+
+    deadline: float
+    rank: float
+    route: str
+
+
+ORDER = Request(10.6, 9.1, "order")
+LOOKUP = Request(10.5, 7.3, "lookup")
 RUNNING = [LOOKUP, ORDER]
 
 
@@ -42,13 +53,11 @@
     assert admission.parent_rank(admission.Parents(), "r", 10.5, []) is None
 
 
-def _busy(rng: random.Random) -> list[admission.Running]:
+def _busy(rng: random.Random) -> list[Request]:
     """Return thirty requests; the important have more time left."""
     kinds = [("order", 9, 0.25), ("lookup", 7, 0.0), ("upload", 8, 1.0)]
     return [
-        admission.Running(
-            10.3 + 0.4 * rng.random() + more, level + rng.random(), route
-        )
+        Request(10.3 + 0.4 * rng.random() + more, level + rng.random(), route)
         for route, level, more in kinds * 10
     ]
 
