Score each target once, and let an attempt hold what it sends

Ruled out: nothing. Change: what is chosen comes with its seconds; the attempt holds ask and fields. The draws and comparisons are the same.

--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -49,6 +49,13 @@
 BUSY_SECONDS = 0.02
 
 
+class Scored(typing.NamedTuple):
+    """A target, and the seconds that an attempt is thought to lose there."""
+
+    target: _messages.Target
+    seconds: float
+
+
 def pick(
     routes: _peers.Routes,
     targets: abc.Sequence[_messages.Target],
@@ -62,17 +69,15 @@
     known = _sort(routes, targets, now)
     near = _untried(known.near, tried)
     best = _less_busy(routes, near, known.least, now, rng)
-    if best is not None and (
-        score(routes, best.vm, now, known.least) <= BUSY_SECONDS
-    ):
-        return best
+    if best is not None and best.seconds <= BUSY_SECONDS:
+        return best.target
     far = _untried(known.same_region, tried) or _untried(known.usable, tried)
     other = _less_busy(routes, far, known.least, now, rng)
-    if best is None or other is None:
-        return best or other
-    gain = score(routes, best.vm, now, known.least)
-    gain -= score(routes, other.vm, now, known.least)
-    return other if gain > SPILL_MARGIN else best
+    if best is None:
+        return None if other is None else other.target
+    if other is not None and best.seconds - other.seconds > SPILL_MARGIN:
+        return other.target
+    return best.target
 
 
 def score(
@@ -242,10 +247,13 @@
     least: float,
     now: float,
     rng: random.Random,
-) -> _messages.Target | None:
+) -> Scored | None:
     if not targets:
         return None
     count = len(targets)
     drawn = dict.fromkeys(int(rng.random() * count) for _ in range(DRAWN))
-    best = min(drawn, key=lambda at: score(routes, targets[at].vm, now, least))
-    return targets[best]
+    scored = [
+        Scored(targets[at], score(routes, targets[at].vm, now, least))
+        for at in drawn
+    ]
+    return min(scored, key=lambda each: each.seconds)
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -51,9 +51,6 @@
     )
     requests.attempt_sent(progress, target.vm)
     calls.sent(daemon.routes, target.vm, now)
-    born = views.born(daemon.view, target.vm)
-    attempt = _records.Attempt(target.vm, host, now, born, left_for)
-    call.attempt = attempt
     left = progress.deadline - now
     ask = _wire.Ask(
         daemon.view.content,
@@ -63,11 +60,20 @@
         left,
         WAIT_SHARE * min(progress.route.objective, left),
     )
-    fields = [*call.fields, (daemon.names.target, target.vm.encode())]
+    attempt = _records.Attempt(
+        target.vm,
+        host,
+        now,
+        views.born(daemon.view, target.vm),
+        ask,
+        [*call.fields, (daemon.names.target, target.vm.encode())],
+        left_for,
+    )
+    call.attempt = attempt
     if host == daemon.settings.daemons.host:
-        _send_here(daemon, call, attempt, ask, fields)
+        _send_here(daemon, call, attempt)
     else:
-        _send_there(daemon, call, attempt, ask, fields)
+        _send_there(daemon, call, attempt)
 
 
 def lose_all(daemon: _state.Daemon, instance: str) -> None:
@@ -122,17 +128,15 @@
     daemon: _state.Daemon,
     call: _records.Call,
     attempt: _records.Attempt,
-    ask: _wire.Ask,
-    fields: httpio.Fields,
 ) -> None:
     request = call.exchange.request
     order = _records.Order(
-        ask,
+        attempt.ask,
         daemon.settings.service,
         call.request_id,
         request.method,
         request.target,
-        fields,
+        attempt.fields,
         request.body,
     )
 
@@ -147,11 +151,9 @@
     daemon: _state.Daemon,
     call: _records.Call,
     attempt: _records.Attempt,
-    ask: _wire.Ask,
-    fields: httpio.Fields,
 ) -> None:
     request = call.exchange.request
-    fields.append((_wire.ASK, _wire.encode_ask(ask)))
+    fields = [*attempt.fields, (_wire.ASK, _wire.encode_ask(attempt.ask))]
     head = httpio.request_head(
         request.method, request.target, fields, len(request.body)
     )
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -62,14 +62,17 @@
     """The attempt under way.
 
     It goes over the network as ``job``, or as ``run`` to the instance on
-    this VM. ``born`` is the start of the instance that was asked, as the
-    view had it; ``left`` says why it is in another failure domain.
+    this VM, with ``ask`` and ``fields``. ``born`` is the start of the
+    instance that was asked, as the view had it; ``left`` says why it is in
+    another failure domain.
     """
 
     instance: str
     host: str
     sent: float
     born: int
+    ask: _wire.Ask
+    fields: httpio.Fields
     left: calls.Leaving | None = None
     job: httpio.Job | None = None
     run: str = ""
--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -117,7 +117,6 @@
     """One connection; ``httptools`` calls the ``on_`` methods."""
 
     __slots__ = (
-        "_continue",
         "_current",
         "_ending",
         "_head_size",
@@ -149,7 +148,6 @@
         self._since = listener.clock.monotonic()
         self._paused = False
         self._refused = False
-        self._continue = False
         self._ending = False
         self._unread = 0
 
