Take no page without a readable key for the end of a reading

Cause: a page of which no key can be read ended a reading as if it were whole, which would have removed every instance behind it; and an item without a key was counted once only, since it has no revision. Ruled out: going on after the key before, which gives the same page. Change: such a reading fails as malformed and is tried again; items without a key are counted each time, their lines bounded as all are. Before and after: the new test on the page fails before, passes now.

--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -172,12 +172,8 @@
 ) -> None:
     """Log and count each item that could not be used, once a revision."""
     for refusal in refused:
-        if daemon.refused.get(refusal.key) == refusal.revision:
+        if refusal.key and not _is_new(daemon, refusal):
             continue
-        daemon.refused.pop(refusal.key, None)
-        daemon.refused[refusal.key] = refusal.revision
-        if len(daemon.refused) > REFUSED_KEPT:
-            del daemon.refused[next(iter(daemon.refused))]
         reason = refusal.reason.partition(":")[0]
         _counters.refused(daemon.counters, reason)
         daemon.journal.request(
@@ -189,6 +185,17 @@
         )
 
 
+def _is_new(daemon: _state.Daemon, refusal: _dialect.Refusal) -> bool:
+    """Return whether the item had not been refused at this revision."""
+    if daemon.refused.get(refusal.key) == refusal.revision:
+        return False
+    daemon.refused.pop(refusal.key, None)
+    daemon.refused[refusal.key] = refusal.revision
+    if len(daemon.refused) > REFUSED_KEPT:
+        del daemon.refused[next(iter(daemon.refused))]
+    return True
+
+
 def _failed(daemon: _state.Daemon, error: _dialect.SourceError) -> None:
     now = daemon.clock.monotonic()
     if views.source_failed(daemon.view, now):
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -67,9 +67,14 @@
             items = _read_items(page.items, unread)
             read += items
             last = max((item.key for item in items), default="")
-            # A page of which no key can be read gives no place to go on.
-            if not page.has_more or last <= after:
+            if not page.has_more or not page.items:
                 break
+            if last <= after:
+                # Taken for the whole, what came so far would remove all that
+                # lies behind a page of which no key can be read.
+                raise forwarding.SourceError(
+                    forwarding.SourceReason.MALFORMED, "no key to go on from"
+                )
             after = last
         revision = 0 if first is None else first.store_revision
         changes, refused = _items.changes(read, self._regions)
--- a/tests/forwarding/test_sync.py
+++ b/tests/forwarding/test_sync.py
@@ -6,6 +6,7 @@
 
 from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
+from sassafrasstair.forwarding import _sync
 from tests.forwarding import place
 from tests.forwarding import test_path
 
@@ -105,3 +106,28 @@
         assert (await world.call(A, "/s/")).status == 200
 
     test_path.run(test())
+
+
+def test_item_that_cannot_be_used_is_told_once_a_revision() -> None:
+    """Another writer leaves a bad entry, which comes with each reading.
+
+    On-call engineers need the line once and the count in the metrics, not a
+    line with each reading.
+    """
+
+    async def test() -> None:
+        world = place.Place()
+        world.policy(3, place.route("/s/", "s"))
+        daemon = (await world.daemon(A, "front")).daemon
+        for revision in (7, 7, 8):
+            refusal = forwarding.Refusal("servers/x", revision, "state")
+            _sync._note_refused(daemon, [refusal])
+        unread = forwarding.Refusal("", 0, "not_an_object")
+        _sync._note_refused(daemon, [unread, unread])
+        assert daemon.counters.refusals == {"state": 2, "not_an_object": 2}
+        daemon.journal.flush_lines()
+        lines = b"".join(world.lines)
+        assert lines.count(b'"item_refused"') == 4
+        assert b'"key": "servers/x"' in lines
+
+    test_path.run(test())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -163,6 +163,23 @@
     _run(test())
 
 
+def test_page_without_a_key_to_go_on_from_is_no_whole_reading() -> None:
+    """A whole page can't be read, and more pages follow.
+
+    Taken for all that the store holds, the reading would have removed every
+    instance behind that page.
+    """
+
+    async def test() -> None:
+        page = {"items": [7, {}], "has_more": True, "store_revision": 9}
+        source, _ = await _store_of(_answer("200 OK", page))
+        with pytest.raises(forwarding.SourceError) as caught:
+            await source.read()
+        assert caught.value.reason is forwarding.SourceReason.MALFORMED
+
+    _run(test())
+
+
 def test_watch_tells_changes_and_removals() -> None:
     async def test() -> None:
         body = {
