Average what is heard of a chain and of a gate by one rule

Cause: the weight by time stood twice, with the same time constant, in the gates and in the loads of a chain. Ruled out: one least weight for both: they differ (0.02 and 0.1). Change: _averages.weight serves both; the test that switches it off names the new place and keeps its assertion. Nothing that is decided changes. Before and after: the tests of decisions, forwarder and load patterns pass.

--- a/src/sassafrasstair/decisions/admission/_admissions.py
+++ b/src/sassafrasstair/decisions/admission/_admissions.py
@@ -12,6 +12,8 @@
 import math
 import typing
 
+from sassafrasstair.decisions.admission import _averages
+
 if typing.TYPE_CHECKING:
     import random
 
@@ -27,8 +29,8 @@
 """By how much the target of a route is higher for each level of importance
 above the least, and its cuts smaller: it sheds only what shedding the lower
 ones has not cured."""
-SMOOTH_SECONDS = 0.15
-"""Time constant over which heard loads are averaged."""
+LEAST_WEIGHT = 0.02
+"""Of one answer in the average, however many come in one moment."""
 UPDATE_SECONDS = 0.1
 CUT = 0.25
 CUT_MOST = 0.15
@@ -80,9 +82,8 @@
     gate = admission.gates.get(route)
     if gate is None:
         gate = admission.gates[route] = Gate(updated=now)
-    weight = 1.0 - math.exp(-max(0.0, now - gate.heard) / SMOOTH_SECONDS)
-    # Many answers come in one moment: each must count for something.
-    gate.load += max(0.02, weight) * (load - gate.load)
+    weight = _averages.weight(now - gate.heard, LEAST_WEIGHT)
+    gate.load += weight * (load - gate.load)
     gate.heard = now
 
 
--- a/src/sassafrasstair/decisions/admission/_chains.py
+++ b/src/sassafrasstair/decisions/admission/_chains.py
@@ -7,12 +7,11 @@
 from __future__ import annotations
 
 import dataclasses
-import math
+
+from sassafrasstair.decisions.admission import _averages
 
 FADE_SECONDS = 0.3
 """A load that was not heard again for so long no longer counts."""
-SMOOTH_SECONDS = 0.15
-"""Time constant over which heard loads are averaged."""
 LEAST_WEIGHT = 0.1
 """Of one answer in the average, however many come in one moment."""
 
@@ -45,11 +44,8 @@
     if known is None:
         chains.heard[route, level] = Heard(load, now)
         return
-    # By time and not by answers. Failure: after a surge has filled a chain,
-    # few requests are let in, and a tenth of each answer's load went into the
-    # average, so that it stayed high for 5 s after the queues had drained.
-    faded = 1.0 - math.exp(-max(0.0, now - known.at) / SMOOTH_SECONDS)
-    known.load += max(LEAST_WEIGHT, faded) * (load - known.load)
+    weight = _averages.weight(now - known.at, LEAST_WEIGHT)
+    known.load += weight * (load - known.load)
     known.at = now
 
 
--- a/tests/loads/test_patterns.py
+++ b/tests/loads/test_patterns.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sassafrasstair.decisions import admission
-from sassafrasstair.decisions.admission import _chains
+from sassafrasstair.decisions.admission import _averages
 from tests.loads import chains
 
 SEEDS = (1, 2, 3)
@@ -43,7 +43,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The same with an average that each answer moves by a tenth."""
-    monkeypatch.setattr(_chains, "SMOOTH_SECONDS", 1e9)
+    monkeypatch.setattr(_averages, "SMOOTH_SECONDS", 1e9)
     assert statistics.mean(map(_power_back, SEEDS)) < 0.94
 
 
