Check ports and JSON objects of the platform's texts in one place

Cause: settings and entries each checked a port, items and entries each decoded a JSON object, with the same errors. Ruled out: the strict decoder of settings and bundles, which refuses unknown fields; the platform may add some. Change: platform/_checks serves all; each caller turns its error into its own as before. Before and after: the tests of items, store and settings pass unchanged.

--- a/src/sassafrasstair/platform/_entries.py
+++ b/src/sassafrasstair/platform/_entries.py
@@ -12,9 +12,8 @@
 import re
 import typing
 
-import msgspec
-
 from sassafrasstair.decisions import views
+from sassafrasstair.platform import _checks
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -31,7 +30,7 @@
     "ready": views.InstanceState.READY,
     "draining": views.InstanceState.LEAVING,
 }
-_PORTS = range(1, 65_536)
+_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
 
 
 class EntryError(Exception):
@@ -79,12 +78,9 @@
 
 def _fields(value: bytes) -> dict[str, object]:
     try:
-        found = msgspec.json.decode(value)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise EntryError("not_json") from error
-    if not isinstance(found, dict):
-        raise EntryError("not_an_object")
-    return found
+        return _checks.read_object(value)
+    except _checks.ObjectError as error:
+        raise EntryError(error.reason) from error
 
 
 def _name(fields: abc.Mapping[str, object], name: str) -> str:
@@ -110,21 +106,17 @@
 
 
 def _address(fields: abc.Mapping[str, object]) -> tuple[str, int]:
-    host, _, port = _name(fields, "address").rpartition(":")
+    host, _, digits = _name(fields, "address").rpartition(":")
     try:
         ip = ipaddress.IPv4Address(host)
     except ValueError as error:
         raise EntryError("address") from error
     if ip.is_unspecified or ip.is_multicast or ip == _BROADCAST:
         raise EntryError("address")
-    if not (port.isascii() and port.isdigit() and len(port) <= 5):
-        raise EntryError("address")
-    if int(port) not in _PORTS:
+    port = _checks.read_port(digits)
+    if port is None:
         raise EntryError("address")
-    return host, int(port)
-
-
-_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
+    return host, port
 
 
 def _state(fields: abc.Mapping[str, object]) -> views.InstanceState:
--- a/src/sassafrasstair/platform/_items.py
+++ b/src/sassafrasstair/platform/_items.py
@@ -11,16 +11,17 @@
 import dataclasses
 import typing
 
-import msgspec
-
 from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
+from sassafrasstair.platform import _checks
 from sassafrasstair.platform import _documents
 from sassafrasstair.platform import _entries
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    import msgspec
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
@@ -43,11 +44,9 @@
 def read(raw: msgspec.Raw) -> Item:
     """Return one item; raises ``ItemError``."""
     try:
-        found = msgspec.json.decode(raw)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise ItemError("not_json") from error
-    if not isinstance(found, dict):
-        raise ItemError("not_an_object")
+        found = _checks.read_object(raw)
+    except _checks.ObjectError as error:
+        raise ItemError(error.reason) from error
     key, revision = found.get("key"), _revision(found.get("revision"))
     if not isinstance(key, str) or not key:
         raise ItemError("key")
--- a/src/sassafrasstair/platform/_settings.py
+++ b/src/sassafrasstair/platform/_settings.py
@@ -6,6 +6,7 @@
 
 from sassafrasstair.decisions import requests
 from sassafrasstair import forwarding
+from sassafrasstair.platform import _checks
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -16,7 +17,6 @@
 _MEGABYTE = 1_000_000
 NUMBER_MAX = 1e9
 """No duration, size or share of the settings comes near."""
-PORT_MAX = 65_535
 
 
 def decode(text: str) -> forwarding.Settings:
@@ -98,13 +98,9 @@
     return _parse_address(key, _text(values, key))
 
 
-def _is_port(text: str) -> bool:
-    digits = text.isascii() and text.isdigit() and len(text) <= 5
-    return digits and 0 < int(text) <= PORT_MAX
-
-
 def _parse_address(key: str, value: str) -> forwarding.Address:
-    host, _, port = value.rpartition(":")
-    if not host or not _is_port(port):
+    host, _, digits = value.rpartition(":")
+    port = _checks.read_port(digits)
+    if not host or port is None:
         raise forwarding.SettingsError(f"{key}: not IP:PORT: {value}")
-    return forwarding.Address(host, int(port))
+    return forwarding.Address(host, port)
