Share the samples of the store's items between its tests

Cause: the entry, the route, the item around them and the instance that they name stood in two tests. Ruled out: leaving out the checks of one: they look at different layers. Change: tests/platform/samples.py; every assertion stays.

--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import json
 import typing
 
@@ -14,30 +15,14 @@
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import views
 from sassafrasstair.platform import _items
+from tests.platform import samples
 
-REGIONS = {"a": "r1"}
-ENTRY: dict[str, object] = {
-    "service": "s",
-    "address": "10.0.0.5:80",
-    "zone": "a",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "warmup_ms": 1500,
-    "seq": 4,
-    "born": 1_700_000_000_123,
+BORN = 1_700_000_000_123
+ENTRY = samples.ENTRY | {"born": BORN}
+CONFIG: dict[str, object] = {
+    "version": "r12",
+    "routes": {"one": samples.ROUTE},
 }
-ROUTE: dict[str, object] = {
-    "host": "h",
-    "prefix": "/a/",
-    "type": "safe",
-    "timeout_ms": 800,
-    "target_latency_ms": 300,
-    "priority": 0,
-    "service": "s",
-    "max_attempts": 2,
-}
-CONFIG: dict[str, object] = {"version": "r12", "routes": {"one": ROUTE}}
 MISSING = object()
 
 
@@ -45,20 +30,6 @@
     return msgspec.Raw(json.dumps(value).encode())
 
 
-def _text(value: object) -> str:
-    return base64.b64encode(json.dumps(value).encode()).decode()
-
-
-def _written(key: str, value: object, revision: int = 6) -> dict[str, object]:
-    return {
-        "key": key,
-        "value": _text(value),
-        "revision": revision,
-        "created": 5,
-        "lease": 0,
-    }
-
-
 def _changed(fields: dict[str, object], **news: object) -> dict[str, object]:
     changed = fields | news
     return {key: value for key, value in changed.items() if value != MISSING}
@@ -73,28 +44,14 @@
             read.append(_items.read(_raw(item)))
         except _items.ItemError as error:
             reasons.append(str(error))
-    changes, refused = _items.changes(read, REGIONS)
+    changes, refused = _items.changes(read, samples.REGIONS)
     return changes, [*reasons, *(each.reason for each in refused)]
 
 
 def test_good_entry_is_read_whole() -> None:
-    changes, refused = _changes(_written("servers/i-1", ENTRY))
+    changes, refused = _changes(samples.item("servers/i-1", ENTRY))
     assert not refused
-    assert changes == (
-        views.Instance(
-            "i-1",
-            "s",
-            "10.0.0.5",
-            80,
-            5,
-            "a",
-            "r1",
-            8,
-            views.InstanceState.READY,
-            1.5,
-            1_700_000_000_123,
-        ),
-    )
+    assert changes == (dataclasses.replace(samples.INSTANCE, born=BORN),)
 
 
 @pytest.mark.parametrize(
@@ -144,8 +101,8 @@
     Taken, it would draw requests to an address where nobody answers, or
     spoil the sums over slots and warm-up times.
     """
-    bad = _written("servers/bad", _changed(ENTRY, **{field: value}))
-    good = _written("servers/good", ENTRY)
+    bad = samples.item("servers/bad", _changed(ENTRY, **{field: value}))
+    good = samples.item("servers/good", ENTRY)
     changes, refused = _changes(bad, good)
     assert refused == [field]
     assert changes[0] == views.Unusable("bad")
@@ -154,7 +111,7 @@
 
 @pytest.mark.parametrize("key", ["servers/", "servers/a b", "servers/a\r\nb"])
 def test_id_that_fits_no_header_field_names_no_instance(key: str) -> None:
-    changes, refused = _changes(_written(key, ENTRY))
+    changes, refused = _changes(samples.item(key, ENTRY))
     assert refused == ["id"]
     assert not any(isinstance(each, views.Instance) for each in changes)
 
@@ -166,7 +123,7 @@
         ({"value": 7}, "value"),
         ({"value": None}, "value"),
         ({"value": MISSING}, "value"),
-        ({"value": _text([1])}, "not_an_object"),
+        ({"value": samples.encoded([1])}, "not_an_object"),
         ({"value": base64.b64encode(b"\xff{").decode()}, "not_json"),
         ({"value": base64.b64encode(b"[" * 9999).decode()}, "not_json"),
         ({"key": MISSING}, "key"),
@@ -184,8 +141,8 @@
     The daemon refused the whole answer, asked again, got it again, and
     learnt nothing more at all.
     """
-    bad = _changed(_written("servers/bad", ENTRY), **change)
-    good = _written("servers/good", ENTRY)
+    bad = _changed(samples.item("servers/bad", ENTRY), **change)
+    good = samples.item("servers/good", ENTRY)
     changes, refused = _changes(bad, good)
     assert refused == [reason]
     assert [each.id for each in changes if isinstance(each, views.Instance)]
@@ -193,7 +150,7 @@
 
 @pytest.mark.parametrize("item", [7, None, "x", [1, 2], True])
 def test_item_of_another_shape_is_passed_over(item: object) -> None:
-    changes, refused = _changes(item, _written("servers/good", ENTRY))
+    changes, refused = _changes(item, samples.item("servers/good", ENTRY))
     assert refused == ["not_an_object"]
     assert len(changes) == 1
 
@@ -217,8 +174,8 @@
 def test_policy_that_cannot_be_served_by_is_refused(
     change: dict[str, object],
 ) -> None:
-    config = CONFIG | {"routes": {"one": _changed(ROUTE, **change)}}
-    changes, refused = _changes(_written("op/config", config))
+    config = CONFIG | {"routes": {"one": _changed(samples.ROUTE, **change)}}
+    changes, refused = _changes(samples.item("op/config", config))
     assert not changes
     assert len(refused) == 1
     assert refused[0].startswith("policy: ")
@@ -226,7 +183,7 @@
 
 def test_policy_tells_its_services() -> None:
     config = CONFIG | {"services": {"s": {}, "t": {}}}
-    changes, _ = _changes(_written("op/config", config))
+    changes, _ = _changes(samples.item("op/config", config))
     assert isinstance(changes[0], policies.Policy)
     assert changes[0].services == ("s", "t")
 
@@ -250,8 +207,8 @@
 )
 _value = (
     st.binary(max_size=40).map(lambda raw: base64.b64encode(raw).decode())
-    | _mutated.map(_text)
-    | _json.map(_text)
+    | _mutated.map(samples.encoded)
+    | _json.map(samples.encoded)
     | _json
 )
 _item = (
@@ -274,8 +231,8 @@
 def test_good_entries_hold_among_any_others(
     before: list[typing.Any], after: list[typing.Any]
 ) -> None:
-    good = _written("servers/good", ENTRY)
-    policy = _written("op/config", CONFIG)
+    good = samples.item("servers/good", ENTRY)
+    policy = samples.item("op/config", CONFIG)
     others = [
         each
         for each in [*before, *after]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import json
 import typing
 
@@ -14,31 +13,13 @@
 from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
 from sassafrasstair.platform import _store
+from tests.platform import samples
 
 HOST = "127.0.0.1"
-ENTRY = {
-    "service": "s",
-    "address": "10.0.0.5:80",
-    "zone": "a",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "warmup_ms": 1500,
-    "seq": 4,
-}
 CONFIG = {
     "version": "r12",
     "routes": {
-        "one": {
-            "host": "h",
-            "prefix": "/a/",
-            "type": "safe",
-            "timeout_ms": 800,
-            "target_latency_ms": 300,
-            "priority": 0,
-            "service": "s",
-            "max_attempts": 2,
-        },
+        "one": samples.ROUTE,
         "two": {
             "host": "h",
             "prefix": "/b/",
@@ -56,17 +37,6 @@
 }
 
 
-def _item(key: str, value: object, revision: int) -> dict[str, object]:
-    text = base64.b64encode(json.dumps(value).encode()).decode()
-    return {
-        "key": key,
-        "value": text,
-        "revision": revision,
-        "created": 5,
-        "lease": 0,
-    }
-
-
 def _answer(status: str, body: object) -> bytes:
     text = json.dumps(body).encode()
     return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (
@@ -107,7 +77,7 @@
     server = await asyncio.start_server(serve, HOST, 0)
     port = server.sockets[0].getsockname()[1]
     address = forwarding.Address(HOST, port)
-    client = _store.open_store(address, {"a": "r1"}, clocks.SystemClock())
+    client = _store.open_store(address, samples.REGIONS, clocks.SystemClock())
     return client, asked
 
 
@@ -118,15 +88,15 @@
 def test_reading_joins_the_pages() -> None:
     async def test() -> None:
         first = {
-            "items": [_item("op/config", CONFIG, 5)],
+            "items": [samples.item("op/config", CONFIG, 5)],
             "has_more": True,
             "store_revision": 7,
         }
         second = {
             "items": [
-                _item("servers/i-1", ENTRY, 6),
-                _item("my/other", 1, 6),
-                _item("servers/i-2", {"service": 3}, 6),
+                samples.item("servers/i-1", samples.ENTRY, 6),
+                samples.item("my/other", 1, 6),
+                samples.item("servers/i-2", {"service": 3}, 6),
             ],
             "has_more": False,
             "store_revision": 9,
@@ -146,18 +116,7 @@
         assert (two.idempotent, two.importance) == (False, 7)
         assert [share.weight for share in two.shares] == [9.0, 1.0]
         assert policy.limits.head_bytes == 1000
-        assert instance == views.Instance(
-            "i-1",
-            "s",
-            "10.0.0.5",
-            80,
-            5,
-            "a",
-            "r1",
-            8,
-            views.InstanceState.READY,
-            1.5,
-        )
+        assert instance == samples.INSTANCE
         assert "after=op%2Fconfig" in asked[1]
 
     _run(test())
@@ -184,7 +143,9 @@
     async def test() -> None:
         body = {
             "events": [
-                _item("servers/i-1", ENTRY | {"state": "draining"}, 11),
+                samples.item(
+                    "servers/i-1", samples.ENTRY | {"state": "draining"}, 11
+                ),
                 {"key": "servers/i-2", "revision": 12, "removed": True},
                 {"key": "op/else", "revision": 13, "removed": True},
             ],
