Run the chain model on the bench's own virtual clock

Cause: the model kept a heap of events of its own, where the overload model has a timeline. Ruled out: the whole world of the overload model, whose decisions are those of the product's other path. Change: Timeline carries the events; the draws and their order are the same.

--- a/tests/loads/chains.py
+++ b/tests/loads/chains.py
@@ -10,12 +10,11 @@
 from __future__ import annotations
 
 import dataclasses
-import functools
-import heapq
 import itertools
 import random
 import typing
 
+from sassafrasstair.bench import _model_clock
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import load
@@ -111,7 +110,7 @@
         work_seconds: float = 0.03,
     ) -> None:
         self.rng = random.Random(seed)
-        self.now = 0.0
+        self.timeline = _model_clock.Timeline()
         self.kinds = kinds
         self.speeds = dict(enumerate(speeds))
         self.work_seconds = work_seconds
@@ -136,17 +135,19 @@
         self.crossed = 0
         self.peeks = 0
         self._serial = itertools.count()
-        self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._attempts: dict[str, tuple[Peek, str]] = {}
         self._after(0.0, self._tick)
         for kind in kinds:
-            self._after(self._pause(kind), functools.partial(self._come, kind))
+            self._after(self._pause(kind), self._come, kind)
+
+    @property
+    def now(self) -> float:
+        """Seconds of the virtual clock."""
+        return self.timeline.now
 
     def run(self, seconds: float) -> None:
         """Play until the clock shows so many seconds."""
-        while self._events and self._events[0][0] <= seconds:
-            self.now, _, event = heapq.heappop(self._events)
-            event()
+        self.timeline.run(seconds)
 
     def remove(self, domain: int) -> None:
         """Let the domain's instance leave."""
@@ -164,9 +165,13 @@
                 done += kind.worth * tally.done.get(at, 0)
         return done / max(1.0, asked)
 
-    def _after(self, seconds: float, event: abc.Callable[[], None]) -> None:
-        at = self.now + seconds
-        heapq.heappush(self._events, (at, next(self._serial), event))
+    def _after(
+        self,
+        seconds: float,
+        action: abc.Callable[..., None],
+        *args: typing.Any,
+    ) -> None:
+        self.timeline.at(self.now + seconds, action, *args)
 
     def _pause(self, kind: Kind) -> float:
         return self.rng.expovariate(kind.per_second * self.surge(self.now))
@@ -177,7 +182,7 @@
         self._after(TICK_SECONDS, self._tick)
 
     def _come(self, kind: Kind) -> None:
-        self._after(self._pause(kind), lambda: self._come(kind))
+        self._after(self._pause(kind), self._come, kind)
         tally = self.tallies[kind.name]
         second = int(self.now)
         tally.asked[second] = tally.asked.get(second, 0) + 1
@@ -200,7 +205,8 @@
         for _ in range(kind.rows):
             self._after(
                 work,
-                lambda: self._send(Peek(request, kind.row_calls)),
+                self._send,
+                Peek(request, kind.row_calls),
             )
 
     def _send(self, peek: Peek) -> None:
@@ -241,7 +247,9 @@
                 refused = self.rng.random() < self.refusing(self.now)
                 self._after(
                     HOP_SECONDS if refused else seconds + HOP_SECONDS,
-                    functools.partial(self._finish, attempt, refused),
+                    self._finish,
+                    attempt,
+                    refused,
                 )
             elif isinstance(effect, load.Turn):
                 self._answered(attempt, effect.reason)
