Keep the repeats of all daemons within the budget, however many they are

Cause, found by reading: each daemon could spend one repeat a window of the slack, whatever its part. 195 daemons at four hops could repeat several hundred times where 213 were allowed, and 1,333 far more. Seconds were counted whole and dropped while still partly in the sliding window.

Change: where the slack has fewer repeats than there are daemons, the first of an order by a hash of service and host have one each, so that the parts sum up to a hop's share of it by construction. Repeats of a second that is partly in the window count, requests don't.

Test: the rule's own arithmetic over sliding windows, 1 to 195 daemons, with bursts and daemons that start anew; the parts alone up to 1,333.

--- a/src/sassafrasstair/decisions/requests/__init__.py
+++ b/src/sassafrasstair/decisions/requests/__init__.py
@@ -6,6 +6,7 @@
 from sassafrasstair.decisions.requests._budgets import BudgetRules
 from sassafrasstair.decisions.requests._budgets import new_window
 from sassafrasstair.decisions.requests._budgets import note_request
+from sassafrasstair.decisions.requests._budgets import slack_part
 from sassafrasstair.decisions.requests._budgets import Window
 from sassafrasstair.decisions.requests._progress import attempt_ended
 from sassafrasstair.decisions.requests._progress import attempt_sent
@@ -30,4 +31,5 @@
     "note_request",
     "outcome",
     "retry_after",
+    "slack_part",
 ]
--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -80,7 +80,6 @@
     ending: Ending,
     window: _budgets.Window,
     rules: _budgets.BudgetRules,
-    daemons: int,
     now: float,
 ) -> Step:
     """Note how an attempt ended and return what follows.
@@ -101,7 +100,7 @@
         return Step.GIVE_UP
     if ending in (Ending.UNSENT, Ending.TURNED_AWAY):
         return Step.RETRY
-    if _budgets.allow(window, rules, daemons, now):
+    if _budgets.allow(window, rules, now):
         return Step.RETRY
     return Step.GIVE_UP
 
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -286,7 +286,6 @@
         ending,
         window_of(daemon, progress.service),
         daemon.settings.bounds.budget,
-        len(daemon.hosts) + 1,
         now,
     )
     _counters.attempted(daemon.counters, progress.service, reason.value)
@@ -337,5 +336,7 @@
     """Return the retry budget's window of a service."""
     window = daemon.windows.get(service)
     if window is None:
-        window = daemon.windows[service] = requests.new_window()
+        window = daemon.windows[service] = requests.new_window(
+            _state.slack_part(daemon, service)
+        )
     return window
--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -104,7 +104,10 @@
     if not told:
         return
     view, settings = daemon.view, daemon.settings
+    known = daemon.hosts
     daemon.hosts = views.neighbours(view, settings.daemons.host)
+    if daemon.hosts != known:
+        _state.share_slack(daemon)
     daemon.services = views.count_services(view)
     daemon.least_importance = views.least_importance(view)
     hosts = views.hosts_by_domain(view)
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -165,6 +165,22 @@
     return feeds.timing(min(bounds.drain_seconds, bounds.propagation_seconds))
 
 
+def slack_part(daemon: Daemon, service: str) -> float:
+    """Return this daemon's part of a service's slack for repeats."""
+    return requests.slack_part(
+        daemon.settings.bounds.budget,
+        service,
+        daemon.hosts,
+        daemon.settings.daemons.host,
+    )
+
+
+def share_slack(daemon: Daemon) -> None:
+    """Take anew the parts of the slack: other daemons are known."""
+    for service, window in daemon.windows.items():
+        window.slack = slack_part(daemon, service)
+
+
 def start_task(
     daemon: Daemon, work: typing.Coroutine[typing.Any, typing.Any, None]
 ) -> None:
