--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -9,7 +9,6 @@
 import typing
 
 from sassafrasstair.decisions import admission
-from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _callee
@@ -23,6 +22,7 @@
 from sassafrasstair.forwarding import _probes
 from sassafrasstair.forwarding import _questions
 from sassafrasstair.forwarding import _state
+from sassafrasstair.forwarding import _status
 from sassafrasstair.forwarding import _sync
 from sassafrasstair import httpio
 
@@ -71,7 +71,7 @@
         )
         self.daemons.limits = DAEMON_LIMITS
         self.operators = _listener(
-            daemon, functools.partial(_serve_operator, daemon), refuse
+            daemon, functools.partial(_status.serve, daemon), refuse
         )
         self.operators.limits = OPERATOR_LIMITS
         self.mark = daemon.dialect.settings_mark()
@@ -140,7 +140,7 @@
     if at != settings.operators:
         scraped = _listener(
             running.daemon,
-            functools.partial(_serve_operator, running.daemon),
+            functools.partial(_status.serve, running.daemon),
             functools.partial(_refusal, running.daemon),
         )
         await scraped.open(at.host, at.port)
@@ -161,40 +161,6 @@
     return [(b"Retry-After", b"0.5")] if status == 503 else []
 
 
-def _serve_operator(daemon: _state.Daemon, exchange: httpio.Exchange) -> None:
-    path = exchange.request.target.partition(b"?")[0]
-    if path == daemon.dialect.ready_path:
-        ready = views.knows(daemon.view) and not daemon.leaving
-        exchange.respond(200 if ready else 503, [], b"")
-    elif path == b"/metrics":
-        body = _counters.render(daemon.counters, _gauges(daemon))
-        exchange.respond(200, [(b"Content-Type", b"text/plain")], body)
-    else:
-        exchange.respond(404, [], b"")
-
-
-def _gauges(daemon: _state.Daemon) -> dict[str, float]:
-    table = daemon.view.table
-    feed = daemon.feed
-    now = daemon.clock.monotonic()
-    return {
-        "reads_store": int(feeds.reads(feed)),
-        "feed_rank": len(feed.before),
-        "feed_seconds": now - feed.since,
-        "view_age_seconds": now - max(daemon.view.answered, feed.started),
-        "questions_kept": len(daemon.questions),
-        "policy_version": 0 if table is None else table.policy.version,
-        "store_revision": daemon.view.revision,
-        "calls_in_flight": len(daemon.calls),
-        "runs_in_flight": len(daemon.runs),
-        "instances_known": len(daemon.view.instances),
-        "body_bytes_held": daemon.memory.held,
-        "upstream_connections_opened": daemon.upstream.opened,
-        "leaving": int(daemon.leaving),
-        "upstream_leaving": int(daemon.upstream_leaving),
-    }
-
-
 async def _tick_forever(running: Running) -> None:
     count = 0
     while True:
--- /dev/null
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -0,0 +1,113 @@
+"""What a daemon tells operators: readiness, metrics, whom it follows."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from sassafrasstair.decisions import feeds
+from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _counters
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair.forwarding import _state
+    from sassafrasstair import httpio
+
+METRICS_PATH = b"/metrics"
+FEED_PATH = b"/feed"
+STORE = "store"
+_NOBODY = "nobody"
+
+
+class FeedStatus(msgspec.Struct, frozen=True):
+    """Where a daemon's news come from; ages in seconds.
+
+    ``parent`` is the host that it follows, ``store`` or ``nobody``;
+    ``avoided`` and ``lost`` are hosts that it passes over.
+    """
+
+    parent: str
+    since: float
+    view_age: float
+    store_lost: float | None
+    revision: int
+    content: int
+    policy: int
+    rank: int
+    known: int
+    waiting: int
+    avoided: tuple[str, ...]
+    lost: tuple[str, ...]
+
+
+def serve(daemon: _state.Daemon, exchange: httpio.Exchange) -> None:
+    """Answer one request of an operator or of the platform."""
+    path = exchange.request.target.partition(b"?")[0]
+    if path == daemon.dialect.ready_path:
+        ready = views.knows(daemon.view) and not daemon.leaving
+        exchange.respond(200 if ready else 503, [], b"")
+    elif path == METRICS_PATH:
+        body = _counters.render(daemon.counters, _gauges(daemon))
+        exchange.respond(200, [(b"Content-Type", b"text/plain")], body)
+    elif path == FEED_PATH:
+        body = msgspec.json.encode(feed_status(daemon))
+        exchange.respond(200, [(b"Content-Type", b"application/json")], body)
+    else:
+        exchange.respond(404, [], b"")
+
+
+def feed_status(daemon: _state.Daemon) -> FeedStatus:
+    """Return where the daemon's news come from now."""
+    view, feed = daemon.view, daemon.feed
+    now = daemon.clock.monotonic()
+    return FeedStatus(
+        parent=parent_name(feed.parent),
+        since=now - feed.since,
+        view_age=_view_age(daemon, now),
+        store_lost=now - view.failing if view.failing <= now else None,
+        revision=view.revision,
+        content=view.content,
+        policy=-1 if view.table is None else view.table.policy.version,
+        rank=len(feed.before),
+        known=len(feed.hosts),
+        waiting=len(daemon.questions),
+        avoided=_current(feed.avoided, now),
+        lost=_current(feed.lost, now),
+    )
+
+
+def parent_name(parent: str | None) -> str:
+    """Return whom a daemon follows, as logs and operators are told."""
+    return _NOBODY if parent is None else parent or STORE
+
+
+def _gauges(daemon: _state.Daemon) -> dict[str, float]:
+    table = daemon.view.table
+    feed = daemon.feed
+    now = daemon.clock.monotonic()
+    return {
+        "reads_store": int(feeds.reads(feed)),
+        "feed_rank": len(feed.before),
+        "feed_seconds": now - feed.since,
+        "view_age_seconds": _view_age(daemon, now),
+        "questions_kept": len(daemon.questions),
+        "policy_version": 0 if table is None else table.policy.version,
+        "store_revision": daemon.view.revision,
+        "calls_in_flight": len(daemon.calls),
+        "runs_in_flight": len(daemon.runs),
+        "instances_known": len(daemon.view.instances),
+        "body_bytes_held": daemon.memory.held,
+        "upstream_connections_opened": daemon.upstream.opened,
+        "leaving": int(daemon.leaving),
+        "upstream_leaving": int(daemon.upstream_leaving),
+    }
+
+
+def _view_age(daemon: _state.Daemon, now: float) -> float:
+    """Return how long ago the last word of the store came, by any way."""
+    return now - max(daemon.view.answered, daemon.feed.started)
+
+
+def _current(passed: dict[str, float], now: float) -> tuple[str, ...]:
+    return tuple(sorted(host for host, end in passed.items() if end > now))
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -13,6 +13,7 @@
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _state
+from sassafrasstair.forwarding import _status
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
 
@@ -38,7 +39,8 @@
         case feeds.Ask(host, hold, within):
             await _ask(daemon, host, hold, within)
         case feeds.Read(stale):
-            await _read(daemon, "read", daemon.source.read(stale), stale)
+            verb = "read_stale" if stale else "read"
+            await _read(daemon, verb, daemon.source.read(stale), stale)
         case feeds.Watch(seconds):
             watch = daemon.source.watch(daemon.view.revision, seconds)
             await _read(daemon, "watch", watch, False)
@@ -168,8 +170,8 @@
     _counters.believed(daemon.counters, "parent_changed")
     daemon.journal.note(
         "follows",
-        parent=feed.parent or "store",
-        before="nobody" if before is None else before or "store",
+        parent=_status.parent_name(feed.parent),
+        before=_status.parent_name(before),
         rank=len(feed.before),
         known=len(feed.hosts),
         revision=daemon.view.revision,
--- a/tests/fleets/test_faults.py
+++ b/tests/fleets/test_faults.py
@@ -15,11 +15,16 @@
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions.feeds import _feeds
 from sassafrasstair.decisions.feeds import _orders
+from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _questions
 from sassafrasstair.forwarding import _state
 from tests.fleets import fleet as fleet_module
 from tests.fleets import loops
+from tests.fleets import networks
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair import httpio
 
 Fleet = fleet_module.Fleet
 BOUND = fleet_module.BOUND
@@ -391,3 +396,34 @@
         assert per_second < 194 / fleet_module.BOUND * 4 + 6 * 3
 
     loops.run(test())
+
+
+def test_versions_side_by_side() -> None:
+    """A release: every second daemon is of the version before.
+
+    Those answer at once with all that they know and can't be waited at. Who
+    would follow one reads the store, and asks nobody again and again.
+    """
+
+    async def test() -> None:
+        fleet = Fleet(36, 3)
+        await fleet.start()
+        for host in fleet.hosts[::2]:
+            fleet.network.serve[host] = _as_before(fleet.network.serve[host])
+        asked = fleet.network.questions
+        for _ in range(4):
+            assert await fleet.spread() < BOUND
+            await asyncio.sleep(2.0)
+        assert fleet.network.questions - asked < 36 * 8 * 4
+
+    loops.run(test())
+
+
+def _as_before(serve: networks.Serve) -> networks.Serve:
+    """Return a daemon's service without the field that asks to wait."""
+
+    def served(exchange: httpio.Exchange) -> None:
+        exchange.request.found.pop(_feed_wire.KEY, None)
+        serve(exchange)
+
+    return served
--- a/tests/forwarding/test_sync.py
+++ b/tests/forwarding/test_sync.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import typing
 
 from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
@@ -131,3 +133,35 @@
         assert b'"key": "servers/x"' in lines
 
     test_path.run(test())
+
+
+def test_operators_are_told_whom_a_daemon_follows() -> None:
+    """A request failed by an old view; why was the daemon behind."""
+
+    async def test() -> None:
+        world = await test_path._world()
+        await world.upstream(C, "s")
+        await world.daemon(C, "s")
+        await world.knows(A, B, C)
+        await asyncio.sleep(1.0)
+        told = [await _feed_of(world, host) for host in (A, B, C)]
+        parents = [each["parent"] for each in told]
+        assert parents.count("store") == 1
+        assert set(parents) - {"store"} <= {B, C}
+        for each in told:
+            assert each["revision"] == world.source.revision
+            assert each["view_age"] < 2.0
+            assert each["store_lost"] is None
+            assert each["lost"] == []
+
+    test_path.run(test())
+
+
+async def _feed_of(world: place.Place, host: str) -> dict[str, typing.Any]:
+    reader, writer = await asyncio.open_connection(host, world.ports[2])
+    writer.write(b"GET /feed HTTP/1.1\r\nHost: x\r\n\r\n")
+    got = await place._read_answer(reader, 0.0)
+    writer.close()
+    assert got.status == 200
+    found: dict[str, typing.Any] = json.loads(got.body)
+    return found
