--- a/src/sassafrasstair/decisions/feeds/_orders.py
+++ b/src/sassafrasstair/decisions/feeds/_orders.py
@@ -16,10 +16,10 @@
     from collections import abc
 
 FANOUT = 6
-"""Daemons that follow one. Each asks once in a hold (0.75 s for a bound of
-3 s), 350 bytes both ways with headers of TCP: 2.8 KB/s of the 3 KB/s that a
-daemon's control traffic may take. 33 daemons of a failure domain are two
-steps from its reader, 222 three."""
+"""Daemons that follow one. Each asks once in a hold (1.5 s for a bound of
+6 s), some 350 bytes both ways with headers of TCP: 1.4 KB/s of the 3 KB/s
+that a daemon's control traffic may take. 33 daemons of a failure domain are
+two steps from its reader, 222 three."""
 
 
 @functools.cache
