Leave a reader that only seems to read, and end no feed for a fault

Cause, found by reading: a reader whose feed had ended by an exception of our own, or a daemon that follows itself under another address (as in the soak, where peers reach a VM at an address of its link), went on answering its followers and told them of no loss. All of its domain would have stayed behind for good.

Change: each answer tells how long ago the store answered whoever the view came from; a parent whose word is older than 10 s (a reader hears each 5 s) counts as one that has lost the store. The feed's loop logs a fault and goes on.

--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -38,6 +38,10 @@
 AVOID_SECONDS = 3.0
 """For how long a daemon that fell silent, stops, or has lost the store is
 passed over; then it is asked once more, without letting it wait."""
+AGE_SECONDS_MAX = 10.0
+"""A reader hears from the store each 5 s, and 2 s later at the most knows
+that it does not. Whoever has older news follows one that only seems to read,
+or, if two hosts were not known by the same address everywhere, itself."""
 FAILURES_TO_READ = 2
 """Daemons that did not answer, one after the other, until the store itself
 is read: if half of the VMs before one are gone, the wait for the next sound
@@ -178,7 +182,7 @@
     feed.lost.pop(host, None)
     if word.leaving:
         feed.avoided[host] = now + _spread(AVOID_SECONDS, rng)
-    if word.lost is not None:
+    if word.lost is not None or word.age > AGE_SECONDS_MAX:
         feed.lost[host] = now + _spread(AVOID_SECONDS, rng)
     _check_behind(feed, host, word.revision < content, now, rng)
 
--- a/src/sassafrasstair/decisions/feeds/_types.py
+++ b/src/sassafrasstair/decisions/feeds/_types.py
@@ -91,10 +91,12 @@
     long it has had no word of the store, by any way, and None if it has.
     ``unsteady`` is for how many more seconds an entry that vanishes may just
     have lapsed, since the store was away. ``leaving`` when it is about to
-    stop.
+    stop. ``age`` is how many seconds ago the store answered whoever the view
+    came from.
     """
 
     revision: int
     lost: float | None
     unsteady: float
     leaving: bool
+    age: float = 0.0
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -93,13 +93,16 @@
     return View()
 
 
-def source_answered(view: View, now: float) -> bool:
-    """Note an answer of the store; True when it had been away."""
+def source_answered(view: View, now: float, age: float = 0.0) -> bool:
+    """Note an answer of the store; True when it had been away.
+
+    ``age`` is how long ago it was given, to another daemon.
+    """
     back = view.failing < now
     if back:
         view.unsteady_until = now + UNSTEADY_SECONDS
     view.failing = math.inf
-    view.answered = now
+    view.answered = max(view.answered, now - age)
     return back
 
 
--- a/src/sassafrasstair/forwarding/_feed_wire.py
+++ b/src/sassafrasstair/forwarding/_feed_wire.py
@@ -23,6 +23,8 @@
 KEY = FIELD.lower()
 HOLD_SECONDS_MAX = 10.0
 """No question waits longer, whatever it says."""
+AGE_SHOWN = 86_400.0
+"""A view that nobody has heard of the store for is told as a day old."""
 _NOT_LOST = "-"
 _T = typing.TypeVar("_T")
 
@@ -54,24 +56,27 @@
 def encode_word(word: feeds.Word, content: int) -> bytes:
     """Return the field's value of an answer; ``content`` is the view's."""
     lost = _NOT_LOST if word.lost is None else f"{word.lost:.3f}"
-    return b"%d %d %s %.3f %d" % (
+    return b"%d %d %s %.3f %d %.3f" % (
         word.revision,
         content,
         lost.encode(),
         word.unsteady,
         word.leaving,
+        min(word.age, AGE_SHOWN),
     )
 
 
 def decode_answer(field: bytes, body: bytes) -> tuple[feeds.Word, views.Delta]:
     """Return what a daemon tells; raises ``WireError``."""
     try:
-        revision, content, lost, unsteady, leaving = field.decode().split(" ")
+        parts = field.decode().split(" ")
+        revision, content, lost, unsteady, leaving, age = parts
         word = feeds.Word(
             int(revision),
             None if lost == _NOT_LOST else _seconds(lost),
             _seconds(unsteady),
             leaving == "1",
+            _seconds(age),
         )
         if not body:
             return word, views.Delta(int(revision), int(content))
--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -49,9 +49,9 @@
     return bool(told)
 
 
-def note_answer(daemon: _state.Daemon, now: float) -> None:
-    """Note a word of the store, by whatever way it came."""
-    if views.source_answered(daemon.view, now):
+def note_answer(daemon: _state.Daemon, now: float, age: float = 0.0) -> None:
+    """Note a word of the store, that a daemon may have had ``age`` ago."""
+    if views.source_answered(daemon.view, now, age):
         _counters.believed(daemon.counters, "store_back")
         daemon.journal.note("store_back", revision=daemon.view.revision)
         _questions.answer_all(daemon)
--- a/src/sassafrasstair/forwarding/_questions.py
+++ b/src/sassafrasstair/forwarding/_questions.py
@@ -94,6 +94,7 @@
         lost,
         max(0.0, view.unsteady_until - now),
         daemon.leaving,
+        max(0.0, now - view.answered),
     )
     field = _feed_wire.encode_word(word, view.content)
     body = _encoded(daemon, question.after)
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -17,6 +17,8 @@
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
 
+FAULT_SECONDS = 0.5
+"""After a fault of our own, until the next step."""
 _Result = httpio.Response | httpio.Failure
 
 
@@ -28,7 +30,13 @@
         step = feeds.next_step(daemon.feed, daemon.clock.monotonic())
         if daemon.feed.parent != before:
             _note_parent(daemon, before)
-        await _take(daemon, step)
+        try:
+            await _take(daemon, step)
+        except Exception as error:
+            # Failure: one fault while news are taken would end the feed for
+            # good, and with it that of all who follow this daemon.
+            daemon.journal.note("feed_failed", error=repr(error))
+            await asyncio.sleep(FAULT_SECONDS)
 
 
 async def _take(daemon: _state.Daemon, step: feeds.Step) -> None:
@@ -117,7 +125,7 @@
         return
     feeds.told(daemon.feed, host, word, daemon.view.content, now, daemon.rng)
     if word.lost is None:
-        _learning.note_answer(daemon, now)
+        _learning.note_answer(daemon, now, word.age)
     elif feeds.without_store(daemon.feed, now):
         _learning.note_failure(daemon, now - word.lost, "peers_lost", host)
     _learning.take_delta(daemon, word, delta, host)
--- a/tests/fleets/test_faults.py
+++ b/tests/fleets/test_faults.py
@@ -16,14 +16,17 @@
 from sassafrasstair.decisions.feeds import _feeds
 from sassafrasstair.decisions.feeds import _orders
 from sassafrasstair.forwarding import _feed_wire
+from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _questions
 from sassafrasstair.forwarding import _state
+from sassafrasstair.forwarding import _sync
 from tests.fleets import fleet as fleet_module
 from tests.fleets import loops
 from tests.fleets import networks
 
 if typing.TYPE_CHECKING:
+    from sassafrasstair import forwarding
     from sassafrasstair import httpio
 
 Fleet = fleet_module.Fleet
@@ -427,3 +430,44 @@
         serve(exchange)
 
     return served
+
+
+def test_reader_that_only_seems_to_read_is_left() -> None:
+    """A reader hangs, but goes on answering those who follow it.
+
+    It tells them of no loss, so they would wait at it for ever.
+    """
+
+    async def test() -> None:
+        fleet = Fleet(12, 1)
+        await fleet.start()
+        reader = fleet.reader("d0")
+        fleet.tasks[reader][0].cancel()
+        await asyncio.sleep(0.1)
+        limit = _feeds.AGE_SECONDS_MAX + BOUND
+        assert await fleet.spread({reader}) < limit
+
+    loops.run(test())
+
+
+def test_fault_of_our_own_ends_no_feed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Something in the store's answer makes the code raise, once."""
+    take = _learning.take_reading
+    raised: list[_state.Daemon] = []
+
+    def faulty(daemon: _state.Daemon, reading: object) -> None:
+        if len(raised) < 3 and daemon.view.content > 0:
+            raised.append(daemon)
+            raise KeyError("a fault")
+        take(daemon, typing.cast("forwarding.Reading", reading))
+
+    async def test() -> None:
+        fleet = Fleet(12, 1)
+        await fleet.start()
+        monkeypatch.setattr(_learning, "take_reading", faulty)
+        assert await fleet.spread() < BOUND + 3 * _sync.FAULT_SECONDS
+        assert len(raised) == 3
+
+    loops.run(test())
--- a/tests/forwarding/test_feed_wire.py
+++ b/tests/forwarding/test_feed_wire.py
@@ -15,7 +15,11 @@
 
 @pytest.mark.parametrize(
     "word",
-    [WORD, feeds.Word(12, 3.25, 0.0, True), feeds.Word(-1, 0.0, 0.0, False)],
+    [
+        WORD,
+        feeds.Word(12, 3.25, 0.0, True, 4.5),
+        feeds.Word(-1, 0.0, 0.0, False),
+    ],
 )
 @pytest.mark.parametrize(
     "delta",
@@ -42,13 +46,14 @@
     ("field", "body"),
     [
         (b"", b""),
-        (b"1 2 - 0.0", b""),
-        (b"x 2 - 0.0 0", b""),
-        (b"1 2 nan 0.0 0", b""),
-        (b"1 2 -3 0.0 0", b""),
-        (b"1 2 - inf 0", b""),
-        (b"1 2 - 0.0 0", b"\xc1"),
-        (b"\xff 2 - 0.0 0", b""),
+        (b"1 2 - 0.0 0", b""),
+        (b"x 2 - 0.0 0 0.0", b""),
+        (b"1 2 nan 0.0 0 0.0", b""),
+        (b"1 2 -3 0.0 0 0.0", b""),
+        (b"1 2 - inf 0 0.0", b""),
+        (b"1 2 - 0.0 0 -1", b""),
+        (b"1 2 - 0.0 0 0.0", b"\xc1"),
+        (b"\xff 2 - 0.0 0 0.0", b""),
     ],
 )
 def test_answer_that_cannot_be_read_is_an_error(
