Prove the waits of the feeds with lost packets and slow links

The bounds must hold with packet loss, too: a fifth of the messages comes a third of a second later, a third of the hosts 0.1 s later still.

--- a/tests/fleets/networks.py
+++ b/tests/fleets/networks.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import dataclasses
+import random
 import typing
 
 from sassafrasstair import httpio
 
 LINK_SECONDS = 0.001
 CONNECT_SECONDS = 0.4
+AGAIN_SECONDS = 0.3
 
 Serve = typing.Callable[[httpio.Exchange], None]
 
@@ -20,7 +22,8 @@
 
     A host in ``frozen`` gets and sends nothing, one in ``dead`` refuses
     connections. No message passes from a host to another in ``cut``. The
-    links of ``slow`` hosts take so many seconds more.
+    links of ``slow`` hosts take so many seconds more. A share ``lost`` of
+    the messages is sent again by TCP, and comes a third of a second later.
     """
 
     serve: dict[str, Serve] = dataclasses.field(default_factory=dict)
@@ -28,6 +31,10 @@
     dead: set[str] = dataclasses.field(default_factory=set)
     cut: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     slow: dict[str, float] = dataclasses.field(default_factory=dict)
+    lost: float = 0.0
+    rng: random.Random = dataclasses.field(
+        default_factory=lambda: random.Random(1)
+    )
     sent: dict[str, int] = dataclasses.field(default_factory=dict)
     questions: int = 0
 
@@ -38,9 +45,9 @@
 
     def seconds(self, one: str, other: str) -> float:
         """Return how long a message takes."""
-        return (
-            LINK_SECONDS + self.slow.get(one, 0.0) + self.slow.get(other, 0.0)
-        )
+        again = AGAIN_SECONDS if self.rng.random() < self.lost else 0.0
+        slow = self.slow.get(one, 0.0) + self.slow.get(other, 0.0)
+        return LINK_SECONDS + slow + again
 
 
 class Exchange:
--- a/tests/fleets/test_faults.py
+++ b/tests/fleets/test_faults.py
@@ -120,7 +120,21 @@
     return set()
 
 
+async def _lossy_and_slow(fleet: Fleet) -> set[str]:
+    fleet.network.lost = 0.2
+    for host in fleet.hosts[::3]:
+        fleet.network.slow[host] = 0.1
+    return set()
+
+
+async def _lossy_and_reader_frozen(fleet: Fleet) -> set[str]:
+    fleet.network.lost = 0.2
+    return await _freeze_reader(fleet)
+
+
 FAULTS = (
+    _lossy_and_slow,
+    _lossy_and_reader_frozen,
     _freeze_reader,
     _kill_reader,
     _slow_reader,
