Wait for a store that answers even whole readings without its history

Cause, found by reading: after a watch whose history was gone the whole is read at once. Were that answered the same way, it would be asked again without a pause.

Change: only the first is followed at once. Unit tests of a feed's steps, one by one; the one on this is red before the change.

--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -154,8 +154,13 @@
 def read_failed(
     feed: Feed, now: float, history_gone: bool, rng: random.Random
 ) -> None:
-    """Note a call to the store that failed."""
-    if history_gone:
+    """Note a call to the store that failed.
+
+    Without the history that a watch needs the whole is read at once; a store
+    that answers a whole reading so is waited for like any other failure, or
+    it would be asked without a pause.
+    """
+    if history_gone and not feed.whole:
         feed.whole = True
         return
     feed.alone_until = -math.inf
@@ -174,7 +179,7 @@
 ) -> None:
     """Take what a daemon that was asked said of itself.
 
-    ``content`` is that of the own view, with what it told.
+    ``content`` is that of the own view before what it told is taken.
     """
     feed.answered = True
     feed.failures = 0
--- /dev/null
+++ b/tests/decisions/feeds/test_feeds.py
@@ -0,0 +1,149 @@
+"""What one daemon does next, step by step."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from sassafrasstair.decisions import feeds
+from sassafrasstair.decisions.feeds import _feeds
+
+HOSTS = frozenset(f"10.1.0.{number}" for number in range(1, 12))
+LAST = max(HOSTS, key=lambda host: len(feeds.earlier(HOSTS, host)))
+BEFORE = feeds.earlier(HOSTS, LAST)
+TIMING = feeds.timing(2.0)
+WORD = feeds.Word(10, None, 0.0, False)
+
+
+def _feed(own: str = LAST) -> feeds.Feed:
+    feed = feeds.new_feed(own, TIMING, 0.0)
+    feeds.learn(feed, HOSTS)
+    return feed
+
+
+def _rng() -> random.Random:
+    return random.Random(1)
+
+
+def _drop_silent(feed: feeds.Feed, count: int, now: float) -> None:
+    for _ in range(count):
+        host = feeds.choose(feed, now)
+        feeds.silent(feed, host, now, _rng())
+
+
+def test_first_daemon_reads_and_the_others_ask() -> None:
+    reader = _feed(BEFORE[0])
+    assert feeds.next_step(reader, 0.0) == feeds.Read(stale=False)
+    assert feeds.reads(reader)
+    step = feeds.next_step(_feed(), 0.0)
+    assert step == feeds.Ask(BEFORE[1], 0.0, TIMING.margin)
+
+
+def test_question_waits_once_the_parent_has_answered() -> None:
+    feed = _feed()
+    feeds.next_step(feed, 0.0)
+    feeds.told(feed, BEFORE[1], WORD, 10, 0.1, _rng())
+    within = TIMING.hold + TIMING.margin
+    step = feeds.next_step(feed, 0.1)
+    assert step == feeds.Ask(BEFORE[1], TIMING.hold, within)
+
+
+def test_start_reads_what_may_be_old_until_somebody_is_known() -> None:
+    feed = feeds.new_feed(LAST, TIMING, 0.0)
+    assert feeds.next_step(feed, 0.0) == feeds.Read(stale=True)
+    feeds.read_done(feed, 0.1, stale=True)
+    assert isinstance(feeds.next_step(feed, 0.2), feeds.Rest)
+    feeds.learn(feed, HOSTS)
+    assert isinstance(feeds.next_step(feed, 0.2), feeds.Ask)
+
+
+def test_lone_daemon_watches_in_the_end() -> None:
+    """No instance of the domain is known, the own one neither."""
+    feed = feeds.new_feed(LAST, TIMING, 0.0)
+    feeds.next_step(feed, 0.0)
+    feeds.read_done(feed, 0.0, stale=True)
+    late = _feeds.START_SECONDS
+    assert isinstance(feeds.next_step(feed, late), feeds.Watch)
+
+
+@pytest.mark.parametrize(
+    ("word", "passed_over"),
+    [
+        (WORD, False),
+        (feeds.Word(10, 0.0, 0.0, False), True),
+        (feeds.Word(10, None, 0.0, True), True),
+        (feeds.Word(10, None, 0.0, False, 9.0), False),
+        (feeds.Word(10, None, 0.0, False, 11.0), True),
+        (feeds.Word(9, None, 0.0, False), False),
+    ],
+)
+def test_parent_is_passed_over_for_what_it_says(
+    word: feeds.Word, passed_over: bool
+) -> None:
+    feed = _feed()
+    feeds.next_step(feed, 0.0)
+    feeds.told(feed, BEFORE[1], word, 10, 0.1, _rng())
+    assert (feeds.choose(feed, 0.2) != BEFORE[1]) is passed_over
+    # It is asked again in the end: it may have come back.
+    assert feeds.choose(feed, 6.0) == BEFORE[1]
+
+
+def test_parent_that_stays_behind_is_passed_over() -> None:
+    feed = _feed()
+    feeds.next_step(feed, 0.0)
+    behind = feeds.Word(9, None, 0.0, False)
+    feeds.told(feed, BEFORE[1], behind, 10, 0.1, _rng())
+    assert feeds.choose(feed, 0.2) == BEFORE[1]
+    feeds.told(feed, BEFORE[1], behind, 10, 0.1 + TIMING.behind, _rng())
+    assert feeds.choose(feed, 0.2 + TIMING.behind) != BEFORE[1]
+
+
+def test_store_is_read_after_two_that_are_silent() -> None:
+    feed = _feed()
+    _drop_silent(feed, 1, 1.0)
+    assert feeds.choose(feed, 1.0) not in ("", BEFORE[1])
+    _drop_silent(feed, 1, 1.0)
+    assert feeds.choose(feed, 1.0) == feeds.STORE
+    feeds.read_failed(feed, 1.2, False, _rng())
+    assert feeds.choose(feed, 1.2) != feeds.STORE
+
+
+def test_only_three_try_a_store_that_all_have_lost() -> None:
+    lost = feeds.Word(10, 3.0, 0.0, False)
+    for rank, own in enumerate((*BEFORE, LAST)):
+        feed = _feed(own)
+        for host in feed.before:
+            feeds.told(feed, host, lost, 10, 1.0, _rng())
+        reads = feeds.choose(feed, 1.1) == feeds.STORE
+        assert reads is (rank < _feeds.READERS_MAX)
+        assert feeds.without_store(feed, 1.1) is not reads
+
+
+def test_history_that_is_gone_is_read_anew_at_once_but_once() -> None:
+    """A store answers even whole readings as if their history were gone.
+
+    Asked again at once each time, it would be asked thousands of times a
+    second.
+    """
+    feed = _feed(BEFORE[0])
+    feeds.next_step(feed, 0.0)
+    feeds.read_done(feed, 0.0, stale=False)
+    feeds.read_failed(feed, 1.0, True, _rng())
+    assert feeds.next_step(feed, 1.0) == feeds.Read(stale=False)
+    feeds.read_failed(feed, 1.0, True, _rng())
+    assert isinstance(feeds.next_step(feed, 1.0), feeds.Rest)
+
+
+def test_failed_calls_become_rarer() -> None:
+    feed = _feed(BEFORE[0])
+    pauses = []
+    now = 0.0
+    for _ in range(6):
+        feeds.read_failed(feed, now, False, _rng())
+        step = feeds.next_step(feed, now)
+        assert isinstance(step, feeds.Rest)
+        pauses.append(step.seconds)
+        now += step.seconds
+    assert pauses[0] < 0.4
+    assert 0.5 <= pauses[-1] <= 1.5
