Play experiments from a file, and plot them

Cause: scenarios of the model were fixed in code, and nothing showed goodput and latency over time with the moments of faults. Change: sassafras-bench experiment takes a JSON file (mix, policies, seeds, phases of load and faults), checked key by key, plays the policies side by side and writes a series by second and a plot by matplotlib, a development dependency. Playing a world is one function for it and for the scenarios.

--- a/src/sassafrasstair/bench/_overload.py
+++ b/src/sassafrasstair/bench/_overload.py
@@ -17,6 +17,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from sassafrasstair.bench import _model_meters
     from sassafrasstair.bench import _model_vms
     from sassafrasstair.decisions import calls
 
@@ -37,14 +38,37 @@
     full: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Played:
+    """What one world counted, and its spans in seconds of its clock."""
+
+    meter: _model_meters.Meter
+    spans: list[_overload_figures.Span]
+    before: _overload_figures.Span
+    after: _overload_figures.Span
+
+
 def run_one(run: Run) -> _overload_figures.Figures:
     """Run one world and return its figures."""
     mixes = _overload_mixes.MIXES
     if run.full:
         mixes = _overload_mixes.FULL_MIXES
-    mix = mixes[run.mix]
-    make = _overload_policies.POLICIES[run.policy]
-    world = _model_worlds.World(mix, make, run.seed)
+    phases = _overload_scenarios.SCENARIOS[run.scenario]
+    played = play(mixes[run.mix], run.policy, run.seed, phases)
+    return _overload_figures.figures(
+        played.meter, played.spans, played.before, played.after
+    )
+
+
+def play(
+    mix: _overload_mixes.Mix,
+    policy: str,
+    seed: int,
+    phases: abc.Iterable[_overload_scenarios.Phase],
+) -> Played:
+    """Run one world: a calm time, the phases, and a calm time again."""
+    make = _overload_policies.POLICIES[policy]
+    world = _model_worlds.World(mix, make, seed)
     callers = _model_callers.Callers(world)
     full = _capacity(world)
     callers.rate = CALM.load * full
@@ -53,7 +77,7 @@
     # Connections and estimates settle in the first second.
     before = _pass(world, CALM.seconds)
     before = dataclasses.replace(before, start=before.start + 1.0)
-    for phase in _overload_scenarios.SCENARIOS[run.scenario]:
+    for phase in phases:
         _enter_phase(world, callers, phase, full)
         spans.append(_pass(world, phase.seconds))
         _leave_phase(world, phase)
@@ -61,7 +85,7 @@
     after = _pass(world, _overload_scenarios.AFTER_SECONDS)
     after = dataclasses.replace(after, capacity=full)
     world.timeline.run(after.end + _overload_scenarios.DRAIN_SECONDS)
-    return _overload_figures.figures(world.meter, spans, before, after)
+    return Played(world.meter, spans, before, after)
 
 
 def run_all(
--- a/src/sassafrasstair/console/bench.py
+++ b/src/sassafrasstair/console/bench.py
@@ -5,6 +5,7 @@
 import click
 
 from sassafrasstair.console.commands.bench import capacity
+from sassafrasstair.console.commands.bench import experiment
 from sassafrasstair.console.commands.bench import hop
 from sassafrasstair.console.commands.bench import overload
 
@@ -15,6 +16,7 @@
 
 
 main.add_command(capacity.command)
+main.add_command(experiment.experiment)
 main.add_command(hop.hop)
 main.add_command(overload.overload)
 
