Take no bound for the feeds that makes them ask without a pause

Cause, found by reading: the waits of readers and followers are parts of the bound that the settings name. With a bound of 0, which the settings' check allows, a follower asks without any pause; with one of a minute a change is told a quarter of a minute late. Change: bounds below 1 s and above 6 s are taken for these.

--- a/src/sassafrasstair/decisions/feeds/_types.py
+++ b/src/sassafrasstair/decisions/feeds/_types.py
@@ -17,6 +17,10 @@
 2 s and more. If the reader hears nothing of the store while others do: their
 pace (0.25), the next comparison (0.15), the wait until the own watch should
 have told (0.35) and a call: 0.8 of the bound."""
+BOUND_SECONDS_MIN, BOUND_SECONDS_MAX = 1.0, 6.0
+"""Bounds beyond these are taken for these. With none, or one of some ms, a
+follower would ask without a pause; with one of a minute, instances that join
+or leave would be known only when their requests fail."""
 BEHIND_SHARE = 0.1
 """Beyond the own pace, before what a peer knows more is asked for."""
 
@@ -41,12 +45,13 @@
 
 def timing(bound_seconds: float) -> Timing:
     """Return the timing for changes to be known within a bound."""
+    bound = min(BOUND_SECONDS_MAX, max(BOUND_SECONDS_MIN, bound_seconds))
     return Timing(
-        PACE_SHARE * bound_seconds,
-        HOLD_SHARE * bound_seconds,
-        MARGIN_SHARE * bound_seconds,
-        COMPARE_SHARE * bound_seconds,
-        (PACE_SHARE + BEHIND_SHARE) * bound_seconds,
+        PACE_SHARE * bound,
+        HOLD_SHARE * bound,
+        MARGIN_SHARE * bound,
+        COMPARE_SHARE * bound,
+        (PACE_SHARE + BEHIND_SHARE) * bound,
     )
 
 
--- a/tests/decisions/feeds/test_feeds.py
+++ b/tests/decisions/feeds/test_feeds.py
@@ -32,6 +32,20 @@
         feeds.silent(feed, host, now, _rng())
 
 
+@pytest.mark.parametrize(
+    ("bound", "pace"), [(0.0, 0.25), (0.5, 0.25), (2.0, 0.5), (60.0, 1.5)]
+)
+def test_bound_without_sense_is_not_taken(bound: float, pace: float) -> None:
+    """Settings name no bound, or one that no daemon could keep.
+
+    Asked without a pause, a daemon would do nothing else than answer.
+    """
+    timing = feeds.timing(bound)
+    assert timing.pace == pace
+    assert timing.hold > 0.0
+    assert timing.margin >= 0.2
+
+
 def test_first_daemon_reads_and_the_others_ask() -> None:
     reader = _feed(BEFORE[0])
     assert feeds.next_step(reader, 0.0) == feeds.Read(stale=False)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -38,6 +38,7 @@
     assert settings.seeding is None
     assert settings.memory_bytes == 300_000_000
     assert settings.bounds.drain_seconds == 2.5
+    assert settings.bounds.propagation_seconds == 2.0
     assert settings.bounds.budget.slack == 48.0
 
 
@@ -51,6 +52,7 @@
         ("drain_ms=2500", "drain_ms=soon", "drain_ms"),
         ("drain_ms=2500", "drain_ms=-1", "drain_ms"),
         ("drain_ms=2500", "drain_ms=nan", "drain_ms"),
+        ("drain_ms=2500", "propagation_ms=soon", "propagation_ms"),
         ("memory_mb=300", "memory_mb=inf", "limits.memory_mb"),
         ("10.0.0.3:8310", "10.0.0.3:99999", "seeds"),
         ("10.0.0.1:8301", "10.0.0.1:0", "app_addr"),
