Poll from the revision of the view, and never without a pause

Cause, found by reading the feeds anew: a follower asked for what changed after its last change. A reader whose own last change seems later though its view goes less far, as after a first reading that is seconds old, answered at once with what the follower could not take, and was asked again at once, until its next news up to 5 s later. A daemon that kept 300 polls answered at once, too.

Change: a poll names the revision up to which the view goes. 20 ms pass between an answer and the next poll, whatever the answer. Beyond 300 polls the answer is a refusal, which turns the follower to another daemon.

Named as the field does: a question is a poll, and what a daemon says of itself its status.

--- a/src/sassafrasstair/decisions/feeds/__init__.py
+++ b/src/sassafrasstair/decisions/feeds/__init__.py
@@ -19,26 +19,26 @@
 from sassafrasstair.decisions.feeds._orders import earlier
 from sassafrasstair.decisions.feeds._orders import FANOUT
 from sassafrasstair.decisions.feeds._orders import parent
-from sassafrasstair.decisions.feeds._types import Ask
+from sassafrasstair.decisions.feeds._types import PeerStatus
+from sassafrasstair.decisions.feeds._types import Poll
 from sassafrasstair.decisions.feeds._types import Read
 from sassafrasstair.decisions.feeds._types import Rest
 from sassafrasstair.decisions.feeds._types import Step
 from sassafrasstair.decisions.feeds._types import Timing
 from sassafrasstair.decisions.feeds._types import timing
 from sassafrasstair.decisions.feeds._types import Watch
-from sassafrasstair.decisions.feeds._types import Word
 
 __all__ = [
     "FANOUT",
     "STORE",
-    "Ask",
     "Feed",
+    "PeerStatus",
+    "Poll",
     "Read",
     "Rest",
     "Step",
     "Timing",
     "Watch",
-    "Word",
     "choose",
     "doubt",
     "earlier",
--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -62,6 +62,9 @@
 be set again and again."""
 STEP_SECONDS = 0.05
 """Between two daemons that do not answer."""
+POLL_SECONDS = 0.02
+"""Between an answer and the next poll: news come in series, and a daemon that
+for some reason answers at once is not asked without a pause."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,7 +79,7 @@
     ``known`` when the own instance is in the view.
 
     ``parent`` is followed since ``since``, and has ``answered`` since then.
-    ``read_from`` and ``ask_from`` are when the next call may be made;
+    ``read_from`` and ``poll_from`` are when the next call may be made;
     until ``alone_until`` the store is read whoever could be followed.
     ``doubted`` when a peer told more than the store did.
     """
@@ -99,7 +102,7 @@
     failures: int = 0
     alone_until: float = -math.inf
     read_from: float = -math.inf
-    ask_from: float = -math.inf
+    poll_from: float = -math.inf
     retry: float = RETRY_SECONDS
     doubted: bool = False
 
@@ -142,7 +145,7 @@
         return _paced(feed.read_from, now) or _read(feed)
     hold = feed.timing.hold if feed.answered else 0.0
     within = hold + feed.timing.margin
-    return _paced(feed.ask_from, now) or _types.Ask(parent, hold, within)
+    return _paced(feed.poll_from, now) or _types.Poll(parent, hold, within)
 
 
 def choose(feed: Feed, now: float) -> str:
@@ -188,7 +191,7 @@
 def told(
     feed: Feed,
     host: str,
-    word: _types.Word,
+    status: _types.PeerStatus,
     content: int,
     now: float,
     rng: random.Random,
@@ -199,19 +202,20 @@
     """
     feed.answered = True
     feed.failures = 0
+    feed.poll_from = now + POLL_SECONDS
     feed.avoided.pop(host, None)
     feed.lost.pop(host, None)
-    if word.leaving:
+    if status.leaving:
         feed.avoided[host] = now + _spread(AVOID_SECONDS, rng)
-    if word.lost is not None or word.age > AGE_SECONDS_MAX:
+    if status.lost is not None or status.age > AGE_SECONDS_MAX:
         feed.lost[host] = now + _spread(AVOID_SECONDS, rng)
-    _check_behind(feed, host, word.revision < content, now, rng)
+    _check_behind(feed, host, status.revision < content, now, rng)
 
 
 def silent(feed: Feed, host: str, now: float, rng: random.Random) -> None:
     """Note that a daemon gave no answer in time."""
     feed.avoided[host] = now + _spread(AVOID_SECONDS, rng)
-    feed.ask_from = now + _spread(STEP_SECONDS, rng)
+    feed.poll_from = now + _spread(STEP_SECONDS, rng)
     feed.failures += 1
     if feed.failures >= FAILURES_TO_READ:
         feed.failures = 0
--- a/src/sassafrasstair/decisions/feeds/_types.py
+++ b/src/sassafrasstair/decisions/feeds/_types.py
@@ -30,7 +30,7 @@
     """How long each step takes, in seconds.
 
     ``pace`` is between two watches of the store: changes come in series, and
-    one call brings all. ``hold`` is for how long a follower's question is
+    one call brings all. ``hold`` is for how long a follower's poll is
     kept without news, ``margin`` how much later its answer may come,
     ``compare`` between two looks at other failure domains, ``behind`` how
     long a peer may know more before it is asked.
@@ -63,7 +63,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Ask:
+class Poll:
     """Ask a daemon for what changed, and let it wait for news."""
 
     host: str
@@ -85,11 +85,11 @@
     seconds: float
 
 
-Step = Rest | Ask | Read | Watch
+Step = Rest | Poll | Read | Watch
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Word:
+class PeerStatus:
     """What a daemon tells beside the changes.
 
     ``revision`` of the store is how far its view goes. ``lost`` is for how
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -19,8 +19,8 @@
 from sassafrasstair.forwarding import _inbound
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _peers
+from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _probes
-from sassafrasstair.forwarding import _questions
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _status
 from sassafrasstair.forwarding import _sync
@@ -187,7 +187,7 @@
                 _entrance.expire(daemon, call)
     _callee.tick(daemon, now)
     _probes.tick(daemon, now)
-    _questions.tick(daemon, now)
+    _polls.tick(daemon, now)
     told = views.expire(daemon.view, now)
     _learning.learned(daemon, told, "time")
     daemon.journal.tick(now)
@@ -253,7 +253,7 @@
     begun = loop.time()
     grace = daemon.settings.bounds.grace_seconds
     daemon.leaving = True
-    _questions.answer_all(daemon)
+    _polls.answer_all(daemon)
     daemon.journal.note("stopping", calls=len(daemon.calls))
     running.callers.closing = True
     quiet_from = begun
--- a/src/sassafrasstair/forwarding/_feed_wire.py
+++ b/src/sassafrasstair/forwarding/_feed_wire.py
@@ -1,7 +1,7 @@
 """What daemons tell each other of policy and instances.
 
 A daemon asks for what changed after its own content, and names in a field
-for how long its question may wait for news. A daemon of the version before
+for how long its poll may wait for news. A daemon of the version before
 does not know the field and answers at once with its whole view.
 """
 
@@ -22,23 +22,26 @@
 FIELD = b"Sassafras-Feed"
 KEY = FIELD.lower()
 HOLD_SECONDS_MAX = 10.0
-"""No question waits longer, whatever it says."""
+"""No poll waits longer, whatever it says."""
 AGE_SHOWN = 86_400.0
 """A view that nobody has heard of the store for is told as a day old."""
 _NOT_LOST = "-"
 _T = typing.TypeVar("_T")
 
 
-def question(host: str, after: int, hold: float) -> bytes:
-    """Return the head of a question for what changed after a content."""
+def poll_head(host: str, after: int, hold: float) -> bytes:
+    """Return the head of a poll for what changed after a revision.
+
+    That up to which the view goes, and not its last change: a peer whose own
+    last change seems later, as after a reading of the whole, has then nothing
+    to tell, and would be asked again and again for what it can't give.
+    """
     target = b"%s?after=%d" % (VIEW_PATH, after)
     fields = [(b"Host", host.encode()), (FIELD, b"%.3f" % hold)]
     return httpio.request_head(b"GET", target, fields, 0)
 
 
-def decode_question(
-    query: bytes, field: bytes | None
-) -> tuple[int, float | None]:
+def decode_poll(query: bytes, field: bytes | None) -> tuple[int, float | None]:
     """Return the content and the hold; None from an older daemon.
 
     Raises ``WireError``.
@@ -53,25 +56,27 @@
         raise _wire.WireError(f"feed: {error}") from error
 
 
-def encode_word(word: feeds.Word, content: int) -> bytes:
+def encode_status(status: feeds.PeerStatus, content: int) -> bytes:
     """Return the field's value of an answer; ``content`` is the view's."""
-    lost = _NOT_LOST if word.lost is None else f"{word.lost:.3f}"
+    lost = _NOT_LOST if status.lost is None else f"{status.lost:.3f}"
     return b"%d %d %s %.3f %d %.3f" % (
-        word.revision,
+        status.revision,
         content,
         lost.encode(),
-        word.unsteady,
-        word.leaving,
-        min(word.age, AGE_SHOWN),
+        status.unsteady,
+        status.leaving,
+        min(status.age, AGE_SHOWN),
     )
 
 
-def decode_answer(field: bytes, body: bytes) -> tuple[feeds.Word, views.Delta]:
+def decode_answer(
+    field: bytes, body: bytes
+) -> tuple[feeds.PeerStatus, views.Delta]:
     """Return what a daemon tells; raises ``WireError``."""
     try:
         parts = field.decode().split(" ")
         revision, content, lost, unsteady, leaving, age = parts
-        word = feeds.Word(
+        status = feeds.PeerStatus(
             int(revision),
             None if lost == _NOT_LOST else _seconds(lost),
             _seconds(unsteady),
@@ -79,12 +84,12 @@
             _seconds(age),
         )
         if not body:
-            return word, views.Delta(int(revision), int(content))
+            return status, views.Delta(int(revision), int(content))
     except ValueError as error:
         raise _wire.WireError(f"feed: {error}") from error
     delta = _decode(body, views.Delta)
     _check_policy(delta.policy)
-    return word, views.usable_delta(delta)
+    return status, views.usable_delta(delta)
 
 
 def encode_delta(delta: views.Delta) -> bytes:
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -8,7 +8,7 @@
 from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _peers
-from sassafrasstair.forwarding import _questions
+from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
@@ -29,7 +29,7 @@
     if path == _wire.PING_PATH:
         exchange.respond(200, [_own_state(daemon)], b"")
     elif path == _feed_wire.VIEW_PATH:
-        _questions.serve(daemon, exchange, query)
+        _polls.serve(daemon, exchange, query)
     else:
         exchange.respond(404, [], b"")
 
--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -9,7 +9,7 @@
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
-from sassafrasstair.forwarding import _questions
+from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _state
 
 if typing.TYPE_CHECKING:
@@ -37,13 +37,13 @@
 
 def take_delta(
     daemon: _state.Daemon,
-    word: feeds.Word,
+    status: feeds.PeerStatus,
     delta: views.Delta,
     host: str,
 ) -> bool:
     """Take what a daemon told; return whether anything became different."""
     now = daemon.clock.monotonic()
-    views.note_unsteady(daemon.view, word.unsteady, now)
+    views.note_unsteady(daemon.view, status.unsteady, now)
     told = views.take(daemon.view, delta, now)
     learned(daemon, told, f"peer {host}")
     return bool(told)
@@ -54,7 +54,7 @@
     if views.source_answered(daemon.view, now, age):
         _counters.believed(daemon.counters, "store_back")
         daemon.journal.note("store_back", revision=daemon.view.revision)
-        _questions.answer_all(daemon)
+        _polls.answer_all(daemon)
 
 
 def note_failure(
@@ -69,7 +69,7 @@
             detail=detail,
             revision=daemon.view.revision,
         )
-        _questions.answer_all(daemon)
+        _polls.answer_all(daemon)
 
 
 def note_refused(
@@ -116,7 +116,7 @@
     daemon.foreign_readers = [
         reader for far in hosts.values() for reader in feeds.readers(far)
     ]
-    _questions.answer_news(daemon)
+    _polls.answer_news(daemon)
 
 
 def _log(
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -113,7 +113,7 @@
 def _pull(daemon: _state.Daemon, address: _dialect.Address) -> None:
     """Ask a daemon for what it knows more."""
     daemon.pulling = True
-    head = _feed_wire.question(address.host, daemon.view.content, 0.0)
+    head = _feed_wire.poll_head(address.host, daemon.view.revision, 0.0)
     job = httpio.Job(head, functools.partial(_pulled, daemon, address.host))
     if address.port == daemon.settings.daemons.port:
         connections = _state.pool(daemon, address.host)
@@ -157,14 +157,14 @@
     if news and doubtful:
         # The own watch should have told it.
         feeds.doubt(daemon.feed, daemon.clock.monotonic())
-        daemon.stirred.set()
+        daemon.woken.set()
 
 
 def _take(daemon: _state.Daemon, host: str, result: httpio.Response) -> bool:
     field = result.found.get(_feed_wire.KEY)
     if field is not None:
-        word, delta = _feed_wire.decode_answer(field, result.body)
-        return _learning.take_delta(daemon, word, delta, host)
+        status, delta = _feed_wire.decode_answer(field, result.body)
+        return _learning.take_delta(daemon, status, delta, host)
     # A daemon of the version before tells all that it knows.
     snapshot = _feed_wire.decode_snapshot(result.body)
     told = views.adopt(daemon.view, snapshot, daemon.clock.monotonic())
--- a/src/sassafrasstair/forwarding/_questions.py
+++ b/src/sassafrasstair/forwarding/_polls.py
@@ -1,6 +1,6 @@
-"""Questions of other daemons for what is new, kept until there is news.
+"""Polls of other daemons for what is new, kept until there is news.
 
-Nothing is held for a daemon but its question: what it is told is what
+Nothing is held for a daemon but its poll: what it is told is what
 changed after its own content when it is answered, so changes of one entry
 coalesce and a daemon that reads slowly costs no memory.
 """
@@ -20,15 +20,16 @@
     from sassafrasstair import httpio
 
 KEPT_MAX = 300
-"""Questions kept at once; a daemon is followed by six, and by all of its
-failure domain, 222, if these know no other. More are answered at once."""
+"""Polls kept at once; a daemon is followed by six, and by all of its
+failure domain, 222, if these know no other. More are refused,
+and whoever is refused turns to another daemon."""
 ENCODED_KEPT = 16
 """Answers kept encoded: followers mostly ask from the same content."""
 
 
 @dataclasses.dataclass(eq=False, slots=True)
-class Question:
-    """One question for what changed after ``after``, kept ``until``."""
+class HeldPoll:
+    """One poll for what changed after ``after``, kept ``until``."""
 
     exchange: httpio.Exchange
     after: int
@@ -38,10 +39,10 @@
 def serve(
     daemon: _state.Daemon, exchange: httpio.Exchange, query: bytes
 ) -> None:
-    """Answer a question, or keep it until there is news."""
+    """Answer a poll, or keep it until there is news."""
     field = exchange.request.found.get(_feed_wire.KEY)
     try:
-        after, hold = _feed_wire.decode_question(query, field)
+        after, hold = _feed_wire.decode_poll(query, field)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", error=str(error))
         exchange.respond(400, [], b"")
@@ -49,13 +50,15 @@
     if hold is None:
         _serve_snapshot(daemon, exchange, after)
         return
-    question = Question(exchange, after, daemon.clock.monotonic() + hold)
-    news = daemon.view.content > after
-    if news or not hold or len(daemon.questions) >= KEPT_MAX:
-        _answer(daemon, question)
+    poll = HeldPoll(exchange, after, daemon.clock.monotonic() + hold)
+    if daemon.view.content > after or not hold:
+        _answer(daemon, poll)
         return
-    daemon.questions.append(question)
-    exchange.gone = lambda: _forget(daemon, question)
+    if len(daemon.polls) >= KEPT_MAX:
+        exchange.respond(503, [], b"")
+        return
+    daemon.polls.append(poll)
+    exchange.gone = lambda: _forget(daemon, poll)
 
 
 def answer_news(daemon: _state.Daemon) -> None:
@@ -71,35 +74,35 @@
 
 def tick(daemon: _state.Daemon, now: float) -> None:
     """Answer those that have waited for as long as they asked for."""
-    if daemon.questions:
+    if daemon.polls:
         _answer_if(daemon, lambda one: one.until <= now)
 
 
 def _answer_if(
-    daemon: _state.Daemon, wanted: typing.Callable[[Question], bool]
+    daemon: _state.Daemon, wanted: typing.Callable[[HeldPoll], bool]
 ) -> None:
-    due = [one for one in daemon.questions if wanted(one)]
+    due = [one for one in daemon.polls if wanted(one)]
     if not due:
         return
-    daemon.questions = [one for one in daemon.questions if not wanted(one)]
-    for question in due:
-        _answer(daemon, question)
+    daemon.polls = [one for one in daemon.polls if not wanted(one)]
+    for poll in due:
+        _answer(daemon, poll)
 
 
-def _answer(daemon: _state.Daemon, question: Question) -> None:
+def _answer(daemon: _state.Daemon, poll: HeldPoll) -> None:
     view, now = daemon.view, daemon.clock.monotonic()
     lost = now - view.failing if _has_lost(daemon) else None
-    word = feeds.Word(
+    status = feeds.PeerStatus(
         view.revision,
         lost,
         max(0.0, view.unsteady_until - now),
         daemon.leaving,
         max(0.0, now - view.answered),
     )
-    field = _feed_wire.encode_word(word, view.content)
-    body = _encoded(daemon, question.after)
-    question.exchange.gone = None
-    question.exchange.respond(200, [(_feed_wire.FIELD, field)], body)
+    field = _feed_wire.encode_status(status, view.content)
+    body = _encoded(daemon, poll.after)
+    poll.exchange.gone = None
+    poll.exchange.respond(200, [(_feed_wire.FIELD, field)], body)
 
 
 def _encoded(daemon: _state.Daemon, after: int) -> bytes:
@@ -130,6 +133,6 @@
     return daemon.view.failing <= daemon.clock.monotonic()
 
 
-def _forget(daemon: _state.Daemon, question: Question) -> None:
-    if question in daemon.questions:
-        daemon.questions.remove(question)
+def _forget(daemon: _state.Daemon, poll: HeldPoll) -> None:
+    if poll in daemon.polls:
+        daemon.polls.remove(poll)
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -21,7 +21,7 @@
     import random
 
     from sassafrasstair import clocks
-    from sassafrasstair.forwarding import _questions
+    from sassafrasstair.forwarding import _polls
     from sassafrasstair.forwarding import _records
 
 PEER_IDLE_SECONDS = 30.0
@@ -44,8 +44,8 @@
 
     ``refused`` are keys of the store's unusable items, by their revision.
 
-    ``questions`` of other daemons wait for news, ``encoded`` are answers to
-    them by the content that was asked from, and ``stirred`` ends what the
+    ``polls`` of other daemons wait for news, ``encoded`` are answers to
+    them by the content that was asked from, and ``woken`` ends what the
     feed waits for. ``foreign_readers`` are hosts in other failure domains.
 
     ``names`` are those of header fields, and ``keys`` the same lower-cased.
@@ -92,11 +92,9 @@
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
     hosts: list[str] = dataclasses.field(default_factory=list)
     foreign_readers: list[str] = dataclasses.field(default_factory=list)
-    questions: list[_questions.Question] = dataclasses.field(
-        default_factory=list
-    )
+    polls: list[_polls.HeldPoll] = dataclasses.field(default_factory=list)
     encoded: dict[int, bytes] = dataclasses.field(default_factory=dict)
-    stirred: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    woken: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     services: int = 0
     least_importance: int = 0
     serial: int = 0
--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -71,7 +71,7 @@
         policy=-1 if view.table is None else view.table.policy.version,
         rank=len(feed.before),
         known=len(feed.hosts),
-        waiting=len(daemon.questions),
+        waiting=len(daemon.polls),
         avoided=_current(feed.avoided, now),
         lost=_current(feed.lost, now),
     )
@@ -91,7 +91,7 @@
         "feed_rank": len(feed.before),
         "feed_seconds": now - feed.since,
         "view_age_seconds": _view_age(daemon, now),
-        "questions_kept": len(daemon.questions),
+        "polls_held": len(daemon.polls),
         "policy_version": 0 if table is None else table.policy.version,
         "store_revision": daemon.view.revision,
         "calls_in_flight": len(daemon.calls),
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -25,7 +25,7 @@
 async def follow(daemon: _state.Daemon) -> None:
     """Keep the view until cancelled."""
     while True:
-        daemon.stirred.clear()
+        daemon.woken.clear()
         before = daemon.feed.parent
         step = feeds.next_step(daemon.feed, daemon.clock.monotonic())
         if daemon.feed.parent != before:
@@ -43,8 +43,8 @@
     match step:
         case feeds.Rest(seconds):
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(daemon.stirred.wait(), seconds)
-        case feeds.Ask(host, hold, within):
+                await asyncio.wait_for(daemon.woken.wait(), seconds)
+        case feeds.Poll(host, hold, within):
             await _ask(daemon, host, hold, within)
         case feeds.Read(stale):
             verb = "read_stale" if stale else "read"
@@ -67,13 +67,13 @@
     """
     _counters.read(daemon.counters, verb)
     reading = asyncio.ensure_future(call)
-    stirred = asyncio.ensure_future(daemon.stirred.wait())
+    woken = asyncio.ensure_future(daemon.woken.wait())
     try:
         await asyncio.wait(
-            (reading, stirred), return_when=asyncio.FIRST_COMPLETED
+            (reading, woken), return_when=asyncio.FIRST_COMPLETED
         )
     finally:
-        stirred.cancel()
+        woken.cancel()
         if not reading.done():
             reading.cancel()
     if reading.done():
@@ -106,7 +106,7 @@
     daemon: _state.Daemon, host: str, hold: float, within: float
 ) -> None:
     """Ask the daemon that is followed for what is new."""
-    head = _feed_wire.question(host, daemon.view.content, hold)
+    head = _feed_wire.poll_head(host, daemon.view.revision, hold)
     result = await _exchange(daemon, host, head, within)
     now = daemon.clock.monotonic()
     if isinstance(result, httpio.Failure):
@@ -118,23 +118,23 @@
         _fell_silent(daemon, host, f"status {result.status}")
         return
     try:
-        word, delta = _feed_wire.decode_answer(field, result.body)
+        status, delta = _feed_wire.decode_answer(field, result.body)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         _fell_silent(daemon, host, "malformed")
         return
-    feeds.told(daemon.feed, host, word, daemon.view.content, now, daemon.rng)
-    if word.lost is None:
-        _learning.note_answer(daemon, now, word.age)
+    feeds.told(daemon.feed, host, status, daemon.view.content, now, daemon.rng)
+    if status.lost is None:
+        _learning.note_answer(daemon, now, status.age)
     elif feeds.without_store(daemon.feed, now):
-        _learning.note_failure(daemon, now - word.lost, "peers_lost", host)
-    _learning.take_delta(daemon, word, delta, host)
+        _learning.note_failure(daemon, now - status.lost, "peers_lost", host)
+    _learning.take_delta(daemon, status, delta, host)
 
 
 async def _exchange(
     daemon: _state.Daemon, host: str, head: bytes, within: float
 ) -> _Result:
-    """Send a question on a kept connection, once more on a new one."""
+    """Send a poll on a kept connection, once more on a new one."""
     pool = _state.pool(daemon, host)
     loop = asyncio.get_running_loop()
     until = loop.time() + within
--- a/tests/decisions/feeds/test_feeds.py
+++ b/tests/decisions/feeds/test_feeds.py
@@ -13,7 +13,7 @@
 LAST = max(HOSTS, key=lambda host: len(feeds.earlier(HOSTS, host)))
 BEFORE = feeds.earlier(HOSTS, LAST)
 TIMING = feeds.timing(2.0)
-WORD = feeds.Word(10, None, 0.0, False)
+WORD = feeds.PeerStatus(10, None, 0.0, False)
 
 
 def _feed(own: str = LAST) -> feeds.Feed:
@@ -51,7 +51,7 @@
     assert feeds.next_step(reader, 0.0) == feeds.Read(stale=False)
     assert feeds.reads(reader)
     step = feeds.next_step(_feed(), 0.0)
-    assert step == feeds.Ask(BEFORE[1], 0.0, TIMING.margin)
+    assert step == feeds.Poll(BEFORE[1], 0.0, TIMING.margin)
 
 
 def test_question_waits_once_the_parent_has_answered() -> None:
@@ -59,8 +59,9 @@
     feeds.next_step(feed, 0.0)
     feeds.told(feed, BEFORE[1], WORD, 10, 0.1, _rng())
     within = TIMING.hold + TIMING.margin
-    step = feeds.next_step(feed, 0.1)
-    assert step == feeds.Ask(BEFORE[1], TIMING.hold, within)
+    assert isinstance(feeds.next_step(feed, 0.1), feeds.Rest)
+    step = feeds.next_step(feed, 0.1 + _feeds.POLL_SECONDS)
+    assert step == feeds.Poll(BEFORE[1], TIMING.hold, within)
 
 
 def test_start_reads_what_may_be_old_until_somebody_is_known() -> None:
@@ -69,7 +70,7 @@
     feeds.read_done(feed, 0.1, stale=True)
     assert isinstance(feeds.next_step(feed, 0.2), feeds.Rest)
     feeds.learn(feed, HOSTS, 0.0)
-    assert isinstance(feeds.next_step(feed, 0.2), feeds.Ask)
+    assert isinstance(feeds.next_step(feed, 0.2), feeds.Poll)
 
 
 def test_lone_daemon_watches_in_the_end() -> None:
@@ -85,15 +86,15 @@
     ("word", "passed_over"),
     [
         (WORD, False),
-        (feeds.Word(10, 0.0, 0.0, False), True),
-        (feeds.Word(10, None, 0.0, True), True),
-        (feeds.Word(10, None, 0.0, False, 9.0), False),
-        (feeds.Word(10, None, 0.0, False, 11.0), True),
-        (feeds.Word(9, None, 0.0, False), False),
+        (feeds.PeerStatus(10, 0.0, 0.0, False), True),
+        (feeds.PeerStatus(10, None, 0.0, True), True),
+        (feeds.PeerStatus(10, None, 0.0, False, 9.0), False),
+        (feeds.PeerStatus(10, None, 0.0, False, 11.0), True),
+        (feeds.PeerStatus(9, None, 0.0, False), False),
     ],
 )
 def test_parent_is_passed_over_for_what_it_says(
-    word: feeds.Word, passed_over: bool
+    word: feeds.PeerStatus, passed_over: bool
 ) -> None:
     feed = _feed()
     feeds.next_step(feed, 0.0)
@@ -106,7 +107,7 @@
 def test_parent_that_stays_behind_is_passed_over() -> None:
     feed = _feed()
     feeds.next_step(feed, 0.0)
-    behind = feeds.Word(9, None, 0.0, False)
+    behind = feeds.PeerStatus(9, None, 0.0, False)
     feeds.told(feed, BEFORE[1], behind, 10, 0.1, _rng())
     assert feeds.choose(feed, 0.2) == BEFORE[1]
     feeds.told(feed, BEFORE[1], behind, 10, 0.1 + TIMING.behind, _rng())
@@ -124,7 +125,7 @@
 
 
 def test_only_three_try_a_store_that_all_have_lost() -> None:
-    lost = feeds.Word(10, 3.0, 0.0, False)
+    lost = feeds.PeerStatus(10, 3.0, 0.0, False)
     for rank, own in enumerate((*BEFORE, LAST)):
         feed = _feed(own)
         for host in feed.before:
--- a/tests/fleets/fleet.py
+++ b/tests/fleets/fleet.py
@@ -17,7 +17,7 @@
 from sassafrasstair.forwarding import _inbound
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _peers
-from sassafrasstair.forwarding import _questions
+from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _sync
 from tests.fleets import loops
@@ -143,7 +143,7 @@
             task.cancel()
         old = self.daemons.pop(host, None)
         if old is not None:
-            old.questions.clear()
+            old.polls.clear()
 
     def entry(
         self,
@@ -234,7 +234,7 @@
     while True:
         await asyncio.sleep(TICK_SECONDS)
         now = daemon.clock.monotonic()
-        _questions.tick(daemon, now)
+        _polls.tick(daemon, now)
         _learning.learned(daemon, views.expire(daemon.view, now), "time")
 
 
--- a/tests/fleets/test_faults.py
+++ b/tests/fleets/test_faults.py
@@ -18,7 +18,7 @@
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _peers
-from sassafrasstair.forwarding import _questions
+from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _sync
 from tests.fleets import fleet as fleet_module
@@ -85,7 +85,7 @@
     reader = fleet.reader("d0")
     daemon = fleet.daemons[reader]
     daemon.leaving = True
-    _questions.answer_all(daemon)
+    _polls.answer_all(daemon)
     await asyncio.sleep(0.2)
     fleet.kill(reader)
     return set()
@@ -230,7 +230,7 @@
     """Return a ``told`` that passes over who has lost the store."""
 
     def deaf(
-        feed: feeds.Feed, host: str, word: feeds.Word, *rest: object
+        feed: feeds.Feed, host: str, word: feeds.PeerStatus, *rest: object
     ) -> None:
         told(feed, host, dataclasses.replace(word, lost=None), *rest)
 
@@ -512,3 +512,29 @@
         assert fleet.store.calls_since(begun).total() <= 60
 
     loops.run(test())
+
+
+def test_reader_that_starts_from_an_old_reading_is_not_asked_in_vain() -> None:
+    """A reader restarts, and its first reading is three seconds old.
+
+    Its view then goes less far than that of its followers, while its last
+    change seems later than theirs. Until its next news, seconds later, each
+    of them asked it again and again without a pause.
+    """
+
+    async def test() -> None:
+        fleet = Fleet(12, 1)
+        await fleet.start()
+        # Changes that concern nobody move the store's revision only; the
+        # reader has read the whole as it was in the middle of them.
+        reader = fleet.daemons[fleet.reader("d0")]
+        old = fleet.store.revision + 5
+        fleet.store.revision += 20
+        for daemon in fleet.daemons.values():
+            daemon.view.revision = fleet.store.revision
+        reader.view.content = reader.view.revision = old
+        asked = fleet.network.questions
+        await asyncio.sleep(3.0)
+        assert fleet.network.questions - asked < 12 * 3 * 4
+
+    loops.run(test())
--- a/tests/forwarding/test_feed_wire.py
+++ b/tests/forwarding/test_feed_wire.py
@@ -10,15 +10,15 @@
 from sassafrasstair.forwarding import _wire
 from tests.forwarding import test_wire
 
-WORD = feeds.Word(12, None, 0.5, False)
+WORD = feeds.PeerStatus(12, None, 0.5, False)
 
 
 @pytest.mark.parametrize(
     "word",
     [
         WORD,
-        feeds.Word(12, 3.25, 0.0, True, 4.5),
-        feeds.Word(-1, 0.0, 0.0, False),
+        feeds.PeerStatus(12, 3.25, 0.0, True, 4.5),
+        feeds.PeerStatus(-1, 0.0, 0.0, False),
     ],
 )
 @pytest.mark.parametrize(
@@ -30,9 +30,9 @@
     ],
 )
 def test_answer_is_read_as_written(
-    word: feeds.Word, delta: views.Delta
+    word: feeds.PeerStatus, delta: views.Delta
 ) -> None:
-    field = _feed_wire.encode_word(word, delta.content)
+    field = _feed_wire.encode_status(word, delta.content)
     body = _feed_wire.encode_delta(delta)
     found, told = _feed_wire.decode_answer(field, body)
     assert found == word
@@ -78,7 +78,7 @@
     query: bytes, field: bytes | None, found: tuple[int, float | None] | None
 ) -> None:
     if found is not None:
-        assert _feed_wire.decode_question(query, field) == found
+        assert _feed_wire.decode_poll(query, field) == found
         return
     with pytest.raises(_wire.WireError):
-        _feed_wire.decode_question(query, field)
+        _feed_wire.decode_poll(query, field)
