Tell followers that all has gone when a reader finds the store empty

They kept an instance that was gone.

Change: a first reading counts as content even if it holds nothing, so a follower from before it gets the whole.

--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -137,8 +137,9 @@
         _types.Removed(key) for key in view.instances if key not in found
     ]
     if view.content < 0:
-        # What was removed before is not known: it can't be told on.
-        view.history.floor = content
+        # What was removed before is not known: it can't be told on. Even a
+        # reading that holds nothing tells a follower that all has gone.
+        view.history.floor = view.content = content
     return apply(view, [*vanished, *known], revision, content, now)
 
 
--- a/tests/decisions/views/test_deltas.py
+++ b/tests/decisions/views/test_deltas.py
@@ -55,6 +55,14 @@
     return policy[0] == policy[1] and slots[0] == slots[1]
 
 
+# A reader restarts and finds the store empty: it told its follower that
+# nothing had changed, which kept an instance that was gone.
+@hypothesis.example(
+    [
+        ([_instance("a", 1)], "ask"),
+        ([views.Removed("a")], "reader_restarts"),
+    ]
+)
 @hypothesis.given(STEPS)
 def test_follower_knows_what_its_reader_knows(
     steps: list[tuple[list[views.Change], str]],
--- a/tests/fleets/test_faults.py
+++ b/tests/fleets/test_faults.py
@@ -387,6 +387,8 @@
         sent = sum(fleet.network.sent.values())
         fleet.store.remove(f"i-{reader}")
         fleet.kill(reader)
+        await asyncio.sleep(_feeds.HOST_SECONDS + BOUND)
+        await fleet.spread()
         await asyncio.sleep(BOUND)
         moved = sum(
             daemon.feed.since > 8.0 for daemon in fleet.daemons.values()
