Log each call that the store left without an answer, and for how long it was away

After the store had been silent requests were handled by an older policy, and the logs could not tell whether a reader waited at a call, paused between two calls, or followed a daemon that knew nothing: store_lost is written for the first failed call alone. No decision is changed.

--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -11,6 +11,7 @@
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _state
+from sassafrasstair.forwarding import _status
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -51,9 +52,15 @@
 
 def note_answer(daemon: _state.Daemon, now: float, age: float = 0.0) -> None:
     """Note a word of the store, that a daemon may have had ``age`` ago."""
+    away = now - daemon.view.failing
     if views.source_answered(daemon.view, now, age):
         _counters.believed(daemon.counters, "store_back")
-        daemon.journal.note("store_back", revision=daemon.view.revision)
+        daemon.journal.note(
+            "store_back",
+            revision=daemon.view.revision,
+            away=away,
+            source=_status.parent_name(daemon.feed.parent),
+        )
         _polls.answer_all(daemon)
 
 
--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -64,7 +64,7 @@
     return FeedStatus(
         parent=parent_name(feed.parent),
         since=now - feed.since,
-        view_age=_view_age(daemon, now),
+        view_age=view_age(daemon, now),
         store_lost=now - view.failing if view.failing <= now else None,
         revision=view.revision,
         content=view.content,
@@ -90,7 +90,7 @@
         "reads_store": int(feeds.reads(feed)),
         "feed_rank": len(feed.before),
         "feed_seconds": now - feed.since,
-        "view_age_seconds": _view_age(daemon, now),
+        "view_age_seconds": view_age(daemon, now),
         "polls_held": len(daemon.polls),
         "policy_version": 0 if table is None else table.policy.version,
         "store_revision": daemon.view.revision,
@@ -104,7 +104,7 @@
     }
 
 
-def _view_age(daemon: _state.Daemon, now: float) -> float:
+def view_age(daemon: _state.Daemon, now: float) -> float:
     """Return how long ago the last word of the store came, by any way."""
     return now - max(daemon.view.answered, daemon.feed.started)
 
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -66,6 +66,7 @@
     while peers know more is not waited for.
     """
     _counters.read(daemon.counters, verb)
+    begun = daemon.clock.monotonic()
     reading = asyncio.ensure_future(call)
     woken = asyncio.ensure_future(daemon.woken.wait())
     try:
@@ -77,11 +78,13 @@
         if not reading.done():
             reading.cancel()
     if reading.done():
-        _took(daemon, reading, stale)
+        _took(daemon, verb, begun, reading, stale)
 
 
 def _took(
     daemon: _state.Daemon,
+    verb: str,
+    begun: float,
     reading: asyncio.Future[_dialect.Reading],
     stale: bool,
 ) -> None:
@@ -90,6 +93,13 @@
         found = reading.result()
     except _dialect.SourceError as error:
         gone = error.reason is _dialect.SourceReason.HISTORY_GONE
+        daemon.journal.request(
+            "store_call_failed",
+            error.reason.value,
+            verb=verb,
+            waited=now - begun,
+            age=_status.view_age(daemon, now),
+        )
         feeds.read_failed(daemon.feed, now, gone, daemon.rng)
         if gone:
             daemon.journal.note("store_history_gone")
--- a/tests/forwarding/test_sync.py
+++ b/tests/forwarding/test_sync.py
@@ -135,6 +135,35 @@
     test_path.run(test())
 
 
+def test_log_tells_each_call_that_the_store_left_without_an_answer() -> None:
+    """A change was late, and nobody could say at which call a reader waited.
+
+    The line for a lost store is written for the first failed call alone.
+    """
+
+    async def test() -> None:
+        world = await test_path._world()
+        world.source.away.update((A, B))
+        world.policy(4, place.route("/s/", "s"))
+        await asyncio.sleep(1.5)
+        world.source.away.clear()
+        await asyncio.wait_for(world.knows(A, B), 5.0)
+        for daemon in world.daemons.values():
+            daemon.daemon.journal.flush_lines()
+        lines = [
+            json.loads(line) for line in b"".join(world.lines).splitlines()
+        ]
+        failed = [one for one in lines if one["event"] == "store_call_failed"]
+        assert len(failed) >= 2
+        assert {one["verb"] for one in failed} <= {"read", "watch"}
+        assert all(one["waited"] >= 0.0 for one in failed)
+        back = [one for one in lines if one["event"] == "store_back"]
+        assert back
+        assert all(one["away"] > 0.0 for one in back)
+
+    test_path.run(test())
+
+
 def test_operators_are_told_whom_a_daemon_follows() -> None:
     """A request failed by an old view; why was the daemon behind."""
 
