Show that a change is late after the store was silent, whatever for how long

Callers saw requests handled by a policy that had been replaced more than two seconds before. The store falls silent right after a change, gives no answer for 3.0 or 8.6 s, and confirms four changes at its return: on the modelled fleet of 13 daemons they are in force everywhere after 4.1 and 2.6 s, with a bound of 2 s. The model's store now leaves what waited at it when it went away without an answer for good, or cuts it.

--- a/tests/fleets/stores.py
+++ b/tests/fleets/stores.py
@@ -5,10 +5,14 @@
 import asyncio
 import collections
 import dataclasses
+import typing
 
 from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 ANSWER_SECONDS = 0.004
 CALL_SECONDS = 2.0
 
@@ -18,8 +22,9 @@
     """Items, their history, and every call that was made.
 
     ``silent`` hosts get no answer, ``refused`` ones a refusal; all of them
-    when ``down``. A ``deaf`` store's watches hear nothing. Stale readings
-    are ``behind`` by so many changes.
+    when ``down``. A ``deaf`` store's watches hear nothing. An answer takes
+    ``slow`` seconds. ``left`` and ``cuts`` count for each host how often the
+    store went away: what waited then is answered no more, or cut.
     """
 
     revision: int = 1
@@ -32,6 +37,13 @@
     refused: set[str] = dataclasses.field(default_factory=set)
     down: bool = False
     deaf: bool = False
+    slow: float = ANSWER_SECONDS
+    left: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    cuts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     calls: list[tuple[float, str, str]] = dataclasses.field(
         default_factory=list
     )
@@ -55,6 +67,22 @@
         self.log.clear()
         self._wake()
 
+    def leave(self, hosts: abc.Iterable[str]) -> None:
+        """Answer some hosts no more, not even what waits already."""
+        self.silent |= set(hosts)
+        self.left.update(hosts)
+
+    def reset(self, hosts: abc.Iterable[str]) -> None:
+        """Refuse some hosts, and cut what waits."""
+        self.refused |= set(hosts)
+        self.cuts.update(hosts)
+        self._wake()
+
+    def back(self) -> None:
+        """Answer all again."""
+        self.silent.clear()
+        self.refused.clear()
+
     def calls_since(self, since: float) -> collections.Counter[str]:
         """Return how many calls were made, by verb."""
         return collections.Counter(
@@ -89,8 +117,9 @@
         """Return changes after a revision."""
         loop = asyncio.get_running_loop()
         until = loop.time() + wait
+        store, host = self._store, self._host
+        left, cuts = store.left[host], store.cuts[host]
         await self._call("watch", wait + CALL_SECONDS)
-        store = self._store
         while True:
             if after < store.floor:
                 raise forwarding.SourceError(
@@ -100,9 +129,12 @@
             if (found and not store.deaf) or loop.time() >= until:
                 break
             await self._changed(until - loop.time())
-            if store.down or self._host in store.silent:
+            silent = store.down or host in store.silent
+            if silent or store.left[host] != left:
                 await asyncio.sleep(until + CALL_SECONDS - loop.time())
                 raise forwarding.SourceError(forwarding.SourceReason.TIMEOUT)
+            if store.cuts[host] != cuts:
+                raise forwarding.SourceError(forwarding.SourceReason.LOST)
         if store.deaf:
             found = []
         content = found[-1][0] if found else -1
@@ -131,6 +163,6 @@
         if store.down or self._host in store.silent:
             await asyncio.sleep(seconds)
             raise forwarding.SourceError(forwarding.SourceReason.TIMEOUT)
-        await asyncio.sleep(ANSWER_SECONDS)
+        await asyncio.sleep(store.slow)
         if self._host in store.refused:
             raise forwarding.SourceError(forwarding.SourceReason.REFUSED)
