Check that the store answers while a watch waits there

Cause: a watch was waited for as long as one that just has no news, 5 s and 2 s more, also by a daemon that knew the store to be lost. What waits at a store that goes is answered no more when it is back, and all readers wait since the same change, so all were deaf together (class: a wait that is longer than the bound that it serves, at something that can't tell silence from no news). Ruled out by the lines of each failed call (waited=6.9995 age=14.5): the pause between calls (0.2 to 0.5 s), and the reloads, without which it came as well.

A reader now sends a small reading, at a tenth of the price, when nobody has had a word of the store for 0.4 of the bound. One that is answered after one that was not, or that tells of a greater revision than the watch did, ends the watch, and the store is asked anew. Comparisons tell how old a domain's word is, so in a calm fleet one reader checks for all, and a watch waits for 20 s in place of 5 s. The mend holds since no wait at the store is trusted beyond a check: the sums of the waits are at most 0.93 of the bound and the calls (decisions/feeds/_types.py).

Tests that change: without comparisons a reader that is cut off is now found by its checks as well, so the row for them takes a watch that dies alone; refused readers are cut in place of waiting for the end of a watch; the limit after a return is the bound, no longer the bound and a watch.

--- a/src/sassafrasstair/decisions/feeds/__init__.py
+++ b/src/sassafrasstair/decisions/feeds/__init__.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.feeds._feeds import believes
+from sassafrasstair.decisions.feeds._feeds import check_answered
+from sassafrasstair.decisions.feeds._feeds import check_due
+from sassafrasstair.decisions.feeds._feeds import check_sent
 from sassafrasstair.decisions.feeds._feeds import choose
+from sassafrasstair.decisions.feeds._feeds import deaf
 from sassafrasstair.decisions.feeds._feeds import doubt
 from sassafrasstair.decisions.feeds._feeds import Feed
 from sassafrasstair.decisions.feeds._feeds import learn
+from sassafrasstair.decisions.feeds._feeds import lost_from
+from sassafrasstair.decisions.feeds._feeds import missed
 from sassafrasstair.decisions.feeds._feeds import new_feed
 from sassafrasstair.decisions.feeds._feeds import next_step
+from sassafrasstair.decisions.feeds._feeds import patience
 from sassafrasstair.decisions.feeds._feeds import read_done
 from sassafrasstair.decisions.feeds._feeds import read_failed
 from sassafrasstair.decisions.feeds._feeds import readers
@@ -18,6 +26,7 @@
 from sassafrasstair.decisions.feeds._feeds import without_store
 from sassafrasstair.decisions.feeds._orders import earlier
 from sassafrasstair.decisions.feeds._orders import FANOUT
+from sassafrasstair.decisions.feeds._orders import leads
 from sassafrasstair.decisions.feeds._orders import parent
 from sassafrasstair.decisions.feeds._types import PeerStatus
 from sassafrasstair.decisions.feeds._types import Poll
@@ -39,13 +48,22 @@
     "Step",
     "Timing",
     "Watch",
+    "believes",
+    "check_answered",
+    "check_due",
+    "check_sent",
     "choose",
+    "deaf",
     "doubt",
     "earlier",
+    "leads",
     "learn",
+    "lost_from",
+    "missed",
     "new_feed",
     "next_step",
     "parent",
+    "patience",
     "read_done",
     "read_failed",
     "readers",
--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -11,6 +11,7 @@
 import math
 import typing
 
+from sassafrasstair.decisions.feeds import _checks
 from sassafrasstair.decisions.feeds import _orders
 from sassafrasstair.decisions.feeds import _types
 
@@ -26,9 +27,12 @@
 With all 195 trying once a second, its return would be a flood, and each
 refused call is paid for. If the store turns half of the machines away, all
 three are among them once in eight times; other failure domains then tell."""
-WATCH_SECONDS = 5.0
-"""How long one watch waits: a store that falls silent without another daemon
-noticing is found out at its end."""
+WATCH_SECONDS = 20.0
+"""How long one watch waits. That the store has gone meanwhile is found out by
+checks, which cost a tenth of a watch."""
+STAND_IN_SECONDS = 5.0
+"""The same for a daemon that reads in place of an earlier one, which may read
+again by now."""
 CHECK_SECONDS = 0.1
 """The same where a peer has told more than the store did: its answer, or
 none, shows soon whether the store still serves this daemon."""
@@ -43,9 +47,10 @@
 while the store was away are gone for two seconds after its return; 78 of 96
 daemons then knew nobody to follow and read the store (``tests/fleets``)."""
 AGE_SECONDS_MAX = 10.0
-"""A reader hears from the store each 5 s, and 2 s later at the most knows
-that it does not. Whoever has older news follows one that only seems to read,
-or, if two hosts were not known by the same address everywhere, itself."""
+"""A reader knows by its checks, or by those of another failure domain, when
+the store last answered, and after 5 s at the most that it does not. Whoever
+has older news follows one that only seems to read, or, if two hosts were not
+known by the same address everywhere, itself."""
 FAILURES_TO_READ = 2
 """Daemons that did not answer, one after the other, until the store itself
 is read: if half of the VMs before one are gone, the wait for the next sound
@@ -81,7 +86,9 @@
     ``parent`` is followed since ``since``, and has ``answered`` since then.
     ``read_from`` and ``poll_from`` are when the next call may be made;
     until ``alone_until`` the store is read whoever could be followed.
-    ``doubted`` when a peer told more than the store did.
+    ``doubted`` when a peer told more than the store did. ``checks`` show
+    whether the store answers, ``first`` when the own failure domain is the
+    one whose reader checks it for all.
     """
 
     own: str
@@ -105,6 +112,8 @@
     poll_from: float = -math.inf
     retry: float = RETRY_SECONDS
     doubted: bool = False
+    checks: _checks.Checks = dataclasses.field(default_factory=_checks.Checks)
+    first: bool = True
 
 
 def new_feed(own: str, timing: _types.Timing, now: float) -> Feed:
@@ -161,13 +170,14 @@
     return _orders.parent(live)
 
 
-def read_done(feed: Feed, now: float, stale: bool) -> None:
-    """Note an answer of the store."""
+def read_done(feed: Feed, now: float, stale: bool, news: bool = True) -> None:
+    """Note an answer of the store, with ``news`` or without."""
     pace = START_PACE_SECONDS if stale else feed.timing.pace
     feed.read_from = now + pace
     feed.retry = RETRY_SECONDS
     feed.whole = False
     feed.doubted = False
+    _checks.settled(feed.checks, now, news)
 
 
 def read_failed(
@@ -229,6 +239,82 @@
     feed.doubted = True
 
 
+def check_due(feed: Feed, heard: float, now: float) -> bool:
+    """Return whether to check now that the store answers.
+
+    ``heard`` is when it last did, by any way.
+    """
+    if feed.parent != STORE or _starting(feed, now):
+        return False
+    due = _checks.due(feed.checks, feed.timing, feed.first, heard)
+    return now >= due
+
+
+def check_sent(feed: Feed, now: float, rng: random.Random) -> bool:
+    """Note a check; return whether it needs a connection of its own.
+
+    Failure: the store's kept connections fall silent with it, and a check on
+    one of them would show nothing of its return.
+    """
+    fresh = feed.checks.unanswered_from is not None
+    stand_in = bool(feed.before)
+    _checks.sent(feed.checks, feed.timing, stand_in, now, rng)
+    return fresh
+
+
+def check_answered(feed: Feed, sent_at: float, now: float) -> bool:
+    """Note that the store answers; return whether it had been away.
+
+    Failure: a watch that was begun before waits at nobody, and changes are
+    not known for as long as it is waited for. The store is asked anew.
+    """
+    away = _checks.answered(feed.checks, sent_at)
+    if away and reads(feed):
+        feed.read_from = min(feed.read_from, now)
+    return away
+
+
+def lost_from(feed: Feed, now: float) -> float | None:
+    """Return since when checks have had no answer, None if that is short."""
+    if feed.parent != STORE:
+        return None
+    return _checks.lost_from(feed.checks, feed.timing, now)
+
+
+def believes(feed: Feed, now: float) -> bool:
+    """Return whether a greater revision of the store is acted on."""
+    return reads(feed) and _checks.believes(feed.checks, now)
+
+
+def missed(feed: Feed, now: float) -> None:
+    """Ask the store at once: its revision says that a watch told too little.
+
+    Failure: the store was away for so short that no check was lost, but
+    what the watch would have told is.
+    """
+    doubt(feed, now)
+    feed.checks.acted = True
+
+
+def deaf(feed: Feed, heard: float, now: float) -> bool:
+    """Return whether nobody that is known has heard of the store for long."""
+    return now - heard > _checks.DEAF_QUIET * feed.timing.quiet
+
+
+def patience(feed: Feed, heard: float, now: float) -> float:
+    """Return for how long a peer may know more before it is asked.
+
+    A reader's own watch tells at once, but for the pace between two, and not
+    at all if the daemon is deaf.
+    """
+    if not reads(feed):
+        return feed.timing.behind
+    if deaf(feed, heard, now):
+        return 0.0
+    pace = min(feed.timing.pace, max(0.0, feed.read_from - now))
+    return pace + feed.timing.grace
+
+
 def readers(hosts: abc.Iterable[str]) -> tuple[str, ...]:
     """Return who reads the store, or is the next to, of some hosts."""
     return _orders.first(hosts, READERS_MAX)
@@ -260,7 +346,9 @@
 def _read(feed: Feed) -> _types.Step:
     if feed.whole:
         return _types.Read(stale=False)
-    return _types.Watch(CHECK_SECONDS if feed.doubted else WATCH_SECONDS)
+    if feed.doubted:
+        return _types.Watch(CHECK_SECONDS)
+    return _types.Watch(STAND_IN_SECONDS if feed.before else WATCH_SECONDS)
 
 
 def _starting(feed: Feed, now: float) -> bool:
--- a/src/sassafrasstair/decisions/feeds/_orders.py
+++ b/src/sassafrasstair/decisions/feeds/_orders.py
@@ -44,6 +44,12 @@
     return tuple(sorted(hosts, key=place)[:count])
 
 
+def leads(own: abc.Iterable[str], others: abc.Iterable[str]) -> bool:
+    """Return whether the first of the own hosts comes before all others."""
+    mark = min(map(place, own), default=b"")
+    return all(mark <= place(host) for host in others)
+
+
 def parent(before: abc.Sequence[str]) -> str:
     """Return whom the daemon behind these hosts follows: a heap by rank."""
     return before[(len(before) - 1) // FANOUT]
--- a/src/sassafrasstair/decisions/feeds/_types.py
+++ b/src/sassafrasstair/decisions/feeds/_types.py
@@ -8,6 +8,9 @@
 HOLD_SHARE = 0.25
 MARGIN_SHARE = 0.2
 COMPARE_SHARE = 0.15
+QUIET_SHARE = 0.4
+ANSWER_SHARE = 0.3
+CHECK_SHARE = 0.4
 """Parts of the bound within which a change must be known everywhere.
 
 Worst case with sound links: the pace of the reader's watches, and a call, is
@@ -16,13 +19,25 @@
 notices as late and reads the store at once: 0.5 with the calls, for bounds of
 2 s and more. If the reader hears nothing of the store while others do: their
 pace (0.25), the next comparison (0.15), the wait until the own watch should
-have told (0.35) and a call: 0.8 of the bound."""
+have told (0.35) and a call: 0.8 of the bound.
+
+After an absence of the store, however long: the first reader of each failure
+domain that noticed it checks at least once in 0.4, and an answered check makes
+it watch anew at once. If the absence was too short to be noticed, the first
+reader's next check comes after 0.4 and tells of a greater revision, which is
+acted on 0.1 later; the other readers' next comparison (0.23) and the wait for
+the own watch (0.1) follow: 0.83 of the bound with the calls.
+
+If the store leaves all readers and serves the others: the first reader's check
+(0.4), the time for its answer (0.3), whereupon the next of its domain reads,
+and the comparison of the others (0.23): 0.93 of the bound and the calls."""
 BOUND_SECONDS_MIN, BOUND_SECONDS_MAX = 1.0, 6.0
 """Bounds beyond these are taken for these. With none, or one of some ms, a
 follower would ask without a pause; with one of a minute, instances that join
 or leave would be known only when their requests fail."""
 BEHIND_SHARE = 0.1
-"""Beyond the own pace, before what a peer knows more is asked for."""
+"""Beyond the own pace, before what a peer knows more is asked for: the own
+watch brings it, too, some ms earlier or later."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,7 +48,12 @@
     one call brings all. ``hold`` is for how long a follower's poll is
     kept without news, ``margin`` how much later its answer may come,
     ``compare`` between two looks at other failure domains, ``behind`` how
-    long a peer may know more before it is asked.
+    long a peer may know more before it is asked, and ``grace`` how long
+    if no pace keeps the own watch from telling first.
+
+    A reader checks that the store answers after a time of ``quiet``, takes
+    it for lost without an answer within ``answer``, and then checks once in
+    ``check``.
     """
 
     pace: float
@@ -41,6 +61,10 @@
     margin: float
     compare: float
     behind: float
+    grace: float
+    quiet: float
+    answer: float
+    check: float
 
 
 def timing(bound_seconds: float) -> Timing:
@@ -52,6 +76,10 @@
         MARGIN_SHARE * bound,
         COMPARE_SHARE * bound,
         (PACE_SHARE + BEHIND_SHARE) * bound,
+        BEHIND_SHARE * bound,
+        QUIET_SHARE * bound,
+        ANSWER_SHARE * bound,
+        CHECK_SHARE * bound,
     )
 
 
--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -29,6 +29,7 @@
 from sassafrasstair.decisions.views._views import apply
 from sassafrasstair.decisions.views._views import expire
 from sassafrasstair.decisions.views._views import new_view
+from sassafrasstair.decisions.views._views import note_age
 from sassafrasstair.decisions.views._views import note_replaced
 from sassafrasstair.decisions.views._views import note_unsteady
 from sassafrasstair.decisions.views._views import replace
@@ -62,6 +63,7 @@
     "least_importance",
     "neighbours",
     "new_view",
+    "note_age",
     "note_replaced",
     "note_unsteady",
     "replace",
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -106,6 +106,15 @@
     return back
 
 
+def note_age(view: View, age: float, now: float) -> None:
+    """Take from a peer that knows no more how old its view is at most.
+
+    What the store says by another way changes nothing of whether it answers
+    this daemon.
+    """
+    view.answered = max(view.answered, now - age)
+
+
 def source_failed(view: View, now: float) -> bool:
     """Note a failed call to the store; True when it is the first."""
     first = view.failing == math.inf
--- /dev/null
+++ b/src/sassafrasstair/forwarding/_checks.py
@@ -0,0 +1,84 @@
+"""Checks that the store answers, while a watch waits there."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import typing
+
+from sassafrasstair.decisions import feeds
+from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _dialect
+from sassafrasstair.forwarding import _learning
+from sassafrasstair.forwarding import _status
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair.forwarding import _state
+
+VERB = "check"
+
+
+def tick(daemon: _state.Daemon, now: float) -> None:
+    """Send a check when one is due, and note that the store has gone."""
+    since = feeds.lost_from(daemon.feed, now)
+    if since is not None:
+        reason = _dialect.SourceReason.TIMEOUT.value
+        _learning.note_failure(daemon, since, reason, VERB)
+    if feeds.check_due(daemon.feed, daemon.view.answered, now):
+        _send(daemon, now)
+
+
+def _send(daemon: _state.Daemon, now: float) -> None:
+    fresh = feeds.check_sent(daemon.feed, now, daemon.rng)
+    _counters.read(daemon.counters, VERB)
+    call = asyncio.ensure_future(daemon.source.check(fresh))
+    daemon.checks.add(call)
+    call.add_done_callback(functools.partial(_done, daemon, now))
+
+
+def _done(
+    daemon: _state.Daemon, sent_at: float, call: asyncio.Future[int]
+) -> None:
+    daemon.checks.discard(call)
+    if call.cancelled():
+        return
+    now = daemon.clock.monotonic()
+    try:
+        revision = call.result()
+    except _dialect.SourceError as error:
+        daemon.journal.request(
+            "store_call_failed",
+            error.reason.value,
+            verb=VERB,
+            waited=now - sent_at,
+            age=_status.view_age(daemon, now),
+        )
+        return
+    if feeds.check_answered(daemon.feed, sent_at, now):
+        daemon.journal.note("store_asked_anew", waited=now - sent_at)
+        daemon.woken.set()
+        for vain in daemon.checks:
+            vain.cancel()
+    # The view is as fresh as the answer only if it lacks nothing of it: a
+    # reader that hangs would else pass for one that reads.
+    behind = _is_behind(daemon, revision, now)
+    age = now - daemon.view.answered if behind else 0.0
+    _learning.note_answer(daemon, now, age)
+    if behind:
+        asyncio.get_running_loop().call_later(
+            daemon.feed.timing.grace, _ask_if_behind, daemon, revision
+        )
+
+
+def _ask_if_behind(daemon: _state.Daemon, revision: int) -> None:
+    """Ask the store at once, if the own watch still has not told."""
+    now = daemon.clock.monotonic()
+    if _is_behind(daemon, revision, now):
+        daemon.journal.note("watch_behind", revision=revision)
+        feeds.missed(daemon.feed, now)
+        daemon.woken.set()
+
+
+def _is_behind(daemon: _state.Daemon, revision: int, now: float) -> bool:
+    greater = revision > daemon.view.revision
+    return greater and feeds.believes(daemon.feed, now)
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -12,6 +12,7 @@
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _callee
+from sassafrasstair.forwarding import _checks
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _entrance
@@ -188,6 +189,7 @@
     _callee.tick(daemon, now)
     _probes.tick(daemon, now)
     _polls.tick(daemon, now)
+    _checks.tick(daemon, now)
     told = views.expire(daemon.view, now)
     _learning.learned(daemon, told, "time")
     daemon.journal.tick(now)
@@ -275,5 +277,7 @@
     await asyncio.sleep(TICK_SECONDS)
     for task in list(daemon.tasks):
         task.cancel()
+    for check in list(daemon.checks):
+        check.cancel()
     daemon.journal.note("stopped", seconds=loop.time() - begun)
     daemon.journal.tick(loop.time() + 1.0)
--- a/src/sassafrasstair/forwarding/_dialect.py
+++ b/src/sassafrasstair/forwarding/_dialect.py
@@ -147,6 +147,14 @@
         no longer to be had.
         """
 
+    async def check(self, fresh: bool) -> int:
+        """Return the store's revision, which may be seconds old.
+
+        It costs as little as the store allows, and is answered as long as
+        the store is there. ``fresh`` makes a connection of its own for it.
+        Raises ``SourceError``.
+        """
+
     def close(self) -> None:
         """Close all connections."""
 
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -27,7 +27,8 @@
         return
     path, _, query = request.target.partition(b"?")
     if path == _wire.PING_PATH:
-        exchange.respond(200, [_own_state(daemon)], b"")
+        told = [_own_state(daemon), _polls.own_status(daemon)]
+        exchange.respond(200, told, b"")
     elif path == _feed_wire.VIEW_PATH:
         _polls.serve(daemon, exchange, query)
     else:
--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -123,6 +123,9 @@
     daemon.foreign_readers = [
         reader for far in hosts.values() for reader in feeds.readers(far)
     ]
+    daemon.feed.first = feeds.leads(
+        {*near, daemon.feed.own}, daemon.foreign_readers
+    )
     _polls.answer_news(daemon)
 
 
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -16,6 +16,9 @@
 
 ASK_SECONDS = 0.3
 """Between two questions to peers while the store is away."""
+ASKED_WHEN_DEAF = 6
+"""Daemons of other failure domains that a deaf reader asks at once: those of
+two domains that read, or would next."""
 ANSWER_SECONDS = 1.0
 """For the answer to one; it takes milliseconds."""
 
@@ -40,6 +43,7 @@
     Failure: the reader of a domain is cut off from the store, or its watch
     hears nothing, and no request comes from another domain that would tell.
     All of its followers, which are sound, would miss a change for seconds.
+    A reader that is deaf asks several: the one that hears may be any.
     """
     while True:
         pause = daemon.feed.timing.compare * (0.5 + daemon.rng.random())
@@ -47,8 +51,10 @@
         if not feeds.reads(daemon.feed):
             continue
         others = daemon.foreign_readers
-        if others:
-            host = others[int(daemon.rng.random() * len(others))]
+        now = daemon.clock.monotonic()
+        deaf = feeds.deaf(daemon.feed, daemon.view.answered, now)
+        count = min(len(others), ASKED_WHEN_DEAF if deaf else 1)
+        for host in daemon.rng.sample(others, count):
             _ping(daemon, host)
 
 
@@ -57,7 +63,10 @@
     if daemon.pulling or not views.is_behind(daemon.view, content):
         return
     daemon.pulling = True
-    wait = daemon.feed.timing.behind if views.knows(daemon.view) else 0.0
+    now = daemon.clock.monotonic()
+    known = views.knows(daemon.view)
+    heard_at = daemon.view.answered
+    wait = feeds.patience(daemon.feed, heard_at, now) if known else 0.0
     asyncio.get_running_loop().call_later(
         wait, _pull_if_behind, daemon, host, content
     )
@@ -98,6 +107,13 @@
         return
     try:
         state = _wire.decode_state(result.found.get(_wire.STATE_KEY, b""))
+        field = result.found.get(_feed_wire.KEY)
+        if field is not None and not views.is_behind(
+            daemon.view, state.content
+        ):
+            status, _ = _feed_wire.decode_answer(field, b"")
+            now = daemon.clock.monotonic()
+            views.note_age(daemon.view, status.age, now)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         return
--- a/src/sassafrasstair/forwarding/_polls.py
+++ b/src/sassafrasstair/forwarding/_polls.py
@@ -61,6 +61,20 @@
     exchange.gone = lambda: _forget(daemon, poll)
 
 
+def own_status(daemon: _state.Daemon) -> tuple[bytes, bytes]:
+    """Return the field that tells how far and how fresh the own view is."""
+    view, now = daemon.view, daemon.clock.monotonic()
+    lost = now - view.failing if _has_lost(daemon) else None
+    status = feeds.PeerStatus(
+        view.revision,
+        lost,
+        max(0.0, view.unsteady_until - now),
+        daemon.leaving,
+        max(0.0, now - view.answered),
+    )
+    return _feed_wire.FIELD, _feed_wire.encode_status(status, view.content)
+
+
 def answer_news(daemon: _state.Daemon) -> None:
     """Answer all for whom there is news."""
     daemon.encoded.clear()
@@ -90,19 +104,9 @@
 
 
 def _answer(daemon: _state.Daemon, poll: HeldPoll) -> None:
-    view, now = daemon.view, daemon.clock.monotonic()
-    lost = now - view.failing if _has_lost(daemon) else None
-    status = feeds.PeerStatus(
-        view.revision,
-        lost,
-        max(0.0, view.unsteady_until - now),
-        daemon.leaving,
-        max(0.0, now - view.answered),
-    )
-    field = _feed_wire.encode_status(status, view.content)
     body = _encoded(daemon, poll.after)
     poll.exchange.gone = None
-    poll.exchange.respond(200, [(_feed_wire.FIELD, field)], body)
+    poll.exchange.respond(200, [own_status(daemon)], body)
 
 
 def _encoded(daemon: _state.Daemon, after: int) -> bytes:
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -44,6 +44,8 @@
 
     ``refused`` are keys of the store's unusable items, by their revision.
 
+    ``checks`` are those under way that the store answers.
+
     ``polls`` of other daemons wait for news, ``encoded`` are answers to
     them by the content that was asked from, and ``woken`` ends what the
     feed waits for. ``foreign_readers`` are hosts in other failure domains.
@@ -89,6 +91,7 @@
     calls: set[_records.Call] = dataclasses.field(default_factory=set)
     runs: dict[str, _records.Run] = dataclasses.field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    checks: set[asyncio.Future[int]] = dataclasses.field(default_factory=set)
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
     hosts: list[str] = dataclasses.field(default_factory=list)
     foreign_readers: list[str] = dataclasses.field(default_factory=list)
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -109,7 +109,7 @@
             )
         return
     _learning.take_reading(daemon, found)
-    feeds.read_done(daemon.feed, now, stale)
+    feeds.read_done(daemon.feed, now, stale, bool(found.changes))
 
 
 async def _ask(
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -20,6 +20,8 @@
 CALL_SECONDS = 2.0
 """For an answer of the store, beside the time that a watch waits. It takes
 milliseconds; in a slowdown up to some hundred."""
+NO_KEY = "no-key-begins-so/"
+"""A prefix without items: its reading brings the store's revision alone."""
 IDLE_SECONDS = 30.0
 PAGES_MAX = 1_000
 
@@ -105,12 +107,22 @@
             (*unread, *refused),
         )
 
+    async def check(self, fresh: bool) -> int:
+        """Return the store's revision; raises ``SourceError``."""
+        query = {"prefix": NO_KEY, "allow_stale": "1"}
+        body = await self._call("range", query, CALL_SECONDS, fresh)
+        return _decoded(_RANGE, body).store_revision
+
     def close(self) -> None:
         """Close all connections."""
         self._pool.close()
 
     async def _call(
-        self, verb: str, query: abc.Mapping[str, str], seconds: float
+        self,
+        verb: str,
+        query: abc.Mapping[str, str],
+        seconds: float,
+        fresh: bool = False,
     ) -> bytes:
         target = f"/-/kv-{verb}?{urllib.parse.urlencode(query)}"
         host = f"{self._pool.host}:{self._pool.port}".encode()
@@ -127,7 +139,8 @@
                 answer.set_result(result)
 
         job = httpio.Job(head, done)
-        self._pool.send(job)
+        send = self._pool.send_on_new if fresh else self._pool.send
+        send(job)
         try:
             result = await asyncio.wait_for(answer, seconds)
         except TimeoutError as error:
--- a/tests/fleets/fleet.py
+++ b/tests/fleets/fleet.py
@@ -13,6 +13,7 @@
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
+from sassafrasstair.forwarding import _checks
 from sassafrasstair.forwarding import _events
 from sassafrasstair.forwarding import _inbound
 from sassafrasstair.forwarding import _learning
@@ -235,6 +236,7 @@
         await asyncio.sleep(TICK_SECONDS)
         now = daemon.clock.monotonic()
         _polls.tick(daemon, now)
+        _checks.tick(daemon, now)
         _learning.learned(daemon, views.expire(daemon.view, now), "time")
 
 
--- a/tests/fleets/stores.py
+++ b/tests/fleets/stores.py
@@ -142,6 +142,11 @@
         revision = content if found else max(after, store.floor)
         return forwarding.Reading(changes, revision, content, False)
 
+    async def check(self, fresh: bool) -> int:
+        """Return the store's revision."""
+        await self._call("check", CALL_SECONDS)
+        return self._store.revision
+
     def close(self) -> None:
         """Nothing is open."""
 
--- a/tests/fleets/test_faults.py
+++ b/tests/fleets/test_faults.py
@@ -15,6 +15,7 @@
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions.feeds import _feeds
 from sassafrasstair.decisions.feeds import _orders
+from sassafrasstair.forwarding import _checks
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _state
@@ -25,6 +26,7 @@
 Fleet = fleet_module.Fleet
 BOUND = fleet_module.BOUND
 NEVER = 1e9
+REFUSED_SECONDS = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +42,10 @@
     await asyncio.sleep(NEVER)
 
 
+def _never(daemon: _state.Daemon, now: float) -> None:
+    pass
+
+
 async def _freeze_reader(fleet: Fleet) -> set[str]:
     reader = fleet.reader("d0")
     fleet.network.frozen.add(reader)
@@ -61,9 +67,28 @@
     return set()
 
 
+async def _watch_of_a_reader_dies(fleet: Fleet) -> set[str]:
+    """Its connection falls silent for good while new ones work."""
+    await fleet.spread()
+    await asyncio.sleep(1.05 * _timing(fleet).pace)
+    leading = fleet.daemons[fleet.reader("d0")].feed.first
+    fleet.store.leave({fleet.reader("d1" if leading else "d0")})
+    fleet.store.back()
+    return set()
+
+
+def _timing(fleet: Fleet) -> feeds.Timing:
+    return feeds.timing(fleet.bound)
+
+
+async def _all_readers_without_store(fleet: Fleet) -> set[str]:
+    fleet.store.leave(fleet.readers())
+    return set()
+
+
 async def _reader_refused(fleet: Fleet) -> set[str]:
-    fleet.store.refused.add(fleet.reader("d0"))
-    await asyncio.sleep(_feeds.WATCH_SECONDS)
+    fleet.store.reset({fleet.reader("d0")})
+    await asyncio.sleep(REFUSED_SECONDS)
     return set()
 
 
@@ -103,8 +128,8 @@
 
 
 async def _half_refused(fleet: Fleet) -> set[str]:
-    fleet.store.refused |= set(fleet.hosts[::2])
-    await asyncio.sleep(_feeds.WATCH_SECONDS)
+    fleet.store.reset(fleet.hosts[::2])
+    await asyncio.sleep(REFUSED_SECONDS)
     return set()
 
 
@@ -132,6 +157,8 @@
     _kill_reader,
     _slow_reader,
     _reader_without_store,
+    _watch_of_a_reader_dies,
+    _all_readers_without_store,
     _reader_refused,
     _reader_without_followers,
     _reader_stops,
@@ -194,7 +221,8 @@
     ("fault", "domains", "guard"),
     [
         (_freeze_reader, 3, Guard(_feeds, "silent", lambda *_: None)),
-        (_reader_without_store, 3, Guard(_peers, "compare", _nothing)),
+        (_watch_of_a_reader_dies, 3, Guard(_peers, "compare", _nothing)),
+        (_all_readers_without_store, 3, Guard(_checks, "tick", _never)),
         (_half_of_a_domain, 1, Guard(_feeds, "FAILURES_TO_READ", NEVER)),
         (_reader_refused, 1, Guard(_feeds, "told", None)),
     ],
--- a/tests/fleets/test_feeds.py
+++ b/tests/fleets/test_feeds.py
@@ -85,7 +85,7 @@
         assert away <= 3 * _feeds.READERS_MAX * 10
         fleet.store.down = False
         begun = loop.time()
-        assert await fleet.spread() < BOUND + _feeds.WATCH_SECONDS
+        assert await fleet.spread() < BOUND
         assert fleet.store.calls_since(begun).total() <= 60
 
     loops.run(test())
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -121,6 +121,10 @@
             changes, self._source.revision, new[-1][0], False
         )
 
+    async def check(self, fresh: bool) -> int:
+        self._check()
+        return self._source.revision
+
     def close(self) -> None:
         """Nothing is open."""
 
--- a/tests/forwarding/test_sync.py
+++ b/tests/forwarding/test_sync.py
@@ -155,7 +155,8 @@
         ]
         failed = [one for one in lines if one["event"] == "store_call_failed"]
         assert len(failed) >= 2
-        assert {one["verb"] for one in failed} <= {"read", "watch"}
+        verbs = {one["verb"] for one in failed}
+        assert verbs <= {"read", "watch", "check"}
         assert all(one["waited"] >= 0.0 for one in failed)
         back = [one for one in lines if one["event"] == "store_back"]
         assert back
--- a/tests/platform/soak/store.py
+++ b/tests/platform/soak/store.py
@@ -87,7 +87,11 @@
         path, _, query = exchange.request.target.decode().partition("?")
         asked = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         if path == "/-/kv-range":
-            items = [self.items[key] for key in sorted(self.items)]
+            items = [
+                self.items[key]
+                for key in sorted(self.items)
+                if key.startswith(asked["prefix"])
+            ]
             _respond(exchange, self.revision, "items", items)
             return
         after = int(asked["after"])
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -203,3 +203,25 @@
         assert len(asked) == 1
 
     _run(test())
+
+
+@pytest.mark.parametrize("fresh", [False, True])
+def test_check_reads_the_revision_and_nothing_else(fresh: bool) -> None:
+    """A check costs little, so it must bring no items.
+
+    On a kept connection that fell silent with the store it would show
+    nothing of the store's return.
+    """
+
+    async def test() -> None:
+        told = {"items": [], "has_more": False, "store_revision": 9}
+        answer = _answer("200 OK", told)
+        source, asked = await _store_of(answer, answer, answer)
+        assert await source.check(False) == 9
+        assert await source.check(fresh) == 9
+        opened = typing.cast("_store._Store", source)._pool.opened
+        assert opened == (2 if fresh else 1)
+        assert all("allow_stale=1" in each for each in asked)
+        assert all("prefix=no-key" in each for each in asked)
+
+    _run(test())
