Tell one policy in force for each answer, however many it brings

An operator who counted the lines of a change saw up to eight of one version at one moment for one daemon: a watch that brings a series of policies told each, by the version of the last. Policies that a later one of the same answer replaces are never in force and are left out before they are taken. The test failed before (four lines for four policies, now one).

--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -170,7 +170,7 @@
         return []
     view.revision = revision
     told: Told = []
-    for change in changes:
+    for change in _without_replaced(changes):
         news = _apply_one(view, change, now)
         told += news
         if any(kind is not _types.News.OUTDATED for kind, _ in news):
@@ -181,6 +181,27 @@
     return told
 
 
+def _without_replaced(
+    changes: abc.Sequence[_types.Change],
+) -> list[_types.Change]:
+    """Leave out policies that a later one of the same answer replaces.
+
+    Failure: none of them is ever in force here, but each was told as one
+    that is, by the version of the last.
+    """
+    versions = [
+        change.version
+        for change in changes
+        if isinstance(change, policies.Policy)
+    ]
+    newest = max(versions, default=0)
+    return [
+        change
+        for change in changes
+        if not isinstance(change, policies.Policy) or change.version == newest
+    ]
+
+
 def take(view: View, delta: _types.Delta, now: float) -> Told:
     """Take what a peer told after this view's content.
 
--- a/tests/decisions/views/test_views.py
+++ b/tests/decisions/views/test_views.py
@@ -49,6 +49,21 @@
     assert view.table.policy.version == 7
 
 
+def test_policies_of_one_answer_are_one_change() -> None:
+    """One watch brings eight policies that were confirmed in a series.
+
+    The log told the last of them eight times at one moment, so that its
+    lines could not be counted: "policy_in_force version=30" of one daemon,
+    eight lines at 38.771 s.
+    """
+    view = _known(_policy(7))
+    series = [_policy(version) for version in (9, 12, 30, 14)]
+    told = views.apply(view, series, 20, 20, 101.0)
+    assert told == [(views.News.POLICY, "")]
+    assert view.table is not None
+    assert view.table.policy.version == 30
+
+
 @pytest.mark.parametrize(
     ("revision", "taken"), [(9, False), (10, False), (11, True)]
 )
