Take no word from before a loss for the store's return

On-call engineers saw store_back and store_lost of one daemon by turns, 50 ms apart, for as long as the store was silent, and for two seconds after each the daemon sent requests to instances that had been removed. Cause: a follower took the word of a daemon that had not found out yet, told with its age of up to 14 s, as one given now (class: an age that is carried and not compared). A word counts as a return only if it was given after the loss. The two cases of an older word failed before the mend.

--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -96,14 +96,15 @@
 def source_answered(view: View, now: float, age: float = 0.0) -> bool:
     """Note an answer of the store; True when it had been away.
 
-    ``age`` is how long ago it was given, to another daemon.
+    ``age`` is how long ago it was given, to another daemon. One that was
+    given before the loss says nothing of a return.
     """
-    back = view.failing < now
-    if back:
-        view.unsteady_until = now + UNSTEADY_SECONDS
-    view.failing = math.inf
     view.answered = max(view.answered, now - age)
-    return back
+    if view.failing == math.inf or now - age <= view.failing:
+        return False
+    view.unsteady_until = now + UNSTEADY_SECONDS
+    view.failing = math.inf
+    return True
 
 
 def note_age(view: View, age: float, now: float) -> None:
--- a/tests/decisions/views/test_views.py
+++ b/tests/decisions/views/test_views.py
@@ -49,6 +49,25 @@
     assert view.table.policy.version == 7
 
 
+@pytest.mark.parametrize(
+    ("age", "back"), [(0.0, True), (1.9, True), (2.1, False), (9.0, False)]
+)
+def test_word_from_before_the_loss_is_no_return(
+    age: float, back: bool
+) -> None:
+    """A follower asks a daemon that has not found out about the loss yet.
+
+    It wrote "store_back away=4.53" and took it back 50 ms later, again and
+    again for as long as the store was silent; and for two seconds after each
+    it took instances that had been removed for ones that may live.
+    """
+    view = _known(_policy(7))
+    views.source_failed(view, 100.0)
+    assert views.source_answered(view, 102.0, age) is back
+    assert (view.failing > 102.0) is back
+    assert (view.unsteady_until > 102.0) is back
+
+
 def test_policies_of_one_answer_are_one_change() -> None:
     """One watch brings eight policies that were confirmed in a series.
 
