Ask the own failure domain, too, while the store is lost

A change was not in force for as long as it was looked at (30 s) at the first reader of a failure domain that was cut off, after the store had come back for all others there, nor at those who followed it. Cause: while the store is lost to it a reader asks daemons of other domains alone, if it knows any, and reached none. It now asks its own domain about as often: in force within the bound of 2 s, in the model of 36 daemons. The test failed before.

--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -80,11 +80,16 @@
 
 
 def _elsewhere(daemon: _state.Daemon) -> list[_dialect.Address]:
-    """Return whom to ask: other failure domains, own one, or the seeds."""
+    """Return whom to ask: another failure domain, the own one, or the seeds.
+
+    Failure: a domain is cut off, and the store turns its first reader away.
+    Asking other domains alone, it would never hear what the next reader of
+    its own domain knows. Each is asked about as often.
+    """
     port = daemon.settings.daemons.port
-    near = daemon.feed.hosts
-    far = [host for host in daemon.hosts if host not in near]
-    hosts = far or daemon.hosts
+    near = [host for host in daemon.hosts if host in daemon.feed.hosts]
+    far = [host for host in daemon.hosts if host not in daemon.feed.hosts]
+    hosts = (near or far) if daemon.rng.random() < 0.5 else (far or near)
     found = [_dialect.Address(host, port) for host in hosts]
     return found or list(daemon.settings.seeds)
 
--- a/tests/fleets/test_absences.py
+++ b/tests/fleets/test_absences.py
@@ -252,3 +252,28 @@
         assert await fleet.spread() < 2.0 + fleet.bound
 
     loops.run(test())
+
+
+def test_reader_that_alone_is_turned_away_hears_from_its_domain() -> None:
+    """A failure domain is cut off, and the store turns its reader away.
+
+    Who reads in its place has the change at once. The first reader asked
+    daemons of other domains alone, which it can't reach, and its followers
+    waited at it until they tried another.
+    """
+
+    async def test() -> None:
+        fleet = Fleet(36, 3, bound=2.0)
+        await _calm(fleet)
+        domain = fleet.of_domain("d0")
+        reader = fleet.reader("d0")
+        fleet.cut_off(domain)
+        fleet.store.leave(fleet.hosts)
+        await asyncio.sleep(8.6)
+        fleet.store.back()
+        fleet.store.leave({reader})
+        for pause in (0.0, 1.0, 3.0):
+            await asyncio.sleep(pause)
+            assert await fleet.spread() < fleet.bound
+
+    loops.run(test())
