Check the configuration service while sassafrasstaird watches it, too

Both daemons of a failure domain that watch wait since the same change, and what waits at a service that goes is answered no more: 40 s, and 7.5 s for the answer.

Beside the watch its index is now read each 2 s, without values (some 300 bytes; 18 calls a second from the 36 watches of 1,300 daemons, of 2,000). One that is answered after one that was not, or with another index, ends the watch and the whole is read. The stand-in answers for keys alone.

Left: while the service refuses calls a watcher's pause grows to up to 30 s, drawn at random by each; after a long refusal a domain may wait for it.

--- a/src/sassafrasstair/configservice/_client.py
+++ b/src/sassafrasstair/configservice/_client.py
@@ -14,6 +14,9 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+_T = typing.TypeVar("_T")
+_Decode = typing.Callable[[str, aiohttp.ClientResponse, bytes], _T]
+
 MAX_VALUE_BYTES = 1_000_000
 """The platform holds values up to a megabyte; a greater one is refused."""
 
@@ -22,6 +25,8 @@
 
 CONNECT_SECONDS = 1.0
 READ_SECONDS = 5.0
+INDEX_SECONDS = 1.0
+"""For an answer that brings no values."""
 JITTER_SHARE = 1 / 16
 """A blocking query may last this share longer than asked (Consul)."""
 
@@ -87,6 +92,16 @@
             return Snapshot(0, snapshot.values)
         return snapshot
 
+    async def read_index(self, prefix: str) -> int:
+        """Return the index of ``prefix`` without its values, or raise.
+
+        Sent on a connection that no watch waits on, and answered at once
+        as long as the service is there.
+        """
+        return await self._try_all(
+            prefix, {"keys": "true"}, INDEX_SECONDS, _index_of
+        )
+
     async def close(self) -> None:
         """Close the connections."""
         await self._http.close()
@@ -94,6 +109,15 @@
     async def _ask(
         self, prefix: str, params: dict[str, str], read_seconds: float
     ) -> Snapshot:
+        return await self._try_all(prefix, params, read_seconds, _decode)
+
+    async def _try_all(
+        self,
+        prefix: str,
+        params: dict[str, str],
+        read_seconds: float,
+        decode: _Decode[_T],
+    ) -> _T:
         error = _errors.PlatformError(
             _errors.Reason.UNREACHABLE, "no address is set"
         )
@@ -101,14 +125,14 @@
             position = (self._first + offset) % len(self._urls)
             url = self._urls[position]
             try:
-                snapshot = await self._ask_one(
-                    url, prefix, params, read_seconds
+                found = await self._ask_one(
+                    url, prefix, params, read_seconds, decode
                 )
             except _errors.PlatformError as failure:
                 error = failure
                 continue
             self._first = position
-            return snapshot
+            return found
         raise error
 
     async def _ask_one(
@@ -117,7 +141,8 @@
         prefix: str,
         params: dict[str, str],
         read_seconds: float,
-    ) -> Snapshot:
+        decode: _Decode[_T],
+    ) -> _T:
         path = urllib.parse.quote(prefix)
         timeout = aiohttp.ClientTimeout(
             sock_connect=CONNECT_SECONDS, sock_read=read_seconds
@@ -139,7 +164,7 @@
             raise _errors.PlatformError(
                 _errors.Reason.CUT_SHORT, f"{url}: {error!r}"
             ) from error
-        return _decode(url, response, body)
+        return decode(url, response, body)
 
 
 def open_client(urls: abc.Sequence[str]) -> Client:
@@ -165,11 +190,7 @@
 def _decode(
     url: str, response: aiohttp.ClientResponse, body: bytes
 ) -> Snapshot:
-    if response.status not in (200, 404):
-        raise _errors.PlatformError(
-            _errors.Reason.BAD_STATUS, f"{url}: {response.status}"
-        )
-    index = _decode_index(response.headers.get(INDEX_HEADER, ""))
+    index = _index_of(url, response, body)
     if response.status == 404:
         return Snapshot(index, {})
     try:
@@ -181,6 +202,14 @@
     return Snapshot(index, _values(pairs))
 
 
+def _index_of(url: str, response: aiohttp.ClientResponse, body: bytes) -> int:
+    if response.status not in (200, 404):
+        raise _errors.PlatformError(
+            _errors.Reason.BAD_STATUS, f"{url}: {response.status}"
+        )
+    return _decode_index(response.headers.get(INDEX_HEADER, ""))
+
+
 def _decode_index(text: str) -> int:
     if not (text.isascii() and text.isdigit()):
         raise _errors.PlatformError(
--- a/src/sassafrasstair/runtime/_control.py
+++ b/src/sassafrasstair/runtime/_control.py
@@ -16,6 +16,7 @@
 from sassafrasstair import daemons
 from sassafrasstair.decisions import fleet
 from sassafrasstair import logs
+from sassafrasstair.runtime import _watches
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -25,7 +26,6 @@
     from sassafrasstair import metrics
 
 TICK_SECONDS = 0.25
-WATCH_SECONDS = 40.0
 WATCH_FAULT_SECONDS = 5.0
 
 _LOG = logging.getLogger(__name__)
@@ -209,9 +209,10 @@
 ) -> None:
     index = 0
     while True:
-        control.counts.platform_read()
         try:
-            snapshot = await control.client.watch(prefix, index, WATCH_SECONDS)
+            snapshot = await _watches.watch(
+                control.client, prefix, index, control.counts.platform_read
+            )
             if snapshot.index != index:
                 took(control, snapshot)
         except configservice.PlatformError as error:
--- a/src/sassafrasstair/standins/_platform.py
+++ b/src/sassafrasstair/standins/_platform.py
@@ -63,6 +63,7 @@
         prefix: params.FromPath[str],
         index: params.FromQuery[int] = 0,
         wait: params.FromQuery[str] = "",
+        keys: params.FromQuery[bool] = False,
     ) -> litestar.Response[bytes]:
         _count(state)
         prefix = prefix.lstrip("/")
@@ -77,7 +78,7 @@
                 state.waiting -= 1
         if state.down:
             raise exceptions.ServiceUnavailableException
-        return _answer(view, prefix)
+        return _answer(view, prefix, keys)
 
     return litestar.Litestar([read], openapi_config=None, logging_config=None)
 
@@ -201,7 +202,10 @@
         raise exceptions.ClientException(f"bad wait {wait!r}") from error
 
 
-def _answer(view: _store.View, prefix: str) -> litestar.Response[bytes]:
+def _answer(
+    view: _store.View, prefix: str, keys: bool
+) -> litestar.Response[bytes]:
+    found = view.under(prefix)
     pairs = [
         {
             "LockIndex": 0,
@@ -211,11 +215,12 @@
             "CreateIndex": entry.index,
             "ModifyIndex": entry.index,
         }
-        for key, entry in view.under(prefix).items()
+        for key, entry in found.items()
     ]
+    body = msgspec.json.encode(list(found) if keys else pairs)
     return litestar.Response(
-        msgspec.json.encode(pairs) if pairs else b"",
-        status_code=200 if pairs else 404,
+        body if found else b"",
+        status_code=200 if found else 404,
         media_type="application/json",
         headers={"X-Consul-Index": str(view.index_of(prefix))},
     )
--- a/tests/standins/test_platform_standin.py
+++ b/tests/standins/test_platform_standin.py
@@ -91,6 +91,19 @@
     _run(story, free_port)
 
 
+def test_index_is_read_without_the_values(
+    free_port: abc.Callable[[], int],
+) -> None:
+    async def story(pair: Pair) -> None:
+        await pair.publish(KEY, b"one")
+        held = await pair.client.read(PREFIX)
+        assert await pair.client.read_index(PREFIX) == held.index
+        await pair.publish(KEY, b"two")
+        assert await pair.client.read_index(PREFIX) > held.index
+
+    _run(story, free_port)
+
+
 def test_down_cuts_watches_and_refuses(
     free_port: abc.Callable[[], int],
 ) -> None:
