Begin the checks anew with each turn of reading, and leave whole readings alone

A daemon that stopped to read while a check had no answer would have said, the moment it read again, that the store was lost, and its followers would have left it: requests for new routes get 503 meanwhile. And a reader that reads the whole of a large and slow store began anew with each answered check, for ever: the check's revision is greater than that of a view that is still empty. What had no answer is forgotten when a daemon begins or ends to read, and a greater revision is acted on only while a watch waits. Both tests failed before.

--- a/src/sassafrasstair/decisions/feeds/_checks.py
+++ b/src/sassafrasstair/decisions/feeds/_checks.py
@@ -90,6 +90,15 @@
     checks.pause = pauses * share * timing.check
 
 
+def restart(checks: Checks) -> None:
+    """Forget what had no answer: the daemon begins or ends to read.
+
+    Failure: it reads again long after, and would take the store for lost
+    since then.
+    """
+    checks.unanswered_from = None
+
+
 def answered(checks: Checks, sent_at: float) -> bool:
     """Note the answer to a check; return whether one before it has none.
 
--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -150,6 +150,7 @@
         feed.parent, feed.since = parent, now
         feed.answered = False
         feed.behind_from = math.inf
+        _checks.restart(feed.checks)
     if parent == STORE:
         return _paced(feed.read_from, now) or _read(feed)
     hold = feed.timing.hold if feed.answered else 0.0
@@ -282,8 +283,13 @@
 
 
 def believes(feed: Feed, now: float) -> bool:
-    """Return whether a greater revision of the store is acted on."""
-    return reads(feed) and _checks.believes(feed.checks, now)
+    """Return whether a greater revision of the store is acted on.
+
+    Failure: the whole of a large and slow store is read for longer than a
+    check takes. Begun anew each time, that reading would never end.
+    """
+    watches = reads(feed) and not feed.whole
+    return watches and _checks.believes(feed.checks, now)
 
 
 def missed(feed: Feed, now: float) -> None:
--- a/tests/decisions/feeds/test_checks.py
+++ b/tests/decisions/feeds/test_checks.py
@@ -67,6 +67,36 @@
     assert feeds.check_due(feed, 0.0, second + TIMING.check)
 
 
+def test_daemon_that_reads_again_has_not_lost_the_store_since() -> None:
+    """A stand-in stops to read while a check of it has no answer.
+
+    When it reads again, minutes later, it would say at once that the store
+    is lost, and its followers would leave it.
+    """
+    feed = test_feeds._feed(BEFORE[1])
+    lost = feeds.PeerStatus(10, 0.0, 0.0, False)
+    feeds.told(feed, BEFORE[0], lost, 10, 0.0, _rng())
+    feeds.next_step(feed, 0.1)
+    assert feeds.reads(feed)
+    feeds.check_sent(feed, 1.0, _rng())
+    feeds.next_step(feed, 10.0)
+    assert not feeds.reads(feed)
+    feeds.told(feed, BEFORE[0], lost, 10, 100.0, _rng())
+    feeds.next_step(feed, 100.1)
+    assert feeds.reads(feed)
+    assert feeds.lost_from(feed, 100.2) is None
+
+
+def test_reading_of_the_whole_is_not_begun_anew() -> None:
+    """Each check is answered while the pages of a slow store come in."""
+    feed = feeds.new_feed(BEFORE[0], TIMING, 0.0)
+    feeds.learn(feed, test_feeds.HOSTS, 0.0)
+    assert feeds.next_step(feed, 0.0) == feeds.Read(stale=False)
+    assert not feeds.believes(feed, 1.0)
+    feeds.read_done(feed, 2.0, stale=False)
+    assert feeds.believes(feed, 2.0)
+
+
 @pytest.mark.parametrize(
     ("sent", "answered", "away"),
     [
