Work out in one place whether the store is lost, and log its failed calls there

For how long there has been no word of the store stood in four places, each with its own comparison, and the line of a failed call in two. Tests of feeds, fleets, views and forwarding pass as before.

--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -12,6 +12,7 @@
 from sassafrasstair.decisions.views._queries import is_stale
 from sassafrasstair.decisions.views._queries import knows
 from sassafrasstair.decisions.views._queries import least_importance
+from sassafrasstair.decisions.views._queries import lost_seconds
 from sassafrasstair.decisions.views._queries import neighbours
 from sassafrasstair.decisions.views._queries import snapshot
 from sassafrasstair.decisions.views._queries import targets
@@ -61,6 +62,7 @@
     "is_stale",
     "knows",
     "least_importance",
+    "lost_seconds",
     "neighbours",
     "new_view",
     "note_age",
--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -32,6 +32,14 @@
     return content > max(view.content, view.revision)
 
 
+def lost_seconds(view: _views.View, now: float) -> float | None:
+    """Return for how long there has been no word of the store, by any way.
+
+    None if there is no lack of it.
+    """
+    return now - view.failing if view.failing <= now else None
+
+
 def is_stale(view: _views.View, now: float) -> bool:
     """Return whether the store has been away for a while."""
     return now - view.failing >= STALE_SECONDS
--- a/src/sassafrasstair/forwarding/_checks.py
+++ b/src/sassafrasstair/forwarding/_checks.py
@@ -10,7 +10,6 @@
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _learning
-from sassafrasstair.forwarding import _status
 
 if typing.TYPE_CHECKING:
     from sassafrasstair.forwarding import _state
@@ -46,13 +45,7 @@
     try:
         revision = call.result()
     except _dialect.SourceError as error:
-        daemon.journal.request(
-            "store_call_failed",
-            error.reason.value,
-            verb=VERB,
-            waited=now - sent_at,
-            age=_status.view_age(daemon, now),
-        )
+        _learning.note_failed_call(daemon, VERB, error, sent_at)
         return
     if feeds.check_answered(daemon.feed, sent_at, now):
         daemon.journal.note("store_asked_anew", waited=now - sent_at)
--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -52,7 +52,7 @@
 
 def note_answer(daemon: _state.Daemon, now: float, age: float = 0.0) -> None:
     """Note a word of the store, that a daemon may have had ``age`` ago."""
-    away = now - daemon.view.failing
+    away = views.lost_seconds(daemon.view, now) or 0.0
     if views.source_answered(daemon.view, now, age):
         _counters.believed(daemon.counters, "store_back")
         daemon.journal.note(
@@ -79,6 +79,23 @@
         _polls.answer_all(daemon)
 
 
+def note_failed_call(
+    daemon: _state.Daemon,
+    verb: str,
+    error: _dialect.SourceError,
+    begun: float,
+) -> None:
+    """Log a call to the store that has no answer, once it is over."""
+    now = daemon.clock.monotonic()
+    daemon.journal.request(
+        "store_call_failed",
+        error.reason.value,
+        verb=verb,
+        waited=now - begun,
+        age=_status.view_age(daemon, now),
+    )
+
+
 def note_refused(
     daemon: _state.Daemon, refused: abc.Iterable[_dialect.Refusal]
 ) -> None:
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -75,8 +75,8 @@
 def _is_lost(daemon: _state.Daemon) -> bool:
     if not views.knows(daemon.view):
         return True
-    lost = daemon.view.failing < daemon.clock.monotonic()
-    return lost and feeds.reads(daemon.feed)
+    lost = views.lost_seconds(daemon.view, daemon.clock.monotonic())
+    return lost is not None and feeds.reads(daemon.feed)
 
 
 def _elsewhere(daemon: _state.Daemon) -> list[_dialect.Address]:
--- a/src/sassafrasstair/forwarding/_polls.py
+++ b/src/sassafrasstair/forwarding/_polls.py
@@ -64,10 +64,9 @@
 def own_status(daemon: _state.Daemon) -> tuple[bytes, bytes]:
     """Return the field that tells how far and how fresh the own view is."""
     view, now = daemon.view, daemon.clock.monotonic()
-    lost = now - view.failing if _has_lost(daemon) else None
     status = feeds.PeerStatus(
         view.revision,
-        lost,
+        views.lost_seconds(view, now),
         max(0.0, view.unsteady_until - now),
         daemon.leaving,
         max(0.0, now - view.answered),
@@ -132,11 +131,6 @@
     exchange.respond(200, [], body)
 
 
-def _has_lost(daemon: _state.Daemon) -> bool:
-    """Return whether there is no word of the store, by any way."""
-    return daemon.view.failing <= daemon.clock.monotonic()
-
-
 def _forget(daemon: _state.Daemon, poll: HeldPoll) -> None:
     if poll in daemon.polls:
         daemon.polls.remove(poll)
--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -65,7 +65,7 @@
         parent=parent_name(feed.parent),
         since=now - feed.since,
         view_age=view_age(daemon, now),
-        store_lost=now - view.failing if view.failing <= now else None,
+        store_lost=views.lost_seconds(view, now),
         revision=view.revision,
         content=view.content,
         policy=-1 if view.table is None else view.table.policy.version,
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -93,13 +93,7 @@
         found = reading.result()
     except _dialect.SourceError as error:
         gone = error.reason is _dialect.SourceReason.HISTORY_GONE
-        daemon.journal.request(
-            "store_call_failed",
-            error.reason.value,
-            verb=verb,
-            waited=now - begun,
-            age=_status.view_age(daemon, now),
-        )
+        _learning.note_failed_call(daemon, verb, error, begun)
         feeds.read_failed(daemon.feed, now, gone, daemon.rng)
         if gone:
             daemon.journal.note("store_history_gone")
