Log a crash of the own upstream, with the content of what ran there

Cause: when instances of one service ended wave by wave, the logs could not tell a crash from a broken connection, nor whether one request came again: requests are named by an id that is new with each client attempt.

Change: a run whose connection breaks ends when a new connection has been tried, which a crashed upstream refuses. The crash is one line, `instance_crashed`, with the fingerprints (method, host, target and body) of what ran there and how often each was seen in a crash; runs end with `upstream_crashed` in place of `upstream_lost`.

Ruled out: adding the fingerprint to each line of a request, which would be computed for all requests and held back in a surge all the same.

--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -121,6 +121,8 @@
     job = attempt.job
     if job is None:
         run = daemon.runs.get(attempt.run)
+        if run is not None and run.broken:
+            return True
         job = None if run is None else run.job
     return job is not None and job.sent
 
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -16,6 +16,7 @@
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _crashes
 from sassafrasstair.forwarding import _guards
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _records
@@ -34,6 +35,7 @@
 """Said by an instance that is not the one that the request names."""
 TRY_SECONDS = 0.3
 """Between two connections tried to an upstream that takes none."""
+_BROKEN = (httpio.Failure.LOST, httpio.Failure.CUT_SHORT)
 
 
 def offer(
@@ -53,7 +55,7 @@
     guard = _guards.of_instance(daemon, ask.instance, now)
     deadline = now + ask.remaining
     reason = _unable(daemon, ask.instance)
-    run = _records.Run(order, deadline, done, guard)
+    run = _records.Run(key, order, deadline, done, guard)
     if reason is not outcomes.Reason.NONE:
         _end(daemon, run, requests.Ending.UNSENT, reason, None)
         return key
@@ -189,7 +191,60 @@
     run = daemon.runs.get(key)
     if run is None:
         return
+    if result in _BROKEN:
+        _find_out(daemon, key, run, result)
+    else:
+        _settle(daemon, key, run, result)
+
+
+def _find_out(
+    daemon: _state.Daemon,
+    key: str,
+    run: _records.Run,
+    result: httpio.Response | httpio.Failure,
+) -> None:
+    """End the run when it is known whether the upstream has crashed.
+
+    A connection may break by itself; a crashed upstream takes no new one.
+    """
+    run.broken = True
+    daemon.broken[key] = result
+    if len(daemon.broken) == 1:
+        daemon.upstream.try_connect(functools.partial(_found_out, daemon))
+
+
+def _found_out(daemon: _state.Daemon, reached: bool) -> None:
+    broken, daemon.broken = daemon.broken, {}
+    _upstream_tried(daemon, reached)
+    if not reached:
+        _note_crash(daemon)
+    for key, result in broken.items():
+        run = daemon.runs.get(key)
+        if run is not None:
+            _settle(daemon, key, run, result, crashed=not reached)
+
+
+def _note_crash(daemon: _state.Daemon) -> None:
+    """Note what was under way; what has not ended yet is about to."""
+    runs = [
+        run
+        for run in daemon.runs.values()
+        if run.job is not None and (run.broken or run.job.sent)
+    ]
+    if runs:
+        _crashes.note(daemon, runs, daemon.clock.monotonic())
+
+
+def _settle(
+    daemon: _state.Daemon,
+    key: str,
+    run: _records.Run,
+    result: httpio.Response | httpio.Failure,
+    crashed: bool = False,
+) -> None:
     ending, reason = _judge(daemon, run, result)
+    if crashed:
+        reason = outcomes.Reason.UPSTREAM_CRASHED
     if isinstance(result, httpio.Response):
         _upstream_tried(daemon, True)
     elif result is httpio.Failure.NOT_SENT:
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -45,13 +45,16 @@
     """One request that waits for the upstream or is there.
 
     ``guard`` is that of the run of the instance for which it came.
+    ``broken`` once its connection has ended without a whole answer.
     """
 
+    key: str
     order: Order
     deadline: float
     done: abc.Callable[[Result], None]
     guard: load.Guard
     job: httpio.Job | None = None
+    broken: bool = False
 
     @property
     def rank(self) -> float:
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -42,6 +42,10 @@
 
     ``guards`` are by instance and when its run started.
 
+    ``broken`` are runs whose connection broke, by their keys, until it is
+    known whether the upstream has crashed. ``crash_counts`` is by a
+    request's fingerprint.
+
     ``refused`` are keys of the store's unusable items, by their revision.
 
     ``checks`` are those under way that the store answers.
@@ -90,6 +94,10 @@
     pools: dict[str, httpio.Pool] = dataclasses.field(default_factory=dict)
     calls: set[_records.Call] = dataclasses.field(default_factory=set)
     runs: dict[str, _records.Run] = dataclasses.field(default_factory=dict)
+    broken: dict[str, httpio.Response | httpio.Failure] = dataclasses.field(
+        default_factory=dict
+    )
+    crash_counts: dict[int, int] = dataclasses.field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     checks: set[asyncio.Future[int]] = dataclasses.field(default_factory=set)
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/src/sassafrasstair/outcomes.py
+++ b/src/sassafrasstair/outcomes.py
@@ -46,6 +46,7 @@
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_CRASHED = "upstream_crashed"
     ANSWER_CUT_SHORT = "answer_cut_short"
     INTERNAL_FAULT = "internal_fault"
     # Once-only work.
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -215,11 +215,27 @@
     def __init__(self, script: Script) -> None:
         self.script = script
         self.got: list[Got] = []
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self, host: str, port: int) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self.serve, host, port)
+
+    def crash(self) -> None:
+        """Take no more connections, and break all."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection."""
+        self._writers.add(writer)
         while True:
             try:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -283,7 +299,7 @@
     ) -> Upstream:
         """Start an instance and write its entry."""
         made = Upstream(script)
-        await asyncio.start_server(made.serve, host, self.ports[3])
+        await made.open(host, self.ports[3])
         self.upstreams[host] = made
         self.entry(host, service, slots=slots)
         return made
