Show that one request can crash instance after instance

What callers saw: one request that crashes what runs it took a service down for as long as it was sent, and each return of an instance was paid with another crash; all other requests of the service failed with it.

The model of a fleet has instances and clients now.

--- a/tests/fleets/fleet.py
+++ b/tests/fleets/fleet.py
@@ -13,14 +13,17 @@
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
+from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _checks
 from sassafrasstair.forwarding import _events
 from sassafrasstair.forwarding import _inbound
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _polls
+from sassafrasstair.forwarding import _probes
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _sync
+from sassafrasstair import httpio
 from tests.fleets import loops
 from tests.fleets import networks
 from tests.fleets import stores
@@ -48,7 +51,7 @@
         at = forwarding.Address(self._host, PORT)
         return forwarding.Settings(
             vm=self._host,
-            service="s",
+            service=self._fleet.service_of(self._host),
             failure_domain=self._domain,
             regions={},
             callers=at,
@@ -91,8 +94,15 @@
     tasks: dict[str, list[asyncio.Task[None]]] = dataclasses.field(
         default_factory=dict
     )
+    services: typing.Callable[[str], str] = lambda host: "s"
+    attempts_max: int = 2
+    upstreams: dict[str, httpio.Pool] = dataclasses.field(default_factory=dict)
     version: int = 0
 
+    def service_of(self, host: str) -> str:
+        """Return the service of the instance on a host."""
+        return self.services(host)
+
     @property
     def hosts(self) -> list[str]:
         """All hosts, those of one failure domain next to each other."""
@@ -127,6 +137,7 @@
             _events.Journal(_drop),
         )
         daemon.pools = networks.Pools(self.network, host)
+        daemon.upstream = self.upstreams.get(host, daemon.upstream)
         self.daemons[host] = daemon
         self.network.serve[host] = functools.partial(_inbound.handle, daemon)
         work = (
@@ -151,20 +162,32 @@
         host: str,
         state: views.InstanceState = views.InstanceState.READY,
         cold: float = 0.0,
+        key: str = "",
     ) -> None:
         """Write the entry of the instance on a host."""
-        domain = domain_of(host)
         made = views.Instance(
-            f"i-{host}", "s", host, 80, 1, domain, "r", 8, state, cold
+            key or f"i-{host}",
+            self.service_of(host),
+            host,
+            80,
+            1,
+            domain_of(host),
+            "r",
+            8,
+            state,
+            cold,
         )
         self.store.put(made.id, made)
 
     def policy(self) -> int:
         """Put the next policy in force; return its version."""
         self.version += 1
-        route = place.route("/s/", "s")
+        routes = tuple(
+            place.route(f"/{name}/", name, attempts_max=self.attempts_max)
+            for name in sorted({self.service_of(host) for host in self.hosts})
+        )
         self.store.put(
-            "policy", policies.Policy(self.version, (route,), place.LIMITS)
+            "policy", policies.Policy(self.version, routes, place.LIMITS)
         )
         return self.version
 
@@ -235,6 +258,8 @@
     while True:
         await asyncio.sleep(TICK_SECONDS)
         now = daemon.clock.monotonic()
+        _callee.tick(daemon, now)
+        _probes.tick(daemon, now)
         _polls.tick(daemon, now)
         _checks.tick(daemon, now)
         _learning.learned(daemon, views.expire(daemon.view, now), "time")
--- /dev/null
+++ b/tests/fleets/instances.py
@@ -0,0 +1,192 @@
+"""Instances and clients of a modelled fleet, and requests that crash."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import typing
+
+from sassafrasstair.forwarding import _entrance
+from sassafrasstair import httpio
+from tests.fleets import networks
+
+if typing.TYPE_CHECKING:
+    from tests.fleets import fleet as fleet_module
+
+CONNECT_SECONDS = 0.001
+AWAY_SECONDS = 1.5
+"""From a crash until the instance runs again, under another id."""
+LAPSE_SECONDS = 4.0
+"""From a crash until the entry of the run that ended is gone."""
+DEADLINE_MS = b"2000"
+_serial = itertools.count(1)
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that an instance began to run."""
+
+    at: float
+    target: bytes
+    host: str
+
+
+@dataclasses.dataclass
+class Plant:
+    """All instances of a fleet.
+
+    A request for a target of ``crashing`` crashes the instance so many
+    seconds after it has begun, ``seconds`` is the work of the others.
+    """
+
+    fleet: fleet_module.Fleet
+    seconds: float = 0.03
+    crashing: dict[bytes, float] = dataclasses.field(default_factory=dict)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    crashes: list[Arrival] = dataclasses.field(default_factory=list)
+    instances: dict[str, Instance] = dataclasses.field(default_factory=dict)
+
+    def build(self) -> None:
+        """Put an instance on each host of the fleet, before it starts."""
+        for host in self.fleet.hosts:
+            made = self.instances[host] = Instance(self, host)
+            pool = typing.cast("httpio.Pool", made)
+            self.fleet.upstreams[host] = pool
+
+    def arrived(self, target: bytes, since: float = 0.0) -> int:
+        """Return how often the target was begun since then."""
+        return sum(
+            each.target == target and each.at >= since
+            for each in self.arrivals
+        )
+
+    def crash_times(self, target: bytes) -> list[float]:
+        """Return when instances crashed under the target."""
+        return [each.at for each in self.crashes if each.target == target]
+
+
+class Instance:
+    """The instance on one host, as the pool that its daemon sends by."""
+
+    def __init__(self, plant: Plant, host: str) -> None:
+        self.host = host
+        self.opened = 0
+        self.down = False
+        self._plant = plant
+        self._running: dict[httpio.Job, asyncio.TimerHandle] = {}
+
+    def send(self, job: httpio.Job) -> None:
+        """Run a request."""
+        loop = asyncio.get_running_loop()
+        if self.down:
+            loop.call_later(CONNECT_SECONDS, job.end, httpio.Failure.NOT_SENT)
+            return
+        request = networks.parse(job.data)
+        plant = self._plant
+        plant.arrivals.append(Arrival(loop.time(), request.target, self.host))
+        job._connection = typing.cast("typing.Any", _Connection(self, job))
+        crashing = plant.crashing.get(request.target)
+        if crashing is not None:
+            work = loop.call_later(crashing, self.crash, request.target)
+        else:
+            work = loop.call_later(plant.seconds, self._answer, job, request)
+        self._running[job] = work
+
+    send_on_new = send
+
+    def crash(self, target: bytes = b"") -> None:
+        """End all that runs, and start anew under another id."""
+        loop = asyncio.get_running_loop()
+        self._plant.crashes.append(Arrival(loop.time(), target, self.host))
+        self.down = True
+        running, self._running = self._running, {}
+        for job, work in running.items():
+            work.cancel()
+            job.end(httpio.Failure.LOST)
+        daemon = self._plant.fleet.daemons.get(self.host)
+        known = [] if daemon is None else list(daemon.view.instances.values())
+        ids = [each.id for each in known if each.host == self.host]
+        loop.call_later(AWAY_SECONDS, self._start)
+        for key in ids:
+            loop.call_later(LAPSE_SECONDS, self._plant.fleet.store.remove, key)
+
+    def forget(self, job: httpio.Job) -> None:
+        """Stop a request whose connection was cut."""
+        work = self._running.pop(job, None)
+        if work is not None:
+            work.cancel()
+
+    def try_connect(self, done: typing.Callable[[bool], None]) -> None:
+        """Say whether a connection can be made."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(CONNECT_SECONDS, lambda: done(not self.down))
+
+    def drop_idle(self) -> None:
+        """No connections are kept."""
+
+    def sweep(self, now: float) -> None:
+        """No connections are kept."""
+
+    def _start(self) -> None:
+        self.down = False
+        self._plant.fleet.entry(self.host, key=f"i-{next(_serial)}")
+
+    def _answer(self, job: httpio.Job, request: httpio.Request) -> None:
+        self._running.pop(job, None)
+        names = self._plant.fleet.daemons[self.host].keys
+        fields = [
+            (names.request_id, request.found[names.request_id]),
+            (names.signature, b"s"),
+        ]
+        parsed = [(name, name, value) for name, value in fields]
+        job.end(httpio.Response(200, parsed, dict(fields), b"whole"))
+
+
+class _Connection:
+    """What a job cuts when nobody waits for it."""
+
+    def __init__(self, instance: Instance, job: httpio.Job) -> None:
+        self._instance = instance
+        self._job = job
+
+    def abort(self) -> None:
+        self._instance.forget(self._job)
+
+
+class _Exchange:
+    """A client's request, and the status that it gets."""
+
+    def __init__(self, request: httpio.Request) -> None:
+        self.request = request
+        self.peer = ""
+        self.gone: typing.Callable[[], None] | None = None
+        self.status: asyncio.Future[int] = asyncio.Future()
+
+    def respond(
+        self,
+        status: int,
+        fields: httpio.Fields,
+        body: bytes,
+        close: bool = False,
+    ) -> None:
+        if not self.status.done():
+            self.status.set_result(status)
+
+
+def call(
+    fleet: fleet_module.Fleet, host: str, target: bytes, body: bytes = b""
+) -> asyncio.Future[int]:
+    """Send one request to a host's daemon; returns its status to come."""
+    daemon = fleet.daemons[host]
+    fields = [
+        (b"Host", b"a.example"),
+        (daemon.names.request_id, b"q%d" % next(_serial)),
+        (daemon.names.deadline_ms, DEADLINE_MS),
+    ]
+    method = b"POST" if body else b"GET"
+    head = httpio.request_head(method, target, fields, len(body))
+    request = networks.parse(head + body, daemon.clock.monotonic())
+    exchange = _Exchange(request)
+    _entrance.handle(daemon, typing.cast("httpio.Exchange", exchange))
+    return exchange.status
--- a/tests/fleets/networks.py
+++ b/tests/fleets/networks.py
@@ -51,18 +51,26 @@
         return LINK_SECONDS + slow + again
 
 
+def parse(data: bytes, began: float = 0.0) -> httpio.Request:
+    """Return the request that a job sends."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    method, target, _ = lines[0].split(b" ")
+    fields = [
+        (name.lower(), name, value.strip())
+        for name, _, value in (line.partition(b":") for line in lines[1:])
+    ]
+    found = {lower: value for lower, _, value in fields}
+    return httpio.Request(began, method, target, fields, found, body)
+
+
 class Exchange:
     """A question as the daemon that is asked gets it."""
 
     def __init__(
         self, network: Network, asker: str, asked: str, job: httpio.Job
     ) -> None:
-        head = job.data.split(b"\r\n")
-        pairs = [line.partition(b":")[::2] for line in head[1:] if line]
-        found = {name.lower(): value.strip() for name, value in pairs}
-        self.request = httpio.Request(
-            0.0, b"GET", head[0].split(b" ")[1], [], found
-        )
+        self.request = parse(job.data)
         self.peer = asker
         self.gone: typing.Callable[[], None] | None = None
         self._network = network
@@ -83,8 +91,9 @@
         network.bodies += len(body)
         size = len(body) + sum(len(n) + len(v) for n, v in fields)
         network.sent[asked] = network.sent.get(asked, 0) + size
-        found = {name.lower(): value for name, value in fields}
-        answer = httpio.Response(status, [], found, body)
+        parsed = [(name.lower(), name, value) for name, value in fields]
+        found = {lower: value for lower, _, value in parsed}
+        answer = httpio.Response(status, parsed, found, body)
         asyncio.get_running_loop().call_later(
             network.seconds(asked, self.peer), self._arrive, answer
         )
