Keep a request that crashed three instances from all others

What callers saw: one request that crashes each instance that runs it took its service down for as long as it was sent, and with it all other requests.

Cause: nothing was kept of a request once its client attempt was over, and daemons told each other nothing of requests; so each coming of it was new, at each daemon. Class: a failure that travels with the work, treated as one of the place where it was seen.

Change: a daemon records what was under way when its upstream crashes, and tells it along the ways of the feed: at once to the daemon it follows, or from a reader to the other failure domains, and with the answers to its polls; by digest what was missed. A request is named by method, host, target and body. From two crashes on it runs at an instance as the only such suspect, from three on it is refused at the entrance and at the callee, and tried again after a time that grows. What an instance completes anywhere is cleared; of what was completed before, only crashes count that came one after the other; crashes that a proven request explains don't count against what ran beside it. One client attempt ends after two crashes.

--- /dev/null
+++ b/src/sassafrasstair/decisions/crashes/_ledger.py
@@ -0,0 +1,312 @@
+"""What one daemon knows of crashes, from its own upstream and from peers.
+
+A crash says little of what ran there: many requests were under way, and at
+most one of them is to blame. What recurs is told from the rest by three
+things: it was under way in one crash after the other, no instance has
+completed it since, and the others have been.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import math
+import typing
+
+from sassafrasstair.decisions.crashes import _records
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+KEPT_SECONDS = 1_800.0
+"""Longer than any request is blocked for: what it is blocked by must not be
+forgotten before it is tried again."""
+RUNS_KEPT = 1_200
+"""Requests of all records, about 14 KB when told. A request that crashes three
+instances with eight others under way at each takes 27: 44 such requests are
+remembered, and one that is pushed out may crash three more."""
+DROPPED_KEPT = 1_000
+"""Records that were dropped and are not taken again from peers."""
+SAME_MOMENT_SECONDS = 0.02
+"""By so much two daemons may differ on when a crash was."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What speaks against one request.
+
+    ``strikes`` are the crashes that count. ``alone`` counts those of them in
+    which it was the only suspect, ``familiar`` when an instance had completed
+    it before. ``last`` is the instant of the latest one.
+    """
+
+    strikes: int
+    alone: int
+    familiar: bool
+    last: float
+    crashes: tuple[_records.Crash, ...]
+
+
+_NOTHING = Evidence(0, 0, False, -math.inf, ())
+
+
+@dataclasses.dataclass(slots=True)
+class Ledger:
+    """Records of crashes by their keys, and by the requests under way.
+
+    ``version`` counts changes, ``digest`` is the same in all daemons that
+    know the same.
+    """
+
+    crashes: dict[_records.Key, _records.Crash] = dataclasses.field(
+        default_factory=dict
+    )
+    by_request: dict[int, list[tuple[_records.Crash, int]]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    dropped: dict[_records.Key, None] = dataclasses.field(default_factory=dict)
+    found: dict[int, Evidence] = dataclasses.field(default_factory=dict)
+    runs: int = 0
+    version: int = 0
+    digest: int = 0
+
+
+def new_ledger() -> Ledger:
+    """Return a ledger without crashes."""
+    return Ledger()
+
+
+def record(
+    ledger: Ledger,
+    key: _records.Key,
+    runs: abc.Iterable[_records.Run],
+    familiar: abc.Container[int],
+    now: float,
+) -> bool:
+    """Note a crash of an instance; False if it is known already."""
+    kept = _distinct(ledger, runs)
+    bits = sum(
+        1 << place
+        for place, run in enumerate(kept)
+        if run.fingerprint in familiar
+    )
+    return _add(ledger, _records.Crash(key, now, kept, familiar=bits))
+
+
+def complete(ledger: Ledger, fingerprint: int) -> bool:
+    """Note that an instance ran a request to its end.
+
+    Returns whether that clears it of a crash.
+    """
+    cleared = False
+    for crash, place in ledger.by_request.get(fingerprint, ()):
+        bits = crash.cleared | 1 << place
+        cleared = _set_bits(ledger, crash, bits, crash.familiar) or cleared
+    return cleared
+
+
+def merge(
+    ledger: Ledger, reports: abc.Iterable[_records.Report], now: float
+) -> set[int]:
+    """Take what a peer told; return the requests of which it says more."""
+    touched: set[int] = set()
+    for report in reports:
+        if report.age >= KEPT_SECONDS or report.key in ledger.dropped:
+            continue
+        crash = ledger.crashes.get(report.key)
+        if crash is None:
+            crash = _records.Crash(
+                report.key,
+                now - report.age,
+                report.runs,
+                report.cleared,
+                report.familiar,
+            )
+            changed = _add(ledger, crash)
+        elif len(crash.runs) == len(report.runs):
+            cleared = crash.cleared | report.cleared
+            familiar = crash.familiar | report.familiar
+            changed = _set_bits(ledger, crash, cleared, familiar)
+        else:
+            changed = False
+        if changed:
+            touched.update(run.fingerprint for run in crash.runs)
+    return touched
+
+
+def recognise(ledger: Ledger, fingerprint: int) -> None:
+    """Note that an instance had completed a request before its crashes."""
+    for crash, place in ledger.by_request.get(fingerprint, ()):
+        bits = crash.familiar | 1 << place
+        _set_bits(ledger, crash, crash.cleared, bits)
+
+
+def reports(
+    ledger: Ledger, now: float, since: int = 0
+) -> list[_records.Report]:
+    """Return the records that changed after a version of the ledger."""
+    return [
+        _records.Report(
+            crash.key,
+            max(0.0, now - crash.at),
+            crash.runs,
+            crash.cleared,
+            crash.familiar,
+        )
+        for crash in ledger.crashes.values()
+        if crash.stamp > since
+    ]
+
+
+def expire(ledger: Ledger, now: float) -> None:
+    """Forget crashes that are long past."""
+    for crash in list(ledger.crashes.values()):
+        if now - crash.at >= KEPT_SECONDS:
+            _drop(ledger, crash)
+
+
+def evidence(ledger: Ledger, fingerprint: int) -> Evidence:
+    """Return what speaks against a request, all crashes counted."""
+    entries = ledger.by_request.get(fingerprint)
+    if not entries:
+        return _NOTHING
+    known = ledger.found.get(fingerprint)
+    if known is None:
+        known = ledger.found[fingerprint] = _weigh(entries)
+    return known
+
+
+def without(
+    ledger: Ledger,
+    fingerprint: int,
+    explained: abc.Container[_records.Key],
+) -> Evidence:
+    """Return the same without crashes that another request explains."""
+    entries = ledger.by_request.get(fingerprint, ())
+    return _weigh([each for each in entries if each[0].key not in explained])
+
+
+def _weigh(
+    entries: abc.Iterable[tuple[_records.Crash, int]],
+) -> Evidence:
+    """Count the crashes in which the request was.
+
+    A popular request is under way at many instances that crash at one moment.
+    So of a familiar one only crashes count that came one after the other, as
+    when it was sent again.
+    """
+    counted = sorted(
+        (
+            (crash, crash.runs[place], crash.familiar >> place & 1)
+            for crash, place in entries
+            if not crash.cleared >> place & 1
+        ),
+        key=lambda each: each[0].at,
+    )
+    familiar = any(bit for _, _, bit in counted)
+    strikes, alone, last = 0, 0, -math.inf
+    for crash, run, _ in counted:
+        began = crash.at - run.seconds
+        if familiar and began < last - SAME_MOMENT_SECONDS:
+            continue
+        strikes += 1
+        alone += run.alone
+        last = crash.at
+    return Evidence(
+        strikes,
+        alone,
+        familiar,
+        max((crash.at for crash, _, _ in counted), default=-math.inf),
+        tuple(crash for crash, _, _ in counted),
+    )
+
+
+def _distinct(
+    ledger: Ledger, runs: abc.Iterable[_records.Run]
+) -> tuple[_records.Run, ...]:
+    """Return one run of each request, the one that began first."""
+    found: dict[int, _records.Run] = {}
+    for run in runs:
+        other = found.get(run.fingerprint)
+        if other is not None:
+            seconds = max(run.seconds, other.seconds)
+            run = _records.Run(run.fingerprint, seconds, False)
+        found[run.fingerprint] = run
+    ordered = sorted(
+        found.values(),
+        key=lambda run: (
+            -evidence(ledger, run.fingerprint).strikes,
+            run.seconds,
+        ),
+    )
+    return tuple(ordered[: _records.RUNS_MAX])
+
+
+def _add(ledger: Ledger, crash: _records.Crash) -> bool:
+    if crash.key in ledger.crashes or crash.key in ledger.dropped:
+        return False
+    ledger.crashes[crash.key] = crash
+    for place, run in enumerate(crash.runs):
+        ledger.by_request.setdefault(run.fingerprint, []).append(
+            (crash, place)
+        )
+    ledger.runs += len(crash.runs)
+    _changed(ledger, crash)
+    ledger.digest ^= _mark(crash)
+    while ledger.runs > RUNS_KEPT and len(ledger.crashes) > 1:
+        _drop(ledger, _least(ledger))
+    return crash.key in ledger.crashes
+
+
+def _set_bits(
+    ledger: Ledger, crash: _records.Crash, cleared: int, familiar: int
+) -> bool:
+    if (cleared, familiar) == (crash.cleared, crash.familiar):
+        return False
+    ledger.digest ^= _mark(crash)
+    crash.cleared, crash.familiar = cleared, familiar
+    ledger.digest ^= _mark(crash)
+    _changed(ledger, crash)
+    return True
+
+
+def _changed(ledger: Ledger, crash: _records.Crash) -> None:
+    ledger.version += 1
+    crash.stamp = ledger.version
+    ledger.found.clear()
+
+
+def _drop(ledger: Ledger, crash: _records.Crash) -> None:
+    del ledger.crashes[crash.key]
+    for run in crash.runs:
+        entries = ledger.by_request[run.fingerprint]
+        entries[:] = [each for each in entries if each[0] is not crash]
+        if not entries:
+            del ledger.by_request[run.fingerprint]
+    ledger.runs -= len(crash.runs)
+    ledger.digest ^= _mark(crash)
+    ledger.found.clear()
+    ledger.dropped[crash.key] = None
+    if len(ledger.dropped) > DROPPED_KEPT:
+        del ledger.dropped[next(iter(ledger.dropped))]
+
+
+def _least(ledger: Ledger) -> _records.Crash:
+    """Return the record that tells least: no request recurs, then by age."""
+
+    def worth(crash: _records.Crash) -> tuple[bool, float]:
+        recurs = any(
+            len(ledger.by_request[run.fingerprint]) > 1
+            and not crash.cleared >> place & 1
+            for place, run in enumerate(crash.runs)
+        )
+        return recurs, crash.at
+
+    return min(ledger.crashes.values(), key=worth)
+
+
+def _mark(crash: _records.Crash) -> int:
+    instance, born = crash.key
+    text = f"{instance} {born} {crash.cleared:x} {crash.familiar:x}"
+    digest = hashlib.blake2b(text.encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), "big")
--- /dev/null
+++ b/src/sassafrasstair/decisions/crashes/_records.py
@@ -0,0 +1,53 @@
+"""Records of crashes, as one daemon makes them and tells them to others."""
+
+from __future__ import annotations
+
+import dataclasses
+
+RUNS_MAX = 256
+"""Requests of one record; an instance has fewer slots."""
+
+Key = tuple[str, int]
+"""The instance that crashed, and when its run started (0 if not known)."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A request that was under way when an instance crashed.
+
+    ``seconds`` is for how long it had run. ``alone`` when it was the only
+    one there that had been in two crashes before.
+    """
+
+    fingerprint: int
+    seconds: float
+    alone: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Crash:
+    """One crash; ``at`` is an instant of this daemon's clock.
+
+    ``cleared`` and ``familiar`` are bits by the place in ``runs``: of
+    requests that an instance has completed since, and of those that one had
+    completed before. Bits are only ever set, so records of one crash can be
+    merged in any order. ``stamp`` is the ledger's version at the last change.
+    """
+
+    key: Key
+    at: float
+    runs: tuple[Run, ...]
+    cleared: int = 0
+    familiar: int = 0
+    stamp: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """A crash as one daemon tells it to another; ``age`` in seconds."""
+
+    key: Key
+    age: float
+    runs: tuple[Run, ...]
+    cleared: int
+    familiar: int
--- /dev/null
+++ b/src/sassafrasstair/decisions/crashes/_standings.py
@@ -0,0 +1,107 @@
+"""What follows from the evidence: a request is run, run alone, or blocked.
+
+From the second crash on it runs at an instance as the only such suspect, so
+that the next crash tells them apart. From the third on it is blocked, and
+tried again after a time that grows: a later release may be able to run it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import hashlib
+import math
+
+from sassafrasstair.decisions.crashes import _ledger
+from sassafrasstair.decisions.crashes import _records
+
+ALONE_FROM = 2
+BLOCKED_FROM = 3
+FAMILIAR_ALONE = 2
+"""What an instance had completed before is blocked only after so many crashes
+in which it ran as the only suspect."""
+BLOCKED_SECONDS = 60.0
+BLOCKED_SECONDS_MAX = 600.0
+BLOCKED_GROWTH = 4.0
+"""With each crash beyond the third a request is blocked for longer."""
+
+
+class Standing(enum.Enum):
+    """How a request may be run."""
+
+    FREE = "free"
+    ALONE = "alone"
+    BLOCKED = "blocked"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """How a request may be run, and why.
+
+    ``until`` is when it may be tried again, on this daemon's clock.
+    """
+
+    standing: Standing
+    evidence: _ledger.Evidence
+    until: float = -math.inf
+
+
+def judge(
+    ledger: _ledger.Ledger, fingerprint: int, own: str, now: float
+) -> Verdict:
+    """Return how a request may be run now, by the daemon at ``own``."""
+    found = _ledger.evidence(ledger, fingerprint)
+    if found.strikes >= ALONE_FROM:
+        explained = _explained(ledger, fingerprint, found)
+        if explained:
+            found = _ledger.without(ledger, fingerprint, explained)
+    if found.strikes < ALONE_FROM:
+        return Verdict(Standing.FREE, found)
+    if not _is_proven(found):
+        return Verdict(Standing.ALONE, found)
+    until = found.last + _blocked_seconds(found, fingerprint, own)
+    standing = Standing.BLOCKED if now < until else Standing.ALONE
+    return Verdict(standing, found, until)
+
+
+def _is_proven(found: _ledger.Evidence) -> bool:
+    if found.strikes < BLOCKED_FROM:
+        return False
+    return not found.familiar or found.alone >= FAMILIAR_ALONE
+
+
+def _explained(
+    ledger: _ledger.Ledger, fingerprint: int, found: _ledger.Evidence
+) -> set[_records.Key]:
+    """Return the crashes in which a request with more of them was, too.
+
+    One that is proven to crash instances explains all crashes that it was
+    in, and what ran beside it is not to blame for them.
+    """
+    explained = set()
+    for crash in found.crashes:
+        for place, run in enumerate(crash.runs):
+            if run.fingerprint == fingerprint or crash.cleared >> place & 1:
+                continue
+            other = _ledger.evidence(ledger, run.fingerprint)
+            if other.strikes > found.strikes and _is_proven(other):
+                explained.add(crash.key)
+                break
+    return explained
+
+
+def _blocked_seconds(
+    found: _ledger.Evidence, fingerprint: int, own: str
+) -> float:
+    """Return for how long a request is blocked after its last crash.
+
+    Up to twice as long at one daemon as at another: the first one that tries
+    it again tells the others what came of it.
+    """
+    seconds = BLOCKED_SECONDS * BLOCKED_GROWTH ** min(
+        found.strikes - BLOCKED_FROM, 10
+    )
+    key = f"{fingerprint} {own}".encode()
+    digest = hashlib.blake2b(key, digest_size=4).digest()
+    spread = int.from_bytes(digest, "big") / 2**32
+    return min(BLOCKED_SECONDS_MAX, seconds) * (1.0 + spread)
--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -19,6 +19,9 @@
 have no room, asking more of them costs more than it gains."""
 UNSENT_MAX = 4
 """VMs that may be unreachable before the client is told."""
+CRASHES_MAX = 2
+"""Instances that may crash under one request before its client is told: what
+was sent on without an end would take one instance along after the other."""
 LEAST_SECONDS = 0.005
 """With less time left no further attempt can be answered."""
 COME_BACK_LEAST = 0.2
@@ -48,8 +51,9 @@
     """One request under way at its entrance.
 
     ``tried`` are the instances asked so far, ``arrivals`` counts those
-    that were handed the request, ``lost`` says that one of these may have
-    run it. ``deadline`` is an instant of the clock.
+    that were handed the request, ``crashes`` those that crashed meanwhile,
+    ``lost`` says that one of these may have run it. ``deadline`` is an
+    instant of the clock.
     """
 
     route: policies.Route
@@ -60,6 +64,7 @@
     arrivals: int = 0
     unsent: int = 0
     turned_away: int = 0
+    crashes: int = 0
     lost: bool = False
 
 
@@ -81,6 +86,7 @@
     window: _budgets.Window,
     rules: _budgets.BudgetRules,
     now: float,
+    crashed: bool = False,
 ) -> Step:
     """Note how an attempt ended and return what follows.
 
@@ -96,6 +102,7 @@
         progress.arrivals += 1
     if ending is Ending.LOST:
         progress.lost = True
+    progress.crashes += crashed
     if now + LEAST_SECONDS >= progress.deadline or _exhausted(progress):
         return Step.GIVE_UP
     if ending in (Ending.UNSENT, Ending.TURNED_AWAY):
@@ -112,6 +119,7 @@
         or progress.unsent >= UNSENT_MAX
         or progress.turned_away >= TURNED_AWAY_MAX
         or progress.arrivals >= progress.route.attempts_max
+        or progress.crashes >= CRASHES_MAX
     )
 
 
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -11,6 +11,7 @@
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _crashes
 from sassafrasstair.forwarding import _endings
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _peers
@@ -37,6 +38,10 @@
     Without one, the end of the attempt ``before`` is the client's answer.
     """
     now = daemon.clock.monotonic()
+    verdict = _crashes.verdict_of_call(daemon, call)
+    if _crashes.is_blocked(verdict):
+        _endings.give_up(daemon, call, outcomes.Reason.CRASHES_INSTANCES)
+        return
     progress = call.progress
     targets = views.targets(daemon.view, progress.service)
     target = calls.pick(
@@ -68,6 +73,7 @@
         views.born(daemon.view, target.vm),
         ask,
         [*call.fields, (daemon.names.target, target.vm.encode())],
+        _crashes.runs_alone(verdict),
         left_for,
     )
     call.attempt = attempt
@@ -138,9 +144,11 @@
         daemon.settings.service,
         call.request_id,
         request.method,
+        request.found.get(b"host", b""),
         request.target,
         attempt.fields,
         request.body,
+        attempt.trial,
     )
 
     def done(result: _records.Result) -> None:
@@ -157,6 +165,8 @@
 ) -> None:
     request = call.exchange.request
     fields = [*attempt.fields, (_wire.ASK, _wire.encode_ask(attempt.ask))]
+    if attempt.trial:
+        fields.append((_wire.TRIAL, b"1"))
     head = httpio.request_head(
         request.method, request.target, fields, len(request.body)
     )
@@ -256,6 +266,7 @@
     if state.leaving:
         calls.eject(daemon.routes, attempt.instance)
     call.attempt = None
+    _crashes.completed(daemon, call)
     _endings.deliver(daemon, call, response)
 
 
@@ -289,6 +300,7 @@
         window_of(daemon, progress.service),
         daemon.settings.bounds.budget,
         now,
+        reason is outcomes.Reason.UPSTREAM_CRASHED,
     )
     _counters.attempted(daemon.counters, progress.service, reason.value)
     daemon.journal.request(
@@ -304,7 +316,8 @@
         left=progress.deadline - now,
         revision=daemon.view.revision,
     )
-    if step is requests.Step.RETRY:
+    blocked = reason is outcomes.Reason.CRASHES_INSTANCES
+    if step is requests.Step.RETRY and not blocked:
         send(daemon, call, reason)
     else:
         _endings.give_up(daemon, call, reason)
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -56,6 +56,16 @@
     deadline = now + ask.remaining
     reason = _unable(daemon, ask.instance)
     run = _records.Run(key, order, deadline, done, guard)
+    verdict = _crashes.verdict_of_order(daemon, order)
+    if _crashes.is_blocked(verdict) and not order.trial:
+        reason = outcomes.Reason.CRASHES_INSTANCES
+        _end(daemon, run, requests.Ending.TURNED_AWAY, reason, None)
+        return key
+    run.alone = _crashes.runs_alone(verdict)
+    if run.alone and any(other.alone for other in daemon.runs.values()):
+        reason = outcomes.Reason.SUSPECT_RUNNING
+        _end(daemon, run, requests.Ending.TURNED_AWAY, reason, None)
+        return key
     if reason is not outcomes.Reason.NONE:
         _end(daemon, run, requests.Ending.UNSENT, reason, None)
         return key
@@ -249,6 +259,8 @@
         _upstream_tried(daemon, True)
     elif result is httpio.Failure.NOT_SENT:
         _upstream_tried(daemon, False)
+    if ending is None:
+        _crashes.completed_here(daemon, run.order)
     end = load.End.DONE
     if ending is requests.Ending.REFUSED:
         guard = run.guard
--- /dev/null
+++ b/src/sassafrasstair/forwarding/_crash_news.py
@@ -0,0 +1,79 @@
+"""What daemons tell each other of crashes, with their polls and pings.
+
+Each carries the digest of what its sender knows; where the other's differs,
+all is told, at first once in half a second and then more seldom.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from sassafrasstair.decisions import crashes
+from sassafrasstair.forwarding import _crash_wire
+from sassafrasstair.forwarding import _crashes
+from sassafrasstair.forwarding import _wire
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from sassafrasstair.forwarding import _state
+
+PAUSE_SECONDS = 0.5
+PAUSE_SECONDS_MAX = 4.0
+"""Between two times that one daemon is told all: two that forgot different
+records because they know too many never come to the same digest."""
+PEERS_KEPT = 400
+"""Daemons whose digest is remembered; one is followed by 222 at most."""
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """A daemon's digest, and when it may be told all again."""
+
+    digest: int
+    next: float = 0.0
+    pause: float = PAUSE_SECONDS
+
+
+def field(daemon: _state.Daemon, host: str) -> tuple[bytes, bytes]:
+    """Return the field for a message to a daemon."""
+    ledger = daemon.ledger
+    if not differs(daemon, host):
+        return _crash_wire.FIELD, _crash_wire.encode(ledger.digest)
+    now = daemon.clock.monotonic()
+    peer = daemon.crash_peers[host]
+    peer.next = now + peer.pause
+    peer.pause = min(PAUSE_SECONDS_MAX, 2.0 * peer.pause)
+    reports = crashes.reports(ledger, now)
+    return _crash_wire.FIELD, _crash_wire.encode(ledger.digest, reports)
+
+
+def differs(daemon: _state.Daemon, host: str) -> bool:
+    """Return whether a daemon knows other crashes, and may be told all."""
+    peer = daemon.crash_peers.get(host)
+    if peer is None or peer.digest == daemon.ledger.digest:
+        return False
+    return daemon.clock.monotonic() >= peer.next
+
+
+def take(
+    daemon: _state.Daemon, host: str, found: abc.Mapping[bytes, bytes]
+) -> None:
+    """Take what a daemon told in its message."""
+    value = found.get(_crash_wire.KEY)
+    if value is None:
+        return
+    try:
+        digest, reports = _crash_wire.decode(value)
+    except _wire.WireError as error:
+        daemon.journal.note("peer_malformed", peer=host, error=str(error))
+        return
+    _crashes.take_reports(daemon, reports, host)
+    peer = daemon.crash_peers.pop(host, None) or Peer(digest)
+    peer.digest = digest
+    if digest == daemon.ledger.digest:
+        peer.next, peer.pause = 0.0, PAUSE_SECONDS
+    daemon.crash_peers[host] = peer
+    if len(daemon.crash_peers) > PEERS_KEPT:
+        del daemon.crash_peers[next(iter(daemon.crash_peers))]
--- a/src/sassafrasstair/forwarding/_crashes.py
+++ b/src/sassafrasstair/forwarding/_crashes.py
@@ -1,51 +1,237 @@
-"""Crashes of the upstream on this VM, and what ran there."""
+"""Crashes of the upstream on this VM, and requests that crash instances."""
 
 from __future__ import annotations
 
 import typing
 
 from sassafrasstair.decisions import crashes
+from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from sassafrasstair.forwarding import _records
     from sassafrasstair.forwarding import _state
 
 HOST_KEY = b"host"
 SHOWN_MAX = 24
-"""Requests named in one log line, those seen in most crashes first."""
-COUNTED_MAX = 4_000
-"""Requests whose crashes are counted, the latest."""
+"""Requests named in one log line, those with most strikes first."""
+CRASHES_SHOWN = 4
+FAMILIAR_KEPT = 4_096
+"""Requests that were completed here, or for a client here, the latest."""
+FAMILIAR_BODY_MAX = 512
+"""Bytes; requests with greater bodies are not remembered, since a fingerprint
+of each would cost more than it tells: few come twice."""
+URGENT_FROM = 2
+"""Strikes from which on a change is told at once."""
+
+_NAMES = {
+    crashes.Standing.FREE: "request_cleared",
+    crashes.Standing.ALONE: "request_suspected",
+    crashes.Standing.BLOCKED: "request_blocked",
+}
+
+
+def verdict_of_call(
+    daemon: _state.Daemon, call: _records.Call
+) -> crashes.Verdict | None:
+    """Return how a client's request may be run, None without any crash."""
+    if not daemon.ledger.crashes:
+        return None
+    return _judge(daemon, _of_call(call))
+
 
+def verdict_of_order(
+    daemon: _state.Daemon, order: _records.Order
+) -> crashes.Verdict | None:
+    """Return the same of a request that came for the own upstream."""
+    if not daemon.ledger.crashes:
+        return None
+    return _judge(daemon, _of_order(order))
+
+
+def is_blocked(verdict: crashes.Verdict | None) -> bool:
+    """Return whether a request may not be run now."""
+    return verdict is not None and verdict.standing is crashes.Standing.BLOCKED
+
+
+def runs_alone(verdict: crashes.Verdict | None) -> bool:
+    """Return whether a request may run only as the one suspect."""
+    return (
+        verdict is not None and verdict.standing is not crashes.Standing.FREE
+    )
 
-def fingerprint(order: _records.Order) -> int:
-    """Return the fingerprint of a request that came for the upstream."""
-    host = b""
-    for name, value in order.fields:
-        if name.lower() == HOST_KEY:
-            host = value
-    return crashes.fingerprint(order.method, host, order.target, order.body)
+
+def blocked_seconds(daemon: _state.Daemon, call: _records.Call) -> float:
+    """Return for how long this daemon will not run a request again."""
+    verdict = verdict_of_call(daemon, call)
+    if verdict is None:
+        return 0.0
+    return max(0.0, verdict.until - daemon.clock.monotonic())
+
+
+def completed_here(daemon: _state.Daemon, order: _records.Order) -> None:
+    """Note that the own upstream has answered a request itself."""
+    if daemon.ledger.crashes or len(order.body) <= FAMILIAR_BODY_MAX:
+        _completed(daemon, _of_order(order))
+
+
+def completed(daemon: _state.Daemon, call: _records.Call) -> None:
+    """Note that an upstream has answered a client's request itself."""
+    size = len(call.exchange.request.body)
+    if daemon.ledger.crashes or size <= FAMILIAR_BODY_MAX:
+        _completed(daemon, _of_call(call))
+
+
+def _completed(daemon: _state.Daemon, fingerprint: int) -> None:
+    daemon.familiar.pop(fingerprint, None)
+    daemon.familiar[fingerprint] = None
+    if len(daemon.familiar) > FAMILIAR_KEPT:
+        del daemon.familiar[next(iter(daemon.familiar))]
+    if not daemon.ledger.crashes:
+        return
+    strikes = crashes.evidence(daemon.ledger, fingerprint).strikes
+    if crashes.complete(daemon.ledger, fingerprint):
+        urgent = strikes >= URGENT_FROM
+        _changed(daemon, {fingerprint}, urgent, "upstream")
 
 
 def note(daemon: _state.Daemon, runs: list[_records.Run], now: float) -> None:
     """Note that the upstream crashed while these requests ran there."""
-    ran = {
-        fingerprint(run.order): now - run.guard.running.get(run.key, now)
+    if not runs:
+        return
+    instance = runs[-1].order.ask.instance
+    key = instance, views.born(daemon.view, instance)
+    found = [
+        crashes.Run(
+            _of_order(run.order),
+            now - run.guard.running.get(run.key, now),
+            run.alone,
+        )
         for run in runs
-    }
-    for each in ran:
-        daemon.crash_counts[each] = daemon.crash_counts.pop(each, 0) + 1
-    while len(daemon.crash_counts) > COUNTED_MAX:
-        del daemon.crash_counts[next(iter(daemon.crash_counts))]
-    counts = daemon.crash_counts
-    first = sorted(ran, key=lambda each: (-counts[each], ran[each]))
+    ]
+    if not crashes.record(daemon.ledger, key, found, daemon.familiar, now):
+        return
     _counters.believed(daemon.counters, "instance_crashed")
+    _log_crash(daemon, instance, found)
+    touched = {run.fingerprint for run in found}
+    _changed(daemon, touched, True, "upstream")
+
+
+def take_reports(
+    daemon: _state.Daemon, reports: abc.Sequence[crashes.Report], host: str
+) -> None:
+    """Take records of crashes that a peer told."""
+    if not reports:
+        return
+    known = len(daemon.ledger.crashes)
+    now = daemon.clock.monotonic()
+    touched = crashes.merge(daemon.ledger, reports, now)
+    for fingerprint in touched & daemon.familiar.keys():
+        crashes.recognise(daemon.ledger, fingerprint)
+    if touched:
+        urgent = len(daemon.ledger.crashes) != known or any(
+            crashes.evidence(daemon.ledger, each).strikes >= URGENT_FROM
+            for each in touched
+        )
+        _changed(daemon, touched, urgent, f"peer {host}")
+
+
+def tick(daemon: _state.Daemon, now: float) -> None:
+    """Forget crashes that are long past, and log what may be tried again."""
+    if not daemon.ledger.crashes:
+        return
+    crashes.expire(daemon.ledger, now)
+    _log_changes(daemon, set(), "time")
+
+
+def _judge(daemon: _state.Daemon, fingerprint: int) -> crashes.Verdict:
+    own = daemon.settings.daemons.host
+    now = daemon.clock.monotonic()
+    return crashes.judge(daemon.ledger, fingerprint, own, now)
+
+
+def _of_order(order: _records.Order) -> int:
+    if order.fingerprint is None:
+        order.fingerprint = crashes.fingerprint(
+            order.method, order.host, order.target, order.body
+        )
+    return order.fingerprint
+
+
+def _of_call(call: _records.Call) -> int:
+    if call.fingerprint is None:
+        request = call.exchange.request
+        call.fingerprint = crashes.fingerprint(
+            request.method,
+            request.found.get(HOST_KEY, b""),
+            request.target,
+            request.body,
+        )
+    return call.fingerprint
+
+
+def _changed(
+    daemon: _state.Daemon, touched: set[int], urgent: bool, source: str
+) -> None:
+    daemon.crash_changed.set()
+    if urgent:
+        daemon.crash_urgent.set()
+    _log_changes(daemon, touched, source)
+
+
+def _log_changes(
+    daemon: _state.Daemon, touched: set[int], source: str
+) -> None:
+    """Log each request that may be run otherwise than before."""
+    for fingerprint in touched | daemon.standings.keys():
+        verdict = _judge(daemon, fingerprint)
+        before = daemon.standings.get(fingerprint, crashes.Standing.FREE)
+        if verdict.standing is before:
+            continue
+        if verdict.standing is crashes.Standing.FREE:
+            del daemon.standings[fingerprint]
+        else:
+            daemon.standings[fingerprint] = verdict.standing
+        name = _NAMES[verdict.standing]
+        _counters.believed(daemon.counters, name)
+        found = verdict.evidence
+        now = daemon.clock.monotonic()
+        daemon.journal.request(
+            name,
+            source,
+            fingerprint=crashes.shown(fingerprint),
+            strikes=found.strikes,
+            alone=found.alone,
+            familiar=found.familiar,
+            crashes=",".join(
+                f"{crash.key[0]}:{now - crash.at:.2f}"
+                for crash in found.crashes[-CRASHES_SHOWN:]
+            ),
+            blocked_for=max(0.0, verdict.until - now),
+        )
+
+
+def _log_crash(
+    daemon: _state.Daemon, instance: str, runs: list[crashes.Run]
+) -> None:
+    strikes = {
+        run.fingerprint: crashes.evidence(
+            daemon.ledger, run.fingerprint
+        ).strikes
+        for run in runs
+    }
+    ordered = sorted(
+        runs, key=lambda run: (-strikes[run.fingerprint], run.seconds)
+    )
     daemon.journal.note(
         "instance_crashed",
-        instance=runs[-1].order.ask.instance if runs else "",
+        instance=instance,
         runs=len(runs),
         requests=",".join(
-            f"{crashes.shown(each)}:{counts[each]}:{ran[each]:.3f}"
-            for each in first[:SHOWN_MAX]
+            f"{crashes.shown(run.fingerprint)}"
+            f":{strikes[run.fingerprint]}:{run.seconds:.3f}"
+            for run in ordered[:SHOWN_MAX]
         ),
     )
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -14,6 +14,8 @@
 from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _checks
 from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _crash_spread
+from sassafrasstair.forwarding import _crashes
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _entrance
 from sassafrasstair.forwarding import _events
@@ -118,6 +120,7 @@
     _state.start_task(daemon, _sync.follow(daemon))
     _state.start_task(daemon, _peers.ask_while_lost(daemon))
     _state.start_task(daemon, _peers.compare(daemon))
+    _state.start_task(daemon, _crash_spread.tell_forever(daemon))
     _state.start_task(daemon, _tick_forever(running))
 
 
@@ -205,6 +208,7 @@
         _reload(running)
     if count % SHARE_TICKS == 0:
         _log_shares(daemon)
+        _crashes.tick(daemon, now)
 
 
 def _log_shares(daemon: _state.Daemon) -> None:
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -7,6 +7,7 @@
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import requests
 from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _crashes
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
 from sassafrasstair import outcomes
@@ -56,6 +57,8 @@
 ) -> None:
     """Say that the request has not run, and when to come back."""
     after = requests.retry_after(call.progress.route, daemon.rng)
+    if reason is outcomes.Reason.CRASHES_INSTANCES:
+        after = max(after, _crashes.blocked_seconds(daemon, call))
     fields = _own_fields(daemon, call)
     fields.append((b"Retry-After", b"%.3f" % after))
     log_end(daemon, call, "refused", REFUSED_STATUS, reason.value)
--- a/src/sassafrasstair/forwarding/_feed_wire.py
+++ b/src/sassafrasstair/forwarding/_feed_wire.py
@@ -29,15 +29,18 @@
 _T = typing.TypeVar("_T")
 
 
-def poll_head(host: str, after: int, hold: float) -> bytes:
+def poll_head(
+    host: str, after: int, hold: float, told: tuple[bytes, bytes]
+) -> bytes:
     """Return the head of a poll for what changed after a revision.
 
     That up to which the view goes, and not its last change: a peer whose own
     last change seems later, as after a reading of the whole, has then nothing
     to tell, and would be asked again and again for what it can't give.
+    ``told`` is one more field.
     """
     target = b"%s?after=%d" % (VIEW_PATH, after)
-    fields = [(b"Host", host.encode()), (FIELD, b"%.3f" % hold)]
+    fields = [(b"Host", host.encode()), (FIELD, b"%.3f" % hold), told]
     return httpio.request_head(b"GET", target, fields, 0)
 
 
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -6,6 +6,7 @@
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.forwarding import _callee
+from sassafrasstair.forwarding import _crash_news
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _polls
@@ -27,7 +28,13 @@
         return
     path, _, query = request.target.partition(b"?")
     if path == _wire.PING_PATH:
-        told = [_own_state(daemon), _polls.own_status(daemon)]
+        peer = exchange.peer
+        _crash_news.take(daemon, peer, request.found)
+        told = [
+            _own_state(daemon),
+            _polls.own_status(daemon),
+            _crash_news.field(daemon, peer),
+        ]
         exchange.respond(200, told, b"")
     elif path == _feed_wire.VIEW_PATH:
         _polls.serve(daemon, exchange, query)
@@ -53,9 +60,11 @@
         request.found.get(daemon.keys.caller, b"").decode("latin-1"),
         request_id,
         request.method,
+        request.found.get(b"host", b""),
         request.target,
         httpio.end_to_end(request.fields, request.found, dropped),
         request.body,
+        _wire.TRIAL_KEY in request.found,
     )
 
     def done(result: _records.Result) -> None:
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -7,6 +7,7 @@
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _crash_news
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _learning
@@ -55,7 +56,7 @@
         deaf = feeds.deaf(daemon.feed, daemon.view.answered, now)
         count = min(len(others), ASKED_WHEN_DEAF if deaf else 1)
         for host in daemon.rng.sample(others, count):
-            _ping(daemon, host)
+            ping(daemon, host, _crash_news.field(daemon, host))
 
 
 def heard(daemon: _state.Daemon, host: str, content: int) -> None:
@@ -94,10 +95,10 @@
     return found or list(daemon.settings.seeds)
 
 
-def _ping(daemon: _state.Daemon, host: str) -> None:
-    head = httpio.request_head(
-        b"GET", _wire.PING_PATH, [(b"Host", host.encode())], 0
-    )
+def ping(daemon: _state.Daemon, host: str, told: tuple[bytes, bytes]) -> None:
+    """Ask a daemon how far its view goes, and tell it one field."""
+    fields = [(b"Host", host.encode()), told]
+    head = httpio.request_head(b"GET", _wire.PING_PATH, fields, 0)
     job = httpio.Job(head, functools.partial(_ponged, daemon, host))
     _state.pool(daemon, host).send(job)
     asyncio.get_running_loop().call_later(ANSWER_SECONDS, _give_up, job)
@@ -110,6 +111,7 @@
 ) -> None:
     if isinstance(result, httpio.Failure):
         return
+    _crash_news.take(daemon, host, result.found)
     try:
         state = _wire.decode_state(result.found.get(_wire.STATE_KEY, b""))
         field = result.found.get(_feed_wire.KEY)
@@ -134,7 +136,8 @@
 def _pull(daemon: _state.Daemon, address: _dialect.Address) -> None:
     """Ask a daemon for what it knows more."""
     daemon.pulling = True
-    head = _feed_wire.poll_head(address.host, daemon.view.revision, 0.0)
+    told = _crash_news.field(daemon, address.host)
+    head = _feed_wire.poll_head(address.host, daemon.view.revision, 0.0, told)
     job = httpio.Job(head, functools.partial(_pulled, daemon, address.host))
     if address.port == daemon.settings.daemons.port:
         connections = _state.pool(daemon, address.host)
@@ -169,6 +172,7 @@
     daemon.pulling = False
     if isinstance(result, httpio.Failure) or result.status != 200:
         return
+    _crash_news.take(daemon, host, result.found)
     try:
         news = _take(daemon, host, result)
     except _wire.WireError as error:
--- a/src/sassafrasstair/forwarding/_polls.py
+++ b/src/sassafrasstair/forwarding/_polls.py
@@ -12,6 +12,7 @@
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _crash_news
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _wire
 
@@ -50,8 +51,11 @@
     if hold is None:
         _serve_snapshot(daemon, exchange, after)
         return
+    peer = exchange.peer
+    _crash_news.take(daemon, peer, exchange.request.found)
+    news = daemon.view.content > after or _crash_news.differs(daemon, peer)
     poll = HeldPoll(exchange, after, daemon.clock.monotonic() + hold)
-    if daemon.view.content > after or not hold or daemon.leaving:
+    if news or not hold or daemon.leaving:
         _answer(daemon, poll)
         return
     if len(daemon.polls) >= KEPT_MAX:
@@ -85,6 +89,13 @@
     _answer_if(daemon, lambda one: True)
 
 
+def answer_crashes(daemon: _state.Daemon, told: tuple[bytes, bytes]) -> None:
+    """Answer all with what is new of crashes."""
+    polls, daemon.polls = daemon.polls, []
+    for poll in polls:
+        _answer(daemon, poll, told)
+
+
 def tick(daemon: _state.Daemon, now: float) -> None:
     """Answer those that have waited for as long as they asked for."""
     if daemon.polls:
@@ -102,10 +113,15 @@
         _answer(daemon, poll)
 
 
-def _answer(daemon: _state.Daemon, poll: HeldPoll) -> None:
+def _answer(
+    daemon: _state.Daemon,
+    poll: HeldPoll,
+    told: tuple[bytes, bytes] | None = None,
+) -> None:
     body = _encoded(daemon, poll.after)
+    told = told or _crash_news.field(daemon, poll.exchange.peer)
     poll.exchange.gone = None
-    poll.exchange.respond(200, [own_status(daemon)], body)
+    poll.exchange.respond(200, [own_status(daemon), told], body)
 
 
 def _encoded(daemon: _state.Daemon, after: int) -> bytes:
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -20,16 +20,21 @@
 class Order:
     """A request for the upstream, with what its entrance told.
 
-    ``caller`` is the service on the VM where it began.
+    ``caller`` is the service on the VM where it began, ``host`` names the
+    site that it is for. ``trial`` when its entrance may run a request again
+    that was blocked. ``fingerprint`` is worked out when it is needed.
     """
 
     ask: _wire.Ask
     caller: str
     request_id: bytes
     method: bytes
+    host: bytes
     target: bytes
     fields: httpio.Fields
     body: bytes
+    trial: bool = False
+    fingerprint: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,7 +50,8 @@
     """One request that waits for the upstream or is there.
 
     ``guard`` is that of the run of the instance for which it came.
-    ``broken`` once its connection has ended without a whole answer.
+    ``broken`` once its connection has ended without a whole answer, ``alone``
+    when no other suspect may run beside it.
     """
 
     key: str
@@ -55,6 +61,7 @@
     guard: load.Guard
     job: httpio.Job | None = None
     broken: bool = False
+    alone: bool = False
 
     @property
     def rank(self) -> float:
@@ -74,7 +81,7 @@
     It goes over the network as ``job``, or as ``run`` to the instance on
     this VM, with ``ask`` and ``fields``. ``born`` is the start of the
     instance that was asked, as the view had it; ``left`` says why it is in
-    another failure domain.
+    another failure domain. ``trial`` when the request was blocked before.
     """
 
     instance: str
@@ -83,6 +90,7 @@
     born: int
     ask: _wire.Ask
     fields: httpio.Fields
+    trial: bool = False
     left: calls.Leaving | None = None
     job: httpio.Job | None = None
     run: str = ""
@@ -90,7 +98,10 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Call:
-    """One client's request under way."""
+    """One client's request under way.
+
+    ``fingerprint`` is worked out when it is needed.
+    """
 
     exchange: httpio.Exchange
     request_id: bytes
@@ -98,3 +109,4 @@
     fields: httpio.Fields
     attempt: Attempt | None = None
     timer: asyncio.TimerHandle | None = None
+    fingerprint: int | None = None
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -8,6 +8,7 @@
 
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import crashes
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import requests
@@ -21,6 +22,7 @@
     import random
 
     from sassafrasstair import clocks
+    from sassafrasstair.forwarding import _crash_news
     from sassafrasstair.forwarding import _polls
     from sassafrasstair.forwarding import _records
 
@@ -43,8 +45,12 @@
     ``guards`` are by instance and when its run started.
 
     ``broken`` are runs whose connection broke, by their keys, until it is
-    known whether the upstream has crashed. ``crash_counts`` is by a
-    request's fingerprint.
+    known whether the upstream has crashed. ``familiar`` are fingerprints of
+    requests that were completed here, the latest last.
+
+    ``ledger`` holds the crashes that are known, up to its version
+    ``crash_told`` also told to others; ``crash_peers`` by host is what these
+    know. ``standings`` are those of requests that may not run freely.
 
     ``refused`` are keys of the store's unusable items, by their revision.
 
@@ -97,7 +103,23 @@
     broken: dict[str, httpio.Response | httpio.Failure] = dataclasses.field(
         default_factory=dict
     )
-    crash_counts: dict[int, int] = dataclasses.field(default_factory=dict)
+    familiar: dict[int, None] = dataclasses.field(default_factory=dict)
+    ledger: crashes.Ledger = dataclasses.field(
+        default_factory=crashes.new_ledger
+    )
+    standings: dict[int, crashes.Standing] = dataclasses.field(
+        default_factory=dict
+    )
+    crash_peers: dict[str, _crash_news.Peer] = dataclasses.field(
+        default_factory=dict
+    )
+    crash_told: int = 0
+    crash_changed: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event
+    )
+    crash_urgent: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event
+    )
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     checks: set[asyncio.Future[int]] = dataclasses.field(default_factory=set)
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -9,6 +9,7 @@
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _crash_news
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _learning
@@ -110,7 +111,8 @@
     daemon: _state.Daemon, host: str, hold: float, within: float
 ) -> None:
     """Ask the daemon that is followed for what is new."""
-    head = _feed_wire.poll_head(host, daemon.view.revision, hold)
+    told = _crash_news.field(daemon, host)
+    head = _feed_wire.poll_head(host, daemon.view.revision, hold, told)
     result = await _exchange(daemon, host, head, within)
     now = daemon.clock.monotonic()
     if isinstance(result, httpio.Failure):
@@ -127,6 +129,7 @@
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         _fell_silent(daemon, host, "malformed")
         return
+    _crash_news.take(daemon, host, result.found)
     feeds.told(daemon.feed, host, status, daemon.view.content, now, daemon.rng)
     if status.lost is None:
         _learning.note_answer(daemon, now, status.age)
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -18,7 +18,10 @@
 STATE = b"Sassafras-State"
 ASK_KEY = ASK.lower()
 STATE_KEY = STATE.lower()
-OWN_FIELDS = httpio.kept_back({ASK_KEY, STATE_KEY})
+TRIAL = b"Sassafras-Trial"
+"""On a request that was blocked since it crashed instances, and is tried."""
+TRIAL_KEY = TRIAL.lower()
+OWN_FIELDS = httpio.kept_back({ASK_KEY, STATE_KEY, TRIAL_KEY})
 PING_PATH = b"/-sassafras/ping"
 
 _ANSWERED = "answered"
--- a/src/sassafrasstair/outcomes.py
+++ b/src/sassafrasstair/outcomes.py
@@ -48,6 +48,9 @@
     UPSTREAM_LOST = "upstream_lost"
     UPSTREAM_CRASHED = "upstream_crashed"
     ANSWER_CUT_SHORT = "answer_cut_short"
+    # A request that crashed instances.
+    CRASHES_INSTANCES = "crashes_instances"
+    SUSPECT_RUNNING = "suspect_running"
     INTERNAL_FAULT = "internal_fault"
     # Once-only work.
     TICKET_MISSING = "ticket_missing"
--- a/tests/fleets/fleet.py
+++ b/tests/fleets/fleet.py
@@ -15,6 +15,8 @@
 from sassafrasstair import forwarding
 from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _checks
+from sassafrasstair.forwarding import _crash_spread
+from sassafrasstair.forwarding import _crashes
 from sassafrasstair.forwarding import _events
 from sassafrasstair.forwarding import _inbound
 from sassafrasstair.forwarding import _learning
@@ -144,6 +146,7 @@
             _sync.follow(daemon),
             _peers.ask_while_lost(daemon),
             _peers.compare(daemon),
+            _crash_spread.tell_forever(daemon),
             _tick(daemon),
         )
         self.tasks[host] = [loop.create_task(each) for each in work]
@@ -262,6 +265,7 @@
         _probes.tick(daemon, now)
         _polls.tick(daemon, now)
         _checks.tick(daemon, now)
+        _crashes.tick(daemon, now)
         _learning.learned(daemon, views.expire(daemon.view, now), "time")
 
 
