Tell on what a request is tried again, and bound what is known of crashes

Change: a trial tells after how many strikes it is made, and the callee compares; the callee ends the third crash's attempts as blocked; what a proven request explains is worked out once a change; 256 records at most. The end of an instance that leaves is no crash. Daemons that already have a digest are not told again. Operators see what is held back at /crashes, in gauges, and by the fingerprint in each line of such a request.

--- a/src/sassafrasstair/decisions/crashes/_ledger.py
+++ b/src/sassafrasstair/decisions/crashes/_ledger.py
@@ -25,6 +25,7 @@
 """Requests of all records, about 14 KB when told. A request that crashes three
 instances with eight others under way at each takes 27: 44 such requests are
 remembered, and one that is pushed out may crash three more."""
+CRASHES_KEPT = 256
 DROPPED_KEPT = 1_000
 """Records that were dropped and are not taken again from peers."""
 SAME_MOMENT_SECONDS = 0.02
@@ -55,7 +56,9 @@
     """Records of crashes by their keys, and by the requests under way.
 
     ``version`` counts changes, ``digest`` is the same in all daemons that
-    know the same.
+    know the same. ``found`` and ``explained`` were worked out since the last
+    change; the latter are the strikes of the proven request that was in a
+    crash.
     """
 
     crashes: dict[_records.Key, _records.Crash] = dataclasses.field(
@@ -66,6 +69,7 @@
     )
     dropped: dict[_records.Key, None] = dataclasses.field(default_factory=dict)
     found: dict[int, Evidence] = dataclasses.field(default_factory=dict)
+    explained: dict[_records.Key, int] | None = None
     runs: int = 0
     version: int = 0
     digest: int = 0
@@ -186,6 +190,16 @@
     return _weigh([each for each in entries if each[0].key not in explained])
 
 
+def recurring(ledger: Ledger, count: int) -> list[Evidence]:
+    """Return the evidence of requests that were in so many crashes."""
+    found = (
+        evidence(ledger, fingerprint)
+        for fingerprint, entries in ledger.by_request.items()
+        if len(entries) >= count
+    )
+    return [each for each in found if each.strikes >= count]
+
+
 def _weigh(
     entries: abc.Iterable[tuple[_records.Crash, int]],
 ) -> Evidence:
@@ -253,11 +267,15 @@
     ledger.runs += len(crash.runs)
     _changed(ledger, crash)
     ledger.digest ^= _mark(crash)
-    while ledger.runs > RUNS_KEPT and len(ledger.crashes) > 1:
+    while _is_full(ledger) and len(ledger.crashes) > 1:
         _drop(ledger, _least(ledger))
     return crash.key in ledger.crashes
 
 
+def _is_full(ledger: Ledger) -> bool:
+    return ledger.runs > RUNS_KEPT or len(ledger.crashes) > CRASHES_KEPT
+
+
 def _set_bits(
     ledger: Ledger, crash: _records.Crash, cleared: int, familiar: int
 ) -> bool:
@@ -273,7 +291,7 @@
 def _changed(ledger: Ledger, crash: _records.Crash) -> None:
     ledger.version += 1
     crash.stamp = ledger.version
-    ledger.found.clear()
+    _forget_found(ledger)
 
 
 def _drop(ledger: Ledger, crash: _records.Crash) -> None:
@@ -285,12 +303,17 @@
             del ledger.by_request[run.fingerprint]
     ledger.runs -= len(crash.runs)
     ledger.digest ^= _mark(crash)
-    ledger.found.clear()
+    _forget_found(ledger)
     ledger.dropped[crash.key] = None
     if len(ledger.dropped) > DROPPED_KEPT:
         del ledger.dropped[next(iter(ledger.dropped))]
 
 
+def _forget_found(ledger: Ledger) -> None:
+    ledger.found.clear()
+    ledger.explained = None
+
+
 def _least(ledger: Ledger) -> _records.Crash:
     """Return the record that tells least: no request recurs, then by age."""
 
--- a/src/sassafrasstair/decisions/crashes/_standings.py
+++ b/src/sassafrasstair/decisions/crashes/_standings.py
@@ -52,9 +52,13 @@
     """Return how a request may be run now, by the daemon at ``own``."""
     found = _ledger.evidence(ledger, fingerprint)
     if found.strikes >= ALONE_FROM:
-        explained = _explained(ledger, fingerprint, found)
-        if explained:
-            found = _ledger.without(ledger, fingerprint, explained)
+        by_others = {
+            key
+            for key, strikes in _explained(ledger).items()
+            if strikes > found.strikes
+        }
+        if any(crash.key in by_others for crash in found.crashes):
+            found = _ledger.without(ledger, fingerprint, by_others)
     if found.strikes < ALONE_FROM:
         return Verdict(Standing.FREE, found)
     if not _is_proven(found):
@@ -70,24 +74,20 @@
     return not found.familiar or found.alone >= FAMILIAR_ALONE
 
 
-def _explained(
-    ledger: _ledger.Ledger, fingerprint: int, found: _ledger.Evidence
-) -> set[_records.Key]:
-    """Return the crashes in which a request with more of them was, too.
+def _explained(ledger: _ledger.Ledger) -> dict[_records.Key, int]:
+    """Return the crashes that a request which is proven to cause them was in.
 
-    One that is proven to crash instances explains all crashes that it was
-    in, and what ran beside it is not to blame for them.
+    By its strikes: what ran beside it with fewer is not to blame for them.
     """
-    explained = set()
-    for crash in found.crashes:
-        for place, run in enumerate(crash.runs):
-            if run.fingerprint == fingerprint or crash.cleared >> place & 1:
+    if ledger.explained is None:
+        ledger.explained = {}
+        for found in _ledger.recurring(ledger, BLOCKED_FROM):
+            if not _is_proven(found):
                 continue
-            other = _ledger.evidence(ledger, run.fingerprint)
-            if other.strikes > found.strikes and _is_proven(other):
-                explained.add(crash.key)
-                break
-    return explained
+            for crash in found.crashes:
+                strikes = ledger.explained.get(crash.key, 0)
+                ledger.explained[crash.key] = max(strikes, found.strikes)
+    return ledger.explained
 
 
 def _blocked_seconds(
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -73,7 +73,7 @@
         views.born(daemon.view, target.vm),
         ask,
         [*call.fields, (daemon.names.target, target.vm.encode())],
-        _crashes.runs_alone(verdict),
+        _crashes.trial(verdict),
         left_for,
     )
     call.attempt = attempt
@@ -166,7 +166,7 @@
     request = call.exchange.request
     fields = [*attempt.fields, (_wire.ASK, _wire.encode_ask(attempt.ask))]
     if attempt.trial:
-        fields.append((_wire.TRIAL, b"1"))
+        fields.append((_wire.TRIAL, b"%d" % attempt.trial))
     head = httpio.request_head(
         request.method, request.target, fields, len(request.body)
     )
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -57,7 +57,7 @@
     reason = _unable(daemon, ask.instance)
     run = _records.Run(key, order, deadline, done, guard)
     verdict = _crashes.verdict_of_order(daemon, order)
-    if _crashes.is_blocked(verdict) and not order.trial:
+    if _crashes.is_blocked(verdict, order.trial):
         reason = outcomes.Reason.CRASHES_INSTANCES
         _end(daemon, run, requests.Ending.TURNED_AWAY, reason, None)
         return key
@@ -254,7 +254,7 @@
 ) -> None:
     ending, reason = _judge(daemon, run, result)
     if crashed:
-        reason = outcomes.Reason.UPSTREAM_CRASHED
+        reason = _reason_of_crash(daemon, run)
     if isinstance(result, httpio.Response):
         _upstream_tried(daemon, True)
     elif result is httpio.Failure.NOT_SENT:
@@ -273,6 +273,15 @@
     _end(daemon, run, ending, reason, whole if ending is None else None)
 
 
+def _reason_of_crash(
+    daemon: _state.Daemon, run: _records.Run
+) -> outcomes.Reason:
+    """Return why the run ended; its entrance may not know of the crash yet."""
+    if _crashes.is_blocked(_crashes.verdict_of_order(daemon, run.order)):
+        return outcomes.Reason.CRASHES_INSTANCES
+    return outcomes.Reason.UPSTREAM_CRASHED
+
+
 def _judge(
     daemon: _state.Daemon,
     run: _records.Run,
@@ -331,6 +340,7 @@
             route=order.ask.route,
             ending=ending,
             left=run.deadline - daemon.clock.monotonic(),
+            **_crashes.shown(order.fingerprint),
         )
     run.done(_records.Result(_told(daemon, order, ending, reason), response))
 
--- a/src/sassafrasstair/forwarding/_crash_news.py
+++ b/src/sassafrasstair/forwarding/_crash_news.py
@@ -49,6 +49,12 @@
     return _crash_wire.FIELD, _crash_wire.encode(ledger.digest, reports)
 
 
+def knows(daemon: _state.Daemon, host: str) -> bool:
+    """Return whether a daemon is known to know the same crashes."""
+    peer = daemon.crash_peers.get(host)
+    return peer is not None and peer.digest == daemon.ledger.digest
+
+
 def differs(daemon: _state.Daemon, host: str) -> bool:
     """Return whether a daemon knows other crashes, and may be told all."""
     peer = daemon.crash_peers.get(host)
--- a/src/sassafrasstair/forwarding/_crash_spread.py
+++ b/src/sassafrasstair/forwarding/_crash_spread.py
@@ -13,6 +13,7 @@
 
 from sassafrasstair.decisions import crashes
 from sassafrasstair.decisions import feeds
+from sassafrasstair.forwarding import _crash_news
 from sassafrasstair.forwarding import _crash_wire
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _polls
@@ -56,6 +57,8 @@
     value = _crash_wire.encode(ledger.digest, reports)
     _polls.answer_crashes(daemon, (_crash_wire.FIELD, value))
     for host in _upwards(daemon):
+        if _crash_news.knows(daemon, host):
+            continue
         _peers.ping(daemon, host, (_crash_wire.FIELD, value))
 
 
--- a/src/sassafrasstair/forwarding/_crashes.py
+++ b/src/sassafrasstair/forwarding/_crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from sassafrasstair.decisions import crashes
@@ -51,9 +52,21 @@
     return _judge(daemon, _of_order(order))
 
 
-def is_blocked(verdict: crashes.Verdict | None) -> bool:
-    """Return whether a request may not be run now."""
-    return verdict is not None and verdict.standing is crashes.Standing.BLOCKED
+def is_blocked(verdict: crashes.Verdict | None, trial: int = 0) -> bool:
+    """Return whether a request may not be run now.
+
+    It may where another daemon tries it, knowing as much.
+    """
+    if verdict is None or verdict.standing is not crashes.Standing.BLOCKED:
+        return False
+    return trial < verdict.evidence.strikes
+
+
+def trial(verdict: crashes.Verdict | None) -> int:
+    """Return after how many strikes a request is tried again, 0 if not."""
+    if verdict is None or verdict.until == -math.inf:
+        return 0
+    return verdict.evidence.strikes
 
 
 def runs_alone(verdict: crashes.Verdict | None) -> bool:
@@ -71,6 +84,24 @@
     return max(0.0, verdict.until - daemon.clock.monotonic())
 
 
+def shown(fingerprint: int | None) -> dict[str, str]:
+    """Return what a log line tells of a request, if it was looked up."""
+    if fingerprint is None:
+        return {}
+    return {"fingerprint": crashes.shown(fingerprint)}
+
+
+def suspects(
+    daemon: _state.Daemon, now: float
+) -> list[tuple[int, crashes.Verdict]]:
+    """Return the requests that may not run freely, and why."""
+    own = daemon.feed.own
+    return [
+        (each, crashes.judge(daemon.ledger, each, own, now))
+        for each in daemon.standings
+    ]
+
+
 def completed_here(daemon: _state.Daemon, order: _records.Order) -> None:
     """Note that the own upstream has answered a request itself."""
     if daemon.ledger.crashes or len(order.body) <= FAMILIAR_BODY_MAX:
@@ -102,6 +133,8 @@
     if not runs:
         return
     instance = runs[-1].order.ask.instance
+    if _is_leaving(daemon, instance):
+        return
     key = instance, views.born(daemon.view, instance)
     found = [
         crashes.Run(
@@ -146,6 +179,15 @@
     _log_changes(daemon, set(), "time")
 
 
+def _is_leaving(daemon: _state.Daemon, instance: str) -> bool:
+    """Return whether the instance's end was to be expected."""
+    known = views.instance(daemon.view, instance)
+    if known is None or daemon.leaving:
+        return daemon.leaving
+    lapsed = instance not in daemon.view.instances
+    return lapsed or known.state is views.InstanceState.LEAVING
+
+
 def _judge(daemon: _state.Daemon, fingerprint: int) -> crashes.Verdict:
     own = daemon.feed.own
     now = daemon.clock.monotonic()
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -64,7 +64,7 @@
         request.target,
         httpio.end_to_end(request.fields, request.found, dropped),
         request.body,
-        _wire.TRIAL_KEY in request.found,
+        _wire.decode_trial(request.found.get(_wire.TRIAL_KEY)),
     )
 
     def done(result: _records.Result) -> None:
--- a/src/sassafrasstair/forwarding/_polls.py
+++ b/src/sassafrasstair/forwarding/_polls.py
@@ -93,9 +93,14 @@
 
 
 def answer_crashes(daemon: _state.Daemon, told: tuple[bytes, bytes]) -> None:
-    """Answer all with what is new of crashes."""
-    polls, daemon.polls = daemon.polls, []
-    for poll in polls:
+    """Answer with what is new of crashes all who may not know it."""
+    due = [
+        poll
+        for poll in daemon.polls
+        if not _crash_news.knows(daemon, poll.exchange.peer)
+    ]
+    daemon.polls = [poll for poll in daemon.polls if poll not in due]
+    for poll in due:
         _answer(daemon, poll, told)
 
 
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -21,8 +21,9 @@
     """A request for the upstream, with what its entrance told.
 
     ``caller`` is the service on the VM where it began, ``host`` names the
-    site that it is for. ``trial`` when its entrance may run a request again
-    that was blocked. ``fingerprint`` is worked out when it is needed.
+    site that it is for. ``trial`` is after how many strikes its entrance tries
+    a request again that was blocked, 0 if it was not. ``fingerprint`` is
+    worked out when it is needed.
     """
 
     ask: _wire.Ask
@@ -33,7 +34,7 @@
     target: bytes
     fields: httpio.Fields
     body: bytes
-    trial: bool = False
+    trial: int = 0
     fingerprint: int | None = None
 
 
@@ -81,7 +82,7 @@
     It goes over the network as ``job``, or as ``run`` to the instance on
     this VM, with ``ask`` and ``fields``. ``born`` is the start of the
     instance that was asked, as the view had it; ``left`` says why it is in
-    another failure domain. ``trial`` when the request was blocked before.
+    another failure domain. ``trial`` is that of its ``Order``.
     """
 
     instance: str
@@ -90,7 +91,7 @@
     born: int
     ask: _wire.Ask
     fields: httpio.Fields
-    trial: bool = False
+    trial: int = 0
     left: calls.Leaving | None = None
     job: httpio.Job | None = None
     run: str = ""
--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from sassafrasstair.decisions import crashes
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _crashes
 
 if typing.TYPE_CHECKING:
     from sassafrasstair.forwarding import _state
@@ -16,6 +18,7 @@
 
 METRICS_PATH = b"/metrics"
 FEED_PATH = b"/feed"
+CRASHES_PATH = b"/crashes"
 STORE = "store"
 _NOBODY = "nobody"
 
@@ -41,6 +44,28 @@
     lost: tuple[str, ...]
 
 
+class CrashStatus(msgspec.Struct, frozen=True):
+    """One crash that counts against a request; its age in seconds."""
+
+    instance: str
+    age: float
+
+
+class SuspectStatus(msgspec.Struct, frozen=True):
+    """A request that may not run freely, and why; see ``crashes.Verdict``.
+
+    ``blocked_for`` is for how many seconds this daemon will not run it.
+    """
+
+    fingerprint: str
+    standing: str
+    strikes: int
+    alone: int
+    familiar: bool
+    blocked_for: float
+    crashes: tuple[CrashStatus, ...]
+
+
 def serve(daemon: _state.Daemon, exchange: httpio.Exchange) -> None:
     """Answer one request of an operator or of the platform."""
     path = exchange.request.target.partition(b"?")[0]
@@ -50,6 +75,9 @@
     elif path == METRICS_PATH:
         body = _counters.render(daemon.counters, _gauges(daemon))
         exchange.respond(200, [(b"Content-Type", b"text/plain")], body)
+    elif path == CRASHES_PATH:
+        body = msgspec.json.encode(suspects_status(daemon))
+        exchange.respond(200, [(b"Content-Type", b"application/json")], body)
     elif path == FEED_PATH:
         body = msgspec.json.encode(feed_status(daemon))
         exchange.respond(200, [(b"Content-Type", b"application/json")], body)
@@ -77,6 +105,26 @@
     )
 
 
+def suspects_status(daemon: _state.Daemon) -> list[SuspectStatus]:
+    """Return the requests that this daemon holds back, and why."""
+    now = daemon.clock.monotonic()
+    return [
+        SuspectStatus(
+            fingerprint=crashes.shown(fingerprint),
+            standing=verdict.standing.value,
+            strikes=verdict.evidence.strikes,
+            alone=verdict.evidence.alone,
+            familiar=verdict.evidence.familiar,
+            blocked_for=max(0.0, verdict.until - now),
+            crashes=tuple(
+                CrashStatus(crash.key[0], now - crash.at)
+                for crash in verdict.evidence.crashes
+            ),
+        )
+        for fingerprint, verdict in _crashes.suspects(daemon, now)
+    ]
+
+
 def parent_name(parent: str | None) -> str:
     """Return whom a daemon follows, as logs and operators are told."""
     return _NOBODY if parent is None else parent or STORE
@@ -86,6 +134,7 @@
     table = daemon.view.table
     feed = daemon.feed
     now = daemon.clock.monotonic()
+    standings = list(daemon.standings.values())
     return {
         "reads_store": int(feeds.reads(feed)),
         "feed_rank": len(feed.before),
@@ -101,6 +150,9 @@
         "upstream_connections_opened": daemon.upstream.opened,
         "leaving": int(daemon.leaving),
         "upstream_leaving": int(daemon.upstream_leaving),
+        "crashes_known": len(daemon.ledger.crashes),
+        "requests_suspected": standings.count(crashes.Standing.ALONE),
+        "requests_blocked": standings.count(crashes.Standing.BLOCKED),
     }
 
 
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -19,7 +19,7 @@
 ASK_KEY = ASK.lower()
 STATE_KEY = STATE.lower()
 TRIAL = b"Sassafras-Trial"
-"""On a request that was blocked since it crashed instances, and is tried."""
+"""After how many strikes a request is tried that was blocked."""
 TRIAL_KEY = TRIAL.lower()
 OWN_FIELDS = httpio.kept_back({ASK_KEY, STATE_KEY, TRIAL_KEY})
 PING_PATH = b"/-sassafras/ping"
@@ -96,6 +96,11 @@
         raise WireError(f"ask: {error}") from error
 
 
+def decode_trial(value: bytes | None) -> int:
+    """Return the strikes that the field tells, 0 without it."""
+    return int(value) if value is not None and value.isdigit() else 0
+
+
 def encode_state(state: State) -> bytes:
     """Return the field's value."""
     ending = _ANSWERED if state.ending is None else state.ending.value
