Test requests that crash instances, in the model and by the evidence

In the model, real daemons on a virtual clock: 13, 65 and 195 daemons; often and seldom, soon and late; requests that may run once; five by turns beside a popular one; a call that an instance makes; daemons restarted in turn, a domain that was cut off, both sides of a cut; popular requests through six kinds of crash storms, fast and slow; a release that can't run what the one before could; a blocked request that is tried again and served once it is mended; a flood.

--- a/tests/fleets/fleet.py
+++ b/tests/fleets/fleet.py
@@ -98,6 +98,7 @@
         default_factory=dict
     )
     services: typing.Callable[[str], str] = lambda host: "s"
+    idempotent: bool = True
     attempts_max: int = 2
     known_as: dict[str, str] = dataclasses.field(default_factory=dict)
     upstreams: dict[str, httpio.Pool] = dataclasses.field(default_factory=dict)
@@ -188,7 +189,12 @@
         """Put the next policy in force; return its version."""
         self.version += 1
         routes = tuple(
-            place.route(f"/{name}/", name, attempts_max=self.attempts_max)
+            place.route(
+                f"/{name}/",
+                name,
+                self.idempotent,
+                attempts_max=self.attempts_max,
+            )
             for name in sorted({self.service_of(host) for host in self.hosts})
         )
         self.store.put(
--- a/tests/fleets/instances.py
+++ b/tests/fleets/instances.py
@@ -37,12 +37,14 @@
     """All instances of a fleet.
 
     A request for a target of ``crashing`` crashes the instance so many
-    seconds after it has begun, ``seconds`` is the work of the others.
+    seconds after it has begun, ``seconds`` is the work of the others. One for
+    a target of ``calls`` is answered as the call to the other target is.
     """
 
     fleet: fleet_module.Fleet
     seconds: float = 0.03
     crashing: dict[bytes, float] = dataclasses.field(default_factory=dict)
+    calls: dict[bytes, bytes] = dataclasses.field(default_factory=dict)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     crashes: list[Arrival] = dataclasses.field(default_factory=list)
     instances: dict[str, Instance] = dataclasses.field(default_factory=dict)
@@ -89,6 +91,8 @@
         crashing = plant.crashing.get(request.target)
         if crashing is not None:
             work = loop.call_later(crashing, self.crash, request.target)
+        elif request.target in plant.calls:
+            work = loop.call_later(plant.seconds, self._call, job, request)
         else:
             work = loop.call_later(plant.seconds, self._answer, job, request)
         self._running[job] = work
@@ -132,7 +136,21 @@
         self.down = False
         self._plant.fleet.entry(self.host, key=f"i-{next(_serial)}")
 
-    def _answer(self, job: httpio.Job, request: httpio.Request) -> None:
+    def _call(self, job: httpio.Job, request: httpio.Request) -> None:
+        plant = self._plant
+        target = plant.calls[request.target]
+        called = call(plant.fleet, self.host, target)
+
+        def done(status: asyncio.Future[int]) -> None:
+            if job in self._running:
+                good = status.result() == 200
+                self._answer(job, request, 200 if good else 500)
+
+        called.add_done_callback(done)
+
+    def _answer(
+        self, job: httpio.Job, request: httpio.Request, status: int = 200
+    ) -> None:
         self._running.pop(job, None)
         names = self._plant.fleet.daemons[self.host].keys
         fields = [
@@ -140,7 +158,7 @@
             (names.signature, b"s"),
         ]
         parsed = [(name, name, value) for name, value in fields]
-        job.end(httpio.Response(200, parsed, dict(fields), b"whole"))
+        job.end(httpio.Response(status, parsed, dict(fields), b"whole"))
 
 
 class _Connection:
--- a/tests/fleets/test_crashes.py
+++ b/tests/fleets/test_crashes.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import itertools
 import random
 import typing
 
 import pytest
 
+from sassafrasstair.decisions import crashes
+from sassafrasstair.forwarding import _crash_wire
 from tests.fleets import fleet as fleet_module
 from tests.fleets import instances
 from tests.fleets import loops
@@ -17,18 +20,32 @@
 """After which all daemons have to know of the third crash."""
 LATE_MAX = 3
 """Arrivals at instances that are allowed later than that."""
+TOLD_SECONDS = 0.1
+"""After which all daemons know of a crash while all links are sound."""
 BAD = b"/s/bad"
+POPULAR = b"/s/popular"
 CRASH_SECONDS = 0.04
 BAD_PER_SECOND = 4.0
 GOOD_PER_SECOND = 40.0
 
 
 async def start(
-    count: int, domains: int, seed: int = 1, attempts_max: int = 2
+    count: int,
+    domains: int,
+    seed: int = 1,
+    attempts_max: int = 2,
+    services: typing.Callable[[str], str] = lambda host: "s",
+    idempotent: bool = True,
 ) -> tuple[fleet_module.Fleet, instances.Plant]:
     """Return a fleet that is calm, with its instances."""
     fleet = fleet_module.Fleet(
-        count, domains, seed=seed, bound=2.0, attempts_max=attempts_max
+        count,
+        domains,
+        seed=seed,
+        bound=2.0,
+        services=services,
+        idempotent=idempotent,
+        attempts_max=attempts_max,
     )
     plant = instances.Plant(fleet)
     plant.build()
@@ -68,6 +85,33 @@
     return plant.arrived(target, times[2] + STABLE_SECONDS)
 
 
+SUSPICIONS = {"crashes_instances", "suspect_running"}
+SERVED_SHARE = 0.98
+
+
+def refused_on_suspicion(fleet: fleet_module.Fleet) -> int:
+    """Return the requests that daemons refused for crashes."""
+    return sum(
+        count
+        for daemon in fleet.daemons.values()
+        for (_, _, reason), count in daemon.counters.ends.items()
+        if reason in SUSPICIONS
+    )
+
+
+def share_served(statuses: list[int]) -> float:
+    """Return the share of requests that were answered with success."""
+    return statuses.count(200) / len(statuses)
+
+
+def begun_before(plant: instances.Plant, target: bytes, number: int) -> int:
+    """Return the arrivals until a crash of that number, from 1, was known."""
+    known = plant.crash_times(target)[number - 1] + TOLD_SECONDS
+    return sum(
+        each.target == target and each.at < known for each in plant.arrivals
+    )
+
+
 @pytest.mark.parametrize(("count", "domains"), [(13, 1), (65, 5), (195, 3)])
 def test_request_that_crashed_three_instances_is_kept_from_the_others(
     count: int, domains: int
@@ -79,7 +123,273 @@
         plant.crashing[BAD] = CRASH_SECONDS
         bad = send_often(fleet, itertools.repeat(BAD), BAD_PER_SECOND, 12.0)
         good = send_often(fleet, unique(), GOOD_PER_SECOND, 12.0, seed=2)
-        await asyncio.gather(bad, good)
+        _, statuses = await asyncio.gather(bad, good)
         assert late(plant, BAD) <= LATE_MAX
+        assert plant.arrived(BAD) <= begun_before(plant, BAD, 3)
+        assert share_served(statuses) > SERVED_SHARE
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize("crash_seconds", [0.001, 0.08, 0.4])
+@pytest.mark.parametrize("per_second", [1.0, 40.0])
+def test_no_more_instances_crash_than_were_under_way_at_the_third(
+    crash_seconds: float, per_second: float
+) -> None:
+    """The request comes seldom or often, and crashes soon or late."""
+
+    async def test() -> None:
+        fleet, plant = await start(65, 5)
+        plant.crashing[BAD] = crash_seconds
+        bad = send_often(fleet, itertools.repeat(BAD), per_second, 10.0)
+        good = send_often(fleet, unique(), GOOD_PER_SECOND, 10.0, seed=2)
+        _, statuses = await asyncio.gather(bad, good)
+        assert plant.arrived(BAD) <= begun_before(plant, BAD, 3)
+        assert share_served(statuses) > SERVED_SHARE
+
+    loops.run(test())
+
+
+def test_request_that_may_run_once_is_kept_from_the_others() -> None:
+    """A request with a body, which is never sent on, comes again and again."""
+
+    async def test() -> None:
+        fleet, plant = await start(13, 1, idempotent=False)
+        plant.crashing[BAD] = CRASH_SECONDS
+        statuses = []
+        for number in range(40):
+            host = fleet.hosts[number % 13]
+            statuses.append(await instances.call(fleet, host, BAD, b"body"))
+            await asyncio.sleep(0.25)
+        assert plant.arrived(BAD) == 3
+        assert statuses.count(502) == 3
+        assert statuses.count(503) == 37
+
+    loops.run(test())
+
+
+def test_several_such_requests_are_told_apart() -> None:
+    """Five requests by turns crash what runs them, beside a popular one."""
+
+    async def test() -> None:
+        fleet, plant = await start(65, 5)
+        bad = [BAD + b"-%d" % number for number in range(5)]
+        plant.crashing.update(dict.fromkeys(bad, CRASH_SECONDS))
+        sent = send_often(fleet, itertools.cycle(bad), 10.0, 12.0)
+        popular = send_often(
+            fleet, itertools.repeat(POPULAR), 20.0, 12.0, seed=3
+        )
+        good = send_often(fleet, unique(), GOOD_PER_SECOND, 12.0, seed=2)
+        _, of_popular, of_good = await asyncio.gather(sent, popular, good)
+        for target in bad:
+            assert plant.arrived(target) <= begun_before(plant, target, 3)
+        assert share_served(of_popular) > SERVED_SHARE
+        assert share_served(of_good) > SERVED_SHARE
+
+    loops.run(test())
+
+
+def test_call_of_an_instance_is_kept_from_the_others() -> None:
+    """An instance calls on as it runs, and the call crashes what runs it."""
+
+    async def test() -> None:
+        fleet, plant = await start(26, 2, services=_front_or_deep)
+        plant.crashing[b"/deep/bad"] = CRASH_SECONDS
+        plant.calls[b"/front/bad"] = b"/deep/bad"
+        front = itertools.repeat(b"/front/bad")
+        bad = send_often(fleet, front, BAD_PER_SECOND, 10.0)
+        good = (b"/deep/good-%d" % number for number in itertools.count())
+        sent = send_often(fleet, good, GOOD_PER_SECOND, 10.0, seed=2)
+        _, statuses = await asyncio.gather(bad, sent)
+        arrived = plant.arrived(b"/deep/bad")
+        assert 3 <= arrived <= begun_before(plant, b"/deep/bad", 3)
+        assert plant.crash_times(b"/front/bad") == []
+        assert share_served(statuses) > SERVED_SHARE
+
+    loops.run(test())
+
+
+def _front_or_deep(host: str) -> str:
+    return "front" if int(host.split(".")[3]) <= 4 else "deep"
+
+
+@pytest.mark.parametrize("pause", [0.2, 0.6])
+def test_restarted_daemons_learn_what_is_blocked(pause: float) -> None:
+    """All daemons are restarted, one after the other, while it comes."""
+
+    async def test() -> None:
+        fleet, plant = await start(26, 2)
+        plant.crashing[BAD] = CRASH_SECONDS
+
+        async def restart_all() -> None:
+            for host in fleet.hosts:
+                await asyncio.sleep(pause)
+                fleet.restart(host)
+
+        bad = send_often(fleet, itertools.repeat(BAD), BAD_PER_SECOND, 18.0)
+        await asyncio.gather(bad, restart_all())
+        assert late(plant, BAD) == 0
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize("domain", ["d0", "d1", "d2"])
+def test_domain_that_was_cut_off_learns_what_is_blocked(domain: str) -> None:
+    """It crashes three instances outside, and comes inside after the cut."""
+
+    async def test() -> None:
+        fleet, plant = await start(36, 3)
+        plant.crashing[BAD] = CRASH_SECONDS
+        inside = fleet.of_domain(domain)
+        fleet.cut_off(inside)
+        await asyncio.sleep(1.0)
+        outside = sorted(set(fleet.hosts) - inside)
+        for number in range(12):
+            await instances.call(fleet, outside[number % 24], BAD)
+            await asyncio.sleep(0.25)
+        assert plant.arrived(BAD) <= begun_before(plant, BAD, 3)
+        fleet.network.cut.clear()
+        await asyncio.sleep(STABLE_SECONDS)
+        before = plant.arrived(BAD)
+        for host in sorted(inside):
+            assert await instances.call(fleet, host, BAD) == 503
+        assert plant.arrived(BAD) == before
+
+    loops.run(test())
+
+
+def test_each_side_of_a_cut_keeps_the_request_from_its_instances() -> None:
+    """It comes on both sides of a cut at once."""
+
+    async def test() -> None:
+        fleet, plant = await start(36, 3)
+        plant.crashing[BAD] = CRASH_SECONDS
+        inside = fleet.of_domain("d1")
+        fleet.cut_off(inside)
+        await asyncio.sleep(1.0)
+        await send_often(fleet, itertools.repeat(BAD), 8.0, 8.0)
+        crashed = [each.host in inside for each in plant.crashes]
+        assert crashed.count(True) <= 4
+        assert crashed.count(False) <= 4
+
+    loops.run(test())
+
+
+@dataclasses.dataclass(frozen=True)
+class Storm:
+    """Ordinary crashes: so many instances at once, so often."""
+
+    count: int
+    times: int
+    pause: float
+
+
+STORMS = (
+    Storm(1, 20, 0.5),
+    Storm(1, 40, 0.05),
+    Storm(3, 10, 0.3),
+    Storm(4, 10, 0.2),
+    Storm(13, 4, 2.5),
+    Storm(12, 8, 0.7),
+)
+
+
+@pytest.mark.parametrize("storm", STORMS)
+@pytest.mark.parametrize("seconds", [0.03, 0.4])
+def test_popular_request_is_not_accused_of_ordinary_crashes(
+    storm: Storm, seconds: float
+) -> None:
+    """Popular requests are under way at each instance that crashes."""
+
+    async def test() -> None:
+        fleet, plant = await start(13, 1)
+        plant.seconds = seconds
+        rng = random.Random(7)
+
+        async def crash_often() -> None:
+            await asyncio.sleep(2.0)
+            for _ in range(storm.times):
+                for host in rng.sample(fleet.hosts, storm.count):
+                    if not plant.instances[host].down:
+                        plant.instances[host].crash()
+                await asyncio.sleep(storm.pause)
+            await asyncio.sleep(instances.AWAY_SECONDS)
+
+        popular = itertools.cycle([POPULAR, POPULAR + b"-2"])
+        sent = send_often(fleet, popular, 40.0, 14.0)
+        good = send_often(fleet, unique(), 20.0, 14.0, seed=2)
+        await asyncio.gather(sent, good, crash_often())
+        assert refused_on_suspicion(fleet) == 0
+        statuses = await send_often(fleet, popular, 40.0, 3.0)
+        assert share_served(statuses) == 1.0
+
+    loops.run(test())
+
+
+def test_popular_request_is_served_beside_one_that_crashes() -> None:
+    """Both are under way at each instance that crashes."""
+
+    async def test() -> None:
+        fleet, plant = await start(13, 1)
+        popular = itertools.repeat(POPULAR)
+        await send_often(fleet, popular, 60.0, 2.0)
+        plant.crashing[BAD] = CRASH_SECONDS
+        bad = send_often(fleet, itertools.repeat(BAD), BAD_PER_SECOND, 10.0)
+        sent = send_often(fleet, popular, 60.0, 10.0, seed=2)
+        _, statuses = await asyncio.gather(bad, sent)
+        assert plant.arrived(BAD) <= begun_before(plant, BAD, 3)
+        assert share_served(statuses) > SERVED_SHARE
+
+    loops.run(test())
+
+
+def test_popular_request_that_a_release_cannot_run_is_blocked() -> None:
+    """What all instances have completed crashes them from some moment on."""
+
+    async def test() -> None:
+        fleet, plant = await start(13, 1)
+        popular = itertools.repeat(POPULAR)
+        await send_often(fleet, popular, 20.0, 4.0)
+        plant.crashing[POPULAR] = CRASH_SECONDS
+        await send_often(fleet, popular, 20.0, 12.0)
+        assert late(plant, POPULAR) == 0
+
+    loops.run(test())
+
+
+def test_request_is_tried_again_and_served_once_it_is_mended() -> None:
+    """A later release runs what crashed the one before."""
+
+    async def test() -> None:
+        fleet, plant = await start(13, 1)
+        plant.crashing[BAD] = CRASH_SECONDS
+        bad = itertools.repeat(BAD)
+        await send_often(fleet, bad, BAD_PER_SECOND, 5.0)
+        assert plant.arrived(BAD) == 3
+        await send_often(fleet, bad, BAD_PER_SECOND, 150.0)
+        assert 4 <= plant.arrived(BAD) <= 5
+        del plant.crashing[BAD]
+        await send_often(fleet, bad, BAD_PER_SECOND, 500.0)
+        statuses = await send_often(fleet, bad, BAD_PER_SECOND, 5.0)
+        assert share_served(statuses) == 1.0
+
+    loops.run(test())
+
+
+def test_flood_of_such_requests_is_bounded() -> None:
+    """Hundreds of requests each crash what runs them."""
+
+    async def test() -> None:
+        fleet, plant = await start(13, 1)
+        bad = [BAD + b"-%d" % number for number in range(400)]
+        plant.crashing.update(dict.fromkeys(bad, CRASH_SECONDS))
+        await send_often(fleet, itertools.cycle(bad), 60.0, 20.0)
+        for daemon in fleet.daemons.values():
+            ledger = daemon.ledger
+            assert len(ledger.crashes) <= 256
+            assert ledger.runs <= 1_200
+            told = crashes.reports(ledger, daemon.clock.monotonic())
+            value = _crash_wire.encode(ledger.digest, told)
+            assert len(value) < 60_000
 
     loops.run(test())
--- /dev/null
+++ b/tests/forwarding/test_crash_wire.py
@@ -0,0 +1,65 @@
+"""What daemons tell each other of crashes, as one field."""
+
+from __future__ import annotations
+
+import base64
+
+import msgspec
+import pytest
+
+from sassafrasstair.decisions import crashes
+from sassafrasstair.forwarding import _crash_wire
+from sassafrasstair.forwarding import _wire
+
+RUNS = (crashes.Run(2**63 + 5, 0.25, True), crashes.Run(7, 0.0))
+REPORT = crashes.Report(("i-1", 1_700_000_000_000), 1.5, RUNS, 2, 1)
+
+
+@pytest.mark.parametrize(
+    "reports",
+    [
+        [],
+        [REPORT],
+        [REPORT, crashes.Report(("i-2", 0), 0.0, (), 0, 0)],
+        [
+            crashes.Report(
+                ("i-3", 0),
+                9.0,
+                tuple(crashes.Run(each, 0.5) for each in range(256)),
+                1 << 255,
+                1,
+            )
+        ],
+    ],
+)
+def test_field_tells_what_it_was_made_from(
+    reports: list[crashes.Report],
+) -> None:
+    value = _crash_wire.encode(2**64 - 1, reports)
+    assert _crash_wire.decode(value) == (2**64 - 1, reports)
+
+
+def _packed(*record: object) -> bytes:
+    body = msgspec.msgpack.encode([record])
+    return b"1 " + base64.b64encode(body)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"x",
+        b"1 !",
+        b"1 " + base64.b64encode(b"\xc1"),
+        _packed("i", 0, -1, b"", b"", b"", b"", []),
+        _packed("i", 0, 1, b"", b"", b"", bytes(8), [-1]),
+        _packed("i", 0, 1, b"", b"", b"", bytes(7), [1]),
+        _packed("i", 0, 1, b"", b"", b"", bytes(16), [1, 1]),
+        _packed("i", 0, 1, b"\x02", b"", b"", bytes(8), [1]),
+        _packed("i", 0, 1, b"", b"", b"", bytes(8 * 257), [1] * 257),
+        _packed("i", "0", 1, b"", b"", b"", b"", []),
+    ],
+)
+def test_field_that_is_not_in_its_format_is_an_error(value: bytes) -> None:
+    with pytest.raises(_wire.WireError):
+        _crash_wire.decode(value)
