Let the soak crash instances, and break the daemon that watches the store

A second scenario is without other faults: one such request, one that may run once, one while all daemons are restarted in turn, five by turns, and ordinary crashes beside a popular request.

--- a/tests/platform/soak/clients.py
+++ b/tests/platform/soak/clients.py
@@ -38,13 +38,20 @@
         self._pool = httpio.Pool(host, port, clocks.SystemClock(), 2.0)
 
     async def call(
-        self, route: str, idempotent: bool, patience: float = 0.0
+        self,
+        route: str,
+        idempotent: bool,
+        patience: float = 0.0,
+        target: str = "",
     ) -> int:
-        """Send one request; returns the status, 0 for none."""
+        """Send one request; returns the status, 0 for none.
+
+        Each has a target of its own, and body, but where one is given.
+        """
         patience = patience or self._rng.uniform(*PATIENCE)
         key = f"q{next(_serial)}"
-        body = b"" if idempotent else key.encode() * 20
-        target = f"/{route}/{key}?x=%20"
+        body = b"" if idempotent else (target or key).encode() * 20
+        target = target or f"/{route}/{key}?x=%20"
         self._oracle.send(
             oracle_module.Sent(
                 key, route, idempotent, self._service, target, body, patience
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
+import functools
 import itertools
+import json
 import os
 import signal
 import subprocess
@@ -23,12 +26,16 @@
 
 OUTBOUND, INBOUND, READY, APP, STORE = 18304, 18300, 18302, 18301, 18309
 GRACE = 3.0
+LAPSE_SECONDS = 2.5
+"""From the return of a crashed instance until its entry before is gone."""
 STOP_SLACK = 2.0
 """Seconds beside the grace for a process to start and end in, on a machine
 that is busy with the other processes."""
 _seq = itertools.count(1)
 SERVICES = ("front", "front", "deep", "deep", "deep", "edge")
 """By VM. ``front`` calls ``deep``; ``edge`` has clients only."""
+ROUTES = {"front": "front", "deep": "deep", "once": "deep"}
+"""Services by route; only requests of ``deep`` may run more than once."""
 
 
 @dataclasses.dataclass
@@ -44,6 +51,7 @@
     log: pathlib.Path
     process: subprocess.Popen[bytes] | None = None
     busy: bool = False
+    registered: str = ""
 
     @property
     def entry(self) -> dict[str, object]:
@@ -68,9 +76,11 @@
         self.rng = rng
         self.store = store_module.Store()
         self.oracle = oracle_module.Oracle(
-            {"front": {"front"}, "deep": {"deep"}}
+            {route: {service} for route, service in ROUTES.items()}
         )
         self.faults: list[str] = []
+        self.crashed = 0
+        self._returns: set[asyncio.Task[None]] = set()
         net = f"127.{os.getpid() % 200 + 20}"
         self.store_host = f"{net}.0.1"
         self.vms = [
@@ -97,7 +107,7 @@
         )
         link = relays.Link(f"{net}.2.{index}", host, INBOUND)
         name = f"vm-{index}"
-        return Vm(
+        made = Vm(
             name,
             host,
             link,
@@ -106,6 +116,35 @@
             folder / f"{name}.conf",
             folder / f"{name}.log",
         )
+        upstream.crashed = functools.partial(self._crashed, made)
+        return made
+
+    def _crashed(self, vm: Vm) -> None:
+        """Bring a crashed instance back, under its new id."""
+        self.crashed += 1
+        task = asyncio.ensure_future(self._bring_back(vm, vm.registered))
+        self._returns.add(task)
+        task.add_done_callback(self._returns.discard)
+
+    async def _bring_back(self, vm: Vm, before: str) -> None:
+        await vm.upstream.restart()
+        self.register(vm)
+        await asyncio.sleep(LAPSE_SECONDS)
+        if before != vm.registered:
+            self.store.remove(f"servers/{before}")
+
+    async def watcher(self) -> Vm | None:
+        """Return the VM whose daemon reads the store, None if none does."""
+        for vm in self.vms:
+            with contextlib.suppress(OSError, TimeoutError, ValueError):
+                reader, writer = await asyncio.open_connection(vm.host, READY)
+                writer.write(b"GET /feed HTTP/1.1\r\nHost: a\r\n\r\n")
+                answer = await asyncio.wait_for(reader.read(65_536), 0.5)
+                writer.close()
+                told = json.loads(answer.partition(b"\r\n\r\n")[2])
+                if told["parent"] == "store":
+                    return vm
+        return None
 
     async def open(self) -> None:
         """Start everything and wait until all daemons are ready."""
@@ -127,14 +166,14 @@
             name: {
                 "host": clients.HOST.decode(),
                 "prefix": f"/{name}/",
-                "type": "unsafe" if name == "front" else "safe",
+                "type": "safe" if name == "deep" else "unsafe",
                 "timeout_ms": self.rng.choice([1200, 1500]),
                 "target_latency_ms": 400,
                 "priority": 1,
                 "max_attempts": 2,
-                "service": name,
+                "service": service,
             }
-            for name in ("front", "deep")
+            for name, service in ROUTES.items()
         }
         self.store.put(
             "op/config", {"version": f"r{self.version}", "routes": routes}
@@ -144,6 +183,7 @@
         """Write the entry of the VM's instance."""
         if vm.upstream.service != "edge":
             entry = vm.entry | {"state": state}
+            vm.registered = vm.upstream.id
             self.store.put(f"servers/{vm.upstream.id}", entry)
 
     def _settings(self, vm: Vm) -> str:
@@ -217,6 +257,8 @@
 
     async def close(self) -> None:
         """End all daemons and stop all stand-ins."""
+        for task in self._returns:
+            task.cancel()
         for vm in self.vms:
             if vm.process is not None and vm.process.poll() is None:
                 vm.process.send_signal(signal.SIGCONT)
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import hashlib
 
@@ -9,6 +10,10 @@
 """Statuses that promise that the request has not run and never will."""
 DEADLINE_SLACK = 0.5
 """Seconds by which the time left may have grown on its way."""
+STABLE_SECONDS = 3.0
+"""After a third crash all daemons know of the request that caused it."""
+LATE_MAX = 3
+"""Arrivals of such a request that are allowed later."""
 SIGNATURE = "Sassafrasstair-Response-Signature"
 
 
@@ -49,6 +54,21 @@
     return f"{key}.{status}"
 
 
+@dataclasses.dataclass
+class Crashes:
+    """When a request reached instances and crashed them; loop times."""
+
+    arrivals: list[float] = dataclasses.field(default_factory=list)
+    crashes: list[float] = dataclasses.field(default_factory=list)
+
+    def late(self) -> int:
+        """Return the arrivals too long after the third crash."""
+        if len(self.crashes) < 3:
+            return 0
+        since = self.crashes[2] + STABLE_SECONDS
+        return sum(at >= since for at in self.arrivals)
+
+
 class Oracle:
     """Notes what happens and each promise that is broken."""
 
@@ -57,6 +77,8 @@
         """Which services a route ever led to."""
         self.sent: dict[str, Sent] = {}
         self.broken: list[str] = []
+        self.crashing: dict[bytes, Crashes] = {}
+        """Targets of requests that crash the instances that run them."""
         self.served = 0
         self.refused = 0
         self.failed = 0
@@ -72,6 +94,9 @@
             self._break("UNASKED", run.key, "nobody sent it")
             return
         sent.runs += 1
+        if run.target.encode() in self.crashing:
+            known = self.crashing[run.target.encode()]
+            known.arrivals.append(asyncio.get_running_loop().time())
         if (run.target, run.body) != (sent.target, sent.body):
             self._break("UNASKED", run.key, "path or body changed")
         if run.caller != sent.caller:
@@ -84,6 +109,11 @@
             self._break("TWICE", run.key, f"{sent.runs} runs")
         self._check_refusals(sent)
 
+    def crashes(self, target: bytes) -> None:
+        """Note that an instance crashed under a request."""
+        now = asyncio.get_running_loop().time()
+        self.crashing[target].crashes.append(now)
+
     def answered(
         self, key: str, status: int, signature: str, body: bytes
     ) -> None:
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -9,6 +9,8 @@
 import typing
 
 from tests.platform.soak import fleet as fleet_module
+from tests.platform.soak import oracle as oracle_module
+from tests.platform.soak import upstreams
 
 if typing.TYPE_CHECKING:
     import pathlib
@@ -18,6 +20,9 @@
 SETTLE_SECONDS = 4.0
 """After the last fault: entries are back, pings done, queues empty."""
 PROBES = 20
+BAD_TIMES = 12
+BAD_PAUSE = 0.25
+"""A request that crashes instances comes so often, at all VMs by turns."""
 RECOVERED_SHARE = 0.9
 
 FORGERIES: tuple[dict[str, object], ...] = (
@@ -57,6 +62,7 @@
         await _disturb(fleet, seconds)
         await asyncio.sleep(SETTLE_SECONDS)
         traffic.cancel()
+        await _check_crashes(fleet)
         await _check_recovery(fleet)
         fleet.check_alive()
     finally:
@@ -113,6 +119,20 @@
         vm.busy = False
 
 
+async def _check_crashes(fleet: fleet_module.Fleet) -> None:
+    """Send again what crashed three instances: all know of it by now."""
+    for target, known in fleet.oracle.crashing.items():
+        if len(known.crashes) < 3:
+            continue
+        before = len(known.arrivals)
+        for vm in fleet.vms:
+            await vm.client.call("deep", True, 2.0, target.decode())
+        late = len(known.arrivals) - before
+        if late > oracle_module.LATE_MAX:
+            fleet.oracle.broken.append(f"BUDGET {target!r}: {late} late")
+    await asyncio.sleep(upstreams.AWAY_SECONDS)
+
+
 async def _check_recovery(fleet: fleet_module.Fleet) -> None:
     for vm in fleet.vms:
         if not await fleet.ready(vm, 5.0):
@@ -126,6 +146,33 @@
             fleet.oracle.broken.append(f"RECOVER {vm.name}: {statuses}")
 
 
+async def _crash(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    vm.upstream.crash()
+
+
+async def _crash_again(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Send one request that crashes what runs it, again and again."""
+    target = f"/deep/bad-{len(fleet.oracle.crashing)}"
+    fleet.oracle.crashing[target.encode()] = oracle_module.Crashes()
+    sent = []
+    for number in range(BAD_TIMES):
+        client = fleet.vms[number % len(fleet.vms)].client
+        call = client.call("deep", True, 0.0, target)
+        sent.append(asyncio.ensure_future(call))
+        await asyncio.sleep(BAD_PAUSE)
+    await asyncio.gather(*sent)
+
+
+async def _break_watcher(
+    fleet: fleet_module.Fleet, vm: fleet_module.Vm
+) -> None:
+    """Kill, stop or pause the daemon that the others follow."""
+    watcher = await fleet.watcher()
+    if watcher is None or watcher.busy:
+        return
+    await _apply(fleet, watcher, fleet.rng.choice(["kill", "stop", "pause"]))
+
+
 async def _kill(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
     await fleet.kill(vm)
     await asyncio.sleep(fleet.rng.uniform(0.1, 1.0))
@@ -235,7 +282,10 @@
 
 
 FAULTS: dict[str, Fault] = {
+    "break_watcher": _break_watcher,
     "configure": _configure,
+    "crash": _crash,
+    "crash_again": _crash_again,
     "delay": _delay,
     "drain": _drain,
     "forget": _forget,
--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import typing
 
 import pytest
 
+from tests.platform.soak import crashes
+from tests.platform.soak import oracle
 from tests.platform.soak import scenario
 
 if typing.TYPE_CHECKING:
@@ -14,6 +17,10 @@
 
 SHORT_SECONDS = 6.0
 SEEDS = (1, 2)
+CRASH_SECONDS = 9.0
+CRASHES_EACH = 4
+"""Three, and one that is under way at the third."""
+CALM_SHARE = 0.98
 FAILED_ONCE: tuple[tuple[int, float, str], ...] = ()
 """Seeds that showed a fault: seed, seconds and the cause."""
 
@@ -27,6 +34,21 @@
     assert report.served > 0
 
 
+@pytest.mark.parametrize("case", crashes.CASES, ids=lambda case: case.name)
+def test_requests_that_crash_instances_are_kept_from_them(
+    case: crashes.Case, tmp_path: pathlib.Path
+) -> None:
+    seconds = CRASH_SECONDS if not case.rolling else case.seconds
+    short = dataclasses.replace(case, seconds=seconds)
+    report = asyncio.run(crashes.run(short, 1, tmp_path))
+    assert report.broken == ()
+    assert report.late <= oracle.LATE_MAX
+    assert report.crashes <= CRASHES_EACH * case.requests
+    assert report.calm >= CALM_SHARE
+    if case.ordinary:
+        assert report.popular >= CALM_SHARE
+
+
 @pytest.mark.parametrize(("seed", "seconds", "cause"), FAILED_ONCE)
 def test_seed_that_failed_breaks_no_promise(
     seed: int, seconds: float, cause: str, tmp_path: pathlib.Path
--- a/tests/platform/soak/upstreams.py
+++ b/tests/platform/soak/upstreams.py
@@ -19,6 +19,9 @@
 
 SLOTS = 16
 WORK_SECONDS = (0.005, 0.06)
+CRASH_SECONDS = (0.004, 0.08)
+AWAY_SECONDS = 1.5
+"""From a crash until the instance runs again, under another id."""
 _serial = itertools.count(1)
 
 
@@ -38,6 +41,10 @@
         self.lose_share = 0.0
         self.extra_share = 0.0
         self.slow = 1.0
+        self.down = False
+        self.crashed: abc.Callable[[], None] | None = None
+        """Called when the instance has crashed."""
+        self._at = ("", 0)
         self.oracle = oracle
         self._rng = rng
         self._call = call
@@ -52,6 +59,7 @@
 
     async def open(self, host: str, port: int) -> None:
         """Listen."""
+        self._at = host, port
         await self._listener.open(host, port)
 
     def close(self) -> None:
@@ -68,6 +76,22 @@
         for connection in list(self._listener.connections):
             connection._transport.abort()
 
+    def crash(self) -> None:
+        """End all that runs, and take no more connections."""
+        if self.down:
+            return
+        self.down = True
+        self._listener.stop_accepting()
+        self.renew()
+        if self.crashed is not None:
+            self.crashed()
+
+    async def restart(self) -> None:
+        """Take connections again, some time after a crash."""
+        await asyncio.sleep(AWAY_SECONDS)
+        await self._listener.open(*self._at)
+        self.down = False
+
     def _handle(self, exchange: httpio.Exchange) -> None:
         found = exchange.request.found
         target = found.get(b"sassafrasstair-target-instance", b"").decode()
@@ -96,6 +120,11 @@
                 left,
             )
         )
+        if request.target in self.oracle.crashing:
+            await asyncio.sleep(self._rng.uniform(*CRASH_SECONDS))
+            self.oracle.crashes(request.target)
+            self.crash()
+            return
         await asyncio.sleep(self._rng.uniform(*WORK_SECONDS) * self.slow)
         ok = self._call is None or await self._call(left)
         if self._rng.random() < self.lose_share:
