Show operators which requests are held back, and why

sassafras status reads a forwarder, too: whom it follows, its policy, and the requests that it holds back, with their strikes, the crashes behind them and for how long. sassafras explain shows, with a request's lines, what the process believed then of its fingerprint. Before, the two commands knew nothing of crashes, and status took a forwarder for a daemon that can't be reached.

--- a/src/sassafrasstair/console/_daemons.py
+++ b/src/sassafrasstair/console/_daemons.py
@@ -8,6 +8,7 @@
 import httpx
 import msgspec
 
+from sassafrasstair import forwarding
 from sassafrasstair import operators
 
 if typing.TYPE_CHECKING:
@@ -24,7 +25,15 @@
     error: str
 
 
-Reading = operators.Status | Unreachable
+class Forwarder(msgspec.Struct, frozen=True):
+    """A ``sassafrasstair-forwarder``: its feed, and what it holds back."""
+
+    address: str
+    feed: forwarding.FeedStatus
+    suspects: tuple[forwarding.SuspectStatus, ...]
+
+
+Reading = operators.Status | Forwarder | Unreachable
 
 
 async def read_all(
@@ -52,9 +61,28 @@
 async def _read(client: httpx.AsyncClient, address: str) -> Reading:
     try:
         answer = await client.get(f"http://{address}/status")
+        if answer.status_code == httpx.codes.NOT_FOUND:
+            return await _read_forwarder(client, address)
         answer.raise_for_status()
         return msgspec.json.decode(answer.content, type=operators.Status)
     except (httpx.HTTPError, msgspec.MsgspecError) as error:
         text = str(error).splitlines()
         kind = type(error).__name__
         return Unreachable(address, text[0] if text else kind)
+
+
+async def _read_forwarder(
+    client: httpx.AsyncClient, address: str
+) -> Forwarder:
+    """Read a daemon that tells its feed and suspects, and has no bundles."""
+    feed = await client.get(f"http://{address}/feed")
+    suspects = await client.get(f"http://{address}/crashes")
+    for answer in (feed, suspects):
+        answer.raise_for_status()
+    return Forwarder(
+        address,
+        msgspec.json.decode(feed.content, type=forwarding.FeedStatus),
+        msgspec.json.decode(
+            suspects.content, type=tuple[forwarding.SuspectStatus, ...]
+        ),
+    )
--- a/src/sassafrasstair/console/_traces.py
+++ b/src/sassafrasstair/console/_traces.py
@@ -22,11 +22,17 @@
     "instance_lapsed": "instance",
     "instance_gone": "instance",
     "instance_changed": "instance",
+    "instance_crashed": "crash",
+    "request_blocked": "request",
+    "request_cleared": "request",
+    "request_suspected": "request",
     "held_up": "machine",
     "started": "process",
     "stopping": "process",
 }
 """Events that change what a process believes, by what they are about."""
+_SUBJECTS = ("fingerprint", "instance", "peer")
+"""Fields that name what an event is about, the most telling first."""
 _HIDDEN = frozenset({"time", "level", "logger", "event", "request"})
 
 
@@ -70,7 +76,9 @@
         line = entry.line
         about = _BELIEFS.get(str(line["event"]))
         if about is not None:
-            subject = str(line.get("instance") or line.get("peer") or "")
+            subject = next(
+                (str(line[key]) for key in _SUBJECTS if line.get(key)), ""
+            )
             beliefs[entry.source, about, subject] = line
         if line.get("request") != request:
             continue
@@ -85,7 +93,7 @@
     line: Line,
 ) -> list[str]:
     """Return what the process believed of the subjects of its line."""
-    named = {str(line.get("instance", "")), str(line.get("peer", ""))}
+    named = {str(line.get(key, "")) for key in _SUBJECTS}
     named |= set(str(line.get("tried", "")).split(","))
     found = []
     for (source, about, subject), belief in beliefs.items():
--- a/src/sassafrasstair/console/commands/status.py
+++ b/src/sassafrasstair/console/commands/status.py
@@ -34,6 +34,23 @@
     "RETRIES",
     "REFUSALS",
 )
+_FORWARDER_HEAD = (
+    "ADDRESS",
+    "FOLLOWS",
+    "VIEW AGE",
+    "POLICY",
+    "SUSPECTED",
+    "BLOCKED",
+)
+_SUSPECT_HEAD = (
+    "ADDRESS",
+    "REQUEST",
+    "STANDING",
+    "STRIKES",
+    "BLOCKED FOR",
+    "CRASHED",
+)
+_BLOCKED = "blocked"
 _DIGEST_SHOWN = 8
 
 
@@ -63,7 +80,9 @@
 ) -> None:
     """Show what daemons have in force, their members, limits and load.
 
-    IP:PORT is a daemon's interface for operators. Exit 1 if a daemon does
+    IP:PORT is a daemon's interface for operators. Of a forwarder, whom it
+    follows and which requests it holds back, since they crashed instances
+    (each with how many seconds ago). Exit 1 if a daemon does
     not serve, refused a bundle, saw two bundles of one version, or has
     another bundle in force than the others of its failure domain; exit 3
     if one cannot be reached.
@@ -97,8 +116,48 @@
 
 
 def _text(readings: abc.Iterable[_daemons.Reading]) -> str:
-    rows = [_row(one) for one in readings if isinstance(one, operators.Status)]
-    return _tables.table(_HEAD, rows)
+    seen = list(readings)
+    rows = [_row(one) for one in seen if isinstance(one, operators.Status)]
+    forwarders = [one for one in seen if isinstance(one, _daemons.Forwarder)]
+    suspects = [row for one in forwarders for row in _suspect_rows(one)]
+    parts = []
+    if rows or not forwarders:
+        parts.append(_tables.table(_HEAD, rows))
+    if forwarders:
+        told = map(_forwarder_row, forwarders)
+        parts.append(_tables.table(_FORWARDER_HEAD, told))
+    if suspects:
+        parts.append(_tables.table(_SUSPECT_HEAD, suspects))
+    return "\n\n".join(parts)
+
+
+def _forwarder_row(one: _daemons.Forwarder) -> tuple[object, ...]:
+    blocked = sum(each.standing == _BLOCKED for each in one.suspects)
+    return (
+        one.address,
+        one.feed.parent,
+        one.feed.view_age,
+        one.feed.policy,
+        len(one.suspects) - blocked,
+        blocked,
+    )
+
+
+def _suspect_rows(
+    one: _daemons.Forwarder,
+) -> abc.Iterator[tuple[object, ...]]:
+    for each in one.suspects:
+        crashed = ",".join(
+            f"{crash.instance}:{crash.age:.0f}" for crash in each.crashes
+        )
+        yield (
+            one.address,
+            each.fingerprint,
+            each.standing,
+            each.strikes,
+            each.blocked_for,
+            crashed,
+        )
 
 
 def _row(one: operators.Status) -> tuple[object, ...]:
@@ -129,7 +188,7 @@
     for one in readings:
         if isinstance(one, _daemons.Unreachable):
             lines.append(f"{one.address}: unreachable: {one.error}")
-        else:
+        elif isinstance(one, operators.Status):
             seen.append(one)
             lines += [f"{one.vm}: {text}" for text in _of_one(one, expect)]
     return lines + _disagreements(seen)
--- a/src/sassafrasstair/forwarding/__init__.py
+++ b/src/sassafrasstair/forwarding/__init__.py
@@ -20,11 +20,14 @@
 from sassafrasstair.forwarding._dialect import SourceError
 from sassafrasstair.forwarding._dialect import SourceReason
 from sassafrasstair.forwarding._events import descriptor_sink
+from sassafrasstair.forwarding._status import FeedStatus
+from sassafrasstair.forwarding._status import SuspectStatus
 
 __all__ = [
     "Address",
     "Bounds",
     "Dialect",
+    "FeedStatus",
     "Names",
     "Reading",
     "Refusal",
@@ -33,6 +36,7 @@
     "Source",
     "SourceError",
     "SourceReason",
+    "SuspectStatus",
     "descriptor_sink",
     "run",
 ]
--- a/tests/console/test_explain_command.py
+++ b/tests/console/test_explain_command.py
@@ -73,3 +73,21 @@
     result = _explain("r9", str(log))
     assert result.exit_code == 1
     assert "r9" in result.output
+
+
+def test_refused_request_is_shown_with_the_crashes_behind_it(
+    tmp_path: pathlib.Path,
+) -> None:
+    log = tmp_path / "entrance.log"
+    log.write_text(
+        "\n".join(
+            [
+                _line(1, "request_blocked", fingerprint="0a", strikes=3),
+                _line(1, "request_blocked", fingerprint="0b", strikes=4),
+                _line(2, "refused", request="r1", fingerprint="0a"),
+            ]
+        )
+    )
+    result = _explain("r1", str(log))
+    assert "strikes=3" in result.output
+    assert "strikes=4" not in result.output
--- a/tests/console/test_status_command.py
+++ b/tests/console/test_status_command.py
@@ -10,6 +10,7 @@
 
 from sassafrasstair.console import _daemons
 from sassafrasstair.console import application
+from sassafrasstair import forwarding
 from sassafrasstair import operators
 
 SERVING = operators.Status(
@@ -40,6 +41,13 @@
     SERVING, in_force=operators.InForce(operators.BundleId(6, "ff"))
 )
 OLD_ELSEWHERE = msgspec.structs.replace(OLD, failure_domain="pos-b")
+FEED = forwarding.FeedStatus(
+    "store", 9.0, 0.5, None, 40, 38, 7, 0, 4, 3, (), ()
+)
+SUSPECT = forwarding.SuspectStatus(
+    "00000000000000ff", "blocked", 3, 1, False, 61.5, ()
+)
+FORWARDER = _daemons.Forwarder("10.0.0.8:1", FEED, (SUSPECT,))
 GONE = _daemons.Unreachable("10.0.0.9:1", "refused")
 
 
@@ -149,3 +157,30 @@
     assert isinstance(readings[0], _daemons.Unreachable)
     assert error in readings[0].error
     assert readings[1] == SERVING
+
+
+def test_forwarder_shows_what_it_holds_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    result = run(monkeypatch, [FORWARDER])
+    assert result.exit_code == 0
+    lines = result.output.splitlines()
+    assert lines[0].split()[:2] == ["ADDRESS", "FOLLOWS"]
+    assert lines[1].split() == ["10.0.0.8:1", "store", "0.50", "7", "0", "1"]
+    told = ["10.0.0.8:1", "00000000000000ff", "blocked", "3", "61.50"]
+    assert lines[4].split()[:5] == told
+
+
+def test_forwarder_is_read_where_there_is_no_status() -> None:
+    bodies = {
+        "/feed": msgspec.json.encode(FEED),
+        "/crashes": msgspec.json.encode([SUSPECT]),
+    }
+
+    def answer(request: httpx.Request) -> httpx.Response:
+        body = bodies.get(request.url.path)
+        return httpx.Response(404 if body is None else 200, content=body)
+
+    transport = httpx.MockTransport(answer)
+    found = asyncio.run(_daemons.read_all(["10.0.0.8:1"], 1.0, transport))
+    assert found == [FORWARDER]
