Keep completed requests at less cost

Change: requests are kept by their parts, in an ordered dict, and fingerprints are worked out while crashes are known.

--- a/src/sassafrasstair/forwarding/_crashes.py
+++ b/src/sassafrasstair/forwarding/_crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import typing
 
@@ -27,6 +28,7 @@
 URGENT_FROM = 2
 """Strikes from which on a change is told at once."""
 
+_T = typing.TypeVar("_T")
 _NAMES = {
     crashes.Standing.FREE: "request_cleared",
     crashes.Standing.ALONE: "request_suspected",
@@ -104,24 +106,48 @@
 
 def completed_here(daemon: _state.Daemon, order: _records.Order) -> None:
     """Note that the own upstream has answered a request itself."""
-    if daemon.ledger.crashes or len(order.body) <= FAMILIAR_BODY_MAX:
-        _completed(daemon, _of_order(order))
+    if len(order.body) <= FAMILIAR_BODY_MAX:
+        known = order.method, order.host, order.target, order.body
+        _keep(daemon.familiar, known)
+    if daemon.ledger.crashes:
+        _clear(daemon, _of_order(order))
 
 
 def completed(daemon: _state.Daemon, call: _records.Call) -> None:
     """Note that an upstream has answered a client's request itself."""
-    size = len(call.exchange.request.body)
-    if daemon.ledger.crashes or size <= FAMILIAR_BODY_MAX:
-        _completed(daemon, _of_call(call))
+    request = call.exchange.request
+    if len(request.body) <= FAMILIAR_BODY_MAX:
+        host = request.found.get(HOST_KEY, b"")
+        known = request.method, host, request.target, request.body
+        _keep(daemon.familiar, known)
+    if daemon.ledger.crashes:
+        _clear(daemon, _of_call(call))
 
 
-def _completed(daemon: _state.Daemon, fingerprint: int) -> None:
-    daemon.familiar.pop(fingerprint, None)
-    daemon.familiar[fingerprint] = None
-    if len(daemon.familiar) > FAMILIAR_KEPT:
-        del daemon.familiar[next(iter(daemon.familiar))]
-    if not daemon.ledger.crashes:
-        return
+def _keep(kept: collections.OrderedDict[_T, None], latest: _T) -> None:
+    kept[latest] = None
+    kept.move_to_end(latest)
+    if len(kept) > FAMILIAR_KEPT:
+        kept.popitem(last=False)
+
+
+def _familiar(
+    daemon: _state.Daemon,
+) -> collections.OrderedDict[int, None]:
+    """Return the fingerprints of the requests that were completed here.
+
+    Worked out only while crashes are known: for each request of a calm day it
+    would cost more than all else that is kept of it.
+    """
+    if daemon.familiar_prints is None:
+        daemon.familiar_prints = collections.OrderedDict.fromkeys(
+            crashes.fingerprint(*known) for known in daemon.familiar
+        )
+    return daemon.familiar_prints
+
+
+def _clear(daemon: _state.Daemon, fingerprint: int) -> None:
+    _keep(_familiar(daemon), fingerprint)
     strikes = crashes.evidence(daemon.ledger, fingerprint).strikes
     if crashes.complete(daemon.ledger, fingerprint):
         urgent = strikes >= URGENT_FROM
@@ -144,7 +170,8 @@
         )
         for run in runs
     ]
-    if not crashes.record(daemon.ledger, key, found, daemon.familiar, now):
+    familiar = _familiar(daemon)
+    if not crashes.record(daemon.ledger, key, found, familiar, now):
         return
     _counters.believed(daemon.counters, "instance_crashed")
     _log_crash(daemon, instance, found)
@@ -161,7 +188,7 @@
     known = len(daemon.ledger.crashes)
     now = daemon.clock.monotonic()
     touched = crashes.merge(daemon.ledger, reports, now)
-    for fingerprint in touched & daemon.familiar.keys():
+    for fingerprint in touched & _familiar(daemon).keys():
         crashes.recognise(daemon.ledger, fingerprint)
     if touched:
         urgent = len(daemon.ledger.crashes) != known or any(
@@ -176,6 +203,8 @@
     if not daemon.ledger.crashes:
         return
     crashes.expire(daemon.ledger, now)
+    if not daemon.ledger.crashes:
+        daemon.familiar_prints = None
     _log_changes(daemon, set(), "time")
 
 
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import typing
 
@@ -45,8 +46,9 @@
     ``guards`` are by instance and when its run started.
 
     ``broken`` are runs whose connection broke, by their keys, until it is
-    known whether the upstream has crashed. ``familiar`` are fingerprints of
-    requests that were completed here, the latest last.
+    known whether the upstream has crashed. ``familiar`` are requests that
+    were completed here, the latest last, by method, host, target and body;
+    ``familiar_prints`` their fingerprints while crashes are known.
 
     ``ledger`` holds the crashes that are known, up to its version
     ``crash_told`` also told to others; ``crash_peers`` by host is what these
@@ -105,7 +107,10 @@
     broken: dict[str, httpio.Response | httpio.Failure] = dataclasses.field(
         default_factory=dict
     )
-    familiar: dict[int, None] = dataclasses.field(default_factory=dict)
+    familiar: collections.OrderedDict[
+        tuple[bytes, bytes, bytes, bytes], None
+    ] = dataclasses.field(default_factory=collections.OrderedDict)
+    familiar_prints: collections.OrderedDict[int, None] | None = None
     ledger: crashes.Ledger = dataclasses.field(
         default_factory=crashes.new_ledger
     )
