--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -265,8 +265,8 @@
 def check_sent(feed: Feed, now: float, rng: random.Random) -> bool:
     """Note a check; return whether it needs a connection of its own.
 
-    Failure: the store's kept connections fall silent with it, and a check on
-    one of them would show nothing of its return.
+    The store's kept connections stall with it, and a check on one of them
+    would not show its return.
     """
     fresh = feed.checks.unanswered_from is not None
     stand_in = bool(feed.before)
@@ -277,8 +277,7 @@
 def check_answered(feed: Feed, sent_at: float, now: float) -> bool:
     """Note that the store answers; return whether it had been away.
 
-    Failure: a watch that was begun before waits at nobody, and changes are
-    not known for as long as it is waited for. The store is asked anew.
+    A watch from before an outage never returns, so the store is watched anew.
     """
     away = _checks.answered(feed.checks, sent_at)
     if away and reads(feed):
@@ -296,8 +295,8 @@
 def believes(feed: Feed, now: float) -> bool:
     """Return whether a greater revision of the store is acted on.
 
-    Failure: the whole of a large and slow store is read for longer than a
-    check takes. Begun anew each time, that reading would never end.
+    A full read of a large and slow store takes longer than a check, and would
+    never end if it was restarted each time.
     """
     watches = reads(feed) and not feed.whole
     return watches and _checks.believes(feed.checks, now)
@@ -306,8 +305,7 @@
 def missed(feed: Feed, now: float) -> None:
     """Ask the store at once: its revision says that a watch told too little.
 
-    Failure: the store was away for so short that no check was lost, but
-    what the watch would have told is.
+    After a short outage no check is lost, but a watch event may be.
     """
     doubt(feed, now)
     feed.checks.acted = True
--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -126,9 +126,8 @@
 def outcome(progress: Progress) -> outcomes.Outcome:
     """Return what is known of a request whose attempts have all ended.
 
-    Failure: the first attempt ran and its answer was lost, the second was
-    refused, and the client was told that nothing ran. One lost attempt
-    leaves the whole request unknown.
+    One lost attempt leaves the whole request unknown, however the others
+    ended.
     """
     if progress.lost:
         return outcomes.Outcome.UNKNOWN
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -23,9 +23,8 @@
 
 WAIT_SHARE = 0.5
 """The part of a route's objective, or of the time left if that is shorter,
-that a request may wait for a slot. Failure: a request waits at the callee to
-its timeout; its entrance can't know that it has not run, and a client that
-must not send it twice is told nothing that it could come back by."""
+that a request may wait for a slot. At its timeout an entrance can't know that
+a request has not run, and could not tell its client to retry it."""
 
 
 def send(
@@ -340,8 +339,7 @@
 def _is_current(daemon: _state.Daemon, attempt: _records.Attempt) -> bool:
     """Return whether the run that was asked is still the latest.
 
-    Failure: attempts at a run that has ended fail after the next run under
-    its id has begun, and that one is left alone for failures not its own.
+    Late failures of an earlier run under the same id must not eject it.
     """
     born = views.born(daemon.view, attempt.instance)
     return not attempt.born or attempt.born == born
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -114,10 +114,8 @@
 ) -> None:
     """Answer truly for what came for a run of the instance that is over.
 
-    Failure: an instance falls silent and starts again under its id. What
-    had been handed to it gets no answer any more, and was waited for to
-    its deadline, though a lookup could have gone elsewhere. What still
-    waits has not run.
+    What it was handed gets no answer any more, and may be retried elsewhere
+    before its deadline. What still waits has not run.
     """
     if not guard.leaving:
         daemon.upstream.drop_idle()
@@ -134,10 +132,8 @@
 def _upstream_tried(daemon: _state.Daemon, reached: bool) -> None:
     """Note whether the upstream takes connections.
 
-    Failure: an instance whose machine has fallen silent takes none, and
-    each request sent to it costs its connection's timeout, while its entry
-    stays for seconds. Others are sent elsewhere at once, and peers that
-    ping are told to leave it alone, until a connection is made.
+    While it takes none, each request would cost a connection timeout; they go
+    elsewhere at once, and peers that ping eject it.
     """
     if daemon.upstream_down != reached:
         return
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -173,9 +173,7 @@
         try:
             _tick(running, count)
         except Exception as error:
-            # Failure: one fault in periodic work would end it for good,
-            # and deadlines, pings and logs with it. It is logged, and the
-            # next tick goes on.
+            # One fault must not end deadlines, pings and logs for good.
             running.daemon.journal.note("tick_failed", error=repr(error))
 
 
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -41,10 +41,8 @@
 async def compare(daemon: _state.Daemon) -> None:
     """Hear from time to time how far another failure domain's view goes.
 
-    Failure: the reader of a domain is cut off from the store, or its watch
-    hears nothing, and no request comes from another domain that would tell.
-    All of its followers, which are sound, would miss a change for seconds.
-    A reader that is deaf asks several: the one that hears may be any.
+    A reader whose watch has stalled, or that is cut off from the store, would
+    keep its whole domain behind. It asks several: any may be up to date.
     """
     while True:
         pause = daemon.feed.timing.compare * (0.5 + daemon.rng.random())
@@ -83,9 +81,8 @@
 def _elsewhere(daemon: _state.Daemon) -> list[_dialect.Address]:
     """Return whom to ask: another failure domain, the own one, or the seeds.
 
-    Failure: a domain is cut off, and the store turns its first reader away.
-    Asking other domains alone, it would never hear what the next reader of
-    its own domain knows. Each is asked about as often.
+    In a domain that is cut off only its own daemons may know more. Each is
+    asked about as often.
     """
     port = daemon.settings.daemons.port
     near = [host for host in daemon.hosts if host in daemon.feed.hosts]
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -34,8 +34,7 @@
         try:
             await _take(daemon, step)
         except Exception as error:
-            # Failure: one fault while news are taken would end the feed for
-            # good, and with it that of all who follow this daemon.
+            # One fault must not end the feed of all who follow this daemon.
             daemon.journal.note("feed_failed", error=repr(error))
             await asyncio.sleep(FAULT_SECONDS)
 
@@ -165,8 +164,7 @@
         finally:
             if job.wanted:
                 job.abort()
-        # Failure: a connection that was reset says nothing of the daemon
-        # behind it, which would be passed over for seconds.
+        # A connection that was reset says nothing of the daemon behind it.
         if result is not httpio.Failure.LOST:
             return result
     return result
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -142,8 +142,7 @@
 def _amount(value: bytes | str) -> float:
     """Return a number that can be counted with; raises ``ValueError``.
 
-    Failure: one infinity or negative number heard of a load would spoil an
-    average, or make an instance seem free, for as long as it is remembered.
+    An infinite or negative load would spoil averages for good.
     """
     amount = float(value)
     if not 0.0 <= amount < math.inf:
