Name the parts of crash handling by the usual terms

Behaviour is unchanged; tests/forwarding, tests/fleets/test_crashes.py, test_faults.py, tests/decisions/crashes, feeds and tests/console pass (353).

--- a/src/sassafrasstair/decisions/crashes/__init__.py
+++ b/src/sassafrasstair/decisions/crashes/__init__.py
@@ -4,15 +4,15 @@
 
 from sassafrasstair.decisions.crashes._fingerprints import fingerprint
 from sassafrasstair.decisions.crashes._fingerprints import FINGERPRINT_BYTES
-from sassafrasstair.decisions.crashes._fingerprints import shown
+from sassafrasstair.decisions.crashes._fingerprints import format_fingerprint
 from sassafrasstair.decisions.crashes._ledger import complete
 from sassafrasstair.decisions.crashes._ledger import Evidence
 from sassafrasstair.decisions.crashes._ledger import evidence
 from sassafrasstair.decisions.crashes._ledger import expire
 from sassafrasstair.decisions.crashes._ledger import Ledger
+from sassafrasstair.decisions.crashes._ledger import mark_familiar
 from sassafrasstair.decisions.crashes._ledger import merge
 from sassafrasstair.decisions.crashes._ledger import new_ledger
-from sassafrasstair.decisions.crashes._ledger import recognise
 from sassafrasstair.decisions.crashes._ledger import record
 from sassafrasstair.decisions.crashes._ledger import reports
 from sassafrasstair.decisions.crashes._records import Crash
@@ -40,10 +40,10 @@
     "expire",
     "fingerprint",
     "judge",
+    "mark_familiar",
     "merge",
     "new_ledger",
-    "recognise",
     "record",
     "reports",
-    "shown",
+    "format_fingerprint",
 ]
--- a/src/sassafrasstair/decisions/crashes/_fingerprints.py
+++ b/src/sassafrasstair/decisions/crashes/_fingerprints.py
@@ -21,6 +21,6 @@
     return int.from_bytes(digest.digest(), "big")
 
 
-def shown(fingerprint: int) -> str:
+def format_fingerprint(fingerprint: int) -> str:
     """Return a fingerprint as logs and operators are told."""
     return f"{fingerprint:016x}"
--- a/src/sassafrasstair/decisions/crashes/_ledger.py
+++ b/src/sassafrasstair/decisions/crashes/_ledger.py
@@ -19,15 +19,15 @@
     from collections import abc
 
 KEPT_SECONDS = 1_800.0
-"""Longer than any request is blocked for: what it is blocked by must not be
-forgotten before it is tried again."""
+"""Longer than any request is blocked for, so that it is still known when the
+request is tried again."""
 RUNS_KEPT = 1_200
-"""Requests of all records, about 14 KB when told. A request that crashes three
-instances with eight others under way at each takes 27: 44 such requests are
-remembered, and one that is pushed out may crash three more."""
+"""Requests of all records, about 14 KB as reports. One that crashes three
+instances with eight others in flight at each takes 27: 44 such requests are
+remembered, and one that is evicted may crash three more."""
 CRASHES_KEPT = 256
 DROPPED_KEPT = 1_000
-"""Records that were dropped and are not taken again from peers."""
+"""Records that were evicted and are not accepted from peers again."""
 SAME_MOMENT_SECONDS = 0.02
 """By so much two daemons may differ on when a crash was."""
 
@@ -36,13 +36,13 @@
 class Evidence:
     """What speaks against one request.
 
-    ``strikes`` are the crashes that count. ``alone`` counts those of them in
-    which it was the only suspect, ``familiar`` when an instance had completed
-    it before. ``last`` is the instant of the latest one.
+    ``strikes`` are the crashes that count, ``isolated`` those of them in which
+    it was the only suspect. ``familiar`` when an instance had completed it
+    before. ``last`` is the instant of the latest one.
     """
 
     strikes: int
-    alone: int
+    isolated: int
     familiar: bool
     last: float
     crashes: tuple[_records.Crash, ...]
@@ -112,7 +112,7 @@
 def merge(
     ledger: Ledger, reports: abc.Iterable[_records.Report], now: float
 ) -> set[int]:
-    """Take what a peer told; return the requests of which it says more."""
+    """Merge a peer's reports; return the requests that they changed."""
     touched: set[int] = set()
     for report in reports:
         if report.age >= KEPT_SECONDS or report.key in ledger.dropped:
@@ -138,7 +138,7 @@
     return touched
 
 
-def recognise(ledger: Ledger, fingerprint: int) -> None:
+def mark_familiar(ledger: Ledger, fingerprint: int) -> None:
     """Note that an instance had completed a request before its crashes."""
     for crash, place in ledger.by_request.get(fingerprint, ()):
         bits = crash.familiar | 1 << place
@@ -180,7 +180,7 @@
     return known
 
 
-def without(
+def evidence_without(
     ledger: Ledger,
     fingerprint: int,
     explained: abc.Container[_records.Key],
@@ -218,17 +218,17 @@
         key=lambda each: each[0].at,
     )
     familiar = any(bit for _, _, bit in counted)
-    strikes, alone, last = 0, 0, -math.inf
+    strikes, isolated, last = 0, 0, -math.inf
     for crash, run, _ in counted:
         began = crash.at - run.seconds
         if familiar and began < last - SAME_MOMENT_SECONDS:
             continue
         strikes += 1
-        alone += run.alone
+        isolated += run.isolated
         last = crash.at
     return Evidence(
         strikes,
-        alone,
+        isolated,
         familiar,
         max((crash.at for crash, _, _ in counted), default=-math.inf),
         tuple(crash for crash, _, _ in counted),
--- a/src/sassafrasstair/decisions/crashes/_records.py
+++ b/src/sassafrasstair/decisions/crashes/_records.py
@@ -1,4 +1,4 @@
-"""Records of crashes, as one daemon makes them and tells them to others."""
+"""Records of crashes, and reports of them between daemons."""
 
 from __future__ import annotations
 
@@ -15,13 +15,13 @@
 class Run:
     """A request that was under way when an instance crashed.
 
-    ``seconds`` is for how long it had run. ``alone`` when it was the only
+    ``seconds`` is for how long it had run. ``isolated`` when it was the only
     one there that had been in two crashes before.
     """
 
     fingerprint: int
     seconds: float
-    alone: bool = False
+    isolated: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,7 +44,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """A crash as one daemon tells it to another; ``age`` in seconds."""
+    """A record of a crash on its way to a peer; ``age`` in seconds."""
 
     key: Key
     age: float
--- a/src/sassafrasstair/decisions/crashes/_standings.py
+++ b/src/sassafrasstair/decisions/crashes/_standings.py
@@ -1,4 +1,4 @@
-"""What follows from the evidence: a request is run, run alone, or blocked.
+"""What follows from the evidence: a request is run, run isolated, or blocked.
 
 From the second crash on it runs at an instance as the only such suspect, so
 that the next crash tells them apart. From the third on it is blocked, and
@@ -15,9 +15,9 @@
 from sassafrasstair.decisions.crashes import _ledger
 from sassafrasstair.decisions.crashes import _records
 
-ALONE_FROM = 2
+ISOLATED_FROM = 2
 BLOCKED_FROM = 3
-FAMILIAR_ALONE = 2
+FAMILIAR_ISOLATED_MIN = 2
 """What an instance had completed before is blocked only after so many crashes
 in which it ran as the only suspect."""
 BLOCKED_SECONDS = 60.0
@@ -30,7 +30,7 @@
     """How a request may be run."""
 
     FREE = "free"
-    ALONE = "alone"
+    ISOLATED = "isolated"
     BLOCKED = "blocked"
 
 
@@ -51,27 +51,27 @@
 ) -> Verdict:
     """Return how a request may be run now, by the daemon at ``own``."""
     found = _ledger.evidence(ledger, fingerprint)
-    if found.strikes >= ALONE_FROM:
+    if found.strikes >= ISOLATED_FROM:
         by_others = {
             key
             for key, strikes in _explained(ledger).items()
             if strikes > found.strikes
         }
         if any(crash.key in by_others for crash in found.crashes):
-            found = _ledger.without(ledger, fingerprint, by_others)
-    if found.strikes < ALONE_FROM:
+            found = _ledger.evidence_without(ledger, fingerprint, by_others)
+    if found.strikes < ISOLATED_FROM:
         return Verdict(Standing.FREE, found)
     if not _is_proven(found):
-        return Verdict(Standing.ALONE, found)
+        return Verdict(Standing.ISOLATED, found)
     until = found.last + _blocked_seconds(found, fingerprint, own)
-    standing = Standing.BLOCKED if now < until else Standing.ALONE
+    standing = Standing.BLOCKED if now < until else Standing.ISOLATED
     return Verdict(standing, found, until)
 
 
 def _is_proven(found: _ledger.Evidence) -> bool:
     if found.strikes < BLOCKED_FROM:
         return False
-    return not found.familiar or found.alone >= FAMILIAR_ALONE
+    return not found.familiar or found.isolated >= FAMILIAR_ISOLATED_MIN
 
 
 def _explained(ledger: _ledger.Ledger) -> dict[_records.Key, int]:
--- a/src/sassafrasstair/decisions/feeds/__init__.py
+++ b/src/sassafrasstair/decisions/feeds/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.feeds._feeds import adopt_address
 from sassafrasstair.decisions.feeds._feeds import believes
 from sassafrasstair.decisions.feeds._feeds import check_answered
 from sassafrasstair.decisions.feeds._feeds import check_due
@@ -20,7 +21,6 @@
 from sassafrasstair.decisions.feeds._feeds import read_failed
 from sassafrasstair.decisions.feeds._feeds import readers
 from sassafrasstair.decisions.feeds._feeds import reads
-from sassafrasstair.decisions.feeds._feeds import rename
 from sassafrasstair.decisions.feeds._feeds import silent
 from sassafrasstair.decisions.feeds._feeds import STORE
 from sassafrasstair.decisions.feeds._feeds import told
@@ -49,6 +49,7 @@
     "Step",
     "Timing",
     "Watch",
+    "adopt_address",
     "believes",
     "check_answered",
     "check_due",
@@ -69,7 +70,6 @@
     "read_failed",
     "readers",
     "reads",
-    "rename",
     "silent",
     "timing",
     "told",
--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -141,11 +141,11 @@
             del passed[gone]
 
 
-def rename(feed: Feed, own: str) -> None:
-    """Take another address for the own one: a poll of it came back here.
+def adopt_address(feed: Feed, own: str) -> None:
+    """Use another address as the own one: a poll sent there came back.
 
-    A daemon that does not know by which address it is known would follow
-    itself, and its order would not be that of the others.
+    Otherwise the daemon would follow itself, and order its domain differently
+    from its peers.
     """
     feed.own = own
     feed.known = feed.known or own in feed.hosts
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -61,8 +61,8 @@
         reason = outcomes.Reason.CRASHES_INSTANCES
         _end(daemon, run, requests.Ending.TURNED_AWAY, reason, None)
         return key
-    run.alone = _crashes.runs_alone(verdict)
-    if run.alone and any(other.alone for other in daemon.runs.values()):
+    run.isolated = _crashes.must_isolate(verdict)
+    if run.isolated and any(other.isolated for other in daemon.runs.values()):
         reason = outcomes.Reason.SUSPECT_RUNNING
         _end(daemon, run, requests.Ending.TURNED_AWAY, reason, None)
         return key
@@ -198,28 +198,28 @@
     if run is None:
         return
     if result in _BROKEN:
-        _find_out(daemon, key, run, result)
+        _check_for_crash(daemon, key, run, result)
     else:
         _settle(daemon, key, run, result)
 
 
-def _find_out(
+def _check_for_crash(
     daemon: _state.Daemon,
     key: str,
     run: _records.Run,
     result: httpio.Response | httpio.Failure,
 ) -> None:
-    """End the run when it is known whether the upstream has crashed.
+    """End the run once it is clear whether the upstream has crashed.
 
-    A connection may break by itself; a crashed upstream takes no new one.
+    A connection may break by itself; a crashed upstream refuses new ones.
     """
     run.broken = True
     daemon.broken[key] = result
     if len(daemon.broken) == 1:
-        daemon.upstream.try_connect(functools.partial(_found_out, daemon))
+        daemon.upstream.try_connect(functools.partial(_crash_checked, daemon))
 
 
-def _found_out(daemon: _state.Daemon, reached: bool) -> None:
+def _crash_checked(daemon: _state.Daemon, reached: bool) -> None:
     broken, daemon.broken = daemon.broken, {}
     _upstream_tried(daemon, reached)
     if not reached:
@@ -231,7 +231,7 @@
 
 
 def _note_crash(daemon: _state.Daemon) -> None:
-    """Note what was under way; what has not ended yet is about to."""
+    """Record what was in flight, also what has not ended yet."""
     runs = [
         run
         for run in daemon.runs.values()
@@ -272,7 +272,7 @@
 def _reason_of_crash(
     daemon: _state.Daemon, run: _records.Run
 ) -> outcomes.Reason:
-    """Return why the run ended; its entrance may not know of the crash yet."""
+    """Return the reason, which stops retries by an entrance that is behind."""
     if _crashes.is_blocked(_crashes.verdict_of_order(daemon, run.order)):
         return outcomes.Reason.CRASHES_INSTANCES
     return outcomes.Reason.UPSTREAM_CRASHED
@@ -336,7 +336,7 @@
             route=order.ask.route,
             ending=ending,
             left=run.deadline - daemon.clock.monotonic(),
-            **_crashes.shown(order.fingerprint),
+            **_crashes.log_fields(order.fingerprint),
         )
     run.done(_records.Result(_told(daemon, order, ending, reason), response))
 
--- a/src/sassafrasstair/forwarding/_crash_news.py
+++ b/src/sassafrasstair/forwarding/_crash_updates.py
@@ -1,7 +1,7 @@
-"""What daemons tell each other of crashes, with their polls and pings.
+"""Exchange of crash records with peers, on the feed's polls and pings.
 
-Each carries the digest of what its sender knows; where the other's differs,
-all is told, at first once in half a second and then more seldom.
+Each message carries the digest of its sender's records. Where digests differ
+all records are sent, with a pause that grows.
 """
 
 from __future__ import annotations
@@ -21,15 +21,15 @@
 
 PAUSE_SECONDS = 0.5
 PAUSE_SECONDS_MAX = 4.0
-"""Between two times that one daemon is told all: two that forgot different
-records because they know too many never come to the same digest."""
+"""Between two full updates to one peer: two daemons that evicted different
+records never come to the same digest."""
 PEERS_KEPT = 400
 """Daemons whose digest is remembered; one is followed by 222 at most."""
 
 
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """A daemon's digest, and when it may be told all again."""
+    """A peer's digest, and when it may get a full update again."""
 
     digest: int
     next: float = 0.0
@@ -37,9 +37,9 @@
 
 
 def field(daemon: _state.Daemon, host: str) -> tuple[bytes, bytes]:
-    """Return the field for a message to a daemon."""
+    """Return the field for a message to a peer."""
     ledger = daemon.ledger
-    if not differs(daemon, host):
+    if not needs_full_update(daemon, host):
         return _crash_wire.FIELD, _crash_wire.encode(ledger.digest)
     now = daemon.clock.monotonic()
     peer = daemon.crash_peers[host]
@@ -49,24 +49,24 @@
     return _crash_wire.FIELD, _crash_wire.encode(ledger.digest, reports)
 
 
-def knows(daemon: _state.Daemon, host: str) -> bool:
-    """Return whether a daemon is known to know the same crashes."""
+def is_in_sync(daemon: _state.Daemon, host: str) -> bool:
+    """Return whether a peer is known to have the same records."""
     peer = daemon.crash_peers.get(host)
     return peer is not None and peer.digest == daemon.ledger.digest
 
 
-def differs(daemon: _state.Daemon, host: str) -> bool:
-    """Return whether a daemon knows other crashes, and may be told all."""
+def needs_full_update(daemon: _state.Daemon, host: str) -> bool:
+    """Return whether a peer has other records and may get all again."""
     peer = daemon.crash_peers.get(host)
     if peer is None or peer.digest == daemon.ledger.digest:
         return False
     return daemon.clock.monotonic() >= peer.next
 
 
-def take(
+def receive(
     daemon: _state.Daemon, host: str, found: abc.Mapping[bytes, bytes]
 ) -> None:
-    """Take what a daemon told in its message."""
+    """Merge the records of a peer's message."""
     value = found.get(_crash_wire.KEY)
     if value is None:
         return
@@ -75,7 +75,7 @@
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         return
-    _crashes.take_reports(daemon, reports, host)
+    _crashes.receive_reports(daemon, reports, host)
     peer = daemon.crash_peers.pop(host, None) or Peer(digest)
     peer.digest = digest
     if digest == daemon.ledger.digest:
--- a/src/sassafrasstair/forwarding/_crash_wire.py
+++ b/src/sassafrasstair/forwarding/_crash_wire.py
@@ -1,7 +1,7 @@
-"""How daemons tell each other of crashes: one field of polls and pings.
+"""Format of crash records between daemons: one field of polls and pings.
 
-The field's value is the digest of what the sender knows and, where the
-receiver may know less, records of crashes in base64.
+The value is the digest of the sender's records and, where the receiver may
+lack some, records in base64.
 """
 
 from __future__ import annotations
@@ -25,14 +25,14 @@
 
 
 class _Record(msgspec.Struct, array_like=True, frozen=True):
-    """One crash; ages and times in ms, ``alone`` bits by place."""
+    """One crash; ages and times in ms, ``isolated`` bits by place."""
 
     instance: str
     born: int
     age: int
     cleared: bytes
     familiar: bytes
-    alone: bytes
+    isolated: bytes
     fingerprints: bytes
     millis: list[int]
 
@@ -60,8 +60,8 @@
 
 
 def _record(report: crashes.Report) -> _Record:
-    alone = sum(
-        1 << place for place, run in enumerate(report.runs) if run.alone
+    isolated = sum(
+        1 << place for place, run in enumerate(report.runs) if run.isolated
     )
     size = crashes.FINGERPRINT_BYTES
     return _Record(
@@ -70,7 +70,7 @@
         math.ceil(_MILLIS * report.age),
         _bits(report.cleared),
         _bits(report.familiar),
-        _bits(alone),
+        _bits(isolated),
         b"".join(run.fingerprint.to_bytes(size, "big") for run in report.runs),
         [round(_MILLIS * run.seconds) for run in report.runs],
     )
@@ -83,14 +83,14 @@
         raise ValueError(f"{count} runs")
     if record.age < 0 or min(record.millis, default=0) < 0:
         raise ValueError("a time before its start")
-    alone = _number(record.alone, count)
+    isolated = _number(record.isolated, count)
     runs = tuple(
         crashes.Run(
             int.from_bytes(
                 record.fingerprints[size * place : size * (place + 1)], "big"
             ),
             millis / _MILLIS,
-            bool(alone >> place & 1),
+            bool(isolated >> place & 1),
         )
         for place, millis in enumerate(record.millis)
     )
--- a/src/sassafrasstair/forwarding/_crashes.py
+++ b/src/sassafrasstair/forwarding/_crashes.py
@@ -26,12 +26,12 @@
 """Bytes; requests with greater bodies are not remembered, since a fingerprint
 of each would cost more than it tells: few come twice."""
 URGENT_FROM = 2
-"""Strikes from which on a change is told at once."""
+"""Strikes from which on a change is sent at once."""
 
 _T = typing.TypeVar("_T")
 _NAMES = {
     crashes.Standing.FREE: "request_cleared",
-    crashes.Standing.ALONE: "request_suspected",
+    crashes.Standing.ISOLATED: "request_suspected",
     crashes.Standing.BLOCKED: "request_blocked",
 }
 
@@ -71,7 +71,7 @@
     return verdict.evidence.strikes
 
 
-def runs_alone(verdict: crashes.Verdict | None) -> bool:
+def must_isolate(verdict: crashes.Verdict | None) -> bool:
     """Return whether a request may run only as the one suspect."""
     return (
         verdict is not None and verdict.standing is not crashes.Standing.FREE
@@ -86,11 +86,11 @@
     return max(0.0, verdict.until - daemon.clock.monotonic())
 
 
-def shown(fingerprint: int | None) -> dict[str, str]:
+def log_fields(fingerprint: int | None) -> dict[str, str]:
     """Return what a log line tells of a request, if it was looked up."""
     if fingerprint is None:
         return {}
-    return {"fingerprint": crashes.shown(fingerprint)}
+    return {"fingerprint": crashes.format_fingerprint(fingerprint)}
 
 
 def suspects(
@@ -166,7 +166,7 @@
         crashes.Run(
             _of_order(run.order),
             now - run.guard.running.get(run.key, now),
-            run.alone,
+            run.isolated,
         )
         for run in runs
     ]
@@ -179,17 +179,17 @@
     _changed(daemon, touched, True, "upstream")
 
 
-def take_reports(
+def receive_reports(
     daemon: _state.Daemon, reports: abc.Sequence[crashes.Report], host: str
 ) -> None:
-    """Take records of crashes that a peer told."""
+    """Merge records of crashes from a peer."""
     if not reports:
         return
     known = len(daemon.ledger.crashes)
     now = daemon.clock.monotonic()
     touched = crashes.merge(daemon.ledger, reports, now)
     for fingerprint in touched & _familiar(daemon).keys():
-        crashes.recognise(daemon.ledger, fingerprint)
+        crashes.mark_familiar(daemon.ledger, fingerprint)
     if touched:
         urgent = len(daemon.ledger.crashes) != known or any(
             crashes.evidence(daemon.ledger, each).strikes >= URGENT_FROM
@@ -272,9 +272,9 @@
         daemon.journal.request(
             name,
             source,
-            fingerprint=crashes.shown(fingerprint),
+            fingerprint=crashes.format_fingerprint(fingerprint),
             strikes=found.strikes,
-            alone=found.alone,
+            isolated=found.isolated,
             familiar=found.familiar,
             crashes=",".join(
                 f"{crash.key[0]}:{now - crash.at:.2f}"
@@ -301,7 +301,7 @@
         instance=instance,
         runs=len(runs),
         requests=",".join(
-            f"{crashes.shown(run.fingerprint)}"
+            f"{crashes.format_fingerprint(run.fingerprint)}"
             f":{strikes[run.fingerprint]}:{run.seconds:.3f}"
             for run in ordered[:SHOWN_MAX]
         ),
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -14,7 +14,7 @@
 from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _checks
 from sassafrasstair.forwarding import _counters
-from sassafrasstair.forwarding import _crash_spread
+from sassafrasstair.forwarding import _crash_broadcast
 from sassafrasstair.forwarding import _crashes
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _entrance
@@ -120,7 +120,7 @@
     _state.start_task(daemon, _sync.follow(daemon))
     _state.start_task(daemon, _peers.ask_while_lost(daemon))
     _state.start_task(daemon, _peers.compare(daemon))
-    _state.start_task(daemon, _crash_spread.tell_forever(daemon))
+    _state.start_task(daemon, _crash_broadcast.broadcast_forever(daemon))
     _state.start_task(daemon, _tick_forever(running))
 
 
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -115,7 +115,7 @@
         load=gate.load,
         policy=0 if table is None else table.policy.version,
         revision=daemon.view.revision,
-        **_crashes.shown(call.fingerprint),
+        **_crashes.log_fields(call.fingerprint),
     )
 
 
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -6,7 +6,7 @@
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.forwarding import _callee
-from sassafrasstair.forwarding import _crash_news
+from sassafrasstair.forwarding import _crash_updates
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _polls
@@ -29,11 +29,11 @@
     path, _, query = request.target.partition(b"?")
     if path == _wire.PING_PATH:
         peer = exchange.peer
-        _crash_news.take(daemon, peer, request.found)
+        _crash_updates.receive(daemon, peer, request.found)
         told = [
             _own_state(daemon),
             _polls.own_status(daemon),
-            _crash_news.field(daemon, peer),
+            _crash_updates.field(daemon, peer),
         ]
         exchange.respond(200, told, b"")
     elif path == _feed_wire.VIEW_PATH:
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -7,7 +7,7 @@
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import views
-from sassafrasstair.forwarding import _crash_news
+from sassafrasstair.forwarding import _crash_updates
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _learning
@@ -54,7 +54,7 @@
         deaf = feeds.deaf(daemon.feed, daemon.view.answered, now)
         count = min(len(others), ASKED_WHEN_DEAF if deaf else 1)
         for host in daemon.rng.sample(others, count):
-            ping(daemon, host, _crash_news.field(daemon, host))
+            ping(daemon, host, _crash_updates.field(daemon, host))
 
 
 def heard(daemon: _state.Daemon, host: str, content: int) -> None:
@@ -108,7 +108,7 @@
 ) -> None:
     if isinstance(result, httpio.Failure):
         return
-    _crash_news.take(daemon, host, result.found)
+    _crash_updates.receive(daemon, host, result.found)
     try:
         state = _wire.decode_state(result.found.get(_wire.STATE_KEY, b""))
         field = result.found.get(_feed_wire.KEY)
@@ -133,7 +133,7 @@
 def _pull(daemon: _state.Daemon, address: _dialect.Address) -> None:
     """Ask a daemon for what it knows more."""
     daemon.pulling = True
-    told = _crash_news.field(daemon, address.host)
+    told = _crash_updates.field(daemon, address.host)
     head = _feed_wire.poll_head(address.host, daemon.view.revision, 0.0, told)
     job = httpio.Job(head, functools.partial(_pulled, daemon, address.host))
     if address.port == daemon.settings.daemons.port:
@@ -169,7 +169,7 @@
     daemon.pulling = False
     if isinstance(result, httpio.Failure) or result.status != 200:
         return
-    _crash_news.take(daemon, host, result.found)
+    _crash_updates.receive(daemon, host, result.found)
     try:
         news = _take(daemon, host, result)
     except _wire.WireError as error:
--- a/src/sassafrasstair/forwarding/_polls.py
+++ b/src/sassafrasstair/forwarding/_polls.py
@@ -12,7 +12,7 @@
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import views
-from sassafrasstair.forwarding import _crash_news
+from sassafrasstair.forwarding import _crash_updates
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _wire
 
@@ -55,8 +55,10 @@
         _serve_snapshot(daemon, exchange, after)
         return
     peer = exchange.peer
-    _crash_news.take(daemon, peer, exchange.request.found)
-    news = daemon.view.content > after or _crash_news.differs(daemon, peer)
+    _crash_updates.receive(daemon, peer, exchange.request.found)
+    news = daemon.view.content > after or _crash_updates.needs_full_update(
+        daemon, peer
+    )
     poll = HeldPoll(exchange, after, daemon.clock.monotonic() + hold)
     if news or not hold or daemon.leaving:
         _answer(daemon, poll)
@@ -97,7 +99,7 @@
     due = [
         poll
         for poll in daemon.polls
-        if not _crash_news.knows(daemon, poll.exchange.peer)
+        if not _crash_updates.is_in_sync(daemon, poll.exchange.peer)
     ]
     daemon.polls = [poll for poll in daemon.polls if poll not in due]
     for poll in due:
@@ -127,7 +129,7 @@
     told: tuple[bytes, bytes] | None = None,
 ) -> None:
     body = _encoded(daemon, poll.after)
-    told = told or _crash_news.field(daemon, poll.exchange.peer)
+    told = told or _crash_updates.field(daemon, poll.exchange.peer)
     poll.exchange.gone = None
     poll.exchange.respond(200, [own_status(daemon), told], body)
 
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -51,8 +51,8 @@
     """One request that waits for the upstream or is there.
 
     ``guard`` is that of the run of the instance for which it came.
-    ``broken`` once its connection has ended without a whole answer, ``alone``
-    when no other suspect may run beside it.
+    ``broken`` once its connection has ended without a whole answer.
+    ``isolated`` when no other suspect may run beside it.
     """
 
     key: str
@@ -62,7 +62,7 @@
     guard: load.Guard
     job: httpio.Job | None = None
     broken: bool = False
-    alone: bool = False
+    isolated: bool = False
 
     @property
     def rank(self) -> float:
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -23,7 +23,7 @@
     import random
 
     from sassafrasstair import clocks
-    from sassafrasstair.forwarding import _crash_news
+    from sassafrasstair.forwarding import _crash_updates
     from sassafrasstair.forwarding import _polls
     from sassafrasstair.forwarding import _records
 
@@ -50,9 +50,9 @@
     were completed here, the latest last, by method, host, target and body;
     ``familiar_prints`` their fingerprints while crashes are known.
 
-    ``ledger`` holds the crashes that are known, up to its version
-    ``crash_told`` also told to others; ``crash_peers`` by host is what these
-    know. ``standings`` are those of requests that may not run freely.
+    ``ledger`` holds the known crashes, of which peers were sent all up to
+    ``crash_sent_version``; ``crash_peers`` are the digests of peers by host.
+    ``standings`` are those of requests that may not run freely.
 
     ``refused`` are keys of the store's unusable items, by their revision.
 
@@ -117,10 +117,10 @@
     standings: dict[int, crashes.Standing] = dataclasses.field(
         default_factory=dict
     )
-    crash_peers: dict[str, _crash_news.Peer] = dataclasses.field(
+    crash_peers: dict[str, _crash_updates.Peer] = dataclasses.field(
         default_factory=dict
     )
-    crash_told: int = 0
+    crash_sent_version: int = 0
     crash_changed: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -60,7 +60,7 @@
     fingerprint: str
     standing: str
     strikes: int
-    alone: int
+    isolated: int
     familiar: bool
     blocked_for: float
     crashes: tuple[CrashStatus, ...]
@@ -110,10 +110,10 @@
     now = daemon.clock.monotonic()
     return [
         SuspectStatus(
-            fingerprint=crashes.shown(fingerprint),
+            fingerprint=crashes.format_fingerprint(fingerprint),
             standing=verdict.standing.value,
             strikes=verdict.evidence.strikes,
-            alone=verdict.evidence.alone,
+            isolated=verdict.evidence.isolated,
             familiar=verdict.evidence.familiar,
             blocked_for=max(0.0, verdict.until - now),
             crashes=tuple(
@@ -151,7 +151,7 @@
         "leaving": int(daemon.leaving),
         "upstream_leaving": int(daemon.upstream_leaving),
         "crashes_known": len(daemon.ledger.crashes),
-        "requests_suspected": standings.count(crashes.Standing.ALONE),
+        "requests_suspected": standings.count(crashes.Standing.ISOLATED),
         "requests_blocked": standings.count(crashes.Standing.BLOCKED),
     }
 
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -9,7 +9,7 @@
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.forwarding import _counters
-from sassafrasstair.forwarding import _crash_news
+from sassafrasstair.forwarding import _crash_updates
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _learning
@@ -110,7 +110,7 @@
     daemon: _state.Daemon, host: str, hold: float, within: float
 ) -> None:
     """Ask the daemon that is followed for what is new."""
-    told = _crash_news.field(daemon, host)
+    told = _crash_updates.field(daemon, host)
     sender = (_feed_wire.SENDER, daemon.mark)
     after = daemon.view.revision
     head = _feed_wire.poll_head(host, after, hold, told, sender)
@@ -120,7 +120,7 @@
         _fell_silent(daemon, host, result.value)
         return
     if result.status == _feed_wire.LOOP_STATUS:
-        _found_itself(daemon, host)
+        _adopt_own_address(daemon, host)
         return
     field = result.found.get(_feed_wire.KEY)
     if result.status != 200 or field is None:
@@ -133,7 +133,7 @@
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         _fell_silent(daemon, host, "malformed")
         return
-    _crash_news.take(daemon, host, result.found)
+    _crash_updates.receive(daemon, host, result.found)
     feeds.told(daemon.feed, host, status, daemon.view.content, now, daemon.rng)
     if status.lost is None:
         _learning.note_answer(daemon, now, status.age)
@@ -182,10 +182,10 @@
     daemon.journal.note("parent_lost", peer=host, reason=reason)
 
 
-def _found_itself(daemon: _state.Daemon, host: str) -> None:
+def _adopt_own_address(daemon: _state.Daemon, host: str) -> None:
     """Go on as the daemon at ``host``: the store names this one so."""
     daemon.journal.note("follows_itself", peer=host, own=daemon.feed.own)
-    feeds.rename(daemon.feed, host)
+    feeds.adopt_address(daemon.feed, host)
 
 
 def _note_parent(daemon: _state.Daemon, before: str | None) -> None:
--- a/tests/decisions/crashes/test_fingerprints.py
+++ b/tests/decisions/crashes/test_fingerprints.py
@@ -28,4 +28,7 @@
 
 
 def test_fingerprint_is_the_same_in_all_processes() -> None:
-    assert crashes.shown(crashes.fingerprint(*GET)) == "1134095d059ad7d4"
+    assert (
+        crashes.format_fingerprint(crashes.fingerprint(*GET))
+        == "1134095d059ad7d4"
+    )
--- a/tests/decisions/crashes/test_standings.py
+++ b/tests/decisions/crashes/test_standings.py
@@ -9,19 +9,19 @@
 from sassafrasstair.decisions import crashes
 
 BAD, OTHER = 1, 2
-FREE, ALONE, BLOCKED = crashes.Standing
+FREE, ISOLATED, BLOCKED = crashes.Standing
 
 
 @dataclasses.dataclass(frozen=True)
 class Case:
     """Requests under way at crashes a second apart, and what follows.
 
-    ``alone`` are the crashes in which the first one ran as the only suspect.
+    ``isolated`` are crashes in which the first one was the only suspect.
     """
 
     ran: tuple[tuple[int, ...], ...]
     standing: crashes.Standing
-    alone: tuple[int, ...] = ()
+    isolated: tuple[int, ...] = ()
     familiar: bool = False
     after: float = 1.0
 
@@ -29,18 +29,18 @@
 CASES = (
     Case((), FREE),
     Case(((BAD,),), FREE),
-    Case(((BAD,), (BAD,)), ALONE),
+    Case(((BAD,), (BAD,)), ISOLATED),
     Case(((BAD,), (BAD,), (BAD,)), BLOCKED),
     Case(((BAD, OTHER),) * 3, BLOCKED),
-    Case(((BAD,), (BAD,), (BAD,)), ALONE, familiar=True),
-    Case(((BAD,),) * 4, ALONE, alone=(3,), familiar=True),
-    Case(((BAD,),) * 4, BLOCKED, alone=(2, 3), familiar=True),
+    Case(((BAD,), (BAD,), (BAD,)), ISOLATED, familiar=True),
+    Case(((BAD,),) * 4, ISOLATED, isolated=(3,), familiar=True),
+    Case(((BAD,),) * 4, BLOCKED, isolated=(2, 3), familiar=True),
     Case(((BAD,),) * 3, BLOCKED, after=59.0),
-    Case(((BAD,),) * 3, ALONE, after=121.0),
+    Case(((BAD,),) * 3, ISOLATED, after=121.0),
     Case(((BAD,),) * 4, BLOCKED, after=239.0),
-    Case(((BAD,),) * 4, ALONE, after=481.0),
+    Case(((BAD,),) * 4, ISOLATED, after=481.0),
     Case(((BAD,),) * 9, BLOCKED, after=599.0),
-    Case(((BAD,),) * 9, ALONE, after=1_201.0),
+    Case(((BAD,),) * 9, ISOLATED, after=1_201.0),
     Case(((BAD,),) * 3, FREE, after=1_900.0),
     Case(((BAD, OTHER), (BAD, OTHER), (OTHER,)), FREE),
     Case(((BAD, OTHER), (BAD, OTHER), (OTHER,), (BAD,)), BLOCKED),
@@ -53,7 +53,7 @@
     ledger = crashes.new_ledger()
     for number, ran in enumerate(case.ran):
         runs = [
-            crashes.Run(each, 0.1, each == BAD and number in case.alone)
+            crashes.Run(each, 0.1, each == BAD and number in case.isolated)
             for each in ran
         ]
         familiar = {BAD} if case.familiar else set()
--- a/tests/fleets/fleet.py
+++ b/tests/fleets/fleet.py
@@ -15,7 +15,7 @@
 from sassafrasstair import forwarding
 from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _checks
-from sassafrasstair.forwarding import _crash_spread
+from sassafrasstair.forwarding import _crash_broadcast
 from sassafrasstair.forwarding import _crashes
 from sassafrasstair.forwarding import _events
 from sassafrasstair.forwarding import _inbound
@@ -149,7 +149,7 @@
             _sync.follow(daemon),
             _peers.ask_while_lost(daemon),
             _peers.compare(daemon),
-            _crash_spread.tell_forever(daemon),
+            _crash_broadcast.broadcast_forever(daemon),
             _tick(daemon),
         )
         self.tasks[host] = [loop.create_task(each) for each in work]
