--- a/src/sassafrasstair/decisions/feeds/__init__.py
+++ b/src/sassafrasstair/decisions/feeds/__init__.py
@@ -21,6 +21,7 @@
 from sassafrasstair.decisions.feeds._feeds import read_failed
 from sassafrasstair.decisions.feeds._feeds import readers
 from sassafrasstair.decisions.feeds._feeds import reads
+from sassafrasstair.decisions.feeds._feeds import reread
 from sassafrasstair.decisions.feeds._feeds import silent
 from sassafrasstair.decisions.feeds._feeds import STORE
 from sassafrasstair.decisions.feeds._feeds import told
@@ -70,6 +71,7 @@
     "read_failed",
     "readers",
     "reads",
+    "reread",
     "silent",
     "timing",
     "told",
--- a/src/sassafrasstair/decisions/feeds/_checks.py
+++ b/src/sassafrasstair/decisions/feeds/_checks.py
@@ -63,12 +63,15 @@
 ) -> float:
     """Return when the next check is to be sent.
 
-    ``heard`` is when the store last answered, by any way.
+    ``heard`` is when the store last answered, by any way, or when the policy
+    was last confirmed where that is asked for.
     """
     after_last = checks.sent + checks.pause
     if checks.unanswered_from is not None:
         return after_last
     quiet = timing.quiet if first else OTHERS_QUIET * timing.quiet
+    if timing.confirm is not None:
+        quiet = timing.confirm
     return max(after_last, heard + quiet)
 
 
--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -254,7 +254,7 @@
 def check_due(feed: Feed, heard: float, now: float) -> bool:
     """Return whether to check now that the store answers.
 
-    ``heard`` is when it last did, by any way.
+    ``heard`` is when it last did, by any way; see ``_checks.due``.
     """
     if feed.parent != STORE or _starting(feed, now):
         return False
@@ -311,6 +311,12 @@
     feed.checks.acted = True
 
 
+def reread(feed: Feed, now: float) -> None:
+    """Read the whole store at once: it has a policy that no watch told."""
+    feed.whole = True
+    feed.read_from = min(feed.read_from, now)
+
+
 def deaf(feed: Feed, heard: float, now: float) -> bool:
     """Return whether nobody that is known has heard of the store for long."""
     return now - heard > _checks.DEAF_QUIET * feed.timing.quiet
--- a/src/sassafrasstair/decisions/feeds/_types.py
+++ b/src/sassafrasstair/decisions/feeds/_types.py
@@ -31,6 +31,10 @@
 If the store leaves all readers and serves the others: the first reader's check
 (0.4), the time for its answer (0.3), whereupon the next of its domain reads,
 and the comparison of the others (0.23): 0.93 of the bound and the calls."""
+CONFIRM_SHARE = 0.2
+"""The part of the time within which a key must stop to work after which a
+reader asks the store whether the policy is still the newest. Followers hear
+of it a hold later for each step: 2.9 of 5 s with three steps."""
 BOUND_SECONDS_MIN, BOUND_SECONDS_MAX = 1.0, 6.0
 """Bounds beyond these are taken for these. With none, or one of some ms, a
 follower would ask without a pause; with one of a minute, instances that join
@@ -53,7 +57,8 @@
 
     A reader checks that the store answers after a time of ``quiet``, takes
     it for lost without an answer within ``answer``, and then checks once in
-    ``check``.
+    ``check``. With ``confirm`` it checks so long after the policy was last
+    confirmed, whatever else it hears.
     """
 
     pace: float
@@ -65,10 +70,17 @@
     quiet: float
     answer: float
     check: float
+    confirm: float | None = None
 
 
-def timing(bound_seconds: float) -> Timing:
-    """Return the timing for changes to be known within a bound."""
+def timing(
+    bound_seconds: float, revocation_seconds: float | None = None
+) -> Timing:
+    """Return the timing for changes to be known within a bound.
+
+    ``revocation_seconds`` is the time after which a key that was taken away
+    must not work anywhere, None if there is no such time.
+    """
     bound = min(BOUND_SECONDS_MAX, max(BOUND_SECONDS_MIN, bound_seconds))
     return Timing(
         PACE_SHARE * bound,
@@ -80,6 +92,9 @@
         QUIET_SHARE * bound,
         ANSWER_SHARE * bound,
         CHECK_SHARE * bound,
+        None
+        if revocation_seconds is None
+        else CONFIRM_SHARE * revocation_seconds,
     )
 
 
--- a/src/sassafrasstair/decisions/policies/__init__.py
+++ b/src/sassafrasstair/decisions/policies/__init__.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 from sassafrasstair.decisions.policies._checks import unsound
+from sassafrasstair.decisions.policies._customers import digest
+from sassafrasstair.decisions.policies._customers import identify
+from sassafrasstair.decisions.policies._customers import Unidentified
 from sassafrasstair.decisions.policies._policies import ClientLimits
+from sassafrasstair.decisions.policies._policies import Customer
 from sassafrasstair.decisions.policies._policies import Policy
 from sassafrasstair.decisions.policies._policies import Route
 from sassafrasstair.decisions.policies._policies import Share
@@ -14,11 +18,15 @@
 
 __all__ = [
     "ClientLimits",
+    "Customer",
     "Policy",
     "Route",
     "Share",
     "Table",
+    "Unidentified",
     "choose_service",
+    "digest",
+    "identify",
     "match",
     "new_table",
     "unsound",
--- a/src/sassafrasstair/decisions/policies/_checks.py
+++ b/src/sassafrasstair/decisions/policies/_checks.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import math
+import re
 import typing
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from sassafrasstair.decisions.policies import _policies
 
 SECONDS_MAX = 86_400.0
 """No client waits for a day; a greater number is garbage."""
+_CUSTOMER = re.compile(r"[!-~]{1,200}")
 
 
 def unsound(policy: _policies.Policy) -> str:
@@ -25,9 +29,32 @@
         wrong = _wrong_with_route(route)
         if wrong:
             return f"{route.name[:80]!r}: {wrong}"
+    return _wrong_with_customers(policy.customers or ())
+
+
+def _wrong_with_customers(customers: abc.Sequence[_policies.Customer]) -> str:
+    keys: set[bytes] = set()
+    names: set[str] = set()
+    for customer in customers:
+        name = f"customer {customer.name[:80]!r}"
+        # Names travel in a header field.
+        if not _CUSTOMER.fullmatch(customer.name) or customer.name in names:
+            return f"{name}: name"
+        if not (_is_amount(customer.rate) and _is_amount(customer.burst)):
+            return f"{name}: limits"
+        if len(set(customer.keys)) < len(customer.keys):
+            return f"{name}: a key twice"
+        if not keys.isdisjoint(customer.keys):
+            return f"{name}: a key of another customer"
+        names.add(customer.name)
+        keys.update(customer.keys)
     return ""
 
 
+def _is_amount(value: float) -> bool:
+    return 0.0 <= value < math.inf
+
+
 def _wrong_with_route(route: _policies.Route) -> str:
     if not route.host:
         return "host"
--- /dev/null
+++ b/src/sassafrasstair/decisions/policies/_customers.py
@@ -0,0 +1,53 @@
+"""Telling by its API key which customer sent a request."""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import typing
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair.decisions.policies import _policies
+    from sassafrasstair.decisions.policies import _tables
+
+DIGEST_BYTES = 16
+
+
+class Unidentified(enum.Enum):
+    """Why a request belongs to no customer."""
+
+    ANONYMOUS = "anonymous"
+    """It needs no key."""
+    NO_KEY = "no_key"
+    UNKNOWN_KEY = "unknown_key"
+
+
+def digest(key: bytes) -> bytes:
+    """Return the digest by which a key is known; keys are not kept."""
+    return hashlib.blake2b(key, digest_size=DIGEST_BYTES).digest()
+
+
+def by_key(
+    policy: _policies.Policy,
+) -> dict[bytes, _policies.Customer] | None:
+    """Return the customers by the digests of their keys."""
+    if policy.customers is None:
+        return None
+    return {
+        key: customer for customer in policy.customers for key in customer.keys
+    }
+
+
+def identify(
+    table: _tables.Table, route: _policies.Route, key: bytes | None
+) -> _policies.Customer | Unidentified:
+    """Return whose request it is, by the digest of its key if it has one."""
+    customers = table.customers
+    if customers is None:
+        return Unidentified.ANONYMOUS
+    customer = None if key is None else customers.get(key)
+    if customer is not None:
+        return customer
+    if route.anonymous:
+        return Unidentified.ANONYMOUS
+    return Unidentified.NO_KEY if key is None else Unidentified.UNKNOWN_KEY
--- a/src/sassafrasstair/decisions/policies/_policies.py
+++ b/src/sassafrasstair/decisions/policies/_policies.py
@@ -21,7 +21,7 @@
     longest time until the final answer, ``objective`` the time that an
     answer should take. ``importance`` is as in ``load.rank``: greater is
     shed later. ``attempts_max`` bounds the instances that one request may
-    be sent to.
+    be sent to. ``anonymous`` requests need no key.
     """
 
     name: str
@@ -33,6 +33,23 @@
     importance: int
     attempts_max: int
     shares: tuple[Share, ...]
+    anonymous: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Customer:
+    """Who sends requests, and how many.
+
+    ``keys`` are digests of its API keys. ``rate`` in requests a second and
+    ``burst`` in requests hold for all daemons together; a rate of 0 is no
+    limit. ``importance`` goes before that of a route, unless it is None.
+    """
+
+    name: str
+    keys: tuple[bytes, ...]
+    rate: float = 0.0
+    burst: float = 0.0
+    importance: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,9 +67,11 @@
     """One version of the policy; the highest version seen is in force.
 
     ``services`` are those that it names beside the services of its routes.
+    Where ``customers`` is None no request needs a key.
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: ClientLimits
     services: tuple[str, ...] = ()
+    customers: tuple[Customer, ...] | None = None
--- a/src/sassafrasstair/decisions/policies/_tables.py
+++ b/src/sassafrasstair/decisions/policies/_tables.py
@@ -5,6 +5,8 @@
 import dataclasses
 import typing
 
+from sassafrasstair.decisions.policies import _customers
+
 if typing.TYPE_CHECKING:
     import random
 
@@ -15,12 +17,14 @@
 class Table:
     """The routes of one policy by host and then by prefix.
 
-    ``services`` are all that the policy names.
+    ``services`` are all that the policy names, ``customers`` those who hold
+    a key by its digest, None where no request needs one.
     """
 
     policy: _policies.Policy
     hosts: dict[str, dict[str, _policies.Route]]
     services: frozenset[str]
+    customers: dict[bytes, _policies.Customer] | None
 
 
 def new_table(policy: _policies.Policy) -> Table:
@@ -31,7 +35,12 @@
     named = frozenset(
         share.service for route in policy.routes for share in route.shares
     )
-    return Table(policy, hosts, named | frozenset(policy.services))
+    return Table(
+        policy,
+        hosts,
+        named | frozenset(policy.services),
+        _customers.by_key(policy),
+    )
 
 
 def match(table: Table, host: str, path: str) -> _policies.Route | None:
--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -2,6 +2,15 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.views._confirmations import active_version
+from sassafrasstair.decisions.views._confirmations import confirm
+from sassafrasstair.decisions.views._confirmations import Confirmation
+from sassafrasstair.decisions.views._confirmations import note_watched
+from sassafrasstair.decisions.views._confirmations import note_whole
+from sassafrasstair.decisions.views._confirmations import own_confirmation
+from sassafrasstair.decisions.views._confirmations import receive
+from sassafrasstair.decisions.views._confirmations import unconfirmed_seconds
+from sassafrasstair.decisions.views._confirmations import vouches
 from sassafrasstair.decisions.views._queries import born
 from sassafrasstair.decisions.views._queries import count_services
 from sassafrasstair.decisions.views._queries import delta
@@ -41,6 +50,7 @@
 
 __all__ = [
     "Change",
+    "Confirmation",
     "Delta",
     "Instance",
     "InstanceState",
@@ -49,9 +59,11 @@
     "Snapshot",
     "Unusable",
     "View",
+    "active_version",
     "adopt",
     "apply",
     "born",
+    "confirm",
     "count_services",
     "delta",
     "expire",
@@ -68,12 +80,18 @@
     "note_age",
     "note_replaced",
     "note_unsteady",
+    "note_watched",
+    "note_whole",
+    "own_confirmation",
+    "receive",
     "replace",
     "snapshot",
     "source_answered",
     "source_failed",
     "take",
     "targets",
+    "unconfirmed_seconds",
     "usable_delta",
+    "vouches",
     "without_unusable",
 ]
--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -220,9 +220,14 @@
 
 
 def least_importance(view: _views.View) -> int:
-    """Return the least importance of a route in force."""
+    """Return the least importance that a request may have."""
     if view.table is None:
         return 0
-    return min(
-        (route.importance for route in view.table.policy.routes), default=0
-    )
+    policy = view.table.policy
+    levels = [route.importance for route in policy.routes]
+    levels += [
+        customer.importance
+        for customer in policy.customers or ()
+        if customer.importance is not None
+    ]
+    return min(levels, default=0)
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -64,6 +64,10 @@
 
     ``latest`` are the latest starts by id, the last seen at the end.
 
+    ``confirmed`` is the latest instant at which the active policy is known
+    to have been the newest. All policies up to the revision ``vouched`` have
+    been read, at the latest state of the store.
+
     ``history`` says at which content each thing last changed, so that a
     peer is told only what it lacks.
     """
@@ -83,6 +87,8 @@
     answered: float = -math.inf
     failing: float = math.inf
     unsteady_until: float = -math.inf
+    confirmed: float = -math.inf
+    vouched: int = -1
     cache: dict[str, tuple[calls.Target, ...]] = dataclasses.field(
         default_factory=dict
     )
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -148,6 +148,7 @@
         attempt.fields,
         request.body,
         attempt.trial,
+        call.customer,
     )
 
     def done(result: _records.Result) -> None:
@@ -166,6 +167,8 @@
     fields = [*attempt.fields, (_wire.ASK, _wire.encode_ask(attempt.ask))]
     if attempt.trial:
         fields.append((_wire.TRIAL, b"%d" % attempt.trial))
+    if call.customer and call.key is not None:
+        fields.append((_wire.DIGEST, call.key.hex().encode()))
     head = httpio.request_head(
         request.method, request.target, fields, len(request.body)
     )
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -179,6 +179,8 @@
         *order.fields,
         (daemon.names.deadline_ms, b"%d" % max(1, int(left * 1000))),
     ]
+    if order.customer:
+        fields.append((daemon.names.customer, order.customer.encode()))
     head = httpio.request_head(
         order.method, order.target, fields, len(order.body)
     )
--- a/src/sassafrasstair/forwarding/_checks.py
+++ b/src/sassafrasstair/forwarding/_checks.py
@@ -7,9 +7,11 @@
 import typing
 
 from sassafrasstair.decisions import feeds
+from sassafrasstair.forwarding import _confirmations
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _learning
+from sassafrasstair.forwarding import _policy_checks
 
 if typing.TYPE_CHECKING:
     from sassafrasstair.forwarding import _state
@@ -23,14 +25,17 @@
     if since is not None:
         reason = _dialect.SourceReason.TIMEOUT.value
         _learning.note_failure(daemon, since, reason, VERB)
-    if feeds.check_due(daemon.feed, daemon.view.answered, now):
+    demanded = _confirmations.is_demanded(daemon)
+    heard = daemon.view.confirmed if demanded else daemon.view.answered
+    if feeds.check_due(daemon.feed, heard, now):
         _send(daemon, now)
 
 
 def _send(daemon: _state.Daemon, now: float) -> None:
     fresh = feeds.check_sent(daemon.feed, now, daemon.rng)
     _counters.read(daemon.counters, VERB)
-    call = asyncio.ensure_future(daemon.source.check(fresh))
+    latest = _confirmations.is_demanded(daemon)
+    call = asyncio.ensure_future(daemon.source.check(fresh, latest))
     daemon.checks.add(call)
     call.add_done_callback(functools.partial(_done, daemon, now))
 
@@ -57,6 +62,7 @@
     behind = _is_behind(daemon, revision, now)
     age = now - daemon.view.answered if behind else 0.0
     _learning.note_answer(daemon, now, age)
+    _policy_checks.check_answered(daemon, revision, sent_at)
     if behind:
         asyncio.get_running_loop().call_later(
             daemon.feed.timing.grace, _ask_if_behind, daemon, revision
--- /dev/null
+++ b/src/sassafrasstair/forwarding/_customers.py
@@ -0,0 +1,104 @@
+"""Whose request it is, at the entrance and at the callee.
+
+Between daemons a request carries the digest of its key, and the callee's
+daemon looks up the customer by its own policy. So nobody who speaks to a
+daemon's port can name a customer whose key it does not have.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from sassafrasstair.decisions import policies
+from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _confirmations
+from sassafrasstair.forwarding import _endings
+from sassafrasstair import outcomes
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair.forwarding import _state
+    from sassafrasstair import httpio
+
+UNKNOWN_STATUS = 401
+SCHEME = b"ApiKey"
+NOBODY = policies.Customer("", ())
+"""Whoever sends a request that needs no key."""
+_REASONS = {
+    policies.Unidentified.NO_KEY: outcomes.Reason.KEY_MISSING,
+    policies.Unidentified.UNKNOWN_KEY: outcomes.Reason.KEY_UNKNOWN,
+}
+
+
+def digest(daemon: _state.Daemon, request: httpio.Request) -> bytes | None:
+    """Return the digest of a request's key, None if none is asked for."""
+    table = daemon.view.table
+    if table is None or table.customers is None:
+        return None
+    key = request.found.get(daemon.keys.key)
+    return None if key is None else policies.digest(key.strip())
+
+
+def identify(
+    daemon: _state.Daemon,
+    exchange: httpio.Exchange,
+    route: policies.Route,
+    key: bytes | None,
+) -> policies.Customer | None:
+    """Return whose request it is; else answer it, and return None."""
+    table = daemon.view.table
+    if table is None or table.customers is None:
+        return NOBODY
+    found = policies.identify(table, route, key)
+    if found is policies.Unidentified.ANONYMOUS:
+        return NOBODY
+    now = daemon.clock.monotonic()
+    if isinstance(found, policies.Unidentified):
+        _reject(daemon, exchange, _REASONS[found], now)
+        return None
+    if not _confirmations.is_fresh(daemon, now):
+        reason = outcomes.Reason.POLICY_UNCONFIRMED
+        _endings.refuse_early(daemon, exchange, reason)
+        return None
+    return found
+
+
+def of_order(
+    daemon: _state.Daemon, key: bytes | None
+) -> policies.Customer | None:
+    """Return whose request another daemon sends, None if that is unknown.
+
+    The policy here may be older than the one at the entrance, or newer.
+    """
+    if key is None:
+        return NOBODY
+    table = daemon.view.table
+    if table is None or table.customers is None:
+        return None
+    try:
+        return table.customers.get(bytes.fromhex(key.decode("ascii")))
+    except ValueError:
+        return None
+
+
+def _reject(
+    daemon: _state.Daemon,
+    exchange: httpio.Exchange,
+    reason: outcomes.Reason,
+    now: float,
+) -> None:
+    """Reject for good only if no newer policy may hold the key."""
+    if _may_be_behind(daemon, now):
+        reason = outcomes.Reason.POLICY_UNCONFIRMED
+        _endings.refuse_early(daemon, exchange, reason)
+        return
+    fields = [(b"WWW-Authenticate", SCHEME)]
+    _endings.answer_early(daemon, exchange, UNKNOWN_STATUS, reason, fields)
+
+
+def _may_be_behind(daemon: _state.Daemon, now: float) -> bool:
+    if views.is_stale(daemon.view, now):
+        return True
+    if not _confirmations.is_demanded(daemon):
+        return False
+    age = views.unconfirmed_seconds(daemon.view, now)
+    return age > daemon.settings.bounds.propagation_seconds
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -24,6 +24,7 @@
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _probes
+from sassafrasstair.forwarding import _quotas
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _status
 from sassafrasstair.forwarding import _sync
@@ -191,6 +192,7 @@
     _probes.tick(daemon, now)
     _polls.tick(daemon, now)
     _checks.tick(daemon, now)
+    _quotas.tick(daemon, now)
     told = views.expire(daemon.view, now)
     _learning.learned(daemon, told, "time")
     daemon.journal.tick(now)
--- a/src/sassafrasstair/forwarding/_dialect.py
+++ b/src/sassafrasstair/forwarding/_dialect.py
@@ -6,6 +6,8 @@
 import enum
 import typing
 
+from sassafrasstair.decisions import quotas
+
 if typing.TYPE_CHECKING:
     from collections import abc
 
@@ -52,6 +54,10 @@
     """An upstream puts it on each answer that it gave itself."""
     not_run: bytes
     """An upstream puts it on an answer when it did not run the request."""
+    key: bytes
+    """Holds a customer's API key."""
+    customer: bytes
+    """Names the customer to the upstream."""
 
     def keys(self) -> Names:
         """Return the names lower-cased, as they are looked up."""
@@ -73,12 +79,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
-    """What the place demands; durations in seconds."""
+    """What the place demands; durations in seconds.
+
+    ``revocation_seconds`` is how long after it was taken away a key may work
+    at most, whatever can be reached; None if that is not demanded.
+    """
 
     drain_seconds: float
     propagation_seconds: float
     grace_seconds: float
     budget: requests.BudgetRules
+    revocation_seconds: float | None = None
+    quota: quotas.Rules = dataclasses.field(default_factory=quotas.Rules)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,14 +161,18 @@
         no longer to be had.
         """
 
-    async def check(self, fresh: bool) -> int:
-        """Return the store's revision, which may be seconds old.
+    async def check(self, fresh: bool, latest: bool) -> int:
+        """Return the store's revision.
 
-        It costs as little as the store allows, and is answered as long as
-        the store is there. ``fresh`` makes a connection of its own for it.
+        It may be seconds old, and then costs as little as the store allows,
+        unless the ``latest`` is asked for. It is answered as long as the
+        store is there. ``fresh`` makes a connection of its own for it.
         Raises ``SourceError``.
         """
 
+    async def policy(self) -> Reading:
+        """Return the latest policy alone; raises ``SourceError``."""
+
     def close(self) -> None:
         """Close all connections."""
 
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -6,8 +6,10 @@
 
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import requests
+from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _crashes
+from sassafrasstair.forwarding import _quotas
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
 from sassafrasstair import outcomes
@@ -17,6 +19,7 @@
     from sassafrasstair.forwarding import _state
 
 REFUSED_STATUS = 503
+QUOTA_STATUS = 429
 UNKNOWN_STATUS = 502
 TIMEOUT_STATUS = 504
 START_SECONDS = 1.0
@@ -59,11 +62,18 @@
     after = requests.retry_after(call.progress.route, daemon.rng)
     if reason is outcomes.Reason.CRASHES_INSTANCES:
         after = max(after, _crashes.blocked_seconds(daemon, call))
+    status = REFUSED_STATUS
+    if reason is outcomes.Reason.QUOTA_EXCEEDED:
+        status = QUOTA_STATUS
+        after = max(after, _quotas.token_seconds(daemon, call.customer))
+    if call.charged:
+        call.charged = False
+        _quotas.give_back(daemon, call.customer)
     fields = _own_fields(daemon, call)
     fields.append((b"Retry-After", b"%.3f" % after))
-    log_end(daemon, call, "refused", REFUSED_STATUS, reason.value)
-    close(daemon, call, REFUSED_STATUS, reason.value)
-    call.exchange.respond(REFUSED_STATUS, fields, b"")
+    log_end(daemon, call, "refused", status, reason.value)
+    close(daemon, call, status, reason.value)
+    call.exchange.respond(status, fields, b"")
 
 
 def close(
@@ -115,10 +125,23 @@
         load=gate.load,
         policy=0 if table is None else table.policy.version,
         revision=daemon.view.revision,
+        **_customer_fields(daemon, call),
         **_crashes.log_fields(call.fingerprint),
     )
 
 
+def _customer_fields(
+    daemon: _state.Daemon, call: _records.Call
+) -> dict[str, str | float]:
+    if not call.customer:
+        return {}
+    now = daemon.clock.monotonic()
+    return {
+        "customer": call.customer,
+        "policy_age": views.unconfirmed_seconds(daemon.view, now),
+    }
+
+
 def refuse_early(
     daemon: _state.Daemon,
     exchange: httpio.Exchange,
@@ -148,6 +171,9 @@
         host=request.found.get(b"host", b"").decode("latin-1"),
         target=request.target.decode("latin-1"),
         policy=0 if table is None else table.policy.version,
+        policy_age=views.unconfirmed_seconds(
+            daemon.view, daemon.clock.monotonic()
+        ),
         revision=daemon.view.revision,
     )
     _counters.ended(daemon.counters, "none", 0, status, reason.value, 0.0)
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -5,13 +5,16 @@
 import asyncio
 import functools
 
+from sassafrasstair import bundles
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _attempts
+from sassafrasstair.forwarding import _customers
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _endings
+from sassafrasstair.forwarding import _quotas
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
@@ -19,20 +22,53 @@
 from sassafrasstair import outcomes
 
 
+_LEVELS = bundles.IMPORTANCE_MAX + 1
+
+
 def handle(daemon: _state.Daemon, exchange: httpio.Exchange) -> None:
     """Serve one request of a client or of the own upstream."""
     route = _find_route(daemon, exchange)
     if route is None:
         return
+    key = _customers.digest(daemon, exchange.request)
+    customer = _customers.identify(daemon, exchange, route, key)
+    if customer is None:
+        return
     now = daemon.clock.monotonic()
-    call = _begin(daemon, exchange, route, now)
-    above = route.importance - daemon.least_importance
+    call = _begin(daemon, exchange, route, customer, now)
+    call.key = key
+    above = _importance(route, customer) - daemon.least_importance
     if not admission.admit(daemon.gates, route.name, above, now, daemon.rng):
         _endings.refuse(daemon, call, outcomes.Reason.SHED_AT_ENTRANCE)
         return
+    if customer.rate > 0.0:
+        answer = functools.partial(_charged, daemon, call)
+        _quotas.admit(daemon, customer, answer)
+        return
     _attempts.send(daemon, call)
 
 
+def _charged(
+    daemon: _state.Daemon, call: _records.Call, reason: outcomes.Reason
+) -> None:
+    """Go on with a request once it is known whether its quota allows it."""
+    if reason is outcomes.Reason.NONE:
+        if call not in daemon.calls:
+            _quotas.give_back(daemon, call.customer)
+            return
+        call.charged = True
+        _attempts.send(daemon, call)
+    elif call in daemon.calls:
+        _endings.refuse(daemon, call, reason)
+
+
+def _importance(route: policies.Route, customer: policies.Customer) -> int:
+    """Return a request's importance: its customer goes before its route."""
+    if customer.importance is None:
+        return route.importance
+    return customer.importance
+
+
 def _find_route(
     daemon: _state.Daemon, exchange: httpio.Exchange
 ) -> policies.Route | None:
@@ -62,6 +98,7 @@
     daemon: _state.Daemon,
     exchange: httpio.Exchange,
     route: policies.Route,
+    customer: policies.Customer,
     now: float,
 ) -> _records.Call:
     """Return the request as a call under way, with its deadline set."""
@@ -69,12 +106,13 @@
     service = policies.choose_service(route, daemon.rng)
     patience = _patience(request.found.get(daemon.keys.deadline_ms))
     deadline = request.began + min(route.timeout, patience)
-    rank = _rank(daemon, route, request.began + patience)
+    rank = _rank(daemon, route, customer, request.began + patience)
     call = _records.Call(
         exchange,
         request.found[daemon.keys.request_id],
         requests.new_progress(route, service, rank, deadline),
         _passed_on(daemon, request),
+        customer=customer.name,
     )
     daemon.calls.add(call)
     exchange.gone = functools.partial(_gone, daemon, call)
@@ -110,20 +148,31 @@
     daemon: _state.Daemon, request: httpio.Request
 ) -> httpio.Fields:
     """Return the fields for the upstream, with the caller's service."""
-    dropped = _dropped(daemon.keys)
+    table = daemon.view.table
+    keyed = table is not None and table.customers is not None
+    dropped = _dropped(daemon.keys, keyed)
     fields = httpio.end_to_end(request.fields, request.found, dropped)
     fields.append((daemon.names.caller, daemon.settings.service.encode()))
     return fields
 
 
 @functools.lru_cache(maxsize=4)
-def _dropped(keys: _dialect.Names) -> frozenset[bytes]:
-    """Return the fields that this daemon sets itself, whoever sent them."""
-    return _wire.OWN_FIELDS | {keys.caller, keys.deadline_ms, keys.target}
+def _dropped(keys: _dialect.Names, keyed: bool) -> frozenset[bytes]:
+    """Return the fields that go no further, or that this daemon sets itself.
+
+    ``keyed`` where requests carry the keys of customers.
+    """
+    own = {keys.caller, keys.customer, keys.deadline_ms, keys.target}
+    if keyed:
+        own.add(keys.key)
+    return _wire.OWN_FIELDS | own
 
 
 def _rank(
-    daemon: _state.Daemon, route: policies.Route, expires: float
+    daemon: _state.Daemon,
+    route: policies.Route,
+    customer: policies.Customer,
+    expires: float,
 ) -> float:
     """Return the rank of a request: its own, or that of what it is part of.
 
@@ -136,7 +185,10 @@
         )
         if rank is not None:
             return rank
-    return route.importance + daemon.rng.random()
+    if customer.importance is None:
+        return route.importance + daemon.rng.random()
+    within = (route.importance + daemon.rng.random()) / _LEVELS
+    return customer.importance + within
 
 
 def _patience(value: bytes | None) -> float:
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -2,20 +2,27 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
 from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import requests
 from sassafrasstair.forwarding import _callee
+from sassafrasstair.forwarding import _confirmations
 from sassafrasstair.forwarding import _crash_updates
+from sassafrasstair.forwarding import _customers
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _polls
+from sassafrasstair.forwarding import _quota_wire
 from sassafrasstair.forwarding import _records
+from sassafrasstair.forwarding import _shares
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
+    from sassafrasstair.forwarding import _dialect
     from sassafrasstair.forwarding import _state
 
 
@@ -34,10 +41,13 @@
             _own_state(daemon),
             _polls.own_status(daemon),
             _crash_updates.field(daemon, peer),
+            *_confirmations.fields(daemon),
         ]
         exchange.respond(200, told, b"")
     elif path == _feed_wire.VIEW_PATH:
         _polls.serve(daemon, exchange, query)
+    elif path in (_quota_wire.ASK_PATH, _quota_wire.UPDATE_PATH):
+        _shares.serve(daemon, exchange, path)
     else:
         exchange.respond(404, [], b"")
 
@@ -53,6 +63,12 @@
         exchange.respond(400, [], b"")
         return
     _peers.heard(daemon, exchange.peer, ask.content)
+    customer = _customers.of_order(daemon, request.found.get(_wire.DIGEST_KEY))
+    if customer is None:
+        reason = outcomes.Reason.POLICY_BEHIND
+        state = _own_state(daemon, requests.Ending.TURNED_AWAY, reason)
+        exchange.respond(503, [state], b"")
+        return
     request_id = request.found.get(daemon.keys.request_id, b"")
     dropped = _wire.OWN_FIELDS
     order = _records.Order(
@@ -62,9 +78,12 @@
         request.method,
         request.found.get(b"host", b""),
         request.target,
-        httpio.end_to_end(request.fields, request.found, dropped),
+        httpio.end_to_end(
+            request.fields, request.found, _dropped(daemon.keys)
+        ),
         request.body,
         _wire.decode_trial(request.found.get(_wire.TRIAL_KEY)),
+        customer.name,
     )
 
     def done(result: _records.Result) -> None:
@@ -83,7 +102,17 @@
     exchange.gone = lambda: _callee.cancel(daemon, key)
 
 
-def _own_state(daemon: _state.Daemon) -> tuple[bytes, bytes]:
+@functools.lru_cache(maxsize=4)
+def _dropped(keys: _dialect.Names) -> frozenset[bytes]:
+    """Return the fields that this daemon sets itself, whoever sent them."""
+    return _wire.OWN_FIELDS | {keys.customer, keys.deadline_ms}
+
+
+def _own_state(
+    daemon: _state.Daemon,
+    ending: requests.Ending | None = None,
+    reason: outcomes.Reason = outcomes.Reason.NONE,
+) -> tuple[bytes, bytes]:
     state = _wire.State(
         daemon.view.content,
         daemon.upstream_leaving or daemon.upstream_down,
@@ -91,7 +120,7 @@
         0.0,
         0.0,
         False,
-        None,
-        outcomes.Reason.NONE,
+        ending,
+        reason,
     )
     return _wire.STATE, _wire.encode_state(state)
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -7,6 +7,7 @@
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _confirmations
 from sassafrasstair.forwarding import _crash_updates
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _feed_wire
@@ -113,7 +114,8 @@
     """Ask a daemon how far its view goes, and tell it one field."""
     fields = [(b"Host", host.encode()), told]
     head = httpio.request_head(b"GET", _wire.PING_PATH, fields, 0)
-    job = httpio.Job(head, functools.partial(_ponged, daemon, host))
+    asked_at = daemon.clock.monotonic()
+    job = httpio.Job(head, functools.partial(_ponged, daemon, host, asked_at))
     _state.pool(daemon, host).send(job)
     asyncio.get_running_loop().call_later(ANSWER_SECONDS, _give_up, job)
 
@@ -121,6 +123,7 @@
 def _ponged(
     daemon: _state.Daemon,
     host: str,
+    asked_at: float,
     result: httpio.Response | httpio.Failure,
 ) -> None:
     if isinstance(result, httpio.Failure):
@@ -135,6 +138,7 @@
             status, _ = _feed_wire.decode_answer(field, b"")
             now = daemon.clock.monotonic()
             views.note_age(daemon.view, status.age, now)
+        _confirmations.receive(daemon, result.found, asked_at)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         return
@@ -152,7 +156,9 @@
     daemon.pulling.add(address.host)
     told = _crash_updates.field(daemon, address.host)
     head = _feed_wire.poll_head(address.host, daemon.view.revision, 0.0, told)
-    job = httpio.Job(head, functools.partial(_pulled, daemon, address.host))
+    asked_at = daemon.clock.monotonic()
+    done = functools.partial(_pulled, daemon, address.host, asked_at)
+    job = httpio.Job(head, done)
     if address.port == daemon.settings.daemons.port:
         connections = _state.pool(daemon, address.host)
     else:
@@ -181,6 +187,7 @@
 def _pulled(
     daemon: _state.Daemon,
     host: str,
+    asked_at: float,
     result: httpio.Response | httpio.Failure,
 ) -> None:
     daemon.pulling.discard(host)
@@ -189,6 +196,7 @@
     _crash_updates.receive(daemon, host, result.found)
     try:
         news = _take(daemon, host, result)
+        _confirmations.receive(daemon, result.found, asked_at)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         return
--- /dev/null
+++ b/src/sassafrasstair/forwarding/_policy_checks.py
@@ -0,0 +1,106 @@
+"""Confirming at the store that the active policy is the newest."""
+
+from __future__ import annotations
+
+import asyncio
+
+from sassafrasstair.decisions import feeds
+from sassafrasstair.decisions import policies
+from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _confirmations
+from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _dialect
+from sassafrasstair.forwarding import _learning
+from sassafrasstair.forwarding import _state
+
+VERB = "policy"
+
+
+def take_reading(
+    daemon: _state.Daemon,
+    reading: _dialect.Reading,
+    asked_at: float,
+    after: int | None,
+) -> None:
+    """Note what an answer of the store's latest state confirms.
+
+    ``after`` is where a watch began, None for a reading of the whole.
+    """
+    view = daemon.view
+    if after is not None:
+        if reading.changes:
+            views.note_watched(view, after, reading.revision)
+        return
+    if reading.revision >= view.revision:
+        views.note_whole(view, reading.revision)
+    _confirm(daemon, reading, asked_at)
+
+
+def check_answered(
+    daemon: _state.Daemon, revision: int, asked_at: float
+) -> None:
+    """Take the store's revision at its latest state, asked at an instant.
+
+    A watch may be about to tell the change behind a greater one.
+    """
+    if not _confirmations.is_demanded(daemon) or _vouch(
+        daemon, revision, asked_at
+    ):
+        return
+    now = daemon.clock.monotonic()
+    wait = feeds.patience(daemon.feed, daemon.view.answered, now)
+    asyncio.get_running_loop().call_later(
+        wait, _confirm_late, daemon, revision, asked_at
+    )
+
+
+def _vouch(daemon: _state.Daemon, revision: int, asked_at: float) -> bool:
+    view = daemon.view
+    if not views.vouches(view, revision):
+        return False
+    views.confirm(view, views.active_version(view), asked_at)
+    return True
+
+
+def _confirm_late(
+    daemon: _state.Daemon, revision: int, asked_at: float
+) -> None:
+    if _vouch(daemon, revision, asked_at) or daemon.confirming:
+        return
+    if views.knows(daemon.view) and feeds.reads(daemon.feed):
+        daemon.confirming = True
+        _state.start_task(daemon, _ask_policy(daemon))
+
+
+async def _ask_policy(daemon: _state.Daemon) -> None:
+    """Read the policy alone: the watch has not told what has changed."""
+    asked_at = daemon.clock.monotonic()
+    _counters.read(daemon.counters, VERB)
+    try:
+        reading = await daemon.source.policy()
+    except _dialect.SourceError as error:
+        _learning.note_failed_call(daemon, VERB, error, asked_at)
+        return
+    finally:
+        daemon.confirming = False
+    _learning.note_refused(daemon, reading.refused)
+    if _confirm(daemon, reading, asked_at):
+        views.note_whole(daemon.view, reading.revision)
+        return
+    daemon.journal.note("policy_not_told", revision=reading.content)
+    feeds.reread(daemon.feed, daemon.clock.monotonic())
+    daemon.woken.set()
+
+
+def _confirm(
+    daemon: _state.Daemon, reading: _dialect.Reading, asked_at: float
+) -> bool:
+    """Confirm the policy of a reading; one that can't be used is none."""
+    versions = [
+        change.version
+        for change in reading.changes
+        if isinstance(change, policies.Policy)
+    ]
+    active = views.active_version(daemon.view)
+    version = max(versions, default=active)
+    return views.confirm(daemon.view, version, asked_at)
--- a/src/sassafrasstair/forwarding/_polls.py
+++ b/src/sassafrasstair/forwarding/_polls.py
@@ -12,6 +12,7 @@
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _confirmations
 from sassafrasstair.forwarding import _crash_updates
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _wire
@@ -30,11 +31,15 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class HeldPoll:
-    """One poll for what changed after ``after``, kept ``until``."""
+    """One poll for what changed after ``after``, kept ``until``.
+
+    ``came`` is when it was read.
+    """
 
     exchange: httpio.Exchange
     after: int
     until: float
+    came: float
 
 
 def serve(
@@ -59,7 +64,8 @@
     news = daemon.view.content > after or _crash_updates.needs_full_update(
         daemon, peer
     )
-    poll = HeldPoll(exchange, after, daemon.clock.monotonic() + hold)
+    now = daemon.clock.monotonic()
+    poll = HeldPoll(exchange, after, now + hold, now)
     if news or not hold or daemon.leaving:
         _answer(daemon, poll)
         return
@@ -131,7 +137,10 @@
     body = _encoded(daemon, poll.after)
     told = told or _crash_updates.field(daemon, poll.exchange.peer)
     poll.exchange.gone = None
-    poll.exchange.respond(200, [own_status(daemon), told], body)
+    held = daemon.clock.monotonic() - poll.came
+    confirmed = _confirmations.fields(daemon, held)
+    fields = [own_status(daemon), told, *confirmed]
+    poll.exchange.respond(200, fields, body)
 
 
 def _encoded(daemon: _state.Daemon, after: int) -> bytes:
--- /dev/null
+++ b/src/sassafrasstair/forwarding/_quotas.py
@@ -0,0 +1,241 @@
+"""Tokens for the requests of customers with a limit.
+
+A request takes a token that was granted ahead of need. Where there is none it
+waits for a moment while the allocator of the failure domain is asked.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import typing
+
+from sassafrasstair.decisions import quotas
+from sassafrasstair.forwarding import _quota_wire
+from sassafrasstair.forwarding import _shares
+from sassafrasstair.forwarding import _state
+from sassafrasstair.forwarding import _tokens
+from sassafrasstair.forwarding import _wire
+from sassafrasstair import httpio
+from sassafrasstair import outcomes
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair.decisions import policies
+
+WAIT_SECONDS = 0.3
+"""For so long a request waits for a token at most."""
+ANSWER_SECONDS = 0.25
+GAP_SECONDS = 0.05
+"""Between two questions when no request waits."""
+PERIOD_SECONDS = 0.5
+PERIOD_SECONDS_MAX = 2.0
+ASKERS_A_SECOND = 110
+"""Between two questions without need: they tell the demand. Longer where so
+many daemons of a domain ask that one allocator would have much to do."""
+AHEAD_PERIODS = 1.4
+AVOID_SECONDS = 2.0
+"""For how long an allocator that gave no answer is passed over."""
+
+
+def admit(
+    daemon: _state.Daemon, customer: policies.Customer, answer: _tokens.Answer
+) -> None:
+    """Tell, now or soon, whether a request of a customer may run.
+
+    ``QUOTA_EXCEEDED`` says that there is no token, and ``QUOTA_UNKNOWN``
+    that no allocator has told.
+    """
+    tokens, now = daemon.tokens, daemon.clock.monotonic()
+    quotas.wanted(tokens.stocks, customer.name, now)
+    if quotas.take(tokens.stocks, customer.name, now):
+        if quotas.is_low(tokens.stocks, customer.name, now):
+            tokens.soon = True
+        answer(outcomes.Reason.NONE)
+    elif quotas.is_empty(tokens.stocks, customer.name, now):
+        answer(outcomes.Reason.QUOTA_EXCEEDED)
+    else:
+        _wait(daemon, customer.name, answer)
+
+
+def give_back(daemon: _state.Daemon, customer: str) -> None:
+    """Return the token of a request that has not run and never will."""
+    now = daemon.clock.monotonic()
+    quotas.give_back(daemon.tokens.stocks, customer, now)
+
+
+def token_seconds(daemon: _state.Daemon, customer: str) -> float:
+    """Return after how many seconds a token is expected."""
+    now = daemon.clock.monotonic()
+    return quotas.token_seconds(daemon.tokens.stocks, customer, now)
+
+
+def tick(daemon: _state.Daemon, now: float) -> None:
+    """Ask for tokens that will be needed, and tell the demand."""
+    _shares.tick(daemon, now)
+    tokens = daemon.tokens
+    if tokens.asking or not tokens.stocks.stocks:
+        return
+    period = _period(daemon)
+    tokens.stocks.ahead = AHEAD_PERIODS * period
+    since = now - tokens.asked
+    if since >= period or (tokens.soon and since >= GAP_SECONDS):
+        _ask(daemon, now)
+
+
+def _period(daemon: _state.Daemon) -> float:
+    least = len(daemon.feed.hosts) / ASKERS_A_SECOND
+    return min(PERIOD_SECONDS_MAX, max(PERIOD_SECONDS, least))
+
+
+def _wait(
+    daemon: _state.Daemon, customer: str, answer: _tokens.Answer
+) -> None:
+    loop = asyncio.get_running_loop()
+    waits = daemon.tokens.waiting.setdefault(customer, [])
+    timer = loop.call_later(WAIT_SECONDS, _waited, daemon, customer, answer)
+    waits.append(_tokens.Waiting(answer, timer))
+    _note_waiting(daemon, customer)
+    if not daemon.tokens.asking:
+        # What else comes in this turn of the loop goes with the same question.
+        loop.call_soon(_ask_for_waiting, daemon)
+
+
+def _ask_for_waiting(daemon: _state.Daemon) -> None:
+    if daemon.tokens.waiting and not daemon.tokens.asking:
+        _ask(daemon, daemon.clock.monotonic())
+
+
+def _waited(
+    daemon: _state.Daemon, customer: str, answer: _tokens.Answer
+) -> None:
+    """End a wait that is too long."""
+    waits = daemon.tokens.waiting.get(customer, [])
+    kept = [each for each in waits if each.answer is not answer]
+    if len(kept) == len(waits):
+        return
+    if kept:
+        daemon.tokens.waiting[customer] = kept
+    else:
+        daemon.tokens.waiting.pop(customer, None)
+    _note_waiting(daemon, customer)
+    answer(outcomes.Reason.QUOTA_UNKNOWN)
+
+
+def _note_waiting(daemon: _state.Daemon, customer: str) -> None:
+    stock = daemon.tokens.stocks.stocks.get(customer)
+    if stock is not None:
+        stock.waiting = len(daemon.tokens.waiting.get(customer, ()))
+
+
+def _ask(daemon: _state.Daemon, now: float) -> None:
+    """Ask the allocator, which may be this daemon."""
+    tokens = daemon.tokens
+    host = _allocator(daemon, now)
+    tokens.asked, tokens.soon = now, False
+    asked = quotas.Ask(daemon.feed.own, quotas.needs(tokens.stocks, now))
+    if host == daemon.feed.own:
+        _take(daemon, _shares.serve_ask(daemon, asked), host, now)
+        return
+    tokens.asking = True
+    body = _quota_wire.encode(asked)
+    head = httpio.request_head(
+        b"POST", _quota_wire.ASK_PATH, [(b"Host", host.encode())], len(body)
+    )
+    done = functools.partial(_answered, daemon, host, now)
+    job = httpio.Job(head + body, done)
+    asyncio.get_running_loop().call_later(
+        ANSWER_SECONDS, _give_up, daemon, host, job
+    )
+    _state.pool(daemon, host).send(job)
+
+
+def _allocator(daemon: _state.Daemon, now: float) -> str:
+    """Return whom to ask: the one that answered, or the first to pass."""
+    tokens, feed = daemon.tokens, daemon.feed
+    for host in [each for each, end in tokens.avoided.items() if end <= now]:
+        del tokens.avoided[host]
+    current = tokens.allocator
+    if current in feed.hosts and current not in tokens.avoided:
+        return current
+    fit = (host for host in feed.before if host not in tokens.avoided)
+    tokens.allocator = next(fit, feed.own)
+    return tokens.allocator
+
+
+def _give_up(daemon: _state.Daemon, host: str, job: httpio.Job) -> None:
+    if not job.wanted:
+        return
+    job.abort()
+    _state.pool(daemon, host).drop_idle()
+    _failed(daemon, host, "timeout")
+
+
+def _answered(
+    daemon: _state.Daemon,
+    host: str,
+    asked_at: float,
+    result: httpio.Response | httpio.Failure,
+) -> None:
+    if isinstance(result, httpio.Failure):
+        _failed(daemon, host, result.value)
+        return
+    if result.status != 200:
+        _failed(daemon, host, f"status {result.status}")
+        return
+    try:
+        granted = _quota_wire.decode(result.body, quotas.Granted)
+    except _wire.WireError as error:
+        _failed(daemon, host, str(error))
+        return
+    daemon.tokens.asking = False
+    _take(daemon, granted, host, asked_at)
+
+
+def _failed(daemon: _state.Daemon, host: str, reason: str) -> None:
+    tokens, now = daemon.tokens, daemon.clock.monotonic()
+    tokens.asking = False
+    tokens.avoided[host] = now + AVOID_SECONDS * (0.5 + daemon.rng.random())
+    tokens.soon = True
+    daemon.journal.request("allocator_lost", reason, peer=host)
+    if tokens.waiting:
+        asyncio.get_running_loop().call_soon(_ask_for_waiting, daemon)
+
+
+def _take(
+    daemon: _state.Daemon,
+    granted: quotas.Granted,
+    host: str,
+    asked_at: float,
+) -> None:
+    """Take what was granted, and serve who waits."""
+    tokens, now = daemon.tokens, daemon.clock.monotonic()
+    if granted.redirect and granted.redirect != host:
+        if granted.redirect not in tokens.avoided:
+            tokens.allocator = granted.redirect
+        tokens.soon = True
+        return
+    quotas.granted(tokens.stocks, granted.grants, asked_at, now)
+    for customer in list(tokens.waiting):
+        _serve_waiting(daemon, customer, now)
+    if tokens.waiting:
+        tokens.soon = True
+
+
+def _serve_waiting(daemon: _state.Daemon, customer: str, now: float) -> None:
+    stocks = daemon.tokens.stocks
+    waits = daemon.tokens.waiting.pop(customer)
+    kept: list[_tokens.Waiting] = []
+    ends: list[tuple[_tokens.Waiting, outcomes.Reason]] = []
+    for each in waits:
+        if quotas.take(stocks, customer, now):
+            ends.append((each, outcomes.Reason.NONE))
+        elif quotas.is_empty(stocks, customer, now):
+            ends.append((each, outcomes.Reason.QUOTA_EXCEEDED))
+        else:
+            kept.append(each)
+    if kept:
+        daemon.tokens.waiting[customer] = kept
+    _note_waiting(daemon, customer)
+    for each, reason in ends:
+        each.timer.cancel()
+        each.answer(reason)
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -22,8 +22,9 @@
 
     ``caller`` is the service on the VM where it began, ``host`` names the
     site that it is for. ``trial`` is after how many strikes its entrance tries
-    a request again that was blocked, 0 if it was not. ``fingerprint`` is
-    worked out when it is needed.
+    a request again that was blocked, 0 if it was not. ``customer`` names who
+    sent it, '' for a request without a key. ``fingerprint`` is worked out when
+    it is needed.
     """
 
     ask: _wire.Ask
@@ -35,6 +36,7 @@
     fields: httpio.Fields
     body: bytes
     trial: int = 0
+    customer: str = ""
     fingerprint: int | None = None
 
 
@@ -101,7 +103,9 @@
 class Call:
     """One client's request under way.
 
-    ``fingerprint`` is worked out when it is needed.
+    ``customer`` names who sent it, '' for a request without a key, and
+    ``key`` is the digest of its key. ``charged`` while it holds a token of the
+    customer's quota. ``fingerprint`` is worked out when it is needed.
     """
 
     exchange: httpio.Exchange
@@ -110,4 +114,7 @@
     fields: httpio.Fields
     attempt: Attempt | None = None
     timer: asyncio.TimerHandle | None = None
+    customer: str = ""
+    key: bytes | None = None
+    charged: bool = False
     fingerprint: int | None = None
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -17,6 +17,7 @@
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _events
+from sassafrasstair.forwarding import _tokens
 from sassafrasstair import httpio
 
 if typing.TYPE_CHECKING:
@@ -50,6 +51,9 @@
     were completed here, the latest last, by method, host, target and body;
     ``familiar_prints`` their fingerprints while crashes are known.
 
+    ``tokens`` are those of customers with a limit, ``allocation`` the
+    allocator of the failure domain if it runs here.
+
     ``ledger`` holds the known crashes, of which peers were sent all up to
     ``crash_sent_version``; ``crash_peers`` are the digests of peers by host.
     ``standings`` are those of requests that may not run freely.
@@ -63,7 +67,8 @@
     feed waits for. ``foreign_readers`` are hosts in other failure domains.
 
     ``mark`` names this process in its polls. ``pulling`` are hosts that are
-    being asked for what they know more.
+    being asked for what they know more, ``confirming`` while the policy alone
+    is read.
 
     ``names`` are those of header fields, and ``keys`` the same lower-cased.
     ``leaving`` after SIGTERM; the own upstream still takes work until
@@ -128,6 +133,8 @@
     crash_urgent: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
+    tokens: _tokens.Tokens = dataclasses.field(default_factory=_tokens.Tokens)
+    allocation: _tokens.Allocation | None = None
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     checks: set[asyncio.Future[int]] = dataclasses.field(default_factory=set)
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -145,6 +152,7 @@
     upstream_down: bool = False
     upstream_tried: float = 0.0
     pulling: set[str] = dataclasses.field(default_factory=set)
+    confirming: bool = False
 
 
 def new_daemon(
@@ -203,7 +211,10 @@
 
 def _timing(settings: _dialect.Settings) -> feeds.Timing:
     bounds = settings.bounds
-    return feeds.timing(min(bounds.drain_seconds, bounds.propagation_seconds))
+    return feeds.timing(
+        min(bounds.drain_seconds, bounds.propagation_seconds),
+        bounds.revocation_seconds,
+    )
 
 
 def slack_part(daemon: Daemon, service: str) -> float:
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -8,11 +8,13 @@
 import typing
 
 from sassafrasstair.decisions import feeds
+from sassafrasstair.forwarding import _confirmations
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _crash_updates
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _learning
+from sassafrasstair.forwarding import _policy_checks
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _status
 from sassafrasstair.forwarding import _wire
@@ -48,10 +50,11 @@
             await _ask(daemon, host, hold, within)
         case feeds.Read(stale):
             verb = "read_stale" if stale else "read"
-            await _read(daemon, verb, daemon.source.read(stale), stale)
+            await _read(daemon, verb, daemon.source.read(stale), stale, None)
         case feeds.Watch(seconds):
-            watch = daemon.source.watch(daemon.view.revision, seconds)
-            await _read(daemon, "watch", watch, False)
+            after = daemon.view.revision
+            watch = daemon.source.watch(after, seconds)
+            await _read(daemon, "watch", watch, False, after)
 
 
 async def _read(
@@ -59,11 +62,13 @@
     verb: str,
     call: typing.Coroutine[typing.Any, typing.Any, _dialect.Reading],
     stale: bool,
+    after: int | None,
 ) -> None:
     """Call the store and take its answer.
 
-    Ended when something stirs the daemon, so that a watch that hears nothing
-    while peers know more is not waited for.
+    ``after`` is where a watch begins. Ended when something stirs the daemon,
+    so that a watch that hears nothing while peers know more is not waited
+    for.
     """
     _counters.read(daemon.counters, verb)
     begun = daemon.clock.monotonic()
@@ -78,7 +83,7 @@
         if not reading.done():
             reading.cancel()
     if reading.done():
-        _took(daemon, verb, begun, reading, stale)
+        _took(daemon, verb, begun, reading, stale, after)
 
 
 def _took(
@@ -87,6 +92,7 @@
     begun: float,
     reading: asyncio.Future[_dialect.Reading],
     stale: bool,
+    after: int | None,
 ) -> None:
     now = daemon.clock.monotonic()
     try:
@@ -103,6 +109,8 @@
             )
         return
     _learning.take_reading(daemon, found)
+    if not stale:
+        _policy_checks.take_reading(daemon, found, begun, after)
     feeds.read_done(daemon.feed, now, stale, bool(found.changes))
 
 
@@ -114,6 +122,7 @@
     sender = (_feed_wire.SENDER, daemon.mark)
     after = daemon.view.revision
     head = _feed_wire.poll_head(host, after, hold, told, sender)
+    asked_at = daemon.clock.monotonic()
     result = await _exchange(daemon, host, head, within)
     now = daemon.clock.monotonic()
     if isinstance(result, httpio.Failure):
@@ -140,6 +149,10 @@
     elif feeds.without_store(daemon.feed, now):
         _learning.note_failure(daemon, now - status.lost, "peers_lost", host)
     _learning.take_delta(daemon, status, delta, host)
+    try:
+        _confirmations.receive(daemon, result.found, asked_at)
+    except _wire.WireError as error:
+        daemon.journal.note("peer_malformed", peer=host, error=str(error))
 
 
 async def _exchange(
--- /dev/null
+++ b/src/sassafrasstair/forwarding/_tokens.py
@@ -0,0 +1,62 @@
+"""State of a daemon's tokens, and of the allocator that may run in it."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing
+
+from sassafrasstair.decisions import quotas
+from sassafrasstair import outcomes
+
+if typing.TYPE_CHECKING:
+    import asyncio
+
+Answer = typing.Callable[[outcomes.Reason], None]
+"""Told ``NONE`` with a token, else why there is none."""
+
+
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """A request that waits for a token until its timer ends."""
+
+    answer: Answer
+    timer: asyncio.TimerHandle
+
+
+@dataclasses.dataclass(slots=True)
+class Tokens:
+    """The tokens of this daemon, and where it gets them.
+
+    ``allocator`` is the host that is asked, and ``avoided`` those that gave
+    no answer, until when.
+    """
+
+    stocks: quotas.Stocks = dataclasses.field(default_factory=quotas.Stocks)
+    waiting: dict[str, list[Waiting]] = dataclasses.field(default_factory=dict)
+    allocator: str = ""
+    avoided: dict[str, float] = dataclasses.field(default_factory=dict)
+    asking: bool = False
+    asked: float = -math.inf
+    soon: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Allocation:
+    """The allocator that runs in this daemon.
+
+    ``asked`` is when it last was asked for tokens. ``contacts`` are the hosts
+    that allocate for other domains, as far as known, and ``tried`` how many
+    others were tried there in vain; ``updating`` are the domains that have an
+    update under way, ``updated`` when each had the last one. ``policy`` is the
+    version whose limits are taken.
+    """
+
+    allocator: quotas.Allocator
+    ticked: float = -math.inf
+    asked: float = -math.inf
+    policy: int = -1
+    contacts: dict[str, str] = dataclasses.field(default_factory=dict)
+    tried: dict[str, int] = dataclasses.field(default_factory=dict)
+    updating: set[str] = dataclasses.field(default_factory=set)
+    updated: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -21,7 +21,10 @@
 TRIAL = b"Sassafras-Trial"
 """After how many strikes a request is tried that was blocked."""
 TRIAL_KEY = TRIAL.lower()
-OWN_FIELDS = httpio.kept_back({ASK_KEY, STATE_KEY, TRIAL_KEY})
+DIGEST = b"Sassafras-Key"
+"""The digest of a request's API key, in hexadecimal."""
+DIGEST_KEY = DIGEST.lower()
+OWN_FIELDS = httpio.kept_back({ASK_KEY, STATE_KEY, TRIAL_KEY, DIGEST_KEY})
 PING_PATH = b"/-sassafras/ping"
 
 _ANSWERED = "answered"
--- a/src/sassafrasstair/outcomes.py
+++ b/src/sassafrasstair/outcomes.py
@@ -30,6 +30,13 @@
     TOO_MANY_REPEATS = "too_many_repeats"
     BODY_MEMORY = "body_memory"
     TICKETS_FULL = "tickets_full"
+    # Customers and their quotas.
+    KEY_MISSING = "key_missing"
+    KEY_UNKNOWN = "key_unknown"
+    POLICY_UNCONFIRMED = "policy_unconfirmed"
+    POLICY_BEHIND = "policy_behind"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNKNOWN = "quota_unknown"
     # Time.
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DEADLINE_PASSED = "deadline_passed"
--- a/src/sassafrasstair/platform/_dialect.py
+++ b/src/sassafrasstair/platform/_dialect.py
@@ -24,6 +24,8 @@
     caller=b"Sassafrasstair-Caller-Service",
     signature=b"Sassafrasstair-Response-Signature",
     not_run=b"Sassafrasstair-Not-Executed",
+    key=b"Api-Key",
+    customer=b"Sassafrasstair-Tenant",
 )
 
 
--- a/src/sassafrasstair/platform/_documents.py
+++ b/src/sassafrasstair/platform/_documents.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 
 from sassafrasstair import bundles
 from sassafrasstair.decisions import policies
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 POLICY_KEY = "op/config"
 _IDEMPOTENT = "safe"
 _KINDS = frozenset({_IDEMPOTENT, "unsafe", "upload"})
@@ -31,6 +36,14 @@
     max_attempts: int = 1
     service: str = ""
     traffic_split: tuple[_Share, ...] = ()
+    allow_anonymous: bool = False
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    api_keys: tuple[str, ...] = ()
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -45,6 +58,7 @@
     routes: dict[str, _Route]
     limits: _Limits = _Limits()
     services: dict[str, object] = {}
+    tenants: dict[str, _Tenant] | None = None
 
 
 _CONFIG = msgspec.json.Decoder(_Config)
@@ -74,9 +88,36 @@
             limits.idle_timeout_ms / 1000,
         ),
         tuple(config.services),
+        _customers(config.tenants),
+    )
+
+
+def _customers(
+    tenants: abc.Mapping[str, _Tenant] | None,
+) -> tuple[policies.Customer, ...] | None:
+    if tenants is None:
+        return None
+    return tuple(
+        policies.Customer(
+            name,
+            tuple(policies.digest(_key(name, key)) for key in tenant.api_keys),
+            tenant.rate_per_s,
+            tenant.burst,
+            None if tenant.priority is None else _importance(tenant.priority),
+        )
+        for name, tenant in tenants.items()
     )
 
 
+def _key(customer: str, key: str) -> bytes:
+    """Return a key as a header field carries it; raises ``DocumentError``."""
+    if not (
+        key and key.isascii() and key.isprintable() and key == key.strip()
+    ):
+        raise DocumentError(f"policy: {customer[:40]!r}: a malformed key")
+    return key.encode()
+
+
 def _route(name: str, route: _Route) -> policies.Route:
     if route.kind not in _KINDS:
         raise DocumentError(f"policy: {name}: type {route.kind[:40]!r}")
@@ -84,8 +125,6 @@
         policies.Share(share.service, share.weight)
         for share in route.traffic_split
     )
-    # Their priority counts down to 0 for what matters most, ours up.
-    importance = bundles.IMPORTANCE_MAX - route.priority
     return policies.Route(
         name,
         route.host,
@@ -93,7 +132,14 @@
         route.kind == _IDEMPOTENT,
         route.timeout_ms / 1000,
         route.target_latency_ms / 1000,
-        min(max(importance, 0), bundles.IMPORTANCE_MAX),
+        _importance(route.priority),
         route.max_attempts,
         shares or (policies.Share(route.service, 1.0),),
+        route.allow_anonymous,
     )
+
+
+def _importance(priority: int) -> int:
+    # Their priority counts down to 0 for what matters most, ours up.
+    importance = bundles.IMPORTANCE_MAX - priority
+    return min(max(importance, 0), bundles.IMPORTANCE_MAX)
--- a/src/sassafrasstair/platform/_settings.py
+++ b/src/sassafrasstair/platform/_settings.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from sassafrasstair.decisions import quotas
 from sassafrasstair.decisions import requests
 from sassafrasstair import forwarding
 from sassafrasstair.platform import _checks
@@ -65,10 +66,22 @@
                 _number(bounds, "budget_slack", 20.0),
                 _number(bounds, "budget_window_s", 10.0),
             ),
+            revocation_seconds=_revocation_seconds(bounds),
+            quota=quotas.Rules(
+                _number(bounds, "quota_window_s", 5.0),
+                _number(bounds, "quota_over", 0.0),
+                _number(bounds, "quota_slack", 0.0),
+            ),
         ),
     )
 
 
+def _revocation_seconds(bounds: abc.Mapping[str, str]) -> float | None:
+    if bounds.get("revoke_strict", "") not in ("true", "True", "1"):
+        return None
+    return _number(bounds, "revoke_ms", 5000.0) / 1000
+
+
 def _lines(text: str) -> dict[str, str]:
     values = {}
     for line in text.splitlines():
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -10,6 +10,7 @@
 
 from sassafrasstair import forwarding
 from sassafrasstair import httpio
+from sassafrasstair.platform import _documents
 from sassafrasstair.platform import _items
 
 if typing.TYPE_CHECKING:
@@ -32,6 +33,10 @@
     has_more: bool = False
 
 
+class _Key(msgspec.Struct, frozen=True):
+    store_revision: int
+
+
 class _Watch(msgspec.Struct, frozen=True):
     store_revision: int
     events: tuple[msgspec.Raw, ...] = ()
@@ -39,6 +44,7 @@
 
 _RANGE = msgspec.json.Decoder(_Range)
 _WATCH = msgspec.json.Decoder(_Watch)
+_KEY = msgspec.json.Decoder(_Key)
 T = typing.TypeVar("T")
 
 
@@ -107,9 +113,27 @@
             (*unread, *refused),
         )
 
-    async def check(self, fresh: bool) -> int:
+    async def policy(self) -> forwarding.Reading:
+        """Return the latest policy; raises ``SourceError``."""
+        query = {"key": _documents.POLICY_KEY}
+        body = await self._call("key", query, CALL_SECONDS)
+        unread: list[forwarding.Refusal] = []
+        items = _read_items([msgspec.Raw(body)], unread)
+        content = max((item.revision for item in items), default=-1)
+        changes, refused = _items.changes(items, self._regions)
+        return forwarding.Reading(
+            changes,
+            _decoded(_KEY, body).store_revision,
+            content,
+            False,
+            (*unread, *refused),
+        )
+
+    async def check(self, fresh: bool, latest: bool) -> int:
         """Return the store's revision; raises ``SourceError``."""
-        query = {"prefix": NO_KEY, "allow_stale": "1"}
+        query = {"prefix": NO_KEY}
+        if not latest:
+            query["allow_stale"] = "1"
         body = await self._call("range", query, CALL_SECONDS, fresh)
         return _decoded(_RANGE, body).store_revision
 
--- /dev/null
+++ b/tests/fleets/demands.py
@@ -0,0 +1,116 @@
+"""Requests of customers with quotas, at daemons of a modelled fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import functools
+import random
+import typing
+
+from sassafrasstair.decisions import policies
+from sassafrasstair.decisions import quotas
+from sassafrasstair.forwarding import _quotas
+from sassafrasstair import outcomes
+
+if typing.TYPE_CHECKING:
+    from tests.fleets import fleet as fleet_module
+
+RULES = quotas.Rules(5.0, 0.25, 20.0)
+
+
+def customer(name: str, rate: float, burst: float) -> policies.Customer:
+    """Return a customer with a limit."""
+    key = policies.digest(name.encode())
+    return policies.Customer(name, (key,), rate, burst)
+
+
+@dataclasses.dataclass
+class Demand:
+    """Requests of one customer, a second and host, and what became of them.
+
+    ``ran`` are the instants at which requests were admitted, ``sent`` those
+    of all.
+    """
+
+    fleet: fleet_module.Fleet
+    name: str
+    rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    sent: list[float] = dataclasses.field(default_factory=list)
+    ran: list[float] = dataclasses.field(default_factory=list)
+    ends: collections.Counter[outcomes.Reason] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    rng: random.Random = dataclasses.field(
+        default_factory=lambda: random.Random(1)
+    )
+
+    def spread(self, rate: float, hosts: typing.Sequence[str]) -> None:
+        """Send so many requests a second, from these hosts alike."""
+        self.rates = {host: rate / len(hosts) for host in hosts}
+
+    async def run(self, seconds: float) -> None:
+        """Send for some time; arrivals are random."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            total = sum(self.rates.values())
+            pause = self.rng.expovariate(total) if total else 0.1
+            await asyncio.sleep(min(pause, 0.5))
+            if total and pause <= 0.5:
+                hosts = list(self.rates)
+                weights = list(self.rates.values())
+                self.send(self.rng.choices(hosts, weights)[0])
+
+    def send(self, host: str) -> None:
+        """Send one request; it finds nobody where the daemon is away."""
+        loop = asyncio.get_running_loop()
+        self.sent.append(loop.time())
+        daemon = self.fleet.daemons.get(host)
+        if daemon is None:
+            self.ends[outcomes.Reason.NO_INSTANCE] += 1
+            return
+        table = daemon.view.table
+        found = {} if table is None else table.customers or {}
+        known = {each.name: each for each in found.values()}.get(self.name)
+        if known is None:
+            self.ends[outcomes.Reason.KEY_UNKNOWN] += 1
+        elif known.rate <= 0.0:
+            self._ended(outcomes.Reason.NONE)
+        else:
+            _quotas.admit(daemon, known, functools.partial(self._ended))
+
+    def served(self, since: float) -> float:
+        """Return how many requests a second were admitted since then."""
+        now = asyncio.get_running_loop().time()
+        return sum(at >= since for at in self.ran) / (now - since)
+
+    def asked(self, since: float) -> float:
+        """Return how many requests a second were sent since then."""
+        now = asyncio.get_running_loop().time()
+        return sum(at >= since for at in self.sent) / (now - since)
+
+    def most(self, since: float = 0.0) -> int:
+        """Return the most requests that ran in any window of the rules."""
+        window: collections.deque[float] = collections.deque()
+        most = 0
+        for at in self.ran:
+            if at < since:
+                continue
+            window.append(at)
+            while window[0] < at - RULES.window_seconds:
+                window.popleft()
+            most = max(most, len(window))
+        return most
+
+    def _ended(self, reason: outcomes.Reason) -> None:
+        self.ends[reason] += 1
+        if reason is outcomes.Reason.NONE:
+            self.ran.append(asyncio.get_running_loop().time())
+
+
+def bound(rate: float, burst: float) -> float:
+    """Return how many requests may run in a window of the rules."""
+    allowed = rate * RULES.window_seconds + burst
+    return allowed * (1.0 + RULES.over) + RULES.slack
--- a/tests/fleets/fleet.py
+++ b/tests/fleets/fleet.py
@@ -10,6 +10,7 @@
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import policies
+from sassafrasstair.decisions import quotas
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
@@ -23,6 +24,7 @@
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _probes
+from sassafrasstair.forwarding import _quotas
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _sync
 from sassafrasstair import httpio
@@ -56,7 +58,7 @@
             host=self._fleet.known_as.get(self._host, self._host),
             service=self._fleet.service_of(self._host),
             failure_domain=self._domain,
-            regions={},
+            regions=self._fleet.regions,
             callers=at,
             daemons=at,
             operators=at,
@@ -71,6 +73,8 @@
                 self._fleet.bound,
                 10.0,
                 requests.BudgetRules(),
+                self._fleet.revocation,
+                self._fleet.quota,
             ),
         )
 
@@ -103,11 +107,19 @@
     known_as: dict[str, str] = dataclasses.field(default_factory=dict)
     upstreams: dict[str, httpio.Pool] = dataclasses.field(default_factory=dict)
     version: int = 0
+    customers: tuple[policies.Customer, ...] | None = None
+    revocation: float | None = None
+    quota: quotas.Rules = dataclasses.field(default_factory=quotas.Rules)
 
     def service_of(self, host: str) -> str:
         """Return the service of the instance on a host."""
         return self.services(host)
 
+    @property
+    def regions(self) -> dict[str, str]:
+        """The region of each failure domain."""
+        return {f"d{domain}": "r" for domain in range(self.domains)}
+
     @property
     def hosts(self) -> list[str]:
         """All hosts, those of one failure domain next to each other."""
@@ -198,7 +210,13 @@
             for name in sorted({self.service_of(host) for host in self.hosts})
         )
         self.store.put(
-            "policy", policies.Policy(self.version, routes, place.LIMITS)
+            "policy",
+            policies.Policy(
+                self.version,
+                routes,
+                place.LIMITS,
+                customers=self.customers,
+            ),
         )
         return self.version
 
@@ -273,6 +291,7 @@
         _probes.tick(daemon, now)
         _polls.tick(daemon, now)
         _checks.tick(daemon, now)
+        _quotas.tick(daemon, now)
         _crashes.tick(daemon, now)
         _learning.learned(daemon, views.expire(daemon.view, now), "time")
 
--- a/tests/fleets/stores.py
+++ b/tests/fleets/stores.py
@@ -142,11 +142,20 @@
         revision = content if found else max(after, store.floor)
         return forwarding.Reading(changes, revision, content, False)
 
-    async def check(self, fresh: bool) -> int:
+    async def check(self, fresh: bool, latest: bool) -> int:
         """Return the store's revision."""
-        await self._call("check", CALL_SECONDS)
+        verb = "check_latest" if latest else "check"
+        await self._call(verb, CALL_SECONDS)
         return self._store.revision
 
+    async def policy(self) -> forwarding.Reading:
+        """Return the latest policy alone."""
+        await self._call("policy", CALL_SECONDS)
+        store = self._store
+        return forwarding.Reading(
+            (store.items["policy"],), store.revision, store.revision, False
+        )
+
     def close(self) -> None:
         """Nothing is open."""
 
--- a/tests/fleets/test_absences.py
+++ b/tests/fleets/test_absences.py
@@ -258,7 +258,7 @@
 def test_reader_that_alone_is_turned_away_hears_from_its_domain(
     seed: int,
 ) -> None:
-    """Readers waited for daemons that they can't reach before asking others."""
+    """Readers waited for daemons that are cut off before asking others."""
 
     async def test() -> None:
         fleet = Fleet(36, 3, seed=seed, bound=2.0)
--- /dev/null
+++ b/tests/fleets/test_quotas.py
@@ -0,0 +1,278 @@
+"""Quotas hold over all daemons, and what is within them is served."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from tests.fleets import demands
+from tests.fleets import fleet as fleet_module
+from tests.fleets import loops
+
+Fleet = fleet_module.Fleet
+NAME = "c1"
+SERVED_LEAST = 0.95
+SERVED_LEAST_IN_CUT = 0.85
+SETTLE = 4.0
+REQUESTS = 150.0
+
+
+def _fleet(
+    rate: float, burst: float, count: int = 24, domains: int = 4
+) -> Fleet:
+    return Fleet(
+        count,
+        domains,
+        bound=2.5,
+        customers=(demands.customer(NAME, rate, burst),),
+        quota=demands.RULES,
+    )
+
+
+def _limit(fleet: Fleet, rate: float, burst: float) -> None:
+    fleet.customers = (demands.customer(NAME, rate, burst),)
+    fleet.policy()
+
+
+async def _settled(fleet: Fleet, demand: demands.Demand) -> float:
+    """Start, send for a while, and return the time from which to count."""
+    await fleet.start()
+    await demand.run(SETTLE)
+    return asyncio.get_running_loop().time()
+
+
+Place = typing.Callable[[Fleet], list[str]]
+
+
+def _everywhere(fleet: Fleet) -> list[str]:
+    return fleet.hosts
+
+
+def _one_domain(fleet: Fleet) -> list[str]:
+    return sorted(fleet.of_domain("d1"))
+
+
+def _one_daemon(fleet: Fleet) -> list[str]:
+    return fleet.hosts[7:8]
+
+
+def _two_daemons(fleet: Fleet) -> list[str]:
+    return [fleet.hosts[1], fleet.hosts[-1]]
+
+
+PLACES = (_everywhere, _one_domain, _one_daemon, _two_daemons)
+
+
+@pytest.mark.parametrize("place", PLACES)
+@pytest.mark.parametrize("rate", [2.0, 20.0, 200.0])
+def test_customer_within_its_limit_is_served(
+    rate: float, place: Place
+) -> None:
+    """Requests within a quota were refused for the daemon that they met."""
+
+    async def test() -> None:
+        fleet = _fleet(rate, rate)
+        demand = demands.Demand(fleet, NAME)
+        demand.spread(rate / 1.6, place(fleet))
+        since = await _settled(fleet, demand)
+        await demand.run(REQUESTS / rate + 10.0)
+        asked = demand.asked(since)
+        assert demand.served(since) >= SERVED_LEAST * min(rate, asked)
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize("place", PLACES)
+@pytest.mark.parametrize("rate", [2.0, 20.0, 200.0])
+def test_hot_customer_gets_its_limit_and_no_more(
+    rate: float, place: Place
+) -> None:
+    """A customer that sends many times its usual runs beyond its quota."""
+
+    async def test() -> None:
+        fleet = _fleet(rate, rate)
+        demand = demands.Demand(fleet, NAME)
+        demand.spread(rate / 1.6, place(fleet))
+        await _settled(fleet, demand)
+        demand.spread(7.5 * rate / 1.6, place(fleet))
+        since = asyncio.get_running_loop().time()
+        await demand.run(12.0)
+        assert demand.served(since) >= SERVED_LEAST * rate
+        assert demand.most() <= demands.bound(rate, rate)
+
+    loops.run(test())
+
+
+def test_customer_whose_traffic_moves_each_second_is_bounded() -> None:
+    """Each daemon that it left and each that it came to spent its quota."""
+
+    async def test() -> None:
+        fleet = _fleet(50.0, 50.0)
+        demand = demands.Demand(fleet, NAME)
+        demand.spread(30.0, fleet.hosts)
+        await _settled(fleet, demand)
+        for step in range(16):
+            demand.spread(200.0, [fleet.hosts[(7 * step) % 24]])
+            await demand.run(1.0)
+        assert demand.most() <= demands.bound(50.0, 50.0)
+
+    loops.run(test())
+
+
+def test_restarted_daemons_get_no_new_burst() -> None:
+    """Half of the daemons are killed at once and come back with no memory."""
+
+    async def test() -> None:
+        fleet = _fleet(50.0, 100.0)
+        demand = demands.Demand(fleet, NAME)
+        demand.spread(300.0, fleet.hosts)
+        await _settled(fleet, demand)
+        for _ in range(3):
+            for host in fleet.hosts[::2]:
+                fleet.restart(host)
+            await demand.run(2.5)
+        assert demand.most() <= demands.bound(50.0, 100.0)
+
+    loops.run(test())
+
+
+def test_customer_is_served_again_soon_after_half_of_the_daemons_died() -> (
+    None
+):
+    """The allocators died with them, and nobody handed out tokens."""
+
+    async def test() -> None:
+        fleet = _fleet(50.0, 50.0)
+        demand = demands.Demand(fleet, NAME)
+        demand.spread(30.0, fleet.hosts[1::2])
+        await _settled(fleet, demand)
+        for host in fleet.hosts[::2]:
+            fleet.kill(host)
+        await demand.run(4.0)
+        since = asyncio.get_running_loop().time()
+        await demand.run(8.0)
+        asked = demand.asked(since)
+        assert demand.served(since) >= SERVED_LEAST * asked
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize("rate", [20.0, 100.0])
+def test_domain_that_is_cut_off_serves_its_part_and_no_more(
+    rate: float,
+) -> None:
+    """Each side of a cut handed out the whole quota, or none of it."""
+
+    async def test() -> None:
+        fleet = _fleet(rate, rate)
+        demand = demands.Demand(fleet, NAME)
+        demand.spread(rate / 1.6, fleet.hosts)
+        await _settled(fleet, demand)
+        fleet.cut_off(fleet.of_domain("d2"))
+        since = asyncio.get_running_loop().time()
+        await demand.run(15.0)
+        asked = demand.asked(since)
+        assert demand.served(since) >= SERVED_LEAST_IN_CUT * asked
+        demand.spread(7.5 * rate, fleet.hosts)
+        await demand.run(15.0)
+        assert demand.most() <= demands.bound(rate, rate)
+
+    loops.run(test())
+
+
+def test_lower_limit_binds_soon() -> None:
+    """Shares of the limit before were spent on after it was lowered."""
+
+    async def test() -> None:
+        fleet = _fleet(100.0, 100.0)
+        demand = demands.Demand(fleet, NAME)
+        demand.spread(60.0, fleet.hosts)
+        await _settled(fleet, demand)
+        _limit(fleet, 10.0, 10.0)
+        await demand.run(2.5)
+        since = asyncio.get_running_loop().time()
+        await demand.run(12.0)
+        assert demand.most(since) <= demands.bound(10.0, 10.0)
+        assert demand.served(since) >= SERVED_LEAST * 10.0
+        _limit(fleet, 100.0, 100.0)
+        await demand.run(3.0)
+        since = asyncio.get_running_loop().time()
+        await demand.run(8.0)
+        assert demand.served(since) >= SERVED_LEAST * demand.asked(since)
+
+    loops.run(test())
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """Something that happens, and for how long load goes on after it."""
+
+    kind: str
+    place: int
+    seconds: float
+
+
+_EVENTS = strategies.lists(
+    strategies.builds(
+        Event,
+        strategies.sampled_from(
+            ["cut", "split", "heal", "kill", "move", "spread", "limit"]
+        ),
+        strategies.integers(0, 3),
+        strategies.sampled_from([0.3, 1.0, 2.5]),
+    ),
+    min_size=2,
+    max_size=8,
+)
+
+
+@hypothesis.settings(
+    max_examples=12, deadline=None, derandomize=True, database=None
+)
+@hypothesis.given(events=_EVENTS, seed=strategies.integers(0, 9))
+def test_quota_holds_in_every_window_whatever_happens(
+    events: list[Event], seed: int
+) -> None:
+    """Cuts, kills, moves and changed limits let more run than is allowed."""
+
+    async def test() -> None:
+        rate = 40.0
+        fleet = _fleet(rate, rate, count=12)
+        fleet.seed = seed
+        demand = demands.Demand(fleet, NAME, rng=random.Random(seed))
+        demand.spread(5.0 * rate, fleet.hosts)
+        await _settled(fleet, demand)
+        for event in events:
+            _happen(fleet, demand, event, rate)
+            await demand.run(event.seconds)
+        await demand.run(3.0)
+        assert demand.most() <= demands.bound(rate, rate)
+
+    loops.run(test())
+
+
+def _happen(
+    fleet: Fleet, demand: demands.Demand, event: Event, rate: float
+) -> None:
+    domain = fleet.of_domain(f"d{event.place}")
+    if event.kind == "cut":
+        fleet.cut_off(domain)
+    elif event.kind == "split":
+        fleet.cut_off(domain | fleet.of_domain(f"d{(event.place + 1) % 4}"))
+    elif event.kind == "heal":
+        fleet.network.cut.clear()
+    elif event.kind == "kill":
+        for host in fleet.hosts[event.place :: 3]:
+            fleet.restart(host)
+    elif event.kind == "move":
+        demand.spread(5.0 * rate, sorted(domain))
+    elif event.kind == "spread":
+        demand.spread(5.0 * rate, fleet.hosts)
+    else:
+        _limit(fleet, rate / (event.place + 1), rate / (event.place + 1))
--- /dev/null
+++ b/tests/fleets/test_revocations.py
@@ -0,0 +1,204 @@
+"""A key that was taken away stops to work in time, in touch or not."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import pytest
+
+from sassafrasstair.decisions import policies
+from sassafrasstair.forwarding import _confirmations
+from tests.fleets import fleet as fleet_module
+from tests.fleets import loops
+
+Fleet = fleet_module.Fleet
+REVOCATION = 5.0
+KEY = policies.digest(b"k")
+OTHER = policies.digest(b"other")
+OWED_SHARE = 0.6
+"""The part of the bound for which a daemon without the store must serve."""
+
+
+def _fleet(count: int = 24) -> Fleet:
+    return Fleet(
+        count,
+        4,
+        bound=2.5,
+        customers=_customers(KEY, OTHER),
+        revocation=REVOCATION,
+    )
+
+
+def _customers(*keys: bytes) -> tuple[policies.Customer, ...]:
+    return (policies.Customer("c1", keys),)
+
+
+def _accepts(fleet: Fleet, host: str, key: bytes = KEY) -> bool:
+    """Return whether a request with a key would run now."""
+    daemon = fleet.daemons[host]
+    table = daemon.view.table
+    if table is None or key not in (table.customers or {}):
+        return False
+    return _confirmations.is_fresh(daemon, daemon.clock.monotonic())
+
+
+async def _calm(fleet: Fleet) -> None:
+    await fleet.start()
+    await asyncio.sleep(4.0)
+
+
+def _revoke(fleet: Fleet) -> float:
+    fleet.customers = _customers(OTHER)
+    fleet.policy()
+    return asyncio.get_running_loop().time()
+
+
+def _all_silent(fleet: Fleet) -> None:
+    fleet.store.leave(fleet.hosts)
+
+
+def _third_silent(fleet: Fleet) -> None:
+    fleet.store.leave(fleet.hosts[::3])
+
+
+def _readers_reset(fleet: Fleet) -> None:
+    fleet.store.reset(fleet.readers())
+
+
+def _domain_cut(fleet: Fleet) -> None:
+    domain = fleet.of_domain("d1")
+    fleet.cut_off(domain)
+    fleet.store.leave(domain)
+
+
+def _domain_cut_from_peers(fleet: Fleet) -> None:
+    fleet.cut_off(fleet.of_domain("d1"))
+
+
+def _watches_stall(fleet: Fleet) -> None:
+    fleet.store.deaf = True
+
+
+def _reader_alone(fleet: Fleet) -> None:
+    reader = fleet.reader("d2")
+    fleet.cut_off({reader})
+    fleet.store.leave({reader})
+
+
+FAULTS = (
+    _all_silent,
+    _third_silent,
+    _readers_reset,
+    _domain_cut,
+    _domain_cut_from_peers,
+    _watches_stall,
+    _reader_alone,
+)
+Fault = typing.Callable[[Fleet], None]
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.7, 2.0, 4.0])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_revoked_key_stops_in_time(fault: Fault, pause: float) -> None:
+    """A daemon that missed the change ran requests with the key."""
+
+    async def test() -> None:
+        fleet = _fleet()
+        await _calm(fleet)
+        fault(fleet)
+        await asyncio.sleep(pause)
+        revoked = _revoke(fleet)
+        loop = asyncio.get_running_loop()
+        while loop.time() < revoked + 3.0 * REVOCATION:
+            await asyncio.sleep(0.05)
+            if loop.time() > revoked + REVOCATION:
+                assert not [h for h in fleet.daemons if _accepts(fleet, h)]
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize("count", [24, 96])
+def test_valid_key_works_all_the_time(count: int) -> None:
+    """Without any fault a daemon took its policy for unconfirmed."""
+
+    async def test() -> None:
+        fleet = _fleet(count)
+        await _calm(fleet)
+        for _ in range(300):
+            await asyncio.sleep(0.05)
+            assert all(_accepts(fleet, host) for host in fleet.daemons)
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize("fault", [_third_silent, _readers_reset])
+def test_valid_key_works_on_while_some_reach_the_store(fault: Fault) -> None:
+    """Daemons that the store turned away refused all customers."""
+
+    async def test() -> None:
+        fleet = _fleet()
+        await _calm(fleet)
+        fault(fleet)
+        for _ in range(200):
+            await asyncio.sleep(0.05)
+            assert all(_accepts(fleet, host) for host in fleet.daemons)
+
+    loops.run(test())
+
+
+def test_valid_key_works_for_a_while_without_the_store() -> None:
+    """Customers were refused sooner than a revoked key demands."""
+
+    async def test() -> None:
+        fleet = _fleet()
+        await _calm(fleet)
+        _all_silent(fleet)
+        begun = asyncio.get_running_loop().time()
+        share = 0.0
+        while asyncio.get_running_loop().time() < begun + 2.0:
+            await asyncio.sleep(0.05)
+            found = [_accepts(fleet, host) for host in fleet.daemons]
+            share = sum(found) / len(found)
+            assert share == 1.0
+        await asyncio.sleep(2.0 * REVOCATION)
+        assert not any(_accepts(fleet, host) for host in fleet.daemons)
+        fleet.store.back()
+        await asyncio.sleep(2.5)
+        assert all(_accepts(fleet, host) for host in fleet.daemons)
+
+    loops.run(test())
+
+
+def test_restarted_daemon_waits_for_a_confirmation() -> None:
+    """A daemon that had just read an old state accepted a revoked key."""
+
+    async def test() -> None:
+        fleet = _fleet()
+        await _calm(fleet)
+        host = sorted(fleet.of_domain("d1"))[0]
+        fleet.cut_off({host})
+        fleet.restart(host)
+        for _ in range(100):
+            await asyncio.sleep(0.02)
+            daemon = fleet.daemons[host]
+            if daemon.feed.parent is None:
+                assert not _accepts(fleet, host)
+        assert _accepts(fleet, host)
+
+    loops.run(test())
+
+
+def test_confirmations_cost_few_calls() -> None:
+    """Each reader's question is paid for, and the store's rate is shared."""
+
+    async def test() -> None:
+        fleet = _fleet(96)
+        await _calm(fleet)
+        begun = asyncio.get_running_loop().time()
+        await asyncio.sleep(20.0)
+        calls = fleet.store.calls_since(begun)
+        assert calls["check_latest"] <= 4 * 20.0
+        assert calls["policy"] == 0
+
+    loops.run(test())
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -33,6 +33,8 @@
     caller=b"X-Caller",
     signature=b"X-Signature",
     not_run=b"X-Not-Run",
+    key=b"X-Key",
+    customer=b"X-Customer",
 )
 HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 PORTS = range(15_000, 32_000)
@@ -121,10 +123,20 @@
             changes, self._source.revision, new[-1][0], False
         )
 
-    async def check(self, fresh: bool) -> int:
+    async def check(self, fresh: bool, latest: bool) -> int:
         self._check()
         return self._source.revision
 
+    async def policy(self) -> forwarding.Reading:
+        self._check()
+        revision = self._source.revision
+        found = tuple(
+            item
+            for item in self._source.items.values()
+            if isinstance(item, policies.Policy)
+        )
+        return forwarding.Reading(found, revision, revision, False)
+
     def close(self) -> None:
         """Nothing is open."""
 
