Show operators customers, quotas and confirmations; soak keys and limits

Cause: a customer that got 401, 429 or 503 could not be traced to why, and no run of the real programs had keys.

Change: /quotas and the table of sassafras status tell limit, demand, tokens and share by customer, never a key; answers are counted by customer, bounded. The soak's store serves keys, its oracle looks for revoked keys that run, wrong customers, keys that reach instances, and windows above the quota.

The soak is run next.

--- a/src/sassafrasstair/console/_daemons.py
+++ b/src/sassafrasstair/console/_daemons.py
@@ -26,11 +26,15 @@
 
 
 class Forwarder(msgspec.Struct, frozen=True):
-    """A ``sassafrasstair-forwarder``: its feed, and what it holds back."""
+    """A ``sassafrasstair-forwarder``: its feed, and what it holds back.
+
+    ``quotas`` is None from a daemon that tells none.
+    """
 
     address: str
     feed: forwarding.FeedStatus
     suspects: tuple[forwarding.SuspectStatus, ...]
+    quotas: forwarding.QuotasStatus | None = None
 
 
 Reading = operators.Status | Forwarder | Unreachable
@@ -79,10 +83,18 @@
     suspects = await client.get(f"http://{address}/crashes")
     for answer in (feed, suspects):
         answer.raise_for_status()
+    quotas = await client.get(f"http://{address}/quotas")
+    told = None
+    if quotas.status_code != httpx.codes.NOT_FOUND:
+        quotas.raise_for_status()
+        told = msgspec.json.decode(
+            quotas.content, type=forwarding.QuotasStatus
+        )
     return Forwarder(
         address,
         msgspec.json.decode(feed.content, type=forwarding.FeedStatus),
         msgspec.json.decode(
             suspects.content, type=tuple[forwarding.SuspectStatus, ...]
         ),
+        told,
     )
--- a/src/sassafrasstair/console/_traces.py
+++ b/src/sassafrasstair/console/_traces.py
@@ -26,6 +26,9 @@
     "request_blocked": "request",
     "request_cleared": "request",
     "request_suspected": "request",
+    "allocator_started": "quota",
+    "shares_adopted": "quota",
+    "shares_lost": "quota",
     "held_up": "machine",
     "started": "process",
     "stopping": "process",
@@ -99,7 +102,7 @@
     for (source, about, subject), belief in beliefs.items():
         if source != entry.source:
             continue
-        whole = about in ("policy", "store", "machine", "process")
+        whole = about in ("policy", "store", "machine", "process", "quota")
         if whole or (subject and subject in named):
             found.append("    then: " + _shown("", belief))
     return found
--- a/src/sassafrasstair/console/commands/status.py
+++ b/src/sassafrasstair/console/commands/status.py
@@ -50,6 +50,14 @@
     "BLOCKED FOR",
     "CRASHED",
 )
+_CUSTOMER_HEAD = (
+    "ADDRESS",
+    "CUSTOMER",
+    "LIMIT",
+    "DEMAND",
+    "TOKENS",
+    "SHARE",
+)
 _BLOCKED = "blocked"
 _DIGEST_SHOWN = 8
 
@@ -126,6 +134,9 @@
     if forwarders:
         told = map(_forwarder_row, forwarders)
         parts.append(_tables.table(_FORWARDER_HEAD, told))
+    customers = [row for one in forwarders for row in _customer_rows(one)]
+    if customers:
+        parts.append(_tables.table(_CUSTOMER_HEAD, customers))
     if suspects:
         parts.append(_tables.table(_SUSPECT_HEAD, suspects))
     return "\n\n".join(parts)
@@ -160,6 +171,22 @@
         )
 
 
+def _customer_rows(
+    one: _daemons.Forwarder,
+) -> abc.Iterator[tuple[object, ...]]:
+    """Yield the customers of which the daemon has requests or a share."""
+    for each in () if one.quotas is None else one.quotas.customers:
+        if each.demand or each.share is not None:
+            yield (
+                one.address,
+                each.customer,
+                each.rate,
+                each.demand,
+                each.tokens,
+                "-" if each.share is None else each.share,
+            )
+
+
 def _row(one: operators.Status) -> tuple[object, ...]:
     in_force = one.in_force.bundle
     return (
--- a/src/sassafrasstair/decisions/quotas/_allocators.py
+++ b/src/sassafrasstair/decisions/quotas/_allocators.py
@@ -166,7 +166,7 @@
         return _messages.Grant(customer, 0, WAIT_SECONDS if need.wanted else 0)
     bucket = allocator.buckets[customer]
     _fill(allocator, customer, bucket, now)
-    tokens = min(need.wanted, math.ceil(max(0.0, bucket.tokens)))
+    tokens = min(need.wanted, _whole(bucket.tokens))
     if tokens:
         bucket.tokens -= tokens
         _note_out(allocator, host, need, need.left + tokens, now)
@@ -177,6 +177,14 @@
     return _messages.Grant(customer, 0, wait)
 
 
+def _whole(tokens: float) -> int:
+    """Return how many may be handed out: the last one may be overdrawn.
+
+    Otherwise a customer with little demand would wait for its first one.
+    """
+    return 0 if tokens < 0.0 else max(1, math.ceil(tokens))
+
+
 def _note_out(
     allocator: Allocator,
     host: str,
--- a/src/sassafrasstair/decisions/quotas/_limits.py
+++ b/src/sassafrasstair/decisions/quotas/_limits.py
@@ -10,9 +10,9 @@
 
 USED_SHARE = 0.4
 USED_SLACK = 0.7
-"""The parts of the tolerance that are used, so that a customer within its limit
-is not refused for where its requests enter. The rest is for tokens that are
-handed out twice while a failure domain is split."""
+"""The parts of the tolerance that are used, so that a customer within its
+limit is not refused for where its requests enter. The rest is for tokens that
+are handed out twice while a failure domain is split."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sassafrasstair/decisions/quotas/_stocks.py
+++ b/src/sassafrasstair/decisions/quotas/_stocks.py
@@ -38,9 +38,9 @@
 class Stock:
     """Tokens of one customer, and what is known of its demand.
 
-    ``count`` decays with ``DEMAND_SECONDS``, from ``began`` on. The allocator had none, is not
-    asked again until ``empty_until``, and expects one at ``token_at``.
-    ``waiting`` requests need one now.
+    ``count`` decays with ``DEMAND_SECONDS``, from ``began`` on. The allocator
+    had none, is not asked again until ``empty_until``, and expects one at
+    ``token_at``. ``waiting`` requests need one now.
     """
 
     began: float
--- a/src/sassafrasstair/forwarding/__init__.py
+++ b/src/sassafrasstair/forwarding/__init__.py
@@ -20,15 +20,19 @@
 from sassafrasstair.forwarding._dialect import SourceError
 from sassafrasstair.forwarding._dialect import SourceReason
 from sassafrasstair.forwarding._events import descriptor_sink
+from sassafrasstair.forwarding._status import CustomerStatus
 from sassafrasstair.forwarding._status import FeedStatus
+from sassafrasstair.forwarding._status import QuotasStatus
 from sassafrasstair.forwarding._status import SuspectStatus
 
 __all__ = [
     "Address",
     "Bounds",
+    "CustomerStatus",
     "Dialect",
     "FeedStatus",
     "Names",
+    "QuotasStatus",
     "Reading",
     "Refusal",
     "Settings",
--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -12,6 +12,8 @@
 
 ROUTES_MAX = 64
 """Routes with a histogram of their own; later ones count as ``other``."""
+CUSTOMERS_MAX = 400
+"""Pairs of customer and status that are counted; later ones as ``other``."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,6 +39,10 @@
     )
     """Bytes of bodies and heads sent to and got from other failure domains,
     by route and why the call left."""
+    customers: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
+    """Requests ended here, by customer and status."""
     seconds: dict[str, histograms.Series] = dataclasses.field(
         default_factory=dict
     )
@@ -67,6 +73,16 @@
     series.observe(seconds)
 
 
+def ended_for(counters: Counters, customer: str, status: int) -> None:
+    """Count a request's final answer for its customer."""
+    key = (customer, str(status))
+    if key not in counters.customers and (
+        len(counters.customers) >= CUSTOMERS_MAX
+    ):
+        key = ("other", str(status))
+    counters.customers[key] = counters.customers.get(key, 0) + 1
+
+
 def attempted(counters: Counters, service: str, how: str) -> None:
     """Count the end of an attempt."""
     key = (service, how)
@@ -135,6 +151,12 @@
             ("route", "why"),
             counters.crossings,
         ),
+        histograms.render_counter(
+            "customer_requests_total",
+            "Final answers to clients, by customer",
+            ("customer", "status"),
+            counters.customers,
+        ),
         histograms.render_gauges(gauges),
         histograms.render_histogram(
             "request_seconds",
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -93,6 +93,8 @@
         reason,
         now - call.exchange.request.began,
     )
+    if call.customer:
+        _counters.ended_for(daemon.counters, call.customer, status)
 
 
 def log_end(
--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -2,23 +2,27 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import msgspec
 
 from sassafrasstair.decisions import crashes
 from sassafrasstair.decisions import feeds
+from sassafrasstair.decisions import quotas
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _crashes
 
 if typing.TYPE_CHECKING:
+    from sassafrasstair.decisions import policies
     from sassafrasstair.forwarding import _state
     from sassafrasstair import httpio
 
 METRICS_PATH = b"/metrics"
 FEED_PATH = b"/feed"
 CRASHES_PATH = b"/crashes"
+QUOTAS_PATH = b"/quotas"
 STORE = "store"
 _NOBODY = "nobody"
 
@@ -66,6 +70,33 @@
     crashes: tuple[CrashStatus, ...]
 
 
+class CustomerStatus(msgspec.Struct, frozen=True):
+    """A customer with a limit, as this daemon knows it.
+
+    ``rate`` is its limit and ``demand`` what it sends here, in requests a
+    second. ``tokens`` may be used here, and ``share`` of the limit is handed
+    out by this daemon, None if another one does.
+    """
+
+    customer: str
+    rate: float
+    demand: float
+    tokens: int
+    share: float | None
+
+
+class QuotasStatus(msgspec.Struct, frozen=True):
+    """Quotas at one daemon; ``allocator`` is the host that hands out tokens.
+
+    ``policy_age`` is how many seconds ago the policy was known to be the
+    newest, None if that is not known.
+    """
+
+    allocator: str
+    policy_age: float | None
+    customers: tuple[CustomerStatus, ...]
+
+
 def serve(daemon: _state.Daemon, exchange: httpio.Exchange) -> None:
     """Answer one request of an operator or of the platform."""
     path = exchange.request.target.partition(b"?")[0]
@@ -78,6 +109,9 @@
     elif path == CRASHES_PATH:
         body = msgspec.json.encode(suspects_status(daemon))
         exchange.respond(200, [(b"Content-Type", b"application/json")], body)
+    elif path == QUOTAS_PATH:
+        body = msgspec.json.encode(quotas_status(daemon))
+        exchange.respond(200, [(b"Content-Type", b"application/json")], body)
     elif path == FEED_PATH:
         body = msgspec.json.encode(feed_status(daemon))
         exchange.respond(200, [(b"Content-Type", b"application/json")], body)
@@ -125,6 +159,40 @@
     ]
 
 
+def quotas_status(daemon: _state.Daemon) -> QuotasStatus:
+    """Return the customers with a limit, and who hands out their tokens."""
+    now = daemon.clock.monotonic()
+    table = daemon.view.table
+    customers = () if table is None else table.policy.customers or ()
+    age = views.unconfirmed_seconds(daemon.view, now)
+    return QuotasStatus(
+        allocator=daemon.tokens.allocator,
+        policy_age=None if math.isinf(age) else age,
+        customers=tuple(
+            _customer_status(daemon, customer, now)
+            for customer in customers
+            if customer.rate > 0.0
+        ),
+    )
+
+
+def _customer_status(
+    daemon: _state.Daemon, customer: policies.Customer, now: float
+) -> CustomerStatus:
+    stock = daemon.tokens.stocks.stocks.get(customer.name)
+    allocation = daemon.allocation
+    share = None
+    if allocation is not None and not allocation.allocator.shares.adopting:
+        share = quotas.share(allocation.allocator.shares, customer.name)
+    return CustomerStatus(
+        customer.name,
+        customer.rate,
+        0.0 if stock is None else quotas.demand(stock, now),
+        0 if stock is None else stock.tokens,
+        share,
+    )
+
+
 def parent_name(parent: str | None) -> str:
     """Return whom a daemon follows, as logs and operators are told."""
     return _NOBODY if parent is None else parent or STORE
@@ -150,6 +218,10 @@
         "upstream_connections_opened": daemon.upstream.opened,
         "leaving": int(daemon.leaving),
         "upstream_leaving": int(daemon.upstream_leaving),
+        "allocates": int(daemon.allocation is not None),
+        "requests_waiting_for_tokens": sum(
+            map(len, daemon.tokens.waiting.values())
+        ),
         "crashes_known": len(daemon.ledger.crashes),
         "requests_suspected": standings.count(crashes.Standing.ISOLATED),
         "requests_blocked": standings.count(crashes.Standing.BLOCKED),
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -182,7 +182,11 @@
             store=at(1),
             memory_bytes=self._place.memory_bytes,
             bounds=forwarding.Bounds(
-                2.0, 2.0, GRACE, requests.BudgetRules(0.2, 400.0, 10.0)
+                2.0,
+                2.0,
+                GRACE,
+                requests.BudgetRules(0.2, 400.0, 10.0),
+                self._place.revocation,
             ),
         )
 
@@ -305,6 +309,8 @@
         self.settings_mark = 0
         self.bad_settings = False
         self.memory_bytes = 100_000_000
+        self.customers: tuple[policies.Customer, ...] | None = None
+        self.revocation: float | None = None
         self._serial = 0
 
     async def upstream(
@@ -358,7 +364,25 @@
 
     def policy(self, version: int, *routes: policies.Route) -> None:
         """Put a policy in force."""
-        self.source.put("policy", policies.Policy(version, routes, LIMITS))
+        self.source.put(
+            "policy",
+            policies.Policy(version, routes, LIMITS, customers=self.customers),
+        )
+
+    async def order(self, host: str, path: str, headers: bytes) -> Answer:
+        """Send one request to the port for other daemons."""
+        self._serial += 1
+        reader, writer = await asyncio.open_connection(host, self.ports[1])
+        head = (
+            f"GET {path} HTTP/1.1\r\nHost: a.example\r\n"
+            f"X-Request: r{self._serial}\r\n"
+        ).encode()
+        writer.write(head + headers + b"\r\n")
+        try:
+            begun = asyncio.get_running_loop().time()
+            return await _read_answer(reader, begun)
+        finally:
+            writer.close()
 
     async def daemon(self, host: str, service: str) -> _daemon.Running:
         """Start a daemon and wait until it knows what the store holds."""
--- a/tests/platform/soak/clients.py
+++ b/tests/platform/soak/clients.py
@@ -17,6 +17,8 @@
 PATIENCE = (0.3, 2.0)
 LATE_SECONDS = 1.0
 """After a client's deadline it takes its request for lost."""
+FORGE_SHARE = 0.1
+KEYED_ROUTE = "front"
 HOST = b"soak.example"
 _serial = itertools.count(1)
 
@@ -52,9 +54,21 @@
         key = f"q{next(_serial)}"
         body = b"" if idempotent else (target or key).encode() * 20
         target = target or f"/{route}/{key}?x=%20"
+        now = asyncio.get_running_loop().time()
+        api_key = ""
+        if route == KEYED_ROUTE:
+            api_key = self._oracle.customers.draw()
         self._oracle.send(
             oracle_module.Sent(
-                key, route, idempotent, self._service, target, body, patience
+                key,
+                route,
+                idempotent,
+                self._service,
+                target,
+                body,
+                patience,
+                api_key,
+                now,
             )
         )
         fields = [
@@ -62,6 +76,10 @@
             (b"Sassafrasstair-Request-Id", key.encode()),
             (b"Sassafrasstair-Deadline-Ms", b"%d" % (patience * 1000)),
         ]
+        if self._rng.random() < FORGE_SHARE:
+            fields.append((b"Sassafrasstair-Tenant", b"forged"))
+        if api_key:
+            fields.append((b"Api-Key", api_key.encode()))
         method = b"GET" if idempotent else b"POST"
         head = httpio.request_head(method, target.encode(), fields, len(body))
         return await self._await(key, head + body, patience)
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -15,6 +15,7 @@
 import typing
 
 from tests.platform.soak import clients
+from tests.platform.soak import customers as customers_module
 from tests.platform.soak import oracle as oracle_module
 from tests.platform.soak import relays
 from tests.platform.soak import store as store_module
@@ -75,8 +76,10 @@
     def __init__(self, folder: pathlib.Path, rng: random.Random) -> None:
         self.rng = rng
         self.store = store_module.Store()
+        self.customers = customers_module.Customers(rng)
         self.oracle = oracle_module.Oracle(
-            {route: {service} for route, service in ROUTES.items()}
+            {route: {service} for route, service in ROUTES.items()},
+            self.customers,
         )
         self.faults: list[str] = []
         self.crashed = 0
@@ -149,6 +152,10 @@
     async def open(self) -> None:
         """Start everything and wait until all daemons are ready."""
         await self.store.open(self.store_host, STORE)
+        now = asyncio.get_running_loop().time()
+        for _ in range(customers_module.KEYS_EACH):
+            self.customers.add(customers_module.FREE, now)
+            self.customers.add(customers_module.LIMITED, now)
         self.configure()
         for vm in self.vms:
             await vm.link.open()
@@ -162,6 +169,7 @@
     def configure(self) -> None:
         """Write the next version of the policy."""
         self.version += self.rng.randint(1, 3)
+        self.customers.rate = self.rng.choice(customers_module.RATES)
         routes = {
             name: {
                 "host": clients.HOST.decode(),
@@ -172,11 +180,17 @@
                 "priority": 1,
                 "max_attempts": 2,
                 "service": service,
+                "allow_anonymous": name != clients.KEYED_ROUTE,
             }
             for name, service in ROUTES.items()
         }
         self.store.put(
-            "op/config", {"version": f"r{self.version}", "routes": routes}
+            "op/config",
+            {
+                "version": f"r{self.version}",
+                "routes": routes,
+                "tenants": self.customers.policy(),
+            },
         )
 
     def register(self, vm: Vm, state: str = "ready") -> None:
@@ -198,7 +212,13 @@
             "listen.inbound": f"{vm.host}:{INBOUND}",
             "listen.readiness": f"{vm.host}:{READY}",
             "platform.address": f"{self.store_host}:{STORE}",
-            "bounds": f"grace_s={GRACE},drain_ms=2000",
+            "bounds": (
+                f"grace_s={GRACE},drain_ms=2000,revoke_strict=true,"
+                f"revoke_ms={customers_module.REVOKE_SECONDS * 1000:.0f},"
+                f"quota_window_s={customers_module.WINDOW_SECONDS},"
+                f"quota_over={customers_module.OVER},"
+                f"quota_slack={customers_module.SLACK}"
+            ),
         }
         return "".join(f"{key}={value}\n" for key, value in values.items())
 
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -6,6 +6,8 @@
 import dataclasses
 import hashlib
 
+from tests.platform.soak import customers as customers_module
+
 NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that promise that the request has not run and never will."""
 DEADLINE_SLACK = 0.5
@@ -28,6 +30,8 @@
     target: str
     body: bytes
     patience: float
+    api_key: str = ""
+    at: float = 0.0
     runs: int = 0
     statuses: list[int] = dataclasses.field(default_factory=list)
 
@@ -42,6 +46,8 @@
     target: str
     body: bytes
     left: float
+    customer: str = ""
+    key_seen: bool = False
 
 
 def body_of(key: str) -> bytes:
@@ -72,7 +78,12 @@
 class Oracle:
     """Notes what happens and each promise that is broken."""
 
-    def __init__(self, services: dict[str, set[str]]) -> None:
+    def __init__(
+        self,
+        services: dict[str, set[str]],
+        customers: customers_module.Customers,
+    ) -> None:
+        self.customers = customers
         self.services = services
         """Which services a route ever led to."""
         self.sent: dict[str, Sent] = {}
@@ -105,6 +116,7 @@
             self._break("ROUTE", run.key, f"run by {run.service}")
         if run.left > sent.patience + DEADLINE_SLACK:
             self._break("BUDGET", run.key, f"left {run.left}")
+        self._check_customer(sent, run)
         if sent.runs > 1 and not sent.idempotent:
             self._break("TWICE", run.key, f"{sent.runs} runs")
         self._check_refusals(sent)
@@ -131,10 +143,36 @@
             self.refused += 1
         else:
             self.failed += 1
-        if status in (400, 401, 403, 404, 413, 431):
+        denied = status in (400, 401, 403, 404, 413, 431)
+        if denied and not self._may_be_denied(sent, status):
             self._break("DENIED", key, f"status {status}")
         self._check_refusals(sent)
 
+    def check_quotas(self) -> None:
+        """Look at all windows of the customer with a limit."""
+        most = self.customers.most()
+        if most > customers_module.allowed():
+            self._break("QUOTA", customers_module.LIMITED, f"{most} runs")
+
+    def _check_customer(self, sent: Sent, run: Run) -> None:
+        if run.key_seen:
+            self._break("UNASKED", run.key, "the key itself was passed on")
+        if not sent.api_key:
+            if run.customer:
+                self._break("UNASKED", run.key, f"customer {run.customer}")
+            return
+        now = asyncio.get_running_loop().time()
+        wrong = self.customers.broken_by_run(
+            sent.api_key, run.customer, sent.at, now
+        )
+        if wrong:
+            rule, _, detail = wrong.partition(": ")
+            self._break(rule, run.key, detail)
+
+    def _may_be_denied(self, sent: Sent, status: int) -> bool:
+        keyed = status == 401 and bool(sent.api_key)
+        return keyed and self.customers.may_be_denied(sent.api_key, sent.at)
+
     def _check_refusals(self, sent: Sent) -> None:
         refused = any(status in NOT_RUN for status in sent.statuses)
         if refused and sent.runs and not sent.idempotent:
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -64,6 +64,7 @@
         traffic.cancel()
         await _check_crashes(fleet)
         await _check_recovery(fleet)
+        fleet.oracle.check_quotas()
         fleet.check_alive()
     finally:
         await fleet.close()
@@ -211,6 +212,14 @@
     fleet.configure()
 
 
+async def _revoke(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Take keys away, one after the other, also while the store is away."""
+    for _ in range(fleet.rng.randint(1, 3)):
+        fleet.customers.revoke(asyncio.get_running_loop().time())
+        fleet.configure()
+        await asyncio.sleep(fleet.rng.uniform(0.0, 0.5))
+
+
 async def _delay(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
     vm.link.delay = fleet.rng.uniform(0.01, 0.15)
     await asyncio.sleep(fleet.rng.uniform(0.5, 2.0))
@@ -297,6 +306,7 @@
     "renew": _renew,
     "reset": _reset,
     "restart": _restart,
+    "revoke": _revoke,
     "scribble": _scribble,
     "silence": _silence,
     "stop": _stop,
--- a/tests/platform/soak/store.py
+++ b/tests/platform/soak/store.py
@@ -94,6 +94,14 @@
             ]
             _respond(exchange, self.revision, "items", items)
             return
+        if path == "/-/kv-key":
+            item = self.items.get(asked["key"])
+            if item is None:
+                exchange.respond(404, [], b"")
+                return
+            told = item | {"store_revision": self.revision}
+            exchange.respond(200, [], json.dumps(told).encode())
+            return
         after = int(asked["after"])
         if after < self.oldest:
             exchange.respond(410, [], b"")
--- a/tests/platform/soak/upstreams.py
+++ b/tests/platform/soak/upstreams.py
@@ -118,6 +118,8 @@
                 request.target.decode(),
                 request.body,
                 left,
+                found.get(b"sassafrasstair-tenant", b"").decode(),
+                b"api-key" in found,
             )
         )
         if request.target in self.oracle.crashing:
