Use more of the quota's tolerance, and check orders without a key

And a client that speaks like a daemon could run requests without a key on a closed route at the port for daemons.

The callee's daemon runs an order without a key on open routes alone.

--- a/src/sassafrasstair/decisions/policies/_tables.py
+++ b/src/sassafrasstair/decisions/policies/_tables.py
@@ -15,7 +15,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Table:
-    """The routes of one policy by host and then by prefix.
+    """The routes of one policy by host and then by prefix, and by name.
 
     ``services`` are all that the policy names, ``customers`` those who hold
     a key by its digest, None where no request needs one.
@@ -23,6 +23,7 @@
 
     policy: _policies.Policy
     hosts: dict[str, dict[str, _policies.Route]]
+    routes: dict[str, _policies.Route]
     services: frozenset[str]
     customers: dict[bytes, _policies.Customer] | None
 
@@ -38,6 +39,7 @@
     return Table(
         policy,
         hosts,
+        {route.name: route for route in policy.routes},
         named | frozenset(policy.services),
         _customers.by_key(policy),
     )
--- a/src/sassafrasstair/decisions/quotas/_limits.py
+++ b/src/sassafrasstair/decisions/quotas/_limits.py
@@ -8,11 +8,12 @@
 if typing.TYPE_CHECKING:
     from sassafrasstair.decisions import policies
 
-USED_SHARE = 0.4
-USED_SLACK = 0.7
+OVER_USED = 0.6
+SLACK_IN_RATE = 0.5
+SLACK_IN_BURST = 0.3
 """The parts of the tolerance that are used, so that a customer within its
-limit is not refused for where its requests enter. The rest is for tokens that
-are handed out twice while a failure domain is split."""
+limit is not refused for where its requests enter. The rest is for overdrafts,
+and for tokens that are handed out twice while a failure domain is split."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,8 +41,9 @@
     """Return the limit that is enforced, None if there is none."""
     if customer.rate <= 0.0:
         return None
-    factor = 1.0 + USED_SHARE * rules.over
+    factor = 1.0 + OVER_USED * rules.over
     return Limit(
-        factor * customer.rate,
-        max(1.0, factor * customer.burst + USED_SLACK * rules.slack),
+        factor * customer.rate
+        + SLACK_IN_RATE * rules.slack / rules.window_seconds,
+        max(1.0, factor * customer.burst + SLACK_IN_BURST * rules.slack),
     )
--- a/src/sassafrasstair/forwarding/_customers.py
+++ b/src/sassafrasstair/forwarding/_customers.py
@@ -63,17 +63,18 @@
 
 
 def of_order(
-    daemon: _state.Daemon, key: bytes | None
+    daemon: _state.Daemon, route_name: str, key: bytes | None
 ) -> policies.Customer | None:
     """Return whose request another daemon sends, None if that is unknown.
 
     The policy here may be older than the one at the entrance, or newer.
     """
-    if key is None:
-        return NOBODY
     table = daemon.view.table
     if table is None or table.customers is None:
-        return None
+        return NOBODY if key is None else None
+    if key is None:
+        route = table.routes.get(route_name)
+        return NOBODY if route is not None and route.anonymous else None
     try:
         return table.customers.get(bytes.fromhex(key.decode("ascii")))
     except ValueError:
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -63,7 +63,9 @@
         exchange.respond(400, [], b"")
         return
     _peers.heard(daemon, exchange.peer, ask.content)
-    customer = _customers.of_order(daemon, request.found.get(_wire.DIGEST_KEY))
+    customer = _customers.of_order(
+        daemon, ask.route, request.found.get(_wire.DIGEST_KEY)
+    )
     if customer is None:
         reason = outcomes.Reason.POLICY_BEHIND
         state = _own_state(daemon, requests.Ending.TURNED_AWAY, reason)
