Enforce quotas by what a whole window may hold

Cause: a customer may send its rate and its burst in each window, 1.2 times its rate when both are equal; 1.15 times and two a second were enforced.

Model tests of quotas pass.

--- a/src/sassafrasstair/decisions/quotas/_limits.py
+++ b/src/sassafrasstair/decisions/quotas/_limits.py
@@ -8,12 +8,10 @@
 if typing.TYPE_CHECKING:
     from sassafrasstair.decisions import policies
 
-OVER_USED = 0.6
-SLACK_IN_RATE = 0.5
-SLACK_IN_BURST = 0.3
-"""The parts of the tolerance that are used, so that a customer within its
-limit is not refused for where its requests enter. The rest is for overdrafts,
-and for tokens that are handed out twice while a failure domain is split."""
+TOLERANCE_USED = 0.7
+"""The part of the tolerance that is used, so that a customer within its limit
+is not refused for where its requests enter. The rest is for overdrafts, and
+for tokens that are handed out twice while a failure domain is split."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,12 +36,16 @@
 
 
 def limit_of(customer: policies.Customer, rules: Rules) -> Limit | None:
-    """Return the limit that is enforced, None if there is none."""
+    """Return the limit that is enforced, None if there is none.
+
+    A customer may send its rate and its burst in each window, so the rate is
+    that of a whole window, within the tolerance. The burst is what is left.
+    """
     if customer.rate <= 0.0:
         return None
-    factor = 1.0 + OVER_USED * rules.over
-    return Limit(
-        factor * customer.rate
-        + SLACK_IN_RATE * rules.slack / rules.window_seconds,
-        max(1.0, factor * customer.burst + SLACK_IN_BURST * rules.slack),
-    )
+    window = rules.window_seconds
+    allowed = customer.rate * window + customer.burst
+    rate = min(allowed / window, (1.0 + rules.over) * customer.rate)
+    most = allowed * (1.0 + TOLERANCE_USED * rules.over)
+    most += TOLERANCE_USED * rules.slack
+    return Limit(rate, max(1.0, most - rate * window))
