--- a/src/sassafrasstair/decisions/feeds/_checks.py
+++ b/src/sassafrasstair/decisions/feeds/_checks.py
@@ -96,8 +96,7 @@
 def restart(checks: Checks) -> None:
     """Forget what had no answer: the daemon begins or ends to read.
 
-    Failure: it reads again long after, and would take the store for lost
-    since then.
+    When it reads again, it would take the store for lost since then.
     """
     checks.unanswered_from = None
 
@@ -132,8 +131,7 @@
 def settled(checks: Checks, now: float, news: bool) -> None:
     """Note an answer of the store itself, with news or without.
 
-    Failure: the store's revision moves with changes that no watch tells.
-    Each check would make the reader ask anew, at ten times its price.
+    The store's revision also moves with changes that no watch tells.
     """
     checks.unanswered_from = None
     if not checks.acted:
--- a/src/sassafrasstair/decisions/quotas/__init__.py
+++ b/src/sassafrasstair/decisions/quotas/__init__.py
@@ -27,6 +27,7 @@
 from sassafrasstair.decisions.quotas._shares import has_news
 from sassafrasstair.decisions.quotas._shares import new_shares
 from sassafrasstair.decisions.quotas._shares import receive
+from sassafrasstair.decisions.quotas._shares import set_demands
 from sassafrasstair.decisions.quotas._shares import share
 from sassafrasstair.decisions.quotas._shares import Shares
 from sassafrasstair.decisions.quotas._shares import tick as tick_shares
@@ -72,6 +73,7 @@
     "new_allocator",
     "new_shares",
     "receive",
+    "set_demands",
     "set_limits",
     "share",
     "take",
--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -115,15 +115,10 @@
 def _targets(view: _views.View, service: str) -> tuple[calls.Target, ...]:
     """Return whom to ask, without those that are known to have ended.
 
-    Failure: a VM loses power and its instance starts anew under another
-    id, while the entry of the one before stays until it lapses. Sent to
-    that id, half of the service's requests were refused for 3 s. An address
-    serves one instance at a time, so the older entry is out of date. An
-    entry that a late heartbeat of an ended instance has written anew counts
-    until the one that runs at the address has said that it is another.
-
-    Failure: an entry of a service that no policy names stands at the
-    address of a sound instance. It is no instance, and hides none.
+    An address serves one instance at a time, so the older of two entries is
+    out of date. An entry that a late heartbeat of an ended instance has
+    written anew counts until the one that runs at the address has said that
+    it is another. An entry of a service that no policy names hides none.
     """
     newest: dict[tuple[str, int], _types.Instance] = {}
     for known in view.instances.values():
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -193,8 +193,7 @@
 ) -> list[_types.Change]:
     """Leave out policies that a later one of the same answer replaces.
 
-    Failure: none of them is ever in force here, but each was told as one
-    that is, by the version of the last.
+    None of them is ever active here.
     """
     versions = [
         change.version
@@ -281,9 +280,8 @@
 def _set_instance(view: View, instance: _types.Instance) -> Told:
     """Take an entry, unless a later run under the same id is known.
 
-    Failure: an instance restarts under its id, and a heartbeat of the run
-    before, or a peer that is behind, comes later. Taken, it would bring
-    back the state, slots and address of a run that has ended.
+    A late heartbeat, or a peer that is behind, would bring back the state,
+    slots and address of a run that has ended.
     """
     latest = view.latest.get(instance.id, 0)
     if instance.born and instance.born < latest:
--- /dev/null
+++ b/tests/decisions/quotas/test_shares.py
@@ -0,0 +1,136 @@
+"""Shares that failure domains lend each other."""
+
+from __future__ import annotations
+
+import pytest
+
+from sassafrasstair.decisions import policies
+from sassafrasstair.decisions import quotas
+
+DOMAINS = ("a", "b", "c")
+NAME = "one"
+LIMITS = {NAME: quotas.Limit(10.0, 10.0)}
+
+
+def _all() -> dict[str, quotas.Shares]:
+    return {
+        domain: quotas.new_shares(domain, domain, f"m-{domain}", DOMAINS, 0.0)
+        for domain in DOMAINS
+    }
+
+
+def _tell(
+    shares: dict[str, quotas.Shares], one: str, other: str, now: float
+) -> None:
+    update = quotas.update_for(shares[one], other)
+    answer = quotas.receive(shares[other], update, now)
+    quotas.acknowledged(shares[one], other, update, answer, now)
+    quotas.adopt(shares[one], now)
+
+
+def _tell_all(
+    shares: dict[str, quotas.Shares], now: float, cut: frozenset[str]
+) -> None:
+    for one in shares:
+        for other in shares:
+            if one != other and (one in cut) == (other in cut):
+                _tell(shares, one, other, now)
+
+
+def _total(shares: dict[str, quotas.Shares]) -> float:
+    return sum(quotas.share(each, NAME) for each in shares.values())
+
+
+def _demand(shares: dict[str, quotas.Shares], *rates: float) -> None:
+    for each, rate in zip(shares.values(), rates, strict=True):
+        quotas.set_demands(each, {NAME: rate}, LIMITS)
+
+
+@pytest.mark.parametrize(
+    ("rates", "expected"),
+    [
+        ((0.0, 0.0, 0.0), (0.33, 0.33, 0.33)),
+        ((6.0, 0.0, 0.0), (0.73, 0.13, 0.13)),
+        ((20.0, 20.0, 0.0), (0.5, 0.5, 0.0)),
+        ((0.0, 0.0, 100.0), (0.0, 0.0, 1.0)),
+    ],
+)
+def test_shares_follow_the_demand(
+    rates: tuple[float, ...], expected: tuple[float, ...]
+) -> None:
+    """A domain with all of a customer's requests kept an equal share."""
+    shares = _all()
+    for step in range(8):
+        _tell_all(shares, 0.1 * step, frozenset())
+        _demand(shares, *rates)
+        assert _total(shares) <= 1.0 + 1e-9
+    found = [quotas.share(each, NAME) for each in shares.values()]
+    assert found == pytest.approx(expected, abs=0.04)
+
+
+def test_domain_that_is_cut_off_keeps_its_share_and_no_more() -> None:
+    """Both sides of a cut claimed what the other seemed to give up."""
+    shares = _all()
+    for step in range(8):
+        _tell_all(shares, 0.1 * step, frozenset())
+        _demand(shares, 20.0, 20.0, 20.0)
+    for step in range(20):
+        _tell_all(shares, 1.0 + 0.1 * step, frozenset("c"))
+        _demand(shares, 0.0, 0.0, 90.0)
+        assert _total(shares) <= 1.0 + 1e-9
+    assert quotas.share(shares["c"], NAME) == pytest.approx(0.33, abs=0.04)
+
+
+def test_raised_claim_counts_once_all_have_acknowledged_it() -> None:
+    """A claim counted at once, and the others had not made room yet."""
+    shares = _all()
+    for step in range(4):
+        _tell_all(shares, 0.1 * step, frozenset())
+        _demand(shares, 0.0, 0.0, 0.0)
+    _demand(shares, 20.0, 0.0, 0.0)
+    for one in ("b", "c"):
+        _tell(shares, one, "a", 1.0)
+        _tell(shares, "a", one, 1.0)
+        _demand(shares, 20.0, 0.0, 0.0)
+        assert _total(shares) <= 1.0 + 1e-9
+
+
+@pytest.mark.parametrize(
+    ("pause", "host", "taken"),
+    [(0.5, "other", False), (0.5, "a", True), (1.5, "other", True)],
+)
+def test_another_process_takes_over_a_domain(
+    pause: float, host: str, taken: bool
+) -> None:
+    """Two processes handed out the tokens of one domain."""
+    shares = _all()
+    for step in range(4):
+        _tell_all(shares, 0.1 * step, frozenset())
+    shares["a"] = quotas.new_shares("a", host, "m-new", DOMAINS, 1.0)
+    for one in ("b", "c"):
+        _tell(shares, "a", one, 0.3 + pause)
+    assert (quotas.share(shares["a"], NAME) > 0.0) is taken
+    assert bool(shares["a"].occupied) is not taken
+
+
+@pytest.mark.parametrize(
+    ("rate", "burst", "sustained", "most"),
+    [(10.0, 10.0, 12.0, 84.5), (10.0, 100.0, 12.5, 190.25)],
+)
+def test_limit_is_that_of_a_whole_window(
+    rate: float, burst: float, sustained: float, most: float
+) -> None:
+    """A customer that sent its rate and burst in each window was refused."""
+    rules = quotas.Rules(5.0, 0.25, 20.0)
+    customer = policies.Customer(NAME, (), rate, burst)
+    limit = quotas.limit_of(customer, rules)
+    assert limit is not None
+    assert limit.rate == pytest.approx(sustained)
+    assert limit.rate * 5.0 + limit.burst == pytest.approx(most)
+    allowed = (rate * 5.0 + burst) * 1.25 + 20.0
+    assert limit.rate * 5.0 + limit.burst <= allowed
+
+
+def test_customer_without_a_rate_has_no_limit() -> None:
+    customer = policies.Customer(NAME, (), 0.0, 5.0)
+    assert quotas.limit_of(customer, quotas.Rules()) is None
