--- a/tests/decisions/quotas/test_shares.py
+++ b/tests/decisions/quotas/test_shares.py
@@ -81,17 +81,21 @@
     assert quotas.share(shares["c"], NAME) == pytest.approx(0.33, abs=0.04)
 
 
-def test_raised_claim_counts_once_all_have_acknowledged_it() -> None:
-    """A claim counted at once, and the others had not made room yet."""
+def test_two_domains_do_not_claim_the_same_room() -> None:
+    """Each raised its share by what a third had given up, at the same time."""
     shares = _all()
-    for step in range(4):
+    for step in range(8):
         _tell_all(shares, 0.1 * step, frozenset())
-        _demand(shares, 0.0, 0.0, 0.0)
-    _demand(shares, 20.0, 0.0, 0.0)
-    for one in ("b", "c"):
-        _tell(shares, one, "a", 1.0)
-        _tell(shares, "a", one, 1.0)
-        _demand(shares, 20.0, 0.0, 0.0)
+        _demand(shares, 20.0, 20.0, 20.0)
+    _demand(shares, 20.0, 0.0, 20.0)
+    for one in ("a", "c"):
+        _tell(shares, "b", one, 1.0)
+    _demand(shares, 40.0, 0.0, 40.0)
+    assert _total(shares) <= 1.0 + 1e-9
+    for one, other in (("a", "c"), ("c", "a"), ("a", "b"), ("c", "b")):
+        _tell(shares, one, other, 1.1)
+        assert _total(shares) <= 1.0 + 1e-9
+        _demand(shares, 40.0, 0.0, 40.0)
         assert _total(shares) <= 1.0 + 1e-9
 
 
