Log answers of the store that are dropped as older than the view

Whether a reading was late, empty or dropped could not be told from the logs, which is what the hypotheses differ in. A line reading_outdated now has both revisions, within the bound of lines, and a counter of the same name; no decision is changed.

tests/forwarding/test_sync.py and tests/fleets/test_absences.py pass.

--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -29,6 +29,8 @@
     now = daemon.clock.monotonic()
     note_answer(daemon, now)
     note_refused(daemon, reading.refused)
+    if reading.revision < daemon.view.revision:
+        _note_outdated(daemon, reading)
     take = views.replace if reading.whole else views.apply
     told = take(
         daemon.view, reading.changes, reading.revision, reading.content, now
@@ -96,6 +98,17 @@
     )
 
 
+def _note_outdated(daemon: _state.Daemon, reading: _dialect.Reading) -> None:
+    """Log an answer that is dropped, as older than what is known."""
+    _counters.believed(daemon.counters, "reading_outdated")
+    daemon.journal.request(
+        "reading_outdated",
+        "whole" if reading.whole else "watch",
+        read=reading.revision,
+        revision=daemon.view.revision,
+    )
+
+
 def note_refused(
     daemon: _state.Daemon, refused: abc.Iterable[_dialect.Refusal]
 ) -> None:
