--- a/tests/fleets/stores.py
+++ b/tests/fleets/stores.py
@@ -17,6 +17,15 @@
 CALL_SECONDS = 2.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """What a store held at one moment."""
+
+    revision: int
+    items: dict[str, views.Change]
+    log: tuple[tuple[int, views.Change], ...]
+
+
 @dataclasses.dataclass
 class Store:
     """Items, their history, and every call that was made.
@@ -24,7 +33,8 @@
     ``silent`` hosts get no answer, ``refused`` ones a refusal; all of them
     when ``down``. A ``deaf`` store's watches hear nothing. An answer takes
     ``slow`` seconds. ``left`` and ``cuts`` count for each host how often the
-    store went away: what waited then is answered no more, or cut.
+    store went away: what waited then is answered no more, or cut. ``era``
+    rises each time that an older copy takes the store's place.
     """
 
     revision: int = 1
@@ -48,6 +58,7 @@
         default_factory=list
     )
     waiting: set[asyncio.Event] = dataclasses.field(default_factory=set)
+    era: int = 1
 
     def put(self, key: str, change: views.Change) -> None:
         """Write one item."""
@@ -67,6 +78,37 @@
         self.log.clear()
         self._wake()
 
+    def copy(self) -> Copy:
+        """Return what the store holds now."""
+        return Copy(self.revision, dict(self.items), tuple(self.log))
+
+    def restore(self, copy: Copy) -> dict[str, views.Change]:
+        """Go on from an older copy; return the changes that it lacks."""
+        lost = {
+            key: change
+            for key, change in self.items.items()
+            if copy.items.get(key) != change
+        }
+        lost |= {
+            key: views.Removed(key)
+            for key in copy.items
+            if key not in self.items
+        }
+        self.era += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.log = list(copy.log)
+        self._wake()
+        return lost
+
+    def write_again(self, lost: dict[str, views.Change]) -> None:
+        """Write what a copy lacked, as its writers do."""
+        for key, change in lost.items():
+            if isinstance(change, views.Removed):
+                self.remove(key)
+            else:
+                self.put(key, change)
+
     def leave(self, hosts: abc.Iterable[str]) -> None:
         """Answer some hosts no more, not even what waits already."""
         self.silent |= set(hosts)
@@ -118,10 +160,10 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + wait
         store, host = self._store, self._host
-        left, cuts = store.left[host], store.cuts[host]
+        left, cuts, era = store.left[host], store.cuts[host], store.era
         await self._call("watch", wait + CALL_SECONDS)
         while True:
-            if after < store.floor:
+            if not store.floor <= after <= store.revision:
                 raise forwarding.SourceError(
                     forwarding.SourceReason.HISTORY_GONE
                 )
@@ -133,7 +175,7 @@
             if silent or store.left[host] != left:
                 await asyncio.sleep(until + CALL_SECONDS - loop.time())
                 raise forwarding.SourceError(forwarding.SourceReason.TIMEOUT)
-            if store.cuts[host] != cuts:
+            if store.cuts[host] != cuts or store.era != era:
                 raise forwarding.SourceError(forwarding.SourceReason.LOST)
         if store.deaf:
             found = []
