Order what the store tells by its era, and then by revision

Cause: revisions were the only order of what is known. A store that comes back from an older copy goes back to a smaller revision and gives out the same ones again. Whole readings then were dropped as older than the view, watches got 'history gone', and once the store had passed the view's revision a watch told only what came later. What was written below was never told, unless it was written again.

Ruled out: slow readers (a later change came in 20 ms while the earlier one never did); peers that hold changes back (all readers were in touch with the store).

Change: the answer's Store-Era is read, and a revision holds its era, so that one of a later era is greater than all before. A reading of another era replaces the view, a watch from an earlier era is answered with 'history gone', followers of an earlier era are told the whole, and a check that shows a later era makes its reader read at once. Delta parts of a later era are not taken.

--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -18,6 +18,7 @@
 from sassafrasstair.decisions.views._queries import instance
 from sassafrasstair.decisions.views._queries import is_behind
 from sassafrasstair.decisions.views._queries import is_replaced
+from sassafrasstair.decisions.views._queries import is_restored
 from sassafrasstair.decisions.views._queries import is_stale
 from sassafrasstair.decisions.views._queries import knows
 from sassafrasstair.decisions.views._queries import least_importance
@@ -25,6 +26,10 @@
 from sassafrasstair.decisions.views._queries import neighbours
 from sassafrasstair.decisions.views._queries import snapshot
 from sassafrasstair.decisions.views._queries import targets
+from sassafrasstair.decisions.views._revisions import era
+from sassafrasstair.decisions.views._revisions import number
+from sassafrasstair.decisions.views._revisions import NUMBER_MAX
+from sassafrasstair.decisions.views._revisions import revision
 from sassafrasstair.decisions.views._types import Change
 from sassafrasstair.decisions.views._types import Delta
 from sassafrasstair.decisions.views._types import Instance
@@ -54,6 +59,7 @@
     "Delta",
     "Instance",
     "InstanceState",
+    "NUMBER_MAX",
     "News",
     "Removed",
     "Snapshot",
@@ -66,11 +72,13 @@
     "confirm",
     "count_services",
     "delta",
+    "era",
     "expire",
     "hosts_by_domain",
     "instance",
     "is_behind",
     "is_replaced",
+    "is_restored",
     "is_stale",
     "knows",
     "least_importance",
@@ -82,9 +90,11 @@
     "note_unsteady",
     "note_watched",
     "note_whole",
+    "number",
     "own_confirmation",
     "receive",
     "replace",
+    "revision",
     "snapshot",
     "source_answered",
     "source_failed",
--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -6,6 +6,7 @@
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions.views import _histories
+from sassafrasstair.decisions.views import _revisions
 from sassafrasstair.decisions.views import _types
 
 if typing.TYPE_CHECKING:
@@ -32,6 +33,16 @@
     return content > max(view.content, view.revision)
 
 
+def is_restored(view: _views.View, revision: int) -> bool:
+    """Return whether the store has since come back from an older copy.
+
+    ``revision`` is the store's now. What it was asked for from before that,
+    it does not have any more, or has given out anew.
+    """
+    later = _revisions.era(revision) > _revisions.era(view.revision)
+    return view.revision >= 0 and later
+
+
 def lost_seconds(view: _views.View, now: float) -> float | None:
     """Return for how long there has been no word of the store, by any way.
 
--- a/src/sassafrasstair/decisions/views/_types.py
+++ b/src/sassafrasstair/decisions/views/_types.py
@@ -131,3 +131,4 @@
     RESTARTED = "instance_restarted"
     OUTDATED = "instance_outdated"
     UNUSABLE = "instance_unusable"
+    RESTORED = "store_restored"
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -1,7 +1,8 @@
 """The view of policy and instances, kept from the store or from peers.
 
 The store's revision orders all that is known: whoever has the greater
-revision knows more, whether it read the store itself or asked a peer.
+revision knows more, whether it read the store itself or asked a peer. Each
+revision holds the era of the store in which it was given out.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions.views import _histories
+from sassafrasstair.decisions.views import _queries
 from sassafrasstair.decisions.views import _types
 
 if typing.TYPE_CHECKING:
@@ -152,11 +154,13 @@
     vanished = [
         _types.Removed(key) for key in view.instances if key not in found
     ]
-    if view.content < 0:
+    restored = _queries.is_restored(view, revision)
+    if view.content < 0 or restored:
         # What was removed before is not known: it can't be told on. Even a
         # reading that holds nothing tells a follower that all has gone.
         view.history.floor = view.content = content
-    return apply(view, [*vanished, *known], revision, content, now)
+    told = apply(view, [*vanished, *known], revision, content, now)
+    return [(_types.News.RESTORED, ""), *told] if restored else told
 
 
 def apply(
@@ -215,6 +219,9 @@
     """
     if delta.revision < view.revision:
         return []
+    if not delta.whole and _queries.is_restored(view, delta.revision):
+        # It leaves out what the copy that the store came back from lacks.
+        return []
     changes: list[_types.Change] = list(delta.instances)
     if delta.policy is not None:
         changes.append(delta.policy)
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -316,7 +316,7 @@
         step=step,
         taken=now - attempt.sent,
         left=progress.deadline - now,
-        revision=daemon.view.revision,
+        revision=views.number(daemon.view.revision),
     )
     blocked = reason is outcomes.Reason.CRASHES_INSTANCES
     if step is requests.Step.RETRY and not blocked:
--- a/src/sassafrasstair/forwarding/_checks.py
+++ b/src/sassafrasstair/forwarding/_checks.py
@@ -7,6 +7,7 @@
 import typing
 
 from sassafrasstair.decisions import feeds
+from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _confirmations
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
@@ -59,11 +60,15 @@
             vain.cancel()
     # The view is as fresh as the answer only if it lacks nothing of it: a
     # reader that hangs would else pass for one that reads.
-    behind = _is_behind(daemon, revision, now)
+    restored = views.is_restored(daemon.view, revision)
+    behind = restored or _is_behind(daemon, revision, now)
     age = now - daemon.view.answered if behind else 0.0
     _learning.note_answer(daemon, now, age)
     _policy_checks.check_answered(daemon, revision, sent_at)
-    if behind:
+    if restored and feeds.reads(daemon.feed):
+        feeds.reread(daemon.feed, now)
+        daemon.woken.set()
+    elif behind:
         asyncio.get_running_loop().call_later(
             daemon.feed.timing.grace, _ask_if_behind, daemon, revision
         )
@@ -73,7 +78,7 @@
     """Ask the store at once, if the own watch still has not told."""
     now = daemon.clock.monotonic()
     if _is_behind(daemon, revision, now):
-        daemon.journal.note("watch_behind", revision=revision)
+        daemon.journal.note("watch_behind", revision=views.number(revision))
         feeds.missed(daemon.feed, now)
         daemon.woken.set()
 
--- a/src/sassafrasstair/forwarding/_dialect.py
+++ b/src/sassafrasstair/forwarding/_dialect.py
@@ -134,8 +134,9 @@
 class Reading:
     """Changes of the store up to ``revision``, the last at ``content``.
 
-    ``whole`` when they are all that the store holds. ``refused`` are the
-    items that could not be used.
+    Both hold the store's era, see ``views.revision``. ``whole`` when they
+    are all that the store holds. ``refused`` are the items that could not be
+    used.
     """
 
     changes: tuple[views.Change, ...]
@@ -158,7 +159,7 @@
         """Return what changed after a revision, waiting for the first.
 
         Raises ``SourceError``, with ``HISTORY_GONE`` when the changes are
-        no longer to be had.
+        no longer to be had, or the revision is of another era.
         """
 
     async def check(self, fresh: bool, latest: bool) -> int:
--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -59,7 +59,7 @@
         _counters.believed(daemon.counters, "store_back")
         daemon.journal.note(
             "store_back",
-            revision=daemon.view.revision,
+            revision=views.number(daemon.view.revision),
             away=away,
             source=_status.parent_name(daemon.feed.parent),
         )
@@ -76,7 +76,7 @@
             "store_lost",
             reason=reason,
             detail=detail,
-            revision=daemon.view.revision,
+            revision=views.number(daemon.view.revision),
         )
         _polls.answer_all(daemon)
 
@@ -104,8 +104,10 @@
     daemon.journal.request(
         "reading_outdated",
         "whole" if reading.whole else "watch",
-        read=reading.revision,
-        revision=daemon.view.revision,
+        read=views.number(reading.revision),
+        read_era=views.era(reading.revision),
+        era=views.era(daemon.view.revision),
+        revision=views.number(daemon.view.revision),
     )
 
 
@@ -168,14 +170,22 @@
             "policy_in_force",
             version=view.table.policy.version,
             routes=len(view.table.policy.routes),
-            revision=view.revision,
+            revision=views.number(view.revision),
+            source=source,
+        )
+        return
+    if news is views.News.RESTORED:
+        daemon.journal.note(
+            news.value,
+            era=views.era(view.revision),
+            revision=views.number(view.revision),
             source=source,
         )
         return
     daemon.journal.note(
         news.value,
         instance=key,
-        revision=view.revision,
+        revision=views.number(view.revision),
         source=source,
         **_shown(views.instance(view, key)),
     )
--- a/src/sassafrasstair/forwarding/_policy_checks.py
+++ b/src/sassafrasstair/forwarding/_policy_checks.py
@@ -87,7 +87,9 @@
     if _confirm(daemon, reading, asked_at):
         views.note_whole(daemon.view, reading.revision)
         return
-    daemon.journal.note("policy_not_told", revision=reading.content)
+    daemon.journal.note(
+        "policy_not_told", revision=views.number(reading.content)
+    )
     feeds.reread(daemon.feed, daemon.clock.monotonic())
     daemon.woken.set()
 
--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -31,7 +31,8 @@
     """Where a daemon's news come from; ages in seconds.
 
     ``parent`` is the host that it follows, ``store`` or ``nobody``;
-    ``avoided`` and ``lost`` are hosts that it passes over.
+    ``avoided`` and ``lost`` are hosts that it passes over. ``era`` counts how
+    often the store has come back from an older copy.
     """
 
     parent: str
@@ -46,6 +47,7 @@
     waiting: int
     avoided: tuple[str, ...]
     lost: tuple[str, ...]
+    era: int = 0
 
 
 class CrashStatus(msgspec.Struct, frozen=True):
@@ -128,14 +130,15 @@
         since=now - feed.since,
         view_age=view_age(daemon, now),
         store_lost=views.lost_seconds(view, now),
-        revision=view.revision,
-        content=view.content,
+        revision=views.number(view.revision),
+        content=views.number(view.content),
         policy=-1 if view.table is None else view.table.policy.version,
         rank=len(feed.before),
         known=len(feed.hosts),
         waiting=len(daemon.polls),
         avoided=_current(feed.avoided, now),
         lost=_current(feed.lost, now),
+        era=views.era(view.revision),
     )
 
 
@@ -210,7 +213,8 @@
         "view_age_seconds": view_age(daemon, now),
         "polls_held": len(daemon.polls),
         "policy_version": 0 if table is None else table.policy.version,
-        "store_revision": daemon.view.revision,
+        "store_revision": views.number(daemon.view.revision),
+        "store_era": views.era(daemon.view.revision),
         "calls_in_flight": len(daemon.calls),
         "runs_in_flight": len(daemon.runs),
         "instances_known": len(daemon.view.instances),
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -8,6 +8,7 @@
 import typing
 
 from sassafrasstair.decisions import feeds
+from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _confirmations
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _crash_updates
@@ -211,5 +212,5 @@
         before=_status.parent_name(before),
         rank=len(feed.before),
         known=len(feed.hosts),
-        revision=daemon.view.revision,
+        revision=views.number(daemon.view.revision),
     )
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import typing
 import urllib.parse
 
 import msgspec
 
+from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
 from sassafrasstair import httpio
 from sassafrasstair.platform import _documents
@@ -27,6 +29,11 @@
 PAGES_MAX = 1_000
 
 
+ERA_FIELD = b"store-era"
+"""Counts how often the store has come back from an older copy."""
+_ERA_MAX = 1_000_000
+
+
 class _Range(msgspec.Struct, frozen=True):
     items: tuple[msgspec.Raw, ...]
     store_revision: int
@@ -42,6 +49,14 @@
     events: tuple[msgspec.Raw, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """The body of an answer, and the era that the store was in."""
+
+    era: int
+    body: bytes
+
+
 _RANGE = msgspec.json.Decoder(_Range)
 _WATCH = msgspec.json.Decoder(_Watch)
 _KEY = msgspec.json.Decoder(_Key)
@@ -65,15 +80,21 @@
         """
         after = ""
         first: _Range | None = None
+        era = 0
         read: list[_items.Item] = []
         unread: list[forwarding.Refusal] = []
         for _ in range(PAGES_MAX):
             query = {"prefix": ""} | ({"after": after} if after else {})
             if stale:
                 query["allow_stale"] = "1"
-            body = await self._call("range", query, CALL_SECONDS)
-            page = _decoded(_RANGE, body)
-            first = first or page
+            answer = await self._call("range", query, CALL_SECONDS)
+            page = _decoded(_RANGE, answer.body)
+            if first is None:
+                first, era = page, answer.era
+            elif answer.era != era:
+                raise forwarding.SourceError(
+                    forwarding.SourceReason.HISTORY_GONE, "range: another era"
+                )
             items = _read_items(page.items, unread)
             read += items
             last = max((item.key for item in items), default="")
@@ -86,7 +107,8 @@
                     forwarding.SourceReason.MALFORMED, "no key to go on from"
                 )
             after = last
-        revision = 0 if first is None else first.store_revision
+        number = 0 if first is None else first.store_revision
+        revision = views.revision(era, number)
         changes, refused = _items.changes(read, self._regions)
         return forwarding.Reading(
             changes, revision, revision, True, (*unread, *refused)
@@ -96,19 +118,23 @@
         """Wait for changes after a revision; raises ``SourceError``."""
         query = {
             "prefix": "",
-            "after": str(after),
+            "after": str(views.number(after)),
             "wait_ms": str(int(wait * 1000)),
         }
-        body = await self._call("watch", query, wait + CALL_SECONDS)
-        told = _decoded(_WATCH, body)
+        answer = await self._call("watch", query, wait + CALL_SECONDS)
+        if answer.era != views.era(after):
+            raise forwarding.SourceError(
+                forwarding.SourceReason.HISTORY_GONE, "watch: another era"
+            )
+        told = _decoded(_WATCH, answer.body)
         unread: list[forwarding.Refusal] = []
         events = _read_items(told.events, unread)
         content = max((event.revision for event in events), default=-1)
         changes, refused = _items.changes(events, self._regions)
         return forwarding.Reading(
             changes,
-            max(told.store_revision, content),
-            content,
+            views.revision(answer.era, max(told.store_revision, content)),
+            views.revision(answer.era, content) if events else -1,
             False,
             (*unread, *refused),
         )
@@ -116,15 +142,16 @@
     async def policy(self) -> forwarding.Reading:
         """Return the latest policy; raises ``SourceError``."""
         query = {"key": _documents.POLICY_KEY}
-        body = await self._call("key", query, CALL_SECONDS)
+        answer = await self._call("key", query, CALL_SECONDS)
         unread: list[forwarding.Refusal] = []
-        items = _read_items([msgspec.Raw(body)], unread)
+        items = _read_items([msgspec.Raw(answer.body)], unread)
         content = max((item.revision for item in items), default=-1)
+        number = _decoded(_KEY, answer.body).store_revision
         changes, refused = _items.changes(items, self._regions)
         return forwarding.Reading(
             changes,
-            _decoded(_KEY, body).store_revision,
-            content,
+            views.revision(answer.era, number),
+            views.revision(answer.era, content) if items else -1,
             False,
             (*unread, *refused),
         )
@@ -134,8 +161,9 @@
         query = {"prefix": NO_KEY}
         if not latest:
             query["allow_stale"] = "1"
-        body = await self._call("range", query, CALL_SECONDS, fresh)
-        return _decoded(_RANGE, body).store_revision
+        answer = await self._call("range", query, CALL_SECONDS, fresh)
+        number = _decoded(_RANGE, answer.body).store_revision
+        return views.revision(answer.era, number)
 
     def close(self) -> None:
         """Close all connections."""
@@ -147,7 +175,7 @@
         query: abc.Mapping[str, str],
         seconds: float,
         fresh: bool = False,
-    ) -> bytes:
+    ) -> _Answer:
         target = f"/-/kv-{verb}?{urllib.parse.urlencode(query)}"
         host = f"{self._pool.host}:{self._pool.port}".encode()
         head = httpio.request_head(
@@ -177,7 +205,7 @@
             # A connection whose answer did not come gives none any more.
             if job.wanted:
                 job.abort()
-        return _body(verb, result)
+        return _answer(verb, result)
 
 
 def open_store(
@@ -203,7 +231,7 @@
     return read
 
 
-def _body(verb: str, result: httpio.Response | httpio.Failure) -> bytes:
+def _answer(verb: str, result: httpio.Response | httpio.Failure) -> _Answer:
     reasons = forwarding.SourceReason
     if result is httpio.Failure.NOT_SENT:
         raise forwarding.SourceError(reasons.UNREACHABLE, verb)
@@ -215,7 +243,20 @@
         raise forwarding.SourceError(
             reasons.REFUSED, f"{verb}: status {result.status}"
         )
-    return result.body
+    return _Answer(_era(result.found.get(ERA_FIELD, b"0")), result.body)
+
+
+def _era(field: bytes) -> int:
+    """Return the era that an answer names; raises ``SourceError``."""
+    try:
+        era = int(field)
+    except ValueError:
+        era = -1
+    if not 0 <= era <= _ERA_MAX:
+        raise forwarding.SourceError(
+            forwarding.SourceReason.MALFORMED, f"era {field[:20]!r}"
+        )
+    return era
 
 
 def _decoded(decoder: msgspec.json.Decoder[T], body: bytes) -> T:
--- a/tests/decisions/views/test_deltas.py
+++ b/tests/decisions/views/test_deltas.py
@@ -171,3 +171,39 @@
     views.apply(view, [views.Removed("a")], 12, 12, 0.0)
     views.apply(view, [old], 13, 13, 0.0)
     assert views.delta(view, 11).removed == ("a",)
+
+
+def test_later_era_replaces_all_however_small_its_revision() -> None:
+    """A view at a greater revision took nothing from the older copy."""
+    view = views.new_view()
+    before, after = views.revision(1, 90), views.revision(2, 20)
+    views.replace(
+        view, [_instance("a", 1), _instance("b", 1)], before, before, 0.0
+    )
+    told = views.replace(view, [_instance("b", 1)], after, after, 1.0)
+    assert told[0] == (views.News.RESTORED, "")
+    assert set(view.instances) == {"b"}
+    assert (view.revision, view.content) == (after, after)
+
+
+def test_follower_of_an_earlier_era_is_told_all() -> None:
+    """What the copy lacks is in no history, so the follower kept it."""
+    reader, follower = views.new_view(), views.new_view()
+    before, after = views.revision(1, 90), views.revision(2, 20)
+    for view in (reader, follower):
+        views.replace(view, [_instance("a", 1)], before, before, 0.0)
+    views.replace(reader, [], after, after, 1.0)
+    delta = views.delta(reader, follower.revision)
+    assert delta.whole
+    views.take(follower, delta, 1.0)
+    assert not follower.instances
+    assert follower.revision == after
+
+
+def test_part_of_a_later_era_is_not_taken() -> None:
+    """The view would hold the new revision without what led to it."""
+    view = views.new_view()
+    before, after = views.revision(1, 90), views.revision(2, 20)
+    views.replace(view, [_instance("a", 1)], before, before, 0.0)
+    assert not views.take(view, views.Delta(after, after), 1.0)
+    assert view.revision == before
--- a/tests/fleets/stores.py
+++ b/tests/fleets/stores.py
@@ -60,6 +60,11 @@
     waiting: set[asyncio.Event] = dataclasses.field(default_factory=set)
     era: int = 1
 
+    @property
+    def position(self) -> int:
+        """The revision with its era."""
+        return views.revision(self.era, self.revision)
+
     def put(self, key: str, change: views.Change) -> None:
         """Write one item."""
         self.revision += 1
@@ -153,7 +158,8 @@
         await self._call("stale" if stale else "read", CALL_SECONDS)
         store = self._store
         items = tuple(store.items.values())
-        return forwarding.Reading(items, store.revision, store.revision, True)
+        revision = store.position
+        return forwarding.Reading(items, revision, revision, True)
 
     async def watch(self, after: int, wait: float) -> forwarding.Reading:
         """Return changes after a revision."""
@@ -163,11 +169,12 @@
         left, cuts, era = store.left[host], store.cuts[host], store.era
         await self._call("watch", wait + CALL_SECONDS)
         while True:
-            if not store.floor <= after <= store.revision:
+            begin = views.number(after)
+            if not store.floor <= begin <= store.revision:
                 raise forwarding.SourceError(
                     forwarding.SourceReason.HISTORY_GONE
                 )
-            found = [(r, c) for r, c in store.log if r > after]
+            found = [(r, c) for r, c in store.log if r > begin]
             if (found and not store.deaf) or loop.time() >= until:
                 break
             await self._changed(until - loop.time())
@@ -177,25 +184,28 @@
                 raise forwarding.SourceError(forwarding.SourceReason.TIMEOUT)
             if store.cuts[host] != cuts or store.era != era:
                 raise forwarding.SourceError(forwarding.SourceReason.LOST)
+        if store.era != views.era(after):
+            raise forwarding.SourceError(forwarding.SourceReason.HISTORY_GONE)
         if store.deaf:
             found = []
-        content = found[-1][0] if found else -1
+        number = found[-1][0] if found else max(begin, store.floor)
+        revision = views.revision(era, number)
+        content = revision if found else -1
         changes = tuple(change for _, change in found)
-        revision = content if found else max(after, store.floor)
         return forwarding.Reading(changes, revision, content, False)
 
     async def check(self, fresh: bool, latest: bool) -> int:
         """Return the store's revision."""
         verb = "check_latest" if latest else "check"
         await self._call(verb, CALL_SECONDS)
-        return self._store.revision
+        return self._store.position
 
     async def policy(self) -> forwarding.Reading:
         """Return the latest policy alone."""
         await self._call("policy", CALL_SECONDS)
         store = self._store
         return forwarding.Reading(
-            (store.items["policy"],), store.revision, store.revision, False
+            (store.items["policy"],), store.position, store.position, False
         )
 
     def close(self) -> None:
--- a/tests/fleets/test_older_copies.py
+++ b/tests/fleets/test_older_copies.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import typing
+
+import pytest
 
 from sassafrasstair.decisions import views
 from tests.fleets import fleet as fleet_module
@@ -14,25 +17,46 @@
 """After the store's return, until changes must be known in time again."""
 
 
+LOST = (1, 4, 12)
+"""Changes that the copy lacks."""
+
+
+def _cut(fleet: Fleet) -> None:
+    fleet.store.reset(fleet.hosts)
+
+
+def _unanswered(fleet: Fleet) -> None:
+    fleet.store.leave(fleet.hosts)
+
+
+def _unnoticed(fleet: Fleet) -> None:
+    """Bring the store back before anybody has asked it."""
+
+
+ABSENCES = (_cut, _unanswered, _unnoticed)
+Absence = typing.Callable[[Fleet], None]
+
+
 async def _calm(fleet: Fleet) -> None:
     await fleet.start()
     await asyncio.sleep(2.0 * fleet.bound)
 
 
-async def _bring_back_older(fleet: Fleet, lost: int, away: float) -> None:
+async def _bring_back_older(
+    fleet: Fleet, lost: int, absence: Absence, away: float = 2.5
+) -> None:
     """Take the store away, and bring a copy back without the last changes."""
     copy = fleet.store.copy()
     for _ in range(lost):
         await fleet.spread()
-    fleet.store.reset(fleet.hosts)
+    absence(fleet)
     await asyncio.sleep(away)
     missing = fleet.store.restore(copy)
     fleet.store.back()
     fleet.store.write_again(missing)
-    await asyncio.sleep(STABLE_SECONDS)
 
 
-def _targets(fleet: Fleet, key: str) -> list[str]:
+def _users(fleet: Fleet, key: str) -> list[str]:
     """Return the hosts of the daemons that would send work to an instance."""
     return [
         host
@@ -41,30 +65,80 @@
     ]
 
 
-def test_change_after_the_store_came_back_older_is_in_force_in_time() -> None:
+@pytest.mark.parametrize("lost", LOST)
+@pytest.mark.parametrize("absence", ABSENCES)
+def test_change_after_the_store_came_back_older_is_in_force_in_time(
+    absence: Absence, lost: int
+) -> None:
     """Changes got revisions that the views held already, and were lost."""
 
     async def test() -> None:
         fleet = Fleet(16, 4, bound=BOUND)
         await _calm(fleet)
-        await _bring_back_older(fleet, lost=4, away=2.5)
-        for _ in range(4):
+        await _bring_back_older(fleet, lost, absence)
+        await asyncio.sleep(STABLE_SECONDS)
+        for _ in range(lost):
             assert await fleet.spread() < fleet.bound
             await asyncio.sleep(1.0)
 
     loops.run(test())
 
 
-def test_instance_that_leaves_after_the_store_came_back_older() -> None:
+@pytest.mark.parametrize("lost", LOST)
+@pytest.mark.parametrize("absence", ABSENCES)
+def test_instance_that_leaves_after_the_store_came_back_older(
+    absence: Absence, lost: int
+) -> None:
     """The instance got work until its entry was removed."""
 
     async def test() -> None:
         fleet = Fleet(16, 4, bound=BOUND)
         await _calm(fleet)
-        await _bring_back_older(fleet, lost=4, away=2.5)
+        await _bring_back_older(fleet, lost, absence)
+        await asyncio.sleep(STABLE_SECONDS)
         leaver = fleet.hosts[-1]
         fleet.entry(leaver, views.InstanceState.LEAVING)
         await asyncio.sleep(fleet.bound)
-        assert not _targets(fleet, f"i-{leaver}")
+        assert not _users(fleet, f"i-{leaver}")
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize(
+    ("count", "domains", "bound"), [(65, 3, 2.5), (195, 6, 3.0)]
+)
+def test_large_fleets_go_on_from_an_older_copy_as_soon(
+    count: int, domains: int, bound: float
+) -> None:
+    """Followers hear of it from readers that learn of it at other times."""
+
+    async def test() -> None:
+        fleet = Fleet(count, domains, bound=bound)
+        await _calm(fleet)
+        await _bring_back_older(fleet, 4, _unanswered)
+        await asyncio.sleep(STABLE_SECONDS)
+        assert await fleet.spread() < bound
+
+    loops.run(test())
+
+
+def test_domain_that_was_cut_off_meanwhile_goes_on_from_the_copy() -> None:
+    """Its daemons kept the greater revision, and took nobody's word."""
+
+    async def test() -> None:
+        fleet = Fleet(16, 4, bound=BOUND)
+        await _calm(fleet)
+        domain = fleet.of_domain("d1")
+        copy = fleet.store.copy()
+        await fleet.spread()
+        fleet.cut_off(domain)
+        fleet.store.leave(domain)
+        await asyncio.sleep(1.0)
+        fleet.store.write_again(fleet.store.restore(copy))
+        await fleet.spread(domain)
+        await asyncio.sleep(10.0)
+        fleet.network.cut.clear()
+        await asyncio.sleep(STABLE_SECONDS)
+        assert await fleet.spread() < fleet.bound
 
     loops.run(test())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -37,13 +37,11 @@
 }
 
 
-def _answer(status: str, body: object) -> bytes:
+def _answer(status: str, body: object, era: str = "") -> bytes:
     text = json.dumps(body).encode()
-    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (
-        status.encode(),
-        len(text),
-        text,
-    )
+    field = f"Store-Era: {era}\r\n" if era else ""
+    head = f"HTTP/1.1 {status}\r\n{field}Content-Length: {len(text)}\r\n\r\n"
+    return head.encode() + text
 
 
 async def _store_of(
@@ -164,6 +162,72 @@
     _run(test())
 
 
+def _page(revision: int, more: bool = False) -> dict[str, object]:
+    item = samples.item("servers/i-1", samples.ENTRY, revision)
+    return {"items": [item], "has_more": more, "store_revision": revision}
+
+
+def test_reading_of_a_later_era_comes_after_all_of_the_one_before() -> None:
+    """The store came back older, and its readings were dropped as old."""
+
+    async def test() -> None:
+        source, _ = await _store_of(
+            _answer("200 OK", _page(900), "3"),
+            _answer("200 OK", _page(7), "4"),
+        )
+        before = await source.read(stale=False)
+        after = await source.read(stale=False)
+        assert after.revision > before.revision
+        assert (views.era(after.revision), views.number(after.revision)) == (
+            4,
+            7,
+        )
+
+    _run(test())
+
+
+def test_watch_from_an_earlier_era_has_no_history() -> None:
+    """The store's counter had passed the revision again before the watch."""
+
+    async def test() -> None:
+        told = {"events": [], "store_revision": 12}
+        source, asked = await _store_of(_answer("200 OK", told, "4"))
+        with pytest.raises(forwarding.SourceError) as caught:
+            await source.watch(views.revision(3, 10), 3.0)
+        assert caught.value.reason is forwarding.SourceReason.HISTORY_GONE
+        assert "after=10" in asked[0]
+
+    _run(test())
+
+
+def test_pages_of_two_eras_are_no_whole_reading() -> None:
+    """The store came back older between two pages."""
+
+    async def test() -> None:
+        source, _ = await _store_of(
+            _answer("200 OK", _page(900, more=True), "3"),
+            _answer("200 OK", _page(7), "4"),
+        )
+        with pytest.raises(forwarding.SourceError) as caught:
+            await source.read(stale=False)
+        assert caught.value.reason is forwarding.SourceReason.HISTORY_GONE
+
+    _run(test())
+
+
+@pytest.mark.parametrize("era", ["x", "-1", "1" * 30])
+def test_era_that_is_no_count_makes_an_answer_unusable(era: str) -> None:
+    """Taken for 0, it would make every later answer look older."""
+
+    async def test() -> None:
+        source, _ = await _store_of(_answer("200 OK", _page(7), era))
+        with pytest.raises(forwarding.SourceError) as caught:
+            await source.check(fresh=False, latest=False)
+        assert caught.value.reason is forwarding.SourceReason.MALFORMED
+
+    _run(test())
+
+
 @pytest.mark.parametrize(
     ("answer", "reason"),
     [
