Give an instance that has left no work when an older copy lists it

Change: a run that leaves never becomes ready again under the same start. An instance that was gone when the store came back and is listed again gets no work until its entry changes, or stays for 10 s: an entry that nobody renews has run out by then. Within an era nothing changes.

Evidence: the eleven new tests of these guards fail without them and pass with them; so do tests/decisions/views, tests/forwarding and tests/fleets/test_older_copies.py.

--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -133,7 +133,7 @@
     """
     newest: dict[tuple[str, int], _types.Instance] = {}
     for known in view.instances.values():
-        if known.id in view.replaced or not _named(view, known):
+        if not _is_used(view, known) or not _named(view, known):
             continue
         address = (known.host, known.port)
         other = newest.get(address)
@@ -147,13 +147,18 @@
             instance.region,
         )
         for instance in _with_entry(view, service)
-        if instance.id not in view.replaced
+        if _is_used(view, instance)
         and not _is_hidden(
             instance, newest.get((instance.host, instance.port))
         )
     )
 
 
+def _is_used(view: _views.View, instance: _types.Instance) -> bool:
+    """Return whether nothing but its entry speaks against an instance."""
+    return instance.id not in view.replaced and instance.id not in view.doubted
+
+
 def _is_hidden(instance: _types.Instance, at: _types.Instance | None) -> bool:
     """Return whether another instance runs at the instance's address."""
     return at is not None and at.id != instance.id and _is_later(at, instance)
--- a/src/sassafrasstair/decisions/views/_types.py
+++ b/src/sassafrasstair/decisions/views/_types.py
@@ -132,3 +132,5 @@
     OUTDATED = "instance_outdated"
     UNUSABLE = "instance_unusable"
     RESTORED = "store_restored"
+    DOUBTED = "instance_doubted"
+    TRUSTED = "instance_trusted"
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -28,6 +28,9 @@
 """For how long after the store was away a vanished entry may have lapsed
 rather than been removed."""
 
+DOUBTED_SECONDS = 10.0
+"""For how long an instance that was gone gets no work when an older copy of
+the store lists it again. By then an entry that nobody renews has run out."""
 BORN_KEPT = 4_000
 """Ids whose latest start is remembered, those that ended included: an entry
 that comes back must not be that of an earlier run. 1,300 instances that are
@@ -64,6 +67,10 @@
     ``replaced`` are the ids of instances at whose address another one
     answered: their entries are out of date until they change.
 
+    ``doubted`` are instances that were gone and are listed by an older copy
+    of the store, with the instant until which they get no work unless their
+    entry changes.
+
     ``latest`` are the latest starts by id, the last seen at the end.
 
     ``confirmed`` is the latest instant at which the active policy is known
@@ -82,6 +89,7 @@
     )
     lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
     replaced: set[str] = dataclasses.field(default_factory=set)
+    doubted: dict[str, float] = dataclasses.field(default_factory=dict)
     latest: dict[str, int] = dataclasses.field(default_factory=dict)
     history: _histories.History = dataclasses.field(
         default_factory=_histories.History
@@ -155,12 +163,22 @@
         _types.Removed(key) for key in view.instances if key not in found
     ]
     restored = _queries.is_restored(view, revision)
+    back = found & view.history.gone.keys() if restored else set()
     if view.content < 0 or restored:
         # What was removed before is not known: it can't be told on. Even a
         # reading that holds nothing tells a follower that all has gone.
         view.history.floor = view.content = content
     told = apply(view, [*vanished, *known], revision, content, now)
-    return [(_types.News.RESTORED, ""), *told] if restored else told
+    if not restored:
+        return told
+    return [(_types.News.RESTORED, ""), *told, *_doubt(view, back, now)]
+
+
+def _doubt(view: View, keys: abc.Iterable[str], now: float) -> Told:
+    """Give instances no work that were gone before the store was restored."""
+    view.doubted |= dict.fromkeys(keys, now + DOUBTED_SECONDS)
+    view.cache.clear()
+    return [(_types.News.DOUBTED, key) for key in sorted(keys)]
 
 
 def apply(
@@ -254,7 +272,10 @@
 
 
 def expire(view: View, now: float) -> Told:
-    """Give up on vanished entries that did not come back."""
+    """Give up on vanished entries, and trust those that stayed."""
+    stayed = [key for key, until in view.doubted.items() if until <= now]
+    for key in stayed:
+        del view.doubted[key]
     over = [
         key
         for key, lapsed in view.lapsed.items()
@@ -262,9 +283,12 @@
     ]
     for key in over:
         del view.lapsed[key]
-    if over:
+    if over or stayed:
         view.cache.clear()
-    return [(_types.News.GONE, key) for key in over]
+    return [
+        *((_types.News.GONE, key) for key in over),
+        *((_types.News.TRUSTED, key) for key in stayed),
+    ]
 
 
 def note_replaced(view: View, key: str) -> Told:
@@ -297,6 +321,10 @@
         # Told by a daemon of the version before: it may be either run.
         instance = dataclasses.replace(instance, born=latest)
     before = view.instances.get(instance.id)
+    if _has_left(before, instance):
+        return [(_types.News.OUTDATED, instance.id)]
+    if before != instance:
+        view.doubted.pop(instance.id, None)
     runs = before != instance and instance.id in view.replaced
     if runs:
         # Only an instance that runs changes its entry.
@@ -317,6 +345,22 @@
     return [(news, instance.id)]
 
 
+def _has_left(
+    before: _types.Instance | None, instance: _types.Instance
+) -> bool:
+    """Return whether the run that an entry calls ready is to stop.
+
+    A run that leaves does not come back; an older copy of the store lists it
+    as it was.
+    """
+    return (
+        before is not None
+        and before.state is _types.InstanceState.LEAVING
+        and instance.state is _types.InstanceState.READY
+        and instance.born == before.born
+    )
+
+
 def _is_same(before: _types.Instance, instance: _types.Instance) -> bool:
     """Return whether an entry says the same of where work may go.
 
@@ -343,6 +387,7 @@
     if known is None and lapsed is None:
         return []
     view.replaced.discard(key)
+    view.doubted.pop(key, None)
     return [(_types.News.UNUSABLE, key)]
 
 
@@ -352,6 +397,7 @@
         return []
     view.cache.clear()
     view.replaced.discard(key)
+    view.doubted.pop(key, None)
     if instance.state is not _types.InstanceState.READY:
         return [(_types.News.GONE, key)]
     trusted = now < view.unsteady_until
--- /dev/null
+++ b/tests/decisions/views/test_eras.py
@@ -0,0 +1,105 @@
+"""What must never go back with the store, and what must."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from sassafrasstair.decisions import policies
+from sassafrasstair.decisions import views
+from sassafrasstair.decisions.views import _views
+
+BEFORE, AFTER = views.revision(1, 90), views.revision(2, 20)
+READY = views.Instance(
+    "i", "s", "h", 1, 1, "d", "r", 8, views.InstanceState.READY, 0.0
+)
+LEAVING = dataclasses.replace(READY, state=views.InstanceState.LEAVING)
+OTHER = dataclasses.replace(READY, id="o", host="h2")
+LIMITS = policies.ClientLimits(1, 1, 1.0, 1.0)
+
+
+def _known(*changes: views.Change) -> views.View:
+    view = views.new_view()
+    views.replace(view, changes, BEFORE, BEFORE, 100.0)
+    return view
+
+
+def _restore(view: views.View, *changes: views.Change) -> None:
+    views.replace(view, changes, AFTER, AFTER, 103.0)
+
+
+def _targets(view: views.View) -> set[str]:
+    return {target.vm for target in views.targets(view, "s")}
+
+
+def test_policy_stays_when_the_store_comes_back_older() -> None:
+    """A daemon went back to the policy that had been replaced."""
+    old, new = (policies.Policy(version, (), LIMITS) for version in (5, 7))
+    view = _known(new)
+    _restore(view, old)
+    assert views.active_version(view) == 7
+    assert views.delta(view, BEFORE).policy == new
+
+
+@pytest.mark.parametrize("born", [0, 5])
+def test_leaving_instance_gets_no_work_when_listed_ready_again(
+    born: int,
+) -> None:
+    """The copy was made before the instance said that it leaves."""
+    ready = dataclasses.replace(READY, born=born)
+    view = _known(dataclasses.replace(LEAVING, born=born), OTHER)
+    _restore(view, ready, OTHER)
+    assert _targets(view) == {"o"}
+    views.apply(view, [ready], AFTER + 1, AFTER + 1, 104.0)
+    assert _targets(view) == {"o"}
+
+
+def test_later_run_under_the_id_of_a_leaving_instance_gets_work() -> None:
+    """The instance has restarted under its id since it left."""
+    view = _known(dataclasses.replace(LEAVING, born=5), OTHER)
+    _restore(view, dataclasses.replace(READY, born=6), OTHER)
+    assert _targets(view) == {"i", "o"}
+
+
+@pytest.mark.parametrize("last", [READY, LEAVING])
+def test_instance_that_was_gone_gets_no_work_when_listed_again(
+    last: views.Instance,
+) -> None:
+    """The copy was made before the entry was removed."""
+    view = _known(last, OTHER)
+    views.apply(view, [views.Removed("i")], BEFORE + 1, BEFORE + 1, 101.0)
+    _restore(view, READY, OTHER)
+    assert _targets(view) == {"o"}
+    views.replace(view, [READY, OTHER], AFTER + 1, AFTER + 1, 105.0)
+    assert _targets(view) == {"o"}
+
+
+def test_instance_that_was_gone_gets_work_once_it_writes_again() -> None:
+    """Its heartbeats had been lost for a while, but it runs."""
+    view = _known(READY, OTHER)
+    views.apply(view, [views.Removed("i")], BEFORE + 1, BEFORE + 1, 101.0)
+    _restore(view, READY, OTHER)
+    again = dataclasses.replace(READY, slots=7)
+    views.apply(view, [again], AFTER + 1, AFTER + 1, 104.0)
+    assert _targets(view) == {"i", "o"}
+
+
+def test_instance_that_was_gone_gets_work_if_its_entry_stays() -> None:
+    """It runs and renews its entry, which does not change it."""
+    view = _known(READY, OTHER)
+    views.apply(view, [views.Removed("i")], BEFORE + 1, BEFORE + 1, 101.0)
+    _restore(view, READY, OTHER)
+    now = 103.0 + _views.DOUBTED_SECONDS
+    views.expire(view, now - 0.1)
+    assert _targets(view) == {"o"}
+    assert (views.News.TRUSTED, "i") in views.expire(view, now)
+    assert _targets(view) == {"i", "o"}
+
+
+def test_instance_that_comes_back_within_an_era_gets_work_at_once() -> None:
+    """Its entry had run out and was written again."""
+    view = _known(READY, OTHER)
+    views.apply(view, [views.Removed("i")], BEFORE + 1, BEFORE + 1, 101.0)
+    views.apply(view, [READY], BEFORE + 2, BEFORE + 2, 103.0)
+    assert _targets(view) == {"i", "o"}
--- a/tests/fleets/test_older_copies.py
+++ b/tests/fleets/test_older_copies.py
@@ -142,3 +142,33 @@
         assert await fleet.spread() < fleet.bound
 
     loops.run(test())
+
+
+@pytest.mark.parametrize("absence", ABSENCES)
+@pytest.mark.parametrize("removed", [False, True])
+def test_instance_that_has_left_is_not_used_again(
+    absence: Absence, removed: bool
+) -> None:
+    """The copy listed it as ready until its leaving was written again."""
+
+    async def test() -> None:
+        fleet = Fleet(16, 4, bound=BOUND)
+        await _calm(fleet)
+        leaver = fleet.hosts[-1]
+        copy = fleet.store.copy()
+        fleet.entry(leaver, views.InstanceState.LEAVING)
+        if removed:
+            fleet.store.remove(f"i-{leaver}")
+        await asyncio.sleep(fleet.bound)
+        absence(fleet)
+        await asyncio.sleep(1.0)
+        missing = fleet.store.restore(copy)
+        fleet.store.back()
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            assert not _users(fleet, f"i-{leaver}")
+        fleet.store.write_again(missing)
+        await asyncio.sleep(fleet.bound)
+        assert not _users(fleet, f"i-{leaver}")
+
+    loops.run(test())
