Use instances that an older copy of the store lacks until they write again

If no call to the store had failed, its vanished entry counted as removed, and the instance got no work while its service had another.

The new test fails without the change; tests/decisions/views pass.

--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -25,8 +25,8 @@
 lapse while the store is away are back within two seconds, and an instance
 that leaves without a word serves on for at least as long."""
 UNSTEADY_SECONDS = 2.0
-"""For how long after the store was away a vanished entry may have lapsed
-rather than been removed."""
+"""For how long after the store was away, or came back older, a vanished
+entry may have lapsed or been lost rather than removed."""
 
 DOUBTED_SECONDS = 10.0
 """For how long an instance that was gone gets no work when an older copy of
@@ -168,6 +168,8 @@
         # What was removed before is not known: it can't be told on. Even a
         # reading that holds nothing tells a follower that all has gone.
         view.history.floor = view.content = content
+    if restored:
+        note_unsteady(view, UNSTEADY_SECONDS, now)
     told = apply(view, [*vanished, *known], revision, content, now)
     if not restored:
         return told
--- a/tests/decisions/views/test_eras.py
+++ b/tests/decisions/views/test_eras.py
@@ -103,3 +103,14 @@
     views.apply(view, [views.Removed("i")], BEFORE + 1, BEFORE + 1, 101.0)
     views.apply(view, [READY], BEFORE + 2, BEFORE + 2, 103.0)
     assert _targets(view) == {"i", "o"}
+
+
+def test_instance_that_the_copy_lacks_is_used_until_it_writes_again() -> None:
+    """It had joined since the copy was made, and got no work for seconds."""
+    view = _known(READY, OTHER)
+    _restore(view, OTHER)
+    assert _targets(view) == {"i", "o"}
+    views.expire(view, 103.0 + _views.LAPSED_SECONDS)
+    assert _targets(view) == {"o"}
+    views.apply(view, [READY], AFTER + 1, AFTER + 1, 105.0)
+    assert _targets(view) == {"i", "o"}
