Confirm no policy from a store that has just come back older

Change: nothing is confirmed for instants before 2 s after the view has entered an era, nor from a reading of a later era than the view's.

--- a/src/sassafrasstair/decisions/views/_confirmations.py
+++ b/src/sassafrasstair/decisions/views/_confirmations.py
@@ -36,10 +36,13 @@
 def confirm(view: _views.View, version: int, instant: float) -> bool:
     """Take a confirmation; return whether it holds here.
 
-    ``instant`` is in seconds of the clock, and no later than the truth.
+    ``instant`` is in seconds of the clock, and no later than the truth. A
+    store that has just come back older may lack a newer policy.
     """
     if version < 0 or version > active_version(view):
         return False
+    if instant < view.settled_from:
+        return False
     view.confirmed = max(view.confirmed, instant)
     return True
 
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -28,6 +28,9 @@
 """For how long after the store was away, or came back older, a vanished
 entry may have lapsed or been lost rather than removed."""
 
+SETTLE_SECONDS = 2.0
+"""For how long after the store came back older a change that it had
+acknowledged may still be missing there."""
 DOUBTED_SECONDS = 10.0
 """For how long an instance that was gone gets no work when an older copy of
 the store lists it again. By then an entry that nobody renews has run out."""
@@ -75,7 +78,8 @@
 
     ``confirmed`` is the latest instant at which the active policy is known
     to have been the newest. All policies up to the revision ``vouched`` have
-    been read, at the latest state of the store.
+    been read, at the latest state of the store. Nothing is confirmed for
+    instants before ``settled_from``: the store had come back older.
 
     ``history`` says at which content each thing last changed, so that a
     peer is told only what it lacks.
@@ -98,6 +102,7 @@
     failing: float = math.inf
     unsteady_until: float = -math.inf
     confirmed: float = -math.inf
+    settled_from: float = -math.inf
     vouched: int = -1
     cache: dict[str, tuple[calls.Target, ...]] = dataclasses.field(
         default_factory=dict
@@ -170,6 +175,7 @@
         view.history.floor = view.content = content
     if restored:
         note_unsteady(view, UNSTEADY_SECONDS, now)
+        view.settled_from = now + SETTLE_SECONDS
     told = apply(view, [*vanished, *known], revision, content, now)
     if not restored:
         return told
--- a/src/sassafrasstair/forwarding/_policy_checks.py
+++ b/src/sassafrasstair/forwarding/_policy_checks.py
@@ -97,7 +97,13 @@
 def _confirm(
     daemon: _state.Daemon, reading: _dialect.Reading, asked_at: float
 ) -> bool:
-    """Confirm the policy of a reading; one that can't be used is none."""
+    """Confirm the policy of a reading; one that can't be used is none.
+
+    One of a later era than the view's confirms nothing before the whole of
+    that era is read.
+    """
+    if views.is_restored(daemon.view, reading.revision):
+        return False
     versions = [
         change.version
         for change in reading.changes
--- a/tests/fleets/test_revocations.py
+++ b/tests/fleets/test_revocations.py
@@ -202,3 +202,30 @@
         assert calls["policy"] == 0
 
     loops.run(test())
+
+
+@pytest.mark.parametrize("away", [1.0, 2.5, 4.0])
+def test_revocation_that_the_store_lost_is_not_confirmed_away(
+    away: float,
+) -> None:
+    """The older copy confirmed the policy that still held the key."""
+
+    async def test() -> None:
+        fleet = _fleet()
+        await _calm(fleet)
+        fleet.store.reset(fleet.hosts)
+        copy = fleet.store.copy()
+        revoked = _revoke(fleet)
+        await asyncio.sleep(away)
+        missing = fleet.store.restore(copy)
+        fleet.store.back()
+        loop = asyncio.get_running_loop()
+        again = loop.call_later(1.8, fleet.store.write_again, missing)
+        while loop.time() < revoked + 3.0 * REVOCATION:
+            await asyncio.sleep(0.05)
+            if loop.time() > revoked + REVOCATION:
+                assert not [h for h in fleet.daemons if _accepts(fleet, h)]
+        assert again.when() < loop.time()
+        assert all(_accepts(fleet, h, OTHER) for h in fleet.daemons)
+
+    loops.run(test())
