Go on from no stale reading of the store

Change: a stale reading is used until a better one comes, but orders nothing; the reader then reads the whole before it watches, at once, and followers are told the whole by theirs. That costs one more whole reading for each reader that starts.

tests/decisions/feeds expected a watch right after the stale readings of a lone daemon; it now expects the whole reading and then the watch.

--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -88,7 +88,8 @@
     until ``alone_until`` the store is read whoever could be followed.
     ``doubted`` when a peer told more than the store did. ``checks`` show
     whether the store answers, ``first`` when the own failure domain is the
-    one whose reader checks it for all.
+    one whose reader checks it for all. ``stale`` when the view is from an
+    answer that may be seconds old, from which no watch can go on.
     """
 
     own: str
@@ -114,6 +115,7 @@
     doubted: bool = False
     checks: _checks.Checks = dataclasses.field(default_factory=_checks.Checks)
     first: bool = True
+    stale: bool = False
 
 
 def new_feed(own: str, timing: _types.Timing, now: float) -> Feed:
@@ -184,10 +186,14 @@
 
 def read_done(feed: Feed, now: float, stale: bool, news: bool = True) -> None:
     """Note an answer of the store, with ``news`` or without."""
-    pace = START_PACE_SECONDS if stale else feed.timing.pace
+    starts = stale or feed.stale
+    pace = START_PACE_SECONDS if starts else feed.timing.pace
     feed.read_from = now + pace
+    if stale and not _starting(feed, now):
+        feed.read_from = now
     feed.retry = RETRY_SECONDS
     feed.whole = False
+    feed.stale = stale
     feed.doubted = False
     _checks.settled(feed.checks, now, news)
 
@@ -223,6 +229,7 @@
     ``content`` is that of the own view before what it told is taken.
     """
     feed.answered = True
+    feed.stale = False
     feed.failures = 0
     feed.poll_from = now + POLL_SECONDS
     feed.avoided.pop(host, None)
@@ -365,7 +372,7 @@
 
 
 def _read(feed: Feed) -> _types.Step:
-    if feed.whole:
+    if feed.whole or feed.stale:
         return _types.Read(stale=False)
     if feed.doubted:
         return _types.Watch(CHECK_SECONDS)
--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -30,6 +30,7 @@
 from sassafrasstair.decisions.views._revisions import number
 from sassafrasstair.decisions.views._revisions import NUMBER_MAX
 from sassafrasstair.decisions.views._revisions import revision
+from sassafrasstair.decisions.views._revisions import UNORDERED
 from sassafrasstair.decisions.views._types import Change
 from sassafrasstair.decisions.views._types import Delta
 from sassafrasstair.decisions.views._types import Instance
@@ -63,6 +64,7 @@
     "News",
     "Removed",
     "Snapshot",
+    "UNORDERED",
     "Unusable",
     "View",
     "active_version",
--- a/src/sassafrasstair/decisions/views/_revisions.py
+++ b/src/sassafrasstair/decisions/views/_revisions.py
@@ -10,6 +10,8 @@
 
 _NUMBER_BITS = 40
 """A trillion changes within one era: 1,000 a second for 35 years."""
+UNORDERED = -1
+"""Less than any revision: nothing is known, or only a stale reading."""
 NUMBER_MAX = (1 << _NUMBER_BITS) - 1
 
 
@@ -19,10 +21,10 @@
 
 
 def era(revision: int) -> int:
-    """Return the era of a revision, 0 if nothing is known yet."""
+    """Return the era of a revision, 0 if it is unordered."""
     return max(0, revision) >> _NUMBER_BITS
 
 
 def number(revision: int) -> int:
-    """Return the store's own number of a revision, -1 for nothing yet."""
+    """Return the store's own number of a revision, -1 if it is unordered."""
     return revision & NUMBER_MAX if revision >= 0 else revision
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -58,7 +58,7 @@
 
 @dataclasses.dataclass(slots=True)
 class View:
-    """What is known. ``revision`` is the store's; -1 for nothing yet.
+    """What is known. ``revision`` is the store's, see ``_revisions``.
 
     ``content`` is the revision of the last change that made a difference:
     the store's own counter also moves with changes that do not concern us,
--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 from sassafrasstair.decisions import calls
@@ -29,7 +30,7 @@
     now = daemon.clock.monotonic()
     note_answer(daemon, now)
     note_refused(daemon, reading.refused)
-    if reading.revision < daemon.view.revision:
+    if views.UNORDERED < reading.revision < daemon.view.revision:
         _note_outdated(daemon, reading)
     take = views.replace if reading.whole else views.apply
     told = take(
@@ -38,6 +39,19 @@
     learned(daemon, told, "store")
 
 
+def take_stale_reading(
+    daemon: _state.Daemon, reading: _dialect.Reading
+) -> None:
+    """Take an answer that may be seconds old, so from before the era.
+
+    It says nothing of which changes are known.
+    """
+    unordered = dataclasses.replace(
+        reading, revision=views.UNORDERED, content=views.UNORDERED
+    )
+    take_reading(daemon, unordered)
+
+
 def take_delta(
     daemon: _state.Daemon,
     status: feeds.PeerStatus,
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -109,8 +109,10 @@
                 daemon, now, error.reason.value, error.detail
             )
         return
-    _learning.take_reading(daemon, found)
-    if not stale:
+    if stale:
+        _learning.take_stale_reading(daemon, found)
+    else:
+        _learning.take_reading(daemon, found)
         _policy_checks.take_reading(daemon, found, begun, after)
     feeds.read_done(daemon.feed, now, stale, bool(found.changes))
 
--- a/tests/decisions/feeds/test_feeds.py
+++ b/tests/decisions/feeds/test_feeds.py
@@ -79,7 +79,10 @@
     feeds.next_step(feed, 0.0)
     feeds.read_done(feed, 0.0, stale=True)
     late = _feeds.START_SECONDS
-    assert isinstance(feeds.next_step(feed, late), feeds.Watch)
+    assert feeds.next_step(feed, late) == feeds.Read(stale=False)
+    feeds.read_done(feed, late, stale=False)
+    paced = late + TIMING.pace
+    assert isinstance(feeds.next_step(feed, paced), feeds.Watch)
 
 
 @pytest.mark.parametrize(
--- a/tests/fleets/stores.py
+++ b/tests/fleets/stores.py
@@ -34,7 +34,8 @@
     when ``down``. A ``deaf`` store's watches hear nothing. An answer takes
     ``slow`` seconds. ``left`` and ``cuts`` count for each host how often the
     store went away: what waited then is answered no more, or cut. ``era``
-    rises each time that an older copy takes the store's place.
+    rises each time that an older copy takes the store's place. Stale reads
+    get what ``lagging`` holds, if it does.
     """
 
     revision: int = 1
@@ -59,6 +60,7 @@
     )
     waiting: set[asyncio.Event] = dataclasses.field(default_factory=set)
     era: int = 1
+    lagging: Copy | None = None
 
     @property
     def position(self) -> int:
@@ -157,6 +159,11 @@
         """Return all items."""
         await self._call("stale" if stale else "read", CALL_SECONDS)
         store = self._store
+        if stale and store.lagging is not None:
+            old = store.lagging
+            revision = views.revision(store.era, old.revision)
+            items = tuple(old.items.values())
+            return forwarding.Reading(items, revision, revision, True)
         items = tuple(store.items.values())
         revision = store.position
         return forwarding.Reading(items, revision, revision, True)
--- a/tests/fleets/test_older_copies.py
+++ b/tests/fleets/test_older_copies.py
@@ -172,3 +172,28 @@
         assert not _users(fleet, f"i-{leaver}")
 
     loops.run(test())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_daemon_that_starts_with_a_stale_reading_misses_nothing(
+    seed: int,
+) -> None:
+    """Its first reading was of the time before the store came back older."""
+
+    async def test() -> None:
+        fleet = Fleet(16, 4, seed=seed, bound=BOUND)
+        await _calm(fleet)
+        copy = fleet.store.copy()
+        for _ in range(12):
+            await fleet.spread()
+        fleet.store.lagging = fleet.store.copy()
+        fleet.store.write_again(fleet.store.restore(copy))
+        await asyncio.sleep(1.0)
+        for host in fleet.hosts[::3]:
+            fleet.restart(host)
+        await asyncio.sleep(STABLE_SECONDS)
+        for _ in range(12):
+            assert await fleet.spread() < fleet.bound
+            await asyncio.sleep(0.3)
+
+    loops.run(test())
