Drop VMs that a restored platform lists no more

When it goes back, what a list lacks is kept, since a platform that came back stale does not know all VMs yet; so a VM that was removed afterwards stayed a member until the index had passed what it had been, or until its failures were noticed.

Change: lists below the index are compared with each other, and a VM that one of them had and the next has not is dropped. What the first of them lacks is kept as before. Bundles have an order of their own, and the client's watch goes on from the index that went back: both were right.

--- a/src/sassafrasstair/decisions/fleet/_platform.py
+++ b/src/sassafrasstair/decisions/fleet/_platform.py
@@ -55,19 +55,33 @@
                 effects.append(_effects.Report("listed_as_leaving", {}))
         elif index > node.index > 0:
             _members.common(node, record.vm)
+    names: dict[str, str] = {each.vm: each.state for each in records}
     if index < node.index:
-        # A platform that came back stale lists VMs as it once knew them:
-        # dropping those that it does not know yet would empty services.
+        # A platform that came back older does not know some VMs yet, and
+        # dropping those would empty services: only what it has listed since
+        # and lists no more has been removed.
+        if index > node.older_index:
+            _drop_missing(node, node.older_listed, names, now)
+        node.older_listed, node.older_index = names, index
         return effects
-    names = {record.vm: record.state for record in records}
-    for vm in node.listed:
-        if vm not in names and _unlisted(node, vm, now):
-            _members.mark_hot(node, vm)
-    node.listed = dict(names)
+    _drop_missing(node, node.listed, names, now)
+    node.older_listed, node.older_index = {}, 0
+    node.listed = names
     node.index = index
     return effects
 
 
+def _drop_missing(
+    node: _states.Node,
+    listed: abc.Iterable[str],
+    names: abc.Container[str],
+    now: float,
+) -> None:
+    for vm in listed:
+        if vm not in names and _unlisted(node, vm, now):
+            _members.mark_hot(node, vm)
+
+
 def lost(node: _states.Node, rng: random.Random) -> list[_effects.Effect]:
     """Take in a lost or overflown watch, or a failed read."""
     node.platform_failures += 1
--- a/src/sassafrasstair/decisions/fleet/_states.py
+++ b/src/sassafrasstair/decisions/fleet/_states.py
@@ -111,6 +111,8 @@
     tokens: float = 0.0
     index: int = 0
     listed: dict[str, str] = dataclasses.field(default_factory=dict)
+    older_index: int = 0
+    older_listed: dict[str, str] = dataclasses.field(default_factory=dict)
     checks: dict[str, Check] = dataclasses.field(default_factory=dict)
     barred: set[str] = dataclasses.field(default_factory=set)
     unwell: set[str] = dataclasses.field(default_factory=set)
