Begin no whole reading anew while one is under way

A reading of a large and slow store takes longer than a check, and would never have ended; the check of the policy alone did the same. Such a reading is now let end. The new test fails without the change.

--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -318,10 +318,16 @@
     feed.checks.acted = True
 
 
-def reread(feed: Feed, now: float) -> None:
-    """Read the whole store at once: it has a policy that no watch told."""
+def reread(feed: Feed, now: float) -> bool:
+    """Read the whole store at once, as no watch tells all that it holds.
+
+    Return False if that is under way: it is not begun anew.
+    """
+    if feed.whole:
+        return False
     feed.whole = True
     feed.read_from = min(feed.read_from, now)
+    return True
 
 
 def deaf(feed: Feed, heard: float, now: float) -> bool:
--- a/src/sassafrasstair/forwarding/_checks.py
+++ b/src/sassafrasstair/forwarding/_checks.py
@@ -66,8 +66,8 @@
     _learning.note_answer(daemon, now, age)
     _policy_checks.check_answered(daemon, revision, sent_at)
     if restored and feeds.reads(daemon.feed):
-        feeds.reread(daemon.feed, now)
-        daemon.woken.set()
+        if feeds.reread(daemon.feed, now):
+            daemon.woken.set()
     elif behind:
         asyncio.get_running_loop().call_later(
             daemon.feed.timing.grace, _ask_if_behind, daemon, revision
--- a/src/sassafrasstair/forwarding/_policy_checks.py
+++ b/src/sassafrasstair/forwarding/_policy_checks.py
@@ -90,8 +90,8 @@
     daemon.journal.note(
         "policy_not_told", revision=views.number(reading.content)
     )
-    feeds.reread(daemon.feed, daemon.clock.monotonic())
-    daemon.woken.set()
+    if feeds.reread(daemon.feed, daemon.clock.monotonic()):
+        daemon.woken.set()
 
 
 def _confirm(
--- a/tests/decisions/feeds/test_feeds.py
+++ b/tests/decisions/feeds/test_feeds.py
@@ -174,3 +174,13 @@
     late = _feeds.HOST_SECONDS + 1.0
     feeds.learn(feed, frozenset({BEFORE[0]}), late)
     assert feed.before == BEFORE[:1]
+
+
+def test_whole_reading_is_not_begun_anew() -> None:
+    """Each check of a large and slow store would have restarted it."""
+    feed = feeds.new_feed(LAST, TIMING, 0.0)
+    feeds.read_done(feed, 0.0, stale=False)
+    assert feeds.reread(feed, 1.0)
+    assert not feeds.reread(feed, 2.0)
+    feeds.read_done(feed, 3.0, stale=False)
+    assert feeds.reread(feed, 4.0)
