Log refused items of a new era anew, and test daemons of the version before

An item that can't be used is logged once a revision, and revisions are given out again in a new era, so another bad item could go unlogged. The list is emptied when an era begins. No test of its own: the list is only that of log lines.

--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -189,6 +189,8 @@
         )
         return
     if news is views.News.RESTORED:
+        # The revisions that refused items had are given out again.
+        daemon.refused.clear()
         daemon.journal.note(
             news.value,
             era=views.era(view.revision),
--- a/tests/decisions/views/test_eras.py
+++ b/tests/decisions/views/test_eras.py
@@ -114,3 +114,16 @@
     assert _targets(view) == {"o"}
     views.apply(view, [READY], AFTER + 1, AFTER + 1, 105.0)
     assert _targets(view) == {"i", "o"}
+
+
+def test_daemon_of_the_version_before_takes_nothing_back() -> None:
+    """It counts revisions without an era, as those of an earlier one."""
+    view = _known(READY)
+    _restore(view, OTHER)
+    known = (READY, LEAVING, OTHER)
+    for revision in (90, views.NUMBER_MAX):
+        told = views.Delta(revision, revision, True, None, known)
+        assert not views.take(view, told, 105.0)
+        snapshot = views.Snapshot(revision, revision, None, known)
+        assert not views.adopt(view, snapshot, 105.0)
+    assert view.revision == AFTER
