Let the soak bring the store back from an older copy

After the last fault each soak does so once more, changes the policy 3 s after the return, and checks that every daemon has it 2 s later.

--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -139,14 +139,20 @@
     async def watcher(self) -> Vm | None:
         """Return the VM whose daemon reads the store, None if none does."""
         for vm in self.vms:
-            with contextlib.suppress(OSError, TimeoutError, ValueError):
-                reader, writer = await asyncio.open_connection(vm.host, READY)
-                writer.write(b"GET /feed HTTP/1.1\r\nHost: a\r\n\r\n")
-                answer = await asyncio.wait_for(reader.read(65_536), 0.5)
-                writer.close()
-                told = json.loads(answer.partition(b"\r\n\r\n")[2])
-                if told["parent"] == "store":
-                    return vm
+            told = await self.feed_status(vm)
+            if told is not None and told["parent"] == "store":
+                return vm
+        return None
+
+    async def feed_status(self, vm: Vm) -> dict[str, typing.Any] | None:
+        """Return what the VM's daemon tells of its feed, None if nothing."""
+        with contextlib.suppress(OSError, TimeoutError, ValueError):
+            reader, writer = await asyncio.open_connection(vm.host, READY)
+            writer.write(b"GET /feed HTTP/1.1\r\nHost: a\r\n\r\n")
+            answer = await asyncio.wait_for(reader.read(65_536), 0.5)
+            writer.close()
+            found = json.loads(answer.partition(b"\r\n\r\n")[2])
+            return typing.cast("dict[str, typing.Any]", found)
         return None
 
     async def open(self) -> None:
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -19,6 +19,10 @@
 FAULT_PAUSE = (0.2, 1.2)
 SETTLE_SECONDS = 4.0
 """After the last fault: entries are back, pings done, queues empty."""
+PROPAGATION_SECONDS = 2.0
+"""Within which a change is known, unless the settings say otherwise."""
+LOST_CHANGES = 4
+LOST_PAUSE = 0.3
 PROBES = 20
 BAD_TIMES = 12
 BAD_PAUSE = 0.25
@@ -62,6 +66,8 @@
         await _disturb(fleet, seconds)
         await asyncio.sleep(SETTLE_SECONDS)
         traffic.cancel()
+        await _check_policies(fleet)
+        await _check_older_copy(fleet)
         await _check_crashes(fleet)
         await _check_recovery(fleet)
         fleet.oracle.check_quotas()
@@ -134,6 +140,33 @@
     await asyncio.sleep(upstreams.AWAY_SECONDS)
 
 
+async def _check_older_copy(fleet: fleet_module.Fleet) -> None:
+    """Bring the store back older once more, and change the policy then."""
+    copy = fleet.store.copy()
+    for _ in range(LOST_CHANGES):
+        fleet.configure()
+        await asyncio.sleep(LOST_PAUSE)
+    fleet.store.mode = "reset"
+    await asyncio.sleep(LOST_PAUSE)
+    fleet.store.restore(copy)
+    fleet.store.mode = ""
+    fleet.store.write_again()
+    await asyncio.sleep(oracle_module.STABLE_SECONDS)
+    fleet.configure()
+    await asyncio.sleep(PROPAGATION_SECONDS)
+    await _check_policies(fleet)
+
+
+async def _check_policies(fleet: fleet_module.Fleet) -> None:
+    """Check that each daemon has the policy that the store holds."""
+    for vm in fleet.vms:
+        told = await fleet.feed_status(vm)
+        if told is None or told["policy"] != fleet.version:
+            fleet.oracle.broken.append(
+                f"CONFIG {vm.name}: {told}, not {fleet.version}"
+            )
+
+
 async def _check_recovery(fleet: fleet_module.Fleet) -> None:
     for vm in fleet.vms:
         if not await fleet.ready(vm, 5.0):
@@ -204,6 +237,18 @@
     fleet.store.mode = ""
 
 
+async def _store_older(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Bring the store back from a copy that is some seconds old."""
+    copy = fleet.store.copy()
+    await asyncio.sleep(fleet.rng.uniform(0.5, 4.0))
+    fleet.store.mode = fleet.rng.choice(["busy", "reset", "silent"])
+    await asyncio.sleep(fleet.rng.uniform(0.0, 1.5))
+    fleet.store.restore(copy)
+    fleet.store.mode = ""
+    await asyncio.sleep(fleet.rng.uniform(0.0, 1.5))
+    fleet.store.write_again()
+
+
 async def _forget(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
     fleet.store.forget_history()
 
@@ -311,6 +356,7 @@
     "silence": _silence,
     "stop": _stop,
     "store_away": _store_away,
+    "store_older": _store_older,
 }
 ON_PROCESS = frozenset({"hup", "kill", "pause", "stop"})
 """Faults of a VM's process come one at a time."""
--- a/tests/platform/soak/store.py
+++ b/tests/platform/soak/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import typing
 import urllib.parse
@@ -15,16 +16,30 @@
 Event = dict[str, object]
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """What a store held at one moment."""
+
+    revision: int
+    items: dict[str, Event]
+    events: tuple[Event, ...]
+
+
 class Store:
-    """Items by key with revisions; ``mode`` is what is wrong with it."""
+    """Items by key with revisions; ``mode`` is what is wrong with it.
+
+    ``era`` counts how often it came back from an older copy.
+    """
 
     def __init__(self) -> None:
         self.items: dict[str, Event] = {}
         self.events: list[Event] = []
         self.revision = 1
+        self.era = 1
         self.oldest = 0
         self.mode = ""
         self._changed = asyncio.Event()
+        self._lost: dict[str, Event | None] = {}
         self._answering: set[asyncio.Task[None]] = set()
         self._listener = httpio.Listener(
             self._handle, lambda status: [], clocks.SystemClock(), _memory()
@@ -40,10 +55,14 @@
 
     def put(self, key: str, value: typing.Mapping[str, object]) -> None:
         """Write an item as the operator or an instance does."""
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        self._write(key, text)
+
+    def _write(self, key: str, text: str) -> None:
+        self._lost.pop(key, None)
         self.revision += 1
         before = self.items.get(key)
         created = self.revision if before is None else before["created"]
-        text = base64.b64encode(json.dumps(value).encode()).decode()
         item: Event = {
             "key": key,
             "value": text,
@@ -56,11 +75,39 @@
 
     def remove(self, key: str) -> None:
         """Remove an item."""
+        self._lost.pop(key, None)
         if self.items.pop(key, None) is None:
             return
         self.revision += 1
         self._note({"key": key, "revision": self.revision, "removed": True})
 
+    def copy(self) -> Copy:
+        """Return what the store holds now."""
+        return Copy(self.revision, dict(self.items), tuple(self.events))
+
+    def restore(self, copy: Copy) -> None:
+        """Go on from an older copy; what it lacks is lost."""
+        keys = sorted(self.items.keys() | copy.items.keys())
+        self._lost = {
+            key: self.items.get(key)
+            for key in keys
+            if self.items.get(key) != copy.items.get(key)
+        }
+        self.era += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.events = list(copy.events)
+        self.oldest = min(self.oldest, self.revision)
+        self._wake()
+
+    def write_again(self) -> None:
+        """Write what was lost and has not been written since."""
+        for key, item in list(self._lost.items()):
+            if item is None:
+                self.remove(key)
+            else:
+                self._write(key, typing.cast("str", item["value"]))
+
     def forget_history(self) -> None:
         """Answer watches that begin before now with 410."""
         self.oldest = self.revision
@@ -70,6 +117,9 @@
         self.events.append(event)
         if len(self.events) > HISTORY:
             self.oldest = typing.cast("int", self.events.pop(0)["revision"])
+        self._wake()
+
+    def _wake(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
@@ -92,20 +142,21 @@
                 for key in sorted(self.items)
                 if key.startswith(asked["prefix"])
             ]
-            _respond(exchange, self.revision, "items", items)
+            self._respond(exchange, "items", items)
             return
         if path == "/-/kv-key":
             item = self.items.get(asked["key"])
             if item is None:
-                exchange.respond(404, [], b"")
+                exchange.respond(404, self._fields(), b"")
                 return
             told = item | {"store_revision": self.revision}
-            exchange.respond(200, [], json.dumps(told).encode())
+            exchange.respond(200, self._fields(), json.dumps(told).encode())
             return
         after = int(asked["after"])
-        if after < self.oldest:
-            exchange.respond(410, [], b"")
+        if not self.oldest <= after <= self.revision:
+            exchange.respond(410, self._fields(), b"")
             return
+        era = self.era
         until = int(asked["wait_ms"]) / 1000
         events = self._since(after)
         if not events:
@@ -114,10 +165,23 @@
             except TimeoutError:
                 pass
             events = self._since(after)
-        if self.mode:
+        if self.mode or self.era != era:
             exchange._connection._transport.abort()
         else:
-            _respond(exchange, self.revision, "events", events)
+            self._respond(exchange, "events", events)
+
+    def _respond(
+        self, exchange: httpio.Exchange, name: str, found: list[Event]
+    ) -> None:
+        told = {
+            name: found,
+            "has_more": False,
+            "store_revision": self.revision,
+        }
+        exchange.respond(200, self._fields(), json.dumps(told).encode())
+
+    def _fields(self) -> httpio.Fields:
+        return [(b"Store-Era", b"%d" % self.era)]
 
     def _since(self, after: int) -> list[Event]:
         return [
@@ -136,10 +200,3 @@
 
 def _memory() -> httpio.Memory:
     return httpio.Memory(1 << 30)
-
-
-def _respond(
-    exchange: httpio.Exchange, revision: int, name: str, found: list[Event]
-) -> None:
-    told = {name: found, "has_more": False, "store_revision": revision}
-    exchange.respond(200, [], json.dumps(told).encode())
