Test the store's return from an older copy by what is asked of it

Two returns within half a second, watches that wait on for a revision that comes again, the calls to the store until all know of the era, a run that a later one under its id replaced, and an instance that the copy lacks and that has died.

--- a/tests/decisions/views/test_eras.py
+++ b/tests/decisions/views/test_eras.py
@@ -127,3 +127,20 @@
         snapshot = views.Snapshot(revision, revision, None, known)
         assert not views.adopt(view, snapshot, 105.0)
     assert view.revision == AFTER
+
+
+def test_run_that_a_later_one_replaced_gets_no_work() -> None:
+    """The copy was made before the instance restarted under its id."""
+    later = dataclasses.replace(READY, born=6, port=2)
+    view = _known(later)
+    _restore(view, dataclasses.replace(READY, born=5))
+    assert views.instance(view, "i") == later
+
+
+def test_instance_that_the_copy_lacks_and_that_has_died_is_gone() -> None:
+    """It never wrote again, and nobody removed what was not there."""
+    view = _known(READY, OTHER)
+    _restore(view, OTHER)
+    told = views.expire(view, 103.0 + _views.LAPSED_SECONDS)
+    assert told == [(views.News.GONE, "i")]
+    assert _targets(view) == {"o"}
--- a/tests/fleets/stores.py
+++ b/tests/fleets/stores.py
@@ -35,7 +35,8 @@
     ``slow`` seconds. ``left`` and ``cuts`` count for each host how often the
     store went away: what waited then is answered no more, or cut. ``era``
     rises each time that an older copy takes the store's place. Stale reads
-    get what ``lagging`` holds, if it does.
+    get what ``lagging`` holds, if it does. What waits when it comes back
+    older is cut, unless ``keeps_watches``.
     """
 
     revision: int = 1
@@ -61,6 +62,7 @@
     waiting: set[asyncio.Event] = dataclasses.field(default_factory=set)
     era: int = 1
     lagging: Copy | None = None
+    keeps_watches: bool = False
 
     @property
     def position(self) -> int:
@@ -189,7 +191,8 @@
             if silent or store.left[host] != left:
                 await asyncio.sleep(until + CALL_SECONDS - loop.time())
                 raise forwarding.SourceError(forwarding.SourceReason.TIMEOUT)
-            if store.cuts[host] != cuts or store.era != era:
+            restored = store.era != era and not store.keeps_watches
+            if store.cuts[host] != cuts or restored:
                 raise forwarding.SourceError(forwarding.SourceReason.LOST)
         if store.era != views.era(after):
             raise forwarding.SourceError(forwarding.SourceReason.HISTORY_GONE)
--- a/tests/fleets/test_older_copies.py
+++ b/tests/fleets/test_older_copies.py
@@ -17,6 +17,10 @@
 """After the store's return, until changes must be known in time again."""
 
 
+RETURN_PAUSE = 0.5
+CALLS_SECONDS = 5.0
+READERS_EACH = 3
+"""Daemons of a failure domain that may call the store, once a second."""
 LOST = (1, 4, 12)
 """Changes that the copy lacks."""
 
@@ -33,7 +37,12 @@
     """Bring the store back before anybody has asked it."""
 
 
-ABSENCES = (_cut, _unanswered, _unnoticed)
+def _unnoticed_by_watches(fleet: Fleet) -> None:
+    """Let watches wait on, for a revision that comes again."""
+    fleet.store.keeps_watches = True
+
+
+ABSENCES = (_cut, _unanswered, _unnoticed, _unnoticed_by_watches)
 Absence = typing.Callable[[Fleet], None]
 
 
@@ -56,6 +65,10 @@
     fleet.store.write_again(missing)
 
 
+def _knows_era(fleet: Fleet, host: str) -> bool:
+    return views.era(fleet.daemons[host].view.revision) == fleet.store.era
+
+
 def _users(fleet: Fleet, key: str) -> list[str]:
     """Return the hosts of the daemons that would send work to an instance."""
     return [
@@ -104,6 +117,38 @@
     loops.run(test())
 
 
+@pytest.mark.parametrize("returns", [1, 2])
+@pytest.mark.parametrize("absence", ABSENCES)
+@pytest.mark.parametrize(
+    ("count", "domains", "bound"), [(13, 3, 2.0), (69, 4, 2.5)]
+)
+def test_all_know_of_the_return_soon_and_few_ask(
+    count: int, domains: int, bound: float, absence: Absence, returns: int
+) -> None:
+    """All read the store at once, or the last follower knew late."""
+
+    async def test() -> None:
+        fleet = Fleet(count, domains, bound=bound)
+        await _calm(fleet)
+        loop = asyncio.get_running_loop()
+        copy = fleet.store.copy()
+        await fleet.spread()
+        await _bring_back_older(fleet, 4, absence)
+        begun = loop.time()
+        if returns > 1:
+            await asyncio.sleep(RETURN_PAUSE)
+            fleet.store.write_again(fleet.store.restore(copy))
+        late = loop.time() + bound
+        while not all(_knows_era(fleet, host) for host in fleet.daemons):
+            assert loop.time() < late
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(begun + CALLS_SECONDS - loop.time())
+        calls = fleet.store.calls_since(begun).total()
+        assert calls <= READERS_EACH * domains * CALLS_SECONDS
+
+    loops.run(test())
+
+
 @pytest.mark.parametrize(
     ("count", "domains", "bound"), [(65, 3, 2.5), (195, 6, 3.0)]
 )
