Let the platform's stand-in lose its last changes

A test of the stand-in, and one with real processes: a bundle whose index had been that of a lost one is in force at both daemons.

--- a/src/sassafrasstair/console/commands/standin/control.py
+++ b/src/sassafrasstair/console/commands/standin/control.py
@@ -51,6 +51,14 @@
     _ask(http, "POST", "/stale", params={"back": back})
 
 
+@control.command()
+@click.option("--back", default=0, help="How many changes ago.")
+@click.pass_obj
+def restore(http: httpx.Client, back: int) -> None:
+    """Lose the last changes, and give their indexes out again."""
+    _ask(http, "POST", "/restore", params={"back": back})
+
+
 @control.command()
 @click.pass_obj
 def back(http: httpx.Client) -> None:
--- a/src/sassafrasstair/standins/_platform.py
+++ b/src/sassafrasstair/standins/_platform.py
@@ -112,6 +112,10 @@
     async def stale(back: params.FromQuery[int] = 0) -> None:
         _store.freeze(state.store, back)
 
+    @litestar.post("/restore")
+    async def restore(back: params.FromQuery[int] = 0) -> None:
+        _store.restore(state.store, back)
+
     @litestar.post("/back")
     async def back() -> None:
         state.down = False
@@ -126,7 +130,7 @@
     async def counts() -> Counts:
         return _counts(state)
 
-    handlers = [put, delete, down, stale, back, lag, counts]
+    handlers = [put, delete, down, stale, restore, back, lag, counts]
     return litestar.Litestar(
         handlers,
         openapi_config=None,
--- a/src/sassafrasstair/standins/_store.py
+++ b/src/sassafrasstair/standins/_store.py
@@ -86,6 +86,18 @@
     return store.frozen.index
 
 
+def restore(store: Store, back: int) -> int:
+    """Go on from the view of ``back`` changes ago; return its index.
+
+    What was changed since is lost, and its indexes are given out again.
+    """
+    position = max(0, len(store.views) - 1 - back)
+    del store.views[position + 1 :]
+    store.frozen = None
+    wake(store)
+    return store.views[-1].index
+
+
 def thaw(store: Store) -> None:
     """Show the newest view again."""
     store.frozen = None
--- a/tests/processes/test_platform_faults.py
+++ b/tests/processes/test_platform_faults.py
@@ -130,3 +130,18 @@
             await mesh.all_serve(4)
 
     _run(mesh, story, 3)
+
+
+def test_bundle_after_the_platform_was_restored_is_in_force(
+    mesh: mesh_module.Mesh,
+) -> None:
+    """Its index had been that of a bundle that the platform lost."""
+
+    async def story(mesh: mesh_module.Mesh, relays: list[relay.Relay]) -> None:
+        await mesh.publish(5)
+        await mesh.all_serve(5)
+        assert await mesh.ask("POST", mesh.control, "/restore?back=1")
+        await mesh.publish(6)
+        await mesh.all_serve(6)
+
+    _run(mesh, story, 4)
--- a/tests/standins/test_platform_standin.py
+++ b/tests/standins/test_platform_standin.py
@@ -91,6 +91,23 @@
     _run(story, free_port)
 
 
+def test_restored_platform_gives_indexes_out_again(
+    free_port: abc.Callable[[], int],
+) -> None:
+    async def story(pair: Pair) -> None:
+        await pair.publish(KEY, b"one")
+        await pair.publish(KEY, b"two")
+        lost = await pair.client.read(PREFIX)
+        await pair.control.post("/restore", params={"back": 1})
+        old = await pair.client.watch(PREFIX, lost.index, 0.05)
+        assert old == configservice.Snapshot(0, {KEY: b"one"})
+        await pair.publish(KEY, b"three")
+        again = configservice.Snapshot(lost.index, {KEY: b"three"})
+        assert await pair.client.read(PREFIX) == again
+
+    _run(story, free_port)
+
+
 def test_index_is_read_without_the_values(
     free_port: abc.Callable[[], int],
 ) -> None:
