Let a daemon read the whole that has followed one with a stale reading

Found by reading the change again: whoever had followed, at its start, a daemon that had only a stale reading itself counted as one that has better, and as a reader would have watched from a revision that does not exist. It now counts so only once a peer has told a revision. The new test fails without the change; tests/decisions/feeds pass.

--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -229,7 +229,8 @@
     ``content`` is that of the own view before what it told is taken.
     """
     feed.answered = True
-    feed.stale = False
+    if status.revision >= 0:
+        feed.stale = False
     feed.failures = 0
     feed.poll_from = now + POLL_SECONDS
     feed.avoided.pop(host, None)
--- a/tests/decisions/feeds/test_feeds.py
+++ b/tests/decisions/feeds/test_feeds.py
@@ -184,3 +184,18 @@
     assert not feeds.reread(feed, 2.0)
     feeds.read_done(feed, 3.0, stale=False)
     assert feeds.reread(feed, 4.0)
+
+
+def test_daemon_that_follows_one_with_a_stale_reading_has_no_better() -> None:
+    """It became a reader, and watched from a revision that there is not."""
+    feed = feeds.new_feed(LAST, TIMING, 0.0)
+    feeds.next_step(feed, 0.0)
+    feeds.read_done(feed, 0.0, stale=True)
+    late = _feeds.START_SECONDS
+    rng = random.Random(1)
+    unordered = feeds.PeerStatus(-1, None, 0.0, leaving=False)
+    feeds.told(feed, "10.1.0.1", unordered, -1, late, rng)
+    assert feeds.next_step(feed, late) == feeds.Read(stale=False)
+    ordered = feeds.PeerStatus(7, None, 0.0, leaving=False)
+    feeds.told(feed, "10.1.0.1", ordered, -1, late, rng)
+    assert isinstance(feeds.next_step(feed, late), feeds.Watch)
