Name answers and failures of peers in feeds and views by the usual terms

told, silent and deaf become peer_answered, peer_failed and is_stalled; the list of what became different is Updates. Behaviour unchanged; tests/decisions/feeds and views, tests/fleets/test_faults.py and tests/forwarding/test_sync.py pass.

--- a/src/sassafrasstair/decisions/feeds/__init__.py
+++ b/src/sassafrasstair/decisions/feeds/__init__.py
@@ -8,23 +8,23 @@
 from sassafrasstair.decisions.feeds._feeds import check_due
 from sassafrasstair.decisions.feeds._feeds import check_sent
 from sassafrasstair.decisions.feeds._feeds import choose
-from sassafrasstair.decisions.feeds._feeds import deaf
 from sassafrasstair.decisions.feeds._feeds import doubt
 from sassafrasstair.decisions.feeds._feeds import Feed
+from sassafrasstair.decisions.feeds._feeds import is_stalled
 from sassafrasstair.decisions.feeds._feeds import learn
 from sassafrasstair.decisions.feeds._feeds import lost_from
 from sassafrasstair.decisions.feeds._feeds import missed
 from sassafrasstair.decisions.feeds._feeds import new_feed
 from sassafrasstair.decisions.feeds._feeds import next_step
 from sassafrasstair.decisions.feeds._feeds import patience
+from sassafrasstair.decisions.feeds._feeds import peer_answered
+from sassafrasstair.decisions.feeds._feeds import peer_failed
 from sassafrasstair.decisions.feeds._feeds import read_done
 from sassafrasstair.decisions.feeds._feeds import read_failed
 from sassafrasstair.decisions.feeds._feeds import readers
 from sassafrasstair.decisions.feeds._feeds import reads
 from sassafrasstair.decisions.feeds._feeds import reread
-from sassafrasstair.decisions.feeds._feeds import silent
 from sassafrasstair.decisions.feeds._feeds import STORE
-from sassafrasstair.decisions.feeds._feeds import told
 from sassafrasstair.decisions.feeds._feeds import without_store
 from sassafrasstair.decisions.feeds._orders import earlier
 from sassafrasstair.decisions.feeds._orders import FANOUT
@@ -41,12 +41,12 @@
 
 __all__ = [
     "FANOUT",
-    "STORE",
     "Feed",
     "PeerStatus",
     "Poll",
     "Read",
     "Rest",
+    "STORE",
     "Step",
     "Timing",
     "Watch",
@@ -56,9 +56,9 @@
     "check_due",
     "check_sent",
     "choose",
-    "deaf",
     "doubt",
     "earlier",
+    "is_stalled",
     "leads",
     "learn",
     "lost_from",
@@ -67,13 +67,13 @@
     "next_step",
     "parent",
     "patience",
+    "peer_answered",
+    "peer_failed",
     "read_done",
     "read_failed",
     "readers",
     "reads",
     "reread",
-    "silent",
     "timing",
-    "told",
     "without_store",
 ]
--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -216,7 +216,7 @@
     feed.retry = min(RETRY_SECONDS_MAX, 2.0 * feed.retry)
 
 
-def told(
+def peer_answered(
     feed: Feed,
     host: str,
     status: _types.PeerStatus,
@@ -242,7 +242,7 @@
     _check_behind(feed, host, status.revision < content, now, rng)
 
 
-def silent(feed: Feed, host: str, now: float, rng: random.Random) -> None:
+def peer_failed(feed: Feed, host: str, now: float, rng: random.Random) -> None:
     """Note that a daemon gave no answer in time."""
     feed.avoided[host] = now + _spread(AVOID_SECONDS, rng)
     feed.poll_from = now + _spread(STEP_SECONDS, rng)
@@ -331,7 +331,7 @@
     return True
 
 
-def deaf(feed: Feed, heard: float, now: float) -> bool:
+def is_stalled(feed: Feed, heard: float, now: float) -> bool:
     """Return whether nobody that is known has heard of the store for long."""
     return now - heard > _checks.DEAF_QUIET * feed.timing.quiet
 
@@ -344,7 +344,7 @@
     """
     if not reads(feed):
         return feed.timing.behind
-    if deaf(feed, heard, now):
+    if is_stalled(feed, heard, now):
         return 0.0
     pace = min(feed.timing.pace, max(0.0, feed.read_from - now))
     return pace + feed.timing.grace
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -39,7 +39,7 @@
 that comes back must not be that of an earlier run. 1,300 instances that are
 replaced three times."""
 
-Told = list[tuple[_types.News, str]]
+Updates = list[tuple[_types.News, str]]
 """What became different: the news, and an instance's id or ''."""
 
 
@@ -155,7 +155,7 @@
     revision: int,
     content: int,
     now: float,
-) -> Told:
+) -> Updates:
     """Take a whole reading of the store as of ``revision``.
 
     Entries that the reading lacks have vanished. A reading that is older
@@ -176,13 +176,13 @@
     if restored:
         note_unsteady(view, UNSTEADY_SECONDS, now)
         view.settled_from = now + SETTLE_SECONDS
-    told = apply(view, [*vanished, *known], revision, content, now)
+    updates = apply(view, [*vanished, *known], revision, content, now)
     if not restored:
-        return told
-    return [(_types.News.RESTORED, ""), *told, *_doubt(view, back, now)]
+        return updates
+    return [(_types.News.RESTORED, ""), *updates, *_doubt(view, back, now)]
 
 
-def _doubt(view: View, keys: abc.Iterable[str], now: float) -> Told:
+def _doubt(view: View, keys: abc.Iterable[str], now: float) -> Updates:
     """Give instances no work that were gone before the store was restored."""
     view.doubted |= dict.fromkeys(keys, now + DOUBTED_SECONDS)
     view.cache.clear()
@@ -195,7 +195,7 @@
     revision: int,
     content: int,
     now: float,
-) -> Told:
+) -> Updates:
     """Take changes of the store up to ``revision``, in their order.
 
     ``content`` is the revision of the last of the changes. Changes that
@@ -206,16 +206,16 @@
     if revision < view.revision:
         return []
     view.revision = revision
-    told: Told = []
+    updates: Updates = []
     for change in _without_replaced(changes):
         news = _apply_one(view, change, now)
-        told += news
+        updates += news
         if any(kind is not _types.News.OUTDATED for kind, _ in news):
             _histories.note(view.history, change, content)
-    if told:
+    if updates:
         view.content = max(view.content, content)
         view.cache.clear()
-    return told
+    return updates
 
 
 def _without_replaced(
@@ -238,7 +238,7 @@
     ]
 
 
-def take(view: View, delta: _types.Delta, now: float) -> Told:
+def take(view: View, delta: _types.Delta, now: float) -> Updates:
     """Take what a peer told after this view's content.
 
     One that is older than what is known is dropped, whoever tells it.
@@ -254,12 +254,12 @@
     changes += [_types.Removed(key) for key in delta.removed]
     changes += [_types.Unusable(key) for key in delta.unusable]
     step = replace if delta.whole else apply
-    told = step(view, changes, delta.revision, delta.content, now)
+    updates = step(view, changes, delta.revision, delta.content, now)
     view.content = max(view.content, delta.content)
-    return told
+    return updates
 
 
-def _apply_one(view: View, change: _types.Change, now: float) -> Told:
+def _apply_one(view: View, change: _types.Change, now: float) -> Updates:
     if isinstance(change, policies.Policy):
         return _set_policy(view, change)
     if isinstance(change, _types.Removed):
@@ -269,7 +269,7 @@
     return _set_instance(view, change)
 
 
-def adopt(view: View, snapshot: _types.Snapshot, now: float) -> Told:
+def adopt(view: View, snapshot: _types.Snapshot, now: float) -> Updates:
     """Take what a peer knows, if its revision is greater."""
     if snapshot.revision <= view.revision:
         return []
@@ -279,7 +279,7 @@
     return replace(view, known, snapshot.revision, snapshot.content, now)
 
 
-def expire(view: View, now: float) -> Told:
+def expire(view: View, now: float) -> Updates:
     """Give up on vanished entries, and trust those that stayed."""
     stayed = [key for key, until in view.doubted.items() if until <= now]
     for key in stayed:
@@ -299,7 +299,7 @@
     ]
 
 
-def note_replaced(view: View, key: str) -> Told:
+def note_replaced(view: View, key: str) -> Updates:
     """Note that another instance answered at the address of this one."""
     if key in view.replaced or key not in view.instances:
         return []
@@ -308,7 +308,7 @@
     return [(_types.News.REPLACED, key)]
 
 
-def _set_policy(view: View, policy: policies.Policy) -> Told:
+def _set_policy(view: View, policy: policies.Policy) -> Updates:
     """Put the policy in force unless a later one is: none reverts."""
     if view.table is not None and policy.version <= view.table.policy.version:
         return []
@@ -316,7 +316,7 @@
     return [(_types.News.POLICY, "")]
 
 
-def _set_instance(view: View, instance: _types.Instance) -> Told:
+def _set_instance(view: View, instance: _types.Instance) -> Updates:
     """Take an entry, unless a later run under the same id is known.
 
     A late heartbeat, or a peer that is behind, would bring back the state,
@@ -388,7 +388,7 @@
         del view.latest[next(iter(view.latest))]
 
 
-def _withdraw(view: View, key: str) -> Told:
+def _withdraw(view: View, key: str) -> Updates:
     """Use an instance no longer whose entry has become unreadable."""
     known = view.instances.pop(key, None)
     lapsed = view.lapsed.pop(key, None)
@@ -399,7 +399,7 @@
     return [(_types.News.UNUSABLE, key)]
 
 
-def _remove(view: View, key: str, now: float) -> Told:
+def _remove(view: View, key: str, now: float) -> Updates:
     instance = view.instances.pop(key, None)
     if instance is None:
         return []
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -50,7 +50,7 @@
             continue
         others = daemon.foreign_readers
         now = daemon.clock.monotonic()
-        deaf = feeds.deaf(daemon.feed, daemon.view.answered, now)
+        deaf = feeds.is_stalled(daemon.feed, daemon.view.answered, now)
         count = min(len(others), ASKED_WHEN_DEAF if deaf else 1)
         for host in daemon.rng.sample(others, count):
             ping(daemon, host, _crash_updates.field(daemon, host))
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -146,7 +146,9 @@
         _fell_silent(daemon, host, "malformed")
         return
     _crash_updates.receive(daemon, host, result.found)
-    feeds.told(daemon.feed, host, status, daemon.view.content, now, daemon.rng)
+    feeds.peer_answered(
+        daemon.feed, host, status, daemon.view.content, now, daemon.rng
+    )
     if status.lost is None:
         _learning.note_answer(daemon, now, status.age)
     elif feeds.without_store(daemon.feed, now):
@@ -193,7 +195,7 @@
 
 def _fell_silent(daemon: _state.Daemon, host: str, reason: str) -> None:
     now = daemon.clock.monotonic()
-    feeds.silent(daemon.feed, host, now, daemon.rng)
+    feeds.peer_failed(daemon.feed, host, now, daemon.rng)
     _counters.believed(daemon.counters, "parent_lost")
     daemon.journal.note("parent_lost", peer=host, reason=reason)
 
--- a/tests/decisions/feeds/test_checks.py
+++ b/tests/decisions/feeds/test_checks.py
@@ -75,13 +75,13 @@
     """
     feed = test_feeds._feed(BEFORE[1])
     lost = feeds.PeerStatus(10, 0.0, 0.0, False)
-    feeds.told(feed, BEFORE[0], lost, 10, 0.0, _rng())
+    feeds.peer_answered(feed, BEFORE[0], lost, 10, 0.0, _rng())
     feeds.next_step(feed, 0.1)
     assert feeds.reads(feed)
     feeds.check_sent(feed, 1.0, _rng())
     feeds.next_step(feed, 10.0)
     assert not feeds.reads(feed)
-    feeds.told(feed, BEFORE[0], lost, 10, 100.0, _rng())
+    feeds.peer_answered(feed, BEFORE[0], lost, 10, 100.0, _rng())
     feeds.next_step(feed, 100.1)
     assert feeds.reads(feed)
     assert feeds.lost_from(feed, 100.2) is None
--- a/tests/decisions/feeds/test_feeds.py
+++ b/tests/decisions/feeds/test_feeds.py
@@ -29,7 +29,7 @@
 def _drop_silent(feed: feeds.Feed, count: int, now: float) -> None:
     for _ in range(count):
         host = feeds.choose(feed, now)
-        feeds.silent(feed, host, now, _rng())
+        feeds.peer_failed(feed, host, now, _rng())
 
 
 @pytest.mark.parametrize(
@@ -57,7 +57,7 @@
 def test_question_waits_once_the_parent_has_answered() -> None:
     feed = _feed()
     feeds.next_step(feed, 0.0)
-    feeds.told(feed, BEFORE[1], WORD, 10, 0.1, _rng())
+    feeds.peer_answered(feed, BEFORE[1], WORD, 10, 0.1, _rng())
     within = TIMING.hold + TIMING.margin
     assert isinstance(feeds.next_step(feed, 0.1), feeds.Rest)
     step = feeds.next_step(feed, 0.1 + _feeds.POLL_SECONDS)
@@ -101,7 +101,7 @@
 ) -> None:
     feed = _feed()
     feeds.next_step(feed, 0.0)
-    feeds.told(feed, BEFORE[1], word, 10, 0.1, _rng())
+    feeds.peer_answered(feed, BEFORE[1], word, 10, 0.1, _rng())
     assert (feeds.choose(feed, 0.2) != BEFORE[1]) is passed_over
     # It is asked again in the end: it may have come back.
     assert feeds.choose(feed, 6.0) == BEFORE[1]
@@ -111,9 +111,11 @@
     feed = _feed()
     feeds.next_step(feed, 0.0)
     behind = feeds.PeerStatus(9, None, 0.0, False)
-    feeds.told(feed, BEFORE[1], behind, 10, 0.1, _rng())
+    feeds.peer_answered(feed, BEFORE[1], behind, 10, 0.1, _rng())
     assert feeds.choose(feed, 0.2) == BEFORE[1]
-    feeds.told(feed, BEFORE[1], behind, 10, 0.1 + TIMING.behind, _rng())
+    feeds.peer_answered(
+        feed, BEFORE[1], behind, 10, 0.1 + TIMING.behind, _rng()
+    )
     assert feeds.choose(feed, 0.2 + TIMING.behind) != BEFORE[1]
 
 
@@ -132,7 +134,7 @@
     for rank, own in enumerate((*BEFORE, LAST)):
         feed = _feed(own)
         for host in feed.before:
-            feeds.told(feed, host, lost, 10, 1.0, _rng())
+            feeds.peer_answered(feed, host, lost, 10, 1.0, _rng())
         reads = feeds.choose(feed, 1.1) == feeds.STORE
         assert reads is (rank < _feeds.READERS_MAX)
         assert feeds.without_store(feed, 1.1) is not reads
@@ -194,8 +196,8 @@
     late = _feeds.START_SECONDS
     rng = random.Random(1)
     unordered = feeds.PeerStatus(-1, None, 0.0, leaving=False)
-    feeds.told(feed, "10.1.0.1", unordered, -1, late, rng)
+    feeds.peer_answered(feed, "10.1.0.1", unordered, -1, late, rng)
     assert feeds.next_step(feed, late) == feeds.Read(stale=False)
     ordered = feeds.PeerStatus(7, None, 0.0, leaving=False)
-    feeds.told(feed, "10.1.0.1", ordered, -1, late, rng)
+    feeds.peer_answered(feed, "10.1.0.1", ordered, -1, late, rng)
     assert isinstance(feeds.next_step(feed, late), feeds.Watch)
--- a/tests/fleets/test_faults.py
+++ b/tests/fleets/test_faults.py
@@ -220,11 +220,11 @@
 @pytest.mark.parametrize(
     ("fault", "domains", "guard"),
     [
-        (_freeze_reader, 3, Guard(_feeds, "silent", lambda *_: None)),
+        (_freeze_reader, 3, Guard(_feeds, "peer_failed", lambda *_: None)),
         (_watch_of_a_reader_dies, 3, Guard(_peers, "compare", _nothing)),
         (_all_readers_without_store, 3, Guard(_checks, "tick", _never)),
         (_half_of_a_domain, 1, Guard(_feeds, "FAILURES_TO_READ", NEVER)),
-        (_reader_refused, 1, Guard(_feeds, "told", None)),
+        (_reader_refused, 1, Guard(_feeds, "peer_answered", None)),
     ],
 )
 def test_without_its_guard_a_change_is_late(
@@ -237,8 +237,8 @@
     assert _measure(fault, 36, domains, 2) < BOUND
     owner: typing.Any = guard.owner
     value = guard.value
-    if guard.name == "told":
-        value = _told_without_lost(owner.told)
+    if guard.name == "peer_answered":
+        value = _told_without_lost(owner.peer_answered)
     monkeypatch.setattr(owner, guard.name, value)
     if hasattr(feeds, guard.name):
         monkeypatch.setattr(feeds, guard.name, value)
