Log what an instance says of itself in its answers

Header names for the limit and for leaving are added to the dialect, and `instance_rate_limit`, `instance_says_leaving` and `notice_malformed` are logged and counted where they change, at the instance's own daemon and at each entrance that passes such an answer on. `upstream_requests_total` counts what each instance is sent. Nothing is decided by it yet.

--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -28,6 +28,7 @@
 from sassafrasstair.forwarding import _crashes
 from sassafrasstair.forwarding import _endings
 from sassafrasstair.forwarding import _learning
+from sassafrasstair.forwarding import _notices
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _state
@@ -319,6 +320,8 @@
     _update_routes(daemon, attempt, answer, now)
     if state.leaving:
         calls.eject(daemon.routes, attempt.instance)
+    source = attempt.host or "upstream"
+    _notices.read_notice(daemon, attempt.instance, response, source)
     call.attempt = None
     _crashes.record_completed(daemon, call)
     _endings.forward_answer(daemon, call, response)
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -31,6 +31,7 @@
 from sassafrasstair.forwarding import _crashes
 from sassafrasstair.forwarding import _guards
 from sassafrasstair.forwarding import _learning
+from sassafrasstair.forwarding import _notices
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
@@ -238,6 +239,7 @@
         (daemon.header_keys.request_id, inbound.request_id),
         inbound.method == b"HEAD",
     )
+    daemon.counters.upstream_requests += 1
     daemon.upstream.send(execution.job)
 
 
@@ -249,8 +251,22 @@
         return
     if result in _CONNECTION_FAILURES:
         _check_for_crash(daemon, key, execution, result)
-    else:
-        _complete(daemon, key, execution, result)
+        return
+    if isinstance(result, httpio.Response):
+        _read_notice(daemon, execution, result)
+    _complete(daemon, key, execution, result)
+
+
+def _read_notice(
+    daemon: _state.Daemon,
+    execution: _records.Execution,
+    response: httpio.Response,
+) -> None:
+    """Record what the instance says of itself in its answer."""
+    if response.status == MISDIRECTED_STATUS:
+        return
+    instance = execution.request.metadata.instance
+    _notices.read_notice(daemon, instance, response, "upstream")
 
 
 def _check_for_crash(
--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -29,6 +29,8 @@
         default_factory=dict
     )
     """Ended attempts, by service and result."""
+    upstream_requests: int = 0
+    """Requests sent to this VM's upstream."""
     state_changes: dict[str, int] = dataclasses.field(default_factory=dict)
     """Changes of the daemon's known state, by the name of the log event."""
     store_calls: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -137,6 +139,12 @@
             ("service", "how"),
             counters.attempts,
         ),
+        histograms.render_counter(
+            "upstream_requests_total",
+            "Requests sent to this VM's upstream",
+            (),
+            {(): counters.upstream_requests},
+        ),
         histograms.render_counter(
             "beliefs_total",
             "Changes of what the daemon believes",
--- a/src/sassafrasstair/forwarding/_dialect.py
+++ b/src/sassafrasstair/forwarding/_dialect.py
@@ -58,6 +58,11 @@
     """Holds a customer's API key."""
     customer: bytes
     """Names the customer to the upstream."""
+    rate_limit: bytes
+    """Set by an upstream in need: the requests per second that it takes from
+    all VMs together, a decimal number, for as long as its answers name it."""
+    leaving: bytes
+    """Set to 1 by an upstream on all answers once it is about to stop."""
 
     def lowercased(self) -> HeaderNames:
         """Return the names in lower case, for looking up received fields."""
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -25,6 +25,7 @@
 
     from sassafrasstair import clocks
     from sassafrasstair.forwarding import _crash_updates
+    from sassafrasstair.forwarding import _notices
     from sassafrasstair.forwarding import _polls
     from sassafrasstair.forwarding import _records
 
@@ -65,6 +66,9 @@
     ``suspect_standings`` are the standings of isolated and blocked requests,
     by fingerprint.
 
+    ``notices`` hold what instances last said of themselves in their answers,
+    by instance; those that say nothing are left out.
+
     ``tokens`` are the quota tokens of customers with a limit. ``allocation``
     is the allocator of the failure domain, if it runs in this daemon.
 
@@ -147,6 +151,9 @@
     crash_urgent: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
+    notices: dict[str, _notices.Notice] = dataclasses.field(
+        default_factory=dict
+    )
     tokens: _tokens.Tokens = dataclasses.field(default_factory=_tokens.Tokens)
     allocation: _tokens.Allocation | None = None
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
--- a/src/sassafrasstair/platform/_dialect.py
+++ b/src/sassafrasstair/platform/_dialect.py
@@ -26,6 +26,8 @@
     not_run=b"Sassafrasstair-Not-Executed",
     key=b"Api-Key",
     customer=b"Sassafrasstair-Tenant",
+    rate_limit=b"Server-Limit",
+    leaving=b"Server-Leaving",
 )
 
 
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -35,6 +35,8 @@
     not_run=b"X-Not-Run",
     key=b"X-Key",
     customer=b"X-Customer",
+    rate_limit=b"X-Limit",
+    leaving=b"X-Leaving",
 )
 HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 PORTS = range(15_000, 32_000)
