Add failing tests of instances that name a rate limit

The model's instances name, raise, lower and drop a limit, and an oracle counts by the rule: in any 4 s from 3 s after the first naming, no more than one and a half times what the limit allows and 5 requests, from entrances that passed such an answer on half a second before. A daemon that restarts excuses the requests that begin there, not those of others that pass through it.

--- a/tests/fleets/instances.py
+++ b/tests/fleets/instances.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import dataclasses
+import functools
 import itertools
+import math
 import typing
 
 from sassafrasstair.forwarding import _entrance
 from sassafrasstair import httpio
 from tests.fleets import networks
+from tests.forwarding import place
+from tests import notices
 
 if typing.TYPE_CHECKING:
     from tests.fleets import fleet as fleet_module
@@ -20,6 +24,7 @@
 LAPSE_SECONDS = 4.0
 """Time from a crash until the entry of the crashed instance is removed."""
 DEADLINE_MS = b"2000"
+KEYS = place.NAMES.lowercased()
 _serial = itertools.count(1)
 
 
@@ -40,6 +45,10 @@
     them crashes its instance. All other requests take ``service_seconds``.
     ``nested_calls`` maps targets to the targets that an instance calls to
     answer them; the status of the nested call decides the answer.
+
+    ``rate_limits`` and ``leaving`` are what instances say of themselves in
+    their answers, by host; ``oracle`` checks that it is heeded. ``sent`` maps
+    the id of a request to the host at which it began and its time.
     """
 
     fleet: fleet_module.Fleet
@@ -49,6 +58,12 @@
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     crashes: list[Arrival] = dataclasses.field(default_factory=list)
     instances: dict[str, Instance] = dataclasses.field(default_factory=dict)
+    rate_limits: dict[str, float] = dataclasses.field(default_factory=dict)
+    leaving: set[str] = dataclasses.field(default_factory=set)
+    oracle: notices.Oracle = dataclasses.field(default_factory=notices.Oracle)
+    sent: dict[bytes, tuple[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
     def install(self) -> None:
         """Add an instance to each host; call this before the fleet starts."""
@@ -57,6 +72,42 @@
             pool = typing.cast("httpio.Pool", made)
             self.fleet.upstream_pools[host] = pool
 
+    def set_rate_limit(self, host: str, limit: float) -> None:
+        """Let an instance name a limit from now on, infinity for none."""
+        now = asyncio.get_running_loop().time()
+        self.rate_limits[host] = limit
+        self.oracle.names_limit(host, limit, now)
+
+    def notice_fields(self, host: str) -> httpio.Fields:
+        """Return the header fields in which an instance speaks of itself."""
+        limit = self.rate_limits.get(host, math.inf)
+        fields = []
+        if limit < math.inf:
+            fields.append((KEYS.rate_limit, b"%.3f" % limit))
+        if host in self.leaving:
+            fields.append((KEYS.leaving, b"1"))
+        return fields
+
+    def call(self, host: str, target: bytes) -> asyncio.Future[int]:
+        """Send a request to a host's daemon, and check its answer."""
+        serial = b"q%d" % next(_serial)
+        now = asyncio.get_running_loop().time()
+        self.sent[serial] = host, now
+        on_answer = functools.partial(self._passed_on, host)
+        return call(self.fleet, host, target, b"", serial, on_answer)
+
+    def _passed_on(self, entrance: str, fields: httpio.Fields) -> None:
+        found = {name.lower(): value for name, value in fields}
+        instance = found.get(KEYS.signature)
+        if instance is not None:
+            self.oracle.passed_on(
+                instance.decode(),
+                entrance,
+                KEYS.rate_limit in found,
+                KEYS.leaving in found,
+                asyncio.get_running_loop().time(),
+            )
+
     def arrival_count(self, target: bytes, since: float = 0.0) -> int:
         """Return how many requests for a target arrived since a time."""
         return sum(
@@ -90,6 +141,7 @@
         upstreams.arrivals.append(
             Arrival(loop.time(), request.target, self.host)
         )
+        self._check_arrival(request)
         job._connection = typing.cast("typing.Any", _Connection(self, job))
         crash_delay = upstreams.crash_delays.get(request.target)
         if crash_delay is not None:
@@ -106,6 +158,14 @@
 
     send_on_new = send
 
+    def _check_arrival(self, request: httpio.Request) -> None:
+        upstreams = self._upstreams
+        known = upstreams.sent.get(request.headers[KEYS.request_id])
+        if known is not None:
+            entrance, sent_at = known
+            now = asyncio.get_running_loop().time()
+            upstreams.oracle.arrived(self.host, entrance, sent_at, now)
+
     def crash(self, target: bytes = b"") -> None:
         """End all running requests, and restart later under a new id."""
         loop = asyncio.get_running_loop()
@@ -163,10 +223,10 @@
         self, job: httpio.Job, request: httpio.Request, status: int = 200
     ) -> None:
         self._running.pop(job, None)
-        names = self._upstreams.fleet.daemons[self.host].header_keys
         fields = [
-            (names.request_id, request.headers[names.request_id]),
-            (names.signature, b"s"),
+            (KEYS.request_id, request.headers[KEYS.request_id]),
+            (KEYS.signature, self.host.encode()),
+            *self._upstreams.notice_fields(self.host),
         ]
         parsed = [(name, name, value) for name, value in fields]
         job.end(httpio.Response(status, parsed, dict(fields), b"whole"))
@@ -186,11 +246,16 @@
 class _Exchange:
     """A client's request and a future of its status."""
 
-    def __init__(self, request: httpio.Request) -> None:
+    def __init__(
+        self,
+        request: httpio.Request,
+        on_answer: typing.Callable[[httpio.Fields], None],
+    ) -> None:
         self.request = request
         self.peer_host = ""
         self.gone: typing.Callable[[], None] | None = None
         self.status: asyncio.Future[int] = asyncio.Future()
+        self._on_answer = on_answer
 
     def respond(
         self,
@@ -200,22 +265,31 @@
         close: bool = False,
     ) -> None:
         if not self.status.done():
+            self._on_answer(fields)
             self.status.set_result(status)
 
 
 def call(
-    fleet: fleet_module.Fleet, host: str, target: bytes, body: bytes = b""
+    fleet: fleet_module.Fleet,
+    host: str,
+    target: bytes,
+    body: bytes = b"",
+    serial: bytes = b"",
+    on_answer: typing.Callable[[httpio.Fields], None] = lambda fields: None,
 ) -> asyncio.Future[int]:
-    """Send a request to a host's daemon; return a future of its status."""
+    """Send a request to a host's daemon; return a future of its status.
+
+    ``on_answer`` gets the header fields of the answer.
+    """
     daemon = fleet.daemons[host]
     fields = [
         (b"Host", b"a.example"),
-        (daemon.header_names.request_id, b"q%d" % next(_serial)),
+        (daemon.header_names.request_id, serial or b"q%d" % next(_serial)),
         (daemon.header_names.deadline_ms, DEADLINE_MS),
     ]
     method = b"POST" if body else b"GET"
     head = httpio.request_head(method, target, fields, len(body))
     request = networks.parse_request(head + body, daemon.clock.monotonic())
-    exchange = _Exchange(request)
+    exchange = _Exchange(request, on_answer)
     _entrance.handle(daemon, typing.cast("httpio.Exchange", exchange))
     return exchange.status
