--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from sassafrasstair.decisions.load._guards import busy
-from sassafrasstair.decisions.load._guards import busy_at_or_above
 from sassafrasstair.decisions.load._guards import cancel
 from sassafrasstair.decisions.load._guards import finish
 from sassafrasstair.decisions.load._guards import floor
@@ -11,7 +9,6 @@
 from sassafrasstair.decisions.load._guards import new_guard
 from sassafrasstair.decisions.load._guards import offer
 from sassafrasstair.decisions.load._guards import retire
-from sassafrasstair.decisions.load._guards import service_seconds
 from sassafrasstair.decisions.load._guards import tick
 from sassafrasstair.decisions.load._messages import Abort
 from sassafrasstair.decisions.load._messages import Effect
@@ -20,8 +17,11 @@
 from sassafrasstair.decisions.load._messages import TurnAway
 from sassafrasstair.decisions.load._messages import Work
 from sassafrasstair.decisions.load._rank import rank
+from sassafrasstair.decisions.load._views import busy
+from sassafrasstair.decisions.load._views import busy_at_or_above
 from sassafrasstair.decisions.load._views import limit
 from sassafrasstair.decisions.load._views import resize
+from sassafrasstair.decisions.load._views import service_seconds
 
 __all__ = [
     "Abort",
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -219,34 +219,6 @@
     return _floors.floor(guard.floors, tenant)
 
 
-def busy(guard: Guard) -> float:
-    """Return the share of the limit in use, with the queue included."""
-    return (len(guard.running) + len(guard.waiting)) / max(1.0, guard.limit)
-
-
-def busy_at_or_above(guard: Guard, level: int) -> float:
-    """Return the share of the limit used by work of the level and above.
-
-    Less important work is left out, because it does not delay work of this
-    level.
-    """
-    running = sum(
-        count
-        for running_level, count in guard.running_by_level.items()
-        if running_level >= level
-    )
-    waiting = sum(
-        math.floor(waiter.work.rank) >= level
-        for waiter in guard.waiting.values()
-    )
-    return (running + waiting) / max(1.0, guard.limit)
-
-
-def service_seconds(guard: Guard) -> float:
-    """Return the current service time in seconds, 0 if it is not known."""
-    return guard.current_service_seconds
-
-
 def _has_free_slot(guard: Guard, now: float) -> bool:
     return len(guard.running) + 1 <= _limits.current(guard.limit_state, now)
 
