Send an instance no more requests than the rate that it names

Cause: a guard admits by concurrency alone, and the header in which an instance names a rate was read by nobody.

All requests for an instance pass the daemon beside it, so the limit is kept there, by a token bucket in the guard; no share of it has to be agreed among entrances. Work whose token would come too late is refused at once, as not run, and tried at another instance. The load reported counts the rate, a load that only an instance under a limit reports sheds no route while others of its service have none, and refusals carry the limit, so that entrances which get no answer know it too. A limit is raised only by the answer to a request that was started after it was last named. A daemon that restarts takes the limit from the requests that it gets until its instance has answered.

--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -46,6 +46,9 @@
 # A reported service time is valid for this long, so that a slow instance gets
 # a call now and then, which shows whether it is still slow.
 SERVICE_TIME_VALID_SECONDS = 1.0
+# A reported limit is valid for this long. A rate limit may leave an instance
+# so little that no call would reach it any more and show that it is gone.
+LIMIT_VALID_SECONDS = 1.0
 # The targets of a service are grouped again at this interval, and whenever an
 # instance becomes usable or unusable.
 SORT_SECONDS = 0.1
@@ -113,7 +116,10 @@
         LOAD_DECAY_SECONDS, LOAD_DECAY_SERVICE_TIMES * peer.service_seconds
     )
     decay = math.exp(-(now - peer.heard_at) / time_constant)
-    busy = peer.busy * decay + (peer.sent_since_heard + 1) / peer.limit
+    limit = peer.limit
+    if now - peer.heard_at >= LIMIT_VALID_SECONDS:
+        limit = max(limit, _peers.DEFAULT_LIMIT)
+    busy = peer.busy * decay + (peer.sent_since_heard + 1) / limit
     wait = max(0.0, busy - 1.0) * peer.service_seconds
     if (
         fastest_seconds > 0.0
--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -7,8 +7,10 @@
 from sassafrasstair.decisions.load._guards import floor
 from sassafrasstair.decisions.load._guards import Guard
 from sassafrasstair.decisions.load._guards import new_guard
+from sassafrasstair.decisions.load._guards import observe_rate
 from sassafrasstair.decisions.load._guards import offer
 from sassafrasstair.decisions.load._guards import retire
+from sassafrasstair.decisions.load._guards import suggest_rate
 from sassafrasstair.decisions.load._guards import tick
 from sassafrasstair.decisions.load._messages import Abort
 from sassafrasstair.decisions.load._messages import Effect
@@ -19,7 +21,9 @@
 from sassafrasstair.decisions.load._rank import rank
 from sassafrasstair.decisions.load._views import busy
 from sassafrasstair.decisions.load._views import busy_at_or_above
+from sassafrasstair.decisions.load._views import learned_limit
 from sassafrasstair.decisions.load._views import limit
+from sassafrasstair.decisions.load._views import rate_limit
 from sassafrasstair.decisions.load._views import resize
 from sassafrasstair.decisions.load._views import service_seconds
 
@@ -36,12 +40,16 @@
     "cancel",
     "finish",
     "floor",
+    "learned_limit",
     "limit",
     "new_guard",
+    "observe_rate",
     "offer",
     "rank",
+    "rate_limit",
     "resize",
     "retire",
     "service_seconds",
+    "suggest_rate",
     "tick",
 ]
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -19,6 +19,7 @@
 from sassafrasstair.decisions.load import _limits
 from sassafrasstair.decisions.load import _messages
 from sassafrasstair.decisions.load import _queues
+from sassafrasstair.decisions.load import _rates
 from sassafrasstair import outcomes
 
 # Reported with each refusal: after this time the work may be sent again.
@@ -56,7 +57,8 @@
 class Guard:
     """State of the guard of one upstream instance.
 
-    ``limit_state`` is the concurrency limit, and ``floors`` the shed floors.
+    ``limit_state`` is the concurrency limit, ``rate`` the limit that the
+    instance names itself, and ``floors`` the shed floors.
     ``running`` maps running attempts to their start, ``running_work`` to
     their work; ``running_by_level`` and ``running_by_tenant`` count them.
     ``waiting`` is the queue. ``estimates_by_class`` are service times by
@@ -80,6 +82,9 @@
 
     limit_state: _limits.Limit
     floors: _floors.Floors
+    rate: _rates.RateLimit = dataclasses.field(
+        default_factory=_rates.RateLimit
+    )
     running: dict[str, float] = dataclasses.field(default_factory=dict)
     running_by_level: dict[int, int] = dataclasses.field(default_factory=dict)
     running_work: dict[str, _messages.Work] = dataclasses.field(
@@ -146,11 +151,30 @@
         return [_refuse(work, outcomes.Reason.DEADLINE_PASSED)]
     if now + _estimate(guard, work, now) > work.deadline:
         return [_refuse(work, outcomes.Reason.DEADLINE_TOO_SHORT)]
-    if not guard.waiting and _has_free_slot(guard, now):
+    if not guard.waiting and _may_start(guard, now):
         return [_start(guard, work, now)]
+    if _must_wait_too_long(guard, work, now):
+        guard.overloaded_at = now
+        return [_refuse(work, outcomes.Reason.QUEUE_DELAY)]
     return _enqueue(guard, work, now)
 
 
+def observe_rate(
+    guard: Guard, attempt_id: str, per_second: float, now: float
+) -> None:
+    """Apply the rate limit that an answer names, infinity for none.
+
+    ``attempt_id`` is the running attempt that was answered.
+    """
+    started_at = guard.running.get(attempt_id, -math.inf)
+    _rates.observe(guard.rate, per_second, started_at, now)
+
+
+def suggest_rate(guard: Guard, per_second: float, now: float) -> None:
+    """Use the rate limit that a caller knows until the instance answers."""
+    _rates.suggest(guard.rate, per_second, now)
+
+
 def finish(
     guard: Guard, attempt_id: str, end: _messages.End, now: float
 ) -> list[_messages.Effect]:
@@ -219,11 +243,34 @@
     return _floors.floor(guard.floors, tenant)
 
 
-def _has_free_slot(guard: Guard, now: float) -> bool:
-    return len(guard.running) + 1 <= _limits.current(guard.limit_state, now)
+def _may_start(guard: Guard, now: float) -> bool:
+    """Return whether the concurrency and the rate limit allow a start."""
+    has_slot = len(guard.running) + 1 <= _limits.current(
+        guard.limit_state, now
+    )
+    return has_slot and _rates.has_token(guard.rate, now)
+
+
+def _must_wait_too_long(
+    guard: Guard, work: _messages.Work, now: float
+) -> bool:
+    """Return whether the rate limit lets the work start too late.
+
+    Its caller can send it to another instance at once, instead of after a
+    wait that gains nothing.
+    """
+    if not guard.rate.active:
+        return False
+    ahead = sum(
+        waiter.work.rank >= work.rank for waiter in guard.waiting.values()
+    )
+    wait = _rates.seconds_until(guard.rate, ahead + 1, now)
+    latest = work.deadline - _estimate(guard, work, now)
+    return wait > work.max_wait_seconds or now + wait > latest
 
 
 def _start(guard: Guard, work: _messages.Work, now: float) -> _messages.Effect:
+    _rates.take_token(guard.rate)
     guard.running[work.attempt_id] = now
     guard.running_work[work.attempt_id] = work
     level = math.floor(work.rank)
@@ -262,7 +309,7 @@
     standing_level = max(
         _partly_shed_level(guard, now), _highest_standing_level(guard, now)
     )
-    while guard.waiting and _has_free_slot(guard, now):
+    while guard.waiting and _may_start(guard, now):
         waiter = _queues.next_to_start(
             guard.waiting, guard.running_by_tenant, standing_level
         )
@@ -313,10 +360,11 @@
 
 
 def _slot_interval(guard: Guard, now: float) -> float:
-    """Return the average time until a slot becomes free, in seconds."""
-    return guard.current_service_seconds / _limits.current(
+    """Return the average time between two starts of work, in seconds."""
+    until_slot = guard.current_service_seconds / _limits.current(
         guard.limit_state, now
     )
+    return max(until_slot, 1.0 / guard.rate.per_second)
 
 
 def _highest_standing_level(guard: Guard, now: float) -> int:
@@ -384,9 +432,7 @@
     """
     if guard.current_service_seconds <= 0.0:
         return 0
-    served = (
-        _limits.current(guard.limit_state, now) / guard.current_service_seconds
-    )
+    served = 1.0 / _slot_interval(guard, now)
     return _floors.lowest_level_within(guard.floors, ROOM_SHARE * served)
 
 
@@ -425,8 +471,7 @@
     """
     if guard.current_service_seconds <= 0.0:
         return math.inf
-    limit = _limits.current(guard.limit_state, now)
-    served = limit / guard.current_service_seconds * SLACK_SECONDS
+    served = SLACK_SECONDS / _slot_interval(guard, now)
     return (served + math.sqrt(served) + 0.5) / SLACK_SECONDS
 
 
--- a/src/sassafrasstair/decisions/load/_views.py
+++ b/src/sassafrasstair/decisions/load/_views.py
@@ -11,9 +11,26 @@
     from sassafrasstair.decisions.load import _guards
 
 
+CAPACITY_MIN = 0.1
+"""The least limit that is reported; callers take 0 for not reported."""
+
+
 def limit(guard: _guards.Guard, now: float) -> float:
-    """Return how many attempts may run at the upstream now."""
-    return _limits.current(guard.limit_state, now)
+    """Return how many attempts may run at the upstream now.
+
+    Under a rate limit it may be below 1.
+    """
+    return min(_limits.current(guard.limit_state, now), _rate_capacity(guard))
+
+
+def learned_limit(guard: _guards.Guard) -> float:
+    """Return the same without the warm-up ramp."""
+    return min(guard.limit, _rate_capacity(guard))
+
+
+def rate_limit(guard: _guards.Guard) -> float | None:
+    """Return the rate limit in requests per second, None without one."""
+    return guard.rate.per_second if guard.rate.active else None
 
 
 def resize(guard: _guards.Guard, slots: int) -> None:
@@ -31,7 +48,7 @@
 
 def busy(guard: _guards.Guard) -> float:
     """Return the share of the limit in use, with the queue included."""
-    return (len(guard.running) + len(guard.waiting)) / max(1.0, guard.limit)
+    return (len(guard.running) + len(guard.waiting)) / _capacity(guard)
 
 
 def busy_at_or_above(guard: _guards.Guard, level: int) -> float:
@@ -49,9 +66,25 @@
         math.floor(waiter.work.rank) >= level
         for waiter in guard.waiting.values()
     )
-    return (running + waiting) / max(1.0, guard.limit)
+    return (running + waiting) / _capacity(guard)
 
 
 def service_seconds(guard: _guards.Guard) -> float:
     """Return the current service time in seconds, 0 if it is not known."""
     return guard.current_service_seconds
+
+
+def _capacity(guard: _guards.Guard) -> float:
+    """Return how many attempts at once make the instance fully busy."""
+    return min(max(1.0, guard.limit), _rate_capacity(guard))
+
+
+def _rate_capacity(guard: _guards.Guard) -> float:
+    """Return how many attempts run on average at the rate limit.
+
+    Infinite without a limit, and while the service time is not known.
+    """
+    seconds = guard.current_service_seconds
+    if not guard.rate.active or seconds <= 0.0:
+        return math.inf
+    return max(CAPACITY_MIN, guard.rate.per_second * seconds)
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -194,6 +194,11 @@
     ]
     if attempt.trial_strikes:
         fields.append((_wire.TRIAL_HEADER, b"%d" % attempt.trial_strikes))
+    rate_limit = _notices.rate_limit_of(daemon, attempt.instance)
+    if rate_limit is not None:
+        fields.append(
+            (_wire.RATE_LIMIT_HEADER, _wire.encode_rate_limit(rate_limit))
+        )
     if call.customer and call.key_digest is not None:
         fields.append(
             (_wire.KEY_DIGEST_HEADER, call.key_digest.hex().encode())
@@ -261,6 +266,13 @@
         return
     _count_cross_domain_bytes(daemon, call, attempt, _response_size(result))
     _peers.note_peer_content(daemon, attempt.host, state.content)
+    if state.ending is not None:
+        rate_limit = _wire.decode_rate_limit(
+            result.headers.get(_wire.RATE_LIMIT_HEADER_LOWER)
+        )
+        _notices.record_rate_limit(
+            daemon, attempt.instance, rate_limit, attempt.host
+        )
     _handle_result(
         daemon, call, state, result if state.ending is None else None
     )
@@ -282,14 +294,6 @@
 ) -> None:
     """Apply the load reported by the callee's daemon, then its result.
 
-    On an internal route, which only upstreams call (``admission`` says inner
-    route), the load is kept in ``daemon.chains`` by route and importance.
-    This daemon then reports it with the answers of its own upstream, so that
-    it reaches the entrances of the clients' requests. On any other route,
-    the load adjusts the gate, which holds the share of the route's requests
-    that is admitted here. Calls on internal routes are not shed: each is part
-    of a request on which work was already spent.
-
     The answer's ``incarnation`` is the id of the instance whose daemon
     answered, '' if none did.
     """
@@ -297,19 +301,7 @@
     if attempt is None:
         return
     now = daemon.clock.monotonic()
-    route = call.progress.route.name
-    own_load = admission.pressure(
-        state.load_at_rank, state.load.service_seconds
-    )
-    busiest = max(own_load, state.downstream_load)
-    if state.internal_route:
-        importance = math.floor(call.progress.rank)
-        admission.observe_inner_load(
-            daemon.chains, route, importance, busiest, now
-        )
-    else:
-        admission.mark_called_by_clients(daemon.chains, route)
-        admission.observe_load(daemon.gates, route, busiest, now)
+    _observe_load(daemon, call, attempt.instance, state, now)
     if response is None or state.ending is not None:
         ending = state.ending or requests.Ending.LOST
         _end_attempt(daemon, call, ending, state.reason, state)
@@ -327,6 +319,56 @@
     _endings.forward_answer(daemon, call, response)
 
 
+def _observe_load(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    instance: str,
+    state: _wire.CalleeState,
+    now: float,
+) -> None:
+    """Apply the load of the busiest instance in the chain of the request.
+
+    On an internal route, which only upstreams call (``admission`` says inner
+    route), the load is kept in ``daemon.chains`` by route and importance.
+    This daemon then reports it with the answers of its own upstream, so that
+    it reaches the entrances of the clients' requests. On any other route,
+    the load adjusts the gate, which holds the share of the route's requests
+    that is admitted here. Calls on internal routes are not shed: each is part
+    of a request on which work was already spent.
+    """
+    route = call.progress.route.name
+    own_load = admission.pressure(
+        state.load_at_rank, state.load.service_seconds
+    )
+    if _has_room_elsewhere(daemon, call.progress.service, instance):
+        own_load = 0.0
+    busiest = max(own_load, state.downstream_load)
+    if state.internal_route:
+        importance = math.floor(call.progress.rank)
+        admission.observe_inner_load(
+            daemon.chains, route, importance, busiest, now
+        )
+    else:
+        admission.mark_called_by_clients(daemon.chains, route)
+        admission.observe_load(daemon.gates, route, busiest, now)
+
+
+def _has_room_elsewhere(
+    daemon: _state.Daemon, service: str, instance: str
+) -> bool:
+    """Return whether an instance limits its rate and another one does not.
+
+    Such an instance is full while the others have room. Shedding the route
+    for its load would leave them idle.
+    """
+    if _notices.rate_limit_of(daemon, instance) is None:
+        return False
+    return any(
+        _notices.rate_limit_of(daemon, target.vm) is None
+        for target in views.targets(daemon.view, service)
+    )
+
+
 def _end_attempt(
     daemon: _state.Daemon,
     call: _records.Call,
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -73,6 +73,8 @@
     daemon.execution_serial += 1
     key = f"{daemon.execution_serial}"
     guard = _guards.get_guard(daemon, metadata.instance, now)
+    if inbound.rate_limit is not None:
+        load.suggest_rate(guard, inbound.rate_limit, now)
     deadline = now + metadata.remaining
     reason = _unavailable_reason(daemon, metadata.instance)
     execution = _records.Execution(key, inbound, deadline, on_done, guard)
@@ -253,20 +255,34 @@
         _check_for_crash(daemon, key, execution, result)
         return
     if isinstance(result, httpio.Response):
-        _read_notice(daemon, execution, result)
+        _heed_notice(daemon, execution, result)
     _complete(daemon, key, execution, result)
 
 
-def _read_notice(
+def _heed_notice(
     daemon: _state.Daemon,
     execution: _records.Execution,
     response: httpio.Response,
 ) -> None:
-    """Record what the instance says of itself in its answer."""
+    """Apply the rate limit that the instance names in its answer.
+
+    Only an answer to this very request shows that the instance names none:
+    a damaged one may lack the header.
+    """
     if response.status == MISDIRECTED_STATUS:
         return
-    instance = execution.request.metadata.instance
-    _notices.read_notice(daemon, instance, response, "upstream")
+    inbound = execution.request
+    notice = _notices.read_notice(
+        daemon, inbound.metadata.instance, response, "upstream"
+    )
+    if notice is None:
+        return
+    answered_id = response.headers.get(daemon.header_keys.request_id)
+    if notice.rate_limit < math.inf or answered_id == inbound.request_id:
+        now = daemon.clock.monotonic()
+        load.observe_rate(
+            execution.guard, execution.key, notice.rate_limit, now
+        )
 
 
 def _check_for_crash(
@@ -423,7 +439,9 @@
         )
     execution.on_done(
         _records.Result(
-            _callee_state(daemon, inbound, ending, reason), response
+            _callee_state(daemon, inbound, ending, reason),
+            response,
+            load.rate_limit(execution.guard),
         )
     )
 
--- a/src/sassafrasstair/forwarding/_notices.py
+++ b/src/sassafrasstair/forwarding/_notices.py
@@ -83,6 +83,28 @@
     return notice
 
 
+def record_rate_limit(
+    daemon: _state.Daemon,
+    instance: str,
+    rate_limit: float | None,
+    source: str,
+) -> None:
+    """Record the limit that an instance's own daemon enforces, None if none.
+
+    A daemon that refuses all requests passes on no answer that names it.
+    """
+    previous = daemon.notices.get(instance, NO_NOTICE)
+    limit = math.inf if rate_limit is None else rate_limit
+    notice = dataclasses.replace(previous, rate_limit=limit)
+    _log_changes(daemon, instance, notice, source)
+
+
+def rate_limit_of(daemon: _state.Daemon, instance: str) -> float | None:
+    """Return the limit that an instance last named here, None for none."""
+    notice = daemon.notices.get(instance, NO_NOTICE)
+    return notice.rate_limit if notice.rate_limit < math.inf else None
+
+
 def _log_changes(
     daemon: _state.Daemon, instance: str, notice: Notice, source: str
 ) -> None:
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -24,7 +24,9 @@
     ``host`` the value of its Host field. ``trial_strikes`` is the number of
     strikes after which the entrance tries a blocked request again, 0 if the
     request was not blocked. ``customer`` is the sender's name, '' for a
-    request without a key. ``fingerprint`` is computed when it is needed.
+    request without a key. ``rate_limit`` is the limit in requests per second
+    that the instance last named to the entrance, None if it named none.
+    ``fingerprint`` is computed when it is needed.
     """
 
     metadata: _wire.RequestMetadata
@@ -37,15 +39,21 @@
     body: bytes
     trial_strikes: int = 0
     customer: str = ""
+    rate_limit: float | None = None
     fingerprint: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class Result:
-    """The end of an execution: the instance's answer, or why it has none."""
+    """The end of an execution: the instance's answer, or why it has none.
+
+    ``rate_limit`` is the limit of the instance in requests per second, None
+    if it has none.
+    """
 
     state: _wire.CalleeState
     response: httpio.Response | None
+    rate_limit: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -22,6 +22,13 @@
 TRIAL_HEADER = b"Sassafras-Trial"
 """The number of strikes after which a blocked request is tried again."""
 TRIAL_HEADER_LOWER = TRIAL_HEADER.lower()
+RATE_LIMIT_HEADER = b"Sassafras-Limit"
+"""The rate limit of the instance, in requests per second.
+
+With a request, it is what the instance last named to the entrance: a callee's
+daemon that has restarted heeds it until its instance has answered anew. With
+a refusal, it is what the callee's daemon enforces."""
+RATE_LIMIT_HEADER_LOWER = RATE_LIMIT_HEADER.lower()
 KEY_DIGEST_HEADER = b"Sassafras-Key"
 """The digest of the request's API key, in hexadecimal."""
 KEY_DIGEST_HEADER_LOWER = KEY_DIGEST_HEADER.lower()
@@ -30,6 +37,7 @@
         METADATA_HEADER_LOWER,
         STATE_HEADER_LOWER,
         TRIAL_HEADER_LOWER,
+        RATE_LIMIT_HEADER_LOWER,
         KEY_DIGEST_HEADER_LOWER,
     }
 )
@@ -117,6 +125,21 @@
     return int(value) if value is not None and value.isdigit() else 0
 
 
+def encode_rate_limit(per_second: float) -> bytes:
+    """Return the field's value."""
+    return b"%.3f" % per_second
+
+
+def decode_rate_limit(value: bytes | None) -> float | None:
+    """Return the limit in the field, None without a valid field."""
+    if value is None:
+        return None
+    try:
+        return _amount(value)
+    except ValueError:
+        return None
+
+
 def encode_state(state: CalleeState) -> bytes:
     """Return the field's value."""
     ending = _ANSWERED if state.ending is None else state.ending.value
--- a/src/sassafrasstair/runtime/_answers.py
+++ b/src/sassafrasstair/runtime/_answers.py
@@ -36,7 +36,7 @@
         reason=outcomes.Reason.NONE.value,
         retries_spent=attempt.retries_spent,
         busy=load.busy(callee.guard),
-        limit=callee.guard.limit,
+        limit=load.learned_limit(callee.guard),
         service_seconds=load.service_seconds(callee.guard),
         floor=_slots.shed_floor(
             callee, attempt.message.request_class, attempt.message.tenant
@@ -70,7 +70,7 @@
         retry_after_ms=int(retry_after * 1000),
         retries_spent=spent,
         busy=load.busy(callee.guard),
-        limit=callee.guard.limit,
+        limit=load.learned_limit(callee.guard),
         service_seconds=load.service_seconds(callee.guard),
         floor=_slots.shed_floor(callee, message.request_class, message.tenant),
     )
@@ -113,7 +113,7 @@
         outcome=_Outcome.DONE.value,
         reason=outcomes.Reason.NONE.value,
         busy=load.busy(callee.guard),
-        limit=callee.guard.limit,
+        limit=load.learned_limit(callee.guard),
         service_seconds=load.service_seconds(callee.guard),
         floor=_slots.shed_floor(callee, message.request_class, message.tenant),
         status=result.status,
--- a/tests/decisions/calls/test_routing.py
+++ b/tests/decisions/calls/test_routing.py
@@ -236,3 +236,16 @@
     assert routes.peers["near"].in_flight == 1
     _peers.record_restart(routes, "unknown", 1.3)
     assert "unknown" not in routes.peers
+
+
+def test_instance_that_reported_a_tiny_limit_is_called_again() -> None:
+    """Otherwise no answer would ever show that its rate limit is gone."""
+    routes = _peers.Routes(HERE, "region")
+    tiny = calls.LoadReport(busy=0.0, limit=0.1, service_seconds=0.1)
+    answer = calls.Answer(outcomes.Outcome.DONE, load=tiny, incarnation="one")
+    for target in TARGETS:
+        _report_load(routes, target.vm, 0.0, 0.0)
+    _peers.start_attempt(routes, NEAR.vm, 0.0)
+    _peers.end_attempt(routes, NEAR.vm, answer, 0.1, 0.0)
+    assert not _picked(routes, 0.5)[NEAR.vm]
+    assert _picked(routes, 1.5)[NEAR.vm]
--- a/tests/forwarding/test_wire.py
+++ b/tests/forwarding/test_wire.py
@@ -69,6 +69,23 @@
         _wire.decode_metadata(value)
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (_wire.encode_rate_limit(37.7), 37.7),
+        (b"0", 0.0),
+        (None, None),
+        (b"", None),
+        (b"inf", None),
+        (b"-1", None),
+    ],
+)
+def test_rate_limit_without_a_valid_number_is_none(
+    value: bytes | None, expected: float | None
+) -> None:
+    assert _wire.decode_rate_limit(value) == expected
+
+
 @pytest.mark.parametrize("bad", [b"inf", b"nan", b"-1", b"x"])
 @pytest.mark.parametrize("at", range(2, 7))
 def test_state_with_an_invalid_number_is_refused(at: int, bad: bytes) -> None:
