Add failing tests of instances that say that they leave

Callers would see requests fail at an instance that ends, though it had announced it.

In the model an instance says in all its answers that it leaves, and no entry of the store does.

--- a/tests/fleets/test_notices.py
+++ b/tests/fleets/test_notices.py
@@ -121,3 +121,33 @@
         await sending
 
     loops.run(test())
+
+
+def test_instance_that_says_it_leaves_gets_no_more_requests() -> None:
+    """No entry of the store says that the instance leaves."""
+
+    async def test() -> None:
+        _, upstreams, hosts = await _start()
+        upstreams.leaving.add(hosts[0])
+        served = await _send(upstreams, 6.0)
+        assert upstreams.oracle.broken() == []
+        assert served > SERVED_SHARE
+
+    loops.run(test())
+
+
+def test_entry_written_anew_does_not_recall_a_leaving_instance() -> None:
+    """The entry of an instance that said it leaves lapses and comes back."""
+
+    async def test() -> None:
+        fleet, upstreams, hosts = await _start()
+        upstreams.leaving.add(hosts[0])
+        sending = asyncio.ensure_future(_send(upstreams, 10.0))
+        await asyncio.sleep(3.0)
+        fleet.store.remove(f"i-{hosts[0]}")
+        await asyncio.sleep(3.0)
+        fleet.write_instance(hosts[0])
+        await sending
+        assert upstreams.oracle.broken() == []
+
+    loops.run(test())
