Send no requests to an instance that says that it leaves

Callers would have seen requests fail at an instance that had announced its end in its answers (header Server-Leaving) and whose entry says nothing, or says it late.

An entrance that passes such an answer on now records it for the run of the instance, and its targets leave the instance out from then on. The record outlasts the entry, which may lapse and be written anew, and a store that comes back older; a later start under the same id is another run.

--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -14,6 +14,7 @@
 from sassafrasstair.decisions.views._queries import born_at
 from sassafrasstair.decisions.views._queries import count_services
 from sassafrasstair.decisions.views._queries import delta_since
+from sassafrasstair.decisions.views._queries import has_said_to_leave
 from sassafrasstair.decisions.views._queries import hosts_by_domain
 from sassafrasstair.decisions.views._queries import instance_by_id
 from sassafrasstair.decisions.views._queries import is_behind
@@ -47,6 +48,7 @@
 from sassafrasstair.decisions.views._views import new_view
 from sassafrasstair.decisions.views._views import note_peer_age
 from sassafrasstair.decisions.views._views import note_replaced
+from sassafrasstair.decisions.views._views import note_said_to_leave
 from sassafrasstair.decisions.views._views import note_store_recovering
 from sassafrasstair.decisions.views._views import replace_all
 from sassafrasstair.decisions.views._views import store_answered
@@ -76,6 +78,7 @@
     "delta_since",
     "era_of",
     "expire",
+    "has_said_to_leave",
     "hosts_by_domain",
     "instance_by_id",
     "is_behind",
@@ -90,6 +93,7 @@
     "note_full_read",
     "note_peer_age",
     "note_replaced",
+    "note_said_to_leave",
     "note_store_recovering",
     "number_in_era",
     "other_hosts",
--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -210,7 +210,7 @@
 def _candidates(
     view: _views.View, service: str
 ) -> abc.Sequence[_types.Instance]:
-    """Return the ready instances of a service.
+    """Return the ready instances of a service that did not say they leave.
 
     Includes lapsed ones whose entry may merely have expired; other lapsed
     instances are returned only if the result would be empty without them.
@@ -220,11 +220,13 @@
         for instance in view.instances.values()
         if instance.service == service
         and instance.state is _types.InstanceState.READY
+        and not has_said_to_leave(view, instance.id)
     ]
     lapsed = [
         entry
         for entry in view.lapsed.values()
         if entry.instance.service == service
+        and not has_said_to_leave(view, entry.instance.id)
     ]
     ready += [entry.instance for entry in lapsed if entry.may_have_expired]
     if not ready:
@@ -237,6 +239,17 @@
     return instance_id in view.replaced_ids
 
 
+def has_said_to_leave(view: _views.View, instance_id: str) -> bool:
+    """Return whether the instance's present run said that it is leaving.
+
+    A run whose start was not known is taken for the present one.
+    """
+    born = view.said_to_leave.get(instance_id)
+    if born is None:
+        return False
+    return born == 0 or born_at(view, instance_id) <= born
+
+
 def instance_by_id(
     view: _views.View, instance_id: str
 ) -> _types.Instance | None:
--- a/src/sassafrasstair/decisions/views/_types.py
+++ b/src/sassafrasstair/decisions/views/_types.py
@@ -14,6 +14,8 @@
 - replaced: another instance answered at its address, so it has ended. It gets
   no requests unless its entry changes (``View.replaced_ids``).
 - restarted: its entry names a later start, so it is another run.
+- said to leave: it said in an answer that it is about to stop, whatever its
+  entry says. It gets no requests until it restarts (``View.said_to_leave``).
 - held back: it was removed, and a store restored from an older copy lists it
   again. It gets no requests for a while (``View.held_back_until``).
 
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -85,6 +85,10 @@
     ``replaced_ids`` are the ids of instances at whose address another one
     answered: their entries are out of date until they change.
 
+    ``said_to_leave`` has, by id, the start of the run that said in an answer
+    that it is leaving, 0 if unknown. It outlasts the entry, which may vanish
+    and be written anew while the instance still runs.
+
     ``held_back_until`` has, by id, the time until which a held-back instance
     gets no requests unless its entry changes.
 
@@ -110,6 +114,7 @@
     )
     lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
     replaced_ids: set[str] = dataclasses.field(default_factory=set)
+    said_to_leave: dict[str, int] = dataclasses.field(default_factory=dict)
     held_back_until: dict[str, float] = dataclasses.field(default_factory=dict)
     latest_starts: dict[str, int] = dataclasses.field(default_factory=dict)
     history: _histories.History = dataclasses.field(
@@ -360,6 +365,20 @@
     return [(_types.News.REPLACED, instance_id)]
 
 
+def note_said_to_leave(view: View, instance_id: str, born: int) -> None:
+    """Record that a run of an instance said in an answer that it leaves.
+
+    ``born`` is the start of the run to which the request was sent.
+    """
+    if view.said_to_leave.get(instance_id, -1) >= born:
+        return
+    view.said_to_leave.pop(instance_id, None)
+    view.said_to_leave[instance_id] = born
+    view.target_cache.clear()
+    if len(view.said_to_leave) > STARTS_KEPT:
+        del view.said_to_leave[next(iter(view.said_to_leave))]
+
+
 def _set_policy(view: View, policy: policies.Policy) -> Updates:
     """Activate the policy unless its version is not above the active one."""
     if view.table is not None and policy.version <= view.table.policy.version:
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -313,7 +313,9 @@
     if state.leaving:
         calls.eject(daemon.routes, attempt.instance)
     source = attempt.host or "upstream"
-    _notices.read_notice(daemon, attempt.instance, response, source)
+    notice = _notices.read_notice(daemon, attempt.instance, response, source)
+    if notice is not None and notice.leaving:
+        views.note_said_to_leave(daemon.view, attempt.instance, attempt.born)
     call.attempt = None
     _crashes.record_completed(daemon, call)
     _endings.forward_answer(daemon, call, response)
--- a/tests/decisions/views/test_views.py
+++ b/tests/decisions/views/test_views.py
@@ -375,3 +375,22 @@
         entry = dataclasses.replace(_instance(f"i{number}"), born=1 + number)
         views.apply_changes(view, [entry], 11 + number, 11 + number, 101.0)
     assert len(view.latest_starts) == 3
+
+
+@pytest.mark.parametrize(
+    ("said_born", "entry_born", "targeted"),
+    [(5, 5, False), (5, 9, True), (0, 0, False), (0, 9, False)],
+)
+def test_run_that_said_it_leaves_gets_no_requests(
+    said_born: int, entry_born: int, targeted: bool
+) -> None:
+    """Its entry still lists it as ready; a later run of the id is another."""
+    view = views.new_view()
+    entry = dataclasses.replace(_instance("one"), born=said_born)
+    views.apply_changes(view, [entry], 1, 1, 0.0)
+    views.note_said_to_leave(view, "one", said_born)
+    assert not views.targets(view, "s")
+    views.apply_changes(view, [views.Removed("one")], 2, 2, 1.0)
+    again = dataclasses.replace(entry, born=entry_born)
+    views.apply_changes(view, [again], 3, 3, 2.0)
+    assert bool(views.targets(view, "s")) is targeted
