Take the end of an instance that said that it leaves for no crash

Callers would have been refused requests that crash nothing: what ran at an instance when it ended counted as in flight at a crash, unless its entry listed it as leaving or had vanished, and a request that was in flight at three such ends is blocked for a minute and more.

It now asks what the instance last said here as well. The test (two instances that say that they leave and end with a request in flight) saw one `instance_crashed` before and sees none now.

--- a/src/sassafrasstair/forwarding/_crashes.py
+++ b/src/sassafrasstair/forwarding/_crashes.py
@@ -12,6 +12,7 @@
 from sassafrasstair.decisions import crashes
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _notices
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -233,8 +234,10 @@
 def _is_leaving(daemon: _state.Daemon, instance: str) -> bool:
     """Return whether the instance was expected to end."""
     known = views.instance_by_id(daemon.view, instance)
-    if known is None or daemon.leaving:
-        return daemon.leaving
+    if daemon.leaving or _notices.says_leaving(daemon, instance):
+        return True
+    if known is None:
+        return False
     lapsed = instance not in daemon.view.instances
     return lapsed or known.state is views.InstanceState.LEAVING
 
--- a/src/sassafrasstair/forwarding/_notices.py
+++ b/src/sassafrasstair/forwarding/_notices.py
@@ -105,6 +105,11 @@
     return notice.rate_limit if notice.rate_limit < math.inf else None
 
 
+def says_leaving(daemon: _state.Daemon, instance: str) -> bool:
+    """Return whether an instance last said here that it is leaving."""
+    return daemon.notices.get(instance, NO_NOTICE).leaving
+
+
 def _log_changes(
     daemon: _state.Daemon, instance: str, notice: Notice, source: str
 ) -> None:
--- a/tests/forwarding/test_crashes.py
+++ b/tests/forwarding/test_crashes.py
@@ -98,3 +98,37 @@
         assert ended["reason"] == "upstream_lost"
 
     run(test())
+
+
+def test_end_of_an_instance_that_said_it_leaves_is_no_crash() -> None:
+    """Its entry still lists it as ready when it ends with a request.
+
+    Requests that ran at several planned ends would be blocked.
+    """
+
+    async def test() -> None:
+        cluster = await _start_cluster(idempotent=False)
+        waiting = asyncio.Event()
+
+        async def leave(
+            got: place.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            if got.line.startswith(b"POST /s/long"):
+                waiting.set()
+                await asyncio.sleep(60.0)
+            whole = place.signed(got, b"whole")
+            writer.write(whole.replace(b"\r\n", b"\r\nX-Leaving: 1\r\n", 1))
+
+        for upstream in cluster.upstreams.values():
+            upstream.script = leave
+        long = asyncio.ensure_future(cluster.call(A, "/s/long", "POST"))
+        await waiting.wait()
+        for _ in range(2):
+            assert (await cluster.call(A, "/s/x")).status == 200
+        assert events(cluster, "instance_says_leaving")
+        for upstream in cluster.upstreams.values():
+            upstream.crash()
+        assert (await long).status == 502
+        assert events(cluster, "instance_crashed") == []
+
+    run(test())
