Let the soak's instances name rate limits and say that they leave

The stand-ins of the soak knew neither header, so neither fault could show. Each soak now begins with an instance that names limits, lower, higher and 0, for 8 s, and one that says that it leaves, and draws both again beside kills, freezes, cuts, rolls and restarts under the same id. The oracle of the model counts arrivals, those that an instance rejects included; a kill, stop or pause excuses the entrance.

--- a/tests/platform/soak/clients.py
+++ b/tests/platform/soak/clients.py
@@ -36,6 +36,7 @@
     ) -> None:
         self._oracle = oracle
         self._service = service
+        self._host = host
         self._rng = rng
         self._pool = httpio.Pool(host, port, clocks.SystemClock(), 2.0)
 
@@ -69,6 +70,7 @@
                 patience,
                 api_key,
                 now,
+                self._host,
             )
         )
         fields = [
@@ -113,6 +115,7 @@
         signature = result.headers.get(
             oracle_module.SIGNATURE.lower().encode(), b""
         )
+        self._oracle.passed_on(self._host, result.headers)
         self._oracle.answered(
             key, result.status, signature.decode(), result.body
         )
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -267,12 +267,14 @@
         code = await ended(process, GRACE + STOP_SLACK)
         if code != 0:
             self.oracle.broken.append(f"STOP {vm.name}: code {code}")
+        self.oracle.notices.excuse(vm.host)
 
     async def kill(self, vm: Vm) -> None:
         """End the daemon at once."""
         process = running(vm)
         process.kill()
         await ended(process, STOP_SLACK)
+        self.oracle.notices.excuse(vm.host)
 
     def check_alive(self) -> None:
         """Note daemons that ended by themselves."""
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -6,6 +6,7 @@
 import dataclasses
 import hashlib
 
+from tests import notices as notices_module
 from tests.platform.soak import customers as customers_module
 
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -17,6 +18,10 @@
 LATE_MAX = 3
 """Arrivals of such a request that are allowed later."""
 SIGNATURE = "Sassafrasstair-Response-Signature"
+RUN_FIELD = b"soak-run"
+"""Names the run of the instance that gave an answer."""
+LIMIT_FIELD = b"server-limit"
+LEAVING_FIELD = b"server-leaving"
 
 
 @dataclasses.dataclass
@@ -32,6 +37,7 @@
     patience: float
     api_key: str = ""
     at: float = 0.0
+    entrance: str = ""
     runs: int = 0
     statuses: list[int] = dataclasses.field(default_factory=list)
 
@@ -88,6 +94,7 @@
         """Which services a route ever led to."""
         self.sent: dict[str, Sent] = {}
         self.broken: list[str] = []
+        self.notices = notices_module.Oracle()
         self.crashing: dict[bytes, Crashes] = {}
         """Targets of requests that crash the instances that run them."""
         self.served = 0
@@ -98,6 +105,24 @@
         """Note a request before its first byte leaves."""
         self.sent[sent.key] = sent
 
+    def arrived(self, key: str, run: str) -> None:
+        """Note a request that reached a run of an instance."""
+        sent = self.sent.get(key)
+        if sent is not None:
+            now = asyncio.get_running_loop().time()
+            self.notices.arrived(run, sent.entrance, sent.at, now)
+
+    def passed_on(self, entrance: str, found: dict[bytes, bytes]) -> None:
+        """Note what an answer that an entrance passed on says."""
+        if RUN_FIELD in found:
+            self.notices.passed_on(
+                found[RUN_FIELD].decode(),
+                entrance,
+                LIMIT_FIELD in found,
+                LEAVING_FIELD in found,
+                asyncio.get_running_loop().time(),
+            )
+
     def ran(self, run: Run) -> None:
         """Check a run against what its client sent."""
         sent = self.sent.get(run.key)
@@ -148,6 +173,10 @@
             self._break("DENIED", key, f"status {status}")
         self._check_refusals(sent)
 
+    def check_notices(self) -> None:
+        """Look at what instances said of themselves and then got."""
+        self.broken += self.notices.broken()
+
     def check_quotas(self) -> None:
         """Look at all windows of the customer with a limit."""
         most = self.customers.most()
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import signal
 import typing
@@ -28,6 +29,11 @@
 BAD_PAUSE = 0.25
 """A request that crashes instances comes so often, at all VMs by turns."""
 RECOVERED_SHARE = 0.9
+RATE_LIMITS = (0.0, 1.0, 2.0, 5.0, 10.0)
+LIMIT_SECONDS = 8.0
+"""The time until a rate limit binds, a window to count in, and a second."""
+FIRST_FAULTS = ("leave", "limit")
+"""Every soak has these: drawn alone, they would miss most short ones."""
 
 FORGERIES: tuple[dict[str, object], ...] = (
     {"state": "zombie"},
@@ -71,6 +77,7 @@
         await _check_crashes(fleet)
         await _check_recovery(fleet)
         fleet.oracle.check_quotas()
+        fleet.oracle.check_notices()
         fleet.check_alive()
     finally:
         await fleet.close()
@@ -101,6 +108,12 @@
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
     under_way: set[asyncio.Future[None]] = set()
+    deep = [vm for vm in fleet.vms if vm.upstream.service == "deep"]
+    for name, vm in zip(
+        FIRST_FAULTS, fleet.rng.sample(deep, len(FIRST_FAULTS)), strict=True
+    ):
+        fleet.faults.append(f"{name} {vm.name}")
+        under_way.add(asyncio.ensure_future(_apply(fleet, vm, name)))
     while loop.time() < until:
         await asyncio.sleep(fleet.rng.uniform(*FAULT_PAUSE))
         name = fleet.rng.choice(sorted(FAULTS))
@@ -207,6 +220,30 @@
     await _apply(fleet, watcher, fleet.rng.choice(["kill", "stop", "pause"]))
 
 
+async def _limit(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Name limits, raise and lower them, and drop the last one."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + LIMIT_SECONDS
+    while loop.time() < until:
+        vm.upstream.name_rate_limit(fleet.rng.choice(RATE_LIMITS))
+        await asyncio.sleep(fleet.rng.uniform(0.5, LIMIT_SECONDS))
+    vm.upstream.name_rate_limit(math.inf)
+
+
+async def _leave(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Say in all answers that the instance leaves; its entry may lag."""
+    run, before = vm.upstream.run, vm.upstream.id
+    vm.upstream.leaving = True
+    if fleet.rng.random() < 0.5:
+        await asyncio.sleep(fleet.rng.uniform(0.0, 2.0))
+        fleet.store.remove(f"servers/{before}")
+    await asyncio.sleep(fleet.rng.uniform(2.0, 5.0))
+    fleet.store.remove(f"servers/{before}")
+    if vm.upstream.run == run:
+        vm.upstream.renew()
+    fleet.register(vm)
+
+
 async def _kill(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
     await fleet.kill(vm)
     await asyncio.sleep(fleet.rng.uniform(0.1, 1.0))
@@ -224,6 +261,7 @@
     process = fleet_module.running(vm)
     process.send_signal(signal.SIGSTOP)
     await asyncio.sleep(fleet.rng.uniform(0.2, 2.5))
+    fleet.oracle.notices.excuse(vm.host)
     process.send_signal(signal.SIGCONT)
 
 
@@ -345,6 +383,8 @@
     "forget": _forget,
     "hup": _hup,
     "kill": _kill,
+    "leave": _leave,
+    "limit": _limit,
     "misbehave": _misbehave,
     "one_way": _one_way,
     "pause": _pause,
--- a/tests/platform/soak/upstreams.py
+++ b/tests/platform/soak/upstreams.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import itertools
+import math
 import time
 import typing
 
@@ -41,6 +42,8 @@
         self.lose_share = 0.0
         self.extra_share = 0.0
         self.slow = 1.0
+        self.rate_limit = math.inf
+        self.leaving = False
         self.down = False
         self.crashed: abc.Callable[[], None] | None = None
         """Called when the instance has crashed."""
@@ -71,6 +74,8 @@
         if not same_id:
             self.id = f"i-{next(_serial)}"
         self.born = max(self.born + 1, time.time_ns() // 1_000_000)
+        self.rate_limit = math.inf
+        self.leaving = False
         for task in self._running:
             task.cancel()
         for connection in list(self._listener.connections):
@@ -92,13 +97,37 @@
         await self._listener.open(*self._at)
         self.down = False
 
+    @property
+    def run(self) -> str:
+        """The name of this run of the instance."""
+        return f"{self.id}@{self.born}"
+
+    def name_rate_limit(self, limit: float) -> None:
+        """Name a limit in all answers from now on, infinity for none."""
+        self.rate_limit = limit
+        now = asyncio.get_running_loop().time()
+        self.oracle.notices.names_limit(self.run, limit, now)
+
+    def _notice(self) -> httpio.Fields:
+        """Return what the instance says of itself in its answers."""
+        fields = [(oracle_module.RUN_FIELD, self.run.encode())]
+        if self.rate_limit < math.inf:
+            limit = b"%.2f" % self.rate_limit
+            fields.append((oracle_module.LIMIT_FIELD, limit))
+        if self.leaving:
+            fields.append((oracle_module.LEAVING_FIELD, b"1"))
+        return fields
+
     def _handle(self, exchange: httpio.Exchange) -> None:
         found = exchange.request.headers
         target = found.get(b"sassafrasstair-target-instance", b"").decode()
         if target != self.id:
             exchange.respond(421, _not_run(), b"")
-        elif len(self._running) >= SLOTS:
-            exchange.respond(503, _not_run(), b"")
+            return
+        key = found.get(b"sassafrasstair-request-id", b"").decode()
+        self.oracle.arrived(key, self.run)
+        if len(self._running) >= SLOTS:
+            exchange.respond(503, [*_not_run(), *self._notice()], b"")
         else:
             task = asyncio.ensure_future(self._run(exchange))
             self._running.add(task)
@@ -141,6 +170,7 @@
         fields = [
             (b"Sassafrasstair-Request-Id", key.encode()),
             (oracle_module.SIGNATURE.encode(), signature),
+            *self._notice(),
         ]
         body = oracle_module.body_of(key) if status == 200 else b""
         transport = exchange._connection._transport
