Let sassafrasstaird heed the rate limit and the leaving of its upstream

The daemon reads both headers from answers and refusals. The guard, which both paths share, keeps the rate. An upstream that says that it leaves gets no tickets from then on and no work 2 s later, as when the VM leaves. Membership can't say that an upstream alone leaves and comes back, so it is not used: the daemon connects each half second, and serves again once the upstream has ended and another listens, 30 s later at the latest. sassafras-standin upstream names a rate (--rate-limit) and says from SIGTERM on that it leaves.

--- a/src/sassafrasstair/console/commands/standin/upstream.py
+++ b/src/sassafrasstair/console/commands/standin/upstream.py
@@ -35,6 +35,12 @@
 @click.option(
     "--health-says", default="", help="Fixed health state to report."
 )
+@click.option(
+    "--rate-limit",
+    default=None,
+    type=click.FloatRange(min=0.0),
+    help="Requests per second that its answers say it takes.",
+)
 def upstream(
     listen: str,
     service: str,
@@ -46,10 +52,12 @@
     cold_ms: int,
     health_lag_ms: int,
     health_says: str,
+    rate_limit: float | None,
 ) -> None:
     """Serve a stand-in upstream.
 
-    SIGTERM drains it; before it exits, it prints the executed work as JSON.
+    SIGTERM drains it, which its answers say from then on; before it exits,
+    it prints the executed work as JSON.
     """
     pairs = [tuple(item.split("=", 1)) for item in direct]
     if not daemon and not set(calls) <= {pair[0] for pair in pairs}:
@@ -60,6 +68,7 @@
         cold_ms / 1000,
         health_lag_ms / 1000,
         health_says,
+        rate_limit,
     )
     state = standins.new_upstream(
         service, rules, calls, daemon, [(name, url) for name, url in pairs]
--- a/src/sassafrasstair/decisions/once/__init__.py
+++ b/src/sassafrasstair/decisions/once/__init__.py
@@ -27,6 +27,7 @@
 from sassafrasstair.decisions.once._owners import new_owner
 from sassafrasstair.decisions.once._owners import Owner
 from sassafrasstair.decisions.once._owners import refuse_arrival
+from sassafrasstair.decisions.once._owners import resume_issuing
 from sassafrasstair.decisions.once._owners import stop_issuing
 from sassafrasstair.decisions.once._refusals import entrance_refusal
 from sassafrasstair.decisions.once._tickets import parse_ticket
@@ -58,5 +59,6 @@
     "new_owner",
     "parse_ticket",
     "refuse_arrival",
+    "resume_issuing",
     "stop_issuing",
 ]
--- a/src/sassafrasstair/decisions/once/_owners.py
+++ b/src/sassafrasstair/decisions/once/_owners.py
@@ -143,6 +143,11 @@
     owner.leaving = True
 
 
+def resume_issuing(owner: Owner) -> None:
+    """Issue tickets again: the upstream that was to stop was replaced."""
+    owner.leaving = False
+
+
 def accept_arrival(
     owner: Owner, ticket: str, request_class: str, now: float
 ) -> _messages.Arrival:
--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -160,7 +160,7 @@
         _counters.count_state_change(daemon.counters, news.value)
         if news is views.News.RESTARTED:
             calls.record_restart(daemon.routes, key, daemon.clock.monotonic())
-            daemon.notices.pop(key, None)
+            daemon.last_notices.pop(key, None)
         _log_news(daemon, news, key, source)
     if not changes:
         return
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -25,9 +25,9 @@
 
     from sassafrasstair import clocks
     from sassafrasstair.forwarding import _crash_updates
-    from sassafrasstair.forwarding import _notices
     from sassafrasstair.forwarding import _polls
     from sassafrasstair.forwarding import _records
+    from sassafrasstair import notices
 
 PEER_IDLE_SECONDS = 30.0
 """Time after which an idle connection to another daemon is closed."""
@@ -66,8 +66,8 @@
     ``suspect_standings`` are the standings of isolated and blocked requests,
     by fingerprint.
 
-    ``notices`` hold what instances last said of themselves in their answers,
-    by instance; those that say nothing are left out.
+    ``last_notices`` hold what instances last said of themselves in their
+    answers, by instance; those that say nothing are left out.
 
     ``tokens`` are the quota tokens of customers with a limit. ``allocation``
     is the allocator of the failure domain, if it runs in this daemon.
@@ -151,7 +151,7 @@
     crash_urgent: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
-    notices: dict[str, _notices.Notice] = dataclasses.field(
+    last_notices: dict[str, notices.Notice] = dataclasses.field(
         default_factory=dict
     )
     tokens: _tokens.Tokens = dataclasses.field(default_factory=_tokens.Tokens)
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -25,6 +25,7 @@
 from sassafrasstair.runtime import _bodies
 from sassafrasstair.runtime import _children
 from sassafrasstair.runtime import _control
+from sassafrasstair.runtime import _departures
 from sassafrasstair.runtime import _entrance
 from sassafrasstair.runtime import _entries
 from sassafrasstair.runtime import _execution
@@ -40,7 +41,6 @@
 
     from sassafrasstair import settings
 
-ACCEPT_WHILE_LEAVING_SECONDS = 2.0
 LEAVE_NOTICE_SECONDS = 2.5
 IDLE_LINK_CHECK_SECONDS = 10.0
 PING_SECONDS = 1.0
@@ -218,6 +218,7 @@
         gap = daemon.callee.pauses.last_pause
         logs.event(_LOG, logging.WARNING, "woke_late", seconds=gap)
     _slots.check_deadlines(daemon.callee)
+    _departures.tick(daemon.callee, now)
     _ping_ejected(daemon, now)
 
 
@@ -242,11 +243,12 @@
     retry, and so would a call whose ticket was issued a moment ago. The
     news takes about a second to spread; until then work is accepted.
     """
-    if daemon.callee.owner.leaving:
+    if daemon.callee.stopping:
         return
+    daemon.callee.stopping = True
     once.stop_issuing(daemon.callee.owner)
     loop = asyncio.get_running_loop()
-    loop.call_later(ACCEPT_WHILE_LEAVING_SECONDS, _refuse_work, daemon.callee)
+    loop.call_later(_departures.ACCEPT_SECONDS, _refuse_work, daemon.callee)
 
 
 def _refuse_work(callee: _slots.Callee) -> None:
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -14,6 +14,7 @@
 from sassafrasstair.runtime import _answers
 from sassafrasstair.runtime import _attempts
 from sassafrasstair.runtime import _bodies
+from sassafrasstair.runtime import _departures
 from sassafrasstair.runtime import _slots
 from sassafrasstair import upstreams
 
@@ -21,6 +22,7 @@
     from collections import abc
 
     from sassafrasstair import bundles
+    from sassafrasstair import notices
 
 MAX_LARGE_BODIES = 48
 DEFAULT_TENANT_SHARE = 1.0
@@ -210,6 +212,7 @@
 ) -> daemons.RunAnswer:
     request = _request(attempt, remaining)
     response = await upstreams.send(callee.upstream, request)
+    _heed_notice(callee, attempt, response.notice)
     attempt.status = response.status
     chunks = _bodies.rechunk(response.chunks)
     first = await anext(chunks, b"")
@@ -232,6 +235,22 @@
     return answer
 
 
+def _heed_notice(
+    callee: _slots.Callee,
+    attempt: _attempts.Attempt,
+    notice: notices.Notice | None,
+) -> None:
+    """Apply what the upstream says of itself in an answer."""
+    if notice is None:
+        return
+    now = callee.clock.monotonic()
+    load.observe_rate(
+        callee.guard, attempt.message.attempt_id, notice.rate_limit, now
+    )
+    if notice.leaving:
+        _departures.begin(callee, now)
+
+
 def _request(
     attempt: _attempts.Attempt, remaining: float
 ) -> upstreams.Request:
@@ -262,6 +281,7 @@
     attempt: _attempts.Attempt,
     error: upstreams.UpstreamError,
 ) -> daemons.RunAnswer:
+    _heed_notice(callee, attempt, error.notice)
     result: once.Result = once.Unknown(error.reason)
     ending = load.End.FAILED
     if error.outcome is _Outcome.NOT_RUN:
--- a/src/sassafrasstair/runtime/_slots.py
+++ b/src/sassafrasstair/runtime/_slots.py
@@ -19,6 +19,7 @@
     from sassafrasstair.decisions import calls
     from sassafrasstair import metrics
     from sassafrasstair.runtime import _attempts
+    from sassafrasstair.runtime import _departures
     from sassafrasstair import upstreams
 
 MAX_CANCELLED = 256
@@ -40,7 +41,8 @@
     cancelled before their request arrived. ``large_bodies`` counts attempts
     whose body is longer than one message, and ``duplicate_requests`` the
     requests that were delivered twice. ``guard_sized`` is set once a bundle
-    has given the guard its number of slots.
+    has given the guard its number of slots. ``stopping`` is set once the
+    daemon is to stop, and ``departure`` while only the upstream is leaving.
     """
 
     service: str
@@ -67,6 +69,8 @@
     large_bodies: int = 0
     guard_sized: bool = False
     duplicate_requests: int = 0
+    stopping: bool = False
+    departure: _departures.Departure | None = None
 
 
 def apply_effects(callee: Callee, effects: list[load.Effect]) -> None:
--- a/src/sassafrasstair/standins/_model.py
+++ b/src/sassafrasstair/standins/_model.py
@@ -27,7 +27,9 @@
     """What the stand-in was started with; times in seconds.
 
     ``health_lag`` is the age of the load that is told; ``health_says``, if
-    not empty, is the state that is told whatever the truth.
+    not empty, is the state that is told whatever the truth. ``rate_limit``,
+    unless it is None, is the number of requests per second that the stand-in
+    says in its answers it takes.
     """
 
     slots: int
@@ -35,6 +37,7 @@
     cold: float = 0.0
     health_lag: float = 0.0
     health_says: str = ""
+    rate_limit: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/sassafrasstair/standins/_upstream_app.py
+++ b/src/sassafrasstair/standins/_upstream_app.py
@@ -39,6 +39,7 @@
     service_ms: float
     health_lag_ms: int = 0
     health_says: str = ""
+    rate_limit: float | None = None
 
 
 def app(upstream: _upstream.Upstream) -> litestar.Litestar:
@@ -65,6 +66,7 @@
             old.cold,
             data.health_lag_ms / 1000,
             data.health_says,
+            data.rate_limit,
         )
 
     @litestar.asgi("/", is_mount=True, copy_scope=False)
@@ -75,7 +77,7 @@
     ) -> None:
         reply = await _work(upstream, scope, receive)
         if reply is not None:
-            await _send(send, reply)
+            await _send(send, reply, _notice_headers(upstream.model))
 
     return litestar.Litestar(
         [health, ran, behaviour, work],
@@ -185,10 +187,25 @@
             return
 
 
-async def _send(send: litestar.types.Send, reply: _upstream.Reply) -> None:
+def _notice_headers(model: _model.Model) -> list[tuple[bytes, bytes]]:
+    """Return what the stand-in says of itself in each answer."""
+    headers = []
+    if model.rules.rate_limit is not None:
+        headers.append((b"sassafras-limit", b"%.3f" % model.rules.rate_limit))
+    if model.draining:
+        headers.append((b"sassafras-leaving", b"1"))
+    return headers
+
+
+async def _send(
+    send: litestar.types.Send,
+    reply: _upstream.Reply,
+    notice_headers: list[tuple[bytes, bytes]],
+) -> None:
     headers = [
         (b"content-type", b"application/json"),
         (b"content-length", str(len(reply.body)).encode()),
+        *notice_headers,
     ]
     if reply.effect is not None:
         headers.append((b"sassafras-outcome", reply.effect.value.encode()))
--- a/src/sassafrasstair/upstreams/__init__.py
+++ b/src/sassafrasstair/upstreams/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrasstair.upstreams._client import accepts_connections
 from sassafrasstair.upstreams._client import close
 from sassafrasstair.upstreams._client import connect
 from sassafrasstair.upstreams._client import Request
@@ -15,6 +16,7 @@
     "Response",
     "Upstream",
     "UpstreamError",
+    "accepts_connections",
     "close",
     "connect",
     "send",
--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -6,18 +6,25 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import dataclasses
+import logging
 import typing
 
 import aiohttp
 import yarl
 
+from sassafrasstair import logs
+from sassafrasstair import notices
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
 OUTCOME_HEADER = "sassafras-outcome"
+RATE_LIMIT_HEADER = "sassafras-limit"
+LEAVING_HEADER = "sassafras-leaving"
 NOT_RUN_VALUES = frozenset({"not-run", "not run"})
 CONNECT_TIMEOUT = 1.0
 KEEPALIVE_SECONDS = 30.0
@@ -38,20 +45,27 @@
 _NO_DEFAULT_FOR = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 _EXCLUDED_HEADERS = HOP_BY_HOP_HEADERS | {"host"}
 
+_LOG = logging.getLogger(__name__)
+
 
 class UpstreamError(Exception):
     """The upstream gave no complete answer.
 
-    ``outcome`` says whether the upstream may have executed the request.
+    ``outcome`` says whether the upstream may have executed the request, and
+    ``notice`` what a refusal says of the upstream, None without a valid one.
     """
 
     def __init__(
-        self, outcome: outcomes.Outcome, reason: outcomes.Reason
+        self,
+        outcome: outcomes.Outcome,
+        reason: outcomes.Reason,
+        notice: notices.Notice | None = None,
     ) -> None:
-        """Store the outcome and the reason."""
+        """Store the outcome, the reason and the notice."""
         super().__init__(reason.value)
         self.outcome = outcome
         self.reason = reason
+        self.notice = notice
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,12 +82,14 @@
 class Response:
     """Status and headers of the upstream's answer; ``chunks`` is its body.
 
+    ``notice`` is what it says of the upstream, None if that is malformed.
     ``chunks`` raises ``UpstreamError`` when the body is cut short.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     chunks: abc.AsyncGenerator[bytes, None]
+    notice: notices.Notice | None = notices.NO_NOTICE
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,10 +156,27 @@
     if answer.status == REFUSAL_STATUS:
         _raise_refusal(answer)
     return Response(
-        answer.status, _end_to_end_headers(answer), _read_chunks(answer)
+        answer.status,
+        _end_to_end_headers(answer),
+        _read_chunks(answer),
+        _read_notice(answer),
     )
 
 
+async def accepts_connections(upstream: Upstream) -> bool:
+    """Return whether something listens at the upstream's address."""
+    url = yarl.URL(upstream.url)
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            _, writer = await asyncio.open_connection(url.host, url.port)
+    except OSError:
+        return False
+    writer.close()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
+    return True
+
+
 async def close(upstream: Upstream) -> None:
     """Close the connection pool."""
     await upstream.session.close()
@@ -179,9 +212,25 @@
     raise UpstreamError(
         outcomes.Outcome.NOT_RUN if did_not_run else outcomes.Outcome.UNKNOWN,
         outcomes.Reason.UPSTREAM_REFUSED,
+        _read_notice(answer),
     )
 
 
+def _read_notice(answer: aiohttp.ClientResponse) -> notices.Notice | None:
+    """Return what the answer says of the upstream, None if it is malformed."""
+    rate_limit = answer.headers.get(RATE_LIMIT_HEADER)
+    leaving = answer.headers.get(LEAVING_HEADER)
+    try:
+        return notices.decode(_to_bytes(rate_limit), _to_bytes(leaving))
+    except notices.NoticeError as error:
+        logs.event(_LOG, logging.WARNING, "notice_malformed", error=str(error))
+        return None
+
+
+def _to_bytes(value: str | None) -> bytes | None:
+    return None if value is None else value.encode("utf-8", "replace")
+
+
 def _end_to_end_headers(
     answer: aiohttp.ClientResponse,
 ) -> tuple[tuple[str, str], ...]:
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -4,16 +4,11 @@
 
 import asyncio
 import json
-import math
 import typing
 
-import pytest
-
-from sassafrasstair.forwarding import _notices
 from tests.forwarding import place
 
 A, B, C = place.HOSTS
-KEYS = place.NAMES.lowercased()
 
 
 def run(test: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
@@ -21,29 +16,6 @@
     asyncio.run(asyncio.wait_for(test, 20.0))
 
 
-@pytest.mark.parametrize(
-    ("headers", "expected"),
-    [
-        ({}, _notices.NO_NOTICE),
-        ({b"x-limit": b"37.7"}, _notices.Notice(37.7)),
-        ({b"x-limit": b"0"}, _notices.Notice(0.0)),
-        ({b"x-leaving": b"1"}, _notices.Notice(math.inf, True)),
-        ({b"x-leaving": b"0"}, _notices.Notice()),
-        ({b"x-limit": b"3", b"x-leaving": b"1"}, _notices.Notice(3.0, True)),
-    ],
-)
-def test_notice_is_decoded(
-    headers: dict[bytes, bytes], expected: _notices.Notice
-) -> None:
-    assert _notices.decode_notice(headers, KEYS) == expected
-
-
-@pytest.mark.parametrize("value", [b"", b"many", b"-1", b"inf", b"nan"])
-def test_malformed_rate_limit_is_refused(value: bytes) -> None:
-    with pytest.raises(_notices.NoticeError):
-        _notices.decode_notice({b"x-limit": value}, KEYS)
-
-
 def test_each_change_of_a_notice_is_logged_once() -> None:
     """On-call must see from when on an instance named which limit."""
     fields = [b"X-Limit: 5\r\n", b"X-Limit: 5\r\n", b"", b"X-Leaving: 1\r\n"]
--- a/tests/standins/test_upstream_standin.py
+++ b/tests/standins/test_upstream_standin.py
@@ -136,3 +136,24 @@
 )
 def test_wrong_answer_is_seen(raw: bytes) -> None:
     assert _answers.decode(raw, NONCE, BODY) is None
+
+
+def test_answers_name_the_rate_limit_and_say_leaving(
+    free_port: abc.Callable[[], int],
+) -> None:
+    upstream = _new("ledger", 0.0)
+
+    async def story(http: httpx.AsyncClient) -> None:
+        reply = await http.post("/work", content=BODY)
+        assert "Sassafras-Limit" not in reply.headers
+        behaviour = {"service_ms": 0.0, "rate_limit": 2.5}
+        await http.put("/behaviour", json=behaviour)
+        reply = await http.post("/work", content=BODY)
+        assert reply.headers["Sassafras-Limit"] == "2.500"
+        assert "Sassafras-Leaving" not in reply.headers
+        upstream.model.draining = True
+        reply = await http.post("/work", content=BODY)
+        assert reply.status_code == 503
+        assert reply.headers["Sassafras-Leaving"] == "1"
+
+    _run([(upstream, free_port())], story)
