Tell entrances with a refusal what the instance says of itself

Callers of a service with an instance that leaves and rejects all its work lost a third of their requests: an instance that only refuses gives no answer to pass on, so no entrance learned that it leaves, and each request sent there used the retry budget.

A refusal of the callee's daemon now carries both things that its instance last said, in header fields of our own that older daemons ignore. Metrics gain the limit of the upstream and how many wait for it; malformed notices are counted, and their log line repeats 40 bytes at most.

--- a/src/sassafrasstair/decisions/load/_views.py
+++ b/src/sassafrasstair/decisions/load/_views.py
@@ -28,9 +28,9 @@
     return min(guard.limit, _rate_capacity(guard))
 
 
-def rate_limit(guard: _guards.Guard) -> float | None:
-    """Return the rate limit in requests per second, None without one."""
-    return guard.rate.per_second if guard.rate.active else None
+def rate_limit(guard: _guards.Guard) -> float:
+    """Return the rate limit in requests per second, infinite without one."""
+    return guard.rate.per_second
 
 
 def resize(guard: _guards.Guard, slots: int) -> None:
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -34,6 +34,7 @@
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
+from sassafrasstair import notices
 from sassafrasstair import outcomes
 
 QUEUE_WAIT_RATIO = 0.5
@@ -176,7 +177,9 @@
 
     def on_done(result: _records.Result) -> None:
         if call.attempt is attempt:
-            _handle_result(daemon, call, result.state, result.response)
+            _handle_result(
+                daemon, call, result.state, result.notice, result.response
+            )
 
     attempt.execution_key = _callee.submit(daemon, inbound, on_done)
 
@@ -195,10 +198,7 @@
     if attempt.trial_strikes:
         fields.append((_wire.TRIAL_HEADER, b"%d" % attempt.trial_strikes))
     rate_limit = _notices.rate_limit_of(daemon, attempt.instance)
-    if rate_limit is not None:
-        fields.append(
-            (_wire.RATE_LIMIT_HEADER, _wire.encode_rate_limit(rate_limit))
-        )
+    fields += _wire.notice_fields(notices.Notice(rate_limit))
     if call.customer and call.key_digest is not None:
         fields.append(
             (_wire.KEY_DIGEST_HEADER, call.key_digest.hex().encode())
@@ -259,6 +259,7 @@
         state = _wire.decode_state(
             result.headers.get(_wire.STATE_HEADER_LOWER, b"")
         )
+        notice = _wire.decode_notice(result.headers)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", error=str(error))
         reason = outcomes.Reason.PEER_LOST
@@ -266,16 +267,8 @@
         return
     _count_cross_domain_bytes(daemon, call, attempt, _response_size(result))
     _peers.note_peer_content(daemon, attempt.host, state.content)
-    if state.ending is not None:
-        rate_limit = _wire.decode_rate_limit(
-            result.headers.get(_wire.RATE_LIMIT_HEADER_LOWER)
-        )
-        _notices.record_rate_limit(
-            daemon, attempt.instance, rate_limit, attempt.host
-        )
-    _handle_result(
-        daemon, call, state, result if state.ending is None else None
-    )
+    response = result if state.ending is None else None
+    _handle_result(daemon, call, state, notice, response)
 
 
 def _response_size(response: httpio.Response) -> int:
@@ -290,11 +283,13 @@
     daemon: _state.Daemon,
     call: _records.Call,
     state: _wire.CalleeState,
+    notice: notices.Notice,
     response: httpio.Response | None,
 ) -> None:
     """Apply the load reported by the callee's daemon, then its result.
 
-    The answer's ``incarnation`` is the id of the instance whose daemon
+    ``notice`` is what that daemon knows of its instance, if it refuses. The
+    answer's ``incarnation`` is the id of the instance whose daemon
     answered, '' if none did.
     """
     attempt = call.attempt
@@ -303,6 +298,7 @@
     now = daemon.clock.monotonic()
     _observe_load(daemon, call, attempt.instance, state, now)
     if response is None or state.ending is not None:
+        _notices.record_refusal(daemon, attempt, notice)
         ending = state.ending or requests.Ending.LOST
         _end_attempt(daemon, call, ending, state.reason, state)
         return
@@ -312,10 +308,7 @@
     _update_routes(daemon, attempt, answer, now)
     if state.leaving:
         calls.eject(daemon.routes, attempt.instance)
-    source = attempt.host or "upstream"
-    notice = _notices.read_notice(daemon, attempt.instance, response, source)
-    if notice is not None and notice.leaving:
-        views.note_said_to_leave(daemon.view, attempt.instance, attempt.born)
+    _notices.record_answer(daemon, attempt, response)
     call.attempt = None
     _crashes.record_completed(daemon, call)
     _endings.forward_answer(daemon, call, response)
@@ -363,10 +356,10 @@
     Such an instance is full while the others have room. Shedding the route
     for its load would leave them idle.
     """
-    if _notices.rate_limit_of(daemon, instance) is None:
+    if _notices.rate_limit_of(daemon, instance) == math.inf:
         return False
     return any(
-        _notices.rate_limit_of(daemon, target.vm) is None
+        _notices.rate_limit_of(daemon, target.vm) == math.inf
         for target in views.targets(daemon.view, service)
     )
 
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -36,6 +36,7 @@
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
+from sassafrasstair import notices
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
@@ -73,7 +74,7 @@
     daemon.execution_serial += 1
     key = f"{daemon.execution_serial}"
     guard = _guards.get_guard(daemon, metadata.instance, now)
-    if inbound.rate_limit is not None:
+    if inbound.rate_limit < math.inf:
         load.suggest_rate(guard, inbound.rate_limit, now)
     deadline = now + metadata.remaining
     reason = _unavailable_reason(daemon, metadata.instance)
@@ -441,7 +442,10 @@
         _records.Result(
             _callee_state(daemon, inbound, ending, reason),
             response,
-            load.rate_limit(execution.guard),
+            notices.Notice(
+                load.rate_limit(execution.guard),
+                _notices.says_leaving(daemon, inbound.metadata.instance),
+            ),
         )
     )
 
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -58,6 +58,7 @@
     request = exchange.request
     try:
         metadata = _wire.decode_metadata(metadata_value)
+        notice = _wire.decode_notice(request.headers)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", error=str(error))
         exchange.respond(400, [], b"")
@@ -90,16 +91,14 @@
         request.body,
         _wire.decode_trial(request.headers.get(_wire.TRIAL_HEADER_LOWER)),
         customer.name,
-        _wire.decode_rate_limit(
-            request.headers.get(_wire.RATE_LIMIT_HEADER_LOWER)
-        ),
+        notice.rate_limit,
     )
 
     def on_done(result: _records.Result) -> None:
         state = (_wire.STATE_HEADER, _wire.encode_state(result.state))
         response = result.response
         if response is None:
-            fields = [state, *_rate_limit_fields(result.rate_limit)]
+            fields = [state, *_wire.notice_fields(result.notice)]
             exchange.respond(503, fields, b"", daemon.upstream_leaving)
             return
         fields = httpio.end_to_end_fields(
@@ -114,12 +113,6 @@
     exchange.gone = lambda: _callee.cancel(daemon, key)
 
 
-def _rate_limit_fields(rate_limit: float | None) -> httpio.Fields:
-    if rate_limit is None:
-        return []
-    return [(_wire.RATE_LIMIT_HEADER, _wire.encode_rate_limit(rate_limit))]
-
-
 @functools.lru_cache(maxsize=4)
 def _dropped_fields(keys: _dialect.HeaderNames) -> frozenset[bytes]:
     """Return the header fields that only this daemon may set."""
--- a/src/sassafrasstair/forwarding/_notices.py
+++ b/src/sassafrasstair/forwarding/_notices.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 import typing
 
+from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
 from sassafrasstair import notices
 
 if typing.TYPE_CHECKING:
+    from sassafrasstair.forwarding import _records
     from sassafrasstair.forwarding import _state
     from sassafrasstair import httpio
 
@@ -36,6 +37,7 @@
             response.headers.get(keys.leaving),
         )
     except notices.NoticeError as error:
+        _counters.count_state_change(daemon.counters, "notice_malformed")
         daemon.journal.request(
             "notice_malformed", source, instance=instance, error=str(error)
         )
@@ -44,26 +46,38 @@
     return notice
 
 
-def record_rate_limit(
+def record_answer(
     daemon: _state.Daemon,
-    instance: str,
-    rate_limit: float | None,
-    source: str,
+    attempt: _records.Attempt,
+    response: httpio.Response,
+) -> None:
+    """Record what an instance says in an answer that is passed on here."""
+    source = attempt.host or "upstream"
+    notice = read_notice(daemon, attempt.instance, response, source)
+    if notice is not None and notice.leaving:
+        views.note_said_to_leave(daemon.view, attempt.instance, attempt.born)
+
+
+def record_refusal(
+    daemon: _state.Daemon,
+    attempt: _records.Attempt,
+    notice: notices.Notice,
 ) -> None:
-    """Record the limit that an instance's own daemon enforces, None if none.
+    """Record what the instance's own daemon knows of it.
 
-    A daemon that refuses all requests passes on no answer that names it.
+    An instance or daemon that refuses all requests gives no answer to pass
+    on that would say it. Only an answer shows that a notice is withdrawn.
     """
-    previous = daemon.last_notices.get(instance, notices.NO_NOTICE)
-    limit = math.inf if rate_limit is None else rate_limit
-    notice = dataclasses.replace(previous, rate_limit=limit)
-    _log_changes(daemon, instance, notice, source)
+    if notice == notices.NO_NOTICE:
+        return
+    _log_changes(daemon, attempt.instance, notice, attempt.host)
+    if notice.leaving:
+        views.note_said_to_leave(daemon.view, attempt.instance, attempt.born)
 
 
-def rate_limit_of(daemon: _state.Daemon, instance: str) -> float | None:
-    """Return the limit that an instance last named here, None for none."""
-    notice = daemon.last_notices.get(instance, notices.NO_NOTICE)
-    return notice.rate_limit if notice.rate_limit < math.inf else None
+def rate_limit_of(daemon: _state.Daemon, instance: str) -> float:
+    """Return the limit that an instance last named, infinite for none."""
+    return daemon.last_notices.get(instance, notices.NO_NOTICE).rate_limit
 
 
 def says_leaving(daemon: _state.Daemon, instance: str) -> bool:
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 if typing.TYPE_CHECKING:
@@ -14,6 +15,7 @@
     from sassafrasstair.decisions import requests
     from sassafrasstair.forwarding import _wire
     from sassafrasstair import httpio
+    from sassafrasstair import notices
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,7 +27,7 @@
     strikes after which the entrance tries a blocked request again, 0 if the
     request was not blocked. ``customer`` is the sender's name, '' for a
     request without a key. ``rate_limit`` is the limit in requests per second
-    that the instance last named to the entrance, None if it named none.
+    that the instance last named to the entrance, infinite if it named none.
     ``fingerprint`` is computed when it is needed.
     """
 
@@ -39,7 +41,7 @@
     body: bytes
     trial_strikes: int = 0
     customer: str = ""
-    rate_limit: float | None = None
+    rate_limit: float = math.inf
     fingerprint: int | None = None
 
 
@@ -47,13 +49,12 @@
 class Result:
     """The end of an execution: the instance's answer, or why it has none.
 
-    ``rate_limit`` is the limit of the instance in requests per second, None
-    if it has none.
+    ``notice`` is what the instance's daemon knows that it said of itself.
     """
 
     state: _wire.CalleeState
     response: httpio.Response | None
-    rate_limit: float | None = None
+    notice: notices.Notice
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -9,6 +9,7 @@
 
 from sassafrasstair.decisions import crashes
 from sassafrasstair.decisions import feeds
+from sassafrasstair.decisions import load
 from sassafrasstair.decisions import quotas
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
@@ -233,6 +234,10 @@
         "runs_in_flight": len(daemon.executions),
         "instances_known": len(daemon.view.instances),
         "body_bytes_held": daemon.memory.held_bytes,
+        "upstream_rate_limit": _rate_limit(daemon),
+        "upstream_waiting": sum(
+            len(guard.waiting) for guard in daemon.guards.values()
+        ),
         "upstream_connections_opened": daemon.upstream.connections_opened,
         "leaving": int(daemon.leaving),
         "upstream_leaving": int(daemon.upstream_leaving),
@@ -246,6 +251,13 @@
     }
 
 
+def _rate_limit(daemon: _state.Daemon) -> float:
+    """Return the limit of this VM's upstream, -1 without one."""
+    limits = [load.rate_limit(guard) for guard in daemon.guards.values()]
+    lowest = min(limits, default=math.inf)
+    return lowest if lowest < math.inf else -1.0
+
+
 def view_age(daemon: _state.Daemon, now: float) -> float:
     """Return the age of the last answer of the store, in seconds.
 
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -9,12 +9,17 @@
 
 import dataclasses
 import math
+import typing
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import requests
 from sassafrasstair import httpio
+from sassafrasstair import notices
 from sassafrasstair import outcomes
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 METADATA_HEADER = b"Sassafras-Ask"
 STATE_HEADER = b"Sassafras-State"
 METADATA_HEADER_LOWER = METADATA_HEADER.lower()
@@ -28,6 +33,9 @@
 With a request, it is what the instance last named to the entrance: a callee's
 daemon that has restarted heeds it until its instance has answered anew. With
 a refusal, it is what the callee's daemon enforces."""
+LEAVING_HEADER = b"Sassafras-Leaving"
+"""Set to 1 on a refusal if the instance said that it is leaving."""
+LEAVING_HEADER_LOWER = LEAVING_HEADER.lower()
 RATE_LIMIT_HEADER_LOWER = RATE_LIMIT_HEADER.lower()
 KEY_DIGEST_HEADER = b"Sassafras-Key"
 """The digest of the request's API key, in hexadecimal."""
@@ -38,6 +46,7 @@
         STATE_HEADER_LOWER,
         TRIAL_HEADER_LOWER,
         RATE_LIMIT_HEADER_LOWER,
+        LEAVING_HEADER_LOWER,
         KEY_DIGEST_HEADER_LOWER,
     }
 )
@@ -125,19 +134,25 @@
     return int(value) if value is not None and value.isdigit() else 0
 
 
-def encode_rate_limit(per_second: float) -> bytes:
-    """Return the field's value."""
-    return b"%.3f" % per_second
+def notice_fields(notice: notices.Notice) -> httpio.Fields:
+    """Return the header fields that tell a daemon of a notice."""
+    fields: httpio.Fields = []
+    if notice.rate_limit < math.inf:
+        fields.append((RATE_LIMIT_HEADER, b"%.3f" % notice.rate_limit))
+    if notice.leaving:
+        fields.append((LEAVING_HEADER, notices.LEAVING_VALUE))
+    return fields
 
 
-def decode_rate_limit(value: bytes | None) -> float | None:
-    """Return the limit in the field, None without a valid field."""
-    if value is None:
-        return None
+def decode_notice(headers: abc.Mapping[bytes, bytes]) -> notices.Notice:
+    """Return the notice in header fields of a daemon; raises ``WireError``."""
     try:
-        return _amount(value)
-    except ValueError:
-        return None
+        return notices.decode(
+            headers.get(RATE_LIMIT_HEADER_LOWER),
+            headers.get(LEAVING_HEADER_LOWER),
+        )
+    except notices.NoticeError as error:
+        raise WireError(f"invalid Sassafras-Limit field: {error}") from error
 
 
 def encode_state(state: CalleeState) -> bytes:
--- a/src/sassafrasstair/notices.py
+++ b/src/sassafrasstair/notices.py
@@ -11,6 +11,8 @@
 import math
 
 LEAVING_VALUE = b"1"
+SHOWN_BYTES_MAX = 40
+"""Bytes of an invalid value that the error repeats."""
 
 
 class NoticeError(Exception):
@@ -45,8 +47,8 @@
 def _decode_rate(value: bytes) -> float:
     try:
         rate = float(value)
-    except ValueError as error:
-        raise NoticeError(f"invalid rate limit: {value!r}") from error
+    except ValueError:
+        rate = math.nan
     if not 0.0 <= rate < math.inf:
-        raise NoticeError(f"invalid rate limit: {value!r}")
+        raise NoticeError(f"invalid rate limit: {value[:SHOWN_BYTES_MAX]!r}")
     return rate
--- a/tests/decisions/load/test_rates.py
+++ b/tests/decisions/load/test_rates.py
@@ -28,7 +28,8 @@
 
 
 @pytest.mark.parametrize(
-    ("per_second", "most"), [(0.0, 5), (1.0, 5), (10.0, 42), (300.0, 1231)]
+    ("per_second", "most"),
+    [(0.0, 5), (0.3, 5), (3.0, 13), (37.7, 155), (500.0, 2051)],
 )
 def test_starts_in_four_seconds_are_limited(
     per_second: float, most: int
--- a/tests/fleets/instances.py
+++ b/tests/fleets/instances.py
@@ -46,6 +46,8 @@
     ``nested_calls`` maps targets to the targets that an instance calls to
     answer them; the status of the nested call decides the answer.
 
+    Instances on hosts in ``refusing`` run nothing and say so.
+
     ``rate_limits`` and ``leaving`` are what instances say of themselves in
     their answers, by host; ``oracle`` checks that it is heeded. ``sent`` maps
     the id of a request to the host at which it began and its time.
@@ -60,6 +62,7 @@
     instances: dict[str, Instance] = dataclasses.field(default_factory=dict)
     rate_limits: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: set[str] = dataclasses.field(default_factory=set)
+    refusing: set[str] = dataclasses.field(default_factory=set)
     oracle: notices.Oracle = dataclasses.field(default_factory=notices.Oracle)
     sent: dict[bytes, tuple[str, float]] = dataclasses.field(
         default_factory=dict
@@ -143,6 +146,11 @@
         )
         self._check_arrival(request)
         job._connection = typing.cast("typing.Any", _Connection(self, job))
+        if self.host in upstreams.refusing:
+            self._running[job] = loop.call_later(
+                CONNECT_SECONDS, self._refuse, job
+            )
+            return
         crash_delay = upstreams.crash_delays.get(request.target)
         if crash_delay is not None:
             timer = loop.call_later(crash_delay, self.crash, request.target)
@@ -219,6 +227,13 @@
 
         called.add_done_callback(done)
 
+    def _refuse(self, job: httpio.Job) -> None:
+        self._running.pop(job, None)
+        fields = [(KEYS.not_run, b"1")]
+        fields += self._upstreams.notice_fields(self.host)
+        parsed = [(name, name, value) for name, value in fields]
+        job.end(httpio.Response(503, parsed, dict(fields), b""))
+
     def _answer(
         self, job: httpio.Job, request: httpio.Request, status: int = 200
     ) -> None:
--- a/tests/fleets/test_notices.py
+++ b/tests/fleets/test_notices.py
@@ -19,6 +19,8 @@
 PER_SECOND = 240.0
 """About four times ``LIMIT`` for each of the four instances of ``s``."""
 SERVED_SHARE = 0.95
+FAIR_SHARE = 0.5
+"""Of an equal share: what an instance gets again once its limit is gone."""
 
 
 def _service_of(host: str) -> str:
@@ -115,9 +117,14 @@
         for host in hosts:
             upstreams.set_rate_limit(host, math.inf)
         await asyncio.sleep(3.0)
+        since = asyncio.get_running_loop().time()
         served = await _send(upstreams, 3.0)
         assert upstreams.oracle.broken() == []
         assert served > SERVED_SHARE
+        arrived = [each for each in upstreams.arrivals if each.time >= since]
+        for host in hosts:
+            got = sum(each.host == host for each in arrived)
+            assert got > FAIR_SHARE * len(arrived) / len(hosts)
         await sending
 
     loops.run(test())
@@ -151,3 +158,53 @@
         assert upstreams.oracle.broken() == []
 
     loops.run(test())
+
+
+def test_refusal_tells_entrances_that_the_instance_leaves() -> None:
+    """It refuses everything, so that no answer of it is ever passed on."""
+
+    async def test() -> None:
+        fleet, upstreams, hosts = await _start()
+        upstreams.leaving.add(hosts[0])
+        upstreams.refusing.add(hosts[0])
+        served = await _send(upstreams, 6.0)
+        assert served > SERVED_SHARE
+        arrived = [each.host for each in upstreams.arrivals]
+        assert 0 < arrived.count(hosts[0]) <= 2 * len(fleet.hosts)
+
+    loops.run(test())
+
+
+def test_frozen_daemon_heeds_the_limit_when_it_wakes() -> None:
+    """Requests have piled up for it meanwhile."""
+
+    async def test() -> None:
+        fleet, upstreams, hosts = await _start()
+        for host in hosts:
+            upstreams.set_rate_limit(host, LIMIT)
+        sending = asyncio.ensure_future(_send(upstreams, 16.0))
+        await asyncio.sleep(4.0)
+        fleet.network.frozen_hosts.add(hosts[0])
+        await asyncio.sleep(4.0)
+        fleet.network.frozen_hosts.discard(hosts[0])
+        await sending
+        assert upstreams.oracle.broken() == []
+
+    loops.run(test())
+
+
+def test_entrances_shed_when_all_instances_are_limited() -> None:
+    """Most of what is too much is refused before it costs a hop."""
+
+    async def test() -> None:
+        _, upstreams, hosts = await _start()
+        for host in hosts:
+            upstreams.set_rate_limit(host, 20.0)
+        await _send(upstreams, 6.0)
+        totals: dict[str, int] = {}
+        for daemon in upstreams.fleet.daemons.values():
+            for (_, _, reason), count in daemon.counters.answers.items():
+                totals[reason] = totals.get(reason, 0) + count
+        assert totals["shed_at_entrance"] > 3 * totals["queue_delay"]
+
+    loops.run(test())
--- a/tests/forwarding/test_wire.py
+++ b/tests/forwarding/test_wire.py
@@ -15,6 +15,7 @@
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _wire
+from sassafrasstair import notices
 from sassafrasstair import outcomes
 
 ASK = _wire.RequestMetadata(7, "i-1", "lookup", 5.25, 1.5, 0.5)
@@ -70,20 +71,23 @@
 
 
 @pytest.mark.parametrize(
-    ("value", "expected"),
+    "notice",
     [
-        (_wire.encode_rate_limit(37.7), 37.7),
-        (b"0", 0.0),
-        (None, None),
-        (b"", None),
-        (b"inf", None),
-        (b"-1", None),
+        notices.NO_NOTICE,
+        notices.Notice(37.7),
+        notices.Notice(leaving=True),
+        notices.Notice(0.0, True),
     ],
 )
-def test_rate_limit_without_a_valid_number_is_none(
-    value: bytes | None, expected: float | None
-) -> None:
-    assert _wire.decode_rate_limit(value) == expected
+def test_notice_is_decoded_as_it_was_encoded(notice: notices.Notice) -> None:
+    fields = _wire.notice_fields(notice)
+    headers = {name.lower(): value for name, value in fields}
+    assert _wire.decode_notice(headers) == notice
+
+
+def test_invalid_notice_is_refused() -> None:
+    with pytest.raises(_wire.WireError):
+        _wire.decode_notice({_wire.RATE_LIMIT_HEADER_LOWER: b"-1"})
 
 
 @pytest.mark.parametrize("bad", [b"inf", b"nan", b"-1", b"x"])
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -26,7 +26,10 @@
     assert notices.decode(rate_limit, leaving) == expected
 
 
-@pytest.mark.parametrize("value", [b"", b"many", b"-1", b"inf", b"nan"])
+@pytest.mark.parametrize(
+    "value", [b"", b"many", b"-1", b"inf", b"nan", b"9" * 10_000, b"\xff"]
+)
 def test_malformed_rate_limit_is_refused(value: bytes) -> None:
-    with pytest.raises(notices.NoticeError):
+    with pytest.raises(notices.NoticeError) as caught:
         notices.decode(value, None)
+    assert len(str(caught.value)) < 100
