Notice a bundle that gets the index of one that the platform has lost

A watch waits for an index beyond its own, and the checks beside it compared indexes for equality, so a restore and a write between two checks showed nothing.

Checks now read the values and compare their digest, with the timeout of a check, as often as their size allows: 1,000 bytes a second of the 3 KB that a daemon may use for control. One of all watching daemons has to notice; a bundle of 60 KB is read by each of twelve once a minute. Between such reads the index is checked as before, and the number of calls does not change.

--- a/src/sassafrasstair/configservice/_client.py
+++ b/src/sassafrasstair/configservice/_client.py
@@ -25,8 +25,8 @@
 
 CONNECT_SECONDS = 1.0
 READ_SECONDS = 5.0
-INDEX_SECONDS = 1.0
-"""Read timeout of a response that contains no values."""
+CHECK_SECONDS = 1.0
+"""Read timeout of a check, which an available service answers at once."""
 JITTER_SHARE = 1 / 16
 """Consul may extend a blocking query by this fraction of its wait."""
 
@@ -74,6 +74,12 @@
             prefix, {"recurse": "true"}, READ_SECONDS
         )
 
+    async def read_promptly(self, prefix: str) -> Snapshot:
+        """Return the same as ``read``, or raise within a check's timeout."""
+        return await self._fetch_snapshot(
+            prefix, {"recurse": "true"}, CHECK_SECONDS
+        )
+
     async def watch(self, prefix: str, index: int, wait: float) -> Snapshot:
         """Return once the index exceeds ``index`` or ``wait`` seconds pass.
 
@@ -101,7 +107,7 @@
         available service answers it at once.
         """
         return await self._fetch_from_any(
-            prefix, {"keys": "true"}, INDEX_SECONDS, _read_index
+            prefix, {"keys": "true"}, CHECK_SECONDS, _read_index
         )
 
     async def close(self) -> None:
--- a/src/sassafrasstair/runtime/_control.py
+++ b/src/sassafrasstair/runtime/_control.py
@@ -235,32 +235,32 @@
     prefix: str,
     handle_snapshot: abc.Callable[[Control, configservice.Snapshot], None],
 ) -> None:
-    index = 0
+    known = _watches.Known()
     while True:
         try:
             snapshot = await _watches.watch(
                 control.client,
                 prefix,
-                index,
+                known,
                 control.counts.count_platform_read,
             )
-            if snapshot.index != index:
+            if _watches.known_of(snapshot) != known:
                 handle_snapshot(control, snapshot)
         except configservice.PlatformError as error:
             # Changes may have been missed while the watch was lost. Index 0
             # makes the next watch read everything, after a random delay.
-            index = 0
+            known = _watches.Known()
             await asyncio.sleep(_process_lost_watch(control, error))
             continue
         except Exception:
             # An internal error must not end the watch for good: new bundles
             # would never again come into force in this failure domain.
             _LOG.exception("event=watch_fault prefix=%s", prefix)
-            index = 0
+            known = _watches.Known()
             await asyncio.sleep(WATCH_RESTART_SECONDS)
             continue
         control.platform_heard_at = control.clock.monotonic()
-        index = snapshot.index
+        known = _watches.known_of(snapshot)
 
 
 async def _read_platform(control: Control, delay: float) -> None:
--- a/src/sassafrasstair/runtime/_watches.py
+++ b/src/sassafrasstair/runtime/_watches.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import hashlib
 import typing
 
 from sassafrasstair import configservice
@@ -16,15 +18,40 @@
 everywhere within 6 s, of which its distribution may take 2 s."""
 RECHECK_SECONDS = 0.5
 """Interval after a check that got no answer."""
+CONTENT_BYTES_PER_SECOND = 1_000.0
+"""Bytes of values that checks may read, of the 3 KB per second that a daemon
+may use for control. One of all watching daemons has to notice a change."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Known:
+    """What was read last under a prefix: the index, and the values' digest.
+
+    ``size`` is the length of the values in bytes.
+    """
+
+    index: int = 0
+    digest: bytes = b""
+    size: int = 0
+
+
+def known_of(snapshot: configservice.Snapshot) -> Known:
+    """Return what to remember of a snapshot."""
+    digest = hashlib.blake2b()
+    for key, value in sorted(snapshot.values.items()):
+        digest.update(b"%d %d " % (len(key), len(value)))
+        digest.update(key.encode() + value)
+    size = sum(map(len, snapshot.values.values()))
+    return Known(snapshot.index, digest.digest(), size)
 
 
 async def watch(
     client: configservice.Client,
     prefix: str,
-    index: int,
+    known: Known,
     count_call: abc.Callable[[], None],
 ) -> configservice.Snapshot:
-    """Return the values under ``prefix`` once their index has changed.
+    """Return the values under ``prefix`` once they may have changed.
 
     ``count_call`` is called for each call to the platform. Raises
     ``PlatformError``.
@@ -32,11 +59,20 @@
     A watch that was waiting when the platform went away is never answered,
     not even when the platform is back, so new bundles would be missed until
     the watch times out. The index is therefore checked meanwhile. If a
-    check succeeds after a failed one, or returns an index other than
-    ``index``, the watch is given up and all values are read.
+    check succeeds after a failed one, or returns an index other than that of
+    ``known``, the watch is given up and all values are read.
+
+    A platform that is restored from an older copy gives its indexes out
+    again, so a change may have the index that is known already. Checks
+    therefore read the values instead of the index as often as their size
+    allows.
     """
     count_call()
-    waiting = asyncio.ensure_future(client.watch(prefix, index, WATCH_SECONDS))
+    waiting = asyncio.ensure_future(
+        client.watch(prefix, known.index, WATCH_SECONDS)
+    )
+    loop = asyncio.get_running_loop()
+    read_at = loop.time()
     check_failed = False
     try:
         while not waiting.done():
@@ -44,15 +80,25 @@
             await asyncio.wait((waiting,), timeout=pause)
             if waiting.done():
                 break
+            read_due = loop.time() - read_at >= (
+                known.size / CONTENT_BYTES_PER_SECOND
+            )
             count_call()
             try:
-                current_index = await client.read_index(prefix)
+                if read_due:
+                    snapshot = await client.read_promptly(prefix)
+                    read_at = loop.time()
+                    current_index = snapshot.index
+                else:
+                    current_index = await client.read_index(prefix)
             except configservice.PlatformError:
                 check_failed = True
                 continue
             if waiting.done():
                 break
-            if check_failed or current_index != index:
+            if read_due and (check_failed or known_of(snapshot) != known):
+                return snapshot
+            if check_failed or current_index != known.index:
                 count_call()
                 return await client.read(prefix)
         return waiting.result()
--- a/tests/runtime/meshes.py
+++ b/tests/runtime/meshes.py
@@ -184,6 +184,12 @@
         await asyncio.sleep(wait)
         return await self.read(prefix)
 
+    async def read_promptly(self, prefix: str) -> configservice.Snapshot:
+        return await self.read(prefix)
+
+    async def read_index(self, prefix: str) -> int:
+        return 1
+
     async def close(self) -> None:
         """Close nothing."""
 
--- a/tests/runtime/test_watches.py
+++ b/tests/runtime/test_watches.py
@@ -21,6 +21,7 @@
 distribution from the watching daemons to all others takes at most
 ``SPREAD_SECONDS``."""
 ANSWER_SECONDS = 0.005
+KEY = "bundles/in-force"
 
 
 @dataclasses.dataclass
@@ -32,16 +33,23 @@
     """
 
     index: int = 1
+    value: bytes = b"first"
     away: bool = False
     outages: int = 0
     calls: int = 0
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
-    def put(self) -> None:
+    def put(self, value: bytes = b"next") -> None:
         self.index += 1
+        self.value = value
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def restore(self, value: bytes) -> None:
+        """Lose the last change; its index is given out again."""
+        self.index -= 1
+        self.value = value
+
     def leave(self) -> None:
         self.away = True
         self.outages += 1
@@ -63,14 +71,18 @@
             raise configservice.PlatformError(
                 configservice.Reason.TIMEOUT, "watch"
             )
-        return configservice.Snapshot(self.index, {})
+        return configservice.Snapshot(self.index, {KEY: self.value})
 
     async def read(self, prefix: str) -> configservice.Snapshot:
         await self._answer(_client.READ_SECONDS)
-        return configservice.Snapshot(self.index, {})
+        return configservice.Snapshot(self.index, {KEY: self.value})
+
+    async def read_promptly(self, prefix: str) -> configservice.Snapshot:
+        await self._answer(_client.CHECK_SECONDS)
+        return configservice.Snapshot(self.index, {KEY: self.value})
 
     async def read_index(self, prefix: str) -> int:
-        await self._answer(_client.INDEX_SECONDS)
+        await self._answer(_client.CHECK_SECONDS)
         return self.index
 
     async def _answer(self, timeout: float) -> None:
@@ -161,3 +173,50 @@
         assert platform.calls <= 80.0 / _watches.CHECK_SECONDS + 3
 
     loops.run(test())
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.5, 1.0, 1.5, 1.9])
+def test_bundle_with_the_index_of_a_lost_one_is_noticed_in_time(
+    seconds: float,
+) -> None:
+    """The platform is restored, and a bundle is written before any check."""
+
+    async def test() -> None:
+        platform = _Platform()
+        loop = asyncio.get_running_loop()
+        values: list[bytes] = []
+        noticed = asyncio.Event()
+
+        def handle_snapshot(
+            _: object, snapshot: configservice.Snapshot
+        ) -> None:
+            values.append(snapshot.values[KEY])
+            if values[-1] == b"new":
+                noticed.set()
+
+        control = types.SimpleNamespace(
+            client=platform,
+            counts=types.SimpleNamespace(count_platform_read=lambda: None),
+            clock=types.SimpleNamespace(monotonic=loop.time),
+            platform_heard_at=None,
+        )
+        watching = asyncio.ensure_future(
+            _control._watch(
+                typing.cast("_control.Control", control),
+                "bundles/",
+                handle_snapshot,
+            )
+        )
+        await asyncio.sleep(3.0)
+        platform.put(b"lost")
+        await asyncio.sleep(3.0 + seconds)
+        platform.restore(b"first")
+        platform.put(b"new")
+        begun = loop.time()
+        async with asyncio.timeout(60.0):
+            await noticed.wait()
+        watching.cancel()
+        assert loop.time() - begun < IN_FORCE_SECONDS - SPREAD_SECONDS
+        assert values == [b"first", b"lost", b"new"]
+
+    loops.run(test())
