Freeze the test's daemon only once its upstream has a request

The freeze began as soon as the daemon had taken the requests, and its upstream's stand-in, on the same event loop, may not have read the first by then; after the freeze its deadline has passed.

The test waits until the stand-in has the request, and lets it answer only after the freeze, so that the slot always becomes free when the VM resumes. The checks are the same.

--- a/tests/forwarding/test_lifecycle.py
+++ b/tests/forwarding/test_lifecycle.py
@@ -86,13 +86,15 @@
     since its deadline has passed. Its client gets the final answer at once.
     """
 
-    async def slow(
-        got: place.ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        await asyncio.sleep(0.2)
-        writer.write(place.signed(got, b"whole"))
-
     async def test() -> None:
+        resumed = asyncio.Event()
+
+        async def slow(
+            got: place.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await resumed.wait()
+            writer.write(place.signed(got, b"whole"))
+
         cluster = await test_path._world(
             slow, idempotent=False, timeout=0.5, slots=1
         )
@@ -100,9 +102,11 @@
             asyncio.ensure_future(cluster.call(A, "/s/", "POST"))
             for _ in range(3)
         ]
-        while len(cluster.daemons[B].daemon.executions) < len(calls):
+        daemon, upstream = cluster.daemons[B].daemon, cluster.upstreams[B]
+        while len(daemon.executions) < len(calls) or not upstream.got:
             await asyncio.sleep(0.01)
         time.sleep(1.0)
+        resumed.set()
         woken = time.monotonic()
         statuses = [got.status for got in await asyncio.gather(*calls)]
         assert time.monotonic() - woken < 0.5
