Report a request as not sent if its new connection has closed

Between the start of a connection and the task that writes the request, the connection may end; it had no request then, so nobody reported the end.

A closed connection is no longer used, nor kept as idle, and its request ends as not sent, which it was.

--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -199,7 +199,7 @@
 
     async def _connect(self, job: Job) -> None:
         connection = await self._open()
-        if connection is None:
+        if connection is None or connection.closed:
             job.end(Failure.NOT_SENT)
         elif job.awaited:
             self._start(connection, job)
@@ -208,7 +208,7 @@
 
     async def _try_connect(self, on_done: abc.Callable[[bool], None]) -> None:
         connection = await self._open()
-        if connection is not None:
+        if connection is not None and not connection.closed:
             self._idle.append(connection)
         on_done(connection is not None)
 
@@ -267,6 +267,11 @@
         self._closed = False
         self._idle_until = pool.clock.monotonic() + pool.idle_seconds
 
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended, or is being aborted."""
+        return self._closed
+
     def usable(self, now: float) -> bool:
         """Return whether a request may be sent on this connection."""
         return (
--- a/tests/httpio/test_pools.py
+++ b/tests/httpio/test_pools.py
@@ -174,3 +174,28 @@
         assert await _send(_pool(port)) is httpio.Failure.NOT_SENT
 
     asyncio.run(run())
+
+
+def test_connection_that_closes_before_its_first_request_is_not_sent() -> None:
+    """The server resets a new connection before the request is written.
+
+    The request would wait for a response until its deadline.
+    """
+
+    async def test() -> None:
+        server = Server(Script(()))
+        await server.open()
+        pool = _pool(server.port)
+        opened = pool._open
+
+        async def open_and_lose() -> object:
+            connection = await opened()
+            assert connection is not None
+            connection.abort()
+            await asyncio.sleep(0.05)
+            return connection
+
+        pool._open = open_and_lose  # type: ignore[method-assign, assignment]
+        assert await _send(pool) is httpio.Failure.NOT_SENT
+
+    asyncio.run(test())
