End requests that are being connected when their pool closes

A call to the store that had no connection yet when the settings named another store got no result: closing a pool cancels the tasks that open connections, and these were the only ones to report. Found by reading, never seen.

The pool keeps with each such task what reports its failure, and calls it when it closes.

--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -128,7 +128,8 @@
         self.connections_opened = 0
         self._idle: list[_Connection] = []
         self._busy: set[_Connection] = set()
-        self._connecting: set[asyncio.Task[None]] = set()
+        self._connecting: dict[asyncio.Task[None], abc.Callable[[], None]] = {}
+        """Tasks that open connections, each with what reports its failure."""
 
     def send(self, job: Job) -> None:
         """Send a job on an idle connection, or else on a new one."""
@@ -143,17 +144,15 @@
 
     def send_on_new(self, job: Job) -> None:
         """Send a job on a new connection."""
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(self._connect(job))
-        self._connecting.add(task)
-        task.add_done_callback(self._connecting.discard)
+        self._start_connecting(
+            self._connect(job), lambda: job.end(Failure.NOT_SENT)
+        )
 
     def try_connect(self, on_done: abc.Callable[[bool], None]) -> None:
         """Open an idle connection and report whether that succeeded."""
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(self._try_connect(on_done))
-        self._connecting.add(task)
-        task.add_done_callback(self._connecting.discard)
+        self._start_connecting(
+            self._try_connect(on_done), lambda: on_done(False)
+        )
 
     def drop_idle(self) -> None:
         """Close all idle connections, as when the server has timed out."""
@@ -179,8 +178,10 @@
         self.drop_idle()
         for connection in list(self._busy):
             connection.abort()
-        for task in list(self._connecting):
+        connecting, self._connecting = self._connecting, {}
+        for task, report_failure in connecting.items():
             task.cancel()
+            report_failure()
 
     def release(self, connection: _Connection) -> None:
         """Make a connection idle after its response is complete."""
@@ -193,6 +194,15 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def _start_connecting(
+        self,
+        work: abc.Coroutine[typing.Any, typing.Any, None],
+        report_failure: abc.Callable[[], None],
+    ) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._connecting[task] = report_failure
+        task.add_done_callback(lambda done: self._connecting.pop(done, None))
+
     def _start(self, connection: _Connection, job: Job) -> None:
         self._busy.add(connection)
         connection.start(job)
--- a/tests/httpio/test_pools.py
+++ b/tests/httpio/test_pools.py
@@ -199,3 +199,26 @@
         assert await _send(pool) is httpio.Failure.NOT_SENT
 
     asyncio.run(test())
+
+
+def test_closing_a_pool_ends_requests_that_are_being_connected() -> None:
+    """A caller that got no result would wait until its deadline."""
+
+    async def test() -> None:
+        pool = _pool(1)
+        connecting = asyncio.Event()
+
+        async def never() -> None:
+            connecting.set()
+            await asyncio.sleep(60.0)
+
+        pool._open = never  # type: ignore[method-assign]
+        sent = asyncio.ensure_future(_send(pool))
+        reached: list[bool] = []
+        pool.try_connect(reached.append)
+        await connecting.wait()
+        pool.close()
+        assert await sent is httpio.Failure.NOT_SENT
+        assert reached == [False]
+
+    asyncio.run(test())
