Fail a reading of the store that has more pages than are read

Callers would have lost all instances of the pages beyond the thousandth: the loop over the pages ended there without an error, and a reading that counts as complete removes what it lacks. Found by reading, never seen.

Such a reading is malformed now, as one whose page has no key to go on from. The test, with a limit of two pages, got a reading before.

--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -37,8 +37,7 @@
 """For how long a connection is kept if the store states no time-out."""
 PAGES_MAX = 1_000
 """Maximum pages of one full read, so that it ends even if the store always
-announces another page. The read then ends without an error, and its result
-counts as the entire contents."""
+announces another page. The read then fails."""
 ERA_HEADER = b"store-era"
 """Header that counts how often the store was restored from an older copy."""
 _ERA_MAX = 1_000_000
@@ -127,6 +126,11 @@
                     "page without a key to continue from",
                 )
             after = last
+        else:
+            raise forwarding.SourceError(
+                forwarding.SourceReason.MALFORMED,
+                f"more than {PAGES_MAX} pages",
+            )
         store_revision = 0 if first is None else first.store_revision
         revision = views.pack_revision(era, store_revision)
         changes, refused = _items.decode_changes(all_items, self._regions)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -139,6 +139,32 @@
     _run(test())
 
 
+def test_reading_of_too_many_pages_fails(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """If it counted as complete, the instances beyond would be removed."""
+    monkeypatch.setattr(_store, "PAGES_MAX", 2)
+
+    async def test() -> None:
+        pages = [
+            {
+                "items": [samples.item(f"servers/i-{n}", samples.ENTRY, n)],
+                "has_more": True,
+                "store_revision": 9,
+            }
+            for n in (1, 2, 3)
+        ]
+        source, targets = await _start_store(
+            *(_encode_response("200 OK", page) for page in pages)
+        )
+        with pytest.raises(forwarding.SourceError) as caught:
+            await source.read(stale=False)
+        assert caught.value.reason is forwarding.SourceReason.MALFORMED
+        assert len(targets) == 2
+
+    _run(test())
+
+
 def test_watch_returns_changes_and_removals() -> None:
     async def test() -> None:
         body = {
