Send a lowered claim again until it is acknowledged

A lowered claim binds its own domain as soon as it is sent, since the other side may count on it; for that it was entered as acknowledged, and updates list only what is not acknowledged. What binds and what is acknowledged are two records now, so a lowered claim is listed until its acknowledgement comes, and the shares still never add up to more than the limit.

--- a/src/sassafrasstair/decisions/quotas/_shares.py
+++ b/src/sassafrasstair/decisions/quotas/_shares.py
@@ -58,15 +58,15 @@
     ``demands`` are those that it last reported; ``claims_known`` is set once
     it has reported all of its claims. ``acked_claims`` and ``acked_demands``
     are those of the own domain that it has acknowledged. The share of the own
-    domain is never more than its entry in ``acked_claims``, or the equal share
-    without one. A lowered claim is entered as soon as it is sent, and so
-    lowers the share of the own domain at once: the other domain may count on
-    it even if its acknowledgement is lost.
+    domain is never more than its entry in ``binding_claims``, or the equal
+    share without one. A raised claim is entered there when it is acknowledged,
+    a lowered one as soon as it is sent: the other domain may count on it even
+    if its acknowledgement is lost.
 
     ``all_acked`` is set once the other domain has acknowledged an update with
     all claims and demands. Until then each update lists all of them. After
     that an update lists only those that differ from ``acked_claims`` and
-    ``acked_demands``, so a lowered claim is listed in one update only.
+    ``acked_demands``, until they are acknowledged.
 
     The other domain last sent an update at ``last_update_at`` and an
     acknowledgement at ``last_ack_at``. While the own domain is adopting its
@@ -84,6 +84,7 @@
     claims: _messages.Amounts = dataclasses.field(default_factory=dict)
     demands: _messages.Amounts = dataclasses.field(default_factory=dict)
     acked_claims: _messages.Amounts = dataclasses.field(default_factory=dict)
+    binding_claims: _messages.Amounts = dataclasses.field(default_factory=dict)
     acked_demands: _messages.Amounts = dataclasses.field(default_factory=dict)
     reserved_claims: _messages.Amounts | None = None
     adopting: bool = True
@@ -137,7 +138,7 @@
     available = 1.0
     known = True
     for peer in shares.peer_domains.values():
-        most = min(most, peer.acked_claims.get(customer, equal))
+        most = min(most, peer.binding_claims.get(customer, equal))
         available -= peer.claims.get(customer, equal)
         known = known and peer.claims_known
     return max(0.0, min(most, available) if known else most)
@@ -213,8 +214,8 @@
     }
     for customer, claim in claims.items():
         # If the acknowledgement is lost the lower claim still counts.
-        previous = peer.acked_claims.get(customer, equal)
-        peer.acked_claims[customer] = min(previous, claim)
+        previous = peer.binding_claims.get(customer, equal)
+        peer.binding_claims[customer] = min(previous, claim)
     shares.serial += 1
     return _messages.Update(
         shares.domain,
@@ -307,6 +308,7 @@
     if update.adopting:
         return
     peer.acked_claims.update(update.claims)
+    peer.binding_claims.update(update.claims)
     peer.acked_demands.update(update.demands)
     peer.all_acked = peer.all_acked or update.whole
 
@@ -339,10 +341,12 @@
     shares.claims = claims
     for peer in peers:
         # The other domains already count what they reserved as taken.
+        reserved = peer.reserved_claims or {}
         peer.acked_claims = {
-            customer: min(
-                claim, (peer.reserved_claims or {}).get(customer, equal)
-            )
+            customer: reserved.get(customer, equal) for customer in claims
+        }
+        peer.binding_claims = {
+            customer: min(claim, peer.acked_claims[customer])
             for customer, claim in claims.items()
         }
         peer.reserved_claims = None
@@ -391,7 +395,8 @@
 
 
 def _clear_acked(peer: PeerDomain) -> None:
-    peer.acked_claims, peer.acked_demands = {}, {}
+    peer.acked_claims, peer.binding_claims = {}, {}
+    peer.acked_demands = {}
     peer.all_acked = False
 
 
--- a/tests/decisions/quotas/test_shares.py
+++ b/tests/decisions/quotas/test_shares.py
@@ -152,3 +152,22 @@
 def test_customer_without_a_rate_has_no_limit() -> None:
     customer = policies.Customer(CUSTOMER, (), 0.0, 5.0)
     assert quotas.limit_with_tolerance(customer, quotas.Rules()) is None
+
+
+@pytest.mark.parametrize("lost", [1, 3])
+def test_lost_update_of_a_lowered_claim_is_sent_again(lost: int) -> None:
+    """Half of a customer's limit would stay unused until the next change."""
+    shares = _new_shares()
+    for step in range(8):
+        _exchange_all(shares, 0.1 * step, frozenset())
+        _set_demands(shares, 20.0, 20.0, 20.0)
+    _set_demands(shares, 0.0, 20.0, 20.0)
+    for _ in range(lost):
+        for other in ("b", "c"):
+            quotas.update_for(shares["a"], other)
+            assert _total_share(shares) <= 1.0 + 1e-9
+    for step in range(8):
+        _exchange_all(shares, 1.0 + 0.1 * step, frozenset())
+        _set_demands(shares, 0.0, 20.0, 20.0)
+        assert _total_share(shares) <= 1.0 + 1e-9
+    assert _total_share(shares) == pytest.approx(1.0, abs=0.04)
