--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -8,10 +8,7 @@
 
 import asyncio
 import dataclasses
-import itertools
-import os
 import random
-import socket
 import typing
 
 from sassafrasstair import clocks
@@ -22,6 +19,7 @@
 from sassafrasstair.forwarding import _daemon
 from sassafrasstair.forwarding import _events
 from sassafrasstair.forwarding import _state
+from tests.forwarding import ports
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -39,10 +37,6 @@
     leaving=b"X-Leaving",
 )
 HOSTS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
-PORTS = range(15_000, 32_000)
-_candidates = itertools.cycle(
-    [*PORTS[os.getpid() % len(PORTS) :], *PORTS[: os.getpid() % len(PORTS)]]
-)
 LIMITS = policies.ClientLimits(4096, 1_000_000, 2.0, 10.0)
 GRACE = 2.0
 
@@ -318,7 +312,7 @@
 
     def __init__(self) -> None:
         self.source = Source()
-        self.ports = _free_ports(4)
+        self.ports = ports.free_ports(HOSTS, 4)
         self.seeds: tuple[forwarding.Address, ...] = ()
         self.daemons: dict[str, _daemon.RunningDaemon] = {}
         self.upstreams: dict[str, Upstream] = {}
@@ -476,27 +470,3 @@
 
 def _elapsed(started_at: float) -> float:
     return asyncio.get_running_loop().time() - started_at
-
-
-def _free_ports(count: int) -> list[int]:
-    """Return ports that are free on all hosts of the tests.
-
-    The ports are below the kernel's ephemeral range: a connection could take
-    an ephemeral port between this check and the listening.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = next(_candidates)
-        if all(_is_free(host, port) for host in HOSTS):
-            found.append(port)
-    return found
-
-
-def _is_free(host: str, port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((host, port))
-        except OSError:
-            return False
-    return True
