Keep in a suspicion that a VM cannot reach the platform

A VM of sassafrasstaird that can't reach the platform, and was suspected and came back, could be chosen to watch it before it said so again: the rumour of a suspicion was made without that mark, and the merge took its absence for news. Found by reading, never seen. The rumour carries the mark of the member now. The test failed for a suspected and for a gone VM before.

--- a/src/sassafrasstair/decisions/fleet/_suspicions.py
+++ b/src/sassafrasstair/decisions/fleet/_suspicions.py
@@ -306,7 +306,12 @@
 ) -> list[_effects.Effect]:
     member = node.members[vm]
     rumour = _messages.Rumour(
-        vm, member.incarnation, member.revision, liveness, member.leaving
+        vm,
+        member.incarnation,
+        member.revision,
+        liveness,
+        member.leaving,
+        member.platform_unreachable,
     )
     if not _members.merge(node, rumour, now):
         return []
--- a/tests/decisions/fleet/test_members.py
+++ b/tests/decisions/fleet/test_members.py
@@ -13,6 +13,7 @@
 from sassafrasstair.decisions.fleet import _messages
 from sassafrasstair.decisions.fleet import _subsets
 from sassafrasstair.decisions.fleet import _summaries
+from sassafrasstair.decisions.fleet import _suspicions
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -217,3 +218,18 @@
     node.settled = True
     effects = fleet.tick(node, now, random.Random(1))
     assert (fleet.Watch(enabled=True) in effects) is watches
+
+
+@pytest.mark.parametrize(
+    "liveness", [_messages.SUSPECTED, _messages.GONE, _messages.SERVING]
+)
+def test_suspicion_keeps_that_a_vm_cannot_reach_the_platform(
+    node: fleet.Node, liveness: int
+) -> None:
+    """A VM that comes back could be chosen to watch the platform."""
+    cut_off = msgspec.structs.replace(
+        _rumour("1", 0, _messages.SERVING), platform_unreachable=True
+    )
+    _members.merge(node, cut_off, 0.0)
+    _suspicions._set_liveness(node, RECORD.vm, liveness, 0.1)
+    assert node.members[RECORD.vm].platform_unreachable
