Let only its own failure clear a pending fetch of members

A daemon of sassafrasstaird that starts beside peers that fail fetched the whole table of members again: it keeps that a fetch awaits its reply, and any failed exchange, with whatever peer, cleared that. Found by reading, never seen.

The peer that is asked is kept in place of a flag. The test saw a second fetch after an exchange with another address had failed; it sees one only after the asked peer's own.

--- a/src/sassafrasstair/decisions/fleet/_fetches.py
+++ b/src/sassafrasstair/decisions/fleet/_fetches.py
@@ -125,13 +125,13 @@
         node.vm_list_index = max(node.vm_list_index, peer.vm_list_index)
         return []
     if now < node.next_sync_at and not (
-        lacks_vm_list and not node.sync_pending
+        lacks_vm_list and not node.sync_address
     ):
         return []
     if node.transmissions_left and not lacks_vm_list:
         return []
     node.next_sync_at = now + SYNC_INTERVAL
-    node.sync_pending = True
+    node.sync_address = peer.address
     request = _messages.MembersFetch(tuple(node.bucket_checksums))
     return [_effects.Exchange(peer.address, request)]
 
@@ -149,7 +149,7 @@
     node: _states.Node, reply: _messages.MembersReply, now: float
 ) -> tuple[_messages.Rumour, ...]:
     """Return the rumours in ``reply``; raise ``BadMessage`` if invalid."""
-    node.sync_pending = False
+    node.sync_address = ""
     # The traffic budget leaves one kilobyte per second for this. After a
     # large table, the next fetch waits until its bytes fit the budget.
     wait = len(reply.compressed_rumours) / SYNC_BYTES_PER_SECOND
--- a/src/sassafrasstair/decisions/fleet/_nodes.py
+++ b/src/sassafrasstair/decisions/fleet/_nodes.py
@@ -146,7 +146,8 @@
     rng: random.Random,
 ) -> list[_effects.Effect]:
     """Process the failure of an ``Exchange`` with ``peer_address``."""
-    node.sync_pending = False
+    if peer_address == node.sync_address:
+        node.sync_address = ""
     effects = _detect_pause(node, now)
     effects += _fetches.process_lost_peer(node, peer_address, now)
     vm = node.by_address.get(peer_address, "")
--- a/src/sassafrasstair/decisions/fleet/_states.py
+++ b/src/sassafrasstair/decisions/fleet/_states.py
@@ -126,7 +126,8 @@
     ``transmissions_left`` counts how often each queued rumour is still to
     be sent. ``push_pending`` and ``bundle_push_pending`` mean that rumours
     or bundles wait for a push, and ``push_tokens`` limit its rate.
-    ``sync_pending`` means that a fetch of members awaits its reply.
+    ``sync_address`` is the peer whose reply to a fetch of members is awaited,
+    '' if none is.
     ``usability_version`` and ``membership_version`` count the changes that
     invalidate caches. ``listed_states`` is the VM list that was last read
     and applied here, and ``vm_list_index`` the platform index of the newest
@@ -175,7 +176,7 @@
         default_factory=dict
     )
     next_sync_at: float = -1e9
-    sync_pending: bool = False
+    sync_address: str = ""
     # Caches: the targets are valid for one ``usability_version``, the
     # partners and the choice of watchers for one ``membership_version``.
     partners_version: int = -1
--- a/tests/decisions/fleet/test_members.py
+++ b/tests/decisions/fleet/test_members.py
@@ -233,3 +233,32 @@
     _members.merge(node, cut_off, 0.0)
     _suspicions._set_liveness(node, RECORD.vm, liveness, 0.1)
     assert node.members[RECORD.vm].platform_unreachable
+
+
+def test_failed_exchange_with_another_peer_keeps_the_members_fetch(
+    node: fleet.Node, verify: abc.Callable[[bytes], bundles.ApprovedBundle]
+) -> None:
+    """A daemon that starts would fetch the whole table a second time."""
+    rng = random.Random(1)
+    peer = fleet.new_node(
+        _capacity_fleets.records(24, 1)[1], "1", (), verify, 0.0, rng
+    )
+    peer.vm_list_index = 7
+    _members.merge(peer, _rumour("1", 0, _messages.SERVING), 0.0)
+    gossip = _summaries.build_summary(peer, fleet.Gossip, node.local_record.vm)
+
+    def fetches(now: float) -> int:
+        _, effects = fleet.handle_request(node, gossip, now, rng)
+        return sum(
+            isinstance(effect, fleet.Exchange)
+            and isinstance(effect.message, _messages.MembersFetch)
+            for effect in effects
+        )
+
+    assert fetches(1.0) == 1
+    fleet.update_after_failed_exchange(node, "10.9.9.9:1", 1.1, rng)
+    assert fetches(1.2) == 0
+    fleet.update_after_failed_exchange(
+        node, peer.local_record.address, 1.3, rng
+    )
+    assert fetches(1.4) == 1
