Say why a lapsed instance is used for 1.5 s and not for two

The reason at LAPSED_SECONDS said that entries come back within two seconds, which speaks for two. What binds is the drain time: no request may reach an instance later than 2 s after its entry was removed, requests may wait at its daemon first, and an entry that expired can't be told from one that was removed.

--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -24,9 +24,9 @@
 
 LAPSED_SECONDS = 1.5
 """For how long an instance whose entry vanished stays lapsed before it is
-gone. Entries that expire while the store is unreachable are rewritten within
-two seconds, and an instance that leaves without announcing it keeps serving
-at least as long."""
+gone. An instance that leaves without announcing it serves for the drain time,
+at least 2 s; requests sent until then may first wait at its daemon. An entry
+that had merely expired may be rewritten up to 0.5 s after that."""
 RECOVERY_SECONDS = 2.0
 """For how long the store counts as recovering after an outage or a restore: a
 vanished entry may then have expired or been lost rather than removed."""
