--- a/tests/forwarding/test_restarts.py
+++ b/tests/forwarding/test_restarts.py
@@ -142,3 +142,31 @@
         call.cancel()
 
     run(test())
+
+
+def test_restart_ends_what_the_run_before_said_of_itself() -> None:
+    """An instance names a limit, says that it leaves, and restarts.
+
+    Under its id, it would get nothing more, or as little as before.
+    """
+
+    async def limited(
+        got: place.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        whole = place.signed(got, b"whole")
+        said = b"\r\nX-Limit: 0\r\nX-Leaving: 1\r\n"
+        writer.write(whole.replace(b"\r\n", said, 1))
+
+    async def test() -> None:
+        cluster = await _start_cluster(True)
+        cluster.upstreams[B].script = limited
+        assert (await cluster.call(A, "/s/")).status == 200
+        assert (await cluster.call(A, "/s/")).status == 503
+        cluster.upstreams[B].script = place.answer
+        cluster.put_instance(f"i-{B}", B, "s", slots=1, born=_now_ms())
+        await cluster.wait_until_known(A, B)
+        answers = [await cluster.call(A, "/s/") for _ in range(20)]
+        assert {answer.status for answer in answers} == {200}
+        assert cluster.daemons[A].daemon.last_notices == {}
+
+    run(test())
