Start the watches of both watch tests in one place

A comment said that a test sends four times a limit where it sends six. views exported a query that only views itself uses. Behaviour and assertions are unchanged.

--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -14,7 +14,6 @@
 from sassafrasstair.decisions.views._queries import born_at
 from sassafrasstair.decisions.views._queries import count_services
 from sassafrasstair.decisions.views._queries import delta_since
-from sassafrasstair.decisions.views._queries import has_said_to_leave
 from sassafrasstair.decisions.views._queries import hosts_by_domain
 from sassafrasstair.decisions.views._queries import instance_by_id
 from sassafrasstair.decisions.views._queries import is_behind
@@ -78,7 +77,6 @@
     "delta_since",
     "era_of",
     "expire",
-    "has_said_to_leave",
     "hosts_by_domain",
     "instance_by_id",
     "is_behind",
--- a/tests/fleets/test_notices.py
+++ b/tests/fleets/test_notices.py
@@ -17,7 +17,7 @@
 LIMIT = 10.0
 SECONDS = 12.0
 PER_SECOND = 240.0
-"""About four times ``LIMIT`` for each of the four instances of ``s``."""
+"""Six times ``LIMIT`` for each of the four instances of ``s``."""
 SERVED_SHARE = 0.95
 FAIR_SHARE = 0.5
 """Of an equal share: what an instance gets again once its limit is gone."""
--- a/tests/runtime/test_watches.py
+++ b/tests/runtime/test_watches.py
@@ -103,6 +103,15 @@
     def handle_snapshot(_: object, snapshot: configservice.Snapshot) -> None:
         noticed_at.setdefault(snapshot.index, loop.time())
 
+    return _start_watch(platform, handle_snapshot)
+
+
+def _start_watch(
+    platform: _Platform,
+    handle_snapshot: typing.Callable[[object, configservice.Snapshot], None],
+) -> asyncio.Future[None]:
+    """Start a watch that passes on each snapshot."""
+    loop = asyncio.get_running_loop()
     control = types.SimpleNamespace(
         client=platform,
         counts=types.SimpleNamespace(count_platform_read=lambda: None),
@@ -194,19 +203,7 @@
             if values[-1] == b"new":
                 noticed.set()
 
-        control = types.SimpleNamespace(
-            client=platform,
-            counts=types.SimpleNamespace(count_platform_read=lambda: None),
-            clock=types.SimpleNamespace(monotonic=loop.time),
-            platform_heard_at=None,
-        )
-        watching = asyncio.ensure_future(
-            _control._watch(
-                typing.cast("_control.Control", control),
-                "bundles/",
-                handle_snapshot,
-            )
-        )
+        watching = _start_watch(platform, handle_snapshot)
         await asyncio.sleep(3.0)
         platform.put(b"lost")
         await asyncio.sleep(3.0 + seconds)
