Notice a large bundle that gets the index of a lost one in time

Callers were served under a superseded bundle for up to 40 s after the platform had been restored from an older copy, once the bundle was larger than some 3 KB: the lost bundle and the next one had the same index, and the checks read values only by a budget of 1,000 bytes a second, whose time began anew with each watch. Above 40 KB no check ever read values. All watchers had read the lost bundle at one moment, so that twelve noticed no sooner than one.

Checks of the bundles now read the values each time, whatever their size. No call is added. The VM list keeps the budget: VMs announce themselves to their peers, and the answer of the watch shows the list after 40 s.

platform_restored is logged where other values stand at an index that is not greater than the known one; until now no log told a restore from a write.

--- a/src/sassafrasstair/runtime/_control.py
+++ b/src/sassafrasstair/runtime/_control.py
@@ -224,8 +224,14 @@
             loop.create_task(
                 _watch(control, configservice.BUNDLES_PREFIX, _handle_bundles)
             ),
+            # VMs announce themselves to their peers, so the list may be late.
             loop.create_task(
-                _watch(control, configservice.VMS_KEY, _handle_vm_list)
+                _watch(
+                    control,
+                    configservice.VMS_KEY,
+                    _handle_vm_list,
+                    may_be_late=True,
+                )
             ),
         ]
 
@@ -234,7 +240,9 @@
     control: Control,
     prefix: str,
     handle_snapshot: abc.Callable[[Control, configservice.Snapshot], None],
+    may_be_late: bool = False,
 ) -> None:
+    """Watch ``prefix`` for ever; ``may_be_late`` is passed on to ``watch``."""
     known = _watches.Known()
     while True:
         try:
@@ -243,8 +251,12 @@
                 prefix,
                 known,
                 control.counts.count_platform_read,
+                may_be_late,
             )
-            if _watches.known_of(snapshot) != known:
+            current = _watches.known_of(snapshot)
+            if _is_restored(known, current):
+                _report_restored(prefix, known, current)
+            if current != known:
                 handle_snapshot(control, snapshot)
         except configservice.PlatformError as error:
             # Changes may have been missed while the watch was lost. Index 0
@@ -260,7 +272,27 @@
             await asyncio.sleep(WATCH_RESTART_SECONDS)
             continue
         control.platform_heard_at = control.clock.monotonic()
-        known = _watches.known_of(snapshot)
+        known = current
+
+
+def _is_restored(known: _watches.Known, current: _watches.Known) -> bool:
+    """Return whether the platform has lost the change that was read last."""
+    was_read = known.digest != b""
+    index_reused = current.index <= known.index
+    return was_read and index_reused and current.digest != known.digest
+
+
+def _report_restored(
+    prefix: str, known: _watches.Known, current: _watches.Known
+) -> None:
+    logs.event(
+        _LOG,
+        logging.WARNING,
+        "platform_restored",
+        prefix=prefix,
+        known_index=known.index,
+        index=current.index,
+    )
 
 
 async def _read_platform(control: Control, delay: float) -> None:
--- a/src/sassafrasstair/runtime/_watches.py
+++ b/src/sassafrasstair/runtime/_watches.py
@@ -19,8 +19,8 @@
 RECHECK_SECONDS = 0.5
 """Interval after a check that got no answer."""
 CONTENT_BYTES_PER_SECOND = 1_000.0
-"""Bytes of values that checks may read, of the 3 KB per second that a daemon
-may use for control. One of all watching daemons has to notice a change."""
+"""Bytes of values that checks may read where a change may be noticed late, of
+the 3 KB per second that a daemon may use for control."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +50,7 @@
     prefix: str,
     known: Known,
     count_call: abc.Callable[[], None],
+    may_be_late: bool = False,
 ) -> configservice.Snapshot:
     """Return the values under ``prefix`` once they may have changed.
 
@@ -64,8 +65,10 @@
 
     A platform that is restored from an older copy gives its indexes out
     again, so a change may have the index that is known already. Checks
-    therefore read the values instead of the index as often as their size
-    allows.
+    therefore read the values, whatever their size. With ``may_be_late`` they
+    do so only as often as ``CONTENT_BYTES_PER_SECOND`` allows, and otherwise
+    read the index. Such a change is then noticed after ``WATCH_SECONDS`` at
+    the latest, when the watch itself is answered.
     """
     count_call()
     waiting = asyncio.ensure_future(
@@ -73,6 +76,9 @@
     )
     loop = asyncio.get_running_loop()
     read_at = loop.time()
+    read_interval = 0.0
+    if may_be_late:
+        read_interval = known.size / CONTENT_BYTES_PER_SECOND
     check_failed = False
     try:
         while not waiting.done():
@@ -80,9 +86,7 @@
             await asyncio.wait((waiting,), timeout=pause)
             if waiting.done():
                 break
-            read_due = loop.time() - read_at >= (
-                known.size / CONTENT_BYTES_PER_SECOND
-            )
+            read_due = loop.time() - read_at >= read_interval
             count_call()
             try:
                 if read_due:
--- a/tests/runtime/test_watches.py
+++ b/tests/runtime/test_watches.py
@@ -217,3 +217,53 @@
         assert values == [b"first", b"lost", b"new"]
 
     loops.run(test())
+
+
+async def _seconds_until_replaced(
+    platform: _Platform, watchers: int, known_seconds: float
+) -> float:
+    """Return the seconds until a watcher notices a bundle of a known index.
+
+    All watchers know the lost bundle for ``known_seconds``; its index is
+    then that of another bundle of the same size.
+    """
+    loop = asyncio.get_running_loop()
+    lost = platform.value
+    noticed = asyncio.Event()
+
+    def handle_snapshot(_: object, snapshot: configservice.Snapshot) -> None:
+        if snapshot.values[KEY] == platform.value != lost:
+            noticed.set()
+
+    watches = [
+        _start_watch(platform, handle_snapshot) for _ in range(watchers)
+    ]
+    await asyncio.sleep(3.0)
+    platform.put(lost)
+    await asyncio.sleep(known_seconds)
+    platform.restore(lost)
+    platform.put(bytes(len(lost)))
+    begun = loop.time()
+    async with asyncio.timeout(60.0):
+        await noticed.wait()
+    for watch in watches:
+        watch.cancel()
+    return loop.time() - begun
+
+
+@pytest.mark.parametrize("known_seconds", [3.0, 4.1, 5.5, 20.2, 33.3, 61.7])
+@pytest.mark.parametrize("size", [3_000, 60_000, 163_000, 1_000_000])
+@pytest.mark.parametrize("watchers", [1, 12])
+def test_large_bundle_with_the_index_of_a_lost_one_is_noticed_in_time(
+    watchers: int, size: int, known_seconds: float
+) -> None:
+    """Large values were read too seldom: after up to 40 s, or by no check."""
+
+    async def test() -> None:
+        platform = _Platform(value=b"x" * size)
+        elapsed = await _seconds_until_replaced(
+            platform, watchers, known_seconds
+        )
+        assert elapsed < IN_FORCE_SECONDS - SPREAD_SECONDS
+
+    loops.run(test())
