Keep a running VM that a restored platform does not list yet

Callers found one instance less, or none where it was the only one of its service, after the platform had been restored to a copy from before the VM was listed. A list with an index that a daemon knew, or that followed a restored one, was compared with the list from before the restore, so the VM counted as removed. It refutes that in 0.4 s and gets work again after the hold-down of a second, but each of twelve watchers that read the list later marked it as gone anew, and each return doubled the hold-down.

A VM now counts as removed only if the list that was read last has it and the next one, at a greater index, has not. A VM whose daemon has restarted or refuted a rumour since that reading is running and is not marked. The second rule also covers a restore that nobody saw because the next list has a greater index; there one mark of some 1.1 s is left, since the list alone can't be told from a removal. If such a VM fails, its peers suspect it as any other.

--- a/src/sassafrasstair/decisions/fleet/_platform.py
+++ b/src/sassafrasstair/decisions/fleet/_platform.py
@@ -60,32 +60,36 @@
                 effects.append(_effects.ReportEvent("listed_as_leaving", {}))
         elif vm_list_index > node.vm_list_index > 0:
             _members.stop_sending_record(node, record.vm)
-    states: dict[str, str] = {each.vm: each.state for each in records}
-    if vm_list_index < node.vm_list_index:
-        # A platform restored from an older copy does not list some VMs yet,
-        # and dropping those would leave services without instances. Only a
-        # VM that it has listed since its restore and lists no more counts as
-        # removed.
-        if vm_list_index > node.restored_index:
-            _mark_missing_gone(node, node.restored_states, states, now)
-        node.restored_states, node.restored_index = states, vm_list_index
-        return effects
-    _mark_missing_gone(node, node.listed_states, states, now)
-    node.restored_states, node.restored_index = {}, 0
-    node.listed_states = states
-    node.vm_list_index = vm_list_index
+    listed = {each.vm: _life_of(node.members[each.vm]) for each in records}
+    # A platform restored from an older copy does not list some VMs yet, and
+    # dropping those would leave services without instances. It gives indexes
+    # out again, so only a VM of the list that was read last, and only at a
+    # greater index, counts as removed.
+    if vm_list_index > node.listed_index:
+        _mark_missing_gone(node, listed, now)
+    node.listed, node.listed_index = listed, vm_list_index
+    node.vm_list_index = max(node.vm_list_index, vm_list_index)
     return effects
 
 
+def _life_of(member: _states.Member) -> _states.Life:
+    return _states.Life(member.incarnation, member.revision)
+
+
 def _mark_missing_gone(
-    node: _states.Node,
-    previous: abc.Iterable[str],
-    present: abc.Container[str],
-    now: float,
+    node: _states.Node, present: abc.Container[str], now: float
 ) -> None:
-    """Mark the VMs of ``previous`` that are not ``present`` as gone."""
-    for vm in previous:
-        if vm not in present and _merge_unlisted(node, vm, now):
+    """Mark the VMs of the last list that are not ``present`` as gone.
+
+    A VM whose daemon has restarted or refuted a rumour since that list was
+    read is running: a restored platform may not know it, and another watcher
+    may have read so before. If it fails, its peers suspect it.
+    """
+    for vm, life in node.listed.items():
+        member = node.members.get(vm)
+        if vm in present or member is None or _life_of(member) > life:
+            continue
+        if _merge_unlisted(node, vm, now):
             _members.queue_rumour(node, vm)
 
 
@@ -176,8 +180,7 @@
 
 
 def _merge_unlisted(node: _states.Node, vm: str, now: float) -> bool:
-    member = node.members.get(vm)
-    if member is None or vm == node.local_record.vm:
+    if vm == node.local_record.vm:
         return False
     rumour = _messages.Rumour(vm, "", 0, _messages.GONE)
     return _members.merge(node, rumour, now)
--- a/src/sassafrasstair/decisions/fleet/_states.py
+++ b/src/sassafrasstair/decisions/fleet/_states.py
@@ -48,6 +48,14 @@
     next_probe_at: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class Life:
+    """Order of what the daemons on one VM have said of themselves."""
+
+    incarnation: str
+    revision: int
+
+
 @dataclasses.dataclass(slots=True)
 class Check:
     """Liveness check of one VM, by this daemon and by helpers.
@@ -129,11 +137,10 @@
     ``sync_address`` is the peer whose reply to a fetch of members is awaited,
     '' if none is.
     ``usability_version`` and ``membership_version`` count the changes that
-    invalidate caches. ``listed_states`` is the VM list that was last read
-    and applied here, and ``vm_list_index`` the platform index of the newest
-    list in effect here, whether read or learned from peers;
-    ``restored_index`` and ``restored_states`` belong to a platform restored
-    from an older copy.
+    invalidate caches. ``listed`` holds the VMs of the list that was last
+    read here, each with its life at that time, and ``listed_index`` the
+    platform index of that list. ``vm_list_index`` is the greatest index of a
+    list that was read here or learned from peers.
     ``settled`` tells whether the daemon has finished its bootstrap, that is,
     has learned enough from peers to serve; ``peer_settled_by_address`` tells
     the same of each peer that answered. ``refusal_reasons`` are by envelope
@@ -163,9 +170,8 @@
     push_pending: bool = False
     push_tokens: float = 0.0
     vm_list_index: int = 0
-    listed_states: dict[str, str] = dataclasses.field(default_factory=dict)
-    restored_index: int = 0
-    restored_states: dict[str, str] = dataclasses.field(default_factory=dict)
+    listed_index: int = 0
+    listed: dict[str, Life] = dataclasses.field(default_factory=dict)
     checks: dict[str, Check] = dataclasses.field(default_factory=dict)
     ejected: set[str] = dataclasses.field(default_factory=set)
     not_serving: set[str] = dataclasses.field(default_factory=set)
