Ask an unreachable platform again the sooner the fewer daemons ask

After the configuration service had refused for a while, callers of a small fleet were served under a superseded bundle for up to half a minute after it was back. Each watcher paused for a random part of up to 30 s, which spreads 24 watchers over time but leaves one, two or four of them far apart. A failure domain that is cut off is such a small fleet, too, as it can't be told by others.

The greatest pause is now 1.25 s for each watcher that this daemon can reach, at least 2 s and at most 30 s as before. So the calls of a large fleet stay as they were, and some watcher asks within seconds in any fleet: at most 0.8 a second in all.

--- a/src/sassafrasstair/decisions/fleet/_platform.py
+++ b/src/sassafrasstair/decisions/fleet/_platform.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from sassafrasstair.decisions.fleet import _effects
 from sassafrasstair.decisions.fleet import _members
 from sassafrasstair.decisions.fleet import _messages
+from sassafrasstair.decisions.fleet import _reaches
 from sassafrasstair.decisions.fleet import _states
 from sassafrasstair.decisions.fleet import _subsets
 from sassafrasstair.decisions.fleet import _versions
@@ -27,6 +29,7 @@
 FIRST_READ_JITTER = 6.0
 LOST_WATCH_JITTER = 2.0
 MAX_BACKOFF = 30.0
+BACKOFF_PER_WATCHER = 1.25
 # Time after the start from which the known peers count as all peers.
 PEERS_KNOWN_DELAY = 15.0
 # Consecutive failures after which peers are told of them.
@@ -103,12 +106,37 @@
         return []
     max_delay = LOST_WATCH_JITTER * 2 ** min(node.platform_failures - 1, 6)
     node.read_pending = True
-    delay = rng.uniform(0.0, min(max_delay, MAX_BACKOFF))
+    delay = rng.uniform(0.0, min(max_delay, _max_backoff(node)))
     if node.platform_failures == FAILURES_TO_REPORT:
         _set_platform_unreachable(node, unreachable=True)
     return [_effects.ReadPlatform(delay)]
 
 
+def _max_backoff(node: _states.Node) -> float:
+    """Return the greatest delay of a retry, in seconds.
+
+    It grows with the number of daemons that retry and that can tell this one
+    of their success, so that one of them soon finds the platform back,
+    however few they are.
+    """
+    delay = BACKOFF_PER_WATCHER * _count_reachable_watchers(node)
+    return max(LOST_WATCH_JITTER, min(delay, MAX_BACKOFF))
+
+
+def _count_reachable_watchers(node: _states.Node) -> int:
+    """Return how many daemons watch while the platform is unreachable."""
+    serving = collections.Counter(
+        member.record.failure_domain
+        for member in node.members.values()
+        if _members.is_serving(member)
+    )
+    return sum(
+        min(count, _subsets.MAX_WATCHERS)
+        for domain, count in serving.items()
+        if not _reaches.is_unreachable(node, domain)
+    )
+
+
 def update_watch(
     node: _states.Node, now: float, rng: random.Random
 ) -> list[_effects.Effect]:
--- a/tests/decisions/fleet/conftest.py
+++ b/tests/decisions/fleet/conftest.py
@@ -50,9 +50,11 @@
         ) from error
 
 
-def _settled(seed: int, loss: float = 0.0) -> _capacity_fleets.Fleet:
-    """Return 24 settled daemons of one service, 4 in each domain."""
-    records = _capacity_fleets.records(24, 1)
+def _settled(
+    seed: int, loss: float = 0.0, daemons: int = 24, domains: int = 6
+) -> _capacity_fleets.Fleet:
+    """Return settled daemons of one service, spread over the domains."""
+    records = _capacity_fleets.records(daemons, 1, domains)
     contents = _capacity_platform.Contents(10, (_bundle(1),), tuple(records))
     simulation = _capacity_fleets.Fleet(
         _verify,
--- a/tests/decisions/fleet/test_fleet_failures.py
+++ b/tests/decisions/fleet/test_fleet_failures.py
@@ -4,6 +4,7 @@
 import functools
 
 import msgspec
+import pytest
 
 from sassafrasstair.bench import _capacity_fleets
 from sassafrasstair.decisions import fleet
@@ -11,6 +12,7 @@
 MakeBundle = abc.Callable[..., bytes]
 MakeFleet = abc.Callable[..., _capacity_fleets.Fleet]
 SERVICE = "service-00"
+IN_FORCE_SECONDS = 6.0
 SUSPICIONS = {"member_suspected", "member_gone"}
 
 
@@ -364,6 +366,28 @@
     assert simulation.platform.peak(since) <= 24 * 3
 
 
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("seconds", [10.0, 120.0])
+@pytest.mark.parametrize(
+    ("daemons", "domains"), [(1, 1), (2, 2), (4, 2), (16, 4), (24, 6)]
+)
+def test_bundle_after_the_platform_was_away_is_in_force_in_time(
+    settled: MakeFleet,
+    make_bundle: MakeBundle,
+    daemons: int,
+    domains: int,
+    seconds: float,
+    seed: int,
+) -> None:
+    """Few watchers paused up to 30 s each before they asked again."""
+    simulation = settled(seed, daemons=daemons, domains=domains)
+    simulation.platform_goes(up=False)
+    simulation.run(seconds)
+    simulation.platform.publish(bundles=(make_bundle(2),))
+    simulation.platform_goes(up=True)
+    assert simulation.run(IN_FORCE_SECONDS, lambda: simulation.at_version(2))
+
+
 def test_simultaneous_start_reads_platform_rarely(settled: MakeFleet) -> None:
     """Every daemon starts with empty memory after a power failure.
 
