Wait for the connection of the two test daemons before the first call

test_answer_keeps_length_and_date_of_the_upstream failed once: the caller got 503, peer_unreachable, in place of 1234 bytes. A call is refused as not run if its connection takes longer than 0.4 s, and in each of these the connection of both links stood only 0.46 to 1.43 s after the dial, while the event loop ran on time; the socket table showed it as established but not accepted, and all threads of the transport idle. What disturbs it is the machine: a program of eight threads that only sleep 50 ms at a time, beside the same busy processes, woke up 0.4, 0.6, 0.9 and 1.2 s late.

The refusal is right: the request has not run, and the caller is told when to return. The test daemons now have answered each other before a test begins, as the test of length and date is not about connections. No check is changed.

--- a/tests/runtime/meshes.py
+++ b/tests/runtime/meshes.py
@@ -129,6 +129,7 @@
             daemons[0], daemons[1], http, f"http://127.0.0.1:{ports[0]}"
         )
         await until(lambda: all(one.entry.bundle() for one in daemons))
+        await until(lambda: all(map(_is_connected, daemons)))
         try:
             yield mesh
         finally:
@@ -138,6 +139,15 @@
     await server.shutdown()
 
 
+def _is_connected(daemon: runtime.Daemon) -> bool:
+    """Return whether the other daemon has answered an exchange of this one.
+
+    A call is refused if its connection takes longer than 0.4 s, which a
+    thread that the machine does not run for as long is enough for.
+    """
+    return bool(daemon.control.node.peer_settled_by_address)
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that nothing listens on."""
     with contextlib.ExitStack() as stack:
