Test a large bundle after a restore of the platform in real processes

The virtual clock shows that large values are compared in time, not that the real client and daemons do so. A bundle of 160 KB takes the index of a lost one that both watching daemons had read; it has to be in force at both within 6 s.

--- a/tests/processes/mesh.py
+++ b/tests/processes/mesh.py
@@ -188,7 +188,12 @@
         body = json.dumps(entries).encode()
         return await self.ask("PUT", self.control, path, body)
 
-    async def publish(self, version: int) -> None:
+    async def publish(self, version: int, extra_classes: int = 0) -> None:
+        """Publish a bundle, made larger by classes that nobody calls."""
+        unused = {
+            f"unused-{number}": CLASSES["lookup"]
+            for number in range(extra_classes)
+        }
         payload = {
             "format": 1,
             "mesh": "test",
@@ -198,7 +203,7 @@
                 (vm.domain for vm in self.vms), "tt-north"
             ),
             "services": {"poster": {"slots": 20, "connections": 100}},
-            "classes": CLASSES,
+            "classes": CLASSES | unused,
             "tenants": {"t": {}},
         }
         envelope = bundles.approve(
--- a/tests/processes/test_platform_faults.py
+++ b/tests/processes/test_platform_faults.py
@@ -12,6 +12,8 @@
     from collections import abc
 
 IN_FORCE_SECONDS = 6.0
+BOTH_WATCHES_SECONDS = 1.0
+"""After this time both daemons have read a bundle from the platform itself."""
 
 
 @pytest.fixture(scope="module")
@@ -145,3 +147,20 @@
         await mesh.all_serve(6)
 
     _run(mesh, story, 4)
+
+
+def test_large_bundle_after_the_platform_was_restored_is_in_force_in_time(
+    mesh: mesh_module.Mesh,
+) -> None:
+    """Bundles of 160 KB were compared by their index alone."""
+
+    async def story(mesh: mesh_module.Mesh, relays: list[relay.Relay]) -> None:
+        await mesh.publish(7, extra_classes=2_000)
+        await mesh.all_serve(7)
+        await asyncio.sleep(BOTH_WATCHES_SECONDS)
+        assert await mesh.ask("POST", mesh.control, "/restore?back=1")
+        await mesh.publish(8, extra_classes=2_000)
+        async with asyncio.timeout(IN_FORCE_SECONDS):
+            await mesh.all_serve(8)
+
+    _run(mesh, story, 6)
