Choose test ports below the ephemeral range in all tests

The tests of processes, of the runtime, of links and of stand-ins bound to port 0, closed the socket and listened on that port later; the relays of this file even listen there anew before each test.

Two runs whose process ids were adjacent tried the same ports in the same order there; their first ports are 1,009 apart now.

--- a/tests/daemons/test_close.py
+++ b/tests/daemons/test_close.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import contextlib
-import socket
 
 from sassafrasstair import daemons
+from tests import loopback
 
 ROUNDS = 5
 PEER_COUNT = 20
@@ -22,9 +22,7 @@
         await asyncio.sleep(HANDLE_SECONDS)
         return daemons.NoContent()
 
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        address = f"127.0.0.1:{probe.getsockname()[1]}"
+    address = f"127.0.0.1:{loopback.free_ports(1)[0]}"
     server = daemons.listen(address, handle)
     links = daemons.Links()
     stopped = asyncio.Event()
--- a/tests/daemons/test_links.py
+++ b/tests/daemons/test_links.py
@@ -9,13 +9,14 @@
 from sassafrasstair import daemons
 from sassafrasstair.daemons import _links
 from sassafrasstair.daemons import _server
+from tests import loopback
 from tests.runtime import meshes
 
 WAIT = 5.0
 
 
 def new_address() -> str:
-    return f"127.0.0.1:{meshes.free_ports(1)[0]}"
+    return f"127.0.0.1:{loopback.free_ports(1)[0]}"
 
 
 async def pong(message: daemons.Message) -> daemons.Message:
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -19,7 +19,7 @@
 from sassafrasstair.forwarding import _daemon
 from sassafrasstair.forwarding import _events
 from sassafrasstair.forwarding import _state
-from tests.forwarding import ports
+from tests import loopback
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -312,7 +312,7 @@
 
     def __init__(self) -> None:
         self.source = Source()
-        self.ports = ports.free_ports(HOSTS, 4)
+        self.ports = loopback.free_ports(4, HOSTS)
         self.seeds: tuple[forwarding.Address, ...] = ()
         self.daemons: dict[str, _daemon.RunningDaemon] = {}
         self.upstreams: dict[str, Upstream] = {}
--- a/tests/forwarding/ports.py
+++ b/tests/loopback.py
@@ -1,4 +1,4 @@
-"""Ports for tests that listen on several loopback addresses."""
+"""Ports for tests that listen on loopback addresses."""
 
 from __future__ import annotations
 
@@ -10,13 +10,16 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+LOOPBACK = ("127.0.0.1",)
 PORTS = range(15_000, 32_000)
-_candidates = itertools.cycle(
-    [*PORTS[os.getpid() % len(PORTS) :], *PORTS[: os.getpid() % len(PORTS)]]
-)
+PORTS_PER_PROCESS = 1_009
+"""Distance of the first ports of two processes that run one after another."""
 
+_first = os.getpid() * PORTS_PER_PROCESS % len(PORTS)
+_candidates = itertools.cycle([*PORTS[_first:], *PORTS[:_first]])
 
-def free_ports(hosts: abc.Sequence[str], count: int) -> list[int]:
+
+def free_ports(count: int, hosts: abc.Sequence[str] = LOOPBACK) -> list[int]:
     """Return ports that are free on all ``hosts``.
 
     The ports are below the kernel's ephemeral range: a connection could take
--- a/tests/processes/mesh.py
+++ b/tests/processes/mesh.py
@@ -10,7 +10,6 @@
 import itertools
 import json
 import pathlib
-import socket
 import subprocess
 import sys
 import typing
@@ -19,6 +18,7 @@
 from sassafrasstair import configservice
 from sassafrasstair.standins import _answers
 from sassafrasstair.standins import _http
+from tests import loopback
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -42,10 +42,7 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    return loopback.free_ports(1)[0]
 
 
 @dataclasses.dataclass
--- a/tests/runtime/meshes.py
+++ b/tests/runtime/meshes.py
@@ -7,7 +7,6 @@
 import contextlib
 import dataclasses
 import json
-import socket
 import typing
 
 import aiohttp
@@ -19,6 +18,7 @@
 from sassafrasstair import runtime
 from sassafrasstair.runtime import _control
 from sassafrasstair import settings
+from tests import loopback
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -110,7 +110,7 @@
 
     ``upstream`` is the URL of another upstream to use instead.
     """
-    ports = free_ports(7)
+    ports = loopback.free_ports(7)
     server = web.Server(handler, handler_cancellation=True)
     await asyncio.get_running_loop().create_server(
         server, "127.0.0.1", ports[6]
@@ -148,15 +148,6 @@
     return bool(daemon.control.node.peer_settled_by_address)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in probes]
-
-
 class _Platform:
     """A platform whose one bundle and two VMs never change."""
 
--- a/tests/runtime/test_departures.py
+++ b/tests/runtime/test_departures.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from sassafrasstair.runtime import _departures
+from tests import loopback
 from tests.runtime import meshes
 
 if typing.TYPE_CHECKING:
@@ -69,7 +70,7 @@
             return found
 
     async def scenario() -> None:
-        port = meshes.free_ports(1)[0]
+        port = loopback.free_ports(1)[0]
         loop = asyncio.get_running_loop()
         server = web.Server(upstream)
         listener = await loop.create_server(server, "127.0.0.1", port)
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -7,7 +7,7 @@
 
 from sassafrasstair import outcomes
 from sassafrasstair import upstreams
-from tests.runtime import meshes
+from tests import loopback
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -43,7 +43,7 @@
     scenario: abc.Callable[[upstreams.Upstream], abc.Awaitable[None]],
 ) -> None:
     async def serve_and_run() -> None:
-        port = meshes.free_ports(1)[0]
+        port = loopback.free_ports(1)[0]
         async with await asyncio.start_server(raw, "127.0.0.1", port):
             upstream = upstreams.connect(f"http://127.0.0.1:{port}")
             await scenario(upstream)
