--- a/tests/decisions/fleet/test_fleet_failures.py
+++ b/tests/decisions/fleet/test_fleet_failures.py
@@ -8,10 +8,10 @@
 
 from sassafrasstair.bench import _capacity_fleets
 from sassafrasstair.decisions import fleet
+from tests.decisions.fleet import work
 
 MakeBundle = abc.Callable[..., bytes]
 MakeFleet = abc.Callable[..., _capacity_fleets.Fleet]
-SERVICE = "service-00"
 IN_FORCE_SECONDS = 6.0
 SUSPICIONS = {"member_suspected", "member_gone"}
 
@@ -22,23 +22,6 @@
     ]
 
 
-def _callable_vms(
-    simulation: _capacity_fleets.Fleet, address: str
-) -> set[str]:
-    """Return the VMs that the daemon at ``address`` may call."""
-    targets = fleet.targets(simulation.nodes[address], SERVICE, simulation.now)
-    return {target.vm for target in targets}
-
-
-def _gets_no_work(simulation: _capacity_fleets.Fleet, vm: str) -> bool:
-    """Return whether no other running daemon would call ``vm``."""
-    return not any(
-        vm in _callable_vms(simulation, address)
-        for address, node in simulation.nodes.items()
-        if address not in simulation.down and node.local_record.vm != vm
-    )
-
-
 def _stop_periodic_gossip(simulation: _capacity_fleets.Fleet) -> None:
     """Stop the periodic exchanges, which might spread the change too."""
     for node in simulation.nodes.values():
@@ -206,7 +189,7 @@
     simulation.publish(bundles=(make_bundle(2),))
     simulation.run(60)
     for address in simulation.nodes:
-        chosen = _callable_vms(simulation, address)
+        chosen = work.callable_vms(simulation, address)
         assert chosen
         assert (chosen <= names) == (address in inside)
     assert not SUSPICIONS.intersection(_events(simulation, since))
@@ -215,14 +198,16 @@
     simulation.run(6)
     assert all(
         names - {simulation.nodes[a].local_record.vm}
-        <= _callable_vms(simulation, a)
+        <= work.callable_vms(simulation, a)
         for a in inside
     )
     assert any(
-        names & _callable_vms(simulation, a)
+        names & work.callable_vms(simulation, a)
         for a in _addresses_in(simulation, "domain-1")
     )
-    assert all(len(_callable_vms(simulation, a) - names) >= 2 for a in inside)
+    assert all(
+        len(work.callable_vms(simulation, a) - names) >= 2 for a in inside
+    )
 
 
 def test_unreachable_domain_gets_no_work_within_3_s(
@@ -244,7 +229,9 @@
     fleet.observe_call(caller, min(names), False, "", simulation.now)
     assert simulation.run(
         3,
-        lambda: not any(names & _callable_vms(simulation, a) for a in callers),
+        lambda: (
+            not any(names & work.callable_vms(simulation, a) for a in callers)
+        ),
     )
 
 
@@ -261,7 +248,7 @@
     vm = simulation.nodes[address].local_record.vm
     simulation.pause(address, 120)
     simulation.run(119.9)
-    assert _gets_no_work(simulation, vm)
+    assert work.gets_no_work(simulation, vm)
     since = simulation.now
     assert simulation.run(3, lambda: "refuted" in _events(simulation, since))
     simulation.run(10)
@@ -275,7 +262,7 @@
         assert other.members[vm].liveness == 0
     near = _addresses_in(simulation, "domain-0")
     assert all(
-        vm in _callable_vms(simulation, a) for a in near if a != address
+        vm in work.callable_vms(simulation, a) for a in near if a != address
     )
 
 
@@ -291,7 +278,7 @@
     simulation.stop(address)
     _stop_periodic_gossip(simulation)
     fleet.observe_call(simulation.nodes[caller], vm, False, "", simulation.now)
-    assert simulation.run(3, lambda: _gets_no_work(simulation, vm))
+    assert simulation.run(3, lambda: work.gets_no_work(simulation, vm))
 
 
 def test_leaving_vm_gets_no_work_within_3_s(settled: MakeFleet) -> None:
@@ -306,7 +293,7 @@
             address, fleet.set_leaving(node, simulation.now, simulation.rng)
         )
         gets_no_work = functools.partial(
-            _gets_no_work, simulation, node.local_record.vm
+            work.gets_no_work, simulation, node.local_record.vm
         )
         assert simulation.run(3, gets_no_work)
 
@@ -318,7 +305,7 @@
     first, *rest = simulation.platform.contents.vms
     leaving = msgspec.structs.replace(first, state="leaving")
     simulation.publish(vms=(leaving, *rest))
-    assert simulation.run(3, lambda: _gets_no_work(simulation, first.vm))
+    assert simulation.run(3, lambda: work.gets_no_work(simulation, first.vm))
     assert simulation.run(
         10, lambda: "listed_as_leaving" in _events(simulation, 0)
     )
@@ -336,8 +323,8 @@
     simulation.run(60)
     assert not SUSPICIONS.intersection(_events(simulation, since))
     vm = simulation.nodes[other].local_record.vm
-    assert vm not in _callable_vms(simulation, one)
-    assert vm in _callable_vms(
+    assert vm not in work.callable_vms(simulation, one)
+    assert vm in work.callable_vms(
         simulation, _addresses_in(simulation, "domain-0")[2]
     )
 
--- a/tests/decisions/fleet/test_vm_lists.py
+++ b/tests/decisions/fleet/test_vm_lists.py
@@ -12,9 +12,9 @@
 from sassafrasstair.bench import _capacity_platform
 from sassafrasstair.decisions import fleet
 from sassafrasstair.decisions.fleet import _messages
+from tests.decisions.fleet import work
 
 MakeFleet = abc.Callable[..., _capacity_fleets.Fleet]
-SERVICE = "service-00"
 STEP_SECONDS = 0.05
 MAX_IDLE_SECONDS = 2.0
 """For a VM that refutes that it is gone, its hold-down of a second included.
@@ -69,16 +69,6 @@
         )
 
 
-def _count_callers(simulation: _capacity_fleets.Fleet, vm: str) -> int:
-    """Return how many other daemons may call ``vm``."""
-    return sum(
-        vm in {target.vm for target in targets}
-        for node in simulation.nodes.values()
-        if node.local_record.vm != vm
-        for targets in (fleet.targets(node, SERVICE, simulation.now),)
-    )
-
-
 def _seconds_without_callers(
     simulation: _capacity_fleets.Fleet, vm: str, seconds: float
 ) -> float:
@@ -86,7 +76,7 @@
     idle = 0.0
     for _ in range(round(seconds / STEP_SECONDS)):
         simulation.run(STEP_SECONDS)
-        if not _count_callers(simulation, vm):
+        if work.gets_no_work(simulation, vm):
             idle += STEP_SECONDS
     return idle
 
@@ -127,7 +117,7 @@
     *restored_vms, lost = contents.vms
     read(50, contents.vms)
     simulation.run(spread_seconds + 1.0)
-    assert _count_callers(simulation, lost.vm)
+    assert not work.gets_no_work(simulation, lost.vm)
     idle = 0.0
     for index in indexes_without:
         read(index, tuple(restored_vms))
