Log which build runs, and requests for an instance that said it leaves

The record of an incident named no landing, and no event showed that requests reach an instance that says in its answers that it leaves: only the instance could see it. The log could not tell an unread header from one that is not understood.

The start of a daemon names a digest of its sources, a Server-Leaving that is neither 1 nor 0 is logged as malformed, and the instance's own daemon logs requests that come later than the drain time, with their entrance. No decision changes.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -14,4 +14,6 @@
 rm -rf target/deps/sassafrasstair
 cp -R src/sassafrasstair target/deps/sassafrasstair
 find target/deps/sassafrasstair -name __pycache__ -prune -exec rm -rf {} +
+sh deploy/source_digest.sh src/sassafrasstair \
+    > target/deps/sassafrasstair/BUILD
 python3 -m compileall -q target/deps
--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -7,6 +7,7 @@
 from sassafrasstair.decisions.load._guards import floor
 from sassafrasstair.decisions.load._guards import Guard
 from sassafrasstair.decisions.load._guards import new_guard
+from sassafrasstair.decisions.load._guards import note_said_to_leave
 from sassafrasstair.decisions.load._guards import observe_rate
 from sassafrasstair.decisions.load._guards import offer
 from sassafrasstair.decisions.load._guards import retire
@@ -43,6 +44,7 @@
     "learned_limit",
     "limit",
     "new_guard",
+    "note_said_to_leave",
     "observe_rate",
     "offer",
     "rank",
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -71,7 +71,8 @@
     was waiting; level 0 covers the whole queue. ``lowest_level_with_room`` is
     computed by each ``tick``, the last of which was at ``ticked_at``. A guard
     is ``leaving`` if the daemon stops or the instance has ended, and refuses
-    all new work.
+    all new work. The instance first said in an answer that it is leaving at
+    ``said_to_leave_at``, infinity if it has not.
 
     A ``patient`` guard lets work wait for as long as its request allows and
     refuses none by rank. ``forwarding`` makes all its guards patient. It is
@@ -105,6 +106,7 @@
     ticked_at: float = 0.0
     lowest_level_with_room: int = 0
     leaving: bool = False
+    said_to_leave_at: float = math.inf
     patient: bool = False
 
     @property
@@ -170,6 +172,11 @@
     _rates.observe(guard.rate, per_second, started_at, now)
 
 
+def note_said_to_leave(guard: Guard, now: float) -> None:
+    """Record that the instance says that it leaves; it never takes it back."""
+    guard.said_to_leave_at = min(guard.said_to_leave_at, now)
+
+
 def suggest_rate(guard: Guard, per_second: float, now: float) -> None:
     """Use the rate limit that a caller knows until the instance answers."""
     _rates.suggest(guard.rate, per_second, now)
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -164,6 +164,7 @@
     request = call.exchange.request
     inbound = _records.InboundRequest(
         attempt.metadata,
+        daemon.settings.host,
         daemon.settings.service,
         call.request_id,
         request.method,
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -78,6 +78,7 @@
         load.suggest_rate(guard, inbound.rate_limit, now)
     deadline = now + metadata.remaining
     reason = _unavailable_reason(daemon, metadata.instance)
+    _notices.log_late_request(daemon, inbound, guard, now)
     execution = _records.Execution(key, inbound, deadline, on_done, guard)
     verdict = _crashes.verdict_of_inbound(daemon, inbound)
     if _crashes.is_blocked(verdict, inbound.trial_strikes):
@@ -265,7 +266,7 @@
     execution: _records.Execution,
     response: httpio.Response,
 ) -> None:
-    """Apply the rate limit that the instance names in its answer.
+    """Apply what the instance says of itself in its answer.
 
     Only an answer to this very request shows that the instance names none:
     a damaged one may lack the header.
@@ -279,8 +280,10 @@
     if notice is None:
         return
     answered_id = response.headers.get(daemon.header_keys.request_id)
+    now = daemon.clock.monotonic()
+    if notice.leaving:
+        load.note_said_to_leave(execution.guard, now)
     if notice.rate_limit < math.inf or answered_id == inbound.request_id:
-        now = daemon.clock.monotonic()
         load.observe_rate(
             execution.guard, execution.key, notice.rate_limit, now
         )
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -8,6 +8,7 @@
 import signal
 import typing
 
+from sassafrasstair import builds
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import views
@@ -117,7 +118,11 @@
     loop.add_signal_handler(signal.SIGINT, running.stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, running)
     journal.note(
-        "started", vm=settings.vm, service=settings.service, seed=seed
+        "started",
+        vm=settings.vm,
+        service=settings.service,
+        seed=seed,
+        build=builds.build_id(),
     )
     start(running)
     await running.stopping.wait()
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -78,6 +78,7 @@
     dropped = _wire.INTERNAL_HEADERS
     inbound = _records.InboundRequest(
         metadata,
+        exchange.peer_host,
         request.headers.get(daemon.header_keys.caller, b"").decode("latin-1"),
         request_id,
         request.method,
--- a/src/sassafrasstair/forwarding/_notices.py
+++ b/src/sassafrasstair/forwarding/_notices.py
@@ -10,6 +10,7 @@
 from sassafrasstair import notices
 
 if typing.TYPE_CHECKING:
+    from sassafrasstair.decisions import load
     from sassafrasstair.forwarding import _records
     from sassafrasstair.forwarding import _state
     from sassafrasstair import httpio
@@ -31,16 +32,14 @@
     ``upstream``. Return None, after a log line, if it can't be decoded.
     """
     keys = daemon.header_keys
+    leaving = response.headers.get(keys.leaving)
+    if leaving not in (None, notices.LEAVING_VALUE, notices.STAYING_VALUE):
+        shown = leaving[: notices.SHOWN_BYTES_MAX]
+        _log_malformed(daemon, instance, source, f"leaving: {shown!r}")
     try:
-        notice = notices.decode(
-            response.headers.get(keys.rate_limit),
-            response.headers.get(keys.leaving),
-        )
+        notice = notices.decode(response.headers.get(keys.rate_limit), leaving)
     except notices.NoticeError as error:
-        _counters.count_state_change(daemon.counters, "notice_malformed")
-        daemon.journal.request(
-            "notice_malformed", source, instance=instance, error=str(error)
-        )
+        _log_malformed(daemon, instance, source, str(error))
         return None
     _log_changes(daemon, instance, notice, source)
     return notice
@@ -75,6 +74,29 @@
         views.note_said_to_leave(daemon.view, attempt.instance, attempt.born)
 
 
+def log_late_request(
+    daemon: _state.Daemon,
+    inbound: _records.InboundRequest,
+    guard: load.Guard,
+    now: float,
+) -> None:
+    """Log a request for an instance that said long ago that it leaves.
+
+    Its entrance should know by then, unless it has sent nothing there since.
+    """
+    seconds = now - guard.said_to_leave_at
+    if seconds < daemon.settings.bounds.drain_seconds:
+        return
+    _log(
+        daemon,
+        "request_after_leaving",
+        inbound.entrance,
+        request=inbound.request_id.decode("latin-1"),
+        instance=inbound.metadata.instance,
+        said_before=seconds,
+    )
+
+
 def rate_limit_of(daemon: _state.Daemon, instance: str) -> float:
     """Return the limit that an instance last named, infinite for none."""
     return daemon.last_notices.get(instance, notices.NO_NOTICE).rate_limit
@@ -109,6 +131,12 @@
         _log(daemon, "instance_says_leaving", source, instance=instance)
 
 
+def _log_malformed(
+    daemon: _state.Daemon, instance: str, source: str, error: str
+) -> None:
+    _log(daemon, "notice_malformed", source, instance=instance, error=error)
+
+
 def _rate_field(rate: float) -> float | str:
     """Return the rate for a log line: JSON has no infinity."""
     return rate if rate < math.inf else "none"
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -22,16 +22,17 @@
 class InboundRequest:
     """A request for this VM's upstream, as its entrance forwarded it.
 
-    ``caller`` is the service on the VM where the request entered, and
-    ``host`` the value of its Host field. ``trial_strikes`` is the number of
-    strikes after which the entrance tries a blocked request again, 0 if the
-    request was not blocked. ``customer`` is the sender's name, '' for a
-    request without a key. ``rate_limit`` is the limit in requests per second
-    that the instance last named to the entrance, infinite if it named none.
-    ``fingerprint`` is computed when it is needed.
+    ``entrance`` is the host of that daemon, ``caller`` the service on its VM,
+    and ``host`` the value of the request's Host field. ``trial_strikes`` is
+    the number of strikes after which the entrance tries a blocked request
+    again, 0 if the request was not blocked. ``customer`` is the sender's
+    name, '' for a request without a key. ``rate_limit`` is the limit in
+    requests per second that the instance last named to the entrance, infinite
+    if it named none. ``fingerprint`` is computed when it is needed.
     """
 
     metadata: _wire.RequestMetadata
+    entrance: str
     caller: str
     request_id: bytes
     method: bytes
--- a/src/sassafrasstair/notices.py
+++ b/src/sassafrasstair/notices.py
@@ -11,6 +11,7 @@
 import math
 
 LEAVING_VALUE = b"1"
+STAYING_VALUE = b"0"
 SHOWN_BYTES_MAX = 40
 """Bytes of an invalid value that the error repeats."""
 
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -6,9 +6,13 @@
 import json
 import typing
 
+import pytest
+
 from tests.forwarding import place
 
 A, B, C = place.HOSTS
+LOOPBACK_SOURCE = "127.0.0.1"
+"""Where connections between the cluster's daemons come from."""
 
 
 def run(test: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
@@ -16,6 +20,76 @@
     asyncio.run(asyncio.wait_for(test, 20.0))
 
 
+def events(cluster: place.Cluster, name: str) -> list[dict[str, object]]:
+    """Return the lines of an event in the cluster's log."""
+    for running in cluster.daemons.values():
+        running.daemon.journal.flush_lines()
+    lines = b"".join(cluster.lines).splitlines()
+    found = [json.loads(line) for line in lines]
+    return [each for each in found if each.get("event") == name]
+
+
+@pytest.mark.parametrize("value", [b"yes", b"", b"10", b"x" * 300])
+def test_leaving_that_cannot_be_read_is_logged(value: bytes) -> None:
+    """Nothing else shows why requests still reach such an instance."""
+
+    async def say(
+        got: place.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        field = b"X-Leaving: " + value + b"\r\nX-Signature"
+        whole = place.signed(got, b"whole")
+        writer.write(whole.replace(b"X-Signature", field))
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(3, place.route("/s/", "s"))
+        await cluster.upstream(B, "s", say)
+        await cluster.daemon(A, "front")
+        await cluster.daemon(B, "s")
+        await cluster.wait_until_known(A, B)
+        assert (await cluster.call(A, "/s/")).status == 200
+        found = events(cluster, "notice_malformed")
+        assert {each["reason"] for each in found} == {"upstream", B}
+        for each in found:
+            assert "leaving" in str(each["error"])
+            assert len(str(each["error"])) < 100
+
+    run(test())
+
+
+def test_requests_after_leaving_name_their_entrance() -> None:
+    """The instance's own daemon sees which entrance does not heed it."""
+
+    async def say(
+        got: place.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        field = b"X-Leaving: 1\r\nX-Signature"
+        whole = place.signed(got, b"whole")
+        writer.write(whole.replace(b"X-Signature", field))
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(3, place.route("/s/", "s"))
+        await cluster.upstream(B, "s", say)
+        await cluster.daemon(A, "front")
+        await cluster.daemon(B, "s")
+        await cluster.daemon(C, "front")
+        await cluster.wait_until_known(A, B)
+        await cluster.wait_until_known(C, B)
+        assert (await cluster.call(A, "/s/")).status == 200
+        guards = cluster.daemons[B].daemon.guards.values()
+        drain = cluster.daemons[B].daemon.settings.bounds.drain_seconds
+        for guard in guards:
+            guard.said_to_leave_at -= drain
+        assert events(cluster, "request_after_leaving") == []
+        await cluster.call(C, "/s/")
+        (found,) = events(cluster, "request_after_leaving")
+        assert found["reason"] == LOOPBACK_SOURCE
+        assert drain <= typing.cast("float", found["said_before"]) < 2 * drain
+
+    run(test())
+
+
 def test_each_change_of_a_notice_is_logged_once() -> None:
     """On-call must see from when on an instance named which limit."""
     fields = [b"X-Limit: 5\r\n", b"X-Limit: 5\r\n", b"", b"X-Leaving: 1\r\n"]
