Add failing tests of instances that say they leave in other writings

What callers would see: requests go on to an instance that is about to stop, at the full rate and from all entrances, if its Server-Leaving has white space behind the value, is a list, stands in a second field, or stands beside a Server-Limit that can't be read.

Also: an entrance that does not heed the header, such as one of an earlier version, reaches the instance through a daemon beside it that knows better; and white space around any value is kept as a part of it, so that an answer with a blank behind its request id is taken for another request's.

--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import typing
 
 import pytest
 
 from tests.forwarding import place
+from tests import notices
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair import httpio
 
 A, B, C = place.HOSTS
+REQUESTS = 10
 LOOPBACK_SOURCE = "127.0.0.1"
 """Where connections between the cluster's daemons come from."""
 
@@ -29,21 +35,98 @@
     return [each for each in found if each.get("event") == name]
 
 
-@pytest.mark.parametrize("value", [b"yes", b"", b"10", b"x" * 300])
-def test_leaving_that_cannot_be_read_is_logged(value: bytes) -> None:
-    """Nothing else shows why requests still reach such an instance."""
+def saying(fields: httpio.Fields) -> place.Script:
+    """Return the script of an instance that adds fields to its answers."""
 
     async def say(
         got: place.ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        field = b"X-Leaving: " + value + b"\r\nX-Signature"
+        lines = b"".join(b"%s: %s\r\n" % field for field in fields)
         whole = place.signed(got, b"whole")
-        writer.write(whole.replace(b"X-Signature", field))
+        writer.write(whole.replace(b"X-Signature", lines + b"X-Signature"))
+
+    return say
+
+
+async def start(
+    script: place.Script, spare: place.Script = place.answer
+) -> place.Cluster:
+    """Return a cluster of an entrance A and two instances, on B and C."""
+    cluster = place.Cluster()
+    cluster.policy(3, place.route("/s/", "s"))
+    await cluster.upstream(B, "s", script)
+    await cluster.upstream(C, "s", spare)
+    await cluster.daemon(A, "front")
+    await cluster.daemon(B, "s")
+    await cluster.daemon(C, "s")
+    await cluster.wait_until_known(A, B, C)
+    return cluster
+
+
+async def call_until_reached(cluster: place.Cluster, host: str) -> None:
+    """Send requests at A until the instance on ``host`` has answered one."""
+    while not cluster.upstreams[host].got:
+        assert (await cluster.call(A, "/s/")).status == 200
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        *notices.leaving_fields(b"X-Leaving").values(),
+        [(b"X-Limit", b"many"), (b"X-Leaving", b"1")],
+        [(b"X-Limit", b"40 "), (b"X-Limit", b"30"), (b"X-Leaving", b"1")],
+    ],
+    ids=[
+        *notices.leaving_fields(b"X-Leaving"),
+        "beside_an_unreadable_limit",
+        "beside_two_limits",
+    ],
+)
+def test_leaving_is_heeded_however_the_header_is_written(
+    fields: httpio.Fields,
+) -> None:
+    """Requests went on to an instance whose header was not understood."""
+
+    async def test() -> None:
+        cluster = await start(saying(fields))
+        await call_until_reached(cluster, B)
+        reached = len(cluster.upstreams[B].got)
+        for _ in range(REQUESTS):
+            assert (await cluster.call(A, "/s/")).status == 200
+        assert len(cluster.upstreams[B].got) == reached
+
+    run(test())
+
+
+def test_instance_that_left_gets_nothing_from_a_heedless_entrance() -> None:
+    """An entrance of an earlier version doesn't know the header."""
+
+    async def test() -> None:
+        cluster = await start(saying([(b"X-Leaving", b"1")]))
+        entrance = cluster.daemons[A].daemon
+        entrance.header_keys = dataclasses.replace(
+            entrance.header_keys, leaving=b"x-unknown"
+        )
+        await call_until_reached(cluster, B)
+        callee = cluster.daemons[B].daemon
+        for guard in callee.guards.values():
+            guard.said_to_leave_at -= callee.settings.bounds.drain_seconds
+        reached = len(cluster.upstreams[B].got)
+        for _ in range(REQUESTS):
+            assert (await cluster.call(A, "/s/")).status == 200
+        assert len(cluster.upstreams[B].got) == reached
+
+    run(test())
+
+
+@pytest.mark.parametrize("value", [b"yes", b"", b"10", b"x" * 300])
+def test_leaving_that_cannot_be_read_is_logged(value: bytes) -> None:
+    """Nothing else shows why requests still reach such an instance."""
 
     async def test() -> None:
         cluster = place.Cluster()
         cluster.policy(3, place.route("/s/", "s"))
-        await cluster.upstream(B, "s", say)
+        await cluster.upstream(B, "s", saying([(b"X-Leaving", value)]))
         await cluster.daemon(A, "front")
         await cluster.daemon(B, "s")
         await cluster.wait_until_known(A, B)
@@ -60,17 +143,10 @@
 def test_requests_after_leaving_name_their_entrance() -> None:
     """The instance's own daemon sees which entrance does not heed it."""
 
-    async def say(
-        got: place.ReceivedRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        field = b"X-Leaving: 1\r\nX-Signature"
-        whole = place.signed(got, b"whole")
-        writer.write(whole.replace(b"X-Signature", field))
-
     async def test() -> None:
         cluster = place.Cluster()
         cluster.policy(3, place.route("/s/", "s"))
-        await cluster.upstream(B, "s", say)
+        await cluster.upstream(B, "s", saying([(b"X-Leaving", b"1")]))
         await cluster.daemon(A, "front")
         await cluster.daemon(B, "s")
         await cluster.daemon(C, "front")
--- a/tests/httpio/test_listeners.py
+++ b/tests/httpio/test_listeners.py
@@ -184,12 +184,26 @@
         await _send(server, GET + b"X-Odd:  a b \r\nConnection: close\r\n\r\n")
         (request,) = server.requests
         assert request.target == b"/a%20b/?q=1"
-        fields = [(name, value.strip()) for _, name, value in request.fields]
+        fields = [(name, value) for _, name, value in request.fields]
         assert (b"X-Odd", b"a b") in fields
 
     asyncio.run(run())
 
 
+def test_white_space_around_a_value_is_no_part_of_it() -> None:
+    """Such a host has no route, such a key is unknown."""
+
+    async def run() -> None:
+        server = await _start_server()
+        head = b"GET / HTTP/1.1\r\nHost:h \r\nX-Key:\t k\t\r\n"
+        await _send(server, head + b"Connection: close \r\n\r\n")
+        (request,) = server.requests
+        assert request.headers[b"host"] == b"h"
+        assert request.headers[b"x-key"] == b"k"
+
+    asyncio.run(run())
+
+
 def test_chunked_body_is_reassembled() -> None:
     async def run() -> None:
         server = await _start_server()
--- a/tests/httpio/test_pools.py
+++ b/tests/httpio/test_pools.py
@@ -84,6 +84,11 @@
         pytest.param(
             Script((LATE_RESPONSE + OK,)), b"ok", id="late one first"
         ),
+        pytest.param(
+            Script((OK.replace(b"now", b" now\t "),)),
+            b"ok",
+            id="white space around the id",
+        ),
         pytest.param(Script((OK + OK,)), b"ok", id="extra answer"),
         pytest.param(Script((OK + b"\x00junk",)), b"ok", id="extra bytes"),
         pytest.param(
--- a/tests/notices.py
+++ b/tests/notices.py
@@ -11,6 +11,10 @@
 import dataclasses
 import itertools
 import math
+import typing
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair import httpio
 
 STABLE_SECONDS = 3.0
 """A rate limit binds from this long after the instance first named one."""
@@ -24,6 +28,24 @@
 _TOLERANCE = 1e-6
 
 
+def leaving_fields(name: bytes) -> dict[str, httpio.Fields]:
+    """Return header fields that all say the same, as servers may write it.
+
+    A field's value excludes the white space around it, and several fields of
+    one name are one list (RFC 9110, 5.3, 5.5 and 5.6.1).
+    """
+    return {
+        "plain": [(name, b"1")],
+        "lower_case": [(name.lower(), b"1")],
+        "space_behind": [(name, b"1 ")],
+        "upper_case_and_tabs": [(name.upper(), b"\t1 \t")],
+        "two_fields": [(name, b"1"), (name, b"1")],
+        "second_field": [(name, b"0"), (name.lower(), b"1")],
+        "list": [(name, b"1, 1")],
+        "list_with_empty_members": [(name, b", 1,")],
+    }
+
+
 @dataclasses.dataclass(frozen=True)
 class Arrival:
     """A request at an instance, from the entrance at which it began."""
--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -23,6 +23,7 @@
 CALM_SHARE = 0.98
 FAILED_ONCE: tuple[tuple[int, float, str], ...] = (
     (435, 10.0, "a valid key was rejected"),
+    (501, 10.0, "white space behind Server-Leaving hid it"),
 )
 """Seeds that showed a fault: seed, seconds and the cause."""
 
--- a/tests/platform/soak/upstreams.py
+++ b/tests/platform/soak/upstreams.py
@@ -11,6 +11,7 @@
 
 from sassafrasstair import clocks
 from sassafrasstair import httpio
+from tests import notices
 from tests.platform.soak import oracle as oracle_module
 from tests.platform.soak import store
 
@@ -23,6 +24,9 @@
 CRASH_SECONDS = (0.004, 0.08)
 AWAY_SECONDS = 1.5
 """From a crash until the instance runs again, under another id."""
+LEAVING_WRITINGS = tuple(
+    notices.leaving_fields(oracle_module.LEAVING_FIELD).values()
+)
 _serial = itertools.count(1)
 
 
@@ -44,6 +48,8 @@
         self.slow = 1.0
         self.rate_limit = math.inf
         self.leaving = False
+        self.leaving_fields: httpio.Fields = []
+        """How this run writes that it leaves."""
         self.down = False
         self.crashed: abc.Callable[[], None] | None = None
         """Called when the instance has crashed."""
@@ -72,7 +78,11 @@
     def renew(self, same_id: bool = False) -> None:
         """Start anew: what runs is lost, the id is another or the same."""
         if not same_id:
-            self.id = f"i-{next(_serial)}"
+            number = next(_serial)
+            self.id = f"i-{number}"
+            self.leaving_fields = LEAVING_WRITINGS[
+                number % len(LEAVING_WRITINGS)
+            ]
         self.born = max(self.born + 1, time.time_ns() // 1_000_000)
         self.rate_limit = math.inf
         self.leaving = False
@@ -115,7 +125,7 @@
             limit = b"%.2f" % self.rate_limit
             fields.append((oracle_module.LIMIT_FIELD, limit))
         if self.leaving:
-            fields.append((oracle_module.LEAVING_FIELD, b"1"))
+            fields += self.leaving_fields
         return fields
 
     def _handle(self, exchange: httpio.Exchange) -> None:
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -8,10 +8,13 @@
 from sassafrasstair import outcomes
 from sassafrasstair import upstreams
 from tests import loopback
+from tests import notices
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from sassafrasstair import httpio
+
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
@@ -155,3 +158,28 @@
 
     run(raw, scenario)
     assert (len(raw.heads), raw.connections) == (2, 1)
+
+
+LEAVING = notices.leaving_fields(b"Sassafras-Leaving")
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        *LEAVING.values(),
+        [(b"Sassafras-Limit", b"many"), *LEAVING["plain"]],
+    ],
+    ids=[*LEAVING, "beside_an_unreadable_limit"],
+)
+def test_leaving_is_understood_however_the_header_is_written(
+    fields: httpio.Fields,
+) -> None:
+    lines = b"".join(b"%s: %s\r\n" % field for field in fields)
+    answer = OK.replace(b"content-length", lines + b"content-length")
+
+    async def scenario(upstream: upstreams.Upstream) -> None:
+        response = await upstreams.send(upstream, request())
+        assert response.notice is not None
+        assert response.notice.leaving
+
+    run(RawUpstream(answer), scenario)
