Keep white space around a header value out of the value

What callers saw: requests went on to an instance that says that it is about to stop, at the full rate and from all entrances. Cause: httptools hands over a value with the white space behind it, and '1 ' is not '1'. It is no part of the value (RFC 9110, 5.5).

The same at other fields: an answer with a blank behind its request id was taken for another request's and ignored until the deadline; a request with one behind its host had no route, behind its deadline none, behind its API key no customer.

Both parsers now strip it, so that no reader of a field can forget it.

--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -223,6 +223,7 @@
         if request is None:
             return
         lower_name = name.lower()
+        value = value.strip(_messages.WHITE_SPACE)
         request.fields.append((lower_name, name, value))
         if lower_name in request.headers:
             if lower_name in (b"host", b"content-length"):
--- a/src/sassafrasstair/httpio/_messages.py
+++ b/src/sassafrasstair/httpio/_messages.py
@@ -33,6 +33,10 @@
 """Fields that apply to one connection only (RFC 9110, 7.6.1), and fields that
 frame a body: a forwarded body is sent whole, with its own Content-Length."""
 
+WHITE_SPACE = b" \t"
+"""White space around a field's value, which is no part of it (RFC 9110, 5.5);
+``httptools`` leaves it behind the value."""
+
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 _NO_BODY = frozenset({204, 304})
 
--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -365,6 +365,7 @@
         if response is None:
             return
         lower = name.lower()
+        value = value.strip(_messages.WHITE_SPACE)
         response.fields.append((lower, name, value))
         response.headers.setdefault(lower, value)
 
