Decode both notices of an instance on their own, and as lists

What callers saw: requests went on to an instance that says that it is about to stop. Cause: a Server-Limit that can't be read ended the decoding, so that the Server-Leaving beside it was dropped; of several fields of one name only the first was looked at, and '1, 1' is not '1'.

Now each field is decoded whatever the other holds, fields of one name are one list, as HTTP has it, one member is enough to say that the instance leaves, and of several limits the lowest counts. A limit that can't be read changes nothing of the one before. sassafrasstaird heeds its upstream in the same way.

--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -277,12 +277,12 @@
     notice = _notices.read_notice(
         daemon, inbound.metadata.instance, response, "upstream"
     )
-    if notice is None:
-        return
     answered_id = response.headers.get(daemon.header_keys.request_id)
     now = daemon.clock.monotonic()
     if notice.leaving:
         load.note_said_to_leave(execution.guard, now)
+    if notice.has_invalid_limit:
+        return
     if notice.rate_limit < math.inf or answered_id == inbound.request_id:
         load.observe_rate(
             execution.guard, execution.key, notice.rate_limit, now
--- a/src/sassafrasstair/forwarding/_notices.py
+++ b/src/sassafrasstair/forwarding/_notices.py
@@ -7,13 +7,13 @@
 
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
+from sassafrasstair import httpio
 from sassafrasstair import notices
 
 if typing.TYPE_CHECKING:
     from sassafrasstair.decisions import load
     from sassafrasstair.forwarding import _records
     from sassafrasstair.forwarding import _state
-    from sassafrasstair import httpio
 
 INSTANCES_MAX = 4_000
 """Instances whose last notice is remembered, so that each change is logged
@@ -25,22 +25,27 @@
     instance: str,
     response: httpio.Response,
     source: str,
-) -> notices.Notice | None:
+) -> notices.Notice:
     """Decode and log what an instance's answer says.
 
     ``source`` is the host of the daemon that passed on the answer, or
-    ``upstream``. Return None, after a log line, if it can't be decoded.
+    ``upstream``. What can't be decoded is logged.
     """
     keys = daemon.header_keys
-    leaving = response.headers.get(keys.leaving)
-    if leaving not in (None, notices.LEAVING_VALUE, notices.STAYING_VALUE):
-        shown = leaving[: notices.SHOWN_BYTES_MAX]
-        _log_malformed(daemon, instance, source, f"leaving: {shown!r}")
     try:
-        notice = notices.decode(response.headers.get(keys.rate_limit), leaving)
+        notice = notices.decode(
+            httpio.combined_value(response, keys.rate_limit),
+            httpio.combined_value(response, keys.leaving),
+        )
     except notices.NoticeError as error:
-        _log_malformed(daemon, instance, source, str(error))
-        return None
+        _log(
+            daemon,
+            "notice_malformed",
+            source,
+            instance=instance,
+            error=str(error),
+        )
+        notice = error.notice
     _log_changes(daemon, instance, notice, source)
     return notice
 
@@ -53,7 +58,7 @@
     """Record what an instance says in an answer that is passed on here."""
     source = attempt.host or "upstream"
     notice = read_notice(daemon, attempt.instance, response, source)
-    if notice is not None and notice.leaving:
+    if notice.leaving:
         views.note_said_to_leave(daemon.view, attempt.instance, attempt.born)
 
 
@@ -111,6 +116,8 @@
     daemon: _state.Daemon, instance: str, notice: notices.Notice, source: str
 ) -> None:
     previous = daemon.last_notices.get(instance, notices.NO_NOTICE)
+    if notice.has_invalid_limit:
+        notice = notices.Notice(previous.rate_limit, notice.leaving)
     if notice == previous:
         return
     daemon.last_notices.pop(instance, None)
@@ -131,12 +138,6 @@
         _log(daemon, "instance_says_leaving", source, instance=instance)
 
 
-def _log_malformed(
-    daemon: _state.Daemon, instance: str, source: str, error: str
-) -> None:
-    _log(daemon, "notice_malformed", source, instance=instance, error=error)
-
-
 def _rate_field(rate: float) -> float | str:
     """Return the rate for a log line: JSON has no infinity."""
     return rate if rate < math.inf else "none"
--- a/src/sassafrasstair/httpio/__init__.py
+++ b/src/sassafrasstair/httpio/__init__.py
@@ -12,6 +12,7 @@
 from sassafrasstair.httpio._listeners import Exchange
 from sassafrasstair.httpio._listeners import Limits
 from sassafrasstair.httpio._listeners import Listener
+from sassafrasstair.httpio._messages import combined_value
 from sassafrasstair.httpio._messages import end_to_end_fields
 from sassafrasstair.httpio._messages import Fields
 from sassafrasstair.httpio._messages import non_forwarded_names
@@ -35,6 +36,7 @@
     "Pool",
     "Request",
     "Response",
+    "combined_value",
     "end_to_end_fields",
     "non_forwarded_names",
     "render_response",
--- a/src/sassafrasstair/httpio/_messages.py
+++ b/src/sassafrasstair/httpio/_messages.py
@@ -72,6 +72,18 @@
     body: bytes = b""
 
 
+def combined_value(message: Request | Response, name: bytes) -> bytes | None:
+    """Return all values of a lower-cased field name as one list.
+
+    Several fields of one name are one list (RFC 9110, 5.3). None without any.
+    """
+    if name not in message.headers:
+        return None
+    return b", ".join(
+        value for lower, _, value in message.fields if lower == name
+    )
+
+
 def non_forwarded_names(own_names: abc.Set[bytes]) -> frozenset[bytes]:
     """Return hop-by-hop names and ``own_names``, which are not forwarded."""
     return _HOP_BY_HOP | own_names
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -244,9 +244,10 @@
     if notice is None:
         return
     now = callee.clock.monotonic()
-    load.observe_rate(
-        callee.guard, attempt.message.attempt_id, notice.rate_limit, now
-    )
+    if not notice.has_invalid_limit:
+        load.observe_rate(
+            callee.guard, attempt.message.attempt_id, notice.rate_limit, now
+        )
     if notice.leaving:
         _departures.begin(callee, now)
 
--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -52,7 +52,7 @@
     """The upstream gave no complete answer.
 
     ``outcome`` says whether the upstream may have executed the request, and
-    ``notice`` what a refusal says of the upstream, None without a valid one.
+    ``notice`` what a refusal says of the upstream, None if there is none.
     """
 
     def __init__(
@@ -82,14 +82,14 @@
 class Response:
     """Status and headers of the upstream's answer; ``chunks`` is its body.
 
-    ``notice`` is what it says of the upstream, None if that is malformed.
+    ``notice`` is what it says of the upstream.
     ``chunks`` raises ``UpstreamError`` when the body is cut short.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     chunks: abc.AsyncGenerator[bytes, None]
-    notice: notices.Notice | None = notices.NO_NOTICE
+    notice: notices.Notice = notices.NO_NOTICE
 
 
 @dataclasses.dataclass(slots=True)
@@ -216,19 +216,23 @@
     )
 
 
-def _read_notice(answer: aiohttp.ClientResponse) -> notices.Notice | None:
-    """Return what the answer says of the upstream, None if it is malformed."""
-    rate_limit = answer.headers.get(RATE_LIMIT_HEADER)
-    leaving = answer.headers.get(LEAVING_HEADER)
+def _read_notice(answer: aiohttp.ClientResponse) -> notices.Notice:
+    """Return what the answer says of the upstream; log what is malformed."""
     try:
-        return notices.decode(_to_bytes(rate_limit), _to_bytes(leaving))
+        return notices.decode(
+            _combined_value(answer, RATE_LIMIT_HEADER),
+            _combined_value(answer, LEAVING_HEADER),
+        )
     except notices.NoticeError as error:
         logs.event(_LOG, logging.WARNING, "notice_malformed", error=str(error))
-        return None
+        return error.notice
 
 
-def _to_bytes(value: str | None) -> bytes | None:
-    return None if value is None else value.encode("utf-8", "replace")
+def _combined_value(answer: aiohttp.ClientResponse, name: str) -> bytes | None:
+    values = answer.headers.getall(name, None)
+    if values is None:
+        return None
+    return ", ".join(values).encode("utf-8", "replace")
 
 
 def _end_to_end_headers(
