Refuse requests for an instance that said long ago that it leaves

What callers saw: requests reached an instance that is about to stop from an entrance that does not heed its answers. That was left to each entrance: one of an earlier version, or one that lost what it knew, went on. The daemon beside the instance sees all its answers and all its requests, and sent them on although it knew better.

That daemon now refuses what comes later than the drain time after the instance first said so, as not run, and tells the entrance why, which sends it elsewhere without using its retry budget. Both have to forget it now for a request to get through.

tests/forwarding/test_notices.py:: test_instance_that_left_gets_nothing_from_a_heedless_entrance failed before (4 requests where 1 was allowed) and passes.

--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -9,7 +9,8 @@
 A request without an answer to forward has one of four endings. After the
 first three it has not run, so that a retry is safe:
 
-- ``UNSENT``: it did not reach the upstream, which is leaving, has been
+- ``UNSENT``: it did not reach the upstream, which is leaving (this daemon
+  stops, or the instance said so longer ago than the drain time), has been
   replaced or accepts no connection.
 - ``TURNED_AWAY``: this daemon refused it, by the guard or as a suspect.
 - ``REFUSED``: the upstream refused it without running it.
@@ -78,7 +79,8 @@
         load.suggest_rate(guard, inbound.rate_limit, now)
     deadline = now + metadata.remaining
     reason = _unavailable_reason(daemon, metadata.instance)
-    _notices.log_late_request(daemon, inbound, guard, now)
+    if _notices.is_late_request(daemon, inbound, guard, now):
+        reason = outcomes.Reason.LEAVING
     execution = _records.Execution(key, inbound, deadline, on_done, guard)
     verdict = _crashes.verdict_of_inbound(daemon, inbound)
     if _crashes.is_blocked(verdict, inbound.trial_strikes):
@@ -447,7 +449,7 @@
             response,
             notices.Notice(
                 load.rate_limit(execution.guard),
-                _notices.says_leaving(daemon, inbound.metadata.instance),
+                execution.guard.said_to_leave_at < math.inf,
             ),
         )
     )
--- a/src/sassafrasstair/forwarding/_notices.py
+++ b/src/sassafrasstair/forwarding/_notices.py
@@ -79,19 +79,19 @@
         views.note_said_to_leave(daemon.view, attempt.instance, attempt.born)
 
 
-def log_late_request(
+def is_late_request(
     daemon: _state.Daemon,
     inbound: _records.InboundRequest,
     guard: load.Guard,
     now: float,
-) -> None:
-    """Log a request for an instance that said long ago that it leaves.
+) -> bool:
+    """Return whether the instance said long ago that it leaves, and log it.
 
     Its entrance should know by then, unless it has sent nothing there since.
     """
     seconds = now - guard.said_to_leave_at
     if seconds < daemon.settings.bounds.drain_seconds:
-        return
+        return False
     _log(
         daemon,
         "request_after_leaving",
@@ -100,6 +100,7 @@
         instance=inbound.metadata.instance,
         said_before=seconds,
     )
+    return True
 
 
 def rate_limit_of(daemon: _state.Daemon, instance: str) -> float:
