--- a/src/sassafrasstair/callers/_app.py
+++ b/src/sassafrasstair/callers/_app.py
@@ -205,8 +205,9 @@
 
 
 def _headers(scope: types.HTTPScope) -> _request.Headers:
+    # The server leaves white space behind a value, which is no part of it.
     return tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
+        (name.decode("latin-1"), value.strip(b" \t").decode("latin-1"))
         for name, value in scope["headers"]
     )
 
