Soak a loss of power of all daemons, and fleets of any size

What was missing: no soak ended all daemons at one moment, alone or with the store away or back from an older copy, while instances say that they leave.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -7,18 +7,31 @@
 import sys
 import tempfile
 import time
+import typing
 
 import click
 
+from tests.platform.soak import power
 from tests.platform.soak import scenario
 
+_Soak = typing.Coroutine[typing.Any, typing.Any, scenario.Report]
+
 
 @click.command()
 @click.option("--seeds", default="", help="One seed, or FIRST-LAST.")
 @click.option("--minutes", default=0.0, help="Fresh seeds for so long.")
 @click.option("--seconds", default=20.0, help="Length of each soak.")
 @click.option("--keep", default="", help="Folder for the daemons' logs.")
-def main(seeds: str, minutes: float, seconds: float, keep: str) -> None:
+@click.option("--losses", default=0, help="Lose all power, so often, instead.")
+@click.option("--copies", default=1, help="Sets of six VMs.")
+def main(
+    seeds: str,
+    minutes: float,
+    seconds: float,
+    keep: str,
+    losses: int,
+    copies: int,
+) -> None:
     """Soak the daemons; exits with 1 if a promise was broken."""
     first, _, last = seeds.partition("-")
     chosen = list(range(int(first), int(last or first) + 1)) if first else []
@@ -26,15 +39,23 @@
     bad = 0
     while chosen or time.monotonic() < until:
         seed = chosen.pop(0) if chosen else time.time_ns() % 1_000_000_007
-        bad += _soak(seed, seconds, keep)
+
+        def soak(folder: pathlib.Path, seed: int = seed) -> _Soak:
+            if losses:
+                return power.run(seed, losses, folder, copies)
+            return scenario.run(seed, seconds, folder, copies)
+
+        bad += _soak(seed, soak, keep)
     sys.exit(1 if bad else 0)
 
 
-def _soak(seed: int, seconds: float, keep: str) -> bool:
+def _soak(
+    seed: int, soak: typing.Callable[[pathlib.Path], _Soak], keep: str
+) -> bool:
     with tempfile.TemporaryDirectory() as scratch:
         folder = pathlib.Path(keep or scratch) / f"{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        report = asyncio.run(scenario.run(seed, seconds, folder))
+        report = asyncio.run(soak(folder))
     click.echo(
         f"seed {seed}: faults {len(report.faults)}, served {report.served},"
         f" refused {report.refused}, failed {report.failed},"
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -71,9 +71,14 @@
 
 
 class Fleet:
-    """All VMs and the store, on loopback addresses of this process."""
+    """All VMs and the store, on loopback addresses of this process.
 
-    def __init__(self, folder: pathlib.Path, rng: random.Random) -> None:
+    There are ``copies`` VMs of each of ``SERVICES``.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, rng: random.Random, copies: int = 1
+    ) -> None:
         self.rng = rng
         self.store = store_module.Store()
         self.customers = customers_module.Customers(rng)
@@ -88,7 +93,7 @@
         self.store_host = f"{net}.0.1"
         self.vms = [
             self._vm(folder, net, index, service)
-            for index, service in enumerate(SERVICES, 2)
+            for index, service in enumerate(SERVICES * copies, 2)
         ]
         self.version = 0
 
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -62,25 +62,37 @@
     failed: int
 
 
-async def run(seed: int, seconds: float, folder: pathlib.Path) -> Report:
+async def run(
+    seed: int, seconds: float, folder: pathlib.Path, copies: int = 1
+) -> Report:
     """Run one soak; all that is drawn comes from the seed."""
     rng = random.Random(seed)
-    fleet = fleet_module.Fleet(folder, rng)
+    fleet = fleet_module.Fleet(folder, rng, copies)
     try:
         await fleet.open()
-        traffic = asyncio.ensure_future(_traffic(fleet))
+        traffic = asyncio.ensure_future(send_traffic(fleet))
         await _disturb(fleet, seconds)
         await asyncio.sleep(SETTLE_SECONDS)
         traffic.cancel()
-        await _check_policies(fleet)
-        await _check_older_copy(fleet)
-        await _check_crashes(fleet)
-        await _check_recovery(fleet)
-        fleet.oracle.check_quotas()
-        fleet.oracle.check_notices()
-        fleet.check_alive()
+        await check_end(fleet)
     finally:
         await fleet.close()
+    return report(seed, fleet)
+
+
+async def check_end(fleet: fleet_module.Fleet) -> None:
+    """Check what must hold once the last fault is over."""
+    await _check_policies(fleet)
+    await _check_older_copy(fleet)
+    await _check_crashes(fleet)
+    await _check_recovery(fleet)
+    fleet.oracle.check_quotas()
+    fleet.oracle.check_notices()
+    fleet.check_alive()
+
+
+def report(seed: int, fleet: fleet_module.Fleet) -> Report:
+    """Return what a soak showed."""
     oracle = fleet.oracle
     return Report(
         seed,
@@ -92,7 +104,8 @@
     )
 
 
-async def _traffic(fleet: fleet_module.Fleet) -> None:
+async def send_traffic(fleet: fleet_module.Fleet) -> None:
+    """Send requests at all VMs until cancelled."""
     calls: set[asyncio.Future[int]] = set()
     while True:
         vm = fleet.rng.choice(fleet.vms)
@@ -230,7 +243,7 @@
     vm.upstream.name_rate_limit(math.inf)
 
 
-async def _leave(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+async def leave(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
     """Say in all answers that the instance leaves; its entry may lag."""
     run, before = vm.upstream.run, vm.upstream.id
     vm.upstream.leaving = True
@@ -383,7 +396,7 @@
     "forget": _forget,
     "hup": _hup,
     "kill": _kill,
-    "leave": _leave,
+    "leave": leave,
     "limit": _limit,
     "misbehave": _misbehave,
     "one_way": _one_way,
--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -10,6 +10,7 @@
 
 from tests.platform.soak import crashes
 from tests.platform.soak import oracle
+from tests.platform.soak import power
 from tests.platform.soak import scenario
 
 if typing.TYPE_CHECKING:
@@ -17,6 +18,7 @@
 
 SHORT_SECONDS = 6.0
 SEEDS = (1, 2)
+POWER_LOSSES = 2
 CRASH_SECONDS = 9.0
 CRASHES_EACH = 4
 """Three, and one that is under way at the third."""
@@ -37,6 +39,12 @@
     assert report.served > 0
 
 
+def test_loss_of_all_power_breaks_no_promise(tmp_path: pathlib.Path) -> None:
+    report = asyncio.run(power.run(1, POWER_LOSSES, tmp_path))
+    assert report.broken == ()
+    assert report.served > 0
+
+
 @pytest.mark.parametrize("case", crashes.CASES, ids=lambda case: case.name)
 def test_requests_that_crash_instances_are_kept_from_them(
     case: crashes.Case, tmp_path: pathlib.Path
