Keep a message of a daemon whose notice can't be read

What callers saw: nothing yet, as daemons write what they can read. A limit that can't be read made a forwarded request end with 400, and an answer count as lost, so that a request that must not run twice failed with 502.

The message is now used without that limit, and the log says so. The test failed before with 502.

--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -260,13 +260,13 @@
         state = _wire.decode_state(
             result.headers.get(_wire.STATE_HEADER_LOWER, b"")
         )
-        notice = _wire.decode_notice(result.headers)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", error=str(error))
         reason = outcomes.Reason.PEER_LOST
         _end_attempt(daemon, call, requests.Ending.LOST, reason)
         return
     _count_cross_domain_bytes(daemon, call, attempt, _response_size(result))
+    notice = _notices.read_peer_notice(daemon, result.headers)
     _peers.note_peer_content(daemon, attempt.host, state.content)
     response = result if state.ending is None else None
     _handle_result(daemon, call, state, notice, response)
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -12,6 +12,7 @@
 from sassafrasstair.forwarding import _crash_updates
 from sassafrasstair.forwarding import _customers
 from sassafrasstair.forwarding import _feed_wire
+from sassafrasstair.forwarding import _notices
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _quota_wire
@@ -58,11 +59,11 @@
     request = exchange.request
     try:
         metadata = _wire.decode_metadata(metadata_value)
-        notice = _wire.decode_notice(request.headers)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", error=str(error))
         exchange.respond(400, [], b"")
         return
+    notice = _notices.read_peer_notice(daemon, request.headers)
     _peers.note_peer_content(daemon, exchange.peer_host, metadata.content)
     customer = _customers.identify_forwarded(
         daemon,
--- a/src/sassafrasstair/forwarding/_notices.py
+++ b/src/sassafrasstair/forwarding/_notices.py
@@ -7,10 +7,13 @@
 
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
+from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
 from sassafrasstair import notices
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from sassafrasstair.decisions import load
     from sassafrasstair.forwarding import _records
     from sassafrasstair.forwarding import _state
@@ -50,6 +53,20 @@
     return notice
 
 
+def read_peer_notice(
+    daemon: _state.Daemon, headers: abc.Mapping[bytes, bytes]
+) -> notices.Notice:
+    """Return what another daemon says of an instance.
+
+    What can't be decoded is logged; the message around it is still good.
+    """
+    try:
+        return _wire.decode_notice(headers)
+    except _wire.NoticeWireError as error:
+        daemon.journal.request("peer_malformed", "notice", error=str(error))
+        return error.notice
+
+
 def record_answer(
     daemon: _state.Daemon,
     attempt: _records.Attempt,
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -59,6 +59,18 @@
     """A header field of another daemon that can't be decoded."""
 
 
+class NoticeWireError(WireError):
+    """A notice of another daemon that can't be decoded as a whole.
+
+    ``notice`` is what can be decoded.
+    """
+
+    def __init__(self, message: str, notice: notices.Notice) -> None:
+        """Store the message and the notice."""
+        super().__init__(message)
+        self.notice = notice
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestMetadata:
     """What the entrance sends with a forwarded request.
@@ -145,14 +157,17 @@
 
 
 def decode_notice(headers: abc.Mapping[bytes, bytes]) -> notices.Notice:
-    """Return the notice in header fields of a daemon; raises ``WireError``."""
+    """Return the notice in header fields of a daemon.
+
+    Raises ``NoticeWireError``.
+    """
     try:
         return notices.decode(
             headers.get(RATE_LIMIT_HEADER_LOWER),
             headers.get(LEAVING_HEADER_LOWER),
         )
     except notices.NoticeError as error:
-        raise WireError(f"invalid Sassafras-Limit field: {error}") from error
+        raise NoticeWireError(str(error), error.notice) from error
 
 
 def encode_state(state: CalleeState) -> bytes:
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from sassafrasstair.forwarding import _wire
 from tests.forwarding import place
 from tests import notices
 
@@ -203,3 +204,28 @@
         ]
 
     run(test())
+
+
+def test_notice_of_a_daemon_that_cannot_be_read_loses_no_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The whole message was refused, and the request taken for lost."""
+    unreadable = [(_wire.RATE_LIMIT_HEADER, b"many")]
+    monkeypatch.setattr(_wire, "notice_fields", lambda notice: unreadable)
+
+    async def refuse(
+        got: place.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        whole = place.signed(got, b"", b"503 Busy")
+        writer.write(whole.replace(b"X-Signature", b"X-Not-Run"))
+
+    async def test() -> None:
+        cluster = await start(refuse)
+        cluster.policy(4, place.route("/s/", "s", idempotent=False))
+        await cluster.wait_until_known(A, B, C)
+        for _ in range(REQUESTS):
+            assert (await cluster.call(A, "/s/", "POST")).status == 200
+        assert cluster.upstreams[B].got
+        assert events(cluster, "peer_malformed")
+
+    run(test())
