Tell a restarted instance from the run that said it leaves

A daemon that lacks changes of the entrance's view, which each request names, now neither refuses for that reason nor tells it, and a refusal speaks of the latest run known. The new test failed before (503) and passes.

--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -443,13 +443,16 @@
             left=execution.deadline - daemon.clock.monotonic(),
             **_crashes.log_fields(inbound.fingerprint),
         )
+    latest_guard = _guards.get_guard(
+        daemon, inbound.metadata.instance, daemon.clock.monotonic()
+    )
     execution.on_done(
         _records.Result(
             _callee_state(daemon, inbound, ending, reason),
             response,
             notices.Notice(
                 load.rate_limit(execution.guard),
-                execution.guard.said_to_leave_at < math.inf,
+                _notices.has_said_to_leave(daemon, inbound, latest_guard),
             ),
         )
     )
--- a/src/sassafrasstair/forwarding/_notices.py
+++ b/src/sassafrasstair/forwarding/_notices.py
@@ -96,6 +96,20 @@
         views.note_said_to_leave(daemon.view, attempt.instance, attempt.born)
 
 
+def has_said_to_leave(
+    daemon: _state.Daemon,
+    inbound: _records.InboundRequest,
+    guard: load.Guard,
+) -> bool:
+    """Return whether the run that a request is for said that it leaves.
+
+    An entrance with newer changes may mean a later run under the same id.
+    """
+    return guard.said_to_leave_at < math.inf and not views.is_behind(
+        daemon.view, inbound.metadata.content
+    )
+
+
 def is_late_request(
     daemon: _state.Daemon,
     inbound: _records.InboundRequest,
@@ -107,7 +121,9 @@
     Its entrance should know by then, unless it has sent nothing there since.
     """
     seconds = now - guard.said_to_leave_at
-    if seconds < daemon.settings.bounds.drain_seconds:
+    if seconds < daemon.settings.bounds.drain_seconds or not has_said_to_leave(
+        daemon, inbound, guard
+    ):
         return False
     _log(
         daemon,
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -120,6 +120,35 @@
     run(test())
 
 
+def test_restarted_instance_is_not_taken_for_the_run_that_left() -> None:
+    """Its own daemon learned of the restart later than the entrance."""
+    fields = [(b"X-Leaving", b"1")]
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(3, place.route("/s/", "s"))
+        await cluster.upstream(B, "s", saying(fields))
+        cluster.put_instance("i", B, "s", born=1)
+        cluster.source.remove(f"i-{B}")
+        await cluster.daemon(A, "front")
+        await cluster.daemon(B, "s")
+        await cluster.wait_until_known(A, B)
+        assert (await cluster.call(A, "/s/")).status == 200
+        callee = cluster.daemons[B].daemon
+        for guard in callee.guards.values():
+            guard.said_to_leave_at -= callee.settings.bounds.drain_seconds
+        fields.clear()
+        behind = callee.view.revision
+        cluster.source.away.add(B)
+        cluster.put_instance("i", B, "s", born=2)
+        await cluster.wait_until_known(A)
+        assert callee.view.revision == behind
+        for _ in range(REQUESTS):
+            assert (await cluster.call(A, "/s/")).status == 200
+
+    run(test())
+
+
 @pytest.mark.parametrize("value", [b"yes", b"", b"10", b"x" * 300])
 def test_leaving_that_cannot_be_read_is_logged(value: bytes) -> None:
     """Nothing else shows why requests still reach such an instance."""
