Keep the instance's daemon behind for the whole test of a restart

It learned of the restart from the entrance sooner or later, which made what the test shows a matter of time. It now takes no changes of peers, and the test checks at its end that it is still behind. It fails as before without the fix (503).

--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _wire
 from tests.forwarding import place
 from tests import notices
@@ -120,7 +121,9 @@
     run(test())
 
 
-def test_restarted_instance_is_not_taken_for_the_run_that_left() -> None:
+def test_restarted_instance_is_not_taken_for_the_run_that_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Its own daemon learned of the restart later than the entrance."""
     fields = [(b"X-Leaving", b"1")]
 
@@ -140,11 +143,13 @@
         fields.clear()
         behind = callee.view.revision
         cluster.source.away.add(B)
+        monkeypatch.setattr(_learning, "take_delta", lambda *told: False)
         cluster.put_instance("i", B, "s", born=2)
         await cluster.wait_until_known(A)
         assert callee.view.revision == behind
         for _ in range(REQUESTS):
             assert (await cluster.call(A, "/s/")).status == 200
+        assert callee.view.revision == behind
 
     run(test())
 
