Add an optional header for the work that a callee's daemon reports

Cause: entrances choose instances and admit requests without knowing how long a route takes at an instance or what it costs at the bottleneck of its chain.

Change: the header Sassafras-Work, decoded leniently and stripped like the other internal headers. Nothing is reported yet, so it is never sent.

--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -33,6 +33,7 @@
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
+from sassafrasstair.forwarding import _work_wire
 from sassafrasstair import httpio
 from sassafrasstair import notices
 from sassafrasstair import outcomes
@@ -179,7 +180,12 @@
     def on_done(result: _records.Result) -> None:
         if call.attempt is attempt:
             _handle_result(
-                daemon, call, result.state, result.notice, result.response
+                daemon,
+                call,
+                result.state,
+                result.notice,
+                result.work,
+                result.response,
             )
 
     attempt.execution_key = _callee.submit(daemon, inbound, on_done)
@@ -268,8 +274,9 @@
     _count_cross_domain_bytes(daemon, call, attempt, _response_size(result))
     notice = _notices.read_peer_notice(daemon, result.headers)
     _peers.note_peer_content(daemon, attempt.host, state.content)
+    work = _work_wire.decode_work(result.headers)
     response = result if state.ending is None else None
-    _handle_result(daemon, call, state, notice, response)
+    _handle_result(daemon, call, state, notice, work, response)
 
 
 def _response_size(response: httpio.Response) -> int:
@@ -285,11 +292,13 @@
     call: _records.Call,
     state: _wire.CalleeState,
     notice: notices.Notice,
+    work: _work_wire.WorkReport,
     response: httpio.Response | None,
 ) -> None:
     """Apply the load reported by the callee's daemon, then its result.
 
-    ``notice`` is what that daemon knows of its instance, if it refuses. The
+    ``notice`` is what that daemon knows of its instance, if it refuses, and
+    ``work`` what it knows of the work of the request's route. The
     answer's ``incarnation`` is the id of the instance whose daemon
     answered, '' if none did.
     """
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -36,6 +36,7 @@
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
+from sassafrasstair.forwarding import _work_wire
 from sassafrasstair import httpio
 from sassafrasstair import notices
 from sassafrasstair import outcomes
@@ -454,10 +455,18 @@
                 load.rate_limit(execution.guard),
                 _notices.has_said_to_leave(daemon, inbound, latest_guard),
             ),
+            _work_report(daemon, inbound),
         )
     )
 
 
+def _work_report(
+    daemon: _state.Daemon, inbound: _records.InboundRequest
+) -> _work_wire.WorkReport:
+    """Return what this daemon knows of the work of the request's route."""
+    return _work_wire.NO_WORK
+
+
 def _callee_state(
     daemon: _state.Daemon,
     inbound: _records.InboundRequest,
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -19,6 +19,7 @@
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _shares
 from sassafrasstair.forwarding import _wire
+from sassafrasstair.forwarding import _work_wire
 from sassafrasstair import httpio
 from sassafrasstair import outcomes
 
@@ -97,16 +98,19 @@
     )
 
     def on_done(result: _records.Result) -> None:
-        state = (_wire.STATE_HEADER, _wire.encode_state(result.state))
+        own_fields = [
+            (_wire.STATE_HEADER, _wire.encode_state(result.state)),
+            *_work_wire.work_fields(result.work),
+        ]
         response = result.response
         if response is None:
-            fields = [state, *_wire.notice_fields(result.notice)]
+            fields = own_fields + _wire.notice_fields(result.notice)
             exchange.respond(503, fields, b"", daemon.upstream_leaving)
             return
         fields = httpio.end_to_end_fields(
             response.fields, response.headers, dropped
         )
-        fields.append(state)
+        fields += own_fields
         exchange.respond(
             response.status, fields, response.body, daemon.upstream_leaving
         )
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -14,6 +14,7 @@
     from sassafrasstair.decisions import load
     from sassafrasstair.decisions import requests
     from sassafrasstair.forwarding import _wire
+    from sassafrasstair.forwarding import _work_wire
     from sassafrasstair import httpio
     from sassafrasstair import notices
 
@@ -50,12 +51,14 @@
 class Result:
     """The end of an execution: the instance's answer, or why it has none.
 
-    ``notice`` is what the instance's daemon knows that it said of itself.
+    ``notice`` is what the instance's daemon knows that it said of itself,
+    ``work`` what it knows of the work of the request's route.
     """
 
     state: _wire.CalleeState
     response: httpio.Response | None
     notice: notices.Notice
+    work: _work_wire.WorkReport
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -13,6 +13,7 @@
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import requests
+from sassafrasstair.forwarding import _work_wire
 from sassafrasstair import httpio
 from sassafrasstair import notices
 from sassafrasstair import outcomes
@@ -48,6 +49,7 @@
         RATE_LIMIT_HEADER_LOWER,
         LEAVING_HEADER_LOWER,
         KEY_DIGEST_HEADER_LOWER,
+        _work_wire.WORK_HEADER_LOWER,
     }
 )
 PING_PATH = b"/-sassafras/ping"
