Admit requests by what they cost at a service that is short of room

Cause: an entrance cut each route by the load of its chain and by importance alone.

Change: daemons learn how many calls a request of each route makes, from what follows an answer closely, and report with answers what a request costs, the work offered and the wait at services of the chain that have much work (decisions/costs). Entrances derive the fraction of the work that may be admitted from the offered work and the wait, as the rate control protocol does, and fill it by importance and then by cost (decisions/admission). Every kind keeps at least admission.least_share (0.3) of the fraction. Where nothing is reported, gates decide as before.

--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -26,7 +26,9 @@
 from sassafrasstair.decisions.load._views import limit
 from sassafrasstair.decisions.load._views import rate_limit
 from sassafrasstair.decisions.load._views import resize
+from sassafrasstair.decisions.load._views import route_seconds
 from sassafrasstair.decisions.load._views import service_seconds
+from sassafrasstair.decisions.load._views import wait_seconds
 
 __all__ = [
     "Abort",
@@ -51,7 +53,9 @@
     "rate_limit",
     "resize",
     "retire",
+    "route_seconds",
     "service_seconds",
+    "wait_seconds",
     "suggest_rate",
     "tick",
 ]
--- a/src/sassafrasstair/decisions/load/_views.py
+++ b/src/sassafrasstair/decisions/load/_views.py
@@ -74,6 +74,21 @@
     return guard.current_service_seconds
 
 
+def route_seconds(guard: _guards.Guard, request_class: str) -> float:
+    """Return the service time of a class, 0 if none is known.
+
+    A class that has not been finished yet is taken for average work.
+    """
+    return guard.estimates_by_class.get(
+        request_class, guard.mean_service_seconds
+    )
+
+
+def wait_seconds(guard: _guards.Guard) -> float:
+    """Return about how long new work has to wait for a slot, in seconds."""
+    return max(0.0, busy(guard) - 1.0) * guard.current_service_seconds
+
+
 def _capacity(guard: _guards.Guard) -> float:
     """Return how many attempts at once make the instance fully busy."""
     return min(max(1.0, guard.limit), _rate_capacity(guard))
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -21,6 +21,7 @@
 
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _callee
@@ -307,6 +308,7 @@
         return
     now = daemon.clock.monotonic()
     _observe_load(daemon, call, attempt.instance, state, now)
+    _observe_costs(daemon, call, attempt.instance, state, work, now)
     if response is None or state.ending is not None:
         _notices.record_refusal(daemon, attempt, notice)
         ending = state.ending or requests.Ending.LOST
@@ -358,6 +360,22 @@
         admission.observe_load(daemon.gates, route, busiest, now)
 
 
+def _observe_costs(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    instance: str,
+    state: _wire.CalleeState,
+    work: _work_wire.WorkReport,
+    now: float,
+) -> None:
+    """Apply the costs of the request's route that the callee reports."""
+    route = call.progress.route.name
+    if state.internal_route:
+        costs.observe_costs(daemon.ledger, route, work.costs, now)
+    elif not _has_room_elsewhere(daemon, call.progress.service, instance):
+        admission.observe_costs(daemon.allowances, route, work.costs, now)
+
+
 def _has_room_elsewhere(
     daemon: _state.Daemon, service: str, instance: str
 ) -> bool:
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -25,6 +25,7 @@
 
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
@@ -103,6 +104,9 @@
         _report_result(daemon, execution, requests.Ending.UNSENT, reason, None)
         return key
     daemon.executions[key] = execution
+    costs.record_offer(
+        daemon.demand, load.route_seconds(guard, metadata.route), now
+    )
     work = load.Work(
         key, metadata.route, "", metadata.rank, deadline, metadata.max_wait
     )
@@ -247,6 +251,7 @@
         inbound.method == b"HEAD",
     )
     daemon.counters.upstream_requests += 1
+    costs.run_started(daemon.ledger.chains, daemon.clock.monotonic())
     daemon.upstream.send(execution.job)
 
 
@@ -351,7 +356,14 @@
     if ending is None:
         _crashes.record_completed_here(daemon, execution.request)
     end = load.End.DONE
+    now = daemon.clock.monotonic()
+    route = execution.route
+    if ending is None and isinstance(result, httpio.Response):
+        costs.run_ended(daemon.ledger.chains, route, result.status < 300, now)
     if ending is requests.Ending.REFUSED:
+        costs.withdraw_offer(
+            daemon.demand, load.route_seconds(execution.guard, route), now
+        )
         guard = execution.guard
         full = len(guard.running) >= FULL_SLOTS_RATIO * guard.limit_state.slots
         end = load.End.REFUSED if full else load.End.FAILED
@@ -464,7 +476,18 @@
     daemon: _state.Daemon, inbound: _records.InboundRequest
 ) -> _work_wire.WorkReport:
     """Return what this daemon knows of the work of the request's route."""
-    return _work_wire.NO_WORK
+    now = daemon.clock.monotonic()
+    route = inbound.metadata.route
+    guard = _guards.get_guard(daemon, inbound.metadata.instance, now)
+    own = costs.ServiceCost(
+        daemon.settings.service,
+        load.route_seconds(guard, route),
+        costs.offered_share(daemon.demand, load.limit(guard, now), now),
+        load.wait_seconds(guard),
+    )
+    return _work_wire.WorkReport(
+        costs=costs.costs_of_route(daemon.ledger, route, own, now)
+    )
 
 
 def _callee_state(
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -226,11 +226,24 @@
 
 
 def _log_shedding(daemon: _state.Daemon) -> None:
-    """Log the routes with load shedding, and the load that causes it."""
+    """Log what is shed, and the load or the lack of room that causes it."""
     for route, gate in admission.shedding(daemon.gates):
         daemon.journal.request(
             "shedding", route, share=gate.share, load=gate.load
         )
+    for (route, importance), share in admission.cut_kinds(daemon.allowances):
+        daemon.journal.request(
+            "shedding_by_cost", route, importance=importance, share=share
+        )
+    for service, room in admission.short_rooms(daemon.allowances):
+        daemon.journal.request(
+            "short_of_room",
+            service,
+            admitted=room.fraction,
+            offered=room.offered,
+            wait=room.wait_seconds,
+            age=daemon.clock.monotonic() - room.heard_at,
+        )
 
 
 def _apply_client_limits(running: RunningDaemon) -> None:
--- a/src/sassafrasstair/forwarding/_dialect.py
+++ b/src/sassafrasstair/forwarding/_dialect.py
@@ -6,6 +6,7 @@
 import enum
 import typing
 
+from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import quotas
 
 if typing.TYPE_CHECKING:
@@ -112,7 +113,9 @@
     ``callers`` for clients and its own upstream, on ``daemons`` for other
     daemons, on ``operators`` for readiness checks and on ``metrics`` for
     metrics. On ``seeding`` it serves daemons that know no other daemon yet;
-    ``seeds`` are the seeding addresses of other daemons.
+    ``seeds`` are the seeding addresses of other daemons. ``least_share`` is
+    the part of the average share that every kind of request is admitted to a
+    service that is short of room.
     """
 
     vm: str
@@ -130,6 +133,7 @@
     store: Address
     memory_bytes: int
     bounds: Bounds
+    least_share: float = admission.LEAST_SHARE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -5,6 +5,7 @@
 import typing
 
 from sassafrasstair.decisions import admission
+from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
@@ -91,6 +92,7 @@
         call.timer.cancel()
     route = call.progress.route
     now = daemon.clock.monotonic()
+    costs.call_answered(daemon.ledger.chains, call.request_id, now)
     _counters.count_answer(
         daemon.counters,
         route.name,
@@ -114,7 +116,7 @@
     if not daemon.journal.should_log(name, reason):
         return
     progress = call.progress
-    gate = admission.gate_of(daemon.gates, progress.route.name)
+    share, load = _admission_of(daemon, call)
     now = daemon.clock.monotonic()
     table = daemon.view.table
     daemon.journal.request(
@@ -129,8 +131,8 @@
         waited=now - call.exchange.request.received_at,
         left=progress.deadline - now,
         rank=progress.rank,
-        share=gate.share,
-        load=gate.load,
+        share=share,
+        load=load,
         policy=0 if table is None else table.policy.version,
         revision=views.number_in_era(daemon.view.revision),
         **_customer_fields(daemon, call),
@@ -138,6 +140,23 @@
     )
 
 
+def _admission_of(
+    daemon: _state.Daemon, call: _records.Call
+) -> tuple[float, float]:
+    """Return the admitted share of the request's kind, and the load behind it.
+
+    The load is the greatest work offered at a service that is short of room,
+    or that of the route's gate if no costs are known.
+    """
+    route = call.progress.route.name
+    if admission.covers(daemon.allowances, route):
+        kind = route, call.importance
+        offered = admission.greatest_offered(daemon.allowances, route)
+        return admission.share_of(daemon.allowances, kind), offered
+    gate = admission.gate_of(daemon.gates, route)
+    return gate.share, gate.load
+
+
 def _customer_fields(
     daemon: _state.Daemon, call: _records.Call
 ) -> dict[str, str | float]:
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -7,6 +7,7 @@
 
 from sassafrasstair import bundles
 from sassafrasstair.decisions import admission
+from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
@@ -37,12 +38,7 @@
     now = daemon.clock.monotonic()
     call = _begin_call(daemon, exchange, route, customer, now)
     call.key_digest = key
-    relative_importance = (
-        _importance(route, customer) - daemon.least_importance
-    )
-    if not admission.admit(
-        daemon.gates, route.name, relative_importance, now, daemon.rng
-    ):
+    if not _admit(daemon, route, call.importance, now):
         _endings.refuse(daemon, call, outcomes.Reason.SHED_AT_ENTRANCE)
         return
     if customer.rate > 0.0:
@@ -52,6 +48,33 @@
     _attempts.send_attempt(daemon, call)
 
 
+def _admit(
+    daemon: _state.Daemon,
+    route: policies.Route,
+    importance: int,
+    now: float,
+) -> bool:
+    """Return whether to admit a request.
+
+    Calls of this VM's upstream are always admitted: work was already spent
+    on the requests that they are part of.
+    """
+    if admission.called_only_by_upstreams(daemon.chains, route.name):
+        return True
+    admitted = admission.admit_kind(
+        daemon.allowances, (route.name, importance), now, daemon.rng
+    )
+    if admission.covers(daemon.allowances, route.name):
+        return admitted
+    return admission.admit(
+        daemon.gates,
+        route.name,
+        importance - daemon.least_importance,
+        now,
+        daemon.rng,
+    )
+
+
 def _continue_call(
     daemon: _state.Daemon, call: _records.Call, reason: outcomes.Reason
 ) -> None:
@@ -119,8 +142,13 @@
         requests.new_progress(route, service, rank, deadline),
         _forwarded_fields(daemon, request),
         customer=customer.name,
+        importance=_importance(route, customer),
     )
     daemon.calls.add(call)
+    if admission.called_only_by_upstreams(daemon.chains, route.name):
+        costs.call_started(
+            daemon.ledger.chains, call.request_id, route.name, now
+        )
     exchange.gone = functools.partial(_abort_call, daemon, call)
     call.timer = asyncio.get_running_loop().call_later(
         max(0.0, deadline - now), expire_call, daemon, call
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -122,7 +122,8 @@
 
     ``fields`` are the header fields to forward, and ``timer`` fires at the
     deadline. ``customer`` is the sender's name, '' for a request without a
-    key, and ``key_digest`` the digest of its API key. ``holds_token`` is set
+    key, ``importance`` the request's, which its customer may set, and
+    ``key_digest`` the digest of its API key. ``holds_token`` is set
     while the request holds a token of the customer's quota. ``fingerprint``
     is computed when it is needed.
     """
@@ -134,6 +135,7 @@
     attempt: Attempt | None = None
     timer: asyncio.TimerHandle | None = None
     customer: str = ""
+    importance: int = 0
     key_digest: bytes | None = None
     holds_token: bool = False
     fingerprint: int | None = None
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -9,6 +9,7 @@
 
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import crashes
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import load
@@ -47,7 +48,11 @@
     count) and ``least_importance`` are derived from the view whenever it
     changes.
 
-    ``gates`` hold the state of load shedding by route, ``callers`` the calls
+    ``allowances`` hold the shares of requests that are admitted by their cost
+    at services that are short of room, ``ledger`` what this VM's upstream's
+    calls cost, and ``demand`` the work that arrives for the upstream.
+    ``gates`` hold the state of load shedding by route where costs are not
+    known, ``callers`` the calls
     by route and calling service, ``chains`` the loads reported with answers
     on routes that only upstreams call, and ``parents`` the counts from which
     the rank of such a call is derived. ``retry_windows`` hold the retry
@@ -108,6 +113,11 @@
     gates: admission.Admission = dataclasses.field(
         default_factory=admission.Admission
     )
+    allowances: admission.Allowances = dataclasses.field(
+        default_factory=admission.Allowances
+    )
+    ledger: costs.Ledger = dataclasses.field(default_factory=costs.Ledger)
+    demand: costs.Demand = dataclasses.field(default_factory=costs.Demand)
     callers: admission.Callers = dataclasses.field(
         default_factory=admission.Callers
     )
@@ -207,6 +217,7 @@
             settings.host, _timing(settings), clock.monotonic()
         ),
         routes=calls.Routes(domain, region, try_unreachable=False),
+        allowances=admission.Allowances(least_share=settings.least_share),
         process_mark=b"%s.%08x" % (settings.vm.encode(), rng.getrandbits(32)),
     )
 
@@ -227,6 +238,7 @@
     daemon.settings = settings
     daemon.feed.timing = _timing(settings)
     daemon.memory.limit = int(BODY_SHARE * settings.memory_bytes)
+    daemon.allowances.least_share = settings.least_share
     if settings.upstream != old.upstream:
         daemon.upstream = _upstream_pool(settings, daemon.clock)
     if settings.store != old.store:
--- a/src/sassafrasstair/forwarding/_work_wire.py
+++ b/src/sassafrasstair/forwarding/_work_wire.py
@@ -9,13 +9,18 @@
 
 import dataclasses
 import math
+import re
 import typing
 
+from sassafrasstair.decisions import costs
+
 if typing.TYPE_CHECKING:
     from collections import abc
 
 WORK_HEADER = b"Sassafras-Work"
 WORK_HEADER_LOWER = WORK_HEADER.lower()
+_SERVICE = re.compile(r"[\w.-]{1,80}")
+"""Names of services that need no escaping; others are not reported."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,18 +28,20 @@
     """What a callee's daemon knows of the work of a request's route.
 
     ``route_seconds`` is the usual service time of the route at the instance
-    that answered. ``bottleneck_seconds`` is the time that a request of the
-    route usually occupies slots at the busiest service of its chain, and
-    ``calls_below`` the greatest number of calls made one within the other
-    below the instance. Each is None if it is not known.
+    that answered, and ``calls_below`` the greatest number of calls made one
+    within the other below the instance; each is None if it is not known.
+    ``costs`` are those of a request of the route at the services of its
+    chain that have much work.
     """
 
     route_seconds: float | None = None
-    bottleneck_seconds: float | None = None
     calls_below: int | None = None
+    costs: tuple[costs.ServiceCost, ...] = ()
 
 
 NO_WORK = WorkReport()
+COSTS_MAX = 8
+"""Costs read from one field; a daemon sends fewer."""
 
 
 def encode_work(report: WorkReport) -> bytes:
@@ -42,10 +49,11 @@
     parts = []
     if report.route_seconds is not None:
         parts.append(b"t=%.4f" % report.route_seconds)
-    if report.bottleneck_seconds is not None:
-        parts.append(b"b=%.4f" % report.bottleneck_seconds)
     if report.calls_below is not None:
         parts.append(b"d=%d" % report.calls_below)
+    named = [each for each in report.costs if _SERVICE.fullmatch(each.service)]
+    if named:
+        parts.append(b"s=" + b",".join(_encode_cost(each) for each in named))
     return b" ".join(parts)
 
 
@@ -70,11 +78,33 @@
     depth = pairs.get(b"d", b"")
     return WorkReport(
         _seconds(pairs.get(b"t")),
-        _seconds(pairs.get(b"b")),
         int(depth) if depth.isdigit() else None,
+        _decode_costs(pairs.get(b"s", b"")),
+    )
+
+
+def _encode_cost(cost: costs.ServiceCost) -> bytes:
+    return b"%s:%.4f:%.3f:%.3f" % (
+        cost.service.encode(),
+        cost.slot_seconds,
+        cost.offered,
+        cost.wait_seconds,
     )
 
 
+def _decode_costs(value: bytes) -> tuple[costs.ServiceCost, ...]:
+    """Return the costs that can be read."""
+    found = []
+    for part in value.split(b",")[:COSTS_MAX]:
+        service, *texts = part.split(b":")
+        numbers = [_seconds(text) for text in texts]
+        if len(numbers) == 3 and None not in numbers:
+            slot_seconds, offered, wait = typing.cast("list[float]", numbers)
+            name = service.decode("latin-1")
+            found.append(costs.ServiceCost(name, slot_seconds, offered, wait))
+    return tuple(found)
+
+
 def _seconds(value: bytes | None) -> float | None:
     """Return a finite, non-negative number, None for any other value."""
     try:
--- a/src/sassafrasstair/platform/_settings.py
+++ b/src/sassafrasstair/platform/_settings.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import quotas
 from sassafrasstair.decisions import requests
 from sassafrasstair import forwarding
@@ -73,9 +74,20 @@
                 _number(bounds, "quota_slack", 0.0),
             ),
         ),
+        least_share=_share(
+            values, "admission.least_share", admission.LEAST_SHARE
+        ),
     )
 
 
+def _share(values: abc.Mapping[str, str], key: str, default: float) -> float:
+    """Return a number from 0 to 1."""
+    share = _number(values, key, default)
+    if share > 1.0:
+        raise forwarding.SettingsError(f"{key}: not from 0 to 1: {share}")
+    return share
+
+
 def _revocation_seconds(bounds: abc.Mapping[str, str]) -> float | None:
     if bounds.get("revoke_strict", "") not in ("true", "True", "1"):
         return None
--- a/tests/forwarding/test_work_wire.py
+++ b/tests/forwarding/test_work_wire.py
@@ -4,16 +4,21 @@
 
 import pytest
 
+from sassafrasstair.decisions import costs
 from sassafrasstair.forwarding import _work_wire
 
+PRICES = costs.ServiceCost("prices", 0.104, 1.2, 0.03)
+LEDGER = costs.ServiceCost("ledger-2", 0.02, 0.7, 0.0)
+
 
 @pytest.mark.parametrize(
     "report",
     [
         _work_wire.NO_WORK,
         _work_wire.WorkReport(0.0312),
-        _work_wire.WorkReport(bottleneck_seconds=0.104, calls_below=2),
-        _work_wire.WorkReport(0.03, 0.2, 0),
+        _work_wire.WorkReport(calls_below=2),
+        _work_wire.WorkReport(0.03, 0, (PRICES,)),
+        _work_wire.WorkReport(costs=(PRICES, LEDGER)),
     ],
 )
 def test_decoding_reverses_encoding(report: _work_wire.WorkReport) -> None:
@@ -30,6 +35,11 @@
         (b"t= b=x d=y", _work_wire.NO_WORK),
         (b"t=-0.1 d=3", _work_wire.WorkReport(calls_below=3)),
         (b"new=1 t=0.02 9", _work_wire.WorkReport(0.02)),
+        (b"s=,a:1,a:1:x:2,a:1:2:3:4", _work_wire.NO_WORK),
+        (
+            b"s=a:-1:1:1,prices:0.104:1.2:0.03",
+            _work_wire.WorkReport(costs=(PRICES,)),
+        ),
     ],
 )
 def test_unknown_or_invalid_parts_are_ignored(
@@ -38,3 +48,11 @@
     """Guards against a request that fails for a field of another version."""
     headers = {_work_wire.WORK_HEADER_LOWER: value}
     assert _work_wire.decode_work(headers) == expected
+
+
+def test_service_with_an_unusual_name_is_not_reported() -> None:
+    """Guards against a name that would end its part of the field."""
+    report = _work_wire.WorkReport(
+        costs=(costs.ServiceCost("a b:c,d", 0.1, 1.0, 0.0),)
+    )
+    assert _work_wire.work_fields(report) == []
--- a/tests/loads/chains.py
+++ b/tests/loads/chains.py
@@ -17,6 +17,7 @@
 from sassafrasstair.bench import _model_clock
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import calls
+from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import load
 from sassafrasstair import outcomes
 
@@ -43,6 +44,7 @@
     own_seconds: float = 0.15
     objective: float = 1.5
     timeout: float = 0.8
+    call_seconds: float = 0.03
 
 
 LOOKUP = Kind("lookup", 7, 122.0, 1.0)
@@ -107,19 +109,21 @@
         slots: int = 15,
         entrances: int = 13,
         callers: int = 12,
-        work_seconds: float = 0.03,
+        by_cost: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.timeline = _model_clock.Timeline()
         self.kinds = kinds
         self.speeds = dict(enumerate(speeds))
-        self.work_seconds = work_seconds
         self.slowness: abc.Callable[[float], float] = lambda now: 1.0
         self.surge: abc.Callable[[float], float] = lambda now: 1.0
         self.refusing: abc.Callable[[float], float] = lambda now: 0.0
         self.tallies = {kind.name: Tally() for kind in kinds}
         self.gates = [admission.Admission() for _ in range(entrances)]
+        self.by_cost = by_cost
+        self.allowances = [admission.Allowances() for _ in range(entrances)]
         self.heard = [admission.CalleeLoads() for _ in range(callers)]
+        self.ledgers = [costs.Ledger() for _ in range(callers)]
         self.routes = [
             calls.Routes(
                 f"d{caller % len(speeds)}", "r", try_unreachable=False
@@ -134,6 +138,7 @@
             target.vm: load.new_guard(slots, 0.0, patient=True)
             for target in self.targets
         }
+        self.demands = {vm: costs.Demand() for vm in self.guards}
         self.crossed = 0
         self.peeks = 0
         self._serial = itertools.count()
@@ -189,10 +194,7 @@
         second = int(self.now)
         tally.asked[second] = tally.asked.get(second, 0) + 1
         entrance = self.rng.randrange(len(self.gates))
-        above = kind.importance - LEAST_IMPORTANCE
-        if not admission.admit(
-            self.gates[entrance], kind.name, above, self.now, self.rng
-        ):
+        if not self._admit(kind, entrance):
             return
         request = Request(
             kind,
@@ -211,6 +213,19 @@
                 Peek(request, kind.row_calls),
             )
 
+    def _admit(self, kind: Kind, entrance: int) -> bool:
+        if self.by_cost:
+            return admission.admit_kind(
+                self.allowances[entrance],
+                (kind.name, kind.importance),
+                self.now,
+                self.rng,
+            )
+        above = kind.importance - LEAST_IMPORTANCE
+        return admission.admit(
+            self.gates[entrance], kind.name, above, self.now, self.rng
+        )
+
     def _send(self, peek: Peek) -> None:
         request = peek.request
         left = request.came + request.kind.timeout - self.now
@@ -228,10 +243,15 @@
         calls.start_attempt(routes, target.vm, self.now)
         attempt = f"{next(self._serial)}"
         self._attempts[attempt] = peek, target.vm
+        costs.record_offer(
+            self.demands[target.vm],
+            load.route_seconds(self.guards[target.vm], request.kind.name),
+            self.now,
+        )
         guard = self.guards[target.vm]
         work = load.Work(
             attempt,
-            PEEK,
+            request.kind.name,
             "",
             rank_of(request),
             self.now + left,
@@ -244,7 +264,8 @@
             attempt = effect.attempt_id
             if isinstance(effect, load.Start):
                 speed = self.speeds[int(vm[1:])]
-                work = self.work_seconds * self.rng.lognormvariate(-0.12, 0.5)
+                kind = self._attempts[attempt][0].request.kind
+                work = kind.call_seconds * self.rng.lognormvariate(-0.12, 0.5)
                 seconds = work / speed * self.slowness(self.now)
                 refused = self.rng.random() < self.refusing(self.now)
                 self._after(
@@ -296,6 +317,7 @@
         admission.observe_inner_load(
             self.heard[request.caller], PEEK, level, pressure, self.now
         )
+        self._observe_cost(request, vm)
         if good:
             if peek.left > 1:
                 self._send(Peek(request, peek.left - 1))
@@ -306,6 +328,35 @@
         else:
             self._end_row(request, failed=True)
 
+    def _observe_cost(self, request: Request, vm: str) -> None:
+        """Report what the answer to a call tells of costs."""
+        guard = self.guards[vm]
+        offered = costs.offered_share(
+            self.demands[vm], load.limit(guard, self.now), self.now
+        )
+        cost = costs.ServiceCost(
+            PEEK,
+            load.route_seconds(guard, request.kind.name),
+            offered,
+            load.wait_seconds(guard),
+        )
+        ledger = self.ledgers[request.caller]
+        costs.observe_costs(ledger, request.kind.name, [cost], self.now)
+
+    def _cost_of(self, request: Request) -> list[costs.ServiceCost]:
+        kind = request.kind
+        known = self.ledgers[request.caller].by_call.get(kind.name, {})
+        return [
+            costs.ServiceCost(
+                service,
+                cost.slot_seconds * kind.rows * kind.row_calls,
+                cost.offered,
+                cost.wait_seconds,
+            )
+            for service, cost in known.items()
+            if cost.offered >= costs.MIN_OFFERED
+        ]
+
     def _end_row(self, request: Request, failed: bool) -> None:
         request.rows -= 1
         request.failed = request.failed or failed
@@ -318,6 +369,12 @@
         admission.observe_load(
             self.gates[request.entrance], kind.name, below, self.now
         )
+        admission.observe_costs(
+            self.allowances[request.entrance],
+            kind.name,
+            self._cost_of(request),
+            self.now,
+        )
         second = int(request.came)
         late = self.now - request.came > kind.timeout
         counts = tally.failed if request.failed or late else tally.done
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -57,6 +57,8 @@
         ("10.0.0.3:8310", "10.0.0.3:99999", "seeds"),
         ("10.0.0.1:8301", "10.0.0.1:0", "app_addr"),
         ("10.0.0.3:8310", "10.0.0.3:x", "seeds"),
+        ("a.field.of", "admission.least_share=1.1\na.field.of", "least_share"),
+        ("a.field.of", "admission.least_share=some\na.f", "least_share"),
     ],
 )
 def test_error_names_the_invalid_key(old: str, new: str, key: str) -> None:
@@ -64,6 +66,15 @@
         _settings.decode_settings(TEXT.replace(old, new))
 
 
+@pytest.mark.parametrize(
+    ("line", "least_share"),
+    [("", 0.3), ("admission.least_share=0.1\n", 0.1)],
+)
+def test_least_share_may_be_set(line: str, least_share: float) -> None:
+    settings = _settings.decode_settings(line + TEXT)
+    assert settings.least_share == least_share
+
+
 def test_error_names_the_missing_file() -> None:
     dialect = platform.open_dialect({"SASSAFRASSTAIR_BOOT": "/none/boot"})
     with pytest.raises(forwarding.SettingsError, match="/none/boot"):
