--- a/tests/loads/chains.py
+++ b/tests/loads/chains.py
@@ -167,6 +167,13 @@
                 done += kind.worth * tally.done.get(at, 0)
         return done / max(1.0, asked)
 
+    def note_call(self, peek: Peek) -> None:
+        """Note a call that is sent for the first time."""
+
+    def may_repeat(self, peek: Peek, reason: outcomes.Reason) -> bool:
+        """Return whether a call that ended for this reason is sent again."""
+        return True
+
     def _after(
         self,
         seconds: float,
@@ -221,7 +228,9 @@
         if request.failed or left <= 0.0 or target is None:
             self._end_row(request, failed=True)
             return
-        self.peeks += not peek.tried
+        if not peek.tried:
+            self.peeks += 1
+            self.note_call(peek)
         self.crossed += target.failure_domain != routes.failure_domain
         peek.tried.append(target.vm)
         peek.sent = self.now
@@ -301,7 +310,7 @@
                 self._send(Peek(request, peek.left - 1))
             else:
                 self._end_row(request, failed=False)
-        elif len(peek.tried) < ATTEMPTS:
+        elif len(peek.tried) < ATTEMPTS and self.may_repeat(peek, reason):
             self._send(peek)
         else:
             self._end_row(request, failed=True)
