Report the depth below an instance and limit repeats by it

Cause: a daemon can't tell how much of a retry budget the other hops of a chain need, so each hop keeps to a fifth of it.

Change: answers report how deep the calls below the instance go, in the key d of Sassafras-Work; requests say in Sassafras-Repeats whether the sender and all daemons above it divide the budget by depth. A daemon counts its upstream as making no calls after 100 requests and 5 s without one. The limit of a service's repeats follows from both at each repeat that is asked for, and its changes are logged as repeats_limited. The metric repeats_total counts what the budget allowed and denied by importance; attempts that end for the budget are logged with step=over_budget.

Without reports the share and the order of repeats are those of before.

--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -31,6 +31,7 @@
 from sassafrasstair.forwarding import _notices
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _records
+from sassafrasstair.forwarding import _repeats
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
 from sassafrasstair.forwarding import _work_wire
@@ -175,6 +176,9 @@
         request.body,
         attempt.trial_strikes,
         call.customer,
+        shares_by_depth=_repeats.shares_by_depth(
+            daemon, call.progress.service, attempt.sent_at
+        ),
     )
 
     def on_done(result: _records.Result) -> None:
@@ -204,6 +208,11 @@
     ]
     if attempt.trial_strikes:
         fields.append((_wire.TRIAL_HEADER, b"%d" % attempt.trial_strikes))
+    fields += _wire.repeats_fields(
+        _repeats.shares_by_depth(
+            daemon, call.progress.service, attempt.sent_at
+        )
+    )
     rate_limit = _notices.rate_limit_of(daemon, attempt.instance)
     fields += _wire.notice_fields(notices.Notice(rate_limit))
     if call.customer and call.key_digest is not None:
@@ -307,6 +316,7 @@
         return
     now = daemon.clock.monotonic()
     _observe_load(daemon, call, attempt.instance, state, now)
+    _repeats.observe_answer(daemon, call, state, work, now)
     if response is None or state.ending is not None:
         _notices.record_refusal(daemon, attempt, notice)
         ending = state.ending or requests.Ending.LOST
@@ -401,11 +411,15 @@
     step = requests.attempt_ended(
         progress,
         ending,
-        retry_window(daemon, progress.service),
+        _repeats.updated_window(daemon, progress.service, now),
         daemon.settings.bounds.budget,
         now,
         reason is outcomes.Reason.UPSTREAM_CRASHED,
+        calls.shortest_service_seconds(
+            daemon.routes, views.targets(daemon.view, progress.service), now
+        ),
     )
+    _repeats.count_step(daemon, progress, ending, step)
     _counters.count_attempt(daemon.counters, progress.service, reason.value)
     daemon.journal.request(
         "attempt_ended",
@@ -449,17 +463,3 @@
     """
     born = views.born_at(daemon.view, attempt.instance)
     return not attempt.born or attempt.born == born
-
-
-def retry_window(daemon: _state.Daemon, service: str) -> requests.Window:
-    """Return the retry-budget window of a service.
-
-    Besides a ratio of the requests, the budget allows a few retries, the
-    slack, which all daemons share. A new window gets this daemon's part.
-    """
-    window = daemon.retry_windows.get(service)
-    if window is None:
-        window = daemon.retry_windows[service] = requests.new_window(
-            _state.slack_part(daemon, service)
-        )
-    return window
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -34,6 +34,7 @@
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _notices
 from sassafrasstair.forwarding import _records
+from sassafrasstair.forwarding import _repeats
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
 from sassafrasstair.forwarding import _work_wire
@@ -73,6 +74,7 @@
     now = daemon.clock.monotonic()
     metadata = inbound.metadata
     admission.note_caller(daemon.callers, metadata.route, inbound.caller)
+    requests.note_inbound(daemon.depths, inbound.shares_by_depth, now)
     daemon.execution_serial += 1
     key = f"{daemon.execution_serial}"
     guard = _guards.get_guard(daemon, metadata.instance, now)
@@ -350,6 +352,7 @@
         _record_reachability(daemon, False)
     if ending is None:
         _crashes.record_completed_here(daemon, execution.request)
+        requests.note_run(daemon.depths, daemon.clock.monotonic())
     end = load.End.DONE
     if ending is requests.Ending.REFUSED:
         guard = execution.guard
@@ -464,7 +467,7 @@
     daemon: _state.Daemon, inbound: _records.InboundRequest
 ) -> _work_wire.WorkReport:
     """Return what this daemon knows of the work of the request's route."""
-    return _work_wire.NO_WORK
+    return _work_wire.WorkReport(calls_below=_repeats.calls_below(daemon))
 
 
 def _callee_state(
--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -12,6 +12,8 @@
 
 ROUTES_MAX = 64
 """Maximum number of route labels; further routes count as ``other``."""
+IMPORTANCES_MAX = 32
+"""Maximum number of importance labels; further ones count as ``other``."""
 CUSTOMERS_MAX = 400
 """Maximum number of pairs of customer and status; further customers count
 as ``other``."""
@@ -29,6 +31,10 @@
         default_factory=dict
     )
     """Ended attempts, by service and result."""
+    repeats: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
+    """Repeats that the retry budget allowed or denied, by importance."""
     upstream_requests: int = 0
     """Requests sent to this VM's upstream."""
     state_changes: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -94,6 +100,17 @@
     counters.attempts[key] = counters.attempts.get(key, 0) + 1
 
 
+def count_repeat(counters: Counters, importance: int, how: str) -> None:
+    """Count a repeat; ``how`` is ``allowed`` or ``denied``."""
+    label = str(importance)
+    if (label, how) not in counters.repeats and (
+        len(counters.repeats) >= 2 * IMPORTANCES_MAX
+    ):
+        label = "other"
+    key = (label, how)
+    counters.repeats[key] = counters.repeats.get(key, 0) + 1
+
+
 def count_state_change(counters: Counters, what: str) -> None:
     """Count a change of the daemon's known state; ``what`` names its event."""
     counters.state_changes[what] = counters.state_changes.get(what, 0) + 1
@@ -139,6 +156,12 @@
             ("service", "how"),
             counters.attempts,
         ),
+        histograms.render_counter(
+            "repeats_total",
+            "Repeats, by whether the retry budget allowed them",
+            ("importance", "how"),
+            counters.repeats,
+        ),
         histograms.render_counter(
             "upstream_requests_total",
             "Requests sent to this VM's upstream",
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -16,6 +16,7 @@
 from sassafrasstair.forwarding import _endings
 from sassafrasstair.forwarding import _quotas
 from sassafrasstair.forwarding import _records
+from sassafrasstair.forwarding import _repeats
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
@@ -125,7 +126,7 @@
     call.timer = asyncio.get_running_loop().call_later(
         max(0.0, deadline - now), expire_call, daemon, call
     )
-    requests.note_request(_attempts.retry_window(daemon, service), now)
+    requests.note_request(_repeats.window(daemon, service), now, rank)
     return call
 
 
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -95,6 +95,9 @@
         _wire.decode_trial(request.headers.get(_wire.TRIAL_HEADER_LOWER)),
         customer.name,
         notice.rate_limit,
+        shares_by_depth=_wire.decode_repeats(
+            request.headers.get(_wire.REPEATS_HEADER_LOWER)
+        ),
     )
 
     def on_done(result: _records.Result) -> None:
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -29,7 +29,9 @@
     again, 0 if the request was not blocked. ``customer`` is the sender's
     name, '' for a request without a key. ``rate_limit`` is the limit in
     requests per second that the instance last named to the entrance, infinite
-    if it named none. ``fingerprint`` is computed when it is needed.
+    if it named none. ``shares_by_depth`` says whether the entrance and all
+    daemons above it divide the retry budget by depth. ``fingerprint`` is
+    computed when it is needed.
     """
 
     metadata: _wire.RequestMetadata
@@ -45,6 +47,7 @@
     customer: str = ""
     rate_limit: float = math.inf
     fingerprint: int | None = None
+    shares_by_depth: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -51,8 +51,9 @@
     by route and calling service, ``chains`` the loads reported with answers
     on routes that only upstreams call, and ``parents`` the counts from which
     the rank of such a call is derived. ``retry_windows`` hold the retry
-    budget of each service, and ``pools`` the connections to other daemons by
-    host. ``guards`` are keyed by an instance's id and start.
+    budget of each service, which ``depths`` divides among the hops of a
+    chain, and ``pools`` the connections to other daemons by host. ``guards``
+    are keyed by an instance's id and start.
 
     ``broken_results`` are the results of executions whose connection broke,
     by key, until it is known whether the upstream crashed.
@@ -120,6 +121,9 @@
     retry_windows: dict[str, requests.Window] = dataclasses.field(
         default_factory=dict
     )
+    depths: requests.Depths = dataclasses.field(
+        default_factory=requests.new_depths
+    )
     guards: dict[tuple[str, int], load.Guard] = dataclasses.field(
         default_factory=dict
     )
@@ -242,20 +246,21 @@
     )
 
 
-def slack_part(daemon: Daemon, service: str) -> float:
+def slack_part(daemon: Daemon, service: str, hop: requests.Hop) -> float:
     """Return this daemon's part of a service's slack for retries."""
     return requests.slack_part(
         daemon.settings.bounds.budget,
         service,
         daemon.hosts,
         daemon.feed.own_host,
+        hop,
     )
 
 
 def update_slack_parts(daemon: Daemon) -> None:
     """Recompute the parts of the slack after the known daemons changed."""
     for service, window in daemon.retry_windows.items():
-        window.slack = slack_part(daemon, service)
+        window.slack = slack_part(daemon, service, window.hop)
 
 
 def start_task(
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -28,6 +28,10 @@
 TRIAL_HEADER = b"Sassafras-Trial"
 """The number of strikes after which a blocked request is tried again."""
 TRIAL_HEADER_LOWER = TRIAL_HEADER.lower()
+REPEATS_HEADER = b"Sassafras-Repeats"
+"""Set to ``depth`` on a request if the sender and all daemons above it divide
+the retry budget by depth. Daemons of an earlier version don't send it."""
+REPEATS_HEADER_LOWER = REPEATS_HEADER.lower()
 RATE_LIMIT_HEADER = b"Sassafras-Limit"
 """The rate limit of the instance, in requests per second.
 
@@ -46,6 +50,7 @@
         METADATA_HEADER_LOWER,
         STATE_HEADER_LOWER,
         TRIAL_HEADER_LOWER,
+        REPEATS_HEADER_LOWER,
         RATE_LIMIT_HEADER_LOWER,
         LEAVING_HEADER_LOWER,
         KEY_DIGEST_HEADER_LOWER,
@@ -55,6 +60,7 @@
 PING_PATH = b"/-sassafras/ping"
 
 _ANSWERED = "answered"
+_BY_DEPTH = b"depth"
 
 
 class WireError(Exception):
@@ -148,6 +154,16 @@
     return int(value) if value is not None and value.isdigit() else 0
 
 
+def repeats_fields(shares_by_depth: bool) -> httpio.Fields:
+    """Return the header fields that say how repeats are limited."""
+    return [(REPEATS_HEADER, _BY_DEPTH)] if shares_by_depth else []
+
+
+def decode_repeats(value: bytes | None) -> bool:
+    """Return whether the sender divides the retry budget by depth."""
+    return value == _BY_DEPTH
+
+
 def notice_fields(notice: notices.Notice) -> httpio.Fields:
     """Return the header fields that tell a daemon of a notice."""
     fields: httpio.Fields = []
