--- a/tests/loads/test_repeats.py
+++ b/tests/loads/test_repeats.py
@@ -244,3 +244,16 @@
     hops = Hops(1, daemons, earlier, calls_made)
     hops.play(25.0, 60)
     assert hops.greatest_use() <= 1.0
+
+
+@pytest.mark.parametrize("earlier_part", [0.0, 1.0])
+def test_few_requests_with_many_calls_stay_within_the_rule(
+    earlier_part: float,
+) -> None:
+    """A repeat at the first hop makes 8 calls, each of which makes 8 more.
+
+    With five requests a second the slack allows most of the repeats.
+    """
+    hops = Hops(1, 13, int(earlier_part * 13), 8)
+    hops.play(25.0, 5)
+    assert hops.greatest_use() <= 1.0
