--- a/tests/forwarding/test_repeats.py
+++ b/tests/forwarding/test_repeats.py
@@ -89,6 +89,43 @@
     run(test())
 
 
+def test_depth_is_learned_through_a_service_in_the_middle() -> None:
+    """The instance on B calls ``t`` on C for each request of the client.
+
+    C's daemon takes the route for internal after 20 calls.
+    """
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(
+            3,
+            place.route("/s/", "s", True, 2.0),
+            place.route("/t/", "t", True, 2.0),
+        )
+
+        async def call_on(
+            got: place.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await cluster.call(B, "/t/a")
+            await place.answer(got, writer)
+
+        await cluster.upstream(B, "s", call_on)
+        await cluster.upstream(C, "t")
+        for host, service in ((A, "front"), (B, "s"), (C, "t")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B, C)
+        _complete_runs(_daemon(cluster, C))
+        for _ in range(30):
+            assert (await cluster.call(A, "/s/a")).status == 200
+        middle, caller = _daemon(cluster, B), _daemon(cluster, A)
+        now = caller.clock.monotonic()
+        assert requests.own_depth(middle.depths, 10.0, now) == 1
+        assert requests.depth_of(middle.depths, "t", 10.0, now) == 0
+        assert requests.depth_of(caller.depths, "s", 10.0, now) == 1
+
+    run(test())
+
+
 def test_fields_of_repeats_do_not_reach_upstreams_or_clients() -> None:
     """A client that sends the field is not taken for a daemon."""
 
