--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -35,6 +35,7 @@
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _notices
 from sassafrasstair.forwarding import _records
+from sassafrasstair.forwarding import _repeats
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
 from sassafrasstair.forwarding import _work_wire
@@ -74,6 +75,7 @@
     now = daemon.clock.monotonic()
     metadata = inbound.metadata
     admission.note_caller(daemon.callers, metadata.route, inbound.caller)
+    requests.note_inbound(daemon.depths, inbound.shares_by_depth, now)
     daemon.execution_serial += 1
     key = f"{daemon.execution_serial}"
     guard = _guards.get_guard(daemon, metadata.instance, now)
@@ -355,8 +357,9 @@
         _record_reachability(daemon, False)
     if ending is None:
         _crashes.record_completed_here(daemon, execution.request)
-    end = load.End.DONE
+        requests.note_run(daemon.depths, daemon.clock.monotonic())
     now = daemon.clock.monotonic()
+    end = load.End.DONE
     route = execution.route
     if ending is None and isinstance(result, httpio.Response):
         costs.run_ended(daemon.ledger.chains, route, result.status < 300, now)
@@ -486,7 +489,8 @@
         load.wait_seconds(guard),
     )
     return _work_wire.WorkReport(
-        costs=costs.costs_of_route(daemon.ledger, route, own, now)
+        calls_below=_repeats.calls_below(daemon),
+        costs=costs.costs_of_route(daemon.ledger, route, own, now),
     )
 
 
--- a/tests/loads/chains.py
+++ b/tests/loads/chains.py
@@ -44,7 +44,7 @@
     own_seconds: float = 0.15
     objective: float = 1.5
     timeout: float = 0.8
-    call_seconds: float = 0.03
+    call_seconds: float | None = None
 
 
 LOOKUP = Kind("lookup", 7, 122.0, 1.0)
@@ -109,6 +109,7 @@
         slots: int = 15,
         entrances: int = 13,
         callers: int = 12,
+        work_seconds: float = 0.03,
         by_cost: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
@@ -120,6 +121,7 @@
         self.refusing: abc.Callable[[float], float] = lambda now: 0.0
         self.tallies = {kind.name: Tally() for kind in kinds}
         self.gates = [admission.Admission() for _ in range(entrances)]
+        self.work_seconds = work_seconds
         self.by_cost = by_cost
         self.allowances = [admission.Allowances() for _ in range(entrances)]
         self.heard = [admission.CalleeLoads() for _ in range(callers)]
@@ -172,6 +174,13 @@
                 done += kind.worth * tally.done.get(at, 0)
         return done / max(1.0, asked)
 
+    def note_call(self, peek: Peek) -> None:
+        """Note a call that is sent for the first time."""
+
+    def may_repeat(self, peek: Peek, reason: outcomes.Reason) -> bool:
+        """Return whether a call that ended for this reason is sent again."""
+        return True
+
     def _after(
         self,
         seconds: float,
@@ -236,7 +245,9 @@
         if request.failed or left <= 0.0 or target is None:
             self._end_row(request, failed=True)
             return
-        self.peeks += not peek.tried
+        if not peek.tried:
+            self.peeks += 1
+            self.note_call(peek)
         self.crossed += target.failure_domain != routes.failure_domain
         peek.tried.append(target.vm)
         peek.sent = self.now
@@ -265,7 +276,8 @@
             if isinstance(effect, load.Start):
                 speed = self.speeds[int(vm[1:])]
                 kind = self._attempts[attempt][0].request.kind
-                work = kind.call_seconds * self.rng.lognormvariate(-0.12, 0.5)
+                work = kind.call_seconds or self.work_seconds
+                work *= self.rng.lognormvariate(-0.12, 0.5)
                 seconds = work / speed * self.slowness(self.now)
                 refused = self.rng.random() < self.refusing(self.now)
                 self._after(
@@ -323,7 +335,7 @@
                 self._send(Peek(request, peek.left - 1))
             else:
                 self._end_row(request, failed=False)
-        elif len(peek.tried) < ATTEMPTS:
+        elif len(peek.tried) < ATTEMPTS and self.may_repeat(peek, reason):
             self._send(peek)
         else:
             self._end_row(request, failed=True)
