Drop old counts of requests while no repeat is asked for

Cause: counts by second were dropped only when a repeat was asked for.

Change: a new second drops what is older than a minute, or than two windows.

Result: 62 entries at most after an hour, 3,600 before.

--- a/src/sassafrasstair/decisions/requests/_budgets.py
+++ b/src/sassafrasstair/decisions/requests/_budgets.py
@@ -35,6 +35,8 @@
 taken from a larger group."""
 EARNING_WINDOWS = 2
 """How many windows of requests earn repeats, if the depth is known."""
+KEPT_SECONDS_MIN = 60
+"""For how long requests are counted while no repeat is asked for."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,12 +74,14 @@
     are allowed in order of arrival. ``begun`` holds the ranks of requests
     that got a repeat in the window, with its time. Another call of such a
     request comes before those of others, or the first repeat was in vain.
+    Counts of seconds longer ago than ``kept_seconds`` are dropped.
     """
 
     slack: float = 0.0
     hop: _depths.Hop = _depths.UNKNOWN_HOP
     seconds: dict[int, Counts] = dataclasses.field(default_factory=dict)
     begun: dict[float, float] = dataclasses.field(default_factory=dict)
+    kept_seconds: int = KEPT_SECONDS_MIN
 
 
 def new_window(slack: float) -> Window:
@@ -130,7 +134,9 @@
     second = int(now)
     width = math.ceil(rules.window_seconds)
     oldest = second - width
-    _drop_before(window.seconds, second - EARNING_WINDOWS * width)
+    earning_seconds = EARNING_WINDOWS * width
+    window.kept_seconds = max(KEPT_SECONDS_MIN, earning_seconds)
+    _drop_before(window.seconds, second - earning_seconds)
     _drop_begun_before(window, now - rules.window_seconds)
     current = _counts_at(window, second)
     level = _level(rank)
@@ -211,6 +217,7 @@
 def _counts_at(window: Window, second: int) -> Counts:
     counts = window.seconds.get(second)
     if counts is None:
+        _drop_before(window.seconds, second - window.kept_seconds)
         counts = window.seconds[second] = Counts()
     return counts
 
--- a/tests/decisions/requests/test_budgets.py
+++ b/tests/decisions/requests/test_budgets.py
@@ -228,3 +228,13 @@
         assert requests.allow_repeat(window, rules, now, 5.1)
         return
     raise AssertionError("nothing was denied")
+
+
+def test_counts_are_bounded_while_no_request_fails() -> None:
+    """A service of which no request fails for an hour asks for no repeat."""
+    window = _known_window(1.0)
+    for second in range(3600):
+        requests.note_request(window, 1000.0 + second, 5.5)
+    assert len(window.seconds) <= 62
+    rules = requests.BudgetRules(0.2, 20.0, WINDOW)
+    assert requests.allow_repeat(window, rules, 4600.0, 5.5)
