Require ten calls before an upstream counts as calling a service

Cause: found by reading. A callee classifies a route by its first 20 calls and may take a client's route for internal for a few of them. A single such answer made the last service of a chain seem to call the first; all depths then grew with each answer up to the limit, from which there are no repeats, for a minute.

Change: an upstream calls a service if ten calls lie within the time for which a report counts. One call still ends depth 0.

--- a/src/sassafrasstair/decisions/requests/_depths.py
+++ b/src/sassafrasstair/decisions/requests/_depths.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 
@@ -33,6 +34,10 @@
 IDLE_SECONDS_MIN = 5.0
 """The same for the time since the first of these requests. Callees need some
 calls before they can tell that only upstreams make them."""
+CALLS_MIN = 10
+"""An upstream calls a service if it made so many calls lately. A callee may
+take a route for internal by mistake, for a few calls. If that made services
+seem to call each other in a cycle, there would be no repeats."""
 HOLD_WINDOWS = 6.0
 """How long a report or call counts, in windows of the budget. A share grows
 only after the report for which it was smaller has expired."""
@@ -61,7 +66,7 @@
     """What a daemon knows of the depths below it.
 
     ``reported`` holds the time of the last report of each depth, by service.
-    ``called`` holds the time of the upstream's last call, by service;
+    ``called`` holds the times of the upstream's last calls, by service;
     ``idle_runs`` counts the requests that it completed since its last call,
     the first of them at ``idle_since``. ``unshared_at`` is the time of the
     last request for the upstream from a daemon that does not divide the
@@ -71,7 +76,9 @@
     reported: dict[str, dict[int, float]] = dataclasses.field(
         default_factory=dict
     )
-    called: dict[str, float] = dataclasses.field(default_factory=dict)
+    called: dict[str, collections.deque[float]] = dataclasses.field(
+        default_factory=dict
+    )
     idle_runs: int = 0
     idle_since: float = 0.0
     unshared_at: float = -math.inf
@@ -141,7 +148,11 @@
 
 def note_call(depths: Depths, service: str, now: float) -> None:
     """Record that this VM's upstream called the service."""
-    depths.called[service] = now
+    times = depths.called.get(service)
+    if times is None:
+        times = collections.deque(maxlen=CALLS_MIN)
+        depths.called[service] = times
+    times.append(now)
     depths.idle_runs = 0
 
 
@@ -215,5 +226,7 @@
     depths: Depths, service: str, window_seconds: float, now: float
 ) -> bool:
     """Return whether this VM's upstream called the service lately."""
-    called_at = depths.called.get(service, -math.inf)
-    return now - called_at <= HOLD_WINDOWS * window_seconds
+    times = depths.called.get(service)
+    if times is None or len(times) < CALLS_MIN:
+        return False
+    return now - times[0] <= HOLD_WINDOWS * window_seconds
