Report the usual service time of a request's route with each answer

An entrance knew only the mean service time of an instance over all routes. The guard's own estimate by route (weight 0.2) has a standard deviation of a third of the mean where service times vary by their mean, and a spell of 0.5 s at 2.5 times takes it all the way.

--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -27,6 +27,7 @@
 from sassafrasstair.decisions.load._views import rate_limit
 from sassafrasstair.decisions.load._views import resize
 from sassafrasstair.decisions.load._views import service_seconds
+from sassafrasstair.decisions.load._views import usual_seconds
 
 __all__ = [
     "Abort",
@@ -54,4 +55,5 @@
     "service_seconds",
     "suggest_rate",
     "tick",
+    "usual_seconds",
 ]
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -20,6 +20,7 @@
 from sassafrasstair.decisions.load import _messages
 from sassafrasstair.decisions.load import _queues
 from sassafrasstair.decisions.load import _rates
+from sassafrasstair.decisions.load import _usual
 from sassafrasstair import outcomes
 
 # Reported with each refusal: after this time the work may be sent again.
@@ -62,7 +63,8 @@
     ``running`` maps running attempts to their start, ``running_work`` to
     their work; ``running_by_level`` and ``running_by_tenant`` count them.
     ``waiting`` is the queue. ``estimates_by_class`` are service times by
-    request class, ``mean_service_seconds`` the average of all finished work
+    request class and ``usual_by_class`` the smoother ones that are reported
+    to callers, ``mean_service_seconds`` the average of all finished work
     and ``current_service_seconds`` the same with running work included; the
     last sample was taken at ``sampled_at``.
 
@@ -98,6 +100,9 @@
     estimates_by_class: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    usual_by_class: dict[str, _usual.UsualTime] = dataclasses.field(
+        default_factory=dict
+    )
     mean_service_seconds: float = 0.0
     current_service_seconds: float = 0.0
     sampled_at: float = 0.0
@@ -426,6 +431,7 @@
     estimate = guard.estimates_by_class.get(work.request_class, elapsed)
     estimate += ESTIMATE_WEIGHT * (elapsed - estimate)
     guard.estimates_by_class[work.request_class] = estimate
+    _usual.add_sample(guard.usual_by_class, work.request_class, elapsed, now)
     guard.mean_service_seconds += ESTIMATE_WEIGHT * (
         elapsed - guard.mean_service_seconds
     )
--- /dev/null
+++ b/src/sassafrasstair/decisions/load/_usual.py
@@ -0,0 +1,59 @@
+"""The usual service time of each request class at an instance.
+
+Entrances compare instances by it. It is smoother than the estimates by which
+the guard refuses work: service times of one class vary by as much as their
+mean, and a short slow spell does not make a slow instance.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+# A spell of half a second moves the usual time by 0.28 of its slowdown.
+SMOOTHING_SECONDS = 1.5
+# The weight of a sample after a pause; a single one says little.
+WEIGHT_MAX = 0.1
+# A mean of fewer samples is not reported.
+MIN_SAMPLES = 3
+# The class whose last sample is the oldest is dropped beyond this number.
+CLASSES_MAX = 256
+
+
+@dataclasses.dataclass(slots=True)
+class UsualTime:
+    """The usual service time of one class, last sampled at ``sampled_at``."""
+
+    seconds: float
+    samples: int
+    sampled_at: float
+
+
+def add_sample(
+    times: dict[str, UsualTime], request_class: str, seconds: float, now: float
+) -> None:
+    """Add the service time of finished work.
+
+    The first samples are averaged. Later ones count by the time since the
+    one before, so that the smoothing does not depend on their rate.
+    """
+    usual = times.get(request_class)
+    if usual is None:
+        if len(times) >= CLASSES_MAX:
+            del times[min(times, key=lambda name: times[name].sampled_at)]
+        times[request_class] = UsualTime(seconds, 1, now)
+        return
+    usual.samples += 1
+    elapsed = now - usual.sampled_at
+    weight = min(WEIGHT_MAX, -math.expm1(-elapsed / SMOOTHING_SECONDS))
+    weight = max(weight, 1.0 / usual.samples)
+    usual.seconds += weight * (seconds - usual.seconds)
+    usual.sampled_at = now
+
+
+def seconds(times: dict[str, UsualTime], request_class: str) -> float | None:
+    """Return the usual service time, None while too little is known."""
+    usual = times.get(request_class)
+    if usual is None or usual.samples < MIN_SAMPLES:
+        return None
+    return usual.seconds
--- a/src/sassafrasstair/decisions/load/_views.py
+++ b/src/sassafrasstair/decisions/load/_views.py
@@ -6,6 +6,7 @@
 import typing
 
 from sassafrasstair.decisions.load import _limits
+from sassafrasstair.decisions.load import _usual
 
 if typing.TYPE_CHECKING:
     from sassafrasstair.decisions.load import _guards
@@ -74,6 +75,11 @@
     return guard.current_service_seconds
 
 
+def usual_seconds(guard: _guards.Guard, request_class: str) -> float | None:
+    """Return the usual service time of a class, None if it is not known."""
+    return _usual.seconds(guard.usual_by_class, request_class)
+
+
 def _capacity(guard: _guards.Guard) -> float:
     """Return how many attempts at once make the instance fully busy."""
     return min(max(1.0, guard.limit), _rate_capacity(guard))
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -464,7 +464,11 @@
     daemon: _state.Daemon, inbound: _records.InboundRequest
 ) -> _work_wire.WorkReport:
     """Return what this daemon knows of the work of the request's route."""
-    return _work_wire.NO_WORK
+    now = daemon.clock.monotonic()
+    guard = _guards.get_guard(daemon, inbound.metadata.instance, now)
+    return _work_wire.WorkReport(
+        route_seconds=load.usual_seconds(guard, inbound.metadata.route)
+    )
 
 
 def _callee_state(
