Pass a request's route and remaining objective to the choice of instance

The entrance takes the service time of the route from each answer of another daemon, for the run of the instance that was asked, and gives the choice the objective less the time since the request was received. The line of a failed attempt tells the expected completion that its instance was chosen by (expected), and bytes that leave the failure domain for it are counted under the reason objective.

--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -66,16 +66,19 @@
         return
     progress = call.progress
     targets = views.targets(daemon.view, progress.service)
-    target = calls.pick_target(
-        daemon.routes, targets, progress.tried, now, daemon.rng
+    taken = now - call.exchange.request.received_at
+    need = calls.Need(progress.route.name, progress.route.objective - taken)
+    choice = calls.choose(
+        daemon.routes, targets, progress.tried, now, daemon.rng, need
     )
-    if target is None:
+    if choice is None:
         _endings.answer_failed_call(daemon, call, last_reason)
         return
+    target = choice.target
     instance = views.instance_by_id(daemon.view, target.vm)
     host = "" if instance is None else instance.host
     cross_domain_reason = calls.reason_for_crossing(
-        daemon.routes, targets, target, progress.tried, now
+        daemon.routes, targets, target, progress.tried, now, need
     )
     requests.attempt_sent(progress, target.vm)
     calls.start_attempt(daemon.routes, target.vm, now)
@@ -97,6 +100,7 @@
         [*call.fields, (daemon.header_names.target, target.vm.encode())],
         _crashes.trial_strikes(verdict),
         cross_domain_reason,
+        choice.expected_delay + choice.completion,
     )
     call.attempt = attempt
     if host == daemon.settings.host:
@@ -307,6 +311,14 @@
         return
     now = daemon.clock.monotonic()
     _observe_load(daemon, call, attempt.instance, state, now)
+    if work.route_seconds is not None and _is_current(daemon, attempt):
+        calls.observe_route_seconds(
+            daemon.routes,
+            attempt.instance,
+            call.progress.route.name,
+            work.route_seconds,
+            now,
+        )
     if response is None or state.ending is not None:
         _notices.record_refusal(daemon, attempt, notice)
         ending = state.ending or requests.Ending.LOST
@@ -417,6 +429,7 @@
         ending=ending,
         step=step,
         taken=now - attempt.sent_at,
+        expected=attempt.expected_seconds,
         left=progress.deadline - now,
         revision=views.number_in_era(daemon.view.revision),
     )
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -101,6 +101,8 @@
     with it. ``host`` is the address of the instance's VM, and ``born`` the
     instance's start according to the view. ``cross_domain_reason`` says why
     the instance is in another failure domain, None if it is in this one.
+    ``expected_seconds`` is what the choice of the instance was made from: the
+    expected delay, and if the objective mattered the completion without it.
     ``trial_strikes`` is as in ``InboundRequest``.
     """
 
@@ -112,6 +114,7 @@
     fields: httpio.Fields
     trial_strikes: int = 0
     cross_domain_reason: calls.CrossingReason | None = None
+    expected_seconds: float = 0.0
     job: httpio.Job | None = None
     execution_key: str = ""
 
