--- a/src/sassafrasstair/decisions/calls/_speeds.py
+++ b/src/sassafrasstair/decisions/calls/_speeds.py
@@ -26,7 +26,7 @@
 # A reported time is used as it is for this long, and then decays to the
 # median of the instances with this half-life. It spares instances that are
 # known to be slow a stream of requests that test them.
-VALID_SECONDS = 10.0
+VALID_SECONDS = 30.0
 DECAY_HALF_LIFE = 2.0
 # Routes kept for one instance; the one heard of least recently is dropped.
 ROUTES_MAX = 64
