--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.calls._crossings import CrossingReason
+from sassafrasstair.decisions.calls._crossings import reason_for_crossing
 from sassafrasstair.decisions.calls._entrances import abandon_call
 from sassafrasstair.decisions.calls._entrances import apply_answer
 from sassafrasstair.decisions.calls._entrances import begin_call
@@ -17,6 +19,7 @@
 from sassafrasstair.decisions.calls._messages import Deliver
 from sassafrasstair.decisions.calls._messages import Effect
 from sassafrasstair.decisions.calls._messages import LoadReport
+from sassafrasstair.decisions.calls._messages import Need
 from sassafrasstair.decisions.calls._messages import Refuse
 from sassafrasstair.decisions.calls._messages import Send
 from sassafrasstair.decisions.calls._messages import Target
@@ -33,10 +36,7 @@
 from sassafrasstair.decisions.calls._peers import Routes
 from sassafrasstair.decisions.calls._peers import start_attempt
 from sassafrasstair.decisions.calls._routing import choose
-from sassafrasstair.decisions.calls._routing import CrossingReason
-from sassafrasstair.decisions.calls._routing import Need
 from sassafrasstair.decisions.calls._routing import pick_target
-from sassafrasstair.decisions.calls._routing import reason_for_crossing
 from sassafrasstair.decisions.calls._speeds import observe_route_seconds
 from sassafrasstair.decisions.calls._views import choose_target
 from sassafrasstair.decisions.calls._views import floors
--- a/src/sassafrasstair/decisions/calls/_messages.py
+++ b/src/sassafrasstair/decisions/calls/_messages.py
@@ -48,6 +48,18 @@
     region: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What a request needs of the instance that it is sent to.
+
+    ``objective_left`` is the time in seconds in which the answer should come.
+    At 0 or below the objective is missed and the choice ignores it.
+    """
+
+    route: str
+    objective_left: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
     """The load that a callee's daemon reports with each answer.
