Keep requests near where no instance can meet their objective

Where a service behind all instances had become slow, the least completion of four drawn was taken for a few ms, and requests left their failure domain for nothing: reported times vary by a tenth. If all instances have reported the route, sums within a fifth of each other now count as equal, near first.

--- a/src/sassafrasstair/decisions/calls/_delays.py
+++ b/src/sassafrasstair/decisions/calls/_delays.py
@@ -58,6 +58,11 @@
     expected_delay: float
     completion: float = 0.0
 
+    @property
+    def expected_seconds(self) -> float:
+        """The expected delay, and the completion if it mattered."""
+        return self.expected_delay + self.completion
+
     @property
     def expected_wait(self) -> float:
         """The expected delay if no slot is free, else 0."""
@@ -150,7 +155,7 @@
         )
         for target in _drawn(targets, rng)
     ]
-    return min(scored, key=lambda each: each.expected_delay + each.completion)
+    return min(scored, key=lambda each: each.expected_seconds)
 
 
 def _drawn(
--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -26,6 +26,8 @@
 # free slot, and only for an instance whose expected delay is shorter by more
 # than this margin.
 SPILL_MARGIN_SECONDS = 0.005
+# Expected completions within this factor of each other count as equal.
+EQUAL_FACTOR = 1.2
 # The share of attempts that are placed as if every instance could meet the
 # objective. They show when an instance that was slow has become fast.
 PROBE_SHARE = 0.02
@@ -121,7 +123,7 @@
     """Choose among the instances that can meet the objective.
 
     If the wait is too long there, or no instance can meet it, the one with
-    the least expected completion of a sample of all is taken.
+    the least expected completion is taken.
     """
     completion = speeds.completion
 
@@ -144,9 +146,37 @@
             return _delays.ScoredTarget(
                 choice.target, choice.expected_delay, seconds
             )
-    untried = _groups.untried(grouped.same_region, tried) or _groups.untried(
+    return _choose_soonest(routes, grouped, speeds, tried, now, rng)
+
+
+def _choose_soonest(
+    routes: _peers.Routes,
+    grouped: _peers.SortedTargets,
+    speeds: _speeds.RouteSpeeds,
+    tried: abc.Collection[str],
+    now: float,
+    rng: random.Random,
+) -> _delays.ScoredTarget | None:
+    """Choose the least expected completion, near first among equals.
+
+    A request leaves its failure domain only for an instance that is sooner by
+    more than the reported times vary. While some instances have reported
+    none, any may be drawn, so that they are found out.
+    """
+    near = _groups.untried(grouped.same_domain, tried)
+    far = _groups.untried(grouped.same_region, tried) or _groups.untried(
         grouped.usable, tried
     )
-    return _delays.soonest_of_sample(
-        routes, untried, completion, grouped, now, rng
+    other = _delays.soonest_of_sample(
+        routes, far, speeds.completion, grouped, now, rng
+    )
+    if not speeds.all_reported:
+        return other
+    best = _delays.soonest_of_sample(
+        routes, near, speeds.completion, grouped, now, rng
     )
+    if best is None or other is None:
+        return best or other
+    if best.expected_seconds > EQUAL_FACTOR * other.expected_seconds:
+        return other
+    return best
--- a/src/sassafrasstair/decisions/calls/_speeds.py
+++ b/src/sassafrasstair/decisions/calls/_speeds.py
@@ -46,10 +46,12 @@
     ``completion`` is the time in seconds by VM within which nine of ten
     requests are answered that don't wait for a slot. ``slowest`` is the
     greatest of them, 0 if no instance has reported the route.
+    ``all_reported`` is set if each instance has.
     """
 
     completion: dict[str, float]
     slowest: float
+    all_reported: bool
 
 
 def observe_route_seconds(
@@ -92,7 +94,7 @@
         and route in peer.route_times
     }
     if not reported:
-        return RouteSpeeds({}, 0.0)
+        return RouteSpeeds({}, 0.0, False)
     prior = _prior(list(reported.values()), now)
     completion = {}
     for target in targets:
@@ -100,7 +102,8 @@
         completion[target.vm] = SLOW_REQUEST_FACTOR * seconds
         if target.failure_domain != routes.failure_domain:
             completion[target.vm] += CROSSING_SECONDS
-    return RouteSpeeds(completion, max(completion.values()))
+    all_reported = len(reported) == len(targets)
+    return RouteSpeeds(completion, max(completion.values()), all_reported)
 
 
 def _prior(reported: abc.Sequence[RouteTime], now: float) -> float:
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -100,7 +100,7 @@
         [*call.fields, (daemon.header_names.target, target.vm.encode())],
         _crashes.trial_strikes(verdict),
         cross_domain_reason,
-        choice.expected_delay + choice.completion,
+        choice.expected_seconds,
     )
     call.attempt = attempt
     if host == daemon.settings.host:
--- a/tests/decisions/calls/test_placement.py
+++ b/tests/decisions/calls/test_placement.py
@@ -234,6 +234,22 @@
     assert picked["i0"] + picked["i4"] < 2 * (26 + 20)
 
 
+@pytest.mark.parametrize(
+    ("near", "stays"), [(0.11, True), (0.1, True), (0.15, False)]
+)
+def test_near_instance_first_among_equals_that_miss_the_objective(
+    near: float, stays: bool
+) -> None:
+    """A service behind it has become slow, so that no instance can meet it.
+
+    Small differences must not draw all requests out of their domains.
+    """
+    times = {vm: 0.1 for vm in UNEVEN} | {"i1": near}
+    picked = _picked(_entrance(times, domain="d1"), 1.0)
+    assert (picked["i1"] > 900) is stays
+    assert (picked["i1"] < 100) is not stays
+
+
 def test_attempts_sent_but_not_answered_count() -> None:
     """All entrances see the same old loads; each spreads its own requests."""
     routes = _entrance(UNEVEN)
