--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.calls._crossings import CrossingReason
+from sassafrasstair.decisions.calls._crossings import reason_for_crossing
 from sassafrasstair.decisions.calls._entrances import abandon_call
 from sassafrasstair.decisions.calls._entrances import apply_answer
 from sassafrasstair.decisions.calls._entrances import begin_call
@@ -12,11 +14,13 @@
 from sassafrasstair.decisions.calls._floors import Floors
 from sassafrasstair.decisions.calls._floors import observe_floor
 from sassafrasstair.decisions.calls._floors import of_service as floor_of
+from sassafrasstair.decisions.calls._groups import shortest_service_seconds
 from sassafrasstair.decisions.calls._messages import Answer
 from sassafrasstair.decisions.calls._messages import Call
 from sassafrasstair.decisions.calls._messages import Deliver
 from sassafrasstair.decisions.calls._messages import Effect
 from sassafrasstair.decisions.calls._messages import LoadReport
+from sassafrasstair.decisions.calls._messages import Need
 from sassafrasstair.decisions.calls._messages import Refuse
 from sassafrasstair.decisions.calls._messages import Send
 from sassafrasstair.decisions.calls._messages import Target
@@ -32,10 +36,9 @@
 from sassafrasstair.decisions.calls._peers import record_restart
 from sassafrasstair.decisions.calls._peers import Routes
 from sassafrasstair.decisions.calls._peers import start_attempt
-from sassafrasstair.decisions.calls._routing import CrossingReason
+from sassafrasstair.decisions.calls._routing import choose
 from sassafrasstair.decisions.calls._routing import pick_target
-from sassafrasstair.decisions.calls._routing import reason_for_crossing
-from sassafrasstair.decisions.calls._routing import shortest_service_seconds
+from sassafrasstair.decisions.calls._speeds import observe_route_seconds
 from sassafrasstair.decisions.calls._views import choose_target
 from sassafrasstair.decisions.calls._views import floors
 from sassafrasstair.decisions.calls._views import retry_tokens
@@ -50,6 +53,7 @@
     "Floors",
     "CrossingReason",
     "LoadReport",
+    "Need",
     "Pauses",
     "Refuse",
     "Routes",
@@ -58,6 +62,7 @@
     "abandon_call",
     "apply_answer",
     "begin_call",
+    "choose",
     "choose_target",
     "eject",
     "end_attempt",
@@ -68,6 +73,7 @@
     "forget_attempt",
     "max_message_age",
     "observe_floor",
+    "observe_route_seconds",
     "new_entrance",
     "note_beat",
     "pick_target",
--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -28,6 +28,7 @@
 from sassafrasstair.decisions.load._views import resize
 from sassafrasstair.decisions.load._views import route_seconds
 from sassafrasstair.decisions.load._views import service_seconds
+from sassafrasstair.decisions.load._views import usual_seconds
 from sassafrasstair.decisions.load._views import wait_seconds
 
 __all__ = [
@@ -58,4 +59,5 @@
     "wait_seconds",
     "suggest_rate",
     "tick",
+    "usual_seconds",
 ]
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -489,6 +489,7 @@
         load.wait_seconds(guard),
     )
     return _work_wire.WorkReport(
+        load.usual_seconds(guard, route),
         calls_below=_repeats.calls_below(daemon),
         costs=costs.costs_of_route(daemon.ledger, route, own, now),
     )
