Run idempotent pipelined requests side by side

Cause: a connection handled one request at a time, and an error of the parser was answered before the requests that were read well before it: after GET, GET and nonsense in one segment the client got one 400 and nothing ran, and the same after GET, GET with Connection: close, GET.

Change: each connection follows decisions.pipelines. A listener may be given is_idempotent; without it requests run one after the other as before. A refusal of what could not be read takes its turn behind the good requests. An interim 100 response waits for the answers before it. A connection whose client has sent more is closed in two steps, since closing a socket with unread data resets it and loses the unsent part of the last answer. Nothing starts while the client does not read its answers. Data is parsed in pieces of 16 KiB, so that the bound on waiting requests holds inside of one read.

--- a/src/sassafrasstair/httpio/_bodies.py
+++ b/src/sassafrasstair/httpio/_bodies.py
@@ -7,7 +7,7 @@
 
 @dataclasses.dataclass(slots=True)
 class MemoryBudget:
-    """Bytes of request bodies held by the process, and their limit.
+    """Bytes of message bodies held by the process, and their limit.
 
     Without the limit, a few hundred slow uploads would grow the process
     past its memory limit. It would be killed, and all of its requests
@@ -24,6 +24,10 @@
         self.held_bytes += size
         return True
 
+    def charge(self, size: int) -> None:
+        """Count ``size`` bytes that can't be refused, such as an answer."""
+        self.held_bytes += size
+
     def release(self, size: int) -> None:
         """Release ``size`` reserved bytes."""
         self.held_bytes -= size
--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -1,14 +1,18 @@
-"""Connections from clients; each handles its requests one by one."""
+"""Connections from clients.
+
+Each connection parses requests, starts them and writes their answers in the
+order that ``pipelines`` decides.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import collections
 import dataclasses
 import typing
 
 import httptools
 
+from sassafrasstair.decisions import pipelines
 from sassafrasstair.httpio import _messages
 
 if typing.TYPE_CHECKING:
@@ -21,8 +25,23 @@
 """Connections waiting to be accepted; a burst opens hundreds at once."""
 PIPELINED_MAX = 16
 """Pipelined requests queued on one connection before reading pauses."""
+SIDE_BY_SIDE_MAX = 8
+"""Pipelined requests of one connection that may run or be answered and not
+written; an ordinary client opens about as many connections."""
+HELD_BYTES_MAX = 1024 * 1024
+"""Bytes of answers that may wait for their turn before no further pipelined
+request is started."""
+LINGER_SECONDS = 2.0
+"""How long a closed connection discards what the client still sends. If the
+socket were closed with unread data, the kernel would reset the connection and
+drop answers that the client has not received yet (RFC 9112, 9.6)."""
+PARSED_BYTES_MAX = 16 * 1024
+"""Bytes parsed between two checks of the number of queued requests."""
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _PARSE_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
+_PIPELINE_LIMITS = pipelines.Limits(
+    SIDE_BY_SIDE_MAX, PIPELINED_MAX, HELD_BYTES_MAX
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,18 +58,21 @@
     idle_seconds: float = 30.0
 
 
-class Exchange:
+class Exchange(pipelines.Entry):
     """A request and its response."""
 
-    __slots__ = ("_connection", "gone", "request")
+    __slots__ = ("_answer", "_connection", "gone", "request")
 
     def __init__(
         self, connection: _Connection, request: _messages.Request
     ) -> None:
+        super().__init__(request.keep_alive)
         self.request = request
         self.gone: abc.Callable[[], None] | None = None
         """Called once if the client disconnects before the response."""
         self._connection = connection
+        self._answer: _Answer | None = None
+        """The response until its turn."""
 
     @property
     def peer_host(self) -> str:
@@ -68,8 +90,34 @@
         self._connection.respond(self, status, fields, body, close)
 
 
+@dataclasses.dataclass(slots=True)
+class _Answer:
+    """A response; ``refuses`` if no complete request was read.
+
+    The header fields of such a refusal are determined when it is written.
+    """
+
+    status: int
+    fields: _messages.Fields
+    body: bytes
+    refuses: bool = False
+
+
+def _never_idempotent(request: _messages.Request) -> bool:
+    return False
+
+
+def _ignore_fate(fate: pipelines.Fate) -> None:
+    pass
+
+
 class Listener:
-    """A listening address and its open connections."""
+    """A listening address and its open connections.
+
+    ``is_idempotent`` tells which pipelined requests may run side by side; by
+    default none may. ``note_pipelined`` is called for each pipelined request
+    when it is started or dropped.
+    """
 
     def __init__(
         self,
@@ -77,8 +125,14 @@
         refusal_fields: abc.Callable[[int], _messages.Fields],
         clock: clocks.Clock,
         memory: _bodies.MemoryBudget,
+        is_idempotent: abc.Callable[
+            [_messages.Request], bool
+        ] = _never_idempotent,
+        note_pipelined: abc.Callable[[pipelines.Fate], None] = _ignore_fate,
     ) -> None:
         self.handle = handle
+        self.is_idempotent = is_idempotent
+        self.note_pipelined = note_pipelined
         self.refusal_fields = refusal_fields
         """Returns the header fields of an error response with a status."""
         self.clock = clock
@@ -115,22 +169,31 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One connection; ``httptools`` calls the ``on_`` methods."""
+    """One connection; ``httptools`` calls the ``on_`` methods.
+
+    ``_unparsed`` is data that was read but not parsed, since enough requests
+    wait. ``_read_since`` is the time from which the limits on reading a
+    request count. ``_sent_ahead`` is set once the client has sent data behind
+    an unanswered request.
+    """
 
     __slots__ = (
         "_active_at",
         "_body_parts",
         "_body_size",
         "_closing",
-        "_current",
+        "_continue_due",
         "_head_size",
         "_listener",
         "_parser",
         "_paused",
-        "_queued",
+        "_pipeline",
+        "_read_since",
         "_reading",
-        "_rejected",
+        "_received_at",
+        "_sent_ahead",
         "_transport",
+        "_unparsed",
         "_unsent_bytes",
     )
 
@@ -138,17 +201,20 @@
         self._listener = listener
         self._parser: typing.Any = httptools.HttpRequestParser(self)
         self._transport: typing.Any = None
-        self._current: Exchange | None = None
-        self._queued: collections.deque[_messages.Request] = (
-            collections.deque()
+        self._pipeline: pipelines.Pipeline[Exchange] = pipelines.new_pipeline(
+            _PIPELINE_LIMITS
         )
         self._reading: _messages.Request | None = None
         self._body_parts: list[bytes] = []
         self._body_size = 0
         self._head_size = 0
         self._active_at = listener.clock.monotonic()
+        self._received_at = self._active_at
+        self._read_since = self._active_at
+        self._unparsed = b""
         self._paused = False
-        self._rejected = False
+        self._continue_due = False
+        self._sent_ahead = False
         self._closing = False
         self._unsent_bytes = 0
 
@@ -161,11 +227,7 @@
     @property
     def idle(self) -> bool:
         """Whether no request is being read, queued or handled."""
-        return (
-            self._current is None
-            and not self._queued
-            and self._reading is None
-        )
+        return not self._pipeline.entries and self._reading is None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the new connection."""
@@ -182,33 +244,44 @@
         self._disconnected()
         return False
 
+    def pause_writing(self) -> None:
+        """Start no further request while the client reads no answers."""
+        self._pipeline.unread = True
+
+    def resume_writing(self) -> None:
+        """Continue once the client has read most of its answers."""
+        self._pipeline.unread = False
+        if self._pipeline.entries:
+            self._start_waiting_soon()
+
     def data_received(self, data: bytes) -> None:
-        """Parse received data and start the next request."""
-        if self._rejected:
+        """Parse received data and start the requests that may start."""
+        pipeline = self._pipeline
+        if pipeline.entries:
+            self._sent_ahead = True
+        if pipeline.ended:
             return
+        self._received_at = self._listener.clock.monotonic()
         if self._reading is None:
-            self._active_at = self._listener.clock.monotonic()
-        if self._head_size >= 0:
-            self._head_size += len(data)
-        try:
-            self._parser.feed_data(data)
-        except _PARSE_ERRORS:
-            if not self._rejected:
-                self._reject(400)
-            return
+            self._active_at = self._received_at
+        if self._unparsed or len(data) > PARSED_BYTES_MAX:
+            self._parse_in_pieces(self._unparsed + data)
+        else:
+            self._parse(data)
         # The handler is not called from the parser's callbacks: the parser
         # would report an error in the handler as a malformed request.
-        if self._current is None and self._queued:
-            self._handle_next()
-        if self._reading is not None and self._head_size >= 0:
-            if self._head_size > self._listener.limits.head_bytes:
-                self._reject(431)
-        elif self._reading is None:
-            self._head_size = 0
+        if pipeline.entries:
+            if len(pipeline.entries) > 1 or self._reading is not None:
+                self._sent_ahead = True
+                self._update_reading()
+            self._start_waiting()
 
     def on_message_begin(self) -> None:
         """Start reading a request."""
-        self._reading = _messages.Request(self._active_at)
+        if self._pipeline.ended:
+            return
+        self._reading = _messages.Request(self._received_at)
+        self._read_since = self._received_at
         self._body_parts = []
         self._body_size = 0
 
@@ -236,7 +309,7 @@
     def on_headers_complete(self) -> None:
         """Check the head against the limits."""
         request = self._reading
-        if request is None or self._rejected:
+        if request is None:
             return
         self._head_size = -1
         request.method = self._parser.get_method()
@@ -244,12 +317,15 @@
         content_length = request.headers.get(b"content-length", b"0")
         if int(content_length or b"0") > self._listener.limits.body_bytes:
             self._reject(413)
+        elif self._parser.should_upgrade():
+            self._reject(400)
         elif request.headers.get(b"expect", b"").lower() == b"100-continue":
-            self._transport.write(_CONTINUE)
+            self._continue_due = True
+            self._send_continue()
 
     def on_body(self, body: bytes) -> None:
         """Store a piece of the body if the limits allow it."""
-        if self._rejected:
+        if self._reading is None:
             return
         if self._body_size + len(body) > self._listener.limits.body_bytes:
             self._reject(413)
@@ -262,16 +338,14 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         request = self._reading
-        if request is None or self._rejected:
+        if request is None:
             return
         self._reading = None
+        self._continue_due = False
         self._head_size = 0
         request.body = b"".join(self._body_parts)
         self._body_parts = []
-        self._queued.append(request)
-        if len(self._queued) >= PIPELINED_MAX and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
+        pipelines.add(self._pipeline, Exchange(self, request))
 
     def respond(
         self,
@@ -281,40 +355,38 @@
         body: bytes,
         close: bool,
     ) -> None:
-        """Send the response of the current exchange."""
-        if exchange is not self._current:
+        """Send the response, or hold it until its turn."""
+        if not pipelines.answer(self._pipeline, exchange, len(body)):
             return
-        request = exchange.request
-        self._current = None
-        self._listener.memory.release(len(request.body))
-        close = close or self._listener.closing or not request.keep_alive
-        omit_body = request.method == b"HEAD"
-        self._transport.write(
-            _messages.render_response(status, fields, body, close, omit_body)
-        )
-        self._active_at = self._listener.clock.monotonic()
-        if close:
-            self.close()
-        elif self._queued:
-            asyncio.get_running_loop().call_soon(self._handle_next)
+        memory = self._listener.memory
+        memory.release(len(exchange.request.body))
+        if exchange.held_bytes:
+            memory.charge(exchange.held_bytes)
+        if close or self._listener.closing:
+            pipelines.close_soon(self._pipeline)
+        exchange._answer = _Answer(status, fields, body)
+        self._write_answers()
 
     def check(self, now: float) -> None:
         """Close the connection if a time limit has passed."""
         limits = self._listener.limits
-        if self._current is not None:
+        if self._pipeline.started:
             return
         self._note_progress(now)
         if self._closing or self._unsent_bytes:
             # If the client stops reading, its response would stay in memory
             # for as long as the connection is open.
-            if now - self._active_at > limits.idle_seconds:
+            time_limit = limits.idle_seconds
+            if self._closing and not self._unsent_bytes:
+                time_limit = min(LINGER_SECONDS, time_limit)
+            if now - self._active_at > time_limit:
                 self._transport.abort()
         elif self._reading is not None:
             in_head = self._head_size >= 0
             time_limit = (
                 limits.head_seconds if in_head else limits.body_seconds
             )
-            if now - self._reading.received_at > time_limit:
+            if now - self._read_since > time_limit:
                 self._reject(408)
         elif now - self._active_at > limits.idle_seconds:
             self.close()
@@ -322,10 +394,49 @@
     def close(self) -> None:
         """Close the connection once all written data has been sent."""
         self._closing = True
-        for request in self._queued:
-            self._listener.memory.release(len(request.body))
-        self._queued.clear()
-        self._transport.close()
+        self._drop_requests()
+        if self._sent_ahead and not self._transport.is_closing():
+            self._transport.write_eof()
+            self._update_reading()
+        else:
+            self._transport.close()
+
+    def _parse(self, data: bytes) -> None:
+        if self._head_size >= 0:
+            self._head_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except _PARSE_ERRORS:
+            # Behind a request with `Connection: close`, this does nothing.
+            self._reject(400)
+        if self._reading is None:
+            self._head_size = 0
+        elif self._head_size > self._listener.limits.head_bytes:
+            self._reject(431)
+
+    def _parse_in_pieces(self, data: bytes) -> None:
+        """Parse data until enough requests wait, and keep the rest."""
+        pipeline = self._pipeline
+        self._unparsed = b""
+        for start in range(0, len(data), PARSED_BYTES_MAX):
+            if pipeline.ended:
+                return
+            if pipelines.should_pause_reading(pipeline):
+                self._unparsed = data[start:]
+                return
+            self._parse(data[start : start + PARSED_BYTES_MAX])
+
+    def _update_reading(self) -> None:
+        """Pause or resume reading, as the number of queued requests asks."""
+        pause = pipelines.should_pause_reading(self._pipeline)
+        if pause == self._paused or self._transport.is_closing():
+            return
+        self._paused = pause
+        if pause:
+            self._transport.pause_reading()
+            return
+        self._read_since = self._listener.clock.monotonic()
+        self._transport.resume_reading()
 
     def _note_progress(self, now: float) -> None:
         """Restart the idle time if the client has read more data."""
@@ -334,48 +445,133 @@
             self._active_at = now
         self._unsent_bytes = unsent_bytes
 
-    def _handle_next(self) -> None:
-        if self._current is not None or not self._queued:
+    def _start_waiting_soon(self) -> None:
+        asyncio.get_running_loop().call_soon(self._start_waiting)
+
+    def _start_waiting(self) -> None:
+        """Start the waiting requests that may start now."""
+        pipeline = self._pipeline
+        if self._listener.closing:
+            pipelines.close_soon(pipeline)
+        while exchange := pipelines.start_next(pipeline, self._is_idempotent):
+            if exchange.pipelined:
+                self._note_start()
+            try:
+                self._listener.handle(exchange)
+            except Exception:
+                # Without an answer to this request, none behind it could be
+                # written.
+                self._transport.abort()
+                raise
+            if exchange.phase is not pipelines.Phase.RUNNING:
+                # Others are started in the next iteration of the event loop,
+                # so that one client does not keep the loop busy.
+                if pipeline.entries:
+                    self._start_waiting_soon()
+                break
+        if self._paused and not pipelines.should_pause_reading(pipeline):
+            self._read_on()
+
+    def _note_start(self) -> None:
+        beside = self._pipeline.started > 1
+        self._listener.note_pipelined(
+            pipelines.Fate.BESIDE if beside else pipelines.Fate.WAITED
+        )
+
+    def _read_on(self) -> None:
+        """Parse what was kept, and read on if no more requests wait."""
+        self._parse_in_pieces(self._unparsed)
+        self._update_reading()
+        if self._pipeline.entries:
+            self._start_waiting_soon()
+
+    def _is_idempotent(self, exchange: Exchange) -> bool:
+        return self._listener.is_idempotent(exchange.request)
+
+    def _write_answers(self) -> None:
+        """Write the answers whose turn it is."""
+        pipeline = self._pipeline
+        while exchange := pipelines.pop_answered(pipeline):
+            self._write_answer(exchange)
+            if exchange.closes:
+                self.close()
+                return
+            if not pipeline.entries:
+                break
+        if self._continue_due:
+            self._send_continue()
+        if pipeline.entries:
+            self._start_waiting_soon()
+
+    def _write_answer(self, exchange: Exchange) -> None:
+        answer, exchange._answer = exchange._answer, None
+        if answer is None:
             return
-        if self._paused:
-            self._paused = False
-            self._transport.resume_reading()
-        exchange = Exchange(self, self._queued.popleft())
-        self._current = exchange
-        self._listener.handle(exchange)
+        if exchange.held_bytes:
+            self._listener.memory.release(exchange.held_bytes)
+        fields = answer.fields
+        if answer.refuses:
+            fields = self._listener.refusal_fields(answer.status)
+        self._transport.write(
+            _messages.render_response(
+                answer.status,
+                fields,
+                answer.body,
+                exchange.closes,
+                exchange.request.method == b"HEAD",
+            )
+        )
+        self._active_at = self._listener.clock.monotonic()
+
+    def _send_continue(self) -> None:
+        """Send the interim response that the request being read waits for.
+
+        It must not precede the answers to earlier requests.
+        """
+        if not self._pipeline.entries:
+            self._continue_due = False
+            self._read_since = self._listener.clock.monotonic()
+            self._transport.write(_CONTINUE)
 
     def _reject(self, status: int) -> None:
-        """Reject a request that was not read completely, and close."""
-        self._rejected = True
+        """Reject a request that was not read completely, and close.
+
+        The requests before it are answered first; data behind it is ignored.
+        """
+        if self._pipeline.entries:
+            self._sent_ahead = True
+        if self._pipeline.ended:
+            return
         self._discard_body()
         self._reading = None
-        if self._current is not None:
-            # The current request is answered first. Its response closes the
-            # connection; data received after it is discarded.
-            self._current.request.keep_alive = False
-            return
-        fields = self._listener.refusal_fields(status)
-        self._transport.write(
-            _messages.render_response(status, fields, b"", True, False)
-        )
-        self.close()
+        self._continue_due = False
+        exchange = Exchange(self, _messages.Request(self._received_at))
+        exchange._answer = _Answer(status, [], b"", refuses=True)
+        pipelines.add_refusal(self._pipeline, exchange)
+        self._write_answers()
 
     def _discard_body(self) -> None:
         self._listener.memory.release(self._body_size)
         self._body_size = 0
         self._body_parts = []
 
-    def _disconnected(self) -> None:
+    def _drop_requests(self) -> pipelines.Removed[Exchange]:
+        """Remove all requests, and release the memory that they hold."""
+        self._unparsed = b""
         if self._reading is not None:
             self._discard_body()
             self._reading = None
-        for request in self._queued:
-            self._listener.memory.release(len(request.body))
-        self._queued.clear()
-        exchange = self._current
-        if exchange is None:
-            return
-        self._current = None
-        self._listener.memory.release(len(exchange.request.body))
-        if exchange.gone is not None:
-            exchange.gone()
+        removed = pipelines.clear(self._pipeline)
+        memory = self._listener.memory
+        for exchange in (*removed.running, *removed.waiting):
+            memory.release(len(exchange.request.body))
+        for exchange in removed.answered:
+            memory.release(exchange.held_bytes)
+        for _ in removed.waiting:
+            self._listener.note_pipelined(pipelines.Fate.DROPPED)
+        return removed
+
+    def _disconnected(self) -> None:
+        for exchange in self._drop_requests().running:
+            if exchange.gone is not None:
+                exchange.gone()
