Overlap pipelined requests of idempotent routes in the forwarder

Cause: of requests sent ahead on a connection, those behind waited for the one before, while their time ran. One whose time was over when it started was sent all the same and answered 504, which promises nothing.

Change: the listener for clients asks the policy whether a request's route is idempotent, and runs such requests side by side. A request with too little time left to be answered is refused with 503 instead of being sent; the limit is the one that retries already had. pipelined_requests_total counts requests that ran beside others, waited, or were dropped.

Without the refusal, the test of a late start behind an unsafe request fails: 504 in place of 503.

--- a/src/sassafrasstair/decisions/requests/__init__.py
+++ b/src/sassafrasstair/decisions/requests/__init__.py
@@ -11,6 +11,7 @@
 from sassafrasstair.decisions.requests._progress import attempt_ended
 from sassafrasstair.decisions.requests._progress import attempt_sent
 from sassafrasstair.decisions.requests._progress import Ending
+from sassafrasstair.decisions.requests._progress import is_too_late
 from sassafrasstair.decisions.requests._progress import new_progress
 from sassafrasstair.decisions.requests._progress import outcome
 from sassafrasstair.decisions.requests._progress import Progress
@@ -26,6 +27,7 @@
     "allow_repeat",
     "attempt_ended",
     "attempt_sent",
+    "is_too_late",
     "new_progress",
     "new_window",
     "note_request",
--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -110,7 +110,7 @@
     if ending is Ending.LOST:
         progress.may_have_run = True
     progress.crashes += crashed
-    if now + MIN_ATTEMPT_SECONDS >= progress.deadline or _exhausted(progress):
+    if is_too_late(progress, now) or _exhausted(progress):
         return Step.GIVE_UP
     if ending in (Ending.UNSENT, Ending.TURNED_AWAY):
         return Step.RETRY
@@ -119,6 +119,11 @@
     return Step.GIVE_UP
 
 
+def is_too_late(progress: Progress, now: float) -> bool:
+    """Return whether an attempt that starts now could not be answered."""
+    return now + MIN_ATTEMPT_SECONDS >= progress.deadline
+
+
 def _exhausted(progress: Progress) -> bool:
     """Return whether a limit other than the budget rules out a retry."""
     return (
--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -10,6 +10,8 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from sassafrasstair.decisions import pipelines
+
 ROUTES_MAX = 64
 """Maximum number of route labels; further routes count as ``other``."""
 CUSTOMERS_MAX = 400
@@ -29,6 +31,8 @@
         default_factory=dict
     )
     """Ended attempts, by service and result."""
+    pipelined: dict[str, int] = dataclasses.field(default_factory=dict)
+    """Requests sent before earlier answers, by ``pipelines.Fate``."""
     upstream_requests: int = 0
     """Requests sent to this VM's upstream."""
     state_changes: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -94,6 +98,11 @@
     counters.attempts[key] = counters.attempts.get(key, 0) + 1
 
 
+def count_pipelined(counters: Counters, fate: pipelines.Fate) -> None:
+    """Count a request that a client sent before earlier answers."""
+    counters.pipelined[fate.value] = counters.pipelined.get(fate.value, 0) + 1
+
+
 def count_state_change(counters: Counters, what: str) -> None:
     """Count a change of the daemon's known state; ``what`` names its event."""
     counters.state_changes[what] = counters.state_changes.get(what, 0) + 1
@@ -139,6 +148,12 @@
             ("service", "how"),
             counters.attempts,
         ),
+        histograms.render_counter(
+            "pipelined_requests_total",
+            "Requests sent before earlier answers, by how they were handled",
+            ("how",),
+            {(name,): value for name, value in counters.pipelined.items()},
+        ),
         histograms.render_counter(
             "upstream_requests_total",
             "Requests sent to this VM's upstream",
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -77,9 +77,7 @@
         self.daemon = daemon
         self.stopping = asyncio.Event()
         refuse = functools.partial(_refusal_fields, daemon)
-        self.callers = _listener(
-            daemon, functools.partial(_entrance.handle, daemon), refuse
-        )
+        self.callers = _client_listener(daemon, refuse)
         self.daemons = _listener(
             daemon, functools.partial(_inbound.handle, daemon), refuse
         )
@@ -173,6 +171,20 @@
     return httpio.Listener(handle, refuse, daemon.clock, daemon.memory)
 
 
+def _client_listener(
+    daemon: _state.Daemon, refuse: typing.Callable[[int], httpio.Fields]
+) -> httpio.Listener:
+    """Return the listener for clients, whose safe requests may overlap."""
+    return httpio.Listener(
+        functools.partial(_entrance.handle, daemon),
+        refuse,
+        daemon.clock,
+        daemon.memory,
+        functools.partial(_entrance.is_idempotent, daemon),
+        functools.partial(_counters.count_pipelined, daemon.counters),
+    )
+
+
 def _refusal_fields(daemon: _state.Daemon, status: int) -> httpio.Fields:
     """Return the fields of the answer to an incompletely read request."""
     daemon.journal.request("unread", str(status), status=status)
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -37,6 +37,10 @@
     now = daemon.clock.monotonic()
     call = _begin_call(daemon, exchange, route, customer, now)
     call.key_digest = key
+    if requests.is_too_late(call.progress, now):
+        # It has waited on its connection behind an earlier request.
+        expire_call(daemon, call)
+        return
     relative_importance = (
         _importance(route, customer) - daemon.least_importance
     )
@@ -52,6 +56,19 @@
     _attempts.send_attempt(daemon, call)
 
 
+def is_idempotent(daemon: _state.Daemon, request: httpio.Request) -> bool:
+    """Return whether a request's route allows it to run more than once.
+
+    A request without a route is answered with an error, which is not worth
+    running it beside others.
+    """
+    table = daemon.view.table
+    if table is None:
+        return False
+    route = _match_route(table, request)
+    return route is not None and route.idempotent
+
+
 def _continue_call(
     daemon: _state.Daemon, call: _records.Call, reason: outcomes.Reason
 ) -> None:
@@ -82,9 +99,7 @@
     if table is None:
         _endings.refuse_early(daemon, exchange, outcomes.Reason.NO_BUNDLE)
         return None
-    host = found.get(b"host", b"").decode("latin-1")
-    path = exchange.request.target.partition(b"?")[0].decode("latin-1")
-    route = policies.match_route(table, host, path)
+    route = _match_route(table, exchange.request)
     if route is None:
         if views.is_store_unreachable(daemon.view, daemon.clock.monotonic()):
             _endings.refuse_early(daemon, exchange, outcomes.Reason.NO_BUNDLE)
@@ -92,12 +107,20 @@
             reason = outcomes.Reason.UNKNOWN_SERVICE
             _endings.answer_early(daemon, exchange, 404, reason)
         return None
-    if not host or not found.get(daemon.header_keys.request_id):
+    if not found.get(b"host") or not found.get(daemon.header_keys.request_id):
         _endings.answer_early(daemon, exchange, 400, outcomes.Reason.MALFORMED)
         return None
     return route
 
 
+def _match_route(
+    table: policies.Table, request: httpio.Request
+) -> policies.Route | None:
+    host = request.headers.get(b"host", b"").decode("latin-1")
+    path = request.target.partition(b"?")[0].decode("latin-1")
+    return policies.match_route(table, host, path)
+
+
 def _begin_call(
     daemon: _state.Daemon,
     exchange: httpio.Exchange,
