--- a/tests/decisions/pipelines/test_pipelines.py
+++ b/tests/decisions/pipelines/test_pipelines.py
@@ -38,6 +38,7 @@
             LIMITS
         )
         self.requests: list[Request] = []
+        self.refusals: list[Request] = []
         self.started: list[Request] = []
         self.written: list[Request] = []
         self.gone: list[Request] = []
@@ -59,12 +60,14 @@
         request = Request(number=len(self.requests))
         if pipelines.add_refusal(self.pipeline, request):
             self.requests.append(request)
+            self.refusals.append(request)
         self.write()
 
     def start(self) -> None:
         """Start all requests that may start, and check that each may."""
         while request := pipelines.start_next(self.pipeline, _is_safe):
             assert not self.closed
+            assert request not in self.refusals
             running = self.unanswered()
             if running:
                 assert request.safe
@@ -161,6 +164,7 @@
 )
 
 
+@hypothesis.settings(max_examples=500, deadline=None)
 @hypothesis.given(events=strategies.lists(EVENTS, max_size=60))
 def test_any_interleaving_keeps_order_and_bounds(
     events: list[tuple[str, ...]],
@@ -206,6 +210,31 @@
     assert len(_received(kinds).started) == started
 
 
+def test_nothing_is_taken_behind_a_request_that_closes() -> None:
+    """It would run, and run again when the client sends it again."""
+    connection = Connection()
+    connection.receive()
+    connection.receive(keep_alive=False)
+    connection.receive()
+    connection.refuse()
+    assert len(connection.started) == 2
+    connection.answer(1)
+    connection.answer(0)
+    assert [request.closes for request in connection.written] == [False, True]
+
+
+def test_refusal_is_written_in_its_turn_and_closes() -> None:
+    """A bad request must not hide the answers to good ones before it."""
+    connection = _received("su")
+    connection.refuse()
+    connection.receive()
+    connection.answer(0)
+    connection.answer(0)
+    closes = [request.closes for request in connection.written]
+    assert closes == [False, False, True]
+    assert len(connection.started) == 2
+
+
 def test_kind_of_a_single_request_is_not_looked_up() -> None:
     """Connections without pipelining would pay for the lookup."""
     pipeline: pipelines.Pipeline[Request] = pipelines.new_pipeline(LIMITS)
--- a/tests/httpio/test_pipelining.py
+++ b/tests/httpio/test_pipelining.py
@@ -288,6 +288,8 @@
 
 
 def test_incomplete_request_times_out_behind_good_ones() -> None:
+    """Its 408 would come before the answers to the good ones."""
+
     async def test() -> None:
         server = await _server(_requests("s") + b"GET / HT")
         await server.wait_until_started(0)
@@ -488,7 +490,9 @@
     run(test())
 
 
-def test_failed_first_request_delays_no_other() -> None:
+def test_failed_first_request_fails_no_other() -> None:
+    """An error status must not close the connection under the others."""
+
     async def test() -> None:
         server = await _server(_requests("sss"))
         await server.wait_until_started(0, 1, 2)
@@ -506,18 +510,21 @@
     """Answers behind a request without an answer would wait for ever."""
 
     async def test() -> None:
-        server = await _server(_requests("s"))
+        server = await _server(_requests("uss"))
         await server.wait_until_started(0)
+        handle = server.listener.handle
 
-        def fail(exchange: httpio.Exchange) -> None:
-            raise RuntimeError
+        def fail_last(exchange: httpio.Exchange) -> None:
+            if exchange.request.target == b"/safe/2":
+                raise RuntimeError
+            handle(exchange)
 
-        server.listener.handle = fail
+        server.listener.handle = fail_last
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        server.writer.write(_request("/safe/1"))
+        server.answer(0)
         while server.listener.connections:
             await asyncio.sleep(0.005)
-        assert server.gone == ["0"]
+        assert server.gone == ["1"]
         server.writer.close()
 
     run(test())
