--- a/src/sassafrasstair/decisions/requests/__init__.py
+++ b/src/sassafrasstair/decisions/requests/__init__.py
@@ -24,6 +24,7 @@
 from sassafrasstair.decisions.requests._progress import attempt_ended
 from sassafrasstair.decisions.requests._progress import attempt_sent
 from sassafrasstair.decisions.requests._progress import Ending
+from sassafrasstair.decisions.requests._progress import is_too_late
 from sassafrasstair.decisions.requests._progress import new_progress
 from sassafrasstair.decisions.requests._progress import outcome
 from sassafrasstair.decisions.requests._progress import Progress
@@ -45,6 +46,7 @@
     "depth_of",
     "find_hop",
     "new_depths",
+    "is_too_late",
     "new_progress",
     "new_window",
     "note_call",
--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -10,6 +10,8 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from sassafrasstair.decisions import pipelines
+
 ROUTES_MAX = 64
 """Maximum number of route labels; further routes count as ``other``."""
 IMPORTANCES_MAX = 32
@@ -35,6 +37,8 @@
         default_factory=dict
     )
     """Repeats that the retry budget allowed or denied, by importance."""
+    pipelined: dict[str, int] = dataclasses.field(default_factory=dict)
+    """Requests sent before earlier answers, by ``pipelines.Fate``."""
     upstream_requests: int = 0
     """Requests sent to this VM's upstream."""
     state_changes: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -111,6 +115,11 @@
     counters.repeats[key] = counters.repeats.get(key, 0) + 1
 
 
+def count_pipelined(counters: Counters, fate: pipelines.Fate) -> None:
+    """Count a request that a client sent before earlier answers."""
+    counters.pipelined[fate.value] = counters.pipelined.get(fate.value, 0) + 1
+
+
 def count_state_change(counters: Counters, what: str) -> None:
     """Count a change of the daemon's known state; ``what`` names its event."""
     counters.state_changes[what] = counters.state_changes.get(what, 0) + 1
@@ -162,6 +171,12 @@
             ("importance", "how"),
             counters.repeats,
         ),
+        histograms.render_counter(
+            "pipelined_requests_total",
+            "Requests sent before earlier answers, by how they were handled",
+            ("how",),
+            {(name,): value for name, value in counters.pipelined.items()},
+        ),
         histograms.render_counter(
             "upstream_requests_total",
             "Requests sent to this VM's upstream",
