Keep the logs and figures of a soak that failed

Two failures of the soak showed once each and could not be traced: their logs were in a temporary folder that the next runs removed, and of the second not even the figure was kept. A soak that fails now leaves its folder and prints the path. A denied request tells its entrance and the age of its key; the crash soak tells each answer other than 200 of its calm part, and how many there were.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import pathlib
+import shutil
 import sys
 import tempfile
 import time
@@ -52,10 +53,20 @@
 def _soak(
     seed: int, soak: typing.Callable[[pathlib.Path], _Soak], keep: str
 ) -> bool:
-    with tempfile.TemporaryDirectory() as scratch:
-        folder = pathlib.Path(keep or scratch) / f"{seed}"
+    """Run a soak; return whether it broke a promise.
+
+    The folder with its logs stays in that case, or if all are to be kept.
+    """
+    folder = pathlib.Path(keep) / f"{seed}"
+    if keep:
         folder.mkdir(parents=True, exist_ok=True)
+    else:
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    try:
         report = asyncio.run(soak(folder))
+    except BaseException:
+        click.echo(f"seed {seed} ended early, logs: {folder}")
+        raise
     click.echo(
         f"seed {seed}: faults {len(report.faults)}, served {report.served},"
         f" refused {report.refused}, failed {report.failed},"
@@ -63,6 +74,10 @@
     )
     for line in report.broken[:10]:
         click.echo(f"  {line}")
+    if report.broken or keep:
+        click.echo(f"  logs: {folder}")
+    else:
+        shutil.rmtree(folder)
     return bool(report.broken)
 
 
--- a/tests/platform/soak/crashes.py
+++ b/tests/platform/soak/crashes.py
@@ -9,6 +9,7 @@
 
 from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import oracle as oracle_module
+from tests.platform.soak import records
 from tests.platform.soak import upstreams
 
 if typing.TYPE_CHECKING:
@@ -59,7 +60,8 @@
     """What one run showed; shares of requests answered with success.
 
     ``late`` is that of the request with the most late arrivals, ``calm`` is
-    from a second after the return from the last crash on.
+    from a second after the return from the last crash on. ``calm_failures``
+    lists the others among the ``calm_answers``.
     """
 
     crashes: int = 0
@@ -69,11 +71,14 @@
     popular: float = 0.0
     calm: float = 0.0
     broken: tuple[str, ...] = ()
+    calm_answers: int = 0
+    calm_failures: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
 class _Answer:
     at: float
+    entrance: str
     popular: bool
     status: int
 
@@ -95,21 +100,30 @@
         fleet.check_alive()
     finally:
         await fleet.close()
+        records.write_report(folder, _report(fleet, answers))
     return _report(fleet, answers)
 
 
 def _report(fleet: fleet_module.Fleet, answers: list[_Answer]) -> Report:
     known = list(fleet.oracle.crashing.values())
     last = max((max(each.crashes, default=0.0) for each in known), default=0.0)
-    calm = last + upstreams.AWAY_SECONDS + RETURN_SECONDS
+    since = last + upstreams.AWAY_SECONDS + RETURN_SECONDS
+    calm = [each for each in answers if each.at > since and each.status]
     return Report(
         sum(len(each.crashes) for each in known),
         fleet.crashed - sum(len(each.crashes) for each in known),
         max((each.late() for each in known), default=0),
         _share([each for each in answers if not each.popular]),
         _share([each for each in answers if each.popular]),
-        _share([each for each in answers if each.at > calm]),
+        _share(calm),
         tuple(fleet.oracle.broken),
+        len(calm),
+        tuple(
+            f"{each.status} of {each.entrance} {each.at - since:.3f} s in,"
+            f" popular {each.popular}"
+            for each in calm
+            if each.status != 200
+        ),
     )
 
 
@@ -134,7 +148,13 @@
             target = POPULAR if popular else ""
             at = loop.time()
             status = await vm.client.call("deep", True, 2.0, target)
-            answers.append(_Answer(at, popular, status))
+            answers.append(_Answer(at, vm.name, popular, status))
+            if status not in (0, 200):
+                took = loop.time() - at
+                fleet.timeline.note(
+                    f"answer {status} of {vm.name}, popular {popular},"
+                    f" after {took:.3f} s"
+                )
 
         task = asyncio.ensure_future(call())
         calls.add(task)
--- a/tests/platform/soak/customers.py
+++ b/tests/platform/soak/customers.py
@@ -106,6 +106,13 @@
             return True
         return sent_at < key.added + PROPAGATION_SECONDS
 
+    def describe(self, text: str, sent_at: float) -> str:
+        """Return how old a key was when a request with it was sent."""
+        key = self.keys.get(text)
+        if key is None:
+            return "without a known key"
+        return f"{sent_at - key.added:.3f} s after {text} was added"
+
     def most(self) -> int:
         """Return the most requests sent and run within one window."""
         runs = sorted(self.runs)
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -17,6 +17,7 @@
 from tests.platform.soak import clients
 from tests.platform.soak import customers as customers_module
 from tests.platform.soak import oracle as oracle_module
+from tests.platform.soak import records
 from tests.platform.soak import relays
 from tests.platform.soak import store as store_module
 from tests.platform.soak import upstreams
@@ -80,13 +81,16 @@
         self, folder: pathlib.Path, rng: random.Random, copies: int = 1
     ) -> None:
         self.rng = rng
-        self.store = store_module.Store()
+        self.timeline = records.Timeline(folder)
+        self.store = store_module.Store(self.timeline.note)
         self.customers = customers_module.Customers(rng)
         self.oracle = oracle_module.Oracle(
             {route: {service} for route, service in ROUTES.items()},
             self.customers,
+            self.timeline.note,
         )
         self.faults: list[str] = []
+        self._timers: asyncio.Future[None] | None = None
         self.crashed = 0
         self._returns: set[asyncio.Task[None]] = set()
         net = f"127.{os.getpid() % 200 + 20}"
@@ -129,6 +133,7 @@
 
     def _crashed(self, vm: Vm) -> None:
         """Bring a crashed instance back, under its new id."""
+        self.timeline.note(f"crashed {vm.name} {vm.registered}")
         self.crashed += 1
         task = asyncio.ensure_future(self._bring_back(vm, vm.registered))
         self._returns.add(task)
@@ -136,6 +141,7 @@
 
     async def _bring_back(self, vm: Vm, before: str) -> None:
         await vm.upstream.restart()
+        self.timeline.note(f"returned {vm.name} {vm.upstream.id}")
         self.register(vm)
         await asyncio.sleep(LAPSE_SECONDS)
         if before != vm.registered:
@@ -162,6 +168,7 @@
 
     async def open(self) -> None:
         """Start everything and wait until all daemons are ready."""
+        self._timers = asyncio.ensure_future(self.timeline.watch_timers())
         await self.store.open(self.store_host, STORE)
         now = asyncio.get_running_loop().time()
         for _ in range(customers_module.KEYS_EACH):
@@ -177,9 +184,16 @@
         for vm in self.vms:
             await self.ready(vm)
 
+    def note_fault(self, fault: str) -> None:
+        """Note a fault that begins now."""
+        self.faults.append(fault)
+        self.timeline.note(f"fault {fault}")
+
     def configure(self) -> None:
         """Write the next version of the policy."""
         self.version += self.rng.randint(1, 3)
+        keys = [key.text for key in self.customers.valid()]
+        self.timeline.note(f"policy {self.version} {keys}")
         self.customers.rate = self.rng.choice(customers_module.RATES)
         routes = {
             name: {
@@ -240,6 +254,7 @@
             "SASSAFRASSTAIR_BOOT": str(vm.boot),
             "PYTHONPATH": os.pathsep.join(sys.path),
         }
+        self.timeline.note(f"started {vm.name}")
         with vm.log.open("ab") as log:
             vm.process = subprocess.Popen(
                 [sys.executable, "-m", "sassafrasstair.console.forwarder"],
@@ -268,6 +283,7 @@
     async def stop(self, vm: Vm) -> None:
         """Stop the daemon as planned; it must end by itself with 0."""
         process = running(vm)
+        self.timeline.note(f"stops {vm.name}")
         process.send_signal(signal.SIGTERM)
         code = await ended(process, GRACE + STOP_SLACK)
         if code != 0:
@@ -277,6 +293,7 @@
     async def kill(self, vm: Vm) -> None:
         """End the daemon at once."""
         process = running(vm)
+        self.timeline.note(f"kills {vm.name}")
         process.kill()
         await ended(process, STOP_SLACK)
         self.oracle.notices.excuse(vm.host)
@@ -290,6 +307,8 @@
 
     async def close(self) -> None:
         """End all daemons and stop all stand-ins."""
+        if self._timers is not None:
+            self._timers.cancel()
         for task in self._returns:
             task.cancel()
         for vm in self.vms:
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -5,10 +5,14 @@
 import asyncio
 import dataclasses
 import hashlib
+import typing
 
 from tests import notices as notices_module
 from tests.platform.soak import customers as customers_module
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that promise that the request has not run and never will."""
 DEADLINE_SLACK = 0.5
@@ -88,7 +92,9 @@
         self,
         services: dict[str, set[str]],
         customers: customers_module.Customers,
+        note: abc.Callable[[str], None] = lambda text: None,
     ) -> None:
+        self._note = note
         self.customers = customers
         self.services = services
         """Which services a route ever led to."""
@@ -170,7 +176,10 @@
             self.failed += 1
         denied = status in (400, 401, 403, 404, 413, 431)
         if denied and not self._may_be_denied(sent, status):
-            self._break("DENIED", key, f"status {status}")
+            since = asyncio.get_running_loop().time() - sent.at
+            detail = f"at {sent.entrance}, sent {since:.3f} s before"
+            about = self.customers.describe(sent.api_key, sent.at)
+            self._break("DENIED", key, f"status {status} {detail}, {about}")
         self._check_refusals(sent)
 
     def check_notices(self) -> None:
@@ -209,3 +218,4 @@
 
     def _break(self, rule: str, key: str, detail: str) -> None:
         self.broken.append(f"{rule} {key}: {detail}")
+        self._note(f"broken {self.broken[-1]}")
--- a/tests/platform/soak/power.py
+++ b/tests/platform/soak/power.py
@@ -11,6 +11,7 @@
 import typing
 
 from tests.platform.soak import fleet as fleet_module
+from tests.platform.soak import records
 from tests.platform.soak import scenario
 
 if typing.TYPE_CHECKING:
@@ -40,6 +41,7 @@
         await scenario.check_end(fleet)
     finally:
         await fleet.close()
+        records.write_report(folder, scenario.report(seed, fleet))
     return scenario.report(seed, fleet)
 
 
@@ -54,7 +56,7 @@
     ]
     copy = fleet.store.copy()
     await asyncio.sleep(LEAVE_SECONDS[1] / 2)
-    fleet.faults.append(f"power {store}")
+    fleet.note_fault(f"power {store}")
     if store:
         fleet.store.mode = rng.choice(AWAY_MODES)
     for vm in fleet.vms:
@@ -80,5 +82,5 @@
 
 async def _leave_later(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
     await asyncio.sleep(fleet.rng.uniform(*LEAVE_SECONDS))
-    fleet.faults.append(f"leave {vm.name}")
+    fleet.note_fault(f"leave {vm.name}")
     await scenario.leave(fleet, vm)
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -11,6 +11,7 @@
 
 from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import oracle as oracle_module
+from tests.platform.soak import records
 from tests.platform.soak import upstreams
 
 if typing.TYPE_CHECKING:
@@ -77,6 +78,7 @@
         await check_end(fleet)
     finally:
         await fleet.close()
+        records.write_report(folder, report(seed, fleet))
     return report(seed, fleet)
 
 
@@ -125,7 +127,7 @@
     for name, vm in zip(
         FIRST_FAULTS, fleet.rng.sample(deep, len(FIRST_FAULTS)), strict=True
     ):
-        fleet.faults.append(f"{name} {vm.name}")
+        fleet.note_fault(f"{name} {vm.name}")
         under_way.add(asyncio.ensure_future(_apply(fleet, vm, name)))
     while loop.time() < until:
         await asyncio.sleep(fleet.rng.uniform(*FAULT_PAUSE))
@@ -134,7 +136,7 @@
         if name in ON_PROCESS and vm.busy:
             continue
         fleet.check_alive()
-        fleet.faults.append(f"{name} {vm.name}")
+        fleet.note_fault(f"{name} {vm.name}")
         under_way.add(asyncio.ensure_future(_apply(fleet, vm, name)))
     await asyncio.gather(*under_way)
 
@@ -150,6 +152,7 @@
         await FAULTS[name](fleet, vm)
     finally:
         vm.busy = False
+        fleet.timeline.note(f"ended {name} {vm.name}")
 
 
 async def _check_crashes(fleet: fleet_module.Fleet) -> None:
--- a/tests/platform/soak/store.py
+++ b/tests/platform/soak/store.py
@@ -12,6 +12,9 @@
 from sassafrasstair import clocks
 from sassafrasstair import httpio
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 HISTORY = 400
 Event = dict[str, object]
 
@@ -31,7 +34,10 @@
     ``era`` counts how often it came back from an older copy.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, note: abc.Callable[[str], None] = lambda text: None
+    ) -> None:
+        self._note_step = note
         self.items: dict[str, Event] = {}
         self.events: list[Event] = []
         self.revision = 1
@@ -98,10 +104,12 @@
         self.items = dict(copy.items)
         self.events = list(copy.events)
         self.oldest = min(self.oldest, self.revision)
+        self._note_step(f"store era {self.era}, lacks {sorted(self._lost)}")
         self._wake()
 
     def write_again(self) -> None:
         """Write what was lost and has not been written since."""
+        self._note_step(f"store gets again {sorted(self._lost)}")
         for key, item in list(self._lost.items()):
             if item is None:
                 self.remove(key)
