Deny no key at a daemon that starts right after a restore of the store

Cause, found by reading and then provoked: a daemon that is in an older era confirms nothing for 2 s after the store came back from an older copy, as the copy may lack the newest policy. A daemon that starts has no earlier era to compare with. If it is the one that reads the store, its first full read is that of the copy: it confirms the policy at once and answers 401 for the keys that only the lost policy has, until its writer has written it again. Its followers are not concerned unless they start as well.

Change: where revoked keys must stop within a time, an unknown key gets 503 and not 401 until the policy has been confirmed for a time at least 2 s after the daemon's first ordered state. Known keys are treated as before.

--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -5,6 +5,7 @@
 from sassafrasstair.decisions.views._confirmations import active_version
 from sassafrasstair.decisions.views._confirmations import apply_confirmation
 from sassafrasstair.decisions.views._confirmations import Confirmation
+from sassafrasstair.decisions.views._confirmations import may_lack_changes
 from sassafrasstair.decisions.views._confirmations import note_changes_read
 from sassafrasstair.decisions.views._confirmations import note_full_read
 from sassafrasstair.decisions.views._confirmations import own_confirmation
@@ -86,6 +87,7 @@
     "knows_policy",
     "least_importance",
     "lost_store_seconds",
+    "may_lack_changes",
     "new_view",
     "note_changes_read",
     "note_full_read",
--- a/src/sassafrasstair/decisions/views/_confirmations.py
+++ b/src/sassafrasstair/decisions/views/_confirmations.py
@@ -82,6 +82,16 @@
     return now - view.confirmed_at
 
 
+def may_lack_changes(view: _views.View) -> bool:
+    """Return whether the policy may be that of an older copy of the store.
+
+    A daemon that starts can't tell whether the store was restored just before
+    its first read: the policy that it confirms may then be one that had been
+    replaced.
+    """
+    return view.confirmed_at < view.settled_from
+
+
 def note_full_read(view: _views.View, revision: int) -> None:
     """Record a full read of the latest state, as of ``revision``.
 
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -99,7 +99,9 @@
     have been the newest. The view has all policies up to the store revision
     ``policies_read_to_revision``. No confirmation is accepted for times
     before ``confirmable_from``, as the store may then still have lacked
-    changes that were lost by a restore.
+    changes that were lost by a restore. If the store was restored right
+    before this daemon's first ordered state of it, what the copy lacked is
+    written again by ``settled_from``.
 
     ``history`` holds the content revision at which each entry last changed,
     so that a peer is sent only what it lacks. ``target_cache`` holds, by
@@ -125,6 +127,7 @@
     recovering_until: float = -math.inf
     confirmed_at: float = -math.inf
     confirmable_from: float = -math.inf
+    settled_from: float = math.inf
     policies_read_to_revision: int = -1
     target_cache: dict[str, tuple[calls.Target, ...]] = dataclasses.field(
         default_factory=dict
@@ -253,6 +256,8 @@
     """
     if revision < view.revision:
         return []
+    if view.revision < 0 <= revision:
+        view.settled_from = now + RESTORE_SETTLE_SECONDS
     view.revision = revision
     updates: Updates = []
     for change in _drop_superseded_policies(changes):
--- a/src/sassafrasstair/forwarding/_customers.py
+++ b/src/sassafrasstair/forwarding/_customers.py
@@ -90,6 +90,18 @@
         return None
 
 
+def may_be_outdated(daemon: _state.Daemon, now: float) -> bool:
+    """Return whether a newer policy may have a key that is unknown here."""
+    if views.is_store_unreachable(daemon.view, now):
+        return True
+    if not _confirmations.has_revocation_bound(daemon):
+        return False
+    if views.may_lack_changes(daemon.view):
+        return True
+    age = views.unconfirmed_seconds(daemon.view, now)
+    return age > daemon.settings.bounds.propagation_seconds
+
+
 def _reject(
     daemon: _state.Daemon,
     exchange: httpio.Exchange,
@@ -100,7 +112,7 @@
 
     A newer policy might contain the key.
     """
-    if _may_be_outdated(daemon, now):
+    if may_be_outdated(daemon, now):
         reason = outcomes.Reason.POLICY_UNCONFIRMED
         _endings.refuse_early(daemon, exchange, reason)
         return
@@ -108,12 +120,3 @@
     _endings.answer_early(
         daemon, exchange, UNAUTHORIZED_STATUS, reason, fields
     )
-
-
-def _may_be_outdated(daemon: _state.Daemon, now: float) -> bool:
-    if views.is_store_unreachable(daemon.view, now):
-        return True
-    if not _confirmations.has_revocation_bound(daemon):
-        return False
-    age = views.unconfirmed_seconds(daemon.view, now)
-    return age > daemon.settings.bounds.propagation_seconds
--- a/tests/decisions/views/test_eras.py
+++ b/tests/decisions/views/test_eras.py
@@ -161,3 +161,30 @@
     updates = views.expire(view, 103.0 + _views.LAPSED_SECONDS)
     assert updates == [(views.News.GONE, "i")]
     assert _targets(view) == {"o"}
+
+
+@pytest.mark.parametrize(
+    ("confirmed_at", "may_lack"),
+    [(100.0, True), (101.9, True), (102.0, False), (104.0, False)],
+)
+def test_first_policy_may_be_that_of_an_older_copy(
+    confirmed_at: float, may_lack: bool
+) -> None:
+    """A daemon that started right after a restore denied a valid key."""
+    view = views.new_view()
+    assert views.may_lack_changes(view)
+    policy = policies.Policy(5, (), LIMITS)
+    views.replace_all(view, [policy], AFTER, AFTER, 100.0)
+    assert views.apply_confirmation(view, 5, confirmed_at)
+    assert views.may_lack_changes(view) is may_lack
+
+
+def test_stale_state_does_not_settle_a_view() -> None:
+    """A stale read shows nothing of when the store was restored."""
+    view = views.new_view()
+    policy = policies.Policy(5, (), LIMITS)
+    stale = views.UNORDERED
+    views.replace_all(view, [policy], stale, stale, 90.0)
+    views.replace_all(view, [policy], AFTER, AFTER, 100.0)
+    views.apply_confirmation(view, 5, 101.9)
+    assert views.may_lack_changes(view)
--- a/tests/fleets/test_revocations.py
+++ b/tests/fleets/test_revocations.py
@@ -9,13 +9,18 @@
 
 from sassafrasstair.decisions import policies
 from sassafrasstair.forwarding import _confirmations
+from sassafrasstair.forwarding import _customers as customers_module
 from tests.fleets import fleet as fleet_module
 from tests.fleets import loops
 
 Fleet = fleet_module.Fleet
 REVOCATION = 5.0
+PROPAGATION = 2.5
 KEY = policies.digest_key(b"k")
 OTHER_KEY = policies.digest_key(b"other")
+ADDED_KEY = policies.digest_key(b"added")
+REWRITE_SECONDS = 1.8
+"""From a restore until the writes that the backup lacks are there again."""
 MIN_SERVING_SHARE = 0.6
 """Share of the bound for which a daemon without the store must serve."""
 
@@ -24,7 +29,7 @@
     return Fleet(
         count,
         4,
-        bound=2.5,
+        bound=PROPAGATION,
         customers=_customers(KEY, OTHER_KEY),
         revocation_bound=REVOCATION,
     )
@@ -43,6 +48,16 @@
     return _confirmations.is_fresh(daemon, daemon.clock.monotonic())
 
 
+def _denies(fleet: Fleet, host: str, key: bytes) -> bool:
+    """Return whether a daemon would answer a key with 401 now."""
+    daemon = fleet.daemons[host]
+    table = daemon.view.table
+    if table is None or key in (table.customers_by_key_digest or {}):
+        return False
+    now = daemon.clock.monotonic()
+    return not customers_module.may_be_outdated(daemon, now)
+
+
 async def _start_settled(fleet: Fleet) -> None:
     await fleet.start()
     await asyncio.sleep(4.0)
@@ -228,7 +243,9 @@
         missing = fleet.store.restore(copy)
         fleet.store.answer_all_hosts()
         loop = asyncio.get_running_loop()
-        rewrite = loop.call_later(1.8, fleet.store.rewrite, missing)
+        rewrite = loop.call_later(
+            REWRITE_SECONDS, fleet.store.rewrite, missing
+        )
         while loop.time() < revoked + 3.0 * REVOCATION:
             await asyncio.sleep(0.05)
             if loop.time() > revoked + REVOCATION:
@@ -237,3 +254,33 @@
         assert all(_accepts(fleet, h, OTHER_KEY) for h in fleet.daemons)
 
     loops.run(test())
+
+
+@pytest.mark.parametrize("later", [0.0, 0.02, 0.5, 1.0, 1.5])
+def test_reader_that_starts_after_a_restore_denies_no_valid_key(
+    later: float,
+) -> None:
+    """It knows of no restore, and the backup lacks the key's policy."""
+
+    async def test() -> None:
+        fleet = _fleet()
+        await _start_settled(fleet)
+        copy = fleet.store.back_up()
+        fleet.customers = _customers(KEY, OTHER_KEY, ADDED_KEY)
+        fleet.publish_policy()
+        loop = asyncio.get_running_loop()
+        added = loop.time()
+        await asyncio.sleep(PROPAGATION)
+        reader = fleet.first_reader("d1")
+        missing = fleet.store.restore(copy)
+        loop.call_later(REWRITE_SECONDS, fleet.store.rewrite, missing)
+        loop.call_later(later, fleet.restart, reader)
+        while loop.time() < added + 10.0:
+            await asyncio.sleep(0.02)
+            denied = [h for h in fleet.daemons if _denies(fleet, h, ADDED_KEY)]
+            assert not denied
+            if loop.time() > added + 8.0:
+                unknown = policies.digest_key(b"unknown")
+                assert all(_denies(fleet, h, unknown) for h in fleet.daemons)
+
+    loops.run(test())
