Write all lost changes again in the soak's store, and in time

The soak takes a key for denied wrongly if its policy was acknowledged 2 s before. That holds only if the store, back from an older copy, has the policy again soon. The stand-in broke this in two ways:

- A second restore before the first one's changes were written again forgot them: with versions 1 and 2 copied and 3 lost, version 2 was written again and 3 never.
Daemons that started then denied its keys rightly.
- The changes were written by a timer of the soak's own process.
If that stood still for half a second, requests that had come meanwhile were served from the copy first, later than the 2 s that daemons wait for.

What one restore lost now stays lost through the next until it is written, and the store writes it before it answers anything once its time has come. No check or bound is changed.

--- a/tests/platform/soak/power.py
+++ b/tests/platform/soak/power.py
@@ -68,10 +68,11 @@
     for vm in fleet.vms:
         fleet.start(vm)
     await asyncio.sleep(rng.uniform(0.0, 4.0))
+    away = rng.uniform(0.0, 1.5)
     if store == "older":
-        fleet.store.restore(copy)
+        fleet.store.restore(copy, away)
     fleet.store.mode = ""
-    await asyncio.sleep(rng.uniform(0.0, 1.5))
+    await asyncio.sleep(away)
     fleet.store.write_again()
     for vm in fleet.vms:
         if not await fleet.ready(vm):
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -297,9 +297,10 @@
     await asyncio.sleep(fleet.rng.uniform(0.5, 4.0))
     fleet.store.mode = fleet.rng.choice(["busy", "reset", "silent"])
     await asyncio.sleep(fleet.rng.uniform(0.0, 1.5))
-    fleet.store.restore(copy)
+    away = fleet.rng.uniform(0.0, 1.5)
+    fleet.store.restore(copy, away)
     fleet.store.mode = ""
-    await asyncio.sleep(fleet.rng.uniform(0.0, 1.5))
+    await asyncio.sleep(away)
     fleet.store.write_again()
 
 
--- a/tests/platform/soak/store.py
+++ b/tests/platform/soak/store.py
@@ -6,6 +6,7 @@
 import base64
 import dataclasses
 import json
+import math
 import typing
 import urllib.parse
 
@@ -46,6 +47,7 @@
         self.mode = ""
         self._changed = asyncio.Event()
         self._lost: dict[str, Event | None] = {}
+        self._write_again_at = math.inf
         self._answering: set[asyncio.Task[None]] = set()
         self._listener = httpio.Listener(
             self._handle, lambda status: [], clocks.SystemClock(), _memory()
@@ -91,14 +93,22 @@
         """Return what the store holds now."""
         return Copy(self.revision, dict(self.items), tuple(self.events))
 
-    def restore(self, copy: Copy) -> None:
-        """Go on from an older copy; what it lacks is lost."""
+    def restore(self, copy: Copy, seconds: float = math.inf) -> None:
+        """Go on from an older copy; what it lacks is lost.
+
+        It is written again after ``seconds`` at the latest, also if this
+        process stands still meanwhile.
+        """
         keys = sorted(self.items.keys() | copy.items.keys())
-        self._lost = {
+        lost = {
             key: self.items.get(key)
             for key in keys
             if self.items.get(key) != copy.items.get(key)
         }
+        # What an earlier restore lost is later than what this one loses.
+        self._lost = lost | self._lost
+        now = asyncio.get_running_loop().time()
+        self._write_again_at = min(self._write_again_at, now + seconds)
         self.era += 1
         self.revision = copy.revision
         self.items = dict(copy.items)
@@ -110,6 +120,7 @@
     def write_again(self) -> None:
         """Write what was lost and has not been written since."""
         self._note_step(f"store gets again {sorted(self._lost)}")
+        self._write_again_at = math.inf
         for key, item in list(self._lost.items()):
             if item is None:
                 self.remove(key)
@@ -142,6 +153,8 @@
             task.add_done_callback(self._answering.discard)
 
     async def _answer(self, exchange: httpio.Exchange) -> None:
+        if asyncio.get_running_loop().time() >= self._write_again_at:
+            self.write_again()
         path, _, query = exchange.request.target.decode().partition("?")
         asked = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         if path == "/-/kv-range":
