Ignore confirmations of a peer that is in a later era

What callers would see: 401 for a valid key, or a revoked key accepted too long, at daemons that had not restarted.

Cause: a daemon that starts right after the store came back from an older copy takes the copy's policy for the newest, and says so in its answers to pings. A peer that has not entered the new era, and has the same version since no daemon could read the lost one, believed it: its own wait of 2 s begins only when it enters the era, and keeps what was confirmed before.

Change: a confirmation counts only if the peer's revision is of no later era than this daemon's view. In answers to polls it is looked at after the changes of the same answer, as before, so that a daemon that enters the era with them applies its wait.

--- a/src/sassafrasstair/decisions/views/_confirmations.py
+++ b/src/sassafrasstair/decisions/views/_confirmations.py
@@ -11,6 +11,8 @@
 import dataclasses
 import typing
 
+from sassafrasstair.decisions.views import _queries
+
 if typing.TYPE_CHECKING:
     from sassafrasstair.decisions.views import _views
 
@@ -53,13 +55,20 @@
 
 
 def receive_confirmation(
-    view: _views.View, confirmation: Confirmation, asked_at: float
+    view: _views.View,
+    confirmation: Confirmation,
+    asked_at: float,
+    peer_revision: int,
 ) -> bool:
     """Apply the confirmation of a peer that was polled at ``asked_at``.
 
     The age counts from the peer's answer, which is later than the poll by at
-    least the time for which the poll was held open.
+    least the time for which the poll was held open. ``peer_revision`` is a
+    revision of the peer's view. If that is of a later era than this view, the
+    confirmation may come from an older copy of the store and is rejected.
     """
+    if _queries.is_restored(view, peer_revision):
+        return False
     instant = asked_at + confirmation.held_seconds - confirmation.age_seconds
     return apply_confirmation(view, confirmation.version, instant)
 
--- a/src/sassafrasstair/forwarding/_confirmations.py
+++ b/src/sassafrasstair/forwarding/_confirmations.py
@@ -63,15 +63,19 @@
     daemon: _state.Daemon,
     answer_headers: abc.Mapping[bytes, bytes],
     asked_at: float,
+    peer_revision: int,
 ) -> None:
     """Apply the confirmation in the headers of a peer's answer.
 
-    The peer was asked at ``asked_at``. Called after the changes in its answer
-    have been applied. Raises ``WireError``.
+    The peer was asked at ``asked_at`` and its view has ``peer_revision``.
+    Called after the changes in its answer have been applied. Raises
+    ``WireError``.
     """
     value = answer_headers.get(HEADER_LOWER)
     if value is not None and has_revocation_bound(daemon):
-        views.receive_confirmation(daemon.view, _decode(value), asked_at)
+        views.receive_confirmation(
+            daemon.view, _decode(value), asked_at, peer_revision
+        )
 
 
 def _decode(value: bytes) -> views.Confirmation:
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -172,7 +172,7 @@
             status, _ = _feed_wire.decode_answer(header, b"")
             now = daemon.clock.monotonic()
             views.note_peer_age(daemon.view, status.age_seconds, now)
-        _confirmations.receive(daemon, result.headers, asked_at)
+        _confirmations.receive(daemon, result.headers, asked_at, state.content)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         return
@@ -235,8 +235,7 @@
         return
     _crash_updates.receive(daemon, host, result.headers)
     try:
-        news = _apply_answer(daemon, host, result)
-        _confirmations.receive(daemon, result.headers, asked_at)
+        news = _apply_answer(daemon, host, asked_at, result)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         return
@@ -248,16 +247,23 @@
 
 
 def _apply_answer(
-    daemon: _state.Daemon, host: str, result: httpio.Response
+    daemon: _state.Daemon,
+    host: str,
+    asked_at: float,
+    result: httpio.Response,
 ) -> bool:
     header = result.headers.get(_feed_wire.HEADER_LOWER)
     if header is not None:
         status, delta = _feed_wire.decode_answer(header, result.body)
-        return _learning.take_delta(daemon, status, delta, host)
+        news = _learning.take_delta(daemon, status, delta, host)
+        _confirmations.receive(
+            daemon, result.headers, asked_at, status.revision
+        )
+        return news
     # A daemon of the previous release sends its whole view.
     snapshot = _feed_wire.decode_snapshot(result.body)
-    news = views.adopt_snapshot(
+    changes = views.adopt_snapshot(
         daemon.view, snapshot, daemon.clock.monotonic()
     )
-    _learning.apply_news(daemon, news, f"peer {host}")
-    return bool(news)
+    _learning.apply_news(daemon, changes, f"peer {host}")
+    return bool(changes)
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -184,7 +184,9 @@
         )
     _learning.take_delta(daemon, status, delta, host)
     try:
-        _confirmations.receive(daemon, result.headers, asked_at)
+        _confirmations.receive(
+            daemon, result.headers, asked_at, status.revision
+        )
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
 
--- a/tests/decisions/views/test_eras.py
+++ b/tests/decisions/views/test_eras.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 import pytest
 
@@ -188,3 +189,13 @@
     views.replace_all(view, [policy], AFTER, AFTER, 100.0)
     views.apply_confirmation(view, 5, 101.9)
     assert views.may_lack_changes(view)
+
+
+def test_peer_in_a_later_era_confirms_nothing() -> None:
+    """A daemon that started after a restore confirmed a lost policy."""
+    view = _view_of(policies.Policy(5, (), LIMITS))
+    confirmation = views.Confirmation(5, 0.1)
+    assert not views.receive_confirmation(view, confirmation, 104.0, AFTER)
+    assert views.unconfirmed_seconds(view, 104.0) == math.inf
+    assert views.receive_confirmation(view, confirmation, 104.0, BEFORE)
+    assert views.unconfirmed_seconds(view, 104.0) == pytest.approx(0.1)
--- a/tests/fleets/test_revocations.py
+++ b/tests/fleets/test_revocations.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import policies
 from sassafrasstair.forwarding import _confirmations
 from sassafrasstair.forwarding import _customers as customers_module
@@ -284,3 +285,39 @@
                 assert all(_denies(fleet, h, unknown) for h in fleet.daemons)
 
     loops.run(test())
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("others_later", [0.0, 1.0])
+def test_confirmation_of_a_backup_reaches_no_daemon_before_the_restore(
+    others_later: float, seed: int
+) -> None:
+    """A reader that had just started confirmed the backup to its peers.
+
+    The backup lacks a policy that was written while no daemon reached the
+    store, so all of them have the version that the reader confirms.
+    """
+
+    async def test() -> None:
+        fleet = _fleet()
+        fleet.seed = seed
+        await _start_settled(fleet)
+        fleet.store.reset_connections(fleet.hosts)
+        copy = fleet.store.back_up()
+        fleet.customers = _customers(KEY, OTHER_KEY, ADDED_KEY)
+        fleet.publish_policy()
+        loop = asyncio.get_running_loop()
+        added = loop.time()
+        await asyncio.sleep(PROPAGATION)
+        reader = feeds.reader_hosts(fleet.hosts_in_domain("d1"))[0]
+        fleet.restart(reader)
+        missing = fleet.store.restore(copy)
+        loop.call_later(REWRITE_SECONDS, fleet.store.rewrite, missing)
+        fleet.store.refused_hosts.discard(reader)
+        loop.call_later(others_later, fleet.store.answer_all_hosts)
+        while loop.time() < added + 9.0:
+            await asyncio.sleep(0.02)
+            denied = [h for h in fleet.daemons if _denies(fleet, h, ADDED_KEY)]
+            assert not denied
+
+    loops.run(test())
