--- a/tests/fleets/test_revocations.py
+++ b/tests/fleets/test_revocations.py
@@ -321,3 +321,25 @@
             assert not denied
 
     loops.run(test())
+
+
+def test_reader_that_starts_after_a_restore_refuses_a_revoked_key() -> None:
+    """It knows of no restore, and the backup still has the revoked key."""
+
+    async def test() -> None:
+        fleet = _fleet()
+        await _start_settled(fleet)
+        copy = fleet.store.back_up()
+        revoked = _revoke(fleet)
+        await asyncio.sleep(REVOCATION - 0.5)
+        reader = fleet.first_reader("d1")
+        missing = fleet.store.restore(copy)
+        loop = asyncio.get_running_loop()
+        loop.call_later(REWRITE_SECONDS, fleet.store.rewrite, missing)
+        loop.call_later(0.02, fleet.restart, reader)
+        await asyncio.sleep(revoked + REVOCATION - loop.time())
+        while loop.time() < revoked + 2.0 * REVOCATION:
+            await asyncio.sleep(0.02)
+            assert not [h for h in fleet.daemons if _accepts(fleet, h)]
+
+    loops.run(test())
