--- a/tests/decisions/views/test_eras.py
+++ b/tests/decisions/views/test_eras.py
@@ -43,6 +43,20 @@
     assert views.delta_since(view, BEFORE).policy == new
 
 
+def test_policy_written_again_reaches_a_follower_that_read_the_copy() -> None:
+    """A daemon that started from the copy kept its policy until the next."""
+    old, new = (policies.Policy(version, (), LIMITS) for version in (5, 7))
+    reader = _view_of(new)
+    _restore(reader, old)
+    follower = views.new_view()
+    _restore(follower, old)
+    written = AFTER + 1
+    views.apply_changes(reader, [new], written, written, 104.0)
+    delta = views.delta_since(reader, follower.revision)
+    views.take_delta(follower, delta, 104.0)
+    assert views.active_version(follower) == 7
+
+
 @pytest.mark.parametrize("born", [0, 5])
 def test_leaving_instance_gets_no_requests_when_listed_ready_again(
     born: int,
