--- a/src/sassafrasstair/decisions/views/_confirmations.py
+++ b/src/sassafrasstair/decisions/views/_confirmations.py
@@ -11,6 +11,8 @@
 import dataclasses
 import typing
 
+from sassafrasstair.decisions.views import _queries
+
 if typing.TYPE_CHECKING:
     from sassafrasstair.decisions.views import _views
 
@@ -53,13 +55,20 @@
 
 
 def receive_confirmation(
-    view: _views.View, confirmation: Confirmation, asked_at: float
+    view: _views.View,
+    confirmation: Confirmation,
+    asked_at: float,
+    peer_revision: int,
 ) -> bool:
     """Apply the confirmation of a peer that was polled at ``asked_at``.
 
     The age counts from the peer's answer, which is later than the poll by at
-    least the time for which the poll was held open.
+    least the time for which the poll was held open. ``peer_revision`` is a
+    revision of the peer's view. If that is of a later era than this view, the
+    confirmation may come from an older copy of the store and is rejected.
     """
+    if _queries.is_restored(view, peer_revision):
+        return False
     instant = asked_at + confirmation.held_seconds - confirmation.age_seconds
     return apply_confirmation(view, confirmation.version, instant)
 
@@ -82,6 +91,16 @@
     return now - view.confirmed_at
 
 
+def may_lack_changes(view: _views.View) -> bool:
+    """Return whether the policy may be that of an older copy of the store.
+
+    A daemon that starts can't tell whether the store was restored just before
+    its first read: the policy that it confirms may then be one that had been
+    replaced.
+    """
+    return view.confirmed_at < view.settled_from
+
+
 def note_full_read(view: _views.View, revision: int) -> None:
     """Record a full read of the latest state, as of ``revision``.
 
--- a/tests/decisions/views/test_eras.py
+++ b/tests/decisions/views/test_eras.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 import pytest
 
@@ -42,6 +43,20 @@
     assert views.delta_since(view, BEFORE).policy == new
 
 
+def test_policy_written_again_reaches_a_follower_that_read_the_copy() -> None:
+    """A daemon that started from the copy kept its policy until the next."""
+    old, new = (policies.Policy(version, (), LIMITS) for version in (5, 7))
+    reader = _view_of(new)
+    _restore(reader, old)
+    follower = views.new_view()
+    _restore(follower, old)
+    written = AFTER + 1
+    views.apply_changes(reader, [new], written, written, 104.0)
+    delta = views.delta_since(reader, follower.revision)
+    views.take_delta(follower, delta, 104.0)
+    assert views.active_version(follower) == 7
+
+
 @pytest.mark.parametrize("born", [0, 5])
 def test_leaving_instance_gets_no_requests_when_listed_ready_again(
     born: int,
@@ -161,3 +176,40 @@
     updates = views.expire(view, 103.0 + _views.LAPSED_SECONDS)
     assert updates == [(views.News.GONE, "i")]
     assert _targets(view) == {"o"}
+
+
+@pytest.mark.parametrize(
+    ("confirmed_at", "may_lack"),
+    [(100.0, True), (101.9, True), (102.0, False), (104.0, False)],
+)
+def test_first_policy_may_be_that_of_an_older_copy(
+    confirmed_at: float, may_lack: bool
+) -> None:
+    """A daemon that started right after a restore denied a valid key."""
+    view = views.new_view()
+    assert views.may_lack_changes(view)
+    policy = policies.Policy(5, (), LIMITS)
+    views.replace_all(view, [policy], AFTER, AFTER, 100.0)
+    assert views.apply_confirmation(view, 5, confirmed_at)
+    assert views.may_lack_changes(view) is may_lack
+
+
+def test_stale_state_does_not_settle_a_view() -> None:
+    """A stale read shows nothing of when the store was restored."""
+    view = views.new_view()
+    policy = policies.Policy(5, (), LIMITS)
+    stale = views.UNORDERED
+    views.replace_all(view, [policy], stale, stale, 90.0)
+    views.replace_all(view, [policy], AFTER, AFTER, 100.0)
+    views.apply_confirmation(view, 5, 101.9)
+    assert views.may_lack_changes(view)
+
+
+def test_peer_in_a_later_era_confirms_nothing() -> None:
+    """A daemon that started after a restore confirmed a lost policy."""
+    view = _view_of(policies.Policy(5, (), LIMITS))
+    confirmation = views.Confirmation(5, 0.1)
+    assert not views.receive_confirmation(view, confirmation, 104.0, AFTER)
+    assert views.unconfirmed_seconds(view, 104.0) == math.inf
+    assert views.receive_confirmation(view, confirmation, 104.0, BEFORE)
+    assert views.unconfirmed_seconds(view, 104.0) == pytest.approx(0.1)
--- a/tests/platform/soak/crashes.py
+++ b/tests/platform/soak/crashes.py
@@ -9,6 +9,7 @@
 
 from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import oracle as oracle_module
+from tests.platform.soak import records
 from tests.platform.soak import upstreams
 
 if typing.TYPE_CHECKING:
@@ -18,9 +19,10 @@
 POPULAR_PER_SECOND = 15.0
 POPULAR = "/deep/popular"
 CALM_SECONDS = 2.0
-SETTLE_SECONDS = 2.0
+"""Before the first crash, and at least so long after the last."""
 RETURN_SECONDS = 1.0
 """After its return an instance is known to all and runs requests again."""
+SETTLE_SECONDS = upstreams.AWAY_SECONDS + RETURN_SECONDS + CALM_SECONDS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,7 +61,8 @@
     """What one run showed; shares of requests answered with success.
 
     ``late`` is that of the request with the most late arrivals, ``calm`` is
-    from a second after the return from the last crash on.
+    from a second after the return from the last crash on. ``calm_failures``
+    lists the others among the ``calm_answers``.
     """
 
     crashes: int = 0
@@ -69,11 +72,14 @@
     popular: float = 0.0
     calm: float = 0.0
     broken: tuple[str, ...] = ()
+    calm_answers: int = 0
+    calm_failures: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
 class _Answer:
     at: float
+    entrance: str
     popular: bool
     status: int
 
@@ -82,9 +88,10 @@
     """Run one case."""
     fleet = fleet_module.Fleet(folder, random.Random(seed))
     answers: list[_Answer] = []
+    calls: set[asyncio.Future[None]] = set()
     try:
         await fleet.open()
-        traffic = asyncio.ensure_future(_traffic(fleet, answers))
+        traffic = asyncio.ensure_future(_traffic(fleet, answers, calls))
         await asyncio.sleep(CALM_SECONDS)
         crashes = asyncio.ensure_future(_crash(fleet, case))
         if case.rolling:
@@ -92,24 +99,35 @@
         await crashes
         await asyncio.sleep(SETTLE_SECONDS)
         traffic.cancel()
+        # The daemons are killed at the end, which must cut off no request.
+        await asyncio.gather(*calls)
         fleet.check_alive()
     finally:
         await fleet.close()
+        records.write_report(folder, _report(fleet, answers))
     return _report(fleet, answers)
 
 
 def _report(fleet: fleet_module.Fleet, answers: list[_Answer]) -> Report:
     known = list(fleet.oracle.crashing.values())
     last = max((max(each.crashes, default=0.0) for each in known), default=0.0)
-    calm = last + upstreams.AWAY_SECONDS + RETURN_SECONDS
+    since = last + upstreams.AWAY_SECONDS + RETURN_SECONDS
+    calm = [each for each in answers if each.at > since and each.status]
     return Report(
         sum(len(each.crashes) for each in known),
         fleet.crashed - sum(len(each.crashes) for each in known),
         max((each.late() for each in known), default=0),
         _share([each for each in answers if not each.popular]),
         _share([each for each in answers if each.popular]),
-        _share([each for each in answers if each.at > calm]),
+        _share(calm),
         tuple(fleet.oracle.broken),
+        len(calm),
+        tuple(
+            f"{each.status} of {each.entrance} {each.at - since:.3f} s in,"
+            f" popular {each.popular}"
+            for each in calm
+            if each.status != 200
+        ),
     )
 
 
@@ -120,8 +138,12 @@
     return sum(each.status == 200 for each in owed) / len(owed)
 
 
-async def _traffic(fleet: fleet_module.Fleet, answers: list[_Answer]) -> None:
-    calls: set[asyncio.Future[None]] = set()
+async def _traffic(
+    fleet: fleet_module.Fleet,
+    answers: list[_Answer],
+    calls: set[asyncio.Future[None]],
+) -> None:
+    """Send requests until cancelled; ``calls`` are those under way."""
     loop = asyncio.get_running_loop()
     per_second = GOOD_PER_SECOND + POPULAR_PER_SECOND
     while True:
@@ -134,7 +156,13 @@
             target = POPULAR if popular else ""
             at = loop.time()
             status = await vm.client.call("deep", True, 2.0, target)
-            answers.append(_Answer(at, popular, status))
+            answers.append(_Answer(at, vm.name, popular, status))
+            if status not in (0, 200):
+                took = loop.time() - at
+                fleet.timeline.note(
+                    f"answer {status} of {vm.name}, popular {popular},"
+                    f" after {took:.3f} s"
+                )
 
         task = asyncio.ensure_future(call())
         calls.add(task)
--- a/tests/platform/soak/power.py
+++ b/tests/platform/soak/power.py
@@ -11,6 +11,7 @@
 import typing
 
 from tests.platform.soak import fleet as fleet_module
+from tests.platform.soak import records
 from tests.platform.soak import scenario
 
 if typing.TYPE_CHECKING:
@@ -40,6 +41,7 @@
         await scenario.check_end(fleet)
     finally:
         await fleet.close()
+        records.write_report(folder, scenario.report(seed, fleet))
     return scenario.report(seed, fleet)
 
 
@@ -54,7 +56,7 @@
     ]
     copy = fleet.store.copy()
     await asyncio.sleep(LEAVE_SECONDS[1] / 2)
-    fleet.faults.append(f"power {store}")
+    fleet.note_fault(f"power {store}")
     if store:
         fleet.store.mode = rng.choice(AWAY_MODES)
     for vm in fleet.vms:
@@ -66,10 +68,11 @@
     for vm in fleet.vms:
         fleet.start(vm)
     await asyncio.sleep(rng.uniform(0.0, 4.0))
+    away = rng.uniform(0.0, 1.5)
     if store == "older":
-        fleet.store.restore(copy)
+        fleet.store.restore(copy, away)
     fleet.store.mode = ""
-    await asyncio.sleep(rng.uniform(0.0, 1.5))
+    await asyncio.sleep(away)
     fleet.store.write_again()
     for vm in fleet.vms:
         if not await fleet.ready(vm):
@@ -80,5 +83,5 @@
 
 async def _leave_later(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
     await asyncio.sleep(fleet.rng.uniform(*LEAVE_SECONDS))
-    fleet.faults.append(f"leave {vm.name}")
+    fleet.note_fault(f"leave {vm.name}")
     await scenario.leave(fleet, vm)
