--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -38,6 +38,7 @@
 from sassafrasstair.decisions.calls._views import choose_target
 from sassafrasstair.decisions.calls._views import floors
 from sassafrasstair.decisions.calls._views import retry_tokens
+from sassafrasstair.decisions.calls._views import usual_service_seconds
 
 __all__ = [
     "HEARTBEAT_SECONDS",
@@ -76,4 +77,5 @@
     "retry_tokens",
     "start_attempt",
     "reason_for_crossing",
+    "usual_service_seconds",
 ]
