Send the age of its request with an upstream's call

The entrance beside the calling upstream finds the request by the rank that the call has from it, and sends its age in the optional field Sassafras-Age; the guard orders waiting calls by it. A daemon of the build before neither sends nor reads the field (it passes it on to the instance like any other). Clients can't set it. The allowed wait is that of decisions.requests, and run_ended tells it.

--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -32,18 +32,13 @@
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _state
+from sassafrasstair.forwarding import _waits
 from sassafrasstair.forwarding import _wire
 from sassafrasstair.forwarding import _work_wire
 from sassafrasstair import httpio
 from sassafrasstair import notices
 from sassafrasstair import outcomes
 
-QUEUE_WAIT_RATIO = 0.5
-"""The fraction of a route's objective, or of the remaining time if that is
-shorter, that a request may wait for a slot. The wait must end before the
-timeout: at the timeout an entrance can't know that the request has not run,
-so it could not tell the client to retry."""
-
 
 def send_attempt(
     daemon: _state.Daemon,
@@ -86,7 +81,7 @@
         progress.route.name,
         progress.rank,
         remaining,
-        QUEUE_WAIT_RATIO * min(progress.route.objective, remaining),
+        _waits.max_wait(daemon, call, target.vm, len(targets), now),
     )
     attempt = _records.Attempt(
         target.vm,
@@ -96,6 +91,7 @@
         metadata,
         [*call.fields, (daemon.header_names.target, target.vm.encode())],
         _crashes.trial_strikes(verdict),
+        _waits.age_of_request(daemon, call, now),
         cross_domain_reason,
     )
     call.attempt = attempt
@@ -175,6 +171,7 @@
         request.body,
         attempt.trial_strikes,
         call.customer,
+        age=attempt.age,
     )
 
     def on_done(result: _records.Result) -> None:
@@ -201,6 +198,7 @@
     fields = [
         *attempt.fields,
         (_wire.METADATA_HEADER, _wire.encode_metadata(attempt.metadata)),
+        *_wire.age_fields(attempt.age),
     ]
     if attempt.trial_strikes:
         fields.append((_wire.TRIAL_HEADER, b"%d" % attempt.trial_strikes))
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -82,7 +82,10 @@
     reason = _unavailable_reason(daemon, metadata.instance)
     if _notices.is_late_request(daemon, inbound, guard, now):
         reason = outcomes.Reason.LEAVING
-    execution = _records.Execution(key, inbound, deadline, on_done, guard)
+    begun_at = now - (inbound.age or 0.0)
+    execution = _records.Execution(
+        key, inbound, deadline, on_done, guard, begun_at
+    )
     verdict = _crashes.verdict_of_inbound(daemon, inbound)
     if _crashes.is_blocked(verdict, inbound.trial_strikes):
         reason = outcomes.Reason.CRASHES_INSTANCES
@@ -104,7 +107,13 @@
         return key
     daemon.executions[key] = execution
     work = load.Work(
-        key, metadata.route, "", metadata.rank, deadline, metadata.max_wait
+        key,
+        metadata.route,
+        "",
+        metadata.rank,
+        deadline,
+        metadata.max_wait,
+        begun_at=None if inbound.age is None else begun_at,
     )
     _apply_effects(daemon, load.offer(guard, work, now))
     return key
@@ -442,6 +451,7 @@
             route=inbound.metadata.route,
             ending=ending,
             left=execution.deadline - daemon.clock.monotonic(),
+            max_wait=inbound.metadata.max_wait,
             **_crashes.log_fields(inbound.fingerprint),
         )
     latest_guard = _guards.get_guard(
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -95,6 +95,7 @@
         _wire.decode_trial(request.headers.get(_wire.TRIAL_HEADER_LOWER)),
         customer.name,
         notice.rate_limit,
+        _wire.decode_age(request.headers.get(_wire.AGE_HEADER_LOWER)),
     )
 
     def on_done(result: _records.Result) -> None:
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -29,7 +29,9 @@
     again, 0 if the request was not blocked. ``customer`` is the sender's
     name, '' for a request without a key. ``rate_limit`` is the limit in
     requests per second that the instance last named to the entrance, infinite
-    if it named none. ``fingerprint`` is computed when it is needed.
+    if it named none. ``age`` is the age in seconds of the request that a call
+    is part of, None if it is not known. ``fingerprint`` is computed when it is
+    needed.
     """
 
     metadata: _wire.RequestMetadata
@@ -44,6 +46,7 @@
     trial_strikes: int = 0
     customer: str = ""
     rate_limit: float = math.inf
+    age: float | None = None
     fingerprint: int | None = None
 
 
@@ -69,7 +72,9 @@
     instance's latest start when the request arrived. ``job`` is set once the
     request is sent to the upstream. ``connection_broken`` is set if the
     connection ended before the answer was complete. ``isolated`` is set if
-    no other suspect may run beside the request.
+    no other suspect may run beside the request. ``begun_at`` is when the
+    client's request came that this one is part of, or this one itself if that
+    is not known.
     """
 
     key: str
@@ -77,6 +82,7 @@
     deadline: float
     on_done: abc.Callable[[Result], None]
     guard: load.Guard
+    begun_at: float
     job: httpio.Job | None = None
     connection_broken: bool = False
     isolated: bool = False
@@ -101,7 +107,7 @@
     with it. ``host`` is the address of the instance's VM, and ``born`` the
     instance's start according to the view. ``cross_domain_reason`` says why
     the instance is in another failure domain, None if it is in this one.
-    ``trial_strikes`` is as in ``InboundRequest``.
+    ``trial_strikes`` and ``age`` are as in ``InboundRequest``.
     """
 
     instance: str
@@ -111,6 +117,7 @@
     metadata: _wire.RequestMetadata
     fields: httpio.Fields
     trial_strikes: int = 0
+    age: float | None = None
     cross_domain_reason: calls.CrossingReason | None = None
     job: httpio.Job | None = None
     execution_key: str = ""
