Leave time for the further calls of a request that expires with its call

A call that expires with its request could wait for all of the request's time, at the cost of the calls after it. One call may now wait for at most half of what its request has left.

--- a/src/sassafrasstair/decisions/requests/_waits.py
+++ b/src/sassafrasstair/decisions/requests/_waits.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from sassafrasstair.decisions.requests import _progress
@@ -33,6 +34,9 @@
 """The share of the available time that an upstream's call may wait at the
 first of two instances. It waits as long at the second, which is in general no
 less busy than the first."""
+REQUEST_SHARE = 0.5
+"""The share of the time left for a whole request that one of its calls may
+wait. The request may have further calls to make, which need time as well."""
 OBJECTIVE_SHARE_MIN = 0.125
 """The least share of the objective that a client's request may wait at its
 first instance, so that short bursts are absorbed rather than refused."""
@@ -47,7 +51,9 @@
     The request came ``elapsed`` seconds ago and has ``remaining`` seconds
     until its deadline. ``internal`` is set if only upstreams call the route,
     and ``last`` if no other instance is asked after this one.
-    ``service_seconds`` is the usual service time, 0 if it is not known.
+    ``service_seconds`` is the usual service time, 0 if it is not known. The
+    request that a call is part of has ``request_remaining`` seconds until its
+    deadline, infinity if it is not known.
     """
 
     route: policies.Route
@@ -56,6 +62,7 @@
     internal: bool
     last: bool
     service_seconds: float
+    request_remaining: float = math.inf
 
 
 def max_wait(attempt: WaitInputs) -> float:
@@ -76,7 +83,9 @@
     kept = SERVICE_TIMES * attempt.service_seconds
     if attempt.service_seconds <= 0.0:
         kept = UNKNOWN_SERVICE_SHARE * attempt.remaining
-    available = attempt.remaining - kept
+    available = min(
+        attempt.remaining - kept, REQUEST_SHARE * attempt.request_remaining
+    )
     return available if attempt.last else FIRST_ATTEMPT_SHARE * available
 
 
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -74,6 +74,7 @@
     )
     requests.attempt_sent(progress, target.vm)
     calls.start_attempt(daemon.routes, target.vm, now)
+    parent = _waits.parent_of(daemon, call)
     remaining = progress.deadline - now
     metadata = _wire.RequestMetadata(
         daemon.view.content_revision,
@@ -81,7 +82,7 @@
         progress.route.name,
         progress.rank,
         remaining,
-        _waits.max_wait(daemon, call, target.vm, len(targets), now),
+        _waits.max_wait(daemon, call, parent, target.vm, len(targets), now),
     )
     attempt = _records.Attempt(
         target.vm,
@@ -91,7 +92,7 @@
         metadata,
         [*call.fields, (daemon.header_names.target, target.vm.encode())],
         _crashes.trial_strikes(verdict),
-        _waits.age_of_request(daemon, call, now),
+        _waits.age(parent, now),
         cross_domain_reason,
     )
     call.attempt = attempt
--- a/src/sassafrasstair/forwarding/_waits.py
+++ b/src/sassafrasstair/forwarding/_waits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from sassafrasstair.decisions import admission
@@ -13,9 +14,25 @@
     from sassafrasstair.forwarding import _state
 
 
+def parent_of(
+    daemon: _state.Daemon, call: _records.Call
+) -> _records.Execution | None:
+    """Return the request that a call is part of, None if it is not known.
+
+    That request runs at the upstream on this VM, and the call has its rank.
+    """
+    if not _is_internal(daemon, call):
+        return None
+    rank = call.progress.rank
+    return next(
+        (run for run in daemon.executions.values() if run.rank == rank), None
+    )
+
+
 def max_wait(
     daemon: _state.Daemon,
     call: _records.Call,
+    parent: _records.Execution | None,
     instance: str,
     instances: int,
     now: float,
@@ -30,28 +47,19 @@
             progress.route,
             now - call.exchange.request.received_at,
             progress.deadline - now,
-            admission.called_only_by_upstreams(
-                daemon.chains, progress.route.name
-            ),
+            _is_internal(daemon, call),
             requests.is_last_instance(progress, instances),
             calls.usual_service_seconds(daemon.routes, instance),
+            math.inf if parent is None else parent.deadline - now,
         )
     )
 
 
-def age_of_request(
-    daemon: _state.Daemon, call: _records.Call, now: float
-) -> float | None:
-    """Return the age in seconds of the request that a call is part of.
+def age(parent: _records.Execution | None, now: float) -> float | None:
+    """Return the age in seconds of the request that a call is part of."""
+    return None if parent is None else max(0.0, now - parent.begun_at)
 
-    That request runs at the upstream on this VM, and the call has its rank.
-    Returns None if the call is not known to be part of another request.
-    """
-    progress = call.progress
-    route = progress.route.name
-    if not admission.called_only_by_upstreams(daemon.chains, route):
-        return None
-    for run in daemon.executions.values():
-        if run.rank == progress.rank:
-            return max(0.0, now - run.begun_at)
-    return None
+
+def _is_internal(daemon: _state.Daemon, call: _records.Call) -> bool:
+    route = call.progress.route.name
+    return admission.called_only_by_upstreams(daemon.chains, route)
--- a/tests/decisions/requests/test_waits.py
+++ b/tests/decisions/requests/test_waits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 
 import pytest
 
@@ -24,13 +25,20 @@
     elapsed: float = 0.0,
     internal: bool = False,
     last: bool = False,
+    request_remaining: float = math.inf,
 ) -> requests.WaitInputs:
     shares = (policies.Share("s", 1.0),)
     route = policies.Route(
         "r", "h", "/", True, timeout, objective, 5, 2, shares
     )
     return requests.WaitInputs(
-        route, elapsed, remaining, internal, last, service
+        route,
+        elapsed,
+        remaining,
+        internal,
+        last,
+        service,
+        request_remaining,
     )
 
 
@@ -157,6 +165,32 @@
     assert requests.max_wait(inputs) == pytest.approx(wait)
 
 
+@pytest.mark.parametrize(
+    ("request_remaining", "last", "wait"),
+    [
+        (5.0, False, 0.324),
+        (1.5, False, 0.324),
+        # Calls that expire with their request leave half of its time.
+        (0.7, False, 0.175),
+        (0.7, True, 0.35),
+        (0.0, True, 0.0),
+    ],
+)
+def test_call_leaves_time_for_the_further_calls_of_its_request(
+    request_remaining: float, last: bool, wait: float
+) -> None:
+    inputs = _inputs(
+        0.3,
+        0.7,
+        0.7,
+        0.026,
+        internal=True,
+        last=last,
+        request_remaining=request_remaining,
+    )
+    assert requests.max_wait(inputs) == pytest.approx(wait)
+
+
 @pytest.mark.parametrize(
     ("tried", "turned_away", "instances", "last"),
     [
--- a/tests/loads/waits.py
+++ b/tests/loads/waits.py
@@ -253,6 +253,7 @@
             call.request.kind.internal,
             requests.is_last_instance(progress, len(self._targets)),
             calls.usual_service_seconds(self._routes, target.vm),
+            self._request_remaining(call),
         )
         attempt = f"{next(self._serial)}"
         call.sent_at = self.now
@@ -269,6 +270,11 @@
         guard = self._guards[target.vm]
         self._perform(target.vm, load.offer(guard, call.work, self.now))
 
+    def _request_remaining(self, call: Call) -> float:
+        """Return the time left of the request that the call is taken for."""
+        parent = call.parent
+        return parent.begun_at + parent.kind.request_seconds - self.now
+
     def _begun_at(self, call: Call) -> float | None:
         """Return when the request began that the call is taken for."""
         kind = call.request.kind
