--- a/src/sassafrasstair/decisions/load/_demand.py
+++ b/src/sassafrasstair/decisions/load/_demand.py
@@ -44,6 +44,11 @@
     return work.request_class, work.begun_at is not None
 
 
+def is_part(group: Group) -> bool:
+    """Return whether the group's attempts are part of other requests."""
+    return group[1]
+
+
 def count_offered(demand: Demand, work: _messages.Work) -> None:
     """Count one attempt that arrived."""
     demand.counts.setdefault(group_of(work), Counts()).offered += 1.0
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -301,7 +301,7 @@
     if work.rank < floor(guard, now, work.tenant):
         guard.overloaded_at = now
         return [_refuse(work, outcomes.Reason.SHED_AT_CALLEE)]
-    guard.waiting[work.attempt_id] = _queues.Waiter(work, now)
+    guard.waiting[work.attempt_id] = _queues.new_waiter(work, now)
     effects = _dispatch(guard, now)
     per_slot = PATIENT_QUEUE_PER_SLOT if guard.patient else QUEUE_PER_SLOT
     if len(guard.waiting) <= max(MIN_QUEUE, per_slot * guard.limit):
--- a/src/sassafrasstair/decisions/load/_queues.py
+++ b/src/sassafrasstair/decisions/load/_queues.py
@@ -19,17 +19,35 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Waiter:
-    """One waiting attempt and when it arrived."""
+    """One waiting attempt and when it arrived.
+
+    The other fields follow from these and are kept, since the whole queue is
+    searched at each start.
+    """
 
     work: _messages.Work
     arrived_at: float
+    level: int
+    group: _demand.Group
+    begun_at: float
+    wait_seconds: float
+
+
+def new_waiter(work: _messages.Work, now: float) -> Waiter:
+    """Return an attempt that arrived just now."""
+    return Waiter(
+        work,
+        now,
+        math.floor(work.rank),
+        _demand.group_of(work),
+        now if work.begun_at is None else work.begun_at,
+        max(work.max_wait_seconds, MIN_WAIT_SECONDS),
+    )
 
 
 def highest_level(waiting: dict[str, Waiter]) -> int:
     """Return the highest level with waiting work, -1 if there is none."""
-    if not waiting:
-        return -1
-    return math.floor(max(waiter.work.rank for waiter in waiting.values()))
+    return max((waiter.level for waiter in waiting.values()), default=-1)
 
 
 def next_to_start(
@@ -52,7 +70,7 @@
     candidates = _at_level(waiting, level)
     shares: dict[_demand.Group, float] = {}
     if _has_parts(candidates):
-        groups = {_demand.group_of(waiter.work) for waiter in candidates}
+        groups = {waiter.group for waiter in candidates}
         shares = {
             group: _demand.started_share(demand, group) for group in groups
         }
@@ -61,8 +79,7 @@
         work = waiter.work
         use = running_by_tenant.get(work.tenant, 0) / work.tenant_share
         if shares:
-            share = shares[_demand.group_of(work)]
-            return use, share, -_urgency(waiter, now)
+            return use, shares[waiter.group], -_urgency(waiter, now)
         if level <= standing_level:
             return use, 0.0, -waiter.arrived_at
         return use, 0.0, work.deadline
@@ -79,7 +96,7 @@
     that uses most of its share is chosen, and then the lowest rank, or the
     least urgency if one of the level is known to be part of another request.
     """
-    lowest = min(math.floor(waiter.work.rank) for waiter in waiting.values())
+    lowest = min(waiter.level for waiter in waiting.values())
     candidates = _at_level(waiting, lowest)
     by_urgency = _has_parts(candidates)
 
@@ -92,16 +109,12 @@
 
 
 def _at_level(waiting: dict[str, Waiter], level: int) -> list[Waiter]:
-    return [
-        waiter
-        for waiter in waiting.values()
-        if level <= waiter.work.rank < level + 1
-    ]
+    return [waiter for waiter in waiting.values() if waiter.level == level]
 
 
 def _has_parts(waiters: list[Waiter]) -> bool:
     """Return whether an attempt is known to be part of another request."""
-    return any(waiter.work.begun_at is not None for waiter in waiters)
+    return any(_demand.is_part(waiter.group) for waiter in waiters)
 
 
 def _urgency(waiter: Waiter, now: float) -> float:
@@ -111,9 +124,7 @@
     With the age, its later calls go before the first calls of requests that
     came after it, so that what was begun is finished.
     """
-    work = waiter.work
-    begun_at = waiter.arrived_at if work.begun_at is None else work.begun_at
-    return (now - begun_at) / max(work.max_wait_seconds, MIN_WAIT_SECONDS)
+    return (now - waiter.begun_at) / waiter.wait_seconds
 
 
 def expired(
