--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -42,6 +42,7 @@
 from sassafrasstair.decisions.calls._views import choose_target
 from sassafrasstair.decisions.calls._views import floors
 from sassafrasstair.decisions.calls._views import retry_tokens
+from sassafrasstair.decisions.calls._views import usual_service_seconds
 
 __all__ = [
     "HEARTBEAT_SECONDS",
@@ -84,4 +85,5 @@
     "shortest_service_seconds",
     "start_attempt",
     "reason_for_crossing",
+    "usual_service_seconds",
 ]
