Free an answered exchange without the garbage collector

The handler's state refers to the exchange, and the exchange's gone callback to that state. The callback is dropped once the answer is written. The next start is looked up only if a request waits.

--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -453,7 +453,10 @@
         pipeline = self._pipeline
         if self._listener.closing:
             pipelines.close_soon(pipeline)
-        while exchange := pipelines.start_next(pipeline, self._is_idempotent):
+        while pipeline.started < len(pipeline.entries):
+            exchange = pipelines.start_next(pipeline, self._is_idempotent)
+            if exchange is None:
+                break
             if exchange.pipelined:
                 self._note_start()
             try:
@@ -505,6 +508,9 @@
 
     def _write_answer(self, exchange: Exchange) -> None:
         answer, exchange._answer = exchange._answer, None
+        # Without this, the handler's state and the exchange refer to each
+        # other, and only the garbage collector would free them.
+        exchange.gone = None
         if answer is None:
             return
         if exchange.held_bytes:
