Take back the waits by what a caller can do with a refusal

Entrances learn of an overload from answers; calls that wait longer are answered later, so a sudden surge went on being admitted.

--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -42,7 +42,6 @@
 from sassafrasstair.decisions.calls._views import choose_target
 from sassafrasstair.decisions.calls._views import floors
 from sassafrasstair.decisions.calls._views import retry_tokens
-from sassafrasstair.decisions.calls._views import usual_service_seconds
 
 __all__ = [
     "HEARTBEAT_SECONDS",
@@ -85,5 +84,4 @@
     "shortest_service_seconds",
     "start_attempt",
     "reason_for_crossing",
-    "usual_service_seconds",
 ]
--- a/src/sassafrasstair/decisions/calls/_views.py
+++ b/src/sassafrasstair/decisions/calls/_views.py
@@ -13,7 +13,6 @@
     import random
 
     from sassafrasstair.decisions.calls import _messages
-    from sassafrasstair.decisions.calls import _peers
 
 
 def choose_target(
@@ -42,12 +41,3 @@
     return {
         service: budget.tokens for service, budget in entrance.budgets.items()
     }
-
-
-def usual_service_seconds(routes: _peers.Routes, vm: str) -> float:
-    """Return the average of the service times that an instance reported.
-
-    It is 0 if the instance has not reported any.
-    """
-    peer = routes.peers.get(vm)
-    return 0.0 if peer is None else peer.usual_service_seconds
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -15,7 +15,6 @@
 import math
 
 from sassafrasstair import bundles
-from sassafrasstair.decisions.load import _demand
 from sassafrasstair.decisions.load import _floors
 from sassafrasstair.decisions.load import _limits
 from sassafrasstair.decisions.load import _messages
@@ -63,8 +62,7 @@
     instance names itself, and ``floors`` the shed floors.
     ``running`` maps running attempts to their start, ``running_work`` to
     their work; ``running_by_level`` and ``running_by_tenant`` count them.
-    ``waiting`` is the queue, and ``demand`` counts what arrived and what was
-    started, by groups of work. ``estimates_by_class`` are service times by
+    ``waiting`` is the queue. ``estimates_by_class`` are service times by
     request class and ``usual_by_class`` the smoother ones that are reported
     to callers, ``mean_service_seconds`` the average of all finished work
     and ``current_service_seconds`` the same with running work included; the
@@ -99,7 +97,6 @@
         default_factory=dict
     )
     running_by_tenant: dict[str, int] = dataclasses.field(default_factory=dict)
-    demand: _demand.Demand = dataclasses.field(default_factory=_demand.Demand)
     estimates_by_class: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
@@ -145,7 +142,6 @@
         emptied_at=emptied,
         ticked_at=now,
         patient=patient,
-        demand=_demand.Demand(faded_at=now),
     )
 
 
@@ -156,7 +152,6 @@
     _floors.count_offer(
         guard.floors, work.tenant, work.tenant_share, work.rank
     )
-    _demand.count_offered(guard.demand, work)
     if guard.leaving:
         return [_refuse(work, outcomes.Reason.LEAVING)]
     if now >= work.deadline:
@@ -165,7 +160,7 @@
         return [_refuse(work, outcomes.Reason.DEADLINE_TOO_SHORT)]
     if not guard.waiting and _may_start(guard, now):
         return [_start(guard, work, now)]
-    if work.max_wait_seconds <= 0.0 or _must_wait_too_long(guard, work, now):
+    if _must_wait_too_long(guard, work, now):
         guard.overloaded_at = now
         return [_refuse(work, outcomes.Reason.QUEUE_DELAY)]
     return _enqueue(guard, work, now)
@@ -241,7 +236,6 @@
     Called every 50 ms and after a pause of the process.
     """
     guard.current_service_seconds = _current_service_seconds(guard, now)
-    _demand.fade(guard.demand, now)
     effects = _expire(guard, now)
     effects += _abort_overdue(guard, now)
     effects += _dispatch(guard, now)
@@ -289,7 +283,6 @@
 
 def _start(guard: Guard, work: _messages.Work, now: float) -> _messages.Effect:
     _rates.take_token(guard.rate)
-    _demand.count_started(guard.demand, work)
     guard.running[work.attempt_id] = now
     guard.running_work[work.attempt_id] = work
     level = math.floor(work.rank)
@@ -306,14 +299,14 @@
     if work.rank < floor(guard, now, work.tenant):
         guard.overloaded_at = now
         return [_refuse(work, outcomes.Reason.SHED_AT_CALLEE)]
-    guard.waiting[work.attempt_id] = _queues.new_waiter(work, now)
+    guard.waiting[work.attempt_id] = _queues.Waiter(work, now)
     effects = _dispatch(guard, now)
     per_slot = PATIENT_QUEUE_PER_SLOT if guard.patient else QUEUE_PER_SLOT
     if len(guard.waiting) <= max(MIN_QUEUE, per_slot * guard.limit):
         return effects
     guard.overloaded_at = now
     refused = _queues.next_to_refuse(
-        guard.waiting, guard.running_by_tenant, now
+        guard.waiting, guard.running_by_tenant
     ).work
     del guard.waiting[refused.attempt_id]
     return effects + [_refuse(refused, outcomes.Reason.QUEUE_FULL)]
@@ -330,11 +323,7 @@
     )
     while guard.waiting and _may_start(guard, now):
         waiter = _queues.next_to_start(
-            guard.waiting,
-            guard.running_by_tenant,
-            standing_level,
-            guard.demand,
-            now,
+            guard.waiting, guard.running_by_tenant, standing_level
         )
         del guard.waiting[waiter.work.attempt_id]
         if _has_expired(guard, waiter, now):
--- a/src/sassafrasstair/decisions/load/_messages.py
+++ b/src/sassafrasstair/decisions/load/_messages.py
@@ -23,9 +23,7 @@
     ``rank`` orders attempts by importance and then by caller (see
     ``load.rank``); a higher rank is shed later. ``max_wait_seconds`` is how
     long the attempt may wait in the queue. ``tenant_share`` is the tenant's
-    weight in the bundle. ``begun_at`` is when the request that the attempt is
-    part of came to the system, None if the attempt is not known to be part of
-    another request.
+    weight in the bundle.
     """
 
     attempt_id: str
@@ -35,7 +33,6 @@
     deadline: float
     max_wait_seconds: float
     tenant_share: float = 1.0
-    begun_at: float | None = None
 
 
 class End(enum.Enum):
--- a/src/sassafrasstair/decisions/requests/__init__.py
+++ b/src/sassafrasstair/decisions/requests/__init__.py
@@ -24,15 +24,12 @@
 from sassafrasstair.decisions.requests._progress import attempt_ended
 from sassafrasstair.decisions.requests._progress import attempt_sent
 from sassafrasstair.decisions.requests._progress import Ending
-from sassafrasstair.decisions.requests._progress import is_last_instance
 from sassafrasstair.decisions.requests._progress import is_too_late
 from sassafrasstair.decisions.requests._progress import new_progress
 from sassafrasstair.decisions.requests._progress import outcome
 from sassafrasstair.decisions.requests._progress import Progress
 from sassafrasstair.decisions.requests._progress import retry_after
 from sassafrasstair.decisions.requests._progress import Step
-from sassafrasstair.decisions.requests._waits import max_wait
-from sassafrasstair.decisions.requests._waits import WaitInputs
 
 __all__ = [
     "BudgetRules",
@@ -42,7 +39,6 @@
     "Progress",
     "Step",
     "UNKNOWN_HOP",
-    "WaitInputs",
     "Window",
     "allow_repeat",
     "attempt_ended",
@@ -50,9 +46,7 @@
     "depth_of",
     "find_hop",
     "new_depths",
-    "is_last_instance",
     "is_too_late",
-    "max_wait",
     "new_progress",
     "new_window",
     "note_call",
--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -29,9 +29,6 @@
 """The least Retry-After for refused clients, in seconds and as a share of the
 route's objective. The actual time is drawn at random up to twice as long, so
 that clients do not all return together."""
-RETRY_AFTER_MAX_SHARE = 1.0 / 3.0
-"""Clients wait for Retry-After, but not for more than this share of the time
-that they have left."""
 
 
 class Ending(enum.Enum):
@@ -137,18 +134,6 @@
     return now + MIN_ATTEMPT_SECONDS >= progress.deadline
 
 
-def is_last_instance(progress: Progress, instances: int) -> bool:
-    """Return whether no other instance is asked if this one has no room.
-
-    The attempt at this one is already among those tried; ``instances`` is how
-    many the service has.
-    """
-    return (
-        progress.turned_away + 1 >= TURNED_AWAY_MAX
-        or len(progress.tried) >= instances
-    )
-
-
 def _exhausted(progress: Progress) -> bool:
     """Return whether a limit other than the budget rules out a retry."""
     return (
@@ -173,15 +158,7 @@
 
 def retry_after(route: policies.Route, rng: random.Random) -> float:
     """Return after how many seconds a refused client should retry."""
-    minimum = least_retry_after(route)
-    return rng.uniform(minimum, 2.0 * minimum)
-
-
-def least_retry_after(route: policies.Route) -> float:
-    """Return after how many seconds a refused client may retry at the least.
-
-    The times that ``retry_after`` returns are spread above it.
-    """
-    return max(
+    minimum = max(
         RETRY_AFTER_MIN_SECONDS, RETRY_AFTER_OBJECTIVE_SHARE * route.objective
     )
+    return rng.uniform(minimum, 2.0 * minimum)
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -34,13 +34,18 @@
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _repeats
 from sassafrasstair.forwarding import _state
-from sassafrasstair.forwarding import _waits
 from sassafrasstair.forwarding import _wire
 from sassafrasstair.forwarding import _work_wire
 from sassafrasstair import httpio
 from sassafrasstair import notices
 from sassafrasstair import outcomes
 
+QUEUE_WAIT_RATIO = 0.5
+"""The fraction of a route's objective, or of the remaining time if that is
+shorter, that a request may wait for a slot. The wait must end before the
+timeout: at the timeout an entrance can't know that the request has not run,
+so it could not tell the client to retry."""
+
 
 def send_attempt(
     daemon: _state.Daemon,
@@ -79,7 +84,6 @@
     )
     requests.attempt_sent(progress, target.vm)
     calls.start_attempt(daemon.routes, target.vm, now)
-    parent = _waits.parent_of(daemon, call)
     remaining = progress.deadline - now
     metadata = _wire.RequestMetadata(
         daemon.view.content_revision,
@@ -87,7 +91,7 @@
         progress.route.name,
         progress.rank,
         remaining,
-        _waits.max_wait(daemon, call, parent, target.vm, len(targets), now),
+        QUEUE_WAIT_RATIO * min(progress.route.objective, remaining),
     )
     attempt = _records.Attempt(
         target.vm,
@@ -97,7 +101,6 @@
         metadata,
         [*call.fields, (daemon.header_names.target, target.vm.encode())],
         _crashes.trial_strikes(verdict),
-        _waits.age(parent, now),
         cross_domain_reason,
         choice.expected_seconds,
     )
@@ -181,7 +184,6 @@
         shares_by_depth=_repeats.shares_by_depth(
             daemon, call.progress.service, attempt.sent_at
         ),
-        age=attempt.age,
     )
 
     def on_done(result: _records.Result) -> None:
@@ -208,7 +210,6 @@
     fields = [
         *attempt.fields,
         (_wire.METADATA_HEADER, _wire.encode_metadata(attempt.metadata)),
-        *_wire.age_fields(attempt.age),
     ]
     if attempt.trial_strikes:
         fields.append((_wire.TRIAL_HEADER, b"%d" % attempt.trial_strikes))
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -85,10 +85,7 @@
     reason = _unavailable_reason(daemon, metadata.instance)
     if _notices.is_late_request(daemon, inbound, guard, now):
         reason = outcomes.Reason.LEAVING
-    begun_at = now - (inbound.age or 0.0)
-    execution = _records.Execution(
-        key, inbound, deadline, on_done, guard, begun_at
-    )
+    execution = _records.Execution(key, inbound, deadline, on_done, guard)
     verdict = _crashes.verdict_of_inbound(daemon, inbound)
     if _crashes.is_blocked(verdict, inbound.trial_strikes):
         reason = outcomes.Reason.CRASHES_INSTANCES
@@ -113,13 +110,7 @@
         daemon.demand, load.route_seconds(guard, metadata.route), now
     )
     work = load.Work(
-        key,
-        metadata.route,
-        "",
-        metadata.rank,
-        deadline,
-        metadata.max_wait,
-        begun_at=None if inbound.age is None else begun_at,
+        key, metadata.route, "", metadata.rank, deadline, metadata.max_wait
     )
     _apply_effects(daemon, load.offer(guard, work, now))
     return key
@@ -466,7 +457,6 @@
             route=inbound.metadata.route,
             ending=ending,
             left=execution.deadline - daemon.clock.monotonic(),
-            max_wait=inbound.metadata.max_wait,
             **_crashes.log_fields(inbound.fingerprint),
         )
     latest_guard = _guards.get_guard(
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -95,7 +95,6 @@
         _wire.decode_trial(request.headers.get(_wire.TRIAL_HEADER_LOWER)),
         customer.name,
         notice.rate_limit,
-        age=_wire.decode_age(request.headers.get(_wire.AGE_HEADER_LOWER)),
         shares_by_depth=_wire.decode_repeats(
             request.headers.get(_wire.REPEATS_HEADER_LOWER)
         ),
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -29,10 +29,9 @@
     again, 0 if the request was not blocked. ``customer`` is the sender's
     name, '' for a request without a key. ``rate_limit`` is the limit in
     requests per second that the instance last named to the entrance, infinite
-    if it named none. ``age`` is the age in seconds of the request that a call
-    is part of, None if it is not known. ``shares_by_depth`` says whether the
-    entrance and all daemons above it divide the retry budget by depth.
-    ``fingerprint`` is computed when it is needed.
+    if it named none. ``shares_by_depth`` says whether the entrance and all
+    daemons above it divide the retry budget by depth. ``fingerprint`` is
+    computed when it is needed.
     """
 
     metadata: _wire.RequestMetadata
@@ -47,7 +46,6 @@
     trial_strikes: int = 0
     customer: str = ""
     rate_limit: float = math.inf
-    age: float | None = None
     fingerprint: int | None = None
     shares_by_depth: bool = False
 
@@ -74,9 +72,7 @@
     instance's latest start when the request arrived. ``job`` is set once the
     request is sent to the upstream. ``connection_broken`` is set if the
     connection ended before the answer was complete. ``isolated`` is set if
-    no other suspect may run beside the request. ``begun_at`` is when the
-    client's request came that this one is part of, or this one itself if that
-    is not known.
+    no other suspect may run beside the request.
     """
 
     key: str
@@ -84,7 +80,6 @@
     deadline: float
     on_done: abc.Callable[[Result], None]
     guard: load.Guard
-    begun_at: float
     job: httpio.Job | None = None
     connection_broken: bool = False
     isolated: bool = False
@@ -111,7 +106,7 @@
     the instance is in another failure domain, None if it is in this one.
     ``expected_seconds`` is what the choice of the instance was made from: the
     expected delay, and if the objective mattered the completion without it.
-    ``trial_strikes`` and ``age`` are as in ``InboundRequest``.
+    ``trial_strikes`` is as in ``InboundRequest``.
     """
 
     instance: str
@@ -121,7 +116,6 @@
     metadata: _wire.RequestMetadata
     fields: httpio.Fields
     trial_strikes: int = 0
-    age: float | None = None
     cross_domain_reason: calls.CrossingReason | None = None
     expected_seconds: float = 0.0
     job: httpio.Job | None = None
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -45,9 +45,6 @@
 KEY_DIGEST_HEADER = b"Sassafras-Key"
 """The digest of the request's API key, in hexadecimal."""
 KEY_DIGEST_HEADER_LOWER = KEY_DIGEST_HEADER.lower()
-AGE_HEADER = b"Sassafras-Age"
-"""How many seconds ago the client's request came that a call is part of."""
-AGE_HEADER_LOWER = AGE_HEADER.lower()
 INTERNAL_HEADERS = httpio.non_forwarded_names(
     {
         METADATA_HEADER_LOWER,
@@ -57,7 +54,6 @@
         RATE_LIMIT_HEADER_LOWER,
         LEAVING_HEADER_LOWER,
         KEY_DIGEST_HEADER_LOWER,
-        AGE_HEADER_LOWER,
         _work_wire.WORK_HEADER_LOWER,
     }
 )
@@ -168,22 +164,6 @@
     return value == _BY_DEPTH
 
 
-def age_fields(age: float | None) -> httpio.Fields:
-    """Return the header fields for the age of a request, none if unknown."""
-    return [] if age is None else [(AGE_HEADER, b"%.3f" % age)]
-
-
-def decode_age(value: bytes | None) -> float | None:
-    """Return the age in the field, None without a valid field.
-
-    Daemons of an earlier version don't send it.
-    """
-    try:
-        return None if value is None else _amount(value)
-    except ValueError:
-        return None
-
-
 def notice_fields(notice: notices.Notice) -> httpio.Fields:
     """Return the header fields that tell a daemon of a notice."""
     fields: httpio.Fields = []
--- a/tests/loads/chains.py
+++ b/tests/loads/chains.py
@@ -19,8 +19,6 @@
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import load
-from sassafrasstair.decisions import policies
-from sassafrasstair.decisions import requests
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
@@ -29,9 +27,6 @@
 TICK_SECONDS = 0.05
 HOP_SECONDS = 0.001
 PEEK = "peek"
-PEEK_ROUTE = policies.Route(
-    PEEK, "", "/", True, 0.7, 0.3, 9, 2, (policies.Share(PEEK, 1.0),)
-)
 ATTEMPTS = 2
 LEAST_IMPORTANCE = 7
 
@@ -271,26 +266,10 @@
             "",
             rank_of(request),
             self.now + left,
-            self._max_wait(peek, target.vm, left),
-            begun_at=request.came,
+            0.5 * min(0.3, left),
         )
         self._perform(target.vm, load.offer(guard, work, self.now))
 
-    def _max_wait(self, peek: Peek, vm: str, left: float) -> float:
-        """Return how long a call may wait, which only upstreams make."""
-        routes = self.routes[peek.request.caller]
-        return requests.max_wait(
-            requests.WaitInputs(
-                PEEK_ROUTE,
-                0.0,
-                left,
-                internal=True,
-                last=len(peek.tried) >= min(ATTEMPTS, len(self.targets)),
-                service_seconds=calls.usual_service_seconds(routes, vm),
-                request_remaining=left,
-            )
-        )
-
     def _perform(self, vm: str, effects: list[load.Effect]) -> None:
         for effect in effects:
             attempt = effect.attempt_id
