Admit by cost only where the settings ask for it

Change: admission.by_cost, off if left out; without it nothing is learned, sent or decided by cost. Work is compared with a tenth of a slot at least.

Result: test_entrances_shed_when_all_instances_are_limited passes again.

--- a/src/sassafrasstair/decisions/costs/_demands.py
+++ b/src/sassafrasstair/decisions/costs/_demands.py
@@ -12,6 +12,8 @@
 
 AVERAGE_SECONDS = 0.3
 """The time constant of the average of arriving work."""
+LIMIT_MIN = 0.1
+"""The least number of slots that arriving work is compared with."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,9 +37,12 @@
 
 
 def offered_share(demand: Demand, limit: float, now: float) -> float:
-    """Return the arriving work as a share of ``limit`` slots."""
+    """Return the arriving work as a share of ``limit`` slots.
+
+    An instance that limits its rate may use less than one slot on average.
+    """
     _decay(demand, now)
-    return demand.slots / max(1.0, limit)
+    return demand.slots / max(LIMIT_MIN, limit)
 
 
 def _decay(demand: Demand, now: float) -> None:
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -321,7 +321,8 @@
         return
     now = daemon.clock.monotonic()
     _observe_load(daemon, call, attempt.instance, state, now)
-    _observe_costs(daemon, call, attempt.instance, state, work, now)
+    if daemon.settings.admits_by_cost:
+        _observe_costs(daemon, call, attempt.instance, state, work, now)
     _repeats.observe_answer(daemon, call, state, work, now)
     if work.route_seconds is not None and _is_current(daemon, attempt):
         calls.observe_route_seconds(
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -482,17 +482,26 @@
     now = daemon.clock.monotonic()
     route = inbound.metadata.route
     guard = _guards.get_guard(daemon, inbound.metadata.instance, now)
+    return _work_wire.WorkReport(
+        load.usual_seconds(guard, route),
+        _repeats.calls_below(daemon),
+        _costs(daemon, guard, route, now),
+    )
+
+
+def _costs(
+    daemon: _state.Daemon, guard: load.Guard, route: str, now: float
+) -> tuple[costs.ServiceCost, ...]:
+    """Return the costs of a route to report, none if they are not used."""
+    if not daemon.settings.admits_by_cost:
+        return ()
     own = costs.ServiceCost(
         daemon.settings.service,
         load.route_seconds(guard, route),
         costs.offered_share(daemon.demand, load.limit(guard, now), now),
         load.wait_seconds(guard),
     )
-    return _work_wire.WorkReport(
-        load.usual_seconds(guard, route),
-        calls_below=_repeats.calls_below(daemon),
-        costs=costs.costs_of_route(daemon.ledger, route, own, now),
-    )
+    return costs.costs_of_route(daemon.ledger, route, own, now)
 
 
 def _callee_state(
--- a/src/sassafrasstair/forwarding/_dialect.py
+++ b/src/sassafrasstair/forwarding/_dialect.py
@@ -113,9 +113,10 @@
     ``callers`` for clients and its own upstream, on ``daemons`` for other
     daemons, on ``operators`` for readiness checks and on ``metrics`` for
     metrics. On ``seeding`` it serves daemons that know no other daemon yet;
-    ``seeds`` are the seeding addresses of other daemons. ``least_share`` is
-    the part of the average share that every kind of request is admitted to a
-    service that is short of room.
+    ``seeds`` are the seeding addresses of other daemons. With
+    ``admits_by_cost`` it learns and reports what requests cost, and admits
+    them by it; ``least_share`` is then the part of the average share that
+    every kind of request is admitted to a service that is short of room.
     """
 
     vm: str
@@ -133,6 +134,7 @@
     store: Address
     memory_bytes: int
     bounds: Bounds
+    admits_by_cost: bool = False
     least_share: float = admission.LEAST_SHARE
 
 
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -64,13 +64,14 @@
     Calls of this VM's upstream are always admitted: work was already spent
     on the requests that they are part of.
     """
-    if admission.called_only_by_upstreams(daemon.chains, route.name):
-        return True
-    admitted = admission.admit_kind(
-        daemon.allowances, (route.name, importance), now, daemon.rng
-    )
-    if admission.covers(daemon.allowances, route.name):
-        return admitted
+    if daemon.settings.admits_by_cost:
+        if admission.called_only_by_upstreams(daemon.chains, route.name):
+            return True
+        admitted = admission.admit_kind(
+            daemon.allowances, (route.name, importance), now, daemon.rng
+        )
+        if admission.covers(daemon.allowances, route.name):
+            return admitted
     return admission.admit(
         daemon.gates,
         route.name,
@@ -169,7 +170,9 @@
         importance=_importance(route, customer),
     )
     daemon.calls.add(call)
-    if admission.called_only_by_upstreams(daemon.chains, route.name):
+    if daemon.settings.admits_by_cost and admission.called_only_by_upstreams(
+        daemon.chains, route.name
+    ):
         costs.call_started(
             daemon.ledger.chains, call.request_id, route.name, now
         )
--- a/src/sassafrasstair/platform/_settings.py
+++ b/src/sassafrasstair/platform/_settings.py
@@ -74,12 +74,21 @@
                 _number(bounds, "quota_slack", 0.0),
             ),
         ),
+        admits_by_cost=_switch(values, "admission.by_cost"),
         least_share=_share(
             values, "admission.least_share", admission.LEAST_SHARE
         ),
     )
 
 
+def _switch(values: abc.Mapping[str, str], key: str) -> bool:
+    """Return whether an option is on; it is off if it is left out."""
+    value = values.get(key, "false")
+    if value not in ("true", "false"):
+        raise forwarding.SettingsError(f"{key}: not true or false: {value}")
+    return value == "true"
+
+
 def _share(values: abc.Mapping[str, str], key: str, default: float) -> float:
     """Return a number from 0 to 1."""
     share = _number(values, key, default)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -59,6 +59,7 @@
         ("10.0.0.3:8310", "10.0.0.3:x", "seeds"),
         ("a.field.of", "admission.least_share=1.1\na.field.of", "least_share"),
         ("a.field.of", "admission.least_share=some\na.f", "least_share"),
+        ("a.field.of", "admission.by_cost=yes\na.field.of", "by_cost"),
     ],
 )
 def test_error_names_the_invalid_key(old: str, new: str, key: str) -> None:
@@ -75,6 +76,22 @@
     assert settings.least_share == least_share
 
 
+@pytest.mark.parametrize(
+    ("line", "by_cost"),
+    [
+        ("", False),
+        ("admission.by_cost=true\n", True),
+        ("admission.by_cost=false\n", False),
+    ],
+)
+def test_admission_by_cost_is_off_unless_it_is_set(
+    line: str, by_cost: bool
+) -> None:
+    """Guards against daemons that admit otherwise without being told to."""
+    settings = _settings.decode_settings(line + TEXT)
+    assert settings.admits_by_cost is by_cost
+
+
 def test_error_names_the_missing_file() -> None:
     dialect = platform.open_dialect({"SASSAFRASSTAIR_BOOT": "/none/boot"})
     with pytest.raises(forwarding.SettingsError, match="/none/boot"):
