Place by objective only where the settings ask for it

Where no instance can meet an objective and not all have reported, requests gather at a few.

Change: placement.by_objective, off if left out; without it service times are neither reported nor used. Refusals of instances are weighed as before.

--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -28,8 +28,6 @@
 SPILL_MARGIN_SECONDS = 0.005
 # Expected completions within this factor of each other count as equal.
 EQUAL_FACTOR = 1.2
-# Instances whose service times differ by less than this are alike.
-ALIKE_FACTOR = 1.4
 # The share of attempts that are placed as if every instance could meet the
 # objective. They show when an instance that was slow has become fast.
 PROBE_SHARE = 0.02
@@ -67,10 +65,8 @@
     grouped = _groups.sorted_targets(routes, targets, now)
     if need is not None and need.objective_left > 0.0:
         speeds = _speeds.of_route(routes, grouped, need.route, now)
-        if (
-            _is_tight(speeds, need.objective_left)
-            and rng.random() >= PROBE_SHARE
-        ):
+        is_tight = speeds.slowest > need.objective_left
+        if is_tight and rng.random() >= PROBE_SHARE:
             return _choose_in_time(
                 routes, grouped, speeds, tried, need.objective_left, now, rng
             )
@@ -81,21 +77,6 @@
     return _choose_near_first(routes, near, far, grouped, now, rng)
 
 
-def _is_tight(speeds: _speeds.RouteSpeeds, objective_left: float) -> bool:
-    """Return whether the objective matters to the choice.
-
-    If no instance can meet it, it matters only where their speeds differ:
-    among alike instances, requests would gather at one that happened to be a
-    little faster.
-    """
-    if speeds.slowest <= objective_left:
-        return False
-    return (
-        speeds.fastest <= objective_left
-        or speeds.slowest > ALIKE_FACTOR * speeds.fastest
-    )
-
-
 def _choose_near_first(
     routes: _peers.Routes,
     near: abc.Sequence[_messages.Target],
--- a/src/sassafrasstair/decisions/calls/_speeds.py
+++ b/src/sassafrasstair/decisions/calls/_speeds.py
@@ -45,13 +45,11 @@
 
     ``completion`` is the time in seconds by VM within which nine of ten
     requests are answered that don't wait for a slot. ``slowest`` is the
-    greatest of them and ``fastest`` the least, 0 if no instance has reported
-    the route.
+    greatest of them, 0 if no instance has reported the route.
     ``all_reported`` is set if each instance has.
     """
 
     completion: dict[str, float]
-    fastest: float
     slowest: float
     all_reported: bool
 
@@ -96,7 +94,7 @@
         and route in peer.route_times
     }
     if not reported:
-        return RouteSpeeds({}, 0.0, 0.0, False)
+        return RouteSpeeds({}, 0.0, False)
     prior = _prior(list(reported.values()), now)
     completion = {}
     for target in targets:
@@ -105,8 +103,7 @@
         if target.failure_domain != routes.failure_domain:
             completion[target.vm] += CROSSING_SECONDS
     all_reported = len(reported) == len(targets)
-    times = completion.values()
-    return RouteSpeeds(completion, min(times), max(times), all_reported)
+    return RouteSpeeds(completion, max(completion.values()), all_reported)
 
 
 def _prior(reported: abc.Sequence[RouteTime], now: float) -> float:
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -68,8 +68,7 @@
         return
     progress = call.progress
     targets = views.targets(daemon.view, progress.service)
-    taken = now - call.exchange.request.received_at
-    need = calls.Need(progress.route.name, progress.route.objective - taken)
+    need = _need(daemon, call, now)
     choice = calls.choose(
         daemon.routes, targets, progress.tried, now, daemon.rng, need
     )
@@ -111,6 +110,17 @@
         _send_to_peer(daemon, call, attempt)
 
 
+def _need(
+    daemon: _state.Daemon, call: _records.Call, now: float
+) -> calls.Need | None:
+    """Return what the request needs of its instance, None if that is off."""
+    if not daemon.settings.places_by_objective:
+        return None
+    route = call.progress.route
+    taken = now - call.exchange.request.received_at
+    return calls.Need(route.name, route.objective - taken)
+
+
 def fail_attempts_at(daemon: _state.Daemon, instance: str) -> None:
     """End the attempts at an instance whose daemon does not respond.
 
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -482,8 +482,11 @@
     now = daemon.clock.monotonic()
     route = inbound.metadata.route
     guard = _guards.get_guard(daemon, inbound.metadata.instance, now)
+    seconds = None
+    if daemon.settings.places_by_objective:
+        seconds = load.usual_seconds(guard, route)
     return _work_wire.WorkReport(
-        load.usual_seconds(guard, route),
+        seconds,
         _repeats.calls_below(daemon),
         _costs(daemon, guard, route, now),
     )
--- a/src/sassafrasstair/forwarding/_dialect.py
+++ b/src/sassafrasstair/forwarding/_dialect.py
@@ -114,9 +114,11 @@
     daemons, on ``operators`` for readiness checks and on ``metrics`` for
     metrics. On ``seeding`` it serves daemons that know no other daemon yet;
     ``seeds`` are the seeding addresses of other daemons. With
-    ``admits_by_cost`` it learns and reports what requests cost, and admits
-    them by it; ``least_share`` is then the part of the average share that
-    every kind of request is admitted to a service that is short of room.
+    ``places_by_objective`` requests go to instances that can meet their
+    objective. With ``admits_by_cost`` the daemon learns and reports what
+    requests cost, and admits them by it; ``least_share`` is then the part of
+    the average share that every kind of request is admitted to a service that
+    is short of room.
     """
 
     vm: str
@@ -134,6 +136,7 @@
     store: Address
     memory_bytes: int
     bounds: Bounds
+    places_by_objective: bool = False
     admits_by_cost: bool = False
     least_share: float = admission.LEAST_SHARE
 
--- a/src/sassafrasstair/platform/_settings.py
+++ b/src/sassafrasstair/platform/_settings.py
@@ -74,6 +74,7 @@
                 _number(bounds, "quota_slack", 0.0),
             ),
         ),
+        places_by_objective=_switch(values, "placement.by_objective"),
         admits_by_cost=_switch(values, "admission.by_cost"),
         least_share=_share(
             values, "admission.least_share", admission.LEAST_SHARE
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -184,6 +184,7 @@
                 requests.BudgetRules(0.2, 400.0, 10.0),
                 self._cluster.revocation_seconds,
             ),
+            places_by_objective=self._cluster.places_by_objective,
             admits_by_cost=self._cluster.admits_by_cost,
         )
 
@@ -322,6 +323,7 @@
         self.settings_mark = 0
         self.bad_settings = False
         self.memory_bytes = 100_000_000
+        self.places_by_objective = False
         self.admits_by_cost = False
         self.customers: tuple[policies.Customer, ...] | None = None
         self.revocation_seconds: float | None = None
