Split connections, reports and observations off into modules of their own

Change: httpio/_connections and _exchanges (from _listeners), forwarding /_reports (from _callee) and /_observations (from _attempts), and the tests of pipelined requests in two files with their server beside them. Names become public where they cross modules; nothing else changes.

--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -24,7 +24,6 @@
 import typing
 
 from sassafrasstair.decisions import admission
-from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import requests
@@ -35,10 +34,8 @@
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _notices
 from sassafrasstair.forwarding import _records
-from sassafrasstair.forwarding import _repeats
+from sassafrasstair.forwarding import _reports
 from sassafrasstair.forwarding import _state
-from sassafrasstair.forwarding import _wire
-from sassafrasstair.forwarding import _work_wire
 from sassafrasstair import httpio
 from sassafrasstair import notices
 from sassafrasstair import outcomes
@@ -464,83 +461,16 @@
     )
     execution.on_done(
         _records.Result(
-            _callee_state(daemon, inbound, ending, reason),
+            _reports.callee_state(daemon, inbound, ending, reason),
             response,
             notices.Notice(
                 load.rate_limit(execution.guard),
                 _notices.has_said_to_leave(daemon, inbound, latest_guard),
             ),
-            _work_report(daemon, inbound),
+            _reports.work_report(daemon, inbound),
         )
     )
 
 
-def _work_report(
-    daemon: _state.Daemon, inbound: _records.InboundRequest
-) -> _work_wire.WorkReport:
-    """Return what this daemon knows of the work of the request's route."""
-    now = daemon.clock.monotonic()
-    route = inbound.metadata.route
-    guard = _guards.get_guard(daemon, inbound.metadata.instance, now)
-    seconds = None
-    if daemon.settings.places_by_objective:
-        seconds = load.usual_seconds(guard, route)
-    return _work_wire.WorkReport(
-        seconds,
-        _repeats.calls_below(daemon),
-        _costs(daemon, guard, route, now),
-    )
-
-
-def _costs(
-    daemon: _state.Daemon, guard: load.Guard, route: str, now: float
-) -> tuple[costs.ServiceCost, ...]:
-    """Return the costs of a route to report, none if they are not used."""
-    if not daemon.settings.admits_by_cost:
-        return ()
-    own = costs.ServiceCost(
-        daemon.settings.service,
-        load.route_seconds(guard, route),
-        costs.offered_share(daemon.demand, load.limit(guard, now), now),
-        load.wait_seconds(guard),
-    )
-    return costs.costs_of_route(daemon.ledger, route, own, now)
-
-
-def _callee_state(
-    daemon: _state.Daemon,
-    inbound: _records.InboundRequest,
-    ending: requests.Ending | None,
-    reason: outcomes.Reason,
-) -> _wire.CalleeState:
-    """Return the state to report with the answer.
-
-    It includes the load of the busiest service that this VM's upstream calls
-    for requests of the same importance, and whether the route is internal.
-    The entrance or the calling daemon uses both when it handles the answer.
-    A higher rank, and so a higher importance, takes precedence.
-    """
-    now = daemon.clock.monotonic()
-    guard = _guards.get_guard(daemon, inbound.metadata.instance, now)
-    importance = math.floor(inbound.metadata.rank)
-    load_report = calls.LoadReport(
-        load.busy(guard),
-        limit=load.limit(guard, now),
-        service_seconds=load.service_seconds(guard),
-    )
-    return _wire.CalleeState(
-        daemon.view.content_revision,
-        daemon.upstream_leaving,
-        load_report,
-        load.busy_at_or_above(guard, importance),
-        admission.busiest_callee_load(daemon.chains, importance, now),
-        admission.is_inner(
-            daemon.callers, inbound.metadata.route, daemon.services
-        ),
-        ending,
-        reason,
-    )
-
-
 def _ignore_result(result: _records.Result) -> None:
     """Ignore the result of a cancelled execution."""
--- a/src/sassafrasstair/httpio/__init__.py
+++ b/src/sassafrasstair/httpio/__init__.py
@@ -9,8 +9,8 @@
 from __future__ import annotations
 
 from sassafrasstair.httpio._bodies import MemoryBudget
-from sassafrasstair.httpio._listeners import Exchange
-from sassafrasstair.httpio._listeners import Limits
+from sassafrasstair.httpio._exchanges import Exchange
+from sassafrasstair.httpio._exchanges import Limits
 from sassafrasstair.httpio._listeners import Listener
 from sassafrasstair.httpio._messages import combined_value
 from sassafrasstair.httpio._messages import end_to_end_fields
--- /dev/null
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -0,0 +1,456 @@
+"""One connection from a client.
+
+It parses requests, starts them and writes their answers in the order that
+``pipelines`` decides.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import httptools
+
+from sassafrasstair.decisions import pipelines
+from sassafrasstair.httpio import _exchanges
+from sassafrasstair.httpio import _messages
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair.httpio import _listeners
+
+PIPELINED_MAX = 16
+"""Pipelined requests queued on one connection before reading pauses."""
+SIDE_BY_SIDE_MAX = 8
+"""Pipelined requests of one connection that may run or be answered and not
+written; an ordinary client opens about as many connections."""
+HELD_BYTES_MAX = 1024 * 1024
+"""Bytes of answers that may wait for their turn before no further pipelined
+request is started."""
+LINGER_SECONDS = 2.0
+"""How long a closed connection discards what the client still sends. If the
+socket were closed with unread data, the kernel would reset the connection and
+drop answers that the client has not received yet (RFC 9112, 9.6)."""
+PARSED_BYTES_MAX = 16 * 1024
+"""Bytes parsed between two checks of the number of queued requests."""
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_PARSE_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
+_PIPELINE_LIMITS = pipelines.Limits(
+    SIDE_BY_SIDE_MAX, PIPELINED_MAX, HELD_BYTES_MAX
+)
+
+
+class Connection(asyncio.Protocol):
+    """One connection; ``httptools`` calls the ``on_`` methods.
+
+    ``_unparsed`` is data that was read but not parsed, since enough requests
+    wait. ``_read_since`` is the time from which the limits on reading a
+    request count. ``_sent_ahead`` is set once the client has sent data behind
+    an unanswered request.
+    """
+
+    __slots__ = (
+        "_active_at",
+        "_body_parts",
+        "_body_size",
+        "_closing",
+        "_continue_due",
+        "_head_size",
+        "_listener",
+        "_parser",
+        "_paused",
+        "_pipeline",
+        "_read_since",
+        "_reading",
+        "_received_at",
+        "_sent_ahead",
+        "_transport",
+        "_unparsed",
+        "_unsent_bytes",
+    )
+
+    def __init__(self, listener: _listeners.Listener) -> None:
+        self._listener = listener
+        self._parser: typing.Any = httptools.HttpRequestParser(self)
+        self._transport: typing.Any = None
+        self._pipeline: pipelines.Pipeline[_exchanges.Exchange] = (
+            pipelines.new_pipeline(_PIPELINE_LIMITS)
+        )
+        self._reading: _messages.Request | None = None
+        self._body_parts: list[bytes] = []
+        self._body_size = 0
+        self._head_size = 0
+        self._active_at = listener.clock.monotonic()
+        self._received_at = self._active_at
+        self._read_since = self._active_at
+        self._unparsed = b""
+        self._paused = False
+        self._continue_due = False
+        self._sent_ahead = False
+        self._closing = False
+        self._unsent_bytes = 0
+
+    @property
+    def peer_host(self) -> str:
+        """The client's IP address, '' after it has disconnected."""
+        name = self._transport.get_extra_info("peername")
+        return name[0] if name else ""
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read, queued or handled."""
+        return not self._pipeline.entries and self._reading is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the new connection."""
+        self._transport = transport
+        self._listener.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Release the memory and report that the client has disconnected."""
+        self._listener.connections.discard(self)
+        self._disconnected()
+
+    def eof_received(self) -> bool:
+        """Treat the end of the client's data as a disconnect."""
+        self._disconnected()
+        return False
+
+    def pause_writing(self) -> None:
+        """Start no further request while the client reads no answers."""
+        self._pipeline.unread = True
+
+    def resume_writing(self) -> None:
+        """Continue once the client has read most of its answers."""
+        self._pipeline.unread = False
+        if self._pipeline.entries:
+            self._start_waiting_soon()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received data and start the requests that may start."""
+        pipeline = self._pipeline
+        if pipeline.entries:
+            self._sent_ahead = True
+        if pipeline.ended:
+            return
+        self._received_at = self._listener.clock.monotonic()
+        if self._reading is None:
+            self._active_at = self._received_at
+        if self._unparsed or len(data) > PARSED_BYTES_MAX:
+            self._parse_in_pieces(self._unparsed + data)
+        else:
+            self._parse(data)
+        # The handler is not called from the parser's callbacks: the parser
+        # would report an error in the handler as a malformed request.
+        if pipeline.entries:
+            if len(pipeline.entries) > 1 or self._reading is not None:
+                self._sent_ahead = True
+                self._update_reading()
+            self._start_waiting()
+
+    def on_message_begin(self) -> None:
+        """Start reading a request."""
+        if self._pipeline.ended:
+            return
+        self._reading = _messages.Request(self._received_at)
+        self._read_since = self._received_at
+        self._body_parts = []
+        self._body_size = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Append to the target, which may arrive in pieces."""
+        if self._reading is not None:
+            self._reading.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header field."""
+        request = self._reading
+        if request is None:
+            return
+        lower_name = name.lower()
+        value = value.strip(_messages.WHITE_SPACE)
+        request.fields.append((lower_name, name, value))
+        if lower_name in request.headers:
+            if lower_name in (b"host", b"content-length"):
+                # Request smuggling: a proxy may use the first of two such
+                # fields and the server behind it the second.
+                self._reject(400)
+        else:
+            request.headers[lower_name] = value
+
+    def on_headers_complete(self) -> None:
+        """Check the head against the limits."""
+        request = self._reading
+        if request is None:
+            return
+        self._head_size = -1
+        request.method = self._parser.get_method()
+        request.keep_alive = self._parser.should_keep_alive()
+        content_length = request.headers.get(b"content-length", b"0")
+        if int(content_length or b"0") > self._listener.limits.body_bytes:
+            self._reject(413)
+        elif self._parser.should_upgrade():
+            self._reject(400)
+        elif request.headers.get(b"expect", b"").lower() == b"100-continue":
+            self._continue_due = True
+            self._send_continue()
+
+    def on_body(self, body: bytes) -> None:
+        """Store a piece of the body if the limits allow it."""
+        if self._reading is None:
+            return
+        if self._body_size + len(body) > self._listener.limits.body_bytes:
+            self._reject(413)
+        elif not self._listener.memory.reserve(len(body)):
+            self._reject(503)
+        else:
+            self._body_size += len(body)
+            self._body_parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the complete request."""
+        request = self._reading
+        if request is None:
+            return
+        self._reading = None
+        self._continue_due = False
+        self._head_size = 0
+        request.body = b"".join(self._body_parts)
+        self._body_parts = []
+        pipelines.add(self._pipeline, _exchanges.Exchange(self, request))
+
+    def respond(
+        self,
+        exchange: _exchanges.Exchange,
+        status: int,
+        fields: _messages.Fields,
+        body: bytes,
+        close: bool,
+    ) -> None:
+        """Send the response, or hold it until its turn."""
+        if not pipelines.answer(self._pipeline, exchange, len(body)):
+            return
+        memory = self._listener.memory
+        memory.release(len(exchange.request.body))
+        if exchange.held_bytes:
+            memory.charge(exchange.held_bytes)
+        if close or self._listener.closing:
+            pipelines.close_soon(self._pipeline)
+        exchange._answer = _exchanges.Answer(status, fields, body)
+        self._write_answers()
+
+    def check(self, now: float) -> None:
+        """Close the connection if a time limit has passed."""
+        limits = self._listener.limits
+        if self._pipeline.started:
+            return
+        self._note_progress(now)
+        if self._closing or self._unsent_bytes:
+            # If the client stops reading, its response would stay in memory
+            # for as long as the connection is open.
+            time_limit = limits.idle_seconds
+            if self._closing and not self._unsent_bytes:
+                time_limit = min(LINGER_SECONDS, time_limit)
+            if now - self._active_at > time_limit:
+                self._transport.abort()
+        elif self._reading is not None:
+            in_head = self._head_size >= 0
+            time_limit = (
+                limits.head_seconds if in_head else limits.body_seconds
+            )
+            if now - self._read_since > time_limit:
+                self._reject(408)
+        elif now - self._active_at > limits.idle_seconds:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection once all written data has been sent."""
+        self._closing = True
+        self._drop_requests()
+        if self._sent_ahead and not self._transport.is_closing():
+            self._transport.write_eof()
+            self._update_reading()
+        else:
+            self._transport.close()
+
+    def _parse(self, data: bytes) -> None:
+        if self._head_size >= 0:
+            self._head_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except _PARSE_ERRORS:
+            # Behind a request with `Connection: close`, this does nothing.
+            self._reject(400)
+        if self._reading is None:
+            self._head_size = 0
+        elif self._head_size > self._listener.limits.head_bytes:
+            self._reject(431)
+
+    def _parse_in_pieces(self, data: bytes) -> None:
+        """Parse data until enough requests wait, and keep the rest."""
+        pipeline = self._pipeline
+        self._unparsed = b""
+        for start in range(0, len(data), PARSED_BYTES_MAX):
+            if pipeline.ended:
+                return
+            if pipelines.should_pause_reading(pipeline):
+                self._unparsed = data[start:]
+                return
+            self._parse(data[start : start + PARSED_BYTES_MAX])
+
+    def _update_reading(self) -> None:
+        """Pause or resume reading, as the number of queued requests asks."""
+        pause = pipelines.should_pause_reading(self._pipeline)
+        if pause == self._paused or self._transport.is_closing():
+            return
+        self._paused = pause
+        if pause:
+            self._transport.pause_reading()
+            return
+        self._read_since = self._listener.clock.monotonic()
+        self._transport.resume_reading()
+
+    def _note_progress(self, now: float) -> None:
+        """Restart the idle time if the client has read more data."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes < self._unsent_bytes:
+            self._active_at = now
+        self._unsent_bytes = unsent_bytes
+
+    def _start_waiting_soon(self) -> None:
+        asyncio.get_running_loop().call_soon(self._start_waiting)
+
+    def _start_waiting(self) -> None:
+        """Start the waiting requests that may start now."""
+        pipeline = self._pipeline
+        if self._listener.closing:
+            pipelines.close_soon(pipeline)
+        while pipeline.started < len(pipeline.entries):
+            exchange = pipelines.start_next(pipeline, self._is_idempotent)
+            if exchange is None:
+                break
+            if exchange.pipelined:
+                self._note_start()
+            try:
+                self._listener.handle(exchange)
+            except Exception:
+                # Without an answer to this request, none behind it could be
+                # written.
+                self._transport.abort()
+                raise
+            if exchange.phase is not pipelines.Phase.RUNNING:
+                # Others are started in the next iteration of the event loop,
+                # so that one client does not keep the loop busy.
+                if pipeline.entries:
+                    self._start_waiting_soon()
+                break
+        if self._paused and not pipelines.should_pause_reading(pipeline):
+            self._read_on()
+
+    def _note_start(self) -> None:
+        beside = self._pipeline.started > 1
+        self._listener.note_pipelined(
+            pipelines.Fate.BESIDE if beside else pipelines.Fate.WAITED
+        )
+
+    def _read_on(self) -> None:
+        """Parse what was kept, and read on if no more requests wait."""
+        self._parse_in_pieces(self._unparsed)
+        self._update_reading()
+        if self._pipeline.entries:
+            self._start_waiting_soon()
+
+    def _is_idempotent(self, exchange: _exchanges.Exchange) -> bool:
+        return self._listener.is_idempotent(exchange.request)
+
+    def _write_answers(self) -> None:
+        """Write the answers whose turn it is."""
+        pipeline = self._pipeline
+        while exchange := pipelines.pop_answered(pipeline):
+            self._write_answer(exchange)
+            if exchange.closes:
+                self.close()
+                return
+            if not pipeline.entries:
+                break
+        if self._continue_due:
+            self._send_continue()
+        if pipeline.entries:
+            self._start_waiting_soon()
+
+    def _write_answer(self, exchange: _exchanges.Exchange) -> None:
+        answer, exchange._answer = exchange._answer, None
+        # Without this, the handler's state and the exchange refer to each
+        # other, and only the garbage collector would free them.
+        exchange.gone = None
+        if answer is None:
+            return
+        if exchange.held_bytes:
+            self._listener.memory.release(exchange.held_bytes)
+        fields = answer.fields
+        if answer.refuses:
+            fields = self._listener.refusal_fields(answer.status)
+        self._transport.write(
+            _messages.render_response(
+                answer.status,
+                fields,
+                answer.body,
+                exchange.closes,
+                exchange.request.method == b"HEAD",
+            )
+        )
+        self._active_at = self._listener.clock.monotonic()
+
+    def _send_continue(self) -> None:
+        """Send the interim response that the request being read waits for.
+
+        It must not precede the answers to earlier requests.
+        """
+        if not self._pipeline.entries:
+            self._continue_due = False
+            self._read_since = self._listener.clock.monotonic()
+            self._transport.write(_CONTINUE)
+
+    def _reject(self, status: int) -> None:
+        """Reject a request that was not read completely, and close.
+
+        The requests before it are answered first; data behind it is ignored.
+        """
+        if self._pipeline.entries:
+            self._sent_ahead = True
+        if self._pipeline.ended:
+            return
+        self._discard_body()
+        self._reading = None
+        self._continue_due = False
+        exchange = _exchanges.Exchange(
+            self, _messages.Request(self._received_at)
+        )
+        exchange._answer = _exchanges.Answer(status, [], b"", refuses=True)
+        pipelines.add_refusal(self._pipeline, exchange)
+        self._write_answers()
+
+    def _discard_body(self) -> None:
+        self._listener.memory.release(self._body_size)
+        self._body_size = 0
+        self._body_parts = []
+
+    def _drop_requests(self) -> pipelines.Removed[_exchanges.Exchange]:
+        """Remove all requests, and release the memory that they hold."""
+        self._unparsed = b""
+        if self._reading is not None:
+            self._discard_body()
+            self._reading = None
+        removed = pipelines.clear(self._pipeline)
+        memory = self._listener.memory
+        for exchange in (*removed.running, *removed.waiting):
+            memory.release(len(exchange.request.body))
+        for exchange in removed.answered:
+            memory.release(exchange.held_bytes)
+        for _ in removed.waiting:
+            self._listener.note_pipelined(pipelines.Fate.DROPPED)
+        return removed
+
+    def _disconnected(self) -> None:
+        for exchange in self._drop_requests().running:
+            if exchange.gone is not None:
+                exchange.gone()
--- /dev/null
+++ b/tests/httpio/test_pipelined_ends.py
@@ -0,0 +1,224 @@
+"""How connections with pipelined requests end, and what fails on them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from sassafrasstair import clocks
+from sassafrasstair.decisions import pipelines
+from sassafrasstair import httpio
+from sassafrasstair.httpio import _connections
+from tests.httpio import pipelined
+
+
+def test_client_that_leaves_is_reported_for_each_running_request() -> None:
+    """An instance would go on with a request that nobody waits for."""
+
+    async def test() -> None:
+        body = pipelined.request("/unsafe/4", body=b"abc")
+        server = await pipelined.start_server(
+            pipelined.requests("sss") + pipelined.requests("u") + body
+        )
+        await server.wait_until_started(0, 1, 2)
+        server.answer(1, body=b"x" * 100)
+        server.writer.close()
+        while server.listener.connections:
+            await asyncio.sleep(0.005)
+        assert server.gone == ["0", "2"]
+        server.answer(0)
+        assert server.memory.held_bytes == 0
+        assert server.fates.count(pipelines.Fate.DROPPED) == 2
+
+    pipelined.run(test())
+
+
+@pytest.mark.parametrize(
+    ("kinds", "running"),
+    [
+        pytest.param("sss", 3, id="all run"),
+        pytest.param("ssus", 2, id="unsafe one waits"),
+        pytest.param("us", 1, id="unsafe one runs"),
+    ],
+)
+def test_shutdown_closes_with_the_last_running_request(
+    kinds: str, running: int
+) -> None:
+    """An earlier close would lose answers; a later one could run twice.
+
+    What was sent behind the answer that closes counts as not read, and the
+    client sends it again.
+    """
+
+    async def test() -> None:
+        server = await pipelined.start_server(pipelined.requests(kinds))
+        await server.wait_until_started(*range(running))
+        server.listener.closing = True
+        server.writer.write(pipelined.request("/safe/late"))
+        await server.settle()
+        for number in reversed(range(running)):
+            server.answer(number)
+        answers = [await server.read() for _ in range(running)]
+        assert [answer.closes for answer in answers] == [
+            number == running - 1 for number in range(running)
+        ]
+        await server.assert_end()
+        assert len(server.started) == running
+
+    pipelined.run(test())
+
+
+def test_shutdown_while_requests_wait_starts_one_more() -> None:
+    """Its answer closes the connection, so it must be the last to start."""
+
+    async def test() -> None:
+        server = pipelined.Server()
+        await server.connect()
+        server.listener.closing = True
+        server.writer.write(pipelined.requests("sss"))
+        await server.wait_until_started(0)
+        server.answer(0)
+        assert (await server.read()).closes
+        await server.assert_end()
+        assert server.started == ["0"]
+
+    pipelined.run(test())
+
+
+def test_answer_that_closes_waits_for_those_that_run() -> None:
+    """A handler closes the connection while requests behind it run."""
+
+    async def test() -> None:
+        server = await pipelined.start_server(pipelined.requests("sssu"))
+        await server.wait_until_started(0, 1, 2)
+        server.answer(0, close=True)
+        server.answer(1)
+        server.answer(2)
+        closes = [(await server.read()).closes for _ in range(3)]
+        assert closes == [False, False, True]
+        await server.assert_end()
+        assert server.started == ["0", "1", "2"]
+
+    pipelined.run(test())
+
+
+def test_failed_first_request_fails_no_other() -> None:
+    """An error status must not close the connection under the others."""
+
+    async def test() -> None:
+        server = await pipelined.start_server(pipelined.requests("sss"))
+        await server.wait_until_started(0, 1, 2)
+        server.answer(0, status=502, body=b"")
+        server.answer(1)
+        server.answer(2)
+        statuses = [(await server.read()).status for _ in range(3)]
+        assert statuses == [502, 200, 200]
+        server.writer.close()
+
+    pipelined.run(test())
+
+
+def test_exception_in_the_handler_ends_the_connection() -> None:
+    """Answers behind a request without an answer would wait for ever."""
+
+    async def test() -> None:
+        server = await pipelined.start_server(pipelined.requests("uss"))
+        await server.wait_until_started(0)
+        handle = server.listener.handle
+
+        def fail_last(exchange: httpio.Exchange) -> None:
+            if exchange.request.target == b"/safe/2":
+                raise RuntimeError
+            handle(exchange)
+
+        server.listener.handle = fail_last
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        server.answer(0)
+        while server.listener.connections:
+            await asyncio.sleep(0.005)
+        assert server.gone == ["1"]
+        server.writer.close()
+
+    pipelined.run(test())
+
+
+def test_interim_response_waits_for_earlier_answers() -> None:
+    """The client would take it for the interim answer to its first request."""
+
+    async def test() -> None:
+        upload = (
+            b"POST /unsafe/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        server = await pipelined.start_server(pipelined.requests("s") + upload)
+        await server.wait_until_started(0)
+        server.answer(0)
+        statuses = [(await server.read()).status for _ in range(2)]
+        assert statuses == [200, 100]
+        server.writer.write(b"ab")
+        await server.wait_until_started(0, 1)
+        assert server.exchanges["/unsafe/1"].request.body == b"ab"
+        server.writer.close()
+
+    pipelined.run(test())
+
+
+def test_last_answer_reaches_a_client_that_has_sent_more() -> None:
+    """Closing a socket with unread data resets the connection.
+
+    The kernel then drops the part of the answer that it has not sent.
+    """
+
+    async def test() -> None:
+        body = b"x" * 3_000_000
+        server = await pipelined.start_server(
+            pipelined.requests("u") + pipelined.request("/unsafe/1") * 10_000
+        )
+        await server.wait_until_started(0)
+        server.answer(0, body=body, close=True)
+        await asyncio.sleep(0.2)
+        answer = await server.read()
+        assert (answer.closes, answer.body) == (True, body)
+        await server.assert_end()
+
+    pipelined.run(test())
+
+
+def test_closed_connection_is_aborted_if_the_client_sends_on() -> None:
+    """A client that neither closes nor stops would hold it open for ever."""
+
+    async def test() -> None:
+        server = await pipelined.start_server(pipelined.requests("us"))
+        await server.wait_until_started(0)
+        server.answer(0, close=True)
+        assert (await server.read()).closes
+        now = clocks.SystemClock().monotonic()
+        server.listener.sweep(now)
+        await server.settle()
+        assert server.listener.connections
+        server.writer.write(pipelined.requests("s"))
+        await server.settle()
+        server.listener.sweep(now + _connections.LINGER_SECONDS + 0.1)
+        while server.listener.connections:
+            await asyncio.sleep(0.005)
+        server.writer.close()
+
+    pipelined.run(test())
+
+
+def test_no_request_starts_while_the_client_reads_no_answers() -> None:
+    """Answers would collect in the daemon's memory without bound."""
+
+    async def test() -> None:
+        server = await pipelined.start_server(pipelined.requests("u"))
+        await server.wait_until_started(0)
+        body = b"x" * 20_000_000
+        server.answer(0, body=body)
+        server.writer.write(pipelined.request("/unsafe/1"))
+        await server.wait_until_started(0)
+        assert (await server.read()).body == body
+        await server.wait_until_started(0, 1)
+        server.writer.close()
+
+    pipelined.run(test())
