Count nothing of costs while admission by cost is off

Cause: offers, starts and ends of requests were counted for the costs also where nothing is admitted by them, so the path with the part off was not the one of before, in processor time.

Change: each of the three calls asks for the setting first.

--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -103,9 +103,10 @@
         _report_result(daemon, execution, requests.Ending.UNSENT, reason, None)
         return key
     daemon.executions[key] = execution
-    costs.record_offer(
-        daemon.demand, load.route_seconds(guard, metadata.route), now
-    )
+    if daemon.settings.admits_by_cost:
+        costs.record_offer(
+            daemon.demand, load.route_seconds(guard, metadata.route), now
+        )
     work = load.Work(
         key, metadata.route, "", metadata.rank, deadline, metadata.max_wait
     )
@@ -250,7 +251,8 @@
         inbound.method == b"HEAD",
     )
     daemon.counters.upstream_requests += 1
-    costs.run_started(daemon.ledger.chains, daemon.clock.monotonic())
+    if daemon.settings.admits_by_cost:
+        costs.run_started(daemon.ledger.chains, daemon.clock.monotonic())
     daemon.upstream.send(execution.job)
 
 
@@ -358,12 +360,14 @@
     now = daemon.clock.monotonic()
     end = load.End.DONE
     route = execution.route
-    if ending is None and isinstance(result, httpio.Response):
+    by_cost = daemon.settings.admits_by_cost
+    if by_cost and ending is None and isinstance(result, httpio.Response):
         costs.run_ended(daemon.ledger.chains, route, result.status < 300, now)
-    if ending is requests.Ending.REFUSED:
+    if by_cost and ending is requests.Ending.REFUSED:
         costs.withdraw_offer(
             daemon.demand, load.route_seconds(execution.guard, route), now
         )
+    if ending is requests.Ending.REFUSED:
         guard = execution.guard
         full = len(guard.running) >= FULL_SLOTS_RATIO * guard.limit_state.slots
         end = load.End.REFUSED if full else load.End.FAILED
