Look up the guard and the clock once for each answer

Cause: an answer's state and the report of its work each looked up the instance's latest guard and the clock again, after the caller had done so.

Change: the caller passes guard and time on. Behaviour is unchanged.

--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -356,8 +356,9 @@
         _record_reachability(daemon, False)
     if ending is None:
         _crashes.record_completed_here(daemon, execution.request)
-        requests.note_run(daemon.depths, daemon.clock.monotonic())
     now = daemon.clock.monotonic()
+    if ending is None:
+        requests.note_run(daemon.depths, now)
     end = load.End.DONE
     route = execution.route
     by_cost = daemon.settings.admits_by_cost
@@ -447,6 +448,7 @@
     response: httpio.Response | None,
 ) -> None:
     inbound = execution.request
+    now = daemon.clock.monotonic()
     how = "answered" if ending is None else reason.value
     _counters.count_attempt(daemon.counters, daemon.settings.service, how)
     if ending is not None:
@@ -457,21 +459,23 @@
             instance=inbound.metadata.instance,
             route=inbound.metadata.route,
             ending=ending,
-            left=execution.deadline - daemon.clock.monotonic(),
+            left=execution.deadline - now,
             **_crashes.log_fields(inbound.fingerprint),
         )
-    latest_guard = _guards.get_guard(
-        daemon, inbound.metadata.instance, daemon.clock.monotonic()
-    )
+    latest_guard = _guards.get_guard(daemon, inbound.metadata.instance, now)
     execution.on_done(
         _records.Result(
-            _reports.callee_state(daemon, inbound, ending, reason),
+            _reports.callee_state(
+                daemon, latest_guard, inbound.metadata, ending, reason, now
+            ),
             response,
             notices.Notice(
                 load.rate_limit(execution.guard),
                 _notices.has_said_to_leave(daemon, inbound, latest_guard),
             ),
-            _reports.work_report(daemon, inbound),
+            _reports.work_report(
+                daemon, latest_guard, inbound.metadata.route, now
+            ),
         )
     )
 
--- a/src/sassafrasstair/forwarding/_repeats.py
+++ b/src/sassafrasstair/forwarding/_repeats.py
@@ -47,10 +47,9 @@
     return found
 
 
-def calls_below(daemon: _state.Daemon) -> int | None:
+def calls_below(daemon: _state.Daemon, now: float) -> int | None:
     """Return how deep the calls of this VM's upstream go, if it is known."""
     window_seconds = daemon.settings.bounds.budget.window_seconds
-    now = daemon.clock.monotonic()
     return requests.own_depth(daemon.depths, window_seconds, now)
 
 
--- a/src/sassafrasstair/forwarding/_reports.py
+++ b/src/sassafrasstair/forwarding/_reports.py
@@ -9,31 +9,26 @@
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import load
-from sassafrasstair.forwarding import _guards
 from sassafrasstair.forwarding import _repeats
 from sassafrasstair.forwarding import _wire
 from sassafrasstair.forwarding import _work_wire
 
 if typing.TYPE_CHECKING:
     from sassafrasstair.decisions import requests
-    from sassafrasstair.forwarding import _records
     from sassafrasstair.forwarding import _state
     from sassafrasstair import outcomes
 
 
 def work_report(
-    daemon: _state.Daemon, inbound: _records.InboundRequest
+    daemon: _state.Daemon, guard: load.Guard, route: str, now: float
 ) -> _work_wire.WorkReport:
-    """Return what this daemon knows of the work of the request's route."""
-    now = daemon.clock.monotonic()
-    route = inbound.metadata.route
-    guard = _guards.get_guard(daemon, inbound.metadata.instance, now)
+    """Return what this daemon knows of the work of a request's route."""
     seconds = None
     if daemon.settings.places_by_objective:
         seconds = load.usual_seconds(guard, route)
     return _work_wire.WorkReport(
         seconds,
-        _repeats.calls_below(daemon),
+        _repeats.calls_below(daemon, now),
         _costs(daemon, guard, route, now),
     )
 
@@ -55,9 +50,11 @@
 
 def callee_state(
     daemon: _state.Daemon,
-    inbound: _records.InboundRequest,
+    guard: load.Guard,
+    metadata: _wire.RequestMetadata,
     ending: requests.Ending | None,
     reason: outcomes.Reason,
+    now: float,
 ) -> _wire.CalleeState:
     """Return the state to report with the answer.
 
@@ -66,9 +63,7 @@
     The entrance or the calling daemon uses both when it handles the answer.
     A higher rank, and so a higher importance, takes precedence.
     """
-    now = daemon.clock.monotonic()
-    guard = _guards.get_guard(daemon, inbound.metadata.instance, now)
-    importance = math.floor(inbound.metadata.rank)
+    importance = math.floor(metadata.rank)
     load_report = calls.LoadReport(
         load.busy(guard),
         limit=load.limit(guard, now),
@@ -80,9 +75,7 @@
         load_report,
         load.busy_at_or_above(guard, importance),
         admission.busiest_callee_load(daemon.chains, importance, now),
-        admission.is_inner(
-            daemon.callers, inbound.metadata.route, daemon.services
-        ),
+        admission.is_inner(daemon.callers, metadata.route, daemon.services),
         ending,
         reason,
     )
