Average the room at a service in one place

Cause: the weight of a report by time stood three times, in the gates' average and twice in admission by cost, whose two averages of a service's room were the same code. The time at which a route's cost was last heard was written and never read. A comment called the gains stable, which no run shows.

Change: decisions/averages has the weight, costs/_rooms the average of the room; the unread time and the claim are gone. The test that read a route's cost reads the same value under its new name.

--- a/src/sassafrasstair/decisions/admission/_allowances.py
+++ b/src/sassafrasstair/decisions/admission/_allowances.py
@@ -18,12 +18,12 @@
 import math
 import typing
 
+from sassafrasstair.decisions import costs
+
 if typing.TYPE_CHECKING:
     from collections import abc
     import random
 
-    from sassafrasstair.decisions import costs
-
 UPDATE_SECONDS = 0.1
 TARGET_OFFERED = 1.0
 """The work to aim for, as a share of a service's room. What is too much is
@@ -35,9 +35,8 @@
 DELAY_SECONDS = 1.2
 """Gains of the control of the fraction, and the time until a change shows in
 the reports: requests that were admitted first pass the rest of their chain,
-and the reports are averages. The rule is
-that of the rate control protocol (Dukkipati et al., "Processor Sharing Flows
-in the Internet", 2005), which is stable with these gains."""
+and the reports are averages. The rule is that of the rate control protocol
+(Dukkipati et al., "Processor Sharing Flows in the Internet", 2005)."""
 MAX_RISE = 1.0
 """The greatest relative difference to the target that the gain applies to."""
 MIN_FRACTION = 0.02
@@ -46,7 +45,6 @@
 """No kind's share is less than this part of the fraction: a kind that is
 unimportant or expensive is served less often, but not starved."""
 ROOM_AVERAGE_SECONDS = 0.3
-MIN_WEIGHT = 0.02
 COST_WEIGHT = 0.2
 FRESH_SECONDS = 1.0
 """Reports are heeded for this long."""
@@ -72,34 +70,24 @@
 
 
 @dataclasses.dataclass(slots=True)
-class RouteCost:
-    """The average cost of a route's requests at one service."""
-
-    slot_seconds: float
-    heard_at: float
-
-
-@dataclasses.dataclass(slots=True)
-class Room:
+class Room(costs.RoomAverage):
     """What is known of one service.
 
     ``fraction`` is the part of the work asked for there that is admitted.
-    ``offered`` and ``wait_seconds`` are averages of the reports, the last of
-    which came at ``heard_at``.
     """
 
-    offered: float
-    wait_seconds: float
-    heard_at: float
     fraction: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
 class Allowances:
-    """The state of an entrance."""
+    """The state of an entrance.
+
+    ``slot_seconds`` is the average cost of a request, by route and service.
+    """
 
     kinds: dict[Kind, KindDemand] = dataclasses.field(default_factory=dict)
-    costs: dict[str, dict[str, RouteCost]] = dataclasses.field(
+    slot_seconds: dict[str, dict[str, float]] = dataclasses.field(
         default_factory=dict
     )
     rooms: dict[str, Room] = dataclasses.field(default_factory=dict)
@@ -114,18 +102,13 @@
     now: float,
 ) -> None:
     """Add what the answer to a request of the route reports."""
-    known = allowances.costs.setdefault(route, {})
+    known = allowances.slot_seconds.setdefault(route, {})
     reported = set()
     for report in reports:
         reported.add(report.service)
-        cost = known.get(report.service)
-        if cost is None:
-            known[report.service] = RouteCost(report.slot_seconds, now)
-        else:
-            cost.heard_at = now
-            cost.slot_seconds += COST_WEIGHT * (
-                report.slot_seconds - cost.slot_seconds
-            )
+        average = known.get(report.service, report.slot_seconds)
+        average += COST_WEIGHT * (report.slot_seconds - average)
+        known[report.service] = average
         _observe_room(
             allowances,
             report.service,
@@ -142,7 +125,7 @@
     """Return whether a service of the route's chain is short of room."""
     return bool(allowances.rooms) and any(
         service in allowances.rooms
-        for service in allowances.costs.get(route, ())
+        for service in allowances.slot_seconds.get(route, ())
     )
 
 
@@ -177,7 +160,7 @@
     return max(
         (
             allowances.rooms[service].offered
-            for service in allowances.costs.get(route, ())
+            for service in allowances.slot_seconds.get(route, ())
             if service in allowances.rooms
         ),
         default=0.0,
@@ -213,11 +196,7 @@
     if room is None:
         allowances.rooms[service] = Room(offered, wait_seconds, now)
         return
-    elapsed = max(0.0, now - room.heard_at)
-    weight = max(MIN_WEIGHT, 1.0 - math.exp(-elapsed / ROOM_AVERAGE_SECONDS))
-    room.offered += weight * (offered - room.offered)
-    room.wait_seconds += weight * (wait_seconds - room.wait_seconds)
-    room.heard_at = now
+    costs.update_room(room, offered, wait_seconds, ROOM_AVERAGE_SECONDS, now)
 
 
 def _update(allowances: Allowances, elapsed: float, now: float) -> None:
@@ -252,9 +231,9 @@
     """
     work = []
     for kind, demand in allowances.kinds.items():
-        cost = allowances.costs.get(kind[0], {}).get(service)
-        if cost is not None and demand.per_second > 0.0:
-            work.append((-kind[1], cost.slot_seconds, demand))
+        seconds = allowances.slot_seconds.get(kind[0], {}).get(service)
+        if seconds is not None and demand.per_second > 0.0:
+            work.append((-kind[1], seconds, demand))
     work.sort(key=lambda each: each[:2])
     return work
 
--- a/src/sassafrasstair/decisions/admission/_averages.py
+++ b/src/sassafrasstair/decisions/admission/_averages.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-import math
+from sassafrasstair.decisions import averages
 
 SMOOTH_SECONDS = 0.15
 """The time constant over which reported loads are averaged."""
@@ -20,4 +20,4 @@
     It is at least ``min_weight``, so that answers that arrive at the same
     moment count too.
     """
-    return max(min_weight, 1.0 - math.exp(-max(0.0, elapsed) / SMOOTH_SECONDS))
+    return averages.weight(elapsed, SMOOTH_SECONDS, min_weight)
--- a/src/sassafrasstair/decisions/costs/__init__.py
+++ b/src/sassafrasstair/decisions/costs/__init__.py
@@ -17,12 +17,15 @@
 from sassafrasstair.decisions.costs._ledgers import MIN_OFFERED
 from sassafrasstair.decisions.costs._ledgers import observe_costs
 from sassafrasstair.decisions.costs._messages import ServiceCost
+from sassafrasstair.decisions.costs._rooms import RoomAverage
+from sassafrasstair.decisions.costs._rooms import update_room
 
 __all__ = [
     "CallChains",
     "Demand",
     "Ledger",
     "MIN_OFFERED",
+    "RoomAverage",
     "ServiceCost",
     "call_answered",
     "call_started",
@@ -33,5 +36,6 @@
     "record_offer",
     "run_ended",
     "run_started",
+    "update_room",
     "withdraw_offer",
 ]
--- a/src/sassafrasstair/decisions/costs/_ledgers.py
+++ b/src/sassafrasstair/decisions/costs/_ledgers.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import typing
 
 from sassafrasstair.decisions.costs import _chains
 from sassafrasstair.decisions.costs import _messages
+from sassafrasstair.decisions.costs import _rooms
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -19,8 +19,6 @@
 """The time constant of the averages of the room at a service."""
 COST_WEIGHT = 0.2
 """The weight of one answer in the average cost of a call."""
-MIN_WEIGHT = 0.02
-"""The least weight of one answer in the averages of the room."""
 MIN_OFFERED = 0.6
 """Services with less work are not reported: nothing there is scarce."""
 SERVICES_MAX = 4
@@ -28,13 +26,10 @@
 
 
 @dataclasses.dataclass(slots=True)
-class CallCost:
-    """The cost of the calls of one route at one service."""
+class CallCost(_rooms.RoomAverage):
+    """What the calls of one route cost at one service, and the room there."""
 
     slot_seconds: float
-    offered: float
-    wait_seconds: float
-    heard_at: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,19 +56,15 @@
         known = by_service.get(cost.service)
         if known is None:
             by_service[cost.service] = CallCost(
-                cost.slot_seconds, cost.offered, cost.wait_seconds, now
+                cost.offered, cost.wait_seconds, now, cost.slot_seconds
             )
             continue
-        elapsed = max(0.0, now - known.heard_at)
-        weight = max(
-            MIN_WEIGHT, 1.0 - math.exp(-elapsed / ROOM_AVERAGE_SECONDS)
-        )
-        known.offered += weight * (cost.offered - known.offered)
-        known.wait_seconds += weight * (cost.wait_seconds - known.wait_seconds)
         known.slot_seconds += COST_WEIGHT * (
             cost.slot_seconds - known.slot_seconds
         )
-        known.heard_at = now
+        _rooms.update_room(
+            known, cost.offered, cost.wait_seconds, ROOM_AVERAGE_SECONDS, now
+        )
 
 
 def costs_of_route(
--- a/tests/forwarding/test_admission_by_cost.py
+++ b/tests/forwarding/test_admission_by_cost.py
@@ -45,5 +45,5 @@
     assert bool(allowances.kinds) is by_cost
     assert ("s" in allowances.rooms) is by_cost
     if by_cost:
-        (costs,) = allowances.costs.values()
-        assert costs["s"].slot_seconds > 0.5 * SERVICE_SECONDS
+        (by_service,) = allowances.slot_seconds.values()
+        assert by_service["s"] > 0.5 * SERVICE_SECONDS
