Decode each work report once

Cause: every answer between daemons carries a report, and most carry the same one, the depth of the chain; each was parsed anew.

Change: decoded values are kept, 256 of them.

Tests of the header and of the parts that use it pass.

--- a/src/sassafrasstair/forwarding/_work_wire.py
+++ b/src/sassafrasstair/forwarding/_work_wire.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import math
 import re
 import typing
@@ -42,6 +43,8 @@
 NO_WORK = WorkReport()
 COSTS_MAX = 8
 """Costs read from one field; a daemon sends fewer."""
+CACHE_SIZE = 256
+"""Decoded values that are kept. Most answers report the same depth alone."""
 
 
 def encode_work(report: WorkReport) -> bytes:
@@ -70,8 +73,11 @@
     depends on is in other fields.
     """
     value = headers.get(WORK_HEADER_LOWER)
-    if value is None:
-        return NO_WORK
+    return NO_WORK if value is None else _decode_value(value)
+
+
+@functools.lru_cache(maxsize=CACHE_SIZE)
+def _decode_value(value: bytes) -> WorkReport:
     pairs = dict(
         part.split(b"=", 1) for part in value.split(b" ") if b"=" in part
     )
