Choose the best of a sample in one function

Cause: the least busy of a few drawn instances and the soonest one were two copies of one function, the second with a time added to the delay. Whether the budget is divided by depth was asked in the same words on both ways that an attempt takes.

Change: one function with optional times; an attempt carries the answer. Choices are unchanged: the digests of 400 picks in the tests hold.

Result: tests of calls, of repeats, placement and the path, the loads of uneven instances and patterns, and the crash series pass.

--- a/src/sassafrasstair/decisions/calls/_delays.py
+++ b/src/sassafrasstair/decisions/calls/_delays.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import types
 import typing
 
 from sassafrasstair.decisions.calls import _peers
@@ -45,6 +46,7 @@
 # The expected delay at an instance that is fully busy but has no queue. It
 # makes the less busy instance preferred when no instance has a queue.
 FULL_BUSY_SECONDS = 0.02
+_NO_TIMES: abc.Mapping[str, float] = types.MappingProxyType({})
 
 
 class ScoredTarget(typing.NamedTuple):
@@ -116,34 +118,18 @@
     return min(slow, SLOW_FACTOR_OF_USUAL * peer.usual_service_seconds)
 
 
-def least_busy_of_sample(
-    routes: _peers.Routes,
-    targets: abc.Sequence[_messages.Target],
-    grouped: _peers.SortedTargets,
-    now: float,
-    rng: random.Random,
-) -> ScoredTarget | None:
-    """Return the target with the least expected delay of a few drawn."""
-    if not targets:
-        return None
-    scored = [
-        ScoredTarget(target, expected_delay(routes, target.vm, grouped, now))
-        for target in _drawn(targets, rng)
-    ]
-    return min(scored, key=lambda each: each.expected_delay)
-
-
 def soonest_of_sample(
     routes: _peers.Routes,
     targets: abc.Sequence[_messages.Target],
-    completion: abc.Mapping[str, float],
     grouped: _peers.SortedTargets,
     now: float,
     rng: random.Random,
+    completion: abc.Mapping[str, float] = _NO_TIMES,
 ) -> ScoredTarget | None:
-    """Return the target with the least delay and completion of a few drawn.
+    """Return the target with the least delay of a few drawn.
 
-    ``completion`` has the time of ``ScoredTarget.completion`` by VM.
+    ``completion`` has the time of ``ScoredTarget.completion`` by VM, which is
+    added to the delay. Without it, the least busy one is returned.
     """
     if not targets:
         return None
@@ -151,7 +137,7 @@
         ScoredTarget(
             target,
             expected_delay(routes, target.vm, grouped, now),
-            completion[target.vm],
+            completion.get(target.vm, 0.0),
         )
         for target in _drawn(targets, rng)
     ]
--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -85,14 +85,14 @@
     now: float,
     rng: random.Random,
 ) -> _delays.ScoredTarget | None:
-    best = _delays.least_busy_of_sample(routes, near, grouped, now, rng)
+    best = _delays.soonest_of_sample(routes, near, grouped, now, rng)
     if (
         best is not None
         and best.expected_delay <= _delays.FULL_BUSY_SECONDS
         and not _refuses_many(routes, best.target.vm, grouped, now)
     ):
         return best
-    other = _delays.least_busy_of_sample(routes, far, grouped, now, rng)
+    other = _delays.soonest_of_sample(routes, far, grouped, now, rng)
     if best is None or other is None:
         return best or other
     if best.expected_delay - other.expected_delay > SPILL_MARGIN_SECONDS:
@@ -168,12 +168,12 @@
         grouped.usable, tried
     )
     other = _delays.soonest_of_sample(
-        routes, far, speeds.completion, grouped, now, rng
+        routes, far, grouped, now, rng, speeds.completion
     )
     if not speeds.all_reported:
         return other
     best = _delays.soonest_of_sample(
-        routes, near, speeds.completion, grouped, now, rng
+        routes, near, grouped, now, rng, speeds.completion
     )
     if best is None or other is None:
         return best or other
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -100,6 +100,7 @@
         _crashes.trial_strikes(verdict),
         cross_domain_reason,
         choice.expected_seconds,
+        _repeats.shares_by_depth(daemon, progress.service, now),
     )
     call.attempt = attempt
     if host == daemon.settings.host:
@@ -189,9 +190,7 @@
         request.body,
         attempt.trial_strikes,
         call.customer,
-        shares_by_depth=_repeats.shares_by_depth(
-            daemon, call.progress.service, attempt.sent_at
-        ),
+        shares_by_depth=attempt.shares_by_depth,
     )
 
     def on_done(result: _records.Result) -> None:
@@ -221,11 +220,7 @@
     ]
     if attempt.trial_strikes:
         fields.append((_wire.TRIAL_HEADER, b"%d" % attempt.trial_strikes))
-    fields += _wire.repeats_fields(
-        _repeats.shares_by_depth(
-            daemon, call.progress.service, attempt.sent_at
-        )
-    )
+    fields += _wire.repeats_fields(attempt.shares_by_depth)
     rate_limit = _notices.rate_limit_of(daemon, attempt.instance)
     fields += _wire.notice_fields(notices.Notice(rate_limit))
     if call.customer and call.key_digest is not None:
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -106,7 +106,7 @@
     the instance is in another failure domain, None if it is in this one.
     ``expected_seconds`` is what the choice of the instance was made from: the
     expected delay, and if the objective mattered the completion without it.
-    ``trial_strikes`` is as in ``InboundRequest``.
+    ``trial_strikes`` and ``shares_by_depth`` are as in ``InboundRequest``.
     """
 
     instance: str
@@ -118,6 +118,7 @@
     trial_strikes: int = 0
     cross_domain_reason: calls.CrossingReason | None = None
     expected_seconds: float = 0.0
+    shares_by_depth: bool = False
     job: httpio.Job | None = None
     execution_key: str = ""
 
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -50,15 +50,16 @@
 
     ``allowances`` hold the shares of requests that are admitted by their cost
     at services that are short of room, ``ledger`` what this VM's upstream's
-    calls cost, and ``demand`` the work that arrives for the upstream.
+    calls cost, and ``demand`` the work that arrives for the upstream. They
+    are used if ``settings.admits_by_cost`` is set.
+
     ``gates`` hold the state of load shedding by route where costs are not
-    known, ``callers`` the calls
-    by route and calling service, ``chains`` the loads reported with answers
-    on routes that only upstreams call, and ``parents`` the counts from which
-    the rank of such a call is derived. ``retry_windows`` hold the retry
-    budget of each service, which ``depths`` divides among the hops of a
-    chain, and ``pools`` the connections to other daemons by host. ``guards``
-    are keyed by an instance's id and start.
+    known, ``callers`` the calls by route and calling service, ``chains`` the
+    loads reported with answers on routes that only upstreams call, and
+    ``parents`` the counts from which the rank of such a call is derived.
+    ``retry_windows`` hold the retry budget of each service, which ``depths``
+    divides among the hops of a chain, and ``pools`` the connections to other
+    daemons by host. ``guards`` are keyed by an instance's id and start.
 
     ``broken_results`` are the results of executions whose connection broke,
     by key, until it is known whether the upstream crashed.
