Log what is in flight at a stop, and when after SIGTERM a request came

Cause: the log of a stop had the number of calls at its start and its length; it could not tell late requests, idle connections and half-read ones apart. Change: since_stop in the lines that end a request; the counts of connections by state in stopping, stop_cuts and stopped.

--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -302,8 +302,9 @@
     started_at = loop.time()
     grace = daemon.settings.bounds.grace_seconds
     daemon.leaving = True
+    daemon.leaving_since = daemon.clock.monotonic()
     _polls.answer_all(daemon)
-    daemon.journal.note("stopping", calls=len(daemon.calls))
+    _log_work(running, "stopping")
     running.callers.closing = True
     idle_since = started_at
     while loop.time() < started_at + ANSWER_GRACE_RATIO * grace:
@@ -322,6 +323,7 @@
         if now >= started_at + ACCEPT_GRACE_RATIO * grace:
             running.callers.stop_accepting()
     running.callers.stop_accepting()
+    _log_work(running, "stop_cuts")
     for call in list(daemon.calls):
         _entrance.expire_call(daemon, call)
     running.callers.close_idle()
@@ -330,5 +332,26 @@
         task.cancel()
     for check in list(daemon.store_checks):
         check.cancel()
-    daemon.journal.note("stopped", seconds=loop.time() - started_at)
+    _log_work(running, "stopped")
     daemon.journal.tick(loop.time() + 1.0)
+
+
+def _log_work(running: RunningDaemon, event: str) -> None:
+    """Log what is in flight, by the state of its connection.
+
+    ``calls`` are requests of clients, ``executions`` those at this VM's
+    upstream or waiting for it. The other counts are ``httpio.Census``'s.
+    """
+    daemon = running.daemon
+    census = running.callers.census()
+    daemon.journal.note(
+        event,
+        seconds=daemon.clock.monotonic() - daemon.leaving_since,
+        calls=len(daemon.calls),
+        executions=len(daemon.executions),
+        idle=census.idle,
+        reading=census.reading,
+        running=census.running,
+        waiting=census.waiting,
+        unsent=census.unsent,
+    )
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -137,9 +137,19 @@
         revision=views.number_in_era(daemon.view.revision),
         **_customer_fields(daemon, call),
         **_crashes.log_fields(call.fingerprint),
+        **_stop_fields(daemon, call.exchange.request),
     )
 
 
+def _stop_fields(
+    daemon: _state.Daemon, request: httpio.Request
+) -> dict[str, float]:
+    """Return how long after SIGTERM the request began to arrive."""
+    if not daemon.leaving:
+        return {}
+    return {"since_stop": request.received_at - daemon.leaving_since}
+
+
 def _admission_of(
     daemon: _state.Daemon, call: _records.Call
 ) -> tuple[float, float]:
@@ -202,6 +212,7 @@
             daemon.view, daemon.clock.monotonic()
         ),
         revision=views.number_in_era(daemon.view.revision),
+        **_stop_fields(daemon, request),
     )
     _counters.count_answer(
         daemon.counters, "none", 0, status, reason.value, 0.0
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -93,9 +93,10 @@
 
     ``header_names`` are the platform's names of header fields, and
     ``header_keys`` the same in lower case. ``leaving`` is set from SIGTERM
-    on; this VM's upstream still gets work until ``upstream_leaving`` is set.
-    ``upstream_down`` is set while the upstream accepts no connections, and
-    ``upstream_tried`` is the time of the last connection attempt.
+    on, at ``leaving_since``; this VM's upstream still gets work until
+    ``upstream_leaving`` is set. ``upstream_down`` is set while the upstream
+    accepts no connections, and ``upstream_tried`` is the time of the last
+    connection attempt.
     """
 
     dialect: _dialect.Dialect
@@ -188,6 +189,7 @@
     execution_serial: int = 0
     process_mark: bytes = b""
     leaving: bool = False
+    leaving_since: float = 0.0
     upstream_leaving: bool = False
     upstream_down: bool = False
     upstream_tried: float = 0.0
--- a/src/sassafrasstair/httpio/__init__.py
+++ b/src/sassafrasstair/httpio/__init__.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from sassafrasstair.httpio._bodies import MemoryBudget
+from sassafrasstair.httpio._exchanges import Census
 from sassafrasstair.httpio._exchanges import Exchange
 from sassafrasstair.httpio._exchanges import Limits
 from sassafrasstair.httpio._listeners import Listener
@@ -26,6 +27,7 @@
 from sassafrasstair.httpio._pools import Pool
 
 __all__ = [
+    "Census",
     "Exchange",
     "Failure",
     "Fields",
--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -100,6 +100,26 @@
         """Whether no request is being read, queued or handled."""
         return not self._pipeline.entries and self._reading is None
 
+    @property
+    def reading(self) -> bool:
+        """Whether a part of a request has been read."""
+        return self._reading is not None
+
+    @property
+    def running(self) -> int:
+        """The number of requests that were started and not answered."""
+        return self._pipeline.started
+
+    @property
+    def waiting(self) -> int:
+        """The number of requests that were read whole and not started."""
+        return len(self._pipeline.entries) - self._pipeline.started
+
+    @property
+    def has_unsent_data(self) -> bool:
+        """Whether written answers have not all been sent."""
+        return bool(self._transport.get_write_buffer_size())
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the new connection."""
         self._transport = transport
--- a/src/sassafrasstair/httpio/_exchanges.py
+++ b/src/sassafrasstair/httpio/_exchanges.py
@@ -28,6 +28,22 @@
     idle_seconds: float = 30.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Census:
+    """How many of a listener's connections are in which state.
+
+    ``idle`` ones have no request, and ``reading`` ones have read a part of
+    one. ``running`` and ``waiting`` count requests that were read whole:
+    started, or not yet. ``unsent`` connections have answers in their buffers.
+    """
+
+    idle: int = 0
+    reading: int = 0
+    running: int = 0
+    waiting: int = 0
+    unsent: int = 0
+
+
 class Exchange(pipelines.Entry):
     """A request and its response."""
 
--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -73,6 +73,17 @@
             self._server.close()
             self._server = None
 
+    def census(self) -> _exchanges.Census:
+        """Count the connections and their requests by state."""
+        found = list(self.connections)
+        return _exchanges.Census(
+            idle=sum(connection.idle for connection in found),
+            reading=sum(connection.reading for connection in found),
+            running=sum(connection.running for connection in found),
+            waiting=sum(connection.waiting for connection in found),
+            unsent=sum(connection.has_unsent_data for connection in found),
+        )
+
     def close_idle(self) -> None:
         """Close each connection that has no request in progress."""
         for connection in list(self.connections):
