--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -180,7 +180,7 @@
             bounds=forwarding.Bounds(
                 2.0,
                 2.0,
-                GRACE,
+                self._cluster.grace,
                 requests.BudgetRules(0.2, 400.0, 10.0),
                 self._cluster.revocation_seconds,
             ),
@@ -308,6 +308,7 @@
     same on each host. ``lines`` collects the log. ``entry_since`` maps
     instances to the revision of their first entry. ``seeds``,
     ``memory_bytes`` and ``revocation_seconds`` are settings of the daemons; a
+    ``grace`` is the daemons' grace period, and a
     changed ``settings_mark`` makes the daemons reload them, which fails with
     ``bad_settings``. ``customers`` are those of the next policy.
     """
@@ -327,6 +328,7 @@
         self.admits_by_cost = False
         self.customers: tuple[policies.Customer, ...] | None = None
         self.revocation_seconds: float | None = None
+        self.grace = GRACE
         self._serial = 0
 
     async def upstream(
@@ -398,7 +400,7 @@
         writer.write(head + headers + b"\r\n")
         try:
             started_at = asyncio.get_running_loop().time()
-            return await _read_answer(reader, started_at)
+            return await read_answer(reader, started_at)
         finally:
             writer.close()
 
@@ -447,16 +449,44 @@
         started_at = asyncio.get_running_loop().time()
         writer.write(head + headers + b"\r\n" + body)
         try:
-            return await _read_answer(reader, started_at)
+            return await read_answer(reader, started_at)
         finally:
             writer.close()
 
+    async def stop(self, host: str) -> None:
+        """Stop a daemon as SIGTERM does, and end its process."""
+        running = self.daemons[host]
+        await _daemon.stop(running)
+        for listener in (running.callers, running.daemons, running.operators):
+            listener.stop_accepting()
+            for connection in list(listener.connections):
+                connection._transport.abort()
+        for pool in (*running.daemon.pools.values(), running.daemon.upstream):
+            pool.close()
+
+    def request(
+        self,
+        path: str,
+        method: str = "GET",
+        size: int = 0,
+        deadline_ms: int = 4000,
+    ) -> tuple[str, bytes]:
+        """Return a new request's id, and its head for a body of ``size``."""
+        self._serial += 1
+        key = f"r{self._serial}"
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
+            f"X-Request: {key}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
+            f"Content-Length: {size}\r\n\r\n"
+        )
+        return key, head.encode()
+
     def _take_line(self, data: bytes) -> int:
         self.lines.append(data)
         return len(data)
 
 
-async def _read_answer(
+async def read_answer(
     reader: asyncio.StreamReader, started_at: float
 ) -> Answer:
     try:
--- a/tests/forwarding/test_pipelining.py
+++ b/tests/forwarding/test_pipelining.py
@@ -85,7 +85,7 @@
         """Read answers; return the path and the status of each."""
         found = []
         for _ in range(count):
-            answer = await place._read_answer(self.reader, 0.0)
+            answer = await place.read_answer(self.reader, 0.0)
             path = answer.fields.get(b"x-request", b"").decode()
             found.append((path, answer.status))
         return found
--- a/tests/forwarding/test_sync.py
+++ b/tests/forwarding/test_sync.py
@@ -197,7 +197,7 @@
 async def _feed_of(cluster: place.Cluster, host: str) -> dict[str, typing.Any]:
     reader, writer = await asyncio.open_connection(host, cluster.ports[2])
     writer.write(b"GET /feed HTTP/1.1\r\nHost: x\r\n\r\n")
-    got = await place._read_answer(reader, 0.0)
+    got = await place.read_answer(reader, 0.0)
     writer.close()
     assert got.status == 200
     found: dict[str, typing.Any] = json.loads(got.body)
