Decide in one place what a stopping daemon takes and when it ends

Seen by callers: a request on a connection that had been idle was taken up to 5 s after SIGTERM, passed on, and answered 504 at 0.85 of the grace period; a half-read body was reset after 2.3 s if nothing else was in flight. Cause: a stop had constants and a loop, and nobody asked at the arrival of a request whether the daemon would still be there for its answer. Class: a bound of a resource's life that is not checked where work is accepted. Change: decisions/stops. What begins to arrive while clients can't know of the stop is taken if it can be expected to end before the final answers, by earlier answers of its route; what comes later only if its time limit ends before them. Anything else is refused as not run, half-read requests as well. After the notice idle connections are closed. Half-read requests, unsent answers and runs of the upstream delay the end; new connections are accepted while the upstream runs something and may call. What still runs at the end is ended as lost, and what waits as not run. test_upload names an objective of 0.5 s: with one of 2 s the upload could not be expected to end.

--- /dev/null
+++ b/src/sassafrasstair/decisions/stops/__init__.py
@@ -0,0 +1,34 @@
+"""What a stopping daemon takes, refuses, closes and ends, and when.
+
+``Stop`` holds the state from the signal to stop on. A request that begins to
+arrive while clients can't know of the stop yet is taken if it can be expected
+to end in time. A later one is taken only if its time limit ends in time.
+"""
+
+from __future__ import annotations
+
+from sassafrasstair.decisions.stops._stops import accepts_connections
+from sassafrasstair.decisions.stops._stops import Arrival
+from sassafrasstair.decisions.stops._stops import begin
+from sassafrasstair.decisions.stops._stops import has_stalled
+from sassafrasstair.decisions.stops._stops import InFlight
+from sassafrasstair.decisions.stops._stops import may_run
+from sassafrasstair.decisions.stops._stops import may_take
+from sassafrasstair.decisions.stops._stops import Phase
+from sassafrasstair.decisions.stops._stops import QUIET_SECONDS
+from sassafrasstair.decisions.stops._stops import Stop
+from sassafrasstair.decisions.stops._stops import update
+
+__all__ = [
+    "Arrival",
+    "InFlight",
+    "Phase",
+    "QUIET_SECONDS",
+    "Stop",
+    "accepts_connections",
+    "begin",
+    "has_stalled",
+    "may_run",
+    "may_take",
+    "update",
+]
--- /dev/null
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -0,0 +1,179 @@
+"""The phases of a planned stop, and what each of them takes."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+NOTICE_SECONDS = 2.3
+"""Readiness is polled once a second, and clients are sent elsewhere after two
+failed polls."""
+NOTICE_GRACE_RATIO = 0.55
+"""The fraction of the grace period that the notice takes at most."""
+UPSTREAM_GRACE_RATIO = 0.2
+"""The fraction of the grace period in which the upstream still gets work. It
+is idle for a shorter time than if it got none from the signal on."""
+ANSWER_GRACE_RATIO = 0.15
+ANSWER_SECONDS_MAX = 1.0
+"""The end of the grace period that is left for the final answers: a fraction
+of it, but no more than this."""
+FLUSH_SECONDS = 0.05
+"""Minimum time in which final answers are sent."""
+QUIET_SECONDS = 0.3
+"""A daemon may end after it has had nothing in flight for this long."""
+STALL_SECONDS = 1.0
+"""A half-read request of which nothing arrives for this long does not delay
+the end."""
+
+
+class Phase(enum.Enum):
+    """How far a stop is.
+
+    ``NOTICE``: clients may not know of it yet. ``DRAINING``: connections are
+    closed once they are idle. ``ANSWERING``: all that was in flight has got
+    its final answer, which is being sent. ``ENDED``: the process may end.
+    """
+
+    NOTICE = "notice"
+    DRAINING = "draining"
+    ANSWERING = "answering"
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(slots=True)
+class Stop:
+    """A planned stop that began at ``began_at``, in seconds.
+
+    ``grace`` is the time after which the process is killed, and ``busy_at``
+    the last time at which something was in flight.
+    """
+
+    began_at: float
+    grace: float
+    busy_at: float
+    phase: Phase = Phase.NOTICE
+
+    @property
+    def notice_until(self) -> float:
+        """When clients can be expected to know of the stop."""
+        notice = min(NOTICE_SECONDS, NOTICE_GRACE_RATIO * self.grace)
+        return self.began_at + notice
+
+    @property
+    def upstream_until(self) -> float:
+        """Until when the upstream gets work."""
+        return min(
+            self.began_at + UPSTREAM_GRACE_RATIO * self.grace,
+            self.notice_until - QUIET_SECONDS,
+        )
+
+    @property
+    def cut_at(self) -> float:
+        """When all that is still in flight gets its final answer."""
+        return self.began_at + self.grace - self._answer_seconds
+
+    @property
+    def ends_by(self) -> float:
+        """When the process ends, whether all answers are sent or not."""
+        return self.cut_at + 0.5 * self._answer_seconds
+
+    @property
+    def _answer_seconds(self) -> float:
+        return min(ANSWER_SECONDS_MAX, ANSWER_GRACE_RATIO * self.grace)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InFlight:
+    """What a daemon has in flight.
+
+    ``calls`` are requests that were read whole, ``executions`` those at the
+    upstream or waiting for it. ``reading`` counts half-read requests that have
+    not stalled, and ``unsent`` connections with answers in their buffers.
+    """
+
+    calls: int = 0
+    executions: int = 0
+    reading: int = 0
+    unsent: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that begins to arrive at ``began_at``.
+
+    It ends at ``deadline`` at the latest, and takes ``expected`` seconds from
+    the time at which it has been read. ``of_upstream`` is set for a call that
+    the upstream on this VM makes for a request that it runs.
+    """
+
+    began_at: float
+    deadline: float
+    expected: float
+    of_upstream: bool = False
+
+
+def begin(grace: float, now: float) -> Stop:
+    """Return the state of a stop that begins now."""
+    return Stop(now, grace, now)
+
+
+def update(stop: Stop, in_flight: InFlight, now: float) -> Phase:
+    """Advance the stop; called several times per second."""
+    if in_flight != InFlight():
+        stop.busy_at = now
+    if stop.phase is Phase.NOTICE and now >= stop.notice_until:
+        stop.phase = Phase.DRAINING
+    if stop.phase is Phase.DRAINING:
+        if now - stop.busy_at >= QUIET_SECONDS:
+            stop.phase = Phase.ENDED
+        elif now >= stop.cut_at:
+            stop.phase = Phase.ANSWERING
+    elif stop.phase is Phase.ANSWERING and _has_answered(stop, in_flight, now):
+        stop.phase = Phase.ENDED
+    return stop.phase
+
+
+def may_take(stop: Stop, arrival: Arrival, now: float) -> bool:
+    """Return whether a request that has been read may be taken.
+
+    What is not taken is refused as not run. A call of the upstream counts as
+    part of the request for which it is made: to refuse it would fail that
+    request, which the daemon has taken.
+    """
+    if stop.phase not in (Phase.NOTICE, Phase.DRAINING):
+        return False
+    if arrival.deadline <= stop.cut_at:
+        return True
+    known = arrival.began_at > stop.notice_until
+    if known and not arrival.of_upstream:
+        return False
+    return now + arrival.expected <= stop.cut_at
+
+
+def may_run(stop: Stop, deadline: float, expected: float, now: float) -> bool:
+    """Return whether the upstream may get a request of another daemon."""
+    return (
+        now < stop.upstream_until
+        and min(deadline, now + expected) <= stop.cut_at
+    )
+
+
+def accepts_connections(stop: Stop, in_flight: InFlight) -> bool:
+    """Return whether new connections are accepted.
+
+    After the notice they are only for calls that the upstream may make.
+    """
+    if stop.phase is Phase.DRAINING:
+        return in_flight.executions > 0
+    return stop.phase is Phase.NOTICE
+
+
+def has_stalled(silent_seconds: float) -> bool:
+    """Return whether a half-read request no longer delays the end."""
+    return silent_seconds >= STALL_SECONDS
+
+
+def _has_answered(stop: Stop, in_flight: InFlight, now: float) -> bool:
+    if now >= stop.ends_by:
+        return True
+    return not in_flight.unsent and now >= stop.cut_at + FLUSH_SECONDS
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -27,6 +27,7 @@
 from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import requests
+from sassafrasstair.decisions import stops
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _crashes
@@ -80,6 +81,8 @@
         load.suggest_rate(guard, inbound.rate_limit, now)
     deadline = now + metadata.remaining
     reason = _unavailable_reason(daemon, metadata.instance)
+    if not _may_run(daemon, guard, metadata.route, deadline, now):
+        reason = outcomes.Reason.LEAVING
     if _notices.is_late_request(daemon, inbound, guard, now):
         reason = outcomes.Reason.LEAVING
     execution = _records.Execution(key, inbound, deadline, on_done, guard)
@@ -127,6 +130,28 @@
     return outcomes.Reason.NONE
 
 
+def _may_run(
+    daemon: _state.Daemon,
+    guard: load.Guard,
+    route: str,
+    deadline: float,
+    now: float,
+) -> bool:
+    """Return whether a request can be expected to end before this daemon."""
+    if daemon.stop is None:
+        return True
+    expected = load.wait_seconds(guard) + load.route_seconds(guard, route)
+    return stops.may_run(daemon.stop, deadline, expected, now)
+
+
+def end_all(daemon: _state.Daemon, reason: outcomes.Reason) -> None:
+    """End what runs at the upstream as lost, and what waits as not run."""
+    for guard in list(daemon.guards.values()):
+        _apply_effects(daemon, load.retire(guard, reason))
+    for key, execution in list(daemon.executions.items()):
+        _abort(daemon, key, execution, reason)
+
+
 def cancel(daemon: _state.Daemon, key: str) -> None:
     """Cancel a request whose caller no longer waits, at the instance too."""
     execution = daemon.executions.get(key)
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -28,6 +28,7 @@
 from sassafrasstair.forwarding import _quotas
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _status
+from sassafrasstair.forwarding import _stops
 from sassafrasstair.forwarding import _sync
 from sassafrasstair import httpio
 
@@ -39,24 +40,6 @@
 """Ticks between two log lines about routes with load shedding."""
 SWEEP_TICKS = 5
 """Ticks between two checks of idle connections and of the settings."""
-ACCEPT_SECONDS = 2.3
-"""Minimum time for which a stopping daemon accepts new connections:
-readiness is polled once a second, and clients are sent elsewhere after two
-failed polls."""
-ACCEPT_GRACE_RATIO = 0.55
-"""The fraction of the grace period after which a stopping daemon accepts no
-connections, even if clients still connect because all other daemons of the
-failure domain are unavailable."""
-UPSTREAM_GRACE_RATIO = 0.2
-"""The fraction of the grace period in which a stopping daemon's upstream
-still gets work. Requests started in it end before the daemon does, and the
-upstream is idle for 2 s instead of 4 s."""
-ANSWER_GRACE_RATIO = 0.85
-"""The fraction of the grace period after which requests still in flight are
-answered without a result."""
-QUIET_SECONDS = 0.3
-"""A stopping daemon may end after it has had no request in flight for this
-long."""
 DAEMON_LIMITS = httpio.Limits(
     body_bytes=256 * 1024 * 1024, head_bytes=65_536, idle_seconds=120.0
 )
@@ -124,7 +107,7 @@
     )
     start(running)
     await running.stopping.wait()
-    await stop(running)
+    await _stops.stop(running)
 
 
 def start(running: RunningDaemon) -> None:
@@ -289,69 +272,3 @@
     daemon.journal.note("settings_read", changed=changed)
     if changed:
         _state.apply_settings(daemon, settings)
-
-
-async def stop(running: RunningDaemon) -> None:
-    """Shut down without cutting off requests.
-
-    Requests in flight get the time to finish before they are answered
-    without a result.
-    """
-    daemon = running.daemon
-    loop = asyncio.get_running_loop()
-    started_at = loop.time()
-    grace = daemon.settings.bounds.grace_seconds
-    daemon.leaving = True
-    daemon.leaving_since = daemon.clock.monotonic()
-    _polls.answer_all(daemon)
-    _log_work(running, "stopping")
-    running.callers.closing = True
-    idle_since = started_at
-    while loop.time() < started_at + ANSWER_GRACE_RATIO * grace:
-        await asyncio.sleep(TICK_SECONDS)
-        now = loop.time()
-        daemon.upstream_leaving = (
-            now >= started_at + UPSTREAM_GRACE_RATIO * grace
-        )
-        if daemon.calls or daemon.executions:
-            idle_since = now
-        idle = now - idle_since >= QUIET_SECONDS
-        if idle and now >= started_at + min(
-            ACCEPT_SECONDS, ACCEPT_GRACE_RATIO * grace
-        ):
-            break
-        if now >= started_at + ACCEPT_GRACE_RATIO * grace:
-            running.callers.stop_accepting()
-    running.callers.stop_accepting()
-    _log_work(running, "stop_cuts")
-    for call in list(daemon.calls):
-        _entrance.expire_call(daemon, call)
-    running.callers.close_idle()
-    await asyncio.sleep(TICK_SECONDS)
-    for task in list(daemon.tasks):
-        task.cancel()
-    for check in list(daemon.store_checks):
-        check.cancel()
-    _log_work(running, "stopped")
-    daemon.journal.tick(loop.time() + 1.0)
-
-
-def _log_work(running: RunningDaemon, event: str) -> None:
-    """Log what is in flight, by the state of its connection.
-
-    ``calls`` are requests of clients, ``executions`` those at this VM's
-    upstream or waiting for it. The other counts are ``httpio.Census``'s.
-    """
-    daemon = running.daemon
-    census = running.callers.census()
-    daemon.journal.note(
-        event,
-        seconds=daemon.clock.monotonic() - daemon.leaving_since,
-        calls=len(daemon.calls),
-        executions=len(daemon.executions),
-        idle=census.idle,
-        reading=census.reading,
-        running=census.running,
-        waiting=census.waiting,
-        unsent=census.unsent,
-    )
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -145,9 +145,9 @@
     daemon: _state.Daemon, request: httpio.Request
 ) -> dict[str, float]:
     """Return how long after SIGTERM the request began to arrive."""
-    if not daemon.leaving:
+    if daemon.stop is None:
         return {}
-    return {"since_stop": request.received_at - daemon.leaving_since}
+    return {"since_stop": request.received_at - daemon.stop.began_at}
 
 
 def _admission_of(
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -11,6 +11,7 @@
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _arrivals
 from sassafrasstair.forwarding import _attempts
 from sassafrasstair.forwarding import _customers
 from sassafrasstair.forwarding import _dialect
@@ -43,6 +44,9 @@
         # It has waited on its connection behind an earlier request.
         expire_call(daemon, call)
         return
+    if not _arrivals.may_take(daemon, route, exchange.request, now):
+        _endings.refuse(daemon, call, outcomes.Reason.LEAVING)
+        return
     if not _admit(daemon, route, call.importance, now):
         _endings.refuse(daemon, call, outcomes.Reason.SHED_AT_ENTRANCE)
         return
@@ -90,7 +94,7 @@
     table = daemon.view.table
     if table is None:
         return False
-    route = _match_route(table, request)
+    route = match_route(table, request)
     return route is not None and route.idempotent
 
 
@@ -124,7 +128,7 @@
     if table is None:
         _endings.refuse_early(daemon, exchange, outcomes.Reason.NO_BUNDLE)
         return None
-    route = _match_route(table, exchange.request)
+    route = match_route(table, exchange.request)
     if route is None:
         if views.is_store_unreachable(daemon.view, daemon.clock.monotonic()):
             _endings.refuse_early(daemon, exchange, outcomes.Reason.NO_BUNDLE)
@@ -138,9 +142,10 @@
     return route
 
 
-def _match_route(
+def match_route(
     table: policies.Table, request: httpio.Request
 ) -> policies.Route | None:
+    """Return the route of a request whose head has been read."""
     host = request.headers.get(b"host", b"").decode("latin-1")
     path = request.target.partition(b"?")[0].decode("latin-1")
     return policies.match_route(table, host, path)
@@ -156,11 +161,9 @@
     """Register the request as a call in flight, with its deadline set."""
     request = exchange.request
     service = policies.choose_service(route, daemon.rng)
-    client_wait = _client_wait(
-        request.headers.get(daemon.header_keys.deadline_ms)
-    )
-    deadline = request.received_at + min(route.timeout, client_wait)
-    rank = _rank(daemon, route, customer, request.received_at + client_wait)
+    client_deadline = _arrivals.client_deadline(daemon, request)
+    deadline = min(request.received_at + route.timeout, client_deadline)
+    rank = _rank(daemon, route, customer, client_deadline)
     call = _records.Call(
         exchange,
         request.headers[daemon.header_keys.request_id],
@@ -186,6 +189,13 @@
 
 def expire_call(daemon: _state.Daemon, call: _records.Call) -> None:
     """Answer a request at its deadline, and abort its current attempt."""
+    end_call(daemon, call, outcomes.Reason.DEADLINE_PASSED)
+
+
+def end_call(
+    daemon: _state.Daemon, call: _records.Call, reason: outcomes.Reason
+) -> None:
+    """Answer a request without a result, and abort its current attempt."""
     if call not in daemon.calls:
         return
     if call.attempt is not None and _attempts.may_have_run(
@@ -193,7 +203,7 @@
     ):
         call.progress.may_have_run = True
     _attempts.abort_attempt(daemon, call)
-    _endings.answer_failed_call(daemon, call, outcomes.Reason.DEADLINE_PASSED)
+    _endings.answer_failed_call(daemon, call, reason)
 
 
 def _abort_call(daemon: _state.Daemon, call: _records.Call) -> None:
@@ -261,10 +271,3 @@
         return route.importance + daemon.rng.random()
     within = (route.importance + daemon.rng.random()) / _LEVELS
     return customer.importance + within
-
-
-def _client_wait(value: bytes | None) -> float:
-    """Return for how many seconds the client waits, infinity by default."""
-    if value is None or not value.isdigit():
-        return float("inf")
-    return int(value) / 1000.0
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -14,6 +14,7 @@
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import requests
+from sassafrasstair.decisions import stops
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
@@ -93,10 +94,10 @@
 
     ``header_names`` are the platform's names of header fields, and
     ``header_keys`` the same in lower case. ``leaving`` is set from SIGTERM
-    on, at ``leaving_since``; this VM's upstream still gets work until
-    ``upstream_leaving`` is set. ``upstream_down`` is set while the upstream
-    accepts no connections, and ``upstream_tried`` is the time of the last
-    connection attempt.
+    on, and ``stop`` has the state of the stop; this VM's upstream still
+    gets work until ``upstream_leaving`` is set. ``upstream_down`` is set
+    while the upstream accepts no connections, and ``upstream_tried`` is the
+    time of the last connection attempt.
     """
 
     dialect: _dialect.Dialect
@@ -189,7 +190,7 @@
     execution_serial: int = 0
     process_mark: bytes = b""
     leaving: bool = False
-    leaving_since: float = 0.0
+    stop: stops.Stop | None = None
     upstream_leaving: bool = False
     upstream_down: bool = False
     upstream_tried: float = 0.0
--- /dev/null
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -0,0 +1,128 @@
+"""Carries out a planned stop, as ``stops`` decides it."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from sassafrasstair.decisions import stops
+from sassafrasstair.forwarding import _arrivals
+from sassafrasstair.forwarding import _callee
+from sassafrasstair.forwarding import _entrance
+from sassafrasstair.forwarding import _polls
+from sassafrasstair import outcomes
+
+if typing.TYPE_CHECKING:
+    from sassafrasstair.forwarding import _daemon
+    from sassafrasstair.forwarding import _state
+    from sassafrasstair import httpio
+
+STEP_SECONDS = 0.05
+
+
+async def stop(running: _daemon.RunningDaemon) -> None:
+    """Shut down without cutting off requests that can end in time."""
+    daemon = running.daemon
+    now = daemon.clock.monotonic()
+    daemon.stop = stops.begin(daemon.settings.bounds.grace_seconds, now)
+    daemon.leaving = True
+    running.callers.closing = True
+    _polls.answer_all(daemon)
+    _log_work(running, daemon.stop, "stopping")
+    while daemon.stop.phase is not stops.Phase.ENDED:
+        await asyncio.sleep(STEP_SECONDS)
+        _step(running, daemon.stop)
+    running.callers.stop_accepting()
+    running.callers.close_idle(daemon.clock.monotonic())
+    await asyncio.sleep(STEP_SECONDS)
+    for task in list(daemon.tasks):
+        task.cancel()
+    for check in list(daemon.store_checks):
+        check.cancel()
+    _log_work(running, daemon.stop, "stopped")
+    daemon.journal.tick(daemon.clock.monotonic() + 1.0)
+
+
+def _step(running: _daemon.RunningDaemon, stop: stops.Stop) -> None:
+    daemon, callers = running.daemon, running.callers
+    now = daemon.clock.monotonic()
+    in_flight = _in_flight(running, now)
+    before = stop.phase
+    phase = stops.update(stop, in_flight, now)
+    daemon.upstream_leaving = now >= stop.upstream_until
+    if not stops.accepts_connections(stop, in_flight):
+        callers.stop_accepting()
+    if phase is stops.Phase.ANSWERING and before is not phase:
+        _log_work(running, stop, "stop_cuts")
+        _answer_all(daemon)
+    if phase is not stops.Phase.NOTICE:
+        callers.close_idle(now, stops.QUIET_SECONDS)
+    for partial in callers.partial_requests(now):
+        if not _may_read_on(daemon, stop, partial, now):
+            partial.reject()
+
+
+def _in_flight(running: _daemon.RunningDaemon, now: float) -> stops.InFlight:
+    reading = unsent = 0
+    for listener in (running.callers, running.daemons):
+        unsent += listener.census().unsent
+        reading += sum(
+            not stops.has_stalled(partial.silent_seconds)
+            for partial in listener.partial_requests(now)
+        )
+    daemon = running.daemon
+    return stops.InFlight(
+        len(daemon.calls), len(daemon.executions), reading, unsent
+    )
+
+
+def _answer_all(daemon: _state.Daemon) -> None:
+    """Answer all that is in flight without a result."""
+    reason = outcomes.Reason.LEAVING
+    for call in list(daemon.calls):
+        _entrance.end_call(daemon, call, reason)
+    _callee.end_all(daemon, reason)
+
+
+def _may_read_on(
+    daemon: _state.Daemon,
+    stop: stops.Stop,
+    partial: httpio.PartialRequest,
+    now: float,
+) -> bool:
+    """Return whether a half-read request may still be taken."""
+    if stop.phase in (stops.Phase.ANSWERING, stops.Phase.ENDED):
+        return False
+    draining = stop.phase is stops.Phase.DRAINING
+    if draining and stops.has_stalled(partial.silent_seconds):
+        return False
+    table = daemon.view.table
+    if table is None or not partial.head_complete:
+        return True
+    route = _entrance.match_route(table, partial.request)
+    return route is None or _arrivals.may_take(
+        daemon, route, partial.request, now
+    )
+
+
+def _log_work(
+    running: _daemon.RunningDaemon, stop: stops.Stop, event: str
+) -> None:
+    """Log what is in flight, by the state of its connection.
+
+    ``calls`` are requests of clients, ``executions`` those at this VM's
+    upstream or waiting for it. The other counts are ``httpio.Census``'s.
+    """
+    daemon = running.daemon
+    census = running.callers.census()
+    daemon.journal.note(
+        event,
+        seconds=daemon.clock.monotonic() - stop.began_at,
+        calls=len(daemon.calls),
+        executions=len(daemon.executions),
+        idle=census.idle,
+        reading=census.reading,
+        running=census.running,
+        waiting=census.waiting,
+        unsent=census.unsent,
+    )
--- a/src/sassafrasstair/histograms.py
+++ b/src/sassafrasstair/histograms.py
@@ -61,6 +61,22 @@
         self.sum_seconds += seconds
 
 
+def quantile(series: Series, share: float) -> float:
+    """Return the seconds within which a share of the values lies.
+
+    Values are taken for evenly spread within their bucket. Those beyond the
+    last bound count as that bound.
+    """
+    wanted = share * sum(series.counts)
+    lower = 0.0
+    for bound, count in zip(BUCKETS, series.counts, strict=False):
+        if count and count >= wanted:
+            return lower + (bound - lower) * wanted / count
+        wanted -= count
+        lower = bound
+    return lower
+
+
 def render(registry: collectors_module.Registry) -> bytes:
     """Return the Prometheus text of the library's collectors."""
     from aioprometheus import renderer
--- a/src/sassafrasstair/httpio/__init__.py
+++ b/src/sassafrasstair/httpio/__init__.py
@@ -12,6 +12,7 @@
 from sassafrasstair.httpio._exchanges import Census
 from sassafrasstair.httpio._exchanges import Exchange
 from sassafrasstair.httpio._exchanges import Limits
+from sassafrasstair.httpio._exchanges import PartialRequest
 from sassafrasstair.httpio._listeners import Listener
 from sassafrasstair.httpio._messages import combined_value
 from sassafrasstair.httpio._messages import end_to_end_fields
@@ -35,6 +36,7 @@
     "Limits",
     "Listener",
     "MemoryBudget",
+    "PartialRequest",
     "Pool",
     "Request",
     "Response",
--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import typing
 
 import httptools
@@ -97,8 +98,17 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read, queued or handled."""
-        return not self._pipeline.entries and self._reading is None
+        """Whether it is open and no request is read, queued or handled."""
+        return (
+            not self._closing
+            and not self._pipeline.entries
+            and self._reading is None
+        )
+
+    @property
+    def active_at(self) -> float:
+        """When data last arrived, or an answer was last written."""
+        return self._active_at
 
     @property
     def reading(self) -> bool:
@@ -282,6 +292,17 @@
         elif now - self._active_at > limits.idle_seconds:
             self.close()
 
+    def partial(self, now: float) -> _exchanges.PartialRequest | None:
+        """Return the request that is being read, None if there is none."""
+        if self._reading is None:
+            return None
+        return _exchanges.PartialRequest(
+            self._reading,
+            self._head_size < 0,
+            now - self._received_at,
+            functools.partial(self._reject, 503),
+        )
+
     def close(self) -> None:
         """Close the connection once all written data has been sent."""
         self._closing = True
--- a/src/sassafrasstair/httpio/_exchanges.py
+++ b/src/sassafrasstair/httpio/_exchanges.py
@@ -44,6 +44,21 @@
     unsent: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartialRequest:
+    """A request of which a part has been read.
+
+    ``head_complete`` is set once only the body is incomplete, and nothing
+    arrived for ``silent_seconds``. ``reject`` answers 503 in its turn and
+    closes the connection.
+    """
+
+    request: _messages.Request
+    head_complete: bool
+    silent_seconds: float
+    reject: abc.Callable[[], None]
+
+
 class Exchange(pipelines.Entry):
     """A request and its response."""
 
--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -84,12 +84,17 @@
             unsent=sum(connection.has_unsent_data for connection in found),
         )
 
-    def close_idle(self) -> None:
-        """Close each connection that has no request in progress."""
+    def close_idle(self, now: float, seconds: float = 0.0) -> None:
+        """Close each connection that has had no request for ``seconds``."""
         for connection in list(self.connections):
-            if connection.idle:
+            if connection.idle and now - connection.active_at >= seconds:
                 connection.close()
 
+    def partial_requests(self, now: float) -> list[_exchanges.PartialRequest]:
+        """Return the requests of which a part has been read."""
+        found = (connection.partial(now) for connection in self.connections)
+        return [partial for partial in found if partial is not None]
+
     def sweep(self, now: float) -> None:
         """Apply the time limits; called a few times per second."""
         for connection in list(self.connections):
--- /dev/null
+++ b/tests/decisions/stops/test_stops.py
@@ -0,0 +1,216 @@
+"""Tests of what a stopping daemon takes and when it ends."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from sassafrasstair.decisions import stops
+
+STEP = 0.05
+GRACES = (1.0, 2.0, 6.0, 10.0, 30.0)
+BEGAN = 100.0
+
+
+@dataclasses.dataclass
+class Request:
+    """A request that takes ``seconds`` once it has been read at ``read_at``.
+
+    A half-read one is rejected once it would not be taken.
+    """
+
+    arrival: stops.Arrival
+    read_at: float
+    seconds: float
+    outcome: str = ""
+
+    @property
+    def ends_at(self) -> float:
+        """When it ends if nobody ends it before."""
+        return min(self.read_at + self.seconds, self.arrival.deadline)
+
+
+class Daemon:
+    """A daemon that stops: requests, and the decisions about them."""
+
+    def __init__(self, grace: float) -> None:
+        self.stop = stops.begin(grace, BEGAN)
+        self.running: list[Request] = []
+        self.cut: list[Request] = []
+        self.ended_at = math.inf
+
+    def advance(self, now: float, reading: int) -> None:
+        """Answer what has ended, and update the stop."""
+        for request in list(self.running):
+            if request.ends_at <= now:
+                request.outcome = "answered"
+                self.running.remove(request)
+        in_flight = stops.InFlight(calls=len(self.running), reading=reading)
+        phase = stops.update(self.stop, in_flight, now)
+        if phase is stops.Phase.ANSWERING:
+            for request in self.running:
+                request.outcome = "cut"
+            self.cut += self.running
+            self.running = []
+        if phase is stops.Phase.ENDED:
+            self.ended_at = min(self.ended_at, now)
+
+    def read(self, request: Request, now: float) -> None:
+        """Take or refuse a request that has been read whole."""
+        if stops.may_take(self.stop, request.arrival, now):
+            self.running.append(request)
+        else:
+            request.outcome = "refused"
+
+
+def _requests(grace: float) -> strategies.SearchStrategy[list[Request]]:
+    """Return requests that begin to arrive before or during a stop."""
+    seconds = strategies.floats(0.0, 2.0 * grace)
+    return strategies.lists(
+        strategies.builds(
+            _request,
+            strategies.floats(-1.0, 1.2 * grace),
+            strategies.one_of(strategies.just(0.0), seconds),
+            seconds,
+            seconds,
+            seconds,
+            strategies.booleans(),
+        ),
+        max_size=30,
+    )
+
+
+def _request(
+    began: float,
+    reading: float,
+    limit: float,
+    expected: float,
+    seconds: float,
+    of_upstream: bool,
+) -> Request:
+    began += BEGAN
+    arrival = stops.Arrival(began, began + limit, expected, of_upstream)
+    return Request(arrival, began + reading, seconds)
+
+
+@hypothesis.given(strategies.data())
+def test_every_request_has_one_outcome_and_none_is_cut_unexpectedly(
+    data: strategies.DataObject,
+) -> None:
+    """Requests arrive, are read and end in any order while a daemon stops.
+
+    Only what was expected to end in time, and takes longer, may be cut.
+    """
+    grace = data.draw(strategies.sampled_from(GRACES))
+    requests = data.draw(_requests(grace))
+    late_by = data.draw(strategies.floats(0.0, 0.05 * grace))
+    daemon = Daemon(grace)
+    unread = sorted(requests, key=lambda request: request.read_at)
+    steps = math.ceil(1.3 * grace / STEP)
+    for step in range(steps):
+        now = BEGAN + step * STEP + late_by
+        if now >= daemon.ended_at:
+            break
+        while unread and unread[0].read_at <= now:
+            daemon.read(unread[0], unread.pop(0).read_at)
+        reading = sum(
+            request.arrival.began_at <= now
+            and stops.may_take(daemon.stop, request.arrival, now)
+            for request in unread
+        )
+        daemon.advance(now, reading)
+    assert daemon.ended_at <= BEGAN + grace
+    assert all(
+        request.outcome in ("answered", "refused", "cut")
+        for request in requests
+        if request.read_at <= daemon.ended_at - STEP
+    )
+    assert not daemon.running
+    for request in daemon.cut:
+        assert request.arrival.deadline > daemon.stop.cut_at
+        assert request.seconds > request.arrival.expected - STEP - late_by
+        known = request.arrival.began_at > daemon.stop.notice_until
+        assert request.arrival.of_upstream or not known
+
+
+@pytest.mark.parametrize("grace", GRACES)
+def test_idle_daemon_ends_right_after_the_notice(grace: float) -> None:
+    daemon = Daemon(grace)
+    now = BEGAN
+    while daemon.ended_at == math.inf:
+        daemon.advance(now, 0)
+        now += STEP
+    notice = daemon.stop.notice_until - BEGAN
+    assert notice <= daemon.ended_at - BEGAN <= notice + 2 * STEP
+    assert daemon.stop.upstream_until < daemon.stop.notice_until
+
+
+@pytest.mark.parametrize(
+    ("began", "limit", "expected", "at", "taken"),
+    [
+        (0.5, 1.0, 0.2, 0.5, True),
+        (2.0, 5.0, 0.2, 2.0, True),
+        (2.0, 5.0, 4.0, 2.0, False),
+        # A body that takes seconds: the first byte came before the notice.
+        (1.0, 5.0, 0.2, 4.0, True),
+        (1.0, 5.0, 0.2, 5.0, False),
+        # Clients know of the stop: only what certainly ends in time.
+        (3.0, 2.0, 0.2, 3.0, True),
+        (3.0, 5.0, 0.2, 3.0, False),
+        (4.0, 2.0, 0.2, 4.0, False),
+    ],
+)
+def test_request_is_taken_if_it_ends_before_the_final_answers(
+    began: float, limit: float, expected: float, at: float, taken: bool
+) -> None:
+    stop = stops.begin(6.0, BEGAN)
+    began += BEGAN
+    arrival = stops.Arrival(began, began + limit, expected)
+    busy = stops.InFlight(calls=1)
+    stops.update(stop, busy, BEGAN + at)
+    assert stops.may_take(stop, arrival, BEGAN + at) is taken
+
+
+def test_call_of_the_upstream_is_taken_for_a_run_that_has_begun() -> None:
+    """To refuse it would fail the request that the upstream runs."""
+    stop = stops.begin(6.0, BEGAN)
+    running = stops.InFlight(executions=1)
+    now = BEGAN + 4.0
+    assert stops.update(stop, running, now) is stops.Phase.DRAINING
+    assert stops.accepts_connections(stop, running)
+    assert not stops.accepts_connections(stop, stops.InFlight(calls=1))
+    call = stops.Arrival(now, now + 5.0, 0.2, of_upstream=True)
+    assert stops.may_take(stop, call, now)
+    later = stops.Arrival(now, now + 5.0, 2.0, of_upstream=True)
+    assert not stops.may_take(stop, later, now)
+
+
+@pytest.mark.parametrize(
+    ("at", "expected", "runs"),
+    [(0.5, 0.2, True), (1.1, 0.2, True), (1.3, 0.2, False), (0.5, 5, False)],
+)
+def test_upstream_gets_what_ends_in_time(
+    at: float, expected: float, runs: bool
+) -> None:
+    stop = stops.begin(6.0, BEGAN)
+    now = BEGAN + at
+    assert stops.may_run(stop, now + 5.0, expected, now) is runs
+
+
+def test_stalled_client_does_not_delay_the_end() -> None:
+    assert not stops.has_stalled(0.5)
+    assert stops.has_stalled(1.5)
+
+
+def test_unsent_answers_delay_the_end_until_shortly_before_the_kill() -> None:
+    stop = stops.begin(6.0, BEGAN)
+    unsent = stops.InFlight(unsent=1)
+    for step in range(200):
+        now = BEGAN + step * STEP
+        if stops.update(stop, unsent, now) is stops.Phase.ENDED:
+            break
+    assert stop.cut_at < now <= stop.ends_by + STEP < BEGAN + 6.0
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -19,6 +19,7 @@
 from sassafrasstair.forwarding import _daemon
 from sassafrasstair.forwarding import _events
 from sassafrasstair.forwarding import _state
+from sassafrasstair.forwarding import _stops
 from tests import loopback
 
 if typing.TYPE_CHECKING:
@@ -456,7 +457,7 @@
     async def stop(self, host: str) -> None:
         """Stop a daemon as SIGTERM does, and end its process."""
         running = self.daemons[host]
-        await _daemon.stop(running)
+        await _stops.stop(running)
         for listener in (running.callers, running.daemons, running.operators):
             listener.stop_accepting()
             for connection in list(listener.connections):
--- a/tests/forwarding/test_lifecycle.py
+++ b/tests/forwarding/test_lifecycle.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 
-from sassafrasstair.forwarding import _daemon
+from sassafrasstair.forwarding import _stops
 from tests.forwarding import place
 from tests.forwarding import test_path
 
@@ -31,7 +31,7 @@
         calls = [asyncio.ensure_future(cluster.call(A, "/s/"))]
         await asyncio.sleep(0.05)
 
-        stopping = asyncio.ensure_future(_daemon.stop(running))
+        stopping = asyncio.ensure_future(_stops.stop(running))
         await asyncio.sleep(0.05)
         calls.append(asyncio.ensure_future(cluster.call(A, "/s/")))
         reader, writer = await asyncio.open_connection(A, cluster.ports[2])
@@ -129,7 +129,7 @@
         await cluster.upstream(C, "s")
         await cluster.daemon(C, "s")
         await cluster.wait_until_known(A, B, C)
-        stopping = asyncio.ensure_future(_daemon.stop(cluster.daemons[B]))
+        stopping = asyncio.ensure_future(_stops.stop(cluster.daemons[B]))
         await asyncio.sleep(0.1)
         for _ in range(20):
             assert (await cluster.call(A, "/s/", "POST")).status == 200
--- a/tests/forwarding/test_pipelining.py
+++ b/tests/forwarding/test_pipelining.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sassafrasstair.forwarding import _counters
-from sassafrasstair.forwarding import _daemon
+from sassafrasstair.forwarding import _stops
 from tests.forwarding import place
 from tests.forwarding import test_path
 
@@ -196,7 +196,7 @@
         world.send("/s/1", "/s/2", "/u/3")
         await world.wait_until_received("/s/1", "/s/2")
         running = world.cluster.daemons[A]
-        stopping = asyncio.ensure_future(_daemon.stop(running))
+        stopping = asyncio.ensure_future(_stops.stop(running))
         await asyncio.sleep(0.05)
         world.send("/s/4")
         world.release("/s/2", "/s/1", "/u/3", "/s/4")
--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -13,7 +13,7 @@
 from tests.forwarding import test_path
 
 A, B, C = place.HOSTS
-WORK_SECONDS = 0.2
+WORK_SECONDS = 0.1
 CLIENTS = 25
 BODY = b"x" * 400
 PIECES = 8
@@ -58,12 +58,14 @@
         self.signalled = asyncio.Event()
         self._signalled_at = 0.0
 
-    async def start(self, timeout: float = 2.0) -> None:
+    async def start(
+        self, timeout: float = 2.0, objective: float = 0.5
+    ) -> None:
         """Start two daemons and an instance."""
         self.cluster.policy(
             3,
-            place.route("/s/", "s", True, timeout),
-            place.route("/u/", "s", False, timeout),
+            place.route("/s/", "s", True, timeout, objective=objective),
+            place.route("/u/", "s", False, timeout, objective=objective),
         )
         await self.cluster.upstream(B, "s", self._script, slots=200)
         await self.cluster.daemon(A, "front")
