Let a client that still sends read the refusal of its request

Seen by callers: an upload that was refused before its end, at a limit or at a stop, ended in a reset connection in place of the 413 or 503. Cause: the connection was closed with unread data, which makes the kernel reset it (RFC 9112, 9.6). Change: after any refusal of a half-read request the connection reads and drops what still comes, as it did behind pipelined requests. Result: the new test got a broken pipe before and gets 413 now.

--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -456,8 +456,8 @@
 
         The requests before it are answered first; data behind it is ignored.
         """
-        if self._pipeline.entries:
-            self._sent_ahead = True
+        # The client may still send the rest of the request.
+        self._sent_ahead = True
         if self._pipeline.ended:
             return
         self._discard_body()
--- a/tests/httpio/test_listeners.py
+++ b/tests/httpio/test_listeners.py
@@ -314,3 +314,22 @@
         assert left == [1]
 
     asyncio.run(run())
+
+
+def test_refusal_of_a_half_read_body_reaches_a_client_that_sends_on() -> None:
+    """The kernel resets a connection that is closed with unread data."""
+
+    async def test() -> None:
+        server = await _start_server()
+        reader, writer = await asyncio.open_connection(HOST, server.port)
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n"
+        writer.write(head)
+        for _ in range(4):
+            await asyncio.sleep(0.05)
+            writer.write(b"x" * 20)
+        answer = await asyncio.wait_for(reader.read(), 1.0)
+        assert answer.startswith(b"HTTP/1.1 413 ")
+        writer.close()
+        await writer.wait_closed()
+
+    asyncio.run(test())
