Handle SIGTERM before the first request can be read

Cause: the listeners were opened before the signals were handled, so a stop of a daemon that is just starting ended it at once, with what it had read. Change: the handlers are installed first.

--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -92,12 +92,13 @@
         dialect, settings, clock, random.Random(seed), journal
     )
     running = RunningDaemon(daemon)
-    await open_listeners(running)
+    # The signals are handled before the first request can be read. A second
+    # signal to stop has no effect, so that it can't cut off requests.
     loop = asyncio.get_running_loop()
-    # A second signal has no effect, so that it can't cut off requests.
     loop.add_signal_handler(signal.SIGTERM, running.stopping.set)
     loop.add_signal_handler(signal.SIGINT, running.stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, running)
+    await open_listeners(running)
     journal.note(
         "started",
         vm=settings.vm,
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -408,7 +408,7 @@
     async def daemon(self, host: str, service: str) -> _daemon.RunningDaemon:
         """Start a daemon; ``wait_until_known`` waits for its view."""
         dialect = Dialect(self, host, service)
-        journal = _events.Journal(self._take_line)
+        journal = _events.Journal(self.take_line)
         journal.attach()
         daemon = _state.new_daemon(
             dialect,
@@ -482,7 +482,8 @@
         )
         return key, head.encode()
 
-    def _take_line(self, data: bytes) -> int:
+    def take_line(self, data: bytes) -> int:
+        """Collect a line of the log."""
         self.lines.append(data)
         return len(data)
 
--- a/tests/forwarding/test_lifecycle.py
+++ b/tests/forwarding/test_lifecycle.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import time
+import typing
 
+from sassafrasstair import clocks
+from sassafrasstair.forwarding import _daemon
 from sassafrasstair.forwarding import _stops
 from tests.forwarding import place
 from tests.forwarding import test_path
 
+if typing.TYPE_CHECKING:
+    import pytest
+
 A, B, C = place.HOSTS
 
 
@@ -46,6 +54,35 @@
     test_path.run(test())
 
 
+def test_sigterm_while_listeners_open_is_a_planned_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Requests could be read before the signal was handled."""
+    opening = _daemon.open_listeners
+
+    async def open_and_signal(running: _daemon.RunningDaemon) -> None:
+        await opening(running)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.sleep(0.0)
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.grace = 1.0
+        cluster.policy(1, place.route("/s/", "s"))
+        monkeypatch.setattr(_daemon, "open_listeners", open_and_signal)
+        dialect = place.Dialect(cluster, A, "front")
+        clock = clocks.SystemClock()
+        await _daemon.run(dialect, clock, cluster.take_line, 1)
+        assert any(b'"stopped"' in line for line in cluster.lines)
+
+    # The process of the tests goes on if the daemon does not handle it.
+    before = signal.signal(signal.SIGTERM, lambda *_: None)
+    try:
+        test_path.run(test())
+    finally:
+        signal.signal(signal.SIGTERM, before)
+
+
 def test_settings_change_cuts_off_no_request() -> None:
     """The settings file changes without a signal while a request runs.
 
