--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -32,10 +32,10 @@
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _crashes
 from sassafrasstair.forwarding import _guards
-from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _notices
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _reports
+from sassafrasstair.forwarding import _results
 from sassafrasstair.forwarding import _state
 from sassafrasstair import httpio
 from sassafrasstair import notices
@@ -47,8 +47,6 @@
 FULL_SLOTS_RATIO = 0.7
 """An instance that refuses work while a smaller fraction of its slots is in
 use is not full. Lowering its limit would only turn more work away."""
-MISDIRECTED_STATUS = 421
-"""Returned by an instance other than the one that the request names."""
 RECONNECT_SECONDS = 0.3
 """Interval between connection attempts while the upstream accepts none."""
 _CONNECTION_FAILURES = (httpio.Failure.LOST, httpio.Failure.CUT_SHORT)
@@ -305,7 +303,7 @@
     Only an answer to this very request shows that the instance names none:
     a damaged one may lack the header.
     """
-    if response.status == MISDIRECTED_STATUS:
+    if response.status == _results.MISDIRECTED_STATUS:
         return
     inbound = execution.request
     notice = _notices.read_notice(
@@ -372,7 +370,7 @@
     result: httpio.Response | httpio.Failure,
     crashed: bool = False,
 ) -> None:
-    ending, reason = _classify_result(daemon, execution, result)
+    ending, reason = _results.classify(daemon, execution, result)
     if crashed:
         reason = _reason_of_crash(daemon, execution)
     if isinstance(result, httpio.Response):
@@ -421,39 +419,6 @@
     return outcomes.Reason.UPSTREAM_CRASHED
 
 
-def _classify_result(
-    daemon: _state.Daemon,
-    execution: _records.Execution,
-    result: httpio.Response | httpio.Failure,
-) -> tuple[requests.Ending | None, outcomes.Reason]:
-    """Return how the execution ended; None if the answer is forwarded."""
-    if result is httpio.Failure.NOT_SENT:
-        reason = outcomes.Reason.UPSTREAM_UNREACHABLE
-        return requests.Ending.UNSENT, reason
-    if isinstance(result, httpio.Failure):
-        reason = outcomes.Reason.ANSWER_CUT_SHORT
-        if result is httpio.Failure.LOST:
-            reason = outcomes.Reason.UPSTREAM_LOST
-        return requests.Ending.LOST, reason
-    keys = daemon.header_keys
-    if result.status == MISDIRECTED_STATUS:
-        news = views.note_replaced(
-            daemon.view, execution.request.metadata.instance
-        )
-        _learning.apply_news(daemon, news, "upstream")
-        return requests.Ending.REFUSED, outcomes.Reason.INSTANCE_REPLACED
-    if keys.not_run in result.headers:
-        return requests.Ending.REFUSED, outcomes.Reason.UPSTREAM_REFUSED
-    success = 200 <= result.status < 300
-    answered_id = result.headers.get(keys.request_id)
-    id_matches = answered_id == execution.request.request_id
-    if success and not (id_matches and keys.signature in result.headers):
-        # A success without the instance's signature, or with another
-        # request's id, is the answer to a different request or damaged.
-        return requests.Ending.LOST, outcomes.Reason.ANSWER_CUT_SHORT
-    return None, outcomes.Reason.NONE
-
-
 def _release_slot(
     daemon: _state.Daemon,
     key: str,
