Block signals once a planned stop has ended

Cause: the event loop restores the default actions when it closes, so a SIGTERM or SIGHUP between that and the exit of the process ended it by the signal, and it looked like a crash. All answers are sent by then. Change: the signals are blocked after the stop. Result: the new test failed for both signals before and passes now.

--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -47,6 +47,9 @@
 LATE_TICK_SECONDS = 0.25
 """A tick delayed by more than this means that the process was stalled."""
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+"""The signals that a daemon handles."""
+
 
 class RunningDaemon:
     """A daemon with its listeners.
@@ -109,6 +112,9 @@
     start(running)
     await running.stopping.wait()
     await _stops.stop(running)
+    # The event loop restores the default actions, which would end the process
+    # with an error status if another signal came before it exits.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
 
 
 def start(running: RunningDaemon) -> None:
--- a/tests/forwarding/test_lifecycle.py
+++ b/tests/forwarding/test_lifecycle.py
@@ -8,6 +8,8 @@
 import time
 import typing
 
+import pytest
+
 from sassafrasstair import clocks
 from sassafrasstair.forwarding import _daemon
 from sassafrasstair.forwarding import _stops
@@ -15,7 +17,7 @@
 from tests.forwarding import test_path
 
 if typing.TYPE_CHECKING:
-    import pytest
+    from collections import abc
 
 A, B, C = place.HOSTS
 
@@ -54,6 +56,14 @@
     test_path.run(test())
 
 
+@pytest.fixture(autouse=True)
+def _signal_mask() -> abc.Iterator[None]:
+    """Restore the signals that are blocked, also for child processes."""
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, [])
+    yield
+    signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
 def test_sigterm_while_listeners_open_is_a_planned_stop(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -83,6 +93,32 @@
         signal.signal(signal.SIGTERM, before)
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signal_after_a_stop_does_not_end_the_process(
+    number: signal.Signals,
+) -> None:
+    """The event loop restores the default action before the process exits."""
+    received: list[int] = []
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.grace = 1.0
+        dialect = place.Dialect(cluster, A, "front")
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.1, signal.raise_signal, signal.SIGTERM)
+        await _daemon.run(dialect, clocks.SystemClock(), cluster.take_line, 1)
+
+    test_path.run(test())
+    # The handler stands for the default action, which the tests survive.
+    before = signal.signal(number, lambda got, _: received.append(got))
+    try:
+        signal.raise_signal(number)
+        assert received == []
+        assert signal.sigtimedwait([number], 0.0) is not None
+    finally:
+        signal.signal(number, before)
+
+
 def test_settings_change_cuts_off_no_request() -> None:
     """The settings file changes without a signal while a request runs.
 
