Check in the soak that planned stops lose no request

Cause: the oracle did not see a request that a stopping daemon took and gave up, and no client used an idle connection late in the grace period. Change: the oracle notes when each request was sent and ended, which instance worked on it when, and signals and disruptions. Clients keep connections, send in halves, in pieces and ahead, and ask for longer runs. A stop comes at several VMs at once, among more signals and policies, with a grace period of 1 to 6 s by seed. A soak claims its loopback network, so that two soaks don't use the same addresses.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -14,6 +14,7 @@
 
 from tests.platform.soak import power
 from tests.platform.soak import scenario
+from tests.platform.soak import stops as stops_module
 
 _Soak = typing.Coroutine[typing.Any, typing.Any, scenario.Report]
 
@@ -24,6 +25,7 @@
 @click.option("--seconds", default=20.0, help="Length of each soak.")
 @click.option("--keep", default="", help="Folder for the daemons' logs.")
 @click.option("--losses", default=0, help="Lose all power, so often, instead.")
+@click.option("--stops", is_flag=True, help="Planned stops only.")
 @click.option("--copies", default=1, help="Sets of six VMs.")
 def main(
     seeds: str,
@@ -31,6 +33,7 @@
     seconds: float,
     keep: str,
     losses: int,
+    stops: bool,
     copies: int,
 ) -> None:
     """Soak the daemons; exits with 1 if a promise was broken."""
@@ -44,6 +47,8 @@
         def soak(folder: pathlib.Path, seed: int = seed) -> _Soak:
             if losses:
                 return power.run(seed, losses, folder, copies)
+            if stops:
+                return stops_module.run(seed, seconds, folder, copies)
             return scenario.run(seed, seconds, folder, copies)
 
         bad += _soak(seed, soak, keep)
--- a/tests/platform/soak/clients.py
+++ b/tests/platform/soak/clients.py
@@ -8,6 +8,7 @@
 
 from sassafrasstair import clocks
 from sassafrasstair import httpio
+from tests.platform.soak import losses
 from tests.platform.soak import oracle as oracle_module
 
 if typing.TYPE_CHECKING:
@@ -52,7 +53,7 @@
         Each has a target of its own, and body, but where one is given.
         """
         patience = patience or self._rng.uniform(*PATIENCE)
-        key = f"q{next(_serial)}"
+        key = new_key()
         body = b"" if idempotent else (target or key).encode() * 20
         target = target or f"/{route}/{key}?x=%20"
         now = asyncio.get_running_loop().time()
@@ -108,6 +109,7 @@
             job.abort()
             return 0
         if isinstance(result, httpio.Failure):
+            self._oracle.losses.lives[key].end(losses.Ending.CLOSED)
             return 0
         named = result.headers.get(b"sassafrasstair-request-id", b"").decode()
         if named not in ("", key):
@@ -122,6 +124,11 @@
         return result.status
 
 
+def new_key() -> str:
+    """Return the key of another request."""
+    return f"q{next(_serial)}"
+
+
 async def all_ok(calls: typing.Sequence[typing.Awaitable[int]]) -> bool:
     """Return whether all calls were answered with success."""
     return all(status == 200 for status in await asyncio.gather(*calls))
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import typing
@@ -27,7 +28,9 @@
     import random
 
 OUTBOUND, INBOUND, READY, APP, STORE = 18304, 18300, 18302, 18301, 18309
+NETS = range(20, 220)
 GRACE = 3.0
+TIMEOUTS_MS = (1200, 1500)
 LAPSE_SECONDS = 2.5
 """From the return of a crashed instance until its entry before is gone."""
 STOP_SLACK = 2.0
@@ -78,10 +81,16 @@
     """
 
     def __init__(
-        self, folder: pathlib.Path, rng: random.Random, copies: int = 1
+        self,
+        folder: pathlib.Path,
+        rng: random.Random,
+        copies: int = 1,
+        grace: float = GRACE,
     ) -> None:
         self.rng = rng
+        self.grace = grace
         self.timeline = records.Timeline(folder)
+        self.timeline.note(f"grace {grace} s")
         self.store = store_module.Store(self.timeline.note)
         self.customers = customers_module.Customers(rng)
         self.oracle = oracle_module.Oracle(
@@ -93,7 +102,7 @@
         self._timers: asyncio.Future[None] | None = None
         self.crashed = 0
         self._returns: set[asyncio.Task[None]] = set()
-        net = f"127.{os.getpid() % 200 + 20}"
+        net, self._claim = _claim_net()
         self.store_host = f"{net}.0.1"
         self.vms = [
             self._vm(folder, net, index, service)
@@ -140,7 +149,8 @@
         task.add_done_callback(self._returns.discard)
 
     async def _bring_back(self, vm: Vm, before: str) -> None:
-        await vm.upstream.restart()
+        with self.oracle.losses.disrupted(vm.host):
+            await vm.upstream.restart()
         self.timeline.note(f"returned {vm.name} {vm.upstream.id}")
         self.register(vm)
         await asyncio.sleep(LAPSE_SECONDS)
@@ -195,12 +205,14 @@
         keys = [key.text for key in self.customers.valid()]
         self.timeline.note(f"policy {self.version} {keys}")
         self.customers.rate = self.rng.choice(customers_module.RATES)
+        timeout_ms = self.rng.choice(TIMEOUTS_MS)
+        self.oracle.losses.configured(timeout_ms / 1000.0)
         routes = {
             name: {
                 "host": clients.HOST.decode(),
                 "prefix": f"/{name}/",
                 "type": "safe" if name == "deep" else "unsafe",
-                "timeout_ms": self.rng.choice([1200, 1500]),
+                "timeout_ms": timeout_ms,
                 "target_latency_ms": 400,
                 "priority": 1,
                 "max_attempts": 2,
@@ -238,7 +250,7 @@
             "listen.readiness": f"{vm.host}:{READY}",
             "platform.address": f"{self.store_host}:{STORE}",
             "bounds": (
-                f"grace_s={GRACE},drain_ms=2000,revoke_strict=true,"
+                f"grace_s={self.grace},drain_ms=2000,revoke_strict=true,"
                 f"revoke_ms={customers_module.REVOKE_SECONDS * 1000:.0f},"
                 f"quota_window_s={customers_module.WINDOW_SECONDS},"
                 f"quota_over={customers_module.OVER},"
@@ -284,8 +296,9 @@
         """Stop the daemon as planned; it must end by itself with 0."""
         process = running(vm)
         self.timeline.note(f"stops {vm.name}")
+        self.oracle.losses.stops(vm.host, self.grace)
         process.send_signal(signal.SIGTERM)
-        code = await ended(process, GRACE + STOP_SLACK)
+        code = await ended(process, self.grace + STOP_SLACK)
         if code != 0:
             self.oracle.broken.append(f"STOP {vm.name}: code {code}")
         self.oracle.notices.excuse(vm.host)
@@ -294,8 +307,9 @@
         """End the daemon at once."""
         process = running(vm)
         self.timeline.note(f"kills {vm.name}")
-        process.kill()
-        await ended(process, STOP_SLACK)
+        with self.oracle.losses.disrupted(vm.host):
+            process.kill()
+            await ended(process, STOP_SLACK)
         self.oracle.notices.excuse(vm.host)
 
     def check_alive(self) -> None:
@@ -318,9 +332,27 @@
             vm.link.close()
             vm.upstream.close()
         self.store.close()
+        self._claim.close()
         await asyncio.sleep(0.05)
 
 
+def _claim_net() -> tuple[str, socket.socket]:
+    """Return a loopback network that no other soak uses.
+
+    It is claimed for as long as the socket is open.
+    """
+    first = os.getpid() % len(NETS)
+    for number in (*NETS[first:], *NETS[:first]):
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{number}.0.2", STORE))
+        except OSError:
+            claim.close()
+            continue
+        return f"127.{number}", claim
+    raise RuntimeError("all loopback networks are in use")
+
+
 def running(vm: Vm) -> subprocess.Popen[bytes]:
     """Return the VM's process, which has been started."""
     return typing.cast("subprocess.Popen[bytes]", vm.process)
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -9,6 +9,7 @@
 
 from tests import notices as notices_module
 from tests.platform.soak import customers as customers_module
+from tests.platform.soak import losses
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -101,6 +102,7 @@
         self.sent: dict[str, Sent] = {}
         self.broken: list[str] = []
         self.notices = notices_module.Oracle()
+        self.losses = losses.Oracle()
         self.crashing: dict[bytes, Crashes] = {}
         """Targets of requests that crash the instances that run them."""
         self.served = 0
@@ -110,6 +112,7 @@
     def send(self, sent: Sent) -> None:
         """Note a request before its first byte leaves."""
         self.sent[sent.key] = sent
+        self.losses.began(sent.key, sent.entrance, sent.at, sent.patience)
 
     def arrived(self, key: str, run: str) -> None:
         """Note a request that reached a run of an instance."""
@@ -163,6 +166,10 @@
         """Check an answer against the request that it belongs to."""
         sent = self.sent[key]
         sent.statuses.append(status)
+        signed = signature == signature_of(key, status)
+        self.losses.lives[key].end(
+            losses.Ending.ANSWERED if signed else losses.Ending.REPLACED
+        )
         if 200 <= status < 300:
             self.served += 1
             whole = body == body_of(key)
@@ -186,6 +193,14 @@
         """Look at what instances said of themselves and then got."""
         self.broken += self.notices.broken()
 
+    def check_losses(self) -> None:
+        """Look at the requests that ended around signals."""
+        self._note(f"around stops: {self.losses.count()}")
+        for lost in self.losses.broken():
+            rule, _, detail = lost.partition(" ")
+            key, _, detail = detail.partition(": ")
+            self._break(rule, key, detail)
+
     def check_quotas(self) -> None:
         """Look at all windows of the customer with a limit."""
         most = self.customers.most()
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import math
 import random
@@ -10,6 +11,7 @@
 import typing
 
 from tests.platform.soak import fleet as fleet_module
+from tests.platform.soak import kept
 from tests.platform.soak import oracle as oracle_module
 from tests.platform.soak import records
 from tests.platform.soak import upstreams
@@ -26,6 +28,10 @@
 LOST_CHANGES = 4
 LOST_PAUSE = 0.3
 PROBES = 20
+GRACES = (1.0, 2.0, 3.0, 4.0, 6.0)
+KEEPERS = 3
+SERIES_PAUSE = (0.05, 0.8)
+SERIES_SIGNALS = {"term": signal.SIGTERM, "hup": signal.SIGHUP}
 BAD_TIMES = 12
 BAD_PAUSE = 0.25
 """A request that crashes instances comes so often, at all VMs by turns."""
@@ -68,13 +74,15 @@
 ) -> Report:
     """Run one soak; all that is drawn comes from the seed."""
     rng = random.Random(seed)
-    fleet = fleet_module.Fleet(folder, rng, copies)
+    fleet = fleet_module.Fleet(folder, rng, copies, rng.choice(GRACES))
     try:
         await fleet.open()
         traffic = asyncio.ensure_future(send_traffic(fleet))
+        keepers = keep_connections(fleet, KEEPERS)
         await _disturb(fleet, seconds)
         await asyncio.sleep(SETTLE_SECONDS)
         traffic.cancel()
+        keepers.cancel()
         await check_end(fleet)
     finally:
         await fleet.close()
@@ -89,6 +97,7 @@
     await _check_crashes(fleet)
     await _check_recovery(fleet)
     fleet.oracle.check_quotas()
+    fleet.oracle.check_losses()
     fleet.oracle.check_notices()
     fleet.check_alive()
 
@@ -119,6 +128,29 @@
         await asyncio.sleep(1.0 / CALLS_PER_SECOND)
 
 
+def keep_connections(
+    fleet: fleet_module.Fleet, each: int
+) -> asyncio.Future[None]:
+    """Use ``each`` kept connections at every VM until cancelled."""
+    rng = random.Random(fleet.rng.random())
+    keepers = [
+        kept.Client(
+            fleet.oracle,
+            vm.host,
+            fleet_module.OUTBOUND,
+            vm.upstream.service,
+            rng,
+        )
+        for vm in fleet.vms
+        for _ in range(each)
+    ]
+
+    async def run() -> None:
+        await asyncio.gather(*(keeper.run() for keeper in keepers))
+
+    return asyncio.ensure_future(run())
+
+
 async def _disturb(fleet: fleet_module.Fleet, seconds: float) -> None:
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
@@ -144,15 +176,17 @@
 async def _apply(
     fleet: fleet_module.Fleet, vm: fleet_module.Vm, name: str
 ) -> None:
-    if name not in ON_PROCESS:
-        await FAULTS[name](fleet, vm)
-        return
-    vm.busy = True
-    try:
-        await FAULTS[name](fleet, vm)
-    finally:
-        vm.busy = False
-        fleet.timeline.note(f"ended {name} {vm.name}")
+    disrupted = fleet.oracle.losses.disrupted(vm.host)
+    with disrupted if name in UNPLANNED else contextlib.nullcontext():
+        if name not in ON_PROCESS:
+            await FAULTS[name](fleet, vm)
+            return
+        vm.busy = True
+        try:
+            await FAULTS[name](fleet, vm)
+        finally:
+            vm.busy = False
+            fleet.timeline.note(f"ended {name} {vm.name}")
 
 
 async def _check_crashes(fleet: fleet_module.Fleet) -> None:
@@ -267,12 +301,46 @@
     await fleet.ready(vm)
 
 
-async def _stop(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+async def stop(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Stop a daemon among other signals and changes, and start another."""
+    changes = asyncio.ensure_future(_change_in_series(fleet, vm))
     await fleet.stop(vm)
+    changes.cancel()
     fleet.start(vm)
     await fleet.ready(vm)
 
 
+async def _stop(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Stop one or several daemons at once."""
+    others = [each for each in fleet.vms if not each.busy]
+    chosen = fleet.rng.sample(
+        others, min(len(others), fleet.rng.randint(0, 2))
+    )
+    for other in chosen:
+        fleet.note_fault(f"stop {other.name}")
+        other.busy = True
+    await asyncio.gather(*(stop(fleet, each) for each in (vm, *chosen)))
+    for other in chosen:
+        other.busy = False
+
+
+async def _change_in_series(
+    fleet: fleet_module.Fleet, vm: fleet_module.Vm
+) -> None:
+    """Send signals to a daemon that stops, and write policies."""
+    if fleet.rng.random() < 0.5:
+        return
+    while True:
+        await asyncio.sleep(fleet.rng.uniform(*SERIES_PAUSE))
+        change = fleet.rng.choice(["term", "hup", "configure"])
+        process = fleet_module.running(vm)
+        if change == "configure":
+            fleet.configure()
+        elif process.poll() is None:
+            fleet.timeline.note(f"{change} {vm.name}")
+            process.send_signal(SERIES_SIGNALS[change])
+
+
 async def _pause(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
     process = fleet_module.running(vm)
     process.send_signal(signal.SIGSTOP)
@@ -282,6 +350,7 @@
 
 
 async def _hup(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    fleet.oracle.losses.hangs_up(vm.host)
     fleet_module.running(vm).send_signal(signal.SIGHUP)
 
 
@@ -417,3 +486,17 @@
 }
 ON_PROCESS = frozenset({"hup", "kill", "pause", "stop"})
 """Faults of a VM's process come one at a time."""
+UNPLANNED = frozenset(
+    {
+        "delay",
+        "kill",
+        "misbehave",
+        "one_way",
+        "pause",
+        "renew",
+        "reset",
+        "restart",
+        "silence",
+    }
+)
+"""What excuses losses at a VM; crashes are noted as they come."""
--- a/tests/platform/soak/upstreams.py
+++ b/tests/platform/soak/upstreams.py
@@ -12,6 +12,7 @@
 from sassafrasstair import clocks
 from sassafrasstair import httpio
 from tests import notices
+from tests.platform.soak import losses
 from tests.platform.soak import oracle as oracle_module
 from tests.platform.soak import store
 
@@ -58,6 +59,7 @@
         self._rng = rng
         self._call = call
         self._running: set[asyncio.Task[None]] = set()
+        self._works: set[losses.Work] = set()
         self._listener = httpio.Listener(
             self._handle,
             lambda status: [],
@@ -86,6 +88,8 @@
         self.born = max(self.born + 1, time.time_ns() // 1_000_000)
         self.rate_limit = math.inf
         self.leaving = False
+        for work in self._works:
+            work.broke_off = True
         for task in self._running:
             task.cancel()
         for connection in list(self._listener.connections):
@@ -145,9 +149,19 @@
             exchange.gone = functools.partial(_cancel, task)
 
     async def _run(self, exchange: httpio.Exchange) -> None:
+        key = exchange.request.headers[b"sassafrasstair-request-id"].decode()
+        with self.oracle.losses.at_work(key, self._at[0]) as work:
+            self._works.add(work)
+            try:
+                await self._work(exchange, key, work)
+            finally:
+                self._works.discard(work)
+
+    async def _work(
+        self, exchange: httpio.Exchange, key: str, work: losses.Work
+    ) -> None:
         request = exchange.request
         found = request.headers
-        key = found[b"sassafrasstair-request-id"].decode()
         left = int(found[b"sassafrasstair-deadline-ms"]) / 1000
         self.oracle.ran(
             oracle_module.Run(
@@ -166,9 +180,11 @@
             self.oracle.crashes(request.target)
             self.crash()
             return
-        await asyncio.sleep(self._rng.uniform(*WORK_SECONDS) * self.slow)
+        seconds = self._rng.uniform(*WORK_SECONDS) * self.slow
+        await asyncio.sleep(seconds + _asked_seconds(request.target))
         ok = self._call is None or await self._call(left)
         if self._rng.random() < self.lose_share:
+            work.broke_off = True
             exchange._connection._transport.abort()
             return
         self._answer(exchange, key, 200 if ok else 500)
@@ -195,5 +211,11 @@
     return [(b"Sassafrasstair-Not-Executed", b"1")]
 
 
+def _asked_seconds(target: bytes) -> float:
+    """Return how much longer a request asks the instance to work."""
+    _, found, value = target.partition(b"?work=")
+    return float(value) if found else 0.0
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
