End a stop of sassafrasstaird within the grace period

Callers and peers saw: a daemon that got SIGTERM waited for the deadline of each call and attempt in flight, up to 30 s for the first part of a body and another 30 s for callers that don't read. Where the platform kills the process earlier, all of it was cut without an answer, and attempts that only waited for a slot were lost with those that ran. In its first two seconds it took runs of other daemons whatever their time limit.

Cause: the daemon didn't know when it will be killed, and _leave was a loop without a bound.

Change: stop.grace_seconds in the settings (30 s if it is left out). The stop is decided by decisions/stops, as in the forwarder: a run is taken if it can be expected to end in time, at the cut waiting attempts are answered as not run, running ones as unknown, then the calls at other daemons, and the process ends before the grace period does.

--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -18,7 +18,6 @@
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import fleet
 from sassafrasstair.decisions import load
-from sassafrasstair.decisions import once
 from sassafrasstair import logs
 from sassafrasstair import metrics
 from sassafrasstair import operators
@@ -33,6 +32,7 @@
 from sassafrasstair.runtime import _parts
 from sassafrasstair.runtime import _slots
 from sassafrasstair.runtime import _status
+from sassafrasstair.runtime import _stops
 from sassafrasstair.runtime import _tickets
 from sassafrasstair import upstreams
 
@@ -41,7 +41,6 @@
 
     from sassafrasstair import settings
 
-LEAVE_NOTICE_SECONDS = 2.5
 IDLE_LINK_CHECK_SECONDS = 10.0
 PING_SECONDS = 1.0
 
@@ -123,6 +122,8 @@
 async def run(daemon: Daemon) -> None:
     """Serve until ``stop`` is called, finish requests in flight and return.
 
+    What can't end within the grace period of the settings is given up.
+
     Raises ``OSError`` if one of the addresses can't be bound.
     """
     settings_ = daemon.settings
@@ -149,8 +150,7 @@
     )
     periodic = _start_periodic_tasks(daemon)
     await daemon.stopping.wait()
-    await _leave(daemon)
-    await _http.stop(http)
+    await _stops.leave(daemon, http)
     for task in periodic:
         task.cancel()
     await asyncio.gather(*periodic, return_exceptions=True)
@@ -184,20 +184,6 @@
     daemon.stopping.set()
 
 
-async def _leave(daemon: Daemon) -> None:
-    """Stop taking work, tell the peers, and wait for work in flight."""
-    logs.event(_LOG, logging.INFO, "leaving", vm=daemon.settings.vm)
-    daemon.entry.leaving = True
-    _control.leave(daemon.control)
-    _drain(daemon)
-    # Peers and callers need time to learn that this daemon leaves. Until
-    # then their requests are refused: if the sockets were closed at once,
-    # the answers would be lost.
-    await asyncio.sleep(LEAVE_NOTICE_SECONDS)
-    while daemon.callee.attempts or daemon.entry.in_flight:
-        await asyncio.sleep(calls.HEARTBEAT_SECONDS)
-
-
 async def _repeat(step: abc.Callable[[], None], period: float) -> None:
     """Call ``step`` every ``period`` seconds until cancelled."""
     while True:
@@ -232,27 +218,7 @@
     # The platform lists this VM as leaving. Peers that have not heard of it
     # yet may still send work, which must not reach the upstream.
     if fleet.is_leaving(daemon.control.node):
-        _drain(daemon)
-
-
-def _drain(daemon: Daemon) -> None:
-    """Stop issuing tickets at once, and stop taking work a little later.
-
-    An entrance that has not heard yet that this VM leaves may still send a
-    call here. If it were refused, it would fail where its class allows no
-    retry, and so would a call whose ticket was issued a moment ago. The
-    news takes about a second to spread; until then work is accepted.
-    """
-    if daemon.callee.stopping:
-        return
-    daemon.callee.stopping = True
-    once.stop_issuing(daemon.callee.owner)
-    loop = asyncio.get_running_loop()
-    loop.call_later(_departures.ACCEPT_SECONDS, _refuse_work, daemon.callee)
-
-
-def _refuse_work(callee: _slots.Callee) -> None:
-    callee.guard.leaving = True
+        _stops.drain(daemon.callee)
 
 
 def _ping_ejected(daemon: Daemon, now: float) -> None:
--- a/src/sassafrasstair/runtime/_entrance.py
+++ b/src/sassafrasstair/runtime/_entrance.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import typing
 
@@ -54,19 +55,35 @@
 async def call(
     entry: _entries.Entry, request: callers.Request
 ) -> callers.Reply | callers.Refusal:
-    """Serve one request and return its final answer."""
-    started_at = entry.clock.monotonic()
-    entry.in_flight += 1
+    """Serve one request and return its final answer.
+
+    A stop ends the wait for it, if the answer comes too late.
+    """
+    limit = asyncio.timeout(None)
+    entry.time_limits.add(limit)
     try:
-        prepared = await _prepare(entry, request)
-        if isinstance(prepared, callers.Refusal):
-            refusal = _entries.correct_refusal(request.fields, prepared)
-            return _record_refusal(
-                entry, request.fields.request_class, refusal
-            )
-        reply = await _run_attempts(entry, prepared, request)
+        async with limit:
+            return await _call(entry, request)
+    except TimeoutError:
+        if not limit.expired():
+            raise
+        refusal = callers.Refusal(
+            _Outcome.UNKNOWN, _Reason.LEAVING, 0.0, "this daemon stops"
+        )
+        return _record_refusal(entry, request.fields.request_class, refusal)
     finally:
-        entry.in_flight -= 1
+        entry.time_limits.discard(limit)
+
+
+async def _call(
+    entry: _entries.Entry, request: callers.Request
+) -> callers.Reply | callers.Refusal:
+    started_at = entry.clock.monotonic()
+    prepared = await _prepare(entry, request)
+    if isinstance(prepared, callers.Refusal):
+        refusal = _entries.correct_refusal(request.fields, prepared)
+        return _record_refusal(entry, request.fields.request_class, refusal)
+    reply = await _run_attempts(entry, prepared, request)
     if isinstance(reply, callers.Refusal):
         return _record_refusal(entry, prepared.call.request_class, reply)
     elapsed = entry.clock.monotonic() - started_at
--- a/src/sassafrasstair/runtime/_entries.py
+++ b/src/sassafrasstair/runtime/_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import logging
 import typing
@@ -37,8 +38,8 @@
 
     ``exchange`` sends a message to the daemon of a VM and returns its
     reply; its arguments are the VM, the message and a timeout in seconds.
-    It raises ``daemons.PeerError``. ``in_flight`` counts the requests of
-    callers that have no final answer yet.
+    It raises ``daemons.PeerError``. ``time_limits`` holds one of each
+    request of a caller that has no final answer yet; a stop sets them.
     """
 
     clock: clocks.Clock
@@ -52,7 +53,12 @@
     bundle: abc.Callable[[], bundles.Bundle | None]
     counts: metrics.Metrics
     leaving: bool = False
-    in_flight: int = 0
+    time_limits: set[asyncio.Timeout] = dataclasses.field(default_factory=set)
+
+    @property
+    def in_flight(self) -> int:
+        """The number of requests of callers without a final answer."""
+        return len(self.time_limits)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +76,14 @@
     owner: once.TicketTarget | None
 
 
+def cut_off_calls(entry: Entry) -> None:
+    """End the wait for the answers of all calls in flight."""
+    now = asyncio.get_running_loop().time()
+    for limit in entry.time_limits:
+        if not limit.expired():
+            limit.reschedule(now)
+
+
 def prepare(
     entry: Entry, request: callers.Request
 ) -> PreparedCall | callers.Refusal:
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -10,6 +10,7 @@
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import once
+from sassafrasstair.decisions import stops
 from sassafrasstair import outcomes
 from sassafrasstair.runtime import _answers
 from sassafrasstair.runtime import _attempts
@@ -72,11 +73,24 @@
     if message.attempt_id in callee.cancelled_early:
         del callee.cancelled_early[message.attempt_id]
         return _Reason.CANCELLED
+    if not _may_run(callee, message):
+        return _Reason.LEAVING
     if message.has_more_parts and callee.large_bodies >= MAX_LARGE_BODIES:
         return _Reason.BODY_MEMORY
     return _Reason.NONE
 
 
+def _may_run(callee: _slots.Callee, message: daemons.Run) -> bool:
+    """Return whether the daemon, if it stops, still takes the attempt."""
+    if callee.stop is None:
+        return True
+    now = callee.clock.monotonic()
+    remaining = message.remaining_ms / 1000
+    usual = load.route_seconds(callee.guard, message.request_class)
+    expected = load.wait_seconds(callee.guard) + (usual or remaining)
+    return stops.may_run(callee.stop, now + remaining, expected, now)
+
+
 async def _run_ticket(
     callee: _slots.Callee,
     message: daemons.Run,
@@ -163,7 +177,7 @@
     except upstreams.UpstreamError as error:
         return _finish_failed(callee, attempt, error)
     except asyncio.CancelledError:
-        result = once.Unknown(_Reason.CANCELLED)
+        result = once.Unknown(_reason_of_abort(callee))
     except Exception:
         # An internal error must not leave a ticket in use for ever.
         _LOG.exception("event=attempt_fault id=%s", attempt.message.attempt_id)
@@ -173,6 +187,13 @@
     return _answers.failure_answer(callee, attempt, result)
 
 
+def _reason_of_abort(callee: _slots.Callee) -> outcomes.Reason:
+    stop = callee.stop
+    if stop is not None and stop.phase is stops.Phase.ANSWERING:
+        return _Reason.LEAVING
+    return _Reason.CANCELLED
+
+
 async def _admit(
     callee: _slots.Callee, attempt: _attempts.Attempt
 ) -> load.Start | load.TurnAway:
--- a/src/sassafrasstair/runtime/_http.py
+++ b/src/sassafrasstair/runtime/_http.py
@@ -56,15 +56,31 @@
     return Http(tuple(servers), tuple(tasks))
 
 
-async def stop(http: Http) -> None:
-    """Stop listening and finish the requests in flight."""
+def unanswered(http: Http) -> int:
+    """Return the number of requests that are not answered completely."""
+    return sum(len(server.server_state.tasks) for server in http.servers)
+
+
+async def stop(http: Http, timeout: float) -> None:
+    """Stop listening and finish the requests in flight.
+
+    After ``timeout`` seconds the connections that are left are cut.
+    """
     for server in http.servers:
         server.should_exit = True
+    loop = asyncio.get_running_loop()
+    forced = loop.call_later(max(0.0, timeout), _force_exit, http)
     force_exit_task = asyncio.ensure_future(_force_exit_when_answered(http))
     await asyncio.gather(*http.tasks)
+    forced.cancel()
     force_exit_task.cancel()
 
 
+def _force_exit(http: Http) -> None:
+    for server in http.servers:
+        server.force_exit = True
+
+
 async def _force_exit_when_answered(http: Http) -> None:
     # A caller that has stopped reading keeps its connection open with an
     # answer that is already written, and the stop would never end. Once
@@ -73,8 +89,7 @@
     while any(server.server_state.tasks for server in http.servers):
         await asyncio.sleep(POLL_INTERVAL_SECONDS)
     await asyncio.sleep(FLUSH_SECONDS)
-    for server in http.servers:
-        server.force_exit = True
+    _force_exit(http)
 
 
 def _raise_failure(tasks: abc.Iterable[asyncio.Task[None]]) -> None:
--- a/src/sassafrasstair/runtime/_slots.py
+++ b/src/sassafrasstair/runtime/_slots.py
@@ -17,6 +17,7 @@
     from sassafrasstair import bundles
     from sassafrasstair import clocks
     from sassafrasstair.decisions import calls
+    from sassafrasstair.decisions import stops
     from sassafrasstair import metrics
     from sassafrasstair.runtime import _attempts
     from sassafrasstair.runtime import _departures
@@ -43,6 +44,7 @@
     requests that were delivered twice. ``guard_sized`` is set once a bundle
     has given the guard its number of slots. ``stopping`` is set once the
     daemon is to stop, and ``departure`` while only the upstream is leaving.
+    ``stop`` is the planned stop of the process, once it has begun.
     """
 
     service: str
@@ -71,6 +73,7 @@
     duplicate_requests: int = 0
     stopping: bool = False
     departure: _departures.Departure | None = None
+    stop: stops.Stop | None = None
 
 
 def apply_effects(callee: Callee, effects: list[load.Effect]) -> None:
@@ -80,7 +83,7 @@
         if attempt is None:
             continue
         if isinstance(effect, load.Abort):
-            _abort(attempt)
+            abort(attempt)
         elif not attempt.admission.done():
             attempt.admission.set_result(effect)
 
@@ -156,6 +159,12 @@
     return True
 
 
+def abort(attempt: _attempts.Attempt) -> None:
+    """Cancel the task that runs the attempt."""
+    if attempt.task is not None:
+        attempt.task.cancel()
+
+
 def end_ticket(
     callee: Callee, attempt: _attempts.Attempt, result: once.Result
 ) -> once.Result:
@@ -219,11 +228,6 @@
         attempt.admission.set_result(load.TurnAway(attempt_id, reason, 0.0))
 
 
-def _abort(attempt: _attempts.Attempt) -> None:
-    if attempt.task is not None:
-        attempt.task.cancel()
-
-
 def _close(chunks: abc.AsyncGenerator[bytes, None]) -> None:
     task = asyncio.ensure_future(_aclose(chunks))
     _closing_tasks.add(task)
--- a/src/sassafrasstair/settings.py
+++ b/src/sassafrasstair/settings.py
@@ -27,6 +27,8 @@
     str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z")
 ]
 
+GraceSeconds = typing.Annotated[float, msgspec.Meta(ge=1.0, le=3_600.0)]
+
 
 class SettingsError(Exception):
     """Invalid settings; the message is one line with the key and the rule."""
@@ -111,6 +113,16 @@
     level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
 
+class Stop(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A planned stop.
+
+    ``grace_seconds`` is the time from SIGTERM until the platform kills the
+    process. The daemon ends before that.
+    """
+
+    grace_seconds: GraceSeconds = 30.0
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of one daemon.
 
@@ -130,6 +142,7 @@
     platform: Platform
     keys: tuple[Key, ...]
     log: Log = Log()
+    stop: Stop = Stop()
 
     def __post_init__(self) -> None:
         """Check the keys and that no two interfaces share an address."""
--- a/tests/runtime/meshes.py
+++ b/tests/runtime/meshes.py
@@ -29,6 +29,7 @@
 
 PRIVATE, PUBLIC = bundles.new_key_pair()
 WAIT = 10.0
+GRACE = 60.0
 SLOTS = 4
 MAX_BODY = 4_000_000
 DOCUMENT: dict[str, typing.Any] = {
@@ -104,11 +105,12 @@
 
 @contextlib.asynccontextmanager
 async def started(
-    handler: Handler, upstream: str = ""
+    handler: Handler, upstream: str = "", grace: float = GRACE
 ) -> abc.AsyncIterator[Mesh]:
     """Run both daemons; ``handler`` serves as the upstream of both.
 
-    ``upstream`` is the URL of another upstream to use instead.
+    ``upstream`` is the URL of another upstream to use instead. A stop of
+    a daemon has ``grace`` seconds.
     """
     ports = loopback.free_ports(7)
     server = web.Server(handler, handler_cancellation=True)
@@ -117,8 +119,8 @@
     )
     upstream = upstream or f"http://127.0.0.1:{ports[6]}"
     daemons = [
-        await _build("front", ports[0:3], ports, upstream),
-        await _build("back", ports[3:6], ports, upstream),
+        await _build("front", ports[0:3], ports, upstream, grace),
+        await _build("back", ports[3:6], ports, upstream, grace),
     ]
     runs = [asyncio.create_task(runtime.run(one)) for one in daemons]
     await asyncio.sleep(0)
@@ -196,7 +198,11 @@
 
 
 async def _build(
-    service: str, own_ports: list[int], ports: list[int], upstream: str
+    service: str,
+    own_ports: list[int],
+    ports: list[int],
+    upstream: str,
+    grace: float,
 ) -> runtime.Daemon:
     callers, peers, operators = (f"127.0.0.1:{port}" for port in own_ports)
     key = settings.Key("ops-1", _base64(PUBLIC))
@@ -211,6 +217,7 @@
         upstream=settings.Upstream(upstream),
         platform=settings.Platform(("http://127.0.0.1:1",)),
         keys=(key,),
+        stop=settings.Stop(grace),
     )
     daemon = runtime.build(settings_, clocks.SystemClock())
     # Skip the search for a newer bundle at the peers, which takes seconds.
