Refuse half-read requests at once when sassafrasstaird stops

Callers saw: a request whose body was arriving at SIGTERM, or began to arrive later, was read for up to 30 s, then refused; a body still being sent met a connection that the server closed, which can reset it before the refusal is read. Answers to requests that were in flight at SIGTERM kept the connection open, so that the caller's next request could meet the end of the process.

Cause: whether to close was decided when the head arrived, and nothing looked at requests that are being read.

Change: callers.Intake holds what is being read. A stop refuses half-read requests of callers as not run, and calls of the VM's own upstream only with the final answers; the rest of a body is discarded for 2 s at most before the connection is closed; each answer sent from SIGTERM on closes its connection.

--- a/src/sassafrasstair/callers/__init__.py
+++ b/src/sassafrasstair/callers/__init__.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from sassafrasstair.callers._app import create_app
+from sassafrasstair.callers._intake import end
+from sassafrasstair.callers._intake import Intake
+from sassafrasstair.callers._intake import leave
 from sassafrasstair.callers._request import CallerGone
 from sassafrasstair.callers._request import Fields
 from sassafrasstair.callers._request import Headers
@@ -15,9 +18,12 @@
     "CallerGone",
     "Fields",
     "Headers",
+    "Intake",
     "Refusal",
     "Reply",
     "Request",
     "TicketReply",
     "create_app",
+    "end",
+    "leave",
 ]
--- a/src/sassafrasstair/callers/_app.py
+++ b/src/sassafrasstair/callers/_app.py
@@ -18,6 +18,7 @@
 from litestar import types
 
 from sassafrasstair.callers import _bodies
+from sassafrasstair.callers import _intake
 from sassafrasstair.callers import _replies
 from sassafrasstair.callers import _request
 from sassafrasstair import outcomes
@@ -38,6 +39,7 @@
 CALL_PREFIX = "/v1/call"
 TICKET_PREFIX = "/v1/ticket"
 HTTP_CREATED = 201
+LEAVING_RETRY_AFTER = 1.0
 
 _LOG = logging.getLogger(__name__)
 
@@ -45,15 +47,15 @@
 def create_app(
     handle_call: CallHandler,
     handle_ticket: TicketHandler,
-    is_leaving: abc.Callable[[], bool],
+    intake: _intake.Intake,
     on_refusal: RefusalHandler,
 ) -> litestar.Litestar:
     """Return the application.
 
     ``handle_call`` and ``handle_ticket`` answer or refuse each request.
-    While ``is_leaving`` returns true, each answer asks its caller to close
-    the connection. ``on_refusal`` receives the refusals that are made here,
-    because of a malformed or late request or an internal fault. An internal
+    ``intake`` says which requests are read while the daemon stops.
+    ``on_refusal`` receives the refusals that are made here, because of a
+    malformed or late request, a stop or an internal fault. An internal
     fault is reported as a refusal too, since a refusal is the only reply
     without an answer of an upstream; its outcome says whether the request
     may have run.
@@ -64,7 +66,7 @@
         scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
         http = typing.cast("types.HTTPScope", scope)
-        responder = _replies.Responder(send, http["method"], is_leaving())
+        responder = _replies.Responder(send, http["method"], intake)
         await _serve_call(handle_call, http, receive, responder, on_refusal)
 
     @litestar.asgi(TICKET_PREFIX, is_mount=True, copy_scope=False)
@@ -72,7 +74,7 @@
         scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
         http = typing.cast("types.HTTPScope", scope)
-        responder = _replies.Responder(send, http["method"], is_leaving())
+        responder = _replies.Responder(send, http["method"], intake)
         await _serve_ticket(handle_ticket, http, responder, on_refusal)
 
     return litestar.Litestar(
@@ -92,13 +94,18 @@
     headers = _headers(scope)
     messages = _bodies.RequestMessages(receive)
     try:
-        request = await _read_request(scope, headers, messages)
+        request = await _read_request(
+            scope, headers, messages, responder.intake
+        )
         reply = await _run_until_disconnect(handle_call, request, messages)
     except _request.CallerGone:
         return
     except _request.Malformed as error:
         reply = _malformed_refusal(headers, error)
         on_refusal(reply)
+    except _intake.NotTaken:
+        reply = _leaving_refusal(headers)
+        on_refusal(reply)
     except _bodies.BodyTimeout:
         reply = _body_timeout_refusal(headers)
         on_refusal(reply)
@@ -151,6 +158,7 @@
     scope: types.HTTPScope,
     headers: _request.Headers,
     messages: _bodies.RequestMessages,
+    intake: _intake.Intake,
 ) -> _request.Request:
     # ``fields`` holds the values of the ``Sassafras-*`` headers, which the
     # daemon uses itself; ``forwarded`` holds the headers for the upstream.
@@ -160,7 +168,9 @@
         _path_below(scope, CALL_PREFIX).lstrip("/").partition("/")
     )
     query = scope["query_string"].decode("latin-1")
-    body, has_more_parts = await _bodies.read_first_part(messages)
+    body, has_more_parts = await _bodies.read_first_part(
+        messages, intake, bool(fields.parent_attempt_id)
+    )
     return _request.Request(
         method=scope["method"],
         service=service,
@@ -233,6 +243,15 @@
     )
 
 
+def _leaving_refusal(headers: _request.Headers) -> _request.Refusal:
+    return _request.Refusal(
+        _refusal_outcome(headers),
+        outcomes.Reason.LEAVING,
+        LEAVING_RETRY_AFTER,
+        "this daemon stops",
+    )
+
+
 def _body_timeout_refusal(headers: _request.Headers) -> _request.Refusal:
     return _request.Refusal(
         _refusal_outcome(headers),
--- a/src/sassafrasstair/callers/_bodies.py
+++ b/src/sassafrasstair/callers/_bodies.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import typing
 
+from sassafrasstair.callers import _intake
 from sassafrasstair.callers import _request
 
 if typing.TYPE_CHECKING:
@@ -15,6 +17,10 @@
 
 FIRST_PART_BYTES = 65_536
 FIRST_PART_SECONDS = 30.0
+LINGER_SECONDS = 2.0
+"""How long the rest of a body is read after an answer that closes the
+connection. With unread data the kernel would reset the connection, and the
+caller might never read the answer (RFC 9112, 9.6)."""
 
 
 class BodyTimeout(Exception):
@@ -41,20 +47,31 @@
         self.body_parts = _read_body_parts(self)
 
 
-async def read_first_part(messages: RequestMessages) -> tuple[bytes, bool]:
+async def read_first_part(
+    messages: RequestMessages, intake: _intake.Intake, of_upstream: bool
+) -> tuple[bytes, bool]:
     """Return the first part of the body and whether more may follow.
 
     Raises ``BodyTimeout`` when a caller sends the headers and then stalls.
     Such a request has no deadline yet that would end it, and a planned stop
-    waits for it.
+    waits for it if it is a call ``of_upstream``. Raises ``NotTaken`` when
+    the stop begins.
     """
     try:
-        async with asyncio.timeout(FIRST_PART_SECONDS):
+        async with _intake.reading(intake, of_upstream, FIRST_PART_SECONDS):
             return await _collect_first_part(messages)
     except TimeoutError as error:
         raise BodyTimeout from error
 
 
+async def discard_rest(messages: RequestMessages) -> None:
+    """Read and drop what the caller still sends, for a short time."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(LINGER_SECONDS):
+            while not await _is_last(messages):
+                pass
+
+
 async def wait_for_disconnect(messages: RequestMessages) -> None:
     """Wait until the caller disconnects, dropping any body messages."""
     await messages.body_ended.wait()
@@ -63,6 +80,12 @@
     messages.disconnected = True
 
 
+async def _is_last(messages: RequestMessages) -> bool:
+    received = await messages.receive()
+    message = typing.cast("dict[str, typing.Any]", received)
+    return not message.get("more_body", False)
+
+
 async def _collect_first_part(messages: RequestMessages) -> tuple[bytes, bool]:
     collected = bytearray()
     while len(collected) < FIRST_PART_BYTES:
--- a/src/sassafrasstair/callers/_replies.py
+++ b/src/sassafrasstair/callers/_replies.py
@@ -9,6 +9,7 @@
 import typing
 
 from sassafrasstair.callers import _bodies
+from sassafrasstair.callers import _intake
 from sassafrasstair.callers import _refusals
 from sassafrasstair.callers import _request
 
@@ -28,14 +29,14 @@
 class Responder:
     """What is needed to answer one request.
 
-    ``send`` is the ASGI callable, ``method`` the request's HTTP method. If
-    ``close_connection`` is set, the answer asks the caller to close the
+    ``send`` is the ASGI callable, ``method`` the request's HTTP method.
+    Once the daemon leaves, the answer asks the caller to close the
     connection.
     """
 
     send: types.Send
     method: str
-    close_connection: bool
+    intake: _intake.Intake
 
 
 async def send(
@@ -55,7 +56,7 @@
         }
     )
     if reply.remaining_parts is None:
-        await _send_body(responder, reply.body, more=False)
+        await _send_whole(responder, reply.body, messages)
         return
     try:
         await _send_parts(responder, reply, messages)
@@ -65,6 +66,20 @@
         _LOG.warning("event=answer_cut detail=%r", str(error) or repr(error))
 
 
+async def _send_whole(
+    responder: Responder,
+    body: bytes,
+    messages: _bodies.RequestMessages | None,
+) -> None:
+    is_early = messages is not None and not messages.body_ended.is_set()
+    if messages is not None and is_early and responder.intake.leaving:
+        # The server closes the connection with the end of the answer.
+        await _send_body(responder, body, more=True)
+        await _bodies.discard_rest(messages)
+        body = b""
+    await _send_body(responder, body, more=False)
+
+
 async def _send_parts(
     responder: Responder,
     reply: _request.Reply,
@@ -120,6 +135,6 @@
     ]
     if not has_no_length and not keeps_length:
         headers.append((b"content-length", b"%d" % len(reply.body)))
-    if responder.close_connection:
+    if responder.intake.leaving:
         headers.append((b"connection", b"close"))
     return headers
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -60,6 +60,7 @@
     callee: _slots.Callee
     entry: _entries.Entry
     metrics: metrics.Metrics
+    intake: callers.Intake = dataclasses.field(default_factory=callers.Intake)
     stopping: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
@@ -345,7 +346,7 @@
     return callers.create_app(
         functools.partial(_entrance.call, daemon.entry),
         functools.partial(_children.take_ticket, daemon.entry),
-        lambda: daemon.entry.leaving,
+        daemon.intake,
         functools.partial(_entries.record_refusal, daemon.entry, ""),
     )
 
--- a/src/sassafrasstair/runtime/_stops.py
+++ b/src/sassafrasstair/runtime/_stops.py
@@ -6,6 +6,7 @@
 import logging
 import typing
 
+from sassafrasstair import callers
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import once
@@ -36,6 +37,7 @@
     )
     daemon.callee.stop = stop
     daemon.entry.leaving = True
+    callers.leave(daemon.intake)
     _control.leave(daemon.control)
     drain(daemon.callee)
     _log_work(daemon, http, "leaving")
@@ -78,6 +80,7 @@
         return
     if before is not phase:
         _log_work(daemon, http, "stop_cuts")
+        callers.end(daemon.intake)
         _end_attempts(daemon.callee)
     else:
         # A call of this daemon's own attempts has got their answer by now.
