Test runs that call, and signals before the start, in a stop of sassafrasstaird

Outcomes that held already: a run that was taken may call others before and after the notice, a kept connection that was idle until then is refused as not run, and a signal that comes before the listeners open is a planned stop.

--- a/tests/runtime/test_stop_connections.py
+++ b/tests/runtime/test_stop_connections.py
@@ -6,17 +6,20 @@
 import time
 import typing
 
+import aiohttp
 from aiohttp import web
 import pytest
 
 from sassafrasstair.decisions.stops import _stops
 from sassafrasstair import runtime
+from tests import loopback
 from tests.runtime import meshes
 
 UPLOAD_BYTES = 20_000
 PIECE_BYTES = 400
 PIECE_SECONDS = 0.05
 AT_ONCE_SECONDS = 0.5
+_NOWHERE = "http://127.0.0.1:1"
 
 
 @pytest.fixture(autouse=True)
@@ -149,3 +152,65 @@
             assert await asked == "200"
 
     asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
+
+
+@pytest.mark.parametrize("seconds", [0.1, 2.8])
+def test_run_that_calls_during_a_stop_is_completed(seconds: float) -> None:
+    """The daemon refused calls of its upstream, and failed a run it took.
+
+    A kept connection that was idle until then is refused at the same time.
+    """
+
+    async def scenario() -> None:
+        began = asyncio.Event()
+
+        async def upstream(request: web.BaseRequest) -> web.StreamResponse:
+            if request.path == "/inner":
+                return web.Response(text="whole")
+            began.set()
+            await asyncio.sleep(seconds)
+            context = request.headers["sassafras-context"]
+            async with mesh.http.post(
+                f"{mesh.url}/v1/call/back/inner",
+                headers={"sassafras-context": context},
+            ) as answer:
+                return web.Response(text=await answer.text())
+
+        async def ask() -> str:
+            headers = {"sassafras-class": "near"}
+            async with mesh.call("front", headers=headers) as answer:
+                text: str = await answer.text()
+                return text
+
+        async with (
+            meshes.started(upstream) as mesh,
+            aiohttp.ClientSession() as http,
+        ):
+            kept = meshes.Mesh(mesh.front, mesh.back, http, mesh.url)
+            async with kept.call("back", "/inner") as answer:
+                assert await answer.text() == "whole"
+            asked = asyncio.create_task(ask())
+            await began.wait()
+            runtime.stop(mesh.front)
+            await asyncio.sleep(seconds - 0.05)
+            async with kept.call("back", "/inner") as answer:
+                assert answer.status == 503
+                assert answer.headers["sassafras-reason"] == "leaving"
+                assert answer.headers["connection"] == "close"
+            assert await asked == "whole"
+
+    asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
+
+
+def test_stop_before_the_start_is_a_planned_stop() -> None:
+    """A signal that came while the listeners opened was not forgotten."""
+
+    async def scenario() -> None:
+        ports = loopback.free_ports(7)
+        daemon = await meshes._build("front", ports[:3], ports, _NOWHERE, 1.0)
+        runtime.stop(daemon)
+        runtime.stop(daemon)
+        await runtime.run(daemon)
+        assert daemon.entry.leaving
+
+    asyncio.run(asyncio.wait_for(scenario(), meshes.WAIT))
