Refuse what waits for an upstream that has said it leaves

Callers saw: an attempt that waited for a slot was passed to the upstream long after it had said that it is about to stop, and was lost with it.

Cause: 2 s after the notice sassafrasstaird refused new work, but went on starting what waited in the guard's queue, for up to the class's queue_ms.

Change: what waits then is answered as not run, so that it can run elsewhere.

--- a/src/sassafrasstair/runtime/_departures.py
+++ b/src/sassafrasstair/runtime/_departures.py
@@ -8,15 +8,14 @@
 import asyncio
 import dataclasses
 import logging
-import typing
 
+from sassafrasstair.decisions import load
 from sassafrasstair.decisions import once
 from sassafrasstair import logs
+from sassafrasstair import outcomes
+from sassafrasstair.runtime import _slots
 from sassafrasstair import upstreams
 
-if typing.TYPE_CHECKING:
-    from sassafrasstair.runtime import _slots
-
 ACCEPT_SECONDS = 2.0
 """Work is still taken for so long: an entrance that has not yet heard that
 the upstream leaves may send a call that its class allows no retry of."""
@@ -59,8 +58,11 @@
     if callee.stopping:
         callee.departure = None
         return
-    if now - departure.said_at >= ACCEPT_SECONDS:
-        callee.guard.leaving = True
+    is_late = now - departure.said_at >= ACCEPT_SECONDS
+    if is_late and not callee.guard.leaving:
+        # What waits may run elsewhere; here it may meet the upstream's end.
+        effects = load.retire(callee.guard, outcomes.Reason.LEAVING)
+        _slots.apply_effects(callee, effects)
     if _is_replaced(departure) or now - departure.said_at >= RESUME_SECONDS:
         logs.event(_LOG, logging.INFO, "upstream_back")
         callee.departure = None
--- a/tests/runtime/test_departures.py
+++ b/tests/runtime/test_departures.py
@@ -96,3 +96,40 @@
 
     asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
     assert ends[200] >= 2
+
+
+def test_upstream_that_leaves_gets_nothing_from_the_queue(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An attempt that had waited was passed to an upstream about to end."""
+    monkeypatch.setattr(_departures, "ACCEPT_SECONDS", 0.2)
+    go = asyncio.Event()
+    began: list[str] = []
+
+    async def upstream(request: web.BaseRequest) -> web.StreamResponse:
+        began.append(request.path)
+        if request.path == "/last-words":
+            await asyncio.sleep(0.2)
+            return web.Response(headers={"sassafras-leaving": "1"})
+        await go.wait()
+        return web.Response(text="ok")
+
+    async def ask(mesh: meshes.Mesh, path: str) -> str:
+        async with mesh.call("back", path) as answer:
+            await answer.read()
+            return str(answer.headers["sassafras-outcome"])
+
+    async def scenario() -> None:
+        async with meshes.started(upstream) as mesh:
+            paths = ["/last-words", *["/held"] * (meshes.SLOTS + 1)]
+            asked = [asyncio.create_task(ask(mesh, path)) for path in paths]
+            callee = mesh.back.callee
+            await meshes.until(lambda: len(callee.guard.waiting) == 2)
+            await meshes.until(lambda: callee.guard.leaving)
+            await asyncio.sleep(0.2)
+            go.set()
+            ends = collections.Counter(await asyncio.gather(*asked))
+            assert ends == {"done": meshes.SLOTS + 1, "not-run": 1}
+            assert len(began) == meshes.SLOTS + 1
+
+    asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
