Test an upload that stalls until the end of the grace period

On the code before the stop had a bound it failed: 504 deadline_passed after 8 s in place of 503 leaving within the grace period of 2 s. It passes now.

--- a/tests/runtime/test_stop_bounds.py
+++ b/tests/runtime/test_stop_bounds.py
@@ -19,7 +19,7 @@
 
 GRACE = 2.0
 MARGIN_SECONDS = 0.2
-UPLOAD_BYTES = 20_000
+UPLOAD_BYTES = 150_000
 TAKEN_BY_TIMES = {
     (8.0, 0.0): ("not run", "leaving"),
     (8.0, 0.1): ("done", "none"),
@@ -149,6 +149,36 @@
     asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
 
 
+def test_stalled_upload_at_the_end_of_the_grace_gets_an_answer() -> None:
+    """A stop waited for the rest of a body that had begun to be passed on."""
+    ended: list[float] = []
+
+    async def scenario() -> None:
+        upstream = Upstream()
+        async with meshes.started(upstream.serve, grace=GRACE) as mesh:
+            host, _, port = mesh.url.removeprefix("http://").partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b"POST /v1/call/back/ HTTP/1.1\r\nhost: a\r\n"
+                b"sassafras-class: look\r\nsassafras-tenant: t\r\n"
+                b"content-length: %d\r\n\r\n" % (2 * UPLOAD_BYTES)
+            )
+            writer.write(bytes(UPLOAD_BYTES))
+            await meshes.until(lambda: mesh.back.callee.attempts)
+            ended.append(time.monotonic())
+            runtime.stop(mesh.front)
+            runtime.stop(mesh.back)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"sassafras-outcome: unknown" in head
+            assert b"sassafras-reason: leaving" in head
+        ended.append(time.monotonic())
+        assert b'"leaving"' in await reader.read()
+        writer.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
+    assert ended[1] - ended[0] < GRACE
+
+
 _numbers = itertools.count()
 
 
