Test requests in the forwarder while their limits change

Each of nine changes of policy or settings meets a request that runs, one that waits at the instance's daemon and one that is half read: shorter and longer timeouts, a route removed or moved, smaller bodies, shorter idle times, less memory, another upstream, a shorter grace.

--- /dev/null
+++ b/tests/forwarding/test_changes.py
@@ -0,0 +1,147 @@
+"""Tests of requests that are read or run while their limits change."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import pytest
+
+from sassafrasstair.decisions import policies
+from sassafrasstair.forwarding import _daemon
+from tests.forwarding import place
+from tests.forwarding import test_path
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+A, B, C = place.HOSTS
+BODY = b"12345678"
+SETTLE_SECONDS = 0.3
+ROUTE = place.route("/s/", "s", False, 4.0)
+OTHER = place.route("/o/", "s", False, 4.0)
+
+
+class Instance:
+    """An instance on B that runs one request at a time, until ``go``."""
+
+    def __init__(self) -> None:
+        self.go = asyncio.Event()
+
+    async def serve(
+        self, got: place.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await self.go.wait()
+        writer.write(place.signed(got, b"whole"))
+
+
+def _put(
+    cluster: place.Cluster,
+    *routes: policies.Route,
+    limits: policies.ClientLimits = place.LIMITS,
+) -> None:
+    cluster.source.put("policy", policies.Policy(4, routes, limits))
+
+
+def _shorten_timeout(cluster: place.Cluster) -> None:
+    _put(cluster, place.route("/s/", "s", False, 0.3))
+
+
+def _lengthen_timeout(cluster: place.Cluster) -> None:
+    _put(cluster, place.route("/s/", "s", False, 30.0))
+
+
+def _remove_route(cluster: place.Cluster) -> None:
+    _put(cluster, OTHER)
+
+
+def _move_route(cluster: place.Cluster) -> None:
+    _put(cluster, place.route("/s/", "t", False, 4.0))
+
+
+def _shrink_body(cluster: place.Cluster) -> None:
+    _put(cluster, ROUTE, limits=policies.ClientLimits(4096, 4, 2.0, 10.0))
+
+
+def _shorten_idle(cluster: place.Cluster) -> None:
+    _put(cluster, ROUTE, limits=policies.ClientLimits(4096, 100, 0.1, 0.2))
+
+
+def _move_upstream(cluster: place.Cluster) -> None:
+    cluster.ports = [*cluster.ports[:3], 1]
+    _reload(cluster)
+
+
+def _shorten_grace(cluster: place.Cluster) -> None:
+    cluster.grace = 1.0
+    _reload(cluster)
+
+
+def _shrink_memory(cluster: place.Cluster) -> None:
+    cluster.memory_bytes = 8
+    _reload(cluster)
+
+
+def _reload(cluster: place.Cluster) -> None:
+    for running in cluster.daemons.values():
+        _daemon._reload(running)
+
+
+async def _ends(change: abc.Callable[[place.Cluster], None]) -> list[int]:
+    """Return the status of a request that runs, waits or is half read."""
+    cluster = place.Cluster()
+    cluster.policy(3, ROUTE)
+    instance = Instance()
+    await cluster.upstream(B, "s", instance.serve, slots=1)
+    await cluster.upstream(C, "t")
+    for host, service in ((A, "front"), (B, "s"), (C, "t")):
+        await cluster.daemon(host, service)
+    await cluster.wait_until_known(A, B, C)
+    daemon = cluster.daemons[B].daemon
+    calls = []
+    for count in (1, 2):
+        call = cluster.call(A, "/s/", "POST", BODY)
+        calls.append(asyncio.ensure_future(call))
+        while len(daemon.executions) < count:
+            await asyncio.sleep(0.01)
+    reader, writer = await asyncio.open_connection(A, cluster.ports[0])
+    _, head = cluster.request("/s/", "POST", len(BODY))
+    writer.write(head + BODY[:4])
+    await asyncio.sleep(0.05)
+    change(cluster)
+    await cluster.wait_until_known(A, B, C)
+    await asyncio.sleep(SETTLE_SECONDS)
+    instance.go.set()
+    writer.write(BODY[4:])
+    half = await place.read_answer(reader, 0.0)
+    writer.close()
+    return [(await call).status for call in calls] + [half.status]
+
+
+@pytest.mark.parametrize(
+    ("change", "statuses"),
+    [
+        (_shorten_timeout, [200, 200, 503]),
+        (_lengthen_timeout, [200, 200, 200]),
+        (_remove_route, [200, 200, 404]),
+        (_move_route, [200, 200, 200]),
+        (_shrink_body, [200, 200, 413]),
+        (_shorten_idle, [200, 200, 200]),
+        (_move_upstream, [200, 503, 503]),
+        (_shorten_grace, [200, 200, 200]),
+        (_shrink_memory, [200, 200, 503]),
+    ],
+)
+def test_change_loses_no_request_that_was_read(
+    change: abc.Callable[[place.Cluster], None], statuses: list[int]
+) -> None:
+    """A request ended early, since a limit changed while it ran or waited.
+
+    One that is half read follows the limits at the time at which it has been
+    read. One that waits for an upstream that is gone by then has not run.
+    """
+
+    async def test() -> None:
+        assert await _ends(change) == statuses
+
+    test_path.run(test())
