Refuse what waits for an instance after its drain time

Callers saw: where routes last long, a request waited in the queue of an instance whose entry says that it leaves, was passed on after the drain time, and could be lost when the instance ended.

Cause: arrivals are checked against a leaving instance, starts from the queue were not.

Change: from the drain time on, what waits in the guard of an instance whose entry says that it leaves is answered as not run, so that it can run elsewhere. An entry that vanishes without that may have expired and changes nothing.

Evidence: test_instance_that_left_gets_nothing_from_its_queue failed before (3 of 3 requests at the leaving instance, the last two 2.2 s after the entry, at a drain time of 2 s); it passes now. tests/forwarding, decisions/load and stops, proofs, docs: 546 passed.

--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -209,7 +209,10 @@
 
 
 def cancel(
-    guard: Guard, attempt_id: str, now: float
+    guard: Guard,
+    attempt_id: str,
+    now: float,
+    reason: outcomes.Reason = outcomes.Reason.CANCELLED,
 ) -> list[_messages.Effect]:
     """Drop a waiting attempt whose caller has gone, or abort a running one."""
     waiter = guard.waiting.pop(attempt_id, None)
@@ -217,7 +220,7 @@
         # Without this effect the end of the attempt would never be reported.
         # A planned stop waits for it, and so do repeats of a once-only call
         # that joined the first use of their ticket.
-        return [_refuse(waiter.work, outcomes.Reason.CANCELLED)]
+        return [_refuse(waiter.work, reason)]
     if attempt_id in guard.running:
         return [_messages.Abort(attempt_id)]
     return []
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -175,9 +175,26 @@
             _end_before_restart(daemon, key, guard, now)
         else:
             _guards.resize(daemon, key[0], guard)
+            _refuse_late_starts(daemon, key[0], guard, now)
         _apply_effects(daemon, load.tick(guard, now))
 
 
+def _refuse_late_starts(
+    daemon: _state.Daemon, instance: str, guard: load.Guard, now: float
+) -> None:
+    """Refuse what still waits after the instance's drain time.
+
+    The instance may end at any moment then, and others can run the requests.
+    """
+    seconds = _guards.leaving_seconds(daemon, instance, now)
+    if seconds < daemon.settings.bounds.drain_seconds:
+        return
+    reason = outcomes.Reason.LEAVING
+    for attempt_id in list(guard.waiting):
+        effects = load.cancel(guard, attempt_id, now, reason)
+        _apply_effects(daemon, effects)
+
+
 def _end_before_restart(
     daemon: _state.Daemon, key: _guards.GuardKey, guard: load.Guard, now: float
 ) -> None:
--- a/src/sassafrasstair/forwarding/_guards.py
+++ b/src/sassafrasstair/forwarding/_guards.py
@@ -57,6 +57,19 @@
         load.resize(guard, slots)
 
 
+def leaving_seconds(daemon: _state.Daemon, instance: str, now: float) -> float:
+    """Return for how long the instance's entry has said that it leaves.
+
+    An entry that vanishes without that may merely have expired.
+    """
+    entry = daemon.view.instances.get(instance)
+    if entry is not None and entry.state is not views.InstanceState.LEAVING:
+        daemon.leaving_since.pop(instance, None)
+    elif entry is not None:
+        daemon.leaving_since.setdefault(instance, now)
+    return now - daemon.leaving_since.get(instance, now)
+
+
 def has_ended(daemon: _state.Daemon, key: GuardKey) -> bool:
     """Return whether the instance has restarted since the key's start."""
     instance, born = key
@@ -82,6 +95,7 @@
     oldest = next(iter(daemon.guards))
     if not daemon.guards[oldest].running_work:
         del daemon.guards[oldest]
+        daemon.leaving_since.pop(oldest[0], None)
 
 
 def _usable_slots(instance: views.Instance | None) -> int:
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -93,7 +93,9 @@
     set while only the policy is being read.
 
     ``header_names`` are the platform's names of header fields, and
-    ``header_keys`` the same in lower case. ``leaving`` is set from SIGTERM
+    ``header_keys`` the same in lower case. ``leaving_since`` says since
+    when the entry of an instance on this VM says that it leaves.
+    ``leaving`` is set from SIGTERM
     on, and ``stop`` has the state of the stop; this VM's upstream still
     gets work until ``upstream_leaving`` is set. ``upstream_down`` is set
     while the upstream accepts no connections, and ``upstream_tried`` is the
@@ -189,6 +191,7 @@
     least_importance: int = 0
     execution_serial: int = 0
     process_mark: bytes = b""
+    leaving_since: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: bool = False
     stop: stops.Stop | None = None
     upstream_leaving: bool = False
--- a/tests/forwarding/test_changes.py
+++ b/tests/forwarding/test_changes.py
@@ -8,6 +8,7 @@
 import pytest
 
 from sassafrasstair.decisions import policies
+from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _daemon
 from tests.forwarding import place
 from tests.forwarding import test_path
@@ -145,3 +146,33 @@
         assert await _ends(change) == statuses
 
     test_path.run(test())
+
+
+def test_instance_that_left_gets_nothing_from_its_queue() -> None:
+    """A request was passed on after the drain time, and the instance ended."""
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(3, place.route("/s/", "s", False, 20.0))
+        instance = Instance()
+        await cluster.upstream(B, "s", instance.serve, slots=1)
+        for host, service in ((A, "front"), (B, "s"), (C, "s")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B, C)
+        calls = [
+            asyncio.ensure_future(cluster.call(A, "/s/", "POST", BODY, 20_000))
+            for _ in range(3)
+        ]
+        daemon = cluster.daemons[B].daemon
+        while len(daemon.executions) < len(calls):
+            await asyncio.sleep(0.01)
+        await cluster.upstream(C, "s")
+        cluster.put_entry(B, "s", views.InstanceState.LEAVING, slots=1)
+        await cluster.wait_until_known(A, B, C)
+        await asyncio.sleep(daemon.settings.bounds.drain_seconds + 0.2)
+        instance.go.set()
+        assert [(await call).status for call in calls] == [200, 200, 200]
+        assert len(cluster.upstreams[B].got) == 1
+        assert len(cluster.upstreams[C].got) == 2
+
+    test_path.run(test())
