--- a/tests/platform/soak/kept.py
+++ b/tests/platform/soak/kept.py
@@ -4,16 +4,14 @@
 
 import asyncio
 import math
-import typing
+import random
 
 from sassafrasstair import httpio
 from tests.platform.soak import clients
+from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import losses
 from tests.platform.soak import oracle as oracle_module
 
-if typing.TYPE_CHECKING:
-    import random
-
 IDLE_SECONDS = (0.0, 8.0)
 CONNECT_SECONDS = (0.05, 0.5)
 """The pause before a connection is opened."""
@@ -173,3 +171,26 @@
             life.key, int(first.split()[1]), signature.decode(), body
         )
         return fields.get(b"connection", b"").lower() != b"close"
+
+
+def keep_connections(
+    fleet: fleet_module.Fleet, each: int
+) -> asyncio.Future[None]:
+    """Use ``each`` kept connections at every VM until cancelled."""
+    rng = random.Random(fleet.rng.random())
+    keepers = [
+        Client(
+            fleet.oracle,
+            vm.host,
+            fleet_module.OUTBOUND,
+            vm.upstream.service,
+            rng,
+        )
+        for vm in fleet.vms
+        for _ in range(each)
+    ]
+
+    async def run() -> None:
+        await asyncio.gather(*(keeper.run() for keeper in keepers))
+
+    return asyncio.ensure_future(run())
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -78,7 +78,7 @@
     try:
         await fleet.open()
         traffic = asyncio.ensure_future(send_traffic(fleet))
-        keepers = keep_connections(fleet, KEEPERS)
+        keepers = kept.keep_connections(fleet, KEEPERS)
         await _disturb(fleet, seconds)
         await asyncio.sleep(SETTLE_SECONDS)
         traffic.cancel()
@@ -128,29 +128,6 @@
         await asyncio.sleep(1.0 / CALLS_PER_SECOND)
 
 
-def keep_connections(
-    fleet: fleet_module.Fleet, each: int
-) -> asyncio.Future[None]:
-    """Use ``each`` kept connections at every VM until cancelled."""
-    rng = random.Random(fleet.rng.random())
-    keepers = [
-        kept.Client(
-            fleet.oracle,
-            vm.host,
-            fleet_module.OUTBOUND,
-            vm.upstream.service,
-            rng,
-        )
-        for vm in fleet.vms
-        for _ in range(each)
-    ]
-
-    async def run() -> None:
-        await asyncio.gather(*(keeper.run() for keeper in keepers))
-
-    return asyncio.ensure_future(run())
-
-
 async def _disturb(fleet: fleet_module.Fleet, seconds: float) -> None:
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
--- a/tests/platform/soak/stops.py
+++ b/tests/platform/soak/stops.py
@@ -7,6 +7,7 @@
 import typing
 
 from tests.platform.soak import fleet as fleet_module
+from tests.platform.soak import kept
 from tests.platform.soak import records
 from tests.platform.soak import scenario
 
@@ -34,7 +35,7 @@
     try:
         await fleet.open()
         traffic = asyncio.ensure_future(scenario.send_traffic(fleet))
-        keepers = scenario.keep_connections(fleet, KEEPERS)
+        keepers = kept.keep_connections(fleet, KEEPERS)
         await _stop_again(fleet, seconds)
         await asyncio.sleep(SETTLE_SECONDS)
         keepers.cancel()
