Divide the slack of a retry budget by the calls of a run

Cause: a hop above the last one had up to a fifth of the slack, and each of its repeats makes all calls of a run again. In the model of three hops with 8 calls a run, 13 daemons and 5 requests a second, the slack of the first hop allows 9 repeats in a window, which make 64 calls each at the last service: 576 of the 735 that the rule allows there, before the other hops' parts.

Change: a daemon counts the calls of its upstream by run (their rank is that of the run) and reports with answers how many calls of one service a run leads to at most: the sum over the services called of calls made x what these report. The greatest count is used; it is never below the mean, as every call is counted for some run. A hop above the last one divides its part of the slack by the number, and has none while it is unknown (a callee of an earlier version). Sum over the hops of slack x calls x repeats below is at most 1, whatever the calls; tested as a property. A number of more than nine digits in Sassafras-Work counts as unknown; int() raised for one of 5,000.

Tests only gain cases.

--- a/src/sassafrasstair/decisions/requests/__init__.py
+++ b/src/sassafrasstair/decisions/requests/__init__.py
@@ -8,6 +8,8 @@
 from sassafrasstair.decisions.requests._budgets import note_request
 from sassafrasstair.decisions.requests._budgets import slack_part
 from sassafrasstair.decisions.requests._budgets import Window
+from sassafrasstair.decisions.requests._depths import calls_below
+from sassafrasstair.decisions.requests._depths import CallsBelow
 from sassafrasstair.decisions.requests._depths import depth_of
 from sassafrasstair.decisions.requests._depths import Depths
 from sassafrasstair.decisions.requests._depths import find_hop
@@ -17,8 +19,10 @@
 from sassafrasstair.decisions.requests._depths import note_inbound
 from sassafrasstair.decisions.requests._depths import note_report
 from sassafrasstair.decisions.requests._depths import note_run
+from sassafrasstair.decisions.requests._depths import own_calls
 from sassafrasstair.decisions.requests._depths import own_depth
 from sassafrasstair.decisions.requests._depths import ratio_share
+from sassafrasstair.decisions.requests._depths import shares_by_depth
 from sassafrasstair.decisions.requests._depths import slack_share
 from sassafrasstair.decisions.requests._depths import UNKNOWN_HOP
 from sassafrasstair.decisions.requests._progress import attempt_ended
@@ -33,6 +37,7 @@
 
 __all__ = [
     "BudgetRules",
+    "CallsBelow",
     "Depths",
     "Ending",
     "Hop",
@@ -43,6 +48,7 @@
     "allow_repeat",
     "attempt_ended",
     "attempt_sent",
+    "calls_below",
     "depth_of",
     "find_hop",
     "new_depths",
@@ -55,9 +61,11 @@
     "note_request",
     "note_run",
     "outcome",
+    "own_calls",
     "own_depth",
     "ratio_share",
     "retry_after",
+    "shares_by_depth",
     "slack_part",
     "slack_share",
 ]
--- a/src/sassafrasstair/decisions/requests/_depths.py
+++ b/src/sassafrasstair/decisions/requests/_depths.py
@@ -11,6 +11,9 @@
 whether its own upstream makes calls. While a depth is unknown, the hop gets
 ``HOP_SHARE``. If a daemon above may do so, the hops below get no more than
 that leaves them.
+
+Answers also report how many calls of any one service a run leads to, in all.
+A part of the slack is divided by that number.
 """
 
 from __future__ import annotations
@@ -19,6 +22,8 @@
 import dataclasses
 import math
 
+from sassafrasstair.decisions.requests import _fanouts
+
 HOP_SHARE = 0.2
 """The part of the ratio and of the slack that a hop may spend if the depth
 below it is unknown. In a chain of four hops that each spend the whole ratio,
@@ -41,6 +46,11 @@
 HOLD_WINDOWS = 6.0
 """How long a report or call counts, in windows of the budget. A share grows
 only after the report for which it was smaller has expired."""
+CALLS_MAX = 10**6
+"""The greatest number of calls in a report. It grows without limit where
+services call each other in a cycle."""
+REPORT_SECONDS = 0.1
+"""How long a report of the calls below the upstream is kept."""
 UNSHARED_WINDOWS = 1.5
 """How long a request counts whose sender does not divide by depth. Repeats
 that it made then have left the window by the time that the share grows."""
@@ -51,16 +61,34 @@
     """What limits a daemon's repeats for a service.
 
     ``depth`` is that of the service, None if it is unknown. ``is_shared`` is
-    set if all daemons above are known to divide by depth.
+    set if all daemons above are known to divide by depth. ``calls`` is how
+    many calls of any one service a run leads to at most, None if that is
+    unknown or the depth is 0.
     """
 
     depth: int | None = None
     is_shared: bool = False
+    calls: int | None = None
 
 
 UNKNOWN_HOP = Hop()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallsBelow:
+    """What a daemon reports of the calls below its upstream.
+
+    ``depth`` is the upstream's depth, and ``calls`` how many calls of any one
+    service a run leads to at most. Each is None if it is unknown.
+    """
+
+    depth: int | None = None
+    calls: int | None = None
+
+
+UNKNOWN_CALLS = CallsBelow()
+
+
 @dataclasses.dataclass(slots=True)
 class Depths:
     """What a daemon knows of the depths below it.
@@ -71,6 +99,10 @@
     the first of them at ``idle_since``. ``unshared_at`` is the time of the
     last request for the upstream from a daemon that does not divide the
     budget by depth, or is called by one that does not.
+
+    ``reported_calls`` holds the reports of calls below as ``reported`` does
+    those of depths, and ``fanouts`` the upstream's own calls, by service.
+    ``below`` is the last report of this daemon, made at ``below_at``.
     """
 
     reported: dict[str, dict[int, float]] = dataclasses.field(
@@ -82,6 +114,14 @@
     idle_runs: int = 0
     idle_since: float = 0.0
     unshared_at: float = -math.inf
+    reported_calls: dict[str, dict[int, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    fanouts: dict[str, _fanouts.Fanout] = dataclasses.field(
+        default_factory=dict
+    )
+    below: CallsBelow = UNKNOWN_CALLS
+    below_at: float = -math.inf
 
 
 def new_depths() -> Depths:
@@ -123,36 +163,48 @@
     """Return the part of the slack that a hop may spend.
 
     A repeat beyond the ratio is multiplied by the repeats of the hops below,
-    by at most ``1 + ratio``. If the requests of a service make several calls
-    each, it is also multiplied by their number, so no hop but the last gets
-    more than ``HOP_SHARE``.
+    by at most ``1 + ratio``, and by the calls that a run leads to. If their
+    number is unknown, a hop above the last one gets nothing.
     """
     if hop.depth is None:
         return HOP_SHARE
     if hop.depth >= DEPTH_MAX:
         return 0.0
     share = math.ldexp(0.5 / (1.0 + ratio), -hop.depth)
-    if hop.depth == 0 and hop.is_shared:
-        return share
-    return min(HOP_SHARE, share)
+    if hop.depth == 0:
+        return share if hop.is_shared else min(HOP_SHARE, share)
+    if hop.calls is None:
+        return 0.0
+    return min(HOP_SHARE, share) / max(1, hop.calls)
 
 
 def note_report(
-    depths: Depths, service: str, depth: int | None, now: float
+    depths: Depths,
+    service: str,
+    depth: int | None,
+    now: float,
+    calls: int | None = None,
 ) -> None:
-    """Record the depth that an instance's daemon reported, if it did."""
+    """Record the depth and calls that an instance's daemon reported."""
     if depth is not None:
         times = depths.reported.setdefault(service, {})
         times[min(depth, DEPTH_MAX)] = now
+    if calls is not None:
+        times = depths.reported_calls.setdefault(service, {})
+        times[min(calls, CALLS_MAX)] = now
 
 
-def note_call(depths: Depths, service: str, now: float) -> None:
+def note_call(
+    depths: Depths, service: str, now: float, rank: float = 0.0
+) -> None:
     """Record that this VM's upstream called the service."""
     times = depths.called.get(service)
     if times is None:
         times = collections.deque(maxlen=CALLS_MIN)
         depths.called[service] = times
+        depths.fanouts[service] = _fanouts.Fanout()
     times.append(now)
+    _fanouts.count_call(depths.fanouts[service], rank, now)
     depths.idle_runs = 0
 
 
@@ -203,6 +255,61 @@
     return 0 if is_idle else None
 
 
+def calls_below(
+    depths: Depths, window_seconds: float, now: float
+) -> CallsBelow:
+    """Return what to report with an answer.
+
+    A known depth is kept for a short while: answers are frequent.
+    """
+    age = now - depths.below_at
+    if depths.below.depth is None or age > REPORT_SECONDS:
+        depth = own_depth(depths, window_seconds, now)
+        calls = own_calls(depths, window_seconds, now) if depth else None
+        depths.below = CallsBelow(depth, calls)
+        depths.below_at = now
+    return depths.below
+
+
+def own_calls(depths: Depths, window_seconds: float, now: float) -> int | None:
+    """Return how many calls of any one service a run here leads to at most.
+
+    This adds up the calls of all services, which is more if several of them
+    don't lead to the same one. None if it is unknown or there are none.
+    """
+    since = now - HOLD_WINDOWS * window_seconds
+    total = 0
+    for service, fanout in depths.fanouts.items():
+        if not _is_called(depths, service, window_seconds, now):
+            continue
+        made = _fanouts.greatest_since(fanout.greatest, since)
+        below = _calls_from(depths, service, window_seconds, now)
+        if made is None or below is None:
+            return None
+        total += made * below
+    return min(total, CALLS_MAX) or None
+
+
+def _calls_from(
+    depths: Depths, service: str, window_seconds: float, now: float
+) -> int | None:
+    """Return how many calls of one service a call adds, itself or below."""
+    if depth_of(depths, service, window_seconds, now) == 0:
+        return 1
+    calls = _reported_calls(depths, service, window_seconds, now)
+    return None if calls is None else max(1, calls)
+
+
+def _reported_calls(
+    depths: Depths, service: str, window_seconds: float, now: float
+) -> int | None:
+    times = depths.reported_calls.get(service)
+    if not times:
+        return None
+    since = now - HOLD_WINDOWS * window_seconds
+    return _fanouts.greatest_since(times, since)
+
+
 def find_hop(
     depths: Depths, service: str, window_seconds: float, now: float
 ) -> Hop:
@@ -214,12 +321,30 @@
     depth = depth_of(depths, service, window_seconds, now)
     if depth is None:
         return UNKNOWN_HOP
+    calls = None
+    if depth > 0:
+        calls = _reported_calls(depths, service, window_seconds, now)
+    return Hop(depth, _is_shared(depths, service, window_seconds, now), calls)
+
+
+def shares_by_depth(
+    depths: Depths, service: str, window_seconds: float, now: float
+) -> bool:
+    """Return whether this daemon and all above it divide by depth."""
+    depth = depth_of(depths, service, window_seconds, now)
+    return depth is not None and _is_shared(
+        depths, service, window_seconds, now
+    )
+
+
+def _is_shared(
+    depths: Depths, service: str, window_seconds: float, now: float
+) -> bool:
     unshared_seconds = UNSHARED_WINDOWS * window_seconds
-    is_shared = (
+    return (
         not _is_called(depths, service, window_seconds, now)
         or now - depths.unshared_at > unshared_seconds
     )
-    return Hop(depth, is_shared)
 
 
 def _is_called(
--- a/src/sassafrasstair/forwarding/_repeats.py
+++ b/src/sassafrasstair/forwarding/_repeats.py
@@ -47,15 +47,18 @@
     return found
 
 
-def calls_below(daemon: _state.Daemon, now: float) -> int | None:
-    """Return how deep the calls of this VM's upstream go, if it is known."""
+def calls_below(daemon: _state.Daemon, now: float) -> requests.CallsBelow:
+    """Return how deep the calls of this VM's upstream go, and how many."""
     window_seconds = daemon.settings.bounds.budget.window_seconds
-    return requests.own_depth(daemon.depths, window_seconds, now)
+    return requests.calls_below(daemon.depths, window_seconds, now)
 
 
 def shares_by_depth(daemon: _state.Daemon, service: str, now: float) -> bool:
     """Return whether this daemon and all above it divide by depth."""
-    return _find_hop(daemon, service, now).is_shared
+    window_seconds = daemon.settings.bounds.budget.window_seconds
+    return requests.shares_by_depth(
+        daemon.depths, service, window_seconds, now
+    )
 
 
 def observe_answer(
@@ -65,14 +68,16 @@
     work: _work_wire.WorkReport,
     now: float,
 ) -> None:
-    """Learn the depth of the service that answered.
+    """Learn the depth of the service that answered, and its calls.
 
     An answer on an internal route is to a call of this VM's upstream.
     """
     service = call.progress.service
-    requests.note_report(daemon.depths, service, work.calls_below, now)
+    requests.note_report(
+        daemon.depths, service, work.calls_below, now, work.calls_of_run
+    )
     if state.internal_route:
-        requests.note_call(daemon.depths, service, now)
+        requests.note_call(daemon.depths, service, now, call.progress.rank)
 
 
 def count_step(
@@ -104,6 +109,7 @@
         "repeats_limited",
         service=service,
         depth="unknown" if hop.depth is None else hop.depth,
+        calls="unknown" if hop.calls is None else hop.calls,
         shared=hop.is_shared,
         share=requests.ratio_share(ratio, hop),
     )
--- a/src/sassafrasstair/forwarding/_reports.py
+++ b/src/sassafrasstair/forwarding/_reports.py
@@ -26,10 +26,12 @@
     seconds = None
     if daemon.settings.places_by_objective:
         seconds = load.usual_seconds(guard, route)
+    below = _repeats.calls_below(daemon, now)
     return _work_wire.WorkReport(
         seconds,
-        _repeats.calls_below(daemon, now),
+        below.depth,
         _costs(daemon, guard, route, now),
+        below.calls,
     )
 
 
--- a/src/sassafrasstair/forwarding/_work_wire.py
+++ b/src/sassafrasstair/forwarding/_work_wire.py
@@ -32,17 +32,21 @@
     that answered, and ``calls_below`` the greatest number of calls made one
     within the other below the instance; each is None if it is not known.
     ``costs`` are those of a request of the route at the services of its
-    chain that have much work.
+    chain that have much work. ``calls_of_run`` is how many calls of any one
+    service a run leads to at most.
     """
 
     route_seconds: float | None = None
     calls_below: int | None = None
     costs: tuple[costs.ServiceCost, ...] = ()
+    calls_of_run: int | None = None
 
 
 NO_WORK = WorkReport()
 COSTS_MAX = 8
 """Costs read from one field; a daemon sends fewer."""
+DIGITS_MAX = 9
+"""Longer numbers can't be right, and ``int`` raises for very long ones."""
 CACHE_SIZE = 256
 """Decoded values that are kept. Most answers report the same depth alone."""
 
@@ -54,6 +58,8 @@
         parts.append(b"t=%.4f" % report.route_seconds)
     if report.calls_below is not None:
         parts.append(b"d=%d" % report.calls_below)
+    if report.calls_of_run is not None:
+        parts.append(b"c=%d" % report.calls_of_run)
     named = [each for each in report.costs if _SERVICE.fullmatch(each.service)]
     if named:
         parts.append(b"s=" + b",".join(_encode_cost(each) for each in named))
@@ -81,11 +87,11 @@
     pairs = dict(
         part.split(b"=", 1) for part in value.split(b" ") if b"=" in part
     )
-    depth = pairs.get(b"d", b"")
     return WorkReport(
         _seconds(pairs.get(b"t")),
-        int(depth) if depth.isdigit() else None,
+        _number(pairs.get(b"d", b"")),
         _decode_costs(pairs.get(b"s", b"")),
+        _number(pairs.get(b"c", b"")),
     )
 
 
@@ -111,6 +117,11 @@
     return tuple(found)
 
 
+def _number(value: bytes) -> int | None:
+    is_valid = value.isdigit() and len(value) <= DIGITS_MAX
+    return int(value) if is_valid else None
+
+
 def _seconds(value: bytes | None) -> float | None:
     """Return a finite, non-negative number, None for any other value."""
     try:
--- a/tests/decisions/requests/test_depths.py
+++ b/tests/decisions/requests/test_depths.py
@@ -54,6 +54,22 @@
     assert _slack(ratio, hops) <= 1.0 + 1e-12
 
 
+@hypothesis.given(
+    ratio=RATIOS, fanouts=strategies.lists(strategies.integers(1, 50))
+)
+def test_calls_of_runs_stay_within_the_slack(
+    ratio: float, fanouts: list[int]
+) -> None:
+    """Guards against slack that is multiplied by the calls of runs."""
+    total, below, calls = 0.0, 1.0, 1
+    for depth, fanout in enumerate([1, *fanouts]):
+        calls *= fanout
+        hop = requests.Hop(depth, True, calls if depth else None)
+        total += requests.slack_share(ratio, hop) * calls * below
+        below *= 1.0 + ratio * requests.ratio_share(ratio, hop)
+    assert total <= 1.0 + 1e-9
+
+
 @pytest.mark.parametrize("ratio", [0.01, 0.1, 0.2, 0.5, 1.0])
 def test_last_hop_gets_most_of_the_budget(ratio: float) -> None:
     hops = [requests.Hop(depth, True) for depth in range(16)]
@@ -170,6 +186,50 @@
     assert requests.slack_share(0.2, hop) == 0.0
 
 
+def _run_with_calls(
+    depths: requests.Depths, service: str, rank: float, calls: int
+) -> None:
+    for step in range(calls):
+        requests.note_call(depths, service, 1.0 + 0.1 * step, rank)
+
+
+def test_calls_are_those_of_the_run_that_makes_most() -> None:
+    """Guards against a mean that a few long chains hardly change."""
+    depths = requests.new_depths()
+    requests.note_report(depths, "s", 0, 1.0)
+    for serial in range(50):
+        _run_with_calls(depths, "s", 7.0 + serial / 100.0, 1)
+    _run_with_calls(depths, "s", 9.5, 8)
+    assert requests.own_calls(depths, WINDOW, 2.0) == 8
+    assert requests.own_calls(depths, WINDOW, 1.9 + HOLD) is None
+
+
+def test_calls_further_down_multiply_and_add_up() -> None:
+    """Each run makes 3 calls of one service and 12 of another."""
+    depths = requests.new_depths()
+    requests.note_report(depths, "leaf", 0, 1.0)
+    _run_with_calls(depths, "leaf", 7.5, 12)
+    _run_with_calls(depths, "middle", 7.5, 3)
+    _run_with_calls(depths, "middle", 7.6, 3)
+    _run_with_calls(depths, "middle", 7.7, 3)
+    _run_with_calls(depths, "middle", 7.8, 3)
+    requests.note_report(depths, "middle", 1, 2.0)
+    assert requests.own_calls(depths, WINDOW, 2.0) is None
+    requests.note_report(depths, "middle", 1, 2.0, 8)
+    assert requests.own_calls(depths, WINDOW, 2.0) == 3 * 8 + 12
+
+
+def test_calls_of_an_earlier_version_leave_no_slack() -> None:
+    """Its daemons report the depth, but not the calls below."""
+    depths = requests.new_depths()
+    requests.note_report(depths, "s", 1, 1.0)
+    hop = requests.find_hop(depths, "s", WINDOW, 1.0)
+    assert requests.slack_share(0.2, hop) == 0.0
+    requests.note_report(depths, "s", 1, 1.0, 4)
+    hop = requests.find_hop(depths, "s", WINDOW, 1.0)
+    assert requests.slack_share(0.2, hop) == pytest.approx(0.05)
+
+
 def test_share_shrinks_at_once_and_grows_after_a_while() -> None:
     """A release adds a call for an hour, on some instances first."""
     depths = requests.new_depths()
--- a/tests/forwarding/test_repeats.py
+++ b/tests/forwarding/test_repeats.py
@@ -122,6 +122,9 @@
         assert requests.own_depth(middle.depths, 10.0, now) == 1
         assert requests.depth_of(middle.depths, "t", 10.0, now) == 0
         assert requests.depth_of(caller.depths, "s", 10.0, now) == 1
+        assert requests.own_calls(middle.depths, 10.0, now) == 1
+        hop = requests.find_hop(caller.depths, "s", 10.0, now)
+        assert hop == requests.Hop(1, True, 1)
 
     run(test())
 
--- a/tests/loads/test_repeats.py
+++ b/tests/loads/test_repeats.py
@@ -165,16 +165,23 @@
     """Clients' requests that pass three services, each through any daemon.
 
     A run makes ``calls`` calls of the service below. The daemons with the
-    lowest numbers are of the version before. ``arrivals`` holds the times of
+    lowest numbers are of the version before. If ``reports_calls``, the
+    others know how many calls a run leads to. ``arrivals`` holds the times of
     first arrivals and of repeats by service, the last one first.
     """
 
     def __init__(
-        self, seed: int, daemons: int, earlier: int, calls_made: int
+        self,
+        seed: int,
+        daemons: int,
+        earlier: int,
+        calls_made: int,
+        reports_calls: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.daemons = daemons
         self.calls_made = calls_made
+        self.reports_calls = reports_calls
         self.now = 1000.0
         hosts = [f"10.0.0.{serial}" for serial in range(daemons)]
         self.windows = [
@@ -191,7 +198,10 @@
     def _new_window(
         self, depth: int, own: int, hosts: list[str], earlier: int
     ) -> requests.Window:
-        hop = requests.Hop(depth, depth == DEPTHS - 1 or not earlier)
+        calls = None
+        if depth and self.reports_calls:
+            calls = self.calls_made**depth
+        hop = requests.Hop(depth, depth == DEPTHS - 1 or not earlier, calls)
         if own < earlier:
             hop = requests.UNKNOWN_HOP
         others = [host for host in hosts if host != hosts[own]]
@@ -257,3 +267,28 @@
     hops = Hops(1, 13, int(earlier_part * 13), 8)
     hops.play(25.0, 5)
     assert hops.greatest_use() <= 1.0
+
+
+@pytest.mark.parametrize("daemons", [2, 13, 64])
+@pytest.mark.parametrize("calls_made", [1, 2, 3, 8])
+@pytest.mark.parametrize("per_second", [1, 5, 60])
+def test_hops_that_know_their_calls_stay_within_the_rule(
+    daemons: int, calls_made: int, per_second: int
+) -> None:
+    """Guards against a part of the slack that is too large for the calls."""
+    for seed in SEEDS[:1] if per_second == 60 else SEEDS:
+        hops = Hops(seed, daemons, 0, calls_made, reports_calls=True)
+        hops.play(25.0, per_second)
+        assert hops.greatest_use() <= 1.0
+
+
+def test_first_hop_with_few_requests_has_slack() -> None:
+    """A run makes one call; the ratio alone would allow no repeat."""
+    hops = Hops(1, 2, 0, 1, reports_calls=True)
+    hops.play(10.0, 1)
+    first_hop = hops.windows[DEPTHS - 1]
+    assert any(
+        second.repeats
+        for window in first_hop
+        for second in window.seconds.values()
+    )
