Count work and size of answers without generators on the path of a call

Cause: each call counted the levels with a standing queue, the work at or above a level and the size of an answer with generators; the size is used only for calls between failure domains. Change: a search in the sorted times, plain loops, and the size only where it is counted. Choices are unchanged.

--- a/src/sassafrasstair/decisions/calls/_delays.py
+++ b/src/sassafrasstair/decisions/calls/_delays.py
@@ -150,6 +150,6 @@
     """Return a few targets drawn at random, each once."""
     count = len(targets)
     drawn = dict.fromkeys(
-        int(rng.random() * count) for _ in range(CANDIDATES_DRAWN)
+        [int(rng.random() * count) for _ in range(CANDIDATES_DRAWN)]
     )
     return [targets[index] for index in drawn]
--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import bisect
 import dataclasses
 import math
 
@@ -387,7 +388,8 @@
     """
     intervals = STANDING_SLOT_INTERVALS * _slot_interval(guard, now)
     since = now - max(STANDING_SECONDS, intervals)
-    return sum(emptied <= since for emptied in guard.emptied_at) - 1
+    # A level was emptied no earlier than those below it.
+    return bisect.bisect_right(guard.emptied_at, since) - 1
 
 
 def _record_emptied(guard: Guard, now: float) -> None:
--- a/src/sassafrasstair/decisions/load/_views.py
+++ b/src/sassafrasstair/decisions/load/_views.py
@@ -58,16 +58,14 @@
     Less important work is left out, because it does not delay work of this
     level.
     """
-    running = sum(
-        count
-        for running_level, count in guard.running_by_level.items()
-        if running_level >= level
-    )
-    waiting = sum(
-        math.floor(waiter.work.rank) >= level
-        for waiter in guard.waiting.values()
-    )
-    return (running + waiting) / _capacity(guard)
+    found = 0
+    for running_level, count in guard.running_by_level.items():
+        if running_level >= level:
+            found += count
+    for waiter in guard.waiting.values():
+        if waiter.work.rank >= level:
+            found += 1
+    return found / _capacity(guard)
 
 
 def service_seconds(guard: _guards.Guard) -> float:
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -288,7 +288,9 @@
         reason = outcomes.Reason.PEER_LOST
         _end_attempt(daemon, call, requests.Ending.LOST, reason)
         return
-    _count_cross_domain_bytes(daemon, call, attempt, _response_size(result))
+    if attempt.cross_domain_reason is not None:
+        size = _response_size(result)
+        _count_cross_domain_bytes(daemon, call, attempt, size)
     notice = _notices.read_peer_notice(daemon, result.headers)
     _peers.note_peer_content(daemon, attempt.host, state.content)
     work = _work_wire.decode_work(result.headers)
