Name the first phase of a planned stop as the field does

Cause: a notice is what an answer says of an instance; the first phase of a stop had the same word, and a connection's flag told only one of its cases. Change: lame duck, and _may_send_more. Behaviour is unchanged.

--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -5,14 +5,14 @@
 import dataclasses
 import enum
 
-NOTICE_SECONDS = 2.3
+LAME_DUCK_SECONDS = 2.3
 """Readiness is polled once a second, and clients are sent elsewhere after two
 failed polls."""
-NOTICE_GRACE_RATIO = 0.55
-"""The fraction of the grace period that the notice takes at most."""
+LAME_DUCK_GRACE_RATIO = 0.55
+"""The fraction of the grace period that the first phase takes at most."""
 UPSTREAM_GRACE_RATIO = 0.2
-"""The fraction of the grace period in which the upstream still gets work. It
-is idle for a shorter time than if it got none from the signal on."""
+"""The fraction of the grace period in which the upstream still gets work, so
+that it is not idle from the signal on."""
 ANSWER_GRACE_RATIO = 0.15
 ANSWER_SECONDS_MAX = 1.0
 """The end of the grace period that is left for the final answers: a fraction
@@ -29,12 +29,12 @@
 class Phase(enum.Enum):
     """How far a stop is.
 
-    ``NOTICE``: clients may not know of it yet. ``DRAINING``: connections are
+    ``LAME_DUCK``: clients may not know of it yet. ``DRAINING``: connections are
     closed once they are idle. ``ANSWERING``: all that was in flight has got
     its final answer, which is being sent. ``ENDED``: the process may end.
     """
 
-    NOTICE = "notice"
+    LAME_DUCK = "lame_duck"
     DRAINING = "draining"
     ANSWERING = "answering"
     ENDED = "ended"
@@ -51,20 +51,20 @@
     began_at: float
     grace: float
     busy_at: float
-    phase: Phase = Phase.NOTICE
+    phase: Phase = Phase.LAME_DUCK
 
     @property
-    def notice_until(self) -> float:
+    def lame_duck_until(self) -> float:
         """When clients can be expected to know of the stop."""
-        notice = min(NOTICE_SECONDS, NOTICE_GRACE_RATIO * self.grace)
-        return self.began_at + notice
+        seconds = min(LAME_DUCK_SECONDS, LAME_DUCK_GRACE_RATIO * self.grace)
+        return self.began_at + seconds
 
     @property
     def upstream_until(self) -> float:
         """Until when the upstream gets work."""
         return min(
             self.began_at + UPSTREAM_GRACE_RATIO * self.grace,
-            self.notice_until - QUIET_SECONDS,
+            self.lame_duck_until - QUIET_SECONDS,
         )
 
     @property
@@ -86,9 +86,10 @@
 class InFlight:
     """What a daemon has in flight.
 
-    ``calls`` are requests that were read whole, ``executions`` those at the
-    upstream or waiting for it. ``reading`` counts half-read requests that have
-    not stalled, and ``unsent`` connections with answers in their buffers.
+    ``calls`` are requests that were read whole and started, ``executions``
+    those at the upstream or waiting for it. ``reading`` counts half-read
+    requests that have not stalled, and ``unsent`` connections with answers in
+    their buffers.
     """
 
     calls: int = 0
@@ -99,7 +100,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
-    """A request that begins to arrive at ``began_at``.
+    """A request whose first byte arrived at ``began_at``.
 
     It ends at ``deadline`` at the latest, and takes ``expected`` seconds from
     the time at which it has been read. ``of_upstream`` is set for a call that
@@ -118,10 +119,10 @@
 
 
 def update(stop: Stop, in_flight: InFlight, now: float) -> Phase:
-    """Advance the stop; called several times per second."""
+    """Advance the stop by one step, of 0.05 to 0.2 s."""
     if in_flight != InFlight():
         stop.busy_at = now
-    if stop.phase is Phase.NOTICE and now >= stop.notice_until:
+    if stop.phase is Phase.LAME_DUCK and now >= stop.lame_duck_until:
         stop.phase = Phase.DRAINING
     if stop.phase is Phase.DRAINING:
         if now - stop.busy_at >= QUIET_SECONDS:
@@ -146,7 +147,7 @@
         return False
     if arrival.deadline <= stop.cut_at or arrival.of_upstream:
         return True
-    return arrival.began_at <= stop.notice_until
+    return arrival.began_at <= stop.lame_duck_until
 
 
 def may_run(stop: Stop, deadline: float, expected: float, now: float) -> bool:
@@ -163,7 +164,7 @@
 
     It ends at ``deadline`` at the latest.
     """
-    if stop.phase not in (Phase.NOTICE, Phase.DRAINING):
+    if stop.phase not in (Phase.LAME_DUCK, Phase.DRAINING):
         return False
     return min(deadline, now + expected) <= stop.cut_at
 
@@ -171,11 +172,11 @@
 def accepts_connections(stop: Stop, in_flight: InFlight) -> bool:
     """Return whether new connections are accepted.
 
-    After the notice they are only for calls that the upstream may make.
+    Later they are only for calls that the upstream may make.
     """
     if stop.phase is Phase.DRAINING:
         return in_flight.executions > 0
-    return stop.phase is Phase.NOTICE
+    return stop.phase is Phase.LAME_DUCK
 
 
 def has_stalled(silent_seconds: float) -> bool:
--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -45,8 +45,9 @@
 
     ``_unparsed`` is data that was read but not parsed, since enough requests
     wait. ``_read_since`` is the time from which the limits on reading a
-    request count. ``_sent_ahead`` is set once the client has sent data behind
-    an unanswered request.
+    request count. ``_may_send_more`` is set once the client may send data
+    that nobody will parse: it has sent some behind an unanswered request, or
+    a part of one that was rejected.
     """
 
     __slots__ = (
@@ -57,13 +58,13 @@
         "_continue_due",
         "_head_size",
         "_listener",
+        "_may_send_more",
         "_parser",
         "_paused",
         "_pipeline",
         "_read_since",
         "_reading",
         "_received_at",
-        "_sent_ahead",
         "_transport",
         "_unparsed",
         "_unsent_bytes",
@@ -86,7 +87,7 @@
         self._unparsed = b""
         self._paused = False
         self._continue_due = False
-        self._sent_ahead = False
+        self._may_send_more = False
         self._closing = False
         self._unsent_bytes = 0
 
@@ -159,7 +160,7 @@
         """Parse received data and start the requests that may start."""
         pipeline = self._pipeline
         if pipeline.entries:
-            self._sent_ahead = True
+            self._may_send_more = True
         if pipeline.ended:
             return
         self._received_at = self._listener.clock.monotonic()
@@ -173,7 +174,7 @@
         # would report an error in the handler as a malformed request.
         if pipeline.entries:
             if len(pipeline.entries) > 1 or self._reading is not None:
-                self._sent_ahead = True
+                self._may_send_more = True
                 self._update_reading()
             self._start_waiting()
 
@@ -307,7 +308,7 @@
         """Close the connection once all written data has been sent."""
         self._closing = True
         self._drop_requests()
-        if self._sent_ahead and not self._transport.is_closing():
+        if self._may_send_more and not self._transport.is_closing():
             self._transport.write_eof()
             self._update_reading()
         else:
@@ -457,7 +458,7 @@
         The requests before it are answered first; data behind it is ignored.
         """
         # The client may still send the rest of the request.
-        self._sent_ahead = True
+        self._may_send_more = True
         if self._pipeline.ended:
             return
         self._discard_body()
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -164,22 +164,22 @@
     for request in daemon.cut:
         expected_end = request.started_at + request.arrival.expected
         assert expected_end <= daemon.stop.cut_at < request.arrival.deadline
-        in_time = request.arrival.began_at <= daemon.stop.notice_until
+        in_time = request.arrival.began_at <= daemon.stop.lame_duck_until
         assert in_time or request.arrival.of_upstream
     for request in unread:
         assert not stops.may_take(daemon.stop, request.arrival, now)
 
 
 @pytest.mark.parametrize("grace", GRACES)
-def test_idle_daemon_ends_right_after_the_notice(grace: float) -> None:
+def test_idle_daemon_ends_right_after_the_first_phase(grace: float) -> None:
     daemon = Daemon(grace)
     now = BEGAN
     while daemon.ended_at == math.inf:
         daemon.advance(now, 0)
         now += STEP
-    notice = daemon.stop.notice_until - BEGAN
-    assert notice <= daemon.ended_at - BEGAN <= notice + 2 * STEP
-    assert daemon.stop.upstream_until < daemon.stop.notice_until
+    first = daemon.stop.lame_duck_until - BEGAN
+    assert first <= daemon.ended_at - BEGAN <= first + 2 * STEP
+    assert daemon.stop.upstream_until < daemon.stop.lame_duck_until
 
 
 @pytest.mark.parametrize(
@@ -190,7 +190,7 @@
         (2.0, 5.0, 4.0, 2.0, False),
         # It ended before it was read whole.
         (1.0, 0.5, 0.2, 2.0, False),
-        # A body that takes seconds: the first byte came before the notice.
+        # A body that takes seconds: its first byte came in the first phase.
         (1.0, 5.0, 0.2, 4.0, True),
         (1.0, 5.0, 0.2, 5.0, False),
         # Clients know of the stop: only what certainly ends in time.
--- a/tests/runtime/conftest.py
+++ b/tests/runtime/conftest.py
@@ -8,4 +8,4 @@
 @pytest.fixture(autouse=True)
 def _short_leave(monkeypatch: pytest.MonkeyPatch) -> None:
     """Shorten planned stops, of which most tests have two."""
-    monkeypatch.setattr(_stops, "NOTICE_SECONDS", 0.05)
+    monkeypatch.setattr(_stops, "LAME_DUCK_SECONDS", 0.05)
--- a/tests/runtime/test_planned_stop.py
+++ b/tests/runtime/test_planned_stop.py
@@ -54,7 +54,7 @@
     closed them at once, requests that were just sent would be lost. Each
     caller is therefore told in an answer to close its connection.
     """
-    monkeypatch.setattr(_stops, "NOTICE_SECONDS", 0.5)
+    monkeypatch.setattr(_stops, "LAME_DUCK_SECONDS", 0.5)
     ends: collections.Counter[str] = collections.Counter()
 
     async def scenario() -> None:
@@ -91,7 +91,7 @@
                 runtime.stop(mesh.front)
                 runtime.stop(mesh.back)
                 await meshes.until(lambda: mesh.back.entry.leaving)
-                await asyncio.sleep(2 * _stops.NOTICE_SECONDS)
+                await asyncio.sleep(2 * _stops.LAME_DUCK_SECONDS)
                 go.set()
                 assert len(await answer.read()) == ANSWER_BYTES
 
@@ -106,7 +106,7 @@
     A request that takes longer than the leave notice was lost, because the
     link to its entrance was closed while it ran.
     """
-    monkeypatch.setattr(_stops, "NOTICE_SECONDS", 0.05)
+    monkeypatch.setattr(_stops, "LAME_DUCK_SECONDS", 0.05)
     began, go = asyncio.Event(), asyncio.Event()
 
     async def slow(request: web.BaseRequest) -> web.StreamResponse:
@@ -125,7 +125,7 @@
             await began.wait()
             runtime.stop(mesh.back)
             await meshes.until(lambda: mesh.back.entry.leaving)
-            await asyncio.wait({asked}, timeout=10 * _stops.NOTICE_SECONDS)
+            await asyncio.wait({asked}, timeout=10 * _stops.LAME_DUCK_SECONDS)
             go.set()
             assert await asked == 200
 
--- a/tests/runtime/test_stop_bounds.py
+++ b/tests/runtime/test_stop_bounds.py
@@ -32,7 +32,7 @@
 @pytest.fixture(autouse=True)
 def _usual_notice(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let stops last as long as they do in operation."""
-    monkeypatch.setattr(_stops, "NOTICE_SECONDS", 2.3)
+    monkeypatch.setattr(_stops, "LAME_DUCK_SECONDS", 2.3)
 
 
 class Upstream:
--- a/tests/runtime/test_stop_connections.py
+++ b/tests/runtime/test_stop_connections.py
@@ -25,7 +25,7 @@
 @pytest.fixture(autouse=True)
 def _usual_notice(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let stops last as long as they do in operation."""
-    monkeypatch.setattr(_stops, "NOTICE_SECONDS", 2.3)
+    monkeypatch.setattr(_stops, "LAME_DUCK_SECONDS", 2.3)
 
 
 async def _ok(request: web.BaseRequest) -> web.StreamResponse:
