Send followers what a restored store gets back

Two of six daemons had policy 74 for 5 s after the store had version 77 again, until the next version was written. They had started from the older copy; the daemon that they followed had kept 77 over the restore, so that nothing changed for it when 77 was written again, and its content revision stayed. The same held for instances: a later run, one that leaves, and the end of a run that only the copy still lists.

A view now notes what it keeps of a later state than the copy. Once the store has that again, it counts as a change for followers, once, and is logged as written_again. Changes in a peer's delta are passed on even without an effect, as they may be new further down. A daemon that was told of the restore by a peer, and reads the store later, doesn't know what the copy lacked and takes all that it has for kept.

--- a/src/sassafrasstair/decisions/views/_types.py
+++ b/src/sassafrasstair/decisions/views/_types.py
@@ -168,6 +168,8 @@
     OUTDATED = "instance_outdated"
     UNUSABLE = "instance_unusable"
     RESTORED = "store_restored"
+    WRITTEN_AGAIN = "written_again"
+    """A change that only the daemons that follow this one may lack."""
     HELD_BACK = "instance_doubted"
     """The instance is held back."""
     HOLD_BACK_ENDED = "instance_trusted"
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -92,6 +92,11 @@
     ``held_back_until`` has, by id, the time until which a held-back instance
     gets no requests unless its entry changes.
 
+    ``kept_ids`` are the instances, and ``kept_policy`` is whether there is a
+    policy, that this view kept although the store was restored from a copy
+    that has an earlier state of them. A daemon that read the copy lacks them,
+    so they count as changed once the store has them again.
+
     ``latest_starts`` are the latest known start times (``Instance.born``) by
     id, with the last recorded at the end.
 
@@ -118,6 +123,8 @@
     replaced_ids: set[str] = dataclasses.field(default_factory=set)
     said_to_leave: dict[str, int] = dataclasses.field(default_factory=dict)
     held_back_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    kept_ids: set[str] = dataclasses.field(default_factory=set)
+    kept_policy: bool = False
     latest_starts: dict[str, int] = dataclasses.field(default_factory=dict)
     history: _histories.History = dataclasses.field(
         default_factory=_histories.History
@@ -197,9 +204,10 @@
     listed_ids = {
         item.id for item in items if isinstance(item, _types.Instance)
     }
+    ended_ids = view.kept_ids - view.instances.keys()
     vanished = [
         _types.Removed(instance_id)
-        for instance_id in view.instances
+        for instance_id in (*view.instances, *sorted(ended_ids))
         if instance_id not in listed_ids
     ]
     restored = _queries.is_restored(view, revision)
@@ -218,6 +226,7 @@
     )
     if not restored:
         return updates
+    _note_kept(view, items, updates)
     return [
         (_types.News.RESTORED, ""),
         *updates,
@@ -225,6 +234,24 @@
     ]
 
 
+def _note_kept(
+    view: View, items: abc.Sequence[_types.Change], updates: Updates
+) -> None:
+    """Record what the view keeps of a later state than a restored store."""
+    view.kept_ids = {
+        instance_id
+        for kind, instance_id in updates
+        if kind is _types.News.OUTDATED
+    }
+    versions = [
+        item.version for item in items if isinstance(item, policies.Policy)
+    ]
+    view.kept_policy = (
+        view.table is not None
+        and max(versions, default=-1) < view.table.policy.version
+    )
+
+
 def _hold_back_reappeared(
     view: View, instance_ids: abc.Iterable[str], now: float
 ) -> Updates:
@@ -254,6 +281,22 @@
     fleet start, each heartbeat rewrites an entry, 130 a second, and each
     would wake all daemons that wait for changes.
     """
+    return _apply(view, changes, revision, content_revision, now, False)
+
+
+def _apply(
+    view: View,
+    changes: abc.Sequence[_types.Change],
+    revision: int,
+    content_revision: int,
+    now: float,
+    pass_all_on: bool,
+) -> Updates:
+    """Apply changes as ``apply_changes`` does.
+
+    With ``pass_all_on``, changes without an effect are recorded as well, for
+    the daemons that follow this one.
+    """
     if revision < view.revision:
         return []
     if view.revision < 0 <= revision:
@@ -262,15 +305,37 @@
     updates: Updates = []
     for change in _drop_superseded_policies(changes):
         effects = _apply_one(view, change, now)
+        if not effects and (pass_all_on or _was_kept(view, change)):
+            effects = [(_types.News.WRITTEN_AGAIN, _id_of(change))]
         updates += effects
         if any(kind is not _types.News.OUTDATED for kind, _ in effects):
             _histories.record_change(view.history, change, content_revision)
+            _forget_kept(view, change)
     if updates:
         view.content_revision = max(view.content_revision, content_revision)
         view.target_cache.clear()
     return updates
 
 
+def _was_kept(view: View, change: _types.Change) -> bool:
+    """Return whether a change brings back what the view has kept."""
+    if isinstance(change, policies.Policy):
+        active = None if view.table is None else view.table.policy.version
+        return view.kept_policy and change.version == active
+    return change.id in view.kept_ids
+
+
+def _forget_kept(view: View, change: _types.Change) -> None:
+    if isinstance(change, policies.Policy):
+        view.kept_policy = False
+    else:
+        view.kept_ids.discard(change.id)
+
+
+def _id_of(change: _types.Change) -> str:
+    return "" if isinstance(change, policies.Policy) else change.id
+
+
 def _drop_superseded_policies(
     changes: abc.Sequence[_types.Change],
 ) -> list[_types.Change]:
@@ -298,7 +363,8 @@
     """
     if delta.revision < view.revision:
         return []
-    if not delta.whole and _queries.is_restored(view, delta.revision):
+    restored = _queries.is_restored(view, delta.revision)
+    if restored and not delta.whole:
         # A partial delta does not list the entries that the older copy lacks.
         return []
     changes: list[_types.Change] = list(delta.instances)
@@ -306,8 +372,20 @@
         changes.append(delta.policy)
     changes += [_types.Removed(each) for each in delta.removed]
     changes += [_types.Unusable(each) for each in delta.unusable]
-    step = replace_all if delta.whole else apply_changes
-    updates = step(view, changes, delta.revision, delta.content, now)
+    if delta.whole:
+        updates = replace_all(
+            view, changes, delta.revision, delta.content, now
+        )
+    else:
+        # What this view has kept over a restore may be new to its followers.
+        pass_all_on = delta.content > view.content_revision
+        updates = _apply(
+            view, changes, delta.revision, delta.content, now, pass_all_on
+        )
+    if restored:
+        # The peer does not tell which of its entries it has kept itself.
+        view.kept_ids |= view.instances.keys()
+        view.kept_policy = view.table is not None
     view.content_revision = max(view.content_revision, delta.content)
     return updates
 
--- a/tests/decisions/views/test_eras.py
+++ b/tests/decisions/views/test_eras.py
@@ -57,6 +57,109 @@
     assert views.active_version(follower) == 7
 
 
+OLD, NEW = (policies.Policy(version, (), LIMITS) for version in (5, 7))
+RERUN = dataclasses.replace(READY, born=6, port=2)
+LOST_CHANGES = [
+    pytest.param(OLD, NEW, NEW, id="policy"),
+    pytest.param(READY, LEAVING, LEAVING, id="leaving"),
+    pytest.param(
+        dataclasses.replace(READY, born=5), RERUN, RERUN, id="later run"
+    ),
+    pytest.param(
+        dataclasses.replace(READY, born=5),
+        RERUN,
+        dataclasses.replace(RERUN, cold_seconds=1.0),
+        id="heartbeat of a later run",
+    ),
+]
+
+
+def _poll(
+    peer: views.View, poller: views.View
+) -> list[tuple[views.News, str]]:
+    delta = views.delta_since(peer, poller.revision)
+    return views.take_delta(poller, delta, 104.0)
+
+
+def _contents(view: views.View) -> tuple[int, list[views.Instance]]:
+    return views.active_version(view), list(view.instances.values())
+
+
+@pytest.mark.parametrize("is_full_read", [False, True])
+@pytest.mark.parametrize(("before", "after", "written"), LOST_CHANGES)
+def test_lost_change_reaches_followers_that_read_the_copy(
+    before: views.Change,
+    after: views.Change,
+    written: views.Change,
+    is_full_read: bool,
+) -> None:
+    """Daemons kept the copy's state, below those that kept the later one."""
+    reader, middle = _view_of(after), _view_of(after)
+    _restore(reader, before)
+    _poll(reader, middle)
+    below_reader, below_middle = views.new_view(), views.new_view()
+    _restore(below_reader, before)
+    _restore(below_middle, before)
+    take = views.replace_all if is_full_read else views.apply_changes
+    take(reader, [written], AFTER + 1, AFTER + 1, 104.0)
+    assert _poll(reader, middle)
+    _poll(reader, below_reader)
+    _poll(middle, below_middle)
+    assert _contents(below_reader) == _contents(reader)
+    assert _contents(below_middle) == _contents(reader)
+
+
+@pytest.mark.parametrize(("before", "after", "written"), LOST_CHANGES)
+def test_lost_change_reaches_followers_of_a_new_reader(
+    before: views.Change, after: views.Change, written: views.Change
+) -> None:
+    """The reader stops between the restore and the write."""
+    reader, heir = _view_of(after), _view_of(after)
+    _restore(reader, before)
+    _poll(reader, heir)
+    follower = views.new_view()
+    _restore(follower, before)
+    views.apply_changes(heir, [written], AFTER + 1, AFTER + 1, 104.0)
+    _poll(heir, follower)
+    assert _contents(follower) == _contents(heir)
+
+
+@pytest.mark.parametrize("is_full_read", [False, True])
+def test_end_of_an_earlier_run_reaches_followers_that_read_the_copy(
+    is_full_read: bool,
+) -> None:
+    """The later run had ended, so that the reader had no entry to remove."""
+    reader = _view_of(RERUN, OTHER)
+    views.apply_changes(
+        reader, [views.Removed("i")], BEFORE + 1, BEFORE + 1, 101.0
+    )
+    copy = (dataclasses.replace(READY, born=5), OTHER)
+    _restore(reader, *copy)
+    follower = views.new_view()
+    _restore(follower, *copy)
+    if is_full_read:
+        views.replace_all(reader, [OTHER], AFTER + 1, AFTER + 1, 104.0)
+    else:
+        views.apply_changes(
+            reader, [views.Removed("i")], AFTER + 1, AFTER + 1, 104.0
+        )
+    _poll(reader, follower)
+    assert list(follower.instances) == ["o"]
+
+
+def test_lost_change_counts_once() -> None:
+    """Each heartbeat of a kept instance would wake all daemons."""
+    reader = _view_of(NEW, RERUN)
+    _restore(reader, OLD, dataclasses.replace(READY, born=5))
+    written: list[views.Change] = [NEW, RERUN]
+    news = views.News.WRITTEN_AGAIN
+    updates = views.apply_changes(reader, written, AFTER + 1, AFTER + 1, 104.0)
+    assert updates == [(news, ""), (news, "i")]
+    assert not views.apply_changes(
+        reader, written, AFTER + 2, AFTER + 2, 104.5
+    )
+
+
 @pytest.mark.parametrize("born", [0, 5])
 def test_leaving_instance_gets_no_requests_when_listed_ready_again(
     born: int,
