Ask peers for a later policy before a first read counts

A daemon that started and read the store right after it came back from an older copy accepted a revoked key for 1.3 s beyond the bound of 5 s: its first read of the store counted as a confirmation, and it can't know of the restore itself.

It now pings up to six peers of its own and other failure domains first. Until 2 s after its first read, a policy older than one that a peer has confirmed is not confirmed. Without an answer within 0.5 s its own read counts, so that a daemon that no peer reaches still accepts keys.

--- a/src/sassafrasstair/decisions/views/_confirmations.py
+++ b/src/sassafrasstair/decisions/views/_confirmations.py
@@ -44,12 +44,16 @@
     ``confirmed_at`` is in seconds of this daemon's clock, and not later than
     the time at which the version was the newest. A confirmation from right
     after the store was restored from an older copy is rejected, as the store
-    may then lack a newer policy.
+    may then lack a newer policy. A daemon that starts knows of a restore only
+    by a peer that has a newer policy.
     """
-    if version < 0 or version > active_version(view):
+    active = active_version(view)
+    if version < 0 or version > active:
         return False
     if confirmed_at < view.confirmable_from:
         return False
+    if confirmed_at < view.settled_from and active < view.peer_version:
+        return False
     view.confirmed_at = max(view.confirmed_at, confirmed_at)
     return True
 
@@ -67,6 +71,7 @@
     revision of the peer's view. If that is of a later era than this view, the
     confirmation may come from an older copy of the store and is rejected.
     """
+    view.peer_version = max(view.peer_version, confirmation.version)
     if _queries.is_restored(view, peer_revision):
         return False
     instant = asked_at + confirmation.held_seconds - confirmation.age_seconds
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -106,7 +106,8 @@
     before ``confirmable_from``, as the store may then still have lacked
     changes that were lost by a restore. If the store was restored right
     before this daemon's first ordered state of it, what the copy lacked is
-    written again by ``settled_from``.
+    written again by ``settled_from``. Until then, a policy older than the
+    ``peer_version`` that a peer has is not confirmed.
 
     ``history`` holds the content revision at which each entry last changed,
     so that a peer is sent only what it lacks. ``target_cache`` holds, by
@@ -135,6 +136,7 @@
     confirmed_at: float = -math.inf
     confirmable_from: float = -math.inf
     settled_from: float = math.inf
+    peer_version: int = -1
     policies_read_to_revision: int = -1
     target_cache: dict[str, tuple[calls.Target, ...]] = dataclasses.field(
         default_factory=dict
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -24,6 +24,10 @@
 the next to read it."""
 ANSWER_TIMEOUT_SECONDS = 1.0
 """Timeout for an answer, which normally takes milliseconds."""
+FIRST_ANSWERS_SECONDS = 0.5
+"""For how long a starting daemon waits until its peers have answered whether
+they have a later policy than the store: longer than the timeout of a
+connection, so that an unreachable peer has failed by then."""
 
 
 async def pull_while_store_lost(daemon: _state.Daemon) -> None:
@@ -64,6 +68,25 @@
             ping(daemon, host, _crash_updates.header(daemon, host))
 
 
+async def ask_for_versions(daemon: _state.Daemon) -> None:
+    """Ask peers which policy they have, and wait for their answers.
+
+    These are daemons of this failure domain and readers of others, so that
+    some of them have run for a while even if a domain has just started.
+    """
+    own_host = daemon.feed.own_host
+    neighbours = feeds.reader_hosts(daemon.feed.hosts - {own_host})
+    foreign = daemon.foreign_readers
+    count = min(len(foreign), PINGS_WHEN_STALLED - len(neighbours))
+    ended: list[asyncio.Future[None]] = []
+    for host in (*neighbours, *daemon.rng.sample(foreign, count)):
+        done = asyncio.get_running_loop().create_future()
+        ended.append(done)
+        ping(daemon, host, _crash_updates.header(daemon, host), done)
+    if ended:
+        await asyncio.wait(ended, timeout=FIRST_ANSWERS_SECONDS)
+
+
 def note_peer_content(daemon: _state.Daemon, host: str, content: int) -> None:
     """Pull from a peer if its view stays newer than this one for a while."""
     if daemon.pulled_hosts or not views.is_behind(daemon.view, content):
@@ -137,14 +160,20 @@
 
 
 def ping(
-    daemon: _state.Daemon, host: str, header: tuple[bytes, bytes]
+    daemon: _state.Daemon,
+    host: str,
+    header: tuple[bytes, bytes],
+    done: asyncio.Future[None] | None = None,
 ) -> None:
-    """Send a ping with one header, to learn the revision of a peer's view."""
+    """Send a ping with one header, to learn the revision of a peer's view.
+
+    ``done`` is set once the peer has answered or failed.
+    """
     fields = [(b"Host", host.encode()), header]
     head = httpio.request_head(b"GET", _wire.PING_PATH, fields, 0)
     asked_at = daemon.clock.monotonic()
     job = httpio.Job(
-        head, functools.partial(_handle_pong, daemon, host, asked_at)
+        head, functools.partial(_end_ping, daemon, host, asked_at, done)
     )
     _state.pool(daemon, host).send(job)
     asyncio.get_running_loop().call_later(
@@ -152,6 +181,18 @@
     )
 
 
+def _end_ping(
+    daemon: _state.Daemon,
+    host: str,
+    asked_at: float,
+    done: asyncio.Future[None] | None,
+    result: httpio.Response | httpio.Failure,
+) -> None:
+    _handle_pong(daemon, host, asked_at, result)
+    if done is not None and not done.done():
+        done.set_result(None)
+
+
 def _handle_pong(
     daemon: _state.Daemon,
     host: str,
--- a/src/sassafrasstair/forwarding/_policy_checks.py
+++ b/src/sassafrasstair/forwarding/_policy_checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import policies
@@ -11,6 +12,7 @@
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _learning
+from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _state
 
 VERB = "policy"
@@ -36,6 +38,34 @@
         return
     if reading.revision >= view.revision:
         views.note_full_read(view, reading.revision)
+    if not daemon.asking_versions and _is_first_confirmation(daemon, asked_at):
+        daemon.asking_versions = True
+        _state.start_task(daemon, _ask_and_confirm(daemon, reading, asked_at))
+        return
+    _confirm_versions(daemon, reading, asked_at)
+
+
+def _is_first_confirmation(daemon: _state.Daemon, asked_at: float) -> bool:
+    """Return whether the store may have been restored before the first read.
+
+    Then only a peer that has a later policy shows this.
+    """
+    view = daemon.view
+    return (
+        _confirmations.has_revocation_bound(daemon)
+        and views.unconfirmed_seconds(view, asked_at) == math.inf
+        and asked_at < view.settled_from
+    )
+
+
+async def _ask_and_confirm(
+    daemon: _state.Daemon, reading: _dialect.Reading, asked_at: float
+) -> None:
+    """Confirm the policy of a reading unless a peer has a later one."""
+    try:
+        await _peers.ask_for_versions(daemon)
+    finally:
+        daemon.asking_versions = False
     _confirm_versions(daemon, reading, asked_at)
 
 
@@ -68,7 +98,7 @@
     view = daemon.view
     if not views.up_to_date_with(view, revision):
         return False
-    views.apply_confirmation(view, views.active_version(view), asked_at)
+    _apply(daemon, views.active_version(view), asked_at)
     return True
 
 
@@ -124,4 +154,14 @@
     ]
     active = views.active_version(daemon.view)
     version = max(versions, default=active)
+    return _apply(daemon, version, asked_at)
+
+
+def _apply(daemon: _state.Daemon, version: int, asked_at: float) -> bool:
+    """Apply a confirmation of the store; return whether it is valid.
+
+    While peers are asked for a later policy, none is applied.
+    """
+    if daemon.asking_versions:
+        return version <= views.active_version(daemon.view)
     return views.apply_confirmation(daemon.view, version, asked_at)
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -90,7 +90,8 @@
 
     ``process_mark`` identifies this process in its polls. ``pulled_hosts``
     are hosts that are being asked for newer data. ``confirming_policy`` is
-    set while only the policy is being read.
+    set while only the policy is being read, and ``asking_versions`` while
+    peers are asked which policy they have.
 
     ``header_names`` are the platform's names of header fields, and
     ``header_keys`` the same in lower case. ``leaving`` is set from SIGTERM
@@ -196,6 +197,7 @@
     upstream_tried: float = 0.0
     pulled_hosts: set[str] = dataclasses.field(default_factory=set)
     confirming_policy: bool = False
+    asking_versions: bool = False
 
 
 def new_daemon(
--- a/tests/fleets/test_revocations.py
+++ b/tests/fleets/test_revocations.py
@@ -343,3 +343,62 @@
             assert not [h for h in fleet.daemons if _accepts(fleet, h)]
 
     loops.run(test())
+
+
+def _readers(fleet: Fleet) -> list[str]:
+    return fleet.store_readers()
+
+
+def _domain(fleet: Fleet) -> list[str]:
+    return sorted(fleet.hosts_in_domain("d1"))
+
+
+def _follower(fleet: Fleet) -> list[str]:
+    return [h for h in fleet.hosts if h not in fleet.store_readers()][:1]
+
+
+STARTS = (_readers, _domain, _follower)
+Starts = typing.Callable[[Fleet], list[str]]
+
+
+@pytest.mark.parametrize("later", [0.02, 0.5, 1.5])
+@pytest.mark.parametrize("starts", STARTS)
+def test_daemons_that_start_after_a_restore_refuse_a_revoked_key(
+    starts: Starts, later: float
+) -> None:
+    """Peers that start as well do not know of the revocation either."""
+
+    async def test() -> None:
+        fleet = _fleet()
+        await _start_settled(fleet)
+        copy = fleet.store.back_up()
+        revoked = _revoke(fleet)
+        await asyncio.sleep(REVOCATION - 0.5)
+        missing = fleet.store.restore(copy)
+        loop = asyncio.get_running_loop()
+        loop.call_later(REWRITE_SECONDS, fleet.store.rewrite, missing)
+        for host in starts(fleet):
+            loop.call_later(later, fleet.restart, host)
+        await asyncio.sleep(revoked + REVOCATION - loop.time())
+        while loop.time() < revoked + 2.0 * REVOCATION:
+            await asyncio.sleep(0.02)
+            assert not [h for h in fleet.daemons if _accepts(fleet, h)]
+        assert all(_accepts(fleet, h, OTHER_KEY) for h in fleet.daemons)
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize("starts", STARTS)
+def test_start_accepts_a_valid_key_at_once(starts: Starts) -> None:
+    """A daemon must not wait for its peers longer than they take."""
+
+    async def test() -> None:
+        fleet = _fleet()
+        await _start_settled(fleet)
+        hosts = starts(fleet)
+        for host in hosts:
+            fleet.restart(host)
+        await asyncio.sleep(0.2)
+        assert all(_accepts(fleet, host) for host in hosts)
+
+    loops.run(test())
