--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -29,9 +29,9 @@
 class Phase(enum.Enum):
     """How far a stop is.
 
-    ``LAME_DUCK``: clients may not know of it yet. ``DRAINING``: connections are
-    closed once they are idle. ``ANSWERING``: all that was in flight has got
-    its final answer, which is being sent. ``ENDED``: the process may end.
+    ``LAME_DUCK``: clients may not know of it yet. ``DRAINING``: connections
+    are closed once they are idle. ``ANSWERING``: all that was in flight has
+    got its final answer, which is being sent. ``ENDED``: the process may end.
     """
 
     LAME_DUCK = "lame_duck"
