Apply single changes to a view in a module of their own

Change: _changes applies one change of policy or instances; behaviour is unchanged. A test names the constant's new place.

--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -15,6 +15,7 @@
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import policies
+from sassafrasstair.decisions.views import _changes
 from sassafrasstair.decisions.views import _histories
 from sassafrasstair.decisions.views import _queries
 from sassafrasstair.decisions.views import _types
@@ -38,28 +39,6 @@
 """For how long an instance is held back: it was removed, and a store restored
 from an older copy lists it again. After that time an entry that its instance
 does not renew has expired."""
-STARTS_KEPT = 4_000
-"""Number of instance ids whose latest start is remembered, even after they
-ended, to reject reappearing entries of earlier runs: the 1,300 instances of a
-fleet, replaced three times."""
-
-Updates = list[tuple[_types.News, str]]
-"""The effects of changes, each with the id of the instance, or '' if the
-effect concerns none."""
-
-
-@dataclasses.dataclass(slots=True)
-class Lapsed:
-    """An instance whose entry vanished at ``lapsed_at``.
-
-    ``may_have_expired`` is whether the entry may merely have expired during
-    an outage of the store, or been lost by a restore. Otherwise the instance
-    is used only if its service has no ready one.
-    """
-
-    instance: _types.Instance
-    lapsed_at: float
-    may_have_expired: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,7 +99,9 @@
     instances: dict[str, _types.Instance] = dataclasses.field(
         default_factory=dict
     )
-    lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
+    lapsed: dict[str, _changes.Lapsed] = dataclasses.field(
+        default_factory=dict
+    )
     replaced_ids: set[str] = dataclasses.field(default_factory=set)
     said_to_leave: dict[str, int] = dataclasses.field(default_factory=dict)
     held_back_until: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -194,7 +175,7 @@
     revision: int,
     content_revision: int,
     now: float,
-) -> Updates:
+) -> _changes.Updates:
     """Replace the view with a full read of the store as of ``revision``.
 
     Entries missing from the read have vanished. ``content_revision`` is the
@@ -237,7 +218,7 @@
 
 
 def _note_kept(
-    view: View, items: abc.Sequence[_types.Change], updates: Updates
+    view: View, items: abc.Sequence[_types.Change], updates: _changes.Updates
 ) -> None:
     """Record what the view keeps of a later state than a restored store."""
     view.kept_ids = {
@@ -256,7 +237,7 @@
 
 def _hold_back_reappeared(
     view: View, instance_ids: abc.Iterable[str], now: float
-) -> Updates:
+) -> _changes.Updates:
     """Send no requests to instances that reappeared, for a while.
 
     They had been removed before the store was restored from an older copy
@@ -275,7 +256,7 @@
     revision: int,
     content_revision: int,
     now: float,
-) -> Updates:
+) -> _changes.Updates:
     """Apply changes of the store up to ``revision``, in their order.
 
     ``content_revision`` is the revision of the last of the changes. Changes
@@ -293,7 +274,7 @@
     content_revision: int,
     now: float,
     pass_all_on: bool,
-) -> Updates:
+) -> _changes.Updates:
     """Apply changes as ``apply_changes`` does.
 
     With ``pass_all_on``, changes without an effect are recorded as well, for
@@ -304,9 +285,9 @@
     if view.revision < 0 <= revision:
         view.settled_from = now + RESTORE_SETTLE_SECONDS
     view.revision = revision
-    updates: Updates = []
+    updates: _changes.Updates = []
     for change in _drop_superseded_policies(changes):
-        effects = _apply_one(view, change, now)
+        effects = _changes.apply_one(view, change, now)
         if not effects and (pass_all_on or _was_kept(view, change)):
             effects = [(_types.News.WRITTEN_AGAIN, _id_of(change))]
         updates += effects
@@ -358,7 +339,9 @@
     ]
 
 
-def take_delta(view: View, delta: _types.Delta, now: float) -> Updates:
+def take_delta(
+    view: View, delta: _types.Delta, now: float
+) -> _changes.Updates:
     """Apply the changes that a peer sent since this view's content revision.
 
     A delta that is older than the view is dropped, whoever sent it.
@@ -392,19 +375,9 @@
     return updates
 
 
-def _apply_one(view: View, change: _types.Change, now: float) -> Updates:
-    if isinstance(change, policies.Policy):
-        return _set_policy(view, change)
-    if isinstance(change, _types.Removed):
-        return _remove(view, change.id, now)
-    if isinstance(change, _types.Unusable):
-        return _drop_unusable(view, change.id)
-    return _set_instance(view, change)
-
-
 def adopt_snapshot(
     view: View, snapshot: _types.Snapshot, now: float
-) -> Updates:
+) -> _changes.Updates:
     """Replace the view with a peer's, if its revision is greater."""
     if snapshot.revision <= view.revision:
         return []
@@ -414,7 +387,7 @@
     return replace_all(view, items, snapshot.revision, snapshot.content, now)
 
 
-def expire(view: View, now: float) -> Updates:
+def expire(view: View, now: float) -> _changes.Updates:
     """Drop instances that lapsed long ago, and end hold-backs in time.
 
     A held-back instance gets requests again if its entry is still listed.
@@ -441,7 +414,7 @@
     ]
 
 
-def note_replaced(view: View, instance_id: str) -> Updates:
+def note_replaced(view: View, instance_id: str) -> _changes.Updates:
     """Record that another instance answered at an instance's address."""
     if instance_id in view.replaced_ids or instance_id not in view.instances:
         return []
@@ -460,116 +433,5 @@
     view.said_to_leave.pop(instance_id, None)
     view.said_to_leave[instance_id] = born
     view.target_cache.clear()
-    if len(view.said_to_leave) > STARTS_KEPT:
+    if len(view.said_to_leave) > _changes.STARTS_KEPT:
         del view.said_to_leave[next(iter(view.said_to_leave))]
-
-
-def _set_policy(view: View, policy: policies.Policy) -> Updates:
-    """Activate the policy unless its version is not above the active one."""
-    if view.table is not None and policy.version <= view.table.policy.version:
-        return []
-    view.table = policies.new_table(policy)
-    return [(_types.News.POLICY, "")]
-
-
-def _set_instance(view: View, instance: _types.Instance) -> Updates:
-    """Apply an entry, unless a later run under the same id is known.
-
-    A late heartbeat, or a peer that is behind, would otherwise restore the
-    state, slots and address of a run that has ended.
-    """
-    latest_start = view.latest_starts.get(instance.id, 0)
-    if instance.born and instance.born < latest_start:
-        return [(_types.News.OUTDATED, instance.id)]
-    if not instance.born and latest_start:
-        # A daemon of the previous version sends no start time (0), so the
-        # entry may belong to either run.
-        instance = dataclasses.replace(instance, born=latest_start)
-    previous = view.instances.get(instance.id)
-    if _is_ready_after_leaving(previous, instance):
-        return [(_types.News.OUTDATED, instance.id)]
-    if previous != instance:
-        view.held_back_until.pop(instance.id, None)
-    was_marked_replaced = (
-        previous != instance and instance.id in view.replaced_ids
-    )
-    if was_marked_replaced:
-        # Only a running instance changes its entry, so this one has not
-        # ended although another answered at its address.
-        view.replaced_ids.discard(instance.id)
-    view.lapsed.pop(instance.id, None)
-    view.instances[instance.id] = instance
-    _record_start(view, instance)
-    if latest_start and instance.born > latest_start:
-        news = _types.News.RESTARTED
-    elif previous is None:
-        news = _types.News.ADDED
-    elif _has_same_routing(previous, instance) and not was_marked_replaced:
-        return []
-    elif instance.state is not previous.state:
-        news = _types.News.LEAVING
-    else:
-        news = _types.News.CHANGED
-    return [(news, instance.id)]
-
-
-def _is_ready_after_leaving(
-    previous: _types.Instance | None, instance: _types.Instance
-) -> bool:
-    """Return whether an entry lists a run as ready that is leaving.
-
-    A leaving run never becomes ready again, but an older copy of the store
-    still lists it as ready.
-    """
-    return (
-        previous is not None
-        and previous.state is _types.InstanceState.LEAVING
-        and instance.state is _types.InstanceState.READY
-        and instance.born == previous.born
-    )
-
-
-def _has_same_routing(
-    previous: _types.Instance, instance: _types.Instance
-) -> bool:
-    """Return whether two entries differ at most in ``cold_seconds``.
-
-    That time counts down with each heartbeat and does not affect routing.
-    """
-    return previous == dataclasses.replace(
-        instance, cold_seconds=previous.cold_seconds
-    )
-
-
-def _record_start(view: View, instance: _types.Instance) -> None:
-    if not instance.born:
-        return
-    view.latest_starts.pop(instance.id, None)
-    view.latest_starts[instance.id] = instance.born
-    if len(view.latest_starts) > STARTS_KEPT:
-        del view.latest_starts[next(iter(view.latest_starts))]
-
-
-def _drop_unusable(view: View, instance_id: str) -> Updates:
-    """Remove an instance whose entry has become unreadable."""
-    known = view.instances.pop(instance_id, None)
-    lapsed = view.lapsed.pop(instance_id, None)
-    if known is None and lapsed is None:
-        return []
-    view.replaced_ids.discard(instance_id)
-    view.held_back_until.pop(instance_id, None)
-    return [(_types.News.UNUSABLE, instance_id)]
-
-
-def _remove(view: View, instance_id: str, now: float) -> Updates:
-    instance = view.instances.pop(instance_id, None)
-    if instance is None:
-        return []
-    view.target_cache.clear()
-    view.replaced_ids.discard(instance_id)
-    view.held_back_until.pop(instance_id, None)
-    if instance.state is not _types.InstanceState.READY:
-        return [(_types.News.GONE, instance_id)]
-    may_have_expired = now < view.recovering_until
-    view.lapsed[instance_id] = Lapsed(instance, now, may_have_expired)
-    return [(_types.News.LAPSED, instance_id)]
--- a/tests/decisions/views/test_views.py
+++ b/tests/decisions/views/test_views.py
@@ -369,7 +369,9 @@
 def test_starts_that_are_remembered_are_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("sassafrasstair.decisions.views._views.STARTS_KEPT", 3)
+    monkeypatch.setattr(
+        "sassafrasstair.decisions.views._changes.STARTS_KEPT", 3
+    )
     view = _view_of()
     for number in range(10):
         entry = dataclasses.replace(_instance(f"i{number}"), born=1 + number)
