End a stop in time even if each of its steps fails

Cause: an error in a step is logged and the stop goes on; one that comes back in each step would have kept the process until it is killed. Change: the loop ends at the latest moment of the stop. Counts of connections are logged as one record.

--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import typing
 
 from sassafrasstair.decisions import stops
@@ -38,6 +39,8 @@
         except Exception as error:
             # An error in one step must not cut off what is in flight.
             daemon.journal.note("stop_step_failed", error=repr(error))
+            if daemon.clock.monotonic() >= daemon.stop.ends_by:
+                break
     for listener in (running.callers, running.daemons):
         listener.stop_accepting()
         listener.close_idle(daemon.clock.monotonic())
@@ -126,15 +129,11 @@
     upstream or waiting for it. The other counts are ``httpio.Census``'s.
     """
     daemon = running.daemon
-    census = running.callers.census()
+    census = dataclasses.asdict(running.callers.census())
     daemon.journal.note(
         event,
         seconds=daemon.clock.monotonic() - stop.began_at,
         calls=len(daemon.calls),
         executions=len(daemon.executions),
-        idle=census.idle,
-        reading=census.reading,
-        running=census.running,
-        waiting=census.waiting,
-        unsent=census.unsent,
+        **census,
     )
--- a/tests/forwarding/test_stop_starts.py
+++ b/tests/forwarding/test_stop_starts.py
@@ -14,6 +14,7 @@
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _customers
 from sassafrasstair.forwarding import _quotas
+from sassafrasstair.forwarding import _stops
 from sassafrasstair import outcomes
 from tests.forwarding import place
 from tests.forwarding import test_path
@@ -253,3 +254,21 @@
         assert (ended.status, ended.runs) == (503, 0)
 
     test_path.run(test())
+
+
+def test_stop_ends_within_the_grace_period_if_each_step_fails(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An error that comes back would keep the process until it is killed."""
+
+    def fail(*arguments: object) -> None:
+        raise RuntimeError("each step")
+
+    async def test() -> None:
+        stop = test_stops.Stop(1.0)
+        await stop.start()
+        monkeypatch.setattr(_stops, "_step", fail)
+        await stop.signal()
+        assert stop.elapsed < 1.0
+
+    test_path.run(test())
