Run work of last resort at instances whose daemons stop

What callers saw: where most daemons of a service stop together, its instances stood idle, and the calls of other upstreams found none.

Cause: a stopping daemon refuses runs from a fifth of the grace period on, since other instances can take them. Nobody asked whether there are any, and all these daemons ended at the same time.

Change: a daemon that knows no instance but those whose daemons stop sends to these all the same, and says so with the request. They run it if it ends in time for sure, until a moment that is drawn for each stop, so that some are back before the last ones end. Daemons of an earlier version refuse as before. A ping's answer tells a daemon that stops from one that is gone.

Evidence: test_requests_are_served_while_all_instances_daemons_stop got 503 before in both cases.

--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -29,14 +29,18 @@
 from sassafrasstair.decisions.calls._pauses import note as note_beat
 from sassafrasstair.decisions.calls._pauses import Pauses
 from sassafrasstair.decisions.calls._peers import eject
+from sassafrasstair.decisions.calls._peers import eject_leaving
 from sassafrasstair.decisions.calls._peers import end_attempt
+from sassafrasstair.decisions.calls._peers import end_last_resort
 from sassafrasstair.decisions.calls._peers import forget_attempt
+from sassafrasstair.decisions.calls._peers import is_leaving
 from sassafrasstair.decisions.calls._peers import probe_due
 from sassafrasstair.decisions.calls._peers import probe_ended
 from sassafrasstair.decisions.calls._peers import record_restart
 from sassafrasstair.decisions.calls._peers import Routes
 from sassafrasstair.decisions.calls._peers import start_attempt
 from sassafrasstair.decisions.calls._routing import choose
+from sassafrasstair.decisions.calls._routing import choose_leaving
 from sassafrasstair.decisions.calls._routing import pick_target
 from sassafrasstair.decisions.calls._speeds import observe_route_seconds
 from sassafrasstair.decisions.calls._views import choose_target
@@ -63,14 +67,18 @@
     "apply_answer",
     "begin_call",
     "choose",
+    "choose_leaving",
     "choose_target",
     "eject",
+    "eject_leaving",
     "end_attempt",
+    "end_last_resort",
     "floor",
     "max_callee_floor",
     "floor_of",
     "floors",
     "forget_attempt",
+    "is_leaving",
     "max_message_age",
     "observe_floor",
     "observe_route_seconds",
--- a/src/sassafrasstair/decisions/calls/_peers.py
+++ b/src/sassafrasstair/decisions/calls/_peers.py
@@ -65,7 +65,8 @@
     ``latency`` is the average latency of successful attempts, and
     ``failures`` counts the failures since the last success. Failures make
     the instance ``ejected``, and an unanswered ping, last sent at
-    ``pinged_at``, makes it ``unreachable``.
+    ``pinged_at``, makes it ``unreachable``. It is ``leaving``
+    from when its daemon says that it stops until a ping has another result.
 
     ``answers`` and ``refusals`` are decayed counts of the attempts that the
     instance itself took or refused, last updated at ``counted_at``.
@@ -85,6 +86,7 @@
     latency: float = 0.0
     failures: int = 0
     ejected: bool = False
+    leaving: bool = False
     unreachable: bool = False
     pinged_at: float = -math.inf
     answers: float = 0.0
@@ -177,6 +179,7 @@
         # bundle from its peers. Until then it is the least busy one, so that
         # routing would send it all calls.
         _eject(routes, peer)
+        peer.leaving = answer.reason is outcomes.Reason.LEAVING
 
 
 def eject(routes: Routes, vm: str) -> None:
@@ -188,6 +191,23 @@
     _eject(routes, routes.peers.setdefault(vm, Peer()))
 
 
+def eject_leaving(routes: Routes, vm: str) -> None:
+    """Eject ``vm``, whose daemon has said that it stops."""
+    eject(routes, vm)
+    routes.peers[vm].leaving = True
+
+
+def end_last_resort(routes: Routes, vm: str) -> None:
+    """Record that ``vm`` takes nothing more, until it answers a ping."""
+    routes.peers[vm].leaving = False
+
+
+def is_leaving(routes: Routes, vm: str) -> bool:
+    """Return whether the daemon of ``vm`` has said that it stops."""
+    peer = routes.peers.get(vm)
+    return peer is not None and peer.leaving
+
+
 def forget_attempt(routes: Routes, vm: str) -> None:
     """Record the end of an attempt that says nothing about ``vm``."""
     peer = routes.peers.get(vm)
@@ -228,10 +248,13 @@
     return due
 
 
-def probe_ended(routes: Routes, vm: str, alive: bool, now: float) -> None:
+def probe_ended(
+    routes: Routes, vm: str, alive: bool, now: float, leaving: bool = False
+) -> None:
     """Record the result of a ping.
 
-    Only an answered ping makes an ejected instance usable again.
+    Only an answered ping makes an ejected instance usable again. ``leaving``
+    is set if the daemon answered that it stops, which is not ``alive``.
     """
     peer = routes.peers.get(vm)
     if peer is None:
@@ -239,6 +262,7 @@
     if peer.unreachable is alive or (alive and peer.ejected):
         routes.usability_changes += 1
     peer.unreachable = not alive
+    peer.leaving = leaving
     if alive:
         peer.ejected = False
         peer.failures = 0
--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -77,6 +77,29 @@
     return _choose_near_first(routes, near, far, grouped, now, rng)
 
 
+def choose_leaving(
+    routes: _peers.Routes,
+    targets: abc.Sequence[_messages.Target],
+    tried: abc.Collection[str],
+    now: float,
+    rng: random.Random,
+) -> _delays.ScoredTarget | None:
+    """Return an instance whose daemon stops, for want of any other.
+
+    ``tried`` are those that were tried as a last resort before.
+    """
+    leaving = [
+        target
+        for target in targets
+        if target.vm not in tried and _peers.is_leaving(routes, target.vm)
+    ]
+    if not leaving:
+        return None
+    grouped = _groups.sorted_targets(routes, targets, now)
+    near = [each for each in leaving if _groups.in_same_domain(routes, each)]
+    return _choose_near_first(routes, near, leaving, grouped, now, rng)
+
+
 def _choose_near_first(
     routes: _peers.Routes,
     near: abc.Sequence[_messages.Target],
--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -13,6 +13,18 @@
 UPSTREAM_GRACE_RATIO = 0.2
 """The fraction of the grace period in which the upstream still gets work, so
 that it is not idle from the signal on."""
+TAIL_FACTOR = 3.0
+"""Some requests take this many times the average time."""
+TAIL_SECONDS = 1.0
+TAIL_GRACE_RATIO = 0.17
+"""Minimum time left for a request whose time limit ends after the stop, in
+seconds, but at most this fraction of the grace period."""
+LAME_DUCK_REST_SECONDS = 0.5
+"""The end of the first phase in which the upstream's last runs can end, so
+that they need not delay the end of the process."""
+LAST_RESORT_SECONDS = 2.5
+"""The time over which daemons that stop together are spread, so that some are
+back before the last ones end."""
 ANSWER_GRACE_RATIO = 0.15
 ANSWER_SECONDS_MAX = 1.0
 """The end of the grace period that is left for the final answers: a fraction
@@ -45,12 +57,14 @@
     """A planned stop that began at ``began_at``, in seconds.
 
     ``grace`` is the time after which the process is killed, and ``busy_at``
-    the last time at which something was in flight.
+    the last time at which something was in flight. ``spread`` is drawn from
+    0 to 1, and sets how long the upstream is a last resort.
     """
 
     began_at: float
     grace: float
     busy_at: float
+    spread: float
     phase: Phase = Phase.LAME_DUCK
 
     @property
@@ -67,6 +81,15 @@
             self.lame_duck_until - QUIET_SECONDS,
         )
 
+    @property
+    def last_resort_until(self) -> float:
+        """Until when the upstream gets what no other instance can run."""
+        earliest = max(
+            self.upstream_until, self.lame_duck_until - LAME_DUCK_REST_SECONDS
+        )
+        latest = min(self.cut_at, earliest + LAST_RESORT_SECONDS)
+        return earliest + self.spread * (latest - earliest)
+
     @property
     def cut_at(self) -> float:
         """When all that is still in flight gets its final answer."""
@@ -113,9 +136,9 @@
     of_upstream: bool = False
 
 
-def begin(grace: float, now: float) -> Stop:
+def begin(grace: float, now: float, spread: float = 1.0) -> Stop:
     """Return the state of a stop that begins now."""
-    return Stop(now, grace, now)
+    return Stop(now, grace, now, spread)
 
 
 def update(stop: Stop, in_flight: InFlight, now: float) -> Phase:
@@ -150,11 +173,26 @@
     return arrival.began_at <= stop.lame_duck_until
 
 
-def may_run(stop: Stop, deadline: float, expected: float, now: float) -> bool:
-    """Return whether the upstream may get a request of another daemon."""
-    return now < stop.upstream_until and may_start(
-        stop, deadline, expected, now
-    )
+def may_run(
+    stop: Stop,
+    deadline: float,
+    expected: float,
+    now: float,
+    last_resort: bool = False,
+) -> bool:
+    """Return whether the upstream may get a request of another daemon.
+
+    ``expected`` is an average, 0 if it is unknown. As a ``last_resort``, when
+    no other instance can run it, a request may come later.
+    """
+    until = stop.last_resort_until if last_resort else stop.upstream_until
+    if now >= until or not may_start(stop, deadline, expected, now):
+        return False
+    if deadline <= stop.cut_at:
+        return True
+    if not expected:
+        return not last_resort
+    return _ends_surely(stop, TAIL_FACTOR * expected, now)
 
 
 def may_start(
@@ -169,6 +207,15 @@
     return min(deadline, now + expected) <= stop.cut_at
 
 
+def _ends_surely(stop: Stop, longest: float, now: float) -> bool:
+    """Return whether a request that takes ``longest`` seconds would end.
+
+    Some take longer than was ever seen, so a minimum time must be left.
+    """
+    least = min(TAIL_SECONDS, TAIL_GRACE_RATIO * stop.grace)
+    return now + max(least, longest) <= stop.cut_at
+
+
 def accepts_connections(stop: Stop, in_flight: InFlight) -> bool:
     """Return whether new connections are accepted.
 
--- a/src/sassafrasstair/forwarding/_arrivals.py
+++ b/src/sassafrasstair/forwarding/_arrivals.py
@@ -61,13 +61,18 @@
     guard: load.Guard,
     route: str,
     deadline: float,
+    last_resort: bool,
     now: float,
 ) -> bool:
-    """Return whether this VM's upstream may get a request of any daemon."""
+    """Return whether this VM's upstream may get a request of any daemon.
+
+    ``last_resort`` is set if the sender knows no other instance that can run
+    it.
+    """
     if daemon.stop is None:
         return True
     expected = load.wait_seconds(guard) + load.route_seconds(guard, route)
-    return stops.may_run(daemon.stop, deadline, expected, now)
+    return stops.may_run(daemon.stop, deadline, expected, now, last_resort)
 
 
 def may_start(daemon: _state.Daemon, execution: _records.Execution) -> bool:
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -76,11 +76,17 @@
     need = _need(daemon, call, now)
     choice = calls.choose(
         daemon.routes, targets, progress.tried, now, daemon.rng, need
+    ) or calls.choose_leaving(
+        daemon.routes, targets, call.last_resorts, now, daemon.rng
     )
     if choice is None:
         _endings.answer_failed_call(daemon, call, last_reason)
         return
     target = choice.target
+    last_resort = calls.is_leaving(daemon.routes, target.vm)
+    if last_resort:
+        daemon.counters.last_resort_attempts += 1
+        call.last_resorts.append(target.vm)
     instance = views.instance_by_id(daemon.view, target.vm)
     host = "" if instance is None else instance.host
     cross_domain_reason = calls.reason_for_crossing(
@@ -108,6 +114,7 @@
         cross_domain_reason,
         choice.expected_seconds,
         _repeats.shares_by_depth(daemon, progress.service, now),
+        last_resort,
     )
     call.attempt = attempt
     if host == daemon.settings.host:
@@ -198,6 +205,7 @@
         attempt.trial_strikes,
         call.customer,
         shares_by_depth=attempt.shares_by_depth,
+        last_resort=attempt.last_resort,
     )
 
     def on_done(result: _records.Result) -> None:
@@ -228,6 +236,7 @@
     if attempt.trial_strikes:
         fields.append((_wire.TRIAL_HEADER, b"%d" % attempt.trial_strikes))
     fields += _wire.repeats_fields(attempt.shares_by_depth)
+    fields += _wire.last_resort_fields(attempt.last_resort)
     rate_limit = _notices.rate_limit_of(daemon, attempt.instance)
     fields += _wire.notice_fields(notices.Notice(rate_limit))
     if call.customer and call.key_digest is not None:
@@ -356,7 +365,7 @@
     )
     _update_routes(daemon, attempt, answer, now)
     if state.leaving:
-        calls.eject(daemon.routes, attempt.instance)
+        calls.eject_leaving(daemon.routes, attempt.instance)
     _notices.record_answer(daemon, attempt, response)
     call.attempt = None
     _crashes.record_completed(daemon, call)
@@ -433,6 +442,8 @@
         return
     taken = now - attempt.sent_at
     calls.end_attempt(daemon.routes, attempt.instance, answer, taken, now)
+    if attempt.last_resort and answer.reason is outcomes.Reason.LEAVING:
+        calls.end_last_resort(daemon.routes, attempt.instance)
 
 
 def _is_current(daemon: _state.Daemon, attempt: _records.Attempt) -> bool:
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -79,7 +79,9 @@
         load.suggest_rate(guard, inbound.rate_limit, now)
     deadline = now + metadata.remaining
     reason = _unavailable_reason(daemon, metadata.instance)
-    if not _arrivals.may_run(daemon, guard, metadata.route, deadline, now):
+    if not _arrivals.may_run(
+        daemon, guard, metadata.route, deadline, inbound.last_resort, now
+    ):
         reason = outcomes.Reason.LEAVING
     if _notices.is_late_request(daemon, inbound, guard, now):
         reason = outcomes.Reason.LEAVING
@@ -119,8 +121,6 @@
     daemon: _state.Daemon, instance: str
 ) -> outcomes.Reason:
     """Return why the upstream can't serve the instance, or ``NONE``."""
-    if daemon.upstream_leaving:
-        return outcomes.Reason.LEAVING
     if daemon.upstream_down:
         return outcomes.Reason.UPSTREAM_UNREACHABLE
     if views.is_replaced(daemon.view, instance):
--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -42,6 +42,7 @@
     pipelined: dict[str, int] = dataclasses.field(default_factory=dict)
     """Requests sent before earlier answers, by ``pipelines.Fate``."""
     upstream_requests: int = 0
+    last_resort_attempts: int = 0
     """Requests sent to this VM's upstream."""
     state_changes: dict[str, int] = dataclasses.field(default_factory=dict)
     """Changes of the daemon's known state, by the name of the log event."""
@@ -200,6 +201,12 @@
             (),
             {(): counters.upstream_requests},
         ),
+        histograms.render_counter(
+            "last_resort_attempts_total",
+            "Attempts at instances whose daemons stop, for want of others",
+            (),
+            {(): counters.last_resort_attempts},
+        ),
         histograms.render_counter(
             "beliefs_total",
             "Changes of what the daemon believes",
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -98,6 +98,9 @@
         shares_by_depth=_wire.decode_repeats(
             request.headers.get(_wire.REPEATS_HEADER_LOWER)
         ),
+        last_resort=_wire.decode_last_resort(
+            request.headers.get(_wire.LAST_RESORT_HEADER_LOWER)
+        ),
     )
 
     def on_done(result: _records.Result) -> None:
--- a/src/sassafrasstair/forwarding/_probes.py
+++ b/src/sassafrasstair/forwarding/_probes.py
@@ -63,7 +63,7 @@
     peer = daemon.routes.peers.get(vm)
     if peer is not None and peer.unreachable and not state.leaving:
         daemon.journal.note("peer_back", peer=host, instance=vm)
-    calls.probe_ended(daemon.routes, vm, not state.leaving, now)
+    calls.probe_ended(daemon.routes, vm, not state.leaving, now, state.leaving)
 
 
 def _handle_timeout(
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -30,8 +30,9 @@
     name, '' for a request without a key. ``rate_limit`` is the limit in
     requests per second that the instance last named to the entrance, infinite
     if it named none. ``shares_by_depth`` says whether the entrance and all
-    daemons above it divide the retry budget by depth. ``fingerprint`` is
-    computed when it is needed.
+    daemons above it divide the retry budget by depth. ``last_resort`` is set
+    if the entrance knows no other instance that can run the request.
+    ``fingerprint`` is computed when it is needed.
     """
 
     metadata: _wire.RequestMetadata
@@ -48,6 +49,7 @@
     rate_limit: float = math.inf
     fingerprint: int | None = None
     shares_by_depth: bool = False
+    last_resort: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -106,7 +108,8 @@
     the instance is in another failure domain, None if it is in this one.
     ``expected_seconds`` is what the choice of the instance was made from: the
     expected delay, and if the objective mattered the completion without it.
-    ``trial_strikes`` and ``shares_by_depth`` are as in ``InboundRequest``.
+    ``trial_strikes``, ``shares_by_depth`` and ``last_resort`` are as in
+    ``InboundRequest``.
     """
 
     instance: str
@@ -119,6 +122,7 @@
     cross_domain_reason: calls.CrossingReason | None = None
     expected_seconds: float = 0.0
     shares_by_depth: bool = False
+    last_resort: bool = False
     job: httpio.Job | None = None
     execution_key: str = ""
 
@@ -131,8 +135,9 @@
     deadline. ``customer`` is the sender's name, '' for a request without a
     key, ``importance`` the request's, which its customer may set, and
     ``key_digest`` the digest of its API key. ``holds_token`` is set
-    while the request holds a token of the customer's quota. ``fingerprint``
-    is computed when it is needed.
+    while the request holds a token of the customer's quota. ``last_resorts``
+    are the instances that were tried though their daemons stop.
+    ``fingerprint`` is computed when it is needed.
     """
 
     exchange: httpio.Exchange
@@ -145,4 +150,5 @@
     importance: int = 0
     key_digest: bytes | None = None
     holds_token: bool = False
+    last_resorts: list[str] = dataclasses.field(default_factory=list)
     fingerprint: int | None = None
--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -27,7 +27,9 @@
     """Shut down without cutting off requests that can end in time."""
     daemon = running.daemon
     now = daemon.clock.monotonic()
-    daemon.stop = stops.begin(daemon.settings.bounds.grace_seconds, now)
+    daemon.stop = stops.begin(
+        daemon.settings.bounds.grace_seconds, now, daemon.rng.random()
+    )
     daemon.leaving = True
     running.callers.closing = True
     _polls.answer_all(daemon)
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -32,6 +32,10 @@
 """Set to ``depth`` on a request if the sender and all daemons above it divide
 the retry budget by depth. Daemons of an earlier version don't send it."""
 REPEATS_HEADER_LOWER = REPEATS_HEADER.lower()
+LAST_RESORT_HEADER = b"Sassafras-Last-Resort"
+"""Set to 1 on a request if its sender knows no instance that can run it but
+those whose daemons stop. Daemons of an earlier version refuse it then."""
+LAST_RESORT_HEADER_LOWER = LAST_RESORT_HEADER.lower()
 RATE_LIMIT_HEADER = b"Sassafras-Limit"
 """The rate limit of the instance, in requests per second.
 
@@ -51,6 +55,7 @@
         STATE_HEADER_LOWER,
         TRIAL_HEADER_LOWER,
         REPEATS_HEADER_LOWER,
+        LAST_RESORT_HEADER_LOWER,
         RATE_LIMIT_HEADER_LOWER,
         LEAVING_HEADER_LOWER,
         KEY_DIGEST_HEADER_LOWER,
@@ -61,6 +66,7 @@
 
 _ANSWERED = "answered"
 _BY_DEPTH = b"depth"
+_SET = b"1"
 
 
 class WireError(Exception):
@@ -164,6 +170,16 @@
     return value == _BY_DEPTH
 
 
+def last_resort_fields(last_resort: bool) -> httpio.Fields:
+    """Return the header fields that mark a request as a last resort."""
+    return [(LAST_RESORT_HEADER, _SET)] if last_resort else []
+
+
+def decode_last_resort(value: bytes | None) -> bool:
+    """Return whether the sender knows no other instance for the request."""
+    return value == _SET
+
+
 def notice_fields(notice: notices.Notice) -> httpio.Fields:
     """Return the header fields that tell a daemon of a notice."""
     fields: httpio.Fields = []
--- a/tests/decisions/calls/test_routing.py
+++ b/tests/decisions/calls/test_routing.py
@@ -249,3 +249,51 @@
     _peers.end_attempt(routes, NEAR.vm, answer, 0.1, 0.0)
     assert not _picked(routes, 0.5)[NEAR.vm]
     assert _picked(routes, 1.5)[NEAR.vm]
+
+
+LEAVING = calls.Answer(
+    outcomes.Outcome.NOT_RUN, outcomes.Reason.LEAVING, incarnation="one"
+)
+
+
+def _refuse_as_leaving(routes: _peers.Routes, vm: str) -> None:
+    _peers.start_attempt(routes, vm, 1.0)
+    _peers.end_attempt(routes, vm, LEAVING, 0.0, 1.0)
+
+
+@pytest.mark.parametrize(
+    ("leaving", "tried", "expected"),
+    [
+        ((), (), {None}),
+        (("far-0",), (), {"far-0"}),
+        (("near", "far-0"), (), {"near"}),
+        (("near", "far-0"), ("near",), {"far-0"}),
+        (("near",), ("near",), {None}),
+    ],
+)
+def test_leaving_instances_are_the_last_resort(
+    leaving: tuple[str, ...], tried: tuple[str, ...], expected: set[str | None]
+) -> None:
+    routes = _peers.Routes(HERE, "region")
+    for vm in leaving:
+        _refuse_as_leaving(routes, vm)
+    rng = random.Random(1)
+    choices = [
+        _routing.choose_leaving(routes, TARGETS, tried, 1.1, rng)
+        for _ in range(20)
+    ]
+    found = {choice.target.vm if choice else None for choice in choices}
+    assert found == expected
+
+
+@pytest.mark.parametrize(
+    ("alive", "leaving", "expected"),
+    [(True, False, False), (False, True, True), (False, False, False)],
+)
+def test_ping_tells_whether_a_daemon_still_stops(
+    alive: bool, leaving: bool, expected: bool
+) -> None:
+    routes = _peers.Routes(HERE, "region")
+    _refuse_as_leaving(routes, "near")
+    _peers.probe_ended(routes, "near", alive, 1.2, leaving)
+    assert _peers.is_leaving(routes, "near") is expected
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -236,6 +236,42 @@
     assert stops.may_run(stop, now + 5.0, expected, now) is runs
 
 
+@pytest.mark.parametrize(
+    ("at", "limit", "expected", "runs"),
+    [
+        (2.0, 5.0, 1.0, True),
+        (3.5, 5.0, 0.4, True),
+        (4.0, 5.0, 0.4, False),
+        (4.0, 5.0, 0.0, False),
+        (4.0, 0.8, 9.0, True),
+        (5.2, 0.1, 0.0, False),
+    ],
+)
+def test_upstream_runs_what_no_other_can_while_it_can_end(
+    at: float, limit: float, expected: float, runs: bool
+) -> None:
+    stop = stops.begin(6.0, BEGAN)
+    now = BEGAN
+    while now < BEGAN + at:
+        now += STEP
+        stops.update(stop, stops.InFlight(calls=1), now)
+    assert not stops.may_run(stop, now + limit, expected, now)
+    found = stops.may_run(stop, now + limit, expected, now, last_resort=True)
+    assert found is runs
+
+
+@pytest.mark.parametrize("grace", GRACES)
+def test_daemons_that_stop_together_are_spread(grace: float) -> None:
+    """If all ended at once, no instance of a service could be reached."""
+    found = [
+        stops.begin(grace, BEGAN, spread).last_resort_until
+        for spread in (0.0, 0.5, 1.0)
+    ]
+    stop = stops.begin(grace, BEGAN)
+    assert stop.upstream_until <= found[0]
+    assert found[0] < found[1] < found[2] <= stop.cut_at
+
+
 def test_stalled_client_does_not_delay_the_end() -> None:
     assert not stops.has_stalled(0.5)
     assert stops.has_stalled(1.5)
--- a/tests/forwarding/test_stop_outcomes.py
+++ b/tests/forwarding/test_stop_outcomes.py
@@ -16,6 +16,7 @@
 
 A, B, C = place.HOSTS
 STALL_SECONDS = 0.3
+CALLS = 15
 
 
 async def _calling_instance(
@@ -202,3 +203,62 @@
         assert statuses.count(200) == sum(stop.runs.values())
 
     test_path.run(test())
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_requests_are_served_while_all_instances_daemons_stop(
+    method: str,
+) -> None:
+    """Each daemon left the requests to the others, which stopped, too."""
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.grace = 4.0
+        cluster.policy(3, place.route("/s/", "s", method == "GET", 1.0))
+        for host in (B, C):
+            await cluster.upstream(host, "s")
+        for host, service in ((A, "front"), (B, "s"), (C, "s")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B, C)
+        stopping = [
+            asyncio.ensure_future(cluster.stop(host)) for host in (B, C)
+        ]
+        statuses = []
+        for _ in range(CALLS):
+            await asyncio.sleep(0.1)
+            statuses.append((await cluster.call(A, "/s/", method)).status)
+        assert statuses == [200] * CALLS
+        runs = sum(len(cluster.upstreams[host].got) for host in (B, C))
+        assert runs == CALLS
+        await asyncio.gather(*stopping)
+
+    test_path.run(test())
+
+
+def test_request_that_no_stopping_daemon_can_end_has_not_run() -> None:
+    """As a last resort, too, it must be expected to end in time."""
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.grace = 1.0
+        cluster.policy(3, place.route("/s/", "s", False, 4.0))
+
+        async def work(
+            got: place.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(0.4)
+            await place.answer(got, writer)
+
+        await cluster.upstream(B, "s", work)
+        for host, service in ((A, "front"), (B, "s")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B)
+        for _ in range(3):
+            assert (await cluster.call(A, "/s/", "POST")).status == 200
+        stopping = asyncio.ensure_future(cluster.stop(B))
+        await asyncio.sleep(0.5)
+        assert (await cluster.call(A, "/s/", "POST")).status == 503
+        assert len(cluster.upstreams[B].got) == 3
+        await stopping
+
+    test_path.run(test())
