Refuse an upload that is read too late in a stop to surely end

What callers saw: 502 for an upload that had run. Its first byte came in the first phase of a stop, it was read whole 0.5 s before the final answers, and ran longer than expected.

Cause: what came in the first phase was taken whenever it was read whole, by its expected time alone, which some requests exceed.

Change: what is read whole after the first phase and has a longer limit is taken only if a least time is left besides.

Evidence: test_upload_that_is_read_late_is_not_cut failed 3 of 3 in both cases before and passes; tests of stops pass.

--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -170,7 +170,10 @@
         return False
     if arrival.deadline <= stop.cut_at or arrival.of_upstream:
         return True
-    return arrival.began_at <= stop.lame_duck_until
+    if arrival.began_at > stop.lame_duck_until:
+        return False
+    is_read_early = now <= stop.lame_duck_until
+    return is_read_early or _ends_surely(stop, arrival.expected, now)
 
 
 def may_run(
