End a stop by its bound when a step of it comes late

What was seen: the property test of stops found a daemon that ended 6 ms after its bound, 1.03 s into a grace period of 1 s: killed, where a process stands still around the final answers.

Cause: each step of a stop advanced it by one phase, so that a late step only began the final answers and waited for another one.

Change: a step that comes after the time for the final answers gives them and ends the stop.

Evidence: the drawn case and test_step_that_comes_late_ends_the_stop failed before; 3,000 drawn cases pass. The test's model cuts what runs when the stop ends, too, as the daemon does.

--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -142,7 +142,11 @@
 
 
 def update(stop: Stop, in_flight: InFlight, now: float) -> Phase:
-    """Advance the stop by one step, of 0.05 to 0.2 s."""
+    """Advance the stop by one step, of 0.05 to 0.2 s.
+
+    What is in flight gets its final answers when the stop leaves
+    ``DRAINING``. If a step comes too late to wait for them, it ends the stop.
+    """
     if in_flight != InFlight():
         stop.busy_at = now
     if stop.phase is Phase.LAME_DUCK and now >= stop.lame_duck_until:
@@ -150,6 +154,8 @@
     if stop.phase is Phase.DRAINING:
         if now - stop.busy_at >= QUIET_SECONDS:
             stop.phase = Phase.ENDED
+        elif now >= stop.ends_by:
+            stop.phase = Phase.ENDED
         elif now >= stop.cut_at:
             stop.phase = Phase.ANSWERING
     elif stop.phase is Phase.ANSWERING and _has_answered(stop, in_flight, now):
--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -64,7 +64,8 @@
     daemon.upstream_leaving = now >= stop.upstream_until
     if not stops.accepts_connections(stop, in_flight):
         callers.stop_accepting()
-    if phase is stops.Phase.ANSWERING and before is not phase:
+    finals = (stops.Phase.ANSWERING, stops.Phase.ENDED)
+    if phase in finals and before not in finals and now >= stop.cut_at:
         _log_work(running, stop, "stop_cuts")
         _end_all(daemon)
     if phase is not stops.Phase.LAME_DUCK:
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -71,7 +71,7 @@
             unsent=unsent,
         )
         phase = stops.update(self.stop, in_flight, now)
-        if phase is stops.Phase.ANSWERING:
+        if phase in (stops.Phase.ANSWERING, stops.Phase.ENDED):
             for request in self.running:
                 request.outcome = "cut"
             for request in self.waiting:
@@ -285,3 +285,11 @@
         if stops.update(stop, unsent, now) is stops.Phase.ENDED:
             break
     assert stop.cut_at < now <= stop.ends_by + STEP < BEGAN + 6.0
+
+
+def test_step_that_comes_late_ends_the_stop() -> None:
+    """A process that stood still would wait a step more, and be killed."""
+    stop = stops.begin(1.0, BEGAN)
+    busy = stops.InFlight(calls=1)
+    stops.update(stop, busy, BEGAN + 0.84)
+    assert stops.update(stop, busy, BEGAN + 0.95) is stops.Phase.ENDED
