Give each request of the test cluster its own id

Cause: Cluster.call read the serial number after it had waited for its connection, so that calls made at the same time could have the same id. A test that counts runs by id then took the run of another request for its own.

Change: the id is taken before the connection is opened.

--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -315,11 +315,11 @@
     ) -> Answer:
         """Send one request to the port for other daemons."""
         self._serial += 1
-        reader, writer = await asyncio.open_connection(host, self.ports[1])
         head = (
             f"GET {path} HTTP/1.1\r\nHost: a.example\r\n"
             f"X-Request: r{self._serial}\r\n"
         ).encode()
+        reader, writer = await asyncio.open_connection(host, self.ports[1])
         writer.write(head + headers + b"\r\n")
         try:
             started_at = asyncio.get_running_loop().time()
@@ -363,12 +363,12 @@
     ) -> Answer:
         """Send one request to a daemon on a connection of its own."""
         self._serial += 1
-        reader, writer = await asyncio.open_connection(host, self.ports[0])
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
             f"X-Request: r{self._serial}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
             f"Content-Length: {len(body)}\r\n"
         ).encode()
+        reader, writer = await asyncio.open_connection(host, self.ports[0])
         started_at = asyncio.get_running_loop().time()
         writer.write(head + headers + b"\r\n" + body)
         try:
