Divide quotas by votes in a deployment with one failure domain

Cause: a daemon whose allocator does not answer within 0.25 s asks the next daemon, at last itself, and each daemon that is asked starts an allocator. Other failure domains accept only one allocator of a domain. In a deployment with a single domain, as in the soak, nobody does: each one had the whole limit at once. Daemons that had changed to a later allocator also stayed with it, so two went on side by side.

Change: where there are no other domains, each daemon votes for one allocator at a time, and an allocator hands out as large a part of each limit as it has votes. A vote is a lease that begins with the allocator's time in an earlier answer, which the daemon sends back. So a question that waited at a paused allocator, or on a slow link, is none. A restarted daemon does not vote for as long as its earlier vote may count. Such daemons ask the first daemon of their domain that answers, so that votes come together again. Fields are added to two messages; daemons without them have no vote.

Evidence: test_daemons_that_miss_their_allocator_share_one_limit fails before in its four cases of one domain (484 requests in a window where 320 are allowed, with slow links) and passes after, as it did and does with four domains.

The price: when the allocator of a single domain ends or hangs, customers with a limit have only their prefetched tokens for up to 2 s.

--- a/src/sassafrasstair/decisions/feeds/__init__.py
+++ b/src/sassafrasstair/decisions/feeds/__init__.py
@@ -28,6 +28,7 @@
 from sassafrasstair.decisions.feeds._feeds import upcoming_parent_lost_store
 from sassafrasstair.decisions.feeds._orders import earlier_hosts
 from sassafrasstair.decisions.feeds._orders import FANOUT
+from sassafrasstair.decisions.feeds._orders import first_hosts
 from sassafrasstair.decisions.feeds._orders import is_first
 from sassafrasstair.decisions.feeds._orders import select_parent
 from sassafrasstair.decisions.feeds._types import PeerStatus
@@ -57,6 +58,7 @@
     "check_sent",
     "choose_parent",
     "earlier_hosts",
+    "first_hosts",
     "expedite_recheck",
     "is_first",
     "is_stalled",
--- a/src/sassafrasstair/decisions/quotas/__init__.py
+++ b/src/sassafrasstair/decisions/quotas/__init__.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.quotas._allocators import allocated_share
 from sassafrasstair.decisions.quotas._allocators import Allocator
 from sassafrasstair.decisions.quotas._allocators import answer_request
 from sassafrasstair.decisions.quotas._allocators import fill_buckets
 from sassafrasstair.decisions.quotas._allocators import new_allocator
 from sassafrasstair.decisions.quotas._allocators import set_limits
+from sassafrasstair.decisions.quotas._allocators import set_voters
 from sassafrasstair.decisions.quotas._allocators import tick
 from sassafrasstair.decisions.quotas._limits import Limit
 from sassafrasstair.decisions.quotas._limits import limit_with_tolerance
@@ -34,6 +36,7 @@
 from sassafrasstair.decisions.quotas._shares import tick as tick_shares
 from sassafrasstair.decisions.quotas._shares import update_for
 from sassafrasstair.decisions.quotas._stocks import demand_rate
+from sassafrasstair.decisions.quotas._stocks import drop_tokens
 from sassafrasstair.decisions.quotas._stocks import give_back_token
 from sassafrasstair.decisions.quotas._stocks import handle_grants
 from sassafrasstair.decisions.quotas._stocks import is_exhausted
@@ -44,11 +47,17 @@
 from sassafrasstair.decisions.quotas._stocks import take_token
 from sassafrasstair.decisions.quotas._stocks import token_wait_seconds
 from sassafrasstair.decisions.quotas._stocks import track_request
+from sassafrasstair.decisions.quotas._votes import Ballot
+from sassafrasstair.decisions.quotas._votes import cast_vote
+from sassafrasstair.decisions.quotas._votes import new_ballot
+from sassafrasstair.decisions.quotas._votes import receive_stamp
+from sassafrasstair.decisions.quotas._votes import VOTE_SECONDS
 
 __all__ = [
     "Acknowledged",
     "Allocator",
     "Ask",
+    "Ballot",
     "Grant",
     "Granted",
     "Limit",
@@ -58,11 +67,15 @@
     "PrefetchedTokens",
     "PrefetchStore",
     "Update",
+    "VOTE_SECONDS",
     "accept_acknowledgement",
     "adopt_share",
+    "allocated_share",
     "answer_request",
+    "cast_vote",
     "fill_buckets",
     "demand_rate",
+    "drop_tokens",
     "give_back_token",
     "handle_grants",
     "has_changes",
@@ -72,10 +85,13 @@
     "limit_with_tolerance",
     "list_needs",
     "new_allocator",
+    "new_ballot",
     "new_shares",
+    "receive_stamp",
     "receive_update",
     "set_demands",
     "set_limits",
+    "set_voters",
     "share_available",
     "take_token",
     "tick",
--- a/src/sassafrasstair/decisions/quotas/_allocators.py
+++ b/src/sassafrasstair/decisions/quotas/_allocators.py
@@ -15,6 +15,7 @@
 from sassafrasstair.decisions.quotas import _messages
 from sassafrasstair.decisions.quotas import _shares
 from sassafrasstair.decisions.quotas import _stocks
+from sassafrasstair.decisions.quotas import _votes
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -72,10 +73,12 @@
     limits of those that have one. ``requesters`` are the daemons by host.
     ``slow_demands`` is the part of the demands that decays slowly, as of
     ``slow_demands_at``. ``outstanding`` holds granted tokens that may still be
-    unused, by customer and the host of the daemon that holds them.
+    unused, by customer and the host of the daemon that holds them. ``votes``
+    are those of the daemons of a domain without peers, else None.
     """
 
     shares: _shares.Shares
+    votes: _votes.Votes | None = None
     customers: frozenset[str] = frozenset()
     limits: dict[str, _limits.Limit] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
@@ -89,7 +92,26 @@
 
 def new_allocator(shares: _shares.Shares) -> Allocator:
     """Return an allocator that has not granted any tokens."""
-    return Allocator(shares)
+    votes = None if shares.peer_domains else _votes.Votes()
+    return Allocator(shares, votes)
+
+
+def allocated_share(allocator: Allocator, customer: str, now: float) -> float:
+    """Return the part of a customer's limit that may be granted here."""
+    share = _shares.share_available(allocator.shares, customer)
+    if allocator.votes is None:
+        return share
+    return share * _votes.voted_share(allocator.votes, now)
+
+
+def set_voters(
+    allocator: Allocator, voters: frozenset[str], now: float
+) -> None:
+    """Set the daemons that vote, in a domain without peers."""
+    votes = allocator.votes
+    if votes is not None and votes.voters != voters:
+        fill_buckets(allocator, now)
+        _votes.set_voters(votes, voters, now)
 
 
 def set_limits(
@@ -117,16 +139,34 @@
 def answer_request(
     allocator: Allocator, request: _messages.Ask, now: float
 ) -> tuple[_messages.Grant, ...]:
-    """Grant as many of the requested tokens as are available."""
+    """Grant as many of the requested tokens as are available.
+
+    An allocator without any vote grants nothing, and its answer says nothing
+    of the customers: another allocator may have tokens.
+    """
     demands = {need.customer: need.demand for need in request.needs}
     allocator.requesters[request.host] = Requester(now, demands)
     for need in request.needs:
         _set_outstanding(allocator, request.host, need, need.left, now)
+    if not _has_votes(allocator, request, now):
+        return ()
     return tuple(
         _grant(allocator, request.host, need, now) for need in request.needs
     )
 
 
+def _has_votes(
+    allocator: Allocator, request: _messages.Ask, now: float
+) -> bool:
+    votes = allocator.votes
+    if votes is None:
+        return True
+    # Otherwise the share would apply to the time before the vote.
+    fill_buckets(allocator, now)
+    _votes.count_vote(votes, request.host, request.stamp, now)
+    return _votes.voted_share(votes, now) > 0.0
+
+
 def tick(allocator: Allocator, now: float) -> None:
     """Update the demand of the domain, and its claims to match."""
     for host, requester in list(allocator.requesters.items()):
@@ -183,7 +223,7 @@
         _set_outstanding(allocator, host, need, need.left + tokens, now)
     if tokens or not need.wanted:
         return _messages.Grant(customer, tokens, 0.0)
-    rate = limit.rate * _shares.share_available(allocator.shares, customer)
+    rate = limit.rate * allocated_share(allocator, customer, now)
     wait = (MIN_TOKENS - bucket.tokens) / max(rate, MIN_RATE)
     return _messages.Grant(customer, 0, wait)
 
@@ -214,7 +254,7 @@
     allocator: Allocator, customer: str, bucket: Bucket, now: float
 ) -> None:
     limit = allocator.limits[customer]
-    share = _shares.share_available(allocator.shares, customer)
+    share = allocated_share(allocator, customer, now)
     outstanding = _outstanding(allocator, customer, now)
     gained = limit.rate * share * max(0.0, now - bucket.filled_at)
     bucket.tokens = min(
--- a/src/sassafrasstair/decisions/quotas/_messages.py
+++ b/src/sassafrasstair/decisions/quotas/_messages.py
@@ -28,10 +28,13 @@
     """A daemon's request for tokens from the allocator of its failure domain.
 
     ``host`` is that of the daemon, and ``needs`` has one entry a customer.
+    ``stamp`` is a vote for the allocator: the stamp of an earlier answer,
+    or 0.
     """
 
     host: str
     needs: tuple[Need, ...]
+    stamp: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,11 +51,13 @@
     """The answer to an ``Ask``.
 
     ``redirect`` is the host to ask instead, or '' if the request went to the
-    right host.
+    right host. ``stamp`` is the time of the answer on the allocator's clock,
+    or 0 if the allocator needs no votes.
     """
 
     redirect: str
     grants: tuple[Grant, ...]
+    stamp: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,12 +104,12 @@
     """Return whether all amounts of a message are finite and not negative."""
     match message:
         case Ask():
-            return all(
+            return _is_amount(message.stamp) and all(
                 _is_amount(need.demand) and need.left >= 0 <= need.wanted
                 for need in message.needs
             )
         case Granted():
-            return all(
+            return _is_amount(message.stamp) and all(
                 grant.tokens >= 0 and _is_amount(grant.wait)
                 for grant in message.grants
             )
--- a/src/sassafrasstair/decisions/quotas/_stocks.py
+++ b/src/sassafrasstair/decisions/quotas/_stocks.py
@@ -94,6 +94,12 @@
         entry.tokens += 1
 
 
+def drop_tokens(store: PrefetchStore) -> None:
+    """Drop all tokens, which another allocator does not count."""
+    for entry in store.by_customer.values():
+        entry.tokens = 0
+
+
 def is_exhausted(store: PrefetchStore, customer: str, now: float) -> bool:
     """Return whether the allocator is known to have no token now."""
     entry = store.by_customer.get(customer)
--- a/src/sassafrasstair/forwarding/_quotas.py
+++ b/src/sassafrasstair/forwarding/_quotas.py
@@ -11,6 +11,7 @@
 import functools
 import typing
 
+from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import quotas
 from sassafrasstair.forwarding import _quota_wire
 from sassafrasstair.forwarding import _shares
@@ -35,6 +36,8 @@
 tokens. They still ask once per period to report their demand, and the period
 grows with the number of daemons in the domain, up to its maximum, so that the
 allocator is not overloaded."""
+VOTE_PERIOD_SECONDS_MAX = 0.8
+"""Maximum period where questions renew votes, which expire otherwise."""
 PREFETCH_PERIODS = 1.4
 AVOID_SECONDS = 2.0
 """Mean time for which an allocator that did not answer is skipped."""
@@ -79,7 +82,7 @@
     """Ask the allocator for tokens in advance, and report the demand."""
     _shares.tick(daemon, now)
     tokens = daemon.tokens
-    if tokens.asking or not tokens.stocks.by_customer:
+    if tokens.asking or not (tokens.stocks.by_customer or _votes(daemon)):
         return
     period = _ask_period(daemon)
     tokens.stocks.prefetch_seconds = PREFETCH_PERIODS * period
@@ -88,9 +91,24 @@
         _ask_allocator(daemon, now)
 
 
+def _votes(daemon: _state.Daemon) -> bool:
+    """Return whether this daemon votes also if it needs no tokens."""
+    feed = daemon.feed
+    return (
+        feed.own_host in feed.hosts
+        and not _shares.has_peers(daemon)
+        and _shares.has_limits(daemon)
+    )
+
+
 def _ask_period(daemon: _state.Daemon) -> float:
     min_period = len(daemon.feed.hosts) / ASKS_PER_SECOND_MAX
-    return min(ASK_PERIOD_SECONDS_MAX, max(ASK_PERIOD_SECONDS, min_period))
+    max_period = (
+        ASK_PERIOD_SECONDS_MAX
+        if _shares.has_peers(daemon)
+        else VOTE_PERIOD_SECONDS_MAX
+    )
+    return min(max_period, max(ASK_PERIOD_SECONDS, min_period))
 
 
 def _wait_for_token(
@@ -142,8 +160,9 @@
     tokens = daemon.tokens
     host = _choose_allocator(daemon, now)
     tokens.asked_at, tokens.ask_soon = now, False
+    stamp = _cast_vote(daemon, host, now)
     request = quotas.Ask(
-        daemon.feed.own_host, quotas.list_needs(tokens.stocks, now)
+        daemon.feed.own_host, quotas.list_needs(tokens.stocks, now), stamp
     )
     if host == daemon.feed.own_host:
         _apply_grants(daemon, _shares.grant_tokens(daemon, request), host, now)
@@ -161,18 +180,37 @@
     _state.pool(daemon, host).send(job)
 
 
+def _cast_vote(daemon: _state.Daemon, host: str, now: float) -> float:
+    """Return the stamp to send with a question, 0 for no vote."""
+    tokens, own_host = daemon.tokens, daemon.feed.own_host
+    if _shares.has_peers(daemon):
+        return 0.0
+    if host == own_host:
+        quotas.receive_stamp(tokens.ballot, host, now, now)
+    previous = tokens.ballot.host
+    only_voter = daemon.feed.hosts == {own_host}
+    stamp = quotas.cast_vote(tokens.ballot, host, now, only_voter)
+    if tokens.ballot.host != previous:
+        quotas.drop_tokens(tokens.stocks)
+    return stamp
+
+
 def _choose_allocator(daemon: _state.Daemon, now: float) -> str:
     """Return the host to ask for tokens.
 
     This is the current allocator, unless it is avoided or no longer a known
     host. Then it is the first earlier host that is not avoided, or else this
-    daemon's own host.
+    daemon's own host. Daemons that vote return to the first host as soon as it
+    is not avoided: nobody tells them which one most of the others have chosen.
     """
     tokens, feed = daemon.tokens, daemon.feed
     for host in [
         each for each, end in tokens.avoided_until.items() if end <= now
     ]:
         del tokens.avoided_until[host]
+    if not _shares.has_peers(daemon):
+        tokens.allocator = _first_available(daemon)
+        return tokens.allocator
     current = tokens.allocator
     if current in feed.hosts and current not in tokens.avoided_until:
         return current
@@ -183,6 +221,19 @@
     return tokens.allocator
 
 
+def _first_available(daemon: _state.Daemon) -> str:
+    """Return the first host of the domain that is not avoided."""
+    feed = daemon.feed
+    hosts = feed.earlier_hosts
+    if feed.own_host not in feed.hosts:
+        # Its own host has no vote, so later ones come before it, too.
+        hosts = feeds.first_hosts(feed.hosts, len(feed.hosts))
+    available = (
+        host for host in hosts if host not in daemon.tokens.avoided_until
+    )
+    return next(available, feed.own_host)
+
+
 def _time_out(daemon: _state.Daemon, host: str, job: httpio.Job) -> None:
     if not job.awaited:
         return
@@ -232,6 +283,8 @@
 ) -> None:
     """Add the granted tokens, and serve the waiting requests."""
     tokens, now = daemon.tokens, daemon.clock.monotonic()
+    if granted.stamp:
+        quotas.receive_stamp(tokens.ballot, host, granted.stamp, now)
     if granted.redirect and granted.redirect != host:
         if granted.redirect not in tokens.avoided_until:
             tokens.allocator = granted.redirect
--- a/src/sassafrasstair/forwarding/_shares.py
+++ b/src/sassafrasstair/forwarding/_shares.py
@@ -41,7 +41,7 @@
     allocation = daemon.allocation
     if allocation is None:
         settled = now - daemon.feed.started_at >= START_DELAY_SECONDS
-        if settled and _is_first(daemon) and _has_limits(daemon):
+        if settled and _is_first(daemon) and has_limits(daemon):
             activate(daemon, now)
         return
     if now - allocation.ticked_at < TICK_INTERVAL_SECONDS:
@@ -50,7 +50,8 @@
     _apply_policy(daemon, allocation, now)
     allocator = allocation.allocator
     idle = now - allocation.asked_at >= IDLE_TIMEOUT_SECONDS
-    if idle and allocator.shares.other_allocator and not _is_first(daemon):
+    replaced = allocator.shares.other_allocator or not has_peers(daemon)
+    if idle and replaced and not _is_first(daemon):
         daemon.allocation = None
         return
     quotas.tick(allocator, now)
@@ -87,7 +88,18 @@
     allocator = allocation.allocator
     if allocator.shares.other_allocator:
         return quotas.Granted(allocator.shares.other_allocator, ())
-    return quotas.Granted("", quotas.answer_request(allocator, request, now))
+    quotas.set_voters(allocator, daemon.feed.hosts, now)
+    grants = quotas.answer_request(allocator, request, now)
+    return quotas.Granted("", grants, 0.0 if has_peers(daemon) else now)
+
+
+def has_peers(daemon: _state.Daemon) -> bool:
+    """Return whether there are other failure domains.
+
+    Daemons of a domain without peers vote for their allocator.
+    """
+    settings = daemon.settings
+    return bool(settings.regions.keys() - {settings.failure_domain})
 
 
 def serve(
@@ -132,7 +144,8 @@
     return feed.own_listed and not feed.earlier_hosts
 
 
-def _has_limits(daemon: _state.Daemon) -> bool:
+def has_limits(daemon: _state.Daemon) -> bool:
+    """Return whether any customer has a limit."""
     table = daemon.view.table
     customers = () if table is None else table.policy.customers or ()
     return any(customer.rate > 0.0 for customer in customers)
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -13,6 +13,7 @@
 from sassafrasstair.decisions import crashes
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import load
+from sassafrasstair.decisions import quotas
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import stops
 from sassafrasstair.decisions import views
@@ -116,6 +117,7 @@
     upstream: httpio.Pool
     view: views.View
     feed: feeds.Feed
+    tokens: _tokens.Tokens
     routes: calls.Routes
     gates: admission.Admission = dataclasses.field(
         default_factory=admission.Admission
@@ -174,7 +176,6 @@
     last_notices: dict[str, notices.Notice] = dataclasses.field(
         default_factory=dict
     )
-    tokens: _tokens.Tokens = dataclasses.field(default_factory=_tokens.Tokens)
     allocation: _tokens.Allocation | None = None
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     store_checks: set[asyncio.Future[int]] = dataclasses.field(
@@ -232,6 +233,7 @@
         routes=calls.Routes(domain, region, try_unreachable=False),
         allowances=admission.Allowances(least_share=settings.least_share),
         process_mark=b"%s.%08x" % (settings.vm.encode(), rng.getrandbits(32)),
+        tokens=_tokens.Tokens(quotas.new_ballot(clock.monotonic())),
     )
 
 
--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -199,8 +199,8 @@
     allocation = daemon.allocation
     share = None
     if allocation is not None and not allocation.allocator.shares.adopting:
-        share = quotas.share_available(
-            allocation.allocator.shares, customer.name
+        share = quotas.allocated_share(
+            allocation.allocator, customer.name, now
         )
     return CustomerStatus(
         customer.name,
--- a/src/sassafrasstair/forwarding/_tokens.py
+++ b/src/sassafrasstair/forwarding/_tokens.py
@@ -34,9 +34,11 @@
     ``avoided_until`` maps hosts that did not answer to the time until which
     they are skipped. ``asking`` is set while a question to the allocator is
     pending, ``asked_at`` is the time of the last one, and ``ask_soon`` makes
-    the next tick ask without waiting for the full period.
+    the next tick ask without waiting for the full period. ``ballot`` is this
+    daemon's vote for an allocator, in a domain without peers.
     """
 
+    ballot: quotas.Ballot
     stocks: quotas.PrefetchStore = dataclasses.field(
         default_factory=quotas.PrefetchStore
     )
--- a/tests/fleets/demands.py
+++ b/tests/fleets/demands.py
@@ -69,6 +69,13 @@
         """Send one request; without a daemon on the host, it is refused."""
         loop = asyncio.get_running_loop()
         self.sent_times.append(loop.time())
+        paused = self.fleet.network.pause_seconds(host)
+        if paused:
+            loop.call_later(paused, self._arrive, host)
+        else:
+            self._arrive(host)
+
+    def _arrive(self, host: str) -> None:
         daemon = self.fleet.daemons.get(host)
         if daemon is None:
             self.reason_counts[outcomes.Reason.NO_INSTANCE] += 1
--- a/tests/fleets/fleet.py
+++ b/tests/fleets/fleet.py
@@ -175,7 +175,7 @@
             _peers.pull_while_store_lost(daemon),
             _peers.compare_with_peers(daemon),
             _crash_broadcast.broadcast_forever(daemon),
-            _tick_forever(daemon),
+            _tick_forever(daemon, self.network, host),
         )
         self.tasks[host] = [loop.create_task(each) for each in coroutines]
 
@@ -188,6 +188,11 @@
         if stopped is not None:
             stopped.held_polls.clear()
 
+    def pause(self, host: str, seconds: float) -> None:
+        """Let a host's daemon run nothing for some seconds."""
+        now = asyncio.get_running_loop().time()
+        self.network.paused_until[host] = now + seconds
+
     def write_instance(
         self,
         host: str,
@@ -299,9 +304,13 @@
     return -1 if table is None else table.policy.version
 
 
-async def _tick_forever(daemon: _state.Daemon) -> None:
+async def _tick_forever(
+    daemon: _state.Daemon, network: networks.Network, host: str
+) -> None:
     while True:
-        await asyncio.sleep(TICK_SECONDS)
+        await asyncio.sleep(max(TICK_SECONDS, network.pause_seconds(host)))
+        if network.pause_seconds(host):
+            continue
         now = daemon.clock.monotonic()
         _callee.tick(daemon, now)
         _probes.tick(daemon, now)
--- a/tests/fleets/networks.py
+++ b/tests/fleets/networks.py
@@ -24,7 +24,8 @@
     connections. No message passes along the ``blocked_links``, which are
     pairs of a sender and a receiver. ``extra_seconds`` is the added delay
     of all links of a host. A share of ``resent_share`` of the messages is
-    resent by TCP and arrives ``RESEND_SECONDS`` later.
+    resent by TCP and arrives ``RESEND_SECONDS`` later. ``paused_until`` holds
+    hosts that run nothing until then: what they would send or receive waits.
 
     ``sent_bytes`` counts the bytes of the answers of each host,
     ``body_bytes`` those of the bodies of all answers.
@@ -38,6 +39,7 @@
     )
     extra_seconds: dict[str, float] = dataclasses.field(default_factory=dict)
     resent_share: float = 0.0
+    paused_until: dict[str, float] = dataclasses.field(default_factory=dict)
     rng: random.Random = dataclasses.field(
         default_factory=lambda: random.Random(1)
     )
@@ -50,6 +52,11 @@
         frozen = self.frozen_hosts & {sender, receiver}
         return not frozen and (sender, receiver) not in self.blocked_links
 
+    def pause_seconds(self, host: str) -> float:
+        """Return for how much longer a host runs nothing."""
+        now = asyncio.get_running_loop().time()
+        return max(0.0, self.paused_until.get(host, 0.0) - now)
+
     def delay_seconds(self, sender: str, receiver: str) -> float:
         """Return the delay of a message."""
         resend = (
@@ -116,7 +123,11 @@
         )
 
     def _deliver(self, answer: httpio.Response) -> None:
-        if self._network.delivers(self._receiver, self.peer_host):
+        paused = self._network.pause_seconds(self.peer_host)
+        if paused:
+            loop = asyncio.get_running_loop()
+            loop.call_later(paused, self._deliver, answer)
+        elif self._network.delivers(self._receiver, self.peer_host):
             self._job.end(answer)
 
 
@@ -131,8 +142,12 @@
     def send(self, job: httpio.Job) -> None:
         """Send a request."""
         network = self._network
-        network.request_count += 1
         loop = asyncio.get_running_loop()
+        paused = network.pause_seconds(self._sender)
+        if paused:
+            loop.call_later(paused, self.send, job)
+            return
+        network.request_count += 1
         if (
             self._receiver in network.dead_hosts
             or self._receiver not in network.handlers
@@ -159,6 +174,11 @@
 
     def _deliver(self, job: httpio.Job) -> None:
         network, receiver = self._network, self._receiver
+        paused = network.pause_seconds(receiver)
+        if paused:
+            loop = asyncio.get_running_loop()
+            loop.call_later(paused, self._deliver, job)
+            return
         if receiver in network.dead_hosts or not network.delivers(
             self._sender, receiver
         ):
--- a/tests/fleets/test_quotas.py
+++ b/tests/fleets/test_quotas.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies
 import pytest
 
+from sassafrasstair.decisions import feeds
 from tests.fleets import demands
 from tests.fleets import fleet as fleet_module
 from tests.fleets import loops
@@ -278,3 +279,93 @@
         demand.spread(5.0 * rate, fleet.hosts)
     else:
         _limit(fleet, rate / (event.place + 1), rate / (event.place + 1))
+
+
+def _slow_links(fleet: Fleet, hosts: list[str]) -> None:
+    """Make answers arrive after the allocator's callers gave up."""
+    for host in hosts:
+        fleet.network.extra_seconds[host] = 0.13
+
+
+def _pause_first(fleet: Fleet, hosts: list[str]) -> None:
+    """Pause the allocator for longer than its callers wait."""
+    first, *_ = feeds.reader_hosts(hosts)
+    fleet.pause(first, 2.5)
+
+
+def _pause_by_turns(fleet: Fleet, hosts: list[str]) -> None:
+    loop = asyncio.get_running_loop()
+    for turn, host in enumerate(hosts):
+        loop.call_later(1.1 * turn, fleet.pause, host, 1.0)
+
+
+def _lose_answers_of_first(fleet: Fleet, hosts: list[str]) -> None:
+    """Lose the answers of an allocator that requests still reach."""
+    first, *_ = feeds.reader_hosts(hosts)
+    for host in hosts[::2]:
+        fleet.network.blocked_links.add((first, host))
+
+
+@pytest.mark.parametrize("domains", [1, 4])
+@pytest.mark.parametrize(
+    "disturb",
+    [_slow_links, _pause_first, _pause_by_turns, _lose_answers_of_first],
+)
+def test_daemons_that_miss_their_allocator_share_one_limit(
+    disturb: typing.Callable[[Fleet, list[str]], None], domains: int
+) -> None:
+    """Each daemon without an answer in time handed out the whole limit."""
+
+    async def test() -> None:
+        rate = 40.0
+        fleet = _fleet(rate, rate, 6 * domains, domains)
+        demand = demands.Demand(fleet, NAME)
+        demand.spread(6.0 * rate, fleet.hosts)
+        await _settled(fleet, demand)
+        disturb(fleet, sorted(fleet.hosts_in_domain("d0")))
+        await demand.run(15.0)
+        assert demand.most() <= demands.bound(rate, rate)
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize("place", PLACES)
+def test_single_domain_serves_the_whole_limit(place: Place) -> None:
+    """Daemons without requests must vote as well, for the same allocator."""
+
+    async def test() -> None:
+        rate = 20.0
+        fleet = _fleet(rate, rate, 12, 1)
+        demand = demands.Demand(fleet, NAME)
+        hosts = place(fleet) or fleet.hosts[:4]
+        demand.spread(3.0 * rate, hosts)
+        since = await _settled(fleet, demand)
+        await demand.run(12.0)
+        assert demand.admitted_rate(since) >= SERVED_LEAST * rate
+        assert demand.most() <= demands.bound(rate, rate)
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize("disturb", [_slow_links, _pause_first])
+def test_single_domain_serves_the_whole_limit_again(
+    disturb: typing.Callable[[Fleet, list[str]], None],
+) -> None:
+    """Daemons that chose different allocators must agree on one again."""
+
+    async def test() -> None:
+        rate = 20.0
+        fleet = _fleet(rate, rate, 6, 1)
+        demand = demands.Demand(fleet, NAME)
+        demand.spread(3.0 * rate, fleet.hosts[2:3])
+        await _settled(fleet, demand)
+        disturb(fleet, fleet.hosts)
+        await demand.run(6.0)
+        fleet.network.extra_seconds.clear()
+        await demand.run(4.0)
+        since = asyncio.get_running_loop().time()
+        await demand.run(10.0)
+        assert demand.admitted_rate(since) >= SERVED_LEAST * rate
+        assert demand.most() <= demands.bound(rate, rate)
+
+    loops.run(test())
--- a/tests/golden/encoded.py
+++ b/tests/golden/encoded.py
@@ -124,13 +124,14 @@
         b"AABQAAAAAAAAAHksz6AA=="
     ),
     "quota ask": (
-        b"\x82\xa4host\xa810.0.0.5\xa5needs\x91\x84\xa8customer\xa1c\xa6d"
+        b"\x83\xa4host\xa810.0.0.5\xa5needs\x91\x84\xa8customer\xa1c\xa6d"
         b"emand\xcb@\x12\x00\x00\x00\x00\x00\x00\xa4left\x03\xa6wanted"
-        b"\x07"
+        b"\x07\xa5stamp\xcb\x00\x00\x00\x00\x00\x00\x00\x00"
     ),
     "quota granted": (
-        b"\x82\xa8redirect\xa810.0.0.6\xa6grants\x91\x83\xa8customer\xa1c"
-        b"\xa6tokens\x07\xa4wait\xcb?\xe0\x00\x00\x00\x00\x00\x00"
+        b"\x83\xa8redirect\xa810.0.0.6\xa6grants\x91\x83\xa8customer\xa1c"
+        b"\xa6tokens\x07\xa4wait\xcb?\xe0\x00\x00\x00\x00\x00\x00\xa5stam"
+        b"p\xcb\x00\x00\x00\x00\x00\x00\x00\x00"
     ),
     "quota update": (
         b"\x88\xa6domain\xa1a\xa4host\xa810.0.0.5\xa4mark\xa1m\xa6serial"
@@ -258,3 +259,16 @@
         b'0, "platform_reads": 1}'
     ),
 }
+
+WITHOUT_LATER_FIELDS: dict[str, bytes] = {
+    "quota ask": (
+        b"\x82\xa4host\xa810.0.0.5\xa5needs\x91\x84\xa8customer\xa1c\xa6d"
+        b"emand\xcb@\x12\x00\x00\x00\x00\x00\x00\xa4left\x03\xa6wanted"
+        b"\x07"
+    ),
+    "quota granted": (
+        b"\x82\xa8redirect\xa810.0.0.6\xa6grants\x91\x83\xa8customer\xa1c"
+        b"\xa6tokens\x07\xa4wait\xcb?\xe0\x00\x00\x00\x00\x00\x00"
+    ),
+}
+"""Messages of daemons of before a field was added."""
--- a/tests/golden/test_messages.py
+++ b/tests/golden/test_messages.py
@@ -24,5 +24,14 @@
     assert messages.CODECS[name].decode_and_encode(found) == found
 
 
+@pytest.mark.parametrize("name", encoded.WITHOUT_LATER_FIELDS)
+def test_message_without_later_fields_is_decoded(name: str) -> None:
+    """Daemons of two versions run beside each other during an upgrade."""
+    found = messages.CODECS[name].decode_and_encode(
+        encoded.WITHOUT_LATER_FIELDS[name]
+    )
+    assert found == encoded.ENCODED[name]
+
+
 def test_each_message_has_its_bytes() -> None:
     assert list(messages.CODECS) == list(encoded.ENCODED)
