Judge no peer by a ping while the own process stands still

Cause: an attempt that is unanswered for 0.1 s makes the entrance ping the instance's daemon. If the entrance's process then stands still for 0.4 s, the time-out of its connection (0.4 s) or of the ping (0.5 s) fires before the answer that waits in its socket is read. It took the VM for lost, gave up the attempt and, as no other instance was known yet, answered 502 for a request that still ran.

Change: a ping that fails counts only if the process had at least half of the heartbeats of the time that it waited. Otherwise ping_unclear is logged and the next tick may ping again. A refused connection counts at once, as before. A process that is always this slow takes no VM for lost by a time-out; its requests then end at their deadlines.

Evidence: test_stall_of_the_own_process_loses_no_peer fails in its three cases before and passes after; a silent and a refusing daemon are still lost.

--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -28,6 +28,7 @@
 from sassafrasstair.decisions.calls._pauses import max_message_age
 from sassafrasstair.decisions.calls._pauses import note as note_beat
 from sassafrasstair.decisions.calls._pauses import Pauses
+from sassafrasstair.decisions.calls._pauses import ran_enough
 from sassafrasstair.decisions.calls._peers import eject
 from sassafrasstair.decisions.calls._peers import end_attempt
 from sassafrasstair.decisions.calls._peers import forget_attempt
@@ -79,6 +80,7 @@
     "pick_target",
     "probe_due",
     "probe_ended",
+    "ran_enough",
     "record_restart",
     "retry_tokens",
     "shortest_service_seconds",
--- a/src/sassafrasstair/decisions/calls/_pauses.py
+++ b/src/sassafrasstair/decisions/calls/_pauses.py
@@ -15,6 +15,9 @@
 HEARTBEAT_SECONDS = 0.05
 PAUSE_SECONDS = 0.25
 DRAIN_SECONDS = 0.1
+RUN_SHARE_MIN = 0.5
+"""A process that ran for less than this part of a wait cannot tell whether
+the answer was late or its own handling of it."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,3 +55,11 @@
     if pauses.count and now - pauses.resumed_at < DRAIN_SECONDS:
         return pauses.last_pause
     return 0.0
+
+
+def ran_enough(heartbeats: int, waited: float) -> bool:
+    """Return whether the process ran for long enough of a wait to judge it.
+
+    ``heartbeats`` is the number of those during the ``waited`` seconds.
+    """
+    return (heartbeats + 1) * HEARTBEAT_SECONDS >= RUN_SHARE_MIN * waited
--- a/src/sassafrasstair/forwarding/_probes.py
+++ b/src/sassafrasstair/forwarding/_probes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import functools
 
 from sassafrasstair.decisions import calls
@@ -18,8 +19,22 @@
 """Timeout for a ping on a new connection; then the daemon is silent."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ping:
+    """A ping to the daemon at ``host``, sent at ``sent_at``.
+
+    ``beats`` is the number of the daemon's ticks until then.
+    """
+
+    vm: str
+    host: str
+    sent_at: float
+    beats: int
+
+
 def tick(daemon: _state.Daemon, now: float) -> None:
     """Ping the daemons of instances that are silent or ejected."""
+    daemon.beats += 1
     for vm in calls.probe_due(daemon.routes, now):
         instance = views.instance_by_id(daemon.view, vm)
         own = daemon.settings.host
@@ -30,54 +45,62 @@
 
 
 def _ping(daemon: _state.Daemon, vm: str, host: str) -> None:
+    ping = _Ping(vm, host, daemon.clock.monotonic(), daemon.beats)
     head = httpio.request_head(
         b"GET", _wire.PING_PATH, [(b"Host", host.encode())], 0
     )
-    job = httpio.Job(head, functools.partial(_handle_pong, daemon, vm, host))
+    job = httpio.Job(head, functools.partial(_handle_pong, daemon, ping))
     # An old connection may have failed by itself, which would show nothing
     # about the VM.
     _state.pool(daemon, host).send_on_new(job)
     asyncio.get_running_loop().call_later(
-        PING_TIMEOUT_SECONDS, _handle_timeout, daemon, vm, host, job
+        PING_TIMEOUT_SECONDS, _handle_timeout, daemon, ping, job
     )
 
 
 def _handle_pong(
     daemon: _state.Daemon,
-    vm: str,
-    host: str,
+    ping: _Ping,
     result: httpio.Response | httpio.Failure,
 ) -> None:
     if isinstance(result, httpio.Failure):
-        _handle_failure(daemon, vm, host, result.value)
+        _handle_failure(daemon, ping, result.value)
         return
     try:
         state = _wire.decode_state(
             result.headers.get(_wire.STATE_HEADER_LOWER, b"")
         )
     except _wire.WireError as error:
-        _handle_failure(daemon, vm, host, str(error))
+        _handle_failure(daemon, ping, str(error))
         return
-    _peers.note_peer_content(daemon, host, state.content)
+    _peers.note_peer_content(daemon, ping.host, state.content)
     now = daemon.clock.monotonic()
-    peer = daemon.routes.peers.get(vm)
+    peer = daemon.routes.peers.get(ping.vm)
     if peer is not None and peer.unreachable and not state.leaving:
-        daemon.journal.note("peer_back", peer=host, instance=vm)
-    calls.probe_ended(daemon.routes, vm, not state.leaving, now)
+        daemon.journal.note("peer_back", peer=ping.host, instance=ping.vm)
+    calls.probe_ended(daemon.routes, ping.vm, not state.leaving, now)
 
 
 def _handle_timeout(
-    daemon: _state.Daemon, vm: str, host: str, job: httpio.Job
+    daemon: _state.Daemon, ping: _Ping, job: httpio.Job
 ) -> None:
     if job.awaited:
         job.abort()
-        _handle_failure(daemon, vm, host, "timeout")
+        _handle_failure(daemon, ping, "timeout")
 
 
-def _handle_failure(
-    daemon: _state.Daemon, vm: str, host: str, reason: str
-) -> None:
-    now = daemon.clock.monotonic()
+def _handle_failure(daemon: _state.Daemon, ping: _Ping, reason: str) -> None:
+    """Take the daemon for lost, unless this one has been stalled itself.
+
+    A request that the other one still runs would be given up otherwise.
+    """
+    vm, host, now = ping.vm, ping.host, daemon.clock.monotonic()
+    waited = now - ping.sent_at
+    if not calls.ran_enough(daemon.beats - ping.beats, waited):
+        daemon.journal.note(
+            "ping_unclear", peer=host, instance=vm, waited=waited
+        )
+        return
     peer = daemon.routes.peers.get(vm)
     if peer is not None and not peer.unreachable:
         daemon.journal.note("peer_lost", peer=host, instance=vm, reason=reason)
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -101,7 +101,7 @@
     on, and ``stop`` has the state of the stop; this VM's upstream still
     gets work until ``upstream_leaving`` is set. ``upstream_down`` is set
     while the upstream accepts no connections, and ``upstream_tried`` is the
-    time of the last connection attempt.
+    time of the last connection attempt. ``beats`` counts the ticks.
     """
 
     dialect: _dialect.Dialect
@@ -199,6 +199,7 @@
     upstream_leaving: bool = False
     upstream_down: bool = False
     upstream_tried: float = 0.0
+    beats: int = 0
     pulled_hosts: set[str] = dataclasses.field(default_factory=set)
     confirming_policy: bool = False
     asking_versions: bool = False
--- /dev/null
+++ b/tests/forwarding/test_pings.py
@@ -0,0 +1,92 @@
+"""Tests of pings to daemons that do not answer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from sassafrasstair.forwarding import _probes
+from sassafrasstair.forwarding import _state
+from tests.forwarding import place
+
+A, B, _ = place.HOSTS
+
+
+@pytest.mark.parametrize("seconds", [0.45, 0.6, 1.5])
+def test_stall_of_the_own_process_loses_no_peer(
+    seconds: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A stalled daemon took its ping for unanswered, and answered 502.
+
+    The request was still running at the only instance, whose VM was well.
+    """
+    stalls = [seconds]
+    ping = _probes._ping
+
+    def ping_and_stall(daemon: _state.Daemon, vm: str, host: str) -> None:
+        ping(daemon, vm, host)
+        if stalls:
+            asyncio.get_running_loop().call_soon(time.sleep, stalls.pop())
+
+    monkeypatch.setattr(_probes, "_ping", ping_and_stall)
+
+    async def answer_late(
+        got: place.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(seconds + 0.5)
+        await place.answer(got, writer)
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(1, place.route("/s/", "s", timeout=3.5))
+        await cluster.upstream(B, "s", answer_late)
+        for host, service in ((A, "front"), (B, "s")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B)
+        assert (await cluster.call(A, "/s/")).status == 200
+        assert not stalls
+        assert not cluster.daemons[A].daemon.routes.peers[f"i-{B}"].unreachable
+        cluster.daemons[A].daemon.journal.flush_lines()
+        assert b"ping_unclear" in b"".join(cluster.lines)
+
+    asyncio.run(test())
+
+
+async def _hang(
+    got: place.ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await asyncio.sleep(60.0)
+
+
+async def _ignore(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await reader.read()
+
+
+@pytest.mark.parametrize("accepts", [False, True])
+def test_silent_daemon_is_lost_while_the_own_process_runs(
+    accepts: bool,
+) -> None:
+    """A request must not wait until its deadline for a VM that is gone."""
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(1, place.route("/s/", "s", timeout=3.5))
+        await cluster.upstream(B, "s", _hang)
+        for host, service in ((A, "front"), (B, "s")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B)
+        call = asyncio.ensure_future(cluster.call(A, "/s/"))
+        while not cluster.daemons[B].daemon.executions:
+            await asyncio.sleep(0.01)
+        cluster.daemons[B].daemons.stop_accepting()
+        if accepts:
+            await asyncio.start_server(_ignore, B, cluster.ports[1])
+        answer = await call
+        assert answer.status == 502
+        assert cluster.daemons[A].daemon.routes.peers[f"i-{B}"].unreachable
+
+    asyncio.run(test())
