Keep the bundle of an attempt from its arrival to its end

What callers saw: a request that an instance had just accepted ended as "unknown", reason upstream_lost, if a bundle without its class was adopted before the guard decided on it. It had not run. Cause: the checks of an arrival and the guard's work read the bundle in force separately, and the second is read in the attempt's own task, one turn of the event loop later. A class that was gone by then was an internal error. Change: an attempt keeps the bundle that it was accepted under, and the guard's work is made from that. Two tests that make an attempt by hand pass its bundle, nothing else of them changed.

--- a/src/sassafrasstair/runtime/_attempts.py
+++ b/src/sassafrasstair/runtime/_attempts.py
@@ -12,6 +12,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from sassafrasstair import bundles
     from sassafrasstair.decisions import load
 
 DIGEST_BYTES = 16
@@ -30,8 +31,9 @@
     """State of one attempt.
 
     ``message`` is the request that started it and ``deadline`` a time of
-    the local monotonic clock. ``admission`` is set once the guard has
-    decided whether the attempt may start.
+    the local monotonic clock. ``bundle`` is the one that it was accepted
+    under; a later one does not change its rules. ``admission`` is set once
+    the guard has decided whether the attempt may start.
 
     The upstream may make calls of its own. ``retries_spent`` counts the
     retries of these calls, ``child_refused`` is set if one of them was
@@ -48,6 +50,7 @@
 
     message: daemons.Run
     deadline: float
+    bundle: bundles.Bundle
     admission: asyncio.Future[load.Start | load.TurnAway]
     request_parts: asyncio.Queue[daemons.BodyPart]
     retries_spent: int = 0
@@ -78,7 +81,10 @@
         self.request_parts.put_nowait(_END_OF_PARTS)
 
 
-def new_attempt(run: daemons.Run, deadline: float) -> Attempt:
+def new_attempt(
+    run: daemons.Run, deadline: float, bundle: bundles.Bundle
+) -> Attempt:
     """Return an attempt that the guard has not admitted or refused yet."""
     verdict = asyncio.get_running_loop().create_future()
-    return Attempt(run, deadline, verdict, asyncio.Queue(PART_QUEUE_SIZE))
+    parts: asyncio.Queue[daemons.BodyPart] = asyncio.Queue(PART_QUEUE_SIZE)
+    return Attempt(run, deadline, bundle, verdict, parts)
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -49,20 +49,20 @@
         # to the first copy and be taken as final.
         callee.duplicate_requests += 1
         return await asyncio.shield(existing.task)
-    reason = _reason_to_refuse(callee, message)
+    bundle = callee.bundle()
+    reason = _Reason.NO_BUNDLE
+    if bundle is not None:
+        reason = _reason_to_refuse(callee, message, bundle)
     if message.ticket:
-        return await _run_ticket(callee, message, reason, now)
-    if reason is not _Reason.NONE:
+        return await _run_ticket(callee, message, bundle, reason, now)
+    if bundle is None or reason is not _Reason.NONE:
         return _answers.refusal(callee, message, _Outcome.NOT_RUN, reason)
-    return await _run(callee, message, now)
+    return await _run(callee, message, bundle, now)
 
 
 def _reason_to_refuse(
-    callee: _slots.Callee, message: daemons.Run
+    callee: _slots.Callee, message: daemons.Run, bundle: bundles.Bundle
 ) -> outcomes.Reason:
-    bundle = callee.bundle()
-    if bundle is None:
-        return _Reason.NO_BUNDLE
     if message.service != callee.service:
         return _Reason.UNKNOWN_SERVICE
     rules = bundle.classes.get(message.request_class)
@@ -94,13 +94,15 @@
 async def _run_ticket(
     callee: _slots.Callee,
     message: daemons.Run,
+    bundle: bundles.Bundle | None,
     refusal_reason: outcomes.Reason,
     now: float,
 ) -> daemons.RunAnswer:
     arrival = _process_arrival(callee, message, refusal_reason, now)
     if isinstance(arrival, once.Run):
+        assert bundle is not None
         callee.ticket_end_events[message.ticket] = asyncio.Event()
-        return await _run(callee, message, now)
+        return await _run(callee, message, bundle, now)
     if isinstance(arrival, once.Join):
         await _wait_for_end(callee, message)
         now = callee.clock.monotonic()
@@ -147,11 +149,14 @@
 
 
 async def _run(
-    callee: _slots.Callee, message: daemons.Run, now: float
+    callee: _slots.Callee,
+    message: daemons.Run,
+    bundle: bundles.Bundle,
+    now: float,
 ) -> daemons.RunAnswer:
     max_age = calls.max_message_age(callee.pauses, now)
     deadline = now + message.remaining_ms / 1000 - max_age
-    attempt = _attempts.new_attempt(message, deadline)
+    attempt = _attempts.new_attempt(message, deadline, bundle)
     _slots.add_attempt(callee, attempt)
     callee.large_bodies += message.has_more_parts
     # The attempt runs in a task of its own, so that the guard can abort it
@@ -198,7 +203,7 @@
     callee: _slots.Callee, attempt: _attempts.Attempt
 ) -> load.Start | load.TurnAway:
     now = callee.clock.monotonic()
-    work = _to_work(callee, attempt)
+    work = _to_work(attempt)
     _slots.apply_effects(callee, load.offer(callee.guard, work, now))
     return await attempt.admission
 
@@ -322,9 +327,8 @@
     )
 
 
-def _to_work(callee: _slots.Callee, attempt: _attempts.Attempt) -> load.Work:
-    message = attempt.message
-    bundle = typing.cast("bundles.Bundle", callee.bundle())
+def _to_work(attempt: _attempts.Attempt) -> load.Work:
+    message, bundle = attempt.message, attempt.bundle
     rules = bundle.classes[message.request_class]
     tenant = bundle.tenants.get(message.tenant)
     return load.Work(
--- a/tests/runtime/test_early_part.py
+++ b/tests/runtime/test_early_part.py
@@ -17,6 +17,7 @@
 from sassafrasstair.runtime import _execution
 from sassafrasstair.runtime import _slots
 from sassafrasstair import upstreams
+from tests.fuzz import worlds
 from tests.runtime import meshes
 
 LONG_REQUEST = daemons.Run(
@@ -76,7 +77,9 @@
         )
         await asyncio.sleep(0)
         attempt = _attempts.new_attempt(
-            LONG_REQUEST, callee.clock.monotonic() + 60
+            LONG_REQUEST,
+            callee.clock.monotonic() + 60,
+            worlds.verify(worlds.envelope(1)),
         )
         _slots.add_attempt(callee, attempt)
         attempt.admission.set_result(load.Start("a.1"))
--- a/tests/runtime/test_nested_refusals.py
+++ b/tests/runtime/test_nested_refusals.py
@@ -27,10 +27,12 @@
         now = callee.clock.monotonic()
         callee.guard = load.new_guard(16, now - 9)
         run = test_tickets_in_use.new_request(callee, "", "1.1")
-        attempt = _attempts.new_attempt(run, now + 9)
+        bundle = callee.bundle()
+        assert bundle is not None
+        attempt = _attempts.new_attempt(run, now + 9, bundle)
         attempt.child_refused = nested
         callee.attempts["1.1"] = attempt
-        work = _execution._to_work(callee, attempt)
+        work = _execution._to_work(attempt)
         assert load.offer(callee.guard, work, now) == [load.Start("1.1")]
         before = callee.guard.limit
         error = upstreams.UpstreamError(
