Prepare the calls of a run by the bundle that it was accepted under

What callers saw: a run that an instance had accepted failed where its upstream called another service after a bundle had removed the run's class ("not run", unknown_class), made it once-only (unknown, parent_gone) or lowered its largest body (body_too_large), although all of this was allowed when the run was taken. Cause: the entrance checked a call of the upstream against the bundle in force, and not against that of the run, whose class it inherits. Change: a call of a run is prepared by the run's own bundle. A service that this bundle lacks is still looked up in the one in force, as a newer upstream may call it. Evidence: test_calls_of_a_run_go_on_under_its_bundle on two real daemons; its three cases failed before (unknown_class, parent_gone, body_too_large), and pass.

--- a/src/sassafrasstair/runtime/_entries.py
+++ b/src/sassafrasstair/runtime/_entries.py
@@ -204,6 +204,9 @@
             "the parent request has ended",
         )
     run = parent.message
+    if request.service in parent.bundle.services:
+        # The call is a part of a run that was accepted under this bundle.
+        bundle = parent.bundle
     length = max(request.body_length, len(request.first_part))
     refusal = check_class(bundle, request.service, run.request_class, length)
     if refusal is not None:
--- a/tests/runtime/meshes.py
+++ b/tests/runtime/meshes.py
@@ -96,6 +96,25 @@
         return self.call("back", headers=headers, **fields)
 
 
+def adopt(daemon: runtime.Daemon, version: int, **changes: typing.Any) -> None:
+    """Let a daemon adopt ``DOCUMENT`` with ``changes`` as ``version``."""
+    versions = {"version": version, "supersedes": version - 1}
+    payload = json.dumps(DOCUMENT | versions | changes).encode()
+    envelope = bundles.approve(payload, PRIVATE, "ops-1")
+    values = {configservice.BUNDLE_IN_FORCE_KEY: envelope}
+    snapshot = configservice.Snapshot(version, values)
+    _control._handle_bundles(daemon.control, snapshot)
+
+
+def hold_back_bundles(daemon: runtime.Daemon) -> None:
+    """Keep the daemon at the bundles that it has."""
+    daemon.control.node.verify = _refuse
+
+
+def _refuse(_envelope: bytes) -> bundles.ApprovedBundle:
+    raise bundles.BundleError(bundles.Defect.BAD_VALUE, "held back")
+
+
 async def until(condition: abc.Callable[[], object]) -> None:
     """Wait until a condition holds; raise ``TimeoutError`` after ``WAIT``."""
     async with asyncio.timeout(WAIT):
--- a/tests/runtime/test_bundle_changes.py
+++ b/tests/runtime/test_bundle_changes.py
@@ -3,13 +3,89 @@
 from __future__ import annotations
 
 import asyncio
+import typing
 
+from aiohttp import web
 import msgspec
+import pytest
 
 from sassafrasstair.runtime import _execution
 from tests.runtime import meshes
 from tests.runtime import test_tickets_in_use
 
+CLASSES: dict[str, typing.Any] = meshes.DOCUMENT["classes"]
+WITHOUT_NEAR = {
+    name: rules for name, rules in CLASSES.items() if name != "near"
+}
+CLASS_CHANGES = {
+    "removed": WITHOUT_NEAR,
+    "once-only": CLASSES | {"near": CLASSES["near"] | {"once": True}},
+    "smaller": CLASSES | {"near": CLASSES["near"] | {"max_body_bytes": 1}},
+}
+
+
+class _Upstream:
+    """An upstream that calls ``back`` for each request of class ``near``.
+
+    It does so once ``go`` is set; ``began`` counts these requests.
+    """
+
+    def __init__(self) -> None:
+        self.go = asyncio.Event()
+        self.began = 0
+        self.mesh: meshes.Mesh
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        if request.path != "/outer":
+            return web.Response(text="ok")
+        self.began += 1
+        await self.go.wait()
+        context = request.headers["sassafras-context"]
+        headers = {"sassafras-context": context}
+        async with self.mesh.call(
+            "back", "/inner", headers=headers, data=body
+        ) as answer:
+            outcome = answer.headers["sassafras-outcome"]
+            reason = answer.headers.get("sassafras-reason", "")
+            return web.Response(text=f"{outcome} {reason}".strip())
+
+
+def _at(mesh: meshes.Mesh, vms: str) -> list[typing.Any]:
+    """Return the daemons on ``vms``; hold back bundles at the others."""
+    for name in {"front", "back"} - set(vms.split()):
+        meshes.hold_back_bundles(getattr(mesh, name))
+    return [getattr(mesh, name) for name in vms.split()]
+
+
+@pytest.mark.parametrize("change", CLASS_CHANGES)
+@pytest.mark.parametrize("vms", ["front"])
+def test_calls_of_a_run_go_on_under_its_bundle(vms: str, change: str) -> None:
+    """A bundle failed the calls of runs that had been accepted before it."""
+
+    async def scenario() -> None:
+        upstream = _Upstream()
+        async with meshes.started(upstream.serve) as mesh:
+            upstream.mesh = mesh
+            headers = {"sassafras-class": "near"}
+            asked = asyncio.ensure_future(
+                _text(
+                    mesh.call("front", "/outer", headers=headers, data=b"123")
+                )
+            )
+            await meshes.until(lambda: upstream.began)
+            for daemon in _at(mesh, vms):
+                meshes.adopt(daemon, 3, classes=CLASS_CHANGES[change])
+            upstream.go.set()
+            assert await asked == "done"
+
+    asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
+
+
+async def _text(call: typing.Any) -> str:
+    async with call as answer:
+        return str(await answer.text())
+
 
 def test_bundle_adopted_before_the_guard_decides() -> None:
     """An attempt that had just been accepted ended as unknown."""
