Run what peers accepted under another bundle than the one in force

What callers saw: a request or a call of a run that one daemon had accepted was refused by the daemon of the instance, "not run" with unknown_class or ticket_missing, if that daemon had adopted a bundle without the class, or with the class once-only. The same while failure domains had different bundles, as long as a rollout lasted. Cause: the instance's daemon checked what entrances send against its own bundle in force only. Change: where the bundle in force does not allow a run or a ticket, one under which peers may have accepted it does: those in force in other failure domains, which are held anyway, and the last four that were superseded here, each for its longest deadline and 6 s, within which all daemons adopt a bundle. They are references to decoded bundles, at most four besides those held. New requests of callers are still checked against the bundle in force alone. The callee made by hand in test_early_part names no other bundles.

--- a/src/sassafrasstair/decisions/fleet/__init__.py
+++ b/src/sassafrasstair/decisions/fleet/__init__.py
@@ -72,6 +72,7 @@
 from sassafrasstair.decisions.fleet._queries import incarnation_of
 from sassafrasstair.decisions.fleet._queries import is_leaving
 from sassafrasstair.decisions.fleet._queries import is_serving
+from sassafrasstair.decisions.fleet._queries import other_bundles
 from sassafrasstair.decisions.fleet._queries import ready_to_serve
 from sassafrasstair.decisions.fleet._queries import status
 from sassafrasstair.decisions.fleet._states import Node
@@ -113,6 +114,7 @@
     "is_serving",
     "new_node",
     "observe_call",
+    "other_bundles",
     "process_platform_bundles",
     "process_platform_failure",
     "process_platform_vms",
--- a/src/sassafrasstair/decisions/fleet/_fetches.py
+++ b/src/sassafrasstair/decisions/fleet/_fetches.py
@@ -61,7 +61,7 @@
     if envelope is None:
         return try_next_peer(node, reply.bundle_id, now)
     node.fetches.pop(reply.bundle_id, None)
-    effects = _versions.add_envelope(node, envelope, address)
+    effects = _versions.add_envelope(node, envelope, address, now)
     if reply.bundle_id not in node.bundles_by_id:
         _block_fetch(node, reply.bundle_id, now)
     return effects
--- a/src/sassafrasstair/decisions/fleet/_nodes.py
+++ b/src/sassafrasstair/decisions/fleet/_nodes.py
@@ -167,7 +167,7 @@
     ``index`` is the platform index of this read. It is not used, because
     bundles are ordered by their version and digest.
     """
-    effects = _platform.process_bundles(node, envelopes)
+    effects = _platform.process_bundles(node, envelopes, now)
     return effects + _spreads.push_if_due(node, now, rng)
 
 
--- a/src/sassafrasstair/decisions/fleet/_platform.py
+++ b/src/sassafrasstair/decisions/fleet/_platform.py
@@ -37,13 +37,13 @@
 
 
 def process_bundles(
-    node: _states.Node, envelopes: abc.Sequence[bytes]
+    node: _states.Node, envelopes: abc.Sequence[bytes], now: float
 ) -> list[_effects.Effect]:
     """Process the bundles of a read or of an answered watch."""
     _record_platform_success(node)
     effects: list[_effects.Effect] = []
     for envelope in envelopes:
-        effects += _versions.add_envelope(node, envelope, "platform")
+        effects += _versions.add_envelope(node, envelope, "platform", now)
     return effects
 
 
--- a/src/sassafrasstair/decisions/fleet/_queries.py
+++ b/src/sassafrasstair/decisions/fleet/_queries.py
@@ -16,6 +16,28 @@
     return None if node.in_force is None else node.in_force.bundle
 
 
+def other_bundles(
+    node: _states.Node, now: float
+) -> tuple[bundles.Bundle, ...]:
+    """Return the bundles under which peers may have accepted requests.
+
+    They are in force in other failure domains, or were so here until a newer
+    one superseded them. The newest comes first; the one in force here is not
+    among them.
+    """
+    found = {
+        identifier: stored.bundle
+        for identifier, stored in node.bundles_by_id.items()
+        if stored is not node.in_force
+    }
+    found |= {
+        each.bundle_id: each.bundle
+        for each in node.superseded
+        if now < each.kept_until
+    }
+    return tuple(found[identifier] for identifier in sorted(found)[::-1])
+
+
 def ready_to_serve(node: _states.Node, now: float) -> bool:
     """Return whether this daemon is settled and has a bundle in force."""
     return node.settled and node.in_force is not None
--- a/src/sassafrasstair/decisions/fleet/_states.py
+++ b/src/sassafrasstair/decisions/fleet/_states.py
@@ -106,6 +106,18 @@
     envelope_digest: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SupersededBundle:
+    """A bundle that is no longer stored.
+
+    Requests that daemons accepted under it have ended at ``kept_until``.
+    """
+
+    bundle_id: _messages.BundleId
+    bundle: bundles.Bundle
+    kept_until: float
+
+
 @dataclasses.dataclass(slots=True)
 class PendingFetch:
     """Fetch of a bundle from ``address``, in progress.
@@ -141,6 +153,7 @@
     read here, each with its life at that time, and ``listed_index`` the
     platform index of that list. ``vm_list_index`` is the greatest index of a
     list that was read here or learned from peers.
+    ``superseded`` are the last bundles that newer ones have replaced here.
     ``settled`` tells whether the daemon has finished its bootstrap, that is,
     has learned enough from peers to serve; ``peer_settled_by_address`` tells
     the same of each peer that answered. ``refusal_reasons`` are by envelope
@@ -197,6 +210,7 @@
         default_factory=dict
     )
     in_force: StoredBundle | None = None
+    superseded: tuple[SupersededBundle, ...] = ()
     settled: bool = False
     peer_settled_by_address: dict[str, bool] = dataclasses.field(
         default_factory=dict
--- a/src/sassafrasstair/decisions/fleet/_versions.py
+++ b/src/sassafrasstair/decisions/fleet/_versions.py
@@ -20,6 +20,9 @@
     from collections import abc
 
 MAX_REFUSED = 8
+MAX_SUPERSEDED = 4
+ADOPTION_SECONDS = 6.0
+"""Within this time all daemons that can be reached adopt a bundle."""
 DIGEST_BYTES = 16
 
 
@@ -37,7 +40,7 @@
 
 
 def add_envelope(
-    node: _states.Node, envelope: bytes, source: str
+    node: _states.Node, envelope: bytes, source: str, now: float
 ) -> list[_effects.Effect]:
     """Verify ``envelope`` and store its bundle if it is new.
 
@@ -59,7 +62,7 @@
     stored = _states.StoredBundle(
         identifier, approved.bundle, compress(envelope), envelope_digest
     )
-    return _store(node, stored, source)
+    return _store(node, stored, source, now)
 
 
 def update_in_force(node: _states.Node) -> list[_effects.Effect]:
@@ -128,7 +131,10 @@
 
 
 def _store(
-    node: _states.Node, stored: _states.StoredBundle, source: str
+    node: _states.Node,
+    stored: _states.StoredBundle,
+    source: str,
+    now: float,
 ) -> list[_effects.Effect]:
     if stored.bundle_id in node.bundles_by_id:
         return []
@@ -136,11 +142,42 @@
     kept = _newest_by_domain(node.bundles_by_id | {stored.bundle_id: stored})
     if stored.bundle_id not in kept:
         return effects + _refuse_outdated(node, stored, max(kept), source)
+    _keep_superseded(node, kept, now)
     node.bundles_by_id = kept
     node.bundle_push_pending = True
     return effects + update_in_force(node)
 
 
+def _keep_superseded(
+    node: _states.Node,
+    kept: abc.Container[_messages.BundleId],
+    now: float,
+) -> None:
+    """Keep the bundles that are dropped for the requests under way."""
+    dropped = [
+        _states.SupersededBundle(
+            identifier,
+            stored.bundle,
+            now + ADOPTION_SECONDS + _longest_deadline(stored.bundle),
+        )
+        for identifier, stored in node.bundles_by_id.items()
+        if identifier not in kept
+    ]
+    unexpired = [each for each in node.superseded if now < each.kept_until]
+    newest_first = sorted(
+        [*unexpired, *dropped], key=lambda each: each.bundle_id, reverse=True
+    )
+    node.superseded = tuple(newest_first[:MAX_SUPERSEDED])
+
+
+def _longest_deadline(bundle: bundles.Bundle) -> float:
+    """Return the longest time in seconds that a request may last."""
+    return max(
+        (rules.deadline_ms / 1000 for rules in bundle.classes.values()),
+        default=0.0,
+    )
+
+
 def _refuse_outdated(
     node: _states.Node,
     stored: _states.StoredBundle,
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -80,12 +80,11 @@
     node = _parts.new_node(
         settings_, incarnation, clock.monotonic(), rng, approvals
     )
-    bundle = functools.partial(_parts.in_force, node, clock)
     entrance = calls.new_entrance(
         incarnation, settings_.failure_domain, settings_.region
     )
     callee = _parts.new_callee(
-        settings_, incarnation, clock, bundle, entrance, counts
+        settings_, incarnation, clock, node, entrance, counts
     )
     entry = _entries.Entry(
         clock=clock,
@@ -94,7 +93,7 @@
         node=node,
         callee=callee,
         exchange=functools.partial(_exchange, links, node, callee),
-        bundle=bundle,
+        bundle=callee.bundle,
         counts=counts,
     )
     control = _control.Control(
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -49,7 +49,11 @@
         # to the first copy and be taken as final.
         callee.duplicate_requests += 1
         return await asyncio.shield(existing.task)
-    bundle = callee.bundle()
+    bundle = _slots.governing_bundle(
+        callee,
+        message.request_class,
+        lambda rules: bool(message.ticket) or not rules.once,
+    )
     reason = _Reason.NO_BUNDLE
     if bundle is not None:
         reason = _reason_to_refuse(callee, message, bundle)
--- a/src/sassafrasstair/runtime/_parts.py
+++ b/src/sassafrasstair/runtime/_parts.py
@@ -34,6 +34,13 @@
     return fleet.in_force(node)
 
 
+def other_bundles(
+    node: fleet.Node, clock: clocks.Clock
+) -> tuple[bundles.Bundle, ...]:
+    """Return the bundles under which peers may have accepted requests."""
+    return fleet.other_bundles(node, clock.monotonic())
+
+
 def new_node(
     settings_: settings.Settings,
     incarnation: str,
@@ -76,12 +83,13 @@
     settings_: settings.Settings,
     incarnation: str,
     clock: clocks.Clock,
-    bundle: typing.Callable[[], bundles.Bundle | None],
+    node: fleet.Node,
     entrance: calls.Entrance,
     counts: metrics.Metrics,
 ) -> _slots.Callee:
     """Return the state of the callee's side with a new ticket owner."""
     now = clock.monotonic()
+    bundle = functools.partial(in_force, node, clock)
     owner = once.new_owner(
         settings_.vm,
         incarnation,
@@ -96,6 +104,7 @@
         owner=owner,
         upstream=upstreams.connect(settings_.upstream.url),
         bundle=bundle,
+        other_bundles=functools.partial(other_bundles, node, clock),
         max_callee_floor=functools.partial(
             _max_callee_floor, settings_.service, entrance, bundle, clock
         ),
--- a/src/sassafrasstair/runtime/_slots.py
+++ b/src/sassafrasstair/runtime/_slots.py
@@ -32,8 +32,10 @@
 class Callee:
     """State of the callee's side of one daemon.
 
-    ``max_callee_floor`` returns, for a class and a tenant, the greatest
-    shed floor reported to this VM's own calls further down the chain.
+    ``bundle`` returns the one in force, and ``other_bundles`` those under
+    which other daemons may have accepted a request. ``max_callee_floor``
+    returns, for a class and a tenant, the greatest shed floor reported to
+    this VM's own calls further down the chain.
     ``ticket_end_events`` maps a ticket in use to the event that is set when
     its execution ends, and ``ticket_joiners`` to the number of requests
     that wait for this event. ``arrival_events`` maps an attempt whose body
@@ -54,6 +56,7 @@
     owner: once.Owner
     upstream: upstreams.Upstream
     bundle: abc.Callable[[], bundles.Bundle | None]
+    other_bundles: abc.Callable[[], abc.Iterable[bundles.Bundle]]
     max_callee_floor: abc.Callable[[str, str], float]
     pauses: calls.Pauses
     counts: metrics.Metrics
@@ -76,6 +79,29 @@
     stop: stops.Stop | None = None
 
 
+def governing_bundle(
+    callee: Callee,
+    request_class: str,
+    allows: abc.Callable[[bundles.RequestClass], bool],
+) -> bundles.Bundle | None:
+    """Return the bundle whose rules hold for work that an entrance accepted.
+
+    It is the one in force, unless that does not allow the work: then the
+    entrance has accepted it under another bundle that does.
+    """
+    current = callee.bundle()
+    if current is None:
+        return None
+    rules = current.classes.get(request_class)
+    if rules is not None and allows(rules):
+        return current
+    for bundle in callee.other_bundles():
+        rules = bundle.classes.get(request_class)
+        if rules is not None and allows(rules):
+            return bundle
+    return current
+
+
 def apply_effects(callee: Callee, effects: list[load.Effect]) -> None:
     """Carry out the effects of the guard's decisions."""
     for effect in effects:
--- a/src/sassafrasstair/runtime/_tickets.py
+++ b/src/sassafrasstair/runtime/_tickets.py
@@ -57,7 +57,9 @@
 def _decide(
     callee: _slots.Callee, request: daemons.TicketRequest, floor: float
 ) -> once.Issued | once.Refused:
-    bundle = callee.bundle()
+    bundle = _slots.governing_bundle(
+        callee, request.request_class, lambda rules: rules.once
+    )
     if bundle is None:
         return _refused(outcomes.Reason.NO_BUNDLE)
     rules = bundle.classes.get(request.request_class)
--- a/tests/decisions/fleet/test_versions.py
+++ b/tests/decisions/fleet/test_versions.py
@@ -62,6 +62,33 @@
         assert {held.version for held in fresh_node.bundles_by_id} == kept
 
 
+@pytest.mark.parametrize(
+    ("offers", "elapsed", "expected"),
+    [
+        ([(1, ())], 0.0, []),
+        ([(1, ()), (2, ())], 0.0, [1]),
+        ([(1, ()), (2, ())], 6.9, [1]),
+        ([(1, ()), (2, ())], 7.1, []),
+        ([(1, ()), (2, ("domain-1",))], 99.0, [2]),
+        ([(1, ()), (2, ("domain-0",))], 99.0, [1]),
+        ([(1, ()), (2, ("domain-0",)), (3, ())], 0.0, [2, 1]),
+        ([(version, ()) for version in range(1, 8)], 0.0, [6, 5, 4, 3]),
+    ],
+)
+def test_other_bundles_last_as_long_as_their_requests(
+    node: fleet.Node,
+    make_bundle: MakeBundle,
+    offers: list[tuple[int, tuple[str, ...]]],
+    elapsed: float,
+    expected: list[int],
+) -> None:
+    """The deadline of the one class is 1 s, and bundles spread within 6 s."""
+    _settle(node)
+    _offer(node, *(make_bundle(*offer) for offer in offers))
+    found = fleet.other_bundles(node, 3.0 + elapsed)
+    assert [bundle.version for bundle in found] == expected
+
+
 def test_conflicting_bundles_are_resolved_alike_and_reported(
     node: fleet.Node,
     make_bundle: MakeBundle,
--- a/tests/runtime/test_bundle_changes.py
+++ b/tests/runtime/test_bundle_changes.py
@@ -59,7 +59,7 @@
 
 
 @pytest.mark.parametrize("change", CLASS_CHANGES)
-@pytest.mark.parametrize("vms", ["front"])
+@pytest.mark.parametrize("vms", ["front", "back", "front back"])
 def test_calls_of_a_run_go_on_under_its_bundle(vms: str, change: str) -> None:
     """A bundle failed the calls of runs that had been accepted before it."""
 
@@ -82,6 +82,32 @@
     asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
 
 
+def test_once_only_calls_of_a_run_go_on_under_its_bundle() -> None:
+    """A ticket for a call of a run was refused, as its class was gone."""
+
+    async def scenario() -> None:
+        upstream = _Upstream()
+        async with meshes.started(upstream.serve) as mesh:
+            upstream.mesh = mesh
+            for daemon in (mesh.front, mesh.back):
+                meshes.adopt(daemon, 3, classes=CLASS_CHANGES["once-only"])
+            headers = {"sassafras-class": "near"}
+            url = f"{mesh.url}/v1/ticket/front"
+            async with mesh.http.post(url, headers=headers) as answer:
+                ticket = (await answer.json())["ticket"]
+            headers["sassafras-ticket"] = ticket
+            asked = asyncio.ensure_future(
+                _text(mesh.call("front", "/outer", headers=headers))
+            )
+            await meshes.until(lambda: upstream.began)
+            for daemon in (mesh.front, mesh.back):
+                meshes.adopt(daemon, 4, classes=WITHOUT_NEAR)
+            upstream.go.set()
+            assert await asked == "done"
+
+    asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
+
+
 async def _text(call: typing.Any) -> str:
     async with call as answer:
         return str(await answer.text())
--- a/tests/runtime/test_early_part.py
+++ b/tests/runtime/test_early_part.py
@@ -56,6 +56,7 @@
         owner=once.new_owner("intake-1", "i", bytes(32), 1),
         upstream=upstreams.connect("http://127.0.0.1:1"),
         bundle=lambda: None,
+        other_bundles=lambda: (),
         max_callee_floor=lambda _class, _tenant: 0.0,
         pauses=calls.Pauses(0.0),
         counts=metrics.Metrics(),
