Honour a ticket under the bundle that it was issued under

What callers saw: a request with a ticket that had run already was run again, without its ticket, after a bundle had made its class an ordinary one, so that work ran twice that may run at most once. If the bundle removed the class, a repeat was refused (unknown, unknown_class), although the ticket's owner had the stored answer, which the callers' page promises. Cause: the entrance asked only the bundle in force whether a class is once-only, and dropped a ticket that it took for meaningless. Change: a request whose ticket names its service and class is prepared under the bundle in which the class is once-only, in force or superseded, and always goes to the ticket's owner; such a call is not retried after it may have run. Superseded bundles with once-only classes are kept for the lifetime of their tickets. An entrance that knows no such bundle, as after a restart, still sends a ticket to its owner; a class that it doesn't know at all it refuses as before, a repeat as unknown. Evidence: test_ticket_outlasts_the_bundle_that_it_was_issued_under on two real daemons failed in its three cases (a second run, twice; unknown_class) and passes; tests/runtime, callers, golden, decisions/calls and fleet pass.

--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -104,7 +104,7 @@
     The key identifies the call in ``apply_answer`` and ``abandon_call``; it
     is empty if the call is refused. The bundle must contain the service and
     the class, which this function does not check. Daemons set ``call.ticket``
-    exactly if ``rules.once`` is set.
+    if ``rules.once`` is set, or was set when the ticket was issued.
 
     A call with a ticket is not refused for the shed floor: the floor was
     applied when the ticket was issued, before the caller depended on it.
@@ -312,9 +312,10 @@
     now: float,
 ) -> bool:
     rules = bundle.classes[pending.call.request_class]
+    is_once = rules.once or bool(pending.call.ticket)
     if answer.reason in outcomes.OVERLOAD_REASONS:
         return False
-    if rules.once and answer.outcome is not outcomes.Outcome.NOT_RUN:
+    if is_once and answer.outcome is not outcomes.Outcome.NOT_RUN:
         return False
     if now >= pending.call.deadline:
         return False
--- a/src/sassafrasstair/decisions/calls/_messages.py
+++ b/src/sassafrasstair/decisions/calls/_messages.py
@@ -22,8 +22,8 @@
     counts how often the caller has sent the call again, from 0; ``retries``
     is the number of further attempts that the entrances of the chain may
     still make. ``depth`` is the number of hops before this one. ``ticket`` is
-    set exactly if the class is once-only, and names the one daemon process
-    that may run the call.
+    set exactly if the call is once-only, and names the one daemon process
+    that may run it.
     """
 
     call_id: str
--- a/src/sassafrasstair/decisions/fleet/_versions.py
+++ b/src/sassafrasstair/decisions/fleet/_versions.py
@@ -158,7 +158,7 @@
         _states.SupersededBundle(
             identifier,
             stored.bundle,
-            now + ADOPTION_SECONDS + _longest_deadline(stored.bundle),
+            now + ADOPTION_SECONDS + _longest_use(stored.bundle),
         )
         for identifier, stored in node.bundles_by_id.items()
         if identifier not in kept
@@ -170,12 +170,13 @@
     node.superseded = tuple(newest_first[:MAX_SUPERSEDED])
 
 
-def _longest_deadline(bundle: bundles.Bundle) -> float:
-    """Return the longest time in seconds that a request may last."""
-    return max(
-        (rules.deadline_ms / 1000 for rules in bundle.classes.values()),
-        default=0.0,
-    )
+def _longest_use(bundle: bundles.Bundle) -> float:
+    """Return for how many seconds its requests and tickets may last."""
+    classes = bundle.classes.values()
+    longest = max((rules.deadline_ms for rules in classes), default=0)
+    if any(rules.once for rules in classes):
+        longest = max(longest, bundle.ticket_lifetime_ms)
+    return longest / 1000
 
 
 def _refuse_outdated(
--- a/src/sassafrasstair/runtime/_entries.py
+++ b/src/sassafrasstair/runtime/_entries.py
@@ -12,6 +12,7 @@
 from sassafrasstair.decisions import once
 from sassafrasstair import logs
 from sassafrasstair import outcomes
+from sassafrasstair.runtime import _slots
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -23,7 +24,6 @@
     from sassafrasstair.decisions import fleet
     from sassafrasstair import metrics
     from sassafrasstair.runtime import _attempts
-    from sassafrasstair.runtime import _slots
 
 NOT_READY_RETRY_AFTER = 1.0
 
@@ -157,6 +157,15 @@
     entry: Entry, bundle: bundles.Bundle, request: callers.Request
 ) -> PreparedCall | callers.Refusal:
     fields = request.fields
+    has_ticket = _is_ticket_for(
+        fields.ticket, request.service, fields.request_class
+    )
+    if has_ticket:
+        # A later bundle does not end the tickets that were issued before it.
+        issued_under = _slots.governing_bundle(
+            entry.callee, fields.request_class, lambda rules: rules.once
+        )
+        bundle = issued_under or bundle
     length = max(request.body_length, len(request.first_part))
     refusal = check_class(
         bundle, request.service, fields.request_class, length
@@ -169,6 +178,7 @@
             _Reason.UNKNOWN_CLASS,
             f"class {fields.request_class!r} enters at {rules.service!r}",
         )
+    once_only = rules.once or has_ticket
     timeout = rules.deadline_ms / 1000
     if fields.timeout > 0:
         timeout = min(timeout, fields.timeout)
@@ -181,13 +191,22 @@
         deadline=entry.clock.monotonic() + timeout,
         repeat=fields.repeat_count,
         retries=rules.retries,
-        ticket=fields.ticket if rules.once else "",
+        ticket=fields.ticket if once_only else "",
     )
-    if not rules.once:
+    if not once_only:
         return PreparedCall(call, bundle, None, None)
     return _attach_owner(call, bundle, None)
 
 
+def _is_ticket_for(ticket: str, service: str, request_class: str) -> bool:
+    """Return whether this may be a ticket for the class."""
+    target = once.parse_ticket(ticket) if ticket else None
+    return target is not None and (
+        target.service,
+        target.request_class,
+    ) == (service, request_class)
+
+
 def _prepare_child(
     entry: Entry, bundle: bundles.Bundle, request: callers.Request
 ) -> PreparedCall | callers.Refusal:
--- a/tests/decisions/fleet/test_versions.py
+++ b/tests/decisions/fleet/test_versions.py
@@ -5,6 +5,7 @@
 import random
 import zlib
 
+import msgspec
 import pytest
 
 from sassafrasstair import bundles
@@ -89,6 +90,19 @@
     assert [bundle.version for bundle in found] == expected
 
 
+def test_bundle_with_tickets_lasts_as_long_as_these(
+    node: fleet.Node, make_bundle: MakeBundle
+) -> None:
+    """Its tickets are good for 600 s, longer than any deadline."""
+    _settle(node)
+    older = msgspec.json.decode(make_bundle(1))
+    older["classes"]["lookup"]["once"] = True
+    _offer(node, msgspec.json.encode(older), make_bundle(2))
+    for elapsed, expected in ((605.0, [1]), (607.0, [])):
+        found = fleet.other_bundles(node, 3.0 + elapsed)
+        assert [bundle.version for bundle in found] == expected
+
+
 def test_conflicting_bundles_are_resolved_alike_and_reported(
     node: fleet.Node,
     make_bundle: MakeBundle,
--- a/tests/runtime/test_bundle_changes.py
+++ b/tests/runtime/test_bundle_changes.py
@@ -17,6 +17,10 @@
 WITHOUT_NEAR = {
     name: rules for name, rules in CLASSES.items() if name != "near"
 }
+WITHOUT_BIND = {
+    name: rules for name, rules in CLASSES.items() if name != "bind"
+}
+BIND_NOT_ONCE = CLASSES | {"bind": CLASSES["bind"] | {"once": False}}
 CLASS_CHANGES = {
     "removed": WITHOUT_NEAR,
     "once-only": CLASSES | {"near": CLASSES["near"] | {"once": True}},
@@ -27,18 +31,21 @@
 class _Upstream:
     """An upstream that calls ``back`` for each request of class ``near``.
 
-    It does so once ``go`` is set; ``began`` counts these requests.
+    It does so once ``go`` is set; ``began`` counts these requests, and
+    ``served`` all others, which are answered with it.
     """
 
     def __init__(self) -> None:
         self.go = asyncio.Event()
         self.began = 0
+        self.served = 0
         self.mesh: meshes.Mesh
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         if request.path != "/outer":
-            return web.Response(text="ok")
+            self.served += 1
+            return web.Response(text=f"{self.served}")
         self.began += 1
         await self.go.wait()
         context = request.headers["sassafras-context"]
@@ -108,6 +115,38 @@
     asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
 
 
+@pytest.mark.parametrize(
+    ("classes", "known"),
+    [
+        (WITHOUT_BIND, True),
+        (BIND_NOT_ONCE, True),
+        (BIND_NOT_ONCE, False),
+    ],
+)
+def test_ticket_outlasts_the_bundle_that_it_was_issued_under(
+    classes: dict[str, typing.Any], known: bool
+) -> None:
+    """A repeat was refused, or run again without its ticket.
+
+    ``known`` is whether the entrance still has the older bundle.
+    """
+
+    async def scenario() -> None:
+        upstream = _Upstream()
+        async with meshes.started(upstream.serve) as mesh:
+            ticket = await mesh.ticket()
+            bodies = [await _text(mesh.bind(ticket, 0))]
+            for daemon in (mesh.front, mesh.back):
+                meshes.adopt(daemon, 3, classes=classes)
+            if not known:
+                mesh.front.control.node.superseded = ()
+            bodies.append(await _text(mesh.bind(ticket, 1)))
+            assert bodies == ["1", "1"]
+            assert upstream.served == 1
+
+    asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
+
+
 async def _text(call: typing.Any) -> str:
     async with call as answer:
         return str(await answer.text())
