Ask for a repeat where an instance lacks the bundle of a request

What callers saw: for the seconds in which a bundle spreads, a request or a ticket of a class that it adds was refused with 404, unknown_class, and for a request no time to try again, if the daemon of the instance had not adopted it yet. Cause: the instance's daemon said of a class that it doesn't know what only the entrance can say: the entrance had accepted the request, so it is the instance's daemon that lacks the bundle. Change: it refuses with no_bundle, which is 503 with a Retry-After. Evidence: test_instance_without_the_bundle_yet_asks_for_a_repeat on two real daemons, one of which keeps the older bundle: 404 before for a request and a ticket; tests/runtime, daemons and callers pass.

--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -71,7 +71,8 @@
         return _Reason.UNKNOWN_SERVICE
     rules = bundle.classes.get(message.request_class)
     if rules is None:
-        return _Reason.UNKNOWN_CLASS
+        # The entrance knows the class by a bundle that has not come here.
+        return _Reason.NO_BUNDLE
     if rules.once and not message.ticket:
         return _Reason.TICKET_MISSING
     if message.attempt_id in callee.cancelled_early:
--- a/src/sassafrasstair/runtime/_tickets.py
+++ b/src/sassafrasstair/runtime/_tickets.py
@@ -64,7 +64,8 @@
         return _refused(outcomes.Reason.NO_BUNDLE)
     rules = bundle.classes.get(request.request_class)
     if rules is None or not rules.once:
-        return _refused(outcomes.Reason.UNKNOWN_CLASS)
+        # The entrance knows it by a bundle that has not come here.
+        return _refused(outcomes.Reason.NO_BUNDLE)
     if request.service != callee.service:
         return _refused(outcomes.Reason.UNKNOWN_SERVICE)
     if callee.guard.leaving:
--- a/tests/runtime/test_bundle_changes.py
+++ b/tests/runtime/test_bundle_changes.py
@@ -152,6 +152,28 @@
         return str(await answer.text())
 
 
+@pytest.mark.parametrize("kind", ["call", "ticket"])
+def test_instance_without_the_bundle_yet_asks_for_a_repeat(kind: str) -> None:
+    """A request of a new class was refused as if it were of no use."""
+
+    async def scenario() -> None:
+        upstream = _Upstream()
+        async with meshes.started(upstream.serve) as mesh:
+            (front,) = _at(mesh, "front")
+            rules = CLASSES["look"] | {"once": kind == "ticket"}
+            meshes.adopt(front, 3, classes=CLASSES | {"new": rules})
+            headers = {"sassafras-class": "new"}
+            url = f"{mesh.url}/v1/{kind}/back"
+            async with mesh.http.post(url, headers=headers) as answer:
+                await answer.read()
+                assert answer.status == 503
+                assert answer.headers["sassafras-outcome"] == "not-run"
+                assert answer.headers["sassafras-reason"] == "no_bundle"
+                assert int(answer.headers["retry-after"]) > 0
+
+    asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
+
+
 def test_bundle_adopted_before_the_guard_decides() -> None:
     """An attempt that had just been accepted ended as unknown."""
 
