Check the suspicion of a request again when it gets a slot

What callers saw: a request that waited for a slot at one instance while it crashed others was started all the same, and crashed this one, too; or it ran beside another suspect, so that the crash did not show which of them caused it. Cause: whether a request is blocked or isolated was asked only when it arrived. Change: the daemon asks again when the request gets its slot. One that is blocked by then is refused with crashes_instances, and one that has become a suspect with suspect_running while another suspect runs; neither has run. The checks at arrival and start are in a module of their own, and slots that refusals free are handed on in a loop in place of nested calls. Evidence: test_suspicion_is_checked_again_at_the_start failed before in both cases (three requests at the instance in place of two); tests/forwarding passes.

--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+import collections
 import functools
 import math
 import typing
@@ -27,7 +28,6 @@
 from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import requests
-from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _arrivals
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _crashes
@@ -36,6 +36,7 @@
 from sassafrasstair.forwarding import _records
 from sassafrasstair.forwarding import _reports
 from sassafrasstair.forwarding import _results
+from sassafrasstair.forwarding import _starts
 from sassafrasstair.forwarding import _state
 from sassafrasstair import httpio
 from sassafrasstair import notices
@@ -78,7 +79,7 @@
     if inbound.rate_limit < math.inf:
         load.suggest_rate(guard, inbound.rate_limit, now)
     deadline = now + metadata.remaining
-    reason = _unavailable_reason(daemon, metadata.instance)
+    reason = _starts.unavailable_reason(daemon, metadata.instance)
     if not _arrivals.may_run(daemon, guard, metadata.route, deadline, now):
         reason = outcomes.Reason.LEAVING
     if _notices.is_late_request(daemon, inbound, guard, now):
@@ -92,9 +93,7 @@
         )
         return key
     execution.isolated = _crashes.must_isolate(verdict)
-    if execution.isolated and any(
-        other.isolated for other in daemon.executions.values()
-    ):
+    if execution.isolated and _starts.runs_suspect(daemon):
         reason = outcomes.Reason.SUSPECT_RUNNING
         _report_result(
             daemon, execution, requests.Ending.TURNED_AWAY, reason, None
@@ -115,27 +114,20 @@
     return key
 
 
-def _unavailable_reason(
-    daemon: _state.Daemon, instance: str
-) -> outcomes.Reason:
-    """Return why the upstream can't serve the instance, or ``NONE``."""
-    if daemon.upstream_leaving:
-        return outcomes.Reason.LEAVING
-    if daemon.upstream_down:
-        return outcomes.Reason.UPSTREAM_UNREACHABLE
-    if views.is_replaced(daemon.view, instance):
-        return outcomes.Reason.INSTANCE_REPLACED
-    return outcomes.Reason.NONE
-
-
 def _refuse_start(
-    daemon: _state.Daemon, key: str, execution: _records.Execution
-) -> None:
-    reason = outcomes.Reason.LEAVING
-    _release_slot(daemon, key, execution, load.End.CANCELLED)
+    daemon: _state.Daemon,
+    key: str,
+    execution: _records.Execution,
+    reason: outcomes.Reason,
+) -> list[load.Effect]:
+    """Refuse a request that got a slot; return the effects of freeing it."""
+    now = daemon.clock.monotonic()
+    del daemon.executions[key]
+    effects = load.finish(execution.guard, key, load.End.CANCELLED, now)
     _report_result(
         daemon, execution, requests.Ending.TURNED_AWAY, reason, None
     )
+    return effects
 
 
 def refuse_waiting(daemon: _state.Daemon, reason: outcomes.Reason) -> None:
@@ -234,15 +226,19 @@
 
 
 def _apply_effects(daemon: _state.Daemon, effects: list[load.Effect]) -> None:
-    for effect in effects:
+    pending = collections.deque(effects)
+    while pending:
+        effect = pending.popleft()
         execution = daemon.executions.get(effect.attempt_id)
         if execution is None:
             continue
         if isinstance(effect, load.Start):
-            if _arrivals.may_start(daemon, execution):
-                _start_execution(daemon, effect.attempt_id, execution)
+            key = effect.attempt_id
+            reason = _starts.reason_not_to_start(daemon, execution)
+            if reason is outcomes.Reason.NONE:
+                _start_execution(daemon, key, execution)
             else:
-                _refuse_start(daemon, effect.attempt_id, execution)
+                pending += _refuse_start(daemon, key, execution, reason)
         elif isinstance(effect, load.TurnAway):
             del daemon.executions[effect.attempt_id]
             _report_result(
@@ -395,7 +391,7 @@
 ) -> None:
     ending, reason = _results.classify(daemon, execution, result)
     if crashed:
-        reason = _reason_of_crash(daemon, execution)
+        reason = _starts.reason_of_crash(daemon, execution)
     if isinstance(result, httpio.Response):
         _record_reachability(daemon, True)
     elif result is httpio.Failure.NOT_SENT:
@@ -427,21 +423,6 @@
     )
 
 
-def _reason_of_crash(
-    daemon: _state.Daemon, execution: _records.Execution
-) -> outcomes.Reason:
-    """Return the reason to report for a request that ran during a crash.
-
-    If the request is now blocked, the reason also stops retries by an
-    entrance that does not know about the crash yet.
-    """
-    if _crashes.is_blocked(
-        _crashes.verdict_of_inbound(daemon, execution.request)
-    ):
-        return outcomes.Reason.CRASHES_INSTANCES
-    return outcomes.Reason.UPSTREAM_CRASHED
-
-
 def _release_slot(
     daemon: _state.Daemon,
     key: str,
--- a/tests/forwarding/test_crashes.py
+++ b/tests/forwarding/test_crashes.py
@@ -6,6 +6,10 @@
 import json
 import typing
 
+import pytest
+
+from sassafrasstair.decisions import crashes
+from sassafrasstair.forwarding import _crashes
 from tests.forwarding import place
 
 A, B, C = place.HOSTS
@@ -132,3 +136,65 @@
         assert events(cluster, "instance_crashed") == []
 
     run(test())
+
+
+@pytest.mark.parametrize(
+    ("strikes", "reason"),
+    [(3, "crashes_instances"), (2, "suspect_running")],
+)
+def test_suspicion_is_checked_again_at_the_start(
+    strikes: int, reason: str
+) -> None:
+    """A request waited for a slot while its crashes elsewhere were reported.
+
+    It then crashed the next instance, or ran there beside another suspect.
+    """
+
+    async def test() -> None:
+        first, others = asyncio.Event(), asyncio.Event()
+
+        async def hold(
+            got: place.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            is_first = got.line.startswith(b"POST /s/first")
+            await (first if is_first else others).wait()
+            await place.answer(got, writer)
+
+        cluster = place.Cluster()
+        cluster.policy(3, place.route("/s/", "s", False))
+        upstream = await cluster.upstream(B, "s", hold, slots=2)
+        daemon = (await cluster.daemon(B, "s")).daemon
+        await cluster.wait_until_known(B)
+        calls = [
+            asyncio.ensure_future(cluster.call(B, f"/s/{name}", "POST"))
+            for name in ("first", "second", "waits")
+        ]
+        while len(daemon.executions) < 3 or len(upstream.got) < 2:
+            await asyncio.sleep(0.01)
+        suspects = [
+            _crashes._inbound_fingerprint(execution.request)
+            for execution in daemon.executions.values()
+            if execution.request.target == b"/s/waits"
+            or (execution.request.target == b"/s/second" and strikes == 2)
+        ]
+        reports = [
+            crashes.Report(
+                (f"i-{number}", 1),
+                0.1,
+                tuple(crashes.Run(each, 0.1) for each in suspects),
+                0,
+                0,
+            )
+            for number in range(strikes)
+        ]
+        _crashes.receive_reports(daemon, reports, C)
+        first.set()
+        await calls[0]
+        await asyncio.sleep(0.1)
+        others.set()
+        await asyncio.gather(*calls)
+        assert len(upstream.got) == 2
+        ended = events(cluster, "run_ended")
+        assert reason in [line["reason"] for line in ended]
+
+    run(test())
