Ask in sassafrasstaird whether work can end when it starts in a stop

What callers saw: an attempt that waited for a slot at a stopping daemon got it just before the end and was cut: "unknown", leaving, although another instance could have run it. Cause: whether an attempt can be expected to end before the stop was asked when it arrived, not when it got its slot. Change: it is asked again right before the dispatch, by the usual time of the class, and what can't end is refused as not run, leaving. That says nothing of the upstream, so it does not lower its limit.

--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -96,6 +96,16 @@
     return stops.may_run(callee.stop, now + remaining, expected, now)
 
 
+def _may_start(
+    callee: _slots.Callee, attempt: _attempts.Attempt, now: float
+) -> bool:
+    """Return whether an attempt can be expected to end before the stop."""
+    if callee.stop is None:
+        return True
+    usual = load.route_seconds(callee.guard, attempt.message.request_class)
+    return stops.may_start(callee.stop, attempt.deadline, usual, now)
+
+
 async def _run_ticket(
     callee: _slots.Callee,
     message: daemons.Run,
@@ -217,9 +227,10 @@
     callee: _slots.Callee, attempt: _attempts.Attempt
 ) -> daemons.RunAnswer:
     # The process may pause between admission and dispatch and resume when
-    # nobody waits any more. The deadline and the ticket are therefore
-    # checked again here, with no await before the request is passed to the
-    # connection of the upstream.
+    # nobody waits any more, and the daemon may have begun to stop while the
+    # attempt waited for its slot. The deadline, the stop and the ticket are
+    # therefore checked again here, with no await before the request is
+    # passed to the connection of the upstream.
     now = callee.clock.monotonic()
     remaining = attempt.deadline - now
     ticket = attempt.message.ticket
@@ -227,6 +238,8 @@
         raise upstreams.UpstreamError(
             _Outcome.NOT_RUN, _Reason.DEADLINE_PASSED
         )
+    if not _may_start(callee, attempt, now):
+        raise upstreams.UpstreamError(_Outcome.NOT_RUN, _Reason.LEAVING)
     if ticket and not once.dispatched(callee.owner, ticket, now):
         raise upstreams.UpstreamError(_Outcome.NOT_RUN, _Reason.TICKET_VOID)
     try:
@@ -323,7 +336,7 @@
         # upstream, every guard on the way would cut its limit although its
         # own upstream has room. Only an upstream's own refusals count.
         ending = load.End.FAILED if attempt.child_refused else load.End.REFUSED
-    if error.reason is _Reason.DEADLINE_PASSED:
+    if error.reason in (_Reason.DEADLINE_PASSED, _Reason.LEAVING):
         ending = load.End.CANCELLED
     result = _slots.end_ticket(callee, attempt, result)
     _slots.end_attempt(callee, attempt, ending)
--- a/tests/runtime/test_stop_bounds.py
+++ b/tests/runtime/test_stop_bounds.py
@@ -36,15 +36,21 @@
 
 
 class Upstream:
-    """An upstream that holds requests until ``go`` is set."""
+    """An upstream that holds requests until ``go`` is set.
+
+    It answers only the first ``answers_max``.
+    """
 
     def __init__(self) -> None:
         self.go = asyncio.Event()
         self.began = 0
+        self.answers_max = 1_000
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         await request.read()
         self.began += 1
+        if self.began > self.answers_max:
+            await asyncio.Event().wait()
         await self.go.wait()
         return web.Response(text="ok")
 
@@ -128,6 +134,34 @@
     asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
 
 
+def test_attempt_that_gets_its_slot_late_in_a_stop_was_not_run() -> None:
+    """An attempt that had waited was started just before the end, and cut."""
+
+    async def scenario() -> None:
+        upstream = Upstream()
+        upstream.answers_max = meshes.SLOTS
+        async with meshes.started(upstream.serve, grace=GRACE) as mesh:
+            asked = [
+                asyncio.create_task(_ask(mesh))
+                for _ in range(meshes.SLOTS + 1)
+            ]
+            guard = mesh.back.callee.guard
+            await meshes.until(lambda: guard.waiting)
+            await meshes.until(lambda: upstream.began == meshes.SLOTS)
+            runtime.stop(mesh.back)
+            await asyncio.sleep(0.6 * GRACE)
+            guard.estimates_by_class["look"] = GRACE / 4
+            upstream.go.set()
+            ends = collections.Counter(await asyncio.gather(*asked))
+            assert ends == {
+                ("done", ""): meshes.SLOTS,
+                ("not-run", "leaving"): 1,
+            }
+            assert upstream.began == meshes.SLOTS
+
+    asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
+
+
 def test_run_that_would_outlast_the_grace_is_not_taken() -> None:
     """A run was taken late in a stop, and given up."""
 
