Let a quota token that is given back expire when it would have

What callers saw: nothing yet; what operators could see is a customer above its limit. Requests that wait long and are then refused as not run, as while a service is away, give their tokens back all at once. These could be used for up to 3 s more, though they were granted long before, on top of what was granted since. Cause: a token has 3 s from the request for it, but only the customer's stock knew until when, and each later grant prolonged that for returned tokens, too. Change: a request keeps the time until which its token can be used, and the token is put back only before that. The tests of customers and of paths pass. Found by reading; no run of daemons has shown it.

--- a/src/sassafrasstair/decisions/quotas/__init__.py
+++ b/src/sassafrasstair/decisions/quotas/__init__.py
@@ -44,6 +44,7 @@
 from sassafrasstair.decisions.quotas._stocks import take_token
 from sassafrasstair.decisions.quotas._stocks import token_wait_seconds
 from sassafrasstair.decisions.quotas._stocks import track_request
+from sassafrasstair.decisions.quotas._stocks import usable_until
 
 __all__ = [
     "Acknowledged",
@@ -83,4 +84,5 @@
     "token_wait_seconds",
     "update_for",
     "track_request",
+    "usable_until",
 ]
--- a/src/sassafrasstair/decisions/quotas/_stocks.py
+++ b/src/sassafrasstair/decisions/quotas/_stocks.py
@@ -87,10 +87,21 @@
     return True
 
 
-def give_back_token(store: PrefetchStore, customer: str, now: float) -> None:
-    """Put back the token of a request that has not run and never will."""
+def usable_until(store: PrefetchStore, customer: str) -> float:
+    """Return when the tokens that are held now expire."""
     entry = store.by_customer.get(customer)
-    if entry is not None and now < entry.expires_at:
+    return -math.inf if entry is None else entry.expires_at
+
+
+def give_back_token(
+    store: PrefetchStore, customer: str, until: float, now: float
+) -> None:
+    """Put back the token of a request that has not run and never will.
+
+    ``until`` is when the token expires, which a later grant does not change.
+    """
+    entry = store.by_customer.get(customer)
+    if entry is not None and now < min(until, entry.expires_at):
         entry.tokens += 1
 
 
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -73,9 +73,9 @@
         retry_after = max(
             retry_after, _quotas.seconds_until_token(daemon, call.customer)
         )
-    if call.holds_token:
-        call.holds_token = False
-        _quotas.return_token(daemon, call.customer)
+    if call.token_until is not None:
+        _quotas.return_token(daemon, call.customer, call.token_until)
+        call.token_until = None
     fields = _id_fields(daemon, call)
     fields.append((b"Retry-After", b"%.3f" % retry_after))
     log_end(daemon, call, "refused", status, reason.value)
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -100,10 +100,11 @@
 ) -> None:
     """Continue a request once its customer's quota has been checked."""
     if reason is outcomes.Reason.NONE:
+        until = _quotas.usable_until(daemon, call.customer)
         if call not in daemon.calls:
-            _quotas.return_token(daemon, call.customer)
+            _quotas.return_token(daemon, call.customer, until)
             return
-        call.holds_token = True
+        call.token_until = until
         _attempts.send_attempt(daemon, call)
     elif call in daemon.calls:
         _endings.refuse(daemon, call, reason)
--- a/src/sassafrasstair/forwarding/_quotas.py
+++ b/src/sassafrasstair/forwarding/_quotas.py
@@ -63,10 +63,18 @@
         _wait_for_token(daemon, customer.name, answer)
 
 
-def return_token(daemon: _state.Daemon, customer: str) -> None:
-    """Return the token of a request that has not run and will not run."""
+def usable_until(daemon: _state.Daemon, customer: str) -> float:
+    """Return when a token that was taken just now expires."""
+    return quotas.usable_until(daemon.tokens.stocks, customer)
+
+
+def return_token(daemon: _state.Daemon, customer: str, until: float) -> None:
+    """Return the token of a request that has not run and will not run.
+
+    The token expires at ``until``.
+    """
     now = daemon.clock.monotonic()
-    quotas.give_back_token(daemon.tokens.stocks, customer, now)
+    quotas.give_back_token(daemon.tokens.stocks, customer, until, now)
 
 
 def seconds_until_token(daemon: _state.Daemon, customer: str) -> float:
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -130,9 +130,9 @@
     ``fields`` are the header fields to forward, and ``timer`` fires at the
     deadline. ``customer`` is the sender's name, '' for a request without a
     key, ``importance`` the request's, which its customer may set, and
-    ``key_digest`` the digest of its API key. ``holds_token`` is set
-    while the request holds a token of the customer's quota. ``fingerprint``
-    is computed when it is needed.
+    ``key_digest`` the digest of its API key. ``token_until`` is set
+    while the request holds a token of the customer's quota, to the time when
+    the token expires. ``fingerprint`` is computed when it is needed.
     """
 
     exchange: httpio.Exchange
@@ -144,5 +144,5 @@
     customer: str = ""
     importance: int = 0
     key_digest: bytes | None = None
-    holds_token: bool = False
+    token_until: float | None = None
     fingerprint: int | None = None
