Heed the keep-alive time-out of the upstream in sassafrasstaird

What callers saw: a request that was sent on an idle connection at the moment at which the upstream closed it ended as "unknown", upstream_lost. Cause: idle connections were kept for 30 s, whatever the upstream said; many servers close theirs after 5 s, and say so in their Keep-Alive header. The forwarder's pool has heeded it all along, with a margin of 1 s. Change: the client of sassafrasstaird uses connections for as long as the last answer says, less the same margin; the reading of the header is one function for both. Evidence: a table in tests/upstreams/test_client.py; two of its five rows failed before (the connection was used again); tests/upstreams and the tests of pools pass.

--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -10,6 +10,7 @@
 import httptools
 
 from sassafrasstair.httpio import _messages
+from sassafrasstair import keepalive
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -21,9 +22,6 @@
 longer exists never answers."""
 RESPONSE_BYTES_MAX = 64 * 1024 * 1024
 """Longer responses are aborted, since a response is buffered whole."""
-_KEEP_ALIVE_MARGIN = 1.0
-"""A connection is no longer used from this many seconds before the server's
-keep-alive time-out: a request must arrive before the server closes it."""
 _USER_TIMEOUT_MS = 1_500
 """The kernel ends a connection on which sent data stays unacknowledged for
 this long. It also replaces the count of keepalive probes on Linux."""
@@ -424,9 +422,11 @@
         whole = self._with_body(response)
         unsent = self._transport.get_write_buffer_size()
         if self._keep_alive and not self._has_extra_data and not unsent:
-            self._idle_until = self._pool.clock.monotonic() + _idle_seconds(
-                response, self._pool.idle_seconds
+            field = response.headers.get(b"keep-alive", b"")
+            idle_seconds = keepalive.idle_seconds(
+                field, self._pool.idle_seconds
             )
+            self._idle_until = self._pool.clock.monotonic() + idle_seconds
             self._pool.release(self)
         else:
             self._closed = True
@@ -444,13 +444,3 @@
         self.abort()
         if job is not None:
             job.end(failure)
-
-
-def _idle_seconds(response: _messages.Response, default: float) -> float:
-    """Return how long the connection may stay idle, less a margin."""
-    keep_alive = response.headers.get(b"keep-alive", b"")
-    for part in keep_alive.split(b","):
-        name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
-            return max(0.0, int(value) - _KEEP_ALIVE_MARGIN)
-    return default
--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -15,6 +15,7 @@
 import aiohttp
 import yarl
 
+from sassafrasstair import keepalive
 from sassafrasstair import logs
 from sassafrasstair import notices
 from sassafrasstair import outcomes
@@ -25,6 +26,7 @@
 OUTCOME_HEADER = "sassafras-outcome"
 RATE_LIMIT_HEADER = "sassafras-limit"
 LEAVING_HEADER = "sassafras-leaving"
+KEEP_ALIVE_HEADER = "keep-alive"
 NOT_RUN_VALUES = frozenset({"not-run", "not run"})
 CONNECT_TIMEOUT = 1.0
 KEEPALIVE_SECONDS = 30.0
@@ -153,6 +155,7 @@
         raise UpstreamError(
             outcomes.Outcome.UNKNOWN, outcomes.Reason.UPSTREAM_LOST
         ) from error
+    _heed_keep_alive(upstream, answer)
     if answer.status == REFUSAL_STATUS:
         _raise_refusal(answer)
     return Response(
@@ -182,6 +185,23 @@
     await upstream.session.close()
 
 
+def _heed_keep_alive(
+    upstream: Upstream, answer: aiohttp.ClientResponse
+) -> None:
+    """Use connections only for as long as the upstream keeps them open.
+
+    A request that crosses the end of its connection may have run or not.
+    """
+    field = _combined_value(answer, KEEP_ALIVE_HEADER)
+    if field is None or upstream.session.connector is None:
+        return
+    # aiohttp reads this at each use of a connection, and has no other way to
+    # change it.
+    upstream.session.connector._keepalive_timeout = min(
+        KEEPALIVE_SECONDS, keepalive.idle_seconds(field, KEEPALIVE_SECONDS)
+    )
+
+
 def _headers_to_send(request: Request) -> list[tuple[str, str]]:
     excluded = _EXCLUDED_HEADERS
     if isinstance(request.body, bytes):
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -69,6 +69,33 @@
     return response, b"".join(chunks)
 
 
+@pytest.mark.parametrize(
+    ("field", "connections"),
+    [
+        (b"", 1),
+        (b"keep-alive: timeout=30, max=9\r\n", 1),
+        (b"keep-alive: timeout=soon\r\n", 1),
+        (b"keep-alive: max=9, timeout=1\r\n", 2),
+        (b"keep-alive: timeout=0\r\n", 2),
+    ],
+)
+def test_connection_that_its_upstream_is_about_to_close_is_not_used(
+    field: bytes, connections: int
+) -> None:
+    """Requests met the end of their connection, with an unknown outcome."""
+    answer = OK.replace(b"content-length", field + b"content-length")
+    raw = RawUpstream(answer, answer)
+
+    async def scenario(upstream: upstreams.Upstream) -> None:
+        for _ in range(2):
+            response, _ = await read(upstream, request())
+            assert response.status == 200
+            await asyncio.sleep(0.05)
+
+    run(raw, scenario)
+    assert raw.connections == connections
+
+
 def test_put_that_may_have_run_is_not_sent_again() -> None:
     """Guard against a PUT that runs twice though it was sent once.
 
