Refuse what waits for the upstream of a VM that is listed as leaving

What callers saw: an attempt that waited for a slot was passed to the upstream of a VM that the platform had listed as leaving more than 2 s before, and which may end at any moment; its outcome is then unknown. Cause: after these 2 s new work was refused, but what waited was still started. The same was mended for an upstream that says itself that it leaves, and not here. Change: what waits is refused as not run at that moment, unless the daemon itself stops: then the stop decides what may still start. Evidence: test_vm_listed_as_leaving_runs_nothing_from_the_queue failed before (five requests done in place of four) and passes; tests of departures and stops pass.

--- a/src/sassafrasstair/runtime/_stops.py
+++ b/src/sassafrasstair/runtime/_stops.py
@@ -68,6 +68,11 @@
 
 def _refuse_work(callee: _slots.Callee) -> None:
     callee.guard.leaving = True
+    if callee.stop is None:
+        # The VM is listed as leaving, and its upstream may end at any moment.
+        # A stop of this daemon bounds by itself what still starts.
+        reason = outcomes.Reason.LEAVING
+        _slots.apply_effects(callee, load.retire(callee.guard, reason))
 
 
 def _step(daemon: _daemon.Daemon, http: _http.Http, stop: stops.Stop) -> None:
--- a/tests/runtime/test_departures.py
+++ b/tests/runtime/test_departures.py
@@ -133,3 +133,41 @@
             assert len(began) == meshes.SLOTS + 1
 
     asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
+
+
+def test_vm_listed_as_leaving_runs_nothing_from_the_queue(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An attempt that had waited was passed to an upstream about to end."""
+    monkeypatch.setattr(_departures, "ACCEPT_SECONDS", 0.2)
+    go = asyncio.Event()
+    began: list[str] = []
+
+    async def upstream(request: web.BaseRequest) -> web.StreamResponse:
+        began.append(request.path)
+        await go.wait()
+        return web.Response(text="ok")
+
+    async def ask(mesh: meshes.Mesh) -> str:
+        async with mesh.call("back") as answer:
+            await answer.read()
+            return str(answer.headers["sassafras-outcome"])
+
+    async def scenario() -> None:
+        async with meshes.started(upstream) as mesh:
+            callee = mesh.back.callee
+            asked = [
+                asyncio.create_task(ask(mesh)) for _ in range(meshes.SLOTS + 1)
+            ]
+            await meshes.until(lambda: len(began) == meshes.SLOTS)
+            assert len(callee.guard.waiting) == 1
+            members = mesh.back.control.node.members
+            members["back-1"].leaving = True
+            await meshes.until(lambda: callee.guard.leaving)
+            await asyncio.sleep(0.1)
+            go.set()
+            ends = collections.Counter(await asyncio.gather(*asked))
+            assert ends == {"done": meshes.SLOTS, "not-run": 1}
+            assert len(began) == meshes.SLOTS
+
+    asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
