Check whether a kept connection has ended before it is used again

What callers could see: 502 for a request that may run only once, and a retry from the budget for any other, where the instance or the other daemon had closed an idle connection a moment before and the daemon was busy: the end had arrived, but the event loop had not read it when it wrote the request. Such a request does not run. Cause: a pool asked whether a connection was closed by what the event loop had told it, and not the socket. Change: a pool polls the socket right before an idle connection is used; one that has input, which is its end or stray data, is closed and another one taken. What remains is a close that crosses the request on the network. Evidence: test_connection_that_closed_while_the_loop_was_busy_is_not_used, with a close and with a reset, was "lost" in both cases before, with the event loops of asyncio and uvloop.

--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import select
 import socket
 import typing
 
@@ -134,7 +135,7 @@
         now = self.clock.monotonic()
         while self._idle:
             connection = self._idle.pop()
-            if connection.usable(now):
+            if connection.usable(now) and not connection.has_input():
                 self._start(connection, job)
                 return
             connection.abort()
@@ -251,6 +252,7 @@
         "_job",
         "_keep_alive",
         "_parser",
+        "_poller",
         "_pool",
         "_response",
         "_transport",
@@ -259,6 +261,7 @@
     def __init__(self, pool: Pool) -> None:
         self._pool = pool
         self._transport: typing.Any = None
+        self._poller = select.poll()
         self._parser: typing.Any = httptools.HttpResponseParser(self)
         self._job: Job | None = None
         self._response: _messages.Response | None = None
@@ -288,6 +291,14 @@
             and now < self._idle_until
         )
 
+    def has_input(self) -> bool:
+        """Return whether an idle connection has ended, or got stray data.
+
+        The event loop may not have read it yet. A request that is written
+        behind the end of its connection does not run, but looks lost.
+        """
+        return bool(self._poller.poll(0))
+
     def start(self, job: Job) -> None:
         """Send the job's request."""
         self._job = job
@@ -306,6 +317,7 @@
         sock = transport.get_extra_info("socket")
         if sock is None:
             return
+        self._poller.register(sock.fileno(), select.POLLIN)
         tcp = socket.IPPROTO_TCP
         # A powered-off VM or a broken link sends no reset: without these
         # options a request would wait on a dead connection until its deadline.
--- a/tests/httpio/test_pools.py
+++ b/tests/httpio/test_pools.py
@@ -6,6 +6,8 @@
 import dataclasses
 import socket
 import struct
+import threading
+import time
 
 import pytest
 
@@ -171,6 +173,46 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("resets", [False, True])
+def test_connection_that_closed_while_the_loop_was_busy_is_not_used(
+    resets: bool,
+) -> None:
+    """Its end had arrived, but the request was written before it was read.
+
+    Such a request has not run, but its outcome was taken for unknown.
+    """
+    may_close, closed = threading.Event(), threading.Event()
+    listener = socket.create_server((HOST, 0))
+
+    def serve() -> None:
+        first, _ = listener.accept()
+        first.recv(4096)
+        first.sendall(OK)
+        may_close.wait(5.0)
+        if resets:
+            linger = struct.pack("ii", 1, 0)
+            first.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        first.close()
+        closed.set()
+        second, _ = listener.accept()
+        second.recv(4096)
+        second.sendall(OK)
+        second.close()
+
+    async def test() -> None:
+        pool = _pool(listener.getsockname()[1])
+        assert isinstance(await _send(pool), httpio.Response)
+        may_close.set()
+        assert closed.wait(5.0)
+        time.sleep(0.05)
+        assert isinstance(await _send(pool), httpio.Response)
+
+    server = threading.Thread(target=serve, daemon=True)
+    server.start()
+    asyncio.run(test())
+    listener.close()
+
+
 def test_refused_connection_fails_as_not_sent() -> None:
     async def run() -> None:
         with socket.socket() as free:
