Do not use an ended connection to the upstream in sassafrasstaird either

What callers could see: "unknown", upstream_lost, for a request that did not run: the upstream had closed an idle connection while the daemon was busy, and the request was written before its end was read. Cause: the HTTP library asks whether a kept connection is open by what the event loop has told it. Change: the connections that it would take next are polled before each request, and closed if they have input, as the forwarder's pool does. Evidence: test_connection_that_closed_while_the_loop_was_busy_is_not_used in tests/upstreams ended with upstream_lost before and passes, with the event loops of asyncio and uvloop; tests/upstreams and test_departures pass.

--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import logging
+import select
 import typing
 
 import aiohttp
@@ -136,6 +137,7 @@
     connection was established, so that no byte reached the upstream, or
     when the upstream itself reported that the request did not run.
     """
+    _close_ended_connections(upstream)
     try:
         answer = await upstream.session.request(
             request.method,
@@ -202,6 +204,31 @@
     )
 
 
+def _close_ended_connections(upstream: Upstream) -> None:
+    """Close the connections whose end the event loop has not read yet.
+
+    A request that is written behind the end does not run, but looks lost.
+    """
+    connector = upstream.session.connector
+    if connector is None:
+        return
+    # aiohttp takes the first of these that is open, and has no hook for more.
+    for idle in connector._conns.values():
+        for protocol, _ in idle:
+            transport = protocol.transport
+            if transport is None or transport.is_closing():
+                continue
+            if not _has_input(transport):
+                break
+            protocol.close()
+
+
+def _has_input(transport: asyncio.BaseTransport) -> bool:
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket"), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _headers_to_send(request: Request) -> list[tuple[str, str]]:
     excluded = _EXCLUDED_HEADERS
     if isinstance(request.body, bytes):
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import threading
+import time
 import typing
 
 import pytest
@@ -96,6 +99,39 @@
     assert raw.connections == connections
 
 
+def test_connection_that_closed_while_the_loop_was_busy_is_not_used() -> None:
+    """A request that did not run had an unknown outcome."""
+    may_close, closed = threading.Event(), threading.Event()
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        first, _ = listener.accept()
+        first.recv(4096)
+        first.sendall(OK)
+        may_close.wait(5.0)
+        first.close()
+        closed.set()
+        second, _ = listener.accept()
+        second.recv(4096)
+        second.sendall(OK)
+        second.close()
+
+    async def scenario() -> None:
+        port = listener.getsockname()[1]
+        upstream = upstreams.connect(f"http://127.0.0.1:{port}")
+        await read(upstream, request())
+        may_close.set()
+        assert closed.wait(5.0)
+        time.sleep(0.05)
+        _, body = await read(upstream, request())
+        assert body == b"ok"
+        await upstreams.close(upstream)
+
+    threading.Thread(target=serve, daemon=True).start()
+    asyncio.run(asyncio.wait_for(scenario(), 5.0))
+    listener.close()
+
+
 def test_put_that_may_have_run_is_not_sent_again() -> None:
     """Guard against a PUT that runs twice though it was sent once.
 
