--- a/src/sassafrasstair/decisions/quotas/__init__.py
+++ b/src/sassafrasstair/decisions/quotas/__init__.py
@@ -47,6 +47,7 @@
 from sassafrasstair.decisions.quotas._stocks import take_token
 from sassafrasstair.decisions.quotas._stocks import token_wait_seconds
 from sassafrasstair.decisions.quotas._stocks import track_request
+from sassafrasstair.decisions.quotas._stocks import usable_until
 from sassafrasstair.decisions.quotas._votes import Ballot
 from sassafrasstair.decisions.quotas._votes import cast_vote
 from sassafrasstair.decisions.quotas._votes import new_ballot
@@ -99,4 +100,5 @@
     "token_wait_seconds",
     "update_for",
     "track_request",
+    "usable_until",
 ]
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -134,10 +134,10 @@
     ``fields`` are the header fields to forward, and ``timer`` fires at the
     deadline. ``customer`` is the sender's name, '' for a request without a
     key, ``importance`` the request's, which its customer may set, and
-    ``key_digest`` the digest of its API key. ``holds_token`` is set
-    while the request holds a token of the customer's quota. ``last_resorts``
-    are the instances that were tried though their daemons stop.
-    ``fingerprint`` is computed when it is needed.
+    ``key_digest`` the digest of its API key. ``token_until`` is set
+    while the request holds a token of the customer's quota, to the time when
+    the token expires. ``last_resorts`` are the instances that were tried
+    though their daemons stop. ``fingerprint`` is computed when it is needed.
     """
 
     exchange: httpio.Exchange
@@ -149,6 +149,6 @@
     customer: str = ""
     importance: int = 0
     key_digest: bytes | None = None
-    holds_token: bool = False
     last_resorts: list[str] = dataclasses.field(default_factory=list)
+    token_until: float | None = None
     fingerprint: int | None = None
--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import enum
+import select
 import socket
 import typing
 
 import httptools
 
 from sassafrasstair.httpio import _messages
+from sassafrasstair import keepalive
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -24,9 +26,6 @@
 this process stood still for the rest."""
 RESPONSE_BYTES_MAX = 64 * 1024 * 1024
 """Longer responses are aborted, since a response is buffered whole."""
-_KEEP_ALIVE_MARGIN = 1.0
-"""A connection is no longer used from this many seconds before the server's
-keep-alive time-out: a request must arrive before the server closes it."""
 _USER_TIMEOUT_MS = 1_500
 """The kernel ends a connection on which sent data stays unacknowledged for
 this long. It also replaces the count of keepalive probes on Linux."""
@@ -139,7 +138,7 @@
         now = self.clock.monotonic()
         while self._idle:
             connection = self._idle.pop()
-            if connection.usable(now):
+            if connection.usable(now) and not connection.has_input():
                 self._start(connection, job)
                 return
             connection.abort()
@@ -264,6 +263,7 @@
         "_job",
         "_keep_alive",
         "_parser",
+        "_poller",
         "_pool",
         "_response",
         "_transport",
@@ -272,6 +272,7 @@
     def __init__(self, pool: Pool) -> None:
         self._pool = pool
         self._transport: typing.Any = None
+        self._poller = select.poll()
         self._parser: typing.Any = httptools.HttpResponseParser(self)
         self._job: Job | None = None
         self._response: _messages.Response | None = None
@@ -301,6 +302,14 @@
             and now < self._idle_until
         )
 
+    def has_input(self) -> bool:
+        """Return whether an idle connection has ended, or got stray data.
+
+        The event loop may not have read it yet. A request that is written
+        behind the end of its connection does not run, but looks lost.
+        """
+        return bool(self._poller.poll(0))
+
     def start(self, job: Job) -> None:
         """Send the job's request."""
         self._job = job
@@ -319,6 +328,7 @@
         sock = transport.get_extra_info("socket")
         if sock is None:
             return
+        self._poller.register(sock.fileno(), select.POLLIN)
         tcp = socket.IPPROTO_TCP
         # A powered-off VM or a broken link sends no reset: without these
         # options a request would wait on a dead connection until its deadline.
@@ -435,9 +445,11 @@
         whole = self._with_body(response)
         unsent = self._transport.get_write_buffer_size()
         if self._keep_alive and not self._has_extra_data and not unsent:
-            self._idle_until = self._pool.clock.monotonic() + _idle_seconds(
-                response, self._pool.idle_seconds
+            field = response.headers.get(b"keep-alive", b"")
+            idle_seconds = keepalive.idle_seconds(
+                field, self._pool.idle_seconds
             )
+            self._idle_until = self._pool.clock.monotonic() + idle_seconds
             self._pool.release(self)
         else:
             self._closed = True
@@ -455,13 +467,3 @@
         self.abort()
         if job is not None:
             job.end(failure)
-
-
-def _idle_seconds(response: _messages.Response, default: float) -> float:
-    """Return how long the connection may stay idle, less a margin."""
-    keep_alive = response.headers.get(b"keep-alive", b"")
-    for part in keep_alive.split(b","):
-        name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
-            return max(0.0, int(value) - _KEEP_ALIVE_MARGIN)
-    return default
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -49,25 +49,30 @@
         # to the first copy and be taken as final.
         callee.duplicate_requests += 1
         return await asyncio.shield(existing.task)
-    reason = _reason_to_refuse(callee, message)
+    bundle = _slots.governing_bundle(
+        callee,
+        message.request_class,
+        lambda rules: bool(message.ticket) or not rules.once,
+    )
+    reason = _Reason.NO_BUNDLE
+    if bundle is not None:
+        reason = _reason_to_refuse(callee, message, bundle)
     if message.ticket:
-        return await _run_ticket(callee, message, reason, now)
-    if reason is not _Reason.NONE:
+        return await _run_ticket(callee, message, bundle, reason, now)
+    if bundle is None or reason is not _Reason.NONE:
         return _answers.refusal(callee, message, _Outcome.NOT_RUN, reason)
-    return await _run(callee, message, now)
+    return await _run(callee, message, bundle, now)
 
 
 def _reason_to_refuse(
-    callee: _slots.Callee, message: daemons.Run
+    callee: _slots.Callee, message: daemons.Run, bundle: bundles.Bundle
 ) -> outcomes.Reason:
-    bundle = callee.bundle()
-    if bundle is None:
-        return _Reason.NO_BUNDLE
     if message.service != callee.service:
         return _Reason.UNKNOWN_SERVICE
     rules = bundle.classes.get(message.request_class)
     if rules is None:
-        return _Reason.UNKNOWN_CLASS
+        # The entrance knows the class by a bundle that has not come here.
+        return _Reason.NO_BUNDLE
     if rules.once and not message.ticket:
         return _Reason.TICKET_MISSING
     if message.attempt_id in callee.cancelled_early:
@@ -91,16 +96,28 @@
     return stops.may_run(callee.stop, now + remaining, expected, now)
 
 
+def _may_start(
+    callee: _slots.Callee, attempt: _attempts.Attempt, now: float
+) -> bool:
+    """Return whether an attempt can be expected to end before the stop."""
+    if callee.stop is None:
+        return True
+    usual = load.route_seconds(callee.guard, attempt.message.request_class)
+    return stops.may_start(callee.stop, attempt.deadline, usual, now)
+
+
 async def _run_ticket(
     callee: _slots.Callee,
     message: daemons.Run,
+    bundle: bundles.Bundle | None,
     refusal_reason: outcomes.Reason,
     now: float,
 ) -> daemons.RunAnswer:
     arrival = _process_arrival(callee, message, refusal_reason, now)
     if isinstance(arrival, once.Run):
+        assert bundle is not None
         callee.ticket_end_events[message.ticket] = asyncio.Event()
-        return await _run(callee, message, now)
+        return await _run(callee, message, bundle, now)
     if isinstance(arrival, once.Join):
         await _wait_for_end(callee, message)
         now = callee.clock.monotonic()
@@ -147,11 +164,14 @@
 
 
 async def _run(
-    callee: _slots.Callee, message: daemons.Run, now: float
+    callee: _slots.Callee,
+    message: daemons.Run,
+    bundle: bundles.Bundle,
+    now: float,
 ) -> daemons.RunAnswer:
     max_age = calls.max_message_age(callee.pauses, now)
     deadline = now + message.remaining_ms / 1000 - max_age
-    attempt = _attempts.new_attempt(message, deadline)
+    attempt = _attempts.new_attempt(message, deadline, bundle)
     _slots.add_attempt(callee, attempt)
     callee.large_bodies += message.has_more_parts
     # The attempt runs in a task of its own, so that the guard can abort it
@@ -198,7 +218,7 @@
     callee: _slots.Callee, attempt: _attempts.Attempt
 ) -> load.Start | load.TurnAway:
     now = callee.clock.monotonic()
-    work = _to_work(callee, attempt)
+    work = _to_work(attempt)
     _slots.apply_effects(callee, load.offer(callee.guard, work, now))
     return await attempt.admission
 
@@ -207,9 +227,10 @@
     callee: _slots.Callee, attempt: _attempts.Attempt
 ) -> daemons.RunAnswer:
     # The process may pause between admission and dispatch and resume when
-    # nobody waits any more. The deadline and the ticket are therefore
-    # checked again here, with no await before the request is passed to the
-    # connection of the upstream.
+    # nobody waits any more, and the daemon may have begun to stop while the
+    # attempt waited for its slot. The deadline, the stop and the ticket are
+    # therefore checked again here, with no await before the request is
+    # passed to the connection of the upstream.
     now = callee.clock.monotonic()
     remaining = attempt.deadline - now
     ticket = attempt.message.ticket
@@ -217,6 +238,8 @@
         raise upstreams.UpstreamError(
             _Outcome.NOT_RUN, _Reason.DEADLINE_PASSED
         )
+    if not _may_start(callee, attempt, now):
+        raise upstreams.UpstreamError(_Outcome.NOT_RUN, _Reason.LEAVING)
     if ticket and not once.dispatched(callee.owner, ticket, now):
         raise upstreams.UpstreamError(_Outcome.NOT_RUN, _Reason.TICKET_VOID)
     try:
@@ -313,7 +336,7 @@
         # upstream, every guard on the way would cut its limit although its
         # own upstream has room. Only an upstream's own refusals count.
         ending = load.End.FAILED if attempt.child_refused else load.End.REFUSED
-    if error.reason is _Reason.DEADLINE_PASSED:
+    if error.reason in (_Reason.DEADLINE_PASSED, _Reason.LEAVING):
         ending = load.End.CANCELLED
     result = _slots.end_ticket(callee, attempt, result)
     _slots.end_attempt(callee, attempt, ending)
@@ -322,9 +345,8 @@
     )
 
 
-def _to_work(callee: _slots.Callee, attempt: _attempts.Attempt) -> load.Work:
-    message = attempt.message
-    bundle = typing.cast("bundles.Bundle", callee.bundle())
+def _to_work(attempt: _attempts.Attempt) -> load.Work:
+    message, bundle = attempt.message, attempt.bundle
     rules = bundle.classes[message.request_class]
     tenant = bundle.tenants.get(message.tenant)
     return load.Work(
--- a/src/sassafrasstair/runtime/_tickets.py
+++ b/src/sassafrasstair/runtime/_tickets.py
@@ -57,12 +57,15 @@
 def _decide(
     callee: _slots.Callee, request: daemons.TicketRequest, floor: float
 ) -> once.Issued | once.Refused:
-    bundle = callee.bundle()
+    bundle = _slots.governing_bundle(
+        callee, request.request_class, lambda rules: rules.once
+    )
     if bundle is None:
         return _refused(outcomes.Reason.NO_BUNDLE)
     rules = bundle.classes.get(request.request_class)
     if rules is None or not rules.once:
-        return _refused(outcomes.Reason.UNKNOWN_CLASS)
+        # The entrance knows it by a bundle that has not come here.
+        return _refused(outcomes.Reason.NO_BUNDLE)
     if request.service != callee.service:
         return _refused(outcomes.Reason.UNKNOWN_SERVICE)
     if callee.guard.leaving:
--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -10,11 +10,13 @@
 import contextlib
 import dataclasses
 import logging
+import select
 import typing
 
 import aiohttp
 import yarl
 
+from sassafrasstair import keepalive
 from sassafrasstair import logs
 from sassafrasstair import notices
 from sassafrasstair import outcomes
@@ -25,6 +27,7 @@
 OUTCOME_HEADER = "sassafras-outcome"
 RATE_LIMIT_HEADER = "sassafras-limit"
 LEAVING_HEADER = "sassafras-leaving"
+KEEP_ALIVE_HEADER = "keep-alive"
 NOT_RUN_VALUES = frozenset({"not-run", "not run"})
 CONNECT_TIMEOUT = 1.0
 KEEPALIVE_SECONDS = 30.0
@@ -134,6 +137,7 @@
     connection was established, so that no byte reached the upstream, or
     when the upstream itself reported that the request did not run.
     """
+    _close_ended_connections(upstream)
     try:
         answer = await upstream.session.request(
             request.method,
@@ -153,6 +157,7 @@
         raise UpstreamError(
             outcomes.Outcome.UNKNOWN, outcomes.Reason.UPSTREAM_LOST
         ) from error
+    _heed_keep_alive(upstream, answer)
     if answer.status == REFUSAL_STATUS:
         _raise_refusal(answer)
     return Response(
@@ -182,6 +187,48 @@
     await upstream.session.close()
 
 
+def _heed_keep_alive(
+    upstream: Upstream, answer: aiohttp.ClientResponse
+) -> None:
+    """Use connections only for as long as the upstream keeps them open.
+
+    A request that crosses the end of its connection may have run or not.
+    """
+    field = _combined_value(answer, KEEP_ALIVE_HEADER)
+    if field is None or upstream.session.connector is None:
+        return
+    # aiohttp reads this at each use of a connection, and has no other way to
+    # change it.
+    upstream.session.connector._keepalive_timeout = min(
+        KEEPALIVE_SECONDS, keepalive.idle_seconds(field, KEEPALIVE_SECONDS)
+    )
+
+
+def _close_ended_connections(upstream: Upstream) -> None:
+    """Close the connections whose end the event loop has not read yet.
+
+    A request that is written behind the end does not run, but looks lost.
+    """
+    connector = upstream.session.connector
+    if connector is None:
+        return
+    # aiohttp takes the first of these that is open, and has no hook for more.
+    for idle in connector._conns.values():
+        for protocol, _ in idle:
+            transport = protocol.transport
+            if transport is None or transport.is_closing():
+                continue
+            if not _has_input(transport):
+                break
+            protocol.close()
+
+
+def _has_input(transport: asyncio.BaseTransport) -> bool:
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket"), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _headers_to_send(request: Request) -> list[tuple[str, str]]:
     excluded = _EXCLUDED_HEADERS
     if isinstance(request.body, bytes):
--- a/tests/upstreams/test_client.py
+++ b/tests/upstreams/test_client.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import threading
+import time
 import typing
 
 import pytest
@@ -69,6 +72,66 @@
     return response, b"".join(chunks)
 
 
+@pytest.mark.parametrize(
+    ("field", "connections"),
+    [
+        (b"", 1),
+        (b"keep-alive: timeout=30, max=9\r\n", 1),
+        (b"keep-alive: timeout=soon\r\n", 1),
+        (b"keep-alive: max=9, timeout=1\r\n", 2),
+        (b"keep-alive: timeout=0\r\n", 2),
+    ],
+)
+def test_connection_that_its_upstream_is_about_to_close_is_not_used(
+    field: bytes, connections: int
+) -> None:
+    """Requests met the end of their connection, with an unknown outcome."""
+    answer = OK.replace(b"content-length", field + b"content-length")
+    raw = RawUpstream(answer, answer)
+
+    async def scenario(upstream: upstreams.Upstream) -> None:
+        for _ in range(2):
+            response, _ = await read(upstream, request())
+            assert response.status == 200
+            await asyncio.sleep(0.05)
+
+    run(raw, scenario)
+    assert raw.connections == connections
+
+
+def test_connection_that_closed_while_the_loop_was_busy_is_not_used() -> None:
+    """A request that did not run had an unknown outcome."""
+    may_close, closed = threading.Event(), threading.Event()
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        first, _ = listener.accept()
+        first.recv(4096)
+        first.sendall(OK)
+        may_close.wait(5.0)
+        first.close()
+        closed.set()
+        second, _ = listener.accept()
+        second.recv(4096)
+        second.sendall(OK)
+        second.close()
+
+    async def scenario() -> None:
+        port = listener.getsockname()[1]
+        upstream = upstreams.connect(f"http://127.0.0.1:{port}")
+        await read(upstream, request())
+        may_close.set()
+        assert closed.wait(5.0)
+        time.sleep(0.05)
+        _, body = await read(upstream, request())
+        assert body == b"ok"
+        await upstreams.close(upstream)
+
+    threading.Thread(target=serve, daemon=True).start()
+    asyncio.run(asyncio.wait_for(scenario(), 5.0))
+    listener.close()
+
+
 def test_put_that_may_have_run_is_not_sent_again() -> None:
     """Guard against a PUT that runs twice though it was sent once.
 
