Notice a client that leaves while reading from it is paused

Reading pauses while 16 requests of a connection wait, and a transport reports the end of a connection only while it reads. The requests of a client that closed or reset were therefore run one after the other, until an answer could not be written.

--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -15,6 +15,7 @@
 from sassafrasstair.decisions import pipelines
 from sassafrasstair.httpio import _exchanges
 from sassafrasstair.httpio import _messages
+from sassafrasstair.httpio import _sockets
 
 if typing.TYPE_CHECKING:
     from sassafrasstair.httpio import _listeners
@@ -271,6 +272,9 @@
 
     def check(self, now: float) -> None:
         """Close the connection if a time limit has passed."""
+        if self._paused and _sockets.has_ended(self._transport):
+            self._transport.abort()
+            return
         limits = self._listener.limits
         if self._pipeline.started:
             return
