Refuse what waits for an instance that has vanished for the drain time

An instance whose entry vanished is used for 1.5 s more if its service has no other. What was sent last could then wait for a slot for half of its route's objective, and be run later than the drain time after the entry was gone; only an entry that says it leaves ended that wait.

--- a/src/sassafrasstair/forwarding/_guards.py
+++ b/src/sassafrasstair/forwarding/_guards.py
@@ -58,15 +58,18 @@
 
 
 def leaving_seconds(daemon: _state.Daemon, instance: str, now: float) -> float:
-    """Return for how long the instance's entry has said that it leaves.
+    """Return for how long the instance is known to leave, or to be gone.
 
-    An entry that vanishes without that may merely have expired.
+    What was sent while its entry may merely have expired may still wait.
     """
     entry = daemon.view.instances.get(instance)
-    if entry is not None and entry.state is not views.InstanceState.LEAVING:
-        daemon.leaving_since.pop(instance, None)
-    elif entry is not None:
+    lapsed = daemon.view.lapsed.get(instance)
+    if entry is None and lapsed is not None:
+        daemon.leaving_since.setdefault(instance, lapsed.lapsed_at)
+    elif entry is not None and entry.state is views.InstanceState.LEAVING:
         daemon.leaving_since.setdefault(instance, now)
+    elif entry is not None:
+        daemon.leaving_since.pop(instance, None)
     return now - daemon.leaving_since.get(instance, now)
 
 
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -95,7 +95,7 @@
 
     ``header_names`` are the platform's names of header fields, and
     ``header_keys`` the same in lower case. ``leaving_since`` says since
-    when the entry of an instance on this VM says that it leaves.
+    when an instance on this VM is known to leave, or its entry has vanished.
     ``leaving`` is set from SIGTERM
     on, and ``stop`` has the state of the stop; this VM's upstream still
     gets work until ``upstream_leaving`` is set. ``upstream_down`` is set
--- a/tests/forwarding/test_changes.py
+++ b/tests/forwarding/test_changes.py
@@ -176,3 +176,41 @@
         assert len(cluster.upstreams[C].got) == 2
 
     test_path.run(test())
+
+
+def test_instance_whose_entry_vanished_gets_nothing_after_the_drain_time() -> (
+    None
+):
+    """It is the only one of its service, so it is used a while longer.
+
+    A request that was sent last waited for its slot beyond the drain time.
+    """
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        route = place.route("/s/", "s", False, 6.0, objective=4.0)
+        cluster.policy(3, route)
+        instance = Instance()
+        await cluster.upstream(B, "s", instance.serve, slots=1)
+        for host, service in ((A, "front"), (B, "s")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B)
+        daemon = cluster.daemons[B].daemon
+        cluster.source.remove(f"i-{B}")
+        await cluster.wait_until_known(A, B)
+        gone_at = asyncio.get_running_loop().time()
+        calls = []
+        for count in (1, 2):
+            call = cluster.call(A, "/s/", "POST", BODY, 6000)
+            calls.append(asyncio.ensure_future(call))
+            while len(daemon.executions) < count:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(1.2 / count)
+        drain = daemon.settings.bounds.drain_seconds
+        elapsed = asyncio.get_running_loop().time() - gone_at
+        await asyncio.sleep(drain + 0.2 - elapsed)
+        instance.go.set()
+        assert [(await call).status for call in calls] == [200, 503]
+        assert len(cluster.upstreams[B].got) == 1
+
+    test_path.run(test())
