See two deadlines sent to an instance, and data on an idle connection

The upstream of the tests took the last of two fields of one name, so a client's deadline that was passed on beside ours went unseen; it now takes neither. A pool's connection on which data arrives while nobody waits is checked not to be reused.

--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -192,7 +192,9 @@
             fields = {}
             for field in rest.strip().split(b"\r\n"):
                 name, _, value = field.partition(b":")
-                fields[name.strip().lower()] = value.strip()
+                name, value = name.strip().lower(), value.strip()
+                # Of two fields, an instance may heed either.
+                fields[name] = value if name not in fields else b""
             size = int(fields.get(b"content-length", b"0"))
             body = await reader.readexactly(size)
             got = ReceivedRequest(line, fields, body, asyncio.Event())
--- a/tests/httpio/test_pools.py
+++ b/tests/httpio/test_pools.py
@@ -21,9 +21,13 @@
 
 @dataclasses.dataclass
 class Script:
-    """The server's response to each request, and how it disconnects."""
+    """The server's response to each request, and how it disconnects.
+
+    ``afterwards`` is sent some time after the first response.
+    """
 
     responses: tuple[bytes, ...]
+    afterwards: bytes = b""
     closes: bool = False
     resets: bool = False
 
@@ -50,6 +54,9 @@
                 return
             writer.write(answer)
             await writer.drain()
+            if self.script.afterwards and self.connections == 1:
+                await asyncio.sleep(0.05)
+                writer.write(self.script.afterwards)
         if self.script.resets:
             linger = struct.pack("ii", 1, 0)
             sock = writer.get_extra_info("socket")
@@ -171,6 +178,32 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    "afterwards",
+    [
+        pytest.param(OK, id="an answer"),
+        pytest.param(OK[:-1], id="a part of one"),
+        pytest.param(b"\x00", id="junk"),
+    ],
+)
+def test_connection_with_data_that_nobody_waits_for_is_not_reused(
+    afterwards: bytes,
+) -> None:
+    """The next request would get that data, or an answer that is cut."""
+
+    async def run() -> None:
+        server = Server(Script((OK, OK), afterwards))
+        await server.open()
+        pool = _pool(server.port)
+        await _send(pool)
+        await asyncio.sleep(0.2)
+        second = await _send(pool)
+        assert isinstance(second, httpio.Response)
+        assert (second.body, server.connections) == (b"ok", 2)
+
+    asyncio.run(run())
+
+
 def test_refused_connection_fails_as_not_sent() -> None:
     async def run() -> None:
         with socket.socket() as free:
