--- a/tests/forwarding/test_changes.py
+++ b/tests/forwarding/test_changes.py
@@ -19,6 +19,7 @@
 A, B, C = place.HOSTS
 BODY = b"12345678"
 SETTLE_SECONDS = 0.3
+ADDED_ROUTES = 40
 ROUTE = place.route("/s/", "s", False, 4.0)
 OTHER = place.route("/o/", "s", False, 4.0)
 
@@ -214,3 +215,30 @@
         assert len(cluster.upstreams[B].got) == 1
 
     test_path.run(test())
+
+
+@pytest.mark.parametrize("by_cost", [False, True])
+def test_routes_that_are_added_are_served_as_the_first(by_cost: bool) -> None:
+    """Nothing is known of their load, and they are many."""
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.admits_by_cost = by_cost
+        first = place.route("/s/", "s", True, 4.0)
+        added = [
+            place.route(f"/added-{number}/", "s", True, 4.0)
+            for number in range(ADDED_ROUTES)
+        ]
+        cluster.policy(3, first)
+        await cluster.upstream(B, "s")
+        for host, service in ((A, "front"), (B, "s")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B)
+        for _ in range(ADDED_ROUTES):
+            assert (await cluster.call(A, "/s/")).status == 200
+        cluster.policy(4, first, *added)
+        await cluster.wait_until_known(A, B)
+        for route in added:
+            assert (await cluster.call(A, route.prefix)).status == 200
+
+    test_path.run(test())
