Keep the id and host of a request whose Connection field names them

Fields that a client lists in Connection are not passed on. A client that listed its own request id had its request run without one, which no client sent, and got 504; one that listed Host had it dropped. Options of a second Connection field were not heeded, and their fields passed on.

The entrance now keeps what the instance needs, and a listener joins the values of several Connection fields.

--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -221,7 +221,12 @@
         table is not None and table.customers_by_key_digest is not None
     )
     dropped = _dropped_fields(daemon.header_keys, has_customers)
-    fields = httpio.end_to_end_fields(request.fields, request.headers, dropped)
+    fields = httpio.end_to_end_fields(
+        request.fields,
+        request.headers,
+        dropped,
+        {b"host", daemon.header_keys.request_id},
+    )
     fields.append(
         (daemon.header_names.caller, daemon.settings.service.encode())
     )
--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -206,6 +206,8 @@
                 # Request smuggling: a proxy may use the first of two such
                 # fields and the server behind it the second.
                 self._reject(400)
+            elif lower_name == b"connection":
+                request.headers[lower_name] += b"," + value
         else:
             request.headers[lower_name] = value
 
--- a/src/sassafrasstair/httpio/_messages.py
+++ b/src/sassafrasstair/httpio/_messages.py
@@ -93,11 +93,12 @@
     fields: ParsedFields,
     headers: abc.Mapping[bytes, bytes],
     excluded: abc.Set[bytes],
+    required: abc.Set[bytes] = frozenset(),
 ) -> Fields:
     """Return the fields to forward.
 
     Left out are the names in ``excluded`` (see ``non_forwarded_names``) and
-    those that the ``Connection`` field lists.
+    those that the ``Connection`` field lists, but for ``required`` ones.
     """
     connection_options = headers.get(b"connection")
     if connection_options is not None and b"," not in connection_options:
@@ -112,7 +113,7 @@
         ]
     listed_names = {
         part.strip().lower() for part in connection_options.split(b",")
-    }
+    } - required
     return [
         (name, value)
         for lower, name, value in fields
--- a/tests/forwarding/test_path.py
+++ b/tests/forwarding/test_path.py
@@ -137,6 +137,36 @@
     run(test())
 
 
+@pytest.mark.parametrize(
+    "options",
+    [
+        b"Connection: X-Hop, X-Request, Host\r\n",
+        b"Connection: close, x-request\r\nConnection: X-Hop\r\n",
+        b"Connection: keep-alive\r\nConnection: X-HOP,host\r\n",
+        b"Connection: X-Deadline-Ms, X-Caller, X-Target,X-Hop\r\n",
+    ],
+)
+def test_options_of_a_connection_drop_no_field_that_is_required(
+    options: bytes,
+) -> None:
+    """An instance would run a request that nobody sent, by its id."""
+
+    async def test() -> None:
+        cluster = await _world()
+        got = await cluster.call(
+            A, "/s/", headers=options + b"X-Hop: 1\r\n", deadline_ms=900
+        )
+        assert got.status == 200
+        fields = cluster.upstreams[B].got[0].fields
+        assert fields[b"x-request"] == got.fields[b"x-request"]
+        assert fields[b"host"] == b"a.example"
+        assert fields[b"x-caller"] == b"front"
+        assert 700 < int(fields[b"x-deadline-ms"]) <= 900
+        assert b"x-hop" not in fields
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("script", "idempotent", "status"),
     [
