--- a/tests/forwarding/test_sync.py
+++ b/tests/forwarding/test_sync.py
@@ -55,6 +55,28 @@
     test_path.run(test())
 
 
+def test_daemons_without_the_store_serve_on_and_deny_nothing() -> None:
+    """A route that they do not know may be new: clients should come back."""
+
+    async def test() -> None:
+        cluster = await test_path._world()
+        assert (await cluster.call(A, "/new/")).status == 404
+        cluster.source.away = {A, B}
+        cluster.source.changed.set()
+        # They have lost the store for a second, and then for some time more.
+        statuses = []
+        while len(statuses) < 10:
+            await asyncio.sleep(0.1)
+            assert (await cluster.call(A, "/s/", "POST")).status == 200
+            unknown = await cluster.call(A, "/new/")
+            if unknown.status != 404:
+                statuses.append(unknown.status)
+                assert float(unknown.fields[b"retry-after"]) > 0
+        assert statuses == [503] * 10
+
+    test_path.run(test())
+
+
 def test_many_changes_cost_few_calls_to_the_store() -> None:
     """Many changes in quick succession must share a few watches.
 
