--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -14,6 +14,10 @@
 STEP = 0.05
 GRACES = (1.0, 2.0, 6.0, 10.0, 30.0)
 BEGAN = 100.0
+CUT_GRACE_RATIO = 5.0 / 6.0
+"""An instance is waited for until then, as a fraction of the grace period."""
+TAKEN_SECONDS_MAX = 3.0
+"""What comes later than this after SIGTERM may not be cut."""
 
 
 @dataclasses.dataclass
@@ -170,6 +174,23 @@
         assert not stops.may_take(daemon.stop, request.arrival, now)
 
 
+@pytest.mark.parametrize("grace", GRACES)
+def test_instance_is_waited_for_until_the_end_of_the_grace_period(
+    grace: float,
+) -> None:
+    """Its silence is no reason to answer sooner in its place."""
+    stop = stops.begin(grace, BEGAN)
+    assert stop.cut_at >= BEGAN + CUT_GRACE_RATIO * grace
+    assert stop.lame_duck_until <= BEGAN + TAKEN_SECONDS_MAX
+    assert stop.cut_at < stop.ends_by < BEGAN + grace
+    busy = stops.InFlight(calls=1, executions=1)
+    now = BEGAN
+    while now + STEP < stop.cut_at:
+        now += STEP
+        phase = stops.update(stop, busy, now)
+        assert phase in (stops.Phase.LAME_DUCK, stops.Phase.DRAINING)
+
+
 @pytest.mark.parametrize("grace", GRACES)
 def test_idle_daemon_ends_right_after_the_first_phase(grace: float) -> None:
     daemon = Daemon(grace)
