--- a/tests/forwarding/test_departures.py
+++ b/tests/forwarding/test_departures.py
@@ -1,4 +1,4 @@
-"""Tests of clients that leave, wherever their requests are at that time."""
+"""Tests of requests whose clients leave, or give up, while they wait."""
 
 from __future__ import annotations
 
@@ -103,6 +103,32 @@
     test_path.run(test())
 
 
+@pytest.mark.parametrize("host", [A, B], ids=["forwarded", "local"])
+@pytest.mark.parametrize("deadline_ms", [100, 600])
+def test_request_that_was_refused_while_it_waited_does_not_run_later(
+    deadline_ms: int, host: str
+) -> None:
+    """Its client may have sent it again: it would run twice."""
+
+    async def test() -> None:
+        world = World()
+        await world.start()
+        first = asyncio.ensure_future(
+            world.cluster.call(A, "/s/", "POST", deadline_ms=9000)
+        )
+        await world.wait_for_executions(1)
+        second = await world.cluster.call(
+            host, "/s/", "POST", deadline_ms=deadline_ms
+        )
+        assert second.status == 503
+        world.go.set()
+        assert (await first).status == 200
+        assert (await world.cluster.call(A, "/s/", "POST")).status == 200
+        assert world.received == 2
+
+    test_path.run(test())
+
+
 @pytest.mark.parametrize("leave", [_close, _abort, _end_writing])
 def test_half_read_request_is_not_run_after_its_client_left(
     leave: abc.Callable[[asyncio.StreamWriter], typing.Any],
