--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -180,8 +180,7 @@
 
     The instance may end at any moment then, and others can run the requests.
     """
-    seconds = _guards.leaving_seconds(daemon, instance, now)
-    if seconds < daemon.settings.bounds.drain_seconds:
+    if not _guards.has_left(daemon, instance, now):
         return
     reason = outcomes.Reason.LEAVING
     for attempt_id in list(guard.waiting):
--- a/src/sassafrasstair/forwarding/_starts.py
+++ b/src/sassafrasstair/forwarding/_starts.py
@@ -10,6 +10,7 @@
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _arrivals
 from sassafrasstair.forwarding import _crashes
+from sassafrasstair.forwarding import _guards
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
@@ -21,6 +22,8 @@
     daemon: _state.Daemon, instance: str
 ) -> outcomes.Reason:
     """Return why the upstream can't serve the instance, or ``NONE``."""
+    if _guards.has_left(daemon, instance, daemon.clock.monotonic()):
+        return outcomes.Reason.LEAVING
     if daemon.upstream_down:
         return outcomes.Reason.UPSTREAM_UNREACHABLE
     if views.is_replaced(daemon.view, instance):
--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -15,6 +15,7 @@
 from sassafrasstair.decisions import pipelines
 from sassafrasstair.httpio import _exchanges
 from sassafrasstair.httpio import _messages
+from sassafrasstair.httpio import _sockets
 
 if typing.TYPE_CHECKING:
     from sassafrasstair.httpio import _listeners
@@ -33,8 +34,6 @@
 drop answers that the client has not received yet (RFC 9112, 9.6)."""
 PARSED_BYTES_MAX = 16 * 1024
 """Bytes parsed between two checks of the number of queued requests."""
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_PARSE_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 _PIPELINE_LIMITS = pipelines.Limits(
     SIDE_BY_SIDE_MAX, PIPELINED_MAX, HELD_BYTES_MAX
 )
@@ -94,8 +93,7 @@
     @property
     def peer_host(self) -> str:
         """The client's IP address, '' after it has disconnected."""
-        name = self._transport.get_extra_info("peername")
-        return name[0] if name else ""
+        return _sockets.peer_host(self._transport)
 
     @property
     def idle(self) -> bool:
@@ -205,6 +203,8 @@
                 # Request smuggling: a proxy may use the first of two such
                 # fields and the server behind it the second.
                 self._reject(400)
+            elif lower_name == b"connection":
+                request.headers[lower_name] += b"," + value
         else:
             request.headers[lower_name] = value
 
@@ -271,9 +271,12 @@
 
     def check(self, now: float) -> None:
         """Close the connection if a time limit has passed."""
-        limits = self._listener.limits
-        if self._pipeline.started:
+        has_ended = self._paused and _sockets.has_ended(self._transport)
+        if has_ended:
+            self._transport.abort()
+        if has_ended or self._pipeline.started:
             return
+        limits = self._listener.limits
         self._note_progress(now)
         if self._closing or self._unsent_bytes:
             # If the client stops reading, its response would stay in memory
@@ -285,10 +288,8 @@
                 self._transport.abort()
         elif self._reading is not None:
             in_head = self._head_size >= 0
-            time_limit = (
-                limits.head_seconds if in_head else limits.body_seconds
-            )
-            if now - self._read_since > time_limit:
+            seconds = limits.head_seconds if in_head else limits.body_seconds
+            if now - self._read_since > seconds:
                 self._reject(408)
         elif now - self._active_at > limits.idle_seconds:
             self.close()
@@ -319,7 +320,7 @@
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
-        except _PARSE_ERRORS:
+        except _messages.PARSE_ERRORS:
             # Behind a request with `Connection: close`, this does nothing.
             self._reject(400)
         if self._reading is None:
@@ -450,7 +451,7 @@
         if not self._pipeline.entries:
             self._continue_due = False
             self._read_since = self._listener.clock.monotonic()
-            self._transport.write(_CONTINUE)
+            self._transport.write(_messages.CONTINUE)
 
     def _reject(self, status: int) -> None:
         """Reject a request that was not read completely, and close.
--- a/src/sassafrasstair/httpio/_messages.py
+++ b/src/sassafrasstair/httpio/_messages.py
@@ -6,6 +6,8 @@
 import http
 import typing
 
+import httptools
+
 if typing.TYPE_CHECKING:
     from collections import abc
 
@@ -33,6 +35,9 @@
 """Fields that apply to one connection only (RFC 9110, 7.6.1), and fields that
 frame a body: a forwarded body is sent whole, with its own Content-Length."""
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""The interim response to a request that waits before it sends its body."""
+PARSE_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 WHITE_SPACE = b" \t"
 """White space around a field's value, which is no part of it (RFC 9110, 5.5);
 ``httptools`` leaves it behind the value."""
@@ -93,11 +98,12 @@
     fields: ParsedFields,
     headers: abc.Mapping[bytes, bytes],
     excluded: abc.Set[bytes],
+    required: abc.Set[bytes] = frozenset(),
 ) -> Fields:
     """Return the fields to forward.
 
     Left out are the names in ``excluded`` (see ``non_forwarded_names``) and
-    those that the ``Connection`` field lists.
+    those that the ``Connection`` field lists, but for ``required`` ones.
     """
     connection_options = headers.get(b"connection")
     if connection_options is not None and b"," not in connection_options:
@@ -112,7 +118,7 @@
         ]
     listed_names = {
         part.strip().lower() for part in connection_options.split(b",")
-    }
+    } - required
     return [
         (name, value)
         for lower, name, value in fields
--- a/tests/forwarding/test_changes.py
+++ b/tests/forwarding/test_changes.py
@@ -19,6 +19,8 @@
 A, B, C = place.HOSTS
 BODY = b"12345678"
 SETTLE_SECONDS = 0.3
+ADDED_ROUTES = 40
+LATE_REQUESTS = 10
 ROUTE = place.route("/s/", "s", False, 4.0)
 OTHER = place.route("/o/", "s", False, 4.0)
 
@@ -176,3 +178,123 @@
         assert len(cluster.upstreams[C].got) == 2
 
     test_path.run(test())
+
+
+def test_instance_whose_entry_vanished_gets_nothing_after_the_drain_time() -> (
+    None
+):
+    """It is the only one of its service, so it is used a while longer.
+
+    A request that was sent last waited for its slot beyond the drain time.
+    """
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        route = place.route("/s/", "s", False, 6.0, objective=4.0)
+        cluster.policy(3, route)
+        instance = Instance()
+        await cluster.upstream(B, "s", instance.serve, slots=1)
+        for host, service in ((A, "front"), (B, "s")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B)
+        daemon = cluster.daemons[B].daemon
+        cluster.source.remove(f"i-{B}")
+        await cluster.wait_until_known(A, B)
+        gone_at = asyncio.get_running_loop().time()
+        calls = []
+        for count in (1, 2):
+            call = cluster.call(A, "/s/", "POST", BODY, 6000)
+            calls.append(asyncio.ensure_future(call))
+            while len(daemon.executions) < count:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(1.2 / count)
+        drain = daemon.settings.bounds.drain_seconds
+        elapsed = asyncio.get_running_loop().time() - gone_at
+        await asyncio.sleep(drain + 0.2 - elapsed)
+        instance.go.set()
+        assert [(await call).status for call in calls] == [200, 503]
+        assert len(cluster.upstreams[B].got) == 1
+
+    test_path.run(test())
+
+
+@pytest.mark.parametrize("by_cost", [False, True])
+def test_routes_that_are_added_are_served_as_the_first(by_cost: bool) -> None:
+    """Nothing is known of their load, and they are many."""
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.admits_by_cost = by_cost
+        first = place.route("/s/", "s", True, 4.0)
+        added = [
+            place.route(f"/added-{number}/", "s", True, 4.0)
+            for number in range(ADDED_ROUTES)
+        ]
+        cluster.policy(3, first)
+        await cluster.upstream(B, "s")
+        for host, service in ((A, "front"), (B, "s")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B)
+        for _ in range(ADDED_ROUTES):
+            assert (await cluster.call(A, "/s/")).status == 200
+        cluster.policy(4, first, *added)
+        await cluster.wait_until_known(A, B)
+        for route in added:
+            assert (await cluster.call(A, route.prefix)).status == 200
+
+    test_path.run(test())
+
+
+def _leave(cluster: place.Cluster) -> None:
+    cluster.put_entry(B, "s", views.InstanceState.LEAVING)
+
+
+def _vanish(cluster: place.Cluster) -> None:
+    cluster.source.remove(f"i-{B}")
+
+
+def _freeze_view(view: views.View, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let a daemon go on with the instances that it knows now."""
+    instances = dict(view.instances)
+    known = views.targets(view, "s")
+    by_id, targets = views.instance_by_id, views.targets
+    monkeypatch.setattr(
+        views,
+        "instance_by_id",
+        lambda of, key: instances.get(key) if of is view else by_id(of, key),
+    )
+    monkeypatch.setattr(
+        views,
+        "targets",
+        lambda of, service: known if of is view else targets(of, service),
+    )
+
+
+@pytest.mark.parametrize("end", [_leave, _vanish])
+def test_instance_that_left_gets_nothing_from_an_entrance_that_is_behind(
+    end: abc.Callable[[place.Cluster], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The change is late at one daemon, and known at the instance's."""
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(3, place.route("/s/", "s"))
+        for host, service in ((A, "front"), (B, "s"), (C, "s")):
+            if service == "s":
+                await cluster.upstream(host, service)
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B, C)
+        while not cluster.upstreams[B].got:
+            assert (await cluster.call(A, "/s/")).status == 200
+        behind = cluster.daemons[A].daemon.view
+        _freeze_view(behind, monkeypatch)
+        end(cluster)
+        await cluster.wait_until_known(B)
+        drain = cluster.daemons[B].daemon.settings.bounds.drain_seconds
+        await asyncio.sleep(drain + 0.2)
+        reached = len(cluster.upstreams[B].got)
+        for _ in range(LATE_REQUESTS):
+            assert (await cluster.call(A, "/s/")).status == 200
+        assert len(cluster.upstreams[B].got) == reached
+
+    test_path.run(test())
