Check in the soak for losses beside policies and of kept connections

The oracle of losses knew planned stops and, without changed settings, a SIGHUP. Two rules had no check: a request lost beside a policy that may be active, and more than three kept connections closed under requests that had been passed on, at any time.

A policy covers 3 s from its write. What a daemon cuts then is lost if it cuts more than three times as often as at other times, unless the request had used seven tenths of its time. Kept connections count where the daemon was in touch and the instance was sound; disruptions of processes, links, instances and the store are now recorded by kind for that. What may be cut at the end of a stop is excused for a SIGHUP and a policy during that stop as well: these were not noted before, and the rule allows it.

Every soak now writes policies (also of client limits) in series, and changes settings at SIGHUP, while requests that last are in flight.

--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -17,6 +17,7 @@
 
 from tests.platform.soak import clients
 from tests.platform.soak import customers as customers_module
+from tests.platform.soak import disruptions
 from tests.platform.soak import oracle as oracle_module
 from tests.platform.soak import records
 from tests.platform.soak import relays
@@ -31,6 +32,12 @@
 NETS = range(20, 220)
 GRACE = 3.0
 TIMEOUTS_MS = (1200, 1500)
+IDLE_TIMEOUTS_MS = (10_000, 12_000)
+"""Clients use connections again that were idle for up to 0.8 of them."""
+HEADER_TIMEOUTS_MS = (4_000, 5_000)
+MAX_HEADER_BYTES = 16_384
+MAX_BODY_BYTES = (1 << 20, 1 << 21)
+RETRY_RATIOS = (0.12, 0.2)
 LAPSE_SECONDS = 2.5
 """From the return of a crashed instance until its entry before is gone."""
 STOP_SLACK = 2.0
@@ -91,13 +98,15 @@
         self.grace = grace
         self.timeline = records.Timeline(folder)
         self.timeline.note(f"grace {grace} s")
-        self.store = store_module.Store(self.timeline.note)
         self.customers = customers_module.Customers(rng)
         self.oracle = oracle_module.Oracle(
             {route: {service} for route, service in ROUTES.items()},
             self.customers,
             self.timeline.note,
         )
+        self.store = store_module.Store(
+            self.timeline.note, self.oracle.disruptions
+        )
         self.faults: list[str] = []
         self._timers: asyncio.Future[None] | None = None
         self.crashed = 0
@@ -149,7 +158,8 @@
         task.add_done_callback(self._returns.discard)
 
     async def _bring_back(self, vm: Vm, before: str) -> None:
-        with self.oracle.losses.disrupted(vm.host):
+        kind = disruptions.Kind.INSTANCE
+        with self.oracle.disruptions.disrupted(vm.host, kind):
             await vm.upstream.restart()
         self.timeline.note(f"returned {vm.name} {vm.upstream.id}")
         self.register(vm)
@@ -189,7 +199,7 @@
             await vm.link.open()
             await vm.upstream.open(vm.host, APP)
             self.register(vm)
-            vm.boot.write_text(self._settings(vm))
+            self.write_settings(vm)
             self.start(vm)
         for vm in self.vms:
             await self.ready(vm)
@@ -227,6 +237,12 @@
                 "version": f"r{self.version}",
                 "routes": routes,
                 "tenants": self.customers.policy(),
+                "limits": {
+                    "max_header_bytes": MAX_HEADER_BYTES,
+                    "max_body_bytes": self.rng.choice(MAX_BODY_BYTES),
+                    "header_timeout_ms": self.rng.choice(HEADER_TIMEOUTS_MS),
+                    "idle_timeout_ms": self.rng.choice(IDLE_TIMEOUTS_MS),
+                },
             },
         )
 
@@ -237,7 +253,8 @@
             vm.registered = vm.upstream.id
             self.store.put(f"servers/{vm.upstream.id}", entry)
 
-    def _settings(self, vm: Vm) -> str:
+    def write_settings(self, vm: Vm) -> None:
+        """Write the daemon's settings, some of them drawn."""
         values = {
             "node_id": vm.name,
             "ip": vm.link.host,
@@ -254,10 +271,15 @@
                 f"revoke_ms={customers_module.REVOKE_SECONDS * 1000:.0f},"
                 f"quota_window_s={customers_module.WINDOW_SECONDS},"
                 f"quota_over={customers_module.OVER},"
-                f"quota_slack={customers_module.SLACK}"
+                f"quota_slack={customers_module.SLACK},"
+                f"retry_budget_ratio={self.rng.uniform(*RETRY_RATIOS):.4f}"
             ),
         }
-        return "".join(f"{key}={value}\n" for key, value in values.items())
+        written = vm.boot.with_suffix(".new")
+        written.write_text(
+            "".join(f"{key}={value}\n" for key, value in values.items())
+        )
+        written.replace(vm.boot)
 
     def start(self, vm: Vm) -> None:
         """Start the VM's daemon."""
@@ -267,6 +289,7 @@
             "PYTHONPATH": os.pathsep.join(sys.path),
         }
         self.timeline.note(f"started {vm.name}")
+        self.oracle.disruptions.note(vm.host, disruptions.Kind.PLANNED)
         with vm.log.open("ab") as log:
             vm.process = subprocess.Popen(
                 [sys.executable, "-m", "sassafrasstair.console.forwarder"],
@@ -298,7 +321,9 @@
         self.timeline.note(f"stops {vm.name}")
         self.oracle.losses.stops(vm.host, self.grace)
         process.send_signal(signal.SIGTERM)
-        code = await ended(process, self.grace + STOP_SLACK)
+        kind = disruptions.Kind.PLANNED
+        with self.oracle.disruptions.disrupted(vm.host, kind):
+            code = await ended(process, self.grace + STOP_SLACK)
         if code != 0:
             self.oracle.broken.append(f"STOP {vm.name}: code {code}")
         self.oracle.notices.excuse(vm.host)
@@ -307,7 +332,8 @@
         """End the daemon at once."""
         process = running(vm)
         self.timeline.note(f"kills {vm.name}")
-        with self.oracle.losses.disrupted(vm.host):
+        kind = disruptions.Kind.PROCESS
+        with self.oracle.disruptions.disrupted(vm.host, kind):
             process.kill()
             await ended(process, STOP_SLACK)
         self.oracle.notices.excuse(vm.host)
--- a/tests/platform/soak/kept.py
+++ b/tests/platform/soak/kept.py
@@ -110,6 +110,7 @@
         )
         life = self._oracle.losses.lives[key]
         life.whole_at = math.inf
+        life.kept = True
         fields = [
             (b"Host", clients.HOST),
             (b"Sassafrasstair-Request-Id", key.encode()),
--- a/tests/platform/soak/losses.py
+++ b/tests/platform/soak/losses.py
@@ -1,7 +1,8 @@
-"""An oracle of requests that are lost around a planned stop or a SIGHUP.
+"""An oracle of requests that are lost around planned work, or at any time.
 
-A daemon that has read a whole request owes the complete answer of the instance
-that runs it, and may not close the connection without any answer.
+Planned work is a planned stop, a SIGHUP or a change of the policy. A daemon
+that has read a whole request owes the complete answer of the instance that
+runs it, and may not close the connection without any answer.
 """
 
 from __future__ import annotations
@@ -14,16 +15,24 @@
 import math
 import typing
 
+from tests.platform.soak import disruptions
+
 if typing.TYPE_CHECKING:
     from collections import abc
 
-STABLE_SECONDS = 3.0
-"""A disruption this long before a request excuses its loss."""
 SLACK_SECONDS = 0.2
 """A connection that is closed sooner crossed the last byte of the request."""
 AFTER_GRACE_SECONDS = 1.0
 PROPAGATION_SECONDS = 2.0
 """Requests are owed an answer if sent up to this long after a SIGHUP."""
+AFTER_POLICY_SECONDS = PROPAGATION_SECONDS + 1.0
+"""A policy may cut no requests for so long after it was written."""
+POLICY_RATIO = 3.0
+"""Daemons may cut this much more often beside a policy than at other times."""
+USED_RATIO = 0.7
+"""A policy may cut a request that has used this much of its time."""
+CLOSED_MAX = 3
+"""Kept connections that may be closed under a request, in all."""
 LATE_SECONDS = 3.0
 """A request that is sent longer after SIGTERM may not be cut at the end."""
 AT_WORK_RATIO = 5.0 / 6.0
@@ -58,7 +67,8 @@
     """A request of a client of the daemon at ``entrance``; loop times.
 
     ``whole_at`` is when its last byte was sent. ``alone`` is set if it was
-    sent on a connection that was open, behind no other request.
+    sent on a connection that was open, behind no other request, ``kept`` if
+    the client uses its connection again.
     """
 
     key: str
@@ -67,6 +77,7 @@
     patience: float
     whole_at: float
     alone: bool = False
+    kept: bool = False
     ended_at: float = math.inf
     ending: Ending = Ending.LEFT
     works: list[Work] = dataclasses.field(default_factory=list)
@@ -105,13 +116,15 @@
     def covers(self, life: Life) -> bool:
         """Return whether the daemon owes an answer in spite of the stop."""
         until = self.at + self.grace + AFTER_GRACE_SECONDS
-        if life.entrance != self.host or not self.at <= life.ended_at <= until:
-            return False
+        return life.entrance == self.host and self.at <= life.ended_at <= until
+
+    def may_cut(self, life: Life) -> bool:
+        """Return whether an instance worked for too long at the end."""
         final = self.at + AT_WORK_RATIO * self.grace
-        at_work = life.ended_at >= final and any(
-            work.ended_at >= final for work in life.works
-        )
-        return life.whole_at > self.at + LATE_SECONDS or not at_work
+        if not self.covers(life) or life.ended_at < final:
+            return False
+        at_work = any(work.ended_at >= final for work in life.works)
+        return at_work and life.whole_at <= self.at + LATE_SECONDS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -130,20 +143,25 @@
         )
 
 
-@dataclasses.dataclass
-class _Disruption:
-    host: str
-    began_at: float
-    ended_at: float = math.inf
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """A policy that was written, which all daemons may apply from then on."""
+
+    at: float
+
+    def covers(self, life: Life) -> bool:
+        """Return whether a request ended beside it."""
+        return self.at <= life.ended_at <= self.at + AFTER_POLICY_SECONDS
 
 
 class Oracle:
-    """Notes requests, signals and disruptions, and finds what was lost."""
+    """Notes requests and signals, and finds what was lost."""
 
-    def __init__(self) -> None:
+    def __init__(self, record: disruptions.Record) -> None:
         self.lives: dict[str, Life] = {}
+        self._record = record
         self._signals: list[Stop | Hangup] = []
-        self._disruptions: list[_Disruption] = []
+        self._policies: list[Policy] = []
         self._timeouts: list[tuple[float, float]] = []
 
     def began(
@@ -172,19 +190,10 @@
         """Note that a daemon gets SIGHUP now."""
         self._signals.append(Hangup(host, _now()))
 
-    @contextlib.contextmanager
-    def disrupted(self, host: str) -> abc.Iterator[None]:
-        """Note an unplanned disruption of a VM, its link or instance."""
-        disruption = _Disruption(host, _now())
-        self._disruptions.append(disruption)
-        try:
-            yield
-        finally:
-            disruption.ended_at = _now()
-
     def configured(self, timeout: float) -> None:
-        """Note the timeout of all routes from now on."""
+        """Note a policy, and the timeout of all its routes."""
         self._timeouts.append((_now(), timeout))
+        self._policies.append(Policy(_now()))
 
     def count(self) -> str:
         """Return how many requests ended near a SIGTERM, by ending."""
@@ -203,8 +212,23 @@
         )
         return f"{dict(found)}"
 
+    def count_sound(self) -> int:
+        """Return how many requests of kept connections an answer was owed."""
+        kept = [life for life in self.lives.values() if life.kept]
+        ended = [life for life in kept if life.ended_at < math.inf]
+        return sum(
+            bool(life.works) and self._was_sound(life) for life in ended
+        )
+
     def broken(self) -> list[str]:
         """Return each request that was lost."""
+        return [
+            *self._lost_at_signals(),
+            *self._lost_beside_policies(),
+            *self._closed_at_any_time(),
+        ]
+
+    def _lost_at_signals(self) -> list[str]:
         return [
             f"LOST {life.key}: {self._describe(signal, life)}"
             for life in self.lives.values()
@@ -213,6 +237,80 @@
             if signal is not None
         ]
 
+    def _lost_beside_policies(self) -> list[str]:
+        entrances = {life.entrance for life in self.lives.values()}
+        return [
+            f"LOST {life.key}: {self._describe(policy, life)}"
+            for entrance in sorted(entrances)
+            for policy, life in self._cut_more_often(entrance)
+        ]
+
+    def _cut_more_often(self, entrance: str) -> list[tuple[Policy, Life]]:
+        """Return what a daemon cut beside policies, if it did so too often.
+
+        Requests that ended around its signals are counted elsewhere.
+        """
+        ended = [
+            life
+            for life in self.lives.values()
+            if life.entrance == entrance and life.ended_at < math.inf
+            if self._signal(life) is None
+        ]
+        beside: list[tuple[Policy, Life]] = []
+        cut_elsewhere = elsewhere = 0
+        for life in ended:
+            policy = self._policy(life)
+            if policy is None:
+                elsewhere += 1
+                cut_elsewhere += self._was_cut(life)
+            elif self._was_cut(life) and not self._is_nearly_over(life):
+                beside.append((policy, life))
+        share = len(beside) / max(1, len(ended) - elsewhere)
+        allowed = POLICY_RATIO * cut_elsewhere / max(1, elsewhere)
+        return beside if share > allowed else []
+
+    def _closed_at_any_time(self) -> list[str]:
+        """Return requests that got no answer on kept connections."""
+        closed = [
+            life
+            for life in self.lives.values()
+            if life.kept
+            and life.ending is Ending.CLOSED
+            and life.works
+            and life.whole_at <= life.ended_at
+            and self._was_sound(life)
+        ]
+        if len(closed) <= CLOSED_MAX:
+            return []
+        return [
+            f"LOST {life.key}: {len(closed)} kept connections closed,"
+            f" {life.ended_at - life.whole_at:.3f} s after the request"
+            for life in closed
+        ]
+
+    def _was_sound(self, life: Life) -> bool:
+        """Return whether the daemon was in touch and the instance sound."""
+        since, until = life.began_at, life.ended_at
+        if life.broke_off:
+            return False
+        if not self._record.in_touch([life.entrance], since, until):
+            return False
+        hosts = {work.host for work in life.works}
+        kinds = frozenset({disruptions.Kind.INSTANCE})
+        return not self._record.had(hosts, kinds, since, until)
+
+    def _policy(self, life: Life) -> Policy | None:
+        return next((one for one in self._policies if one.covers(life)), None)
+
+    def _was_cut(self, life: Life) -> bool:
+        """Return whether a connection ended without an answer that is owed."""
+        cut = life.ending is Ending.CLOSED and life.is_unanswered
+        return cut and not self._excuse(life)
+
+    def _is_nearly_over(self, life: Life) -> bool:
+        used = life.ended_at - life.began_at
+        return used >= USED_RATIO * self._limit(life)
+
     def _signal(self, life: Life) -> Stop | Hangup | None:
         return next((one for one in self._signals if one.covers(life)), None)
 
@@ -221,6 +319,9 @@
             return "broken off"
         if life.ended_at >= life.began_at + self._limit(life) - TOLERANCE:
             return "timed out"
+        stops = [each for each in self._signals if isinstance(each, Stop)]
+        if any(stop.may_cut(life) for stop in stops):
+            return "at work at the end of a stop"
         return "disrupted" if self._is_disrupted(life) else ""
 
     def _limit(self, life: Life) -> float:
@@ -236,14 +337,11 @@
 
     def _is_disrupted(self, life: Life) -> bool:
         hosts = {life.entrance, *(work.host for work in life.works)}
-        return any(
-            each.host in hosts
-            and each.began_at <= life.ended_at
-            and each.ended_at >= life.began_at - STABLE_SECONDS
-            for each in self._disruptions
+        return self._record.had(
+            hosts, disruptions.UNPLANNED, life.began_at, life.ended_at
         )
 
-    def _describe(self, signal: Stop | Hangup, life: Life) -> str:
+    def _describe(self, signal: Stop | Hangup | Policy, life: Life) -> str:
         works = [
             f"{work.host} {work.began_at - signal.at:.3f}"
             f" to {work.ended_at - signal.at:.3f}"
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -9,6 +9,7 @@
 
 from tests import notices as notices_module
 from tests.platform.soak import customers as customers_module
+from tests.platform.soak import disruptions as disruptions_module
 from tests.platform.soak import losses
 
 if typing.TYPE_CHECKING:
@@ -102,7 +103,8 @@
         self.sent: dict[str, Sent] = {}
         self.broken: list[str] = []
         self.notices = notices_module.Oracle()
-        self.losses = losses.Oracle()
+        self.disruptions = disruptions_module.Record()
+        self.losses = losses.Oracle(self.disruptions)
         self.crashing: dict[bytes, Crashes] = {}
         """Targets of requests that crash the instances that run them."""
         self.served = 0
@@ -196,6 +198,7 @@
     def check_losses(self) -> None:
         """Look at the requests that ended around signals."""
         self._note(f"around stops: {self.losses.count()}")
+        self._note(f"kept and in touch: {self.losses.count_sound()}")
         for lost in self.losses.broken():
             rule, _, detail = lost.partition(" ")
             key, _, detail = detail.partition(": ")
--- a/tests/platform/soak/power.py
+++ b/tests/platform/soak/power.py
@@ -10,6 +10,7 @@
 import random
 import typing
 
+from tests.platform.soak import faults
 from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import records
 from tests.platform.soak import scenario
@@ -84,4 +85,4 @@
 async def _leave_later(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
     await asyncio.sleep(fleet.rng.uniform(*LEAVE_SECONDS))
     fleet.note_fault(f"leave {vm.name}")
-    await scenario.leave(fleet, vm)
+    await faults.leave(fleet, vm)
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
-import math
 import random
-import signal
 import typing
 
+from tests.platform.soak import faults
 from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import kept
 from tests.platform.soak import oracle as oracle_module
@@ -29,33 +27,13 @@
 LOST_PAUSE = 0.3
 PROBES = 20
 GRACES = (1.0, 2.0, 3.0, 4.0, 6.0)
-KEEPERS = 3
-SERIES_PAUSE = (0.05, 0.8)
-SERIES_SIGNALS = {"term": signal.SIGTERM, "hup": signal.SIGHUP}
-BAD_TIMES = 12
-BAD_PAUSE = 0.25
-"""A request that crashes instances comes so often, at all VMs by turns."""
+KEEPERS = 5
 RECOVERED_SHARE = 0.9
-RATE_LIMITS = (0.0, 1.0, 2.0, 5.0, 10.0)
-LIMIT_SECONDS = 8.0
-"""The time until a rate limit binds, a window to count in, and a second."""
 FIRST_FAULTS = ("leave", "limit")
+"""Every soak has these, of instances that run ``deep``."""
+FIRST_ANYWHERE = ("configure", "hup")
 """Every soak has these: drawn alone, they would miss most short ones."""
 
-FORGERIES: tuple[dict[str, object], ...] = (
-    {"state": "zombie"},
-    {"slots": 0},
-    {"service": "unknown"},
-    {"address": "10.0.0.1:99999"},
-    {"warmup_ms": -1},
-    {"born": 1.5},
-    {"zone": None},
-)
-
-Fault = typing.Callable[
-    [fleet_module.Fleet, fleet_module.Vm], typing.Awaitable[None]
-]
-
 
 @dataclasses.dataclass(frozen=True)
 class Report:
@@ -137,35 +115,23 @@
         FIRST_FAULTS, fleet.rng.sample(deep, len(FIRST_FAULTS)), strict=True
     ):
         fleet.note_fault(f"{name} {vm.name}")
-        under_way.add(asyncio.ensure_future(_apply(fleet, vm, name)))
+        under_way.add(asyncio.ensure_future(faults.apply(fleet, vm, name)))
+    for name in FIRST_ANYWHERE:
+        vm = fleet.rng.choice(fleet.vms)
+        fleet.note_fault(f"{name} {vm.name}")
+        under_way.add(asyncio.ensure_future(faults.apply(fleet, vm, name)))
     while loop.time() < until:
         await asyncio.sleep(fleet.rng.uniform(*FAULT_PAUSE))
-        name = fleet.rng.choice(sorted(FAULTS))
+        name = fleet.rng.choice(sorted(faults.FAULTS))
         vm = fleet.rng.choice(fleet.vms)
-        if name in ON_PROCESS and vm.busy:
+        if name in faults.ON_PROCESS and vm.busy:
             continue
         fleet.check_alive()
         fleet.note_fault(f"{name} {vm.name}")
-        under_way.add(asyncio.ensure_future(_apply(fleet, vm, name)))
+        under_way.add(asyncio.ensure_future(faults.apply(fleet, vm, name)))
     await asyncio.gather(*under_way)
 
 
-async def _apply(
-    fleet: fleet_module.Fleet, vm: fleet_module.Vm, name: str
-) -> None:
-    disrupted = fleet.oracle.losses.disrupted(vm.host)
-    with disrupted if name in UNPLANNED else contextlib.nullcontext():
-        if name not in ON_PROCESS:
-            await FAULTS[name](fleet, vm)
-            return
-        vm.busy = True
-        try:
-            await FAULTS[name](fleet, vm)
-        finally:
-            vm.busy = False
-            fleet.timeline.note(f"ended {name} {vm.name}")
-
-
 async def _check_crashes(fleet: fleet_module.Fleet) -> None:
     """Send again what crashed three instances: all know of it by now."""
     for target, known in fleet.oracle.crashing.items():
@@ -218,262 +184,3 @@
         good = owed.count(200)
         if good < RECOVERED_SHARE * len(owed):
             fleet.oracle.broken.append(f"RECOVER {vm.name}: {statuses}")
-
-
-async def _crash(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    vm.upstream.crash()
-
-
-async def _crash_again(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Send one request that crashes what runs it, again and again."""
-    target = f"/deep/bad-{len(fleet.oracle.crashing)}"
-    fleet.oracle.crashing[target.encode()] = oracle_module.Crashes()
-    sent = []
-    for number in range(BAD_TIMES):
-        client = fleet.vms[number % len(fleet.vms)].client
-        call = client.call("deep", True, 0.0, target)
-        sent.append(asyncio.ensure_future(call))
-        await asyncio.sleep(BAD_PAUSE)
-    await asyncio.gather(*sent)
-
-
-async def _break_watcher(
-    fleet: fleet_module.Fleet, vm: fleet_module.Vm
-) -> None:
-    """Kill, stop or pause the daemon that the others follow."""
-    watcher = await fleet.watcher()
-    if watcher is None or watcher.busy:
-        return
-    await _apply(fleet, watcher, fleet.rng.choice(["kill", "stop", "pause"]))
-
-
-async def _limit(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Name limits, raise and lower them, and drop the last one."""
-    loop = asyncio.get_running_loop()
-    until = loop.time() + LIMIT_SECONDS
-    while loop.time() < until:
-        vm.upstream.name_rate_limit(fleet.rng.choice(RATE_LIMITS))
-        await asyncio.sleep(fleet.rng.uniform(0.5, LIMIT_SECONDS))
-    vm.upstream.name_rate_limit(math.inf)
-
-
-async def leave(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Say in all answers that the instance leaves; its entry may lag."""
-    run, before = vm.upstream.run, vm.upstream.id
-    vm.upstream.leaving = True
-    if fleet.rng.random() < 0.5:
-        await asyncio.sleep(fleet.rng.uniform(0.0, 2.0))
-        fleet.store.remove(f"servers/{before}")
-    await asyncio.sleep(fleet.rng.uniform(2.0, 5.0))
-    fleet.store.remove(f"servers/{before}")
-    if vm.upstream.run == run:
-        vm.upstream.renew()
-    fleet.register(vm)
-
-
-async def _kill(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    await fleet.kill(vm)
-    await asyncio.sleep(fleet.rng.uniform(0.1, 1.0))
-    fleet.start(vm)
-    await fleet.ready(vm)
-
-
-async def stop(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Stop a daemon among other signals and changes, and start another."""
-    changes = asyncio.ensure_future(_change_in_series(fleet, vm))
-    await fleet.stop(vm)
-    changes.cancel()
-    fleet.start(vm)
-    await fleet.ready(vm)
-
-
-async def _stop(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Stop one or several daemons at once."""
-    others = [each for each in fleet.vms if not each.busy]
-    chosen = fleet.rng.sample(
-        others, min(len(others), fleet.rng.randint(0, 2))
-    )
-    for other in chosen:
-        fleet.note_fault(f"stop {other.name}")
-        other.busy = True
-    await asyncio.gather(*(stop(fleet, each) for each in (vm, *chosen)))
-    for other in chosen:
-        other.busy = False
-
-
-async def _change_in_series(
-    fleet: fleet_module.Fleet, vm: fleet_module.Vm
-) -> None:
-    """Send signals to a daemon that stops, and write policies."""
-    if fleet.rng.random() < 0.5:
-        return
-    while True:
-        await asyncio.sleep(fleet.rng.uniform(*SERIES_PAUSE))
-        change = fleet.rng.choice(["term", "hup", "configure"])
-        process = fleet_module.running(vm)
-        if change == "configure":
-            fleet.configure()
-        elif process.poll() is None:
-            fleet.timeline.note(f"{change} {vm.name}")
-            process.send_signal(SERIES_SIGNALS[change])
-
-
-async def _pause(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    process = fleet_module.running(vm)
-    process.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(fleet.rng.uniform(0.2, 2.5))
-    fleet.oracle.notices.excuse(vm.host)
-    process.send_signal(signal.SIGCONT)
-
-
-async def _hup(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    fleet.oracle.losses.hangs_up(vm.host)
-    fleet_module.running(vm).send_signal(signal.SIGHUP)
-
-
-async def _store_away(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    fleet.store.mode = fleet.rng.choice(["busy", "reset", "silent"])
-    await asyncio.sleep(fleet.rng.uniform(0.5, 3.0))
-    fleet.store.mode = ""
-
-
-async def _store_older(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Bring the store back from a copy that is some seconds old."""
-    copy = fleet.store.copy()
-    await asyncio.sleep(fleet.rng.uniform(0.5, 4.0))
-    fleet.store.mode = fleet.rng.choice(["busy", "reset", "silent"])
-    await asyncio.sleep(fleet.rng.uniform(0.0, 1.5))
-    away = fleet.rng.uniform(0.0, 1.5)
-    fleet.store.restore(copy, away)
-    fleet.store.mode = ""
-    await asyncio.sleep(away)
-    fleet.store.write_again()
-
-
-async def _forget(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    fleet.store.forget_history()
-
-
-async def _configure(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    fleet.configure()
-
-
-async def _revoke(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Take keys away, one after the other, also while the store is away."""
-    for _ in range(fleet.rng.randint(1, 3)):
-        fleet.customers.revoke(asyncio.get_running_loop().time())
-        fleet.configure()
-        await asyncio.sleep(fleet.rng.uniform(0.0, 0.5))
-
-
-async def _delay(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    vm.link.delay = fleet.rng.uniform(0.01, 0.15)
-    await asyncio.sleep(fleet.rng.uniform(0.5, 2.0))
-    vm.link.delay = 0.0
-
-
-async def _reset(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    vm.link.reset()
-
-
-async def _one_way(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    way = fleet.rng.choice([vm.link.forth, vm.link.back])
-    way.clear()
-    await asyncio.sleep(fleet.rng.uniform(0.5, 3.0))
-    way.set()
-
-
-async def _silence(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    vm.link.forth.clear()
-    vm.link.back.clear()
-    await asyncio.sleep(fleet.rng.uniform(0.5, 3.0))
-    vm.link.reset()
-    vm.link.heal()
-
-
-async def _renew(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Restart the instance; its old entry stays for a while."""
-    before = vm.upstream.id
-    vm.upstream.renew()
-    fleet.register(vm)
-    await asyncio.sleep(fleet.rng.uniform(0.5, 2.0))
-    fleet.store.remove(f"servers/{before}")
-
-
-async def _restart(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Restart the instance under its id; a heartbeat of before comes late."""
-    before = vm.entry
-    vm.upstream.renew(same_id=True)
-    await asyncio.sleep(fleet.rng.uniform(0.0, 1.0))
-    fleet.register(vm)
-    await asyncio.sleep(fleet.rng.uniform(0.0, 0.5))
-    if vm.upstream.service != "edge":
-        fleet.store.put(f"servers/{vm.upstream.id}", before)
-
-
-async def _scribble(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Another writer leaves entries that name no instance."""
-    forged = vm.entry | fleet.rng.choice(FORGERIES)
-    fleet.store.put(f"servers/forged-{fleet.rng.randint(1, 5)}", forged)
-
-
-async def _drain(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    before = vm.upstream.id
-    fleet.register(vm, "draining")
-    await asyncio.sleep(2.0)
-    fleet.store.remove(f"servers/{before}")
-    if vm.upstream.id == before:
-        vm.upstream.renew()
-    fleet.register(vm)
-
-
-async def _misbehave(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    vm.upstream.lose_share = fleet.rng.uniform(0.0, 0.4)
-    vm.upstream.extra_share = fleet.rng.uniform(0.0, 0.4)
-    vm.upstream.slow = fleet.rng.choice([1.0, 5.0])
-    await asyncio.sleep(fleet.rng.uniform(0.5, 3.0))
-    vm.upstream.lose_share = vm.upstream.extra_share = 0.0
-    vm.upstream.slow = 1.0
-
-
-FAULTS: dict[str, Fault] = {
-    "break_watcher": _break_watcher,
-    "configure": _configure,
-    "crash": _crash,
-    "crash_again": _crash_again,
-    "delay": _delay,
-    "drain": _drain,
-    "forget": _forget,
-    "hup": _hup,
-    "kill": _kill,
-    "leave": leave,
-    "limit": _limit,
-    "misbehave": _misbehave,
-    "one_way": _one_way,
-    "pause": _pause,
-    "renew": _renew,
-    "reset": _reset,
-    "restart": _restart,
-    "revoke": _revoke,
-    "scribble": _scribble,
-    "silence": _silence,
-    "stop": _stop,
-    "store_away": _store_away,
-    "store_older": _store_older,
-}
-ON_PROCESS = frozenset({"hup", "kill", "pause", "stop"})
-"""Faults of a VM's process come one at a time."""
-UNPLANNED = frozenset(
-    {
-        "delay",
-        "kill",
-        "misbehave",
-        "one_way",
-        "pause",
-        "renew",
-        "reset",
-        "restart",
-        "silence",
-    }
-)
-"""What excuses losses at a VM; crashes are noted as they come."""
--- a/tests/platform/soak/stops.py
+++ b/tests/platform/soak/stops.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+from tests.platform.soak import faults
 from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import kept
 from tests.platform.soak import records
@@ -65,5 +66,5 @@
     await asyncio.sleep(fleet.rng.uniform(0.0, SPREAD_SECONDS))
     fleet.note_fault(f"stop {vm.name}")
     vm.busy = True
-    await scenario.stop(fleet, vm)
+    await faults.stop(fleet, vm)
     vm.busy = False
--- a/tests/platform/soak/store.py
+++ b/tests/platform/soak/store.py
@@ -12,6 +12,7 @@
 
 from sassafrasstair import clocks
 from sassafrasstair import httpio
+from tests.platform.soak import disruptions
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -30,21 +31,24 @@
 
 
 class Store:
-    """Items by key with revisions; ``mode`` is what is wrong with it.
+    """Items by key with revisions.
 
     ``era`` counts how often it came back from an older copy.
     """
 
     def __init__(
-        self, note: abc.Callable[[str], None] = lambda text: None
+        self,
+        note: abc.Callable[[str], None] = lambda text: None,
+        record: disruptions.Record | None = None,
     ) -> None:
         self._note_step = note
+        self._record = record or disruptions.Record()
         self.items: dict[str, Event] = {}
         self.events: list[Event] = []
         self.revision = 1
         self.era = 1
         self.oldest = 0
-        self.mode = ""
+        self._mode = ""
         self._changed = asyncio.Event()
         self._lost: dict[str, Event | None] = {}
         self._write_again_at = math.inf
@@ -53,6 +57,16 @@
             self._handle, lambda status: [], clocks.SystemClock(), _memory()
         )
 
+    @property
+    def mode(self) -> str:
+        """What is wrong with the store, '' if nothing."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode: str) -> None:
+        self._mode = mode
+        self._note_disruption()
+
     async def open(self, host: str, port: int) -> None:
         """Listen."""
         await self._listener.open(host, port)
@@ -107,6 +121,8 @@
         }
         # What an earlier restore lost is later than what this one loses.
         self._lost = lost | self._lost
+        self._record.note(disruptions.STORE, disruptions.Kind.STORE)
+        self._note_disruption()
         now = asyncio.get_running_loop().time()
         self._write_again_at = min(self._write_again_at, now + seconds)
         self.era += 1
@@ -126,6 +142,10 @@
                 self.remove(key)
             else:
                 self._write(key, typing.cast("str", item["value"]))
+        self._note_disruption()
+
+    def _note_disruption(self) -> None:
+        self._record.set_store(bool(self._mode) or bool(self._lost))
 
     def forget_history(self) -> None:
         """Answer watches that begin before now with 410."""
