Check in the soak for late requests at leaving instances and for left clients

The soak heeded what instances say in their answers, but not what the store acknowledges, and nothing of clients that leave.

DRAIN: a request reaches an instance more than 2 s after the store, which was stable then, acknowledged that it is draining or gone, though the entrance and the instance's daemon were in touch when it was sent and when it came. Instances now drain, or lose their entry without a word, and serve for 2.5 to 6 s more; one does so in every soak. Each planned stop is asked for its readiness; more than a quarter still ready after 4 s breaks the rule. At the soak's runs of 1.5 s at most no daemon still runs then, so that part is shown on records only.

GONE: more than three requests reach instances over half a second after their clients left, or more than a quarter of the idempotent ones that would have lasted so long are still worked on. Some clients now leave requests of 1.0 to 1.5 s after 0.1 to 0.4 s, and at the end, when all daemons are in touch, a crowd leaves three times as many as run at once, and an instance crashes.

--- a/tests/platform/soak/clients.py
+++ b/tests/platform/soak/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import typing
 
 from sassafrasstair import clocks
@@ -47,10 +48,12 @@
         idempotent: bool,
         patience: float = 0.0,
         target: str = "",
+        leave_after: float = math.inf,
     ) -> int:
         """Send one request; returns the status, 0 for none.
 
-        Each has a target of its own, and body, but where one is given.
+        Each has a target of its own, and body, but where one is given. The
+        client closes its connection after ``leave_after`` seconds.
         """
         patience = patience or self._rng.uniform(*PATIENCE)
         key = new_key()
@@ -85,9 +88,11 @@
             fields.append((b"Api-Key", api_key.encode()))
         method = b"GET" if idempotent else b"POST"
         head = httpio.request_head(method, target.encode(), fields, len(body))
-        return await self._await(key, head + body, patience)
+        return await self._await(key, head + body, patience, leave_after)
 
-    async def _await(self, key: str, data: bytes, patience: float) -> int:
+    async def _await(
+        self, key: str, data: bytes, patience: float, leave_after: float
+    ) -> int:
         loop = asyncio.get_running_loop()
         future: asyncio.Future[httpio.Response | httpio.Failure] = (
             loop.create_future()
@@ -101,12 +106,15 @@
         fresh = self._rng.random() < 0.5
         (self._pool.send_on_new if fresh else self._pool.send)(job)
         wait = patience + LATE_SECONDS
-        if self._rng.random() < LEAVE_SHARE:
+        if leave_after < math.inf:
+            wait = leave_after
+        elif self._rng.random() < LEAVE_SHARE:
             wait = self._rng.uniform(0.0, 0.05)
         try:
             result = await asyncio.wait_for(future, wait)
         except TimeoutError:
             job.abort()
+            self._oracle.departures.left(key)
             return 0
         if isinstance(result, httpio.Failure):
             self._oracle.losses.lives[key].end(losses.Ending.CLOSED)
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -12,6 +12,7 @@
 from tests.platform.soak import disruptions
 from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import oracle as oracle_module
+from tests.platform.soak import upstreams
 
 SERIES = 3
 SERIES_PAUSE = (0.05, 0.8)
@@ -21,6 +22,12 @@
 """A request that crashes instances comes so often, at all VMs by turns."""
 WORKS_EACH = 4
 WORK_SECONDS = (0.2, 0.8)
+CROWD = 3 * 3 * upstreams.SLOTS
+"""Three times what the instances of ``deep`` run at once."""
+CROWD_LEAVES_SECONDS = (0.02, 0.2)
+CROWD_WORK_SECONDS = (1.0, 1.4)
+CROWD_CRASH_SECONDS = 0.6
+DRAINING_SHARE = 0.7
 RATE_LIMITS = (0.0, 1.0, 2.0, 5.0, 10.0)
 LIMIT_SECONDS = 8.0
 """The time until a rate limit binds, a window to count in, and a second."""
@@ -78,6 +85,29 @@
     await asyncio.gather(*sent)
 
 
+async def crowd(fleet: fleet_module.Fleet) -> None:
+    """Send more requests than instances can run; their clients leave.
+
+    Later an instance crashes, under which there should be none of them left
+    that would be sent again.
+    """
+    calls = []
+    for _ in range(CROWD):
+        seconds = fleet.rng.uniform(*CROWD_WORK_SECONDS)
+        target = f"/deep/{clients.new_key()}?work={seconds:.3f}"
+        wait = fleet.rng.uniform(*CROWD_LEAVES_SECONDS)
+        client = fleet.rng.choice(fleet.vms).client
+        calls.append(client.call("deep", True, 2.0, target, wait))
+    await asyncio.gather(*calls)
+    await asyncio.sleep(CROWD_CRASH_SECONDS)
+    deep = [vm for vm in fleet.vms if vm.upstream.service == "deep"]
+    fleet.rng.choice(deep).upstream.crash()
+
+
+async def _crowd(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    await crowd(fleet)
+
+
 async def _break_watcher(
     fleet: fleet_module.Fleet, vm: fleet_module.Vm
 ) -> None:
@@ -288,9 +318,18 @@
 
 
 async def _drain(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
+    """Let an instance drain, or just take its entry away.
+
+    It serves for longer than it is to get requests.
+    """
     before = vm.upstream.id
-    fleet.register(vm, "draining")
-    await asyncio.sleep(2.0)
+    says_so = fleet.rng.random() < DRAINING_SHARE
+    if says_so:
+        fleet.register(vm, "draining")
+    if not says_so or fleet.rng.random() < 0.3:
+        await asyncio.sleep(fleet.rng.uniform(0.0, 1.0))
+        fleet.store.remove(f"servers/{before}")
+    await asyncio.sleep(fleet.rng.uniform(2.5, 5.0))
     fleet.store.remove(f"servers/{before}")
     if vm.upstream.id == before:
         vm.upstream.renew()
@@ -311,6 +350,7 @@
     "configure": _configure,
     "crash": _crash,
     "crash_again": _crash_again,
+    "crowd": _crowd,
     "delay": _delay,
     "drain": _drain,
     "forget": _forget,
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -18,6 +18,7 @@
 from tests.platform.soak import clients
 from tests.platform.soak import customers as customers_module
 from tests.platform.soak import disruptions
+from tests.platform.soak import drains
 from tests.platform.soak import oracle as oracle_module
 from tests.platform.soak import records
 from tests.platform.soak import relays
@@ -40,6 +41,7 @@
 RETRY_RATIOS = (0.12, 0.2)
 LAPSE_SECONDS = 2.5
 """From the return of a crashed instance until its entry before is gone."""
+QUESTION_SECONDS = 0.5
 STOP_SLACK = 2.0
 """Seconds beside the grace for a process to start and end in, on a machine
 that is busy with the other processes."""
@@ -107,6 +109,7 @@
         self.store = store_module.Store(
             self.timeline.note, self.oracle.disruptions
         )
+        self.store.changed = self._note_server
         self.faults: list[str] = []
         self._timers: asyncio.Future[None] | None = None
         self.crashed = 0
@@ -246,6 +249,17 @@
             },
         )
 
+    def _note_server(self, key: str, state: str) -> None:
+        """Note whether the store knows that an instance leaves."""
+        prefix, _, instance = key.partition("/")
+        if prefix != "servers":
+            return
+        self.timeline.note(f"instance {instance} {state or 'removed'}")
+        if state == "ready":
+            self.oracle.drains.returns(instance)
+        else:
+            self.oracle.drains.leaves(instance)
+
     def register(self, vm: Vm, state: str = "ready") -> None:
         """Write the entry of the VM's instance."""
         if vm.upstream.service != "edge":
@@ -303,29 +317,50 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         while loop.time() < until:
-            try:
-                reader, writer = await asyncio.open_connection(vm.host, READY)
-                writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
-                line = await asyncio.wait_for(reader.readline(), 1.0)
-                writer.close()
-            except (OSError, TimeoutError):
-                line = b""
-            if b" 200 " in line:
+            if await self._says_ready(vm):
                 return True
             await asyncio.sleep(0.05)
         return False
 
+    async def _says_ready(self, vm: Vm) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(vm.host, READY)
+            writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b" 200 " in line
+
+    async def _stays_ready(self, vm: Vm) -> bool:
+        """Return whether a daemon is not taken out in time after SIGTERM."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + drains.READY_SECONDS
+        process = running(vm)
+        unanswered = 0
+        while loop.time() < until:
+            unanswered = 0 if await self._says_ready(vm) else unanswered + 1
+            if unanswered >= drains.QUESTIONS or process.poll() is not None:
+                return False
+            await asyncio.sleep(QUESTION_SECONDS)
+        return process.poll() is None
+
     async def stop(self, vm: Vm) -> None:
         """Stop the daemon as planned; it must end by itself with 0."""
         process = running(vm)
+        was_ready = await self._says_ready(vm)
         self.timeline.note(f"stops {vm.name}")
         self.oracle.losses.stops(vm.host, self.grace)
         process.send_signal(signal.SIGTERM)
+        stays_ready = asyncio.ensure_future(self._stays_ready(vm))
         kind = disruptions.Kind.PLANNED
         with self.oracle.disruptions.disrupted(vm.host, kind):
             code = await ended(process, self.grace + STOP_SLACK)
         if code != 0:
             self.oracle.broken.append(f"STOP {vm.name}: code {code}")
+        still_ready = await stays_ready
+        if was_ready:
+            self.oracle.drains.stopped(still_ready)
         self.oracle.notices.excuse(vm.host)
 
     async def kill(self, vm: Vm) -> None:
--- a/tests/platform/soak/kept.py
+++ b/tests/platform/soak/kept.py
@@ -149,6 +149,7 @@
                 ):
                     stays = await self._read_answer(reader, life)
             except TimeoutError:
+                self._oracle.departures.left(life.key)
                 return False
             except (OSError, asyncio.IncompleteReadError):
                 life.end(losses.Ending.CLOSED)
--- a/tests/platform/soak/losses.py
+++ b/tests/platform/soak/losses.py
@@ -54,11 +54,15 @@
 
 @dataclasses.dataclass(eq=False)
 class Work:
-    """The work of an instance on a request; loop times."""
+    """The work of an instance on a request; loop times.
+
+    It would last until ``due_at`` at least, ``-inf`` if that is not known.
+    """
 
     host: str
     began_at: float
     ended_at: float = math.inf
+    due_at: float = -math.inf
     broke_off: bool = False
 
 
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -9,7 +9,9 @@
 
 from tests import notices as notices_module
 from tests.platform.soak import customers as customers_module
+from tests.platform.soak import departures
 from tests.platform.soak import disruptions as disruptions_module
+from tests.platform.soak import drains
 from tests.platform.soak import losses
 
 if typing.TYPE_CHECKING:
@@ -105,6 +107,8 @@
         self.notices = notices_module.Oracle()
         self.disruptions = disruptions_module.Record()
         self.losses = losses.Oracle(self.disruptions)
+        self.drains = drains.Oracle(self.disruptions)
+        self.departures = departures.Oracle(self.disruptions)
         self.crashing: dict[bytes, Crashes] = {}
         """Targets of requests that crash the instances that run them."""
         self.served = 0
@@ -116,12 +120,17 @@
         self.sent[sent.key] = sent
         self.losses.began(sent.key, sent.entrance, sent.at, sent.patience)
 
-    def arrived(self, key: str, run: str) -> None:
-        """Note a request that reached a run of an instance."""
+    def arrived(self, key: str, run: str, host: str) -> None:
+        """Note a request that reached a run of the instance at a VM."""
         sent = self.sent.get(key)
         if sent is not None:
             now = asyncio.get_running_loop().time()
             self.notices.arrived(run, sent.entrance, sent.at, now)
+            self.departures.arrived(key, host)
+            instance, _, _ = run.partition("@")
+            self.drains.arrived(
+                drains.Arrival(key, instance, sent.entrance, host, sent.at)
+            )
 
     def passed_on(self, entrance: str, found: dict[bytes, bytes]) -> None:
         """Note what an answer that an entrance passed on says."""
@@ -195,6 +204,10 @@
         """Look at what instances said of themselves and then got."""
         self.broken += self.notices.broken()
 
+    def check_drains(self) -> None:
+        """Look at instances and daemons that were to be left."""
+        self.broken += self.drains.broken()
+
     def check_losses(self) -> None:
         """Look at the requests that ended around signals."""
         self._note(f"around stops: {self.losses.count()}")
@@ -204,6 +217,15 @@
             key, _, detail = detail.partition(": ")
             self._break(rule, key, detail)
 
+    def check_departures(self) -> None:
+        """Look at what went on for clients that had left."""
+        lives = self.losses.lives
+        idempotent = frozenset(
+            sent.key for sent in self.sent.values() if sent.idempotent
+        )
+        self._note(f"gone: {self.departures.count(lives, idempotent)}")
+        self.broken += self.departures.broken(lives, idempotent)
+
     def check_quotas(self) -> None:
         """Look at all windows of the customer with a limit."""
         most = self.customers.most()
--- a/tests/platform/soak/scenario.py
+++ b/tests/platform/soak/scenario.py
@@ -7,6 +7,7 @@
 import random
 import typing
 
+from tests.platform.soak import clients
 from tests.platform.soak import faults
 from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import kept
@@ -26,13 +27,23 @@
 LOST_CHANGES = 4
 LOST_PAUSE = 0.3
 PROBES = 20
+CROWD_SECONDS = 1.5
+"""What a crowd left behind has run or was refused by then."""
+LEAVE_SHARE = 0.06
+LEAVE_SECONDS = (0.1, 0.4)
+LEFT_WORK_SECONDS = (1.0, 1.5)
 GRACES = (1.0, 2.0, 3.0, 4.0, 6.0)
 KEEPERS = 5
 RECOVERED_SHARE = 0.9
-FIRST_FAULTS = ("leave", "limit")
-"""Every soak has these, of instances that run ``deep``."""
-FIRST_ANYWHERE = ("configure", "hup")
-"""Every soak has these: drawn alone, they would miss most short ones."""
+FIRST_FAULTS = (
+    ("leave", "deep"),
+    ("limit", "deep"),
+    ("drain", "front"),
+    ("configure", ""),
+    ("hup", ""),
+)
+"""Every soak has these, each at a VM of the service if one is named: drawn
+alone, they would miss most short ones."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +70,8 @@
         keepers = kept.keep_connections(fleet, KEEPERS)
         await _disturb(fleet, seconds)
         await asyncio.sleep(SETTLE_SECONDS)
+        await faults.crowd(fleet)
+        await asyncio.sleep(CROWD_SECONDS)
         traffic.cancel()
         keepers.cancel()
         await check_end(fleet)
@@ -77,6 +90,8 @@
     fleet.oracle.check_quotas()
     fleet.oracle.check_losses()
     fleet.oracle.check_notices()
+    fleet.oracle.check_drains()
+    fleet.oracle.check_departures()
     fleet.check_alive()
 
 
@@ -97,27 +112,37 @@
     """Send requests at all VMs until cancelled."""
     calls: set[asyncio.Future[int]] = set()
     while True:
-        vm = fleet.rng.choice(fleet.vms)
-        idempotent = fleet.rng.random() < 0.5
-        route = "deep" if idempotent else "front"
-        call = asyncio.ensure_future(vm.client.call(route, idempotent))
+        call = asyncio.ensure_future(_send(fleet))
         calls.add(call)
         call.add_done_callback(calls.discard)
         await asyncio.sleep(1.0 / CALLS_PER_SECOND)
 
 
+async def _send(fleet: fleet_module.Fleet) -> int:
+    """Send one request; some clients leave long before they are served."""
+    rng = fleet.rng
+    client = rng.choice(fleet.vms).client
+    if rng.random() < LEAVE_SHARE:
+        seconds = rng.uniform(*LEFT_WORK_SECONDS)
+        target = f"/deep/{clients.new_key()}?work={seconds:.3f}"
+        wait = rng.uniform(*LEAVE_SECONDS)
+        return await client.call("deep", True, 2.0, target, wait)
+    idempotent = rng.random() < 0.5
+    return await client.call("deep" if idempotent else "front", idempotent)
+
+
 async def _disturb(fleet: fleet_module.Fleet, seconds: float) -> None:
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
     under_way: set[asyncio.Future[None]] = set()
-    deep = [vm for vm in fleet.vms if vm.upstream.service == "deep"]
-    for name, vm in zip(
-        FIRST_FAULTS, fleet.rng.sample(deep, len(FIRST_FAULTS)), strict=True
-    ):
-        fleet.note_fault(f"{name} {vm.name}")
-        under_way.add(asyncio.ensure_future(faults.apply(fleet, vm, name)))
-    for name in FIRST_ANYWHERE:
-        vm = fleet.rng.choice(fleet.vms)
+    untouched = fleet.rng.sample(fleet.vms, len(fleet.vms))
+    for name, service in FIRST_FAULTS:
+        vm = next(
+            each
+            for each in untouched
+            if service in ("", each.upstream.service)
+        )
+        untouched.remove(vm)
         fleet.note_fault(f"{name} {vm.name}")
         under_way.add(asyncio.ensure_future(faults.apply(fleet, vm, name)))
     while loop.time() < until:
--- a/tests/platform/soak/stops.py
+++ b/tests/platform/soak/stops.py
@@ -43,6 +43,8 @@
         traffic.cancel()
         fleet.check_alive()
         fleet.oracle.check_losses()
+        fleet.oracle.check_drains()
+        fleet.oracle.check_departures()
     finally:
         await fleet.close()
         records.write_report(folder, scenario.report(seed, fleet))
--- a/tests/platform/soak/store.py
+++ b/tests/platform/soak/store.py
@@ -43,6 +43,9 @@
     ) -> None:
         self._note_step = note
         self._record = record or disruptions.Record()
+        self.changed: abc.Callable[[str, str], None] = lambda key, state: None
+        """Called with each acknowledged write: the key, and the ``state``
+        of an instance, which is '' for what is removed."""
         self.items: dict[str, Event] = {}
         self.events: list[Event] = []
         self.revision = 1
@@ -79,6 +82,7 @@
         """Write an item as the operator or an instance does."""
         text = base64.b64encode(json.dumps(value).encode()).decode()
         self._write(key, text)
+        self.changed(key, str(value.get("state", "")))
 
     def _write(self, key: str, text: str) -> None:
         self._lost.pop(key, None)
@@ -97,6 +101,7 @@
 
     def remove(self, key: str) -> None:
         """Remove an item."""
+        self.changed(key, "")
         self._lost.pop(key, None)
         if self.items.pop(key, None) is None:
             return
--- a/tests/platform/soak/upstreams.py
+++ b/tests/platform/soak/upstreams.py
@@ -139,7 +139,7 @@
             exchange.respond(421, _not_run(), b"")
             return
         key = found.get(b"sassafrasstair-request-id", b"").decode()
-        self.oracle.arrived(key, self.run)
+        self.oracle.arrived(key, self.run, self._at[0])
         if len(self._running) >= SLOTS:
             exchange.respond(503, [*_not_run(), *self._notice()], b"")
         else:
@@ -181,7 +181,9 @@
             self.crash()
             return
         seconds = self._rng.uniform(*WORK_SECONDS) * self.slow
-        await asyncio.sleep(seconds + _asked_seconds(request.target))
+        seconds += _asked_seconds(request.target)
+        work.due_at = asyncio.get_running_loop().time() + seconds
+        await asyncio.sleep(seconds)
         ok = self._call is None or await self._call(left)
         if self._rng.random() < self.lose_share:
             work.broke_off = True
