Run requests in the soak that outlast the time to leave a daemon

A stopping daemon counts as still ready only if it runs 4 s after SIGTERM, which no run of the soak was long enough for. A route of 5 s now gets two requests of 4.05 to 4.1 s right before half of the planned stops with a grace period of 6 s. The oracle of losses keeps the timeout of each route.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -22,6 +22,13 @@
 """A request that crashes instances comes so often, at all VMs by turns."""
 WORKS_EACH = 4
 WORK_SECONDS = (0.2, 0.8)
+LONG_SHARE = 0.5
+LONG_WORKS = 2
+LONG_WORK_SECONDS = (4.05, 4.1)
+"""A daemon must still run when clients are to have left it. The instance's
+daemon may stop a second sooner, and can then wait no longer than that."""
+LONG_GRACE_SECONDS = 6.0
+LONG_PATIENCE = 6.0
 CROWD = 3 * 3 * upstreams.SLOTS
 """Three times what the instances of ``deep`` run at once."""
 CROWD_LEAVES_SECONDS = (0.02, 0.2)
@@ -150,12 +157,31 @@
 
 
 async def stop(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
-    """Stop a daemon among other signals and changes, and start another."""
+    """Stop a daemon among other signals and changes, and start another.
+
+    It may still wait for answers when its clients are to have left it.
+    """
+    waits = fleet.rng.random() < LONG_SHARE
+    waits = waits and fleet.grace >= LONG_GRACE_SECONDS
+    work = _begin_long_work(fleet, vm, LONG_WORKS if waits else 0)
     changes = asyncio.ensure_future(_change_in_series(fleet, vm))
     await fleet.stop(vm)
     changes.cancel()
     fleet.start(vm)
     await fleet.ready(vm)
+    await work
+
+
+def _begin_long_work(
+    fleet: fleet_module.Fleet, vm: fleet_module.Vm, count: int
+) -> asyncio.Future[list[int]]:
+    """Send requests that outlast most of a planned stop."""
+    calls = []
+    for _ in range(count):
+        seconds = fleet.rng.uniform(*LONG_WORK_SECONDS)
+        target = f"/long/{clients.new_key()}?work={seconds:.3f}"
+        calls.append(vm.client.call("long", True, LONG_PATIENCE, target))
+    return asyncio.gather(*calls)
 
 
 async def _stop(fleet: fleet_module.Fleet, vm: fleet_module.Vm) -> None:
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -48,8 +48,11 @@
 _seq = itertools.count(1)
 SERVICES = ("front", "front", "deep", "deep", "deep", "edge")
 """By VM. ``front`` calls ``deep``; ``edge`` has clients only."""
-ROUTES = {"front": "front", "deep": "deep", "once": "deep"}
-"""Services by route; only requests of ``deep`` may run more than once."""
+ROUTES = {"front": "front", "deep": "deep", "once": "deep", "long": "deep"}
+"""Services by route."""
+IDEMPOTENT_ROUTES = frozenset({"deep", "long"})
+LONG_TIMEOUT_MS = 5_000
+"""Of requests that outlast the time within which clients leave a daemon."""
 
 
 @dataclasses.dataclass
@@ -219,14 +222,20 @@
         self.timeline.note(f"policy {self.version} {keys}")
         self.customers.rate = self.rng.choice(customers_module.RATES)
         timeout_ms = self.rng.choice(TIMEOUTS_MS)
-        self.oracle.losses.configured(timeout_ms / 1000.0)
+        timeouts = dict.fromkeys(ROUTES, timeout_ms)
+        timeouts["long"] = LONG_TIMEOUT_MS
+        self.oracle.losses.configured(
+            {name: timeout / 1000.0 for name, timeout in timeouts.items()}
+        )
         routes = {
             name: {
                 "host": clients.HOST.decode(),
                 "prefix": f"/{name}/",
-                "type": "safe" if name == "deep" else "unsafe",
-                "timeout_ms": timeout_ms,
-                "target_latency_ms": 400,
+                "type": "safe" if name in IDEMPOTENT_ROUTES else "unsafe",
+                "timeout_ms": timeouts[name],
+                "target_latency_ms": (
+                    LONG_TIMEOUT_MS if name == "long" else 400
+                ),
                 "priority": 1,
                 "max_attempts": 2,
                 "service": service,
--- a/tests/platform/soak/losses.py
+++ b/tests/platform/soak/losses.py
@@ -76,6 +76,7 @@
     """
 
     key: str
+    route: str
     entrance: str
     began_at: float
     patience: float
@@ -166,13 +167,13 @@
         self._record = record
         self._signals: list[Stop | Hangup] = []
         self._policies: list[Policy] = []
-        self._timeouts: list[tuple[float, float]] = []
+        self._timeouts: list[tuple[float, dict[str, float]]] = []
 
     def began(
-        self, key: str, entrance: str, at: float, patience: float
+        self, key: str, route: str, entrance: str, at: float, patience: float
     ) -> Life:
         """Note a request that is sent as a whole."""
-        life = self.lives[key] = Life(key, entrance, at, patience, at)
+        life = self.lives[key] = Life(key, route, entrance, at, patience, at)
         return life
 
     @contextlib.contextmanager
@@ -194,9 +195,9 @@
         """Note that a daemon gets SIGHUP now."""
         self._signals.append(Hangup(host, _now()))
 
-    def configured(self, timeout: float) -> None:
-        """Note a policy, and the timeout of all its routes."""
-        self._timeouts.append((_now(), timeout))
+    def configured(self, timeouts: dict[str, float]) -> None:
+        """Note a policy, and the timeouts of its routes."""
+        self._timeouts.append((_now(), timeouts))
         self._policies.append(Policy(_now()))
 
     def count(self) -> str:
@@ -333,8 +334,8 @@
         since = life.began_at - STALE_SECONDS
         ends = [at for at, _ in self._timeouts[1:]] + [math.inf]
         applied = [
-            timeout
-            for (at, timeout), until in zip(self._timeouts, ends, strict=True)
+            timeouts[life.route]
+            for (at, timeouts), until in zip(self._timeouts, ends, strict=True)
             if at <= life.ended_at and until >= since
         ]
         return min([life.patience, *applied])
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -118,7 +118,9 @@
     def send(self, sent: Sent) -> None:
         """Note a request before its first byte leaves."""
         self.sent[sent.key] = sent
-        self.losses.began(sent.key, sent.entrance, sent.at, sent.patience)
+        self.losses.began(
+            sent.key, sent.route, sent.entrance, sent.at, sent.patience
+        )
 
     def arrived(self, key: str, run: str, host: str) -> None:
         """Note a request that reached a run of the instance at a VM."""
--- a/tests/platform/soak/test_departures.py
+++ b/tests/platform/soak/test_departures.py
@@ -30,7 +30,7 @@
     def leave(self, key: str) -> None:
         """Note a request whose client leaves at once."""
         self.now = LEFT_AT
-        self.losses.began(key, ENTRANCE, LEFT_AT - 0.2, 2.0)
+        self.losses.began(key, "deep", ENTRANCE, LEFT_AT - 0.2, 2.0)
         self.oracle.left(key)
 
     def work(self, key: str, begin: float, due: float, end: float) -> None:
--- a/tests/platform/soak/test_losses.py
+++ b/tests/platform/soak/test_losses.py
@@ -14,6 +14,7 @@
 OTHER = "127.20.1.3"
 GRACE = 6.0
 TIMEOUT = 5.0
+TIMEOUTS = {"deep": TIMEOUT, "other": 0.1}
 SIGNAL_AT = 100.0
 
 
@@ -45,13 +46,13 @@
         monkeypatch.setattr(disruptions, "_now", lambda: self.now)
         self.record = disruptions.Record()
         self.oracle = losses.Oracle(self.record)
-        self.oracle.configured(TIMEOUT)
+        self.oracle.configured(TIMEOUTS)
 
     def add(self, case: Case, key: str = "", at: float = SIGNAL_AT) -> None:
         """Note a request of ``HOST`` that the instance of ``OTHER`` runs."""
         self.now = at + case.sent
         key = key or case.name
-        life = self.oracle.began(key, HOST, self.now, TIMEOUT)
+        life = self.oracle.began(key, "deep", HOST, self.now, TIMEOUT)
         life.alone = case.alone
         life.kept = case.kept
         if case.worked is not None:
@@ -126,7 +127,7 @@
 SIGNALS: dict[str, typing.Callable[[losses.Oracle], None]] = {
     "stop": lambda oracle: oracle.stops(HOST, GRACE),
     "hangup": lambda oracle: oracle.hangs_up(HOST),
-    "policy": lambda oracle: oracle.configured(TIMEOUT),
+    "policy": lambda oracle: oracle.configured(TIMEOUTS),
 }
 TABLE = (
     *(("stop", case, True) for case in LOST_AT_STOP),
