--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -17,6 +17,8 @@
 
 from tests.platform.soak import clients
 from tests.platform.soak import customers as customers_module
+from tests.platform.soak import disruptions
+from tests.platform.soak import drains
 from tests.platform.soak import oracle as oracle_module
 from tests.platform.soak import records
 from tests.platform.soak import relays
@@ -31,16 +33,26 @@
 NETS = range(20, 220)
 GRACE = 3.0
 TIMEOUTS_MS = (1200, 1500)
+IDLE_TIMEOUTS_MS = (10_000, 12_000)
+"""Clients use connections again that were idle for up to 0.8 of them."""
+HEADER_TIMEOUTS_MS = (4_000, 5_000)
+MAX_HEADER_BYTES = 16_384
+MAX_BODY_BYTES = (1 << 20, 1 << 21)
+RETRY_RATIOS = (0.12, 0.2)
 LAPSE_SECONDS = 2.5
 """From the return of a crashed instance until its entry before is gone."""
+QUESTION_SECONDS = 0.5
 STOP_SLACK = 2.0
 """Seconds beside the grace for a process to start and end in, on a machine
 that is busy with the other processes."""
 _seq = itertools.count(1)
 SERVICES = ("front", "front", "deep", "deep", "deep", "edge")
 """By VM. ``front`` calls ``deep``; ``edge`` has clients only."""
-ROUTES = {"front": "front", "deep": "deep", "once": "deep"}
-"""Services by route; only requests of ``deep`` may run more than once."""
+ROUTES = {"front": "front", "deep": "deep", "once": "deep", "long": "deep"}
+"""Services by route."""
+IDEMPOTENT_ROUTES = frozenset({"deep", "long"})
+LONG_TIMEOUT_MS = 5_000
+"""Of requests that outlast the time within which clients leave a daemon."""
 
 
 @dataclasses.dataclass
@@ -91,13 +103,16 @@
         self.grace = grace
         self.timeline = records.Timeline(folder)
         self.timeline.note(f"grace {grace} s")
-        self.store = store_module.Store(self.timeline.note)
         self.customers = customers_module.Customers(rng)
         self.oracle = oracle_module.Oracle(
             {route: {service} for route, service in ROUTES.items()},
             self.customers,
             self.timeline.note,
         )
+        self.store = store_module.Store(
+            self.timeline.note, self.oracle.disruptions
+        )
+        self.store.changed = self._note_server
         self.faults: list[str] = []
         self._timers: asyncio.Future[None] | None = None
         self.crashed = 0
@@ -149,7 +164,8 @@
         task.add_done_callback(self._returns.discard)
 
     async def _bring_back(self, vm: Vm, before: str) -> None:
-        with self.oracle.losses.disrupted(vm.host):
+        kind = disruptions.Kind.INSTANCE
+        with self.oracle.disruptions.disrupted(vm.host, kind):
             await vm.upstream.restart()
         self.timeline.note(f"returned {vm.name} {vm.upstream.id}")
         self.register(vm)
@@ -189,7 +205,7 @@
             await vm.link.open()
             await vm.upstream.open(vm.host, APP)
             self.register(vm)
-            vm.boot.write_text(self._settings(vm))
+            self.write_settings(vm)
             self.start(vm)
         for vm in self.vms:
             await self.ready(vm)
@@ -206,14 +222,20 @@
         self.timeline.note(f"policy {self.version} {keys}")
         self.customers.rate = self.rng.choice(customers_module.RATES)
         timeout_ms = self.rng.choice(TIMEOUTS_MS)
-        self.oracle.losses.configured(timeout_ms / 1000.0)
+        timeouts = dict.fromkeys(ROUTES, timeout_ms)
+        timeouts["long"] = LONG_TIMEOUT_MS
+        self.oracle.losses.configured(
+            {name: timeout / 1000.0 for name, timeout in timeouts.items()}
+        )
         routes = {
             name: {
                 "host": clients.HOST.decode(),
                 "prefix": f"/{name}/",
-                "type": "safe" if name == "deep" else "unsafe",
-                "timeout_ms": timeout_ms,
-                "target_latency_ms": 400,
+                "type": "safe" if name in IDEMPOTENT_ROUTES else "unsafe",
+                "timeout_ms": timeouts[name],
+                "target_latency_ms": (
+                    LONG_TIMEOUT_MS if name == "long" else 400
+                ),
                 "priority": 1,
                 "max_attempts": 2,
                 "service": service,
@@ -227,9 +249,26 @@
                 "version": f"r{self.version}",
                 "routes": routes,
                 "tenants": self.customers.policy(),
+                "limits": {
+                    "max_header_bytes": MAX_HEADER_BYTES,
+                    "max_body_bytes": self.rng.choice(MAX_BODY_BYTES),
+                    "header_timeout_ms": self.rng.choice(HEADER_TIMEOUTS_MS),
+                    "idle_timeout_ms": self.rng.choice(IDLE_TIMEOUTS_MS),
+                },
             },
         )
 
+    def _note_server(self, key: str, state: str) -> None:
+        """Note whether the store knows that an instance leaves."""
+        prefix, _, instance = key.partition("/")
+        if prefix != "servers":
+            return
+        self.timeline.note(f"instance {instance} {state or 'removed'}")
+        if state == "ready":
+            self.oracle.drains.returns(instance)
+        else:
+            self.oracle.drains.leaves(instance)
+
     def register(self, vm: Vm, state: str = "ready") -> None:
         """Write the entry of the VM's instance."""
         if vm.upstream.service != "edge":
@@ -237,7 +276,8 @@
             vm.registered = vm.upstream.id
             self.store.put(f"servers/{vm.upstream.id}", entry)
 
-    def _settings(self, vm: Vm) -> str:
+    def write_settings(self, vm: Vm) -> None:
+        """Write the daemon's settings, some of them drawn."""
         values = {
             "node_id": vm.name,
             "ip": vm.link.host,
@@ -254,10 +294,15 @@
                 f"revoke_ms={customers_module.REVOKE_SECONDS * 1000:.0f},"
                 f"quota_window_s={customers_module.WINDOW_SECONDS},"
                 f"quota_over={customers_module.OVER},"
-                f"quota_slack={customers_module.SLACK}"
+                f"quota_slack={customers_module.SLACK},"
+                f"retry_budget_ratio={self.rng.uniform(*RETRY_RATIOS):.4f}"
             ),
         }
-        return "".join(f"{key}={value}\n" for key, value in values.items())
+        written = vm.boot.with_suffix(".new")
+        written.write_text(
+            "".join(f"{key}={value}\n" for key, value in values.items())
+        )
+        written.replace(vm.boot)
 
     def start(self, vm: Vm) -> None:
         """Start the VM's daemon."""
@@ -267,6 +312,7 @@
             "PYTHONPATH": os.pathsep.join(sys.path),
         }
         self.timeline.note(f"started {vm.name}")
+        self.oracle.disruptions.note(vm.host, disruptions.Kind.PLANNED)
         with vm.log.open("ab") as log:
             vm.process = subprocess.Popen(
                 [sys.executable, "-m", "sassafrasstair.console.forwarder"],
@@ -280,34 +326,58 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         while loop.time() < until:
-            try:
-                reader, writer = await asyncio.open_connection(vm.host, READY)
-                writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
-                line = await asyncio.wait_for(reader.readline(), 1.0)
-                writer.close()
-            except (OSError, TimeoutError):
-                line = b""
-            if b" 200 " in line:
+            if await self._says_ready(vm):
                 return True
             await asyncio.sleep(0.05)
         return False
 
+    async def _says_ready(self, vm: Vm) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(vm.host, READY)
+            writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b" 200 " in line
+
+    async def _stays_ready(self, vm: Vm) -> bool:
+        """Return whether a daemon is not taken out in time after SIGTERM."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + drains.READY_SECONDS
+        process = running(vm)
+        unanswered = 0
+        while loop.time() < until:
+            unanswered = 0 if await self._says_ready(vm) else unanswered + 1
+            if unanswered >= drains.QUESTIONS or process.poll() is not None:
+                return False
+            await asyncio.sleep(QUESTION_SECONDS)
+        return process.poll() is None
+
     async def stop(self, vm: Vm) -> None:
         """Stop the daemon as planned; it must end by itself with 0."""
         process = running(vm)
+        was_ready = await self._says_ready(vm)
         self.timeline.note(f"stops {vm.name}")
         self.oracle.losses.stops(vm.host, self.grace)
         process.send_signal(signal.SIGTERM)
-        code = await ended(process, self.grace + STOP_SLACK)
+        stays_ready = asyncio.ensure_future(self._stays_ready(vm))
+        kind = disruptions.Kind.PLANNED
+        with self.oracle.disruptions.disrupted(vm.host, kind):
+            code = await ended(process, self.grace + STOP_SLACK)
         if code != 0:
             self.oracle.broken.append(f"STOP {vm.name}: code {code}")
+        still_ready = await stays_ready
+        if was_ready:
+            self.oracle.drains.stopped(still_ready)
         self.oracle.notices.excuse(vm.host)
 
     async def kill(self, vm: Vm) -> None:
         """End the daemon at once."""
         process = running(vm)
         self.timeline.note(f"kills {vm.name}")
-        with self.oracle.losses.disrupted(vm.host):
+        kind = disruptions.Kind.PROCESS
+        with self.oracle.disruptions.disrupted(vm.host, kind):
             process.kill()
             await ended(process, STOP_SLACK)
         self.oracle.notices.excuse(vm.host)
--- a/tests/platform/soak/kept.py
+++ b/tests/platform/soak/kept.py
@@ -110,6 +110,7 @@
         )
         life = self._oracle.losses.lives[key]
         life.whole_at = math.inf
+        life.kept = True
         fields = [
             (b"Host", clients.HOST),
             (b"Sassafrasstair-Request-Id", key.encode()),
@@ -148,6 +149,7 @@
                 ):
                     stays = await self._read_answer(reader, life)
             except TimeoutError:
+                self._oracle.departures.left(life.key)
                 return False
             except (OSError, asyncio.IncompleteReadError):
                 life.end(losses.Ending.CLOSED)
--- a/tests/platform/soak/stops.py
+++ b/tests/platform/soak/stops.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+from tests.platform.soak import faults
 from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import kept
 from tests.platform.soak import records
@@ -42,6 +43,8 @@
         traffic.cancel()
         fleet.check_alive()
         fleet.oracle.check_losses()
+        fleet.oracle.check_drains()
+        fleet.oracle.check_departures()
     finally:
         await fleet.close()
         records.write_report(folder, scenario.report(seed, fleet))
@@ -65,5 +68,5 @@
     await asyncio.sleep(fleet.rng.uniform(0.0, SPREAD_SECONDS))
     fleet.note_fault(f"stop {vm.name}")
     vm.busy = True
-    await scenario.stop(fleet, vm)
+    await faults.stop(fleet, vm)
     vm.busy = False
