Accept the connections that wait before a listening socket is closed

Cause: the kernel resets what waits to be accepted when the socket closes.

Change: what waits is accepted first, and is served as any connection in that phase of the stop.

Evidence: test_connections_that_wait_to_be_accepted_are_not_reset, on the event loops of asyncio and uvloop, failed in both cases before.

--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -7,9 +7,11 @@
 
 from sassafrasstair.httpio import _connections
 from sassafrasstair.httpio import _exchanges
+from sassafrasstair.httpio import _sockets
 
 if typing.TYPE_CHECKING:
     from collections import abc
+    import socket
 
     from sassafrasstair import clocks
     from sassafrasstair.decisions import pipelines
@@ -59,6 +61,7 @@
         """Set at shutdown: each response then closes its connection."""
         self.connections: set[_connections.Connection] = set()
         self._server: asyncio.Server | None = None
+        self._beginning: set[asyncio.Task[typing.Any]] = set()
 
     async def open(self, host: str, port: int) -> None:
         """Listen; raises ``OSError`` if the address can't be bound."""
@@ -68,10 +71,28 @@
         )
 
     def stop_accepting(self) -> None:
-        """Close the listening socket; open connections stay open."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        """Close the listening socket; open connections stay open.
+
+        Connections that wait to be accepted are accepted first: the kernel
+        would reset them, and their clients may have sent requests.
+        """
+        if self._server is None:
+            return
+        server, self._server = self._server, None
+        waiting = _sockets.accept_waiting(server.sockets)
+        server.close()
+        for sock in waiting:
+            self._begin_soon(sock)
+
+    def _begin_soon(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(
+            loop.connect_accepted_socket(
+                lambda: _connections.Connection(self), sock
+            )
+        )
+        self._beginning.add(task)
+        task.add_done_callback(self._beginning.discard)
 
     def census(self) -> _exchanges.Census:
         """Count the connections and their requests by state."""
--- a/src/sassafrasstair/httpio/_sockets.py
+++ b/src/sassafrasstair/httpio/_sockets.py
@@ -2,16 +2,36 @@
 
 from __future__ import annotations
 
+import contextlib
+import os
 import socket
 import typing
 
 if typing.TYPE_CHECKING:
     import asyncio
+    from collections import abc
 
 _ENDED_STATES = frozenset({7, 8})
 """Linux' TCP_CLOSE and TCP_CLOSE_WAIT."""
 
 
+def accept_waiting(
+    listening: abc.Iterable[socket.socket],
+) -> list[socket.socket]:
+    """Accept the connections that wait at listening sockets."""
+    accepted = []
+    for each in listening:
+        # The sockets of an event loop don't accept themselves.
+        with socket.socket(fileno=os.dup(each.fileno())) as own:
+            own.setblocking(False)
+            with contextlib.suppress(OSError):
+                while True:
+                    accepted.append(own.accept()[0])
+    for sock in accepted:
+        sock.setblocking(False)
+    return accepted
+
+
 def peer_host(transport: asyncio.BaseTransport) -> str:
     """Return the peer's IP address, '' after it has disconnected."""
     name = transport.get_extra_info("peername")
--- a/tests/httpio/test_listeners.py
+++ b/tests/httpio/test_listeners.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import dataclasses
+import socket
+import typing
 
 import pytest
+import uvloop
 
 from sassafrasstair import clocks
 from sassafrasstair import httpio
@@ -333,3 +336,33 @@
         await writer.wait_closed()
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    "new_loop", [asyncio.new_event_loop, uvloop.new_event_loop]
+)
+def test_connections_that_wait_to_be_accepted_are_not_reset(
+    new_loop: typing.Callable[[], asyncio.AbstractEventLoop],
+) -> None:
+    """A request had been sent when its daemon stopped accepting."""
+
+    async def test() -> None:
+        server = await _start_server()
+        clients = [
+            socket.create_connection((HOST, server.port)) for _ in range(20)
+        ]
+        for client in clients:
+            client.sendall(GET + b"\r\n")
+        server.listener.stop_accepting()
+        loop = asyncio.get_running_loop()
+        for client in clients:
+            client.setblocking(False)
+            assert (await loop.sock_recv(client, 99)).startswith(
+                b"HTTP/1.1 200"
+            )
+            client.close()
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection((HOST, server.port))
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(test())
