Ask a stopping daemon for last resorts only while it takes them

It was sent 11 ms before the instance's daemon ended, and crossed the end of its connection.

Cause: each ping's answer of a daemon that stops made its entrances send it one more request as a last resort, until its end.

Change: a daemon says in its answer to a ping whether it still takes such requests, and no other makes entrances send one.

Evidence: test_daemon_gets_no_requests_shortly_before_it_ends failed before and passes.

--- a/src/sassafrasstair/decisions/calls/_peers.py
+++ b/src/sassafrasstair/decisions/calls/_peers.py
@@ -66,7 +66,7 @@
     ``failures`` counts the failures since the last success. Failures make
     the instance ``ejected``, and an unanswered ping, last sent at
     ``pinged_at``, makes it ``unreachable``. It is ``leaving``
-    from when its daemon says that it stops until a ping has another result.
+    while its daemon stops and may still take what no other instance can run.
 
     ``answers`` and ``refusals`` are decayed counts of the attempts that the
     instance itself took or refused, last updated at ``counted_at``.
@@ -254,7 +254,8 @@
     """Record the result of a ping.
 
     Only an answered ping makes an ejected instance usable again. ``leaving``
-    is set if the daemon answered that it stops, which is not ``alive``.
+    is set if the daemon answered that it stops, which is not ``alive``, and
+    takes what no other instance can run.
     """
     peer = routes.peers.get(vm)
     if peer is None:
--- a/src/sassafrasstair/decisions/stops/__init__.py
+++ b/src/sassafrasstair/decisions/stops/__init__.py
@@ -19,6 +19,7 @@
 from sassafrasstair.decisions.stops._stops import Phase
 from sassafrasstair.decisions.stops._stops import QUIET_SECONDS
 from sassafrasstair.decisions.stops._stops import Stop
+from sassafrasstair.decisions.stops._stops import takes_last_resorts
 from sassafrasstair.decisions.stops._stops import update
 
 __all__ = [
@@ -34,5 +35,6 @@
     "may_run",
     "may_start",
     "may_take",
+    "takes_last_resorts",
     "update",
 ]
--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -200,6 +200,12 @@
     return deadline <= stop.cut_at or _ends_surely(stop, longest, now)
 
 
+def takes_last_resorts(stop: Stop, now: float) -> bool:
+    """Return whether the upstream gets what no other instance can run."""
+    is_taking = stop.phase in (Phase.LAME_DUCK, Phase.DRAINING)
+    return is_taking and now < stop.last_resort_until
+
+
 def may_start(
     stop: Stop, deadline: float, expected: float, now: float
 ) -> bool:
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -7,6 +7,7 @@
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import requests
+from sassafrasstair.decisions import stops
 from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _confirmations
 from sassafrasstair.forwarding import _crash_updates
@@ -44,6 +45,7 @@
             _polls.status_header(daemon),
             _crash_updates.header(daemon, peer),
             *_confirmations.headers(daemon),
+            *_wire.last_resort_fields(_takes_last_resorts(daemon)),
         ]
         exchange.respond(200, fields, b"")
     elif path == _feed_wire.VIEW_PATH:
@@ -131,6 +133,13 @@
     return _wire.INTERNAL_HEADERS | {keys.customer, keys.deadline_ms}
 
 
+def _takes_last_resorts(daemon: _state.Daemon) -> bool:
+    stop = daemon.stop
+    if stop is None:
+        return False
+    return stops.takes_last_resorts(stop, daemon.clock.monotonic())
+
+
 def _state_field(
     daemon: _state.Daemon,
     ending: requests.Ending | None = None,
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -34,7 +34,8 @@
 REPEATS_HEADER_LOWER = REPEATS_HEADER.lower()
 LAST_RESORT_HEADER = b"Sassafras-Last-Resort"
 """Set to 1 on a request if its sender knows no instance that can run it but
-those whose daemons stop. Daemons of an earlier version refuse it then."""
+those whose daemons stop, and on the answer to a ping by a daemon that stops
+and takes such requests. Daemons of an earlier version refuse them."""
 LAST_RESORT_HEADER_LOWER = LAST_RESORT_HEADER.lower()
 RATE_LIMIT_HEADER = b"Sassafras-Limit"
 """The rate limit of the instance, in requests per second.
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -314,3 +314,15 @@
     busy = stops.InFlight(calls=1)
     stops.update(stop, busy, BEGAN + 0.84)
     assert stops.update(stop, busy, BEGAN + 0.95) is stops.Phase.ENDED
+
+
+@pytest.mark.parametrize(
+    ("spread", "at", "takes"),
+    [(0.0, 1.7, True), (0.0, 1.9, False), (1.0, 4.2, True), (1.0, 4.4, False)],
+)
+def test_last_resorts_are_taken_for_a_drawn_time(
+    spread: float, at: float, takes: bool
+) -> None:
+    stop = stops.begin(6.0, BEGAN, spread)
+    stops.update(stop, stops.InFlight(calls=1), BEGAN + at)
+    assert stops.takes_last_resorts(stop, BEGAN + at) is takes
--- a/tests/forwarding/test_stop_outcomes.py
+++ b/tests/forwarding/test_stop_outcomes.py
@@ -262,3 +262,50 @@
         await stopping
 
     test_path.run(test())
+
+
+def test_daemon_gets_no_requests_shortly_before_it_ends() -> None:
+    """A request that crosses the end of its connection has no known outcome.
+
+    A ping of the entrance asked for further ones until the end.
+    """
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.grace = 4.0
+        cluster.policy(3, place.route("/s/", "s", False, 3.0, objective=0.2))
+        delays = collections.deque([2.9])
+
+        async def work(
+            got: place.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(delays.popleft() if delays else 0.01)
+            await place.answer(got, writer)
+
+        await cluster.upstream(B, "s", work)
+        await cluster.daemon(A, "front")
+        await cluster.daemon(B, "s")
+        await cluster.wait_until_known(A, B)
+        running = asyncio.ensure_future(cluster.call(A, "/s/", "POST"))
+        while delays:
+            await asyncio.sleep(0.01)
+        daemon = cluster.daemons[B].daemon
+        stopping = asyncio.ensure_future(cluster.stop(B))
+        await asyncio.sleep(0.0)
+        assert daemon.stop is not None
+        until = daemon.stop.last_resort_until
+        while daemon.clock.monotonic() < until:
+            await cluster.call(A, "/s/", "POST")
+            await asyncio.sleep(0.05)
+        await cluster.call(A, "/s/", "POST")
+        await asyncio.sleep(0.7)
+        assert not stopping.done()
+        attempts = cluster.daemons[A].daemon.counters.last_resort_attempts
+        assert attempts > 0
+        assert (await cluster.call(A, "/s/", "POST")).status == 503
+        after = cluster.daemons[A].daemon.counters.last_resort_attempts
+        assert after == attempts
+        assert (await running).status == 200
+        await stopping
+
+    test_path.run(test())
