Take a daemon for a last resort only once it refuses other work

Cause: a daemon says in each answer to a ping whether it takes last resorts, from the signal on. Its entrances marked all requests to it as such while it still took any, so that it ran them, and went on, longer than it had to.

Change: the answer counts only if the daemon refuses other work.

Evidence: test_daemon_that_still_runs_everything_gets_no_last_resorts failed before.

--- a/src/sassafrasstair/forwarding/_probes.py
+++ b/src/sassafrasstair/forwarding/_probes.py
@@ -78,7 +78,7 @@
     peer = daemon.routes.peers.get(ping.vm)
     if peer is not None and peer.unreachable and not state.leaving:
         daemon.journal.note("peer_back", peer=ping.host, instance=ping.vm)
-    takes_last_resorts = _wire.decode_last_resort(
+    takes_last_resorts = state.leaving and _wire.decode_last_resort(
         result.headers.get(_wire.LAST_RESORT_HEADER_LOWER)
     )
     calls.probe_ended(
--- a/tests/forwarding/test_stop_outcomes.py
+++ b/tests/forwarding/test_stop_outcomes.py
@@ -10,6 +10,7 @@
 
 from sassafrasstair.decisions import policies
 from sassafrasstair.forwarding import _daemon
+from sassafrasstair.forwarding import _probes
 from tests.forwarding import place
 from tests.forwarding import test_path
 from tests.forwarding import test_stops
@@ -309,3 +310,26 @@
         await stopping
 
     test_path.run(test())
+
+
+def test_daemon_that_still_runs_everything_gets_no_last_resorts() -> None:
+    """Its stop would last longer, though other instances can take them."""
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.grace = 6.0
+        cluster.policy(3, place.route("/s/", "s", True, 1.0))
+        await cluster.upstream(B, "s")
+        await cluster.daemon(A, "front")
+        await cluster.daemon(B, "s")
+        await cluster.wait_until_known(A, B)
+        assert (await cluster.call(A, "/s/")).status == 200
+        stopping = asyncio.ensure_future(cluster.stop(B))
+        await asyncio.sleep(0.1)
+        daemon = cluster.daemons[A].daemon
+        _probes._ping(daemon, f"i-{B}", B)
+        await asyncio.sleep(0.2)
+        assert not daemon.routes.peers[f"i-{B}"].leaving
+        await stopping
+
+    test_path.run(test())
