--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,13 @@
-"""One machine is cut off while a tenant sends more than its quota.
+"""An entry of another writer in the store, then a new configuration.
 
-Two zones with two machines each. The machine that hands out the tenant's
-quota in one zone is cut off from the store and all other machines for 5.5 s;
-its clients and its own instance still reach it.
+Two zones of two machines. The route ``/move/`` goes to ``alpha``. Another
+writer leaves an entry whose ``warmup_ms`` is a whole number of 401 digits,
+which names no instance to use. More than three seconds later the operator
+sends ``/move/`` to ``beta``; then a daemon is stopped and started again.
 
-Exit code 1 if within some ``quota_window_s`` more requests of the tenant were
-sent and ran than (rate x window + burst) x (1 + over) + slack (QUOTA).
+Exit code 1 if ``alpha`` runs a request that was sent later than
+``propagation_ms`` after the store's answer (CONFIG). Whether the restarted
+daemon gets ready is told besides.
 """
 
 from __future__ import annotations
@@ -13,6 +15,7 @@
 import asyncio
 import json
 import pathlib
+import signal
 import sys
 import time
 
@@ -21,151 +24,146 @@
 
 import standins  # noqa: E402
 
-RATE, BURST = 40, 40
-WINDOW, OVER, SLACK = 5.0, 0.25, 20
-MOST = (RATE * WINDOW + BURST) * (1.0 + OVER) + SLACK
-CUT_SECONDS = 5.5
-DEMAND = 60.0
-"""Requests a second of the tenant at each machine."""
-KEY = "2thhkmgjqnirth5mgjy5"
-TENANT = "pulo780"
+PROPAGATION = 2.0
+STABLE = 3.0
+AFTER = 15.0
+"""Seconds for which requests are sent after the new configuration."""
+GRACE = 6.0
+READY_SECONDS = 15.0
+PAUSE = 0.25
+TOO_LARGE = "1" + 400 * "0"
 
 
-def config() -> dict[str, object]:
+def config(version: str, service: str) -> dict[str, object]:
     return {
-        "version": "r5",
+        "version": version,
         "routes": {
-            "look": {
+            "move": {
                 "host": standins.HOST.decode(),
-                "prefix": "/look/",
-                "type": "safe",
-                "timeout_ms": 2500,
-                "target_latency_ms": 2004,
-                "priority": 2,
-                "service": "alpha",
+                "prefix": "/move/",
+                "type": "unsafe",
+                "timeout_ms": 3000,
+                "target_latency_ms": 1500,
+                "priority": 0,
+                "service": service,
                 "max_attempts": 2,
-                "allow_anonymous": False,
             }
         },
-        "services": {"alpha": {}},
+        "services": {"alpha": {}, "beta": {}},
         "limits": {
             "max_header_bytes": 16384,
             "max_body_bytes": 67108864,
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
-        "tenants": {
-            TENANT: {
-                "api_keys": [KEY],
-                "priority": 1,
-                "rate_per_s": RATE,
-                "burst": BURST,
-            }
-        },
         "base_version": "r1",
     }
 
 
-def greatest(runs: list[tuple[float, float]]) -> tuple[int, float]:
-    """Return the most that was sent and ran in one window, and its start."""
-    runs = sorted(runs)
-    found = (0, 0.0)
-    for first, (since, _) in enumerate(runs):
-        count = sum(ran <= since + WINDOW for _, ran in runs[first:])
-        found = max(found, (count, since))
-    return found
-
+class Case:
+    """Four machines, and what their clients sent and got."""
 
-async def script() -> int:
-    record = standins.Record(FOLDER / "record.txt")
-    fleet = standins.Fleet(record)
-    fleet.bounds += (
-        f",revoke_strict=true,revoke_ms=5000,quota_window_s={WINDOW:.0f},"
-        f"quota_over={OVER},quota_slack={SLACK}"
-    )
-    for zone in ("north", "south"):
-        for _ in range(2):
-            fleet.add(zone, "alpha", linked=True, slots=57)
-    answers: dict[str, standins.Answered] = {}
-    asked: list[asyncio.Future[None]] = []
-    customers: list[standins.Daemon] = []
-    kept: dict[str, list[standins.Stream]] = {
-        daemon.name: [] for daemon in fleet.daemons
-    }
+    def __init__(self) -> None:
+        self.record = standins.Record(FOLDER / "record.txt")
+        self.fleet = standins.Fleet(self.record)
+        for zone in ("north", "south"):
+            for service in ("alpha", "beta"):
+                self.fleet.add(zone, service)
+        self.answers: dict[str, standins.Answered] = {}
 
-    async def ask(daemon: standins.Daemon) -> None:
+    async def ask(self, daemon: standins.Daemon) -> None:
         answered = await standins.send(
-            record,
-            fleet.clients_at(daemon),
-            "GET",
-            "/look/x",
-            deadline_ms=2500,
-            fields={"Api-Key": KEY},
-            kept=kept[daemon.name],
+            self.record,
+            self.fleet.clients_at(daemon),
+            "POST",
+            "/move/x",
+            b"count",
         )
-        answers[answered.key] = answered
+        self.answers[answered.key] = answered
 
-    async def ask_all(seconds: float) -> None:
+    async def ask_all(self, seconds: float) -> None:
         until = time.monotonic() + seconds
-        due = time.monotonic()
-        while due < until:
-            for daemon in customers:
-                asked.append(asyncio.ensure_future(ask(daemon)))
-            due += 1.0 / DEMAND
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-
-    async def allocator() -> standins.Daemon | None:
-        for daemon in fleet.daemons:
-            if daemon.zone == "north":
-                told = json.loads((await fleet.page(daemon, "/quotas"))[1])
-                if told["allocator"] == daemon.told:
-                    return daemon
-        return None
+        asked = []
+        while time.monotonic() < until:
+            asked += [
+                asyncio.ensure_future(self.ask(daemon))
+                for daemon in self.fleet.daemons
+            ]
+            await asyncio.sleep(PAUSE)
+        await asyncio.gather(*asked)
 
+    def write_entry(self) -> None:
+        """Write the entry as another writer does."""
+        first = self.fleet.daemons[0]
+        text = json.dumps(self.fleet.entry(first, warmup_ms=-1))
+        text = text.replace('"warmup_ms": -1', f'"warmup_ms": {TOO_LARGE}')
+        self.fleet.store.put("servers/i-another-writer", text.encode())
+        self.record.say("an entry of another writer: warmup_ms of 401 digits")
+
+    async def restart(self) -> bool:
+        """Restart the last daemon as planned; return whether it gets ready."""
+        daemon = self.fleet.daemons[-1]
+        assert daemon.process is not None
+        daemon.process.send_signal(signal.SIGTERM)
+        until = time.monotonic() + GRACE
+        while daemon.process.poll() is None and time.monotonic() < until:
+            await asyncio.sleep(0.05)
+        if daemon.process.poll() is None:
+            daemon.process.kill()
+            daemon.process.wait()
+        self.fleet.start(daemon)
+        return await self.fleet.wait_ready(daemon, READY_SECONDS)
+
+    def judge(self, acknowledged: float) -> int:
+        late = {
+            key: each
+            for key, each in self.answers.items()
+            if each.sent_at > acknowledged + PROPAGATION
+        }
+        old = [
+            late[key]
+            for daemon in self.fleet.daemons
+            if daemon.instance is not None
+            and daemon.instance.service == "alpha"
+            for key in daemon.instance.keys
+            if key in late
+        ]
+        if not old:
+            self.record.say(f"CONFIG held: {len(late)} requests, none at alpha")
+            return 0
+        last = max(each.sent_at for each in old) - acknowledged
+        self.record.say(
+            f"CONFIG broken: of {len(late)} requests sent later than "
+            f"{PROPAGATION} s after r8, alpha ran {len(old)}; the last one "
+            f"was sent {last:.1f} s after it"
+        )
+        return 1
+
+
+async def script() -> int:
+    case = Case()
     try:
-        await fleet.open(config())
-        await asyncio.sleep(3.0)
-        customers += [each for each in fleet.daemons if each.zone == "north"]
-        await ask_all(8.0)
-        holder = await allocator()
-        if holder is None:
-            record.say("no machine hands out the quota")
+        await case.fleet.open(config("r5", "alpha"))
+        await case.ask_all(STABLE)
+        if any(each.status != 200 for each in case.answers.values()):
+            case.record.say("requests fail before any disruption")
             return 2
-        began = time.monotonic()
-        if standins.trouble():
-            record.say(f"cut off for {CUT_SECONDS} s: {holder.name}")
-            fleet.cut_off(holder)
-        await ask_all(CUT_SECONDS)
         if standins.trouble():
-            record.say("the cut ends")
-            fleet.join(holder)
-        await ask_all(3.0)
-        await asyncio.gather(*asked)
-        runs = [
-            (answers[key].sent_at, at)
-            for daemon in fleet.daemons
-            if daemon.instance is not None
-            for (at, _), key in zip(
-                daemon.instance.runs, daemon.instance.keys, strict=True
-            )
-        ]
-        count, since = greatest(runs)
-        where = f"in the {WINDOW:.0f} s from {since - began:+.1f} s on"
-        for daemon in fleet.daemons:
-            ran = sum(
-                since <= answers[key].sent_at and at <= since + WINDOW
-                for (at, _), key in zip(
-                    daemon.instance.runs, daemon.instance.keys, strict=True
-                )
-            )
-            record.say(f"{daemon.name}: {ran} ran at its instance {where}")
-        if count > MOST:
-            record.say(f"QUOTA broken: {count} ran {where}, {MOST:.0f} may")
-            return 1
-        record.say(f"held: at most {count} ran {where}, {MOST:.0f} may")
-        return 0
+            case.write_entry()
+        await case.ask_all(STABLE + 0.5)
+        case.fleet.store.put("op/config", config("r8", "beta"))
+        acknowledged = time.monotonic()
+        case.record.say("r8 is acknowledged: /move/ goes to beta")
+        await case.ask_all(AFTER)
+        code = case.judge(acknowledged)
+        ready = await case.restart()
+        case.record.say(
+            f"a restarted daemon is {'' if ready else 'not '}ready after "
+            f"at most {READY_SECONDS:.0f} s"
+        )
+        return code
     finally:
-        fleet.close()
+        case.fleet.close()
 
 
 if __name__ == "__main__":
