--- a/review/standins.py
+++ b/review/standins.py
@@ -14,6 +14,7 @@
 import os
 import pathlib
 import random as _random
+import shutil
 import signal
 import socket
 import subprocess
@@ -679,6 +680,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def _free_net() -> str:
@@ -697,21 +699,20 @@
 
 
 def run(
-    script: "typing.Coroutine[object, object, int]", seconds: float = 115.0
+    script: typing.Coroutine[object, object, int], seconds: float = 115.0
 ) -> None:
     """Run a script and exit: 1 broken, 0 held, 2 it couldn't run."""
-
-    async def bounded() -> int:
-        return await asyncio.wait_for(script, seconds)
-
     loop = asyncio.new_event_loop()
-    loop.set_exception_handler(lambda loop, context: None)
     asyncio.set_event_loop(loop)
+    # Connections of stand-ins end with the script, which is no error.
+    loop.set_exception_handler(lambda loop, context: None)
+    task = loop.create_task(asyncio.wait_for(script, seconds))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     try:
-        code = loop.run_until_complete(bounded())
-    except Exception as error:  # noqa: BLE001
+        code = loop.run_until_complete(task)
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}", flush=True)
         code = 2
     sys.stdout.flush()
-    # Nothing of the stand-ins needs an orderly end.
     os._exit(code)
