Leave out an item of the store on which a decoder fails

Callers: one entry of another writer stopped all updates from the store. All requests sent later than the bound after a configuration ran at the former service, and a restarted daemon did not get ready.

Cause: an error that a decoder does not declare (there an OverflowError) left decode_changes(), so that the whole answer of the store was lost. The feed logged feed_failed, which names no item, and asked again every half second for the same answer, for as long as the entry was there.

Change: an item on which a decoder fails with any error is left out like one that is not valid: counted and logged as item_refused with its key and the reason decoder_fault. The entry's instance is no longer used, a policy leaves the former one active, and all other items are applied.

The new tests break a decoder on purpose, for one item of a page; all four failed before with the decoder's error. The logs now tell such an item (its key) from a store that does not answer (store_call_failed).

--- a/src/sassafrasstair/platform/_items.py
+++ b/src/sassafrasstair/platform/_items.py
@@ -22,6 +22,10 @@
 
     import msgspec
 
+DECODER_FAULT = "decoder_fault"
+"""The reason, up to its colon, for an item on which a decoder failed with an
+error that it does not declare."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
@@ -80,6 +84,11 @@
         except _documents.PolicyError as error:
             # An invalid policy leaves the previous one in force.
             refused.append(_refused_item(item, str(error)))
+        except Exception as error:
+            # A fault in a decoder must not cost the other items.
+            if item.key != _documents.POLICY_KEY:
+                decoded.append(views.Unusable(_instance_id(item.key)))
+            refused.append(_refused_item(item, describe_decoder_fault(error)))
         else:
             if change is not None:
                 decoded.append(change)
@@ -104,6 +113,11 @@
     )
 
 
+def describe_decoder_fault(error: Exception) -> str:
+    """Return the reason for an item on which a decoder failed."""
+    return f"{DECODER_FAULT}: {error!r}"
+
+
 def _instance_id(key: str) -> str:
     return key.removeprefix(_entries.INSTANCES_PREFIX)
 
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -276,6 +276,10 @@
             decoded.append(_items.decode_item(raw))
         except _items.ItemError as error:
             undecodable.append(forwarding.RefusedItem("", 0, str(error)))
+        except Exception as error:
+            # A fault in the decoder must not cost the other items.
+            reason = _items.describe_decoder_fault(error)
+            undecodable.append(forwarding.RefusedItem("", 0, reason))
     return decoded
 
 
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -5,6 +5,7 @@
 import base64
 import dataclasses
 import json
+import types
 import typing
 
 from hypothesis import given
@@ -14,6 +15,8 @@
 
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import views
+from sassafrasstair.platform import _documents
+from sassafrasstair.platform import _entries
 from sassafrasstair.platform import _items
 from tests.platform import samples
 
@@ -150,6 +153,38 @@
     assert [each.id for each in changes if isinstance(each, views.Instance)]
 
 
+@pytest.mark.parametrize(
+    ("module", "decoder", "key"),
+    [
+        (_entries, "decode_instance", "servers/bad"),
+        (_documents, "decode_policy", "op/config"),
+    ],
+)
+def test_item_on_which_a_decoder_fails_does_not_affect_others(
+    monkeypatch: pytest.MonkeyPatch,
+    module: types.ModuleType,
+    decoder: str,
+    key: str,
+) -> None:
+    """A decoder raises an error that it does not declare, for one item."""
+    sound = getattr(module, decoder)
+
+    def fail_once(*arguments: object) -> object:
+        monkeypatch.setattr(module, decoder, sound)
+        raise ZeroDivisionError("broken on purpose")
+
+    monkeypatch.setattr(module, decoder, fail_once)
+    changes, refused = _decode_changes(
+        samples.item(key, ENTRY), samples.item("servers/good", ENTRY)
+    )
+    assert [each.id for each in changes if isinstance(each, views.Instance)]
+    assert [reason.partition(":")[0] for reason in refused] == [
+        _items.DECODER_FAULT
+    ]
+    is_entry = key.startswith(_entries.INSTANCES_PREFIX)
+    assert (views.Unusable("bad") in changes) is is_entry
+
+
 @pytest.mark.parametrize("item", [7, None, "x", [1, 2], True])
 def test_item_that_is_no_object_is_refused(item: object) -> None:
     changes, refused = _decode_changes(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 from sassafrasstair.decisions import policies
 from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
+from sassafrasstair.platform import _items
 from sassafrasstair.platform import _store
 from tests.platform import samples
 
@@ -122,6 +123,48 @@
     _run(test())
 
 
+@pytest.mark.parametrize(
+    ("decoder", "key"),
+    [("_decode_change", "servers/i-1"), ("decode_item", "")],
+)
+def test_item_on_which_a_decoder_fails_is_refused_alone(
+    monkeypatch: pytest.MonkeyPatch, decoder: str, key: str
+) -> None:
+    """A decoder raises an error that it does not declare, for one item.
+
+    If the reading failed, the daemon would ask for the same again and again.
+    """
+    sound = getattr(_items, decoder)
+    calls: list[object] = []
+
+    def fail_at_first(*arguments: object) -> object:
+        calls.append(arguments)
+        if len(calls) == 1:
+            raise ZeroDivisionError("broken on purpose")
+        return sound(*arguments)
+
+    monkeypatch.setattr(_items, decoder, fail_at_first)
+
+    async def test() -> None:
+        items = [
+            samples.item(f"servers/i-{n}", samples.ENTRY, n) for n in (1, 2)
+        ]
+        body = {"items": items, "has_more": False, "store_revision": 9}
+        source, _ = await _start_store(_encode_response("200 OK", body))
+        reading = await source.read(stale=False)
+        (refused,) = reading.refused
+        assert refused.key == key
+        assert refused.reason.startswith(_items.DECODER_FAULT)
+        (found,) = [
+            each
+            for each in reading.changes
+            if isinstance(each, views.Instance)
+        ]
+        assert found.id == "i-2"
+
+    _run(test())
+
+
 def test_page_without_a_valid_key_fails_the_reading() -> None:
     """No item of a page can be decoded, and more pages follow.
 
