Give the numbers of the store's items a range where they are decoded

Callers: one entry of another writer whose warmup_ms has 401 digits stopped all updates from the store; one whose born has 21 digits or more was accepted, and no answer to followers could be encoded any more.

Cause: numbers were checked by hand, or not at all. warmup_ms was divided before its range was checked (OverflowError: an int that no float holds); born, an item's created and its revision, and the store's own revision had no upper bound, while daemons exchange them in 64 bits.

Change: entries, items and revisions are decoded into typed structures with bounds. The same bounds hold for the instances of another daemon's answer. A page is continued behind an item whose key alone is valid.

--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -31,13 +31,17 @@
 from sassafrasstair.decisions.views._revisions import number_in_era
 from sassafrasstair.decisions.views._revisions import NUMBER_MAX
 from sassafrasstair.decisions.views._revisions import pack_revision
+from sassafrasstair.decisions.views._revisions import REVISION_MAX
 from sassafrasstair.decisions.views._revisions import UNORDERED
+from sassafrasstair.decisions.views._types import BORN_MS_MAX
 from sassafrasstair.decisions.views._types import Change
+from sassafrasstair.decisions.views._types import COLD_SECONDS_MAX
 from sassafrasstair.decisions.views._types import Delta
 from sassafrasstair.decisions.views._types import Instance
 from sassafrasstair.decisions.views._types import InstanceState
 from sassafrasstair.decisions.views._types import News
 from sassafrasstair.decisions.views._types import Removed
+from sassafrasstair.decisions.views._types import SLOTS_MAX
 from sassafrasstair.decisions.views._types import Snapshot
 from sassafrasstair.decisions.views._types import Unusable
 from sassafrasstair.decisions.views._types import usable_delta
@@ -57,6 +61,8 @@
 from sassafrasstair.decisions.views._views import View
 
 __all__ = [
+    "BORN_MS_MAX",
+    "COLD_SECONDS_MAX",
     "Change",
     "Confirmation",
     "Delta",
@@ -64,7 +70,9 @@
     "InstanceState",
     "NUMBER_MAX",
     "News",
+    "REVISION_MAX",
     "Removed",
+    "SLOTS_MAX",
     "Snapshot",
     "UNORDERED",
     "Unusable",
--- a/src/sassafrasstair/decisions/views/_revisions.py
+++ b/src/sassafrasstair/decisions/views/_revisions.py
@@ -17,6 +17,8 @@
 """Less than any revision: the view is empty, or from a stale read."""
 NUMBER_MAX = (1 << _NUMBER_BITS) - 1
 """Greatest number of the store's own within one era."""
+REVISION_MAX = (1 << 60) - 1
+"""Greatest revision in any era, so that it is encoded in 64 bits."""
 
 
 def pack_revision(era: int, number: int) -> int:
--- a/src/sassafrasstair/decisions/views/_types.py
+++ b/src/sassafrasstair/decisions/views/_types.py
@@ -29,12 +29,17 @@
 
 import dataclasses
 import enum
-import math
 
 from sassafrasstair.decisions.policies import _policies
 
 
 PORT_MAX = 65_535
+SLOTS_MAX = 1_000_000
+"""More concurrent requests than any instance handles; more is invalid."""
+COLD_SECONDS_MAX = 86_400.0
+"""A warm-up longer than a day is invalid."""
+BORN_MS_MAX = 253_402_300_799_999
+"""The last millisecond of the year 9999; a later start is invalid."""
 
 
 class InstanceState(enum.Enum):
@@ -148,9 +153,9 @@
         bool(instance.id and instance.service and instance.host)
         and f"{instance.id}{instance.service}{instance.host}".isascii()
         and 0 < instance.port <= PORT_MAX
-        and instance.slots > 0
-        and 0.0 <= instance.cold_seconds < math.inf
-        and instance.born >= 0
+        and 0 < instance.slots <= SLOTS_MAX
+        and 0.0 <= instance.cold_seconds <= COLD_SECONDS_MAX
+        and 0 <= instance.born <= BORN_MS_MAX
     )
 
 
--- a/src/sassafrasstair/platform/_entries.py
+++ b/src/sassafrasstair/platform/_entries.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 import ipaddress
-import math
 import re
 import typing
 
+import msgspec
+
 from sassafrasstair.decisions import views
 from sassafrasstair.platform import _checks
 
@@ -19,18 +20,37 @@
     from collections import abc
 
 INSTANCES_PREFIX = "servers/"
-SLOTS_MAX = 1_000_000
-"""More concurrent requests than any instance handles; more is invalid."""
-COLD_SECONDS_MAX = 86_400.0
-"""A warm-up longer than a day is invalid."""
-_NAME_PATTERN = re.compile(r"[!-~]{1,200}")
+_NAME_REGEX = r"^[!-~]{1,200}\Z"
 """Ids and service names are sent in header fields, where a space or a line
 break would start another field."""
+_NAME_PATTERN = re.compile(_NAME_REGEX)
+_COLD_MS_MAX = 1000.0 * views.COLD_SECONDS_MAX
+_Name = typing.Annotated[str, msgspec.Meta(pattern=_NAME_REGEX)]
+_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
 _STATES = {
     "ready": views.InstanceState.READY,
     "draining": views.InstanceState.LEAVING,
 }
-_BROADCAST = ipaddress.IPv4Address("255.255.255.255")
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    """An entry in the platform's format.
+
+    ``born`` is 0 if the entry does not have it.
+    """
+
+    service: _Name
+    address: _Name
+    zone: _Name
+    version: _Name
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=views.SLOTS_MAX)]
+    state: typing.Literal["ready", "draining"]
+    warmup_ms: typing.Annotated[float, msgspec.Meta(ge=0.0, le=_COLD_MS_MAX)]
+    seq: typing.Annotated[int, msgspec.Meta(ge=0)]
+    born: typing.Annotated[int, msgspec.Meta(ge=1, le=views.BORN_MS_MAX)] = 0
+
+
+_ENTRY_DECODER = msgspec.json.Decoder(_Entry)
 
 
 class EntryError(Exception):
@@ -51,65 +71,36 @@
 
     ``created_revision`` is the store's revision that first wrote the key.
     """
-    fields = _decode_fields(value)
-    zone = _name_field(fields, "zone")
-    host, port = _address_field(fields)
-    _name_field(fields, "version")
-    _integer_field(fields, "seq", 0)
+    try:
+        entry = _checks.decode_struct(_ENTRY_DECODER, value)
+    except _checks.InvalidDataError as error:
+        raise EntryError(error.reason) from error
+    host, port = _parse_address(entry.address)
     return views.Instance(
         _checked_id(key),
-        _name_field(fields, "service"),
+        entry.service,
         host,
         port,
         created_revision,
-        zone,
-        regions.get(zone, ""),
-        _integer_field(fields, "slots", 1, SLOTS_MAX),
-        _state_field(fields),
-        _cold_seconds_field(fields),
-        _integer_field(fields, "born", 1) if "born" in fields else 0,
+        entry.zone,
+        regions.get(entry.zone, ""),
+        entry.slots,
+        _STATES[entry.state],
+        entry.warmup_ms / 1000,
+        entry.born,
     )
 
 
 def _checked_id(key: str) -> str:
     """Return the instance's id from a key; raises ``EntryError``."""
     instance_id = key.removeprefix(INSTANCES_PREFIX)
-    if _NAME_PATTERN.fullmatch(instance_id) is None:
+    if _NAME_PATTERN.match(instance_id) is None:
         raise EntryError("id")
     return instance_id
 
 
-def _decode_fields(value: bytes) -> dict[str, object]:
-    try:
-        return _checks.decode_object(value)
-    except _checks.JsonObjectError as error:
-        raise EntryError(error.reason) from error
-
-
-def _name_field(fields: abc.Mapping[str, object], name: str) -> str:
-    value = fields.get(name)
-    if not isinstance(value, str) or _NAME_PATTERN.fullmatch(value) is None:
-        raise EntryError(name)
-    return value
-
-
-def _integer_field(
-    fields: abc.Mapping[str, object],
-    name: str,
-    minimum: int,
-    maximum: float = math.inf,
-) -> int:
-    value = fields.get(name)
-    # A bool is an int in Python, but not a number in the store.
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise EntryError(name)
-    if not minimum <= value <= maximum:
-        raise EntryError(name)
-    return value
-
-
-def _address_field(fields: abc.Mapping[str, object]) -> tuple[str, int]:
-    host, _, port_text = _name_field(fields, "address").rpartition(":")
+def _parse_address(address: str) -> tuple[str, int]:
+    host, _, port_text = address.rpartition(":")
     try:
         ip = ipaddress.IPv4Address(host)
     except ValueError as error:
@@ -120,20 +111,3 @@
     if port is None:
         raise EntryError("address")
     return host, port
-
-
-def _state_field(fields: abc.Mapping[str, object]) -> views.InstanceState:
-    value = fields.get("state")
-    state = _STATES.get(value) if isinstance(value, str) else None
-    if state is None:
-        raise EntryError("state")
-    return state
-
-
-def _cold_seconds_field(fields: abc.Mapping[str, object]) -> float:
-    value = fields.get("warmup_ms")
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise EntryError("warmup_ms")
-    if not 0.0 <= value / 1000 <= COLD_SECONDS_MAX:
-        raise EntryError("warmup_ms")
-    return value / 1000
--- a/src/sassafrasstair/platform/_items.py
+++ b/src/sassafrasstair/platform/_items.py
@@ -11,6 +11,8 @@
 import dataclasses
 import typing
 
+import msgspec
+
 from sassafrasstair.decisions import views
 from sassafrasstair import forwarding
 from sassafrasstair.platform import _checks
@@ -20,8 +22,6 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-    import msgspec
-
 DECODER_FAULT = "decoder_fault"
 """The reason, up to its colon, for an item on which a decoder failed with an
 error that it does not declare."""
@@ -43,31 +43,64 @@
     removed: bool
 
 
+_Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=views.NUMBER_MAX)]
+
+
+class _Key(msgspec.Struct, frozen=True):
+    key: typing.Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class _Item(_Key, frozen=True):
+    """An item in the store's format.
+
+    What is untyped may be invalid without making the item invalid.
+    """
+
+    revision: _Revision
+    created: object = None
+    value: object = None
+    removed: object = False
+
+
+_KEY_DECODER = msgspec.json.Decoder(_Key)
+_ITEM_DECODER = msgspec.json.Decoder(_Item)
+
+
 class ItemError(Exception):
-    """An item that has no valid key or revision."""
+    """An item that has no valid key or revision.
+
+    ``key`` is its key, '' if that is not valid.
+    """
+
+    def __init__(self, reason: str, key: str) -> None:
+        super().__init__(reason)
+        self.key = key
 
 
 def decode_item(raw: msgspec.Raw) -> Item:
     """Decode one item; raises ``ItemError``."""
     try:
-        fields = _checks.decode_object(raw)
-    except _checks.JsonObjectError as error:
-        raise ItemError(error.reason) from error
-    key, revision = fields.get("key"), _check_revision(fields.get("revision"))
-    if not isinstance(key, str) or not key:
-        raise ItemError("key")
-    if revision is None:
-        raise ItemError("revision")
-    created = _check_revision(fields.get("created"))
+        fields = _checks.decode_struct(_ITEM_DECODER, raw)
+    except _checks.InvalidDataError as error:
+        raise ItemError(error.reason, _decode_key(raw)) from error
+    created = _check_revision(fields.created)
     return Item(
-        key,
-        revision,
-        revision if created is None else created,
-        _decode_value(fields.get("value")),
-        fields.get("removed") is True,
+        fields.key,
+        fields.revision,
+        fields.revision if created is None else created,
+        _decode_value(fields.value),
+        fields.removed is True,
     )
 
 
+def _decode_key(raw: msgspec.Raw) -> str:
+    """Return the key of an item, '' if it has no valid one."""
+    try:
+        return _checks.decode_struct(_KEY_DECODER, raw).key
+    except _checks.InvalidDataError:
+        return ""
+
+
 def decode_changes(
     items: abc.Iterable[Item], regions: abc.Mapping[str, str]
 ) -> tuple[tuple[views.Change, ...], tuple[forwarding.RefusedItem, ...]]:
@@ -127,9 +160,9 @@
 
 
 def _check_revision(value: object) -> int | None:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+    if isinstance(value, bool) or not isinstance(value, int):
         return None
-    return value
+    return value if 0 <= value <= views.NUMBER_MAX else None
 
 
 def _decode_value(value: object) -> bytes | None:
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -42,26 +42,30 @@
 """Header that counts how often the store was restored from an older copy."""
 _ERA_MAX = 1_000_000
 """Less than 2**20, so a packed revision has at most 60 bits."""
+_ERA_DIGITS = 7
+
+
+_Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=views.NUMBER_MAX)]
 
 
 class _Range(msgspec.Struct, frozen=True):
     """One page of items, in the order of their keys."""
 
     items: tuple[msgspec.Raw, ...]
-    store_revision: int
+    store_revision: _Revision
     has_more: bool = False
 
 
 class _Key(msgspec.Struct, frozen=True):
     """The store's revision in the response for a single item."""
 
-    store_revision: int
+    store_revision: _Revision
 
 
 class _Watch(msgspec.Struct, frozen=True):
     """The items that changed after the watched revision."""
 
-    store_revision: int
+    store_revision: _Revision
     events: tuple[msgspec.Raw, ...] = ()
 
 
@@ -275,7 +279,9 @@
         try:
             decoded.append(_items.decode_item(raw))
         except _items.ItemError as error:
-            undecodable.append(forwarding.RefusedItem("", 0, str(error)))
+            undecodable.append(
+                forwarding.RefusedItem(error.key, 0, str(error))
+            )
         except Exception as error:
             # A fault in the decoder must not cost the other items.
             reason = _items.describe_decoder_fault(error)
@@ -306,10 +312,7 @@
 
 def _parse_era(field: bytes) -> int:
     """Return the era in a header field; raises ``SourceError``."""
-    try:
-        era = int(field)
-    except ValueError:
-        era = -1
+    era = int(field) if field.isdigit() and len(field) <= _ERA_DIGITS else -1
     if not 0 <= era <= _ERA_MAX:
         raise forwarding.SourceError(
             forwarding.SourceReason.MALFORMED, f"era {field[:20]!r}"
@@ -320,7 +323,7 @@
 def _decode(decoder: msgspec.json.Decoder[T], body: bytes) -> T:
     try:
         return decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise forwarding.SourceError(
             forwarding.SourceReason.MALFORMED, str(error)
         ) from error
--- a/tests/platform/golden_items.py
+++ b/tests/platform/golden_items.py
@@ -5,7 +5,7 @@
 import base64
 import json
 
-_CONFIG: dict[str, object] = {
+CONFIG: dict[str, object] = {
     "version": "r3",
     "routes": {
         "r": {
@@ -55,7 +55,7 @@
 
 
 ITEMS = [
-    _item("op/config", _CONFIG),
+    _item("op/config", CONFIG),
     _item("servers/i-1", _ENTRY),
     _item("servers/i-2", _ENTRY, removed=True),
     _item("servers/i-3", {**_ENTRY, "slots": 0}),
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -5,7 +5,6 @@
 import base64
 import dataclasses
 import json
-import types
 import typing
 
 from hypothesis import given
@@ -20,6 +19,9 @@
 from sassafrasstair.platform import _items
 from tests.platform import samples
 
+if typing.TYPE_CHECKING:
+    import types
+
 BORN_MS = 1_700_000_000_123
 ENTRY = samples.ENTRY | {"born": BORN_MS}
 CONFIG: dict[str, object] = {
@@ -96,6 +98,9 @@
         ("born", "1700000000123"),
         ("born", 0),
         ("born", -5),
+        ("born", 10**21),
+        ("warmup_ms", 10**400),
+        ("slots", 10**400),
     ],
 )
 def test_entry_with_an_invalid_field_is_refused(
@@ -136,6 +141,7 @@
         ({"revision": "six"}, "revision"),
         ({"revision": True}, "revision"),
         ({"revision": MISSING}, "revision"),
+        ({"revision": 10**21}, "revision"),
     ],
 )
 def test_malformed_item_does_not_affect_others(
