Refuse a policy with a number that can't be sent to followers

Callers: a policy whose max_body_bytes, max_header_bytes, max_attempts or version has 21 digits or more was accepted by the daemons that read the store, and stopped all answers to the daemons that follow them.

Cause: these numbers had no upper bound, and daemons exchange a policy in MessagePack, which has 64 bits. Weights and rates were only checked to be finite, so that a sum of them could be infinite.

Change: versions have at most 18 digits, sizes and attempts at most 53 bits, weights and rates at most 1e12, names of routes at most 1,000 characters. A policy beyond them leaves the former one active, as any invalid one, whether it comes from the store or another daemon.

--- a/src/sassafrasstair/decisions/policies/__init__.py
+++ b/src/sassafrasstair/decisions/policies/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.policies._checks import COUNT_MAX
 from sassafrasstair.decisions.policies._checks import find_fault
 from sassafrasstair.decisions.policies._customers import digest_key
 from sassafrasstair.decisions.policies._customers import identify_customer
@@ -17,6 +18,7 @@
 from sassafrasstair.decisions.policies._tables import Table
 
 __all__ = [
+    "COUNT_MAX",
     "ClientLimits",
     "Customer",
     "Policy",
--- a/src/sassafrasstair/decisions/policies/_checks.py
+++ b/src/sassafrasstair/decisions/policies/_checks.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 import typing
 
@@ -13,15 +12,24 @@
 
 SECONDS_MAX = 86_400.0
 """No client waits for a day, so a greater value is invalid."""
+VERSION_MAX = 10**18 - 1
+COUNT_MAX = 2**53 - 1
+"""Greatest size or number of attempts."""
+AMOUNT_MAX = 1e12
+"""Greatest weight, rate or burst; sums of them stay finite."""
+ROUTE_NAME_MAX = 1_000
+"""Characters of a route's name, which daemons send in a header field."""
 _CUSTOMER_NAME = re.compile(r"[!-~]{1,200}")
 
 
 def find_fault(policy: _policies.Policy) -> str:
     """Return the first invalid part of a policy, '' if all are valid."""
-    if policy.version < 0:
+    if not 0 <= policy.version <= VERSION_MAX:
         return "version"
     limits = policy.limits
-    if limits.head_bytes <= 0 or limits.body_bytes < 0:
+    if not 0 < limits.head_bytes <= COUNT_MAX:
+        return "limits"
+    if not 0 <= limits.body_bytes <= COUNT_MAX:
         return "limits"
     if not (_is_time(limits.head_seconds) and _is_time(limits.idle_seconds)):
         return "limits"
@@ -55,7 +63,7 @@
 
 
 def _is_amount(value: float) -> bool:
-    return 0.0 <= value < math.inf
+    return 0.0 <= value <= AMOUNT_MAX
 
 
 def _find_route_fault(route: _policies.Route) -> str:
@@ -65,13 +73,15 @@
         return "prefix"
     if not (_is_time(route.timeout) and 0.0 <= route.objective <= SECONDS_MAX):
         return "times"
-    if route.attempts_max < 1:
+    if not 1 <= route.attempts_max <= COUNT_MAX:
         return "attempts"
     # Daemons send route names in a field separated by spaces.
-    if not route.name.isprintable() or " " in route.name or not route.name:
+    if not route.name.isprintable() or " " in route.name:
+        return "name"
+    if not 1 <= len(route.name) <= ROUTE_NAME_MAX:
         return "name"
     weights = [share.weight for share in route.shares]
-    if not all(0.0 <= weight < math.inf for weight in weights):
+    if not all(_is_amount(weight) for weight in weights):
         return "weights"
     if sum(weights) <= 0.0 or not all(each.service for each in route.shares):
         return "services"
--- a/src/sassafrasstair/platform/_documents.py
+++ b/src/sassafrasstair/platform/_documents.py
@@ -17,6 +17,14 @@
 _ROUTE_KINDS = frozenset({_IDEMPOTENT_KIND, "unsafe", "upload"})
 
 
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=policies.COUNT_MAX)]
+_VERSION_DIGITS_MAX = 18
+"""Versions are sent in 64 bits."""
+_Version = typing.Annotated[
+    str, msgspec.Meta(pattern=rf"^r?[0-9]{{1,{_VERSION_DIGITS_MAX}}}\Z")
+]
+
+
 class PolicyError(Exception):
     """A policy that can't be used; the message states the fault."""
 
@@ -37,7 +45,7 @@
     timeout_ms: float
     priority: int = 0
     target_latency_ms: float = 1000.0
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     service: str = ""
     traffic_split: tuple[_Share, ...] = ()
     allow_anonymous: bool = False
@@ -53,14 +61,14 @@
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 64 * 1024 * 1024
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 64 * 1024 * 1024
     header_timeout_ms: float = 5_000.0
     idle_timeout_ms: float = 30_000.0
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: str
+    version: _Version
     routes: dict[str, _Route]
     limits: _Limits = _Limits()
     services: dict[str, object] = {}
