Keep receiving after messages of a peer that are nested too deeply

Callers: none has seen it. Eight messages with more elements than expected, nested deeply, ended all receivers of a sassafrasstaird: from then on every exchange with it timed out, although the process ran on.

Cause: msgspec skips unknown elements recursively and raises RecursionError, which the decoder does not declare; it left the task that receives. Besides, a rumour with the greatest revision of 64 bits was accepted, and a daemon that overrides it raised the revision beyond what can be encoded: it could send no message about itself any more. The configuration service's index was read with any number of digits and is sent between daemons, too.

Change: decoders turn RecursionError into their own error. Revisions have at most 53 bits and are not raised beyond; an index has at most 18 digits.

Evidence: the new test sends 16 such messages, then a ping; before, the ping timed out.

--- a/src/sassafrasstair/configservice/_client.py
+++ b/src/sassafrasstair/configservice/_client.py
@@ -31,6 +31,8 @@
 """Consul may extend a blocking query by this fraction of its wait."""
 
 INDEX_HEADER = "X-Consul-Index"
+INDEX_DIGITS_MAX = 18
+"""Daemons send the index to each other in 64 bits."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -205,7 +207,7 @@
         return Snapshot(index, {})
     try:
         pairs = _KEY_VALUES_DECODER.decode(body)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise _errors.PlatformError(
             _errors.Reason.MALFORMED, f"{url}: {error}"
         ) from error
@@ -223,9 +225,10 @@
 
 
 def _decode_index(text: str) -> int:
-    if not (text.isascii() and text.isdigit()):
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > INDEX_DIGITS_MAX:
         raise _errors.PlatformError(
-            _errors.Reason.MALFORMED, f"{INDEX_HEADER} is {text!r}"
+            _errors.Reason.MALFORMED, f"{INDEX_HEADER} is {text[:40]!r}"
         )
     return int(text)
 
--- a/src/sassafrasstair/configservice/_vms.py
+++ b/src/sassafrasstair/configservice/_vms.py
@@ -35,7 +35,7 @@
     """Return the VM list; raise ``PlatformError`` for any invalid entry."""
     try:
         entries = _VMS_DECODER.decode(raw)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise _malformed(f"VM list: {error}") from error
     names: set[str] = set()
     for entry in entries:
--- a/src/sassafrasstair/daemons/_messages.py
+++ b/src/sassafrasstair/daemons/_messages.py
@@ -205,4 +205,7 @@
 
     Raises ``msgspec.DecodeError`` if ``data`` is not a message.
     """
-    return _decoder.decode(data)
+    try:
+        return _decoder.decode(data)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
--- a/src/sassafrasstair/decisions/fleet/_messages.py
+++ b/src/sassafrasstair/decisions/fleet/_messages.py
@@ -17,7 +17,9 @@
 SUSPECTED = 1
 GONE = 2
 Liveness = typing.Annotated[int, msgspec.Meta(ge=SERVING, le=GONE)]
-Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+COUNT_MAX = 2**53
+"""Counters that a daemon raises are sent in 64 bits."""
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
@@ -183,7 +185,7 @@
     """Return the message in ``data``; raise ``BadMessage`` if invalid."""
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise BadMessage(str(error)) from error
 
 
@@ -196,5 +198,5 @@
     """Return the rumours in ``data``; raise ``BadMessage`` if invalid."""
     try:
         return _rumours_decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise BadMessage(str(error)) from error
--- a/src/sassafrasstair/decisions/fleet/_nodes.py
+++ b/src/sassafrasstair/decisions/fleet/_nodes.py
@@ -317,7 +317,7 @@
     own_member = node.members[node.local_record.vm]
     suspected = rumour.liveness != _messages.SERVING
     if suspected and rumour.revision >= node.revision:
-        node.revision = rumour.revision + 1
+        node.revision = min(rumour.revision + 1, _messages.COUNT_MAX)
     leaving = own_member.leaving or rumour.leaving
     own_rumour = _messages.Rumour(
         node.local_record.vm,
--- a/tests/daemons/test_links.py
+++ b/tests/daemons/test_links.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 import typing
 
+import pynng
 import pytest
 
 from sassafrasstair import daemons
@@ -172,3 +174,25 @@
         await daemons.close_server(server)
 
     asyncio.run(scenario())
+
+
+def test_messages_nested_too_deeply_cost_no_other_message() -> None:
+    """Each one ended a receiver, until nobody received any more."""
+    nested = b"\x94\xa4pong\xa11\xc3" + 100_000 * b"\x91" + b"\xc0"
+
+    async def scenario() -> None:
+        address = new_address()
+        server = daemons.listen(address, pong)
+        with pynng.Req0(dial=f"tcp://{address}", recv_timeout=500) as socket:
+            for _ in range(2 * _server.IDLE_RECEIVERS):
+                await socket.asend(nested)
+                with contextlib.suppress(pynng.Timeout):
+                    await socket.arecv()
+        links = daemons.Links()
+        reply = await daemons.exchange(links, address, daemons.Ping(), WAIT)
+        assert reply == daemons.Pong("1", True)
+        assert server.unreadable_messages == 2 * _server.IDLE_RECEIVERS
+        daemons.close(links)
+        await daemons.close_server(server)
+
+    asyncio.run(scenario())
