Bound the numbers in messages of other daemons where they are decoded

Callers: none has seen it. A trial header of 5,000 digits ended the connection of a forwarded request (ValueError in place of WireError). Crash records, revisions and amounts were accepted that can't be sent on: a duration of 64 bits is rounded up beyond them, two demands of 1e308 add up to infinity, which all other domains refuse, and a time left of 1e308 s can't be written for the instance.

Evidence: new property tests decode each message with odd values (types, sizes, depth, numbers of any size): a decoder raises its own error, or what it returns is encoded and read again the same.

--- a/src/sassafrasstair/decisions/quotas/_messages.py
+++ b/src/sassafrasstair/decisions/quotas/_messages.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 
+AMOUNT_MAX = 1e12
+"""Greatest amount in a message; sums of amounts stay finite."""
 Amounts = dict[str, float]
 """An amount for each customer, by name."""
 
@@ -101,16 +102,18 @@
 
 
 def is_valid(message: object) -> bool:
-    """Return whether all amounts of a message are finite and not negative."""
+    """Return whether all amounts of a message are in range."""
     match message:
         case Ask():
             return _is_amount(message.stamp) and all(
-                _is_amount(need.demand) and need.left >= 0 <= need.wanted
+                _is_amount(need.demand)
+                and _is_amount(need.left)
+                and _is_amount(need.wanted)
                 for need in message.needs
             )
         case Granted():
             return _is_amount(message.stamp) and all(
-                grant.tokens >= 0 and _is_amount(grant.wait)
+                _is_amount(grant.tokens) and _is_amount(grant.wait)
                 for grant in message.grants
             )
         case Update():
@@ -122,4 +125,4 @@
 
 
 def _is_amount(value: float) -> bool:
-    return 0.0 <= value < math.inf
+    return 0.0 <= value <= AMOUNT_MAX
--- a/src/sassafrasstair/forwarding/_confirmations.py
+++ b/src/sassafrasstair/forwarding/_confirmations.py
@@ -81,13 +81,10 @@
 def _decode(value: bytes) -> views.Confirmation:
     try:
         version, age, held = value.split(b" ")
-        confirmation = views.Confirmation(
-            int(version), float(age), float(held)
+        return views.Confirmation(
+            _wire.parse_revision(version),
+            _wire.parse_amount(age),
+            _wire.parse_amount(held),
         )
     except ValueError as error:
         raise _wire.WireError(f"confirmed: {error}") from error
-    if not (
-        confirmation.age_seconds >= 0.0 and confirmation.held_seconds >= 0.0
-    ):
-        raise _wire.WireError("confirmed: negative age or hold time")
-    return confirmation
--- a/src/sassafrasstair/forwarding/_crash_wire.py
+++ b/src/sassafrasstair/forwarding/_crash_wire.py
@@ -22,6 +22,8 @@
 HEADER = b"Sassafras-Crashes"
 HEADER_LOWER = HEADER.lower()
 _MS_PER_SECOND = 1000
+DURATION_MS_MAX = 86_400_000
+"""Greatest age and duration; no request runs for a day."""
 
 
 class _Record(msgspec.Struct, array_like=True, frozen=True):
@@ -66,7 +68,12 @@
         return int(digest, 16), [
             _record_to_report(record) for record in records
         ]
-    except (msgspec.MsgspecError, binascii.Error, ValueError) as error:
+    except (
+        msgspec.MsgspecError,
+        binascii.Error,
+        ValueError,
+        RecursionError,
+    ) as error:
         raise _wire.WireError(f"crashes: {error}") from error
 
 
@@ -92,8 +99,9 @@
     count = len(record.elapsed_ms)
     if count > crashes.RUNS_MAX or len(record.fingerprints) != size * count:
         raise ValueError(f"invalid number of runs: {count}")
-    if record.age_ms < 0 or min(record.elapsed_ms, default=0) < 0:
-        raise ValueError("negative age or duration")
+    durations = [record.age_ms, *record.elapsed_ms]
+    if min(durations) < 0 or max(durations) > DURATION_MS_MAX:
+        raise ValueError("age or duration out of range")
     isolated = _decode_bits(record.isolated_bits, count)
     runs = tuple(
         crashes.Run(
--- a/src/sassafrasstair/forwarding/_feed_wire.py
+++ b/src/sassafrasstair/forwarding/_feed_wire.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 import typing
 
 import msgspec
@@ -70,7 +69,7 @@
             and not 0.0 <= hold_seconds <= HOLD_SECONDS_MAX
         ):
             raise _wire.WireError(f"feed: hold {hold_seconds}")
-        return int(after), hold_seconds
+        return _wire.parse_revision(after), hold_seconds
     except ValueError as error:
         raise _wire.WireError(f"feed: {error}") from error
 
@@ -99,18 +98,19 @@
         parts = header.decode().split(" ")
         revision, content, lost, recovering, leaving, age = parts
         status = feeds.PeerStatus(
-            int(revision),
-            None if lost == _NOT_LOST else _parse_seconds(lost),
-            _parse_seconds(recovering),
+            _wire.parse_revision(revision),
+            None if lost == _NOT_LOST else _wire.parse_amount(lost),
+            _wire.parse_amount(recovering),
             leaving == "1",
-            _parse_seconds(age),
+            _wire.parse_amount(age),
         )
         if not body:
-            return status, views.Delta(int(revision), int(content))
+            content_revision = _wire.parse_revision(content)
+            return status, views.Delta(status.revision, content_revision)
     except ValueError as error:
         raise _wire.WireError(f"feed: {error}") from error
     delta = _decode_body(body, views.Delta)
-    _check_policy(delta.policy)
+    _check_view(delta)
     return status, views.usable_delta(delta)
 
 
@@ -130,7 +130,7 @@
     Unusable instances are left out.
     """
     snapshot = _decode_body(body, views.Snapshot)
-    _check_policy(snapshot.policy)
+    _check_view(snapshot)
     return views.without_unusable(snapshot)
 
 
@@ -141,14 +141,13 @@
         raise _wire.WireError(f"view: {error}") from error
 
 
-def _check_policy(policy: policies.Policy | None) -> None:
-    fault = "" if policy is None else policies.find_fault(policy)
+def _check_view(view: views.Delta | views.Snapshot) -> None:
+    """Check the revisions and the policy; raises ``WireError``."""
+    try:
+        _wire.check_revision(view.revision)
+        _wire.check_revision(view.content)
+    except ValueError as error:
+        raise _wire.WireError(f"view: {error}") from error
+    fault = "" if view.policy is None else policies.find_fault(view.policy)
     if fault:
         raise _wire.WireError(f"view: policy: {fault}")
-
-
-def _parse_seconds(value: str) -> float:
-    seconds = float(value)
-    if not 0.0 <= seconds < math.inf:
-        raise ValueError(f"not a duration in seconds: {value!r}")
-    return seconds
--- a/src/sassafrasstair/forwarding/_wire.py
+++ b/src/sassafrasstair/forwarding/_wire.py
@@ -13,6 +13,7 @@
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import requests
+from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _work_wire
 from sassafrasstair import httpio
 from sassafrasstair import notices
@@ -70,6 +71,12 @@
 _SET = b"1"
 
 
+AMOUNT_MAX = 1e12
+"""Greatest duration, load or rate that a daemon sends."""
+DIGITS_MAX = 19
+"""Longer numbers can't be right, and ``int`` raises for very long ones."""
+
+
 class WireError(Exception):
     """A header field of another daemon that can't be decoded."""
 
@@ -145,12 +152,12 @@
     try:
         content, instance, route, rank, remaining, wait = value.split(b" ")
         return RequestMetadata(
-            int(content),
+            parse_revision(content),
             instance.decode(),
             route.decode(),
-            _amount(rank),
-            _amount(remaining),
-            _amount(wait),
+            parse_amount(rank),
+            parse_amount(remaining),
+            parse_amount(wait),
         )
     except ValueError as error:
         raise WireError(f"invalid Sassafras-Ask field: {error}") from error
@@ -158,7 +165,9 @@
 
 def decode_trial(value: bytes | None) -> int:
     """Return the strikes in the field, 0 without a valid field."""
-    return int(value) if value is not None and value.isdigit() else 0
+    if value is None or not value.isdigit() or len(value) > DIGITS_MAX:
+        return 0
+    return int(value)
 
 
 def repeats_fields(shares_by_depth: bool) -> httpio.Fields:
@@ -230,13 +239,16 @@
         content, leaving, busy, ahead, limit, service = parts[:6]
         below, inner, ending, reason = parts[6:]
         return CalleeState(
-            int(content),
+            parse_revision(content),
             leaving == "1",
             calls.LoadReport(
-                _amount(busy), 0.0, _amount(limit), _amount(service)
+                parse_amount(busy),
+                0.0,
+                parse_amount(limit),
+                parse_amount(service),
             ),
-            _amount(ahead),
-            _amount(below),
+            parse_amount(ahead),
+            parse_amount(below),
             inner == "1",
             None if ending == _ANSWERED else requests.Ending(ending),
             outcomes.Reason(reason),
@@ -245,12 +257,26 @@
         raise WireError(f"invalid Sassafras-State field: {error}") from error
 
 
-def _amount(value: bytes | str) -> float:
-    """Return a finite, non-negative number; raises ``ValueError``.
+def parse_amount(value: bytes | str) -> float:
+    """Return a number from 0 to ``AMOUNT_MAX``; raises ``ValueError``.
 
     An infinite or negative load would corrupt averages permanently.
     """
     amount = float(value)
-    if not 0.0 <= amount < math.inf:
-        raise ValueError(f"not a finite, non-negative number: {value!r}")
+    if not 0.0 <= amount <= AMOUNT_MAX:
+        raise ValueError(f"not a non-negative amount: {value[:40]!r}")
     return amount
+
+
+def parse_revision(value: bytes | str) -> int:
+    """Return a revision of a view; raises ``ValueError``."""
+    if len(value) > DIGITS_MAX:
+        raise ValueError(f"not a revision: {value[:40]!r}")
+    return check_revision(int(value))
+
+
+def check_revision(revision: int) -> int:
+    """Return the revision; raises ``ValueError`` if it is out of range."""
+    if not views.UNORDERED <= revision <= views.REVISION_MAX:
+        raise ValueError(f"not a revision: {revision}")
+    return revision
--- a/src/sassafrasstair/forwarding/_work_wire.py
+++ b/src/sassafrasstair/forwarding/_work_wire.py
@@ -9,7 +9,6 @@
 
 import dataclasses
 import functools
-import math
 import re
 import typing
 
@@ -47,6 +46,8 @@
 """Costs read from one field; a daemon sends fewer."""
 DIGITS_MAX = 9
 """Longer numbers can't be right, and ``int`` raises for very long ones."""
+SECONDS_MAX = 1e12
+"""Greatest duration or rate; sums of them stay finite."""
 CACHE_SIZE = 256
 """Decoded values that are kept. Most answers report the same depth alone."""
 
@@ -128,4 +129,4 @@
         seconds = float(value or b"nan")
     except ValueError:
         return None
-    return seconds if 0.0 <= seconds < math.inf else None
+    return seconds if 0.0 <= seconds <= SECONDS_MAX else None
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -10,6 +10,7 @@
 import typing
 
 from hypothesis import strategies as st
+import msgspec
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -98,3 +99,59 @@
         st.integers(0, len(words) - 1),
         odd,
     )
+
+
+_packed = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.sampled_from([0, 1, -1, 2**31, 2**53 + 1, 2**63, 2**64 - 1, -(2**63)])
+    | st.floats()
+    | st.text(max_size=8)
+    | st.binary(max_size=40),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=4,
+)
+_DEEP_PACKED = msgspec.Raw(100_000 * b"\x91" + b"\xc0")
+
+
+def packed_like(data: bytes) -> st.SearchStrategy[bytes]:
+    """Return MessagePack like ``data`` with one odd or added value."""
+    whole = msgspec.msgpack.decode(data)
+    odd = _packed | st.just(_DEEP_PACKED)
+    paths = list(_paths(whole, ()))
+    return st.builds(
+        lambda path, value: msgspec.msgpack.encode(
+            _replaced(whole, path, value)
+        ),
+        st.sampled_from(paths),
+        odd,
+    )
+
+
+def _paths(
+    whole: object, path: tuple[object, ...]
+) -> abc.Iterator[tuple[object, ...]]:
+    """Return the paths to all parts of nested lists and dictionaries."""
+    yield path
+    if isinstance(whole, dict):
+        for key, part in whole.items():
+            yield from _paths(part, (*path, key))
+    elif isinstance(whole, list):
+        for index, part in enumerate(whole):
+            yield from _paths(part, (*path, index))
+        yield (*path, len(whole))
+
+
+def _replaced(
+    whole: typing.Any, path: tuple[object, ...], value: object
+) -> object:
+    if not path:
+        return value
+    if path == (len(whole),):
+        return [*whole, value]
+    copied = whole.copy()
+    copied[path[0]] = _replaced(whole[path[0]], path[1:], value)
+    return copied
