Drop what follows a last request at once up to a bound

Callers: none has seen it. A client whose upload is refused sends the rest of it; dropped in turns of all connections, it could take so long that the connection was reset before the refusal had been read.

Change: up to 4 MB behind the last request are dropped as they arrive, and only what follows waits for its turn.

Result: tests/platform/test_endless_bytes.py and tests/httpio pass as before; no figure of refused uploads was taken.

--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -31,6 +31,9 @@
 """How long a closed connection discards what the client still sends. If the
 socket were closed with unread data, the kernel would reset the connection and
 drop answers that the client has not received yet (RFC 9112, 9.6)."""
+DROPPED_BYTES_AT_ONCE = 4 * 1024 * 1024
+"""Bytes behind the last request that are dropped as they arrive; more of them
+wait for their turn, as they may come without end."""
 _PIPELINE_LIMITS = pipelines.Limits(
     SIDE_BY_SIDE_MAX, PIPELINED_MAX, HELD_BYTES_MAX
 )
@@ -49,6 +52,7 @@
     __slots__ = (
         "_active_at",
         "_closing",
+        "_dropped_bytes",
         "_held_bytes",
         "_may_send_more",
         "_paused",
@@ -61,6 +65,7 @@
         super().__init__(listener, pipelines.new_pipeline(_PIPELINE_LIMITS))
         self._transport: typing.Any = None
         self._active_at = listener.clock.monotonic()
+        self._dropped_bytes = 0
         self._held_bytes = 0
         self._paused = False
         self._may_send_more = False
@@ -139,9 +144,9 @@
         if pipeline.entries:
             self._may_send_more = True
         if pipeline.ended:
-            # Dropping what a client sends for ever must not keep the loop
-            # busy.
-            self._input.wait_for_turn()
+            self._dropped_bytes += len(data)
+            if self._dropped_bytes > DROPPED_BYTES_AT_ONCE:
+                self._input.wait_for_turn()
             return
         self._received_at = self._listener.clock.monotonic()
         if self._reading is None:
