Take late requests at a stop for calls only by their deadline

Callers: requests of clients, sent 4.0 to 4.4 s after a planned stop began, were taken, passed on and answered 502 while they ran, although they must not run twice; refused, they could have been sent again.

Cause: a request counted as a call of the instance beside the daemon if its route is used on VMs of few services, whenever that instance ran anything. Clients on few VMs use their routes like that, too.

Change: a call expires with the request for which it is made, so a request counts as one only within 0.1 s of a run's deadline, or up to 0.5 s later on a route that only upstreams use.

The other tests of stops end as before.

--- a/src/sassafrasstair/forwarding/_arrivals.py
+++ b/src/sassafrasstair/forwarding/_arrivals.py
@@ -22,6 +22,9 @@
 SAME_DEADLINE_SECONDS = 0.1
 """A call expires with the request that it is part of; its deadline is rounded
 and reaches this daemon a little later."""
+LATE_CALL_SECONDS = 0.5
+"""How much later a call on a route that only upstreams use may seem to expire:
+its deadline counts from when it is read, which a busy daemon does late."""
 ANSWERS_MIN = 20
 """Answers of a route before its expected time is taken from them."""
 
@@ -100,16 +103,15 @@
 ) -> bool:
     """Return whether a request is taken for a call of this VM's upstream.
 
-    That is so while the upstream runs requests, if only upstreams use the
-    route, or if the call expires with one of them.
+    Such a call expires with the request for which it is made. Its route alone
+    does not tell: clients on few VMs may use it, too.
     """
-    if not daemon.executions:
-        return False
+    latest = SAME_DEADLINE_SECONDS
     if admission.called_only_by_upstreams(daemon.chains, route.name):
-        return True
+        latest = LATE_CALL_SECONDS
     return any(
         run.job is not None
-        and abs(run.deadline - expires) <= SAME_DEADLINE_SECONDS
+        and -SAME_DEADLINE_SECONDS <= expires - run.deadline <= latest
         for run in daemon.executions.values()
     )
 
