--- a/src/sassafrasstair/httpio/__init__.py
+++ b/src/sassafrasstair/httpio/__init__.py
@@ -14,6 +14,8 @@
 from sassafrasstair.httpio._exchanges import Exchange
 from sassafrasstair.httpio._exchanges import Limits
 from sassafrasstair.httpio._exchanges import PartialRequest
+from sassafrasstair.httpio._jobs import Failure
+from sassafrasstair.httpio._jobs import Job
 from sassafrasstair.httpio._listeners import Listener
 from sassafrasstair.httpio._messages import combined_value
 from sassafrasstair.httpio._messages import end_to_end_fields
@@ -24,8 +26,6 @@
 from sassafrasstair.httpio._messages import request_head
 from sassafrasstair.httpio._messages import Response
 from sassafrasstair.httpio._messages import response_head
-from sassafrasstair.httpio._jobs import Failure
-from sassafrasstair.httpio._jobs import Job
 from sassafrasstair.httpio._pools import Pool
 
 __all__ = [
