Use one piece of code for what the bounds on bytes repeat

Behaviour is unchanged. The type of a store's revision, the parser's errors, the wait for a turn and the start of endless messages in tests stood twice each; a test looped over one VM, and closed an upstream that was not open.

--- a/src/sassafrasstair/httpio/_inputs.py
+++ b/src/sassafrasstair/httpio/_inputs.py
@@ -64,7 +64,7 @@
         if len(data) <= PARSED_BYTES_MAX and not self.meter.is_costly:
             self._parse(data)
             if self.meter.is_costly:
-                self._wait_for_turn()
+                self.wait_for_turn()
             return
         self._parse_pieces(data)
 
@@ -76,8 +76,11 @@
 
     def wait_for_turn(self) -> None:
         """Let the connection read no more until its turn."""
-        if not self.waits_for_turn:
-            self._wait_for_turn()
+        if self.waits_for_turn:
+            return
+        self.waits_for_turn = True
+        _turns.wait_for_turn(self._begin_turn)
+        self._on_change()
 
     def drop(self) -> None:
         """Drop what waits."""
@@ -89,17 +92,12 @@
                 self.has_rest = True
                 return
             if self.meter.is_costly:
-                self._wait_for_turn()
+                self.wait_for_turn()
             if self.waits_for_turn or self._must_wait():
                 self.unparsed = data[start:]
                 return
             self._parse(data[start : start + PARSED_BYTES_MAX])
 
-    def _wait_for_turn(self) -> None:
-        self.waits_for_turn = True
-        _turns.wait_for_turn(self._begin_turn)
-        self._on_change()
-
     def _begin_turn(self) -> None:
         self.waits_for_turn = False
         self.meter.grant(_turns.TURN_BYTES)
--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -174,7 +174,7 @@
     def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except _messages.PARSE_ERRORS:
             # Extra bytes after a complete response leave it valid.
             self._has_extra_data = True
             if self._complete_response is None:
@@ -254,9 +254,10 @@
             # this connection after the next one was sent. A job aborted here
             # does not cause it, since its connection is closed.
             self._is_late = received is not None and received != value
-        if not self._is_late and response.status >= 200:
-            self._input.meter.note_progress()
-        if job.body_omitted and not self._is_late and response.status >= 200:
+        if self._is_late or response.status < 200:
+            return
+        self._input.meter.note_progress()
+        if job.body_omitted:
             # httptools would wait for a body, which a HEAD response lacks.
             self._keep_alive = False
             self._complete_response = response
--- a/src/sassafrasstair/platform/_items.py
+++ b/src/sassafrasstair/platform/_items.py
@@ -43,7 +43,8 @@
     removed: bool
 
 
-_Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=views.NUMBER_MAX)]
+Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=views.NUMBER_MAX)]
+"""A revision in the store's format, of one era."""
 
 
 class _Key(msgspec.Struct, frozen=True):
@@ -56,7 +57,7 @@
     What is untyped may be invalid without making the item invalid.
     """
 
-    revision: _Revision
+    revision: Revision
     created: object = None
     value: object = None
     removed: object = False
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -47,27 +47,24 @@
 _ERA_DIGITS = 7
 
 
-_Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=views.NUMBER_MAX)]
-
-
 class _Range(msgspec.Struct, frozen=True):
     """One page of items, in the order of their keys."""
 
     items: tuple[msgspec.Raw, ...]
-    store_revision: _Revision
+    store_revision: _items.Revision
     has_more: bool = False
 
 
 class _Key(msgspec.Struct, frozen=True):
     """The store's revision in the response for a single item."""
 
-    store_revision: _Revision
+    store_revision: _items.Revision
 
 
 class _Watch(msgspec.Struct, frozen=True):
     """The items that changed after the watched revision."""
 
-    store_revision: _Revision
+    store_revision: _items.Revision
     events: tuple[msgspec.Raw, ...] = ()
 
 
--- a/tests/platform/endless.py
+++ b/tests/platform/endless.py
@@ -40,11 +40,18 @@
     "fields": (b"", b"A-Field: value\r\n"),
     "small_fields": (b"", b"a:\r\n"),
 }
-ANSWERS = {
-    **{
-        kind: (_ANSWER + first, rest)
+
+
+def _behind(start: bytes) -> dict[str, tuple[bytes, bytes]]:
+    """Return the fields and bodies without end, behind a message's start."""
+    return {
+        kind: (start + first, rest)
         for kind, (first, rest) in (_BODIES | _HEADS).items()
-    },
+    }
+
+
+ANSWERS = {
+    **_behind(_ANSWER),
     "status_line": (b"HTTP/1.1 200 ", b"O"),
     "blank_lines": (b"", b"\r\n"),
     "interim_answers": (b"", _INTERIM),
@@ -58,10 +65,7 @@
 }
 """By kind, the first bytes of an answer and those that follow for ever."""
 REQUESTS = {
-    **{
-        kind: (_REQUEST + first, rest)
-        for kind, (first, rest) in (_BODIES | _HEADS).items()
-    },
+    **_behind(_REQUEST),
     "request_line": (b"POST /once/", b"x"),
     "blank_lines": (b"", b"\r\n"),
     "body_of_great_length": (
@@ -73,11 +77,16 @@
 """The same of requests."""
 
 
+def block_of(rest: bytes) -> bytes:
+    """Return about ``BLOCK`` bytes that repeat ``rest``."""
+    return rest * max(1, BLOCK // len(rest))
+
+
 def _send_for_ever(
     connection: socket.socket, first: bytes, rest: bytes
 ) -> None:
     connection.sendall(first)
-    block = rest * max(1, BLOCK // len(rest))
+    block = block_of(rest)
     while True:
         connection.sendall(block)
 
--- a/tests/platform/soak/upstreams.py
+++ b/tests/platform/soak/upstreams.py
@@ -26,7 +26,6 @@
 CRASH_SECONDS = (0.004, 0.08)
 AWAY_SECONDS = 1.5
 """From a crash until the instance runs again, under another id."""
-ENDLESS_BLOCK_BYTES = 65_536
 ENDLESS_GAP_SECONDS = 0.01
 ENDLESS_SECONDS = 6.0
 """Longer than any time-out of a route."""
@@ -209,7 +208,7 @@
         """Send bytes without end, until the caller closes."""
         kind = self._endless_rng.choice(sorted(endless.ANSWERS))
         first, rest = endless.ANSWERS[kind]
-        block = rest * max(1, ENDLESS_BLOCK_BYTES // len(rest))
+        block = endless.block_of(rest)
         transport = exchange._connection._transport
         transport.write(first)
         until = asyncio.get_running_loop().time() + ENDLESS_SECONDS
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -143,7 +143,6 @@
         fleet = fleet_module.Fleet(tmp_path, random.Random(1))
         try:
             trial = Trial(fleet)
-            trial.beside.upstream.close()
             await fleet.open()
             for vm in fleet.vms:
                 pid = fleet_module.running(vm).pid
@@ -189,9 +188,8 @@
 
     async def play(trial: Trial) -> None:
         for kind in endless.REQUESTS:
-            for vm in trial.entrances[:1]:
-                address = vm.host, str(fleet_module.OUTBOUND)
-                with _process("send", *address, kind, str(CLIENTS)):
-                    await trial.play(kind, endless_requests=False)
+            address = trial.beside.host, str(fleet_module.OUTBOUND)
+            with _process("send", *address, kind, str(CLIENTS)):
+                await trial.play(kind, endless_requests=False)
 
     assert not _run(tmp_path, monkeypatch, play)
