Soak a call graph with chains, uploads and clients of many manners

Cause: the users saw requests lost with real processes on a deployment whose chains, uploads and time limits no soak of ours had. SOAK_CODE runs another version of the daemon under the same driver.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -12,6 +12,7 @@
 
 import click
 
+from tests.platform.soak import mesh as mesh_module
 from tests.platform.soak import power
 from tests.platform.soak import scenario
 from tests.platform.soak import stops as stops_module
@@ -26,6 +27,7 @@
 @click.option("--keep", default="", help="Folder for the daemons' logs.")
 @click.option("--losses", default=0, help="Lose all power, so often, instead.")
 @click.option("--stops", is_flag=True, help="Planned stops only.")
+@click.option("--mesh", is_flag=True, help="A call graph with chains.")
 @click.option("--copies", default=1, help="Sets of six VMs.")
 def main(
     seeds: str,
@@ -34,6 +36,7 @@
     keep: str,
     losses: int,
     stops: bool,
+    mesh: bool,
     copies: int,
 ) -> None:
     """Soak the daemons; exits with 1 if a promise was broken."""
@@ -47,6 +50,8 @@
         def soak(folder: pathlib.Path, seed: int = seed) -> _Soak:
             if losses:
                 return power.run(seed, losses, folder, copies)
+            if mesh:
+                return mesh_module.run(seed, seconds, folder, copies)
             if stops:
                 return stops_module.run(seed, seconds, folder, copies)
             return scenario.run(seed, seconds, folder, copies)
--- a/tests/platform/soak/clients.py
+++ b/tests/platform/soak/clients.py
@@ -35,7 +35,9 @@
         port: int,
         service: str,
         rng: random.Random,
+        leaves: bool = True,
     ) -> None:
+        self._leave_share = LEAVE_SHARE if leaves else 0.0
         self._oracle = oracle
         self._service = service
         self._host = host
@@ -108,7 +110,7 @@
         wait = patience + LATE_SECONDS
         if leave_after < math.inf:
             wait = leave_after
-        elif self._rng.random() < LEAVE_SHARE:
+        elif self._rng.random() < self._leave_share:
             wait = self._rng.uniform(0.0, 0.05)
         try:
             result = await asyncio.wait_for(future, wait)
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -45,6 +45,8 @@
 STOP_SLACK = 2.0
 """Seconds beside the grace for a process to start and end in, on a machine
 that is busy with the other processes."""
+CODE_VARIABLE = "SOAK_CODE"
+"""Names a folder with the sources of another version of the daemon."""
 _seq = itertools.count(1)
 SERVICES = ("front", "front", "deep", "deep", "deep", "edge")
 """By VM. ``front`` calls ``deep``; ``edge`` has clients only."""
@@ -89,9 +91,13 @@
 class Fleet:
     """All VMs and the store, on loopback addresses of this process.
 
-    There are ``copies`` VMs of each of ``SERVICES``.
+    There are ``copies`` VMs of each of ``services``. ``routes`` are the
+    services by route. The daemons run the code below ``CODE_VARIABLE``, if
+    that is set, or else this one.
     """
 
+    services: tuple[str, ...] = SERVICES
+
     def __init__(
         self,
         folder: pathlib.Path,
@@ -105,7 +111,7 @@
         self.timeline.note(f"grace {grace} s")
         self.customers = customers_module.Customers(rng)
         self.oracle = oracle_module.Oracle(
-            {route: {service} for route, service in ROUTES.items()},
+            {name: {service} for name, service in self.routes.items()},
             self.customers,
             self.timeline.note,
         )
@@ -121,26 +127,21 @@
         self.store_host = f"{net}.0.1"
         self.vms = [
             self._vm(folder, net, index, service)
-            for index, service in enumerate(SERVICES * copies, 2)
+            for index, service in enumerate(self.services * copies, 2)
         ]
         self.version = 0
 
+    @property
+    def routes(self) -> dict[str, str]:
+        """The services by route."""
+        return ROUTES
+
     def _vm(
         self, folder: pathlib.Path, net: str, index: int, service: str
     ) -> Vm:
         host = f"{net}.1.{index}"
         client = clients.Client(self.oracle, host, OUTBOUND, service, self.rng)
-
-        async def call(left: float) -> bool:
-            calls = [client.call("deep", True, left) for _ in range(2)]
-            return await clients.all_ok(calls)
-
-        upstream = upstreams.Upstream(
-            service,
-            self.oracle,
-            self.rng,
-            call if service == "front" else None,
-        )
+        upstream = self._upstream(host, service, client)
         link = relays.Link(f"{net}.2.{index}", host, INBOUND)
         name = f"vm-{index}"
         made = Vm(
@@ -155,6 +156,22 @@
         upstream.crashed = functools.partial(self._crashed, made)
         return made
 
+    def _upstream(
+        self, host: str, service: str, client: clients.Client
+    ) -> upstreams.Upstream:
+        """Return the instance of a VM, which makes calls as ``client``."""
+
+        async def call(left: float) -> bool:
+            calls = [client.call("deep", True, left) for _ in range(2)]
+            return await clients.all_ok(calls)
+
+        return upstreams.Upstream(
+            service,
+            self.oracle,
+            self.rng,
+            call if service == "front" else None,
+        )
+
     def _crashed(self, vm: Vm) -> None:
         """Bring a crashed instance back, under its new id."""
         self.timeline.note(f"crashed {vm.name} {vm.registered}")
@@ -221,28 +238,13 @@
         keys = [key.text for key in self.customers.valid()]
         self.timeline.note(f"policy {self.version} {keys}")
         self.customers.rate = self.rng.choice(customers_module.RATES)
-        timeout_ms = self.rng.choice(TIMEOUTS_MS)
-        timeouts = dict.fromkeys(ROUTES, timeout_ms)
-        timeouts["long"] = LONG_TIMEOUT_MS
+        routes = self._policies()
         self.oracle.losses.configured(
-            {name: timeout / 1000.0 for name, timeout in timeouts.items()}
-        )
-        routes = {
-            name: {
-                "host": clients.HOST.decode(),
-                "prefix": f"/{name}/",
-                "type": "safe" if name in IDEMPOTENT_ROUTES else "unsafe",
-                "timeout_ms": timeouts[name],
-                "target_latency_ms": (
-                    LONG_TIMEOUT_MS if name == "long" else 400
-                ),
-                "priority": 1,
-                "max_attempts": 2,
-                "service": service,
-                "allow_anonymous": name != clients.KEYED_ROUTE,
+            {
+                name: typing.cast("int", route["timeout_ms"]) / 1000.0
+                for name, route in routes.items()
             }
-            for name, service in ROUTES.items()
-        }
+        )
         self.store.put(
             "op/config",
             {
@@ -258,6 +260,22 @@
             },
         )
 
+    def _policies(self) -> dict[str, dict[str, object]]:
+        """Return the policy's routes, some of them drawn."""
+        timeout_ms = self.rng.choice(TIMEOUTS_MS)
+        timeouts = dict.fromkeys(self.routes, timeout_ms)
+        timeouts["long"] = LONG_TIMEOUT_MS
+        return {
+            name: route_policy(
+                name,
+                service,
+                name in IDEMPOTENT_ROUTES,
+                timeouts[name],
+                LONG_TIMEOUT_MS if name == "long" else 400,
+            )
+            for name, service in self.routes.items()
+        }
+
     def _note_server(self, key: str, state: str) -> None:
         """Note whether the store knows that an instance leaves."""
         prefix, _, instance = key.partition("/")
@@ -306,10 +324,11 @@
 
     def start(self, vm: Vm) -> None:
         """Start the VM's daemon."""
+        code = os.environ.get(CODE_VARIABLE, "").split()
         environment = {
             "PATH": os.environ["PATH"],
             "SASSAFRASSTAIR_BOOT": str(vm.boot),
-            "PYTHONPATH": os.pathsep.join(sys.path),
+            "PYTHONPATH": os.pathsep.join([*code, *sys.path]),
         }
         self.timeline.note(f"started {vm.name}")
         self.oracle.disruptions.note(vm.host, disruptions.Kind.PLANNED)
@@ -406,6 +425,27 @@
         await asyncio.sleep(0.05)
 
 
+def route_policy(
+    name: str,
+    service: str,
+    idempotent: bool,
+    timeout_ms: int,
+    objective_ms: int,
+) -> dict[str, object]:
+    """Return what the policy says of a route."""
+    return {
+        "host": clients.HOST.decode(),
+        "prefix": f"/{name}/",
+        "type": "safe" if idempotent else "unsafe",
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": objective_ms,
+        "priority": 1,
+        "max_attempts": 2,
+        "service": service,
+        "allow_anonymous": name != clients.KEYED_ROUTE,
+    }
+
+
 def _claim_net() -> tuple[str, socket.socket]:
     """Return a loopback network that no other soak uses.
 
--- a/tests/platform/soak/kept.py
+++ b/tests/platform/soak/kept.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import math
 import random
 
@@ -26,9 +27,24 @@
 MANNERS = ("whole", "halves", "pieces", "ahead")
 
 
+@dataclasses.dataclass(frozen=True)
+class Draft:
+    """A request that a client is about to send."""
+
+    key: str
+    route: str
+    idempotent: bool
+    target: str
+    body: bytes
+    patience: float
+
+
 class Client:
     """Uses one connection to a daemon at a time."""
 
+    manners: tuple[str, ...] = MANNERS
+    idle_seconds = IDLE_SECONDS
+
     def __init__(
         self,
         oracle: oracle_module.Oracle,
@@ -63,10 +79,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Send after a pause; return whether the connection stays open."""
-        await asyncio.sleep(self._rng.uniform(*IDLE_SECONDS))
+        await asyncio.sleep(self._rng.uniform(*self.idle_seconds))
         if reader.at_eof() or reader.exception() is not None:
             return False
-        manner = self._rng.choice(MANNERS)
+        manner = self._rng.choice(self.manners)
         sent: list[losses.Life] = []
         data = b""
         for _ in range(AHEAD if manner == "ahead" else 1):
@@ -74,7 +90,7 @@
             sent.append(life)
             data += request
         sent[0].alone = True
-        answered = asyncio.ensure_future(self._read(reader, sent))
+        answered = asyncio.ensure_future(self._read(reader, sent, manner))
         for seconds, piece in self._pieces(manner, data):
             if seconds:
                 await asyncio.wait([answered], timeout=seconds)
@@ -83,10 +99,19 @@
             writer.write(piece)
         for life in sent:
             life.whole_at = asyncio.get_running_loop().time()
+        self._sent(manner, sent, writer)
         return await answered
 
-    def _request(self, manner: str) -> tuple[losses.Life, bytes]:
-        """Note a request that is about to be sent, and return its bytes."""
+    def _sent(
+        self,
+        manner: str,
+        sent: list[losses.Life],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Note that all bytes have been written."""
+
+    def _draw(self, manner: str) -> Draft:
+        """Draw a request."""
         key = clients.new_key()
         idempotent = manner != "pieces" and self._rng.random() < 0.7
         route = "deep" if idempotent else "once"
@@ -95,15 +120,21 @@
             target += f"?work={self._rng.uniform(*WORK_SECONDS):.3f}"
         body = b"" if idempotent else key.encode() * 20
         patience = self._rng.uniform(*PATIENCE)
+        return Draft(key, route, idempotent, target, body, patience)
+
+    def _request(self, manner: str) -> tuple[losses.Life, bytes]:
+        """Note a request that is about to be sent, and return its bytes."""
+        draft = self._draw(manner)
+        key = draft.key
         self._oracle.send(
             oracle_module.Sent(
                 key,
-                route,
-                idempotent,
+                draft.route,
+                draft.idempotent,
                 self._service,
-                target,
-                body,
-                patience,
+                draft.target,
+                draft.body,
+                draft.patience,
                 at=asyncio.get_running_loop().time(),
                 entrance=self._host,
             )
@@ -114,11 +145,13 @@
         fields = [
             (b"Host", clients.HOST),
             (b"Sassafrasstair-Request-Id", key.encode()),
-            (b"Sassafrasstair-Deadline-Ms", b"%d" % (patience * 1000)),
+            (b"Sassafrasstair-Deadline-Ms", b"%d" % (draft.patience * 1000)),
         ]
-        method = b"GET" if idempotent else b"POST"
-        head = httpio.request_head(method, target.encode(), fields, len(body))
-        return life, head + body
+        method = b"GET" if draft.idempotent else b"POST"
+        head = httpio.request_head(
+            method, draft.target.encode(), fields, len(draft.body)
+        )
+        return life, head + draft.body
 
     def _pieces(self, manner: str, data: bytes) -> list[tuple[float, bytes]]:
         """Return the pieces to send, each with the pause before it."""
@@ -138,7 +171,10 @@
         return [(0.0, data)]
 
     async def _read(
-        self, reader: asyncio.StreamReader, sent: list[losses.Life]
+        self,
+        reader: asyncio.StreamReader,
+        sent: list[losses.Life],
+        manner: str,
     ) -> bool:
         """Read the answers; return whether the connection stays open."""
         stays = True
@@ -176,12 +212,12 @@
 
 
 def keep_connections(
-    fleet: fleet_module.Fleet, each: int
+    fleet: fleet_module.Fleet, each: int, kind: type[Client] = Client
 ) -> asyncio.Future[None]:
     """Use ``each`` kept connections at every VM until cancelled."""
     rng = random.Random(fleet.rng.random())
     keepers = [
-        Client(
+        kind(
             fleet.oracle,
             vm.host,
             fleet_module.OUTBOUND,
--- a/tests/platform/soak/oracle.py
+++ b/tests/platform/soak/oracle.py
@@ -6,6 +6,7 @@
 import dataclasses
 import hashlib
 import typing
+import urllib.parse
 
 from tests import notices as notices_module
 from tests.platform.soak import customers as customers_module
@@ -64,9 +65,20 @@
     key_seen: bool = False
 
 
-def body_of(key: str) -> bytes:
-    """Return the one right body of the answer to a request."""
-    return hashlib.sha256(key.encode()).hexdigest().encode() * 8
+def body_of(key: str, target: str) -> bytes:
+    """Return the one right body of the answer to a request.
+
+    Its target may ask for a size, as ``?size=``.
+    """
+    block = hashlib.sha256(key.encode()).hexdigest().encode()
+    size = asked(target, "size")
+    return block * (int(size) // len(block) if size else 8)
+
+
+def asked(target: str, name: str) -> float:
+    """Return the number that a request's target asks for, 0 for none."""
+    query = urllib.parse.parse_qs(target.partition("?")[2])
+    return float(query.get(name, ["0"])[0])
 
 
 def signature_of(key: str, status: int) -> str:
@@ -185,7 +197,7 @@
         )
         if 200 <= status < 300:
             self.served += 1
-            whole = body == body_of(key)
+            whole = body == body_of(key, sent.target)
             if not whole or signature != signature_of(key, status):
                 self._break("MIXED", key, f"{status} signed {signature!r}")
         elif signature and signature != signature_of(key, status):
--- a/tests/platform/soak/upstreams.py
+++ b/tests/platform/soak/upstreams.py
@@ -189,11 +189,12 @@
             self.oracle.crashes(request.target)
             self.crash()
             return
-        seconds = self._rng.uniform(*WORK_SECONDS) * self.slow
-        seconds += _asked_seconds(request.target)
+        until = asyncio.get_running_loop().time() + left
+        target = request.target.decode()
+        seconds = self._seconds(target)
         work.due_at = asyncio.get_running_loop().time() + seconds
         await asyncio.sleep(seconds)
-        ok = self._call is None or await self._call(left)
+        ok = await self._make_calls(target, left, until)
         if self._rng.random() < self.lose_share:
             work.broke_off = True
             exchange._connection._transport.abort()
@@ -204,6 +205,20 @@
             return
         self._answer(exchange, key, 200 if ok else 500)
 
+    def _seconds(self, target: str) -> float:
+        """Return how long the instance works on a request."""
+        seconds = self._rng.uniform(*WORK_SECONDS) * self.slow
+        return seconds + oracle_module.asked(target, "work")
+
+    async def _make_calls(
+        self, target: str, left: float, until: float
+    ) -> bool:
+        """Make the calls of a run; return whether all succeeded.
+
+        ``left`` seconds were left when it came, ``until`` a loop time.
+        """
+        return self._call is None or await self._call(left)
+
     async def _answer_for_ever(self, exchange: httpio.Exchange) -> None:
         """Send bytes without end, until the caller closes."""
         kind = self._endless_rng.choice(sorted(endless.ANSWERS))
@@ -229,7 +244,10 @@
             (oracle_module.SIGNATURE.encode(), signature),
             *self._notice(),
         ]
-        body = oracle_module.body_of(key) if status == 200 else b""
+        body = b""
+        if status == 200:
+            target = exchange.request.target.decode()
+            body = oracle_module.body_of(key, target)
         transport = exchange._connection._transport
         exchange.respond(status, fields, body)
         if self._rng.random() < self.extra_share:
@@ -242,11 +260,5 @@
     return [(b"Sassafrasstair-Not-Executed", b"1")]
 
 
-def _asked_seconds(target: bytes) -> float:
-    """Return how much longer a request asks the instance to work."""
-    _, found, value = target.partition(b"?work=")
-    return float(value) if found else 0.0
-
-
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
