Start no run at a stop that may take as long as one of late

What callers saw: 502 for a request of which an instance had worked for seconds, at the end of the stop of the instance's daemon; with a second daemon stopping, that is a lost request. Cause: a stopping daemon started a run if three times the average time ended before the final answers. Where most runs are short and some take seconds, the average forgets the long ones within a few runs. Change: the longest time of each route at an instance is remembered, fading by half in 30 s, and has to end in time, too. Result: test_run_as_long_as_one_of_late_is_not_cut failed before (502 though run) and passes.

--- a/src/sassafrasstair/decisions/load/__init__.py
+++ b/src/sassafrasstair/decisions/load/__init__.py
@@ -25,6 +25,7 @@
 from sassafrasstair.decisions.load._views import knows_route
 from sassafrasstair.decisions.load._views import learned_limit
 from sassafrasstair.decisions.load._views import limit
+from sassafrasstair.decisions.load._views import longest_seconds
 from sassafrasstair.decisions.load._views import rate_limit
 from sassafrasstair.decisions.load._views import resize
 from sassafrasstair.decisions.load._views import route_seconds
@@ -48,6 +49,7 @@
     "knows_route",
     "learned_limit",
     "limit",
+    "longest_seconds",
     "new_guard",
     "note_said_to_leave",
     "observe_rate",
--- a/src/sassafrasstair/decisions/load/_usual.py
+++ b/src/sassafrasstair/decisions/load/_usual.py
@@ -16,17 +16,23 @@
 WEIGHT_MAX = 0.1
 # A mean of fewer samples is not reported.
 MIN_SAMPLES = 3
+# The longest time is forgotten by half in this time.
+LONGEST_HALF_LIFE = 30.0
 # The class whose last sample is the oldest is dropped beyond this number.
 CLASSES_MAX = 256
 
 
 @dataclasses.dataclass(slots=True)
 class UsualTime:
-    """The usual service time of one class, last sampled at ``sampled_at``."""
+    """The usual service time of one class, last sampled at ``sampled_at``.
+
+    ``longest`` is the longest one, which fades until it is reached again.
+    """
 
     seconds: float
     samples: int
     sampled_at: float
+    longest: float
 
 
 def add_sample(
@@ -41,9 +47,10 @@
     if usual is None:
         if len(times) >= CLASSES_MAX:
             del times[min(times, key=lambda name: times[name].sampled_at)]
-        times[request_class] = UsualTime(seconds, 1, now)
+        times[request_class] = UsualTime(seconds, 1, now, seconds)
         return
     usual.samples += 1
+    usual.longest = max(seconds, _faded_longest(usual, now))
     elapsed = now - usual.sampled_at
     weight = min(WEIGHT_MAX, -math.expm1(-elapsed / SMOOTHING_SECONDS))
     weight = max(weight, 1.0 / usual.samples)
@@ -57,3 +64,16 @@
     if usual is None or usual.samples < MIN_SAMPLES:
         return None
     return usual.seconds
+
+
+def longest_seconds(
+    times: dict[str, UsualTime], request_class: str, now: float
+) -> float:
+    """Return the longest service time of late, 0 if none is known."""
+    usual = times.get(request_class)
+    return 0.0 if usual is None else _faded_longest(usual, now)
+
+
+def _faded_longest(usual: UsualTime, now: float) -> float:
+    elapsed = now - usual.sampled_at
+    return usual.longest * math.exp2(-elapsed / LONGEST_HALF_LIFE)
--- a/src/sassafrasstair/decisions/load/_views.py
+++ b/src/sassafrasstair/decisions/load/_views.py
@@ -98,6 +98,13 @@
     return _usual.seconds(guard.usual_by_class, request_class)
 
 
+def longest_seconds(
+    guard: _guards.Guard, request_class: str, now: float
+) -> float:
+    """Return the longest service time of a class of late, 0 if unknown."""
+    return _usual.longest_seconds(guard.usual_by_class, request_class, now)
+
+
 def _capacity(guard: _guards.Guard) -> float:
     """Return how many attempts at once make the instance fully busy."""
     return min(max(1.0, guard.limit), _rate_capacity(guard))
--- a/src/sassafrasstair/forwarding/_arrivals.py
+++ b/src/sassafrasstair/forwarding/_arrivals.py
@@ -74,7 +74,8 @@
     """
     if daemon.stop is None:
         return True
-    longest = load.wait_seconds(guard) + _longest_run(daemon, guard, route)
+    longest = load.wait_seconds(guard)
+    longest += _longest_run(daemon, guard, route, now)
     return stops.may_run(daemon.stop, deadline, longest, now, last_resort)
 
 
@@ -82,17 +83,19 @@
     """Return whether a request that got a slot may still be run."""
     if daemon.stop is None:
         return True
-    longest = _longest_run(daemon, execution.guard, execution.route)
     now = daemon.clock.monotonic()
+    longest = _longest_run(daemon, execution.guard, execution.route, now)
     return stops.may_start(daemon.stop, execution.deadline, longest, now)
 
 
 def _longest_run(
-    daemon: _state.Daemon, guard: load.Guard, route_name: str
+    daemon: _state.Daemon, guard: load.Guard, route_name: str, now: float
 ) -> float:
     """Return how long a run takes, by its objective until one has ended."""
     if load.knows_route(guard, route_name):
-        return stops.longest_seconds(load.route_seconds(guard, route_name))
+        average = load.route_seconds(guard, route_name)
+        longest = load.longest_seconds(guard, route_name, now)
+        return max(stops.longest_seconds(average), longest)
     table = daemon.view.table
     route = None if table is None else table.routes_by_name.get(route_name)
     return 0.0 if route is None else route.objective
--- a/tests/decisions/load/test_usual.py
+++ b/tests/decisions/load/test_usual.py
@@ -80,3 +80,15 @@
         _usual.add_sample(times, f"route-{index}", 0.1, float(index))
     assert len(times) == _usual.CLASSES_MAX
     assert "route-0" not in times
+
+
+@pytest.mark.parametrize(
+    ("pause", "expected"), [(0.0, 2.0), (30.0, 1.0), (300.0, 0.1)]
+)
+def test_longest_time_fades(pause: float, expected: float) -> None:
+    times: dict[str, _usual.UsualTime] = {}
+    _usual.add_sample(times, "page", 2.0, 0.0)
+    _usual.add_sample(times, "page", 0.1, pause)
+    longest = _usual.longest_seconds(times, "page", pause)
+    assert longest == pytest.approx(expected)
+    assert _usual.longest_seconds(times, "asset", pause) == 0.0
--- a/tests/forwarding/test_stop_bounds.py
+++ b/tests/forwarding/test_stop_bounds.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import time
 
 import pytest
@@ -291,3 +292,33 @@
         _check(answer, len(world.cluster.upstreams[A].got))
 
     test_path.run(test())
+
+
+def test_run_as_long_as_one_of_late_is_not_cut() -> None:
+    """The average of many short runs hid that some take seconds."""
+
+    async def test() -> None:
+        delays: collections.deque[float] = collections.deque()
+
+        async def run(
+            got: place.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(delays.popleft())
+            writer.write(place.signed(got, b"whole"))
+
+        world = Place(3.0)
+        await world.start(run)
+        cluster = world.cluster
+        for seconds in (2.6, *20 * [0.01]):
+            delays.append(seconds)
+            answer = await cluster.call(B, "/s/", "POST", deadline_ms=9000)
+            assert answer.status == 200
+        cluster.upstreams[A].got.clear()
+        stopped = world.stop()
+        await world.wait_until(0.3)
+        delays.append(2.6)
+        answer = await cluster.call(B, "/s/", "POST", deadline_ms=9000)
+        await stopped
+        _check(answer, len(cluster.upstreams[A].got))
+
+    test_path.run(test())
