Take late requests at a stop without asking who makes them

What callers saw: 502 for requests that ran, sent 4.2 s after SIGTERM: of a client, as its deadline was that of a run of the daemon's own instance, and of the instance, as its call took longer than nine of ten. And calls of a run refused, which failed it: with a limit of their own, read 0.15 s late, or on a route whose callee had restarted. Cause: nothing in a request says who makes it. A deadline within 0.1 s of a run's, or a route that looked internal, was taken for proof of a call, and a call only had to be expected to end in time. Change: what expires after all runs of the instance is no call. The guess by route is gone.

--- a/src/sassafrasstair/decisions/stops/__init__.py
+++ b/src/sassafrasstair/decisions/stops/__init__.py
@@ -2,7 +2,8 @@
 
 ``Stop`` holds the state from the signal to stop on. A request that begins to
 arrive while clients can't know of the stop yet is taken if it can be expected
-to end in time. A later one is taken only if its time limit ends in time.
+to end in time. A later one is taken only if its time limit ends in time, or
+if it may be a call of the upstream and surely ends in time.
 """
 
 from __future__ import annotations
--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -125,15 +125,16 @@
 class Arrival:
     """A request whose first byte arrived at ``began_at``.
 
-    It ends at ``deadline`` at the latest, and takes ``expected`` seconds from
-    the time at which it has been read. ``of_upstream`` is set for a call that
-    the upstream on this VM makes for a request that it runs.
+    It ends at ``deadline`` at the latest. From the time at which it has been
+    read it takes ``expected`` seconds, and up to ``longest``. ``may_be_call``
+    is set if the upstream on this VM may make it for a request that it runs.
     """
 
     began_at: float
     deadline: float
     expected: float
-    of_upstream: bool = False
+    longest: float
+    may_be_call: bool = False
 
 
 def begin(grace: float, now: float, spread: float = 1.0) -> Stop:
@@ -166,20 +167,20 @@
 def may_take(stop: Stop, arrival: Arrival, now: float) -> bool:
     """Return whether a request that has been read may be taken.
 
-    What is not taken is refused as not run. A call of the upstream counts as
-    part of the request for which it is made: to refuse it would fail that
-    request, which the daemon has taken.
+    What is not taken is refused as not run. To refuse a call would fail the
+    request for which it is made, so that what may be one is taken late, too,
+    if it surely ends in time.
     """
     if arrival.deadline <= now:
         return False
     if not may_start(stop, arrival.deadline, arrival.expected, now):
         return False
-    if arrival.deadline <= stop.cut_at or arrival.of_upstream:
+    if arrival.deadline <= stop.cut_at or now <= stop.lame_duck_until:
         return True
-    if arrival.began_at > stop.lame_duck_until:
+    is_early = arrival.began_at <= stop.lame_duck_until
+    if not (is_early or arrival.may_be_call):
         return False
-    is_read_early = now <= stop.lame_duck_until
-    return is_read_early or _ends_surely(stop, arrival.expected, now)
+    return _ends_surely(stop, arrival.longest, now)
 
 
 def may_run(
--- a/src/sassafrasstair/forwarding/_arrivals.py
+++ b/src/sassafrasstair/forwarding/_arrivals.py
@@ -4,7 +4,6 @@
 
 import typing
 
-from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import stops
 from sassafrasstair import histograms
@@ -19,14 +18,11 @@
 """The share of a route's requests that end within its expected time."""
 DIGITS_MAX = 15
 """Digits of a deadline in milliseconds; a longer one is no limit."""
-SAME_DEADLINE_SECONDS = 0.1
-"""A call expires with the request that it is part of; its deadline is rounded
-and reaches this daemon a little later."""
 LATE_CALL_SECONDS = 0.5
-"""How much later a call on a route that only upstreams use may seem to expire:
-its deadline counts from when it is read, which a busy daemon does late."""
+"""How much later than its run a call may seem to expire: its deadline counts
+from when it is read, which a busy daemon does late."""
 ANSWERS_MIN = 20
-"""Answers of a route before its expected time is taken from them."""
+"""Answers of a route before its times are taken from them."""
 
 
 def client_deadline(daemon: _state.Daemon, request: httpio.Request) -> float:
@@ -53,8 +49,9 @@
     arrival = stops.Arrival(
         request.received_at,
         min(request.received_at + route.timeout, expires),
-        _expected_seconds(daemon, route),
-        _is_of_upstream(daemon, route, expires),
+        _answer_seconds(daemon, route, EXPECTED_SHARE),
+        _answer_seconds(daemon, route, 1.0),
+        _may_be_call(daemon, expires),
     )
     return stops.may_take(daemon.stop, arrival, now)
 
@@ -101,27 +98,23 @@
     return 0.0 if route is None else route.objective
 
 
-def _is_of_upstream(
-    daemon: _state.Daemon, route: policies.Route, expires: float
-) -> bool:
-    """Return whether a request is taken for a call of this VM's upstream.
+def _may_be_call(daemon: _state.Daemon, expires: float) -> bool:
+    """Return whether the upstream may make a request for one that it runs.
 
-    Such a call expires with the request for which it is made. Its route alone
-    does not tell: clients on few VMs may use it, too.
+    Nothing in a request says who makes it, but a call expires no later than
+    the request for which it is made.
     """
-    latest = SAME_DEADLINE_SECONDS
-    if admission.called_only_by_upstreams(daemon.chains, route.name):
-        latest = LATE_CALL_SECONDS
     return any(
-        run.job is not None
-        and -SAME_DEADLINE_SECONDS <= expires - run.deadline <= latest
+        run.job is not None and expires <= run.deadline + LATE_CALL_SECONDS
         for run in daemon.executions.values()
     )
 
 
-def _expected_seconds(daemon: _state.Daemon, route: policies.Route) -> float:
-    """Return how long a request is expected to take, by earlier answers."""
+def _answer_seconds(
+    daemon: _state.Daemon, route: policies.Route, share: float
+) -> float:
+    """Return within how long a share of the recent answers came."""
     series = daemon.counters.answered_seconds.get(route.name)
     if series is None or sum(series.counts) < ANSWERS_MIN:
         return route.objective
-    return histograms.quantile(series, EXPECTED_SHARE)
+    return histograms.quantile(series, share)
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -112,6 +112,7 @@
             seconds,
             seconds,
             seconds,
+            seconds,
             strategies.booleans(),
         ),
         max_size=30,
@@ -124,11 +125,14 @@
     wait: float,
     limit: float,
     expected: float,
+    longer: float,
     seconds: float,
-    of_upstream: bool,
+    may_be_call: bool,
 ) -> Request:
     began += BEGAN
-    arrival = stops.Arrival(began, began + limit, expected, of_upstream)
+    arrival = stops.Arrival(
+        began, began + limit, expected, expected + longer, may_be_call
+    )
     return Request(arrival, began + reading, wait, seconds)
 
 
@@ -169,7 +173,10 @@
         expected_end = request.started_at + request.arrival.expected
         assert expected_end <= daemon.stop.cut_at < request.arrival.deadline
         in_time = request.arrival.began_at <= daemon.stop.lame_duck_until
-        assert in_time or request.arrival.of_upstream
+        assert in_time or request.arrival.may_be_call
+        if request.started_at > daemon.stop.lame_duck_until:
+            longest_end = request.started_at + request.arrival.longest
+            assert longest_end <= daemon.stop.cut_at
     for request in unread:
         assert not stops.may_take(daemon.stop, request.arrival, now)
 
@@ -225,7 +232,7 @@
 ) -> None:
     stop = stops.begin(6.0, BEGAN)
     began += BEGAN
-    arrival = stops.Arrival(began, began + limit, expected)
+    arrival = stops.Arrival(began, began + limit, expected, expected)
     busy = stops.InFlight(calls=1)
     stops.update(stop, busy, BEGAN + at)
     assert stops.may_take(stop, arrival, BEGAN + at) is taken
@@ -239,12 +246,26 @@
     assert stops.update(stop, running, now) is stops.Phase.DRAINING
     assert stops.accepts_connections(stop, running)
     assert not stops.accepts_connections(stop, stops.InFlight(calls=1))
-    call = stops.Arrival(now, now + 5.0, 0.2, of_upstream=True)
+    call = stops.Arrival(now, now + 5.0, 0.2, 0.2, may_be_call=True)
     assert stops.may_take(stop, call, now)
-    later = stops.Arrival(now, now + 5.0, 2.0, of_upstream=True)
+    later = stops.Arrival(now, now + 5.0, 2.0, 2.0, may_be_call=True)
     assert not stops.may_take(stop, later, now)
 
 
+@pytest.mark.parametrize(
+    ("at", "longest", "taken"),
+    [(4.0, 1.0, True), (4.0, 1.2, False), (4.2, 0.2, False)],
+)
+def test_late_call_is_taken_if_the_longest_of_its_kind_would_end(
+    at: float, longest: float, taken: bool
+) -> None:
+    stop = stops.begin(6.0, BEGAN)
+    now = BEGAN + at
+    stops.update(stop, stops.InFlight(executions=1), now)
+    call = stops.Arrival(now, now + 5.0, 0.2, longest, may_be_call=True)
+    assert stops.may_take(stop, call, now) is taken
+
+
 @pytest.mark.parametrize(
     ("at", "expected", "runs"),
     [(0.5, 0.2, True), (1.1, 0.2, True), (1.3, 0.2, False), (0.5, 5, False)],
