Log and count answers that a client did not get whole

Change: the event answer_cut and the metric answers_cut_total, with the reason. The comment of two counters stood at the wrong one.

--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -41,9 +41,13 @@
     """Repeats that the retry budget allowed or denied, by importance."""
     pipelined: dict[str, int] = dataclasses.field(default_factory=dict)
     """Requests sent before earlier answers, by ``pipelines.Fate``."""
+    answers_cut: dict[str, int] = dataclasses.field(default_factory=dict)
+    """Connections of clients that ended with an unsent part of an answer, by
+    reason."""
     upstream_requests: int = 0
-    last_resort_attempts: int = 0
     """Requests sent to this VM's upstream."""
+    last_resort_attempts: int = 0
+    """Attempts at instances whose daemons stop."""
     state_changes: dict[str, int] = dataclasses.field(default_factory=dict)
     """Changes of the daemon's known state, by the name of the log event."""
     store_calls: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -133,6 +137,11 @@
     counters.repeats[key] = counters.repeats.get(key, 0) + 1
 
 
+def count_cut_answer(counters: Counters, reason: str) -> None:
+    """Count a connection that ended with a part of an answer unsent."""
+    counters.answers_cut[reason] = counters.answers_cut.get(reason, 0) + 1
+
+
 def count_pipelined(counters: Counters, fate: pipelines.Fate) -> None:
     """Count a request that a client sent before earlier answers."""
     counters.pipelined[fate.value] = counters.pipelined.get(fate.value, 0) + 1
@@ -195,6 +204,12 @@
             ("how",),
             {(name,): value for name, value in counters.pipelined.items()},
         ),
+        histograms.render_counter(
+            "answers_cut_total",
+            "Connections that ended with a part of an answer unsent",
+            ("reason",),
+            {(name,): value for name, value in counters.answers_cut.items()},
+        ),
         histograms.render_counter(
             "upstream_requests_total",
             "Requests sent to this VM's upstream",
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -177,9 +177,16 @@
         daemon.memory,
         functools.partial(_entrance.is_idempotent, daemon),
         functools.partial(_counters.count_pipelined, daemon.counters),
+        functools.partial(_note_cut, daemon),
     )
 
 
+def _note_cut(daemon: _state.Daemon, reason: str) -> None:
+    """Record that a client did not get the whole of an answer."""
+    daemon.journal.request("answer_cut", reason)
+    _counters.count_cut_answer(daemon.counters, reason)
+
+
 def _refusal_fields(daemon: _state.Daemon, status: int) -> httpio.Fields:
     """Return the fields of the answer to an incompletely read request."""
     daemon.journal.request("unread", str(status), status=status)
--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -121,6 +121,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Release the memory and report that the client has disconnected."""
         self._listener.connections.discard(self)
+        if exc is not None and (self._unsent_bytes or self._pipeline.unread):
+            self._listener.note_cut("reset")
         self._disconnected()
 
     def eof_received(self) -> bool:
@@ -190,6 +192,8 @@
             if self._closing and not self._unsent_bytes:
                 time_limit = min(LINGER_SECONDS, time_limit)
             if now - self._active_at > time_limit:
+                if self._unsent_bytes:
+                    self._listener.note_cut("not_read")
                 self._transport.abort()
         elif self._reading is not None:
             in_head = self._head_size >= 0
--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -30,12 +30,17 @@
     pass
 
 
+def _ignore_cut(reason: str) -> None:
+    pass
+
+
 class Listener:
     """A listening address and its open connections.
 
     ``is_idempotent`` tells which pipelined requests may run side by side; by
     default none may. ``note_pipelined`` is called for each pipelined request
-    when it is started or dropped.
+    when it is started or dropped, and ``note_cut``, with the reason, if a
+    connection ends with a part of an answer unsent.
     """
 
     def __init__(
@@ -48,10 +53,12 @@
             [_messages.Request], bool
         ] = _never_idempotent,
         note_pipelined: abc.Callable[[pipelines.Fate], None] = _ignore_fate,
+        note_cut: abc.Callable[[str], None] = _ignore_cut,
     ) -> None:
         self.handle = handle
         self.is_idempotent = is_idempotent
         self.note_pipelined = note_pipelined
+        self.note_cut = note_cut
         self.refusal_fields = refusal_fields
         """Returns the header fields of an error response with a status."""
         self.clock = clock
--- a/tests/httpio/test_pipelined_ends.py
+++ b/tests/httpio/test_pipelined_ends.py
@@ -4,8 +4,6 @@
 
 import asyncio
 
-import pytest
-
 from sassafrasstair import clocks
 from sassafrasstair.decisions import pipelines
 from sassafrasstair import httpio
@@ -222,3 +220,23 @@
         server.writer.close()
 
     pipelined.run(test())
+
+
+def test_answer_that_a_client_does_not_take_is_noted() -> None:
+    """The log told of the answer only, not that it was cut."""
+
+    async def test() -> None:
+        reasons: list[str] = []
+        server = await pipelined.start_server(pipelined.requests("u"))
+        server.listener.note_cut = reasons.append
+        await server.wait_until_started(0)
+        server.answer(0, body=b"x" * 20_000_000)
+        await server.settle()
+        now = clocks.SystemClock().monotonic()
+        server.listener.sweep(now)
+        server.writer.transport.abort()
+        while server.listener.connections:
+            await asyncio.sleep(0.005)
+        assert reasons == ["reset"]
+
+    pipelined.run(test())
