Read what a client sends behind the last answer of its connection

What callers saw: a reset in the middle of a great answer that a daemon had given in full, when they sent a further request while it closed the connection, as it does with each answer during a stop. Cause: a socket that is closed with unread data, or gets data after that, resets its connection, and the kernel drops what it has not sent. The daemon read on only if it had seen more data before the answer; a request that crossed the answer met a closed socket. Change: each closed connection reads on and drops what comes, until the client closes or for 2 s, as RFC 9112 (9.6) asks. The flag that told when is gone. Evidence and result: test_last_answer_reaches_a_client_that_sends_on[3000000] failed before (connection reset), passes now.

--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -44,9 +44,7 @@
 
     ``_held_bytes`` are reserved for a part of a head, and for input that is
     not parsed yet. ``_read_since`` is the time from which the limits on
-    reading a request count. ``_may_send_more`` is set once the client may
-    send data that nobody will parse: it has sent some behind an unanswered
-    request, or a part of one that was rejected.
+    reading a request count.
     """
 
     __slots__ = (
@@ -54,7 +52,6 @@
         "_closing",
         "_dropped_bytes",
         "_held_bytes",
-        "_may_send_more",
         "_paused",
         "_transport",
         "_unsent_bytes",
@@ -68,7 +65,6 @@
         self._dropped_bytes = 0
         self._held_bytes = 0
         self._paused = False
-        self._may_send_more = False
         self._closing = False
         self._unsent_bytes = 0
         self._was_full = False
@@ -142,10 +138,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data and start the requests that may start."""
-        pipeline = self._pipeline
-        if pipeline.entries:
-            self._may_send_more = True
-        if pipeline.ended:
+        if self._pipeline.ended:
             self._dropped_bytes += len(data)
             if self._dropped_bytes > DROPPED_BYTES_AT_ONCE:
                 self._input.wait_for_turn()
@@ -215,14 +208,16 @@
         )
 
     def close(self) -> None:
-        """Close the connection once all written data has been sent."""
+        """Close the connection once all written data has been sent.
+
+        What the client sends meanwhile is dropped.
+        """
         self._closing = True
+        self._active_at = self._listener.clock.monotonic()
         self._drop_requests()
-        if self._may_send_more and not self._transport.is_closing():
+        if not self._transport.is_closing():
             self._transport.write_eof()
             self._update_reading()
-        else:
-            self._transport.close()
 
     def _handle_parsed(self) -> None:
         """Start what may start, and read on if more may be parsed."""
@@ -231,8 +226,6 @@
         # The handler is not called from the parser's callbacks: the parser
         # would report an error in the handler as a malformed request.
         if pipeline.entries:
-            if len(pipeline.entries) > 1 or self._reading is not None:
-                self._may_send_more = True
             self._start_waiting()
         self._update_reading()
 
@@ -372,8 +365,6 @@
 
         The requests before it are answered first; data behind it is ignored.
         """
-        # The client may still send the rest of the request.
-        self._may_send_more = True
         if self._pipeline.ended:
             return
         self._discard_body()
--- a/tests/httpio/test_pipelined_ends.py
+++ b/tests/httpio/test_pipelined_ends.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from sassafrasstair import clocks
 from sassafrasstair.decisions import pipelines
 from sassafrasstair import httpio
@@ -183,6 +185,25 @@
     pipelined.run(test())
 
 
+@pytest.mark.parametrize("size", [200_000, 3_000_000])
+def test_last_answer_reaches_a_client_that_sends_on(size: int) -> None:
+    """Its next request met a closed socket, which reset the connection."""
+
+    async def test() -> None:
+        body = b"x" * size
+        server = await pipelined.start_server(pipelined.requests("u"))
+        await server.wait_until_started(0)
+        server.answer(0, body=body, close=True)
+        await server.settle()
+        server.writer.write(pipelined.requests("us"))
+        await server.settle()
+        answer = await server.read()
+        assert (answer.closes, answer.body) == (True, body)
+        await server.assert_end()
+
+    pipelined.run(test())
+
+
 def test_closed_connection_is_aborted_if_the_client_sends_on() -> None:
     """A client that neither closes nor stops would hold it open for ever."""
 
