Soak late readers, edges of idle limits, long runs at stops, and reloads alone

Cause: the soak of a call graph drew few of the hypotheses on three lost requests: no client read once the daemon was gone or sent bytes behind its last request, no connection was used as its idle time-out ended, no stop began beside a long run, no soak went without stops, and all slow answers that fit into the stream of the client were in fact read at once. Change: clients that read late, until the daemon has ended if it stops, on a transport that really pauses; that send a part of another request behind; that use new connections at once and old ones at their idle time-out; with other limits of 0.6 to 5 s. Instances close some connections, and have long runs as a stop begins. Some soaks have more kills, some SIGHUPs and policies alone.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -29,6 +29,7 @@
 @click.option("--stops", is_flag=True, help="Planned stops only.")
 @click.option("--mesh", is_flag=True, help="A call graph with chains.")
 @click.option("--copies", default=1, help="Sets of six VMs.")
+@click.option("--grace", default=0.0, help="Of --mesh; 0 draws it.")
 def main(
     seeds: str,
     minutes: float,
@@ -38,6 +39,7 @@
     stops: bool,
     mesh: bool,
     copies: int,
+    grace: float,
 ) -> None:
     """Soak the daemons; exits with 1 if a promise was broken."""
     first, _, last = seeds.partition("-")
@@ -51,7 +53,7 @@
             if losses:
                 return power.run(seed, losses, folder, copies)
             if mesh:
-                return mesh_module.run(seed, seconds, folder, copies)
+                return mesh_module.run(seed, seconds, folder, copies, grace)
             if stops:
                 return stops_module.run(seed, seconds, folder, copies)
             return scenario.run(seed, seconds, folder, copies)
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -97,6 +97,7 @@
     """
 
     services: tuple[str, ...] = SERVICES
+    idle_timeouts_ms: tuple[int, ...] = IDLE_TIMEOUTS_MS
 
     def __init__(
         self,
@@ -130,6 +131,8 @@
             for index, service in enumerate(self.services * copies, 2)
         ]
         self.version = 0
+        self.idle_seconds = 0.0
+        """Idle time-out of clients' connections in the newest policy."""
 
     @property
     def routes(self) -> dict[str, str]:
@@ -245,18 +248,20 @@
                 for name, route in routes.items()
             }
         )
+        limits = {
+            "max_header_bytes": MAX_HEADER_BYTES,
+            "max_body_bytes": self.rng.choice(MAX_BODY_BYTES),
+            "header_timeout_ms": self.rng.choice(HEADER_TIMEOUTS_MS),
+            "idle_timeout_ms": self.rng.choice(self.idle_timeouts_ms),
+        }
+        self.idle_seconds = limits["idle_timeout_ms"] / 1000.0
         self.store.put(
             "op/config",
             {
                 "version": f"r{self.version}",
                 "routes": routes,
                 "tenants": self.customers.policy(),
-                "limits": {
-                    "max_header_bytes": MAX_HEADER_BYTES,
-                    "max_body_bytes": self.rng.choice(MAX_BODY_BYTES),
-                    "header_timeout_ms": self.rng.choice(HEADER_TIMEOUTS_MS),
-                    "idle_timeout_ms": self.rng.choice(IDLE_TIMEOUTS_MS),
-                },
+                "limits": limits,
             },
         )
 
--- a/tests/platform/soak/kept.py
+++ b/tests/platform/soak/kept.py
@@ -47,16 +47,15 @@
 
     def __init__(
         self,
-        oracle: oracle_module.Oracle,
-        host: str,
-        port: int,
-        service: str,
+        fleet: fleet_module.Fleet,
+        vm: fleet_module.Vm,
         rng: random.Random,
     ) -> None:
-        self._oracle = oracle
-        self._host = host
-        self._port = port
-        self._service = service
+        self._fleet = fleet
+        self._vm = vm
+        self._oracle = fleet.oracle
+        self._host = vm.host
+        self._service = vm.upstream.service
         self._rng = rng
 
     async def run(self) -> None:
@@ -65,7 +64,7 @@
             await asyncio.sleep(self._rng.uniform(*CONNECT_SECONDS))
             try:
                 reader, writer = await asyncio.open_connection(
-                    self._host, self._port
+                    self._host, fleet_module.OUTBOUND
                 )
             except OSError:
                 continue
@@ -79,7 +78,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Send after a pause; return whether the connection stays open."""
-        await asyncio.sleep(self._rng.uniform(*self.idle_seconds))
+        await asyncio.sleep(self._idle())
         if reader.at_eof() or reader.exception() is not None:
             return False
         manner = self._rng.choice(self.manners)
@@ -90,7 +89,9 @@
             sent.append(life)
             data += request
         sent[0].alone = True
-        answered = asyncio.ensure_future(self._read(reader, sent, manner))
+        answered = asyncio.ensure_future(
+            self._read(reader, writer, sent, manner)
+        )
         for seconds, piece in self._pieces(manner, data):
             if seconds:
                 await asyncio.wait([answered], timeout=seconds)
@@ -102,6 +103,10 @@
         self._sent(manner, sent, writer)
         return await answered
 
+    def _idle(self) -> float:
+        """Return how long the connection stays idle."""
+        return self._rng.uniform(*self.idle_seconds)
+
     def _sent(
         self,
         manner: str,
@@ -142,6 +147,7 @@
         life = self._oracle.losses.lives[key]
         life.whole_at = math.inf
         life.kept = True
+        life.manner = manner
         fields = [
             (b"Host", clients.HOST),
             (b"Sassafrasstair-Request-Id", key.encode()),
@@ -173,6 +179,7 @@
     async def _read(
         self,
         reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
         sent: list[losses.Life],
         manner: str,
     ) -> bool:
@@ -216,17 +223,7 @@
 ) -> asyncio.Future[None]:
     """Use ``each`` kept connections at every VM until cancelled."""
     rng = random.Random(fleet.rng.random())
-    keepers = [
-        kind(
-            fleet.oracle,
-            vm.host,
-            fleet_module.OUTBOUND,
-            vm.upstream.service,
-            rng,
-        )
-        for vm in fleet.vms
-        for _ in range(each)
-    ]
+    keepers = [kind(fleet, vm, rng) for vm in fleet.vms for _ in range(each)]
 
     async def run() -> None:
         await asyncio.gather(*(keeper.run() for keeper in keepers))
--- a/tests/platform/soak/losses.py
+++ b/tests/platform/soak/losses.py
@@ -72,7 +72,7 @@
 
     ``whole_at`` is when its last byte was sent. ``alone`` is set if it was
     sent on a connection that was open, behind no other request, ``kept`` if
-    the client uses its connection again.
+    the client uses its connection again. ``manner`` is how it was sent.
     """
 
     key: str
@@ -83,6 +83,7 @@
     whole_at: float
     alone: bool = False
     kept: bool = False
+    manner: str = ""
     ended_at: float = math.inf
     ending: Ending = Ending.LEFT
     works: list[Work] = dataclasses.field(default_factory=list)
@@ -353,7 +354,7 @@
             for work in life.works
         ]
         return (
-            f"{life.ending.value}, seconds from {signal}:"
+            f"{life.ending.value}, {life.manner}, seconds from {signal}:"
             f" sent {life.began_at - signal.at:.3f}"
             f" to {life.whole_at - signal.at:.3f},"
             f" ended {life.ended_at - signal.at:.3f}, works {works}"
--- a/tests/platform/soak/mesh.py
+++ b/tests/platform/soak/mesh.py
@@ -1,14 +1,20 @@
 """A soak of a call graph with chains, uploads and time limits that differ.
 
-Clients keep, pool or open connections; some send ahead, read slowly or close
-their half of the connection. Stops, SIGHUPs, policies and kills overlap.
+Clients keep, pool or open connections; some send ahead or more than they
+need, read slowly or once the daemon is gone, close their half of the
+connection, or use it as it becomes idle for too long. Instances close some of
+theirs unasked, and have long runs when a stop begins. Stops, SIGHUPs, policies
+and kills overlap; some soaks have no stops.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
+import os
 import random
+import socket
 import typing
 
 from tests.platform.soak import clients
@@ -24,17 +30,46 @@
 if typing.TYPE_CHECKING:
     import pathlib
 
+    from sassafrasstair import httpio
+
 GRACES = (2.0, 4.0, 6.0, 6.0)
 KEEPERS = 16
 """Clients of each daemon."""
 FAULT_PAUSE = (0.3, 1.5)
-FAULTS = ("configure", "drain", "hup", "kill", "renew", "reset") + 6 * (
-    "stop",
-)
+RELOADS = ("configure", "hup", "hup", "hup")
+STOPS = ("configure", "drain", "hup", "kill", "renew", "reset") + 6 * ("stop",)
+FAULTS = (STOPS, STOPS, STOPS, (*STOPS, *STOPS, *4 * ("kill",)), RELOADS)
+"""A soak draws one of them."""
 SETTLE_SECONDS = 3.0
 SLOW_SECONDS = (0.5, 4.0)
 """When a slow client begins to read its answer."""
 SLOW_BYTES = (100_000, 1_500_000)
+LATE_BYTES = (500, 1_000_000)
+"""The kernel holds so much of an answer when the daemon is gone."""
+LATE_SECONDS = 6.5
+UNREAD_RATIO = 0.6
+"""Of the idle time-out, how long a client leaves answers unread."""
+BEHIND_PAUSE = 0.05
+IDLE_TIMEOUTS_MS = ((10_000, 12_000), (10_000, 12_000), (2_000, 2_500))
+IDLE_RATIO = 0.8
+EDGE_SHARE = 0.15
+EDGE_SECONDS = (-0.05, 0.3)
+"""From the idle time-out until a client uses its connection again."""
+EDGE_IDLE_SECONDS = 3.0
+"""No client waits for a longer time-out."""
+AT_ONCE_SHARE = 0.3
+AT_ONCE_SECONDS = (0.0, 0.1)
+OTHER_LIMIT_SHARE = 0.3
+OTHER_LIMITS = (0.6, 5.0)
+"""Some clients wait no longer than that."""
+RUNS_SHARE = 0.6
+RUNS = 4
+RUN_RATIOS = (0.5, 0.92)
+"""Some stops begin beside runs that take so much of their time limits."""
+RUN_ROUTES = {"prices": "lookup", "posts": "order", "intake": "catalog"}
+CLOSE_SHARE = 0.1
+CLOSE_SECONDS = (0.0, 0.6)
+"""From some answers until the instance closes the connection, if idle."""
 LONG_SHARE = 0.3
 TAIL_SHARE = 0.05
 TAIL_FACTOR = 3.0
@@ -144,6 +179,17 @@
                 return False
         return True
 
+    def _answer(
+        self, exchange: httpio.Exchange, key: str, status: int
+    ) -> None:
+        super()._answer(exchange, key, status)
+        if self._rng.random() < CLOSE_SHARE:
+            asyncio.get_running_loop().call_later(
+                self._rng.uniform(*CLOSE_SECONDS),
+                _close_if_idle,
+                exchange._connection,
+            )
+
 
 class Fleet(fleet_module.Fleet):
     """Two VMs of each service of the call graph."""
@@ -185,9 +231,18 @@
 class Client(kept.Client):
     """Sends requests of all kinds in all manners."""
 
-    manners = (*kept.MANNERS, "new", "new", "slow", "half")
+    manners = (*kept.MANNERS, "new", "new", "slow", "half", "late", "behind")
     idle_seconds = (0.0, 3.0)
 
+    def _idle(self) -> float:
+        rng = self._rng
+        time_out = self._fleet.idle_seconds
+        if rng.random() < AT_ONCE_SHARE:
+            return rng.uniform(*AT_ONCE_SECONDS)
+        if time_out <= EDGE_IDLE_SECONDS and rng.random() < EDGE_SHARE:
+            return time_out + rng.uniform(*EDGE_SECONDS)
+        return min(super()._idle(), IDLE_RATIO * time_out)
+
     def _draw(self, manner: str) -> kept.Draft:
         rng = self._rng
         names = [
@@ -203,15 +258,18 @@
         asked = []
         if kind.longer and rng.random() < LONG_SHARE:
             asked.append(f"work={rng.uniform(0.1, kind.longer):.3f}")
-        if manner == "slow":
+        if manner in ("slow", "behind"):
             asked.append(f"size={rng.randint(*SLOW_BYTES)}")
+        if manner == "late":
+            asked.append(f"size={rng.randint(*LATE_BYTES)}")
         target = f"/{name}/{key}"
         if asked:
             target += "?" + "&".join(asked)
         body = rng.randbytes(rng.randint(*kind.size))
-        return kept.Draft(
-            key, name, kind.idempotent, target, body, kind.patience
-        )
+        patience = kind.patience
+        if rng.random() < OTHER_LIMIT_SHARE:
+            patience = min(patience, rng.uniform(*OTHER_LIMITS))
+        return kept.Draft(key, name, kind.idempotent, target, body, patience)
 
     def _sent(
         self,
@@ -228,19 +286,39 @@
     async def _read(
         self,
         reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
         sent: list[losses.Life],
         manner: str,
     ) -> bool:
-        if manner == "slow":
+        if manner in ("slow", "late", "behind"):
             for life in sent:
                 life.alone = False
-            await asyncio.sleep(self._rng.uniform(*SLOW_SECONDS))
-        stays = await super()._read(reader, sent, manner)
+            transport = typing.cast("asyncio.Transport", writer.transport)
+            transport.pause_reading()
+            await self._leave_unread(transport, manner)
+            transport.resume_reading()
+        stays = await super()._read(reader, writer, sent, manner)
         if manner == "half":
             for life in sent:
                 if life.ending is losses.Ending.CLOSED:
                     life.ending = losses.Ending.LEFT
-        return stays and manner not in ("new", "half")
+        return stays and manner not in ("new", "half", "behind")
+
+    async def _leave_unread(
+        self, transport: asyncio.Transport, manner: str
+    ) -> None:
+        """Wait until the answer is read: at times until the daemon ended."""
+        seconds = self._rng.uniform(*SLOW_SECONDS)
+        if manner == "late" and self._vm.busy:
+            seconds = LATE_SECONDS
+        seconds = min(seconds, UNREAD_RATIO * self._fleet.idle_seconds)
+        if manner == "late":
+            process = fleet_module.running(self._vm)
+            await fleet_module.ended(process, seconds)
+        elif manner == "behind":
+            await _send_behind(transport, seconds)
+        else:
+            await asyncio.sleep(seconds)
 
 
 async def run(
@@ -253,6 +331,7 @@
     """Run one soak; all that is drawn comes from the seed."""
     rng = random.Random(seed)
     fleet = Fleet(folder, rng, copies, grace or rng.choice(GRACES))
+    fleet.idle_timeouts_ms = rng.choice(IDLE_TIMEOUTS_MS)
     try:
         await fleet.open()
         keepers = kept.keep_connections(fleet, KEEPERS, Client)
@@ -272,18 +351,61 @@
 async def _disturb(fleet: fleet_module.Fleet, seconds: float) -> None:
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
-    under_way: set[asyncio.Future[None]] = set()
+    under_way: set[asyncio.Future[typing.Any]] = set()
+    names = fleet.rng.choice(FAULTS)
     await asyncio.sleep(1.0)
     while loop.time() < until:
-        name = fleet.rng.choice(FAULTS)
+        name = fleet.rng.choice(names)
         vm = fleet.rng.choice(fleet.vms)
         if not (name in faults.ON_PROCESS and vm.busy):
             fleet.check_alive()
             fleet.note_fault(f"{name} {vm.name}")
+            if name == "stop" and fleet.rng.random() < RUNS_SHARE:
+                under_way.add(_begin_runs(fleet, vm))
             under_way.add(asyncio.ensure_future(faults.apply(fleet, vm, name)))
         await asyncio.sleep(fleet.rng.uniform(*FAULT_PAUSE))
     await asyncio.gather(*under_way)
 
 
+def _begin_runs(
+    fleet: fleet_module.Fleet, vm: fleet_module.Vm
+) -> asyncio.Future[list[int]]:
+    """Send long requests of other VMs to the service of one that stops."""
+    route = RUN_ROUTES.get(vm.upstream.service, "view")
+    kind = KINDS[route]
+    calls = []
+    for other in fleet.rng.sample(fleet.vms, RUNS):
+        seconds = fleet.rng.uniform(*RUN_RATIOS) * kind.patience
+        target = f"/{route}/{clients.new_key()}?work={seconds:.3f}"
+        calls.append(
+            other.client.call(route, kind.idempotent, kind.patience, target)
+        )
+    return asyncio.gather(*calls)
+
+
+async def _send_behind(transport: asyncio.Transport, seconds: float) -> None:
+    """Send a part of another request, byte by byte.
+
+    The transport would drop what it has received as soon as it can't send.
+    """
+    if transport.is_closing():
+        return
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    descriptor = os.dup(transport.get_extra_info("socket").fileno())
+    with socket.socket(fileno=descriptor) as sock:
+        data = b"GET /lookup/behind HTTP/1.1\r\nFill: "
+        while loop.time() < until:
+            with contextlib.suppress(OSError):
+                sock.send(data)
+            data = b"a"
+            await asyncio.sleep(BEHIND_PAUSE)
+
+
+def _close_if_idle(connection: typing.Any) -> None:
+    if connection.idle:
+        connection.close()
+
+
 def _route(target: str) -> str:
     return target.split("/")[1]
