Test runs at a daemon that is silent for a moment

What callers saw: 502 for requests of idempotent routes that instances were running, many at once, without a signal at the instances' daemons. Cause: a daemon whose instance answers nothing for 0.1 s and 1.5 usual latencies is pinged on a new connection. If one ping takes 0.5 s, all attempts at it are aborted. They are then retried, if another instance is there and the budget allows; if not, the caller gets 502 at once, though the connection to the instance's daemon is sound and the answer may be due. That is worse than to wait, as requests that may not run twice do. Change: a test only. The instance's daemon answers no ping for 0.8 s, and the run ends 0.4 s later.

--- a/tests/forwarding/test_pings.py
+++ b/tests/forwarding/test_pings.py
@@ -91,3 +91,35 @@
         assert cluster.daemons[A].daemon.routes.peers[f"i-{B}"].unreachable
 
     asyncio.run(test())
+
+
+def test_daemon_that_is_silent_for_a_moment_loses_no_run() -> None:
+    """A single late ping broke off runs that no other instance could take.
+
+    Their instance answered a moment later.
+    """
+
+    async def answer_late(
+        got: place.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(1.2)
+        await place.answer(got, writer)
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(1, place.route("/s/", "s", timeout=3.5))
+        await cluster.upstream(B, "s", answer_late)
+        for host, service in ((A, "front"), (B, "s")):
+            await cluster.daemon(host, service)
+        await cluster.wait_until_known(A, B)
+        call = asyncio.ensure_future(cluster.call(A, "/s/"))
+        while not cluster.daemons[B].daemon.executions:
+            await asyncio.sleep(0.01)
+        cluster.daemons[B].daemons.stop_accepting()
+        silent = await asyncio.start_server(_ignore, B, cluster.ports[1])
+        await asyncio.sleep(0.8)
+        silent.close()
+        await cluster.daemons[B].daemons.open(B, cluster.ports[1])
+        assert (await call).status == 200
+
+    asyncio.run(test())
