Count an answer as sent once the client's system has it

What callers saw: a 200 of an instance that ends in a reset, in the middle of its body, when they read it late and had sent something behind their request: around a stop, and 2 s after any other close. Cause: an answer counted as sent once the kernel had taken it. The kernel keeps what does not fit into the client's window, and drops it when the client sends data for a socket that is closed or whose process has ended. A connection that lingered was aborted 2 s after its answer was written, and a stop ended the process without waiting for what the kernel still had. Change: what the client's system has not acknowledged counts as unsent (TIOCOUTQ; where the system doesn't tell, as before) on connections that are closed, and in the census by which a stop waits.

--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -106,8 +106,8 @@
 
     @property
     def has_unsent_data(self) -> bool:
-        """Whether written answers have not all been sent."""
-        return bool(self._transport.get_write_buffer_size())
+        """Whether the client's system has not got all written answers."""
+        return bool(_sockets.unsent_bytes(self._transport, self._closing))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the new connection."""
@@ -260,7 +260,10 @@
 
     def _note_progress(self, now: float) -> None:
         """Restart the idle time if the client has read more data."""
-        unsent_bytes = self._transport.get_write_buffer_size()
+        if self._closing:
+            unsent_bytes = _sockets.unsent_bytes(self._transport, True)
+        else:
+            unsent_bytes = self._transport.get_write_buffer_size()
         if unsent_bytes < self._unsent_bytes:
             self._active_at = now
         self._unsent_bytes = unsent_bytes
--- a/src/sassafrasstair/httpio/_sockets.py
+++ b/src/sassafrasstair/httpio/_sockets.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import os
 import socket
+import struct
+import termios
 import typing
 
 if typing.TYPE_CHECKING:
@@ -14,6 +17,8 @@
 _ENDED_STATES = frozenset({7, 8})
 """Linux' TCP_CLOSE and TCP_CLOSE_WAIT."""
 
+_INT = struct.Struct("i")
+
 
 def accept_waiting(
     listening: abc.Iterable[socket.socket],
@@ -46,3 +51,19 @@
     sock = transport.get_extra_info("socket")
     state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
     return state[0] in _ENDED_STATES
+
+
+def unsent_bytes(transport: typing.Any, has_ended: bool) -> int:
+    """Return the bytes that the peer's system has not acknowledged.
+
+    Those that the kernel holds count, too, if it tells. ``has_ended`` is set
+    if the end of the data was sent, which the kernel counts as a byte.
+    """
+    buffered: int = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return buffered
+    with contextlib.suppress(OSError):
+        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        buffered += max(0, _INT.unpack(found)[0] - has_ended)
+    return buffered
