Wait for runs at a daemon that is silent for a moment

What callers saw: 502 for requests of idempotent routes that an instance was running, many at once, without any signal at its daemon, while that was only late with the answer to a ping. Cause: a ping that took 0.5 s ended all attempts at that daemon. They were repeated if another instance was there and the budget allowed it; if not, the caller got 502 at once, though the connection was sound and the answer due. Change: an attempt that can't be repeated waits on, as those do that may not run twice, until the daemon has answered nothing for 1.5 s.

--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -14,6 +14,7 @@
 from sassafrasstair.decisions.calls._floors import Floors
 from sassafrasstair.decisions.calls._floors import observe_floor
 from sassafrasstair.decisions.calls._floors import of_service as floor_of
+from sassafrasstair.decisions.calls._groups import has_untried
 from sassafrasstair.decisions.calls._groups import shortest_service_seconds
 from sassafrasstair.decisions.calls._messages import Answer
 from sassafrasstair.decisions.calls._messages import Call
@@ -34,6 +35,7 @@
 from sassafrasstair.decisions.calls._peers import end_attempt
 from sassafrasstair.decisions.calls._peers import end_last_resort
 from sassafrasstair.decisions.calls._peers import forget_attempt
+from sassafrasstair.decisions.calls._peers import is_gone
 from sassafrasstair.decisions.calls._peers import is_leaving
 from sassafrasstair.decisions.calls._peers import probe_due
 from sassafrasstair.decisions.calls._peers import probe_ended
@@ -49,14 +51,14 @@
 from sassafrasstair.decisions.calls._views import retry_tokens
 
 __all__ = [
-    "HEARTBEAT_SECONDS",
     "Answer",
     "Call",
+    "CrossingReason",
     "Deliver",
     "Effect",
     "Entrance",
     "Floors",
-    "CrossingReason",
+    "HEARTBEAT_SECONDS",
     "LoadReport",
     "Need",
     "Pauses",
@@ -75,23 +77,25 @@
     "end_attempt",
     "end_last_resort",
     "floor",
-    "max_callee_floor",
     "floor_of",
     "floors",
     "forget_attempt",
+    "has_untried",
+    "is_gone",
     "is_leaving",
+    "max_callee_floor",
     "max_message_age",
-    "observe_floor",
-    "observe_route_seconds",
     "new_entrance",
     "note_beat",
+    "observe_floor",
+    "observe_route_seconds",
     "pick_target",
     "probe_due",
     "probe_ended",
     "ran_enough",
+    "reason_for_crossing",
     "record_restart",
     "retry_tokens",
     "shortest_service_seconds",
     "start_attempt",
-    "reason_for_crossing",
 ]
--- a/src/sassafrasstair/decisions/calls/_groups.py
+++ b/src/sassafrasstair/decisions/calls/_groups.py
@@ -53,6 +53,18 @@
     return grouped
 
 
+def has_untried(
+    routes: _peers.Routes,
+    targets: abc.Sequence[_messages.Target],
+    tried: abc.Collection[str],
+    now: float,
+) -> bool:
+    """Return whether an instance can be chosen that has not been tried."""
+    if not targets:
+        return False
+    return bool(untried(sorted_targets(routes, targets, now).usable, tried))
+
+
 def shortest_service_seconds(
     routes: _peers.Routes, targets: abc.Sequence[_messages.Target], now: float
 ) -> float:
--- a/src/sassafrasstair/decisions/calls/_peers.py
+++ b/src/sassafrasstair/decisions/calls/_peers.py
@@ -33,6 +33,9 @@
 # An instance without an answer for this long is forgotten: VMs are replaced
 # all day, and pings to the ones that are gone would never end.
 FORGET_SECONDS = 60.0
+# A VM whose connections stay open answers pings late while it is overloaded.
+# After this time without an answer it is taken for gone.
+GONE_SECONDS = 1.5
 LATENCY_WEIGHT = 0.1
 DEFAULT_LIMIT = 20.0
 # The least weight of an answer in the usual service time, and the number of
@@ -298,3 +301,9 @@
     """
     patience = max(SILENT_SECONDS, SILENT_LATENCY_FACTOR * peer.latency)
     return peer.in_flight > 0 and now - peer.silent_since >= patience
+
+
+def is_gone(routes: Routes, vm: str, now: float) -> bool:
+    """Return whether ``vm`` has not answered for so long that it is gone."""
+    peer = routes.peers.get(vm)
+    return peer is None or now - peer.silent_since >= GONE_SECONDS
--- a/src/sassafrasstair/decisions/requests/__init__.py
+++ b/src/sassafrasstair/decisions/requests/__init__.py
@@ -34,6 +34,7 @@
 from sassafrasstair.decisions.requests._progress import Progress
 from sassafrasstair.decisions.requests._progress import retry_after
 from sassafrasstair.decisions.requests._progress import Step
+from sassafrasstair.decisions.requests._progress import would_repeat
 
 __all__ = [
     "BudgetRules",
@@ -68,4 +69,5 @@
     "shares_by_depth",
     "slack_part",
     "slack_share",
+    "would_repeat",
 ]
--- a/src/sassafrasstair/decisions/requests/_budgets.py
+++ b/src/sassafrasstair/decisions/requests/_budgets.py
@@ -126,7 +126,22 @@
 def allow_repeat(
     window: Window, rules: BudgetRules, now: float, rank: float = 0.0
 ) -> bool:
-    """Count one repeat if the budget allows it, and return whether it does.
+    """Count one repeat if the budget allows it, and return whether it does."""
+    current = _counts_at(window, int(now))
+    level = _level(rank)
+    current.asked[level] = current.asked.get(level, 0) + 1
+    if not is_repeat_allowed(window, rules, now, rank):
+        return False
+    if window.hop.depth is not None:
+        window.begun.setdefault(rank, now)
+    current.repeats[level] = current.repeats.get(level, 0) + 1
+    return True
+
+
+def is_repeat_allowed(
+    window: Window, rules: BudgetRules, now: float, rank: float
+) -> bool:
+    """Return whether the budget allows one repeat.
 
     The window slides, but counts are kept for whole seconds. For a second
     that is only partly in the window, repeats count and requests don't.
@@ -138,19 +153,14 @@
     window.kept_seconds = max(KEPT_SECONDS_MIN, earning_seconds)
     _drop_before(window.seconds, second - earning_seconds)
     _drop_begun_before(window, now - rules.window_seconds)
-    current = _counts_at(window, second)
-    level = _level(rank)
-    current.asked[level] = current.asked.get(level, 0) + 1
     allowed = _earned(window, rules, second) + window.slack
     if _spent(window, oldest, math.inf) + 1 > allowed:
         return False
-    if window.hop.depth is not None and rank not in window.begun:
-        reserved = _expected_above(window, rules, level, now)
-        if _spent(window, oldest, level) + 1 > allowed - reserved:
-            return False
-        window.begun[rank] = now
-    current.repeats[level] = current.repeats.get(level, 0) + 1
-    return True
+    if window.hop.depth is None or rank in window.begun:
+        return True
+    level = _level(rank)
+    reserved = _expected_above(window, rules, level, now)
+    return _spent(window, oldest, level) + 1 <= allowed - reserved
 
 
 def _earned(window: Window, rules: BudgetRules, second: int) -> float:
--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -121,14 +121,42 @@
         return Step.GIVE_UP
     if ending in (Ending.UNSENT, Ending.TURNED_AWAY):
         return Step.RETRY
-    orders_by_rank = window.hop.depth is not None
-    if orders_by_rank and now + service_seconds >= progress.deadline:
+    if _expires_within(progress, window, now, service_seconds):
         return Step.GIVE_UP
     if _budgets.allow_repeat(window, rules, now, progress.rank):
         return Step.RETRY
     return Step.OVER_BUDGET
 
 
+def would_repeat(
+    progress: Progress,
+    window: _budgets.Window,
+    rules: _budgets.BudgetRules,
+    now: float,
+    service_seconds: float,
+) -> bool:
+    """Return whether the request would be repeated if its attempt were lost.
+
+    The arguments are those of ``attempt_ended``; nothing is recorded.
+    """
+    lost = dataclasses.replace(
+        progress, handed_over=progress.handed_over + 1, may_have_run=True
+    )
+    if is_too_late(lost, now) or _exhausted(lost):
+        return False
+    if _expires_within(lost, window, now, service_seconds):
+        return False
+    return _budgets.is_repeat_allowed(window, rules, now, lost.rank)
+
+
+def _expires_within(
+    progress: Progress, window: _budgets.Window, now: float, seconds: float
+) -> bool:
+    """Return whether a repeat would take the budget from one that can end."""
+    orders_by_rank = window.hop.depth is not None
+    return orders_by_rank and now + seconds >= progress.deadline
+
+
 def is_too_late(progress: Progress, now: float) -> bool:
     """Return whether an attempt that starts now could not be answered."""
     return now + MIN_ATTEMPT_SECONDS >= progress.deadline
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -140,8 +140,11 @@
     Attempts whose connection is not established yet have not run and are
     retried elsewhere. Of the others, only requests of idempotent routes are
     retried. The rest keep waiting: the answer may still arrive, and giving
-    up early gains nothing.
+    up early gains nothing. Those of idempotent routes that can't be retried
+    wait until the daemon is taken for gone.
     """
+    now = daemon.clock.monotonic()
+    is_gone = calls.is_gone(daemon.routes, instance, now)
     for call in list(daemon.calls):
         attempt = call.attempt
         if attempt is None or attempt.instance != instance:
@@ -151,6 +154,8 @@
         if may_have_run(daemon, attempt):
             if not call.progress.route.idempotent:
                 continue
+            if not is_gone and not _would_retry(daemon, call, now):
+                continue
             ending = requests.Ending.LOST
             reason = outcomes.Reason.PEER_LOST
         if attempt.job is not None:
@@ -158,6 +163,23 @@
         _end_attempt(daemon, call, ending, reason)
 
 
+def _would_retry(
+    daemon: _state.Daemon, call: _records.Call, now: float
+) -> bool:
+    """Return whether a request would be sent elsewhere if it were lost."""
+    progress = call.progress
+    targets = views.targets(daemon.view, progress.service)
+    if not calls.has_untried(daemon.routes, targets, progress.tried, now):
+        return False
+    return requests.would_repeat(
+        progress,
+        _repeats.updated_window(daemon, progress.service, now),
+        daemon.settings.bounds.budget,
+        now,
+        calls.shortest_service_seconds(daemon.routes, targets, now),
+    )
+
+
 def abort_attempt(daemon: _state.Daemon, call: _records.Call) -> None:
     """Abort the current attempt, at the callee's daemon as well."""
     attempt, call.attempt = call.attempt, None
--- a/tests/decisions/requests/test_progress.py
+++ b/tests/decisions/requests/test_progress.py
@@ -100,3 +100,30 @@
     assert len(told) == 50
     assert min(told) >= 0.2
     assert max(told) <= 0.4
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "attempts_max", "now", "slack", "repeats"),
+    [
+        (True, 2, 100.0, 1.0, True),
+        (False, 2, 100.0, 1.0, False),
+        (True, 1, 100.0, 1.0, False),
+        (True, 2, 100.999, 1.0, False),
+        (True, 2, 100.0, 0.0, False),
+    ],
+)
+def test_question_whether_a_lost_request_would_repeat_spends_nothing(
+    idempotent: bool,
+    attempts_max: int,
+    now: float,
+    slack: float,
+    repeats: bool,
+) -> None:
+    """It is asked while the attempt still waits for its answer."""
+    progress = _progress(idempotent, attempts_max)
+    window = requests.new_window(slack)
+    for _ in range(3):
+        found = requests.would_repeat(progress, window, RULES, now, 0.0)
+        assert found is repeats
+    step = requests.attempt_ended(progress, E.LOST, window, RULES, now)
+    assert (step is requests.Step.RETRY) is repeats
