Remember the longest answer of a route from the first one on

What callers saw: 502 for requests that ran, sent 3.4 s after SIGTERM, though the daemon had seen answers as long; and quick calls refused from 2.6 s on. Cause: the longest answer was read from a histogram whose counts are halved every 20 s, so that a single one was forgotten; below 20 answers the objective counted instead, whatever was measured; and the bound of the bucket counted, up to 2.5 times the longest. A run that had waited for a slot could start without the second that must be left, and sassafrasstaird asked for the average time of runs only. Change: the longest time of each route is kept by one function for answers at the entrance and runs at the instance, fading by half in 30 s, from the first on; a run is asked for the same when it starts as when it comes.

--- a/src/sassafrasstair/decisions/load/_usual.py
+++ b/src/sassafrasstair/decisions/load/_usual.py
@@ -10,14 +10,14 @@
 import dataclasses
 import math
 
+from sassafrasstair.decisions import stops
+
 # A spell of half a second moves the usual time by 0.28 of its slowdown.
 SMOOTHING_SECONDS = 1.5
 # The weight of a sample after a pause; a single one says little.
 WEIGHT_MAX = 0.1
 # A mean of fewer samples is not reported.
 MIN_SAMPLES = 3
-# The longest time is forgotten by half in this time.
-LONGEST_HALF_LIFE = 30.0
 # The class whose last sample is the oldest is dropped beyond this number.
 CLASSES_MAX = 256
 
@@ -26,13 +26,13 @@
 class UsualTime:
     """The usual service time of one class, last sampled at ``sampled_at``.
 
-    ``longest`` is the longest one, which fades until it is reached again.
+    ``longest`` is the longest one.
     """
 
     seconds: float
     samples: int
     sampled_at: float
-    longest: float
+    longest: stops.Longest
 
 
 def add_sample(
@@ -47,10 +47,12 @@
     if usual is None:
         if len(times) >= CLASSES_MAX:
             del times[min(times, key=lambda name: times[name].sampled_at)]
-        times[request_class] = UsualTime(seconds, 1, now, seconds)
+        times[request_class] = UsualTime(
+            seconds, 1, now, stops.observe_longest(None, seconds, now)
+        )
         return
     usual.samples += 1
-    usual.longest = max(seconds, _faded_longest(usual, now))
+    usual.longest = stops.observe_longest(usual.longest, seconds, now)
     elapsed = now - usual.sampled_at
     weight = min(WEIGHT_MAX, -math.expm1(-elapsed / SMOOTHING_SECONDS))
     weight = max(weight, 1.0 / usual.samples)
@@ -71,9 +73,4 @@
 ) -> float:
     """Return the longest service time of late, 0 if none is known."""
     usual = times.get(request_class)
-    return 0.0 if usual is None else _faded_longest(usual, now)
-
-
-def _faded_longest(usual: UsualTime, now: float) -> float:
-    elapsed = now - usual.sampled_at
-    return usual.longest * math.exp2(-elapsed / LONGEST_HALF_LIFE)
+    return stops.current_longest(None if usual is None else usual.longest, now)
--- a/src/sassafrasstair/decisions/stops/__init__.py
+++ b/src/sassafrasstair/decisions/stops/__init__.py
@@ -8,34 +8,42 @@
 
 from __future__ import annotations
 
+from sassafrasstair.decisions.stops._longest import current as current_longest
+from sassafrasstair.decisions.stops._longest import Longest
+from sassafrasstair.decisions.stops._longest import observe as observe_longest
 from sassafrasstair.decisions.stops._stops import accepts_connections
 from sassafrasstair.decisions.stops._stops import Arrival
 from sassafrasstair.decisions.stops._stops import begin
 from sassafrasstair.decisions.stops._stops import has_stalled
 from sassafrasstair.decisions.stops._stops import InFlight
-from sassafrasstair.decisions.stops._stops import longest_seconds
 from sassafrasstair.decisions.stops._stops import may_run
 from sassafrasstair.decisions.stops._stops import may_start
+from sassafrasstair.decisions.stops._stops import may_start_run
 from sassafrasstair.decisions.stops._stops import may_take
 from sassafrasstair.decisions.stops._stops import Phase
 from sassafrasstair.decisions.stops._stops import QUIET_SECONDS
 from sassafrasstair.decisions.stops._stops import Stop
+from sassafrasstair.decisions.stops._stops import tail_seconds
 from sassafrasstair.decisions.stops._stops import takes_last_resorts
 from sassafrasstair.decisions.stops._stops import update
 
 __all__ = [
     "Arrival",
     "InFlight",
+    "Longest",
     "Phase",
     "QUIET_SECONDS",
     "Stop",
     "accepts_connections",
     "begin",
+    "current_longest",
     "has_stalled",
-    "longest_seconds",
     "may_run",
     "may_start",
+    "may_start_run",
     "may_take",
+    "observe_longest",
+    "tail_seconds",
     "takes_last_resorts",
     "update",
 ]
--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -169,7 +169,7 @@
 
     What is not taken is refused as not run. To refuse a call would fail the
     request for which it is made, so that what may be one is taken late, too,
-    if it surely ends in time.
+    if the longest of its kind would end in time.
     """
     if arrival.deadline <= now:
         return False
@@ -180,7 +180,7 @@
     is_early = arrival.began_at <= stop.lame_duck_until
     if not (is_early or arrival.may_be_call):
         return False
-    return _ends_surely(stop, arrival.longest, now)
+    return _fits(stop, arrival.longest, now)
 
 
 def may_run(
@@ -196,9 +196,16 @@
     when no other instance can run it, a request may come later.
     """
     until = stop.last_resort_until if last_resort else stop.upstream_until
-    if now >= until or not may_start(stop, deadline, longest, now):
+    return now < until and may_start_run(stop, deadline, longest, now)
+
+
+def may_start_run(
+    stop: Stop, deadline: float, longest: float, now: float
+) -> bool:
+    """Return whether the upstream may start a request that it has taken."""
+    if not may_start(stop, deadline, longest, now):
         return False
-    return deadline <= stop.cut_at or _ends_surely(stop, longest, now)
+    return deadline <= stop.cut_at or _fits(stop, longest, now)
 
 
 def takes_last_resorts(stop: Stop, now: float) -> bool:
@@ -219,13 +226,13 @@
     return min(deadline, now + expected) <= stop.cut_at
 
 
-def longest_seconds(average: float) -> float:
+def tail_seconds(average: float) -> float:
     """Return how long most requests take at most, from their average."""
     return TAIL_FACTOR * average
 
 
-def _ends_surely(stop: Stop, longest: float, now: float) -> bool:
-    """Return whether a request that takes ``longest`` seconds would end.
+def _fits(stop: Stop, longest: float, now: float) -> bool:
+    """Return whether a request of ``longest`` seconds ends before the cut.
 
     Some take longer than was ever seen, so a minimum time must be left.
     """
--- a/src/sassafrasstair/forwarding/_arrivals.py
+++ b/src/sassafrasstair/forwarding/_arrivals.py
@@ -22,7 +22,7 @@
 """How much later than its run a call may seem to expire: its deadline counts
 from when it is read, which a busy daemon does late."""
 ANSWERS_MIN = 20
-"""Answers of a route before its times are taken from them."""
+"""Answers of a route before its expected time is taken from them."""
 
 
 def client_deadline(daemon: _state.Daemon, request: httpio.Request) -> float:
@@ -49,8 +49,8 @@
     arrival = stops.Arrival(
         request.received_at,
         min(request.received_at + route.timeout, expires),
-        _answer_seconds(daemon, route, EXPECTED_SHARE),
-        _answer_seconds(daemon, route, 1.0),
+        _expected_seconds(daemon, route),
+        _longest_seconds(daemon, route, now),
         _may_be_call(daemon, expires),
     )
     return stops.may_take(daemon.stop, arrival, now)
@@ -82,7 +82,7 @@
         return True
     now = daemon.clock.monotonic()
     longest = _longest_run(daemon, execution.guard, execution.route, now)
-    return stops.may_start(daemon.stop, execution.deadline, longest, now)
+    return stops.may_start_run(daemon.stop, execution.deadline, longest, now)
 
 
 def _longest_run(
@@ -92,7 +92,7 @@
     if load.knows_route(guard, route_name):
         average = load.route_seconds(guard, route_name)
         longest = load.longest_seconds(guard, route_name, now)
-        return max(stops.longest_seconds(average), longest)
+        return max(stops.tail_seconds(average), longest)
     table = daemon.view.table
     route = None if table is None else table.routes_by_name.get(route_name)
     return 0.0 if route is None else route.objective
@@ -110,11 +110,17 @@
     )
 
 
-def _answer_seconds(
-    daemon: _state.Daemon, route: policies.Route, share: float
-) -> float:
-    """Return within how long a share of the recent answers came."""
+def _expected_seconds(daemon: _state.Daemon, route: policies.Route) -> float:
+    """Return how long a request is expected to take, by earlier answers."""
     series = daemon.counters.answered_seconds.get(route.name)
     if series is None or sum(series.counts) < ANSWERS_MIN:
         return route.objective
-    return histograms.quantile(series, share)
+    return histograms.quantile(series, EXPECTED_SHARE)
+
+
+def _longest_seconds(
+    daemon: _state.Daemon, route: policies.Route, now: float
+) -> float:
+    """Return how long a request takes, by its objective if none is known."""
+    longest = daemon.counters.longest_answers.get(route.name)
+    return stops.current_longest(longest, now) or route.objective
--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing
 
+from sassafrasstair.decisions import stops
 from sassafrasstair import histograms
 
 if typing.TYPE_CHECKING:
@@ -71,6 +72,10 @@
         default_factory=dict
     )
     """The same for recent answers of instances alone; not rendered."""
+    longest_answers: dict[str, stops.Longest] = dataclasses.field(
+        default_factory=dict
+    )
+    """The longest recent time until an answer of an instance, by route."""
 
 
 def new_counters() -> Counters:
@@ -102,6 +107,15 @@
         recent.observe(seconds)
 
 
+def note_answer_seconds(
+    counters: Counters, route: str, seconds: float, now: float
+) -> None:
+    """Note how long a request took that an instance answered."""
+    known = counters.longest_answers
+    if route in known or len(known) < ROUTES_MAX:
+        known[route] = stops.observe_longest(known.get(route), seconds, now)
+
+
 def age_answered_seconds(counters: Counters) -> None:
     """Halve the weight of the earlier answers; called regularly."""
     for series in counters.answered_seconds.values():
--- a/src/sassafrasstair/forwarding/_endings.py
+++ b/src/sassafrasstair/forwarding/_endings.py
@@ -93,14 +93,14 @@
     route = call.progress.route
     now = daemon.clock.monotonic()
     costs.call_answered(daemon.ledger.chains, call.request_id, now)
+    seconds = now - call.exchange.request.received_at
     _counters.count_answer(
-        daemon.counters,
-        route.name,
-        route.importance,
-        status,
-        reason,
-        now - call.exchange.request.received_at,
+        daemon.counters, route.name, route.importance, status, reason, seconds
     )
+    if reason == _counters.ANSWERED:
+        _counters.note_answer_seconds(
+            daemon.counters, route.name, seconds, now
+        )
     if call.customer:
         _counters.count_customer_answer(daemon.counters, call.customer, status)
 
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -91,8 +91,8 @@
         return True
     now = callee.clock.monotonic()
     remaining = message.remaining_ms / 1000
-    usual = load.route_seconds(callee.guard, message.request_class)
-    expected = load.wait_seconds(callee.guard) + (usual or remaining)
+    longest = _longest_run(callee, message, now)
+    expected = load.wait_seconds(callee.guard) + (longest or remaining)
     return stops.may_run(callee.stop, now + remaining, expected, now)
 
 
@@ -102,8 +102,19 @@
     """Return whether an attempt can be expected to end before the stop."""
     if callee.stop is None:
         return True
-    usual = load.route_seconds(callee.guard, attempt.message.request_class)
-    return stops.may_start(callee.stop, attempt.deadline, usual, now)
+    longest = _longest_run(callee, attempt.message, now)
+    return stops.may_start(callee.stop, attempt.deadline, longest, now)
+
+
+def _longest_run(
+    callee: _slots.Callee, message: daemons.Run, now: float
+) -> float:
+    """Return how long an attempt runs by earlier ones, 0 if none is known."""
+    name = message.request_class
+    return max(
+        load.route_seconds(callee.guard, name),
+        load.longest_seconds(callee.guard, name, now),
+    )
 
 
 async def _run_ticket(
--- a/tests/forwarding/test_stop_starts.py
+++ b/tests/forwarding/test_stop_starts.py
@@ -111,7 +111,7 @@
             _counters.count_answer(
                 daemon.counters, route.name, 5, 503, "shed_at_entrance", 0.0
             )
-        assert _arrivals._answer_seconds(daemon, route, 0.9) >= 1.0
+        assert _arrivals._expected_seconds(daemon, route) >= 1.0
         await stop.cluster.stop(A)
         await stop.cluster.stop(B)
 
