Fail answers without a length that are reset, in sassafrasstaird

What callers saw: 200 with Sassafras-Outcome: done and an empty or short body, framed as whole, for a request whose instance was reset while it answered without a length (HTTP/1.0, or Connection: close). The ticket of once-only work kept that answer as its result. Cause: such an answer ends with its connection, and aiohttp 3.14.5 ends its body without an error for a reset, too. The forwarder has its own client and tells them apart. Change: the connections of the client fail the body that has not ended when they are lost with an error; a clean close ends it as before. Evidence: nine tests of the tables of cut answers, listed until now, failed before: [no_length], [closing], [old_no_length] and [behind_103_no_length] reset, on new and used connections, and [no_length-reset] through two daemons, with 200 and an empty body for an answer cut right behind its head. Result: they pass; the other tests of the two tables and of the client do, too.

--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -20,6 +20,7 @@
 from sassafrasstair import logs
 from sassafrasstair import notices
 from sassafrasstair import outcomes
+from sassafrasstair.upstreams import _connections
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -110,10 +111,12 @@
     limit of the load guard, which the bundle sets far below the number of
     connections that the upstream accepts.
     """
+    connector = aiohttp.TCPConnector(
+        limit=0, keepalive_timeout=KEEPALIVE_SECONDS
+    )
+    _connections.use(connector, asyncio.get_running_loop())
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=KEEPALIVE_SECONDS
-        ),
+        connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=_NO_DEFAULT_FOR,
