Try further instances while connections are refused at once

What callers saw: 503 within 10 ms, though sound instances of the service were left, while addresses of nobody counted as its instances: as such entries came, and after a restart of the daemon. Cause: a request was given up on after four attempts that could not be sent, however little time they took. Addresses that have not been tried yet look as idle as any, so many requests drew four of them. The limit is there for addresses that never answer, where each attempt takes 0.4 s. Change: after four such attempts a request goes on, until they have taken as long as a refused client would wait at least, or there have been 40. Nothing of these attempts is sent, so the request still runs once at most. Evidence: test_requests_find_the_sound_instances_among_odd_entries failed before in all four cases, and passes.

--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 from sassafrasstair.decisions.requests import _budgets
@@ -18,7 +19,10 @@
 """A request is given up on after this many daemons have turned it away. If
 two have no room, asking more of them costs more than it gains."""
 UNSENT_MAX = 4
-"""A request is given up on after this many attempts could not be sent."""
+"""A request is given up on after this many attempts could not be sent, once
+they have taken as long as a refused client would wait."""
+UNSENT_AT_ONCE_MAX = 40
+"""The same, however little time they took: each costs processor time."""
 CRASHES_MAX = 2
 """A request is given up on after this many instances have crashed while they
 ran it. Without a limit, one request could crash one instance after another."""
@@ -63,7 +67,8 @@
     ``tried`` are the instances of all attempts so far. ``handed_over`` counts
     the attempts that an instance received, ``unsent`` and ``turned_away``
     those that ended so, and ``crashes`` those during which the instance
-    crashed. ``may_have_run`` is set if an instance may have run the request.
+    crashed. ``unsent_seconds`` is the time that those ``unsent`` took.
+    ``may_have_run`` is set if an instance may have run the request.
     ``deadline`` is an instant of the clock.
     """
 
@@ -74,6 +79,7 @@
     tried: list[str] = dataclasses.field(default_factory=list)
     handed_over: int = 0
     unsent: int = 0
+    unsent_seconds: float = 0.0
     turned_away: int = 0
     crashes: int = 0
     may_have_run: bool = False
@@ -99,6 +105,7 @@
     now: float,
     crashed: bool = False,
     service_seconds: float = 0.0,
+    attempt_seconds: float = math.inf,
 ) -> Step:
     """Record how an attempt ended and return what to do next.
 
@@ -106,10 +113,11 @@
     A request that is not idempotent is retried only if no attempt may have
     run. A request that would expire within ``service_seconds``, the usual
     time of an attempt, gets no repeat: it would be taken from another one
-    that can complete.
+    that can complete. ``attempt_seconds`` is how long the attempt took.
     """
     if ending is Ending.UNSENT:
         progress.unsent += 1
+        progress.unsent_seconds += attempt_seconds
     elif ending is Ending.TURNED_AWAY:
         progress.turned_away += 1
     else:
@@ -166,13 +174,24 @@
     """Return whether a limit other than the budget rules out a retry."""
     return (
         (progress.may_have_run and not progress.route.idempotent)
-        or progress.unsent >= UNSENT_MAX
+        or _found_no_instance(progress)
         or progress.turned_away >= TURNED_AWAY_MAX
         or progress.handed_over >= progress.route.attempts_max
         or progress.crashes >= CRASHES_MAX
     )
 
 
+def _found_no_instance(progress: Progress) -> bool:
+    """Return whether further instances are unlikely to be reached in time.
+
+    A connection that is refused at once costs the client nothing, whereas a
+    refusal of the request costs it the time until its next attempt.
+    """
+    if progress.unsent_seconds < _least_retry_after(progress.route):
+        return progress.unsent >= UNSENT_AT_ONCE_MAX
+    return progress.unsent >= UNSENT_MAX
+
+
 def outcome(progress: Progress) -> outcomes.Outcome:
     """Return the outcome of a request whose attempts have all failed.
 
@@ -186,7 +205,11 @@
 
 def retry_after(route: policies.Route, rng: random.Random) -> float:
     """Return after how many seconds a refused client should retry."""
-    minimum = max(
+    minimum = _least_retry_after(route)
+    return rng.uniform(minimum, 2.0 * minimum)
+
+
+def _least_retry_after(route: policies.Route) -> float:
+    return max(
         RETRY_AFTER_MIN_SECONDS, RETRY_AFTER_OBJECTIVE_SHARE * route.objective
     )
-    return rng.uniform(minimum, 2.0 * minimum)
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -428,6 +428,7 @@
         calls.shortest_service_seconds(
             daemon.routes, views.targets(daemon.view, progress.service), now
         ),
+        now - attempt.sent_at,
     )
     _repeats.count_step(daemon, progress, ending, step)
     _counters.count_attempt(daemon.counters, progress.service, reason.value)
--- a/tests/decisions/requests/test_progress.py
+++ b/tests/decisions/requests/test_progress.py
@@ -51,6 +51,33 @@
     assert requests.outcome(progress).value == outcome
 
 
+@pytest.mark.parametrize(
+    ("attempts", "attempt_seconds", "step"),
+    [
+        (4, 0.05, "give_up"),
+        (3, 0.3, "retry"),
+        (4, 0.3, "give_up"),
+        (39, 0.001, "retry"),
+        (40, 0.001, "give_up"),
+    ],
+)
+def test_request_looks_for_an_instance_while_a_refusal_would_cost_more(
+    attempts: int, attempt_seconds: float, step: str
+) -> None:
+    """Addresses that refused at once ended a request that had others left."""
+    progress = _progress()
+    for _ in range(attempts):
+        last = requests.attempt_ended(
+            progress,
+            E.UNSENT,
+            requests.new_window(100.0),
+            RULES,
+            100.0,
+            attempt_seconds=attempt_seconds,
+        )
+    assert last.value == step
+
+
 def test_no_attempt_follows_the_deadline() -> None:
     progress = _progress()
     step = requests.attempt_ended(
--- a/tests/forwarding/test_odd_addresses.py
+++ b/tests/forwarding/test_odd_addresses.py
@@ -12,12 +12,18 @@
 A, B, C = place.HOSTS
 ODD_ENTRIES = 30
 REQUESTS = 20
+TIMEOUT = 8.0
+"""Time enough to try all entries, on a busy machine too."""
 
 
 async def _world() -> place.Cluster:
     """Start two sound instances, on A and on B."""
     cluster = place.Cluster()
-    cluster.policy(3, place.route("/s/", "s"), place.route("/u/", "s", False))
+    cluster.policy(
+        3,
+        place.route("/s/", "s", True, TIMEOUT),
+        place.route("/u/", "s", False, TIMEOUT),
+    )
     for host in (A, B):
         await cluster.upstream(host, "s")
         await cluster.daemon(host, "s")
