Take a VM whose address cannot be dialled for unreachable

What callers saw: 500, outcome unknown, reason internal_fault, for each call that drew a VM whose entry in the list has an address such as ::1:7000, though nothing was sent and another instance could have run the call. Cause: the decoder of the VM list accepts such text, and the socket refuses it with an error that the exchange did not declare. Calls ended with it, and exchanges of membership with it in a task that nobody reads. Change: it is PeerUnreachable, as nothing was sent, and the socket is closed. Evidence: test_calls_are_served_beside_an_entry_with_an_odd_address [no_brackets] and [one_bracket] failed before, with 500, and pass; so do the tests of links, with four such addresses among them.

--- a/src/sassafrasstair/daemons/_links.py
+++ b/src/sassafrasstair/daemons/_links.py
@@ -113,6 +113,10 @@
 
 
 def _dial(address: str) -> pynng.Req0:
+    """Return a socket that connects in the background.
+
+    Raises ``PeerUnreachable`` for text that is no address.
+    """
     # By default a request socket resends its message when a connection is
     # lost. The attempt would then arrive twice, the second time after the
     # caller was told that its outcome is unknown. A negative resend time
@@ -121,7 +125,11 @@
     socket.reconnect_time_min = RECONNECT_MIN_MS
     socket.reconnect_time_max = RECONNECT_MAX_MS
     socket.tcp_nodelay = True
-    socket.dial(f"tcp://{address}", block=False)
+    try:
+        socket.dial(f"tcp://{address}", block=False)
+    except pynng.NNGException as error:
+        socket.close()
+        raise _errors.PeerUnreachable(f"{address!r}: {error}") from error
     return socket
 
 
--- a/tests/daemons/test_links.py
+++ b/tests/daemons/test_links.py
@@ -29,6 +29,20 @@
     return daemons.Pong("1", True)
 
 
+@pytest.mark.parametrize("address", ["::1:7000", "[::1:7000", "", "a b"])
+def test_address_that_cannot_be_dialled_is_unreachable(address: str) -> None:
+    """The error was not declared, and ended the caller's work."""
+
+    async def scenario() -> None:
+        links = daemons.Links()
+        with pytest.raises(daemons.PeerUnreachable):
+            await daemons.exchange(links, address, daemons.Ping(), WAIT)
+        assert not links.by_address
+        daemons.close(links)
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("listens", "message", "timeout", "error"),
     [
