Test entries that are nested deeply or have odd ports and numbers

Cause: other operators report that machines which read the list of instances ended again and again, or stopped following it, at one entry that was nested very deeply or had a number too large or a port out of range. Change: the decoder gets 20 addresses that are none and each field nested 200,000 deep. In the fleet 41 more entries stand beside policies, followers, two restarts and an outage of the store, and each process must be alive then.

--- a/tests/platform/test_odd_items.py
+++ b/tests/platform/test_odd_items.py
@@ -33,6 +33,7 @@
 ROUTE = typing.cast("dict[str, dict[str, object]]", CONFIG["routes"])["r"]
 TENANT = typing.cast("dict[str, dict[str, object]]", CONFIG["tenants"])["c"]
 LIMITS = typing.cast("dict[str, object]", CONFIG["limits"])
+DEPTH = 200_000
 GOOD = [
     samples.item("op/config", CONFIG),
     samples.item("servers/good", ENTRY),
@@ -156,6 +157,41 @@
     }
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        *(f"10.0.0.9:{port}" for port in (0, -1, 65_536, 99_999, 2**64, "")),
+        *(f"10.0.0.9:{port}" for port in ("+9", " 9", "9.0")),
+        pytest.param("10.0.0.9:" + 5_000 * "9", id="many_digits"),
+        *("10.0.0.9", ":9", "10.0.0.256:9", "[::1]:9", "0.0.0.0:9", "host:9"),
+        *("224.0.0.1:9", "255.255.255.255:9", "", "10.0.0.9:\u0669"),
+    ],
+)
+def test_entry_with_an_address_that_is_none_costs_itself_alone(
+    address: str,
+) -> None:
+    odd = _item("servers/odd", json.dumps(ENTRY | {"address": address}))
+    changes, refused = _decode([odd, *(json.dumps(item) for item in GOOD)])
+    assert [each.reason for each in refused] == ["address"]
+    delta = _delta_for_followers(changes)
+    assert {each.id for each in delta.instances} == {"good"}
+
+
+@pytest.mark.parametrize("field", [*ENTRY, "unknown"])
+@pytest.mark.parametrize(
+    "text",
+    [DEPTH * "[" + DEPTH * "]", DEPTH * '{"a":' + "1" + DEPTH * "}"],
+    ids=["lists", "tables"],
+)
+def test_deeply_nested_entry_costs_itself_alone(text: str, field: str) -> None:
+    value = json.dumps(ENTRY | {field: "#"}).replace('"#"', text)
+    odd = [_item("servers/odd", value), _item("servers/odd2", text)]
+    changes, refused = _decode([*odd, *(json.dumps(item) for item in GOOD)])
+    assert [each.key for each in refused] == ["servers/odd", "servers/odd2"]
+    delta = _delta_for_followers(changes)
+    assert {each.id for each in delta.instances} == {"good"}
+
+
 @pytest.mark.parametrize("field", ["revision", "created"])
 def test_item_with_a_revision_of_many_digits_is_not_passed_on(
     field: str,
--- a/tests/platform/test_odd_items_in_fleets.py
+++ b/tests/platform/test_odd_items_in_fleets.py
@@ -20,11 +20,15 @@
 STABLE_SECONDS = 3.0
 """After an outage of the store the bound on changes holds again."""
 NUMBER = "#"
-"""Stands for the number of many digits in an entry."""
+"""Stands for the number in an entry that JSON's encoder does not write."""
+PORTS = ("0", "-1", "65536", "99999", "", "+9", 5_000 * "9")
+NUMBERS = ("NaN", "-1", "1e400", "-0.5", "null", str(2**64))
+TABLE: dict[str, object] = {"deep": {"deep": []}}
+DEPTH = 200_000
 
 
-def _entry(**fields: object) -> bytes:
-    entry = {
+def _entry(number: str = 401 * "9", /, **fields: object) -> bytes:
+    entry: dict[str, object] = {
         "service": "deep",
         "address": "127.0.0.9:9",
         "zone": "z",
@@ -35,8 +39,11 @@
         "seq": 1,
         "born": 1_700_000_000_000,
     }
-    text = json.dumps(entry | fields)
-    return text.replace(f'"{NUMBER}"', 401 * "9").encode()
+    return _with_number(json.dumps(entry | fields), number)
+
+
+def _with_number(text: str, number: str) -> bytes:
+    return text.replace(f'"{NUMBER}"', number).encode()
 
 
 ODD_VALUES = {
@@ -51,8 +58,34 @@
 }
 
 
-def _write_odd_items(fleet: fleet_module.Fleet) -> None:
-    for key, value in ODD_VALUES.items():
+MORE_ODD_VALUES = {
+    "servers/i-deep-1": DEPTH * b"[" + DEPTH * b"]",
+    "servers/i-deep-2": DEPTH * b'{"service":' + b"1" + DEPTH * b"}",
+    "servers/i-deep-3": _entry().replace(b'"z"', DEPTH * b"[" + DEPTH * b"]"),
+    "servers/i-deep-4": _entry(x=NUMBER).replace(
+        401 * b"9", DEPTH * b"[" + DEPTH * b"]"
+    ),
+    **{
+        f"servers/i-{field}-{index}": _entry(number, **{field: NUMBER})
+        for field in ("slots", "seq", "warmup_ms", "born")
+        for index, number in enumerate(NUMBERS)
+    },
+    **{
+        f"servers/i-port-{index}": _entry(address=f"127.0.0.9:{port}")
+        for index, port in enumerate(PORTS)
+    },
+    **{
+        f"servers/i-table-{field}": _entry(**{field: TABLE})
+        for field in ("service", "address", "zone", "slots", "state", "seq")
+    },
+}
+"""More than are logged in a second."""
+
+
+def _write_odd_items(
+    fleet: fleet_module.Fleet, values: dict[str, bytes]
+) -> None:
+    for key, value in values.items():
         fleet.store._write(key, base64.b64encode(value).decode())
 
 
@@ -80,12 +113,14 @@
 
 
 async def _check(fleet: fleet_module.Fleet) -> None:
-    _write_odd_items(fleet)
+    _write_odd_items(fleet, ODD_VALUES)
     await fleet.open()
     for vm in fleet.vms:
         assert await fleet.ready(vm, READY_SECONDS)
     await _apply_policy(fleet)
-    _write_odd_items(fleet)
+    _write_odd_items(fleet, ODD_VALUES)
+    await _apply_policy(fleet)
+    _write_odd_items(fleet, MORE_ODD_VALUES)
     await _apply_policy(fleet)
     reader = await fleet.watcher()
     assert reader is not None
@@ -99,6 +134,9 @@
     fleet.store.mode = ""
     await asyncio.sleep(STABLE_SECONDS)
     await _apply_policy(fleet)
+    for vm in fleet.vms:
+        assert vm.process is not None
+        assert vm.process.poll() is None, vm.name
     assert not fleet.oracle.broken
 
 
