--- a/tests/bundles/test_envelopes.py
+++ b/tests/bundles/test_envelopes.py
@@ -11,6 +11,7 @@
 
 from sassafrasstair import bundles
 from sassafrasstair.bundles import _signatures
+from tests import odd_values
 
 PRIVATE, PUBLIC = _signatures.new_key_pair()
 OTHER_PRIVATE, OTHER_PUBLIC = _signatures.new_key_pair()
@@ -40,6 +41,25 @@
     return json.dumps(document).encode()
 
 
+@pytest.mark.parametrize("field", [*DOCUMENT, "unknown"])
+@pytest.mark.parametrize("name", odd_values.TEXTS)
+def test_bundle_of_any_odd_value_is_refused(name: str, field: str) -> None:
+    """Any other error would end the watch that has read the bundle."""
+    document = json.dumps({**DOCUMENT, field: "#"}).encode()
+    with pytest.raises(bundles.BundleError):
+        bundles.decode(document.replace(b'"#"', odd_values.TEXTS[name]))
+
+
+@pytest.mark.parametrize("field", ["payload", "approvals", "unknown"])
+@pytest.mark.parametrize("name", odd_values.TEXTS)
+def test_envelope_of_any_odd_value_is_refused(name: str, field: str) -> None:
+    """It comes from another writer, and is decoded before it is verified."""
+    envelope = json.loads(bundles.approve(text(), PRIVATE, "ops-1"))
+    written = json.dumps({**envelope, field: "#"}).encode()
+    with pytest.raises(bundles.BundleError):
+        bundles.verify(written.replace(b'"#"', odd_values.TEXTS[name]), KEYS)
+
+
 @pytest.mark.parametrize(
     ("path", "value", "reason", "detail"),
     [
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -44,6 +44,24 @@
 )
 
 
+_DEPTH = 200_000
+TEXTS = {
+    "lists": _DEPTH * b"[" + _DEPTH * b"]",
+    "tables": _DEPTH * b'{"a":' + b"1" + _DEPTH * b"}",
+    "unended": _DEPTH * b"[",
+    "digits": 401 * b"9",
+    "beyond_int": 5_000 * b"9",
+    "beyond_64_bits": b"18446744073709551616",
+    "beyond_float": b"1e400",
+    "nan": b"NaN",
+    "table": b'{"a": {"b": []}}',
+    "null": b"null",
+    "no_text": b'"\xff\xfe"',
+    "surrogate": b'"\\ud800"',
+}
+"""JSON and what is nearly JSON, none of it a string."""
+
+
 def _object(fields: abc.Iterable[tuple[str, str]]) -> str:
     inner = ",".join(f"{json.dumps(name)}:{text}" for name, text in fields)
     return "{" + inner + "}"
