Test uploads whose early answer is cut, through whole daemons

Cause: the table of uploads cut the pool alone. Change: an instance that answers, whole or cut, and closes before it has read the body of 400 kB, on the client's VM and on another one.

--- a/tests/forwarding/test_cut_answers.py
+++ b/tests/forwarding/test_cut_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import socket
 
 import pytest
 
@@ -15,6 +16,9 @@
 BEHIND = b"r-behind"
 """The id of a request that waits behind the one whose answer is cut."""
 UNKNOWN_STATUS = 502
+UPLOAD = bytes(400_000)
+"""More than the buffers of the instance's connections hold."""
+RECEIVE_BUFFER_BYTES = 4096
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,6 +31,36 @@
     body: bytes
 
 
+class EarlyUpstream(place.Upstream):
+    """An instance that answers, and closes, before it has read the body."""
+
+    async def open(self, host: str, port: int) -> None:
+        """Listen, and take as little of a body as the system allows."""
+        listening = socket.create_server((host, port), backlog=64)
+        listening.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        await asyncio.start_server(self.serve, sock=listening, limit=2048)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one request."""
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            writer.close()
+            return
+        line, *lines = head.rstrip().split(b"\r\n")
+        fields = {}
+        for field in lines:
+            name, _, value = field.partition(b": ")
+            fields[name.lower()] = value
+        got = place.ReceivedRequest(line, fields, b"", asyncio.Event())
+        self.got.append(got)
+        await self.script(got, writer)
+
+
 class World:
     """A client of the daemon on A, and an instance whose answers are cut.
 
@@ -53,6 +87,19 @@
             await cluster.daemon(host, "s")
         await cluster.wait_until_known(*hosts)
 
+    async def start_early(self, instance: str) -> None:
+        """Start the daemons, and an instance that answers early."""
+        cluster = self.cluster
+        cluster.policy(3, place.route("/u/", "s", False))
+        upstream = EarlyUpstream(self._cut)
+        await upstream.open(instance, cluster.ports[3])
+        cluster.upstreams[instance] = upstream
+        cluster.put_entry(instance, "s")
+        hosts = {A, instance}
+        for host in hosts:
+            await cluster.daemon(host, "s")
+        await cluster.wait_until_known(*hosts)
+
     async def _cut(
         self, got: place.ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
@@ -72,10 +119,12 @@
             for got in upstream.got
         )
 
-    async def call(self, *requests: tuple[str, str, bytes]) -> list[Reply]:
+    async def call(
+        self, *requests: tuple[str, str, bytes], body: bytes = b""
+    ) -> list[Reply]:
         """Send requests ahead on one connection; return all answers.
 
-        Each has a method, a path and an id.
+        Each has a method, a path and an id, and all have the same body.
         """
         reader, writer = await asyncio.open_connection(
             A, self.cluster.ports[0]
@@ -83,11 +132,12 @@
         for method, path, request_id in requests:
             writer.write(
                 f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
-                "X-Deadline-Ms: 4000\r\nContent-Length: 0\r\n".encode()
-                + b"X-Request: %s\r\n" % request_id
+                f"X-Deadline-Ms: 4000\r\nContent-Length: {len(body)}\r\n"
+                f"X-Request: {request_id.decode()}\r\n".encode()
             )
             is_last = request_id == requests[-1][2]
             writer.write(b"Connection: close\r\n\r\n" if is_last else b"\r\n")
+            writer.write(body)
         received = await asyncio.wait_for(reader.read(), 10.0)
         writer.close()
         return _replies(received, [method for method, _, _ in requests])
@@ -214,3 +264,21 @@
             assert (reply.status, reply.body) in whole
 
     test_path.run(test())
+
+
+@pytest.mark.parametrize("instance", [A, B], ids=["own", "other"])
+@pytest.mark.parametrize("name", ["length", "chunked", "no_length", "204"])
+def test_upload_whose_early_answer_is_cut_fails_and_runs_once(
+    name: str, instance: str
+) -> None:
+    """The connection is reset by what the instance has not read."""
+
+    async def test() -> None:
+        world = World(cut_answers.FORMS[name], True)
+        await world.start_early(instance)
+        for cut in world.form.few_cuts():
+            request = "POST", "/u/", cut_answers.id_of(cut)
+            (reply,) = await world.call(request, body=UPLOAD)
+            _check(world, cut, reply)
+
+    test_path.run(test())
