--- a/tests/runtime/test_cut_answers.py
+++ b/tests/runtime/test_cut_answers.py
@@ -6,6 +6,7 @@
 import typing
 
 import pytest
+import yarl
 
 from tests import cut_answers
 from tests.runtime import meshes
@@ -74,5 +75,51 @@
     asyncio.run(asyncio.wait_for(scenario(), meshes.WAIT))
 
 
+@pytest.mark.parametrize("resets", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("name", ["length", "no_length", "behind_103"])
+def test_call_that_waits_behind_a_cut_answer_gets_its_own(
+    name: str, resets: bool
+) -> None:
+    """Two calls come ahead on one connection, and the first is cut."""
+    form = cut_answers.FORMS[name]
+    server = test_cut_answers.Server(form, resets)
+
+    async def check(mesh: meshes.Mesh, cut: int) -> None:
+        request_id = cut_answers.id_of(cut)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", yarl.URL(mesh.url).port
+        )
+        for path, last in (
+            (request_id.decode(), ""),
+            (f"behind{cut}", "Connection: close\r\n"),
+        ):
+            writer.write(
+                f"POST /v1/call/back/{path} HTTP/1.1\r\nHost: h\r\n"
+                "Sassafras-Class: look\r\nSassafras-Tenant: t\r\n"
+                f"{last}Content-Length: 0\r\n\r\n".encode()
+            )
+        received = await reader.read()
+        writer.close()
+        first, mark, second = received.rpartition(b"HTTP/1.1 ")
+        assert mark, received
+        where = f"{received!r} after {cut} of {form.size}"
+        is_whole = b"sassafras-outcome: done" in first
+        assert is_whole != (b"sassafras-outcome: unknown" in first), where
+        assert not is_whole or form.has_ended(cut, resets), where
+        assert is_whole or resets or not form.has_ended(cut, resets), where
+        assert second.startswith(b"200 "), where
+        assert f"x-request: behind{cut}\r\n".encode() in second.lower(), where
+        assert second.endswith(b"\r\n\r\nok"), where
+
+    async def scenario() -> None:
+        await server.open()
+        async with meshes.started(_unused, server.url) as mesh:
+            await asyncio.gather(
+                *(check(mesh, cut) for cut in form.few_cuts())
+            )
+
+    asyncio.run(asyncio.wait_for(scenario(), meshes.WAIT))
+
+
 async def _unused(request: object) -> typing.NoReturn:
     raise AssertionError(request)
