Test that calls find the sound instance among odd VM entries

Cause: what the forwarder did beside addresses of nobody was not tried for sassafrasstaird. Change: eight entries of the VM list name addresses where nobody listens, beside one sound instance, and 20 calls come one after another. Nothing was sent, and a sound instance was left: such an attempt takes 0.4 s and spends one of the call's retries. Not mended: sending on without spending a retry would take seconds while a refused connection is not told apart from one that takes its time.

--- a/tests/runtime/test_odd_vms.py
+++ b/tests/runtime/test_odd_vms.py
@@ -14,6 +14,7 @@
 from tests.runtime import meshes
 
 CALLS = 20
+NOBODY = [f"127.0.1.{number}:9" for number in range(8)]
 
 
 async def _answer(request: web.BaseRequest) -> web.StreamResponse:
@@ -57,3 +58,27 @@
                     assert answer.status == 200, await answer.text()
 
     asyncio.run(asyncio.wait_for(scenario(), 2 * meshes.WAIT))
+
+
+def test_calls_find_the_sound_instance_among_odd_entries() -> None:
+    """Calls got 503, not run, though a sound instance was left.
+
+    Nobody listens at the addresses of the odd entries.
+    """
+
+    async def scenario() -> None:
+        async with meshes.started(_answer) as mesh:
+            entries = await _entries(mesh)
+            entries += [
+                {**entries[1], "vm": f"odd-{number}", "address": address}
+                for number, address in enumerate(NOBODY)
+            ]
+            values = {configservice.VMS_KEY: json.dumps(entries).encode()}
+            _control._handle_vm_list(
+                mesh.front.control, configservice.Snapshot(2, values)
+            )
+            for _ in range(CALLS):
+                async with mesh.call("back") as answer:
+                    assert answer.status == 200, await answer.text()
+
+    asyncio.run(asyncio.wait_for(scenario(), 2 * meshes.WAIT))
