Test long runs at a stopping daemon that answers one ping late

What callers saw: 502 for requests of idempotent routes that the instance of a stopping daemon was running, while that daemon answered all pings but one. Cause: since an attempt that can't be repeated waits until its daemon has answered nothing for 1.5 s. Only answers to requests and pongs that say that the daemon goes on end the silence; those that say that it stops do not. A long run at a daemon that stops thus seems silent from its last answer on, and the first ping that takes 0.5 s ends it.

--- a/tests/forwarding/test_pings.py
+++ b/tests/forwarding/test_pings.py
@@ -93,33 +93,53 @@
     asyncio.run(test())
 
 
-def test_daemon_that_is_silent_for_a_moment_loses_no_run() -> None:
-    """A single late ping broke off runs that no other instance could take.
+async def _answer_at(
+    seconds: float, silent_at: float, leaving: bool
+) -> place.Answer:
+    """Run a request for ``seconds``; return its answer.
 
-    Their instance answered a moment later.
+    Its instance's daemon answers no ping for 0.8 s from ``silent_at`` on.
     """
 
     async def answer_late(
         got: place.ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        await asyncio.sleep(1.2)
+        await asyncio.sleep(seconds)
         await place.answer(got, writer)
 
-    async def test() -> None:
-        cluster = place.Cluster()
-        cluster.policy(1, place.route("/s/", "s", timeout=3.5))
-        await cluster.upstream(B, "s", answer_late)
-        for host, service in ((A, "front"), (B, "s")):
-            await cluster.daemon(host, service)
-        await cluster.wait_until_known(A, B)
-        call = asyncio.ensure_future(cluster.call(A, "/s/"))
-        while not cluster.daemons[B].daemon.executions:
-            await asyncio.sleep(0.01)
-        cluster.daemons[B].daemons.stop_accepting()
-        silent = await asyncio.start_server(_ignore, B, cluster.ports[1])
-        await asyncio.sleep(0.8)
-        silent.close()
-        await cluster.daemons[B].daemons.open(B, cluster.ports[1])
-        assert (await call).status == 200
+    cluster = place.Cluster()
+    cluster.policy(1, place.route("/s/", "s", timeout=6.0))
+    await cluster.upstream(B, "s", answer_late)
+    for host, service in ((A, "front"), (B, "s")):
+        await cluster.daemon(host, service)
+    await cluster.wait_until_known(A, B)
+    call = asyncio.ensure_future(
+        cluster.call(A, "/s/", deadline_ms=int(1000 * (seconds + 1.0)))
+    )
+    while not cluster.daemons[B].daemon.executions:
+        await asyncio.sleep(0.01)
+    cluster.daemons[B].daemon.upstream_leaving = leaving
+    await asyncio.sleep(silent_at)
+    cluster.daemons[B].daemons.stop_accepting()
+    silent = await asyncio.start_server(_ignore, B, cluster.ports[1])
+    await asyncio.sleep(0.8)
+    silent.close()
+    await cluster.daemons[B].daemons.open(B, cluster.ports[1])
+    return await call
 
-    asyncio.run(test())
+
+def test_daemon_that_is_silent_for_a_moment_loses_no_run() -> None:
+    """A single late ping broke off runs that no other instance could take.
+
+    Their instance answered a moment later.
+    """
+    assert asyncio.run(_answer_at(1.2, 0.0, False)).status == 200
+
+
+@pytest.mark.parametrize("leaving", [False, True])
+def test_run_outlasts_a_late_ping_after_many_in_time(leaving: bool) -> None:
+    """A daemon that said in each answer that it stops counted as silent.
+
+    One late ping was then enough to take it for gone.
+    """
+    assert asyncio.run(_answer_at(3.5, 2.2, leaving)).status == 200
