Test whether a request would repeat in a second without requests

What callers saw: nothing told apart; requests at a daemon that answered no ping were left or cut as the loop came to them before or after the error. Cause: since would_repeat asks is_repeat_allowed without counting the question, and _expected_above reads the counts of the current second, which only a request or a counted question creates. Change: a test only.

--- a/tests/decisions/requests/test_progress.py
+++ b/tests/decisions/requests/test_progress.py
@@ -154,3 +154,13 @@
         assert found is repeats
     step = requests.attempt_ended(progress, E.LOST, window, RULES, now)
     assert (step is requests.Step.RETRY) is repeats
+
+
+def test_question_whether_a_request_would_repeat_needs_no_other_request() -> (
+    None
+):
+    """It raised in a second in which no request had come yet."""
+    window = requests.new_window(1.0)
+    window.hop = requests.Hop(0, True)
+    requests.note_request(window, 99.0)
+    assert requests.would_repeat(_progress(), window, RULES, 100.0, 0.0)
