Tell a refused connection from one that times out

Cause: a pool reports one failure for a connection that was refused and for one that nobody answered. The first shows that no process listens, the second shows nothing, and votes for allocators need the difference.

Change: Pool.check_refused opens a connection, keeps it if there is one, and reports whether it was refused. What others get of the pool is as before.

Result: tests/httpio/test_pools.py passes, with a new test for a port that listens and one that does not.

--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -71,6 +71,16 @@
             self._try_connect(on_done), lambda: on_done(False)
         )
 
+    def check_refused(self, on_done: abc.Callable[[bool], None]) -> None:
+        """Open an idle connection and report whether the server refused it.
+
+        A refused connection shows that no process listens. A time-out shows
+        nothing.
+        """
+        self._start_connecting(
+            self._check_refused(on_done), lambda: on_done(False)
+        )
+
     def drop_idle(self) -> None:
         """Close all idle connections, as when the server has timed out."""
         for connection in self._idle:
@@ -141,8 +151,30 @@
             self._idle.append(connection)
         on_done(connection is not None)
 
+    async def _check_refused(
+        self, on_done: abc.Callable[[bool], None]
+    ) -> None:
+        refused = False
+        try:
+            connection = await self._dial()
+        except ConnectionRefusedError:
+            refused = True
+        except OSError:
+            pass  # Whether a process listens remains unknown.
+        else:
+            if not connection.closed:
+                self._idle.append(connection)
+        on_done(refused)
+
     async def _open(self) -> _responses.Connection | None:
         """Return a new connection, or None on failure or time-out."""
+        try:
+            return await self._dial()
+        except OSError:
+            return None
+
+    async def _dial(self) -> _responses.Connection:
+        """Return a new connection; raises ``OSError``, also on time-out."""
         loop = asyncio.get_running_loop()
         connecting = loop.create_task(
             loop.create_connection(
@@ -155,10 +187,8 @@
                 if done:
                     break
             else:
-                return None
+                raise TimeoutError
             _, connection = connecting.result()
-        except OSError:
-            return None
         finally:
             connecting.cancel()
         self.connections_opened += 1
--- a/tests/httpio/test_pools.py
+++ b/tests/httpio/test_pools.py
@@ -320,3 +320,26 @@
         assert server.connections == 1
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize("listens", [True, False])
+def test_refused_connection_is_told_from_an_open_one(listens: bool) -> None:
+    """A daemon that runs would be taken for one that has ended."""
+
+    async def check() -> None:
+        server = Server(Script((OK,)))
+        await server.open()
+        port = server.port
+        if not listens:
+            with socket.socket() as unused:
+                unused.bind((HOST, 0))
+                port = unused.getsockname()[1]
+        pool = httpio.Pool(HOST, port, clocks.SystemClock(), 60.0)
+        refused: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
+        pool.check_refused(refused.set_result)
+        assert await asyncio.wait_for(refused, 1.0) is not listens
+        pool.close()
+
+    asyncio.run(check())
