Hand out a domain's share by votes in every deployment

Seen: a customer got more than its limit while a failure domain was split in itself.

Cause: other domains accept the successor of an allocator of which they have heard nothing for 1.2 s, and nothing made the old one stop. It could not tell being cut off alone from its whole domain being cut off, in which case it has to go on. Votes held that in a deployment with a single domain only.

Change: each domain's share is divided by votes. A vote is a lease of 2 s from the allocator's stamp, and the voter is bound for 1% longer. The first five daemons of a domain that are not down are its electors, so that others send nothing more. A daemon that refuses connections for as long as a vote binds is down until 2 s after the last refusal, which is how long a daemon that starts waits before it votes. An allocator asks electors without a vote for it, and they take the earlier one of two. Claims are lowered only with all votes, and an allocator that has lost all votes adopts its share again and leaves the other domains alone. One without votes names the allocator that its own daemon asks; daemons that get no answer about a customer choose again.

Why it works: an elector votes for one allocator at a time, and those of allocators that see different daemons down are five at most in all, so the parts add up to the share whichever messages are late or lost. A domain that is cut off as a whole has all of its votes.

Without canvasses, or if an allocator that nobody asks does not name the one in use, new fleet tests are red.

An elector that is cut off takes a fifth of its domain's share with it.

--- a/src/sassafrasstair/decisions/quotas/__init__.py
+++ b/src/sassafrasstair/decisions/quotas/__init__.py
@@ -10,8 +10,12 @@
 from sassafrasstair.decisions.quotas._allocators import allocated_share
 from sassafrasstair.decisions.quotas._allocators import Allocator
 from sassafrasstair.decisions.quotas._allocators import answer_request
+from sassafrasstair.decisions.quotas._allocators import check_votes
 from sassafrasstair.decisions.quotas._allocators import fill_buckets
+from sassafrasstair.decisions.quotas._allocators import has_votes
+from sassafrasstair.decisions.quotas._allocators import may_exchange
 from sassafrasstair.decisions.quotas._allocators import new_allocator
+from sassafrasstair.decisions.quotas._allocators import record_refusal
 from sassafrasstair.decisions.quotas._allocators import set_limits
 from sassafrasstair.decisions.quotas._allocators import set_voters
 from sassafrasstair.decisions.quotas._allocators import tick
@@ -20,6 +24,7 @@
 from sassafrasstair.decisions.quotas._limits import Rules
 from sassafrasstair.decisions.quotas._messages import Acknowledged
 from sassafrasstair.decisions.quotas._messages import Ask
+from sassafrasstair.decisions.quotas._messages import Canvass
 from sassafrasstair.decisions.quotas._messages import Grant
 from sassafrasstair.decisions.quotas._messages import Granted
 from sassafrasstair.decisions.quotas._messages import is_valid
@@ -50,6 +55,8 @@
 from sassafrasstair.decisions.quotas._stocks import usable_until
 from sassafrasstair.decisions.quotas._votes import Ballot
 from sassafrasstair.decisions.quotas._votes import cast_vote
+from sassafrasstair.decisions.quotas._votes import ELECTORS_MAX
+from sassafrasstair.decisions.quotas._votes import hosts_to_canvass
 from sassafrasstair.decisions.quotas._votes import new_ballot
 from sassafrasstair.decisions.quotas._votes import receive_stamp
 from sassafrasstair.decisions.quotas._votes import VOTE_SECONDS
@@ -59,6 +66,8 @@
     "Allocator",
     "Ask",
     "Ballot",
+    "Canvass",
+    "ELECTORS_MAX",
     "Grant",
     "Granted",
     "Limit",
@@ -74,22 +83,27 @@
     "allocated_share",
     "answer_request",
     "cast_vote",
+    "check_votes",
     "fill_buckets",
     "demand_rate",
     "drop_tokens",
     "give_back_token",
     "handle_grants",
     "has_changes",
+    "has_votes",
+    "hosts_to_canvass",
     "is_exhausted",
     "is_low",
     "is_valid",
     "limit_with_tolerance",
     "list_needs",
+    "may_exchange",
     "new_allocator",
     "new_ballot",
     "new_shares",
     "receive_stamp",
     "receive_update",
+    "record_refusal",
     "set_demands",
     "set_limits",
     "set_voters",
--- a/src/sassafrasstair/decisions/quotas/_allocators.py
+++ b/src/sassafrasstair/decisions/quotas/_allocators.py
@@ -74,11 +74,11 @@
     ``slow_demands`` is the part of the demands that decays slowly, as of
     ``slow_demands_at``. ``outstanding`` holds granted tokens that may still be
     unused, by customer and the host of the daemon that holds them. ``votes``
-    are those of the daemons of a domain without peers, else None.
+    are those of the daemons of the domain.
     """
 
     shares: _shares.Shares
-    votes: _votes.Votes | None = None
+    votes: _votes.Votes = dataclasses.field(default_factory=_votes.Votes)
     customers: frozenset[str] = frozenset()
     limits: dict[str, _limits.Limit] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
@@ -92,26 +92,59 @@
 
 def new_allocator(shares: _shares.Shares) -> Allocator:
     """Return an allocator that has not granted any tokens."""
-    votes = None if shares.peer_domains else _votes.Votes()
-    return Allocator(shares, votes)
+    return Allocator(shares)
 
 
 def allocated_share(allocator: Allocator, customer: str, now: float) -> float:
     """Return the part of a customer's limit that may be granted here."""
     share = _shares.share_available(allocator.shares, customer)
-    if allocator.votes is None:
-        return share
     return share * _votes.voted_share(allocator.votes, now)
 
 
 def set_voters(
-    allocator: Allocator, voters: frozenset[str], now: float
+    allocator: Allocator, voters: abc.Collection[str], now: float
 ) -> None:
-    """Set the daemons that vote, in a domain without peers."""
-    votes = allocator.votes
-    if votes is not None and votes.voters != voters:
+    """Set the daemons of the domain, in its order."""
+    if allocator.votes.voters != voters:
         fill_buckets(allocator, now)
-        _votes.set_voters(votes, voters, now)
+        _votes.set_voters(allocator.votes, voters, now)
+
+
+def record_refusal(
+    allocator: Allocator, host: str, connected_at: float, now: float
+) -> None:
+    """Record that a host refused a connection opened at ``connected_at``."""
+    fill_buckets(allocator, now)
+    _votes.record_refusal(allocator.votes, host, connected_at, now)
+
+
+def may_exchange(allocator: Allocator, now: float) -> bool:
+    """Return whether to send updates to the other domains.
+
+    An allocator that has lost its votes sends none, so that another one can
+    replace it. One that was told of another asks whether that is still so.
+    """
+    votes, shares = allocator.votes, allocator.shares
+    return bool(shares.other_allocator) or not _votes.has_lost_votes(
+        votes, now
+    )
+
+
+def has_votes(allocator: Allocator, now: float) -> bool:
+    """Return whether any daemon votes for this allocator."""
+    return _votes.voted_share(allocator.votes, now) > 0.0
+
+
+def check_votes(allocator: Allocator, now: float) -> None:
+    """Give up the share of the domain while no daemon votes.
+
+    Another allocator with all votes may have lowered its claims meanwhile.
+    """
+    shares = allocator.shares
+    if not shares.peer_domains or has_votes(allocator, now):
+        return
+    fill_buckets(allocator, now)
+    _shares.restart_adoption(shares, now)
 
 
 def set_limits(
@@ -144,27 +177,26 @@
     An allocator without any vote grants nothing, and its answer says nothing
     of the customers: another allocator may have tokens.
     """
+    check_votes(allocator, now)
     demands = {need.customer: need.demand for need in request.needs}
     allocator.requesters[request.host] = Requester(now, demands)
     for need in request.needs:
         _set_outstanding(allocator, request.host, need, need.left, now)
-    if not _has_votes(allocator, request, now):
+    if not _count_vote(allocator, request, now):
         return ()
     return tuple(
         _grant(allocator, request.host, need, now) for need in request.needs
     )
 
 
-def _has_votes(
+def _count_vote(
     allocator: Allocator, request: _messages.Ask, now: float
 ) -> bool:
-    votes = allocator.votes
-    if votes is None:
-        return True
+    """Count the vote in a request; return whether there are any votes."""
     # Otherwise the share would apply to the time before the vote.
     fill_buckets(allocator, now)
-    _votes.count_vote(votes, request.host, request.stamp, now)
-    return _votes.voted_share(votes, now) > 0.0
+    _votes.count_vote(allocator.votes, request.host, request.stamp, now)
+    return has_votes(allocator, now)
 
 
 def tick(allocator: Allocator, now: float) -> None:
@@ -178,7 +210,10 @@
             demands[customer] = demands.get(customer, 0.0) + rate
     _decay_demands(allocator, demands, now)
     fill_buckets(allocator, now)
-    _shares.set_demands(allocator.shares, demands, allocator.limits)
+    has_all_votes = _votes.voted_share(allocator.votes, now) == 1.0
+    _shares.set_demands(
+        allocator.shares, demands, allocator.limits, has_all_votes
+    )
 
 
 def _decay_demands(
--- a/src/sassafrasstair/decisions/quotas/_messages.py
+++ b/src/sassafrasstair/decisions/quotas/_messages.py
@@ -61,6 +61,16 @@
     stamp: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Canvass:
+    """An allocator's request for the vote of a daemon of its domain.
+
+    ``host`` is that of the allocator.
+    """
+
+    host: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Update:
     """The changes that an allocator reports to that of another domain.
@@ -121,6 +131,8 @@
             return all(map(_is_amount, amounts))
         case Acknowledged():
             return all(map(_is_amount, message.yours.values()))
+        case Canvass():
+            return True
     return False
 
 
--- a/src/sassafrasstair/decisions/quotas/_shares.py
+++ b/src/sassafrasstair/decisions/quotas/_shares.py
@@ -13,7 +13,10 @@
 When a process starts to allocate for a domain, it adopts the share that the
 other domains reserve for it. When another process has allocated for the
 domain before, the new one replaces it. The ``mark`` of a process is its
-identity, by which the other domains notice the replacement.
+identity, by which the other domains notice the replacement. The one before may
+not notice it, and continue with the votes of some daemons and the claims of
+that time. So a claim is lowered only by an allocator with all votes, and one
+without any has to adopt the share again.
 """
 
 from __future__ import annotations
@@ -148,8 +151,12 @@
     shares: Shares,
     demands: abc.Mapping[str, float],
     limits: abc.Mapping[str, _limits.Limit],
+    may_lower: bool = True,
 ) -> None:
-    """Set the demands of the own domain, and update its claims to match."""
+    """Set the demands of the own domain, and update its claims to match.
+
+    Claims are lowered only if ``may_lower`` is set.
+    """
     shares.demands = {
         customer: demands.get(customer, 0.0) for customer in limits
     }
@@ -158,10 +165,12 @@
     if shares.adopting:
         return
     for customer, limit in limits.items():
-        _update_claim(shares, customer, limit.rate)
+        _update_claim(shares, customer, limit.rate, may_lower)
 
 
-def _update_claim(shares: Shares, customer: str, rate: float) -> None:
+def _update_claim(
+    shares: Shares, customer: str, rate: float, may_lower: bool
+) -> None:
     equal = shares.equal_share
     peers = shares.peer_domains.values()
     if not all(peer.claims_known for peer in peers):
@@ -173,6 +182,8 @@
         _share_by_demand(own, total, rate, equal), max(0.0, 1.0 - taken)
     )
     current = shares.claims.get(customer, equal)
+    if target < current and not may_lower:
+        return
     if abs(target - current) >= MIN_SHARE_CHANGE or (
         current + taken > 1.0 + 1e-9
     ):
@@ -296,7 +307,7 @@
     peer.last_ack_at = now
     if answer.occupied:
         shares.other_allocator = answer.occupied
-        _restart_adoption(shares, now)
+        restart_adoption(shares, now)
         return
     shares.other_allocator = ""
     if peer.mark and answer.mark != peer.mark:
@@ -384,8 +395,8 @@
             peer.claims[customer] = min(claim, equal)
 
 
-def _restart_adoption(shares: Shares, now: float) -> None:
-    """Start adopting again: another process allocates for the domain."""
+def restart_adoption(shares: Shares, now: float) -> None:
+    """Start adopting again: another process may allocate for the domain."""
     shares.adopting = True
     shares.adopting_since = now
     shares.claims = {}
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -9,6 +9,7 @@
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import stops
 from sassafrasstair.forwarding import _callee
+from sassafrasstair.forwarding import _canvasses
 from sassafrasstair.forwarding import _confirmations
 from sassafrasstair.forwarding import _crash_updates
 from sassafrasstair.forwarding import _customers
@@ -52,6 +53,8 @@
         _polls.serve(daemon, exchange, query)
     elif path in (_quota_wire.TOKENS_PATH, _quota_wire.SHARES_PATH):
         _shares.serve(daemon, exchange, path)
+    elif path == _quota_wire.CANVASS_PATH:
+        _canvasses.serve(daemon, exchange)
     else:
         exchange.respond(404, [], b"")
 
--- a/src/sassafrasstair/forwarding/_quota_wire.py
+++ b/src/sassafrasstair/forwarding/_quota_wire.py
@@ -11,9 +11,16 @@
 
 TOKENS_PATH = b"/-sassafras/quota/tokens"
 SHARES_PATH = b"/-sassafras/quota/shares"
+CANVASS_PATH = b"/-sassafras/quota/canvass"
 _T = typing.TypeVar("_T")
 
-Message = quotas.Ask | quotas.Granted | quotas.Update | quotas.Acknowledged
+Message = (
+    quotas.Ask
+    | quotas.Granted
+    | quotas.Canvass
+    | quotas.Update
+    | quotas.Acknowledged
+)
 
 
 def encode(message: Message) -> bytes:
--- a/src/sassafrasstair/forwarding/_quotas.py
+++ b/src/sassafrasstair/forwarding/_quotas.py
@@ -13,6 +13,7 @@
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import quotas
+from sassafrasstair.decisions import stops
 from sassafrasstair.forwarding import _quota_wire
 from sassafrasstair.forwarding import _shares
 from sassafrasstair.forwarding import _state
@@ -38,6 +39,8 @@
 allocator is not overloaded."""
 VOTE_PERIOD_SECONDS_MAX = 0.8
 """Maximum period where questions renew votes, which expire otherwise."""
+CANVASSED_SECONDS = 3.0
+"""How long a daemon votes after an allocator has asked for its vote."""
 PREFETCH_PERIODS = 1.4
 AVOID_SECONDS = 2.0
 """Mean time for which an allocator that did not answer is skipped."""
@@ -90,32 +93,33 @@
     """Ask the allocator for tokens in advance, and report the demand."""
     _shares.tick(daemon, now)
     tokens = daemon.tokens
-    if tokens.asking or not (tokens.stocks.by_customer or _votes(daemon)):
+    votes = _votes(daemon, now)
+    if tokens.asking or not (tokens.stocks.by_customer or votes):
         return
-    period = _ask_period(daemon)
+    period = _ask_period(daemon, votes)
     tokens.stocks.prefetch_seconds = PREFETCH_PERIODS * period
     since = now - tokens.asked_at
     if since >= period or (tokens.ask_soon and since >= ASK_GAP_SECONDS):
         _ask_allocator(daemon, now)
 
 
-def _votes(daemon: _state.Daemon) -> bool:
+def _votes(daemon: _state.Daemon, now: float) -> bool:
     """Return whether this daemon votes also if it needs no tokens."""
     feed = daemon.feed
+    is_elector = len(feed.earlier_hosts) < quotas.ELECTORS_MAX
+    canvassed = now - daemon.tokens.canvassed_at < CANVASSED_SECONDS
     return (
         feed.own_host in feed.hosts
-        and not _shares.has_peers(daemon)
+        and (is_elector or canvassed)
         and _shares.has_limits(daemon)
     )
 
 
-def _ask_period(daemon: _state.Daemon) -> float:
+def _ask_period(daemon: _state.Daemon, votes: bool) -> float:
     min_period = len(daemon.feed.hosts) / ASKS_PER_SECOND_MAX
-    max_period = (
-        ASK_PERIOD_SECONDS_MAX
-        if _shares.has_peers(daemon)
-        else VOTE_PERIOD_SECONDS_MAX
-    )
+    if votes and not daemon.tokens.stocks.by_customer:
+        return VOTE_PERIOD_SECONDS_MAX
+    max_period = VOTE_PERIOD_SECONDS_MAX if votes else ASK_PERIOD_SECONDS_MAX
     return min(max_period, max(ASK_PERIOD_SECONDS, min_period))
 
 
@@ -191,7 +195,9 @@
 def _cast_vote(daemon: _state.Daemon, host: str, now: float) -> float:
     """Return the stamp to send with a question, 0 for no vote."""
     tokens, own_host = daemon.tokens, daemon.feed.own_host
-    if _shares.has_peers(daemon):
+    stop = daemon.stop
+    if stop is not None and stop.phase is stops.Phase.ENDED:
+        # It refuses connections, and counts as down.
         return 0.0
     if host == own_host:
         quotas.receive_stamp(tokens.ballot, host, now, now)
@@ -208,8 +214,9 @@
 
     This is the current allocator, unless it is avoided or no longer a known
     host. Then it is the first earlier host that is not avoided, or else this
-    daemon's own host. Daemons that vote return to the first host as soon as it
-    is not avoided: nobody tells them which one most of the others have chosen.
+    daemon's own host. In a domain without peers daemons return to the first
+    host as soon as it is not avoided: no other domain tells them which one
+    most of the others have chosen.
     """
     tokens, feed = daemon.tokens, daemon.feed
     for host in [
@@ -298,6 +305,9 @@
             tokens.allocator = granted.redirect
         tokens.ask_soon = True
         return
+    if tokens.stocks.by_customer and not granted.grants:
+        # No daemon votes for this allocator. Most may ask another one.
+        tokens.allocator = ""
     quotas.handle_grants(tokens.stocks, granted.grants, asked_at, now)
     for customer in list(tokens.waiting):
         _serve_waiting(daemon, customer, now)
--- a/src/sassafrasstair/forwarding/_shares.py
+++ b/src/sassafrasstair/forwarding/_shares.py
@@ -14,6 +14,7 @@
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import quotas
 from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _canvasses
 from sassafrasstair.forwarding import _quota_wire
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _tokens
@@ -49,17 +50,26 @@
     allocation.ticked_at = now
     _apply_policy(daemon, allocation, now)
     allocator = allocation.allocator
-    idle = now - allocation.asked_at >= IDLE_TIMEOUT_SECONDS
+    idle = _is_idle(allocation, now)
     replaced = allocator.shares.other_allocator or not has_peers(daemon)
-    if idle and replaced and not _is_first(daemon):
+    unused = replaced or not quotas.may_exchange(allocator, now)
+    if idle and unused and not _is_first(daemon):
         daemon.allocation = None
         return
+    _set_voters(daemon, allocation, now)
+    quotas.check_votes(allocator, now)
+    if not idle and has_limits(daemon):
+        _canvasses.canvass(daemon, allocation, now)
     quotas.tick(allocator, now)
     quotas.tick_shares(allocator.shares, _known_domains(daemon), now)
     _adopt_share(daemon, allocator, now)
     _send_due_updates(daemon, allocation, now)
 
 
+def _is_idle(allocation: _tokens.Allocation, now: float) -> bool:
+    return now - allocation.asked_at >= IDLE_TIMEOUT_SECONDS
+
+
 def activate(daemon: _state.Daemon, now: float) -> _tokens.Allocation:
     """Return the allocator of this daemon, starting it if necessary."""
     if daemon.allocation is not None:
@@ -86,18 +96,26 @@
     allocation.asked_at = now
     _apply_policy(daemon, allocation, now)
     allocator = allocation.allocator
-    if allocator.shares.other_allocator:
-        return quotas.Granted(allocator.shares.other_allocator, ())
-    quotas.set_voters(allocator, daemon.feed.hosts, now)
+    redirect = _redirect_host(daemon, allocator, now)
+    if redirect:
+        return quotas.Granted(redirect, ())
+    _set_voters(daemon, allocation, now)
     grants = quotas.answer_request(allocator, request, now)
-    return quotas.Granted("", grants, 0.0 if has_peers(daemon) else now)
+    return quotas.Granted("", grants, now)
 
 
-def has_peers(daemon: _state.Daemon) -> bool:
-    """Return whether there are other failure domains.
+def _set_voters(
+    daemon: _state.Daemon, allocation: _tokens.Allocation, now: float
+) -> None:
+    hosts = daemon.feed.hosts
+    if hosts != allocation.hosts:
+        allocation.hosts = hosts
+        voters = feeds.first_hosts(hosts, len(hosts))
+        quotas.set_voters(allocation.allocator, voters, now)
 
-    Daemons of a domain without peers vote for their allocator.
-    """
+
+def has_peers(daemon: _state.Daemon) -> bool:
+    """Return whether there are other failure domains."""
     settings = daemon.settings
     return bool(settings.regions.keys() - {settings.failure_domain})
 
@@ -129,8 +147,8 @@
     allocation = activate(daemon, now)
     allocator = allocation.allocator
     shares = allocator.shares
-    if shares.other_allocator:
-        redirect = shares.other_allocator
+    redirect = _redirect_host(daemon, allocator, now)
+    if redirect:
         return quotas.Acknowledged(shares.mark, redirect, "", True, {})
     quotas.fill_buckets(allocator, now)
     answer = quotas.receive_update(shares, update, now)
@@ -139,6 +157,25 @@
     return answer
 
 
+def _redirect_host(
+    daemon: _state.Daemon, allocator: quotas.Allocator, now: float
+) -> str:
+    """Return the host that allocates for the domain, or '' for this one.
+
+    Without votes it is the one that this daemon itself asks. Otherwise two
+    groups of allocators could each exchange updates and not notice the other.
+    """
+    if allocator.shares.other_allocator:
+        return allocator.shares.other_allocator
+    tokens = daemon.tokens
+    asks_itself = tokens.allocator == daemon.feed.own_host
+    outdated = now - tokens.asked_at >= IDLE_TIMEOUT_SECONDS
+    voted = quotas.has_votes(allocator, now)
+    if asks_itself or outdated or voted or not has_peers(daemon):
+        return ""
+    return tokens.allocator
+
+
 def _is_first(daemon: _state.Daemon) -> bool:
     feed = daemon.feed
     return feed.own_listed and not feed.earlier_hosts
@@ -174,6 +211,7 @@
 def _adopt_share(
     daemon: _state.Daemon, allocator: quotas.Allocator, now: float
 ) -> None:
+    quotas.check_votes(allocator, now)
     quotas.fill_buckets(allocator, now)
     if quotas.adopt_share(allocator.shares, now):
         daemon.journal.note(
@@ -186,7 +224,11 @@
 def _send_due_updates(
     daemon: _state.Daemon, allocation: _tokens.Allocation, now: float
 ) -> None:
-    shares = allocation.allocator.shares
+    allocator = allocation.allocator
+    shares = allocator.shares
+    unused = _is_idle(allocation, now) and not quotas.has_votes(allocator, now)
+    if unused or not quotas.may_exchange(allocator, now):
+        return
     for domain in shares.peer_domains:
         elapsed = now - allocation.updated_at.get(domain, -math.inf)
         due = elapsed >= UPDATE_INTERVAL_SECONDS or quotas.has_changes(
--- a/src/sassafrasstair/forwarding/_tokens.py
+++ b/src/sassafrasstair/forwarding/_tokens.py
@@ -35,7 +35,8 @@
     they are skipped. ``asking`` is set while a question to the allocator is
     pending, ``asked_at`` is the time of the last one, and ``ask_soon`` makes
     the next tick ask without waiting for the full period. ``ballot`` is this
-    daemon's vote for an allocator, in a domain without peers.
+    daemon's vote for an allocator, and ``canvassed_at`` the time when an
+    allocator last asked for one.
     """
 
     ballot: quotas.Ballot
@@ -50,6 +51,7 @@
     asking: bool = False
     asked_at: float = -math.inf
     ask_soon: bool = False
+    canvassed_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +65,8 @@
     ``updates_in_flight`` are the domains to which an update is being sent,
     and ``updated_at`` maps domains to the time of their last update.
     ``policy_version`` is the version of the policy whose limits apply.
+    ``hosts`` are the known daemons of the domain, and ``canvassed_at`` maps
+    those without a vote to the time when they were last asked for one.
     """
 
     allocator: quotas.Allocator
@@ -73,3 +77,5 @@
     failed_contacts: dict[str, int] = dataclasses.field(default_factory=dict)
     updates_in_flight: set[str] = dataclasses.field(default_factory=set)
     updated_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    hosts: frozenset[str] = frozenset()
+    canvassed_at: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/tests/fleets/networks.py
+++ b/tests/fleets/networks.py
@@ -166,6 +166,22 @@
             return
         self.send(job)
 
+    def check_refused(self, on_done: typing.Callable[[bool], None]) -> None:
+        """Report whether the host refuses a connection."""
+        network = self._network
+        loop = asyncio.get_running_loop()
+        paused = network.pause_seconds(self._sender)
+        if paused:
+            loop.call_later(paused, self.check_refused, on_done)
+            return
+        network.request_count += 1
+        if network.delivers(self._sender, self._receiver):
+            refused = self._receiver in network.dead_hosts
+            seconds = network.delay_seconds(self._sender, self._receiver)
+            loop.call_later(seconds, on_done, refused)
+        else:
+            loop.call_later(CONNECT_SECONDS, on_done, False)
+
     def drop_idle(self) -> None:
         """Do nothing: no connections are kept."""
 
--- a/tests/fleets/test_quota_stalls.py
+++ b/tests/fleets/test_quota_stalls.py
@@ -74,9 +74,9 @@
     )
 
 
-async def _play(seed: int) -> demands.Demand:
+async def _play(seed: int, count: int = 6, domains: int = 1) -> demands.Demand:
     rng = random.Random(seed)
-    fleet = _fleet(6, 1, seed)
+    fleet = _fleet(count, domains, seed)
     demand = demands.Demand(fleet, NAME, rng=random.Random(seed))
     demand.spread(5.0 * RATE, fleet.hosts)
     await fleet.start()
@@ -101,6 +101,17 @@
     loops.run(test())
 
 
+@pytest.mark.parametrize("seed", range(16))
+def test_quota_holds_in_domains_that_are_split(seed: int) -> None:
+    """A daemon that its domain has replaced must not hand out the share."""
+
+    async def test() -> None:
+        demand = await _play(seed, 12, 4)
+        assert demand.most() <= demands.bound(RATE, RATE)
+
+    loops.run(test())
+
+
 @pytest.mark.parametrize("count", [1, 2])
 def test_split_domain_hands_out_its_share_once(count: int) -> None:
     """An allocator that is cut off goes on beside the one that replaced it.
--- a/tests/golden/messages.py
+++ b/tests/golden/messages.py
@@ -460,6 +460,7 @@
     "quota granted": _quota(
         quotas.Granted("10.0.0.6", (quotas.Grant("c", 7, 0.5),))
     ),
+    "quota canvass": _quota(quotas.Canvass("10.0.0.5")),
     "quota update": _quota(
         quotas.Update(
             "a", "10.0.0.5", "m", 4, True, True, {"c": 0.5}, {"c": 4.5}
--- a/tests/golden/test_odd_messages.py
+++ b/tests/golden/test_odd_messages.py
@@ -41,7 +41,7 @@
         *("pong", "control", "gossip", "gossip reply", "bundle reply"),
         *("members fetch", "members reply", "probe request", "members"),
         *("snapshot", "quota ask", "quota granted", "quota update"),
-        "quota acknowledged",
+        *("quota acknowledged", "quota canvass"),
     )
 ]
 _JSON = ["bundle", "envelope", "list of VMs"]
