Let followers check the store once their parents have lost it

What callers saw: with the first three daemons of each failure domain cut off from the store, a new configuration and an instance's leaving reached none of the others, which reach it, until the cut ended. Cause: only the first three daemons of a domain called a store that answers none of them. The others followed one of these in spite of the loss and never called it. The readers of other domains can't help if they are cut off, too. Evidence: in the model, at 18 and 65 daemons, all followers lacked the change after 30 s; the nine cases of the new test with 18 daemons failed so before. Change: a follower whose parent has lost the store, and that learns of no later answer, checks it by turns, in the order of the hosts: eight a domain within 0.45 of the propagation bound, then one in a bound. One that is answered reads the store as a stand-in and announces what it learns to the first three of each domain, whose followers then have it. Between watches it polls up to six daemons that precede it, and follows one that the store answers. An answer ends the turns of all that follow the daemon at once. The functions that check the store move from _feeds to _store_checks. Why it works: no number of daemons without the store ends the turns, and the turns bound the calls to a store that answers nobody.

--- a/src/sassafrasstair/decisions/feeds/__init__.py
+++ b/src/sassafrasstair/decisions/feeds/__init__.py
@@ -3,17 +3,12 @@
 from __future__ import annotations
 
 from sassafrasstair.decisions.feeds._feeds import adopt_address
-from sassafrasstair.decisions.feeds._feeds import can_recheck
-from sassafrasstair.decisions.feeds._feeds import check_answered
-from sassafrasstair.decisions.feeds._feeds import check_due
-from sassafrasstair.decisions.feeds._feeds import check_sent
 from sassafrasstair.decisions.feeds._feeds import choose_parent
+from sassafrasstair.decisions.feeds._feeds import confirm_store
 from sassafrasstair.decisions.feeds._feeds import expedite_recheck
 from sassafrasstair.decisions.feeds._feeds import Feed
 from sassafrasstair.decisions.feeds._feeds import is_stalled
 from sassafrasstair.decisions.feeds._feeds import learn_hosts
-from sassafrasstair.decisions.feeds._feeds import lost_since
-from sassafrasstair.decisions.feeds._feeds import mark_change_missed
 from sassafrasstair.decisions.feeds._feeds import new_feed
 from sassafrasstair.decisions.feeds._feeds import next_step
 from sassafrasstair.decisions.feeds._feeds import peer_ahead_limit
@@ -24,6 +19,7 @@
 from sassafrasstair.decisions.feeds._feeds import reader_hosts
 from sassafrasstair.decisions.feeds._feeds import reads_store
 from sassafrasstair.decisions.feeds._feeds import request_full_read
+from sassafrasstair.decisions.feeds._feeds import stands_in
 from sassafrasstair.decisions.feeds._feeds import STORE
 from sassafrasstair.decisions.feeds._feeds import upcoming_parent_lost_store
 from sassafrasstair.decisions.feeds._orders import earlier_hosts
@@ -31,6 +27,12 @@
 from sassafrasstair.decisions.feeds._orders import first_hosts
 from sassafrasstair.decisions.feeds._orders import is_first
 from sassafrasstair.decisions.feeds._orders import select_parent
+from sassafrasstair.decisions.feeds._store_checks import can_recheck
+from sassafrasstair.decisions.feeds._store_checks import check_answered
+from sassafrasstair.decisions.feeds._store_checks import check_due
+from sassafrasstair.decisions.feeds._store_checks import check_sent
+from sassafrasstair.decisions.feeds._store_checks import lost_since
+from sassafrasstair.decisions.feeds._store_checks import mark_change_missed
 from sassafrasstair.decisions.feeds._types import PeerStatus
 from sassafrasstair.decisions.feeds._types import Poll
 from sassafrasstair.decisions.feeds._types import Read
@@ -57,6 +59,7 @@
     "check_due",
     "check_sent",
     "choose_parent",
+    "confirm_store",
     "earlier_hosts",
     "first_hosts",
     "expedite_recheck",
@@ -76,6 +79,7 @@
     "reads_store",
     "request_full_read",
     "select_parent",
+    "stands_in",
     "timing_for_bound",
     "upcoming_parent_lost_store",
 ]
--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -5,7 +5,8 @@
 first is the reader: it reads and watches the store. Each other daemon is a
 follower: it polls its parent, a daemon that precedes it and has up to six
 followers. A backup reader is a daemon that reads the store although others
-precede it, because these do not answer or have lost the store.
+precede it, because these do not answer or have lost the store. ``_fallbacks``
+defines when any other follower does so as a stand-in.
 
 A daemon that does not answer is avoided for a while. So is one that has lost
 the store, as long as another has not. ``_checks`` defines a lost store, a
@@ -19,6 +20,7 @@
 import typing
 
 from sassafrasstair.decisions.feeds import _checks
+from sassafrasstair.decisions.feeds import _fallbacks
 from sassafrasstair.decisions.feeds import _orders
 from sassafrasstair.decisions.feeds import _types
 
@@ -29,7 +31,8 @@
 STORE = ""
 """The parent of a daemon that reads the store itself."""
 READERS_MAX = 3
-"""Daemons of a failure domain that call the store while none gets an answer.
+"""Daemons of a failure domain that go on calling a store that does not answer
+them. The others check it by turns (``_fallbacks``).
 
 If all 195 daemons of a fleet called it once a second, the store would be
 flooded when it recovers, and it charges for calls that it refuses too. If the
@@ -115,7 +118,8 @@
     store answers, and ``checks_for_all`` is whether the reader of this
     failure domain also checks it on behalf of the other failure domains.
     ``has_stale_view`` is whether the view comes from an answer that may be
-    seconds old, from which no watch can continue.
+    seconds old, from which no watch can continue. ``fallback`` is when this
+    daemon checks the store because its parents have lost it.
     """
 
     own_host: str
@@ -144,6 +148,9 @@
     checks: _checks.Checks = dataclasses.field(default_factory=_checks.Checks)
     checks_for_all: bool = True
     has_stale_view: bool = False
+    fallback: _fallbacks.Fallback = dataclasses.field(
+        default_factory=_fallbacks.Fallback
+    )
 
 
 def new_feed(own_host: str, timing: _types.Timing, now: float) -> Feed:
@@ -189,7 +196,7 @@
 
 def next_step(feed: Feed, now: float) -> _types.Step:
     """Return the next step of the feed."""
-    if _is_starting(feed, now):
+    if is_starting(feed, now):
         return _sleep_until(feed.next_read_at, now) or _types.Read(
             allow_stale=True
         )
@@ -212,9 +219,9 @@
     """Return the daemon to follow, or ``STORE`` to read the store.
 
     If all available daemons that precede this one have lost the store, this
-    daemon calls the store, provided that they are fewer than ``READERS_MAX``:
-    so only the first ``READERS_MAX`` daemons of the failure domain do. A
-    later one follows one of them in spite of the loss.
+    daemon calls the store if they are fewer than ``READERS_MAX`` or if it is
+    a stand-in. Any other follows one of them in spite of the loss, until its
+    own check of the store is answered (``_fallbacks``).
     """
     if now < feed.use_store_until:
         return STORE
@@ -230,7 +237,7 @@
     ]
     if preferred:
         return _orders.select_parent(preferred)
-    if len(available) < READERS_MAX:
+    if len(available) < READERS_MAX or feed.fallback.stands_in:
         return STORE
     return _orders.select_parent(available)
 
@@ -250,7 +257,7 @@
         else feed.timing.watch_interval
     )
     feed.next_read_at = now + interval
-    if answer_may_be_stale and not _is_starting(feed, now):
+    if answer_may_be_stale and not is_starting(feed, now):
         feed.next_read_at = now
     feed.retry_delay = RETRY_SECONDS
     feed.needs_full_read = False
@@ -272,6 +279,7 @@
         feed.needs_full_read = True
         return
     feed.use_store_until = -math.inf
+    feed.fallback.stands_in = False
     feed.failed_polls = 0
     feed.next_read_at = now + feed.retry_delay * (0.5 + rng.random())
     feed.retry_delay = min(RETRY_SECONDS_MAX, 2.0 * feed.retry_delay)
@@ -303,6 +311,9 @@
         feed.avoided_until[host] = now + _jitter(AVOID_SECONDS, rng)
     if status.lost is not None or status.age_seconds > PEER_AGE_SECONDS_MAX:
         feed.without_store_until[host] = now + _jitter(AVOID_SECONDS, rng)
+        _fall_back(feed, status, now, rng)
+    elif now - status.age_seconds > feed.parent_since:
+        feed.fallback.stands_in = False
     _avoid_if_behind(
         feed, host, status.revision < own_content_revision, now, rng
     )
@@ -327,73 +338,6 @@
     feed.recheck_due = True
 
 
-def check_due(feed: Feed, last_answer_at: float, now: float) -> bool:
-    """Return whether a check of the store is due.
-
-    ``last_answer_at`` is as in ``_checks.next_check_at``.
-    """
-    if feed.parent != STORE or _is_starting(feed, now):
-        return False
-    due = _checks.next_check_at(
-        feed.checks, feed.timing, feed.checks_for_all, last_answer_at
-    )
-    return now >= due
-
-
-def check_sent(feed: Feed, now: float, rng: random.Random) -> bool:
-    """Record a check; return whether it needs a connection of its own.
-
-    Pooled connections to the store hang when the store does, so a check on
-    one of them would not detect its recovery.
-    """
-    needs_own_connection = feed.checks.unanswered_since is not None
-    is_backup = bool(feed.earlier_hosts)
-    _checks.record_sent(feed.checks, feed.timing, is_backup, now, rng)
-    return needs_own_connection
-
-
-def check_answered(feed: Feed, sent_at: float, now: float) -> bool:
-    """Record a check's answer; return whether an earlier check has none.
-
-    If so, there was an outage. A watch from before an outage never returns,
-    so a new one is started. ``sent_at`` is when the answered check was sent.
-    """
-    had_outage = _checks.record_answer(feed.checks, sent_at)
-    if had_outage and reads_store(feed):
-        feed.next_read_at = min(feed.next_read_at, now)
-    return had_outage
-
-
-def lost_since(feed: Feed, now: float) -> float | None:
-    """Return since when the store has been lost to this daemon's checks.
-
-    None if it is not lost, or if this daemon does not read the store.
-    """
-    if feed.parent != STORE:
-        return None
-    return _checks.lost_since(feed.checks, feed.timing, now)
-
-
-def can_recheck(feed: Feed, now: float) -> bool:
-    """Return whether a revision above the view's may trigger a recheck.
-
-    A recheck is a short watch in place of the current one. It is not allowed
-    during a full read: that of a large and slow store takes longer than a
-    check, and would never end if each check restarted it.
-    """
-    is_watching = reads_store(feed) and not feed.needs_full_read
-    return is_watching and _checks.can_recheck(feed.checks, now)
-
-
-def mark_change_missed(feed: Feed, now: float) -> None:
-    """Recheck at once, as a check showed that the watch missed a change.
-
-    During a short outage a watch event may get lost even if no check does.
-    """
-    expedite_recheck(feed, now)
-    feed.checks.recheck_pending = True
-
-
 def request_full_read(feed: Feed, now: float) -> bool:
     """Request a full read at once, for changes that no watch reports.
 
@@ -455,6 +399,31 @@
     )
 
 
+def stands_in(feed: Feed) -> bool:
+    """Return whether the daemon reads the store as a stand-in."""
+    return feed.fallback.stands_in and reads_store(feed)
+
+
+def confirm_store(feed: Feed, answered_at: float) -> bool:
+    """Record when the store last answered; return whether it was in doubt."""
+    return _fallbacks.confirm(feed.fallback, answered_at)
+
+
+def _fall_back(
+    feed: Feed, status: _types.PeerStatus, now: float, rng: random.Random
+) -> None:
+    """Use the store, or schedule a check of it, as a parent has lost it."""
+    if feed.fallback.stands_in:
+        if _fallbacks.should_resume(feed.fallback):
+            feed.use_store_until = now + _jitter(AVOID_SECONDS, rng)
+        return
+    unanswered = status.age_seconds if status.lost is None else status.lost
+    turn = len(feed.earlier_hosts) - 1
+    _fallbacks.suspect(
+        feed.fallback, feed.timing, now - unanswered, turn, now, rng
+    )
+
+
 def _avoid_if_behind(
     feed: Feed, host: str, is_behind: bool, now: float, rng: random.Random
 ) -> None:
@@ -477,7 +446,8 @@
     )
 
 
-def _is_starting(feed: Feed, now: float) -> bool:
+def is_starting(feed: Feed, now: float) -> bool:
+    """Return whether the daemon has just started and knows no host."""
     knows_no_host = not feed.own_listed and not feed.earlier_hosts
     return knows_no_host and now - feed.started_at < START_SECONDS
 
--- a/src/sassafrasstair/decisions/feeds/_types.py
+++ b/src/sassafrasstair/decisions/feeds/_types.py
@@ -43,6 +43,10 @@
 first reader's check (0.4), the timeout for its answer (0.3), after which the
 next daemon of its domain reads the store, and the comparison by the others
 (0.23) take 0.93 of the bound and the calls."""
+QUICK_FALLBACK_SHARE = 0.05
+"""``Timing.quick_fallback_interval`` as a fraction of the bound."""
+FALLBACK_SHARE = 1.0
+"""``Timing.fallback_interval`` as a fraction of the bound."""
 CONFIRM_INTERVAL_SHARE = 0.2
 """Fraction of the revocation time after which a reader asks the store whether
 the policy is still the newest. Each level of followers learns of the answer
@@ -76,6 +80,10 @@
     within ``answer_timeout``, and repeats the check every ``check_interval``.
     If ``confirm_interval`` is set, the reader instead sends a check that
     long after the policy was last confirmed, whatever other answers it got.
+
+    If the readers have lost the store, one follower after the other checks
+    it: the first ones every ``quick_fallback_interval``, the others every
+    ``fallback_interval``.
     """
 
     watch_interval: float
@@ -87,6 +95,8 @@
     quiet_limit: float
     answer_timeout: float
     check_interval: float
+    quick_fallback_interval: float
+    fallback_interval: float
     confirm_interval: float | None = None
 
 
@@ -112,6 +122,8 @@
         QUIET_LIMIT_SHARE * bound,
         ANSWER_TIMEOUT_SHARE * bound,
         CHECK_INTERVAL_SHARE * bound,
+        QUICK_FALLBACK_SHARE * bound,
+        FALLBACK_SHARE * bound,
         None
         if revocation_seconds is None
         else CONFIRM_INTERVAL_SHARE * revocation_seconds,
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -41,6 +41,7 @@
     if path == _wire.PING_PATH:
         peer = exchange.peer_host
         _crash_updates.receive(daemon, peer, request.headers)
+        _peers.receive_status(daemon, peer, request.headers)
         fields = [
             _state_field(daemon),
             _polls.status_header(daemon),
--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -71,7 +71,10 @@
 ) -> None:
     """Record an answer of the store, given to any daemon ``age`` ago."""
     lost_seconds = views.lost_store_seconds(daemon.view, now) or 0.0
-    if views.store_answered(daemon.view, now, age):
+    was_lost = views.store_answered(daemon.view, now, age)
+    # Followers that are in doubt of the store, too, learn of it at once.
+    was_suspected = feeds.confirm_store(daemon.feed, now - age)
+    if was_lost:
         _counters.count_state_change(daemon.counters, "store_back")
         daemon.journal.note(
             "store_back",
@@ -79,6 +82,7 @@
             away=lost_seconds,
             source=_status.parent_name(daemon.feed.parent),
         )
+    if was_lost or was_suspected:
         _polls.answer_all(daemon)
 
 
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import typing
 
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import views
@@ -12,10 +13,14 @@
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _learning
+from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 PULL_INTERVAL_SECONDS = 0.3
 """Mean interval between two pulls while the store gives no answer."""
 PINGS_WHEN_STALLED = 6
@@ -68,6 +73,34 @@
             ping(daemon, host, _crash_updates.header(daemon, host))
 
 
+def notify_readers(daemon: _state.Daemon) -> None:
+    """Tell this stand-in's revision to the readers of all failure domains.
+
+    They may have lost the store, and their followers get changes from them.
+    """
+    own = [_polls.status_header(daemon)]
+    own_domain = feeds.reader_hosts(daemon.feed.earlier_hosts)
+    for host in (*own_domain, *daemon.foreign_readers):
+        ping(daemon, host, _crash_updates.header(daemon, host), fields=own)
+
+
+def receive_status(
+    daemon: _state.Daemon,
+    host: str,
+    headers: abc.Mapping[bytes, bytes],
+) -> None:
+    """Apply the status in the headers of a stand-in's ping."""
+    header = headers.get(_feed_wire.HEADER_LOWER)
+    if header is None:
+        return
+    try:
+        _, delta = _feed_wire.decode_answer(header, b"")
+    except _wire.WireError as error:
+        daemon.journal.note("peer_malformed", peer=host, error=str(error))
+        return
+    note_peer_content(daemon, host, delta.content)
+
+
 async def ask_for_versions(daemon: _state.Daemon) -> None:
     """Ask peers which policy they have, and wait for their answers.
 
@@ -164,13 +197,14 @@
     host: str,
     header: tuple[bytes, bytes],
     done: asyncio.Future[None] | None = None,
+    fields: abc.Sequence[tuple[bytes, bytes]] = (),
 ) -> None:
-    """Send a ping with one header, to learn the revision of a peer's view.
+    """Send a ping with some headers, to learn the revision of a peer's view.
 
     ``done`` is set once the peer has answered or failed.
     """
-    fields = [(b"Host", host.encode()), header]
-    head = httpio.request_head(b"GET", _wire.PING_PATH, fields, 0)
+    sent = [(b"Host", host.encode()), header, *fields]
+    head = httpio.request_head(b"GET", _wire.PING_PATH, sent, 0)
     asked_at = daemon.clock.monotonic()
     job = httpio.Job(
         head, functools.partial(_end_ping, daemon, host, asked_at, done)
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -22,6 +22,7 @@
 from sassafrasstair.forwarding import _dialect
 from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _learning
+from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _policy_checks
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _status
@@ -30,6 +31,7 @@
 
 FAULT_SECONDS = 0.5
 """Pause after an internal error, before the next step."""
+_T = typing.TypeVar("_T")
 _Result = httpio.Response | httpio.Failure
 
 
@@ -55,7 +57,10 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(daemon.feed_woken.wait(), seconds)
         case feeds.Poll(host, hold_seconds, timeout):
-            await _poll_parent(daemon, host, hold_seconds, timeout)
+            poll = _poll_parent(daemon, host, hold_seconds, timeout)
+            polled = await _run_until_woken(daemon, poll)
+            if polled is not None:
+                polled.result()
         case feeds.Read(stale):
             verb = "read_stale" if stale else "read"
             await _read_store(
@@ -82,18 +87,28 @@
     """
     _counters.count_store_call(daemon.counters, verb)
     started_at = daemon.clock.monotonic()
-    reading = asyncio.ensure_future(call)
+    reading = await _run_until_woken(daemon, call)
+    if reading is not None:
+        _handle_reading(daemon, verb, started_at, reading, stale, after)
+        if feeds.stands_in(daemon.feed):
+            _peers.notify_readers(daemon)
+
+
+async def _run_until_woken(
+    daemon: _state.Daemon, call: typing.Coroutine[typing.Any, typing.Any, _T]
+) -> asyncio.Future[_T] | None:
+    """Return a call once it has ended; cancel it if ``feed_woken`` is set."""
+    running = asyncio.ensure_future(call)
     woken = asyncio.ensure_future(daemon.feed_woken.wait())
     try:
         await asyncio.wait(
-            (reading, woken), return_when=asyncio.FIRST_COMPLETED
+            (running, woken), return_when=asyncio.FIRST_COMPLETED
         )
     finally:
         woken.cancel()
-        if not reading.done():
-            reading.cancel()
-    if reading.done():
-        _handle_reading(daemon, verb, started_at, reading, stale, after)
+        if not running.done():
+            running.cancel()
+    return running if running.done() else None
 
 
 def _handle_reading(
--- a/tests/fleets/test_absences.py
+++ b/tests/fleets/test_absences.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions.feeds import _checks
 from sassafrasstair.decisions.feeds import _feeds
+from sassafrasstair.decisions import views
 from tests.fleets import fleet as fleet_module
 from tests.fleets import loops
 
@@ -130,6 +132,86 @@
     loops.run(test())
 
 
+def _cut_off_first_hosts(fleet: Fleet, count: int) -> set[str]:
+    """Cut the first hosts of each failure domain off from the store."""
+    cut: set[str] = set()
+    for domain in fleet.regions:
+        hosts = fleet.hosts_in_domain(domain)
+        cut |= set(feeds.first_hosts(hosts, count))
+    fleet.store.stop_answering(cut)
+    return cut
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+@pytest.mark.parametrize(
+    ("count", "domains", "bound", "cut_count", "pause"),
+    [
+        (18, 2, 2.0, 3, 0.0),
+        (18, 2, 2.0, 3, 4.0),
+        (18, 2, 2.0, 8, 4.0),
+        (65, 3, 2.5, 3, 0.0),
+        (65, 3, 2.5, 7, 5.0),
+        (65, 3, 2.5, 15, 20.0),
+        (195, 6, 3.0, 3, 0.0),
+    ],
+)
+def test_change_reaches_followers_of_daemons_that_are_cut_off(
+    count: int,
+    domains: int,
+    bound: float,
+    cut_count: int,
+    pause: float,
+    seed: int,
+) -> None:
+    """Followers whose parents have all lost the store miss its changes."""
+
+    async def test() -> None:
+        fleet = Fleet(count, domains, seed=seed, bound=bound)
+        await _start_with_aligned_watches(fleet)
+        cut = _cut_off_first_hosts(fleet, cut_count)
+        await asyncio.sleep(pause)
+        assert await fleet.measure_propagation(cut) < bound
+        leaving = next(host for host in fleet.hosts if host not in cut)
+        fleet.write_instance(leaving, views.InstanceState.LEAVING)
+        await asyncio.sleep(bound)
+        for host in set(fleet.hosts) - cut:
+            known = fleet.daemons[host].view.instances[f"i-{leaving}"]
+            assert known.state is views.InstanceState.LEAVING
+
+    loops.run(test())
+
+
+def test_change_at_the_moment_of_a_wide_cut_spreads_in_time() -> None:
+    """Later followers learn too late that their parents lost the store."""
+
+    async def test() -> None:
+        fleet = Fleet(65, 3, seed=2, bound=2.5)
+        await _start_with_aligned_watches(fleet)
+        cut = _cut_off_first_hosts(fleet, 7)
+        assert await fleet.measure_propagation(cut) < fleet.bound
+
+    loops.run(test())
+
+
+@pytest.mark.parametrize(("count", "domains", "bound"), SIZES)
+def test_stand_ins_follow_again_after_a_partial_outage(
+    count: int, domains: int, bound: float
+) -> None:
+    """Stand-ins that read on would multiply the calls of each change."""
+
+    async def test() -> None:
+        fleet = Fleet(count, domains, bound=bound)
+        await _start_with_aligned_watches(fleet)
+        _cut_off_first_hosts(fleet, 3)
+        await asyncio.sleep(12.0)
+        fleet.store.answer_all_hosts()
+        # A watch may be open at the end, and be followed by another one.
+        await asyncio.sleep(2.0 * (_feeds.BACKUP_WATCH_SECONDS + bound))
+        assert len(fleet.store_readers()) == domains
+
+    loops.run(test())
+
+
 @pytest.mark.parametrize("kind", ABSENCES[:2])
 @pytest.mark.parametrize(("count", "domains", "bound"), SIZES)
 def test_unavailable_store_gets_few_calls(
