Wait for answers that are read late until shortly before a stop's end

What callers saw: a 200 that ended in a reset, in the middle of its body, when they read it 5.6 s after SIGTERM at a grace period of 6 s and had sent more behind their request. Cause: the process ended at 5.55 s, in the middle of the last second, whether all answers were sent or not; the kernel drops what it has not sent of an answer as soon as the client sends data for a socket whose process has ended. Change: the process ends 0.15 s before the end of the grace period, or in the middle of the time for final answers if that is later. A process that is killed while it waits loses no more than one that has ended. A client that reads after 5.85 s is reset as before.

--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -31,6 +31,10 @@
 of it, but no more than this."""
 FLUSH_SECONDS = 0.05
 """Minimum time in which final answers are sent."""
+EXIT_SECONDS = 0.15
+EXIT_ANSWER_RATIO = 0.5
+"""Time for the process to end before it is killed, in seconds, but at most
+this fraction of the time for the final answers."""
 QUIET_SECONDS = 0.3
 """A daemon may end after it has had nothing in flight for this long."""
 STALL_SECONDS = 1.0
@@ -98,7 +102,10 @@
     @property
     def ends_by(self) -> float:
         """When the process ends, whether all answers are sent or not."""
-        return self.cut_at + 0.5 * self._answer_seconds
+        exit_seconds = min(
+            EXIT_SECONDS, EXIT_ANSWER_RATIO * self._answer_seconds
+        )
+        return self.began_at + self.grace - exit_seconds
 
     @property
     def _answer_seconds(self) -> float:
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -329,6 +329,18 @@
     assert stop.cut_at < now <= stop.ends_by + STEP < BEGAN + 6.0
 
 
+def test_answer_that_is_read_just_before_the_kill_is_waited_for() -> None:
+    """The process ended, and the rest was lost, half a second too soon."""
+    stop = stops.begin(6.0, BEGAN)
+    unsent = stops.InFlight(unsent=1)
+    for step in range(116):
+        phase = stops.update(stop, unsent, BEGAN + step * STEP)
+        assert phase is not stops.Phase.ENDED
+    assert stops.update(stop, stops.InFlight(), BEGAN + 5.8) is (
+        stops.Phase.ENDED
+    )
+
+
 def test_step_that_comes_late_ends_the_stop() -> None:
     """A process that stood still would wait a step more, and be killed."""
     stop = stops.begin(1.0, BEGAN)
