--- a/tests/platform/soak/test_mesh.py
+++ b/tests/platform/soak/test_mesh.py
@@ -18,3 +18,13 @@
         report = asyncio.run(mesh.run(SEED, SECONDS, folder, grace=GRACE))
         assert report.broken == ()
         assert report.served > 0
+
+
+def test_stops_lose_no_request_of_clients_that_read_in_time() -> None:
+    """Beside clients that read too late, other losses would be hidden."""
+    with records.kept_on_failure("mesh") as folder:
+        report = asyncio.run(
+            mesh.run(SEED, SECONDS, folder, 1, GRACE, mesh.PromptClient)
+        )
+        assert report.broken == ()
+        assert report.served > 0
