Count what the kernel sends as progress of a slow client

What callers saw: an answer of 12 MB that ends in its middle, on a kept connection, though they read 0.2 MB/s of it without a pause. Cause: counts what the client's system has acknowledged only on connections that are closed. On others progress is what the kernel takes from the process, and it takes more only once a third or so of what it holds is sent: 1 MB of 4 MB. A client that needs longer than the idle time-out for that counted as one that reads nothing, and was aborted. Evidence: test_answer_that_is_read_steadily_is_not_cut[False] failed before (3,588,096 bytes of 12,000,000 arrived, idle time-out 1 s), [True], a closed connection, passed; both pass now. Change: as long as the process holds a part of the answer, what the kernel holds counts as unsent, too, so that each acknowledged byte is progress.

--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -264,10 +264,13 @@
 
     def _note_progress(self, now: float) -> None:
         """Restart the idle time if the client has read more data."""
-        if self._closing:
-            unsent_bytes = _sockets.unsent_bytes(self._transport, True)
-        else:
-            unsent_bytes = self._transport.get_write_buffer_size()
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if self._closing or unsent_bytes:
+            # The kernel takes more only once a great part of what it holds
+            # is sent; a slow client takes long for that.
+            unsent_bytes = _sockets.unsent_bytes(
+                self._transport, self._closing
+            )
         if unsent_bytes < self._unsent_bytes:
             self._active_at = now
         self._unsent_bytes = unsent_bytes
