Let an instance leave the body of a request unread

What callers saw: 502 for an upload that its instance had begun, 1.5 s after the instance stopped reading, long before the deadline. Cause: TCP_USER_TIMEOUT, 1.5 s, is set on connections to instances. It ends a connection also if the peer acknowledges everything, but its window stays closed for so long: a body that does not fit into the buffers of a busy instance. An instance's silence is no reason to end an answer sooner. Evidence: two cases of test_upload_that_waits_at_the_instance_is_answered, with a body of 400,000 bytes of which nothing is read for 2.5 s, failed before (502, run once) at both daemons; the two without a body passed. All four pass. Change: the options that detect a dead host are set only on connections to other hosts. An instance runs on its daemon's host: they can't lose each other, and a crash closes its connections.

--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -319,5 +319,10 @@
 ) -> httpio.Pool:
     address = settings.upstream
     return httpio.Pool(
-        address.host, address.port, clock, UPSTREAM_IDLE_SECONDS, memory
+        address.host,
+        address.port,
+        clock,
+        UPSTREAM_IDLE_SECONDS,
+        memory,
+        is_remote=False,
     )
--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -32,6 +32,7 @@
         clock: clocks.Clock,
         idle_seconds: float,
         memory: _bodies.ResponseMemory | None = None,
+        is_remote: bool = True,
     ) -> None:
         self.host = host
         self.port = port
@@ -42,6 +43,8 @@
             _responses.RESPONSE_BYTES_MAX
         )
         """Limits what is held of unfinished responses."""
+        self.is_remote = is_remote
+        """Whether the server's host may vanish while this one runs."""
         self.connections_opened = 0
         self._idle: list[_responses.Connection] = []
         self._busy: set[_responses.Connection] = set()
--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -127,12 +127,17 @@
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Set socket options that detect a dead peer or network link."""
+        """Set socket options that detect a dead peer or network link.
+
+        They also end a connection whose peer reads nothing for a while.
+        """
         self._transport = transport
         sock = transport.get_extra_info("socket")
         if sock is None:
             return
         self._poller.register(sock.fileno(), select.POLLIN)
+        if not self._pool.is_remote:
+            return
         tcp = socket.IPPROTO_TCP
         # A powered-off VM or a broken link sends no reset: without these
         # options a request would wait on a dead connection until its deadline.
