Tell other daemons that a request which was not read whole has not run

What callers saw: 502, which promises nothing, for an upload that no instance had got, as the memory for bodies was spent at its instance's daemon. Cause: that daemon refuses what it can't read whole (no memory, a head or body over its limits, too slow) without the field by which daemons tell what became of a request, so the sender took it for one that may have run. Evidence: both cases of test_request_without_memory_at_its_peer_is_refused failed before (502, no run) and pass (503, no run). Change: such refusals say that the request was turned away. Its sender tries another instance, or answers 503, so that clients may send it again.

--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -67,7 +67,9 @@
         refuse = functools.partial(_refusal_fields, daemon)
         self.callers = _client_listener(daemon, refuse)
         self.daemons = _listener(
-            daemon, functools.partial(_inbound.handle, daemon), refuse
+            daemon,
+            functools.partial(_inbound.handle, daemon),
+            functools.partial(_peer_refusal_fields, daemon),
         )
         self.daemons.limits = DAEMON_LIMITS
         self.operators = _listener(
@@ -194,6 +196,12 @@
     return [(b"Retry-After", b"0.5")] if status == 503 else []
 
 
+def _peer_refusal_fields(daemon: _state.Daemon, status: int) -> httpio.Fields:
+    """Return the same for a request of another daemon."""
+    fields = _refusal_fields(daemon, status)
+    return [*fields, *_inbound.refusal_fields(daemon, status)]
+
+
 async def _tick_forever(running: RunningDaemon) -> None:
     count = 0
     while True:
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -29,6 +29,12 @@
     from sassafrasstair.forwarding import _dialect
     from sassafrasstair.forwarding import _state
 
+_UNREAD_REASONS = {
+    413: outcomes.Reason.BODY_TOO_LARGE,
+    503: outcomes.Reason.BODY_MEMORY,
+}
+"""Why a request is not read whole, by the status of its refusal."""
+
 
 def handle(daemon: _state.Daemon, exchange: httpio.Exchange) -> None:
     """Serve one request of another daemon."""
@@ -131,6 +137,15 @@
     exchange.gone = lambda: _callee.cancel(daemon, key)
 
 
+def refusal_fields(daemon: _state.Daemon, status: int) -> httpio.Fields:
+    """Return the fields of the answer to a request that was not read whole.
+
+    Without them, its sender could not know that it has not run.
+    """
+    reason = _UNREAD_REASONS.get(status, outcomes.Reason.MALFORMED)
+    return [_state_field(daemon, requests.Ending.TURNED_AWAY, reason)]
+
+
 @functools.lru_cache(maxsize=4)
 def _dropped_fields(keys: _dialect.HeaderNames) -> frozenset[bytes]:
     """Return the header fields that only this daemon may set."""
