Release the memory of a body once if what follows it is rejected

What callers saw: nothing at once; a process may hold more bodies than its share of the memory allows, and ends if that is more than its limit. Cause: the size of a body stayed noted after its request was complete. If what came behind it was rejected before a request began there, as blank lines without end are, the body was released then and again with its answer. Evidence: test_body_before_a_rejected_request_is_released_once[blank lines] failed before (0 bytes counted while a body of 3 was held) and passes. Change: the size is reset as the request is queued, which takes the body over.

--- a/src/sassafrasstair/httpio/_readers.py
+++ b/src/sassafrasstair/httpio/_readers.py
@@ -142,6 +142,7 @@
         self._input.meter.note_progress()
         request.body = b"".join(self._body_parts)
         self._body_parts = []
+        self._body_size = 0
         connection = typing.cast("_connections.Connection", self)
         pipelines.add(self._pipeline, _exchanges.Exchange(connection, request))
 
