Take a daemon for gone only by pings that it did not answer

What callers saw: 502 for requests of idempotent routes that an instance was running, after its daemon had been late with a single ping: where runs take a second or more, and after the caller's own daemon had stood still. Cause: since such a run waits until the daemon has answered nothing for 1.5 s. That was counted from its last answer. Pings begin only after 1.5 times the average latency of the instance, so where that is 0.7 s or more the first ping that was late by 0.5 s was enough; and a stall of the own process, in which it sent no ping, counted, too. Evidence: test_run_outlasts_a_late_ping_that_is_the_first (502 after 2.02 s) and test_run_outlasts_a_late_ping_after_a_stall (502 after 1.76 s) failed before, and pass. Change: the time counts from the first ping that was not answered, and anew after one whose answer may wait in the own process. A daemon that is gone is found 1.5 s after the first ping to it, not after its last answer.

--- a/src/sassafrasstair/decisions/calls/_peers.py
+++ b/src/sassafrasstair/decisions/calls/_peers.py
@@ -34,7 +34,7 @@
 # all day, and pings to the ones that are gone would never end.
 FORGET_SECONDS = 60.0
 # A VM whose connections stay open answers pings late while it is overloaded.
-# After this time without an answer it is taken for gone.
+# After this time without an answer to pings it is taken for gone.
 GONE_SECONDS = 1.5
 LATENCY_WEIGHT = 0.1
 DEFAULT_LIMIT = 20.0
@@ -65,7 +65,8 @@
     received at ``heard_at``. ``usual_service_seconds`` is the average of
     ``service_seconds`` over ``samples`` answers. ``silent_since`` is the time
     of the last answer, or of the first attempt after an idle period, and
-    ``ponged_at`` that of the last answer to a ping.
+    ``ponged_at`` that of the last answer to a ping. ``unanswered_since`` is
+    when the first ping was sent that was not answered since either.
     ``latency`` is the average latency of successful attempts, and
     ``failures`` counts the failures since the last success. Failures make
     the instance ``ejected``, and an unanswered ping, last sent at
@@ -88,6 +89,7 @@
     heard_at: float = -math.inf
     silent_since: float = 0.0
     ponged_at: float = -math.inf
+    unanswered_since: float = -math.inf
     latency: float = 0.0
     failures: int = 0
     ejected: bool = False
@@ -315,9 +317,31 @@
         peer.ponged_at = now
 
 
+def note_unanswered(routes: Routes, vm: str, sent_at: float) -> None:
+    """Record that ``vm`` did not answer a ping in time."""
+    peer = routes.peers.get(vm)
+    if peer is not None and peer.unanswered_since < _heard_at(peer):
+        peer.unanswered_since = sent_at
+
+
+def forget_unanswered(routes: Routes, vm: str) -> None:
+    """Forget unanswered pings to ``vm``, whose answers may wait here."""
+    peer = routes.peers.get(vm)
+    if peer is not None:
+        peer.unanswered_since = -math.inf
+
+
 def is_gone(routes: Routes, vm: str, now: float) -> bool:
-    """Return whether ``vm`` has not answered for so long that it is gone."""
+    """Return whether ``vm`` has not answered for so long that it is gone.
+
+    It has to answer only from the first ping on.
+    """
     peer = routes.peers.get(vm)
     if peer is None:
         return True
-    return now - max(peer.silent_since, peer.ponged_at) >= GONE_SECONDS
+    silent_since = max(_heard_at(peer), peer.unanswered_since)
+    return now - silent_since >= GONE_SECONDS
+
+
+def _heard_at(peer: Peer) -> float:
+    return max(peer.silent_since, peer.ponged_at)
--- a/src/sassafrasstair/forwarding/_probes.py
+++ b/src/sassafrasstair/forwarding/_probes.py
@@ -106,7 +106,9 @@
         daemon.journal.note(
             "ping_unclear", peer=host, instance=vm, waited=waited
         )
+        calls.forget_unanswered(daemon.routes, vm)
         return
+    calls.note_unanswered(daemon.routes, vm, ping.sent_at)
     peer = daemon.routes.peers.get(vm)
     if peer is not None and not peer.unreachable:
         daemon.journal.note("peer_lost", peer=host, instance=vm, reason=reason)
--- a/tests/forwarding/test_pings.py
+++ b/tests/forwarding/test_pings.py
@@ -94,11 +94,17 @@
 
 
 async def _answer_at(
-    seconds: float, silent_at: float, leaving: bool
+    seconds: float,
+    silent_at: float,
+    leaving: bool,
+    latency: float = 0.0,
+    stall: float = 0.0,
 ) -> place.Answer:
     """Run a request for ``seconds``; return its answer.
 
-    Its instance's daemon answers no ping for 0.8 s from ``silent_at`` on.
+    Its instance's daemon answers no ping for 0.8 s from ``silent_at`` on,
+    after all processes have been stalled. ``latency`` is that of earlier
+    requests.
     """
 
     async def answer_late(
@@ -119,7 +125,9 @@
     while not cluster.daemons[B].daemon.executions:
         await asyncio.sleep(0.01)
     cluster.daemons[B].daemon.upstream_leaving = leaving
+    cluster.daemons[A].daemon.routes.peers[f"i-{B}"].latency = latency
     await asyncio.sleep(silent_at)
+    time.sleep(stall)
     cluster.daemons[B].daemons.stop_accepting()
     silent = await asyncio.start_server(_ignore, B, cluster.ports[1])
     await asyncio.sleep(0.8)
@@ -143,3 +151,17 @@
     One late ping was then enough to take it for gone.
     """
     assert asyncio.run(_answer_at(3.5, 2.2, leaving)).status == 200
+
+
+def test_run_outlasts_a_late_ping_that_is_the_first() -> None:
+    """The first ping to an instance with long runs is sent late.
+
+    The time before it counted as silence of the daemon.
+    """
+    assert asyncio.run(_answer_at(3.5, 1.4, False, 1.0)).status == 200
+
+
+def test_run_outlasts_a_late_ping_after_a_stall() -> None:
+    """The time in which the own process stood still counted as silence."""
+    answer = asyncio.run(_answer_at(3.5, 0.05, False, stall=1.2))
+    assert answer.status == 200
