Admit between daemons what a client may send

What callers saw: 502 for requests within the limits of the policy in force, if their instance was on another host: with 512 header fields, or with a head of 90 kB where 100 kB are allowed. On the instance's own host they got 200. Cause: the port for daemons had limits of its own, 512 fields and 65,536 bytes, and what the first daemon adds to a request counted against them. Change: the limit on fields is one of the limits of a listener, and greater by what daemons add on the port for daemons; its limits on heads and bodies follow those of the policy in force where these are greater.

--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import functools
 import random
 import signal
@@ -42,8 +43,14 @@
 """Ticks after which earlier answers count half in the expected times."""
 SWEEP_TICKS = 5
 """Ticks between two checks of idle connections and of the settings."""
+OWN_HEAD_BYTES = 16_384
+OWN_FIELDS = 32
+"""What daemons add at most to the head of a request that they forward."""
 DAEMON_LIMITS = httpio.Limits(
-    body_bytes=256 * 1024 * 1024, head_bytes=65_536, idle_seconds=120.0
+    body_bytes=256 * 1024 * 1024,
+    head_bytes=65_536,
+    idle_seconds=120.0,
+    fields=httpio.Limits().fields + OWN_FIELDS,
 )
 OPERATOR_LIMITS = httpio.Limits(body_bytes=0, idle_seconds=60.0)
 LATE_TICK_SECONDS = 0.25
@@ -58,7 +65,8 @@
 
     ``stopping`` is set by a signal to stop. ``settings_version`` identifies
     the settings read last, and ``policy_version`` the policy whose limits the
-    listener for clients applies. ``ticked_at`` is the time of the last tick.
+    listeners for clients and for daemons apply. ``ticked_at`` is the time of
+    the last tick.
     """
 
     def __init__(self, daemon: _state.Daemon) -> None:
@@ -277,6 +285,7 @@
         return
     running.policy_version = table.policy.version
     running.callers.limits = _client_limits(table.policy.limits)
+    running.daemons.limits = _daemon_limits(running.callers.limits)
 
 
 def _client_limits(limits: policies.ClientLimits) -> httpio.Limits:
@@ -288,6 +297,17 @@
     )
 
 
+def _daemon_limits(limits: httpio.Limits) -> httpio.Limits:
+    """Return limits that admit what another daemon got from a client."""
+    return dataclasses.replace(
+        DAEMON_LIMITS,
+        head_bytes=max(
+            DAEMON_LIMITS.head_bytes, limits.head_bytes + OWN_HEAD_BYTES
+        ),
+        body_bytes=max(DAEMON_LIMITS.body_bytes, limits.body_bytes),
+    )
+
+
 def _reload(running: RunningDaemon) -> None:
     """Reload the settings; invalid settings change nothing."""
     daemon = running.daemon
--- a/src/sassafrasstair/httpio/_exchanges.py
+++ b/src/sassafrasstair/httpio/_exchanges.py
@@ -26,6 +26,8 @@
     this limit, a client that stops midway would keep the part that was read
     in memory indefinitely."""
     idle_seconds: float = 30.0
+    fields: int = 512
+    """Header fields and trailers; each costs memory beside its bytes."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sassafrasstair/httpio/_readers.py
+++ b/src/sassafrasstair/httpio/_readers.py
@@ -16,10 +16,6 @@
     from sassafrasstair.httpio import _connections
     from sassafrasstair.httpio import _listeners
 
-FIELDS_MAX = 512
-"""Header fields and trailers of a request; each costs memory beside its
-bytes."""
-
 
 class RequestReader(abc.ABC):
     """The request that is being read; ``httptools`` calls the ``on_`` methods.
@@ -87,7 +83,7 @@
         lower_name = name.lower()
         value = value.strip(_messages.WHITE_SPACE)
         request.fields.append((lower_name, name, value))
-        if len(request.fields) > FIELDS_MAX:
+        if len(request.fields) > self._listener.limits.fields:
             self._reject(431)
             return
         if lower_name in request.headers:
