Say that a request whose fields can't be decoded has not run

What callers saw: 502, which promises nothing, for a request that no instance had got: one to an instance whose id has a space, through another daemon. Cause: a daemon that can't decode what the sender says of a request answers 400 without the field by which daemons tell what became of it. Evidence: test_request_with_fields_that_its_peer_cannot_decode_is_refused failed before (502, no run) and passes (503, no run). Change: that answer has the field of requests that were not read whole.

--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -74,7 +74,7 @@
         metadata = _wire.decode_metadata(metadata_value)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", error=str(error))
-        exchange.respond(400, [], b"")
+        exchange.respond(400, refusal_fields(daemon, 400), b"")
         return
     notice = _notices.read_peer_notice(daemon, request.headers)
     _peers.note_peer_content(daemon, exchange.peer_host, metadata.content)
@@ -138,7 +138,7 @@
 
 
 def refusal_fields(daemon: _state.Daemon, status: int) -> httpio.Fields:
-    """Return the fields of the answer to a request that was not read whole.
+    """Return the fields of the answer to a request that can't be read.
 
     Without them, its sender could not know that it has not run.
     """
