Let runs of last resort make calls at a stopping daemon

Where all daemons of a service stop together, their instances run what no other one can take, up to 4.3 s after SIGTERM of a grace period of 6 s. An instance whose runs call others failed them: the calls' connections were refused, since the port is closed for good at the first moment of the second phase at which nothing runs, a pause between two runs included.

A daemon that has got a last resort now accepts connections until it takes no more of them. One whose port is closed takes none and says so to pings, so that they go to another daemon or are refused as not run. Daemons that nobody needs as a last resort close their ports as early as before.

A property test asserts that no run is started once connections are refused.

--- a/src/sassafrasstair/decisions/stops/__init__.py
+++ b/src/sassafrasstair/decisions/stops/__init__.py
@@ -20,9 +20,11 @@
 from sassafrasstair.decisions.stops._stops import may_start
 from sassafrasstair.decisions.stops._stops import may_start_run
 from sassafrasstair.decisions.stops._stops import may_take
+from sassafrasstair.decisions.stops._stops import note_last_resort
 from sassafrasstair.decisions.stops._stops import Phase
 from sassafrasstair.decisions.stops._stops import QUIET_SECONDS
 from sassafrasstair.decisions.stops._stops import Stop
+from sassafrasstair.decisions.stops._stops import stop_accepting
 from sassafrasstair.decisions.stops._stops import tail_seconds
 from sassafrasstair.decisions.stops._stops import takes_last_resorts
 from sassafrasstair.decisions.stops._stops import update
@@ -42,7 +44,9 @@
     "may_start",
     "may_start_run",
     "may_take",
+    "note_last_resort",
     "observe_longest",
+    "stop_accepting",
     "tail_seconds",
     "takes_last_resorts",
     "update",
--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -63,6 +63,8 @@
     ``grace`` is the time after which the process is killed, and ``busy_at``
     the last time at which something was in flight. ``spread`` is drawn from
     0 to 1, and sets how long the upstream is a last resort.
+    ``has_last_resorts`` is set while the upstream gets what no other instance
+    can run. Without ``accepting``, new connections are refused for good.
     """
 
     began_at: float
@@ -70,6 +72,8 @@
     busy_at: float
     spread: float
     phase: Phase = Phase.LAME_DUCK
+    has_last_resorts: bool = False
+    accepting: bool = True
 
     @property
     def lame_duck_until(self) -> float:
@@ -168,6 +172,8 @@
             stop.phase = Phase.ANSWERING
     elif stop.phase is Phase.ANSWERING and _has_answered(stop, in_flight, now):
         stop.phase = Phase.ENDED
+    if not takes_last_resorts(stop, now):
+        stop.has_last_resorts = False
     return stop.phase
 
 
@@ -202,8 +208,10 @@
     It takes up to ``longest`` seconds, wait included. As a ``last_resort``,
     when no other instance can run it, a request may come later.
     """
-    until = stop.last_resort_until if last_resort else stop.upstream_until
-    return now < until and may_start_run(stop, deadline, longest, now)
+    is_taking = now < stop.upstream_until
+    if last_resort:
+        is_taking = takes_last_resorts(stop, now)
+    return is_taking and may_start_run(stop, deadline, longest, now)
 
 
 def may_start_run(
@@ -216,9 +224,20 @@
 
 
 def takes_last_resorts(stop: Stop, now: float) -> bool:
-    """Return whether the upstream gets what no other instance can run."""
+    """Return whether the upstream gets what no other instance can run.
+
+    A run may make calls, and a run whose calls can't connect would fail.
+    """
     is_taking = stop.phase in (Phase.LAME_DUCK, Phase.DRAINING)
-    return is_taking and now < stop.last_resort_until
+    return stop.accepting and is_taking and now < stop.last_resort_until
+
+
+def note_last_resort(stop: Stop) -> None:
+    """Note a run of what no other instance can run.
+
+    More are likely, so that connections are accepted until none is taken.
+    """
+    stop.has_last_resorts = True
 
 
 def may_start(
@@ -252,11 +271,18 @@
 
     Later they are only for calls that the upstream may make.
     """
+    if not stop.accepting:
+        return False
     if stop.phase is Phase.DRAINING:
-        return in_flight.executions > 0
+        return in_flight.executions > 0 or stop.has_last_resorts
     return stop.phase is Phase.LAME_DUCK
 
 
+def stop_accepting(stop: Stop) -> None:
+    """Accept no more connections, and take no more runs that may call."""
+    stop.accepting = False
+
+
 def has_stalled(silent_seconds: float) -> bool:
     """Return whether a half-read request no longer delays the end."""
     return silent_seconds >= STALL_SECONDS
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -28,6 +28,7 @@
 from sassafrasstair.decisions import costs
 from sassafrasstair.decisions import load
 from sassafrasstair.decisions import requests
+from sassafrasstair.decisions import stops
 from sassafrasstair.forwarding import _arrivals
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _crashes
@@ -105,6 +106,8 @@
         _report_result(daemon, execution, requests.Ending.UNSENT, reason, None)
         return key
     daemon.executions[key] = execution
+    if daemon.stop is not None and inbound.last_resort:
+        stops.note_last_resort(daemon.stop)
     if daemon.settings.admits_by_cost:
         costs.record_offer(
             daemon.demand, load.route_seconds(guard, metadata.route), now
--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -63,6 +63,7 @@
     phase = stops.update(stop, in_flight, now)
     daemon.upstream_leaving = now >= stop.upstream_until
     if not stops.accepts_connections(stop, in_flight):
+        stops.stop_accepting(stop)
         callers.stop_accepting()
     finals = (stops.Phase.ANSWERING, stops.Phase.ENDED)
     if phase in finals and before not in finals and now >= stop.cut_at:
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -359,3 +359,66 @@
     stop = stops.begin(6.0, BEGAN, spread)
     stops.update(stop, stops.InFlight(calls=1), BEGAN + at)
     assert stops.takes_last_resorts(stop, BEGAN + at) is takes
+
+
+@pytest.mark.parametrize(
+    ("noted_at", "closes_at"),
+    [
+        # No last resort came before the first phase ended.
+        (None, 2.35),
+        (1.0, 4.35),
+    ],
+)
+def test_connections_are_accepted_while_last_resorts_come(
+    noted_at: float | None, closes_at: float
+) -> None:
+    """A pause between two runs closed the port for the calls of the next."""
+    stop = stops.begin(6.0, BEGAN)
+    beside = stops.InFlight(calls=1)
+    if noted_at is not None:
+        stops.update(stop, beside, BEGAN + noted_at)
+        stops.note_last_resort(stop)
+    now = BEGAN + (noted_at or 0.0)
+    while now < BEGAN + closes_at - 2 * STEP:
+        now += STEP
+        stops.update(stop, beside, now)
+        assert stops.accepts_connections(stop, beside)
+    stops.update(stop, beside, BEGAN + closes_at)
+    assert not stops.accepts_connections(stop, beside)
+
+
+@hypothesis.given(
+    strategies.sampled_from(GRACES),
+    strategies.floats(0.0, 1.0),
+    strategies.lists(
+        strategies.tuples(strategies.integers(0, 1), strategies.booleans()),
+        min_size=16,
+        max_size=20,
+    ),
+)
+def test_upstream_gets_no_run_whose_calls_could_not_connect(
+    grace: float, spread: float, steps: list[tuple[int, bool]]
+) -> None:
+    """Runs come and end in any order; a client's request is in flight."""
+    stop = stops.begin(grace, BEGAN, spread)
+    now = BEGAN
+    for executions, last_resort in steps:
+        now += 0.05 * grace
+        in_flight = stops.InFlight(1, executions)
+        stops.update(stop, in_flight, now)
+        accepts = stops.accepts_connections(stop, in_flight)
+        if not accepts:
+            stops.stop_accepting(stop)
+        runs = stops.may_run(stop, now + grace, 0.0, now, last_resort)
+        assert accepts or not runs
+        if runs and last_resort:
+            stops.note_last_resort(stop)
+
+
+def test_connections_that_are_refused_are_refused_for_good() -> None:
+    stop = stops.begin(6.0, BEGAN)
+    stops.update(stop, stops.InFlight(calls=1), BEGAN + 2.4)
+    assert stops.takes_last_resorts(stop, BEGAN + 2.4)
+    stops.stop_accepting(stop)
+    assert not stops.takes_last_resorts(stop, BEGAN + 2.4)
+    assert not stops.accepts_connections(stop, stops.InFlight(executions=1))
--- a/tests/forwarding/test_stop_longest.py
+++ b/tests/forwarding/test_stop_longest.py
@@ -168,6 +168,48 @@
     test_path.run(test())
 
 
+def test_run_of_last_resort_after_a_pause_can_make_calls() -> None:
+    """Between two runs nothing ran, and the port for calls was closed."""
+
+    async def test() -> None:
+        world = World()
+
+        async def call(
+            got: place.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            world.delays.append(0.0)
+            inner = await world.cluster.call(A, "/t/", deadline_ms=2000)
+            ok = inner.status == 200
+            status = b"200 OK" if ok else b"500 Internal Server Error"
+            writer.write(place.signed(got, b"whole", status))
+
+        await world.begin(call)
+        cluster = world.cluster
+        stopped = world.stop()
+        await world.wait_until(0.1)
+        stop = cluster.daemons[A].daemon.stop
+        assert stop is not None
+        stop.spread = 1.0
+        await world.wait_until(1.5)
+        first = await cluster.call(B, "/s/", "POST", deadline_ms=4000)
+        await world.wait_until(2.0)
+        world.delays.append(1.5)
+        beside = asyncio.ensure_future(
+            cluster.call(A, "/t/", deadline_ms=2900)
+        )
+        await world.wait_until(2.5)
+        runs = len(cluster.upstreams[C].got)
+        late = await cluster.call(A, "/t/", deadline_ms=9000)
+        assert (late.status, len(cluster.upstreams[C].got)) == (503, runs)
+        await world.wait_until(2.6)
+        second = await cluster.call(B, "/s/", "POST", deadline_ms=2000)
+        await beside
+        await stopped
+        assert (first.status, second.status) == (200, 200)
+
+    test_path.run(test())
+
+
 def test_run_that_waited_is_not_started_just_before_the_cut() -> None:
     """A second had to be left when it came, but not when it started."""
 
