Spend no retry on an attempt that could not be sent

What callers saw: 503, not run, peer_unreachable, though a sound instance of the service was left, beside entries of the VM list at whose addresses nobody listens. Cause: an attempt for which there was no connection counted as a retry of the call and took a token of the service's budget, so the allowance of the class (one, unless set) was gone after two such entries. Change: nothing of such an attempt was sent, so the one that takes its place is no retry. The call goes on within its deadline, to each instance once at most. Lost and refused attempts spend retries as before. The metric of retries counts no attempt after one that was not sent.

--- a/src/sassafrasstair/decisions/calls/_entrances.py
+++ b/src/sassafrasstair/decisions/calls/_entrances.py
@@ -10,8 +10,8 @@
 what one service is asked at one hop: the request itself, or a part of it that
 an upstream asks of another service. An attempt sends a call to one instance,
 whose guard treats it as work (see ``load``). A retry is a further attempt
-that the entrance makes for the same call. A repeat is the same call, sent
-again by the caller.
+that the entrance makes for the same call after one that was sent. A repeat is
+the same call, sent again by the caller.
 
 A call of a once-only class (``rules.once``) carries a ticket. The ticket names
 its owner, the one daemon process that may run the call (see ``once``). Such a
@@ -171,8 +171,7 @@
         return _messages.Deliver(
             attempt_id, pending.retries_spent, answer.load.floor
         )
-    if _may_retry(bundle, pending, answer, now) and _retries.spend(budget):
-        pending.retries_spent += 1
+    if _try_again(bundle, pending, answer, budget, now):
         effect = _send(entrance, bundle, key, pending, targets, now, rng)
         if effect is not None:
             return effect
@@ -305,6 +304,28 @@
     return once.entrance_refusal(call.repeat, answer.reason).outcome
 
 
+def _try_again(
+    bundle: bundles.Bundle,
+    pending: PendingCall,
+    answer: _messages.Answer,
+    budget: _retries.Budget,
+    now: float,
+) -> bool:
+    """Decide about a further attempt, and spend a retry if it is one.
+
+    An attempt that was not sent cost its callee nothing. The one that takes
+    its place is no retry, and the instances left to try bound their number.
+    """
+    if answer.is_unsent:
+        return now < pending.call.deadline
+    if not _may_retry(bundle, pending, answer, now):
+        return False
+    if not _retries.spend(budget):
+        return False
+    pending.retries_spent += 1
+    return True
+
+
 def _may_retry(
     bundle: bundles.Bundle,
     pending: PendingCall,
--- a/src/sassafrasstair/decisions/calls/_messages.py
+++ b/src/sassafrasstair/decisions/calls/_messages.py
@@ -93,6 +93,15 @@
     retry_after: float = 0.0
     incarnation: str = ""
 
+    @property
+    def is_unsent(self) -> bool:
+        """Whether nothing of the attempt was sent to the callee's daemon."""
+        return (
+            self.outcome is outcomes.Outcome.NOT_RUN
+            and self.reason is outcomes.Reason.PEER_UNREACHABLE
+            and not self.incarnation
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Send:
--- a/src/sassafrasstair/metrics.py
+++ b/src/sassafrasstair/metrics.py
@@ -157,7 +157,7 @@
         )
 
     def count_retry(self, service: str) -> None:
-        """Count an attempt after the first at ``service``."""
+        """Count an attempt at ``service`` after one that was sent."""
         name = _label_value(service, self._services)
         self._increment(Count.RETRIES, ("service", name))
 
--- a/src/sassafrasstair/runtime/_entrance.py
+++ b/src/sassafrasstair/runtime/_entrance.py
@@ -163,8 +163,6 @@
     send: calls.Send,
     progress: _CallProgress,
 ) -> calls.Effect:
-    if progress.attempt_id:
-        entry.counts.count_retry(prepared.call.service)
     progress.attempt_id = send.attempt_id
     progress.vm = send.target.vm
     max_body = prepared.bundle.classes[
@@ -196,6 +194,8 @@
     if effect is None:
         entry.counts.count_late_answer()
         return calls.Refuse(_Outcome.UNKNOWN, _Reason.PEER_LOST)
+    if isinstance(effect, calls.Send) and not answer.is_unsent:
+        entry.counts.count_retry(prepared.call.service)
     return effect
 
 
--- a/tests/decisions/calls/test_retries.py
+++ b/tests/decisions/calls/test_retries.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from sassafrasstair import bundles
@@ -25,6 +26,27 @@
     return entrance, key, effect
 
 
+def _apply(
+    entrance: calls.Entrance,
+    rules: bundles.Bundle,
+    key: str,
+    sent: calls.Send,
+    answer: calls.Answer,
+) -> calls.Effect:
+    effect = calls.apply_answer(
+        entrance,
+        rules,
+        key,
+        sent.attempt_id,
+        answer,
+        samples.TARGETS,
+        0.1,
+        RNG,
+    )
+    assert effect is not None
+    return effect
+
+
 @pytest.mark.parametrize(
     ("outcome", "reason", "once", "now", "retried"),
     [
@@ -107,6 +129,70 @@
     assert effect.retries_spent == 2
 
 
+@pytest.mark.parametrize("retries", [0, 1, 2])
+@pytest.mark.parametrize("burst", [1, 20])
+def test_attempts_that_were_not_sent_spend_no_retry(
+    retries: int, burst: int
+) -> None:
+    """Calls were refused after two of them, though instances were left."""
+    budget = bundles.RetryBudget(burst=burst)
+    rules = msgspec.structs.replace(samples.bundle(), retry_budget=budget)
+    entrance, key, effect = _begin(rules, samples.call(retries=retries))
+    unsent = calls.Answer(Outcome.NOT_RUN, Reason.PEER_UNREACHABLE)
+    tried = []
+    while isinstance(effect, calls.Send):
+        tried.append(effect.target.vm)
+        effect = _apply(entrance, rules, key, effect, unsent)
+    assert sorted(tried) == ["vm-a", "vm-b", "vm-c"]
+    assert isinstance(effect, calls.Refuse)
+    assert effect.outcome is Outcome.NOT_RUN
+    assert effect.reason is Reason.PEER_UNREACHABLE
+    assert effect.retries_spent == 0
+    assert entrance.budgets["intake"].tokens == burst
+
+
+@pytest.mark.parametrize(
+    ("retries", "attempts"), [(0, 2), (1, 3)], ids=["none", "one"]
+)
+def test_attempts_that_were_not_sent_allow_no_further_retry(
+    retries: int, attempts: int
+) -> None:
+    """Lost attempts spend retries as ever, whatever was not sent between."""
+    rules = samples.bundle()
+    entrance, key, effect = _begin(rules, samples.call(retries=retries))
+    unsent = calls.Answer(Outcome.NOT_RUN, Reason.PEER_UNREACHABLE)
+    lost = calls.Answer(Outcome.UNKNOWN, Reason.PEER_LOST, incarnation="1")
+    made = 0
+    while isinstance(effect, calls.Send):
+        answer = lost if made % 2 else unsent
+        made += 1
+        effect = _apply(entrance, rules, key, effect, answer)
+    assert made == attempts
+    assert isinstance(effect, calls.Refuse)
+    assert effect.outcome is Outcome.UNKNOWN
+    assert effect.retries_spent == retries
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        calls.Answer(Outcome.UNKNOWN, Reason.PEER_UNREACHABLE),
+        calls.Answer(
+            Outcome.NOT_RUN, Reason.PEER_UNREACHABLE, incarnation="1"
+        ),
+        calls.Answer(Outcome.NOT_RUN, Reason.UPSTREAM_UNREACHABLE),
+    ],
+    ids=["unknown", "answered", "upstream"],
+)
+def test_attempts_that_were_sent_spend_a_retry(answer: calls.Answer) -> None:
+    rules = samples.bundle()
+    entrance, key, effect = _begin(rules, samples.call(retries=0))
+    assert isinstance(effect, calls.Send)
+    assert isinstance(
+        _apply(entrance, rules, key, effect, answer), calls.Refuse
+    )
+
+
 def test_budget_is_a_share_of_successes() -> None:
     rules = bundles.RetryBudget(ratio=0.1, burst=2)
     budget = _retries.new_budget(rules)
