Pass on a policy that a daemon read before its revision

Cause: a view at a revision was taken to hold exactly what was written up to it. The store's event of a policy that is already there counted as without an effect, and was not kept for peers at earlier revisions. The same held for instances that leave or have restarted. Change: a view notes the latest revision that its entries may be of: that of the last page, or of the stale reading. Until it gets there, changes without an effect are passed on as well, and a delta says how far its sender is ahead. Why it works: a change that is known early is written at a revision on that way, so each daemon that passes it passes it on. The encoded answers gain the field; their former bytes are still decoded.

--- a/src/sassafrasstair/decisions/views/__init__.py
+++ b/src/sassafrasstair/decisions/views/__init__.py
@@ -50,6 +50,7 @@
 from sassafrasstair.decisions.views._views import apply_changes
 from sassafrasstair.decisions.views._views import expire
 from sassafrasstair.decisions.views._views import new_view
+from sassafrasstair.decisions.views._views import note_ahead
 from sassafrasstair.decisions.views._views import note_peer_age
 from sassafrasstair.decisions.views._views import note_replaced
 from sassafrasstair.decisions.views._views import note_said_to_leave
@@ -97,6 +98,7 @@
     "lost_store_seconds",
     "may_lack_changes",
     "new_view",
+    "note_ahead",
     "note_changes_read",
     "note_full_read",
     "note_peer_age",
--- a/src/sassafrasstair/decisions/views/_queries.py
+++ b/src/sassafrasstair/decisions/views/_queries.py
@@ -90,10 +90,16 @@
     policy = None if view.table is None else view.table.policy
     if after >= view.content_revision:
         return _types.Delta(view.revision, view.content_revision)
+    is_ahead = view.revision < view.ahead_to_revision
+    ahead_to = view.ahead_to_revision if is_ahead else _revisions.UNORDERED
     if after < view.history.complete_from:
-        known = tuple(view.instances.values())
         return _types.Delta(
-            view.revision, view.content_revision, True, policy, known
+            view.revision,
+            view.content_revision,
+            True,
+            policy,
+            tuple(view.instances.values()),
+            ahead_to=ahead_to,
         )
     if view.history.policy_changed_at <= after:
         policy = None
@@ -110,6 +116,7 @@
         ),
         _histories.removed_ids(view.history, after, False),
         _histories.removed_ids(view.history, after, True),
+        ahead_to,
     )
 
 
--- a/src/sassafrasstair/decisions/views/_types.py
+++ b/src/sassafrasstair/decisions/views/_types.py
@@ -113,7 +113,8 @@
     ``content`` is the content revision of the sender's view: the revision of
     the last change that had an effect on it. If ``whole``, the delta is the
     sender's whole view, and entries that it lacks have vanished. ``removed``
-    and ``unusable`` are ids of instances.
+    and ``unusable`` are ids of instances. If entries may be of a later state
+    than ``revision``, ``ahead_to`` is the latest revision of that state.
     """
 
     revision: int
@@ -123,6 +124,7 @@
     instances: tuple[Instance, ...] = ()
     removed: tuple[str, ...] = ()
     unusable: tuple[str, ...] = ()
+    ahead_to: int = -1
 
     @property
     def empty(self) -> bool:
--- a/src/sassafrasstair/decisions/views/_views.py
+++ b/src/sassafrasstair/decisions/views/_views.py
@@ -88,6 +88,12 @@
     written again by ``settled_from``. Until then, a policy older than the
     ``peer_version`` that a peer has is not confirmed.
 
+    Entries may be of a later state than ``revision``, at the latest of
+    ``ahead_to_revision``: the pages of a full read are no snapshot, and the
+    stale state that a starting daemon reads may be later than the first one
+    that a peer sends. So a change on the way there may be without an effect
+    here, though daemons at ``revision`` lack it.
+
     ``history`` holds the content revision at which each entry last changed,
     so that a peer is sent only what it lacks. ``target_cache`` holds, by
     service, the instances that may get new requests.
@@ -119,6 +125,7 @@
     settled_from: float = math.inf
     peer_version: int = -1
     policies_read_to_revision: int = -1
+    ahead_to_revision: int = -1
     target_cache: dict[str, tuple[calls.Target, ...]] = dataclasses.field(
         default_factory=dict
     )
@@ -169,6 +176,11 @@
     view.recovering_until = max(view.recovering_until, now + seconds)
 
 
+def note_ahead(view: View, revision: int) -> None:
+    """Record that entries may be of any state up to ``revision``."""
+    view.ahead_to_revision = max(view.ahead_to_revision, revision)
+
+
 def replace_all(
     view: View,
     items: abc.Sequence[_types.Change],
@@ -277,11 +289,13 @@
 ) -> _changes.Updates:
     """Apply changes as ``apply_changes`` does.
 
-    With ``pass_all_on``, changes without an effect are recorded as well, for
-    the daemons that follow this one.
+    With ``pass_all_on``, or if the view is ahead of its revision, changes
+    without an effect are recorded as well, for the daemons that follow this
+    one.
     """
     if revision < view.revision:
         return []
+    pass_all_on |= 0 <= view.revision < view.ahead_to_revision
     if view.revision < 0 <= revision:
         view.settled_from = now + RESTORE_SETTLE_SECONDS
     view.revision = revision
@@ -372,6 +386,7 @@
         view.kept_ids |= view.instances.keys()
         view.kept_policy = view.table is not None
     view.content_revision = max(view.content_revision, delta.content)
+    note_ahead(view, delta.ahead_to)
     return updates
 
 
--- a/src/sassafrasstair/forwarding/_dialect.py
+++ b/src/sassafrasstair/forwarding/_dialect.py
@@ -157,6 +157,8 @@
     ``content`` is the revision of the last change. Both numbers include the
     store's era, see ``views.pack_revision``. ``whole`` is set if the changes
     are the entire contents of the store. ``refused`` lists unusable items.
+    ``latest`` is the revision of the latest of several answers that make up
+    the reading; its changes may be as late as that.
     """
 
     changes: tuple[views.Change, ...]
@@ -164,6 +166,7 @@
     content: int
     whole: bool
     refused: tuple[RefusedItem, ...] = ()
+    latest: int = -1
 
 
 class Source(typing.Protocol):
--- a/src/sassafrasstair/forwarding/_feed_wire.py
+++ b/src/sassafrasstair/forwarding/_feed_wire.py
@@ -111,6 +111,10 @@
         raise _wire.WireError(f"feed: {error}") from error
     delta = _decode_body(body, views.Delta)
     _check_view(delta)
+    try:
+        _wire.check_revision(delta.ahead_to)
+    except ValueError as error:
+        raise _wire.WireError(f"view: {error}") from error
     return status, views.usable_delta(delta)
 
 
--- a/src/sassafrasstair/forwarding/_learning.py
+++ b/src/sassafrasstair/forwarding/_learning.py
@@ -36,6 +36,7 @@
     news = apply(
         daemon.view, reading.changes, reading.revision, reading.content, now
     )
+    views.note_ahead(daemon.view, reading.latest)
     apply_news(daemon, news, "store")
 
 
@@ -44,10 +45,14 @@
 ) -> None:
     """Apply an answer that may be seconds old, and so from an earlier era.
 
-    It is applied without its revisions, which do not show what is known.
+    It is applied without its revisions, which do not show what is known. They
+    tell only how late its entries may be.
     """
     unordered = dataclasses.replace(
-        reading, revision=views.UNORDERED, content=views.UNORDERED
+        reading,
+        revision=views.UNORDERED,
+        content=views.UNORDERED,
+        latest=max(reading.latest, reading.revision),
     )
     take_reading(daemon, unordered)
 
--- a/src/sassafrasstair/platform/_store.py
+++ b/src/sassafrasstair/platform/_store.py
@@ -99,7 +99,7 @@
         """
         after = ""
         first: _Range | None = None
-        era = 0
+        era = last_revision = 0
         all_items: list[_items.Item] = []
         undecodable: list[forwarding.RefusedItem] = []
         for _ in range(PAGES_MAX):
@@ -115,6 +115,7 @@
                     forwarding.SourceReason.HISTORY_GONE,
                     "range: the era changed between two pages",
                 )
+            last_revision = max(last_revision, page.store_revision)
             items = _decode_items(page.items, undecodable)
             all_items += items
             last = max((item.key for item in items), default="")
@@ -137,11 +138,16 @@
         store_revision = 0 if first is None else first.store_revision
         revision = views.pack_revision(era, store_revision)
         changes, refused = _items.decode_changes(all_items, self._regions)
-        # Reading(changes, revision, content, whole, refused). A full read
-        # contains all changes up to its revision, so that both revisions are
-        # the same, and ``whole`` is true.
+        # Reading(changes, revision, content, whole, refused, latest). A full
+        # read contains all changes up to its revision, so that both revisions
+        # are the same, and ``whole`` is true.
         return forwarding.Reading(
-            changes, revision, revision, True, (*undecodable, *refused)
+            changes,
+            revision,
+            revision,
+            True,
+            (*undecodable, *refused),
+            views.pack_revision(era, last_revision),
         )
 
     async def watch(self, after: int, wait: float) -> forwarding.Reading:
--- a/tests/fleets/test_absences.py
+++ b/tests/fleets/test_absences.py
@@ -364,3 +364,26 @@
             assert await fleet.measure_propagation() < fleet.bound
 
     loops.run(test())
+
+
+@pytest.mark.parametrize("count", [2, 3])
+def test_policy_reaches_a_reader_by_a_daemon_that_read_it_when_it_started(
+    count: int,
+) -> None:
+    """The starting daemon took the store's event of the policy for no change.
+
+    It had its first ordered state from the reader, which lacked the policy
+    and got all later changes from it, but never that policy.
+    """
+
+    async def test() -> None:
+        fleet = Fleet(count, 1, bound=2.0)
+        await fleet.start()
+        reader, starting = feeds.first_hosts(fleet.hosts, 2)
+        fleet.store.stop_answering({reader})
+        fleet.publish_policy()
+        fleet.restart(starting)
+        await asyncio.sleep(fleet.bound)
+        assert not fleet.hosts_behind()
+
+    loops.run(test())
--- a/tests/forwarding/test_feed_wire.py
+++ b/tests/forwarding/test_feed_wire.py
@@ -13,6 +13,10 @@
 STATUS = feeds.PeerStatus(12, None, 0.5, False)
 
 
+def _answer_ahead_to(revision: int) -> bytes:
+    return _feed_wire.encode_delta(views.Delta(1, 2, True, ahead_to=revision))
+
+
 @pytest.mark.parametrize(
     "status",
     [
@@ -27,6 +31,7 @@
         views.Delta(12, 9),
         views.Delta(12, 9, False, None, (test_wire.INSTANCE,), ("a",), ("b",)),
         views.Delta(12, 9, True, test_wire.POLICY, (test_wire.INSTANCE,)),
+        views.Delta(12, 9, True, test_wire.POLICY, ahead_to=14),
     ],
 )
 def test_decoded_answer_equals_what_was_encoded(
@@ -38,6 +43,7 @@
     assert decoded_status == status
     assert decoded.content == delta.content
     assert decoded.instances == delta.instances
+    assert decoded.ahead_to == delta.ahead_to
     assert (decoded.removed, decoded.unusable) == (
         delta.removed,
         delta.unusable,
@@ -57,6 +63,8 @@
         (b"1 2 - 0.0 0 -1", b""),
         (b"1 2 - 0.0 0 0.0", b"\xc1"),
         (b"\xff 2 - 0.0 0 0.0", b""),
+        (b"1 2 - 0.0 0 0.0", _answer_ahead_to(-2)),
+        (b"1 2 - 0.0 0 0.0", _answer_ahead_to(views.REVISION_MAX + 1)),
     ],
 )
 def test_malformed_answer_is_an_error(header: bytes, body: bytes) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -107,6 +107,7 @@
         )
         reading = await source.read(stale=False)
         assert (reading.revision, reading.whole) == (7, True)
+        assert reading.latest == 9
         policy, instance, unusable = reading.changes
         assert unusable == views.Unusable("i-2")
         assert [each.key for each in reading.refused] == ["servers/i-2"]
