Send crash records to each daemon behind an address

Daemons that share an address, as behind a proxy, got records of crashes late, so a request that crashes instances was sent on meanwhile. The digest of a peer's records was remembered by the address of its polls and pings: as soon as one daemon there had a record, all counted as up to date, and their full updates shared one pause.

Pings now carry the mark of the sending process as polls do, and digests of daemons that ask are kept by it, so that each has its own.

--- a/src/sassafrasstair/forwarding/_crash_updates.py
+++ b/src/sassafrasstair/forwarding/_crash_updates.py
@@ -12,12 +12,14 @@
 from sassafrasstair.decisions import crashes
 from sassafrasstair.forwarding import _crash_wire
 from sassafrasstair.forwarding import _crashes
+from sassafrasstair.forwarding import _feed_wire
 from sassafrasstair.forwarding import _wire
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
     from sassafrasstair.forwarding import _state
+    from sassafrasstair import httpio
 
 UPDATE_PAUSE_SECONDS = 0.5
 UPDATE_PAUSE_SECONDS_MAX = 4.0
@@ -42,28 +44,28 @@
     update_pause: float = UPDATE_PAUSE_SECONDS
 
 
-def header(daemon: _state.Daemon, host: str) -> tuple[bytes, bytes]:
+def header(daemon: _state.Daemon, peer_key: str) -> tuple[bytes, bytes]:
     """Return the header for a peer, with all records if an update is due."""
     ledger = daemon.crash_ledger
-    if not needs_full_update(daemon, host):
+    if not needs_full_update(daemon, peer_key):
         return _crash_wire.HEADER, _crash_wire.encode(ledger.digest)
     now = daemon.clock.monotonic()
-    peer = daemon.crash_peers[host]
+    peer = daemon.crash_peers[peer_key]
     peer.next_update_at = now + peer.update_pause
     peer.update_pause = min(UPDATE_PAUSE_SECONDS_MAX, 2.0 * peer.update_pause)
     reports = crashes.reports_since(ledger, now)
     return _crash_wire.HEADER, _crash_wire.encode(ledger.digest, reports)
 
 
-def is_in_sync(daemon: _state.Daemon, host: str) -> bool:
+def is_in_sync(daemon: _state.Daemon, peer_key: str) -> bool:
     """Return whether a peer is known to have the same records."""
-    peer = daemon.crash_peers.get(host)
+    peer = daemon.crash_peers.get(peer_key)
     return peer is not None and peer.digest == daemon.crash_ledger.digest
 
 
-def needs_full_update(daemon: _state.Daemon, host: str) -> bool:
+def needs_full_update(daemon: _state.Daemon, peer_key: str) -> bool:
     """Return whether a peer's records differ and a full update is due."""
-    peer = daemon.crash_peers.get(host)
+    peer = daemon.crash_peers.get(peer_key)
     if peer is None or peer.digest == daemon.crash_ledger.digest:
         return False
     return daemon.clock.monotonic() >= peer.next_update_at
@@ -72,7 +74,29 @@
 def receive(
     daemon: _state.Daemon, host: str, headers: abc.Mapping[bytes, bytes]
 ) -> None:
-    """Merge the records of a peer's message."""
+    """Merge the records of the answer of a peer that was asked at a host."""
+    _receive(daemon, host, host, headers)
+
+
+def receive_request(daemon: _state.Daemon, exchange: httpio.Exchange) -> str:
+    """Merge the records of a poll or ping; return the key of its sender.
+
+    Daemons behind a proxy share an address, so the sender's mark is the key.
+    Daemons of the previous release send none with a ping.
+    """
+    host, headers = exchange.peer_host, exchange.request.headers
+    mark = headers.get(_feed_wire.SENDER_HEADER_LOWER)
+    peer_key = host if mark is None else mark.decode("latin-1")
+    _receive(daemon, peer_key, host, headers)
+    return peer_key
+
+
+def _receive(
+    daemon: _state.Daemon,
+    peer_key: str,
+    host: str,
+    headers: abc.Mapping[bytes, bytes],
+) -> None:
     value = headers.get(_crash_wire.HEADER_LOWER)
     if value is None:
         return
@@ -82,10 +106,10 @@
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         return
     _crashes.receive_reports(daemon, reports, host)
-    peer = daemon.crash_peers.pop(host, None) or PeerDigest(digest)
+    peer = daemon.crash_peers.pop(peer_key, None) or PeerDigest(digest)
     peer.digest = digest
     if digest == daemon.crash_ledger.digest:
         peer.next_update_at, peer.update_pause = 0.0, UPDATE_PAUSE_SECONDS
-    daemon.crash_peers[host] = peer
+    daemon.crash_peers[peer_key] = peer
     if len(daemon.crash_peers) > PEERS_MAX:
         del daemon.crash_peers[next(iter(daemon.crash_peers))]
--- a/src/sassafrasstair/forwarding/_feed_wire.py
+++ b/src/sassafrasstair/forwarding/_feed_wire.py
@@ -23,7 +23,7 @@
 HEADER_LOWER = HEADER.lower()
 SENDER_HEADER = b"Sassafras-Sender"
 SENDER_HEADER_LOWER = SENDER_HEADER.lower()
-"""Identifies the process that polls."""
+"""Identifies the process that polls or pings."""
 LOOP_STATUS = 508
 """Status of the answer to a daemon that has polled itself."""
 HOLD_SECONDS_MAX = 10.0
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -45,13 +45,12 @@
         return
     path, _, query = request.target.partition(b"?")
     if path == _wire.PING_PATH:
-        peer = exchange.peer_host
-        _crash_updates.receive(daemon, peer, request.headers)
-        _peers.receive_status(daemon, peer, request.headers)
+        sender = _crash_updates.receive_request(daemon, exchange)
+        _peers.receive_status(daemon, exchange.peer_host, request.headers)
         fields = [
             _state_field(daemon),
             _polls.status_header(daemon),
-            _crash_updates.header(daemon, peer),
+            _crash_updates.header(daemon, sender),
             *_confirmations.headers(daemon),
             *_wire.last_resort_fields(_takes_last_resorts(daemon)),
         ]
--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -203,7 +203,8 @@
 
     ``done`` is set once the peer has answered or failed.
     """
-    sent = [(b"Host", host.encode()), header, *fields]
+    mark = (_feed_wire.SENDER_HEADER, daemon.process_mark)
+    sent = [(b"Host", host.encode()), header, mark, *fields]
     head = httpio.request_head(b"GET", _wire.PING_PATH, sent, 0)
     asked_at = daemon.clock.monotonic()
     job = httpio.Job(
@@ -264,8 +265,9 @@
     """Poll a daemon for the changes that this one lacks."""
     daemon.pulled_hosts.add(address.host)
     header = _crash_updates.header(daemon, address.host)
+    mark = (_feed_wire.SENDER_HEADER, daemon.process_mark)
     head = _feed_wire.poll_head(
-        address.host, daemon.view.revision, 0.0, header
+        address.host, daemon.view.revision, 0.0, header, mark
     )
     asked_at = daemon.clock.monotonic()
     on_done = functools.partial(
--- a/src/sassafrasstair/forwarding/_polls.py
+++ b/src/sassafrasstair/forwarding/_polls.py
@@ -33,13 +33,14 @@
 class HeldPoll:
     """A poll that is held open until there are changes.
 
-    ``after`` is the revision from which the sender needs changes. The poll
-    was read at ``received_at`` and is answered at ``held_until`` at the
-    latest.
+    ``after`` is the revision from which the sender needs changes. ``sender``
+    is the key of its digest in ``Daemon.crash_peers``. The poll was read at
+    ``received_at`` and is answered at ``held_until`` at the latest.
     """
 
     exchange: httpio.Exchange
     after: int
+    sender: str
     held_until: float
     received_at: float
 
@@ -64,14 +65,13 @@
     if hold_seconds is None:
         _serve_snapshot(daemon, exchange, after)
         return
-    peer = exchange.peer_host
-    _crash_updates.receive(daemon, peer, exchange.request.headers)
+    sender = _crash_updates.receive_request(daemon, exchange)
     must_answer = (
         daemon.view.content_revision > after
-        or _crash_updates.needs_full_update(daemon, peer)
+        or _crash_updates.needs_full_update(daemon, sender)
     )
     now = daemon.clock.monotonic()
-    poll = HeldPoll(exchange, after, now + hold_seconds, now)
+    poll = HeldPoll(exchange, after, sender, now + hold_seconds, now)
     if must_answer or not hold_seconds or daemon.leaving:
         _answer(daemon, poll)
         return
@@ -115,7 +115,7 @@
     due = [
         poll
         for poll in daemon.held_polls
-        if not _crash_updates.is_in_sync(daemon, poll.exchange.peer_host)
+        if not _crash_updates.is_in_sync(daemon, poll.sender)
     ]
     daemon.held_polls = [poll for poll in daemon.held_polls if poll not in due]
     for poll in due:
@@ -147,9 +147,7 @@
     crash_header: tuple[bytes, bytes] | None = None,
 ) -> None:
     body = _encode_changes(daemon, poll.after)
-    crash_header = crash_header or _crash_updates.header(
-        daemon, poll.exchange.peer_host
-    )
+    crash_header = crash_header or _crash_updates.header(daemon, poll.sender)
     poll.exchange.gone = None
     held_seconds = daemon.clock.monotonic() - poll.received_at
     confirmed = _confirmations.headers(daemon, held_seconds)
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -72,10 +72,10 @@
     fingerprints, computed only while crashes are known.
 
     ``crash_ledger`` holds the known crashes; peers have been sent its changes
-    up to ``crash_sent_version``. ``crash_peers`` are the digests of peers by
-    host. ``crash_changed`` and ``crash_urgent`` signal changes to be sent.
-    ``suspect_standings`` are the standings of isolated and blocked requests,
-    by fingerprint.
+    up to ``crash_sent_version``. ``crash_peers`` are the digests of peers, by
+    host of those asked, by mark of those that ask. ``crash_changed`` and
+    ``crash_urgent`` signal changes to be sent. ``suspect_standings`` are the
+    standings of isolated and blocked requests, by fingerprint.
 
     ``last_notices`` hold what instances last said of themselves in their
     answers, by instance; those that say nothing are left out.
@@ -91,10 +91,10 @@
     from. ``feed_woken`` interrupts the feed's waiting. ``foreign_readers``
     are hosts in other failure domains.
 
-    ``process_mark`` identifies this process in its polls. ``pulled_hosts``
-    are hosts that are being asked for newer data. ``confirming_policy`` is
-    set while only the policy is being read, and ``asking_versions`` while
-    peers are asked which policy they have.
+    ``process_mark`` identifies this process in its polls and pings.
+    ``pulled_hosts`` are hosts that are being asked for newer data.
+    ``confirming_policy`` is set while only the policy is being read, and
+    ``asking_versions`` while peers are asked which policy they have.
 
     ``header_names`` are the platform's names of header fields, and
     ``header_keys`` the same in lower case. ``leaving_since`` says since
--- a/tests/fleets/networks.py
+++ b/tests/fleets/networks.py
@@ -26,6 +26,7 @@
     of all links of a host. A share of ``resent_share`` of the messages is
     resent by TCP and arrives ``RESEND_SECONDS`` later. ``paused_until`` holds
     hosts that run nothing until then: what they would send or receive waits.
+    With ``proxy_host`` receivers see that address in place of the sender's.
 
     ``sent_bytes`` counts the bytes of the answers of each host,
     ``body_bytes`` those of the bodies of all answers.
@@ -40,6 +41,7 @@
     extra_seconds: dict[str, float] = dataclasses.field(default_factory=dict)
     resent_share: float = 0.0
     paused_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    proxy_host: str = ""
     rng: random.Random = dataclasses.field(
         default_factory=lambda: random.Random(1)
     )
@@ -88,9 +90,10 @@
         self, network: Network, sender: str, receiver: str, job: httpio.Job
     ) -> None:
         self.request = parse_request(job.data)
-        self.peer_host = sender
+        self.peer_host = network.proxy_host or sender
         self.gone: typing.Callable[[], None] | None = None
         self._network = network
+        self._sender = sender
         self._receiver = receiver
         self._job = job
 
@@ -104,7 +107,7 @@
         """Send the answer."""
         network, receiver = self._network, self._receiver
         if (
-            not network.delivers(receiver, self.peer_host)
+            not network.delivers(receiver, self._sender)
             or receiver in network.dead_hosts
         ):
             return
@@ -117,17 +120,17 @@
         found = {lower: value for lower, _, value in parsed}
         answer = httpio.Response(status, parsed, found, body)
         asyncio.get_running_loop().call_later(
-            network.delay_seconds(receiver, self.peer_host),
+            network.delay_seconds(receiver, self._sender),
             self._deliver,
             answer,
         )
 
     def _deliver(self, answer: httpio.Response) -> None:
-        paused = self._network.pause_seconds(self.peer_host)
+        paused = self._network.pause_seconds(self._sender)
         if paused:
             loop = asyncio.get_running_loop()
             loop.call_later(paused, self._deliver, answer)
-        elif self._network.delivers(self._receiver, self.peer_host):
+        elif self._network.delivers(self._receiver, self._sender):
             self._job.end(answer)
 
 
--- a/tests/fleets/test_crashes.py
+++ b/tests/fleets/test_crashes.py
@@ -12,6 +12,7 @@
 
 from sassafrasstair.decisions import crashes
 from sassafrasstair.forwarding import _crash_wire
+from sassafrasstair.forwarding import _crashes
 from tests.fleets import fleet as fleet_module
 from tests.fleets import instances
 from tests.fleets import loops
@@ -161,6 +162,32 @@
     loops.run(test())
 
 
+@pytest.mark.parametrize("proxy_host", ["", "10.9.0.1"])
+@pytest.mark.parametrize(("count", "domains"), [(13, 1), (36, 3)])
+def test_each_daemon_learns_of_each_crash(
+    count: int, domains: int, proxy_host: str
+) -> None:
+    """A daemon counted as updated once any at its proxy's address was."""
+
+    async def test() -> None:
+        fleet, _ = await start_fleet(count, domains)
+        fleet.network.proxy_host = proxy_host
+        await asyncio.sleep(STABLE_SECONDS)
+        for number, host in enumerate(fleet.hosts):
+            run = crashes.Run(number, 0.1)
+            report = crashes.Report((host, 1), 0.0, (run,), 0, 0)
+            _crashes.receive_reports(fleet.daemons[host], [report], host)
+            await asyncio.sleep(BROADCAST_SECONDS)
+            behind = [
+                other
+                for other, daemon in fleet.daemons.items()
+                if len(daemon.crash_ledger.crashes) != number + 1
+            ]
+            assert behind == []
+
+    loops.run(test())
+
+
 def test_crashing_request_that_may_run_only_once_is_blocked() -> None:
     """Clients repeat a request with a body, which daemons never retry."""
 
