Send no crash records in answers to probes

A daemon that probed a silent instance's daemon got all crash records in the answer, ignored them, and counted as updated for 0.5 to 4 s. So it learned of a crash late, and probes are sent right after crashes. Probes carry no digest; the answer now leaves the records' header out unless the ping has it, so the next poll or ping that reads records gets them.

"pytest tests/forwarding/test_crash_updates.py" failed before (the ping after a probe got no record: [] where ["i-1"] is due) and passes now.

--- a/src/sassafrasstair/forwarding/_crash_updates.py
+++ b/src/sassafrasstair/forwarding/_crash_updates.py
@@ -57,6 +57,19 @@
     return _crash_wire.HEADER, _crash_wire.encode(ledger.digest, reports)
 
 
+def reply_fields(
+    daemon: _state.Daemon, exchange: httpio.Exchange, peer_key: str
+) -> httpio.Fields:
+    """Return the header for the answer to a ping.
+
+    It is left out for probes, whose senders read no records. Records sent to
+    them would count as sent to the peer.
+    """
+    if _crash_wire.HEADER_LOWER not in exchange.request.headers:
+        return []
+    return [header(daemon, peer_key)]
+
+
 def is_in_sync(daemon: _state.Daemon, peer_key: str) -> bool:
     """Return whether a peer is known to have the same records."""
     peer = daemon.crash_peers.get(peer_key)
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -50,7 +50,7 @@
         fields = [
             _state_field(daemon),
             _polls.status_header(daemon),
-            _crash_updates.header(daemon, sender),
+            *_crash_updates.reply_fields(daemon, exchange, sender),
             *_confirmations.headers(daemon),
             *_wire.last_resort_fields(_takes_last_resorts(daemon)),
         ]
