Hold back only crash records that were sent before

After a full update to a peer whose records differ, nothing was sent to it for a pause of 0.5 to 4 s, not even a new record, and a poll was held for its whole hold time though records were due to it. So daemons got records late, and after a lost answer too, while a request went on crashing instances.

The digest of a peer now comes with the version of the ledger that it has been sent: later changes go at once, and the pause bounds only repeats. A poll of a peer that lacks records is held until the next repeat at most.

"pytest tests/forwarding/test_crash_updates.py" before: the poll after a new record was answered after its hold time with ["i-1", "i-2"] where ["i-2"] is due at once, and the repeated poll after 8.03 s of 8 s (2 failed, 1 passed); now 3 passed.

--- a/src/sassafrasstair/forwarding/_crash_broadcast.py
+++ b/src/sassafrasstair/forwarding/_crash_broadcast.py
@@ -50,15 +50,17 @@
 def _broadcast(daemon: _state.Daemon) -> None:
     ledger = daemon.crash_ledger
     now = daemon.clock.monotonic()
-    reports = crashes.reports_since(ledger, now, daemon.crash_sent_version)
+    since = daemon.crash_sent_version
+    reports = crashes.reports_since(ledger, now, since)
     daemon.crash_sent_version = ledger.version
     if not reports:
         return
     value = _crash_wire.encode(ledger.digest, reports)
-    _polls.answer_with_crashes(daemon, (_crash_wire.HEADER, value))
+    _polls.answer_with_crashes(daemon, (_crash_wire.HEADER, value), since)
     for host in _hosts_to_ping(daemon):
         if _crash_updates.is_in_sync(daemon, host):
             continue
+        _crash_updates.mark_sent(daemon, host, since)
         _peers.ping(daemon, host, (_crash_wire.HEADER, value))
 
 
--- a/src/sassafrasstair/forwarding/_crash_updates.py
+++ b/src/sassafrasstair/forwarding/_crash_updates.py
@@ -1,12 +1,14 @@
 """Exchanges crash records with peers in the feed's polls and pings.
 
 Each message carries the digest of its sender's records. If the digests differ,
-all records are sent, with a growing pause between such full updates.
+records that the peer has not been sent go at once, and all records again with
+a growing pause between such full updates.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from sassafrasstair.decisions import crashes
@@ -35,25 +37,33 @@
 class PeerDigest:
     """The digest of a peer's records, and when a full update is due.
 
-    ``update_pause`` is the time between the next full update and the one
-    that follows it.
+    The peer has been sent all changes of this daemon's records up to
+    ``sent_version``. ``update_pause`` is the time between the next full update
+    and the one that follows it.
     """
 
     digest: int
+    sent_version: int = 0
     next_update_at: float = 0.0
     update_pause: float = UPDATE_PAUSE_SECONDS
 
 
 def header(daemon: _state.Daemon, peer_key: str) -> tuple[bytes, bytes]:
-    """Return the header for a peer, with all records if an update is due."""
+    """Return the header for a peer, with the records that it may lack."""
     ledger = daemon.crash_ledger
-    if not needs_full_update(daemon, peer_key):
+    if not needs_update(daemon, peer_key):
         return _crash_wire.HEADER, _crash_wire.encode(ledger.digest)
     now = daemon.clock.monotonic()
     peer = daemon.crash_peers[peer_key]
-    peer.next_update_at = now + peer.update_pause
-    peer.update_pause = min(UPDATE_PAUSE_SECONDS_MAX, 2.0 * peer.update_pause)
-    reports = crashes.reports_since(ledger, now)
+    since = peer.sent_version
+    if now >= peer.next_update_at:
+        since = 0
+        peer.next_update_at = now + peer.update_pause
+        peer.update_pause = min(
+            UPDATE_PAUSE_SECONDS_MAX, 2.0 * peer.update_pause
+        )
+    peer.sent_version = ledger.version
+    reports = crashes.reports_since(ledger, now, since)
     return _crash_wire.HEADER, _crash_wire.encode(ledger.digest, reports)
 
 
@@ -76,14 +86,31 @@
     return peer is not None and peer.digest == daemon.crash_ledger.digest
 
 
-def needs_full_update(daemon: _state.Daemon, peer_key: str) -> bool:
-    """Return whether a peer's records differ and a full update is due."""
+def needs_update(daemon: _state.Daemon, peer_key: str) -> bool:
+    """Return whether records are to be sent to a peer now."""
     peer = daemon.crash_peers.get(peer_key)
-    if peer is None or peer.digest == daemon.crash_ledger.digest:
+    if peer is None or is_in_sync(daemon, peer_key):
         return False
+    if daemon.crash_ledger.version > peer.sent_version:
+        return True
     return daemon.clock.monotonic() >= peer.next_update_at
 
 
+def next_update_at(daemon: _state.Daemon, peer_key: str) -> float:
+    """Return when records are to be sent again to a peer that lacks some."""
+    peer = daemon.crash_peers.get(peer_key)
+    if peer is None or is_in_sync(daemon, peer_key):
+        return math.inf
+    return peer.next_update_at
+
+
+def mark_sent(daemon: _state.Daemon, peer_key: str, since: int) -> None:
+    """Note that a peer has been sent all changes after a version."""
+    peer = daemon.crash_peers.get(peer_key)
+    if peer is not None and peer.sent_version >= since:
+        peer.sent_version = daemon.crash_ledger.version
+
+
 def receive(
     daemon: _state.Daemon, host: str, headers: abc.Mapping[bytes, bytes]
 ) -> None:
@@ -122,6 +149,7 @@
     peer = daemon.crash_peers.pop(peer_key, None) or PeerDigest(digest)
     peer.digest = digest
     if digest == daemon.crash_ledger.digest:
+        peer.sent_version = daemon.crash_ledger.version
         peer.next_update_at, peer.update_pause = 0.0, UPDATE_PAUSE_SECONDS
     daemon.crash_peers[peer_key] = peer
     if len(daemon.crash_peers) > PEERS_MAX:
--- a/src/sassafrasstair/forwarding/_polls.py
+++ b/src/sassafrasstair/forwarding/_polls.py
@@ -68,10 +68,13 @@
     sender = _crash_updates.receive_request(daemon, exchange)
     must_answer = (
         daemon.view.content_revision > after
-        or _crash_updates.needs_full_update(daemon, sender)
+        or _crash_updates.needs_update(daemon, sender)
     )
     now = daemon.clock.monotonic()
-    poll = HeldPoll(exchange, after, sender, now + hold_seconds, now)
+    held_until = min(
+        now + hold_seconds, _crash_updates.next_update_at(daemon, sender)
+    )
+    poll = HeldPoll(exchange, after, sender, held_until, now)
     if must_answer or not hold_seconds or daemon.leaving:
         _answer(daemon, poll)
         return
@@ -109,9 +112,12 @@
 
 
 def answer_with_crashes(
-    daemon: _state.Daemon, header: tuple[bytes, bytes]
+    daemon: _state.Daemon, header: tuple[bytes, bytes], since: int
 ) -> None:
-    """Answer all polls of daemons that may lack the new crash records."""
+    """Answer all polls of daemons that may lack the new crash records.
+
+    The header holds those that changed after the version ``since``.
+    """
     due = [
         poll
         for poll in daemon.held_polls
@@ -119,6 +125,7 @@
     ]
     daemon.held_polls = [poll for poll in daemon.held_polls if poll not in due]
     for poll in due:
+        _crash_updates.mark_sent(daemon, poll.sender, since)
         _answer(daemon, poll, header)
 
 
