Let readers of the store learn of crashes in their domain

A daemon that reads the store though others of its failure domain do so too, as after a start or a cut, learned of crashes elsewhere in its domain only when it followed another daemon again; one without an entry that comes first in the order never did. So requests that crash instances were sent on there. Such a daemon polls none, and readers compared themselves only with other domains. It now pings another possible reader of its own domain as well whenever it compares itself, and the answer brings the records.

--- a/src/sassafrasstair/forwarding/_peers.py
+++ b/src/sassafrasstair/forwarding/_peers.py
@@ -54,7 +54,8 @@
 
     A reader whose watch has stalled, or that is cut off from the store, would
     keep its whole failure domain behind. Such a reader pings several daemons,
-    as any of them may be up to date.
+    as any of them may be up to date. A reader that is not the only one of its
+    failure domain also pings another of that, which does not know it.
     """
     while True:
         pause = daemon.feed.timing.compare_interval * (
@@ -69,10 +70,25 @@
             daemon.feed, daemon.view.store_answered_at, now
         )
         count = min(len(others), PINGS_WHEN_STALLED if stalled else 1)
-        for host in daemon.rng.sample(others, count):
+        neighbours = _neighbouring_readers(daemon)
+        for host in (
+            *daemon.rng.sample(others, count),
+            *daemon.rng.sample(neighbours, min(len(neighbours), 1)),
+        ):
             ping(daemon, host, _crash_updates.header(daemon, host))
 
 
+def _neighbouring_readers(daemon: _state.Daemon) -> tuple[str, ...]:
+    """Return hosts that may read the store for this one's failure domain.
+
+    If the store lists this host, they are those that precede it. Otherwise
+    others do not count it, and the first of them reads the store, too.
+    """
+    feed = daemon.feed
+    is_listed = feed.own_host in feed.hosts
+    return feeds.reader_hosts(feed.earlier_hosts if is_listed else feed.hosts)
+
+
 def notify_readers(daemon: _state.Daemon) -> None:
     """Tell this stand-in's revision to the readers of all failure domains.
 
--- a/tests/fleets/test_crashes.py
+++ b/tests/fleets/test_crashes.py
@@ -11,6 +11,7 @@
 import pytest
 
 from sassafrasstair.decisions import crashes
+from sassafrasstair.decisions import feeds
 from sassafrasstair.forwarding import _crash_wire
 from sassafrasstair.forwarding import _crashes
 from tests.fleets import fleet as fleet_module
@@ -188,6 +189,44 @@
     loops.run(test())
 
 
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_daemon_that_follows_none_learns_of_crashes(is_listed: bool) -> None:
+    """Readers of the store learned of crashes only from earlier readers.
+
+    One daemon reads the store as it has been cut off from the others, or as
+    it comes first in its failure domain without an entry.
+    """
+
+    async def test() -> None:
+        fleet = fleet_module.Fleet(13, 1)
+        await fleet.start()
+        if is_listed:
+            host = max(
+                fleet.hosts,
+                key=lambda each: len(fleet.daemons[each].feed.earlier_hosts),
+            )
+            fleet.partition({host})
+            while not feeds.reads_store(fleet.daemons[host].feed):
+                await asyncio.sleep(0.1)
+            fleet.network.blocked_links.clear()
+        else:
+            host = next(
+                added
+                for added in (f"10.0.0.{number}" for number in range(14, 255))
+                if feeds.reader_hosts([*fleet.hosts, added])[0] == added
+            )
+            fleet.restart(host)
+            await asyncio.sleep(STABLE_SECONDS)
+        daemon, other = fleet.daemons[host], fleet.hosts[5]
+        report = crashes.Report(("i", 1), 0.0, (crashes.Run(1, 0.1),), 0, 0)
+        _crashes.receive_reports(fleet.daemons[other], [report], other)
+        await asyncio.sleep(STABLE_SECONDS)
+        assert feeds.reads_store(daemon.feed)
+        assert len(daemon.crash_ledger.crashes) == 1
+
+    loops.run(test())
+
+
 def test_crashing_request_that_may_run_only_once_is_blocked() -> None:
     """Clients repeat a request with a body, which daemons never retry."""
 
