Tell followers at once that the store is in doubt

Cause: the direct followers of a reader that has lost the store check it by turns, but their own followers began to wait for their turn only once those had lost the store, too: one timeout for an answer more for each level. Change: a follower that begins to doubt the store answers its held polls at once, and a header of its own says for how long the store has been in doubt. The followers take their turns from then on, and pass it on in turn. Why it works: the turns follow the order of all hosts of the domain, so they need no wait for each level, and an answer ends all of them as before.

--- a/src/sassafrasstair/decisions/feeds/__init__.py
+++ b/src/sassafrasstair/decisions/feeds/__init__.py
@@ -31,8 +31,10 @@
 from sassafrasstair.decisions.feeds._store_checks import check_answered
 from sassafrasstair.decisions.feeds._store_checks import check_due
 from sassafrasstair.decisions.feeds._store_checks import check_sent
+from sassafrasstair.decisions.feeds._store_checks import doubt_seconds
 from sassafrasstair.decisions.feeds._store_checks import lost_since
 from sassafrasstair.decisions.feeds._store_checks import mark_change_missed
+from sassafrasstair.decisions.feeds._store_checks import parent_in_doubt
 from sassafrasstair.decisions.feeds._types import PeerStatus
 from sassafrasstair.decisions.feeds._types import Poll
 from sassafrasstair.decisions.feeds._types import Read
@@ -60,6 +62,7 @@
     "check_sent",
     "choose_parent",
     "confirm_store",
+    "doubt_seconds",
     "earlier_hosts",
     "first_hosts",
     "expedite_recheck",
@@ -70,6 +73,7 @@
     "mark_change_missed",
     "new_feed",
     "next_step",
+    "parent_in_doubt",
     "peer_ahead_limit",
     "peer_answered",
     "peer_failed",
--- a/src/sassafrasstair/decisions/feeds/_feeds.py
+++ b/src/sassafrasstair/decisions/feeds/_feeds.py
@@ -418,10 +418,15 @@
             feed.use_store_until = now + _jitter(AVOID_SECONDS, rng)
         return
     unanswered = status.age_seconds if status.lost is None else status.lost
+    suspect_store(feed, now - unanswered, now, rng)
+
+
+def suspect_store(
+    feed: Feed, since: float, now: float, rng: random.Random
+) -> None:
+    """Schedule a check of the store, in the order of the hosts."""
     turn = len(feed.earlier_hosts) - 1
-    _fallbacks.suspect(
-        feed.fallback, feed.timing, now - unanswered, turn, now, rng
-    )
+    _fallbacks.suspect(feed.fallback, feed.timing, since, turn, now, rng)
 
 
 def _avoid_if_behind(
--- a/src/sassafrasstair/decisions/feeds/_store_checks.py
+++ b/src/sassafrasstair/decisions/feeds/_store_checks.py
@@ -66,6 +66,35 @@
     return had_outage
 
 
+def doubt_seconds(
+    feed: _feeds.Feed, last_answer_at: float, now: float
+) -> float | None:
+    """Return for how long the store has been in doubt, None if it is not.
+
+    It is in doubt to a daemon whose parent has lost it, until the daemon
+    learns of a later answer. ``last_answer_at`` is when the store last
+    answered, as far as this daemon knows.
+    """
+    since = feed.fallback.suspected_since
+    return None if since is None or last_answer_at > since else now - since
+
+
+def parent_in_doubt(
+    feed: _feeds.Feed,
+    seconds: float,
+    last_answer_at: float,
+    now: float,
+    rng: random.Random,
+) -> None:
+    """Schedule a check, as the store has been in doubt to the parent.
+
+    Otherwise each level of followers would wait until the level above it has
+    lost the store, too. ``last_answer_at`` is as in ``doubt_seconds``.
+    """
+    if last_answer_at <= now - seconds and not feed.fallback.stands_in:
+        _feeds.suspect_store(feed, now - seconds, now, rng)
+
+
 def lost_since(feed: _feeds.Feed, now: float) -> float | None:
     """Return since when the store has been lost to this daemon's checks.
 
--- a/src/sassafrasstair/forwarding/_feed_wire.py
+++ b/src/sassafrasstair/forwarding/_feed_wire.py
@@ -18,12 +18,18 @@
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 VIEW_PATH = b"/-sassafras/view"
 HEADER = b"Sassafras-Feed"
 HEADER_LOWER = HEADER.lower()
 SENDER_HEADER = b"Sassafras-Sender"
 SENDER_HEADER_LOWER = SENDER_HEADER.lower()
 """Identifies the process that polls or pings."""
+DOUBT_HEADER = b"Sassafras-Doubt"
+DOUBT_HEADER_LOWER = DOUBT_HEADER.lower()
+"""For how many seconds the store has been in doubt to a polled daemon."""
 LOOP_STATUS = 508
 """Status of the answer to a daemon that has polled itself."""
 HOLD_SECONDS_MAX = 10.0
@@ -118,6 +124,25 @@
     return status, views.usable_delta(delta)
 
 
+def doubt_header(seconds: float) -> tuple[bytes, bytes]:
+    """Return the header for a store that has been in doubt."""
+    return DOUBT_HEADER, b"%.3f" % seconds
+
+
+def decode_doubt(headers: abc.Mapping[bytes, bytes]) -> float | None:
+    """Return for how long the store has been in doubt, None if it is not.
+
+    Raises ``WireError``.
+    """
+    value = headers.get(DOUBT_HEADER_LOWER)
+    if value is None:
+        return None
+    try:
+        return _wire.parse_amount(value.decode())
+    except ValueError as error:
+        raise _wire.WireError(f"feed: {error}") from error
+
+
 def encode_delta(delta: views.Delta) -> bytes:
     """Return the body of an answer, empty if nothing changed."""
     return b"" if delta.empty else msgspec.msgpack.encode(delta)
--- a/src/sassafrasstair/forwarding/_polls.py
+++ b/src/sassafrasstair/forwarding/_polls.py
@@ -100,6 +100,13 @@
     )
 
 
+def _doubt_headers(daemon: _state.Daemon) -> httpio.Fields:
+    now = daemon.clock.monotonic()
+    last_answer_at = daemon.view.store_answered_at
+    doubt = feeds.doubt_seconds(daemon.feed, last_answer_at, now)
+    return [] if doubt is None else [_feed_wire.doubt_header(doubt)]
+
+
 def answer_outdated(daemon: _state.Daemon) -> None:
     """Answer the polls of all daemons that lack changes."""
     daemon.encoded_answers.clear()
@@ -159,6 +166,7 @@
     held_seconds = daemon.clock.monotonic() - poll.received_at
     confirmed = _confirmations.headers(daemon, held_seconds)
     headers = [status_header(daemon), crash_header, *confirmed]
+    headers += _doubt_headers(daemon)
     poll.exchange.respond(200, headers, body)
 
 
--- a/src/sassafrasstair/forwarding/_sync.py
+++ b/src/sassafrasstair/forwarding/_sync.py
@@ -24,6 +24,7 @@
 from sassafrasstair.forwarding import _learning
 from sassafrasstair.forwarding import _peers
 from sassafrasstair.forwarding import _policy_checks
+from sassafrasstair.forwarding import _polls
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _status
 from sassafrasstair.forwarding import _wire
@@ -178,11 +179,13 @@
         return
     try:
         status, delta = _feed_wire.decode_answer(status_header, result.body)
+        doubt = _feed_wire.decode_doubt(result.headers)
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
         _handle_parent_failure(daemon, host, "malformed")
         return
     _crash_updates.receive(daemon, host, result.headers)
+    was_in_doubt = _is_in_doubt(daemon, now)
     feeds.peer_answered(
         daemon.feed,
         host,
@@ -197,7 +200,17 @@
         _learning.record_store_failure(
             daemon, now - status.lost, "peers_lost", host
         )
+    if doubt is not None and status.lost is None:
+        feeds.parent_in_doubt(
+            daemon.feed,
+            doubt,
+            daemon.view.store_answered_at,
+            now,
+            daemon.rng,
+        )
     _learning.take_delta(daemon, status, delta, host)
+    if _is_in_doubt(daemon, now) and not was_in_doubt:
+        _polls.answer_all(daemon)
     try:
         _confirmations.receive(
             daemon, result.headers, asked_at, status.revision
@@ -206,6 +219,12 @@
         daemon.journal.note("peer_malformed", peer=host, error=str(error))
 
 
+def _is_in_doubt(daemon: _state.Daemon, now: float) -> bool:
+    last_answer_at = daemon.view.store_answered_at
+    doubt = feeds.doubt_seconds(daemon.feed, last_answer_at, now)
+    return doubt is not None
+
+
 async def _send_poll(
     daemon: _state.Daemon, host: str, head: bytes, timeout: float
 ) -> _Result:
--- a/tests/decisions/feeds/test_fallbacks.py
+++ b/tests/decisions/feeds/test_fallbacks.py
@@ -139,3 +139,22 @@
     feeds.peer_answered(feed, parent, ANSWERED, 10, now + 0.1, _rng())
     assert not feed.fallback.stands_in
     assert feeds.choose_parent(feed, now + 0.1) == parent
+
+
+@pytest.mark.parametrize(
+    ("last_answer_at", "is_in_doubt"), [(LOST_AT - 1.0, True), (10.5, False)]
+)
+def test_doubt_of_a_parent_is_passed_on_unless_a_later_answer_is_known(
+    last_answer_at: float, is_in_doubt: bool
+) -> None:
+    """Later followers waited until their parents had lost the store, too."""
+    feed, now = _follower(), LOST_AT + 1.0
+    feeds.peer_answered(feed, feed.parent or "", ANSWERED, 10, now, _rng())
+    feeds.parent_in_doubt(feed, 1.0, last_answer_at, now, _rng())
+    expected = 1.0 if is_in_doubt else None
+    assert feeds.doubt_seconds(feed, last_answer_at, now) == expected
+    later = now + len(HOSTS) * TIMING.fallback_interval
+    assert feeds.check_due(feed, last_answer_at, later) is is_in_doubt
+    feeds.confirm_store(feed, LOST_AT + 0.1)
+    assert feeds.doubt_seconds(feed, last_answer_at, now) is None
+    assert not feeds.check_due(feed, last_answer_at, later)
--- a/tests/forwarding/test_feed_wire.py
+++ b/tests/forwarding/test_feed_wire.py
@@ -93,3 +93,16 @@
         return
     with pytest.raises(_wire.WireError):
         _feed_wire.decode_poll(query, header)
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(None, None), (b"0.750", 0.75), (b"nan", ...), (b"-1", ...), (b"", ...)],
+)
+def test_decode_doubt(value: bytes | None, expected: object) -> None:
+    headers = {} if value is None else {_feed_wire.DOUBT_HEADER_LOWER: value}
+    if expected is ...:
+        with pytest.raises(_wire.WireError):
+            _feed_wire.decode_doubt(headers)
+        return
+    assert _feed_wire.decode_doubt(headers) == expected
