Take no time of a call for a refused connection

What callers saw: in sassafrasstaird each instance at whose address nobody listens cost a call 0.4 s, and a call that expired meanwhile got an unknown outcome, though nothing had been sent. Cause: the request socket connects again and again in the background and does not tell that it is refused, so a message waited until its send timed out. Change: before a message of a call is given to a link that is not connected, a plain connection is tried. If it is refused, or not answered within 0.4 s or the message's own time, the instance is unreachable and nothing was sent. Gossip between daemons is as before.

--- a/src/sassafrasstair/daemons/_links.py
+++ b/src/sassafrasstair/daemons/_links.py
@@ -12,8 +12,10 @@
 
 from sassafrasstair.daemons import _errors
 from sassafrasstair.daemons import _messages
+from sassafrasstair import settings
 
 SEND_TIMEOUT_MS = 400
+CONNECT_SECONDS = 0.4
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
 MAX_IDLE_SECONDS = 60.0
@@ -75,6 +77,30 @@
         raise _errors.PeerLost(f"unreadable reply: {error}") from error
 
 
+async def check_reachable(links: Links, address: str, timeout: float) -> None:
+    """Raise ``PeerUnreachable`` if nobody accepts connections at ``address``.
+
+    A link that is connected is not checked. The socket of any other connects
+    again and again in the background, and does not tell that it is refused:
+    an exchange would wait until its message times out.
+    """
+    if _link_to(links, address).socket.pipes:
+        return
+    try:
+        host, port = settings.parse_address(address)
+    except ValueError:
+        return
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(min(timeout, CONNECT_SECONDS)):
+            transport, _ = await loop.create_connection(
+                asyncio.Protocol, host, port
+            )
+    except (OSError, ValueError) as error:
+        raise _errors.PeerUnreachable(f"{address!r}: {error}") from error
+    transport.abort()
+
+
 def close_idle(links: Links) -> None:
     """Close the sockets that no exchange has used for a minute.
 
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -293,7 +293,10 @@
     address = fleet.address_of(node, vm)
     if address is None:
         raise daemons.PeerUnreachable(f"no address of {vm}")
-    return await daemons.exchange(links, address, message, timeout)
+    deadline = callee.clock.monotonic() + timeout
+    await daemons.check_reachable(links, address, timeout)
+    seconds_left = max(0.0, deadline - callee.clock.monotonic())
+    return await daemons.exchange(links, address, message, seconds_left)
 
 
 async def _exchange_locally(
--- a/tests/daemons/test_links.py
+++ b/tests/daemons/test_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 import typing
 
@@ -15,6 +16,7 @@
 from tests.runtime import meshes
 
 WAIT = 5.0
+QUEUE_FILLERS = 8
 
 
 def new_address() -> str:
@@ -72,6 +74,75 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    "address", ["", "[::1]:9", "[fe80::1%a b]:9", "[fe80::1%a..b]:9"]
+)
+def test_refused_connection_is_told_at_once(
+    address: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A message to an address of nobody waited until it timed out."""
+    monkeypatch.setattr(_links, "SEND_TIMEOUT_MS", int(2_000 * WAIT))
+    monkeypatch.setattr(_links, "CONNECT_SECONDS", 2 * WAIT)
+
+    async def scenario() -> None:
+        links = daemons.Links()
+        with pytest.raises(daemons.PeerUnreachable):
+            await daemons.check_reachable(
+                links, address or new_address(), 2 * WAIT
+            )
+        daemons.close(links)
+
+    asyncio.run(asyncio.wait_for(scenario(), WAIT))
+
+
+def test_connection_that_nobody_answers_is_given_up() -> None:
+    """Nothing was sent, so the outcome must not become unknown."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        address = new_address()
+        host, _, port = address.partition(":")
+        links = daemons.Links()
+        with socket.socket() as listening, contextlib.ExitStack() as stack:
+            listening.bind((host, int(port)))
+            listening.listen(0)
+            # The kernel drops further connections once its queue is full.
+            for _ in range(QUEUE_FILLERS):
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex((host, int(port)))
+            began = loop.time()
+            with pytest.raises(daemons.PeerUnreachable):
+                await daemons.check_reachable(links, address, 0.1)
+            assert loop.time() - began >= 0.1
+        daemons.close(links)
+
+    asyncio.run(asyncio.wait_for(scenario(), WAIT))
+
+
+def test_connected_link_is_not_checked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each message would cost a connection."""
+
+    async def refuse(*_: typing.Any) -> None:
+        raise ConnectionRefusedError
+
+    async def scenario() -> None:
+        address = new_address()
+        server = daemons.listen(address, pong)
+        links = daemons.Links()
+        await daemons.check_reachable(links, address, WAIT)
+        await daemons.exchange(links, address, daemons.Ping(), WAIT)
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "create_connection", refuse)
+        await daemons.check_reachable(links, address, WAIT)
+        daemons.close(links)
+        await daemons.close_server(server)
+
+    asyncio.run(asyncio.wait_for(scenario(), 2 * WAIT))
+
+
 def test_server_answers_after_handler_exceptions() -> None:
     """A server still answers after exceptions in its handler.
 
@@ -197,11 +268,11 @@
     async def scenario() -> None:
         address = new_address()
         server = daemons.listen(address, pong)
-        with pynng.Req0(dial=f"tcp://{address}", recv_timeout=500) as socket:
+        with pynng.Req0(dial=f"tcp://{address}", recv_timeout=500) as peer:
             for _ in range(2 * _server.IDLE_RECEIVERS):
-                await socket.asend(nested)
+                await peer.asend(nested)
                 with contextlib.suppress(pynng.Timeout):
-                    await socket.arecv()
+                    await peer.arecv()
         links = daemons.Links()
         reply = await daemons.exchange(links, address, daemons.Ping(), WAIT)
         assert reply == daemons.Pong("1", True)
--- a/tests/runtime/test_odd_vms.py
+++ b/tests/runtime/test_odd_vms.py
@@ -10,6 +10,7 @@
 import pytest
 
 from sassafrasstair import configservice
+from sassafrasstair.daemons import _links
 from sassafrasstair.runtime import _control
 from tests.runtime import meshes
 
@@ -82,3 +83,28 @@
                     assert answer.status == 200, await answer.text()
 
     asyncio.run(asyncio.wait_for(scenario(), 2 * meshes.WAIT))
+
+
+def test_refused_connections_take_no_time_of_a_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each odd entry that a call drew cost it the time limit of a send."""
+    monkeypatch.setattr(_links, "SEND_TIMEOUT_MS", int(2_000 * meshes.WAIT))
+    headers = {"sassafras-timeout-ms": "2000"}
+
+    async def scenario() -> None:
+        async with meshes.started(_answer) as mesh:
+            entries = await _entries(mesh)
+            entries += [
+                {**entries[1], "vm": f"odd-{number}", "address": address}
+                for number, address in enumerate(NOBODY)
+            ]
+            values = {configservice.VMS_KEY: json.dumps(entries).encode()}
+            _control._handle_vm_list(
+                mesh.front.control, configservice.Snapshot(2, values)
+            )
+            for _ in range(CALLS):
+                async with mesh.call("back", headers=headers) as answer:
+                    assert answer.status == 200, await answer.text()
+
+    asyncio.run(asyncio.wait_for(scenario(), 2 * meshes.WAIT))
