Take late requests at a stop only if their own limits end in time

Cause: a promise made on an estimate. What may be a call of the instance was taken if the longest answer known of its route fitted, runs for other daemons were started by the same.

Change: two bounds that the rule's words give, and no other. What was read whole within 2.8 s of SIGTERM (3 s in the rule, less the time to notice the signal; 0.7 of a shorter grace period) may be cut in the last sixth, and is taken by an estimate as before. All else is taken only if its own limit ends before the final answers, and is refused as not run otherwise, calls and uploads that are read late included. Runs for other daemons have only their own limits: the daemon that took them may stop a moment later. The final answers come 0.5 s before the end of the grace period, not 1 s, which is inside the last sixth and loses less of what is answered late.

Tests that asked for more than can be promised, each replaced by one that asks for the truthful refusal and that what has a bound is served: - test_late_call_of_the_upstream_is_not_cut asked for a run without a bound after SIGTERM, and for a call at 4.2 s; - test_call_whose_longest_time_fits_is_taken asked for a call at 3.0 s: it asks for it at 2.5 s now, and a new test for both answers at 3.2 s; - test_run_that_waited_is_not_started_just_before_the_cut asked for runs of another daemon with limits of 14 s: now for own ones, and for the refusal of the others; - test_run_of_last_resort_after_a_pause_can_make_calls has a limit that ends in time (3.5 s in place of 4 s); - the tables of decisions/stops in the same way.

--- a/src/sassafrasstair/decisions/stops/__init__.py
+++ b/src/sassafrasstair/decisions/stops/__init__.py
@@ -1,9 +1,10 @@
 """What a stopping daemon takes, refuses, closes and ends, and when.
 
-``Stop`` holds the state from the signal to stop on. A request that begins to
-arrive while clients can't know of the stop yet is taken if it can be expected
-to end in time. A later one is taken only if its time limit ends in time, or
-if it may be a call of the upstream and surely ends in time.
+``Stop`` holds the state from the signal to stop on. A request that has been
+read early may be cut at the end of the grace period, so that it is taken if it
+can be expected to end in time. A later one, and any of another daemon, is
+taken only if its own time limit ends in time: how long others took is no
+bound.
 """
 
 from __future__ import annotations
@@ -23,6 +24,7 @@
 from sassafrasstair.decisions.stops._stops import note_last_resort
 from sassafrasstair.decisions.stops._stops import Phase
 from sassafrasstair.decisions.stops._stops import QUIET_SECONDS
+from sassafrasstair.decisions.stops._stops import Run
 from sassafrasstair.decisions.stops._stops import Stop
 from sassafrasstair.decisions.stops._stops import stop_accepting
 from sassafrasstair.decisions.stops._stops import tail_seconds
@@ -35,6 +37,7 @@
     "Longest",
     "Phase",
     "QUIET_SECONDS",
+    "Run",
     "Stop",
     "accepts_connections",
     "begin",
--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -10,6 +10,11 @@
 failed polls."""
 LAME_DUCK_GRACE_RATIO = 0.55
 """The fraction of the grace period that the first phase takes at most."""
+BEST_EFFORT_SECONDS = 2.8
+BEST_EFFORT_GRACE_RATIO = 0.7
+"""A request that has been read by then may be cut at the end of the grace
+period, so that an estimate of its time will do. The platform's limit is 3 s,
+less the time that a busy process takes to notice the signal."""
 UPSTREAM_GRACE_RATIO = 0.2
 """The fraction of the grace period in which the upstream still gets work, so
 that it is not idle from the signal on."""
@@ -17,8 +22,8 @@
 """Some requests take this many times the average time."""
 TAIL_SECONDS = 1.0
 TAIL_GRACE_RATIO = 0.17
-"""Minimum time left for a request whose time limit ends after the stop, in
-seconds, but at most this fraction of the grace period."""
+"""Minimum time left for a request whose time is estimated, in seconds, but at
+most this fraction of the grace period."""
 LAME_DUCK_REST_SECONDS = 0.5
 """The end of the first phase in which the upstream's last runs can end, so
 that they need not delay the end of the process."""
@@ -26,7 +31,7 @@
 """The time over which daemons that stop together are spread, so that some are
 back before the last ones end."""
 ANSWER_GRACE_RATIO = 0.15
-ANSWER_SECONDS_MAX = 1.0
+ANSWER_SECONDS_MAX = 0.5
 """The end of the grace period that is left for the final answers: a fraction
 of it, but no more than this."""
 FLUSH_SECONDS = 0.05
@@ -81,6 +86,14 @@
         seconds = min(LAME_DUCK_SECONDS, LAME_DUCK_GRACE_RATIO * self.grace)
         return self.began_at + seconds
 
+    @property
+    def best_effort_until(self) -> float:
+        """Until when a request has to be read to be taken by an estimate."""
+        seconds = min(
+            BEST_EFFORT_SECONDS, BEST_EFFORT_GRACE_RATIO * self.grace
+        )
+        return self.began_at + seconds
+
     @property
     def upstream_until(self) -> float:
         """Until when the upstream gets work."""
@@ -134,20 +147,39 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
-    """A request whose first byte arrived at ``began_at``.
+    """A request of a client or of this VM's upstream.
 
-    It ends at ``deadline`` at the latest. From the time at which it has been
-    read it takes ``expected`` seconds, and up to ``longest``. ``may_be_call``
-    is set if the upstream on this VM may make it for a request that it runs.
+    Its first byte arrived at ``began_at``, and the last one no later than
+    ``read_at``. It ends at ``deadline`` at the latest. Recent ones of its kind
+    took ``expected`` seconds from then on, and up to ``longest``.
+    ``may_be_call`` is set if the upstream on this VM may make it for a request
+    that it runs.
     """
 
     began_at: float
+    read_at: float
     deadline: float
     expected: float
     longest: float
     may_be_call: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A request that the upstream on this VM may run.
+
+    It ends at ``deadline`` at the latest. Recent ones took up to ``longest``
+    seconds, the wait for a slot included. ``may_be_cut`` is set if the daemon
+    that took it stops together with this upstream, and ``last_resort`` if it
+    knows no other instance that can run it.
+    """
+
+    deadline: float
+    longest: float
+    may_be_cut: bool = False
+    last_resort: bool = False
+
+
 def begin(grace: float, now: float, spread: float = 1.0) -> Stop:
     """Return the state of a stop that begins now."""
     return Stop(now, grace, now, spread)
@@ -180,15 +212,20 @@
 def may_take(stop: Stop, arrival: Arrival, now: float) -> bool:
     """Return whether a request that has been read may be taken.
 
-    What is not taken is refused as not run. To refuse a call would fail the
-    request for which it is made, so that what may be one is taken late, too,
-    if the longest of its kind would end in time.
+    What is not taken is refused as not run. A request that was read late is
+    owed an answer, so that only its own time limit is a bound. Of the others
+    a call is taken later than a client's request: to refuse it would fail
+    the request for which it is made.
     """
     if arrival.deadline <= now:
         return False
     if not may_start(stop, arrival.deadline, arrival.expected, now):
         return False
-    if arrival.deadline <= stop.cut_at or now <= stop.lame_duck_until:
+    if arrival.deadline <= stop.cut_at:
+        return True
+    if arrival.read_at > stop.best_effort_until:
+        return False
+    if now <= stop.lame_duck_until:
         return True
     is_early = arrival.began_at <= stop.lame_duck_until
     if not (is_early or arrival.may_be_call):
@@ -196,31 +233,29 @@
     return _fits(stop, arrival.longest, now)
 
 
-def may_run(
-    stop: Stop,
-    deadline: float,
-    longest: float,
-    now: float,
-    last_resort: bool = False,
-) -> bool:
-    """Return whether the upstream may get a request of another daemon.
+def may_run(stop: Stop, run: Run, now: float) -> bool:
+    """Return whether the upstream may get a request.
 
-    It takes up to ``longest`` seconds, wait included. As a ``last_resort``,
-    when no other instance can run it, a request may come later.
+    As a last resort it may come later than others.
     """
     is_taking = now < stop.upstream_until
-    if last_resort:
+    if run.last_resort:
         is_taking = takes_last_resorts(stop, now)
-    return is_taking and may_start_run(stop, deadline, longest, now)
+    return is_taking and may_start_run(stop, run, now)
 
 
-def may_start_run(
-    stop: Stop, deadline: float, longest: float, now: float
-) -> bool:
-    """Return whether the upstream may start a request that it has taken."""
-    if not may_start(stop, deadline, longest, now):
+def may_start_run(stop: Stop, run: Run, now: float) -> bool:
+    """Return whether the upstream may start a request that it has taken.
+
+    The daemon that took a request of another VM may stop a moment later, and
+    would owe its answer, so that only its own time limit is a bound. A request
+    that this daemon took is either bounded, or may be cut at its end.
+    """
+    if not may_start(stop, run.deadline, run.longest, now):
         return False
-    return deadline <= stop.cut_at or _fits(stop, longest, now)
+    if run.deadline <= stop.cut_at:
+        return True
+    return run.may_be_cut and _fits(stop, run.longest, now)
 
 
 def takes_last_resorts(stop: Stop, now: float) -> bool:
--- a/src/sassafrasstair/forwarding/_arrivals.py
+++ b/src/sassafrasstair/forwarding/_arrivals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 from sassafrasstair.decisions import load
@@ -37,17 +38,20 @@
     daemon: _state.Daemon,
     route: policies.Route,
     request: httpio.Request,
+    read_at: float,
     now: float,
 ) -> bool:
     """Return whether the daemon takes a request, as it does unless it stops.
 
-    The head of the request has been read.
+    The head of the request has been read, and the rest at ``read_at`` at the
+    latest: ``now`` if it is still being read.
     """
     if daemon.stop is None:
         return True
     expires = client_deadline(daemon, request)
     arrival = stops.Arrival(
         request.received_at,
+        read_at,
         min(request.received_at + route.timeout, expires),
         _expected_seconds(daemon, route),
         _longest_seconds(daemon, route, now),
@@ -59,21 +63,17 @@
 def may_run(
     daemon: _state.Daemon,
     guard: load.Guard,
-    route: str,
+    inbound: _records.InboundRequest,
     deadline: float,
-    last_resort: bool,
     now: float,
 ) -> bool:
-    """Return whether this VM's upstream may get a request of any daemon.
-
-    ``last_resort`` is set if the sender knows no other instance that can run
-    it.
-    """
+    """Return whether this VM's upstream may get a request of any daemon."""
     if daemon.stop is None:
         return True
-    longest = load.wait_seconds(guard)
-    longest += _longest_run(daemon, guard, route, now)
-    return stops.may_run(daemon.stop, deadline, longest, now, last_resort)
+    run = _run(daemon, guard, inbound, deadline, now)
+    longest = run.longest + load.wait_seconds(guard)
+    run = dataclasses.replace(run, longest=longest)
+    return stops.may_run(daemon.stop, run, now)
 
 
 def may_start(daemon: _state.Daemon, execution: _records.Execution) -> bool:
@@ -81,8 +81,25 @@
     if daemon.stop is None:
         return True
     now = daemon.clock.monotonic()
-    longest = _longest_run(daemon, execution.guard, execution.route, now)
-    return stops.may_start_run(daemon.stop, execution.deadline, longest, now)
+    run = _run(
+        daemon, execution.guard, execution.request, execution.deadline, now
+    )
+    return stops.may_start_run(daemon.stop, run, now)
+
+
+def _run(
+    daemon: _state.Daemon,
+    guard: load.Guard,
+    inbound: _records.InboundRequest,
+    deadline: float,
+    now: float,
+) -> stops.Run:
+    return stops.Run(
+        deadline,
+        _longest_run(daemon, guard, inbound.metadata.route, now),
+        inbound.entrance == daemon.settings.host,
+        inbound.last_resort,
+    )
 
 
 def _longest_run(
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -68,7 +68,7 @@
         return
     progress = call.progress
     if not _arrivals.may_take(
-        daemon, progress.route, call.exchange.request, now
+        daemon, progress.route, call.exchange.request, call.read_at, now
     ):
         _endings.answer_failed_call(daemon, call, outcomes.Reason.LEAVING)
         return
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -81,9 +81,7 @@
         load.suggest_rate(guard, inbound.rate_limit, now)
     deadline = now + metadata.remaining
     reason = _starts.unavailable_reason(daemon, metadata.instance)
-    if not _arrivals.may_run(
-        daemon, guard, metadata.route, deadline, inbound.last_resort, now
-    ):
+    if not _arrivals.may_run(daemon, guard, inbound, deadline, now):
         reason = outcomes.Reason.LEAVING
     if _notices.is_late_request(daemon, inbound, guard, now):
         reason = outcomes.Reason.LEAVING
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -167,6 +167,7 @@
         request.headers[daemon.header_keys.request_id],
         requests.new_progress(route, service, rank, deadline),
         _forwarded_fields(daemon, request),
+        now,
         customer=customer.name,
         importance=_importance(route, customer),
     )
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -129,7 +129,7 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Call:
-    """One client's request in flight.
+    """One client's request in flight, read whole at ``read_at`` at the latest.
 
     ``fields`` are the header fields to forward, and ``timer`` fires at the
     deadline. ``customer`` is the sender's name, '' for a request without a
@@ -144,6 +144,7 @@
     request_id: bytes
     progress: requests.Progress
     fields: httpio.Fields
+    read_at: float
     attempt: Attempt | None = None
     timer: asyncio.TimerHandle | None = None
     customer: str = ""
--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -121,7 +121,7 @@
     route = _entrance.match_route(table, partial.request)
     if route is None:
         return not draining
-    return _arrivals.may_take(daemon, route, partial.request, now)
+    return _arrivals.may_take(daemon, route, partial.request, now, now)
 
 
 def _log_work(
--- a/src/sassafrasstair/runtime/_execution.py
+++ b/src/sassafrasstair/runtime/_execution.py
@@ -92,8 +92,9 @@
     now = callee.clock.monotonic()
     remaining = message.remaining_ms / 1000
     longest = _longest_run(callee, message, now)
-    expected = load.wait_seconds(callee.guard) + (longest or remaining)
-    return stops.may_run(callee.stop, now + remaining, expected, now)
+    longest = load.wait_seconds(callee.guard) + (longest or remaining)
+    run = stops.Run(now + remaining, longest, may_be_cut=True)
+    return stops.may_run(callee.stop, run, now)
 
 
 def _may_start(
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -12,12 +12,14 @@
 from sassafrasstair.decisions import stops
 
 STEP = 0.05
-GRACES = (1.0, 2.0, 6.0, 10.0, 30.0)
+GRACES = (1.0, 2.0, 4.0, 6.0, 10.0, 30.0)
 BEGAN = 100.0
 CUT_GRACE_RATIO = 5.0 / 6.0
 """An instance is waited for until then, as a fraction of the grace period."""
 TAKEN_SECONDS_MAX = 3.0
 """What comes later than this after SIGTERM may not be cut."""
+NOTICED_SECONDS_MAX = 0.15
+"""How late a busy process notices SIGTERM."""
 
 
 @dataclasses.dataclass
@@ -25,16 +27,34 @@
     """A request that is read at ``read_at`` and started after a wait.
 
     It takes ``seconds`` from then on. A half-read one is rejected once it
-    would not be taken.
+    would not be taken. With ``is_remote`` another daemon has taken it, and
+    it is for this daemon's upstream, as a ``last_resort`` or not.
     """
 
     arrival: stops.Arrival
-    read_at: float
     wait: float
     seconds: float
+    is_remote: bool = False
+    last_resort: bool = False
     outcome: str = ""
     started_at: float = math.inf
 
+    @property
+    def read_at(self) -> float:
+        """When it has been read whole."""
+        return self.arrival.read_at
+
+    @property
+    def run(self) -> stops.Run:
+        """What the upstream is to run."""
+        arrival = self.arrival
+        return stops.Run(
+            arrival.deadline,
+            arrival.longest,
+            not self.is_remote,
+            self.last_resort,
+        )
+
     @property
     def starts_at(self) -> float:
         """When its wait for a token or a slot, or before a retry, ends."""
@@ -87,13 +107,21 @@
 
     def read(self, request: Request, now: float) -> None:
         """Take or refuse a request that has been read whole."""
-        if stops.may_take(self.stop, request.arrival, now):
+        if request.is_remote:
+            is_taken = stops.may_run(self.stop, request.run, now)
+        else:
+            is_taken = stops.may_take(self.stop, request.arrival, now)
+        if is_taken:
             self.waiting.append(request)
         else:
             request.outcome = "refused"
 
     def _start(self, request: Request, now: float) -> None:
-        if stops.may_take(self.stop, request.arrival, now):
+        if request.is_remote:
+            is_started = stops.may_start_run(self.stop, request.run, now)
+        else:
+            is_started = stops.may_take(self.stop, request.arrival, now)
+        if is_started:
             request.started_at = now
             self.running.append(request)
         else:
@@ -114,6 +142,7 @@
             seconds,
             seconds,
             strategies.booleans(),
+            strategies.sampled_from(("own", "other", "last resort")),
         ),
         max_size=30,
     )
@@ -128,12 +157,19 @@
     longer: float,
     seconds: float,
     may_be_call: bool,
+    who: str,
 ) -> Request:
     began += BEGAN
     arrival = stops.Arrival(
-        began, began + limit, expected, expected + longer, may_be_call
+        began,
+        began + reading,
+        began + limit,
+        expected,
+        expected + longer,
+        may_be_call,
     )
-    return Request(arrival, began + reading, wait, seconds)
+    is_remote = who != "own"
+    return Request(arrival, wait, seconds, is_remote, who == "last resort")
 
 
 @hypothesis.given(strategies.data())
@@ -142,10 +178,13 @@
 ) -> None:
     """Requests arrive, wait, run and end in any order while a daemon stops.
 
-    The event loop stands still at times. Only what was expected to end in
-    time when it started, and takes longer, may be cut.
+    The event loop stands still at times, also as SIGTERM comes. What may be
+    cut follows from the rule alone: a request that was sent soon after
+    SIGTERM, in the last part of the grace period. Another daemon that took
+    one may stop at another time, so that none of its requests may be cut.
     """
     grace = data.draw(strategies.sampled_from(GRACES))
+    noticed = data.draw(strategies.floats(0.0, NOTICED_SECONDS_MAX))
     requests = data.draw(_requests(grace))
     stalls = strategies.floats(STEP, 0.05 * grace + STEP)
     daemon = Daemon(grace)
@@ -156,7 +195,7 @@
             daemon.read(unread.pop(0), now)
         reading = sum(
             request.arrival.began_at <= now
-            and stops.may_take(daemon.stop, request.arrival, now)
+            and _may_read_on(daemon, request, now)
             for request in unread
         )
         unsent = data.draw(strategies.integers(0, 1))
@@ -169,18 +208,50 @@
     for request in requests:
         if request not in unread:
             assert request.outcome in ("answered", "refused", "cut")
+    signalled_at = BEGAN - noticed
     for request in daemon.cut:
+        assert request.read_at <= signalled_at + TAKEN_SECONDS_MAX
+        assert not request.is_remote
+        assert daemon.stop.cut_at >= signalled_at + CUT_GRACE_RATIO * grace
         expected_end = request.started_at + request.arrival.expected
         assert expected_end <= daemon.stop.cut_at < request.arrival.deadline
-        in_time = request.arrival.began_at <= daemon.stop.lame_duck_until
-        assert in_time or request.arrival.may_be_call
-        if request.started_at > daemon.stop.lame_duck_until:
-            longest_end = request.started_at + request.arrival.longest
-            assert longest_end <= daemon.stop.cut_at
     for request in unread:
         assert not stops.may_take(daemon.stop, request.arrival, now)
 
 
+def _may_read_on(daemon: Daemon, request: Request, now: float) -> bool:
+    arrival = dataclasses.replace(request.arrival, read_at=now)
+    return not request.is_remote and stops.may_take(daemon.stop, arrival, now)
+
+
+@hypothesis.given(
+    strategies.sampled_from(GRACES),
+    strategies.floats(0.0, 1.0),
+    strategies.floats(0.0, 1.0),
+    strategies.floats(0.0, 40.0),
+    strategies.booleans(),
+)
+def test_request_whose_own_limit_ends_in_time_is_taken_at_any_moment(
+    grace: float, at: float, left: float, longest: float, may_be_call: bool
+) -> None:
+    """A daemon that refuses everything would cut nothing, too."""
+    stop = stops.begin(grace, BEGAN)
+    busy = stops.InFlight(calls=1, executions=1)
+    now = BEGAN
+    while now + STEP < BEGAN + at * grace:
+        now += STEP
+        stops.update(stop, busy, now)
+    if now + STEP >= stop.cut_at:
+        return
+    deadline = now + STEP + left * (stop.cut_at - now - STEP)
+    arrival = stops.Arrival(now, now, deadline, longest, longest, may_be_call)
+    assert stops.may_take(stop, arrival, now)
+    run = stops.Run(deadline, longest)
+    assert stops.may_run(stop, run, now) is (now < stop.upstream_until)
+    last = stops.Run(deadline, longest, last_resort=True)
+    assert stops.may_run(stop, last, now) is (now < stop.last_resort_until)
+
+
 @pytest.mark.parametrize("grace", GRACES)
 def test_instance_is_waited_for_until_the_end_of_the_grace_period(
     grace: float,
@@ -219,11 +290,17 @@
         # It ended before it was read whole.
         (1.0, 0.5, 0.2, 2.0, False),
         # A body that takes seconds: its first byte came in the first phase.
-        (1.0, 5.0, 0.2, 4.0, True),
+        (1.0, 5.0, 0.2, 2.7, True),
+        # It was sent too late to be cut.
+        (1.0, 5.0, 0.2, 3.1, False),
+        (1.0, 5.0, 0.2, 4.0, False),
+        (1.0, 4.4, 0.2, 4.0, True),
         (1.0, 5.0, 0.2, 5.0, False),
         # Clients know of the stop: only what certainly ends in time.
+        (2.5, 5.0, 0.2, 2.5, False),
         (3.0, 2.0, 0.2, 3.0, True),
         (3.0, 5.0, 0.2, 3.0, False),
+        (4.0, 1.4, 0.2, 4.0, True),
         (4.0, 2.0, 0.2, 4.0, False),
     ],
 )
@@ -232,61 +309,92 @@
 ) -> None:
     stop = stops.begin(6.0, BEGAN)
     began += BEGAN
-    arrival = stops.Arrival(began, began + limit, expected, expected)
+    arrival = stops.Arrival(
+        began, BEGAN + at, began + limit, expected, expected
+    )
     busy = stops.InFlight(calls=1)
     stops.update(stop, busy, BEGAN + at)
     assert stops.may_take(stop, arrival, BEGAN + at) is taken
 
 
-def test_call_of_the_upstream_is_taken_for_a_run_that_has_begun() -> None:
+@pytest.mark.parametrize(
+    ("at", "limit", "longest", "taken"),
+    [
+        (2.6, 5.0, 0.2, True),
+        (2.6, 5.0, 3.0, False),
+        # It was sent too late to be cut: no earlier one is a bound.
+        (3.1, 5.0, 0.2, False),
+        (4.0, 5.0, 0.2, False),
+        (4.0, 1.4, 0.2, True),
+        (4.0, 1.4, 9.0, True),
+    ],
+)
+def test_call_of_the_upstream_is_taken_for_a_run_that_has_begun(
+    at: float, limit: float, longest: float, taken: bool
+) -> None:
     """To refuse it would fail the request that the upstream runs."""
     stop = stops.begin(6.0, BEGAN)
     running = stops.InFlight(executions=1)
-    now = BEGAN + 4.0
+    now = BEGAN + at
     assert stops.update(stop, running, now) is stops.Phase.DRAINING
     assert stops.accepts_connections(stop, running)
     assert not stops.accepts_connections(stop, stops.InFlight(calls=1))
-    call = stops.Arrival(now, now + 5.0, 0.2, 0.2, may_be_call=True)
-    assert stops.may_take(stop, call, now)
-    later = stops.Arrival(now, now + 5.0, 2.0, 2.0, may_be_call=True)
-    assert not stops.may_take(stop, later, now)
+    call = stops.Arrival(now, now, now + limit, 0.2, longest, True)
+    assert stops.may_take(stop, call, now) is taken
+
+
+def test_call_that_was_read_early_is_sent_again_if_the_longest_fits() -> None:
+    """A retry, or a wait for a token: it was sent early enough to be cut."""
+    stop = stops.begin(6.0, BEGAN)
+    now = BEGAN + 4.0
+    stops.update(stop, stops.InFlight(executions=1), now)
+    for longest, taken in ((1.4, True), (1.6, False)):
+        read_at = BEGAN + 2.6
+        call = stops.Arrival(read_at, read_at, now + 5.0, 0.2, longest, True)
+        assert stops.may_take(stop, call, now) is taken
 
 
 @pytest.mark.parametrize(
-    ("at", "longest", "taken"),
-    [(4.0, 1.0, True), (4.0, 1.2, False), (4.2, 0.2, False)],
+    ("at", "limit", "longest", "runs"),
+    [
+        (0.5, 4.9, 0.2, True),
+        (1.1, 4.3, 9.0, True),
+        (1.3, 1.0, 0.2, False),
+        # How long others took is no bound.
+        (0.5, 5.1, 0.2, False),
+    ],
 )
-def test_late_call_is_taken_if_the_longest_of_its_kind_would_end(
-    at: float, longest: float, taken: bool
+def test_upstream_gets_what_ends_in_time(
+    at: float, limit: float, longest: float, runs: bool
 ) -> None:
     stop = stops.begin(6.0, BEGAN)
     now = BEGAN + at
-    stops.update(stop, stops.InFlight(executions=1), now)
-    call = stops.Arrival(now, now + 5.0, 0.2, longest, may_be_call=True)
-    assert stops.may_take(stop, call, now) is taken
+    assert stops.may_run(stop, stops.Run(now + limit, longest), now) is runs
 
 
 @pytest.mark.parametrize(
-    ("at", "expected", "runs"),
-    [(0.5, 0.2, True), (1.1, 0.2, True), (1.3, 0.2, False), (0.5, 5, False)],
+    ("longest", "runs"), [(0.2, True), (4.4, True), (4.6, False)]
 )
-def test_upstream_gets_what_ends_in_time(
-    at: float, expected: float, runs: bool
+def test_upstream_gets_own_request_if_the_longest_of_its_kind_fits(
+    longest: float, runs: bool
 ) -> None:
+    """It was sent early: it may be cut by the daemon that took it."""
     stop = stops.begin(6.0, BEGAN)
-    now = BEGAN + at
-    assert stops.may_run(stop, now + 5.0, expected, now) is runs
+    now = BEGAN + 1.0
+    run = stops.Run(now + 9.0, longest, may_be_cut=True)
+    assert stops.may_run(stop, run, now) is runs
 
 
 @pytest.mark.parametrize(
     ("at", "limit", "longest", "runs"),
     [
-        (2.0, 5.0, 1.0, True),
-        (3.5, 5.0, 1.2, True),
-        (4.0, 5.0, 1.2, False),
+        (2.0, 3.4, 1.0, True),
+        (2.0, 3.6, 1.0, False),
+        (3.5, 1.9, 1.2, True),
+        (3.5, 5.0, 1.2, False),
         (4.2, 5.0, 0.0, False),
         (4.0, 0.8, 9.0, True),
-        (5.2, 0.1, 0.0, False),
+        (5.6, 0.1, 0.0, False),
     ],
 )
 def test_upstream_runs_what_no_other_can_while_it_can_end(
@@ -297,9 +405,10 @@
     while now < BEGAN + at:
         now += STEP
         stops.update(stop, stops.InFlight(calls=1), now)
-    assert not stops.may_run(stop, now + limit, longest, now)
-    found = stops.may_run(stop, now + limit, longest, now, last_resort=True)
-    assert found is runs
+    run = stops.Run(now + limit, longest)
+    assert not stops.may_run(stop, run, now)
+    run = dataclasses.replace(run, last_resort=True)
+    assert stops.may_run(stop, run, now) is runs
 
 
 @pytest.mark.parametrize("grace", GRACES)
@@ -409,7 +518,8 @@
         accepts = stops.accepts_connections(stop, in_flight)
         if not accepts:
             stops.stop_accepting(stop)
-        runs = stops.may_run(stop, now + grace, 0.0, now, last_resort)
+        run = stops.Run(now + 0.05, 0.0, last_resort=last_resort)
+        runs = stops.may_run(stop, run, now)
         assert accepts or not runs
         if runs and last_resort:
             stops.note_last_resort(stop)
--- a/tests/forwarding/test_stop_bounds.py
+++ b/tests/forwarding/test_stop_bounds.py
@@ -162,8 +162,16 @@
     test_path.run(test())
 
 
-def test_late_call_of_the_upstream_is_not_cut() -> None:
-    """It is taken if it can be expected to end in time, and takes longer."""
+@pytest.mark.parametrize(
+    ("limit_ms", "status", "runs"), [(0, 503, 0), (1250, 200, 1)]
+)
+def test_late_call_of_the_upstream_is_not_cut(
+    limit_ms: int, status: int, runs: int
+) -> None:
+    """It was taken if it could be expected to end, and took longer.
+
+    It is taken if its own limit ends in time, and has not run otherwise.
+    """
 
     async def test() -> None:
         world = Place(6.0)
@@ -173,19 +181,19 @@
             got: place.ReceivedRequest, writer: asyncio.StreamWriter
         ) -> None:
             began_at = time.monotonic()
-            await world.wait_until(4.2)
-            left_ms = _left_ms(got, began_at)
+            await world.wait_until(4.0)
+            left_ms = limit_ms or _left_ms(got, began_at)
             answers.append(
                 await world.cluster.call(A, "/t/", deadline_ms=left_ms)
             )
             writer.write(place.signed(got, b"whole"))
 
         await world.start(call)
-        stopped = world.stop()
         running = await world.run_on_a(9000)
-        await stopped
+        await world.stop()
         await running
-        _check(answers[0], len(world.cluster.upstreams[C].got))
+        found = len(world.cluster.upstreams[C].got)
+        assert (answers[0].status, found) == (status, runs)
 
     test_path.run(test())
 
--- a/tests/forwarding/test_stop_longest.py
+++ b/tests/forwarding/test_stop_longest.py
@@ -98,33 +98,59 @@
     test_path.run(test())
 
 
+async def _call_at(
+    at: float, longest: float, limit_ms: int
+) -> tuple[place.Answer, int]:
+    """Return how a call of a run at the stopping daemon ends, and its runs.
+
+    Without ``limit_ms`` it expires with its run, long after the stop.
+    """
+    world = World()
+    answers: list[place.Answer] = []
+
+    async def call(
+        got: place.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        began_at = time.monotonic()
+        await world.wait_until(at)
+        elapsed_ms = int(1000 * (time.monotonic() - began_at))
+        left_ms = int(got.fields[b"x-deadline-ms"]) - elapsed_ms
+        world.delays.append(0.0)
+        answers.append(
+            await world.cluster.call(A, "/t/", deadline_ms=limit_ms or left_ms)
+        )
+        writer.write(place.signed(got, b"whole"))
+
+    await world.begin(call)
+    await world.answer_in(longest, *30 * [0.0])
+    running = await world.run_on_a(9000)
+    await world.stop()
+    await running
+    return answers[0], len(world.cluster.upstreams[C].got)
+
+
 @pytest.mark.parametrize("longest", [0.9, 1.2])
 def test_call_whose_longest_time_fits_is_taken(longest: float) -> None:
     """The bound of the bucket counted for the longest answer in it."""
 
     async def test() -> None:
-        world = World()
-        answers: list[place.Answer] = []
+        answer, _ = await _call_at(2.5, longest, 0)
+        assert answer.status == 200
 
-        async def call(
-            got: place.ReceivedRequest, writer: asyncio.StreamWriter
-        ) -> None:
-            began_at = time.monotonic()
-            await world.wait_until(3.0)
-            elapsed_ms = int(1000 * (time.monotonic() - began_at))
-            left_ms = int(got.fields[b"x-deadline-ms"]) - elapsed_ms
-            world.delays.append(0.0)
-            answers.append(
-                await world.cluster.call(A, "/t/", deadline_ms=left_ms)
-            )
-            writer.write(place.signed(got, b"whole"))
+    test_path.run(test())
 
-        await world.begin(call)
-        await world.answer_in(longest, *30 * [0.0])
-        running = await world.run_on_a(9000)
-        await world.stop()
-        await running
-        assert answers[0].status == 200
+
+@pytest.mark.parametrize(
+    ("limit_ms", "status", "runs"), [(0, 503, 0), (1500, 200, 1)]
+)
+def test_call_that_comes_too_late_to_be_cut_is_taken_if_its_limit_fits(
+    limit_ms: int, status: int, runs: int
+) -> None:
+    """Other calls of its route took less, which is no bound."""
+
+    async def test() -> None:
+        answer, found = await _call_at(3.2, 0.9, limit_ms)
+        assert (answer.status, found) == (status, runs)
 
     test_path.run(test())
 
@@ -191,7 +217,7 @@
         assert stop is not None
         stop.spread = 1.0
         await world.wait_until(1.5)
-        first = await cluster.call(B, "/s/", "POST", deadline_ms=4000)
+        first = await cluster.call(B, "/s/", "POST", deadline_ms=3500)
         await world.wait_until(2.0)
         world.delays.append(1.5)
         beside = asyncio.ensure_future(
@@ -210,8 +236,14 @@
     test_path.run(test())
 
 
-def test_run_that_waited_is_not_started_just_before_the_cut() -> None:
-    """A second had to be left when it came, but not when it started."""
+@pytest.mark.parametrize("host", [A, B])
+def test_run_that_waited_is_not_started_just_before_the_cut(
+    host: str,
+) -> None:
+    """A second had to be left when it came, but not when it started.
+
+    Requests that another daemon took are not started without a bound.
+    """
 
     async def test() -> None:
         world = World()
@@ -240,9 +272,9 @@
             ),
         )
         await cluster.wait_until_known(A, B, C)
-        for path in (*20 * ["/s/"], "/other/"):
-            delays.append(0.1)
-            answer = await cluster.call(B, path, "POST", deadline_ms=14_000)
+        for path in (*20 * ["/s/"], *20 * ["/other/"]):
+            delays.append(0.05)
+            answer = await cluster.call(host, path, "POST", deadline_ms=14_000)
             assert answer.status == 200
         cluster.upstreams[A].got.clear()
         stopped = world.stop()
@@ -253,14 +285,17 @@
             await world.wait_until(at)
             calls.append(
                 asyncio.ensure_future(
-                    cluster.call(B, path, "POST", deadline_ms=14_000)
+                    cluster.call(host, path, "POST", deadline_ms=14_000)
                 )
             )
         answers = await asyncio.gather(*calls)
         await stopped
         assert time.monotonic() - began_at < GRACE
-        assert answers[0].status == 200
-        runs = len(cluster.upstreams[A].got) - 1
-        assert (answers[1].status, runs) in ((200, 1), (503, 0))
+        statuses = [answer.status for answer in answers]
+        runs = len(cluster.upstreams[A].got)
+        if host == A:
+            assert (statuses, runs) in (([200, 200], 2), ([200, 503], 1))
+        else:
+            assert (statuses, runs) == ([503, 503], 0)
 
     test_path.run(test())
