Let responses wait for memory instead of giving up the greatest

Cause: beyond the limit there was no way but to end a response.

Change: once half of the memory is in use, connections read on in the order of their responses, as far as the rest of these fits (its stated length, or as much again as is held), and the others are not read until there is room. Beyond the limit the greatest gives up as before, so that a response without an end costs no other response.

What remains: a response that is larger than the limit, or of unknown length and much larger than what is held, can still be given up.

--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -35,6 +35,8 @@
 dead peer while a request, already acknowledged, waits for its response."""
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_COUNT = 2
+_LENGTH_DIGITS_MAX = 18
+"""Digits of a length in bytes that a response may state."""
 _NO_BODY = frozenset({204, 304})
 """Statuses of responses that never have a body."""
 
@@ -193,22 +195,42 @@
 
     def _handle_parsed(self) -> None:
         """Report the response if it is complete, or else read on."""
-        pause = self._input.waits_for_turn
-        if pause != self._paused and not self._closed:
-            self._paused = pause
-            if pause:
-                self._transport.pause_reading()
-            else:
-                self._transport.resume_reading()
-        if self._job is None:
+        if self._job is not None:
+            self._hold_unfinished()
+        self.update_reading()
+
+    def update_reading(self) -> None:
+        """Read no more while input waits for its turn, or for memory."""
+        pause = self._input.waits_for_turn or self._pool.memory.should_wait(
+            self
+        )
+        if pause == self._paused or self._closed:
             return
+        self._paused = pause
+        if pause:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _hold_unfinished(self) -> None:
+        """Report the response, or reserve memory for what there is of it."""
         if self._complete_response is not None:
             if self._input.has_rest:
                 self._has_extra_data = True
             self._finish(self._complete_response)
             return
         unfinished = self._input.meter.framing_bytes + self._body_size
-        self._pool.memory.hold(self, unfinished + len(self._input.unparsed))
+        held = unfinished + len(self._input.unparsed)
+        self._pool.memory.hold(self, held, self._content_length())
+
+    def _content_length(self) -> int | None:
+        """Return the length that the response states, if it does."""
+        response = self._response
+        if response is None:
+            return None
+        value = response.headers.get(b"content-length", b"")
+        is_number = value.isdigit() and len(value) <= _LENGTH_DIGITS_MAX
+        return int(value) if is_number else None
 
     def on_message_begin(self) -> None:
         """Start a response; one after a complete response is ignored."""
