--- a/tests/platform/endless.py
+++ b/tests/platform/endless.py
@@ -64,6 +64,28 @@
     "garbage": (b"\x00\x01", b"\xff"),
 }
 """By kind, the first bytes of an answer and those that follow for ever."""
+SPECIAL_ANSWERS = {
+    "head_body": (_ANSWER + b"Content-Length: 5\r\n\r\n", BLOCK * b"x"),
+    "no_content": (b"HTTP/1.1 204 No Content\r\n\r\n", BLOCK * b"x"),
+    "not_modified": (b"HTTP/1.1 304 Not Modified\r\n\r\n", BLOCK * b"x"),
+    "compressed": (
+        _ANSWER + b"Content-Encoding: gzip\r\n" + _CHUNKED,
+        _CHUNK,
+    ),
+    "slow_body": (_ANSWER + _CHUNKED, b"1\r\nx\r\n"),
+    "slow_field": (_ANSWER + b"A-Field: ", b"x"),
+    "behind_an_answer": (
+        _ANSWER
+        + b"Sassafrasstair-Request-Id: %(id)s\r\n"
+        + b"Sassafrasstair-Response-Signature: s\r\n"
+        + b"Content-Length: 2\r\n\r\nok",
+        BLOCK * b"x",
+    ),
+}
+"""The same of answers to HEAD, of statuses without a body, of encoded bodies,
+of bytes that come slowly, and of bytes behind an answer that has ended."""
+SLOW_SECONDS = 0.005
+"""The pause between two of the bytes that come slowly."""
 REQUESTS = {
     **_behind(_REQUEST),
     "request_line": (b"POST /once/", b"x"),
@@ -91,6 +113,22 @@
         connection.sendall(block)
 
 
+def _send_slowly(connection: socket.socket, first: bytes, rest: bytes) -> None:
+    connection.sendall(first)
+    while True:
+        connection.sendall(rest)
+        time.sleep(SLOW_SECONDS)
+
+
+def _id_of(head: bytes) -> bytes:
+    """Return the value of the field with the request's id."""
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == _ID:
+            return value.strip()
+    return b""
+
+
 def _serve_one(connection: socket.socket) -> None:
     with connection, contextlib.suppress(OSError, IndexError):
         while True:
@@ -101,10 +139,13 @@
                     return
                 data += received
             kind = data.split(b" ")[1].rpartition(b"/")[2].decode()
-            if kind not in ANSWERS:
+            found = (ANSWERS | SPECIAL_ANSWERS).get(kind)
+            if found is None:
                 connection.sendall(b"HTTP/1.1 503 Busy\r\n\r\n")
                 return
-            _send_for_ever(connection, *ANSWERS[kind])
+            first = found[0].replace(b"%(id)s", _id_of(data))
+            send = _send_slowly if "slow" in kind else _send_for_ever
+            send(connection, first, found[1])
 
 
 def _serve(host: str, port: int) -> None:
