Play further kinds of bytes without end

Change: seven further kinds of answers, and up to 50 of them a second at one instance.

An answer that has ended is passed on, and the bytes behind it are dropped. No code was changed for it; it was not played on earlier code. Not played: connections to other daemons, which are of the same class, and instances of several VMs at once.

--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -32,6 +32,9 @@
 ADDRESS_SPACE_BYTES = (2_000_000_000, 2_000_000_000)
 """Keeps a daemon without bounds from taking the machine's memory."""
 FAILURES = frozenset({502, 503, 504})
+WHOLE_STATUSES = {"behind_an_answer": 200, "not_modified": 304}
+"""Of answers that have ended: the bytes behind them belong to no request."""
+CROWD_GAP_SECONDS = 0.02
 SERVICE = "endless"
 _INSTANCE = "i-endless"
 
@@ -56,7 +59,12 @@
         entry = self.beside.entry | {"service": SERVICE}
         self.fleet.store.put(f"servers/{_INSTANCE}", entry)
 
-    async def play(self, kind: str, endless_requests: bool) -> None:
+    async def play(
+        self,
+        kind: str,
+        endless_requests: bool,
+        gap: float = ENDLESS_GAP_SECONDS,
+    ) -> None:
         """Send sound requests for a while, and note what goes wrong."""
         calls: list[asyncio.Task[None]] = []
         loop = asyncio.get_running_loop()
@@ -67,7 +75,7 @@
             sound = self._sound(kind, entrance)
             calls.append(asyncio.ensure_future(sound))
             if endless_requests and loop.time() >= next_endless:
-                next_endless += ENDLESS_GAP_SECONDS
+                next_endless += gap
                 asked = self._endless(kind, entrance)
                 calls.append(asyncio.ensure_future(asked))
             await asyncio.sleep(SOUND_GAP_SECONDS)
@@ -83,11 +91,15 @@
             self.faults.append(f"{kind}: sound {status}, {elapsed:.2f} s")
 
     async def _endless(self, kind: str, vm: fleet_module.Vm) -> None:
-        status = await self._ask(vm, f"endless/{kind}")
-        if status not in FAILURES:
+        method = b"HEAD" if kind.startswith("head_") else b"GET"
+        status = await self._ask(vm, f"endless/{kind}", method)
+        whole = WHOLE_STATUSES.get(kind)
+        if status != whole and (whole or status not in FAILURES):
             self.faults.append(f"{kind}: endless answered by {status}")
 
-    async def _ask(self, vm: fleet_module.Vm, path: str) -> int:
+    async def _ask(
+        self, vm: fleet_module.Vm, path: str, method: bytes = b"GET"
+    ) -> int:
         """Return the status of the answer, 0 without one."""
         self._serial += 1
         with contextlib.suppress(OSError, TimeoutError, IndexError):
@@ -95,9 +107,9 @@
                 vm.host, fleet_module.OUTBOUND
             )
             head = (
-                b"GET /%s HTTP/1.1\r\nHost: %s\r\n"
+                b"%s /%s HTTP/1.1\r\nHost: %s\r\n"
                 b"Sassafrasstair-Request-Id: e%d\r\n\r\n"
-                % (path.encode(), clients.HOST, self._serial)
+                % (method, path.encode(), clients.HOST, self._serial)
             )
             writer.write(head)
             async with asyncio.timeout(ANSWER_SECONDS):
@@ -175,12 +187,31 @@
             assert process.stdout.readline() == b"listens\n"
             trial.register()
             await asyncio.sleep(0.5)
-            for kind in endless.ANSWERS:
+            for kind in (*endless.ANSWERS, *endless.SPECIAL_ANSWERS):
                 await trial.play(kind, endless_requests=True)
 
     assert not _run(tmp_path, monkeypatch, play)
 
 
+def test_many_endless_answers_at_once_cost_no_other_request(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All of them together fit into a daemon's memory."""
+
+    async def play(trial: Trial) -> None:
+        beside = trial.beside
+        beside.upstream.close()
+        with _process("serve", beside.host, str(fleet_module.APP)) as process:
+            assert process.stdout is not None
+            assert process.stdout.readline() == b"listens\n"
+            trial.register()
+            await asyncio.sleep(0.5)
+            for kind in ("body_until_the_end", "body_in_chunks", "field"):
+                await trial.play(kind, True, CROWD_GAP_SECONDS)
+
+    assert not _run(tmp_path, monkeypatch, play)
+
+
 def test_requests_that_never_end_cost_no_other_request(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
