--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -12,6 +12,7 @@
 
 import click
 
+from tests.platform.soak import growing as growing_module
 from tests.platform.soak import mesh as mesh_module
 from tests.platform.soak import power
 from tests.platform.soak import scenario
@@ -28,8 +29,9 @@
 @click.option("--losses", default=0, help="Lose all power, so often, instead.")
 @click.option("--stops", is_flag=True, help="Planned stops only.")
 @click.option("--mesh", is_flag=True, help="A call graph with chains.")
+@click.option("--growing", is_flag=True, help="Single stops, longer work.")
 @click.option("--copies", default=1, help="Sets of six VMs.")
-@click.option("--grace", default=0.0, help="Of --mesh; 0 draws it.")
+@click.option("--grace", default=0.0, help="0 draws it (--mesh, --growing).")
 def main(
     seeds: str,
     minutes: float,
@@ -38,6 +40,7 @@
     losses: int,
     stops: bool,
     mesh: bool,
+    growing: bool,
     copies: int,
     grace: float,
 ) -> None:
@@ -52,6 +55,8 @@
         def soak(folder: pathlib.Path, seed: int = seed) -> _Soak:
             if losses:
                 return power.run(seed, losses, folder, copies)
+            if growing:
+                return growing_module.run(seed, seconds, folder, copies, grace)
             if mesh:
                 return mesh_module.run(seed, seconds, folder, copies, grace)
             if stops:
