Tell a daemon that reads late from one that is gone

Cause: TCP_USER_TIMEOUT ends a connection whose window stays closed for 1.5 s, although the peer's system answers each window probe.

A keepalive probe without an answer ends a connection as before, after 3 s.

Only a table of the kernel's figures shows that a peer that is gone is still noticed: a loopback that drops packets can't be made without root.

--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -91,10 +91,12 @@
         self._idle.clear()
 
     def sweep(self, now: float) -> None:
-        """Close connections that were idle for too long.
+        """Close connections that were idle for too long, or are dead.
 
         The pool has no timer of its own; its owner calls this regularly.
         """
+        for busy in list(self._busy):
+            busy.check(now)
         kept = []
         for connection in self._idle:
             if connection.usable(now):
--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import socket
 import typing
@@ -12,6 +13,7 @@
 from sassafrasstair.httpio import _inputs
 from sassafrasstair.httpio import _jobs
 from sassafrasstair.httpio import _messages
+from sassafrasstair.httpio import _sockets
 from sassafrasstair import keepalive
 
 if typing.TYPE_CHECKING:
@@ -27,14 +29,13 @@
 bytes."""
 MESSAGES_MAX = 64
 """Interim and late responses, and the response itself."""
-_USER_TIMEOUT_MS = 1_500
-"""The kernel ends a connection on which sent data stays unacknowledged for
-this long. It also replaces the count of keepalive probes on Linux."""
+_UNRESPONSIVE_SECONDS = 1.5
+"""A connection ends if its peer's system acknowledges nothing for so long."""
 _KEEPALIVE_IDLE_S = 2
 """Probes begin on a connection that was silent for so long. They detect a
 dead peer while a request, already acknowledged, waits for its response."""
 _KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_COUNT = 2
+_KEEPALIVE_COUNT = 1
 _LENGTH_DIGITS_MAX = 18
 """Digits of a length in bytes that a response may state."""
 _NO_BODY = frozenset({204, 304})
@@ -62,6 +63,7 @@
         "_poller",
         "_pool",
         "_response",
+        "_started_at",
         "_transport",
     )
 
@@ -91,6 +93,7 @@
         )
         self._messages_begun = 0
         self._paused = False
+        self._started_at = math.inf
         self._idle_until = pool.clock.monotonic() + pool.idle_seconds
 
     @property
@@ -117,6 +120,7 @@
     def start(self, job: _jobs.Job) -> None:
         """Send the job's request."""
         self._job = job
+        self._started_at = self._pool.clock.monotonic()
         self._input.begin()
         self._messages_begun = 0
         job._connection = self
@@ -131,7 +135,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set socket options that detect a dead peer or network link.
 
-        They also end a connection whose peer reads nothing for a while.
+        ``check`` detects one that does not acknowledge what was sent.
         """
         self._transport = transport
         sock = transport.get_extra_info("socket")
@@ -147,7 +151,21 @@
         sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
         sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
         sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_COUNT)
-        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+
+    def check(self, now: float) -> None:
+        """End the response if the peer or the link to it is dead.
+
+        The kernel's own time-out would also end a connection to a process
+        that is there and reads nothing for a while.
+        """
+        if self._closed or now - self._started_at < _UNRESPONSIVE_SECONDS:
+            return
+        if not self._pool.is_remote or self._transport is None:
+            return
+        if _sockets.is_unresponsive(self._transport, _UNRESPONSIVE_SECONDS):
+            has_begun = self._response is not None
+            failure = _jobs.Failure
+            self._fail(failure.CUT_SHORT if has_begun else failure.LOST)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the job; a clean close ends a response without a length."""
--- a/src/sassafrasstair/httpio/_sockets.py
+++ b/src/sassafrasstair/httpio/_sockets.py
@@ -17,6 +17,12 @@
 _ENDED_STATES = frozenset({7, 8})
 """Linux' TCP_CLOSE and TCP_CLOSE_WAIT."""
 
+_TCP_INFO = struct.Struct("2xBB52xI")
+"""Linux' ``tcp_info`` up to the time since the last acknowledgement: timeouts
+in a row after which data was sent again, window probes without an answer, and
+that time in milliseconds."""
+_ATTEMPTS_MIN = 2
+"""One may have been sent just now."""
 _INT = struct.Struct("i")
 
 
@@ -53,6 +59,24 @@
     return state[0] in _ENDED_STATES
 
 
+def is_unresponsive(transport: asyncio.BaseTransport, seconds: float) -> bool:
+    """Return whether the peer's system has acknowledged nothing for so long.
+
+    It was asked to meanwhile. That a peer's process reads nothing is no sign
+    of that: its system answers the probes of a closed window.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+    if len(info) < _TCP_INFO.size:
+        return False
+    retransmits, probes, silent_ms = _TCP_INFO.unpack(info)
+    was_asked: bool = max(retransmits, probes) >= _ATTEMPTS_MIN
+    is_silent: bool = silent_ms >= 1000 * seconds
+    return was_asked and is_silent
+
+
 def unsent_bytes(transport: typing.Any, has_ended: bool) -> int:
     """Return the bytes that the peer's system has not acknowledged.
 
