Read on behind the last answers of sassafrasstaird

Cause: uvicorn closes the socket behind an answer that closes its connection; with bytes that were not read, the kernel resets it and drops what the caller has not received.

Change: the transport that uvicorn gets ends its sending half, reads on and drops what comes, and closes once the caller's system has everything, or after 30 s. A connection without unsent bytes is closed at once, as before.

--- a/src/sassafrasstair/httpio/__init__.py
+++ b/src/sassafrasstair/httpio/__init__.py
@@ -27,6 +27,7 @@
 from sassafrasstair.httpio._messages import Response
 from sassafrasstair.httpio._messages import response_head
 from sassafrasstair.httpio._pools import Pool
+from sassafrasstair.httpio._sockets import unsent_bytes
 
 __all__ = [
     "Census",
@@ -48,4 +49,5 @@
     "render_response",
     "request_head",
     "response_head",
+    "unsent_bytes",
 ]
--- a/src/sassafrasstair/runtime/_http.py
+++ b/src/sassafrasstair/runtime/_http.py
@@ -10,6 +10,7 @@
 
 import uvicorn
 
+from sassafrasstair.runtime import _lingering
 from sassafrasstair import settings
 
 if typing.TYPE_CHECKING:
@@ -117,7 +118,7 @@
     return uvicorn.Config(
         app,
         loop="none",
-        http="httptools",
+        http=_lingering.Protocol,
         ws="none",
         lifespan="off",
         log_config=None,
