Ask the kernel only about servers that have not answered of late

Cause: each busy connection whose request was older than 1.5 s was asked about every 0.25 s; in an overload these are many.

Change: a pool whose server has answered within 1.5 s asks nothing, since its system is there.

Result: the tests of httpio pass.

--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing
 
 from sassafrasstair.httpio import _bodies
@@ -45,6 +46,8 @@
         """Limits what is held of unfinished responses."""
         self.is_remote = is_remote
         """Whether the server's host may vanish while this one runs."""
+        self.answered_at = -math.inf
+        """When the server last answered, by the clock."""
         self.connections_opened = 0
         self._idle: list[_responses.Connection] = []
         self._busy: set[_responses.Connection] = set()
@@ -95,8 +98,9 @@
 
         The pool has no timer of its own; its owner calls this regularly.
         """
-        for busy in list(self._busy):
-            busy.check(now)
+        if now - self.answered_at >= _responses.UNRESPONSIVE_SECONDS:
+            for busy in list(self._busy):
+                busy.check(now)
         kept = []
         for connection in self._idle:
             if connection.usable(now):
--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -29,7 +29,7 @@
 bytes."""
 MESSAGES_MAX = 64
 """Interim and late responses, and the response itself."""
-_UNRESPONSIVE_SECONDS = 1.5
+UNRESPONSIVE_SECONDS = 1.5
 """A connection ends if its peer's system acknowledges nothing for so long."""
 _KEEPALIVE_IDLE_S = 2
 """Probes begin on a connection that was silent for so long. They detect a
@@ -158,11 +158,11 @@
         The kernel's own time-out would also end a connection to a process
         that is there and reads nothing for a while.
         """
-        if self._closed or now - self._started_at < _UNRESPONSIVE_SECONDS:
+        if self._closed or now - self._started_at < UNRESPONSIVE_SECONDS:
             return
         if not self._pool.is_remote or self._transport is None:
             return
-        if _sockets.is_unresponsive(self._transport, _UNRESPONSIVE_SECONDS):
+        if _sockets.is_unresponsive(self._transport, UNRESPONSIVE_SECONDS):
             has_begun = self._response is not None
             failure = _jobs.Failure
             self._fail(failure.CUT_SHORT if has_begun else failure.LOST)
@@ -338,12 +338,13 @@
         self._pool.memory.release(self)
         whole = self._with_body(response)
         unsent = self._transport.get_write_buffer_size()
+        now = self._pool.answered_at = self._pool.clock.monotonic()
         if self._keep_alive and not self._has_extra_data and not unsent:
             field = response.headers.get(b"keep-alive", b"")
             idle_seconds = keepalive.idle_seconds(
                 field, self._pool.idle_seconds
             )
-            self._idle_until = self._pool.clock.monotonic() + idle_seconds
+            self._idle_until = now + idle_seconds
             self._pool.release(self)
         else:
             self._closed = True
