Check again by which estimates a stop takes what it may cut

Cause: as the property test of stops learned the rule's own bounds, two of its assertions on what is cut were dropped, though they still hold: it began in the first phase or may be a call, and after that phase the longest known had to fit.

Change: both are back, beside the new ones.

Result: the test passes on the code as it is; no other change.

--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -215,6 +215,11 @@
         assert daemon.stop.cut_at >= signalled_at + CUT_GRACE_RATIO * grace
         expected_end = request.started_at + request.arrival.expected
         assert expected_end <= daemon.stop.cut_at < request.arrival.deadline
+        in_time = request.arrival.began_at <= daemon.stop.lame_duck_until
+        assert in_time or request.arrival.may_be_call
+        if request.started_at > daemon.stop.lame_duck_until:
+            longest_end = request.started_at + request.arrival.longest
+            assert longest_end <= daemon.stop.cut_at
     for request in unread:
         assert not stops.may_take(daemon.stop, request.arrival, now)
 
