Read a response's stated length once, and ask less about memory

Cause: each piece of a response looked up and parsed its length, and asked whether it waits for memory, though that is told when it changes; the limit on how long a last answer lingers was kept and passed on; a run's wait was added by a copy of it.

Change: the length is read with the head, reading is updated only where it differs from what the input asks, and the other two hold less state. Behaviour is unchanged.

--- a/src/sassafrasstair/forwarding/_arrivals.py
+++ b/src/sassafrasstair/forwarding/_arrivals.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing
 
 from sassafrasstair.decisions import load
@@ -70,9 +69,8 @@
     """Return whether this VM's upstream may get a request of any daemon."""
     if daemon.stop is None:
         return True
-    run = _run(daemon, guard, inbound, deadline, now)
-    longest = run.longest + load.wait_seconds(guard)
-    run = dataclasses.replace(run, longest=longest)
+    wait = load.wait_seconds(guard)
+    run = _run(daemon, guard, inbound, deadline, wait, now)
     return stops.may_run(daemon.stop, run, now)
 
 
@@ -82,7 +80,12 @@
         return True
     now = daemon.clock.monotonic()
     run = _run(
-        daemon, execution.guard, execution.request, execution.deadline, now
+        daemon,
+        execution.guard,
+        execution.request,
+        execution.deadline,
+        0.0,
+        now,
     )
     return stops.may_start_run(daemon.stop, run, now)
 
@@ -92,11 +95,13 @@
     guard: load.Guard,
     inbound: _records.InboundRequest,
     deadline: float,
+    wait: float,
     now: float,
 ) -> stops.Run:
+    """Return what the upstream is to run, after a wait of so many seconds."""
     return stops.Run(
         deadline,
-        _longest_run(daemon, guard, inbound.metadata.route, now),
+        wait + _longest_run(daemon, guard, inbound.metadata.route, now),
         inbound.entrance == daemon.settings.host,
         inbound.last_resort,
     )
--- a/src/sassafrasstair/httpio/_bodies.py
+++ b/src/sassafrasstair/httpio/_bodies.py
@@ -103,10 +103,10 @@
 
     def release(self, holder: Holder) -> None:
         """Record that a connection holds nothing any more."""
-        was_scarce = self._is_scarce
         part = self._parts.pop(holder, None)
         if part is None:
             return
+        was_scarce = self._is_scarce
         self.held_bytes -= part.size
         if was_scarce:
             self._share()
--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -50,6 +50,7 @@
         "_body_size",
         "_closed",
         "_complete_response",
+        "_content_length",
         "_has_extra_data",
         "_has_length",
         "_idle_until",
@@ -77,6 +78,8 @@
         self._complete_response: _messages.Response | None = None
         self._body_parts: list[bytes] = []
         self._body_size = 0
+        self._content_length: int | None = None
+        """Bytes of the body, if the response states them."""
         self._is_late = False
         """Whether the current response belongs to an earlier request."""
         self._has_length = True
@@ -214,8 +217,9 @@
     def _handle_parsed(self) -> None:
         """Report the response if it is complete, or else read on."""
         if self._job is not None:
-            self._hold_unfinished()
-        self.update_reading()
+            self._finish_or_hold()
+        if self._paused != self._input.waits_for_turn:
+            self.update_reading()
 
     def update_reading(self) -> None:
         """Read no more while input waits for its turn, or for memory."""
@@ -230,7 +234,7 @@
         else:
             self._transport.resume_reading()
 
-    def _hold_unfinished(self) -> None:
+    def _finish_or_hold(self) -> None:
         """Report the response, or reserve memory for what there is of it."""
         if self._complete_response is not None:
             if self._input.has_rest:
@@ -239,16 +243,7 @@
             return
         unfinished = self._input.meter.framing_bytes + self._body_size
         held = unfinished + len(self._input.unparsed)
-        self._pool.memory.hold(self, held, self._content_length())
-
-    def _content_length(self) -> int | None:
-        """Return the length that the response states, if it does."""
-        response = self._response
-        if response is None:
-            return None
-        value = response.headers.get(b"content-length", b"")
-        is_number = value.isdigit() and len(value) <= _LENGTH_DIGITS_MAX
-        return int(value) if is_number else None
+        self._pool.memory.hold(self, held, self._content_length)
 
     def on_message_begin(self) -> None:
         """Start a response; one after a complete response is ignored."""
@@ -261,6 +256,7 @@
             self._fail(_jobs.Failure.GARBLED)
             return
         self._response = _messages.Response()
+        self._content_length = None
         self._body_parts = []
         self._body_size = 0
         self._is_late = False
@@ -299,6 +295,9 @@
             # this connection after the next one was sent. A job aborted here
             # does not cause it, since its connection is closed.
             self._is_late = received is not None and received != value
+        length = response.headers.get(b"content-length", b"")
+        if length.isdigit() and len(length) <= _LENGTH_DIGITS_MAX:
+            self._content_length = int(length)
         if self._is_late or response.status < 200:
             return
         self._input.meter.note_progress()
--- a/src/sassafrasstair/runtime/_lingering.py
+++ b/src/sassafrasstair/runtime/_lingering.py
@@ -31,15 +31,14 @@
     ) -> None:
         self._transport = transport
         self._loop = loop
-        self._lingers_until: float | None = None
+        self._lingers = False
 
     def __getattr__(self, name: str) -> typing.Any:
         return getattr(self._transport, name)
 
     def is_closing(self) -> bool:
         """Return whether nothing more is written."""
-        is_lingering = self._lingers_until is not None
-        return is_lingering or self._transport.is_closing()
+        return self._lingers or self._transport.is_closing()
 
     def close(self) -> None:
         """Close the connection, now or soon."""
@@ -48,10 +47,10 @@
         if not httpio.unsent_bytes(self._transport, False):
             self._transport.close()
             return
-        self._lingers_until = self._loop.time() + LINGER_SECONDS
+        self._lingers = True
         self._transport.write_eof()
         self._transport.resume_reading()
-        self._close_if_sent(self._lingers_until)
+        self._close_if_sent(self._loop.time() + LINGER_SECONDS)
 
     def _close_if_sent(self, until: float) -> None:
         if self._transport.is_closing():
