Let the soaks of call graphs share their clients and policies

Cause: the soak of single stops wrote the mesh soak's client of an instance and its policies again.

Change: the mesh fleet makes both; the other one says only its timeouts. The draws of the mesh soak are the same as before.

--- a/tests/platform/soak/growing.py
+++ b/tests/platform/soak/growing.py
@@ -54,20 +54,11 @@
     def _upstream(
         self, host: str, service: str, client: clients.Client
     ) -> upstreams.Upstream:
-        return Upstream(
-            service, self.oracle, self.rng, self.client_of(host, service)
-        )
+        own = self.waiting_client(host, service)
+        return Upstream(service, self.oracle, self.rng, own)
 
-    def client_of(self, host: str, service: str) -> clients.Client:
-        """Return a client of a VM's daemon that waits for its answers."""
-        return clients.Client(
-            self.oracle,
-            host,
-            fleet_module.OUTBOUND,
-            service,
-            self.rng,
-            leaves=False,
-        )
+    def _timeout(self, kind: mesh.Kind) -> float:
+        return max(kind.timeouts[0], TIMEOUT_RATIO * self.grace)
 
     def grow(self, since: float | None) -> None:
         """Let all work grow from a time of the loop on, or no longer."""
@@ -75,18 +66,6 @@
             upstream = typing.cast("Upstream", vm.upstream)
             upstream.grows_since = since
 
-    def _policies(self) -> dict[str, dict[str, object]]:
-        return {
-            name: fleet_module.route_policy(
-                name,
-                kind.service,
-                kind.idempotent,
-                int(1000 * max(kind.timeouts[0], TIMEOUT_RATIO * self.grace)),
-                int(1000 * kind.objective),
-            )
-            for name, kind in mesh.KINDS.items()
-        }
-
 
 class Client(kept.Client):
     """Sends usual requests of all kinds, and waits for their answers."""
@@ -137,7 +116,7 @@
 async def _stop_one(fleet: Fleet) -> None:
     """Stop a daemon beside runs of its instance, and start another."""
     vm = fleet.rng.choice(fleet.vms)
-    client = fleet.client_of(vm.host, vm.upstream.service)
+    client = fleet.waiting_client(vm.host, vm.upstream.service)
     runs = [_run(fleet, vm) for _ in range(RUNS)]
     sent = [_send_late(fleet, client) for _ in range(LATE_REQUESTS)]
     late = asyncio.gather(*runs, *sent)
@@ -156,7 +135,7 @@
     limit = fleet.rng.uniform(*LIMIT_RATIOS) * fleet.grace
     work = fleet.rng.uniform(0.0, 1.0) * limit
     other = fleet.rng.choice(fleet.vms)
-    client = fleet.client_of(other.host, other.upstream.service)
+    client = fleet.waiting_client(other.host, other.upstream.service)
     target = f"/{route}/{clients.new_key()}?work={work:.3f}"
     return await client.call(
         route, mesh.KINDS[route].idempotent, limit, target
--- a/tests/platform/soak/mesh.py
+++ b/tests/platform/soak/mesh.py
@@ -205,7 +205,12 @@
         self, host: str, service: str, client: clients.Client
     ) -> upstreams.Upstream:
         """Return an instance with connections of its own."""
-        own = clients.Client(
+        own = self.waiting_client(host, service)
+        return Upstream(service, self.oracle, self.rng, own)
+
+    def waiting_client(self, host: str, service: str) -> clients.Client:
+        """Return a client of a VM's daemon that waits for its answers."""
+        return clients.Client(
             self.oracle,
             host,
             fleet_module.OUTBOUND,
@@ -213,7 +218,10 @@
             self.rng,
             leaves=False,
         )
-        return Upstream(service, self.oracle, self.rng, own)
+
+    def _timeout(self, kind: Kind) -> float:
+        """Return the timeout of a route in the next policy."""
+        return self.rng.choice(kind.timeouts)
 
     def _policies(self) -> dict[str, dict[str, object]]:
         return {
@@ -221,7 +229,7 @@
                 name,
                 kind.service,
                 kind.idempotent,
-                int(1000 * self.rng.choice(kind.timeouts)),
+                int(1000 * self._timeout(kind)),
                 int(1000 * kind.objective),
             )
             for name, kind in KINDS.items()
