--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -174,21 +174,29 @@
     return asyncio.run(scenario())
 
 
+async def _play_answers(
+    trial: Trial, kinds: abc.Iterable[str], gap: float
+) -> None:
+    """Put an instance with endless answers in place of the edge's."""
+    beside = trial.beside
+    beside.upstream.close()
+    with _process("serve", beside.host, str(fleet_module.APP)) as process:
+        assert process.stdout is not None
+        assert process.stdout.readline() == b"listens\n"
+        trial.register()
+        await asyncio.sleep(0.5)
+        for kind in kinds:
+            await trial.play(kind, endless_requests=True, gap=gap)
+
+
 def test_answers_that_never_end_cost_no_other_request(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A daemon held gigabytes of them, and others got no answer."""
 
     async def play(trial: Trial) -> None:
-        beside = trial.beside
-        beside.upstream.close()
-        with _process("serve", beside.host, str(fleet_module.APP)) as process:
-            assert process.stdout is not None
-            assert process.stdout.readline() == b"listens\n"
-            trial.register()
-            await asyncio.sleep(0.5)
-            for kind in (*endless.ANSWERS, *endless.SPECIAL_ANSWERS):
-                await trial.play(kind, endless_requests=True)
+        kinds = (*endless.ANSWERS, *endless.SPECIAL_ANSWERS)
+        await _play_answers(trial, kinds, ENDLESS_GAP_SECONDS)
 
     assert not _run(tmp_path, monkeypatch, play)
 
@@ -199,15 +207,8 @@
     """All of them together fit into a daemon's memory."""
 
     async def play(trial: Trial) -> None:
-        beside = trial.beside
-        beside.upstream.close()
-        with _process("serve", beside.host, str(fleet_module.APP)) as process:
-            assert process.stdout is not None
-            assert process.stdout.readline() == b"listens\n"
-            trial.register()
-            await asyncio.sleep(0.5)
-            for kind in ("body_until_the_end", "body_in_chunks", "field"):
-                await trial.play(kind, True, CROWD_GAP_SECONDS)
+        kinds = ("body_until_the_end", "body_in_chunks", "field")
+        await _play_answers(trial, kinds, CROWD_GAP_SECONDS)
 
     assert not _run(tmp_path, monkeypatch, play)
 
