Let no silence of a daemon end the answer of its instance

Callers saw 502 with seconds of their limits left, or an answer that was begun again and came late, though their instances answered in time. Cause: an attempt that can be repeated was aborted at the first ping that its daemon did not answer, and one that can't be 1.5 s later. A process without a processor answers no ping; its kernel keeps its connections, and its instance works on. A repeat that was refused then ended the request. Change: an attempt that may be at work ends by its own answer, its limit, its client or a connection that failed. Silence sends new requests elsewhere, and begins an idempotent one beside the first attempt, within max_attempts and the budget; the first answer counts, and ends the other. A repeat that ends leaves the first under way.

--- a/src/sassafrasstair/console/_traces.py
+++ b/src/sassafrasstair/console/_traces.py
@@ -18,6 +18,7 @@
     "store_lost": "store",
     "store_back": "store",
     "peer_lost": "peer",
+    "peer_silent": "peer",
     "peer_back": "peer",
     # An instance that vanishes from the store while it is ready has lapsed.
     # It is gone if it stays away, or vanishes while it is leaving, that is,
--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -35,11 +35,8 @@
 from sassafrasstair.decisions.calls._peers import end_attempt
 from sassafrasstair.decisions.calls._peers import end_last_resort
 from sassafrasstair.decisions.calls._peers import forget_attempt
-from sassafrasstair.decisions.calls._peers import forget_unanswered
-from sassafrasstair.decisions.calls._peers import is_gone
 from sassafrasstair.decisions.calls._peers import is_leaving
 from sassafrasstair.decisions.calls._peers import note_pong
-from sassafrasstair.decisions.calls._peers import note_unanswered
 from sassafrasstair.decisions.calls._peers import probe_due
 from sassafrasstair.decisions.calls._peers import probe_ended
 from sassafrasstair.decisions.calls._peers import record_restart
@@ -83,9 +80,7 @@
     "floor_of",
     "floors",
     "forget_attempt",
-    "forget_unanswered",
     "has_untried",
-    "is_gone",
     "is_leaving",
     "max_callee_floor",
     "max_message_age",
@@ -95,7 +90,6 @@
     "observe_route_seconds",
     "pick_target",
     "note_pong",
-    "note_unanswered",
     "probe_due",
     "probe_ended",
     "ran_enough",
--- a/src/sassafrasstair/decisions/calls/_peers.py
+++ b/src/sassafrasstair/decisions/calls/_peers.py
@@ -33,9 +33,6 @@
 # An instance without an answer for this long is forgotten: VMs are replaced
 # all day, and pings to the ones that are gone would never end.
 FORGET_SECONDS = 60.0
-# A VM whose connections stay open answers pings late while it is overloaded.
-# After this time without an answer to pings it is taken for gone.
-GONE_SECONDS = 1.5
 LATENCY_WEIGHT = 0.1
 DEFAULT_LIMIT = 20.0
 # The least weight of an answer in the usual service time, and the number of
@@ -65,13 +62,12 @@
     received at ``heard_at``. ``usual_service_seconds`` is the average of
     ``service_seconds`` over ``samples`` answers. ``silent_since`` is the time
     of the last answer, or of the first attempt after an idle period, and
-    ``ponged_at`` that of the last answer to a ping. ``unanswered_since`` is
-    when the first ping was sent that was not answered since either.
-    ``latency`` is the average latency of successful attempts, and
-    ``failures`` counts the failures since the last success. Failures make
-    the instance ``ejected``, and an unanswered ping, last sent at
-    ``pinged_at``, makes it ``unreachable``. It is ``leaving``
-    while its daemon stops and may still take what no other instance can run.
+    ``ponged_at`` that of the last answer to a ping. ``latency`` is the
+    average latency of successful attempts, and ``failures`` counts the
+    failures since the last success. Failures make the instance ``ejected``,
+    and an unanswered ping, last sent at ``pinged_at``, makes it
+    ``unreachable``. It is ``leaving`` while its daemon stops and may still
+    take what no other instance can run.
 
     ``answers`` and ``refusals`` are decayed counts of the attempts that the
     instance itself took or refused, last updated at ``counted_at``.
@@ -89,7 +85,6 @@
     heard_at: float = -math.inf
     silent_since: float = 0.0
     ponged_at: float = -math.inf
-    unanswered_since: float = -math.inf
     latency: float = 0.0
     failures: int = 0
     ejected: bool = False
@@ -236,8 +231,7 @@
 def probe_due(routes: Routes, now: float) -> list[str]:
     """Return the ejected, unreachable or silent VMs that must be pinged now.
 
-    When a ping fails, the transport must also report each attempt under way
-    at that VM as lost: nothing else ends it before its deadline.
+    A ping that fails says nothing about the attempts under way at that VM.
     """
     due = []
     for vm, peer in list(routes.peers.items()):
@@ -315,33 +309,3 @@
     peer = routes.peers.get(vm)
     if peer is not None:
         peer.ponged_at = now
-
-
-def note_unanswered(routes: Routes, vm: str, sent_at: float) -> None:
-    """Record that ``vm`` did not answer a ping in time."""
-    peer = routes.peers.get(vm)
-    if peer is not None and peer.unanswered_since < _heard_at(peer):
-        peer.unanswered_since = sent_at
-
-
-def forget_unanswered(routes: Routes, vm: str) -> None:
-    """Forget unanswered pings to ``vm``, whose answers may wait here."""
-    peer = routes.peers.get(vm)
-    if peer is not None:
-        peer.unanswered_since = -math.inf
-
-
-def is_gone(routes: Routes, vm: str, now: float) -> bool:
-    """Return whether ``vm`` has not answered for so long that it is gone.
-
-    It has to answer only from the first ping on.
-    """
-    peer = routes.peers.get(vm)
-    if peer is None:
-        return True
-    silent_since = max(_heard_at(peer), peer.unanswered_since)
-    return now - silent_since >= GONE_SECONDS
-
-
-def _heard_at(peer: Peer) -> float:
-    return max(peer.silent_since, peer.ponged_at)
--- a/src/sassafrasstair/decisions/requests/__init__.py
+++ b/src/sassafrasstair/decisions/requests/__init__.py
@@ -27,16 +27,19 @@
 from sassafrasstair.decisions.requests._depths import UNKNOWN_HOP
 from sassafrasstair.decisions.requests._progress import attempt_ended
 from sassafrasstair.decisions.requests._progress import attempt_sent
+from sassafrasstair.decisions.requests._progress import begin_beside
+from sassafrasstair.decisions.requests._progress import Beside
 from sassafrasstair.decisions.requests._progress import Ending
 from sassafrasstair.decisions.requests._progress import is_too_late
 from sassafrasstair.decisions.requests._progress import new_progress
 from sassafrasstair.decisions.requests._progress import outcome
 from sassafrasstair.decisions.requests._progress import Progress
 from sassafrasstair.decisions.requests._progress import retry_after
+from sassafrasstair.decisions.requests._progress import silent_ended
 from sassafrasstair.decisions.requests._progress import Step
-from sassafrasstair.decisions.requests._progress import would_repeat
 
 __all__ = [
+    "Beside",
     "BudgetRules",
     "CallsBelow",
     "Depths",
@@ -49,6 +52,7 @@
     "allow_repeat",
     "attempt_ended",
     "attempt_sent",
+    "begin_beside",
     "calls_below",
     "depth_of",
     "find_hop",
@@ -67,7 +71,7 @@
     "ratio_share",
     "retry_after",
     "shares_by_depth",
+    "silent_ended",
     "slack_part",
     "slack_share",
-    "would_repeat",
 ]
--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -53,11 +53,25 @@
     """What to do after an attempt has failed.
 
     ``OVER_BUDGET`` is to give up because the retry budget allows no repeat.
+    ``WAIT`` is to wait for another attempt, which is still under way.
     """
 
     RETRY = "retry"
     GIVE_UP = "give_up"
     OVER_BUDGET = "over_budget"
+    WAIT = "wait"
+
+
+class Beside(enum.Enum):
+    """What is still under way when an attempt ends.
+
+    ``EARLIER``: attempts that were begun before the one that ended.
+    ``LATER``: one that was begun after it, in its place.
+    """
+
+    NONE = "none"
+    EARLIER = "earlier"
+    LATER = "later"
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,7 +79,8 @@
     """One request under way at its entrance.
 
     ``tried`` are the instances of all attempts so far. ``handed_over`` counts
-    the attempts that an instance received, ``unsent`` and ``turned_away``
+    the attempts that an instance received, or may have received if another
+    was begun beside it, ``unsent`` and ``turned_away``
     those that ended so, and ``crashes`` those during which the instance
     crashed. ``unsent_seconds`` is the time that those ``unsent`` took.
     ``may_have_run`` is set if an instance may have run the request.
@@ -106,6 +121,7 @@
     crashed: bool = False,
     service_seconds: float = 0.0,
     attempt_seconds: float = math.inf,
+    beside: Beside = Beside.NONE,
 ) -> Step:
     """Record how an attempt ended and return what to do next.
 
@@ -125,6 +141,22 @@
     if ending is Ending.LOST:
         progress.may_have_run = True
     progress.crashes += crashed
+    if beside is Beside.LATER:
+        return Step.WAIT
+    step = _next_step(progress, ending, window, rules, now, service_seconds)
+    if step is not Step.RETRY and beside is Beside.EARLIER:
+        return Step.WAIT
+    return step
+
+
+def _next_step(
+    progress: Progress,
+    ending: Ending,
+    window: _budgets.Window,
+    rules: _budgets.BudgetRules,
+    now: float,
+    service_seconds: float,
+) -> Step:
     if is_too_late(progress, now) or _exhausted(progress):
         return Step.GIVE_UP
     if ending in (Ending.UNSENT, Ending.TURNED_AWAY):
@@ -136,16 +168,18 @@
     return Step.OVER_BUDGET
 
 
-def would_repeat(
+def begin_beside(
     progress: Progress,
     window: _budgets.Window,
     rules: _budgets.BudgetRules,
     now: float,
     service_seconds: float,
 ) -> bool:
-    """Return whether the request would be repeated if its attempt were lost.
+    """Return whether to begin another attempt beside one that is silent.
 
-    The arguments are those of ``attempt_ended``; nothing is recorded.
+    An instance may be at work on the silent one, so that it counts as handed
+    over until it ends, and the other one uses the retry budget. The arguments
+    are those of ``attempt_ended``.
     """
     lost = dataclasses.replace(
         progress, handed_over=progress.handed_over + 1, may_have_run=True
@@ -154,7 +188,19 @@
         return False
     if _expires_within(lost, window, now, service_seconds):
         return False
-    return _budgets.is_repeat_allowed(window, rules, now, lost.rank)
+    if not _budgets.is_repeat_allowed(window, rules, now, lost.rank):
+        return False
+    _budgets.allow_repeat(window, rules, now, lost.rank)
+    progress.handed_over += 1
+    return True
+
+
+def silent_ended(progress: Progress) -> None:
+    """Record that an attempt ends beside which another was begun.
+
+    ``attempt_ended`` then counts it by how it ended.
+    """
+    progress.handed_over -= 1
 
 
 def _expires_within(
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -54,7 +54,8 @@
     """Send the request to an instance that has not been tried yet.
 
     If there is none, the client is answered with ``last_reason``, the
-    reason for which the previous attempt ended. ``verdict`` says whether the
+    reason for which the previous attempt ended, unless another one is still
+    under way. ``verdict`` says whether the
     request is suspected of crashing instances, None if no crash is known. A
     blocked request is refused with ``CRASHES_INSTANCES``, and one that a
     stopping daemon does not take with ``LEAVING``.
@@ -62,15 +63,13 @@
     now = daemon.clock.monotonic()
     verdict = _crashes.verdict_of_call(daemon, call)
     if _crashes.is_blocked(verdict):
-        _endings.answer_failed_call(
-            daemon, call, outcomes.Reason.CRASHES_INSTANCES
-        )
+        _give_up(daemon, call, outcomes.Reason.CRASHES_INSTANCES)
         return
     progress = call.progress
     if not _arrivals.may_take(
         daemon, progress.route, call.exchange.request, call.read_at, now
     ):
-        _endings.answer_failed_call(daemon, call, outcomes.Reason.LEAVING)
+        _give_up(daemon, call, outcomes.Reason.LEAVING)
         return
     targets = views.targets(daemon.view, progress.service)
     need = _need(daemon, call, now)
@@ -80,7 +79,7 @@
         daemon.routes, targets, call.last_resorts, now, daemon.rng
     )
     if choice is None:
-        _endings.answer_failed_call(daemon, call, last_reason)
+        _give_up(daemon, call, last_reason)
         return
     target = choice.target
     last_resort = calls.is_leaving(daemon.routes, target.vm)
@@ -134,62 +133,17 @@
     return calls.Need(route.name, route.objective - taken)
 
 
-def fail_attempts_at(daemon: _state.Daemon, instance: str) -> None:
-    """End the attempts at an instance whose daemon does not respond.
-
-    Attempts whose connection is not established yet have not run and are
-    retried elsewhere. Of the others, only requests of idempotent routes are
-    retried. The rest keep waiting: the answer may still arrive, and giving
-    up early gains nothing. Those of idempotent routes that can't be retried
-    wait until the daemon is taken for gone.
-    """
-    now = daemon.clock.monotonic()
-    is_gone = calls.is_gone(daemon.routes, instance, now)
-    for call in list(daemon.calls):
-        attempt = call.attempt
-        if attempt is None or attempt.instance != instance:
-            continue
-        ending = requests.Ending.UNSENT
-        reason = outcomes.Reason.PEER_UNREACHABLE
-        if may_have_run(daemon, attempt):
-            if not call.progress.route.idempotent:
-                continue
-            if not is_gone and not _would_retry(daemon, call, now):
-                continue
-            ending = requests.Ending.LOST
-            reason = outcomes.Reason.PEER_LOST
+def abort_all(daemon: _state.Daemon, call: _records.Call) -> None:
+    """Abort all attempts, at the callees' daemons as well."""
+    attempts = call.attempts
+    call.attempt = None
+    call.silent_attempts.clear()
+    for attempt in attempts:
+        calls.forget_attempt(daemon.routes, attempt.instance)
         if attempt.job is not None:
             attempt.job.abort()
-        _end_attempt(daemon, call, ending, reason)
-
-
-def _would_retry(
-    daemon: _state.Daemon, call: _records.Call, now: float
-) -> bool:
-    """Return whether a request would be sent elsewhere if it were lost."""
-    progress = call.progress
-    targets = views.targets(daemon.view, progress.service)
-    if not calls.has_untried(daemon.routes, targets, progress.tried, now):
-        return False
-    return requests.would_repeat(
-        progress,
-        _repeats.updated_window(daemon, progress.service, now),
-        daemon.settings.bounds.budget,
-        now,
-        calls.shortest_service_seconds(daemon.routes, targets, now),
-    )
-
-
-def abort_attempt(daemon: _state.Daemon, call: _records.Call) -> None:
-    """Abort the current attempt, at the callee's daemon as well."""
-    attempt, call.attempt = call.attempt, None
-    if attempt is None:
-        return
-    calls.forget_attempt(daemon.routes, attempt.instance)
-    if attempt.job is not None:
-        attempt.job.abort()
-    elif attempt.execution_key:
-        _callee.cancel(daemon, attempt.execution_key)
+        elif attempt.execution_key:
+            _callee.cancel(daemon, attempt.execution_key)
 
 
 def may_have_run(daemon: _state.Daemon, attempt: _records.Attempt) -> bool:
@@ -231,10 +185,11 @@
     )
 
     def on_done(result: _records.Result) -> None:
-        if call.attempt is attempt:
+        if attempt in call.attempts:
             _handle_result(
                 daemon,
                 call,
+                attempt,
                 result.state,
                 result.notice,
                 result.work,
@@ -301,21 +256,17 @@
     result: httpio.Response | httpio.Failure,
 ) -> None:
     """Handle the response of another daemon."""
-    if call.attempt is not attempt:
+    if attempt not in call.attempts:
         return
     if result is httpio.Failure.NOT_SENT:
         if _is_current(daemon, attempt):
             calls.eject(daemon.routes, attempt.instance)
-        _end_attempt(
-            daemon,
-            call,
-            requests.Ending.UNSENT,
-            outcomes.Reason.PEER_UNREACHABLE,
-        )
+        reason = outcomes.Reason.PEER_UNREACHABLE
+        end_attempt(daemon, call, attempt, requests.Ending.UNSENT, reason)
         return
     if isinstance(result, httpio.Failure):
         reason = outcomes.Reason.PEER_LOST
-        _end_attempt(daemon, call, requests.Ending.LOST, reason)
+        end_attempt(daemon, call, attempt, requests.Ending.LOST, reason)
         return
     try:
         state = _wire.decode_state(
@@ -324,7 +275,7 @@
     except _wire.WireError as error:
         daemon.journal.note("peer_malformed", error=str(error))
         reason = outcomes.Reason.PEER_LOST
-        _end_attempt(daemon, call, requests.Ending.LOST, reason)
+        end_attempt(daemon, call, attempt, requests.Ending.LOST, reason)
         return
     if attempt.cross_domain_reason is not None:
         size = _response_size(result)
@@ -333,7 +284,7 @@
     _peers.note_peer_content(daemon, attempt.host, state.content)
     work = _work_wire.decode_work(result.headers)
     response = result if state.ending is None else None
-    _handle_result(daemon, call, state, notice, work, response)
+    _handle_result(daemon, call, attempt, state, notice, work, response)
 
 
 def _response_size(response: httpio.Response) -> int:
@@ -347,6 +298,7 @@
 def _handle_result(
     daemon: _state.Daemon,
     call: _records.Call,
+    attempt: _records.Attempt,
     state: _wire.CalleeState,
     notice: notices.Notice,
     work: _work_wire.WorkReport,
@@ -359,9 +311,6 @@
     answer's ``incarnation`` is the id of the instance whose daemon
     answered, '' if none did.
     """
-    attempt = call.attempt
-    if attempt is None:
-        return
     now = daemon.clock.monotonic()
     _observations.observe_load(daemon, call, attempt.instance, state, now)
     if daemon.settings.admits_by_cost:
@@ -380,7 +329,7 @@
     if response is None or state.ending is not None:
         _notices.record_refusal(daemon, attempt, notice)
         ending = state.ending or requests.Ending.LOST
-        _end_attempt(daemon, call, ending, state.reason, state)
+        end_attempt(daemon, call, attempt, ending, state.reason, state)
         return
     answer = calls.Answer(
         outcomes.Outcome.DONE, load=state.load, incarnation=attempt.instance
@@ -389,22 +338,47 @@
     if state.leaving:
         calls.eject_leaving(daemon.routes, attempt.instance)
     _notices.record_answer(daemon, attempt, response)
-    call.attempt = None
+    _remove(call, attempt)
+    abort_all(daemon, call)
     _crashes.record_completed(daemon, call)
     _endings.forward_answer(daemon, call, response)
 
 
-def _end_attempt(
+def _remove(call: _records.Call, attempt: _records.Attempt) -> requests.Beside:
+    """Remove an attempt that has ended; return what is still under way."""
+    if attempt is call.attempt:
+        call.attempt = None
+    else:
+        call.silent_attempts.remove(attempt)
+        requests.silent_ended(call.progress)
+    if call.attempt is not None:
+        return requests.Beside.LATER
+    if call.silent_attempts:
+        return requests.Beside.EARLIER
+    return requests.Beside.NONE
+
+
+def _give_up(
+    daemon: _state.Daemon, call: _records.Call, reason: outcomes.Reason
+) -> None:
+    """Send the client the final answer, unless an attempt is under way."""
+    if not call.attempts:
+        _endings.answer_failed_call(daemon, call, reason)
+
+
+def end_attempt(
     daemon: _state.Daemon,
     call: _records.Call,
+    attempt: _records.Attempt,
     ending: requests.Ending,
     reason: outcomes.Reason,
     state: _wire.CalleeState | None = None,
 ) -> None:
-    """Retry after a failed attempt, or send the client the final answer."""
-    attempt, call.attempt = call.attempt, None
-    if attempt is None:
-        return
+    """Retry after a failed attempt, or send the client the final answer.
+
+    If another attempt is under way, the request may wait for that instead.
+    """
+    beside = _remove(call, attempt)
     now = daemon.clock.monotonic()
     if reason is outcomes.Reason.INSTANCE_REPLACED:
         news = views.note_replaced(daemon.view, attempt.instance)
@@ -429,6 +403,7 @@
             daemon.routes, views.targets(daemon.view, progress.service), now
         ),
         now - attempt.sent_at,
+        beside,
     )
     _repeats.count_step(daemon, progress, ending, step)
     _counters.count_attempt(daemon.counters, progress.service, reason.value)
@@ -449,8 +424,8 @@
     blocked = reason is outcomes.Reason.CRASHES_INSTANCES
     if step is requests.Step.RETRY and not blocked:
         send_attempt(daemon, call, reason)
-    else:
-        _endings.answer_failed_call(daemon, call, reason)
+    elif step is not requests.Step.WAIT:
+        _give_up(daemon, call, reason)
 
 
 def _update_routes(
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -187,21 +187,21 @@
 
 
 def expire_call(daemon: _state.Daemon, call: _records.Call) -> None:
-    """Answer a request at its deadline, and abort its current attempt."""
+    """Answer a request at its deadline, and abort its attempts."""
     end_call(daemon, call, outcomes.Reason.DEADLINE_PASSED)
 
 
 def end_call(
     daemon: _state.Daemon, call: _records.Call, reason: outcomes.Reason
 ) -> None:
-    """Answer a request without a result, and abort its current attempt."""
+    """Answer a request without a result, and abort its attempts."""
     if call not in daemon.calls:
         return
-    if call.attempt is not None and _attempts.may_have_run(
-        daemon, call.attempt
+    if any(
+        _attempts.may_have_run(daemon, attempt) for attempt in call.attempts
     ):
         call.progress.may_have_run = True
-    _attempts.abort_attempt(daemon, call)
+    _attempts.abort_all(daemon, call)
     _endings.answer_failed_call(daemon, call, reason)
 
 
@@ -209,7 +209,7 @@
     """Abort the request of a client that closed its connection."""
     if call not in daemon.calls:
         return
-    _attempts.abort_attempt(daemon, call)
+    _attempts.abort_all(daemon, call)
     _endings.log_end(daemon, call, "client_left", 0, "client_left")
     _endings.finish_call(daemon, call, 0, "client_left")
 
--- a/src/sassafrasstair/forwarding/_probes.py
+++ b/src/sassafrasstair/forwarding/_probes.py
@@ -8,8 +8,8 @@
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import views
-from sassafrasstair.forwarding import _attempts
 from sassafrasstair.forwarding import _peers
+from sassafrasstair.forwarding import _silences
 from sassafrasstair.forwarding import _state
 from sassafrasstair.forwarding import _wire
 from sassafrasstair import httpio
@@ -64,14 +64,14 @@
     result: httpio.Response | httpio.Failure,
 ) -> None:
     if isinstance(result, httpio.Failure):
-        _handle_failure(daemon, ping, result.value)
+        _handle_failure(daemon, ping, "peer_lost", result.value)
         return
     try:
         state = _wire.decode_state(
             result.headers.get(_wire.STATE_HEADER_LOWER, b"")
         )
     except _wire.WireError as error:
-        _handle_failure(daemon, ping, str(error))
+        _handle_failure(daemon, ping, "peer_lost", str(error))
         return
     _peers.note_peer_content(daemon, ping.host, state.content)
     now = daemon.clock.monotonic()
@@ -92,13 +92,15 @@
 ) -> None:
     if job.awaited:
         job.abort()
-        _handle_failure(daemon, ping, "timeout")
+        _handle_failure(daemon, ping, "peer_silent", "timeout")
 
 
-def _handle_failure(daemon: _state.Daemon, ping: _Ping, reason: str) -> None:
-    """Take the daemon for lost, unless this one has been stalled itself.
+def _handle_failure(
+    daemon: _state.Daemon, ping: _Ping, event: str, reason: str
+) -> None:
+    """Send nothing more there, unless this process has been stalled itself.
 
-    A request that the other one still runs would be given up otherwise.
+    It can't tell then which of the two has been silent.
     """
     vm, host, now = ping.vm, ping.host, daemon.clock.monotonic()
     waited = now - ping.sent_at
@@ -106,12 +108,16 @@
         daemon.journal.note(
             "ping_unclear", peer=host, instance=vm, waited=waited
         )
-        calls.forget_unanswered(daemon.routes, vm)
         return
-    calls.note_unanswered(daemon.routes, vm, ping.sent_at)
     peer = daemon.routes.peers.get(vm)
     if peer is not None and not peer.unreachable:
-        daemon.journal.note("peer_lost", peer=host, instance=vm, reason=reason)
+        daemon.journal.note(
+            event,
+            peer=host,
+            instance=vm,
+            reason=reason,
+            in_flight=peer.in_flight,
+        )
     calls.probe_ended(daemon.routes, vm, False, now)
     _state.pool(daemon, host).drop_idle()
-    _attempts.fail_attempts_at(daemon, vm)
+    _silences.handle(daemon, vm)
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -99,7 +99,7 @@
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Attempt:
-    """The current attempt of a call.
+    """An attempt of a call.
 
     ``job`` is set if the attempt goes to another daemon, ``execution_key`` if
     it goes to the instance on this VM. ``metadata`` and ``fields`` are sent
@@ -131,6 +131,8 @@
 class Call:
     """One client's request in flight, read whole at ``read_at`` at the latest.
 
+    ``attempt`` is the latest attempt. ``silent_attempts`` were begun before
+    it, and wait for an answer though their daemons answer no ping.
     ``fields`` are the header fields to forward, and ``timer`` fires at the
     deadline. ``customer`` is the sender's name, '' for a request without a
     key, ``importance`` the request's, which its customer may set, and
@@ -146,6 +148,7 @@
     fields: httpio.Fields
     read_at: float
     attempt: Attempt | None = None
+    silent_attempts: list[Attempt] = dataclasses.field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
     customer: str = ""
     importance: int = 0
@@ -153,3 +156,9 @@
     last_resorts: list[str] = dataclasses.field(default_factory=list)
     token_until: float | None = None
     fingerprint: int | None = None
+
+    @property
+    def attempts(self) -> list[Attempt]:
+        """All attempts that are under way."""
+        latest = [] if self.attempt is None else [self.attempt]
+        return [*self.silent_attempts, *latest]
--- a/src/sassafrasstair/forwarding/_repeats.py
+++ b/src/sassafrasstair/forwarding/_repeats.py
@@ -94,7 +94,13 @@
         requests.Ending.REFUSED,
         requests.Ending.LOST,
     ):
-        _counters.count_repeat(daemon.counters, importance, "allowed")
+        count_allowed(daemon, progress)
+
+
+def count_allowed(daemon: _state.Daemon, progress: requests.Progress) -> None:
+    """Count a repeat that the budget allowed."""
+    importance = math.floor(progress.rank)
+    _counters.count_repeat(daemon.counters, importance, "allowed")
 
 
 def _find_hop(daemon: _state.Daemon, service: str, now: float) -> requests.Hop:
--- a/src/sassafrasstair/outcomes.py
+++ b/src/sassafrasstair/outcomes.py
@@ -55,6 +55,7 @@
     INSTANCE_RESTARTED = "instance_restarted"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_LOST = "peer_lost"
+    PEER_SILENT = "peer_silent"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_LOST = "upstream_lost"
--- /dev/null
+++ b/tests/platform/soak/test_stalls.py
@@ -0,0 +1,129 @@
+"""Tests that daemons which get no processor for a while lose no request.
+
+Each daemon is a process that is stopped and continued. Instances, clients and
+links go on meanwhile, in the test's own process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import typing
+
+import pytest
+
+from tests.platform.soak import clients
+from tests.platform.soak import fleet as fleet_module
+from tests.platform.soak import growing
+from tests.platform.soak import mesh
+from tests.platform.soak import records
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+GRACE = 6.0
+LIMIT = 5.0
+WORK = 3.0
+SAFE, UNSAFE = "deep", "upload"
+"""Routes without calls."""
+REQUESTS = 4
+"""Of each of these routes."""
+LONG_LIMIT = 9.0
+WARM_UP_CALLS = 8
+
+
+@contextlib.asynccontextmanager
+async def _fleet(name: str) -> abc.AsyncIterator[growing.Fleet]:
+    """Start a fleet of a call graph; keep its logs on failure."""
+    with records.kept_on_failure(name) as folder:
+        fleet = growing.Fleet(folder, random.Random(1), grace=GRACE)
+        try:
+            await fleet.open()
+            yield fleet
+            fleet.oracle.check_losses()
+            assert fleet.oracle.broken == []
+        finally:
+            await fleet.close()
+
+
+def _vms(fleet: growing.Fleet, service: str) -> list[fleet_module.Vm]:
+    return [vm for vm in fleet.vms if vm.upstream.service == service]
+
+
+def _send(
+    fleet: growing.Fleet,
+    vm: fleet_module.Vm,
+    route: str,
+    limit: float,
+    work: float,
+) -> asyncio.Future[int]:
+    """Send a request to a VM's daemon that takes ``work`` seconds."""
+    client = fleet.waiting_client(vm.host, vm.upstream.service)
+    target = f"/{route}/{clients.new_key()}?work={work:.3f}"
+    idempotent = mesh.KINDS[route].idempotent
+    return asyncio.ensure_future(client.call(route, idempotent, limit, target))
+
+
+async def _stall(
+    fleet: growing.Fleet, vms: list[fleet_module.Vm], seconds: float
+) -> None:
+    """Let daemons get no processor for a while."""
+    processes = [fleet_module.running(vm) for vm in vms]
+    for process in processes:
+        process.send_signal(signal.SIGSTOP)
+    fleet.timeline.note(f"stalls {[vm.name for vm in vms]}")
+    await asyncio.sleep(seconds)
+    for process in processes:
+        process.send_signal(signal.SIGCONT)
+    fleet.timeline.note("all run again")
+
+
+@pytest.mark.parametrize(
+    ("seconds", "count", "stops"),
+    [
+        (0.5, 2, True),
+        (1.2, 2, False),
+        (2.0, 2, True),
+        (2.4, 2, False),
+        (3.0, 2, False),
+        (3.0, 2, True),
+        (2.0, 1, False),
+        (2.4, 1, True),
+    ],
+)
+def test_silence_of_daemons_ends_no_answer(
+    seconds: float, count: int, stops: bool
+) -> None:
+    """Requests were given up whose instances answered a moment later.
+
+    ``count`` of the two daemons beside the instances of each service stall.
+    """
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with _fleet("silence") as fleet:
+            entrance = _vms(fleet, "ledger")[0]
+            sent_at = loop.time()
+            calls = [
+                _send(fleet, entrance, route, LIMIT, WORK)
+                for route in REQUESTS * (SAFE, UNSAFE)
+            ]
+            await asyncio.sleep(0.3)
+            stop = asyncio.ensure_future(
+                fleet.stop(entrance) if stops else asyncio.sleep(0.0)
+            )
+            await asyncio.sleep(0.3)
+            stalled = [
+                vm
+                for service in ("prices", "intake")
+                for vm in _vms(fleet, service)[:count]
+            ]
+            await _stall(fleet, stalled, seconds)
+            assert await asyncio.gather(*calls) == [200] * len(calls)
+            # A run that begins once more after the first ping takes longer.
+            assert loop.time() - sent_at < 4.0
+            await stop
+
+    asyncio.run(test())
