Count the bounds of a stop from the earliest possible signal

Callers saw requests cut that they had sent more than 3 s after SIGTERM, and connections that ended without an answer as the process was killed. Cause: all bounds counted from when the process noticed the signal, the platform's from when it sent it. A process without a processor notices it late, by as long as that lasts. Limits and estimates count from there; the final answers don't come before five sixths of the grace period after the latest possible signal, since what is at work may be killed then, but not answered for earlier. The first phase counts from when clients can hear of the stop. What waits for a slot is refused when limits have to end. The log says noticed_late.

--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -10,11 +10,14 @@
 failed polls."""
 LAME_DUCK_GRACE_RATIO = 0.55
 """The fraction of the grace period that the first phase takes at most."""
+AT_WORK_GRACE_RATIO = 5.0 / 6.0
+"""The fraction of the grace period for which a run that began early has to be
+waited for."""
 BEST_EFFORT_SECONDS = 2.8
 BEST_EFFORT_GRACE_RATIO = 0.7
 """A request that has been read by then may be cut at the end of the grace
-period, so that an estimate of its time will do. The platform's limit is 3 s,
-less the time that a busy process takes to notice the signal."""
+period, so that an estimate of its time will do. The platform's limit is 3 s
+from when it decides to stop the process."""
 UPSTREAM_GRACE_RATIO = 0.2
 """The fraction of the grace period in which the upstream still gets work, so
 that it is not idle from the signal on."""
@@ -65,14 +68,17 @@
 class Stop:
     """A planned stop that began at ``began_at``, in seconds.
 
-    ``grace`` is the time after which the process is killed, and ``busy_at``
-    the last time at which something was in flight. ``spread`` is drawn from
-    0 to 1, and sets how long the upstream is a last resort.
+    The signal was sent at ``signalled_at`` at the earliest, and at
+    ``began_at`` at the latest: each bound counts from the worse of the two.
+    ``grace`` is the time after the signal at which the process is killed, and
+    ``busy_at`` the last time at which something was in flight. ``spread`` is
+    drawn from 0 to 1, and sets how long the upstream is a last resort.
     ``has_last_resorts`` is set while the upstream gets what no other instance
     can run. Without ``accepting``, new connections are refused for good.
     """
 
     began_at: float
+    signalled_at: float
     grace: float
     busy_at: float
     spread: float
@@ -82,9 +88,12 @@
 
     @property
     def lame_duck_until(self) -> float:
-        """When clients can be expected to know of the stop."""
+        """When clients can be expected to know of the stop.
+
+        They learn of it from this process, once it has noticed the signal.
+        """
         seconds = min(LAME_DUCK_SECONDS, LAME_DUCK_GRACE_RATIO * self.grace)
-        return self.began_at + seconds
+        return min(self.began_at + seconds, self.limits_until)
 
     @property
     def best_effort_until(self) -> float:
@@ -92,7 +101,7 @@
         seconds = min(
             BEST_EFFORT_SECONDS, BEST_EFFORT_GRACE_RATIO * self.grace
         )
-        return self.began_at + seconds
+        return self.signalled_at + seconds
 
     @property
     def upstream_until(self) -> float:
@@ -108,13 +117,23 @@
         earliest = max(
             self.upstream_until, self.lame_duck_until - LAME_DUCK_REST_SECONDS
         )
-        latest = min(self.cut_at, earliest + LAST_RESORT_SECONDS)
+        latest = min(self.limits_until, earliest + LAST_RESORT_SECONDS)
         return earliest + self.spread * (latest - earliest)
 
+    @property
+    def limits_until(self) -> float:
+        """When the time limits of what is taken late have to end."""
+        return self.signalled_at + self.grace - self._answer_seconds
+
     @property
     def cut_at(self) -> float:
-        """When all that is still in flight gets its final answer."""
-        return self.began_at + self.grace - self._answer_seconds
+        """When all that is still in flight gets its final answer.
+
+        If the signal was noticed very late, the process may be killed before.
+        What is at work then may be cut either way.
+        """
+        at_work_until = self.began_at + AT_WORK_GRACE_RATIO * self.grace
+        return max(self.limits_until, at_work_until)
 
     @property
     def ends_by(self) -> float:
@@ -122,7 +141,8 @@
         exit_seconds = min(
             EXIT_SECONDS, EXIT_ANSWER_RATIO * self._answer_seconds
         )
-        return self.began_at + self.grace - exit_seconds
+        killed_at = self.signalled_at + self.grace
+        return max(killed_at - exit_seconds, self.cut_at + FLUSH_SECONDS)
 
     @property
     def _answer_seconds(self) -> float:
@@ -180,9 +200,21 @@
     last_resort: bool = False
 
 
-def begin(grace: float, now: float, spread: float = 1.0) -> Stop:
-    """Return the state of a stop that begins now."""
-    return Stop(now, grace, now, spread)
+def begin(
+    grace: float,
+    now: float,
+    spread: float = 1.0,
+    signalled_at: float | None = None,
+) -> Stop:
+    """Return the state of a stop that begins now.
+
+    ``signalled_at`` is the last time at which the process surely had not got
+    the signal, ``now`` if it is None. A process that stands still notices the
+    signal late, but the platform counts from when it was sent.
+    """
+    if signalled_at is None:
+        signalled_at = now
+    return Stop(now, signalled_at, grace, now, spread)
 
 
 def update(stop: Stop, in_flight: InFlight, now: float) -> Phase:
@@ -221,7 +253,7 @@
         return False
     if not may_start(stop, arrival.deadline, arrival.expected, now):
         return False
-    if arrival.deadline <= stop.cut_at:
+    if arrival.deadline <= stop.limits_until:
         return True
     if arrival.read_at > stop.best_effort_until:
         return False
@@ -253,7 +285,7 @@
     """
     if not may_start(stop, run.deadline, run.longest, now):
         return False
-    if run.deadline <= stop.cut_at:
+    if run.deadline <= stop.limits_until:
         return True
     return run.may_be_cut and _fits(stop, run.longest, now)
 
@@ -284,7 +316,7 @@
     """
     if stop.phase not in (Phase.LAME_DUCK, Phase.DRAINING):
         return False
-    return min(deadline, now + expected) <= stop.cut_at
+    return min(deadline, now + expected) <= stop.limits_until
 
 
 def tail_seconds(average: float) -> float:
@@ -298,7 +330,7 @@
     Some take longer than was ever seen, so a minimum time must be left.
     """
     least = min(TAIL_SECONDS, TAIL_GRACE_RATIO * stop.grace)
-    return now + max(least, longest) <= stop.cut_at
+    return now + max(least, longest) <= stop.limits_until
 
 
 def accepts_connections(stop: Stop, in_flight: InFlight) -> bool:
--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -28,7 +28,10 @@
     daemon = running.daemon
     now = daemon.clock.monotonic()
     daemon.stop = stops.begin(
-        daemon.settings.bounds.grace_seconds, now, daemon.rng.random()
+        daemon.settings.bounds.grace_seconds,
+        now,
+        daemon.rng.random(),
+        running.signalled_at,
     )
     daemon.leaving = True
     running.callers.closing = True
@@ -65,6 +68,8 @@
     if not stops.accepts_connections(stop, in_flight):
         stops.stop_accepting(stop)
         callers.stop_accepting()
+    if now >= stop.limits_until:
+        _callee.refuse_waiting(daemon, outcomes.Reason.LEAVING)
     finals = (stops.Phase.ANSWERING, stops.Phase.ENDED)
     if phase in finals and before not in finals and now >= stop.cut_at:
         _log_work(running, stop, "stop_cuts")
@@ -129,14 +134,17 @@
 ) -> None:
     """Log what is in flight, by the state of its connection.
 
-    ``calls`` are requests of clients, ``executions`` those at this VM's
-    upstream or waiting for it. The other counts are ``httpio.Census``'s.
+    ``noticed_late`` is how many seconds before the stop began the signal may
+    have been sent. ``calls`` are requests of clients, ``executions`` those at
+    this VM's upstream or waiting for it. The other counts are
+    ``httpio.Census``'s.
     """
     daemon = running.daemon
     census = dataclasses.asdict(running.callers.census())
     daemon.journal.note(
         event,
         seconds=daemon.clock.monotonic() - stop.began_at,
+        noticed_late=stop.began_at - stop.signalled_at,
         calls=len(daemon.calls),
         executions=len(daemon.executions),
         **census,
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -18,8 +18,11 @@
 """An instance is waited for until then, as a fraction of the grace period."""
 TAKEN_SECONDS_MAX = 3.0
 """What comes later than this after SIGTERM may not be cut."""
-NOTICED_SECONDS_MAX = 0.15
-"""How late a busy process notices SIGTERM."""
+LATE_SECONDS_MAX = 8.0
+"""How late a process notices SIGTERM that gets no processor for so long."""
+STALL_ANSWER_RATIO = 0.85
+"""A stall at the end of the grace period may last so much of the time between
+the final answers and the kill."""
 
 
 @dataclasses.dataclass
@@ -38,6 +41,7 @@
     last_resort: bool = False
     outcome: str = ""
     started_at: float = math.inf
+    outcome_at: float = math.inf
 
     @property
     def read_at(self) -> float:
@@ -65,15 +69,20 @@
         """When it ends if nobody ends it before."""
         return min(self.started_at + self.seconds, self.arrival.deadline)
 
+    def end(self, outcome: str, now: float) -> None:
+        """Record how it ends for its client."""
+        self.outcome, self.outcome_at = outcome, now
+
 
 class Daemon:
     """A daemon that stops: requests, and the decisions about them.
 
-    ``unsent`` answers are in buffers at each step.
+    ``unsent`` answers are in buffers at each step. The signal may have been
+    sent ``late`` seconds before the daemon noticed it.
     """
 
-    def __init__(self, grace: float) -> None:
-        self.stop = stops.begin(grace, BEGAN)
+    def __init__(self, grace: float, late: float = 0.0) -> None:
+        self.stop = stops.begin(grace, BEGAN, signalled_at=BEGAN - late)
         self.waiting: list[Request] = []
         self.running: list[Request] = []
         self.cut: list[Request] = []
@@ -87,8 +96,10 @@
                 self._start(request, now)
         for request in list(self.running):
             if request.ends_at <= now:
-                request.outcome = "answered"
+                request.end("answered", now)
                 self.running.remove(request)
+        if now >= self.stop.limits_until:
+            self._refuse_waiting(now)
         in_flight = stops.InFlight(
             calls=len(self.running) + len(self.waiting),
             reading=reading,
@@ -97,11 +108,10 @@
         phase = stops.update(self.stop, in_flight, now)
         if phase in (stops.Phase.ANSWERING, stops.Phase.ENDED):
             for request in self.running:
-                request.outcome = "cut"
-            for request in self.waiting:
-                request.outcome = "refused"
+                request.end("cut", now)
+            self._refuse_waiting(now)
             self.cut += self.running
-            self.running, self.waiting = [], []
+            self.running = []
         if phase is stops.Phase.ENDED:
             self.ended_at = min(self.ended_at, now)
 
@@ -114,7 +124,12 @@
         if is_taken:
             self.waiting.append(request)
         else:
-            request.outcome = "refused"
+            request.end("refused", now)
+
+    def _refuse_waiting(self, now: float) -> None:
+        for request in self.waiting:
+            request.end("refused", now)
+        self.waiting = []
 
     def _start(self, request: Request, now: float) -> None:
         if request.is_remote:
@@ -125,7 +140,7 @@
             request.started_at = now
             self.running.append(request)
         else:
-            request.outcome = "refused"
+            request.end("refused", now)
 
 
 def _requests(grace: float) -> strategies.SearchStrategy[list[Request]]:
@@ -178,19 +193,27 @@
 ) -> None:
     """Requests arrive, wait, run and end in any order while a daemon stops.
 
-    The event loop stands still at times, also as SIGTERM comes. What may be
-    cut follows from the rule alone: a request that was sent soon after
-    SIGTERM, in the last part of the grace period. Another daemon that took
-    one may stop at another time, so that none of its requests may be cut.
+    The event loop stands still at times, also as SIGTERM comes, which was
+    sent at any moment of such a stall. What may be cut, by the daemon or with
+    it by the kill, follows from the rule alone: a request that was sent soon
+    after SIGTERM, in the last part of the grace period. Another daemon that
+    took one may stop at another time, so that none of its requests may be cut.
     """
     grace = data.draw(strategies.sampled_from(GRACES))
-    noticed = data.draw(strategies.floats(0.0, NOTICED_SECONDS_MAX))
+    late = data.draw(
+        strategies.one_of(
+            strategies.just(0.0),
+            strategies.floats(0.0, 2 * STEP),
+            strategies.floats(0.0, LATE_SECONDS_MAX),
+        )
+    )
+    signalled_at = BEGAN - data.draw(strategies.floats(0.0, 1.0)) * late
+    killed_at = signalled_at + grace
     requests = data.draw(_requests(grace))
-    stalls = strategies.floats(STEP, 0.05 * grace + STEP)
-    daemon = Daemon(grace)
+    daemon = Daemon(grace, late)
     unread = sorted(requests, key=lambda request: request.read_at)
     now = BEGAN
-    while now < daemon.ended_at:
+    while now < min(daemon.ended_at, killed_at):
         while unread and unread[0].read_at <= now:
             daemon.read(unread.pop(0), now)
         reading = sum(
@@ -200,28 +223,65 @@
         )
         unsent = data.draw(strategies.integers(0, 1))
         daemon.advance(now, reading, unsent)
-        now += data.draw(stalls)
-    assert daemon.ended_at <= daemon.stop.ends_by + 0.05 * grace + STEP
-    assert daemon.stop.ends_by < BEGAN + grace
-    assert not daemon.running
-    assert not daemon.waiting
+        now += data.draw(_stalls(daemon.stop, now))
     for request in requests:
         if request not in unread:
-            assert request.outcome in ("answered", "refused", "cut")
-    signalled_at = BEGAN - noticed
-    for request in daemon.cut:
-        assert request.read_at <= signalled_at + TAKEN_SECONDS_MAX
-        assert not request.is_remote
-        assert daemon.stop.cut_at >= signalled_at + CUT_GRACE_RATIO * grace
-        expected_end = request.started_at + request.arrival.expected
-        assert expected_end <= daemon.stop.cut_at < request.arrival.deadline
-        in_time = request.arrival.began_at <= daemon.stop.lame_duck_until
-        assert in_time or request.arrival.may_be_call
-        if request.started_at > daemon.stop.lame_duck_until:
-            longest_end = request.started_at + request.arrival.longest
-            assert longest_end <= daemon.stop.cut_at
-    for request in unread:
-        assert not stops.may_take(daemon.stop, request.arrival, now)
+            _check_end(request, daemon.stop, signalled_at)
+    if daemon.ended_at < math.inf:
+        for request in unread:
+            assert not stops.may_take(daemon.stop, request.arrival, now)
+    if late <= 2 * STEP:
+        assert daemon.stop.ends_by < killed_at
+    if not late:
+        assert not any(request.outcome == "killed" for request in requests)
+
+
+def _check_end(
+    request: Request, stop: stops.Stop, signalled_at: float
+) -> None:
+    """Check how a request ended; the kill ends what has not ended by then."""
+    killed_at = signalled_at + stop.grace
+    if not request.outcome:
+        assert request.started_at < math.inf
+        request.end("killed", killed_at)
+    if request.outcome in ("cut", "killed"):
+        _check_cut(request, stop, signalled_at)
+    else:
+        assert request.outcome in ("answered", "refused")
+        assert request.outcome_at <= killed_at
+
+
+def _stalls(stop: stops.Stop, now: float) -> strategies.SearchStrategy[float]:
+    """Return how long the event loop stands still until its next pass.
+
+    It may be for long, but for a part of the end of the grace period.
+    """
+    killed_at = stop.signalled_at + stop.grace
+    allowed = STALL_ANSWER_RATIO * (killed_at - stop.limits_until)
+    usual = strategies.floats(STEP, max(allowed, 2 * STEP))
+    until_answers = stop.limits_until - now
+    if until_answers <= allowed:
+        return usual
+    return strategies.one_of(usual, strategies.floats(STEP, until_answers))
+
+
+def _check_cut(
+    request: Request, stop: stops.Stop, signalled_at: float
+) -> None:
+    """Check that a request may end without its instance's answer."""
+    if request.arrival.deadline <= request.outcome_at:
+        return
+    final = signalled_at + CUT_GRACE_RATIO * stop.grace
+    assert request.read_at <= signalled_at + TAKEN_SECONDS_MAX
+    assert not request.is_remote
+    assert min(request.outcome_at, request.ends_at) >= final
+    expected_end = request.started_at + request.arrival.expected
+    assert expected_end <= stop.limits_until
+    in_time = request.arrival.began_at <= stop.lame_duck_until
+    assert in_time or request.arrival.may_be_call
+    if request.started_at > stop.lame_duck_until:
+        longest_end = request.started_at + request.arrival.longest
+        assert longest_end <= stop.limits_until
 
 
 def _may_read_on(daemon: Daemon, request: Request, now: float) -> bool:
--- a/tests/platform/soak/test_stalls.py
+++ b/tests/platform/soak/test_stalls.py
@@ -127,3 +127,62 @@
             await stop
 
     asyncio.run(test())
+
+
+async def _terminate(
+    fleet: growing.Fleet, vm: fleet_module.Vm, stalled: float
+) -> None:
+    """Send SIGTERM to a daemon that stalls, and kill it as its grace ends."""
+    process = fleet_module.running(vm)
+    ends_at = asyncio.get_running_loop().time() + GRACE
+    fleet.timeline.note(f"stops {vm.name}")
+    fleet.oracle.losses.stops(vm.host, GRACE)
+    if stalled:
+        process.send_signal(signal.SIGSTOP)
+    process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(stalled)
+    process.send_signal(signal.SIGCONT)
+    loop = asyncio.get_running_loop()
+    while process.poll() is None and loop.time() < ends_at:
+        await asyncio.sleep(0.01)
+    if process.poll() is None:
+        fleet.timeline.note(f"kills {vm.name}")
+        process.kill()
+    vm.busy = True
+
+
+@pytest.mark.parametrize("stalled", [0.0, 0.3, 1.0, 3.0])
+def test_signal_that_is_noticed_late_moves_no_bound(stalled: float) -> None:
+    """Late requests were taken that were killed with the process.
+
+    Their limits end before the kill, at it, or far behind it, and they take
+    longer than any before.
+    """
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with _fleet("signal") as fleet:
+            vm = _vms(fleet, "ledger")[0]
+            warm = [
+                _send(fleet, vm, route, LIMIT, 0.1)
+                for route in WARM_UP_CALLS * (SAFE, UNSAFE)
+            ]
+            assert set(await asyncio.gather(*warm)) == {200}
+            own = _send(fleet, vm, "view", LONG_LIMIT, 4.7)
+            await asyncio.sleep(0.2)
+            signalled_at = loop.time()
+            stop = asyncio.ensure_future(_terminate(fleet, vm, stalled))
+            late = []
+            for at in (3.03, 3.1, 3.2, 3.3, 3.4, 3.5, 3.6):
+                await asyncio.sleep(signalled_at + at - loop.time())
+                late += [
+                    _send(fleet, vm, route, limit, work)
+                    for route in (SAFE, UNSAFE)
+                    for limit, work in ((2.9, 2.8), (LONG_LIMIT, 2.9))
+                ]
+            await stop
+            statuses = await asyncio.gather(*late)
+            assert {200, 503, 504, 0} >= set(statuses)
+            assert await own == 200
+
+    asyncio.run(test())
