Read what has arrived before a late step of a stop ends it

Callers saw 502, or a closed connection, at the end of a stop though their instances had answered a second before. Cause: a process that stands still at the end of its grace period finds the final answers due when it runs again. It gave them before it had read the instances' answers and the clients' requests that waited in its sockets. Change: each step of a stop first lets the loop handle what has arrived.

--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -11,6 +11,7 @@
 from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _entrance
 from sassafrasstair.forwarding import _polls
+from sassafrasstair import loops
 from sassafrasstair import outcomes
 
 if typing.TYPE_CHECKING:
@@ -39,6 +40,8 @@
     _log_work(running, daemon.stop, "stopping")
     while daemon.stop.phase is not stops.Phase.ENDED:
         await asyncio.sleep(STEP_SECONDS)
+        # After a stall, what has arrived is read before anything is ended.
+        await loops.settle()
         try:
             _step(running, daemon.stop)
         except Exception as error:
--- a/tests/platform/soak/test_stalls.py
+++ b/tests/platform/soak/test_stalls.py
@@ -186,3 +186,27 @@
             assert await own == 200
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize("route", [SAFE, UNSAFE])
+def test_answers_that_came_while_the_process_stalled_are_passed_on(
+    route: str,
+) -> None:
+    """At the end of a stop the final answers are due when it runs again."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with _fleet("end") as fleet:
+            vm = _vms(fleet, "ledger")[0]
+            signalled_at = loop.time()
+            stop = asyncio.ensure_future(_terminate(fleet, vm, 0.0))
+            calls = [
+                _send(fleet, vm, route, LONG_LIMIT, 4.7)
+                for _ in range(REQUESTS)
+            ]
+            await asyncio.sleep(signalled_at + 4.6 - loop.time())
+            await _stall(fleet, [vm], signalled_at + 5.7 - loop.time())
+            await stop
+            assert await asyncio.gather(*calls) == [200] * REQUESTS
+
+    asyncio.run(test())
