Keep calls of sassafrasstaird at a silent daemon that is there

Callers were told that the outcome of a call is unknown, peer_lost, whose upstream answered in time. Cause: when the fleet suspected a member, its link was closed, and all calls in progress there were lost with it. A daemon that gets no processor for 3 s is suspected, too. Change: the link is closed only if the VM accepts no new connection. The system of a VM does so while its daemon is stalled. Result: test_silence_of_the_owner_ends_no_binding failed at 6 s of silence among four daemons, unknown after 3 s, and passes now; at 1 s it passed before.

--- a/src/sassafrasstair/daemons/__init__.py
+++ b/src/sassafrasstair/daemons/__init__.py
@@ -6,6 +6,7 @@
 from sassafrasstair.daemons._errors import PeerLost
 from sassafrasstair.daemons._errors import PeerTimeout
 from sassafrasstair.daemons._errors import PeerUnreachable
+from sassafrasstair.daemons._links import check_listening
 from sassafrasstair.daemons._links import check_reachable
 from sassafrasstair.daemons._links import close
 from sassafrasstair.daemons._links import close_idle
@@ -55,6 +56,7 @@
     "Server",
     "TicketRequest",
     "TicketResponse",
+    "check_listening",
     "check_reachable",
     "close",
     "close_idle",
--- a/src/sassafrasstair/daemons/_links.py
+++ b/src/sassafrasstair/daemons/_links.py
@@ -84,8 +84,16 @@
     again and again in the background, and does not tell that it is refused:
     an exchange would wait until its message times out.
     """
-    if _link_to(links, address).socket.pipes:
-        return
+    if not _link_to(links, address).socket.pipes:
+        await check_listening(address, timeout)
+
+
+async def check_listening(address: str, timeout: float) -> None:
+    """Raise ``PeerUnreachable`` if no new connection is accepted there.
+
+    The system of a VM accepts it while its daemon is stalled, so that this
+    tells a silent daemon from one that has ended, or a VM that is gone.
+    """
     try:
         host, port = settings.parse_address(address)
     except ValueError:
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -236,22 +236,25 @@
     except daemons.PeerError:
         now = daemon.clock.monotonic()
         fleet.observe_call(daemon.control.node, vm, False, "", now)
-        _disconnect_if_unreachable(daemon, vm)
+        await _disconnect_if_unreachable(daemon, vm)
     now = daemon.clock.monotonic()
     calls.probe_ended(daemon.entry.entrance.routes, vm, serving, now)
 
 
-def _disconnect_if_unreachable(daemon: Daemon, vm: str) -> None:
+async def _disconnect_if_unreachable(daemon: Daemon, vm: str) -> None:
     # If a VM disappears without closing its connections, each call in
     # progress there waits until its deadline. Closing the link ends these
-    # calls at once as lost, so that they can be retried elsewhere. One
-    # failed ping of this daemon is not enough: when all VMs are slow, it
-    # would abort work that is about to end, and the repeats would slow the
-    # VMs further. The fleet's view must agree, which includes probes by
-    # other daemons.
+    # calls at once as lost, so that they can be retried elsewhere. Silence is
+    # not enough, not even to all daemons: one that gets no processor for a
+    # while answers no ping, and its upstream is still at work. Its system
+    # accepts connections, which that of a VM that is gone does not.
     node = daemon.control.node
     address = fleet.address_of(node, vm)
-    if address is not None and not fleet.is_serving(node, vm):
+    if address is None or fleet.is_serving(node, vm):
+        return
+    try:
+        await daemons.check_listening(address, PING_SECONDS)
+    except daemons.PeerUnreachable:
         daemons.disconnect(daemon.links, address)
 
 
