--- a/tests/platform/soak/test_stalls.py
+++ b/tests/platform/soak/test_stalls.py
@@ -19,6 +19,7 @@
 from tests.platform.soak import growing
 from tests.platform.soak import mesh
 from tests.platform.soak import records
+from tests.platform.soak import stalls
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -32,6 +33,9 @@
 """Of each of these routes."""
 LONG_LIMIT = 9.0
 WARM_UP_CALLS = 8
+SEED = 4
+SECONDS = 8.0
+"""Of the short soak."""
 
 
 @contextlib.asynccontextmanager
@@ -210,3 +214,11 @@
             assert await asyncio.gather(*calls) == [200] * REQUESTS
 
     asyncio.run(test())
+
+
+def test_daemons_that_stall_by_turns_lose_no_request() -> None:
+    """Their machine is short of processors, around stops and in calm."""
+    with records.kept_on_failure("stalls") as folder:
+        report = asyncio.run(stalls.run(SEED, SECONDS, folder))
+        assert report.broken == ()
+        assert report.served > 0
