--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -19,6 +19,7 @@
 from sassafrasstair.decisions import fleet
 from sassafrasstair.decisions import load
 from sassafrasstair import logs
+from sassafrasstair import loops
 from sassafrasstair import metrics
 from sassafrasstair import operators
 from sassafrasstair.runtime import _bodies
@@ -60,6 +61,7 @@
     callee: _slots.Callee
     entry: _entries.Entry
     metrics: metrics.Metrics
+    signals: loops.Signals
     intake: callers.Intake = dataclasses.field(default_factory=callers.Intake)
     stopping: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
@@ -116,6 +118,7 @@
         callee,
         entry,
         counts,
+        loops.Signals(clock),
     )
 
 
@@ -168,10 +171,21 @@
         ),
     )
     return [
-        asyncio.create_task(_repeat(step, period)) for step, period in steps
+        asyncio.create_task(_note_beats(daemon)),
+        *(
+            asyncio.create_task(_repeat(step, period))
+            for step, period in steps
+        ),
     ]
 
 
+async def _note_beats(daemon: Daemon) -> None:
+    """Keep the time at which no signal to stop had come, for ever."""
+    while True:
+        await daemon.signals.beat()
+        await asyncio.sleep(calls.HEARTBEAT_SECONDS)
+
+
 async def _close(daemon: Daemon, server: daemons.Server) -> None:
     await _control.close(daemon.control)
     await daemons.close_server(server)
@@ -181,6 +195,7 @@
 
 def stop(daemon: Daemon) -> None:
     """Begin a planned stop; further calls have no effect."""
+    daemon.signals.note()
     daemon.stopping.set()
 
 
@@ -236,22 +251,25 @@
     except daemons.PeerError:
         now = daemon.clock.monotonic()
         fleet.observe_call(daemon.control.node, vm, False, "", now)
-        _disconnect_if_unreachable(daemon, vm)
+        await _disconnect_if_unreachable(daemon, vm)
     now = daemon.clock.monotonic()
     calls.probe_ended(daemon.entry.entrance.routes, vm, serving, now)
 
 
-def _disconnect_if_unreachable(daemon: Daemon, vm: str) -> None:
+async def _disconnect_if_unreachable(daemon: Daemon, vm: str) -> None:
     # If a VM disappears without closing its connections, each call in
     # progress there waits until its deadline. Closing the link ends these
-    # calls at once as lost, so that they can be retried elsewhere. One
-    # failed ping of this daemon is not enough: when all VMs are slow, it
-    # would abort work that is about to end, and the repeats would slow the
-    # VMs further. The fleet's view must agree, which includes probes by
-    # other daemons.
+    # calls at once as lost, so that they can be retried elsewhere. Silence is
+    # not enough, not even to all daemons: one that gets no processor for a
+    # while answers no ping, and its upstream is still at work. Its system
+    # accepts connections, which that of a VM that is gone does not.
     node = daemon.control.node
     address = fleet.address_of(node, vm)
-    if address is not None and not fleet.is_serving(node, vm):
+    if address is None or fleet.is_serving(node, vm):
+        return
+    try:
+        await daemons.check_listening(address, PING_SECONDS)
+    except daemons.PeerUnreachable:
         daemons.disconnect(daemon.links, address)
 
 
