--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -80,9 +80,9 @@
 
     ``tried`` are the instances of all attempts so far. ``handed_over`` counts
     the attempts that an instance received, or may have received if another
-    was begun beside it, ``unsent`` and ``turned_away``
-    those that ended so, and ``crashes`` those during which the instance
-    crashed. ``unsent_seconds`` is the time that those ``unsent`` took.
+    was begun beside it, ``unsent`` and ``turned_away`` those that ended so,
+    and ``crashes`` those during which the instance crashed.
+    ``unsent_seconds`` is the time that those ``unsent`` took.
     ``may_have_run`` is set if an instance may have run the request.
     ``deadline`` is an instant of the clock.
     """
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -64,11 +64,11 @@
 class RunningDaemon:
     """A daemon with its listeners.
 
-    ``stopping`` is set by a signal to stop, and ``signals`` know when that was
-    sent at the earliest. ``settings_version`` identifies
-    the settings read last, and ``policy_version`` the policy whose limits the
-    listeners for clients and for daemons apply. ``ticked_at`` is the time of
-    the last tick.
+    ``stopping`` is set by a signal to stop, and ``signals`` knows when that
+    was sent at the earliest. ``settings_version`` identifies the settings
+    read last, and ``policy_version`` the policy whose limits the listeners
+    for clients and for daemons apply. ``ticked_at`` is the time of the last
+    tick.
     """
 
     def __init__(self, daemon: _state.Daemon) -> None:
