Count every repeat that is begun beside a silent attempt

Callers may see more repeats than the budget of the platform allows. Cause: the budget was asked twice. The second question, which counts, may say no where the depth is known, as the first one had raised what higher ranks are expected to ask for; its answer was ignored, and the repeat sent. Change: the second answer decides.

--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -188,9 +188,12 @@
         return False
     if _expires_within(lost, window, now, service_seconds):
         return False
+    # A silent attempt is looked at again and again: what is denied must not
+    # count as asked for each time.
     if not _budgets.is_repeat_allowed(window, rules, now, lost.rank):
         return False
-    _budgets.allow_repeat(window, rules, now, lost.rank)
+    if not _budgets.allow_repeat(window, rules, now, lost.rank):
+        return False
     progress.handed_over += 1
     return True
 
--- a/tests/decisions/requests/test_progress.py
+++ b/tests/decisions/requests/test_progress.py
@@ -171,6 +171,25 @@
     assert requests.begin_beside(_progress(), window, RULES, 100.0, 0.0)
 
 
+def test_each_request_that_is_begun_beside_is_counted() -> None:
+    """Of requests of several ranks, some were sent beyond the budget."""
+    rng = random.Random(1)
+    for slack in range(1, 30):
+        window = requests.Window(float(slack), requests.Hop(0, True))
+        begun = 0
+        for _ in range(300):
+            progress = _progress()
+            progress.rank = rng.uniform(0.0, 6.0)
+            requests.note_request(window, 100.0, progress.rank)
+            begun += requests.begin_beside(
+                progress, window, RULES, 100.0 + rng.random(), 0.0
+            )
+        counted = sum(
+            sum(each.repeats.values()) for each in window.seconds.values()
+        )
+        assert begun == counted
+
+
 @pytest.mark.parametrize(
     ("ending", "beside", "step"),
     [
