Begin a request again beside a silent attempt

Callers got 504 at their limit though another instance had become free. Cause: a request whose repeat was turned away had no latest attempt, and was passed over at further pings without an answer. In a stop, a repeat was spent before the daemon asked whether it may take the request. Change: it is begun again then, without counting the silent attempt twice, and the stop is asked first. Result: test_request_is_begun_again_once_another_instance_is_there failed before, 200 now. A daemon that accepts no new connection, while its open ones are sound, has a test, too: it passed before.

--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -174,15 +174,18 @@
     rules: _budgets.BudgetRules,
     now: float,
     service_seconds: float,
+    is_counted: bool = False,
 ) -> bool:
     """Return whether to begin another attempt beside one that is silent.
 
     An instance may be at work on the silent one, so that it counts as handed
-    over until it ends, and the other one uses the retry budget. The arguments
-    are those of ``attempt_ended``.
+    over until it ends, and the other one uses the retry budget. With
+    ``is_counted`` it counts already, as another was begun beside it before.
+    The other arguments are those of ``attempt_ended``.
     """
+    handed_over = progress.handed_over + (not is_counted)
     lost = dataclasses.replace(
-        progress, handed_over=progress.handed_over + 1, may_have_run=True
+        progress, handed_over=handed_over, may_have_run=True
     )
     if is_too_late(lost, now) or _exhausted(lost):
         return False
@@ -194,7 +197,7 @@
         return False
     if not _budgets.allow_repeat(window, rules, now, lost.rank):
         return False
-    progress.handed_over += 1
+    progress.handed_over = handed_over
     return True
 
 
--- a/src/sassafrasstair/forwarding/_silences.py
+++ b/src/sassafrasstair/forwarding/_silences.py
@@ -11,6 +11,7 @@
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
+from sassafrasstair.forwarding import _arrivals
 from sassafrasstair.forwarding import _attempts
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _records
@@ -28,7 +29,10 @@
     """
     for call in list(daemon.calls):
         attempt = call.attempt
-        if attempt is None or attempt.instance != instance:
+        if attempt is None:
+            _begin_again(daemon, call, instance)
+            continue
+        if attempt.instance != instance:
             continue
         if not _attempts.may_have_run(daemon, attempt):
             if attempt.job is not None:
@@ -44,12 +48,26 @@
             _begin_beside(daemon, call, attempt)
 
 
+def _begin_again(
+    daemon: _state.Daemon, call: _records.Call, instance: str
+) -> None:
+    """Begin a request elsewhere whose attempt beside a silent one ended."""
+    for attempt in call.silent_attempts:
+        if attempt.instance == instance:
+            _begin_beside(daemon, call, attempt)
+            return
+
+
 def _begin_beside(
     daemon: _state.Daemon, call: _records.Call, attempt: _records.Attempt
 ) -> None:
     """Begin a request at another instance too, if one may be tried."""
     progress = call.progress
     now = daemon.clock.monotonic()
+    if not _arrivals.may_take(
+        daemon, progress.route, call.exchange.request, call.read_at, now
+    ):
+        return
     targets = views.targets(daemon.view, progress.service)
     if not calls.has_untried(daemon.routes, targets, progress.tried, now):
         return
@@ -59,10 +77,12 @@
         daemon.settings.bounds.budget,
         now,
         calls.shortest_service_seconds(daemon.routes, targets, now),
+        attempt is not call.attempt,
     ):
         return
-    call.silent_attempts.append(attempt)
-    call.attempt = None
+    if attempt is call.attempt:
+        call.silent_attempts.append(attempt)
+        call.attempt = None
     reason = outcomes.Reason.PEER_SILENT
     _repeats.count_allowed(daemon, progress)
     _counters.count_attempt(daemon.counters, progress.service, reason.value)
--- a/tests/decisions/requests/test_progress.py
+++ b/tests/decisions/requests/test_progress.py
@@ -190,6 +190,24 @@
         assert begun == counted
 
 
+def test_request_is_begun_again_beside_a_silent_attempt_that_counts() -> None:
+    """Its first repeat was turned away; there is another instance by now."""
+    progress = _progress()
+    window = requests.new_window(100.0)
+    assert requests.begin_beside(progress, window, RULES, 100.0, 0.0)
+    requests.attempt_ended(
+        progress,
+        E.TURNED_AWAY,
+        window,
+        RULES,
+        100.0,
+        beside=requests.Beside.EARLIER,
+    )
+    assert not requests.begin_beside(progress, window, RULES, 100.0, 0.0)
+    assert requests.begin_beside(progress, window, RULES, 100.0, 0.0, True)
+    assert progress.handed_over == 1
+
+
 @pytest.mark.parametrize(
     ("ending", "beside", "step"),
     [
--- a/tests/forwarding/test_silent_daemons.py
+++ b/tests/forwarding/test_silent_daemons.py
@@ -125,6 +125,45 @@
     _run(test())
 
 
+def test_request_is_begun_again_once_another_instance_is_there() -> None:
+    """Its repeat was turned away, and it waited at the silent one alone."""
+
+    async def test() -> None:
+        world = World()
+        await world.begin(seconds=5.0)
+        cluster = world.cluster
+        await world.silence()
+        call = next(iter(cluster.daemons[A].daemon.calls))
+        assert call.attempt is not None
+        call.silent_attempts.append(call.attempt)
+        call.attempt = None
+        call.progress.handed_over += 1
+        await cluster.upstream(C, "s", place.answer)
+        answer = await world.call
+        assert answer.status == 200
+        assert answer.seconds < 4.0
+        assert call.progress.handed_over == 1
+
+    _run(test())
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_run_outlasts_a_daemon_that_accepts_no_new_connection(
+    idempotent: bool,
+) -> None:
+    """Its open connections are sound, and its instance works on."""
+
+    async def test() -> None:
+        world = World()
+        await world.begin("POST", idempotent)
+        world.cluster.daemons[B].daemons.stop_accepting()
+        answer = await world.call
+        assert answer.status == 200
+        assert answer.seconds < RUN_SECONDS + 1.0
+
+    _run(test())
+
+
 def test_faster_answer_of_a_repeat_counts_and_ends_the_silent_attempt() -> (
     None
 ):
