Keep one connection open to a silent daemon of sassafrasstaird

Callers would be told unknown for calls at a daemon that stands still. Cause: each check of a silent daemon opened a connection, which waits in its queue: after 129 the kernel accepted no more, and the daemon counted as gone. A stall of the own process of 0.45 s made the check itself too late. Change: one connection is kept until the daemon answers, with the kernel's probes, and one that was established in a stall is noticed.

--- a/src/sassafrasstair/daemons/__init__.py
+++ b/src/sassafrasstair/daemons/__init__.py
@@ -6,11 +6,12 @@
 from sassafrasstair.daemons._errors import PeerLost
 from sassafrasstair.daemons._errors import PeerTimeout
 from sassafrasstair.daemons._errors import PeerUnreachable
-from sassafrasstair.daemons._links import check_listening
 from sassafrasstair.daemons._links import check_reachable
+from sassafrasstair.daemons._links import check_silent
 from sassafrasstair.daemons._links import close
 from sassafrasstair.daemons._links import close_idle
 from sassafrasstair.daemons._links import disconnect
+from sassafrasstair.daemons._links import end_check
 from sassafrasstair.daemons._links import exchange
 from sassafrasstair.daemons._links import Links
 from sassafrasstair.daemons._messages import AnswerFetch
@@ -56,14 +57,15 @@
     "Server",
     "TicketRequest",
     "TicketResponse",
-    "check_listening",
     "check_reachable",
+    "check_silent",
     "close",
     "close_idle",
     "close_server",
     "decode",
     "disconnect",
     "encode",
+    "end_check",
     "exchange",
     "listen",
 ]
--- a/src/sassafrasstair/daemons/_links.py
+++ b/src/sassafrasstair/daemons/_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import socket
 import time
 import typing
 
@@ -16,6 +17,10 @@
 
 SEND_TIMEOUT_MS = 400
 CONNECT_SECONDS = 0.4
+LATE_CONNECT_SECONDS = 0.02
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 2
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
 MAX_IDLE_SECONDS = 60.0
@@ -44,6 +49,10 @@
     """One request socket for each peer address in use."""
 
     by_address: dict[str, _Link] = dataclasses.field(default_factory=dict)
+    checks: dict[str, asyncio.Transport] = dataclasses.field(
+        default_factory=dict
+    )
+    """Open connections to silent peers; their ends show that a VM is gone."""
     bytes_sent: int = 0
     bytes_received: int = 0
 
@@ -85,28 +94,75 @@
     an exchange would wait until its message times out.
     """
     if not _link_to(links, address).socket.pipes:
-        await check_listening(address, timeout)
+        transport = await _connect(address, timeout)
+        if transport is not None:
+            transport.abort()
 
 
-async def check_listening(address: str, timeout: float) -> None:
-    """Raise ``PeerUnreachable`` if no new connection is accepted there.
+async def check_silent(links: Links, address: str, timeout: float) -> None:
+    """Raise ``PeerUnreachable`` if the VM of a silent peer is not there.
 
-    The system of a VM accepts it while its daemon is stalled, so that this
-    tells a silent daemon from one that has ended, or a VM that is gone.
+    The system of a VM accepts a connection while its daemon is stalled, and
+    keeps it. One is kept open until ``end_check``: the kernel's probes end it
+    if the VM is gone, and more of them would fill the daemon's queue.
+    """
+    kept = links.checks.get(address)
+    if kept is not None and not kept.is_closing():
+        return
+    links.checks.pop(address, None)
+    transport = await _connect(address, timeout)
+    if transport is None:
+        return
+    _probe_by_kernel(transport)
+    end_check(links, address)
+    links.checks[address] = transport
+
+
+def end_check(links: Links, address: str) -> None:
+    """Close the connection that ``check_silent`` keeps, if there is one."""
+    transport = links.checks.pop(address, None)
+    if transport is not None:
+        transport.abort()
+
+
+async def _connect(address: str, timeout: float) -> asyncio.Transport | None:
+    """Return a new connection, None for an address that can't be parsed.
+
+    Raises ``PeerUnreachable``. One that was established while this process
+    stood still is noticed before it counts as late.
     """
     try:
         host, port = settings.parse_address(address)
     except ValueError:
-        return
+        return None
     loop = asyncio.get_running_loop()
+    connecting = loop.create_task(
+        loop.create_connection(asyncio.Protocol, host, port)
+    )
     try:
-        async with asyncio.timeout(min(timeout, CONNECT_SECONDS)):
-            transport, _ = await loop.create_connection(
-                asyncio.Protocol, host, port
-            )
+        for seconds in (min(timeout, CONNECT_SECONDS), LATE_CONNECT_SECONDS):
+            if (await asyncio.wait([connecting], timeout=seconds))[0]:
+                break
+        else:
+            raise TimeoutError
+        transport, _ = connecting.result()
     except (OSError, ValueError) as error:
         raise _errors.PeerUnreachable(f"{address!r}: {error}") from error
-    transport.abort()
+    finally:
+        connecting.cancel()
+    return transport
+
+
+def _probe_by_kernel(transport: asyncio.Transport) -> None:
+    """Let the kernel end a connection whose peer's system is gone."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
 
 
 def close_idle(links: Links) -> None:
@@ -135,6 +191,8 @@
     for link in links.by_address.values():
         link.socket.close()
     links.by_address.clear()
+    for address in list(links.checks):
+        end_check(links, address)
 
 
 def _link_to(links: Links, address: str) -> _Link:
@@ -155,20 +213,20 @@
     # lost. The attempt would then arrive twice, the second time after the
     # caller was told that its outcome is unknown. A negative resend time
     # ends the exchange with ConnectionReset instead.
-    socket = pynng.Req0(resend_time=-1, send_timeout=SEND_TIMEOUT_MS)
-    socket.reconnect_time_min = RECONNECT_MIN_MS
-    socket.reconnect_time_max = RECONNECT_MAX_MS
-    socket.tcp_nodelay = True
+    req = pynng.Req0(resend_time=-1, send_timeout=SEND_TIMEOUT_MS)
+    req.reconnect_time_min = RECONNECT_MIN_MS
+    req.reconnect_time_max = RECONNECT_MAX_MS
+    req.tcp_nodelay = True
     try:
-        socket.dial(f"tcp://{address}", block=False)
+        req.dial(f"tcp://{address}", block=False)
     except pynng.NNGException as error:
-        socket.close()
+        req.close()
         raise _errors.PeerUnreachable(f"{address!r}: {error}") from error
-    return socket
+    return req
 
 
-async def _exchange(socket: pynng.Req0, data: bytes) -> bytes:
-    with socket.new_context() as context:
+async def _exchange(req: pynng.Req0, data: bytes) -> bytes:
+    with req.new_context() as context:
         await _send(context, data)
         _raise_if_cancelled()
         reply: bytes = await context.arecv()
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -248,6 +248,7 @@
     try:
         reply = await daemon.entry.exchange(vm, daemons.Ping(), PING_SECONDS)
         serving = isinstance(reply, daemons.Pong) and reply.serving
+        _end_check(daemon, vm)
     except daemons.PeerError:
         now = daemon.clock.monotonic()
         fleet.observe_call(daemon.control.node, vm, False, "", now)
@@ -256,6 +257,12 @@
     calls.probe_ended(daemon.entry.entrance.routes, vm, serving, now)
 
 
+def _end_check(daemon: Daemon, vm: str) -> None:
+    address = fleet.address_of(daemon.control.node, vm)
+    if address is not None:
+        daemons.end_check(daemon.links, address)
+
+
 async def _disconnect_if_unreachable(daemon: Daemon, vm: str) -> None:
     # If a VM disappears without closing its connections, each call in
     # progress there waits until its deadline. Closing the link ends these
@@ -268,7 +275,7 @@
     if address is None or fleet.is_serving(node, vm):
         return
     try:
-        await daemons.check_listening(address, PING_SECONDS)
+        await daemons.check_silent(daemon.links, address, PING_SECONDS)
     except daemons.PeerUnreachable:
         daemons.disconnect(daemon.links, address)
 
