Let sassafrasstaird wait for its upstream to the last sixth

Callers were told unknown up to 0.2 s before the last sixth of the grace period, and of what waited for a slot only after the kill, at a late signal. Cause: the time in which its servers close was taken off the grace period, and five sixths of the rest were waited for. What waits was refused with the final answers only. Change: the stop knows the reserve for closing, and what waits is refused once limits have to end.

--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -75,6 +75,7 @@
     drawn from 0 to 1, and sets how long the upstream is a last resort.
     ``has_last_resorts`` is set while the upstream gets what no other instance
     can run. Without ``accepting``, new connections are refused for good.
+    ``reserve`` is the end of the grace period in which the process closes.
     """
 
     began_at: float
@@ -85,6 +86,7 @@
     phase: Phase = Phase.LAME_DUCK
     has_last_resorts: bool = False
     accepting: bool = True
+    reserve: float = 0.0
 
     @property
     def lame_duck_until(self) -> float:
@@ -123,7 +125,8 @@
     @property
     def limits_until(self) -> float:
         """When the time limits of what is taken late have to end."""
-        return self.signalled_at + self.grace - self._answer_seconds
+        ends_at = self.signalled_at + self.grace - self.reserve
+        return ends_at - self._answer_seconds
 
     @property
     def cut_at(self) -> float:
@@ -138,11 +141,13 @@
     @property
     def ends_by(self) -> float:
         """When the process ends, whether all answers are sent or not."""
-        exit_seconds = min(
-            EXIT_SECONDS, EXIT_ANSWER_RATIO * self._answer_seconds
-        )
-        killed_at = self.signalled_at + self.grace
-        return max(killed_at - exit_seconds, self.cut_at + FLUSH_SECONDS)
+        ends_at = self.signalled_at + self.grace - self._exit_seconds
+        return max(ends_at, self.cut_at + FLUSH_SECONDS)
+
+    @property
+    def _exit_seconds(self) -> float:
+        seconds = min(EXIT_SECONDS, EXIT_ANSWER_RATIO * self._answer_seconds)
+        return self.reserve + seconds
 
     @property
     def _answer_seconds(self) -> float:
@@ -205,6 +210,7 @@
     now: float,
     spread: float = 1.0,
     signalled_at: float | None = None,
+    reserve: float = 0.0,
 ) -> Stop:
     """Return the state of a stop that begins now.
 
@@ -214,7 +220,7 @@
     """
     if signalled_at is None:
         signalled_at = now
-    return Stop(now, signalled_at, grace, now, spread)
+    return Stop(now, signalled_at, grace, now, spread, reserve=reserve)
 
 
 def update(stop: Stop, in_flight: InFlight, now: float) -> Phase:
--- a/src/sassafrasstair/runtime/_stops.py
+++ b/src/sassafrasstair/runtime/_stops.py
@@ -36,11 +36,11 @@
     their requests are refused: if the sockets were closed at once, the
     answers would be lost.
     """
-    grace = daemon.settings.stop.grace_seconds - CLOSE_SECONDS
     stop = stops.begin(
-        grace,
+        daemon.settings.stop.grace_seconds,
         daemon.clock.monotonic(),
         signalled_at=daemon.signals.signalled_at,
+        reserve=CLOSE_SECONDS,
     )
     daemon.callee.stop = stop
     daemon.entry.leaving = True
@@ -89,7 +89,14 @@
         executions=len(daemon.callee.attempts),
         unsent=_http.unanswered(http),
     )
-    phase = stops.update(stop, in_flight, daemon.clock.monotonic())
+    now = daemon.clock.monotonic()
+    phase = stops.update(stop, in_flight, now)
+    if now >= stop.limits_until:
+        # The process may be killed before the final answers, if the signal
+        # was noticed late.
+        reason = outcomes.Reason.LEAVING
+        effects = load.retire(daemon.callee.guard, reason)
+        _slots.apply_effects(daemon.callee, effects)
     if phase is not stops.Phase.ANSWERING:
         return
     if before is not phase:
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -434,6 +434,21 @@
     assert stop.cut_at < now <= stop.ends_by + STEP < BEGAN + 6.0
 
 
+@pytest.mark.parametrize("grace", GRACES)
+@pytest.mark.parametrize("late", [0.0, 0.3, 1.0, 3.0])
+def test_process_that_closes_for_a_while_waits_for_its_instance_as_long(
+    grace: float, late: float
+) -> None:
+    """The part of the grace period was taken of what the close leaves."""
+    reserve = 0.05 * grace
+    stop = stops.begin(
+        grace, BEGAN, signalled_at=BEGAN - late, reserve=reserve
+    )
+    assert stop.cut_at >= BEGAN + CUT_GRACE_RATIO * grace
+    assert stop.limits_until <= BEGAN - late + grace - reserve
+    assert stop.cut_at < stop.ends_by
+
+
 def test_answer_that_is_read_just_before_the_kill_is_waited_for() -> None:
     """The process ended, and the rest was lost, half a second too soon."""
     stop = stops.begin(6.0, BEGAN)
