Send answers on at a stop that began late

Callers that read slowly got a part of an answer, though the platform might have killed the process a second later only. Cause: at a signal noticed late the process ended 0.05 s after its final answers, by the earliest possible kill. Change: answers that are not sent whole delay the end until the latest one.

--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -144,6 +144,16 @@
         ends_at = self.signalled_at + self.grace - self._exit_seconds
         return max(ends_at, self.cut_at + FLUSH_SECONDS)
 
+    @property
+    def sends_until(self) -> float:
+        """Until when answers that are not sent whole delay the end.
+
+        If the process is killed before, they would have been cut as well.
+        """
+        return max(
+            self.ends_by, self.began_at + self.grace - self._exit_seconds
+        )
+
     @property
     def _exit_seconds(self) -> float:
         seconds = min(EXIT_SECONDS, EXIT_ANSWER_RATIO * self._answer_seconds)
@@ -236,7 +246,7 @@
     if stop.phase is Phase.DRAINING:
         if now - stop.busy_at >= QUIET_SECONDS:
             stop.phase = Phase.ENDED
-        elif now >= stop.ends_by:
+        elif now >= stop.sends_until:
             stop.phase = Phase.ENDED
         elif now >= stop.cut_at:
             stop.phase = Phase.ANSWERING
@@ -362,6 +372,6 @@
 
 
 def _has_answered(stop: Stop, in_flight: InFlight, now: float) -> bool:
-    if now >= stop.ends_by:
-        return True
-    return not in_flight.unsent and now >= stop.cut_at + FLUSH_SECONDS
+    if in_flight.unsent:
+        return now >= stop.sends_until
+    return now >= stop.cut_at + FLUSH_SECONDS
--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -47,7 +47,7 @@
         except Exception as error:
             # An error in one step must not cut off what is in flight.
             daemon.journal.note("stop_step_failed", error=repr(error))
-            if daemon.clock.monotonic() >= daemon.stop.ends_by:
+            if daemon.clock.monotonic() >= daemon.stop.sends_until:
                 break
     for listener in (running.callers, running.daemons):
         listener.stop_accepting()
--- a/src/sassafrasstair/runtime/_stops.py
+++ b/src/sassafrasstair/runtime/_stops.py
@@ -54,7 +54,7 @@
         await loops.settle()
         _step(daemon, http, stop)
     _log_work(daemon, http, "left")
-    await _http.stop(http, stop.ends_by - daemon.clock.monotonic())
+    await _http.stop(http, stop.sends_until - daemon.clock.monotonic())
 
 
 def drain(callee: _slots.Callee) -> None:
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -434,6 +434,24 @@
     assert stop.cut_at < now <= stop.ends_by + STEP < BEGAN + 6.0
 
 
+def test_unsent_answers_delay_the_end_of_a_stop_that_began_late() -> None:
+    """They were cut a second before the platform may kill the process."""
+    stop = stops.begin(6.0, BEGAN, signalled_at=BEGAN - 1.0)
+    unsent = stops.InFlight(unsent=1)
+    for step in range(200):
+        now = BEGAN + step * STEP
+        if stops.update(stop, unsent, now) is stops.Phase.ENDED:
+            break
+    assert BEGAN + 5.8 <= now < BEGAN + 6.0
+    stop = stops.begin(6.0, BEGAN, signalled_at=BEGAN - 1.0)
+    for step in range(200):
+        now = BEGAN + step * STEP
+        in_flight = stops.InFlight(calls=now < stop.cut_at)
+        if stops.update(stop, in_flight, now) is stops.Phase.ENDED:
+            break
+    assert now < BEGAN + 5.3
+
+
 @pytest.mark.parametrize("grace", GRACES)
 @pytest.mark.parametrize("late", [0.0, 0.3, 1.0, 3.0])
 def test_process_that_closes_for_a_while_waits_for_its_instance_as_long(
@@ -446,7 +464,7 @@
     )
     assert stop.cut_at >= BEGAN + CUT_GRACE_RATIO * grace
     assert stop.limits_until <= BEGAN - late + grace - reserve
-    assert stop.cut_at < stop.ends_by
+    assert stop.cut_at < stop.ends_by <= stop.sends_until
 
 
 def test_answer_that_is_read_just_before_the_kill_is_waited_for() -> None:
