Read what has arrived before a late tick closes idle connections

Callers saw a kept connection closed under a request that they had sent up to 1.2 s before, while the daemon got no processor. Change: a late tick lets the loop handle first what has arrived.

--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -222,6 +222,10 @@
     count = 0
     while True:
         await asyncio.sleep(TICK_SECONDS)
+        if _tick_delay(running) > LATE_TICK_SECONDS:
+            # Timers come first after a stall. What has arrived is read before
+            # a limit on idle connections or half-read requests counts.
+            await loops.settle()
         count += 1
         try:
             _tick(running, count)
@@ -231,10 +235,16 @@
         await running.signals.beat()
 
 
+def _tick_delay(running: RunningDaemon) -> float:
+    """Return for how many seconds the next tick is late."""
+    now = running.daemon.clock.monotonic()
+    return now - running.ticked_at - TICK_SECONDS
+
+
 def _tick(running: RunningDaemon, count: int) -> None:
     daemon = running.daemon
     now = daemon.clock.monotonic()
-    delay = now - running.ticked_at - TICK_SECONDS
+    delay = _tick_delay(running)
     running.ticked_at = now
     if delay > LATE_TICK_SECONDS:
         daemon.journal.note("held_up", seconds=delay)
