--- a/tests/decisions/requests/test_progress.py
+++ b/tests/decisions/requests/test_progress.py
@@ -171,6 +171,43 @@
     assert requests.begin_beside(_progress(), window, RULES, 100.0, 0.0)
 
 
+def test_each_request_that_is_begun_beside_is_counted() -> None:
+    """Of requests of several ranks, some were sent beyond the budget."""
+    rng = random.Random(1)
+    for slack in range(1, 30):
+        window = requests.Window(float(slack), requests.Hop(0, True))
+        begun = 0
+        for _ in range(300):
+            progress = _progress()
+            progress.rank = rng.uniform(0.0, 6.0)
+            requests.note_request(window, 100.0, progress.rank)
+            begun += requests.begin_beside(
+                progress, window, RULES, 100.0 + rng.random(), 0.0
+            )
+        counted = sum(
+            sum(each.repeats.values()) for each in window.seconds.values()
+        )
+        assert begun == counted
+
+
+def test_request_is_begun_again_beside_a_silent_attempt_that_counts() -> None:
+    """Its first repeat was turned away; there is another instance by now."""
+    progress = _progress()
+    window = requests.new_window(100.0)
+    assert requests.begin_beside(progress, window, RULES, 100.0, 0.0)
+    requests.attempt_ended(
+        progress,
+        E.TURNED_AWAY,
+        window,
+        RULES,
+        100.0,
+        beside=requests.Beside.EARLIER,
+    )
+    assert not requests.begin_beside(progress, window, RULES, 100.0, 0.0)
+    assert requests.begin_beside(progress, window, RULES, 100.0, 0.0, True)
+    assert progress.handed_over == 1
+
+
 @pytest.mark.parametrize(
     ("ending", "beside", "step"),
     [
