Refuse what waits at a stop in one place, and say when it ends

Cause: what waits for a slot is refused once limits have to end, which is no later than the final answers; these refused it a second time. Behaviour is unchanged.

--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -144,15 +144,15 @@
 
     @property
     def ends_by(self) -> float:
-        """When the process ends, whether all answers are sent or not."""
+        """By when the process has to end if it may be killed that early."""
         ends_at = self.signalled_at + self.grace - self._exit_seconds
         return max(ends_at, self.cut_at + FLUSH_SECONDS)
 
     @property
     def sends_until(self) -> float:
-        """Until when answers that are not sent whole delay the end.
+        """When the process ends, whether all answers are sent or not.
 
-        If the process is killed before, they would have been cut as well.
+        If it is killed before, they would have been cut as well.
         """
         return max(
             self.ends_by, self.began_at + self.grace - self._exit_seconds
--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -99,10 +99,11 @@
 
 
 def _end_all(daemon: _state.Daemon) -> None:
-    """End all that is in flight, and give it its final answer."""
+    """End all that is in flight, and give it its final answer.
+
+    A call that ends frees a slot, for which nothing may wait by then.
+    """
     reason = outcomes.Reason.LEAVING
-    # A call that ends frees a slot, for which nothing may wait by then.
-    _callee.refuse_waiting(daemon, reason)
     for call in list(daemon.calls):
         _entrance.end_call(daemon, call, reason)
     _callee.end_running(daemon, reason)
--- a/src/sassafrasstair/runtime/_stops.py
+++ b/src/sassafrasstair/runtime/_stops.py
@@ -109,9 +109,8 @@
 
 
 def _end_attempts(callee: _slots.Callee) -> None:
-    """End all attempts; those that wait were not run."""
+    """End all attempts that run; those that waited were refused before."""
     reason = outcomes.Reason.LEAVING
-    _slots.apply_effects(callee, load.retire(callee.guard, reason))
     for attempt in list(callee.attempts.values()):
         if attempt.answer_chunks is not None:
             _slots.fail_answer(callee, attempt, reason)
