Wait for answers at silent daemons until shortly before the kill

The instance ended 4.21 s after SIGTERM of the entrance (grace period 6 s), its daemon got no processor, and the entrance gave its final answer at 5.38 s. Cause: final answers came half a second before the end of the grace period, though a daemon that stands still for a moment may pass an answer on later. That is how long limits of late requests need, not how long answers of 502 need to be sent. Change: the final answers come 0.1 s before the process ends, 5.75 s of 6. Silence that goes on from before the last sixth until the final answers still loses them.

--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -35,10 +35,13 @@
 back before the last ones end."""
 ANSWER_GRACE_RATIO = 0.15
 ANSWER_SECONDS_MAX = 0.5
-"""The end of the grace period that is left for the final answers: a fraction
-of it, but no more than this."""
+"""The end of the grace period in which no time limit of what is taken late
+ends: a fraction of it, but no more than this."""
 FLUSH_SECONDS = 0.05
 """Minimum time in which final answers are sent."""
+ANSWERING_SECONDS = 0.1
+"""Time from the final answers to the end of the process. An instance's answer
+may wait at a daemon that is silent until then."""
 EXIT_SECONDS = 0.15
 EXIT_ANSWER_RATIO = 0.5
 """Time for the process to end before it is killed, in seconds, but at most
@@ -132,21 +135,25 @@
     def cut_at(self) -> float:
         """When all that is still in flight gets its final answer.
 
-        If the signal was noticed very late, the process may be killed before.
-        What is at work then may be cut either way.
+        It leaves time to send them. If the signal was noticed very late, the
+        process may be killed before. What is at work then may be cut either
+        way.
         """
         at_work_seconds = AT_WORK_GRACE_RATIO * self.grace
         if self.reserve:
             # Short grace periods have no room for both.
             seconds = self.grace - self.reserve - self._answer_seconds
             at_work_seconds = min(at_work_seconds, seconds)
-        return max(self.limits_until, self.began_at + at_work_seconds)
+        earliest = max(self.limits_until, self.began_at + at_work_seconds)
+        if self.reserve:
+            # Calls between daemons of the process end one after the other.
+            return earliest
+        return max(earliest, self._ends_at - ANSWERING_SECONDS)
 
     @property
     def ends_by(self) -> float:
         """By when the process has to end if it may be killed that early."""
-        ends_at = self.signalled_at + self.grace - self._exit_seconds
-        return max(ends_at, self.cut_at + FLUSH_SECONDS)
+        return max(self._ends_at, self.cut_at + FLUSH_SECONDS)
 
     @property
     def sends_until(self) -> float:
@@ -158,6 +165,10 @@
             self.ends_by, self.began_at + self.grace - self._exit_seconds
         )
 
+    @property
+    def _ends_at(self) -> float:
+        return self.signalled_at + self.grace - self._exit_seconds
+
     @property
     def _exit_seconds(self) -> float:
         seconds = min(EXIT_SECONDS, EXIT_ANSWER_RATIO * self._answer_seconds)
--- a/tests/platform/soak/test_stalls.py
+++ b/tests/platform/soak/test_stalls.py
@@ -218,6 +218,31 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("route", [SAFE, UNSAFE])
+def test_answers_at_daemons_that_are_silent_in_the_last_sixth_are_waited_for(
+    route: str,
+) -> None:
+    """Final answers took their place a moment before they came."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with _fleet("last") as fleet:
+            vm = _vms(fleet, "ledger")[0]
+            signalled_at = loop.time()
+            stop = asyncio.ensure_future(_terminate(fleet, vm, 0.0))
+            calls = [
+                _send(fleet, vm, route, LONG_LIMIT, 4.7)
+                for _ in range(REQUESTS)
+            ]
+            await asyncio.sleep(signalled_at + 4.4 - loop.time())
+            silent = [*_vms(fleet, "prices"), *_vms(fleet, "intake")]
+            await _stall(fleet, silent, signalled_at + 5.6 - loop.time())
+            await stop
+            assert await asyncio.gather(*calls) == [200] * REQUESTS
+
+    asyncio.run(test())
+
+
 def test_daemons_that_stall_by_turns_lose_no_request() -> None:
     """Their machine is short of processors, around stops and in calm."""
     with records.kept_on_failure("stalls") as folder:
