Note a signal to stop before what arrived with it is read

Seen: a daemon that gets no processor from SIGTERM on for 2.5 s of 6 starts the runs that waited in its sockets, for other daemons, and is killed at work: their clients get 502, though nothing had run before. Cause: the event loop handles a signal in the pass after the one that reads it, behind the requests that were read with it. Change: the signal is noted as it comes, between two instructions, and the stop begins then; the loop handles the rest of it as before.

--- a/src/sassafrasstair/console/daemon.py
+++ b/src/sassafrasstair/console/daemon.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
+import functools
 import logging
 import signal
 import sys
@@ -12,6 +12,7 @@
 
 from sassafrasstair import clocks
 from sassafrasstair import logs
+from sassafrasstair import loops
 from sassafrasstair import runtime
 from sassafrasstair import settings as settings_module
 
@@ -59,8 +60,9 @@
 
 async def _run(settings: settings_module.Settings) -> None:
     daemon = runtime.build(settings, clocks.SystemClock())
-    loop = asyncio.get_running_loop()
+    note = functools.partial(runtime.note_stop, daemon)
+    stop = functools.partial(runtime.stop, daemon)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         # A second signal has no effect: it must not abort running requests.
-        loop.add_signal_handler(signal_number, runtime.stop, daemon)
+        loops.handle_signal(signal_number, note, stop)
     await runtime.run(daemon)
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -57,7 +57,8 @@
 LATE_TICK_SECONDS = 0.25
 """A tick delayed by more than this means that the process was stalled."""
 
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 """The signals that a daemon handles."""
 
 
@@ -91,10 +92,10 @@
         self.policy_version = -1
         self.ticked_at = daemon.clock.monotonic()
 
-    def begin_to_stop(self) -> None:
-        """Handle a signal to stop; another one has no effect."""
+    def note_stop(self) -> None:
+        """Note a signal to stop as it comes; another one has no effect."""
         self.signals.note()
-        self.stopping.set()
+        _stops.begin(self)
 
 
 async def run(
@@ -118,8 +119,8 @@
     # The signals are handled before the first request can be read. A second
     # signal to stop has no effect, so that it can't cut off requests.
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, running.begin_to_stop)
-    loop.add_signal_handler(signal.SIGINT, running.begin_to_stop)
+    for number in STOP_SIGNALS:
+        loops.handle_signal(number, running.note_stop, running.stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, running)
     await open_listeners(running)
     journal.note(
--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -24,30 +24,40 @@
 """Time for what crossed the end to be refused."""
 
 
+def begin(running: _daemon.RunningDaemon) -> stops.Stop:
+    """Begin to stop, unless that has begun, and return the state of it.
+
+    From then on, what arrives is taken only if it can end in time.
+    """
+    daemon = running.daemon
+    if daemon.stop is None:
+        daemon.stop = stops.begin(
+            daemon.settings.bounds.grace_seconds,
+            daemon.clock.monotonic(),
+            daemon.rng.random(),
+            running.signals.signalled_at,
+        )
+    return daemon.stop
+
+
 async def stop(running: _daemon.RunningDaemon) -> None:
     """Shut down without cutting off requests that can end in time."""
     daemon = running.daemon
-    now = daemon.clock.monotonic()
-    daemon.stop = stops.begin(
-        daemon.settings.bounds.grace_seconds,
-        now,
-        daemon.rng.random(),
-        running.signals.signalled_at,
-    )
+    stop = begin(running)
     daemon.leaving = True
     running.callers.closing = True
     _polls.answer_all(daemon)
-    _log_work(running, daemon.stop, "stopping")
-    while daemon.stop.phase is not stops.Phase.ENDED:
+    _log_work(running, stop, "stopping")
+    while stop.phase is not stops.Phase.ENDED:
         await asyncio.sleep(STEP_SECONDS)
         # After a stall, what has arrived is read before anything is ended.
         await loops.settle()
         try:
-            _step(running, daemon.stop)
+            _step(running, stop)
         except Exception as error:
             # An error in one step must not cut off what is in flight.
             daemon.journal.note("stop_step_failed", error=repr(error))
-            if daemon.clock.monotonic() >= daemon.stop.sends_until:
+            if daemon.clock.monotonic() >= stop.sends_until:
                 break
     for listener in (running.callers, running.daemons):
         listener.stop_accepting()
@@ -57,7 +67,7 @@
         task.cancel()
     for check in list(daemon.store_checks):
         check.cancel()
-    _log_work(running, daemon.stop, "stopped")
+    _log_work(running, stop, "stopped")
     daemon.journal.tick(daemon.clock.monotonic() + 1.0)
 
 
--- a/src/sassafrasstair/loops.py
+++ b/src/sassafrasstair/loops.py
@@ -3,42 +3,56 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import typing
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from sassafrasstair import clocks
 
 _PASSES = 3
-"""A signal, or data of a socket, is read in the first, handled in the second,
-and what was woken by it has run before the third."""
-_BEATS = 3
-"""The third last beat surely came before the signal."""
+"""Data of a socket is read in the first, handled in the second, and what was
+woken by it has run before the third."""
 
 
 class Signals:
     """When a signal to stop came at the earliest.
 
     ``signalled_at`` is the last time at which none had come yet, None before
-    the first is handled.
+    the first is noted.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.signalled_at: float | None = None
         self._clock = clock
-        self._beats = [clock.monotonic()] * _BEATS
+        self._beat_at = clock.monotonic()
 
     def beat(self) -> None:
-        """Note that the loop runs, after another sleep of a few milliseconds.
-
-        A signal is read in the pass after it came, and handled in the next
-        one, in which one more beat can come first.
-        """
-        self._beats = [*self._beats[1:], self._clock.monotonic()]
+        """Note that no signal has come yet."""
+        self._beat_at = self._clock.monotonic()
 
     def note(self) -> None:
-        """Note a signal, which is handled now; the first one counts."""
+        """Note a signal as it comes; the first one counts."""
         if self.signalled_at is None:
-            self.signalled_at = self._beats[0]
+            self.signalled_at = self._beat_at
+
+
+def handle_signal(
+    number: int,
+    note: abc.Callable[[], None],
+    handle: abc.Callable[[], None],
+) -> None:
+    """Call ``note`` as soon as a signal comes, and ``handle`` in the loop.
+
+    The loop handles a signal behind the requests that arrived with it. So
+    ``note`` interrupts whatever runs, and may only set a state.
+    """
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(number, handle)
+    # The loop is still woken, since it has set the wakeup descriptor.
+    signal.signal(number, lambda _number, _frame: note())
+    signal.siginterrupt(number, False)
 
 
 async def settle() -> None:
--- a/src/sassafrasstair/runtime/__init__.py
+++ b/src/sassafrasstair/runtime/__init__.py
@@ -4,7 +4,8 @@
 
 from sassafrasstair.runtime._daemon import build
 from sassafrasstair.runtime._daemon import Daemon
+from sassafrasstair.runtime._daemon import note_stop
 from sassafrasstair.runtime._daemon import run
 from sassafrasstair.runtime._daemon import stop
 
-__all__ = ["Daemon", "build", "run", "stop"]
+__all__ = ["Daemon", "build", "note_stop", "run", "stop"]
--- a/src/sassafrasstair/runtime/_daemon.py
+++ b/src/sassafrasstair/runtime/_daemon.py
@@ -182,9 +182,15 @@
     await upstreams.close(daemon.callee.upstream)
 
 
+def note_stop(daemon: Daemon) -> None:
+    """Note a signal to stop as it comes; further calls have no effect."""
+    daemon.signals.note()
+    _stops.begin(daemon)
+
+
 def stop(daemon: Daemon) -> None:
     """Begin a planned stop; further calls have no effect."""
-    daemon.signals.note()
+    note_stop(daemon)
     daemon.stopping.set()
 
 
--- a/src/sassafrasstair/runtime/_stops.py
+++ b/src/sassafrasstair/runtime/_stops.py
@@ -29,6 +29,21 @@
 _LOG = logging.getLogger(__name__)
 
 
+def begin(daemon: _daemon.Daemon) -> stops.Stop:
+    """Begin to stop, unless that has begun, and return the state of it.
+
+    From then on, attempts are started only if they can end in time.
+    """
+    if daemon.callee.stop is None:
+        daemon.callee.stop = stops.begin(
+            daemon.settings.stop.grace_seconds,
+            daemon.clock.monotonic(),
+            signalled_at=daemon.signals.signalled_at,
+            reserve=CLOSE_SECONDS,
+        )
+    return daemon.callee.stop
+
+
 async def leave(daemon: _daemon.Daemon, http: _http.Http) -> None:
     """Stop taking work, tell the peers, and finish what can end in time.
 
@@ -36,13 +51,7 @@
     their requests are refused: if the sockets were closed at once, the
     answers would be lost.
     """
-    stop = stops.begin(
-        daemon.settings.stop.grace_seconds,
-        daemon.clock.monotonic(),
-        signalled_at=daemon.signals.signalled_at,
-        reserve=CLOSE_SECONDS,
-    )
-    daemon.callee.stop = stop
+    stop = begin(daemon)
     daemon.entry.leaving = True
     callers.leave(daemon.intake)
     _control.leave(daemon.control)
--- a/tests/platform/soak/test_stalls.py
+++ b/tests/platform/soak/test_stalls.py
@@ -243,6 +243,29 @@
     asyncio.run(test())
 
 
+def test_run_that_waits_unread_beside_the_signal_is_run_elsewhere() -> None:
+    """It was begun by a daemon that was killed before the run's end."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with _fleet("unread") as fleet:
+            entrance = _vms(fleet, "ledger")[0]
+            vm = _vms(fleet, "intake")[0]
+            signalled_at = loop.time()
+            stop = asyncio.ensure_future(_terminate(fleet, vm, 2.5))
+            await asyncio.sleep(0.1)
+            calls = [
+                _send(fleet, entrance, UNSAFE, LONG_LIMIT, 4.0)
+                for _ in range(2 * REQUESTS)
+            ]
+            assert await asyncio.gather(*calls) == [200] * len(calls)
+            # Some waited for the daemon that had no processor.
+            assert loop.time() - signalled_at > 2.5 + 4.0
+            await stop
+
+    asyncio.run(test())
+
+
 def test_daemons_that_stall_by_turns_lose_no_request() -> None:
     """Their machine is short of processors, around stops and in calm."""
     with records.kept_on_failure("stalls") as folder:
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+import socket
 import time
 import typing
 
@@ -31,7 +32,6 @@
     noticed: asyncio.Future[float] = asyncio.Future()
 
     def handle() -> None:
-        signals.note()
         if not noticed.done():
             noticed.set_result(clock.monotonic())
 
@@ -42,7 +42,7 @@
             time.sleep(busy)
 
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGUSR1, handle)
+    loops.handle_signal(signal.SIGUSR1, signals.note, handle)
     beats = asyncio.ensure_future(beat())
     await asyncio.sleep(5 * BEAT_SECONDS)
     time.sleep(before)
@@ -82,6 +82,35 @@
     assert min(slacks) <= before + 3 * (BEAT_SECONDS + busy) + 0.05
 
 
+@pytest.mark.parametrize("run", RUNNERS)
+def test_signal_counts_before_what_arrived_in_a_stall_is_read(
+    run: typing.Callable[..., list[str]],
+) -> None:
+    """Requests were started that the end of the process cut."""
+
+    async def events() -> list[str]:
+        found: list[str] = []
+        handled = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        here, there = socket.socketpair()
+        here.setblocking(False)
+        loop.add_reader(here, lambda: found.append(f"read {here.recv(9)!r}"))
+        loops.handle_signal(
+            signal.SIGUSR1, lambda: found.append("noted"), handled.set
+        )
+        await asyncio.sleep(BEAT_SECONDS)
+        there.send(b"request")
+        os.kill(os.getpid(), signal.SIGUSR1)
+        await handled.wait()
+        loop.remove_reader(here)
+        loop.remove_signal_handler(signal.SIGUSR1)
+        here.close()
+        there.close()
+        return found
+
+    assert run(events()) == ["noted", "read b'request'"]
+
+
 def test_second_signal_counts_for_nothing() -> None:
     async def test() -> None:
         signals = loops.Signals(clocks.SystemClock())
