Keep no connections at a stop once nothing is taken any more

Its daemon got no processor from 5.65 s on. Cause: since final answers come at 5.75 s, the port stayed open, and idle connections were kept, for 0.25 s longer than before, while nothing that comes on them is taken. The kernel accepts them for a process that stands still. Change: from 5.5 s on, where limits have to end, no connection is accepted, and idle ones are closed at once, as before. Result: test_connections_are_not_kept_for_what_is_not_taken needs the new function; tests of stops in decisions and forwarding, of the life cycle and of stalls pass.

--- a/src/sassafrasstair/decisions/stops/__init__.py
+++ b/src/sassafrasstair/decisions/stops/__init__.py
@@ -16,6 +16,7 @@
 from sassafrasstair.decisions.stops._stops import Arrival
 from sassafrasstair.decisions.stops._stops import begin
 from sassafrasstair.decisions.stops._stops import has_stalled
+from sassafrasstair.decisions.stops._stops import idle_seconds
 from sassafrasstair.decisions.stops._stops import InFlight
 from sassafrasstair.decisions.stops._stops import may_run
 from sassafrasstair.decisions.stops._stops import may_start
@@ -43,6 +44,7 @@
     "begin",
     "current_longest",
     "has_stalled",
+    "idle_seconds",
     "may_run",
     "may_start",
     "may_start_run",
--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -269,6 +269,8 @@
         stop.phase = Phase.ENDED
     if not takes_last_resorts(stop, now):
         stop.has_last_resorts = False
+    if now >= stop.limits_until:
+        stop.accepting = False
     return stop.phase
 
 
@@ -367,7 +369,8 @@
 def accepts_connections(stop: Stop, in_flight: InFlight) -> bool:
     """Return whether new connections are accepted.
 
-    Later they are only for calls that the upstream may make.
+    Later they are only for calls that the upstream may make, and none of
+    these is taken once limits have to end.
     """
     if not stop.accepting:
         return False
@@ -376,6 +379,14 @@
     return stop.phase is Phase.LAME_DUCK
 
 
+def idle_seconds(stop: Stop, now: float) -> float:
+    """Return for how long a connection is idle that is closed.
+
+    What comes once limits have to end is not taken.
+    """
+    return 0.0 if now >= stop.limits_until else QUIET_SECONDS
+
+
 def stop_accepting(stop: Stop) -> None:
     """Accept no more connections, and take no more runs that may call."""
     stop.accepting = False
--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -88,7 +88,7 @@
         _log_work(running, stop, "stop_cuts")
         _end_all(daemon)
     if phase is not stops.Phase.LAME_DUCK:
-        callers.close_idle(now, stops.QUIET_SECONDS)
+        callers.close_idle(now, stops.idle_seconds(stop, now))
     for partial in callers.partial_requests(now):
         if not _may_read_on(daemon, stop, partial, now):
             partial.reject()
--- a/tests/decisions/stops/test_stops.py
+++ b/tests/decisions/stops/test_stops.py
@@ -350,6 +350,24 @@
     assert stop.cut_at >= BEGAN - late + grace - SILENT_SECONDS
 
 
+@pytest.mark.parametrize("grace", GRACES)
+def test_connections_are_not_kept_for_what_is_not_taken(grace: float) -> None:
+    """One that waited for a process without processor got no answer."""
+    stop = stops.begin(grace, BEGAN)
+    busy = stops.InFlight(calls=1, executions=1)
+    in_time = BEGAN + grace - min(LIMIT_SECONDS, LIMIT_GRACE_RATIO * grace)
+    now = BEGAN
+    while now + STEP < in_time:
+        stops.update(stop, busy, now)
+        assert stops.accepts_connections(stop, busy)
+        assert stops.idle_seconds(stop, now) == stops.QUIET_SECONDS
+        now += STEP
+    now = in_time + STEP / 10
+    stops.update(stop, busy, now)
+    assert not stops.accepts_connections(stop, busy)
+    assert stops.idle_seconds(stop, now) == 0.0
+
+
 @pytest.mark.parametrize("grace", GRACES)
 def test_idle_daemon_ends_right_after_the_first_phase(grace: float) -> None:
     daemon = Daemon(grace)
