Tell clients of a stop as its signal is noted

A signal between the two registrations of a handler was not noted. Change: what clients see is set with the note; the handler in the loop notes the signal, too.

--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -97,6 +97,11 @@
         self.signals.note()
         _stops.begin(self)
 
+    def handle_stop(self) -> None:
+        """Let the daemon stop; one more signal has no effect."""
+        self.note_stop()
+        self.stopping.set()
+
 
 async def run(
     dialect: _dialect.Dialect,
@@ -120,7 +125,7 @@
     # signal to stop has no effect, so that it can't cut off requests.
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
-        loops.handle_signal(number, running.note_stop, running.stopping.set)
+        loops.handle_signal(number, running.note_stop, running.handle_stop)
     loop.add_signal_handler(signal.SIGHUP, _reload, running)
     await open_listeners(running)
     journal.note(
--- a/src/sassafrasstair/forwarding/_stops.py
+++ b/src/sassafrasstair/forwarding/_stops.py
@@ -27,7 +27,8 @@
 def begin(running: _daemon.RunningDaemon) -> stops.Stop:
     """Begin to stop, unless that has begun, and return the state of it.
 
-    From then on, what arrives is taken only if it can end in time.
+    From then on, clients are told, and what arrives is taken only if it can
+    end in time.
     """
     daemon = running.daemon
     if daemon.stop is None:
@@ -37,6 +38,8 @@
             daemon.rng.random(),
             running.signals.signalled_at,
         )
+        daemon.leaving = True
+        running.callers.closing = True
     return daemon.stop
 
 
@@ -44,8 +47,6 @@
     """Shut down without cutting off requests that can end in time."""
     daemon = running.daemon
     stop = begin(running)
-    daemon.leaving = True
-    running.callers.closing = True
     _polls.answer_all(daemon)
     _log_work(running, stop, "stopping")
     while stop.phase is not stops.Phase.ENDED:
--- a/src/sassafrasstair/runtime/_stops.py
+++ b/src/sassafrasstair/runtime/_stops.py
@@ -32,7 +32,8 @@
 def begin(daemon: _daemon.Daemon) -> stops.Stop:
     """Begin to stop, unless that has begun, and return the state of it.
 
-    From then on, attempts are started only if they can end in time.
+    From then on, callers are refused, and attempts are started only if they
+    can end in time.
     """
     if daemon.callee.stop is None:
         daemon.callee.stop = stops.begin(
@@ -41,6 +42,8 @@
             signalled_at=daemon.signals.signalled_at,
             reserve=CLOSE_SECONDS,
         )
+        daemon.entry.leaving = True
+        daemon.intake.leaving = True
     return daemon.callee.stop
 
 
@@ -52,7 +55,6 @@
     answers would be lost.
     """
     stop = begin(daemon)
-    daemon.entry.leaving = True
     callers.leave(daemon.intake)
     _control.leave(daemon.control)
     drain(daemon.callee)
--- a/tests/forwarding/test_lifecycle.py
+++ b/tests/forwarding/test_lifecycle.py
@@ -56,6 +56,23 @@
     test_path.run(test())
 
 
+def test_clients_are_told_of_a_stop_in_the_pass_of_its_signal() -> None:
+    """The first phase counts from the signal, so that it must not be later."""
+
+    async def test() -> None:
+        cluster = await test_path._world()
+        cluster.daemons[A].note_stop()
+        reader, writer = await asyncio.open_connection(A, cluster.ports[2])
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+        writer.close()
+        answer = await cluster.call(A, "/s/")
+        assert answer.status == 200
+        assert answer.fields[b"connection"] == b"close"
+
+    test_path.run(test())
+
+
 @pytest.fixture(autouse=True)
 def _signal_handlers() -> abc.Iterator[None]:
     """Restore the handlers that a daemon leaves behind."""
--- a/tests/runtime/test_planned_stop.py
+++ b/tests/runtime/test_planned_stop.py
@@ -72,6 +72,19 @@
     assert ends["close"] == CALLERS
 
 
+def test_call_that_is_read_beside_the_signal_is_refused() -> None:
+    """It was begun without a bound: callers were refused a moment later."""
+
+    async def scenario() -> None:
+        async with meshes.started(upstream) as mesh:
+            runtime.note_stop(mesh.front)
+            async with mesh.call("back") as answer:
+                assert answer.status == 503
+            runtime.stop(mesh.front)
+
+    asyncio.run(asyncio.wait_for(scenario(), 4 * meshes.WAIT))
+
+
 def test_stop_waits_for_answers_in_transfer() -> None:
     """A planned stop waits for long answers that are still being sent."""
     go = asyncio.Event()
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -111,6 +111,20 @@
     assert run(events()) == ["noted", "read b'request'"]
 
 
+def test_signal_came_after_the_last_beat() -> None:
+    """Bounds of a stop counted from the third last one."""
+    clock = clocks.SystemClock()
+    signals = loops.Signals(clock)
+    for _ in range(3):
+        time.sleep(BEAT_SECONDS)
+        before = clock.monotonic()
+        signals.beat()
+    time.sleep(BEAT_SECONDS)
+    signals.note()
+    assert signals.signalled_at is not None
+    assert before <= signals.signalled_at <= before + BEAT_SECONDS
+
+
 def test_second_signal_counts_for_nothing() -> None:
     async def test() -> None:
         signals = loops.Signals(clocks.SystemClock())
