Open connections, and set the kernel's probes, in one place

Cause: connecting within a time, with a little more for a process that stood still, and the keep-alive options, stood twice: in the pools of HTTP connections and in the links of sassafrasstaird. Change: both call dials.dial and dials.probe, with their own times and counts.

--- a/src/sassafrasstair/daemons/_links.py
+++ b/src/sassafrasstair/daemons/_links.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import socket
 import time
 import typing
 
@@ -13,11 +12,11 @@
 
 from sassafrasstair.daemons import _errors
 from sassafrasstair.daemons import _messages
+from sassafrasstair import dials
 from sassafrasstair import settings
 
 SEND_TIMEOUT_MS = 400
 CONNECT_SECONDS = 0.4
-LATE_CONNECT_SECONDS = 0.02
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 2
@@ -113,7 +112,11 @@
     transport = await _connect(address, timeout)
     if transport is None:
         return
-    _probe_by_kernel(transport)
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        dials.probe(
+            sock, KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_COUNT
+        )
     end_check(links, address)
     links.checks[address] = transport
 
@@ -128,43 +131,20 @@
 async def _connect(address: str, timeout: float) -> asyncio.Transport | None:
     """Return a new connection, None for an address that can't be parsed.
 
-    Raises ``PeerUnreachable``. One that was established while this process
-    stood still is noticed before it counts as late.
+    Raises ``PeerUnreachable``.
     """
     try:
         host, port = settings.parse_address(address)
     except ValueError:
         return None
-    loop = asyncio.get_running_loop()
-    connecting = loop.create_task(
-        loop.create_connection(asyncio.Protocol, host, port)
-    )
+    seconds = min(timeout, CONNECT_SECONDS)
     try:
-        for seconds in (min(timeout, CONNECT_SECONDS), LATE_CONNECT_SECONDS):
-            if (await asyncio.wait([connecting], timeout=seconds))[0]:
-                break
-        else:
-            raise TimeoutError
-        transport, _ = connecting.result()
+        transport, _ = await dials.dial(asyncio.Protocol, host, port, seconds)
     except (OSError, ValueError) as error:
         raise _errors.PeerUnreachable(f"{address!r}: {error}") from error
-    finally:
-        connecting.cancel()
     return transport
 
 
-def _probe_by_kernel(transport: asyncio.Transport) -> None:
-    """Let the kernel end a connection whose peer's system is gone."""
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
-
-
 def close_idle(links: Links) -> None:
     """Close the sockets that no exchange has used for a minute.
 
@@ -213,20 +193,20 @@
     # lost. The attempt would then arrive twice, the second time after the
     # caller was told that its outcome is unknown. A negative resend time
     # ends the exchange with ConnectionReset instead.
-    req = pynng.Req0(resend_time=-1, send_timeout=SEND_TIMEOUT_MS)
-    req.reconnect_time_min = RECONNECT_MIN_MS
-    req.reconnect_time_max = RECONNECT_MAX_MS
-    req.tcp_nodelay = True
+    socket = pynng.Req0(resend_time=-1, send_timeout=SEND_TIMEOUT_MS)
+    socket.reconnect_time_min = RECONNECT_MIN_MS
+    socket.reconnect_time_max = RECONNECT_MAX_MS
+    socket.tcp_nodelay = True
     try:
-        req.dial(f"tcp://{address}", block=False)
+        socket.dial(f"tcp://{address}", block=False)
     except pynng.NNGException as error:
-        req.close()
+        socket.close()
         raise _errors.PeerUnreachable(f"{address!r}: {error}") from error
-    return req
+    return socket
 
 
-async def _exchange(req: pynng.Req0, data: bytes) -> bytes:
-    with req.new_context() as context:
+async def _exchange(socket: pynng.Req0, data: bytes) -> bytes:
+    with socket.new_context() as context:
         await _send(context, data)
         _raise_if_cancelled()
         reply: bytes = await context.arecv()
--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -6,6 +6,7 @@
 import math
 import typing
 
+from sassafrasstair import dials
 from sassafrasstair.httpio import _bodies
 from sassafrasstair.httpio import _jobs
 from sassafrasstair.httpio import _responses
@@ -18,9 +19,6 @@
 CONNECT_SECONDS = 0.4
 """Connecting within a region takes a few ms; the address of a VM that no
 longer exists never answers."""
-LATE_CONNECT_SECONDS = 0.02
-"""Further time for a connection that was established, but not noticed, while
-this process stood still for the rest."""
 
 
 class Pool:
@@ -184,21 +182,11 @@
 
     async def _dial(self) -> _responses.Connection:
         """Return a new connection; raises ``OSError``, also on time-out."""
-        loop = asyncio.get_running_loop()
-        connecting = loop.create_task(
-            loop.create_connection(
-                lambda: _responses.Connection(self), self.host, self.port
-            )
+        _, connection = await dials.dial(
+            lambda: _responses.Connection(self),
+            self.host,
+            self.port,
+            CONNECT_SECONDS,
         )
-        try:
-            for seconds in (CONNECT_SECONDS, LATE_CONNECT_SECONDS):
-                done, _ = await asyncio.wait([connecting], timeout=seconds)
-                if done:
-                    break
-            else:
-                raise TimeoutError
-            _, connection = connecting.result()
-        finally:
-            connecting.cancel()
         self.connections_opened += 1
         return connection
--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -5,11 +5,11 @@
 import asyncio
 import math
 import select
-import socket
 import typing
 
 import httptools
 
+from sassafrasstair import dials
 from sassafrasstair.httpio import _inputs
 from sassafrasstair.httpio import _jobs
 from sassafrasstair.httpio import _messages
@@ -147,13 +147,11 @@
         self._poller.register(sock.fileno(), select.POLLIN)
         if not self._pool.is_remote:
             return
-        tcp = socket.IPPROTO_TCP
         # A powered-off VM or a broken link sends no reset: without these
         # options a request would wait on a dead connection until its deadline.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-        sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_COUNT)
+        dials.probe(
+            sock, _KEEPALIVE_IDLE_S, _KEEPALIVE_INTERVAL_S, _KEEPALIVE_COUNT
+        )
 
     def check(self, now: float) -> None:
         """End the response if the peer or the link to it is dead.
