Ask once whether a stopping process needs time to close

Cause: the time of the final answers asked for the reserve twice. Change: one branch sets what it changes.

--- a/src/sassafrasstair/decisions/stops/_stops.py
+++ b/src/sassafrasstair/decisions/stops/_stops.py
@@ -140,15 +140,14 @@
         way.
         """
         at_work_seconds = AT_WORK_GRACE_RATIO * self.grace
+        latest = self._ends_at - ANSWERING_SECONDS
         if self.reserve:
-            # Short grace periods have no room for both.
+            # Short grace periods have no room for both, and calls between
+            # daemons of the process end one after the other.
             seconds = self.grace - self.reserve - self._answer_seconds
             at_work_seconds = min(at_work_seconds, seconds)
-        earliest = max(self.limits_until, self.began_at + at_work_seconds)
-        if self.reserve:
-            # Calls between daemons of the process end one after the other.
-            return earliest
-        return max(earliest, self._ends_at - ANSWERING_SECONDS)
+            latest = self.limits_until
+        return max(self.limits_until, self.began_at + at_work_seconds, latest)
 
     @property
     def ends_by(self) -> float:
