Ask whether an attempt is under way without a list of them all

Cause: each answer of an instance built a list to look one attempt up. Change: a call tells whether it awaits an attempt. Result: behaviour is unchanged; tests of paths, silent daemons, the life cycle and stops pass.

--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -185,7 +185,7 @@
     )
 
     def on_done(result: _records.Result) -> None:
-        if attempt in call.attempts:
+        if call.awaits(attempt):
             _handle_result(
                 daemon,
                 call,
@@ -256,7 +256,7 @@
     result: httpio.Response | httpio.Failure,
 ) -> None:
     """Handle the response of another daemon."""
-    if attempt not in call.attempts:
+    if not call.awaits(attempt):
         return
     if result is httpio.Failure.NOT_SENT:
         if _is_current(daemon, attempt):
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -162,3 +162,7 @@
         """All attempts that are under way."""
         latest = [] if self.attempt is None else [self.attempt]
         return [*self.silent_attempts, *latest]
+
+    def awaits(self, attempt: Attempt) -> bool:
+        """Return whether an attempt is under way."""
+        return attempt is self.attempt or attempt in self.silent_attempts
