Share the steps of two tests of the end of a stop

Cause: two tests differed in which daemons stall, and when. Change: both call one function, with the same daemons, times and assertions.

--- a/tests/platform/soak/test_stalls.py
+++ b/tests/platform/soak/test_stalls.py
@@ -194,28 +194,37 @@
     asyncio.run(test())
 
 
+async def _check_end(
+    route: str, services: tuple[str, ...], stalled_at: float, until: float
+) -> None:
+    """Check that answers of 4.7 s are passed on at the end of a stop.
+
+    The daemons of the services stall meanwhile, or without any the one that
+    stops; times are from SIGTERM on.
+    """
+    loop = asyncio.get_running_loop()
+    async with _fleet("end") as fleet:
+        vm = _vms(fleet, "ledger")[0]
+        stalled = [each for name in services for each in _vms(fleet, name)]
+        signalled_at = loop.time()
+        stop = asyncio.ensure_future(_terminate(fleet, vm, 0.0))
+        calls = [
+            _send(fleet, vm, route, LONG_LIMIT, 4.7) for _ in range(REQUESTS)
+        ]
+        await asyncio.sleep(signalled_at + stalled_at - loop.time())
+        await _stall(
+            fleet, stalled or [vm], signalled_at + until - loop.time()
+        )
+        await stop
+        assert await asyncio.gather(*calls) == [200] * REQUESTS
+
+
 @pytest.mark.parametrize("route", [SAFE, UNSAFE])
 def test_answers_that_came_while_the_process_stalled_are_passed_on(
     route: str,
 ) -> None:
     """At the end of a stop the final answers are due when it runs again."""
-
-    async def test() -> None:
-        loop = asyncio.get_running_loop()
-        async with _fleet("end") as fleet:
-            vm = _vms(fleet, "ledger")[0]
-            signalled_at = loop.time()
-            stop = asyncio.ensure_future(_terminate(fleet, vm, 0.0))
-            calls = [
-                _send(fleet, vm, route, LONG_LIMIT, 4.7)
-                for _ in range(REQUESTS)
-            ]
-            await asyncio.sleep(signalled_at + 4.6 - loop.time())
-            await _stall(fleet, [vm], signalled_at + 5.7 - loop.time())
-            await stop
-            assert await asyncio.gather(*calls) == [200] * REQUESTS
-
-    asyncio.run(test())
+    asyncio.run(_check_end(route, (), 4.6, 5.7))
 
 
 @pytest.mark.parametrize("route", [SAFE, UNSAFE])
@@ -223,24 +232,7 @@
     route: str,
 ) -> None:
     """Final answers took their place a moment before they came."""
-
-    async def test() -> None:
-        loop = asyncio.get_running_loop()
-        async with _fleet("last") as fleet:
-            vm = _vms(fleet, "ledger")[0]
-            signalled_at = loop.time()
-            stop = asyncio.ensure_future(_terminate(fleet, vm, 0.0))
-            calls = [
-                _send(fleet, vm, route, LONG_LIMIT, 4.7)
-                for _ in range(REQUESTS)
-            ]
-            await asyncio.sleep(signalled_at + 4.4 - loop.time())
-            silent = [*_vms(fleet, "prices"), *_vms(fleet, "intake")]
-            await _stall(fleet, silent, signalled_at + 5.6 - loop.time())
-            await stop
-            assert await asyncio.gather(*calls) == [200] * REQUESTS
-
-    asyncio.run(test())
+    asyncio.run(_check_end(route, ("prices", "intake"), 4.4, 5.6))
 
 
 def test_run_that_waits_unread_beside_the_signal_is_run_elsewhere() -> None:
