Count the limit of a request from when its data arrived

A request whose limit had ended while it lay unread was run for nobody. Cause: its limit counted from when the process read it, an estimate. The kernel knows when the data came. Change: if the event loop has not run for a tenth of a second, or has run again for half a second, a request counts from when its kernel got the last data, but no earlier than the loop's last beat. The daemon beside the instance counts what it is told from then on, too, and not from when the request was read whole. The kernel is asked only after a stall.

--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -170,6 +170,7 @@
     request = call.exchange.request
     inbound = _records.InboundRequest(
         attempt.metadata,
+        attempt.sent_at,
         daemon.settings.host,
         daemon.settings.service,
         call.request_id,
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -79,7 +79,7 @@
     guard = _guards.get_guard(daemon, metadata.instance, now)
     if inbound.rate_limit < math.inf:
         load.suggest_rate(guard, inbound.rate_limit, now)
-    deadline = now + metadata.remaining
+    deadline = inbound.arrived_at + metadata.remaining
     reason = _starts.unavailable_reason(daemon, metadata.instance)
     if not _arrivals.may_run(daemon, guard, inbound, deadline, now):
         reason = outcomes.Reason.LEAVING
@@ -110,8 +110,9 @@
         costs.record_offer(
             daemon.demand, load.route_seconds(guard, metadata.route), now
         )
+    max_wait = max(0.0, inbound.arrived_at + metadata.max_wait - now)
     work = load.Work(
-        key, metadata.route, "", metadata.rank, deadline, metadata.max_wait
+        key, metadata.route, "", metadata.rank, deadline, max_wait
     )
     _apply_effects(daemon, load.offer(guard, work, now))
     return key
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -239,6 +239,8 @@
             # An error in one tick must not stop deadlines, pings and logs.
             running.daemon.journal.note("tick_failed", error=repr(error))
         running.signals.beat()
+        for listener in (running.callers, running.daemons, running.operators):
+            listener.beat(running.ticked_at)
 
 
 def _tick_delay(running: RunningDaemon) -> float:
--- a/src/sassafrasstair/forwarding/_inbound.py
+++ b/src/sassafrasstair/forwarding/_inbound.py
@@ -91,6 +91,7 @@
     dropped = _wire.INTERNAL_HEADERS
     inbound = _records.InboundRequest(
         metadata,
+        request.received_at,
         exchange.peer_host,
         request.headers.get(daemon.header_keys.caller, b"").decode("latin-1"),
         request_id,
--- a/src/sassafrasstair/forwarding/_records.py
+++ b/src/sassafrasstair/forwarding/_records.py
@@ -32,10 +32,12 @@
     if it named none. ``shares_by_depth`` says whether the entrance and all
     daemons above it divide the retry budget by depth. ``last_resort`` is set
     if the entrance knows no other instance that can run the request.
-    ``fingerprint`` is computed when it is needed.
+    ``arrived_at`` is when it arrived here. ``fingerprint`` is computed when it
+    is needed.
     """
 
     metadata: _wire.RequestMetadata
+    arrived_at: float
     entrance: str
     caller: str
     request_id: bytes
--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -53,14 +53,12 @@
         "_dropped_bytes",
         "_held_bytes",
         "_paused",
-        "_transport",
         "_unsent_bytes",
         "_was_full",
     )
 
     def __init__(self, listener: _listeners.Listener) -> None:
         super().__init__(listener, pipelines.new_pipeline(_PIPELINE_LIMITS))
-        self._transport: typing.Any = None
         self._active_at = listener.clock.monotonic()
         self._dropped_bytes = 0
         self._held_bytes = 0
--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing
 
 from sassafrasstair.httpio import _connections
@@ -20,6 +21,11 @@
 
 BACKLOG = 1024
 """Connections waiting to be accepted; a burst opens hundreds at once."""
+LATE_SECONDS = 0.1
+"""Data that is read within this time of a beat has not waited for long."""
+CATCH_UP_SECONDS = 0.5
+"""After a stall the connections that wait to be accepted come one by one, and
+what they have sent is read behind that."""
 
 
 def _never_idempotent(request: _messages.Request) -> bool:
@@ -67,12 +73,16 @@
         self.closing = False
         """Set at shutdown: each response then closes its connection."""
         self.connections: set[_connections.Connection] = set()
+        self._beat_at = math.inf
+        self._stalled_at = math.inf
+        self._caught_up_at = -math.inf
         self._server: asyncio.Server | None = None
         self._beginning: set[asyncio.Task[typing.Any]] = set()
 
     async def open(self, host: str, port: int) -> None:
         """Listen; raises ``OSError`` if the address can't be bound."""
         loop = asyncio.get_running_loop()
+        self._beat_at = self.clock.monotonic()
         self._server = await loop.create_server(
             lambda: _connections.Connection(self), host, port, backlog=BACKLOG
         )
@@ -101,6 +111,28 @@
         self._beginning.add(task)
         task.add_done_callback(self._beginning.discard)
 
+    def beat(self, now: float) -> None:
+        """Note that the event loop runs; its owner calls this regularly."""
+        if now - self._beat_at > LATE_SECONDS:
+            self._stalled_at = self._beat_at
+            self._caught_up_at = now + CATCH_UP_SECONDS
+        self._beat_at = now
+
+    def arrived_at(
+        self, transport: asyncio.BaseTransport, read_at: float
+    ) -> float:
+        """Return when data arrived that has been read from a connection.
+
+        A process that stood still reads late what its kernel got meanwhile.
+        """
+        if read_at - self._beat_at > LATE_SECONDS:
+            since = self._beat_at
+        elif read_at < self._caught_up_at:
+            since = self._stalled_at
+        else:
+            return read_at
+        return max(read_at - _sockets.seconds_since_data(transport), since)
+
     def census(self) -> _exchanges.Census:
         """Count the connections and their requests by state."""
         found = list(self.connections)
--- a/src/sassafrasstair/httpio/_readers.py
+++ b/src/sassafrasstair/httpio/_readers.py
@@ -37,6 +37,7 @@
         "_read_since",
         "_reading",
         "_received_at",
+        "_transport",
     )
 
     def __init__(
@@ -46,6 +47,7 @@
     ) -> None:
         self._listener = listener
         self._pipeline = pipeline
+        self._transport: typing.Any = None
         self._parser: typing.Any = httptools.HttpRequestParser(self)
         self._input = _inputs.Input(
             self._parse,
@@ -65,7 +67,9 @@
         """Start reading a request."""
         if self._pipeline.ended:
             return
-        self._reading = _messages.Request(self._received_at)
+        self._reading = _messages.Request(
+            self._listener.arrived_at(self._transport, self._received_at)
+        )
         self._read_since = self._received_at
         self._body_parts = []
         self._body_size = 0
--- a/src/sassafrasstair/httpio/_sockets.py
+++ b/src/sassafrasstair/httpio/_sockets.py
@@ -17,10 +17,10 @@
 _ENDED_STATES = frozenset({7, 8})
 """Linux' TCP_CLOSE and TCP_CLOSE_WAIT."""
 
-_TCP_INFO = struct.Struct("2xBB52xI")
+_TCP_INFO = struct.Struct("2xBB48xII")
 """Linux' ``tcp_info`` up to the time since the last acknowledgement: timeouts
 in a row after which data was sent again, window probes without an answer, and
-that time in milliseconds."""
+the milliseconds since data and since an acknowledgement arrived."""
 _ATTEMPTS_MIN = 2
 """One may have been sent just now."""
 _INT = struct.Struct("i")
@@ -65,16 +65,18 @@
     It was asked to meanwhile. That a peer's process reads nothing is no sign
     of that: its system answers the probes of a closed window.
     """
-    sock = transport.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
+    info = _tcp_info(transport)
+    if info is None:
         return False
-    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
-    if len(info) < _TCP_INFO.size:
-        return False
-    retransmits, probes, silent_ms = _TCP_INFO.unpack(info)
-    was_asked: bool = max(retransmits, probes) >= _ATTEMPTS_MIN
-    is_silent: bool = silent_ms >= 1000 * seconds
-    return was_asked and is_silent
+    retransmits, probes, _, silent_ms = info
+    was_asked = max(retransmits, probes) >= _ATTEMPTS_MIN
+    return was_asked and silent_ms >= 1000 * seconds
+
+
+def seconds_since_data(transport: asyncio.BaseTransport) -> float:
+    """Return for how long the kernel has had the last data that arrived."""
+    info = _tcp_info(transport)
+    return 0.0 if info is None else info[2] / 1000.0
 
 
 def unsent_bytes(transport: typing.Any, has_ended: bool) -> int:
@@ -91,3 +93,17 @@
         found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
         buffered += max(0, _INT.unpack(found)[0] - has_ended)
     return buffered
+
+
+def _tcp_info(
+    transport: asyncio.BaseTransport,
+) -> tuple[int, int, int, int] | None:
+    """Return what ``_TCP_INFO`` unpacks, None if the kernel doesn't tell."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return None
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+    if len(info) < _TCP_INFO.size:
+        return None
+    retransmits, probes, data_ms, acknowledged_ms = _TCP_INFO.unpack(info)
+    return retransmits, probes, data_ms, acknowledged_ms
--- a/tests/forwarding/test_stalled_ticks.py
+++ b/tests/forwarding/test_stalled_ticks.py
@@ -11,10 +11,12 @@
 
 from sassafrasstair.decisions import policies
 from sassafrasstair.forwarding import _daemon
+from sassafrasstair.forwarding import _wire
 from tests.forwarding import place
 
 A, B, _ = place.HOSTS
 IDLE_SECONDS = 0.6
+TOLERANCE_MS = 50
 
 
 def _miss_events_once(loop: asyncio.AbstractEventLoop) -> None:
@@ -60,3 +62,82 @@
         writer.close()
 
     asyncio.run(test())
+
+
+def _forwarded(remaining: float) -> bytes:
+    """Return a request of another daemon for the instance on B."""
+    metadata = _wire.RequestMetadata(1, f"i-{B}", "s", 5.0, remaining, 1.0)
+    value = _wire.encode_metadata(metadata)
+    return (
+        b"GET /s/ HTTP/1.1\r\nHost: a.example\r\nX-Request: late\r\n"
+        b"%s: %s\r\n\r\n" % (_wire.METADATA_HEADER, value)
+    )
+
+
+def _asked(remaining: float) -> bytes:
+    """Return a request of a client on A."""
+    return (
+        b"GET /s/ HTTP/1.1\r\nHost: a.example\r\nX-Request: late\r\n"
+        b"X-Deadline-Ms: %d\r\n\r\n" % (remaining * 1000)
+    )
+
+
+@pytest.mark.parametrize(
+    ("host", "port", "request_of"), [(A, 0, _asked), (B, 1, _forwarded)]
+)
+@pytest.mark.parametrize(
+    ("seconds", "limit", "status"),
+    [(0.3, 3.0, 200), (1.0, 3.0, 200), (3.0, 4.0, 200), (1.0, 0.8, 503)],
+)
+def test_time_that_a_request_waits_unread_is_not_left_to_its_instance(
+    host: str,
+    port: int,
+    request_of: typing.Callable[[float], bytes],
+    seconds: float,
+    limit: float,
+    status: int,
+) -> None:
+    """Its limit counted from when the process ran again, and read it."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        runs: list[tuple[int, float]] = []
+
+        async def run(
+            got: place.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            runs.append((int(got.fields[b"x-deadline-ms"]), loop.time()))
+            await place.answer(got, writer)
+
+        cluster = place.Cluster()
+        cluster.policy(1, place.route("/s/", "s", timeout=9.0))
+        await cluster.upstream(B, "s", run)
+        for each, service in ((A, "front"), (B, "s")):
+            await cluster.daemon(each, service)
+        await cluster.wait_until_known(A, B)
+        reader, writer = await asyncio.open_connection(
+            host, cluster.ports[port]
+        )
+        writer.write(request_of(9.0))
+        assert (await place.read_answer(reader, 0.0)).status == 200
+        await asyncio.sleep(2 * _daemon.TICK_SECONDS)
+        runs.clear()
+        sock = writer.transport.get_extra_info("socket")
+        os.write(sock.fileno(), request_of(limit))
+        sent_at = loop.time()
+        time.sleep(seconds)
+        _miss_events_once(loop)
+        answer = await place.read_answer(reader, 0.0)
+        writer.close()
+        if status != 200:
+            # Nobody waits for it any more, and it has not run.
+            assert answer.status in (status, 504)
+            assert not runs
+            return
+        assert answer.status == status
+        [(left_ms, run_at)] = runs
+        assert left_ms <= 1000 * (limit - seconds) + TOLERANCE_MS
+        waited = run_at - sent_at
+        assert left_ms >= 1000 * (limit - waited) - TOLERANCE_MS
+
+    asyncio.run(test())
--- a/tests/platform/soak/test_stalls.py
+++ b/tests/platform/soak/test_stalls.py
@@ -18,6 +18,7 @@
 from tests.platform.soak import fleet as fleet_module
 from tests.platform.soak import growing
 from tests.platform.soak import mesh
+from tests.platform.soak import oracle
 from tests.platform.soak import records
 from tests.platform.soak import stalls
 
@@ -135,6 +136,39 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("seconds", [1.0, 3.0])
+def test_daemon_that_stalled_hands_on_no_more_time_than_is_left(
+    seconds: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Limits counted from when it ran again."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with _fleet("left") as fleet:
+            runs: list[float] = []
+            check = fleet.oracle.ran
+
+            def note(run: oracle.Run) -> None:
+                runs.append(loop.time() + run.left)
+                check(run)
+
+            monkeypatch.setattr(fleet.oracle, "ran", note)
+            entrance = _vms(fleet, "ledger")[0]
+            stalled = _vms(fleet, "prices") + _vms(fleet, "intake")
+            stall = asyncio.ensure_future(_stall(fleet, stalled, seconds))
+            await asyncio.sleep(0.0)
+            sent_at = loop.time()
+            calls = [
+                _send(fleet, entrance, route, LIMIT, 0.1)
+                for route in REQUESTS * (SAFE, UNSAFE)
+            ]
+            await stall
+            assert await asyncio.gather(*calls) == [200] * len(calls)
+            assert max(runs) <= sent_at + LIMIT + oracle.DEADLINE_SLACK
+
+    asyncio.run(test())
+
+
 async def _terminate(
     fleet: growing.Fleet, vm: fleet_module.Vm, stalled: float
 ) -> None:
