Send requests to stalled daemons where all of a service are silent

Seen: new requests were refused at once, 503, while no daemon of their service answered a ping, though the daemons ran again a moment later. Cause: a ping that connects and gets no answer counted like one that does not connect. The first is a process without a processor, whose kernel keeps what it gets; the second a VM that is cut off, where requests are held to their end. Change: the result of a ping says whether the VM accepted it. Where no instance of a service is usable, a request is sent to one whose daemon is stalled so, but to no more at a time than its instance runs at once, and not by a daemon that stops, whose client can go elsewhere. Nothing changes where an instance is usable, or where VMs accept nothing.

--- a/src/sassafrasstair/decisions/calls/__init__.py
+++ b/src/sassafrasstair/decisions/calls/__init__.py
@@ -4,6 +4,7 @@
 
 from sassafrasstair.decisions.calls._crossings import CrossingReason
 from sassafrasstair.decisions.calls._crossings import reason_for_crossing
+from sassafrasstair.decisions.calls._delays import ScoredTarget
 from sassafrasstair.decisions.calls._entrances import abandon_call
 from sassafrasstair.decisions.calls._entrances import apply_answer
 from sassafrasstair.decisions.calls._entrances import begin_call
@@ -44,6 +45,7 @@
 from sassafrasstair.decisions.calls._peers import start_attempt
 from sassafrasstair.decisions.calls._routing import choose
 from sassafrasstair.decisions.calls._routing import choose_leaving
+from sassafrasstair.decisions.calls._routing import choose_stalled
 from sassafrasstair.decisions.calls._routing import pick_target
 from sassafrasstair.decisions.calls._speeds import observe_route_seconds
 from sassafrasstair.decisions.calls._views import choose_target
@@ -65,12 +67,14 @@
     "Refuse",
     "Routes",
     "Send",
+    "ScoredTarget",
     "Target",
     "abandon_call",
     "apply_answer",
     "begin_call",
     "choose",
     "choose_leaving",
+    "choose_stalled",
     "choose_target",
     "eject",
     "eject_leaving",
--- a/src/sassafrasstair/decisions/calls/_peers.py
+++ b/src/sassafrasstair/decisions/calls/_peers.py
@@ -66,8 +66,9 @@
     average latency of successful attempts, and ``failures`` counts the
     failures since the last success. Failures make the instance ``ejected``,
     and an unanswered ping, last sent at ``pinged_at``, makes it
-    ``unreachable``. It is ``leaving`` while its daemon stops and may still
-    take what no other instance can run.
+    ``unreachable``, and ``stalled`` as well if its VM accepted the ping: its
+    daemon reads what it gets once it runs. It is ``leaving`` while its daemon
+    stops and may still take what no other instance can run.
 
     ``answers`` and ``refusals`` are decayed counts of the attempts that the
     instance itself took or refused, last updated at ``counted_at``.
@@ -90,6 +91,7 @@
     ejected: bool = False
     leaving: bool = False
     unreachable: bool = False
+    stalled: bool = False
     pinged_at: float = -math.inf
     answers: float = 0.0
     refusals: float = 0.0
@@ -210,6 +212,17 @@
     return peer is not None and peer.leaving
 
 
+def may_wait_at(routes: Routes, vm: str) -> bool:
+    """Return whether a request may wait for the stalled daemon of ``vm``.
+
+    It takes no more of them than its instance can run at once.
+    """
+    peer = routes.peers.get(vm)
+    if peer is None or peer.ejected or not peer.stalled:
+        return False
+    return peer.in_flight < peer.limit
+
+
 def forget_attempt(routes: Routes, vm: str) -> None:
     """Record the end of an attempt that says nothing about ``vm``."""
     peer = routes.peers.get(vm)
@@ -253,13 +266,19 @@
 
 
 def probe_ended(
-    routes: Routes, vm: str, alive: bool, now: float, leaving: bool = False
+    routes: Routes,
+    vm: str,
+    alive: bool,
+    now: float,
+    leaving: bool = False,
+    stalled: bool = False,
 ) -> None:
     """Record the result of a ping.
 
     Only an answered ping makes an ejected instance usable again. ``leaving``
     is set if the daemon answered that it stops, which is not ``alive``, and
-    takes what no other instance can run.
+    takes what no other instance can run. ``stalled`` is set if the VM accepted
+    the ping, and its daemon did not answer in time.
     """
     peer = routes.peers.get(vm)
     if peer is None:
@@ -267,6 +286,7 @@
     if peer.unreachable is alive or (alive and peer.ejected):
         routes.usability_changes += 1
     peer.unreachable = not alive
+    peer.stalled = stalled
     peer.leaving = leaving
     if alive:
         peer.ejected = False
--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -93,11 +93,43 @@
         for target in targets
         if target.vm not in tried and _peers.is_leaving(routes, target.vm)
     ]
-    if not leaving:
+    return _choose_among(routes, targets, leaving, now, rng)
+
+
+def choose_stalled(
+    routes: _peers.Routes,
+    targets: abc.Sequence[_messages.Target],
+    tried: abc.Collection[str],
+    now: float,
+    rng: random.Random,
+) -> _delays.ScoredTarget | None:
+    """Return an instance whose daemon is stalled, for want of any other.
+
+    A process that gets no processor for a moment runs the request after it.
+    """
+    stalled = [
+        target
+        for target in targets
+        if target.vm not in tried and _peers.may_wait_at(routes, target.vm)
+    ]
+    return _choose_among(routes, targets, stalled, now, rng)
+
+
+def _choose_among(
+    routes: _peers.Routes,
+    targets: abc.Sequence[_messages.Target],
+    candidates: abc.Sequence[_messages.Target],
+    now: float,
+    rng: random.Random,
+) -> _delays.ScoredTarget | None:
+    """Choose among instances of which none is usable for all requests."""
+    if not candidates:
         return None
     grouped = _groups.sorted_targets(routes, targets, now)
-    near = [each for each in leaving if _groups.in_same_domain(routes, each)]
-    return _choose_near_first(routes, near, leaving, grouped, now, rng)
+    near = [
+        each for each in candidates if _groups.in_same_domain(routes, each)
+    ]
+    return _choose_near_first(routes, near, candidates, grouped, now, rng)
 
 
 def _choose_near_first(
--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 import functools
+import typing
 
 from sassafrasstair.decisions import calls
 from sassafrasstair.decisions import requests
@@ -39,6 +40,9 @@
 from sassafrasstair import notices
 from sassafrasstair import outcomes
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 QUEUE_WAIT_RATIO = 0.5
 """The fraction of a route's objective, or of the remaining time if that is
 shorter, that a request may wait for a slot. The wait must end before the
@@ -73,11 +77,7 @@
         return
     targets = views.targets(daemon.view, progress.service)
     need = _need(daemon, call, now)
-    choice = calls.choose(
-        daemon.routes, targets, progress.tried, now, daemon.rng, need
-    ) or calls.choose_leaving(
-        daemon.routes, targets, call.last_resorts, now, daemon.rng
-    )
+    choice = _choose(daemon, call, targets, need, now)
     if choice is None:
         _give_up(daemon, call, last_reason)
         return
@@ -122,6 +122,33 @@
         _send_to_peer(daemon, call, attempt)
 
 
+def _choose(
+    daemon: _state.Daemon,
+    call: _records.Call,
+    targets: abc.Sequence[calls.Target],
+    need: calls.Need | None,
+    now: float,
+) -> calls.ScoredTarget | None:
+    """Return the instance for an attempt, at worst one that may take it."""
+    routes, rng, tried = daemon.routes, daemon.rng, call.progress.tried
+    choice = calls.choose(
+        routes, targets, tried, now, rng, need
+    ) or calls.choose_leaving(routes, targets, call.last_resorts, now, rng)
+    if choice is not None or daemon.stop is not None:
+        return choice
+    choice = calls.choose_stalled(routes, targets, tried, now, rng)
+    if choice is not None:
+        daemon.journal.request(
+            "sent_to_silent",
+            outcomes.Reason.PEER_SILENT.value,
+            request=call.request_id.decode("latin-1"),
+            route=call.progress.route.name,
+            instance=choice.target.vm,
+            left=call.progress.deadline - now,
+        )
+    return choice
+
+
 def _need(
     daemon: _state.Daemon, call: _records.Call, now: float
 ) -> calls.Need | None:
--- a/src/sassafrasstair/forwarding/_probes.py
+++ b/src/sassafrasstair/forwarding/_probes.py
@@ -91,16 +91,22 @@
     daemon: _state.Daemon, ping: _Ping, job: httpio.Job
 ) -> None:
     if job.awaited:
+        accepted = job.may_have_been_sent
         job.abort()
-        _handle_failure(daemon, ping, "peer_silent", "timeout")
+        _handle_failure(daemon, ping, "peer_silent", "timeout", accepted)
 
 
 def _handle_failure(
-    daemon: _state.Daemon, ping: _Ping, event: str, reason: str
+    daemon: _state.Daemon,
+    ping: _Ping,
+    event: str,
+    reason: str,
+    accepted: bool = False,
 ) -> None:
     """Send nothing more there, unless this process has been stalled itself.
 
-    It can't tell then which of the two has been silent.
+    It can't tell then which of the two has been silent. ``accepted`` is set
+    if the VM accepted the ping's connection.
     """
     vm, host, now = ping.vm, ping.host, daemon.clock.monotonic()
     waited = now - ping.sent_at
@@ -118,6 +124,6 @@
             reason=reason,
             in_flight=peer.in_flight,
         )
-    calls.probe_ended(daemon.routes, vm, False, now)
+    calls.probe_ended(daemon.routes, vm, False, now, stalled=accepted)
     _state.pool(daemon, host).drop_idle()
     _silences.handle(daemon, vm)
--- a/tests/decisions/calls/test_routing.py
+++ b/tests/decisions/calls/test_routing.py
@@ -297,3 +297,48 @@
     _refuse_as_leaving(routes, "near")
     _peers.probe_ended(routes, "near", alive, 1.2, leaving)
     assert _peers.is_leaving(routes, "near") is expected
+
+
+@pytest.mark.parametrize(
+    ("accepted", "ejected", "waiting", "tried", "expected"),
+    [
+        ((), (), 0, (), {None}),
+        (("far-0",), (), 0, (), {"far-0"}),
+        (("near", "far-0"), (), 0, (), {"near"}),
+        (("near", "far-0"), (), 0, ("near",), {"far-0"}),
+        (("near",), (), 19, (), {"near"}),
+        (("near",), (), 20, (), {None}),
+        (("near",), ("near",), 0, (), {None}),
+    ],
+)
+def test_requests_wait_at_stalled_daemons_whose_vms_are_there(
+    accepted: tuple[str, ...],
+    ejected: tuple[str, ...],
+    waiting: int,
+    tried: tuple[str, ...],
+    expected: set[str | None],
+) -> None:
+    """No ping is answered; some VMs accept them.
+
+    No more wait than the instance can run at once.
+    """
+    routes = _peers.Routes(HERE, "region", try_unreachable=False)
+    for target in TARGETS:
+        _report_load(routes, target.vm, 0.1, 1.0)
+        for _ in range(waiting):
+            _peers.start_attempt(routes, target.vm, 1.0)
+        calls.probe_ended(
+            routes, target.vm, False, 1.2, stalled=target.vm in accepted
+        )
+        if target.vm in ejected:
+            calls.eject(routes, target.vm)
+    rng = random.Random(1)
+    choices = [
+        _routing.choose_stalled(routes, TARGETS, tried, 1.2, rng)
+        for _ in range(20)
+    ]
+    found = {choice.target.vm if choice else None for choice in choices}
+    assert found == expected
+    assert not _picked(routes, 1.2)
+    calls.probe_ended(routes, "near", True, 1.3)
+    assert not _peers.may_wait_at(routes, "near")
--- a/tests/platform/soak/test_stalls.py
+++ b/tests/platform/soak/test_stalls.py
@@ -169,6 +169,33 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("seconds", [2.0, 3.0])
+def test_requests_that_come_while_all_daemons_of_a_service_stall_are_served(
+    seconds: float,
+) -> None:
+    """They were refused once a ping had got no answer."""
+
+    async def test() -> None:
+        async with _fleet("all") as fleet:
+            entrance = _vms(fleet, "ledger")[0]
+            stalled = _vms(fleet, "prices") + _vms(fleet, "intake")
+            stall = asyncio.ensure_future(_stall(fleet, stalled, seconds))
+            first = [
+                _send(fleet, entrance, route, LIMIT, 0.1)
+                for route in REQUESTS * (SAFE, UNSAFE)
+            ]
+            await asyncio.sleep(seconds - 0.6)
+            calls = [
+                _send(fleet, entrance, route, LIMIT, 0.1)
+                for route in REQUESTS * (SAFE, UNSAFE)
+            ]
+            await stall
+            calls += first
+            assert await asyncio.gather(*calls) == [200] * len(calls)
+
+    asyncio.run(test())
+
+
 async def _terminate(
     fleet: growing.Fleet, vm: fleet_module.Vm, stalled: float
 ) -> None:
