Run no request whose client left while it waited unread

Seen: a client closes its connection while the daemon stands still. Cause: the end of the data is an event of its own, behind the data. Change: what is read late, as known from the loop's beats, is dropped if the kernel says that the client has closed.

--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -142,6 +142,13 @@
                 self._input.wait_for_turn()
             return
         self._received_at = self._listener.clock.monotonic()
+        if self._listener.reads_late(self._received_at) and (
+            _sockets.has_ended(self._transport)
+        ):
+            # The end of the data is reported only behind them.
+            self._disconnected()
+            self._transport.close()
+            return
         if self._reading is None:
             self._active_at = self._received_at
         self._input.receive(data)
--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -125,14 +125,17 @@
 
         A process that stood still reads late what its kernel got meanwhile.
         """
-        if read_at - self._beat_at > LATE_SECONDS:
-            since = self._beat_at
-        elif read_at < self._caught_up_at:
-            since = self._stalled_at
-        else:
+        if not self.reads_late(read_at):
             return read_at
+        is_stalled = read_at - self._beat_at > LATE_SECONDS
+        since = self._beat_at if is_stalled else self._stalled_at
         return max(read_at - _sockets.seconds_since_data(transport), since)
 
+    def reads_late(self, now: float) -> bool:
+        """Return whether what is read now may have waited for a while."""
+        is_stalled = now - self._beat_at > LATE_SECONDS
+        return is_stalled or now < self._caught_up_at
+
     def census(self) -> _exchanges.Census:
         """Count the connections and their requests by state."""
         found = list(self.connections)
--- a/tests/forwarding/test_stalled_ticks.py
+++ b/tests/forwarding/test_stalled_ticks.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import socket
 import time
 import typing
 
@@ -141,3 +142,45 @@
         assert left_ms >= 1000 * (limit - waited) - TOLERANCE_MS
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    ("host", "port", "request_of"), [(A, 0, _asked), (B, 1, _forwarded)]
+)
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_request_whose_client_left_while_it_waited_unread_is_not_run(
+    host: str,
+    port: int,
+    request_of: typing.Callable[[float], bytes],
+    is_kept: bool,
+) -> None:
+    """It reached its instance, and was cancelled there a moment later.
+
+    Its connection was open before, or waits to be accepted as well.
+    """
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(1, place.route("/s/", "s", timeout=9.0))
+        upstream = await cluster.upstream(B, "s")
+        for each, service in ((A, "front"), (B, "s")):
+            await cluster.daemon(each, service)
+        await cluster.wait_until_known(A, B)
+        # The connections to the instance are open.
+        assert (await cluster.call(A, "/s/")).status == 200
+        upstream.got.clear()
+        with socket.socket() as client:
+            address = (host, cluster.ports[port])
+            if is_kept:
+                client.connect(address)
+                await asyncio.sleep(2 * _daemon.TICK_SECONDS)
+            else:
+                await asyncio.sleep(2 * _daemon.TICK_SECONDS)
+                client.connect(address)
+            client.sendall(request_of(9.0))
+        time.sleep(1.0)
+        _miss_events_once(asyncio.get_running_loop())
+        await asyncio.sleep(0.5)
+        assert not upstream.got
+
+    asyncio.run(test())
