Tell only the listeners for requests when the event loop runs

Cause: each listener took itself for late until its owner told otherwise, and those for metrics and seeds are told nothing: an operator's client that closes its half right behind a request would have got no answer. Change: a listener whose owner tells nothing reads nothing late. Those for clients and daemons are told before they open, so that a stall just after the start is known, too.

--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -159,6 +159,7 @@
 async def open_listeners(running: RunningDaemon) -> None:
     """Listen on the addresses in the settings; raises ``OSError``."""
     settings = running.daemon.settings
+    _beat(running)
     address = settings.callers
     await running.callers.open(address.host, address.port)
     address = settings.daemons
@@ -239,8 +240,13 @@
             # An error in one tick must not stop deadlines, pings and logs.
             running.daemon.journal.note("tick_failed", error=repr(error))
         running.signals.beat()
-        for listener in (running.callers, running.daemons, running.operators):
-            listener.beat(running.ticked_at)
+        _beat(running)
+
+
+def _beat(running: RunningDaemon) -> None:
+    """Tell the listeners for requests that the event loop runs."""
+    for listener in (running.callers, running.daemons):
+        listener.beat(running.ticked_at)
 
 
 def _tick_delay(running: RunningDaemon) -> float:
--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -82,7 +82,6 @@
     async def open(self, host: str, port: int) -> None:
         """Listen; raises ``OSError`` if the address can't be bound."""
         loop = asyncio.get_running_loop()
-        self._beat_at = self.clock.monotonic()
         self._server = await loop.create_server(
             lambda: _connections.Connection(self), host, port, backlog=BACKLOG
         )
@@ -112,7 +111,11 @@
         task.add_done_callback(self._beginning.discard)
 
     def beat(self, now: float) -> None:
-        """Note that the event loop runs; its owner calls this regularly."""
+        """Note that the event loop runs.
+
+        An owner that calls this at all does so before ``open``, and a few
+        times per ``LATE_SECONDS`` from then on.
+        """
         if now - self._beat_at > LATE_SECONDS:
             self._stalled_at = self._beat_at
             self._caught_up_at = now + CATCH_UP_SECONDS
