Let requests between daemons of the model arrive when they do

Cause: the model of a fleet hands requests to daemons with 0 for the time at which they arrived. Nothing used that between daemons until the limit of a request came to count from then. Change: the model says when a request arrived, on its virtual clock; no check of a test is changed.

--- a/tests/fleets/networks.py
+++ b/tests/fleets/networks.py
@@ -89,7 +89,8 @@
     def __init__(
         self, network: Network, sender: str, receiver: str, job: httpio.Job
     ) -> None:
-        self.request = parse_request(job.data)
+        now = asyncio.get_running_loop().time()
+        self.request = parse_request(job.data, now)
         self.peer_host = network.proxy_host or sender
         self.gone: typing.Callable[[], None] | None = None
         self._network = network
