End requests only once their time limits are surely over

Callers saw: 504 up to a millisecond before the limit that they had stated or that the route sets, while an instance worked on their request. After a SIGTERM that is a lost request.

Cause: a request's limit is a timer of uvloop, which counts whole milliseconds, rounds to the nearest, and counts from a time that is rounded down.

Change: a request without an answer is ended 0.01 s after its limit, which also covers clocks of two machines that differ in their rates. The daemon beside the instance aborts overdue work no sooner. Limits, and what is handed on of them, stay as they are.

--- a/src/sassafrasstair/decisions/load/_guards.py
+++ b/src/sassafrasstair/decisions/load/_guards.py
@@ -420,13 +420,13 @@
 def _abort_overdue(guard: Guard, now: float) -> list[_messages.Effect]:
     """Abort running work whose deadline has passed, as its caller has gone.
 
-    Work is aborted only at the first tick after its deadline, so that an
-    upstream that is slow to stop gets one abort.
+    Work is aborted only at the first tick after that, so that an upstream
+    that is slow to stop gets one abort.
     """
     return [
         _messages.Abort(attempt_id)
         for attempt_id, work in guard.running_work.items()
-        if guard.ticked_at < work.deadline <= now
+        if guard.ticked_at < work.overdue_at <= now
     ]
 
 
--- a/src/sassafrasstair/decisions/load/_messages.py
+++ b/src/sassafrasstair/decisions/load/_messages.py
@@ -16,6 +16,11 @@
     from sassafrasstair import outcomes
 
 
+OVERDUE_SECONDS = 0.01
+"""Work is aborted so long after its deadline, at which its caller gives up:
+the clocks of their two machines may differ in their rates."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work:
     """One attempt that arrived for the upstream.
@@ -34,6 +39,11 @@
     max_wait_seconds: float
     tenant_share: float = 1.0
 
+    @property
+    def overdue_at(self) -> float:
+        """From when it is aborted if it still runs."""
+        return self.deadline + OVERDUE_SECONDS
+
 
 class End(enum.Enum):
     """How a started attempt ended at the upstream.
--- a/src/sassafrasstair/decisions/requests/__init__.py
+++ b/src/sassafrasstair/decisions/requests/__init__.py
@@ -30,6 +30,7 @@
 from sassafrasstair.decisions.requests._progress import begin_beside
 from sassafrasstair.decisions.requests._progress import Beside
 from sassafrasstair.decisions.requests._progress import Ending
+from sassafrasstair.decisions.requests._progress import expires_at
 from sassafrasstair.decisions.requests._progress import is_too_late
 from sassafrasstair.decisions.requests._progress import new_progress
 from sassafrasstair.decisions.requests._progress import outcome
@@ -55,9 +56,10 @@
     "begin_beside",
     "calls_below",
     "depth_of",
+    "expires_at",
     "find_hop",
-    "new_depths",
     "is_too_late",
+    "new_depths",
     "new_progress",
     "new_window",
     "note_call",
--- a/src/sassafrasstair/decisions/requests/_progress.py
+++ b/src/sassafrasstair/decisions/requests/_progress.py
@@ -28,6 +28,10 @@
 ran it. Without a limit, one request could crash one instance after another."""
 MIN_ATTEMPT_SECONDS = 0.005
 """With less time left than this, no further attempt can be answered."""
+EXPIRY_SLACK_SECONDS = 0.01
+"""A request without an answer is ended so long after its deadline: timers
+fire up to some milliseconds early, and the clocks of two machines may differ
+in their rates."""
 RETRY_AFTER_MIN_SECONDS = 0.2
 RETRY_AFTER_OBJECTIVE_SHARE = 0.5
 """The least Retry-After for refused clients, in seconds and as a share of the
@@ -222,6 +226,11 @@
     return now + MIN_ATTEMPT_SECONDS >= progress.deadline
 
 
+def expires_at(progress: Progress) -> float:
+    """Return when a request is ended that has got no answer."""
+    return progress.deadline + EXPIRY_SLACK_SECONDS
+
+
 def _exhausted(progress: Progress) -> bool:
     """Return whether a limit other than the budget rules out a retry."""
     return (
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -12,6 +12,7 @@
 from sassafrasstair import builds
 from sassafrasstair.decisions import admission
 from sassafrasstair.decisions import policies
+from sassafrasstair.decisions import requests
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _callee
 from sassafrasstair.forwarding import _checks
@@ -263,7 +264,7 @@
     if delay > LATE_TICK_SECONDS:
         daemon.journal.note("held_up", seconds=delay)
         for call in list(daemon.calls):
-            if call.progress.deadline <= now:
+            if requests.expires_at(call.progress) <= now:
                 _entrance.expire_call(daemon, call)
     _callee.tick(daemon, now)
     _probes.tick(daemon, now)
--- a/src/sassafrasstair/forwarding/_entrance.py
+++ b/src/sassafrasstair/forwarding/_entrance.py
@@ -179,8 +179,9 @@
             daemon.ledger.chains, call.request_id, route.name, now
         )
     exchange.gone = functools.partial(_abort_call, daemon, call)
+    left = requests.expires_at(call.progress) - now
     call.timer = asyncio.get_running_loop().call_later(
-        max(0.0, deadline - now), expire_call, daemon, call
+        max(0.0, left), expire_call, daemon, call
     )
     requests.note_request(_repeats.window(daemon, service), now, rank)
     return call
--- a/tests/decisions/load/test_guards.py
+++ b/tests/decisions/load/test_guards.py
@@ -185,3 +185,22 @@
     # Work is refused only for waiting too long or because the queue is full.
     assert set(refused.values()) == {Reason.QUEUE_DELAY, Reason.QUEUE_FULL}
     assert load.busy(guard) > 2.0
+
+
+@pytest.mark.parametrize(
+    ("ticks", "aborted"),
+    [
+        pytest.param((1.0,), False, id="at_its_deadline"),
+        pytest.param((1.005,), False, id="just_behind"),
+        pytest.param((1.005, 1.055), True, id="at_the_next_tick"),
+        pytest.param((3.0,), True, id="after_a_pause"),
+    ],
+)
+def test_running_work_is_aborted_once_its_caller_has_given_up(
+    ticks: tuple[float, ...], aborted: bool
+) -> None:
+    """An abort at the deadline came before the caller's own clock said so."""
+    guard = load.new_guard(4, 0.0, patient=True)
+    load.offer(guard, _work("a", deadline=1.0), 0.0)
+    effects = [effect for now in ticks for effect in load.tick(guard, now)]
+    assert effects == ([load.Abort("a")] if aborted else [])
--- a/tests/forwarding/test_deadlines.py
+++ b/tests/forwarding/test_deadlines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import typing
 
 import pytest
 
@@ -14,6 +15,9 @@
 TIMEOUT = 4.0
 LOST_AFTER = 0.8
 TOLERANCE_MS = 100
+LIMIT = 0.3
+EARLY_SECONDS = 0.005
+"""Timers fire so much early; those of uvloop do by up to 1.5 ms."""
 
 
 class Instances:
@@ -109,3 +113,58 @@
         assert second_ms <= most_ms - 1000 * LOST_AFTER + 1
 
     test_path.run(test())
+
+
+def _fire_early(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let all timers of the loop fire before their time."""
+    loop = asyncio.get_running_loop()
+    call_later = loop.call_later
+
+    def call_early(
+        delay: float, callback: typing.Any, *args: typing.Any
+    ) -> asyncio.TimerHandle:
+        return call_later(max(0.0, delay - EARLY_SECONDS), callback, *args)
+
+    monkeypatch.setattr(loop, "call_later", call_early)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize(
+    ("timeout", "deadline"),
+    [
+        pytest.param(TIMEOUT, LIMIT, id="the_clients"),
+        pytest.param(LIMIT, TIMEOUT, id="the_routes"),
+    ],
+)
+@pytest.mark.parametrize(
+    "entrance", [pytest.param(A, id="of_a_peer"), pytest.param(B, id="own")]
+)
+def test_request_is_not_ended_before_its_limit(
+    entrance: str,
+    timeout: float,
+    deadline: float,
+    idempotent: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An instance's answer can still come until the client's limit is over."""
+
+    async def hang(
+        got: place.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(TIMEOUT)
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.policy(3, place.route("/s/", "s", idempotent, timeout))
+        await cluster.upstream(B, "s", hang)
+        await cluster.daemon(A, "front")
+        await cluster.daemon(B, "s")
+        await cluster.wait_until_known(A, B)
+        _fire_early(monkeypatch)
+        got = await cluster.call(
+            entrance, "/s/", deadline_ms=round(1000 * deadline)
+        )
+        assert got.status == 504
+        assert LIMIT <= got.seconds < LIMIT + 0.5
+
+    test_path.run(test())
