Answer all that was read before a connection closes

Callers saw: requests that they had sent behind another one on their connection ended with it, unanswered, up to 2.7 s after their last byte, as the daemon stopped. They can't tell whether these were read.

Cause: a stopping daemon closed with the answer to the last request that it had started, and dropped what was read and waited. The rule asks for an answer to what was read whole if the connection ends later than 0.2 s after it; the sentence about requests that cross a close, by which this was excused, is about what was not read.

Change: the close comes with the answer behind which no request waits or is being read. Until then requests start as before, and a stop refuses them as not run where it would refuse any other. What is half read is refused in its turn if nothing more of it comes.

The property test asks it of any interleaving in place of "none starts beside others while closing". Two tests of a client that sends on behind the close used a handler's close for it and now use the client's own `Connection: close`, or send after it.

--- a/src/sassafrasstair/decisions/pipelines/_pipelines.py
+++ b/src/sassafrasstair/decisions/pipelines/_pipelines.py
@@ -4,8 +4,10 @@
 (RFC 9112, 9.3.2), so the started ones are always the first of ``entries``.
 Idempotent requests run side by side. Any other request runs alone: it starts
 once all requests before it are answered, and none starts before its answer.
-It is thus never started behind an answer that may close the connection,
-after which the client would send it again.
+
+A connection that is to close does so with the answer behind which no request
+waits or is being read. So all that was read is answered, and behind that
+answer nothing has run: the client may send it again.
 """
 
 from __future__ import annotations
@@ -35,8 +37,8 @@
     """What became of a request that was sent before earlier answers.
 
     ``BESIDE``: it was started beside the requests before it. ``WAITED``: it
-    was started after their answers. ``DROPPED``: it was not started, since an
-    answer before it closed the connection or the client left.
+    was started after their answers. ``DROPPED``: it was not started, since
+    the client left.
     """
 
     BESIDE = "beside"
@@ -175,11 +177,13 @@
     return True
 
 
-def pop_answered(pipeline: Pipeline[EntryT]) -> EntryT | None:
+def pop_answered(
+    pipeline: Pipeline[EntryT], is_reading: bool = False
+) -> EntryT | None:
     """Remove and return the first request if its answer may be written.
 
-    Its ``closes`` tells whether the answer closes the connection. All
-    requests left are then unstarted; the client sends them again.
+    Its ``closes`` tells whether the answer closes the connection. No request
+    is left then. With ``is_reading``, a part of another one has been read.
     """
     entries = pipeline.entries
     if not entries or entries[0].phase is not Phase.ANSWERED:
@@ -189,18 +193,14 @@
     pipeline.held_bytes -= entry.held_bytes
     if pipeline.started:
         pipeline.started -= 1
-    last_started = not pipeline.started
-    entry.closes = not entry.keep_alive or (pipeline.closing and last_started)
+    is_last = not entries and not is_reading
+    entry.closes = not entry.keep_alive or (pipeline.closing and is_last)
     pipeline.ended = pipeline.ended or entry.closes
     return entry
 
 
 def close_soon(pipeline: Pipeline[EntryT]) -> None:
-    """Close with the answer to the last request that was started.
-
-    If none was started, the next one is started alone and its answer closes
-    the connection.
-    """
+    """Close with the answer behind which there is no other request."""
     pipeline.closing = True
 
 
@@ -243,8 +243,7 @@
     """
     limits = pipeline.limits
     if (
-        pipeline.closing
-        or pipeline.started >= limits.started_max
+        pipeline.started >= limits.started_max
         or pipeline.held_bytes > limits.held_bytes_max
     ):
         return False
--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -330,7 +330,8 @@
     def _write_answers(self) -> None:
         """Write the answers whose turn it is."""
         pipeline = self._pipeline
-        while exchange := pipelines.pop_answered(pipeline):
+        is_reading = self._reading is not None or bool(self._input.unparsed)
+        while exchange := pipelines.pop_answered(pipeline, is_reading):
             self._write_answer(exchange)
             if exchange.closes:
                 self.close()
--- a/tests/decisions/pipelines/test_pipelines.py
+++ b/tests/decisions/pipelines/test_pipelines.py
@@ -43,6 +43,7 @@
         self.written: list[Request] = []
         self.gone: list[Request] = []
         self.closed = False
+        self.left = False
 
     def receive(self, safe: bool = True, keep_alive: bool = True) -> None:
         """Receive a request, unless reading is paused."""
@@ -72,7 +73,6 @@
             if running:
                 assert request.safe
                 assert all(other.safe for other in running)
-                assert not self.pipeline.closing
             assert len(running) < LIMITS.started_max
             self.started.append(request)
 
@@ -104,14 +104,13 @@
             self.written.append(request)
             if request.closes:
                 self.closed = True
-                assert not self.unanswered()
                 removed = pipelines.clear(self.pipeline)
-                assert not removed.running
+                assert removed == pipelines.Removed((), (), ())
         self.start()
 
     def leave(self) -> None:
         """Lose the client."""
-        self.closed = True
+        self.closed = self.left = True
         removed = pipelines.clear(self.pipeline)
         self.gone += [*removed.running, *removed.answered]
 
@@ -141,6 +140,7 @@
         if self.closed:
             assert not pipeline.entries
             assert not self.unanswered()
+            assert self.left or self.written == self.requests
 
 
 EVENTS = strategies.one_of(
@@ -172,7 +172,8 @@
     """Answers out of order, or requests run beside an unsafe one.
 
     Each started request is answered or reported gone, and none starts behind
-    an answer that closes the connection.
+    an answer that closes the connection. All that was read is answered then,
+    unless the client left.
     """
     connection = Connection()
     for name, *values in events:
@@ -183,6 +184,7 @@
         connection.answer(0)
         connection.check()
     assert not connection.pipeline.entries
+    assert connection.left or connection.written == connection.requests
 
 
 def _received(kinds: str) -> Connection:
@@ -278,25 +280,28 @@
     assert len(connection.started) == 3
 
 
-def test_last_started_answer_closes() -> None:
-    """A close on an earlier answer would lose answers of requests that ran."""
+def test_last_answer_closes() -> None:
+    """A close on an earlier answer would lose what was read behind it."""
     connection = _received("sssu")
     connection.close_soon()
-    for _ in range(3):
+    for _ in range(4):
         connection.answer(0)
     closes = [request.closes for request in connection.written]
-    assert closes == [False, False, True]
-    assert len(connection.started) == 3
+    assert closes == [False, False, False, True]
+    assert len(connection.started) == 4
 
 
-def test_waiting_request_is_started_alone_if_none_runs() -> None:
+def test_requests_that_wait_are_answered_before_the_close() -> None:
+    """The first of them was, and the others were dropped."""
     connection = _received("uu")
     connection.answer(0)
     connection.close_soon()
     connection.receive()
     connection.answer(0)
-    assert [request.closes for request in connection.written] == [False, True]
-    assert len(connection.started) == 2
+    connection.answer(0)
+    closes = [request.closes for request in connection.written]
+    assert closes == [False, False, True]
+    assert len(connection.started) == 3
 
 
 def test_no_request_starts_while_the_client_reads_nothing() -> None:
@@ -307,3 +312,27 @@
     assert not connection.started
     connection.read_slowly(False)
     assert len(connection.started) == 1
+
+
+@pytest.mark.parametrize(
+    ("kinds", "is_reading", "closes"),
+    [
+        pytest.param("u", False, [True], id="alone"),
+        pytest.param("u", True, [False], id="another is read"),
+        pytest.param("uus", False, [False, False, True], id="others wait"),
+        pytest.param("sss", False, [False, False, True], id="others run"),
+    ],
+)
+def test_close_comes_with_the_answer_behind_which_nothing_is_left(
+    kinds: str, is_reading: bool, closes: list[bool]
+) -> None:
+    """Requests that had been read were dropped with the connection."""
+    connection = _received(kinds)
+    connection.close_soon()
+    pipeline = connection.pipeline
+    for expected in closes:
+        entry = pipeline.entries[0]
+        assert pipelines.answer(pipeline, entry, 1)
+        assert pipelines.pop_answered(pipeline, is_reading) is entry
+        assert entry.closes is expected
+        pipelines.start_next(pipeline, _is_safe)
--- a/tests/forwarding/test_pipelining.py
+++ b/tests/forwarding/test_pipelining.py
@@ -185,30 +185,48 @@
     run(test, TIMEOUT)
 
 
-def test_shutdown_answers_all_that_run_and_starts_no_more() -> None:
+def test_shutdown_answers_all_that_was_read() -> None:
     """SIGTERM arrives while two of three requests run.
 
-    What is behind the answer that closes the connection counts as not read,
-    and the client sends it again: it must not have run.
+    The third, and one that is sent later, were read and got no answer.
     """
 
     async def test(world: World) -> None:
-        world.send("/s/1", "/s/2", "/u/3")
+        paths = ["/s/1", "/s/2", "/u/3", "/s/4"]
+        world.send(*paths[:3])
         await world.wait_until_received("/s/1", "/s/2")
         running = world.cluster.daemons[A]
         stopping = asyncio.ensure_future(_stops.stop(running))
         await asyncio.sleep(0.05)
         world.send("/s/4")
         world.release("/s/2", "/s/1", "/u/3", "/s/4")
-        answers = await world.read(3)
-        assert answers == [("/s/1", 200), ("/s/2", 200), ("", 0)]
+        answers = await world.read(5)
+        assert answers == [*((path, 200) for path in paths), ("", 0)]
         await asyncio.wait_for(stopping, place.GRACE)
-        assert world.got == ["/s/1", "/s/2"]
-        assert world.counters.pipelined == {"beside": 1, "dropped": 2}
+        assert world.got == sorted(paths)
+        assert world.counters.pipelined == {"beside": 1, "waited": 2}
 
     run(test)
 
 
+@pytest.mark.parametrize("first", ["/s/1", "/u/1"])
+def test_shutdown_refuses_what_waits_behind_a_request_that_is_cut(
+    first: str,
+) -> None:
+    """It was read, has not run, and the connection ended without a word."""
+
+    async def test(world: World) -> None:
+        world.send(first, "/u/2", "/s/3", deadline_ms=9000)
+        await world.wait_until_received(first)
+        stopping = asyncio.ensure_future(_stops.stop(world.cluster.daemons[A]))
+        answers = await world.read(4)
+        assert answers == [(first, 502), ("/u/2", 503), ("/s/3", 503), ("", 0)]
+        await asyncio.wait_for(stopping, place.GRACE)
+        assert world.got == [first]
+
+    run(test, 3 * place.GRACE)
+
+
 def test_client_that_leaves_ends_all_its_running_requests() -> None:
     """Instances would go on with requests that nobody waits for."""
 
--- a/tests/httpio/test_pipelined_ends.py
+++ b/tests/httpio/test_pipelined_ends.py
@@ -42,52 +42,72 @@
         pytest.param("us", 1, id="unsafe one runs"),
     ],
 )
-def test_shutdown_closes_with_the_last_running_request(
+def test_shutdown_closes_behind_all_that_was_read(
     kinds: str, running: int
 ) -> None:
-    """An earlier close would lose answers; a later one could run twice.
-
-    What was sent behind the answer that closes counts as not read, and the
-    client sends it again.
-    """
+    """Requests that waited for others were read, and got no answer."""
 
     async def test() -> None:
         server = await pipelined.start_server(pipelined.requests(kinds))
         await server.wait_until_started(*range(running))
         server.listener.closing = True
-        server.writer.write(pipelined.request("/safe/late"))
+        server.writer.write(pipelined.request(f"/safe/{len(kinds)}"))
         await server.settle()
-        for number in reversed(range(running)):
-            server.answer(number)
-        answers = [await server.read() for _ in range(running)]
+        answers: list[pipelined.Answer] = []
+        while len(answers) <= len(kinds):
+            for number in reversed(range(len(answers), len(server.started))):
+                server.answer(number)
+            answers.append(await server.read())
         assert [answer.closes for answer in answers] == [
-            number == running - 1 for number in range(running)
+            number == len(kinds) for number in range(len(answers))
         ]
         await server.assert_end()
-        assert len(server.started) == running
+        assert server.started == [f"{n}" for n in range(len(answers))]
 
     pipelined.run(test())
 
 
-def test_shutdown_while_requests_wait_starts_one_more() -> None:
-    """Its answer closes the connection, so it must be the last to start."""
+def test_shutdown_while_requests_wait_answers_them() -> None:
+    """Only the first was answered, and its answer closed the connection."""
 
     async def test() -> None:
         server = pipelined.Server()
         await server.connect()
         server.listener.closing = True
         server.writer.write(pipelined.requests("sss"))
+        await server.wait_until_started(0, 1, 2)
+        for number in range(3):
+            server.answer(number)
+        closes = [(await server.read()).closes for _ in range(3)]
+        assert closes == [False, False, True]
+        await server.assert_end()
+
+    pipelined.run(test())
+
+
+def test_shutdown_waits_for_a_request_that_is_read() -> None:
+    """Its rest may have been sent long before the answer that closed."""
+
+    async def test() -> None:
+        late = pipelined.request("/unsafe/1", body=b"abc")
+        server = await pipelined.start_server(
+            pipelined.requests("u") + late[:-1]
+        )
         await server.wait_until_started(0)
+        server.listener.closing = True
         server.answer(0)
+        assert not (await server.read()).closes
+        server.writer.write(late[-1:])
+        await server.wait_until_started(0, 1)
+        server.answer(1)
         assert (await server.read()).closes
         await server.assert_end()
-        assert server.started == ["0"]
 
     pipelined.run(test())
 
 
-def test_answer_that_closes_waits_for_those_that_run() -> None:
-    """A handler closes the connection while requests behind it run."""
+def test_answer_that_closes_waits_for_those_behind_it() -> None:
+    """A handler closes the connection while requests behind it are there."""
 
     async def test() -> None:
         server = await pipelined.start_server(pipelined.requests("sssu"))
@@ -95,10 +115,11 @@
         server.answer(0, close=True)
         server.answer(1)
         server.answer(2)
-        closes = [(await server.read()).closes for _ in range(3)]
-        assert closes == [False, False, True]
+        await server.wait_until_started(0, 1, 2, 3)
+        server.answer(3)
+        closes = [(await server.read()).closes for _ in range(4)]
+        assert closes == [False, False, False, True]
         await server.assert_end()
-        assert server.started == ["0", "1", "2"]
 
     pipelined.run(test())
 
@@ -172,11 +193,12 @@
 
     async def test() -> None:
         body = b"x" * 3_000_000
+        last = pipelined.request("/unsafe/0", b"Connection: close\r\n")
         server = await pipelined.start_server(
-            pipelined.requests("u") + pipelined.request("/unsafe/1") * 10_000
+            last + pipelined.request("/unsafe/1") * 10_000
         )
         await server.wait_until_started(0)
-        server.answer(0, body=body, close=True)
+        server.answer(0, body=body)
         await asyncio.sleep(0.2)
         answer = await server.read()
         assert (answer.closes, answer.body) == (True, body)
@@ -208,10 +230,12 @@
     """A client that neither closes nor stops would hold it open for ever."""
 
     async def test() -> None:
-        server = await pipelined.start_server(pipelined.requests("us"))
+        server = await pipelined.start_server(pipelined.requests("u"))
         await server.wait_until_started(0)
         server.answer(0, close=True)
         assert (await server.read()).closes
+        server.writer.write(pipelined.requests("s"))
+        await server.settle()
         now = clocks.SystemClock().monotonic()
         server.listener.sweep(now)
         await server.settle()
