Let soaks excuse no end before a limit, and none behind another request

Cause: the oracle of lost requests had excuses that the rule does not have: a tolerance of 0.01 s at time limits, requests sent behind another one on their connection, connections of instances and of clients that leave, and stops of the daemon beside the instance. The first two hid losses.

Change: the four are gone. A limit counts in whole milliseconds, as the client states it; a request counts if it was sent on a connection that was open; an answer of another daemon that stops, in place of its instance's at work, counts. The case "behind another request" of the oracle's own tests becomes "on a connection that was closed"; one case of a limit and five of the daemon beside the instance are added.

--- a/tests/platform/soak/clients.py
+++ b/tests/platform/soak/clients.py
@@ -119,7 +119,9 @@
             self._oracle.departures.left(key)
             return 0
         if isinstance(result, httpio.Failure):
-            self._oracle.losses.lives[key].end(losses.Ending.CLOSED)
+            life = self._oracle.losses.lives[key]
+            life.was_open = result is not httpio.Failure.NOT_SENT
+            life.end(losses.Ending.CLOSED)
             return 0
         named = result.headers.get(b"sassafrasstair-request-id", b"").decode()
         if named not in ("", key):
--- a/tests/platform/soak/kept.py
+++ b/tests/platform/soak/kept.py
@@ -86,9 +86,9 @@
         data = b""
         for _ in range(AHEAD if manner == "ahead" else 1):
             life, request = self._request(manner)
+            life.was_open = True
             sent.append(life)
             data += request
-        sent[0].alone = True
         answered = asyncio.ensure_future(
             self._read(reader, writer, sent, manner)
         )
--- a/tests/platform/soak/losses.py
+++ b/tests/platform/soak/losses.py
@@ -37,10 +37,11 @@
 """A request that is sent longer after SIGTERM may not be cut at the end."""
 AT_WORK_RATIO = 5.0 / 6.0
 """The fraction of the grace period after which long runs may be cut."""
+NOTICE_SECONDS = 0.01
+"""An instance notices after so long that nobody waits for its answer."""
 STALE_SECONDS = 8.0
 """A daemon may apply a policy this long after a newer one was written: the
 store may be away meanwhile."""
-TOLERANCE = 0.01
 
 
 class Ending(enum.Enum):
@@ -70,9 +71,9 @@
 class Life:
     """A request of a client of the daemon at ``entrance``; loop times.
 
-    ``whole_at`` is when its last byte was sent. ``alone`` is set if it was
-    sent on a connection that was open, behind no other request, ``kept`` if
-    the client uses its connection again. ``manner`` is how it was sent.
+    ``whole_at`` is when its last byte was sent. ``was_open`` is set if it was
+    sent on a connection that was open, ``kept`` if the client uses its
+    connection again. ``manner`` is how it was sent.
     """
 
     key: str
@@ -81,7 +82,7 @@
     began_at: float
     patience: float
     whole_at: float
-    alone: bool = False
+    was_open: bool = False
     kept: bool = False
     manner: str = ""
     ended_at: float = math.inf
@@ -103,7 +104,7 @@
         if self.works:
             return True
         crossed = self.ended_at - self.whole_at <= SLACK_SECONDS
-        return self.ending is Ending.CLOSED and self.alone and not crossed
+        return self.ending is Ending.CLOSED and self.was_open and not crossed
 
     @property
     def broke_off(self) -> bool:
@@ -122,7 +123,19 @@
     def covers(self, life: Life) -> bool:
         """Return whether the daemon owes an answer in spite of the stop."""
         until = self.at + self.grace + AFTER_GRACE_SECONDS
-        return life.entrance == self.host and self.at <= life.ended_at <= until
+        if not self.at <= life.ended_at <= until:
+            return False
+        return life.entrance == self.host or self._breaks_off(life)
+
+    def _breaks_off(self, life: Life) -> bool:
+        """Return whether another daemon answered for its instance at work."""
+        return life.ending is Ending.REPLACED and any(
+            work.host == self.host
+            and work.began_at
+            <= life.ended_at
+            <= work.ended_at + NOTICE_SECONDS
+            for work in life.works
+        )
 
     def may_cut(self, life: Life) -> bool:
         """Return whether an instance worked for too long at the end."""
@@ -323,7 +336,7 @@
     def _excuse(self, life: Life) -> str:
         if life.broke_off:
             return "broken off"
-        if life.ended_at >= life.began_at + self._limit(life) - TOLERANCE:
+        if life.ended_at >= life.began_at + self._limit(life):
             return "timed out"
         stops = [each for each in self._signals if isinstance(each, Stop)]
         if any(stop.may_cut(life) for stop in stops):
@@ -339,7 +352,9 @@
             for (at, timeouts), until in zip(self._timeouts, ends, strict=True)
             if at <= life.ended_at and until >= since
         ]
-        return min([life.patience, *applied])
+        # A client states its limit in whole milliseconds.
+        stated = math.floor(1000 * life.patience) / 1000
+        return min([stated, *applied])
 
     def _is_disrupted(self, life: Life) -> bool:
         hosts = {life.entrance, *(work.host for work in life.works)}
--- a/tests/platform/soak/mesh.py
+++ b/tests/platform/soak/mesh.py
@@ -308,7 +308,7 @@
     ) -> bool:
         if manner in ("slow", "late", "behind"):
             for life in sent:
-                life.alone = False
+                life.was_open = False
             transport = typing.cast("asyncio.Transport", writer.transport)
             transport.pause_reading()
             await self._leave_unread(transport, manner)
--- a/tests/platform/soak/test_losses.py
+++ b/tests/platform/soak/test_losses.py
@@ -33,7 +33,7 @@
     ending: losses.Ending = losses.Ending.CLOSED
     broke_off: bool = False
     disrupted: bool = False
-    alone: bool = True
+    was_open: bool = True
     kept: bool = True
 
 
@@ -53,7 +53,7 @@
         self.now = at + case.sent
         key = key or case.name
         life = self.oracle.began(key, "deep", HOST, self.now, TIMEOUT)
-        life.alone = case.alone
+        life.was_open = case.was_open
         life.kept = case.kept
         if case.worked is not None:
             with self.oracle.at_work(key, OTHER) as work:
@@ -85,12 +85,13 @@
     Case("sent late and replaced at the end", 3.01, 5.2, 5.2, REPLACED),
     Case("sent early and replaced before the end", 2.9, 4.9, 4.9, REPLACED),
     Case("closed just before the end", 5.0, 6.99, 6.99),
+    Case("replaced just before its limit", -0.6, 4.399, 4.399, REPLACED),
 )
 KEPT_AT_STOP = (
     Case("answered", 0.5, 0.9, 0.9, ANSWERED),
     Case("not run and refused", 0.5, 0.9, None, REPLACED),
     Case("crossed the close", 0.5, 0.69),
-    Case("behind another request", 0.5, 0.9, alone=False),
+    Case("on a connection that was closed", 0.5, 0.9, was_open=False),
     Case("sent early and replaced at the end", 2.9, 5.1, 5.1, REPLACED),
     Case("ended before the signal", -0.5, -0.1, -0.1),
     Case("timed out", 0.5, 5.5, 3.0, REPLACED),
@@ -98,6 +99,15 @@
     Case("disrupted", 0.5, 0.9, 0.9, disrupted=True),
     Case("closed after the end", 5.0, 7.01, 7.01),
 )
+LOST_AT_STOP_OF_INSTANCE = (
+    Case("replaced at work", 0.5, 0.9, 0.9, REPLACED),
+    Case("sent before, replaced at work", -1.0, 3.9, 3.9, REPLACED),
+)
+KEPT_AT_STOP_OF_INSTANCE = (
+    Case("replaced after its work", 0.5, 0.9, 0.8, REPLACED),
+    Case("timed out", 0.5, 5.5, 5.5, REPLACED),
+    Case("sent early and replaced at the end", 2.9, 5.1, 5.1, REPLACED),
+)
 LOST_AT_HANGUP = (
     Case("sent before", -0.5, 0.01, 0.01),
     Case("sent in time", 1.99, 3.5, 3.5),
@@ -126,12 +136,15 @@
 )
 SIGNALS: dict[str, typing.Callable[[losses.Oracle], None]] = {
     "stop": lambda oracle: oracle.stops(HOST, GRACE),
+    "stop of instance": lambda oracle: oracle.stops(OTHER, GRACE),
     "hangup": lambda oracle: oracle.hangs_up(HOST),
     "policy": lambda oracle: oracle.configured(TIMEOUTS),
 }
 TABLE = (
     *(("stop", case, True) for case in LOST_AT_STOP),
     *(("stop", case, False) for case in KEPT_AT_STOP),
+    *(("stop of instance", case, True) for case in LOST_AT_STOP_OF_INSTANCE),
+    *(("stop of instance", case, False) for case in KEPT_AT_STOP_OF_INSTANCE),
     *(("hangup", case, True) for case in LOST_AT_HANGUP),
     *(("hangup", case, False) for case in KEPT_AT_HANGUP),
     *(("policy", case, True) for case in LOST_BESIDE_POLICY),
