Choose among instances of last resort by one predicate

Cause: choose_leaving and choose_stalled filtered the same targets by conditions of their own, in two copies. Change: _choose_among takes the predicate and filters. Result: behaviour unchanged; the 150 tests of decisions/calls pass.

--- a/src/sassafrasstair/decisions/calls/_routing.py
+++ b/src/sassafrasstair/decisions/calls/_routing.py
@@ -88,12 +88,7 @@
 
     ``tried`` are those that were tried as a last resort before.
     """
-    leaving = [
-        target
-        for target in targets
-        if target.vm not in tried and _peers.is_leaving(routes, target.vm)
-    ]
-    return _choose_among(routes, targets, leaving, now, rng)
+    return _choose_among(routes, targets, tried, _peers.is_leaving, now, rng)
 
 
 def choose_stalled(
@@ -107,22 +102,23 @@
 
     A process that gets no processor for a moment runs the request after it.
     """
-    stalled = [
-        target
-        for target in targets
-        if target.vm not in tried and _peers.may_wait_at(routes, target.vm)
-    ]
-    return _choose_among(routes, targets, stalled, now, rng)
+    return _choose_among(routes, targets, tried, _peers.may_wait_at, now, rng)
 
 
 def _choose_among(
     routes: _peers.Routes,
     targets: abc.Sequence[_messages.Target],
-    candidates: abc.Sequence[_messages.Target],
+    tried: abc.Collection[str],
+    may_take: abc.Callable[[_peers.Routes, str], bool],
     now: float,
     rng: random.Random,
 ) -> _delays.ScoredTarget | None:
     """Choose among instances of which none is usable for all requests."""
+    candidates = [
+        target
+        for target in targets
+        if target.vm not in tried and may_take(routes, target.vm)
+    ]
     if not candidates:
         return None
     grouped = _groups.sorted_targets(routes, targets, now)
