Start the pair of daemons of several tests in one place

Cause: six tests started a client's daemon and an instance's in the same seven lines. Change: place.start_pair does.

--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -412,6 +412,20 @@
         return len(data)
 
 
+async def start_pair(
+    timeout: float, script: Script = answer, idempotent: bool = True
+) -> Cluster:
+    """Start two daemons; the instance of ``/s/`` is on the second host."""
+    front, back, _ = HOSTS
+    cluster = Cluster()
+    cluster.policy(1, route("/s/", "s", idempotent, timeout))
+    await cluster.upstream(back, "s", script)
+    for host, service in ((front, "front"), (back, "s")):
+        await cluster.daemon(host, service)
+    await cluster.wait_until_known(front, back)
+    return cluster
+
+
 async def read_answer(
     reader: asyncio.StreamReader, started_at: float
 ) -> Answer:
