Let no thread beside the event loop's handle a signal to stop

Cause: a signal that comes while a process is stopped goes to whichever thread takes it first. On a busy machine such a thread got a processor some milliseconds after the loop's, whose tick noted meanwhile that no signal had come.

Change: these threads are started with the signals blocked, so that only the loop's thread gets them, before it runs anything else.

The tests test_signal_in_a_stall_goes_to_no_thread_that_handles_it_late and test_signal_goes_to_no_thread_that_handles_it_late fail before and pass.

--- a/src/sassafrasstair/console/daemon.py
+++ b/src/sassafrasstair/console/daemon.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from sassafrasstair import clocks
+from sassafrasstair import daemons
 from sassafrasstair import logs
 from sassafrasstair import loops
 from sassafrasstair import runtime
@@ -18,6 +19,7 @@
 
 EXIT_BAD_INPUT = 2
 EXIT_NOT_STARTED = 1
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _VERBOSE_LIBRARIES = ("httpx", "httpcore", "uvicorn")
 """Libraries that log each request or start at INFO. These lines are
 suppressed, because they are not events of this daemon."""
@@ -59,10 +61,11 @@
 
 
 async def _run(settings: settings_module.Settings) -> None:
+    await loops.confine_signals(_STOP_SIGNALS, daemons.start_threads)
     daemon = runtime.build(settings, clocks.SystemClock())
     note = functools.partial(runtime.note_stop, daemon)
     stop = functools.partial(runtime.stop, daemon)
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in _STOP_SIGNALS:
         # A second signal has no effect: it must not abort running requests.
         loops.handle_signal(signal_number, note, stop)
     await runtime.run(daemon)
--- a/src/sassafrasstair/daemons/__init__.py
+++ b/src/sassafrasstair/daemons/__init__.py
@@ -14,6 +14,7 @@
 from sassafrasstair.daemons._links import end_check
 from sassafrasstair.daemons._links import exchange
 from sassafrasstair.daemons._links import Links
+from sassafrasstair.daemons._links import start_threads
 from sassafrasstair.daemons._messages import AnswerFetch
 from sassafrasstair.daemons._messages import AnswerPart
 from sassafrasstair.daemons._messages import BodyPart
@@ -68,4 +69,5 @@
     "end_check",
     "exchange",
     "listen",
+    "start_threads",
 ]
--- a/src/sassafrasstair/daemons/_links.py
+++ b/src/sassafrasstair/daemons/_links.py
@@ -56,6 +56,11 @@
     bytes_received: int = 0
 
 
+def start_threads() -> None:
+    """Start the threads that serve all sockets of the process."""
+    pynng.Req0().close()
+
+
 async def exchange(
     links: Links, address: str, message: _messages.Message, timeout: float
 ) -> _messages.Message:
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -122,6 +122,7 @@
         dialect, settings, clock, random.Random(seed), journal
     )
     running = RunningDaemon(daemon)
+    await loops.confine_signals(SIGNALS)
     # The signals are handled before the first request can be read. A second
     # signal to stop has no effect, so that it can't cut off requests.
     loop = asyncio.get_running_loop()
--- a/src/sassafrasstair/loops.py
+++ b/src/sassafrasstair/loops.py
@@ -14,6 +14,8 @@
 _PASSES = 3
 """Data of a socket is read in the first, handled in the second, and what was
 woken by it has run before the third."""
+_NUMERIC_HOST = "127.0.0.1"
+"""Looked up without a resolver, but by the loop's threads."""
 
 
 class Signals:
@@ -55,6 +57,26 @@
     signal.siginterrupt(number, False)
 
 
+async def confine_signals(
+    numbers: abc.Collection[int],
+    start_threads: abc.Callable[[], None] = lambda: None,
+) -> None:
+    """Let no other thread of the process handle these signals.
+
+    One that comes while the process is stopped may go to any thread, which
+    handles it when it gets a processor, while the loop runs on. A thread
+    blocks what its starter does: those of the loop start with its first
+    lookup, and those of libraries with ``start_threads``. To be called before
+    either is used.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+    try:
+        await asyncio.get_running_loop().getaddrinfo(_NUMERIC_HOST, 0)
+        start_threads()
+    finally:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
+
+
 async def settle() -> None:
     """Return once all that had arrived before the call has been handled."""
     for _ in range(_PASSES):
--- a/tests/platform/soak/test_stalls.py
+++ b/tests/platform/soak/test_stalls.py
@@ -8,8 +8,12 @@
 
 import asyncio
 import contextlib
+import json
+import multiprocessing
+import os
 import random
 import signal
+import time
 import typing
 
 import pytest
@@ -21,6 +25,7 @@
 from tests.platform.soak import oracle
 from tests.platform.soak import records
 from tests.platform.soak import stalls
+from tests import threads
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -36,6 +41,10 @@
 WARM_UP_CALLS = 8
 PING_SECONDS = 0.6
 """A daemon that is silent is pinged, and the ping times out."""
+STALL_SECONDS = 0.5
+BUSY_SECONDS = 3.0
+BUSY_EACH = 4
+"""Busy processes for each processor."""
 SEED = 4
 SECONDS = 8.0
 """Of the short soak."""
@@ -255,6 +264,55 @@
     asyncio.run(test())
 
 
+def _spin(seconds: float) -> None:
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        pass
+
+
+def test_signal_in_a_stall_goes_to_no_thread_that_handles_it_late() -> None:
+    """Bounds counted from the stall's end, since a tick came before it."""
+
+    async def test() -> None:
+        async with _fleet("threads") as fleet:
+            busy = [
+                multiprocessing.Process(target=_spin, args=(BUSY_SECONDS,))
+                for _ in range(BUSY_EACH * (os.cpu_count() or 1))
+            ]
+            for spinning in busy:
+                spinning.start()
+            processes = [fleet_module.running(vm) for vm in fleet.vms]
+            for process in processes:
+                assert threads.unconfined(process.pid, signal.SIGTERM) == []
+                process.send_signal(signal.SIGSTOP)
+                process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(STALL_SECONDS)
+            for vm, process in zip(fleet.vms, processes, strict=True):
+                vm.busy = True
+                process.send_signal(signal.SIGCONT)
+            for process in processes:
+                await fleet_module.ended(process, GRACE)
+            for spinning in busy:
+                spinning.join()
+            assert min(_noticed_late(fleet)) >= STALL_SECONDS
+
+    asyncio.run(test())
+
+
+def _noticed_late(fleet: growing.Fleet) -> list[float]:
+    """Return how late each daemon that stops may have noticed it."""
+    lines = [
+        json.loads(line)
+        for vm in fleet.vms
+        for line in vm.log.read_text().splitlines()
+    ]
+    late = [
+        line["noticed_late"] for line in lines if line["event"] == "stopping"
+    ]
+    assert len(late) == len(fleet.vms)
+    return late
+
+
 async def _check_end(
     route: str, services: tuple[str, ...], stalled_at: float, until: float
 ) -> None:
--- a/tests/processes/test_silent_daemons.py
+++ b/tests/processes/test_silent_daemons.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests.processes import mesh as mesh_module
+from tests import threads
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -54,3 +55,16 @@
         await mesh.all_serve(1)
 
     mesh_module.run(domain, story)
+
+
+def test_signal_goes_to_no_thread_that_handles_it_late(
+    domain: mesh_module.Mesh,
+) -> None:
+    """Bounds of a stop counted from when another thread got a processor."""
+
+    async def story(mesh: mesh_module.Mesh) -> None:
+        for vm in mesh.vms:
+            assert threads.count(vm.process.pid) > 1
+            assert threads.unconfined(vm.process.pid, signal.SIGTERM) == []
+
+    mesh_module.run(domain, story)
