Read no further on a connection that is to close

Cause: since all that was read is answered before a connection closes, one whose client sends on stayed open for as long as a stop goes on.

Change: once a connection is to close and requests of it are unanswered, it is not read; what was read is answered, and the last answer closes it.

--- a/src/sassafrasstair/decisions/pipelines/__init__.py
+++ b/src/sassafrasstair/decisions/pipelines/__init__.py
@@ -14,6 +14,7 @@
 from sassafrasstair.decisions.pipelines._pipelines import close_soon
 from sassafrasstair.decisions.pipelines._pipelines import Entry
 from sassafrasstair.decisions.pipelines._pipelines import Fate
+from sassafrasstair.decisions.pipelines._pipelines import is_full
 from sassafrasstair.decisions.pipelines._pipelines import Limits
 from sassafrasstair.decisions.pipelines._pipelines import new_pipeline
 from sassafrasstair.decisions.pipelines._pipelines import Phase
@@ -35,6 +36,7 @@
     "answer",
     "clear",
     "close_soon",
+    "is_full",
     "new_pipeline",
     "pop_answered",
     "should_pause_reading",
--- a/src/sassafrasstair/decisions/pipelines/_pipelines.py
+++ b/src/sassafrasstair/decisions/pipelines/_pipelines.py
@@ -5,9 +5,9 @@
 Idempotent requests run side by side. Any other request runs alone: it starts
 once all requests before it are answered, and none starts before its answer.
 
-A connection that is to close does so with the answer behind which no request
-waits or is being read. So all that was read is answered, and behind that
-answer nothing has run: the client may send it again.
+A connection that is to close reads no further, and closes with the answer
+behind which no request waits. So all that was read is answered, and behind
+that answer nothing has run: the client may send it again.
 """
 
 from __future__ import annotations
@@ -177,13 +177,11 @@
     return True
 
 
-def pop_answered(
-    pipeline: Pipeline[EntryT], is_reading: bool = False
-) -> EntryT | None:
+def pop_answered(pipeline: Pipeline[EntryT]) -> EntryT | None:
     """Remove and return the first request if its answer may be written.
 
     Its ``closes`` tells whether the answer closes the connection. No request
-    is left then. With ``is_reading``, a part of another one has been read.
+    is left then.
     """
     entries = pipeline.entries
     if not entries or entries[0].phase is not Phase.ANSWERED:
@@ -193,14 +191,13 @@
     pipeline.held_bytes -= entry.held_bytes
     if pipeline.started:
         pipeline.started -= 1
-    is_last = not entries and not is_reading
-    entry.closes = not entry.keep_alive or (pipeline.closing and is_last)
+    entry.closes = not entry.keep_alive or (pipeline.closing and not entries)
     pipeline.ended = pipeline.ended or entry.closes
     return entry
 
 
 def close_soon(pipeline: Pipeline[EntryT]) -> None:
-    """Close with the answer behind which there is no other request."""
+    """Close with the answer behind which no request waits."""
     pipeline.closing = True
 
 
@@ -221,16 +218,26 @@
     )
 
 
-def should_pause_reading(pipeline: Pipeline[EntryT]) -> bool:
-    """Return whether enough requests wait.
+def is_full(pipeline: Pipeline[EntryT]) -> bool:
+    """Return whether so many requests wait that no more is parsed.
 
     Nothing is taken from a connection that has ended, so there is no reason
-    to pause: what follows is read and dropped.
+    to wait: what follows is read and dropped.
     """
     waiting = len(pipeline.entries) - pipeline.started
     return waiting >= pipeline.limits.waiting_max and not pipeline.ended
 
 
+def should_pause_reading(pipeline: Pipeline[EntryT]) -> bool:
+    """Return whether nothing more is read for now.
+
+    A connection that is to close would not, if its client sent on.
+    """
+    if pipeline.closing and pipeline.entries:
+        return not pipeline.ended
+    return is_full(pipeline)
+
+
 def _may_run_beside(
     pipeline: Pipeline[EntryT],
     entry: EntryT,
