Reproduce bodies without end that fill a daemon's memory

What callers saw: a daemon ended for memory while an instance sent bodies without end, and the requests of its other clients with it.

The tests send such bodies from three instances at the pace of a network, and ask for large answers that nobody reads.

--- a/tests/platform/endless.py
+++ b/tests/platform/endless.py
@@ -1,9 +1,10 @@
 """Servers and clients whose bytes never end, in a process of their own.
 
-``python -m tests.platform.endless serve HOST PORT`` answers each request with
-bytes of the kind that the end of its path names. ``send HOST PORT KIND COUNT``
-sends requests of a kind on so many connections, and opens each again as soon
-as it is closed.
+``python -m tests.platform.endless serve HOST PORT [BYTES]`` answers each
+request with bytes of the kind that the end of its path names, so many a second
+on each connection or else as fast as they are taken. ``send HOST PORT KIND
+COUNT`` sends requests of a kind on so many connections, and opens each again
+as soon as it is closed.
 """
 
 from __future__ import annotations
@@ -84,6 +85,9 @@
 }
 """The same of answers to HEAD, of statuses without a body, of encoded bodies,
 of bytes that come slowly, and of bytes behind an answer that has ended."""
+LARGE_ANSWER = "large_answer"
+LARGE_BYTES = 16_000_000
+"""The length of a sound answer that is large."""
 SLOW_SECONDS = 0.005
 """The pause between two of the bytes that come slowly."""
 REQUESTS = {
@@ -113,6 +117,19 @@
         connection.sendall(block)
 
 
+def _send_at_pace(
+    connection: socket.socket, first: bytes, rest: bytes, bytes_per_s: float
+) -> None:
+    connection.sendall(first)
+    block = block_of(rest)
+    began_at, sent = time.monotonic(), 0
+    while True:
+        connection.sendall(block)
+        sent += len(block)
+        ahead = sent / bytes_per_s - (time.monotonic() - began_at)
+        time.sleep(max(0.0, ahead))
+
+
 def _send_slowly(connection: socket.socket, first: bytes, rest: bytes) -> None:
     connection.sendall(first)
     while True:
@@ -120,6 +137,15 @@
         time.sleep(SLOW_SECONDS)
 
 
+def _send_large(connection: socket.socket, request_id: bytes) -> None:
+    """Send a sound answer that is large."""
+    head = (
+        _ANSWER + b"Sassafrasstair-Request-Id: %s\r\n"
+        b"Sassafrasstair-Response-Signature: s\r\nContent-Length: %d\r\n\r\n"
+    )
+    connection.sendall(head % (request_id, LARGE_BYTES) + bytes(LARGE_BYTES))
+
+
 def _id_of(head: bytes) -> bytes:
     """Return the value of the field with the request's id."""
     for line in head.split(b"\r\n"):
@@ -129,7 +155,7 @@
     return b""
 
 
-def _serve_one(connection: socket.socket) -> None:
+def _serve_one(connection: socket.socket, bytes_per_s: float) -> None:
     with connection, contextlib.suppress(OSError, IndexError):
         while True:
             data = b""
@@ -139,22 +165,29 @@
                     return
                 data += received
             kind = data.split(b" ")[1].rpartition(b"/")[2].decode()
+            if kind == LARGE_ANSWER:
+                _send_large(connection, _id_of(data))
+                continue
             found = (ANSWERS | SPECIAL_ANSWERS).get(kind)
             if found is None:
                 connection.sendall(b"HTTP/1.1 503 Busy\r\n\r\n")
                 return
             first = found[0].replace(b"%(id)s", _id_of(data))
-            send = _send_slowly if "slow" in kind else _send_for_ever
-            send(connection, first, found[1])
+            if "slow" in kind:
+                _send_slowly(connection, first, found[1])
+            elif bytes_per_s:
+                _send_at_pace(connection, first, found[1], bytes_per_s)
+            else:
+                _send_for_ever(connection, first, found[1])
 
 
-def _serve(host: str, port: int) -> None:
+def _serve(host: str, port: int, bytes_per_s: float) -> None:
     server = socket.create_server((host, port))
     print("listens", flush=True)
     while True:
         connection, _ = server.accept()
         threading.Thread(
-            target=_serve_one, args=(connection,), daemon=True
+            target=_serve_one, args=(connection, bytes_per_s), daemon=True
         ).start()
 
 
@@ -169,7 +202,7 @@
 def _main() -> None:
     verb, host, port, *rest = sys.argv[1:]
     if verb == "serve":
-        _serve(host, int(port))
+        _serve(host, int(port), float(rest[0]) if rest else 0.0)
     kind, count = rest
     for _ in range(int(count)):
         threading.Thread(
--- a/tests/platform/soak/fleet.py
+++ b/tests/platform/soak/fleet.py
@@ -98,6 +98,7 @@
 
     services: tuple[str, ...] = SERVICES
     idle_timeouts_ms: tuple[int, ...] = IDLE_TIMEOUTS_MS
+    max_body_bytes: tuple[int, ...] = MAX_BODY_BYTES
 
     def __init__(
         self,
@@ -257,7 +258,7 @@
         )
         limits = {
             "max_header_bytes": MAX_HEADER_BYTES,
-            "max_body_bytes": self.rng.choice(MAX_BODY_BYTES),
+            "max_body_bytes": self.rng.choice(self.max_body_bytes),
             "header_timeout_ms": self.rng.choice(HEADER_TIMEOUTS_MS),
             "idle_timeout_ms": self.rng.choice(self.idle_timeouts_ms),
         }
