Tell resident memory from what the accounts hold in the metrics

An operator who sees a daemon end for its memory could not tell whether the accounts or something beside them had grown: one figure, that of request bodies, was all. Resident memory, the limit and the bytes of responses by their account are gauges now. A test reads them from the metrics page, which lacked them.

--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -14,6 +14,7 @@
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
 from sassafrasstair.forwarding import _crashes
+from sassafrasstair import resident
 
 if typing.TYPE_CHECKING:
     from sassafrasstair.decisions import policies
@@ -234,6 +235,9 @@
         "runs_in_flight": len(daemon.executions),
         "instances_known": len(daemon.view.instances),
         "body_bytes_held": daemon.memory.held_bytes,
+        "response_bytes_held": daemon.response_memory.held_bytes,
+        "resident_bytes": resident.resident_bytes(),
+        "memory_limit_bytes": daemon.settings.memory_bytes,
         "upstream_rate_limit": _rate_limit(daemon),
         "upstream_waiting": sum(
             len(guard.waiting) for guard in daemon.guards.values()
--- /dev/null
+++ b/tests/forwarding/test_memory_figures.py
@@ -0,0 +1,41 @@
+"""Tests of what a daemon's metrics tell of its memory."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.forwarding import place
+from tests.forwarding import test_path
+
+A, *_ = place.HOSTS
+MEMORY_BYTES = 20_000_000
+
+
+async def read_figures(cluster: place.Cluster, host: str) -> dict[str, float]:
+    """Return the metrics without labels of a daemon, by name."""
+    reader, writer = await asyncio.open_connection(host, cluster.ports[2])
+    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+    answer = await place.read_answer(reader, 0.0)
+    writer.close()
+    found = {}
+    for line in answer.body.decode().splitlines():
+        name, _, value = line.rpartition(" ")
+        if name.startswith("sassafrasstair_") and "{" not in name:
+            found[name.removeprefix("sassafrasstair_")] = float(value)
+    return found
+
+
+def test_metrics_tell_what_is_held_from_what_is_accounted_for() -> None:
+    """An operator could not tell why a process ended for its memory."""
+
+    async def test() -> None:
+        cluster = place.Cluster()
+        cluster.memory_bytes = MEMORY_BYTES
+        await cluster.daemon(A, "front")
+        found = await read_figures(cluster, A)
+        assert found["memory_limit_bytes"] == MEMORY_BYTES
+        assert found["resident_bytes"] > 0
+        assert found["response_bytes_held"] == 0
+        assert found["body_bytes_held"] == 0
+
+    test_path.run(test())
