Free the body of a request as its client leaves

An upload that was read whole left the account as its client left, but the request stayed: what the handler does then refers to it, and the request to that. Three uploads of 4 MB left 12 MB until the collector of cycles ran; the connection lets go of the handler now, and nothing is left.

--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -118,6 +118,8 @@
         if exc is not None and (self._unsent_bytes or self._pipeline.unread):
             self._listener.note_cut("reset")
         self._disconnected()
+        # The parser and this connection refer to each other.
+        self._parser = None
 
     def eof_received(self) -> bool:
         """Treat the end of the client's data as a disconnect."""
@@ -423,5 +425,7 @@
 
     def _disconnected(self) -> None:
         for exchange in self._drop_requests().running:
-            if exchange.gone is not None:
-                exchange.gone()
+            # The handler's state refers to the exchange.
+            gone, exchange.gone = exchange.gone, None
+            if gone is not None:
+                gone()
