Send long bodies without copying them

What callers saw: a daemon whose instance answers uploads of 4 MB with bodies without end held 281 MB, and 279 MB once parts of responses were freed in time.

Cause: the account counts the body of an upload once, but each attempt held a copy of it behind its head, at the entrance and beside the instance; and an answer was copied behind its head for its client, who may read it late.

Head and body of a long message are written apart now. Two attempts of 16 MB that a server does not read held 32 MB beside the body, an answer 16 MB; both tests failed before, now there is no copy.

--- a/src/sassafrasstair/forwarding/_attempts.py
+++ b/src/sassafrasstair/forwarding/_attempts.py
@@ -255,10 +255,11 @@
         daemon, call, attempt, len(head) + len(request.body)
     )
     attempt.job = httpio.Job(
-        head + request.body,
+        head,
         functools.partial(_handle_response, daemon, call, attempt),
         None,
         request.method == b"HEAD",
+        request.body,
     )
     _state.pool(daemon, attempt.host).send(attempt.job)
 
--- a/src/sassafrasstair/forwarding/_callee.py
+++ b/src/sassafrasstair/forwarding/_callee.py
@@ -290,10 +290,11 @@
         inbound.method, inbound.target, fields, len(inbound.body)
     )
     execution.job = httpio.Job(
-        head + inbound.body,
+        head,
         functools.partial(_handle_response, daemon, key),
         (daemon.header_keys.request_id, inbound.request_id),
         inbound.method == b"HEAD",
+        inbound.body,
     )
     daemon.counters.upstream_requests += 1
     if daemon.settings.admits_by_cost:
--- a/src/sassafrasstair/httpio/__init__.py
+++ b/src/sassafrasstair/httpio/__init__.py
@@ -21,7 +21,6 @@
 from sassafrasstair.httpio._messages import end_to_end_fields
 from sassafrasstair.httpio._messages import Fields
 from sassafrasstair.httpio._messages import non_forwarded_names
-from sassafrasstair.httpio._messages import render_response
 from sassafrasstair.httpio._messages import Request
 from sassafrasstair.httpio._messages import request_head
 from sassafrasstair.httpio._messages import Response
@@ -46,7 +45,6 @@
     "combined_value",
     "end_to_end_fields",
     "non_forwarded_names",
-    "render_response",
     "request_head",
     "response_head",
     "unsent_bytes",
--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -367,15 +367,14 @@
         fields = answer.fields
         if answer.refuses:
             fields = self._listener.refusal_fields(answer.status)
-        self._transport.write(
-            _messages.render_response(
-                answer.status,
-                fields,
-                answer.body,
-                exchange.closes,
-                exchange.request.method == b"HEAD",
-            )
+        head = _messages.response_head(
+            answer.status, fields, len(answer.body), exchange.closes
         )
+        omits_body = exchange.request.method == b"HEAD"
+        if omits_body or _messages.has_no_body(answer.status):
+            self._transport.write(head)
+        else:
+            _messages.write(self._transport, head, answer.body)
         self._active_at = self._listener.clock.monotonic()
 
     def _send_continue(self) -> None:
--- a/src/sassafrasstair/httpio/_jobs.py
+++ b/src/sassafrasstair/httpio/_jobs.py
@@ -31,12 +31,14 @@
 class Job:
     """An HTTP request in flight and the callback for its result.
 
-    ``data`` is the encoded request, with its head and body.
+    ``data`` is the encoded request. A long ``body`` may be apart from it, so
+    that it need not be copied.
     """
 
     __slots__ = (
         "_connection",
         "_on_done",
+        "body",
         "body_omitted",
         "data",
         "expected_field",
@@ -48,8 +50,10 @@
         on_done: abc.Callable[[_messages.Response | Failure], None],
         expected_field: tuple[bytes, bytes] | None = None,
         body_omitted: bool = False,
+        body: bytes = b"",
     ) -> None:
         self.data = data
+        self.body = body
         self.expected_field = expected_field
         """Header field (name in lower case, value) that identifies the request
         in the response. A response with another value belongs to an earlier
--- a/src/sassafrasstair/httpio/_messages.py
+++ b/src/sassafrasstair/httpio/_messages.py
@@ -37,6 +37,8 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """The interim response to a request that waits before it sends its body."""
+COPIED_BYTES_MAX = 16 * 1024
+"""A short body is copied behind its head, since one write is cheaper."""
 PARSE_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 WHITE_SPACE = b" \t"
 """White space around a field's value, which is no part of it (RFC 9110, 5.5);
@@ -153,9 +155,14 @@
     return b"\r\n".join(lines)
 
 
-def render_response(
-    status: int, fields: Fields, body: bytes, close: bool, omit_body: bool
-) -> bytes:
-    """Return the bytes of a response; for HEAD, ``omit_body`` is true."""
-    head = response_head(status, fields, len(body), close)
-    return head if omit_body or status in _NO_BODY else head + body
+def has_no_body(status: int) -> bool:
+    """Return whether no response with this status has a body."""
+    return status in _NO_BODY
+
+
+def write(transport: typing.Any, head: bytes, body: bytes) -> None:
+    """Write a message, without another copy of a long body."""
+    if len(body) <= COPIED_BYTES_MAX:
+        transport.write(head + body)
+    else:
+        transport.writelines((head, body))
--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -127,7 +127,7 @@
         self._input.begin()
         self._messages_begun = 0
         job._connection = self
-        self._transport.write(job.data)
+        _messages.write(self._transport, job.data, job.body)
 
     def abort(self) -> None:
         """Close the connection immediately, and free what was received."""
