Account for answers until their clients have taken them

What callers saw: daemons held 258 to 402 MB of 300 while clients asked for answers of 16 MB, four a second, and read nothing.

Cause: a response left the account as it was handed on, and waited in the write buffer of a connection, to a client or to another daemon, that is in no account. Answers that wait for earlier ones on their connection counted with the bodies of requests, where nothing bounded them.

Both are in the account of responses now, until the peer has taken them. Beyond its limit somebody has to be given up: clients that have taken nothing for a second, or responses that state no length, whichever hold more; below it, such clients only if that lets a response go on. A log line and a counter name who was given up, and memory_scarce has resident memory beside the accounts.

--- a/src/sassafrasstair/forwarding/_counters.py
+++ b/src/sassafrasstair/forwarding/_counters.py
@@ -45,6 +45,8 @@
     answers_cut: dict[str, int] = dataclasses.field(default_factory=dict)
     """Connections of clients that ended with an unsent part of an answer, by
     reason."""
+    given_up: dict[str, int] = dataclasses.field(default_factory=dict)
+    """Responses given up for memory, by ``memory.Kind``."""
     upstream_requests: int = 0
     """Requests sent to this VM's upstream."""
     last_resort_attempts: int = 0
@@ -156,6 +158,11 @@
     counters.answers_cut[reason] = counters.answers_cut.get(reason, 0) + 1
 
 
+def count_given_up(counters: Counters, kind: str) -> None:
+    """Count a response that was given up for want of memory."""
+    counters.given_up[kind] = counters.given_up.get(kind, 0) + 1
+
+
 def count_pipelined(counters: Counters, fate: pipelines.Fate) -> None:
     """Count a request that a client sent before earlier answers."""
     counters.pipelined[fate.value] = counters.pipelined.get(fate.value, 0) + 1
@@ -224,6 +231,12 @@
             ("reason",),
             {(name,): value for name, value in counters.answers_cut.items()},
         ),
+        histograms.render_counter(
+            "memory_given_up_total",
+            "Responses that were given up for want of memory",
+            ("what",),
+            {(name,): value for name, value in counters.given_up.items()},
+        ),
         histograms.render_counter(
             "upstream_requests_total",
             "Requests sent to this VM's upstream",
--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -34,6 +34,7 @@
 from sassafrasstair.forwarding import _sync
 from sassafrasstair import httpio
 from sassafrasstair import loops
+from sassafrasstair import resident
 
 if typing.TYPE_CHECKING:
     from sassafrasstair import clocks
@@ -55,6 +56,8 @@
     fields=httpio.Limits().fields + OWN_FIELDS,
 )
 OPERATOR_LIMITS = httpio.Limits(body_bytes=0, idle_seconds=60.0)
+SCARCE_MEMORY_RATIO = 0.8
+"""Of the limit; more resident memory is logged."""
 LATE_TICK_SECONDS = 0.25
 """A tick delayed by more than this means that the process was stalled."""
 
@@ -190,7 +193,13 @@
     handle: typing.Callable[[httpio.Exchange], None],
     refuse: typing.Callable[[int], httpio.Fields],
 ) -> httpio.Listener:
-    return httpio.Listener(handle, refuse, daemon.clock, daemon.memory)
+    return httpio.Listener(
+        handle,
+        refuse,
+        daemon.clock,
+        daemon.memory,
+        answers=daemon.response_memory,
+    )
 
 
 def _client_listener(
@@ -205,6 +214,7 @@
         functools.partial(_entrance.is_idempotent, daemon),
         functools.partial(_counters.count_pipelined, daemon.counters),
         functools.partial(_note_cut, daemon),
+        daemon.response_memory,
     )
 
 
@@ -282,6 +292,7 @@
         listener.sweep(now)
     for pool in [*daemon.pools.values(), daemon.upstream]:
         pool.sweep(now)
+    _check_memory(daemon)
     version = daemon.dialect.settings_mark()
     if version != running.settings_version:
         _reload(running)
@@ -292,6 +303,24 @@
         _crashes.tick(daemon, now)
 
 
+def _check_memory(daemon: _state.Daemon) -> None:
+    """Make room for responses that wait, and log that memory is scarce."""
+    account = daemon.response_memory
+    account.sweep()
+    resident_bytes = resident.resident_bytes()
+    limit = daemon.settings.memory_bytes
+    if account.is_scarce or resident_bytes > SCARCE_MEMORY_RATIO * limit:
+        held = account.held_by_kind()
+        daemon.journal.request(
+            "memory_scarce",
+            "responses" if account.is_scarce else "resident",
+            resident=resident_bytes,
+            limit=limit,
+            requests=daemon.memory.held_bytes,
+            **{kind.value: size for kind, size in held.items()},
+        )
+
+
 def _log_shedding(daemon: _state.Daemon) -> None:
     """Log what is shed, and the load or the lack of room that causes it."""
     for route, gate in admission.shedding(daemon.gates):
--- a/src/sassafrasstair/forwarding/_state.py
+++ b/src/sassafrasstair/forwarding/_state.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import typing
 
 from sassafrasstair.decisions import admission
@@ -27,6 +28,7 @@
     import random
 
     from sassafrasstair import clocks
+    from sassafrasstair.decisions import memory
     from sassafrasstair.forwarding import _crash_updates
     from sassafrasstair.forwarding import _polls
     from sassafrasstair.forwarding import _records
@@ -39,7 +41,7 @@
 BODY_SHARE = 0.3
 """The fraction of the memory limit that request bodies may occupy."""
 RESPONSE_SHARE = 0.2
-"""The same for responses that are not finished."""
+"""The same for responses that arrive, or that clients have not read."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -218,8 +220,11 @@
     """Create the state of a daemon that has not started."""
     domain = settings.failure_domain
     region = settings.regions.get(domain, "")
+    counters = _counters.new_counters()
     response_memory = httpio.ResponseMemory(
-        int(RESPONSE_SHARE * settings.memory_bytes)
+        int(RESPONSE_SHARE * settings.memory_bytes),
+        clock,
+        functools.partial(_note_given_up, journal, counters),
     )
     return Daemon(
         dialect=dialect,
@@ -229,7 +234,7 @@
         clock=clock,
         rng=rng,
         journal=journal,
-        counters=_counters.new_counters(),
+        counters=counters,
         memory=httpio.MemoryBudget(int(BODY_SHARE * settings.memory_bytes)),
         response_memory=response_memory,
         source=dialect.source(settings, clock),
@@ -261,6 +266,18 @@
     return found
 
 
+def _note_given_up(
+    journal: _events.Journal,
+    counters: _counters.Counters,
+    kind: memory.Kind,
+    size: int,
+    peer: str,
+) -> None:
+    """Record who was given up, as responses held too much memory."""
+    journal.request("memory_given_up", kind.value, bytes=size, peer=peer)
+    _counters.count_given_up(counters, kind.value)
+
+
 def apply_settings(daemon: Daemon, settings: _dialect.Settings) -> None:
     """Apply changed settings without interrupting requests in flight."""
     old = daemon.settings
--- a/src/sassafrasstair/forwarding/_status.py
+++ b/src/sassafrasstair/forwarding/_status.py
@@ -10,6 +10,7 @@
 from sassafrasstair.decisions import crashes
 from sassafrasstair.decisions import feeds
 from sassafrasstair.decisions import load
+from sassafrasstair.decisions import memory
 from sassafrasstair.decisions import quotas
 from sassafrasstair.decisions import views
 from sassafrasstair.forwarding import _counters
@@ -235,7 +236,7 @@
         "runs_in_flight": len(daemon.executions),
         "instances_known": len(daemon.view.instances),
         "body_bytes_held": daemon.memory.held_bytes,
-        "response_bytes_held": daemon.response_memory.held_bytes,
+        **_response_gauges(daemon),
         "resident_bytes": resident.resident_bytes(),
         "memory_limit_bytes": daemon.settings.memory_bytes,
         "upstream_rate_limit": _rate_limit(daemon),
@@ -255,6 +256,16 @@
     }
 
 
+def _response_gauges(daemon: _state.Daemon) -> dict[str, float]:
+    """Return what is held of responses that arrive, and of unread ones."""
+    held = daemon.response_memory.held_by_kind()
+    unread = held.pop(memory.Kind.UNREAD)
+    return {
+        "response_bytes_held": sum(held.values()),
+        "unread_bytes_held": unread,
+    }
+
+
 def _rate_limit(daemon: _state.Daemon) -> float:
     """Return the limit of this VM's upstream, -1 without one."""
     limits = [load.rate_limit(guard) for guard in daemon.guards.values()]
--- a/src/sassafrasstair/httpio/_bodies.py
+++ b/src/sassafrasstair/httpio/_bodies.py
@@ -5,6 +5,12 @@
 import dataclasses
 import typing
 
+from sassafrasstair import clocks
+from sassafrasstair.decisions import memory
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 
 @dataclasses.dataclass(slots=True)
 class MemoryBudget:
@@ -35,94 +41,118 @@
 
 
 class Holder(typing.Protocol):
-    """A connection that holds a part of a response."""
+    """A connection that holds a response, or a part of it."""
+
+    @property
+    def peer_host(self) -> str:
+        """The IP address of the peer, '' after it has disconnected."""
 
     def give_up(self) -> None:
-        """End the response."""
+        """End the response, and free what is held of it."""
 
     def update_reading(self) -> None:
         """Pause or resume reading, as ``should_wait`` says."""
 
 
-SCARCE_RATIO = 0.5
-"""Beyond this fraction of the limit some responses have to wait."""
-SMALL_BYTES = 64 * 1024
-"""A response of which less is held does not wait: it frees nothing."""
+def _ignore_given_up(kind: memory.Kind, size: int, peer: str) -> None:
+    pass
 
 
-@dataclasses.dataclass(slots=True)
-class _Part:
-    """What is held of a response, and how much of it is still to come.
+class ResponseMemory:
+    """Bytes of responses that the connections of a process hold.
 
-    That is as much again if its length is not known.
+    ``note_given_up`` is called with what a connection held that is given up,
+    and its peer. The rules are those of ``decisions.memory``.
     """
 
-    size: int
-    missing: int
-    waits: bool = False
+    def __init__(
+        self,
+        limit: int,
+        clock: clocks.Clock | None = None,
+        note_given_up: abc.Callable[
+            [memory.Kind, int, str], None
+        ] = _ignore_given_up,
+    ) -> None:
+        self._account: memory.Account[Holder] = memory.new_account(limit)
+        self._clock = clock or clocks.SystemClock()
+        self._note_given_up = note_given_up
 
+    @property
+    def limit(self) -> int:
+        """The bytes that may be held."""
+        return self._account.limit
 
-class ResponseMemory:
-    """Bytes of unfinished responses, and the limit for all connections.
+    @limit.setter
+    def limit(self, limit: int) -> None:
+        self._account.limit = limit
 
-    When it is scarce, connections read on in the order of their responses, as
-    far as the rest of these fits, and the others wait. Beyond the limit the
-    connection that holds most gives up, so that a response without an end
-    costs no other response.
-    """
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are held."""
+        return self._account.held_bytes
 
-    def __init__(self, limit: int) -> None:
-        self.limit = limit
-        self.held_bytes = 0
-        self._parts: dict[Holder, _Part] = {}
-        """By connection, the oldest response first."""
+    @property
+    def is_scarce(self) -> bool:
+        """Whether some responses have to wait."""
+        return memory.is_scarce(self._account)
+
+    def held_by_kind(self) -> dict[memory.Kind, int]:
+        """Return the bytes that are held of each kind."""
+        return memory.held_by_kind(self._account)
 
     def hold(self, holder: Holder, size: int, length: int | None) -> None:
         """Record that a connection holds ``size`` bytes of a response.
 
         It has ``length`` bytes, None if it does not say.
         """
-        missing = size if length is None else max(0, length - size)
-        was_scarce = self._is_scarce
-        part = self._parts.setdefault(holder, _Part(0, 0))
-        self.held_bytes += size - part.size
-        part.size, part.missing = size, missing
-        while self.held_bytes > self.limit and self._parts:
-            greatest = max(
-                self._parts, key=lambda each: self._parts[each].size
-            )
-            self.release(greatest)
-            greatest.give_up()
-        if was_scarce or self._is_scarce:
-            self._share()
+        kind, missing = memory.Kind.UNSTATED, size
+        if length is not None:
+            kind, missing = memory.Kind.STATED, max(0, length - size)
+        self._record(holder, memory.Part(kind, size, missing))
+
+    def hold_unread(self, holder: Holder, size: int, taken_at: float) -> None:
+        """Record that a peer has not taken ``size`` bytes yet.
+
+        It last took some at ``taken_at``, by the clock.
+        """
+        if not size:
+            self.release(holder)
+            return
+        kind = memory.Kind.UNREAD
+        self._record(holder, memory.Part(kind, size, taken_at=taken_at))
 
     def should_wait(self, holder: Holder) -> bool:
         """Return whether a connection may read no more of its response."""
-        part = self._parts.get(holder)
+        part = self._account.parts.get(holder)
         return part is not None and part.waits
 
     def release(self, holder: Holder) -> None:
         """Record that a connection holds nothing any more."""
-        part = self._parts.pop(holder, None)
-        if part is None:
-            return
-        was_scarce = self._is_scarce
-        self.held_bytes -= part.size
-        if was_scarce:
-            self._share()
-
-    @property
-    def _is_scarce(self) -> bool:
-        return self.held_bytes > SCARCE_RATIO * self.limit
-
-    def _share(self) -> None:
-        """Let those responses go on whose rest fits, the oldest at least."""
-        free = self.limit - self.held_bytes
-        for number, (holder, part) in enumerate(list(self._parts.items())):
-            fits = part.missing <= free or part.size < SMALL_BYTES
-            waits = self._is_scarce and number > 0 and not fits
-            if not waits:
-                free -= part.missing
-            if waits != part.waits:
-                part.waits = waits
-                holder.update_reading()
+        was_scarce = self.is_scarce
+        if memory.release(self._account, holder) and was_scarce:
+            self._arrange()
+
+    def sweep(self) -> None:
+        """Give up clients that don't read; called a few times per second."""
+        if self.is_scarce:
+            self._give_up()
+            self._arrange()
+
+    def _record(self, holder: Holder, part: memory.Part) -> None:
+        was_scarce = self.is_scarce
+        memory.hold(self._account, holder, part)
+        if was_scarce or self.is_scarce:
+            self._give_up()
+            self._arrange()
+
+    def _give_up(self) -> None:
+        now = self._clock.monotonic()
+        while (victim := memory.victim(self._account, now)) is not None:
+            part = self._account.parts[victim]
+            memory.release(self._account, victim)
+            self._note_given_up(part.kind, part.size, victim.peer_host)
+            victim.give_up()
+
+    def _arrange(self) -> None:
+        for holder in memory.arrange(self._account):
+            holder.update_reading()
--- a/src/sassafrasstair/httpio/_connections.py
+++ b/src/sassafrasstair/httpio/_connections.py
@@ -34,6 +34,8 @@
 DROPPED_BYTES_AT_ONCE = 4 * 1024 * 1024
 """Bytes behind the last request that are dropped as they arrive; more of them
 wait for their turn, as they may come without end."""
+UNREAD_BYTES_NOTED = 64 * 1024
+"""A longer answer is accounted for as it is written, others regularly."""
 _PIPELINE_LIMITS = pipelines.Limits(
     SIDE_BY_SIDE_MAX, PIPELINED_MAX, HELD_BYTES_MAX
 )
@@ -44,7 +46,8 @@
 
     ``_held_bytes`` are reserved for a part of a head, and for input that is
     not parsed yet. ``_read_since`` is the time from which the limits on
-    reading a request count.
+    reading a request count. ``_unread_bytes`` are held of answers, and the
+    client last took some of them at ``_taken_at``.
     """
 
     __slots__ = (
@@ -53,6 +56,8 @@
         "_dropped_bytes",
         "_held_bytes",
         "_paused",
+        "_taken_at",
+        "_unread_bytes",
         "_unsent_bytes",
         "_was_full",
     )
@@ -65,6 +70,8 @@
         self._paused = False
         self._closing = False
         self._unsent_bytes = 0
+        self._unread_bytes = 0
+        self._taken_at = self._active_at
         self._was_full = False
         """Whether reading was paused since enough requests wait."""
 
@@ -118,6 +125,7 @@
         if exc is not None and (self._unsent_bytes or self._pipeline.unread):
             self._listener.note_cut("reset")
         self._disconnected()
+        self._listener.answers.release(self)
         # The parser and this connection refer to each other.
         self._parser = None
 
@@ -133,9 +141,18 @@
     def resume_writing(self) -> None:
         """Continue once the client has read most of its answers."""
         self._pipeline.unread = False
+        self._hold_unread(self._listener.clock.monotonic())
         if self._pipeline.entries:
             self._start_waiting_soon()
 
+    def give_up(self) -> None:
+        """Drop what the client has not read, as too much memory is held."""
+        self._listener.note_cut("memory")
+        self._transport.abort()
+
+    def update_reading(self) -> None:
+        """Do nothing: requests have a memory of their own."""
+
     def data_received(self, data: bytes) -> None:
         """Parse received data and start the requests that may start."""
         if self._pipeline.ended:
@@ -167,24 +184,24 @@
         """Send the response, or hold it until its turn."""
         if not pipelines.answer(self._pipeline, exchange, len(body)):
             return
-        memory = self._listener.memory
-        memory.release(len(exchange.request.body))
-        if exchange.held_bytes:
-            memory.charge(exchange.held_bytes)
+        self._listener.memory.release(len(exchange.request.body))
         if close or self._listener.closing:
             pipelines.close_soon(self._pipeline)
         exchange._answer = _exchanges.Answer(status, fields, body)
         self._write_answers()
+        if len(body) > UNREAD_BYTES_NOTED:
+            self._hold_unread(self._listener.clock.monotonic())
 
     def check(self, now: float) -> None:
         """Close the connection if a time limit has passed."""
+        self._note_progress(now)
+        self._hold_unread(now)
         has_ended = self._paused and _sockets.has_ended(self._transport)
         if has_ended:
             self._transport.abort()
         if has_ended or self._pipeline.started:
             return
         limits = self._listener.limits
-        self._note_progress(now)
         if self._closing or self._unsent_bytes:
             # If the client stops reading, its response would stay in memory
             # for as long as the connection is open.
@@ -254,6 +271,18 @@
             self._input.drop()
             self._reject(503)
 
+    def _hold_unread(self, now: float) -> None:
+        """Account for the answers that the client has not taken."""
+        buffered = self._transport.get_write_buffer_size()
+        held = self._pipeline.held_bytes + buffered
+        if not held and not self._unread_bytes:
+            return
+        if not buffered or not self._unread_bytes:
+            # There was nothing that the client could have taken.
+            self._taken_at = now
+        self._unread_bytes = held
+        self._listener.answers.hold_unread(self, held, self._taken_at)
+
     def _update_reading(self) -> None:
         """Pause or resume reading, as the number of queued requests asks."""
         queue_is_full = pipelines.should_pause_reading(self._pipeline)
@@ -279,7 +308,7 @@
                 self._transport, self._closing
             )
         if unsent_bytes < self._unsent_bytes:
-            self._active_at = now
+            self._active_at = self._taken_at = now
         self._unsent_bytes = unsent_bytes
 
     def _start_waiting_soon(self) -> None:
@@ -362,8 +391,6 @@
         exchange.gone = None
         if answer is None:
             return
-        if exchange.held_bytes:
-            self._listener.memory.release(exchange.held_bytes)
         fields = answer.fields
         if answer.refuses:
             fields = self._listener.refusal_fields(answer.status)
@@ -416,8 +443,6 @@
         memory = self._listener.memory
         for exchange in (*removed.running, *removed.waiting):
             memory.release(len(exchange.request.body))
-        for exchange in removed.answered:
-            memory.release(exchange.held_bytes)
         for _ in removed.waiting:
             self._listener.note_pipelined(pipelines.Fate.DROPPED)
         return removed
--- a/src/sassafrasstair/httpio/_listeners.py
+++ b/src/sassafrasstair/httpio/_listeners.py
@@ -6,6 +6,7 @@
 import math
 import typing
 
+from sassafrasstair.httpio import _bodies
 from sassafrasstair.httpio import _connections
 from sassafrasstair.httpio import _exchanges
 from sassafrasstair.httpio import _sockets
@@ -16,13 +17,14 @@
 
     from sassafrasstair import clocks
     from sassafrasstair.decisions import pipelines
-    from sassafrasstair.httpio import _bodies
     from sassafrasstair.httpio import _messages
 
 BACKLOG = 1024
 """Connections waiting to be accepted; a burst opens hundreds at once."""
 LATE_SECONDS = 0.1
 """Data that is read within this time of a beat has not waited for long."""
+ANSWER_BYTES_MAX = 64 * 1024 * 1024
+"""Of a listener that shares no memory for answers."""
 CATCH_UP_SECONDS = 0.5
 """After a stall the connections that wait to be accepted come one by one, and
 what they have sent is read behind that."""
@@ -46,7 +48,8 @@
     ``is_idempotent`` tells which pipelined requests may run side by side; by
     default none may. ``note_pipelined`` is called for each pipelined request
     when it is started or dropped, and ``note_cut``, with the reason, if a
-    connection ends with a part of an answer unsent.
+    connection ends with a part of an answer unsent. ``memory`` is that of
+    requests, and ``answers`` that of answers that clients have not read.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         ] = _never_idempotent,
         note_pipelined: abc.Callable[[pipelines.Fate], None] = _ignore_fate,
         note_cut: abc.Callable[[str], None] = _ignore_cut,
+        answers: _bodies.ResponseMemory | None = None,
     ) -> None:
         self.handle = handle
         self.is_idempotent = is_idempotent
@@ -69,6 +73,9 @@
         """Returns the header fields of an error response with a status."""
         self.clock = clock
         self.memory = memory
+        self.answers = answers or _bodies.ResponseMemory(
+            ANSWER_BYTES_MAX, clock
+        )
         self.limits = _exchanges.Limits()
         self.closing = False
         """Set at shutdown: each response then closes its connection."""
--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -99,6 +99,11 @@
         self._started_at = math.inf
         self._idle_until = pool.clock.monotonic() + pool.idle_seconds
 
+    @property
+    def peer_host(self) -> str:
+        """The server's IP address, '' after it has disconnected."""
+        return _sockets.peer_host(self._transport)
+
     @property
     def closed(self) -> bool:
         """Whether the connection has ended, or is being aborted."""
--- a/tests/forwarding/test_memory_figures.py
+++ b/tests/forwarding/test_memory_figures.py
@@ -36,6 +36,7 @@
         assert found["memory_limit_bytes"] == MEMORY_BYTES
         assert found["resident_bytes"] > 0
         assert found["response_bytes_held"] == 0
+        assert found["unread_bytes_held"] == 0
         assert found["body_bytes_held"] == 0
 
     test_path.run(test())
--- a/tests/httpio/pipelined.py
+++ b/tests/httpio/pipelined.py
@@ -139,6 +139,7 @@
         while self.listener.connections:
             await asyncio.sleep(0.005)
         assert self.memory.held_bytes == 0
+        assert self.listener.answers.held_bytes == 0
 
     def _handle(self, exchange: httpio.Exchange) -> None:
         target = exchange.request.target.decode()
--- a/tests/httpio/test_pipelining.py
+++ b/tests/httpio/test_pipelining.py
@@ -224,7 +224,7 @@
         server = await pipelined.start_server(pipelined.requests("ss"))
         await server.wait_until_started(0, 1)
         server.answer(1, body=body)
-        assert server.memory.held_bytes == len(body)
+        assert server.listener.answers.held_bytes == len(body)
         server.writer.write(pipelined.request("/safe/2"))
         await server.wait_until_started(0, 1)
         server.answer(0)
@@ -232,6 +232,8 @@
         assert (await server.read()).body == body
         await server.wait_until_started(0, 1, 2)
         assert server.memory.held_bytes == 0
+        server.listener.sweep(server.listener.clock.monotonic())
+        assert server.listener.answers.held_bytes == 0
         server.writer.close()
 
     pipelined.run(test())
