Let responses that are soonest whole read on while memory is scarce

While responses waited for memory the oldest one read on. A body without end was that in its turn, and sound large answers waited until its limit.

Those that state their length go on first, beginning with what has the least to come, and then those that don't, beginning with the smallest: a body without end is the greatest of these before long.

--- a/src/sassafrasstair/decisions/memory/_memory.py
+++ b/src/sassafrasstair/decisions/memory/_memory.py
@@ -118,7 +118,7 @@
 def arrange(account: Account[KeyT]) -> list[KeyT]:
     """Decide which unfinished responses wait; return those that change.
 
-    Those that fit go on, beginning with the oldest. If none fits
+    Those that fit go on, beginning with what is soonest whole. If none fits
     and no client has to take anything, the first one goes on.
     """
     unfinished = [
@@ -126,6 +126,7 @@
         for holder, part in account.parts.items()
         if part.kind is not Kind.UNREAD
     ]
+    unfinished.sort(key=lambda each: _order(each[1]))
     has_unread = len(unfinished) < len(account.parts)
     is_short = is_scarce(account)
     free = account.limit - account.held_bytes
@@ -150,6 +151,11 @@
     return held
 
 
+def _order(part: Part) -> tuple[bool, int]:
+    """Order by what is missing; a length that is not stated comes last."""
+    return part.kind is Kind.UNSTATED, part.missing
+
+
 def _size(parts: dict[KeyT, Part]) -> int:
     return sum(part.size for part in parts.values())
 
--- a/tests/decisions/memory/test_memory.py
+++ b/tests/decisions/memory/test_memory.py
@@ -38,6 +38,15 @@
     ("parts", "waiting"),
     [
         pytest.param({"a": _unstated(20), "b": _unstated(9)}, "", id="room"),
+        pytest.param(
+            {"a": _unstated(25), "b": _unstated(20)}, "a", id="the greatest"
+        ),
+        pytest.param(
+            {"a": _unstated(35), "b": _stated(5, 16)}, "a", id="not stated"
+        ),
+        pytest.param(
+            {"a": _stated(1, 60), "b": _stated(35, 40)}, "a", id="long rest"
+        ),
         pytest.param({"a": _unstated(50)}, "", id="the only one"),
         pytest.param(
             {"a": _unstated(20), "b": _unread(30, 0.1)},
@@ -51,10 +60,10 @@
         ),
     ],
 )
-def test_responses_that_fit_go_on(
+def test_responses_that_fit_go_on_the_soonest_whole_first(
     parts: dict[str, memory.Part], waiting: str
 ) -> None:
-    """Others wait, unless that frees nothing."""
+    """The oldest read on before, and a body without end kept others back."""
     account = _account(**parts)
     waits = [name for name, part in account.parts.items() if part.waits]
     assert "".join(waits) == waiting
