End responses at once that state more than can be held

A response with a Content-Length beyond 64 MB, or beyond the memory of all responses, can only end in a failure. It was read until then, or until the limit of its request. The head is enough now; answers to HEAD and of 304 state a length that does not follow and are not touched. The test timed out before for a response with a body.

--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -306,11 +306,22 @@
         if self._is_late or response.status < 200:
             return
         self._input.meter.note_progress()
+        has_body = not job.body_omitted and response.status not in _NO_BODY
+        if has_body and self._is_too_long():
+            self._fail(_jobs.Failure.CUT_SHORT)
+            return
         if job.body_omitted:
             # httptools would wait for a body, which a HEAD response lacks.
             self._keep_alive = False
             self._complete_response = response
 
+    def _is_too_long(self) -> bool:
+        """Return whether the response states that it can't be held whole."""
+        limit = min(RESPONSE_BYTES_MAX, self._pool.memory.limit)
+        return self._content_length is not None and (
+            self._content_length > limit
+        )
+
     def on_body(self, body: bytes) -> None:
         """Store a piece of the body."""
         if self._response is None:
--- a/tests/httpio/test_bounds.py
+++ b/tests/httpio/test_bounds.py
@@ -108,6 +108,41 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("status", "omitted", "fails"),
+    [
+        pytest.param(b"200 OK", False, True, id="body"),
+        pytest.param(b"200 OK", True, False, id="HEAD"),
+        pytest.param(b"304 Not Modified", False, False, id="not modified"),
+    ],
+)
+def test_response_that_states_too_great_a_length_ends_at_once(
+    status: bytes, omitted: bool, fails: bool
+) -> None:
+    """Its caller waited until its limit, and what had come was held."""
+
+    async def run() -> None:
+        length = _responses.RESPONSE_BYTES_MAX + 1
+        head = b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n"
+        server = test_pools.Server(
+            test_pools.Script((head % (status, length),))
+        )
+        await server.open()
+        pool = test_pools._pool(server.port)
+        loop = asyncio.get_running_loop()
+        ended: asyncio.Future[httpio.Response | httpio.Failure] = (
+            loop.create_future()
+        )
+        data = httpio.request_head(b"GET", b"/", [(b"Host", b"h")], 0)
+        pool.send(httpio.Job(data, ended.set_result, None, omitted))
+        result = await asyncio.wait_for(ended, 1.0)
+        assert (result is httpio.Failure.CUT_SHORT) == fails
+        assert not pool.memory.held_bytes
+        pool.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     ("sent", "status"),
     [
