Account for the rest of a request that was answered early

An instance may answer before it has read an upload. The connection then closes once the rest is written, which an instance that reads nothing never lets happen: the body stayed in memory, in no account, for as long as the instance kept the connection.

What is left counts as unread until the instance takes it, and the connection ends where nothing is taken for 5 s, or as memory has to be made.

--- a/src/sassafrasstair/httpio/_pools.py
+++ b/src/sassafrasstair/httpio/_pools.py
@@ -49,6 +49,8 @@
         self.connections_opened = 0
         self._idle: list[_responses.Connection] = []
         self._busy: set[_responses.Connection] = set()
+        self._ending: set[_responses.Connection] = set()
+        """Closed ones with a rest of a request that was answered early."""
         self._connecting: dict[asyncio.Task[None], abc.Callable[[], None]] = {}
         """Tasks that open connections, each with what reports its failure."""
 
@@ -99,6 +101,8 @@
         if now - self.answered_at >= _responses.UNRESPONSIVE_SECONDS:
             for busy in list(self._busy):
                 busy.check(now)
+        for ending in list(self._ending):
+            ending.check_rest(now)
         kept = []
         for connection in self._idle:
             if connection.usable(now):
@@ -122,9 +126,15 @@
         self._busy.discard(connection)
         self._idle.append(connection)
 
+    def end_later(self, connection: _responses.Connection) -> None:
+        """Watch a closed connection while the server takes what is unsent."""
+        self._ending.add(connection)
+        connection.check_rest(self.clock.monotonic())
+
     def forget(self, connection: _responses.Connection) -> None:
         """Remove a connection that has closed; the connection calls this."""
         self._busy.discard(connection)
+        self._ending.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
 
--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -31,6 +31,9 @@
 """Interim and late responses, and the response itself."""
 UNRESPONSIVE_SECONDS = 1.5
 """A connection ends if its peer's system acknowledges nothing for so long."""
+REST_SECONDS = 5.0
+"""A server that has answered early may take nothing of the rest of the
+request for so long."""
 _KEEPALIVE_IDLE_S = 2
 """Probes begin on a connection that was silent for so long. They detect a
 dead peer while a request, already acknowledged, waits for its response."""
@@ -64,7 +67,9 @@
         "_poller",
         "_pool",
         "_response",
+        "_rest_bytes",
         "_started_at",
+        "_taken_at",
         "_transport",
     )
 
@@ -97,6 +102,8 @@
         self._messages_begun = 0
         self._paused = False
         self._started_at = math.inf
+        self._rest_bytes = 0
+        self._taken_at = math.inf
         self._idle_until = pool.clock.monotonic() + pool.idle_seconds
 
     @property
@@ -174,6 +181,21 @@
             failure = _jobs.Failure
             self._fail(failure.CUT_SHORT if has_begun else failure.LOST)
 
+    def check_rest(self, now: float) -> None:
+        """End the connection if the server takes no more of the request.
+
+        What is left of it counts as memory until then.
+        """
+        rest_bytes = _sockets.unsent_bytes(self._transport, True)
+        if rest_bytes != self._rest_bytes:
+            self._taken_at = now
+        self._rest_bytes = rest_bytes
+        if now - self._taken_at > REST_SECONDS:
+            self.abort()
+            return
+        unsent = self._transport.get_write_buffer_size()
+        self._pool.memory.hold_unread(self, unsent, self._taken_at)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End the job; a clean close ends a response without a length."""
         has_ended = exc is None and not self._closed
@@ -364,6 +386,8 @@
         else:
             self._closed = True
             self._transport.close()
+            if unsent:
+                self._pool.end_later(self)
         if job is not None:
             job.end(whole)
 
--- a/tests/httpio/test_early_answers.py
+++ b/tests/httpio/test_early_answers.py
@@ -5,15 +5,19 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from sassafrasstair import clocks
 from sassafrasstair import httpio
+from sassafrasstair.httpio import _responses
+from tests.httpio import freed
 
 HOST = "127.0.0.1"
 BODY = bytes(range(256)) * 32 * 1024
 """More than the buffers of both sockets hold."""
 ANSWER = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok"
 TIMEOUT = 5.0
+LEFT_BYTES = 500_000
 
 
 class Server:
@@ -104,6 +108,36 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("failures", [False, True])
+def test_rest_of_a_body_that_nobody_takes_counts_and_ends(
+    failures: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It stayed in memory for as long as the server kept the connection."""
+    monkeypatch.setattr(_responses, "REST_SECONDS", 0.5)
+
+    async def test() -> None:
+        server = Server(failures)
+        await server.open()
+        clock = clocks.SystemClock()
+        pool = httpio.Pool(HOST, server.port, clock, 30.0)
+        before = await freed.traced_bytes()
+        assert await _send(pool, 1, _request(1, BODY))
+        pool.sweep(clock.monotonic())
+        held_bytes = pool.memory.held_bytes
+        assert 0 < held_bytes < len(BODY)
+        await asyncio.sleep(0.3)
+        pool.sweep(clock.monotonic())
+        assert 0 < pool.memory.held_bytes <= held_bytes
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            pool.sweep(clock.monotonic())
+        assert await freed.traced_bytes() - before < LEFT_BYTES
+        assert pool.memory.held_bytes == 0
+
+    with freed.without_collector():
+        uvloop.run(test())
+
+
 def _is_made_of(stream: bytes, requests: list[bytes]) -> bool:
     """Return whether a stream is a sequence of whole requests."""
     while stream:
