Take a response with an invalid status for a garbled one

What callers saw: an answer of 000 or 099 was taken for an interim one, so that its caller waited until the limit; 600 and 999 were passed on. sassafrasstaird said of a request that was answered 000 that it had been done before, which a retry would trust, and closed the caller's connection without an answer for 099, 600 and 999.

A status outside 100 to 599 is of no class that HTTP knows (RFC 9110, 15). Both daemons now end such a response at once: its outcome is unknown, the caller gets a 502 or a 503 that says so, or an idempotent request a second attempt. sassafrasstaird asks the same of what other daemons send; status 0 there still means that the answer was not kept.

--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -15,6 +15,7 @@
 from sassafrasstair.httpio import _messages
 from sassafrasstair.httpio import _sockets
 from sassafrasstair import keepalive
+from sassafrasstair import statuses
 
 if typing.TYPE_CHECKING:
     from sassafrasstair.httpio import _pools
@@ -306,6 +307,9 @@
         if response is None or job is None:
             return
         response.status = self._parser.get_status_code()
+        if not statuses.is_valid(response.status):
+            self._fail(_jobs.Failure.GARBLED)
+            return
         self._keep_alive = self._parser.should_keep_alive()
         self._has_length = (
             b"content-length" in response.headers
--- a/src/sassafrasstair/runtime/_transfers.py
+++ b/src/sassafrasstair/runtime/_transfers.py
@@ -12,6 +12,7 @@
 from sassafrasstair.decisions import calls
 from sassafrasstair import outcomes
 from sassafrasstair.runtime import _attempts
+from sassafrasstair import statuses
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -111,7 +112,8 @@
     outcome = _Outcome(reply.outcome)
     reason = _Reason(reply.reason)
     is_complete = reply.has_more_parts or _matches_digest(reply)
-    if outcome is _Outcome.DONE and reply.status and not is_complete:
+    is_answer = is_complete and statuses.is_valid(reply.status)
+    if outcome is _Outcome.DONE and reply.status and not is_answer:
         return _unknown_answer(_Reason.ANSWER_CUT_SHORT), None
     answer = calls.Answer(
         outcome=outcome,
--- a/src/sassafrasstair/upstreams/_client.py
+++ b/src/sassafrasstair/upstreams/_client.py
@@ -20,6 +20,7 @@
 from sassafrasstair import logs
 from sassafrasstair import notices
 from sassafrasstair import outcomes
+from sassafrasstair import statuses
 from sassafrasstair.upstreams import _connections
 
 if typing.TYPE_CHECKING:
@@ -160,6 +161,11 @@
         raise UpstreamError(
             outcomes.Outcome.UNKNOWN, outcomes.Reason.UPSTREAM_LOST
         ) from error
+    if not statuses.is_valid(answer.status):
+        answer.close()
+        raise UpstreamError(
+            outcomes.Outcome.UNKNOWN, outcomes.Reason.ANSWER_CUT_SHORT
+        )
     _heed_keep_alive(upstream, answer)
     if answer.status == REFUSAL_STATUS:
         _raise_refusal(answer)
