--- a/src/sassafrasstair/forwarding/_daemon.py
+++ b/src/sassafrasstair/forwarding/_daemon.py
@@ -92,6 +92,8 @@
             daemon, functools.partial(_status.serve, daemon), refuse
         )
         self.operators.limits = OPERATOR_LIMITS
+        self.listeners = [self.callers, self.daemons, self.operators]
+        """All, with those of further addresses in the settings."""
         self.settings_version = daemon.dialect.settings_mark()
         self.policy_version = -1
         self.ticked_at = daemon.clock.monotonic()
@@ -177,6 +179,7 @@
             functools.partial(_inbound.handle, running.daemon),
             functools.partial(_refusal_fields, running.daemon),
         )
+        running.listeners.append(seeding)
         await seeding.open(settings.seeding.host, settings.seeding.port)
     address = settings.metrics
     if address != settings.operators:
@@ -185,6 +188,8 @@
             functools.partial(_status.serve, running.daemon),
             functools.partial(_refusal_fields, running.daemon),
         )
+        metrics.limits = OPERATOR_LIMITS
+        running.listeners.append(metrics)
         await metrics.open(address.host, address.port)
 
 
@@ -288,7 +293,7 @@
     if count % SWEEP_TICKS:
         return
     _apply_client_limits(running)
-    for listener in (running.callers, running.daemons, running.operators):
+    for listener in running.listeners:
         listener.sweep(now)
     for pool in [*daemon.pools.values(), daemon.upstream]:
         pool.sweep(now)
--- a/tests/forwarding/place.py
+++ b/tests/forwarding/place.py
@@ -94,8 +94,8 @@
             callers=at(ports[0]),
             daemons=at(ports[1]),
             operators=at(ports[2]),
-            metrics=at(ports[2]),
-            seeding=None,
+            metrics=at(self._cluster.extra_ports[0]),
+            seeding=at(self._cluster.extra_ports[1]),
             seeds=self._cluster.seeds,
             upstream=at(ports[3]),
             store=at(1),
@@ -230,7 +230,8 @@
     """Hosts with one daemon and one upstream each, and a shared store.
 
     ``ports`` are those for clients, daemons, operators and the upstream, the
-    same on each host. ``lines`` collects the log. ``entry_since`` maps
+    same on each host; metrics and seeding are at the ``extra_ports``.
+    ``lines`` collects the log. ``entry_since`` maps
     instances to the revision of their first entry. ``seeds``,
     ``memory_bytes`` and ``revocation_seconds`` are settings of the daemons; a
     ``grace`` is the daemons' grace period, and a
@@ -241,6 +242,7 @@
     def __init__(self) -> None:
         self.source = stores.Source()
         self.ports = loopback.free_ports(4, HOSTS)
+        self.extra_ports = self.ports[2], self.ports[1]
         self.seeds: tuple[forwarding.Address, ...] = ()
         self.daemons: dict[str, _daemon.RunningDaemon] = {}
         self.upstreams: dict[str, Upstream] = {}
