Soak instances that send bytes without end by turns

The tests with processes get uploads without a length, a length that could be held, and all kinds by turns.

--- a/tests/platform/endless.py
+++ b/tests/platform/endless.py
@@ -65,7 +65,12 @@
     "garbage": (b"\x00\x01", b"\xff"),
 }
 """By kind, the first bytes of an answer and those that follow for ever."""
+STATED_BODY = "body_of_stated_length"
 SPECIAL_ANSWERS = {
+    STATED_BODY: (
+        _ANSWER + b"Content-Length: 50000000\r\n\r\n",
+        BLOCK * b"x",
+    ),
     "head_body": (_ANSWER + b"Content-Length: 5\r\n\r\n", BLOCK * b"x"),
     "no_content": (b"HTTP/1.1 204 No Content\r\n\r\n", BLOCK * b"x"),
     "not_modified": (b"HTTP/1.1 304 Not Modified\r\n\r\n", BLOCK * b"x"),
@@ -84,7 +89,8 @@
     ),
 }
 """The same of answers to HEAD, of statuses without a body, of encoded bodies,
-of bytes that come slowly, and of bytes behind an answer that has ended."""
+of bytes that come slowly, of bytes behind an answer that has ended, and of a
+body whose length a daemon could hold."""
 LARGE_ANSWER = "large_answer"
 LARGE_BYTES = 16_000_000
 """The length of a sound answer that is large."""
--- a/tests/platform/faulty.py
+++ b/tests/platform/faulty.py
@@ -61,12 +61,12 @@
 class Load:
     """Requests for the faulty service.
 
-    ``gap`` is the time between two, in seconds. With a ``body`` they are
-    uploads of so many bytes. ``patience`` is the time after which a client
-    leaves, None if it waits for the answer.
+    They are for the ``paths`` by turns. ``gap`` is the time between two, in
+    seconds. With a ``body`` they are uploads of so many bytes. ``patience`` is
+    the time after which a client leaves, None if it waits for the answer.
     """
 
-    path: str
+    paths: tuple[str, ...]
     gap: float
     body: int = 0
     patience: float | None = None
@@ -188,7 +188,8 @@
     async def _ask_faulty(self, load: Load) -> None:
         longest = LIMIT_SECONDS + LATE_SECONDS
         wait = load.patience or longest
-        status, seconds = await self.ask(load.path, wait, load.body)
+        path = load.paths[self._serial % len(load.paths)]
+        status, seconds = await self.ask(path, wait, load.body)
         self.statuses.append(status)
         if load.patience is None and not status:
             self.faults.append(f"faulty {status} after {seconds:.2f} s")
--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -12,6 +12,7 @@
 
 import click
 
+from tests.platform.soak import endless_turns
 from tests.platform.soak import growing as growing_module
 from tests.platform.soak import mesh as mesh_module
 from tests.platform.soak import power
@@ -31,6 +32,7 @@
 @click.option("--stops", is_flag=True, help="Planned stops only.")
 @click.option("--mesh", is_flag=True, help="A call graph with chains.")
 @click.option("--growing", is_flag=True, help="Single stops, longer work.")
+@click.option("--endless", is_flag=True, help="Bytes without end.")
 @click.option("--stalls", is_flag=True, help="Daemons without processor.")
 @click.option("--prompt", is_flag=True, help="None at the end of others.")
 @click.option("--copies", default=1, help="Sets of six VMs.")
@@ -44,6 +46,7 @@
     stops: bool,
     mesh: bool,
     growing: bool,
+    endless: bool,
     stalls: bool,
     prompt: bool,
     copies: int,
@@ -66,6 +69,8 @@
                 return growing_module.run(seed, seconds, folder, copies, grace)
             if mesh:
                 return mesh_module.run(seed, seconds, folder, copies, grace)
+            if endless:
+                return endless_turns.run(seed, seconds, folder, copies, grace)
             if stops:
                 return stops_module.run(seed, seconds, folder, copies)
             return scenario.run(seed, seconds, folder, copies)
--- a/tests/platform/test_endless_bodies.py
+++ b/tests/platform/test_endless_bodies.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.platform import endless
 from tests.platform import faulty
 
 if typing.TYPE_CHECKING:
@@ -16,25 +17,39 @@
 FAILURES = frozenset({502, 503, 504})
 
 
-def _load(kind: str, per_second: float, body: int = 0) -> faulty.Load:
+def _load(per_second: float, *kinds: str, body: int = 0) -> faulty.Load:
     route = "order" if body else "faulty"
-    return faulty.Load(f"/{route}/{kind}", 1.0 / per_second, body)
+    paths = tuple(f"/{route}/{kind}" for kind in kinds)
+    return faulty.Load(paths, 1.0 / per_second, body)
 
 
 @pytest.mark.parametrize(
     ("load", "bytes_per_s"),
     [
-        pytest.param(_load("body_in_chunks", 30), 20 * MB, id="chunks"),
-        pytest.param(_load("body_until_the_end", 30), 20 * MB, id="no length"),
+        pytest.param(_load(30, "body_in_chunks"), 20 * MB, id="chunks"),
+        pytest.param(_load(30, "body_until_the_end"), 20 * MB, id="no length"),
         pytest.param(
-            _load("body_of_great_length", 30), 20 * MB, id="great length"
+            _load(30, "body_of_great_length"), 20 * MB, id="great length"
         ),
-        pytest.param(_load("body_until_the_end", 4), 20 * MB, id="few"),
-        pytest.param(_load("body_in_chunks", 30), 2 * MB, id="slow"),
-        pytest.param(_load("body_in_chunks", 10), 5 * MB, id="ten"),
-        pytest.param(_load("body_in_chunks", 10), 0, id="fast"),
+        pytest.param(_load(4, "body_until_the_end"), 20 * MB, id="few"),
+        pytest.param(_load(30, "body_in_chunks"), 2 * MB, id="slow"),
+        pytest.param(_load(10, "body_in_chunks"), 5 * MB, id="ten"),
+        pytest.param(_load(10, "body_in_chunks"), 0, id="fast"),
         pytest.param(
-            _load("body_of_great_length", 10, 4 * MB), 20 * MB, id="uploads"
+            _load(10, "body_of_great_length", body=4 * MB),
+            20 * MB,
+            id="uploads",
+        ),
+        pytest.param(
+            _load(10, "body_until_the_end", body=4 * MB),
+            20 * MB,
+            id="uploads without length",
+        ),
+        pytest.param(
+            _load(30, endless.STATED_BODY), 20 * MB, id="stated length"
+        ),
+        pytest.param(
+            _load(30, *sorted(endless.ANSWERS)), 20 * MB, id="by turns"
         ),
     ],
 )
@@ -56,7 +71,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     """What had come of it stayed until the collector ran."""
-    load = faulty.Load("/faulty/body_until_the_end", 0.1, patience=2.0)
+    load = faulty.Load(("/faulty/body_until_the_end",), 0.1, patience=2.0)
 
     async def play(trial: faulty.Trial) -> None:
         await trial.play(load, SECONDS)
--- a/tests/platform/test_unread_answers.py
+++ b/tests/platform/test_unread_answers.py
@@ -14,7 +14,7 @@
 
 SECONDS = 10.0
 READ_GAP_SECONDS = 1.0
-_NOTHING = faulty.Load("/sound/x", 1.0)
+_NOTHING = faulty.Load(("/sound/x",), 1.0)
 
 
 @pytest.mark.parametrize(
