--- a/tests/platform/soak/endless_turns.py
+++ b/tests/platform/soak/endless_turns.py
@@ -10,6 +10,7 @@
 import random
 import typing
 
+from tests.platform import endless
 from tests.platform import faulty
 from tests.platform.soak import faults
 from tests.platform.soak import fleet as fleet_module
@@ -24,10 +25,17 @@
 TOGETHER = (1, 4)
 """How many instances send without end at about the same time."""
 SHARES = (0.2, 0.8)
+BODIES = ("body_in_chunks", "body_until_the_end")
+BODY_SHARE = 0.7
+"""Of the turns, those with bodies only; all kinds are sent in the others."""
+GAPS_SECONDS = (0.003, 0.03)
+"""Between two blocks of a body: 2 to 20 MB/s a connection."""
 TURN_SECONDS = (0.5, 3.0)
 PAUSE_SECONDS = (0.1, 1.0)
 FAULT_PAUSE = (0.3, 1.5)
 FAULTS = ("configure", "hup", "stop", "stop")
+PATIENCE_SECONDS = 3.0
+PATIENT_GAP_SECONDS = 0.05
 WATCH_SECONDS = 0.25
 SETTLE_SECONDS = 4.0
 
@@ -50,6 +58,7 @@
             asyncio.ensure_future(work)
             for work in (
                 scenario.send_traffic(fleet),
+                _send_patient_requests(fleet),
                 _send_without_end(fleet),
                 _watch_memory(fleet),
             )
@@ -66,6 +75,18 @@
     return scenario.report(seed, fleet)
 
 
+async def _send_patient_requests(fleet: fleet_module.Fleet) -> None:
+    """Send requests whose answers may take long."""
+    calls: set[asyncio.Future[int]] = set()
+    while True:
+        client = fleet.rng.choice(fleet.vms).client
+        work = client.call("long", True, PATIENCE_SECONDS)
+        call = asyncio.ensure_future(work)
+        calls.add(call)
+        call.add_done_callback(calls.discard)
+        await asyncio.sleep(PATIENT_GAP_SECONDS)
+
+
 async def _send_without_end(fleet: fleet_module.Fleet) -> None:
     """Let some instances send without end for a while, again and again."""
     rng = fleet.rng
@@ -73,6 +94,10 @@
         await asyncio.sleep(rng.uniform(*PAUSE_SECONDS))
         chosen = rng.sample(fleet.vms, rng.randint(*TOGETHER))
         for vm in chosen:
+            is_body = rng.random() < BODY_SHARE
+            kinds = BODIES if is_body else tuple(sorted(endless.ANSWERS))
+            vm.upstream.endless_kinds = kinds
+            vm.upstream.endless_gap = rng.uniform(*GAPS_SECONDS)
             vm.upstream.endless_share = rng.uniform(*SHARES)
             fleet.note_fault(f"endless {vm.name}")
         await asyncio.sleep(rng.uniform(*TURN_SECONDS))
--- a/tests/platform/soak/upstreams.py
+++ b/tests/platform/soak/upstreams.py
@@ -51,6 +51,8 @@
         self.lose_share = 0.0
         self.extra_share = 0.0
         self.endless_share = 0.0
+        self.endless_kinds = tuple(sorted(endless.ANSWERS))
+        self.endless_gap = ENDLESS_GAP_SECONDS
         self.slow = 1.0
         self.rate_limit = math.inf
         self.leaving = False
@@ -221,7 +223,7 @@
 
     async def _answer_for_ever(self, exchange: httpio.Exchange) -> None:
         """Send bytes without end, until the caller closes."""
-        kind = self._endless_rng.choice(sorted(endless.ANSWERS))
+        kind = self._endless_rng.choice(self.endless_kinds)
         first, rest = endless.ANSWERS[kind]
         block = endless.block_of(rest)
         transport = exchange._connection._transport
@@ -232,7 +234,7 @@
                 return
             if not transport.get_write_buffer_size():
                 transport.write(block)
-            await asyncio.sleep(ENDLESS_GAP_SECONDS)
+            await asyncio.sleep(self.endless_gap)
         transport.abort()
 
     def _answer(
