--- a/tests/fleets/instances.py
+++ b/tests/fleets/instances.py
@@ -139,7 +139,7 @@
         if self.down:
             loop.call_later(CONNECT_SECONDS, job.end, httpio.Failure.NOT_SENT)
             return
-        request = networks.parse_request(job.data)
+        request = networks.parse_request(job.data + job.body)
         upstreams = self._upstreams
         upstreams.arrivals.append(
             Arrival(loop.time(), request.target, self.host)
--- a/tests/fleets/networks.py
+++ b/tests/fleets/networks.py
@@ -90,7 +90,7 @@
         self, network: Network, sender: str, receiver: str, job: httpio.Job
     ) -> None:
         now = asyncio.get_running_loop().time()
-        self.request = parse_request(job.data, now)
+        self.request = parse_request(job.data + job.body, now)
         self.peer_host = network.proxy_host or sender
         self.gone: typing.Callable[[], None] | None = None
         self._network = network
