--- a/src/sassafrasstair/httpio/_responses.py
+++ b/src/sassafrasstair/httpio/_responses.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from sassafrasstair.decisions import memory
 from sassafrasstair import dials
 from sassafrasstair.httpio import _inputs
 from sassafrasstair.httpio import _jobs
@@ -343,7 +344,9 @@
 
     def _is_too_long(self) -> bool:
         """Return whether the response states that it can't be held whole."""
-        limit = min(RESPONSE_BYTES_MAX, self._pool.memory.limit)
+        # A small one may be whole before it has to be accounted for.
+        limit = max(memory.SMALL_BYTES, self._pool.memory.limit)
+        limit = min(RESPONSE_BYTES_MAX, limit)
         return self._content_length is not None and (
             self._content_length > limit
         )
