Drop a method without a caller, and read resident memory in one place

The test of bytes without end parsed the process's peak again, which the fleet of faulty instances has a function for; its check and bound are the same, and it passes.

--- a/src/sassafrasstair/httpio/_bodies.py
+++ b/src/sassafrasstair/httpio/_bodies.py
@@ -31,10 +31,6 @@
         self.held_bytes += size
         return True
 
-    def charge(self, size: int) -> None:
-        """Count ``size`` bytes that can't be refused, such as an answer."""
-        self.held_bytes += size
-
     def release(self, size: int) -> None:
         """Release ``size`` reserved bytes."""
         self.held_bytes -= size
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import pathlib
 import random
 import resource
 import subprocess
@@ -12,11 +11,13 @@
 import typing
 
 from tests.platform import endless
+from tests.platform import faulty
 from tests.platform.soak import clients
 from tests.platform.soak import fleet as fleet_module
 
 if typing.TYPE_CHECKING:
     from collections import abc
+    import pathlib
 
     import pytest
 
@@ -119,13 +120,7 @@
         return 0
 
     def _check_memory(self, kind: str, vm: fleet_module.Vm) -> None:
-        pid = fleet_module.running(vm).pid
-        status = pathlib.Path(f"/proc/{pid}/status").read_text()
-        (peak,) = (
-            int(line.split()[1]) * 1024
-            for line in status.splitlines()
-            if line.startswith("VmHWM:")
-        )
+        peak = faulty.resident_peak(vm)
         if peak > MEMORY_BYTES:
             self.faults.append(f"{kind}: {vm.name} held {peak >> 20} MB")
 
